--- /dev/null
+++ b/crates/hollyspoke-cli/src/caller.rs
@@ -0,0 +1,204 @@
+//! A caller: asks which boxes to use, mints keys, and follows the rules for sending again.
+//!
+//! A key names the box to which the request is first sent. If that connection never opened,
+//! nothing was sent, and the next box gets a new key. Once something may have been sent, the same
+//! key goes to the other boxes, which ask its home or say that the outcome is unknown.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollyspoke::address::{Answer, Choice};
+use hollyspoke_wire::caller::{KEY, ONCE, PROBLEM_TYPE, Problem};
+use hollyspoke_wire::http::{CallError, Client};
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+/// The most sendings of one request.
+const MOST_SENDINGS: usize = 8;
+
+/// The longest wait before a box is asked again.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+
+/// A caller with the addresses it has been given.
+#[derive(Debug)]
+pub struct Caller {
+    /// The client.
+    client: Client,
+    /// The caller's name, by which boxes rank themselves for it.
+    name: String,
+    /// Boxes to ask for addresses when none of the answer is left.
+    seeds: Vec<String>,
+    /// The boxes to use.
+    boxes: Vec<Choice>,
+    /// Until when the answer may be kept.
+    keep_until: Option<Instant>,
+}
+
+/// One request.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// The method.
+    pub method: Method,
+    /// The path with its query.
+    pub path: String,
+    /// The headers.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Bytes,
+    /// Whether it must run at most once.
+    pub once: bool,
+}
+
+/// What a caller has in the end.
+#[derive(Debug)]
+pub enum Outcome {
+    /// An answer; its body may still be on its way.
+    Answer(Response<Incoming>),
+    /// The system gave no answer and said what may be claimed.
+    Problem(Problem),
+    /// No box could be reached.
+    Unreachable(String),
+}
+
+impl Caller {
+    /// Makes a caller that knows some boxes to ask.
+    pub fn new(name: impl Into<String>, seeds: Vec<String>) -> Caller {
+        let (client, name) = (Client::new(), name.into());
+        Caller { client, name, seeds, boxes: Vec::new(), keep_until: None }
+    }
+
+    /// Gives the boxes to use, asking for them when the last answer may not be kept any longer.
+    ///
+    /// # Errors
+    ///
+    /// When no box answers.
+    pub async fn boxes(&mut self) -> Result<Vec<Choice>, CallError> {
+        if self.keep_until.is_some_and(|until| Instant::now() < until) {
+            return Ok(self.boxes.clone());
+        }
+        let known = self.boxes.iter().map(|it| it.address.clone());
+        let asked: Vec<String> = known.chain(self.seeds.iter().cloned()).collect();
+        let mut last = CallError::Connect("no box is known".to_owned());
+        for address in asked {
+            let url = format!("http://{address}/v1/addresses?caller={}", self.name);
+            match self.client.get::<Answer>(&url).await {
+                Ok(answer) if !answer.boxes.is_empty() => {
+                    self.keep_until = Some(Instant::now() + Duration::from_millis(answer.keep_ms));
+                    self.boxes = answer.boxes;
+                    return Ok(self.boxes.clone());
+                }
+                Ok(_) => last = CallError::Connect("no box takes callers".to_owned()),
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    /// Sends a request, and sends it again as far as the rules allow.
+    pub async fn send(&mut self, call: &Call) -> Outcome {
+        let mut last = Outcome::Unreachable("no box was tried".to_owned());
+        // The key that may have reached its home.
+        let mut bound: Option<String> = None;
+        let mut place = 0;
+        for _ in 0..MOST_SENDINGS {
+            let boxes = match self.boxes().await {
+                Ok(boxes) => boxes,
+                Err(error) => return Outcome::Unreachable(error.to_string()),
+            };
+            let choice = &boxes[place % boxes.len()];
+            let key = bound.clone().unwrap_or_else(|| mint(choice));
+            match self.send_once(call, &choice.address, &key).await {
+                Ok(response) => match problem(response).await {
+                    Ok(answer) => return Outcome::Answer(answer),
+                    Err(problem) if may_go_elsewhere(&problem) => {
+                        // It was not run: the next box gets it as a new request.
+                        bound = None;
+                        wait(&problem).await;
+                        last = Outcome::Problem(problem);
+                    }
+                    Err(problem) => return Outcome::Problem(problem),
+                },
+                Err(error) => {
+                    if error.may_have_arrived() {
+                        bound = Some(key);
+                    }
+                    last = Outcome::Unreachable(error.to_string());
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
+            }
+            place += 1;
+            if place >= boxes.len() {
+                self.keep_until = None;
+                place = 0;
+            }
+        }
+        last
+    }
+
+    /// Sends a request to one box.
+    async fn send_once(
+        &self,
+        call: &Call,
+        address: &str,
+        key: &str,
+    ) -> Result<Response<Incoming>, CallError> {
+        let mut request = Request::builder()
+            .method(call.method.clone())
+            .uri(format!("http://{address}{}", call.path))
+            .header(KEY, key);
+        if call.once {
+            request = request.header(ONCE, "true");
+        }
+        for (name, value) in &call.headers {
+            request = request.header(name, value);
+        }
+        let request = request
+            .body(Full::new(call.body.clone()))
+            .map_err(|error| CallError::Connect(error.to_string()))?;
+        if call.once {
+            self.client.send_fresh(request).await
+        } else {
+            self.client.send(request).await
+        }
+    }
+}
+
+/// Mints a key whose home is a box.
+fn mint(choice: &Choice) -> String {
+    // The home's own keys have the top bit set.
+    let nonce = rand::random::<u64>() >> 1;
+    format!("{}.{}.{nonce:x}", choice.incarnation, choice.epoch)
+}
+
+/// Tells a problem from an answer.
+async fn problem(response: Response<Incoming>) -> Result<Response<Incoming>, Problem> {
+    let is_problem = response.headers().get("content-type").is_some_and(|it| it == PROBLEM_TYPE);
+    if !is_problem {
+        return Ok(response);
+    }
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await.map(|it| it.to_bytes()).unwrap_or_default();
+    Err(serde_json::from_slice(&body).unwrap_or_else(|error| Problem {
+        kind: "about:blank".to_owned(),
+        status,
+        title: "a problem that can't be read".to_owned(),
+        detail: error.to_string(),
+        ran: "unknown".to_owned(),
+        retry_after_ms: None,
+    }))
+}
+
+/// Tells whether another box may take a request that this one refused as not run.
+fn may_go_elsewhere(problem: &Problem) -> bool {
+    let here_only = ["leaving", "unavailable"];
+    let slug = problem.kind.rsplit(':').next().unwrap_or_default();
+    problem.ran == "no" && here_only.contains(&slug)
+}
+
+/// Waits for as long as a refusal says, within reason.
+async fn wait(problem: &Problem) {
+    let named = Duration::from_millis(problem.retry_after_ms.unwrap_or(0));
+    tokio::time::sleep(named.min(LONGEST_WAIT)).await;
+}
--- /dev/null
+++ b/crates/hollyspoke-daemon/src/callers.rs
@@ -0,0 +1,467 @@
+//! The interface for callers and operators over HTTP.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use axum::body::{Body, Bytes};
+use axum::extract::{Query as QueryString, Request, State};
+use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use futures::stream;
+use hollyspoke::effect::CallerReply;
+use hollyspoke::event::{Answer, Arrival, Call, CallId, Event, Work};
+use hollyspoke::key::Key;
+use hollyspoke::outcome::{Problem, ProblemKind};
+use hollyspoke::site::{Kind, Site};
+use hollyspoke_wire::caller;
+use hollyspoke_wire::http::{CallError, Client};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::openai::{self, Form, Usage};
+use crate::problem::{self, Unreadable};
+use crate::shell::{Input, Inputs, Query};
+use crate::upstream;
+
+/// How long a caller may take to send a request's body.
+pub const BODY_TIME: Duration = Duration::from_secs(15);
+
+/// The highest class.
+const MOST_CLASS: u8 = 9;
+
+/// The longest name of a tenant or an idempotency key, in bytes.
+const MOST_NAME: usize = 256;
+
+/// What all routes share.
+#[derive(Debug, Clone)]
+pub struct Callers {
+    /// The way to the reducer.
+    inputs: Inputs,
+    /// The client for passing requests on to other boxes.
+    client: Client,
+    /// The number of the last connection.
+    last_call: Arc<AtomicU64>,
+    /// The largest body, in bytes.
+    body_limit: usize,
+}
+
+/// A request's connection to the reducer; when it is dropped early, the caller is gone.
+#[derive(Debug)]
+struct Open {
+    /// The connection's number.
+    call: CallId,
+    /// The way to the reducer.
+    inputs: Inputs,
+    /// The replies.
+    replies: mpsc::UnboundedReceiver<CallerReply>,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        // The reducer passes over connections that it has answered already.
+        self.inputs.event(Event::Gone(self.call));
+    }
+}
+
+impl Open {
+    /// Waits for the next reply.
+    async fn next(&mut self) -> Option<CallerReply> {
+        self.replies.recv().await
+    }
+}
+
+/// A request as it came, for passing it on to another box.
+#[derive(Debug, Clone)]
+struct Original {
+    /// The method.
+    method: String,
+    /// The path with its query.
+    path: String,
+    /// The headers that are passed on.
+    headers: Vec<(String, String)>,
+    /// The body.
+    body: Bytes,
+}
+
+impl Callers {
+    /// Makes the state of the routes.
+    pub fn new(inputs: Inputs, body_limit: usize) -> Callers {
+        Callers { inputs, client: Client::new(), last_call: Arc::default(), body_limit }
+    }
+
+    /// Makes the routes.
+    pub fn router(self) -> Router {
+        Router::new()
+            .route("/v1/chat/completions", post(chat))
+            .route("/v1/completions", post(text))
+            .route("/v1/models", get(models))
+            .route("/v1/addresses", get(addresses))
+            .route("/v1/status", get(status))
+            .route("/v1/site", get(site))
+            .route("/metrics", get(metrics))
+            .route("/healthz", get(|| async { "ok\n" }))
+            .route("/readyz", get(ready))
+            .fallback(plain)
+            .with_state(self)
+    }
+
+    /// Gives a request to the reducer.
+    fn open(&self, arrival: Arrival) -> Open {
+        let call = CallId(self.last_call.fetch_add(1, Ordering::Relaxed) + 1);
+        let (sender, replies) = mpsc::unbounded_channel();
+        let arrival = Box::new(arrival);
+        self.inputs.put(Input::Arrive { call, arrival, replies: sender });
+        Open { call, inputs: self.inputs.clone(), replies }
+    }
+
+    /// Asks the reducer's loop a question.
+    async fn query<T>(
+        &self,
+        query: impl FnOnce(oneshot::Sender<T>) -> Query,
+    ) -> Result<T, Response> {
+        let (sender, answer) = oneshot::channel();
+        self.inputs.put(Input::Query(query(sender)));
+        answer.await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE.into_response())
+    }
+
+    /// Reads a request whole.
+    async fn read(&self, request: Request) -> Result<(Original, HeaderMap), Unreadable> {
+        let (parts, body) = request.into_parts();
+        let collected = Limited::new(body, self.body_limit).collect();
+        let body = match tokio::time::timeout(BODY_TIME, collected).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                return Err(Unreadable {
+                    status: StatusCode::PAYLOAD_TOO_LARGE,
+                    slug: "too-large",
+                    detail: format!("the body has more than {} bytes", self.body_limit),
+                });
+            }
+            Ok(Err(error)) => return Err(Unreadable::malformed(format!("the body: {error}"))),
+            Err(_) => {
+                return Err(Unreadable {
+                    status: StatusCode::REQUEST_TIMEOUT,
+                    slug: "slow-sender",
+                    detail: format!("the body did not come within {} s", BODY_TIME.as_secs()),
+                });
+            }
+        };
+        let path = parts.uri.path_and_query().map_or("/", |it| it.as_str()).to_owned();
+        let headers = parts.headers.iter().filter_map(upstream::passed_on).collect();
+        let original = Original { method: parts.method.to_string(), path, headers, body };
+        Ok((original, parts.headers))
+    }
+
+    /// Passes a request on to its home.
+    async fn relay(
+        &self,
+        original: &Original,
+        address: &str,
+        key: Key,
+        repeatable: bool,
+    ) -> Result<Response, CallError> {
+        let mut request = axum::http::Request::builder()
+            .method(original.method.as_str())
+            .uri(format!("http://{address}{}", original.path));
+        let replaced = [caller::KEY, caller::IDEMPOTENCY_KEY, caller::RELAYED];
+        for (name, value) in &original.headers {
+            if !replaced.contains(&name.as_str()) {
+                request = request.header(name, value);
+            }
+        }
+        let request = request
+            .header(caller::KEY, key.to_string())
+            .header(caller::RELAYED, "true")
+            .body(Full::new(original.body.clone()))
+            .map_err(|error| CallError::Connect(error.to_string()))?;
+        let response = match repeatable {
+            true => self.client.send(request).await?,
+            false => self.client.send_fresh(request).await?,
+        };
+        Ok(response.map(Body::new))
+    }
+
+    /// Gives a request to the reducer and follows it to its home if that is another box; gives
+    /// the first reply that is of use here.
+    async fn first(&self, original: &Original, arrival: Arrival) -> Result<Begun, Response> {
+        let mut open = self.open(arrival.clone());
+        let Some(reply) = open.next().await else {
+            return Err(StatusCode::SERVICE_UNAVAILABLE.into_response());
+        };
+        let CallerReply::Relay { address, key, repeatable } = reply else {
+            return Ok(Begun { open, first: reply });
+        };
+        match self.relay(original, &address, key, repeatable).await {
+            Ok(response) => Err(response),
+            Err(_) if repeatable => {
+                let again = Arrival { key: None, claim: None, ..arrival };
+                let mut open = self.open(again);
+                let Some(first) = open.next().await else {
+                    return Err(StatusCode::SERVICE_UNAVAILABLE.into_response());
+                };
+                Ok(Begun { open, first })
+            }
+            Err(_) => {
+                let detail = "the box that has this request can't be reached; it may have run";
+                let detail = detail.to_owned();
+                let unknown = Problem { kind: ProblemKind::Unknown, detail, retry_after: None };
+                Err(problem::response(&problem::wire(&unknown)))
+            }
+        }
+    }
+}
+
+/// A request to which there is a first reply.
+struct Begun {
+    /// The connection to the reducer.
+    open: Open,
+    /// The first reply.
+    first: CallerReply,
+}
+
+/// Takes a chat.
+async fn chat(State(callers): State<Callers>, request: Request) -> Response {
+    generate(callers, Form::Chat, request).await
+}
+
+/// Takes a text to complete.
+async fn text(State(callers): State<Callers>, request: Request) -> Response {
+    generate(callers, Form::Text, request).await
+}
+
+/// Takes a request for tokens.
+async fn generate(callers: Callers, form: Form, request: Request) -> Response {
+    let read = async {
+        let (original, headers) = callers.read(request).await?;
+        let wanted = openai::read(form, &original.body)?;
+        let arrival = arrival(&headers, Work::Generate(wanted.work.clone()))?;
+        Ok::<_, Unreadable>((original, wanted, arrival))
+    };
+    let (original, wanted, arrival) = match read.await {
+        Ok(read) => read,
+        Err(unreadable) => return problem::response(&unreadable.wire()),
+    };
+    let id = match arrival.key {
+        Some(key) => format!("cmpl-{key}"),
+        None => format!("cmpl-{}", callers.last_call.load(Ordering::Relaxed) + 1),
+    };
+    let begun = match callers.first(&original, arrival).await {
+        Ok(begun) => begun,
+        Err(response) => return response,
+    };
+    if wanted.stream { streamed(wanted, id, begun) } else { whole(wanted, id, begun).await }
+}
+
+/// Collects an answer and gives it whole.
+async fn whole(wanted: openai::Request, id: String, mut begun: Begun) -> Response {
+    let mut text = String::new();
+    let mut reply = Some(begun.first);
+    loop {
+        match reply {
+            Some(CallerReply::Token(token)) => text.push_str(&token),
+            Some(CallerReply::Finished { reason, prompt_tokens, tokens }) => {
+                let usage = Usage::new(prompt_tokens, tokens);
+                return Json(openai::whole(&wanted, &id, &text, &reason, usage)).into_response();
+            }
+            Some(CallerReply::Problem(problem)) => {
+                return problem::response(&problem::wire(&problem));
+            }
+            Some(CallerReply::Answer(_) | CallerReply::Relay { .. }) | None => {
+                return StatusCode::SERVICE_UNAVAILABLE.into_response();
+            }
+        }
+        reply = begun.open.next().await;
+    }
+}
+
+/// Gives an answer token by token, as server-sent events.
+fn streamed(wanted: openai::Request, id: String, begun: Begun) -> Response {
+    let Begun { open, first } = begun;
+    if let CallerReply::Problem(problem) = &first {
+        return problem::response(&problem::wire(problem));
+    }
+    let events = stream::unfold(Some((open, Some(first))), move |state| {
+        let (wanted, id) = (wanted.clone(), id.clone());
+        async move {
+            let (mut open, first) = state?;
+            let reply = match first {
+                Some(first) => Some(first),
+                None => open.next().await,
+            };
+            let (event, more) = sse(&wanted, &id, reply?);
+            Some((Ok::<_, Infallible>(event), more.then_some((open, None))))
+        }
+    });
+    let mut response = Body::from_stream(events).into_response();
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    response
+}
+
+/// Writes a reply as server-sent events; tells whether more may come.
+fn sse(wanted: &openai::Request, id: &str, reply: CallerReply) -> (Bytes, bool) {
+    match reply {
+        CallerReply::Token(token) => {
+            let chunk = openai::chunk(wanted, id, &token, None);
+            (Bytes::from(format!("data: {chunk}\n\n")), true)
+        }
+        CallerReply::Finished { reason, .. } => {
+            let chunk = openai::chunk(wanted, id, "", Some(&reason));
+            (Bytes::from(format!("data: {chunk}\n\ndata: [DONE]\n\n")), false)
+        }
+        CallerReply::Problem(problem) => {
+            let wire = serde_json::to_string(&problem::wire(&problem)).unwrap_or_default();
+            (Bytes::from(format!("event: error\ndata: {wire}\n\n")), false)
+        }
+        CallerReply::Answer(_) | CallerReply::Relay { .. } => (Bytes::new(), false),
+    }
+}
+
+/// Takes a call of a plain service.
+async fn plain(State(callers): State<Callers>, request: Request) -> Response {
+    let read = async {
+        let (original, headers) = callers.read(request).await?;
+        let reserved = [caller::ONCE, caller::CLASS, caller::RELAYED, caller::KEY];
+        let passed = original.headers.iter().filter(|(name, _)| !reserved.contains(&name.as_str()));
+        let call = Call {
+            method: original.method.clone(),
+            path: original.path.clone(),
+            headers: passed.cloned().collect(),
+            body: original.body.as_ref().into(),
+        };
+        let arrival = arrival(&headers, Work::Call(call))?;
+        Ok::<_, Unreadable>((original, arrival))
+    };
+    let (original, arrival) = match read.await {
+        Ok(read) => read,
+        Err(unreadable) => return problem::response(&unreadable.wire()),
+    };
+    let begun = match callers.first(&original, arrival).await {
+        Ok(begun) => begun,
+        Err(response) => return response,
+    };
+    match begun.first {
+        CallerReply::Answer(answer) => passed_back(answer),
+        CallerReply::Problem(problem) => problem::response(&problem::wire(&problem)),
+        CallerReply::Token(_) | CallerReply::Finished { .. } | CallerReply::Relay { .. } => {
+            StatusCode::SERVICE_UNAVAILABLE.into_response()
+        }
+    }
+}
+
+/// Makes the response of a plain service's answer.
+fn passed_back(answer: Answer) -> Response {
+    let mut response = Response::new(Body::from(Bytes::copy_from_slice(&answer.body)));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for (name, value) in &answer.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
+
+/// Makes an arrival of what the headers say.
+fn arrival(headers: &HeaderMap, work: Work) -> Result<Arrival, Unreadable> {
+    let key = match text_of(headers, caller::KEY)? {
+        Some(text) => Some(text.parse::<Key>().map_err(|error| {
+            Unreadable::malformed(format!("the header `{}`: {error}", caller::KEY))
+        })?),
+        None => None,
+    };
+    let class = match text_of(headers, caller::CLASS)? {
+        None => 0,
+        Some(text) => text.parse().ok().filter(|it| *it <= MOST_CLASS).ok_or_else(|| {
+            let detail = format!("the header `{}` must be from 0 to {MOST_CLASS}", caller::CLASS);
+            Unreadable::malformed(detail)
+        })?,
+    };
+    Ok(Arrival {
+        key,
+        claim: text_of(headers, caller::IDEMPOTENCY_KEY)?.map(str::to_owned),
+        relayed: flag_of(headers, caller::RELAYED)?,
+        repeatable: !flag_of(headers, caller::ONCE)?,
+        tenant: text_of(headers, caller::TENANT)?.unwrap_or_default().to_owned(),
+        class,
+        work,
+    })
+}
+
+/// Reads a header that is a short text.
+fn text_of<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Unreadable> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    match value.to_str() {
+        Ok(text) if !text.is_empty() && text.len() <= MOST_NAME => Ok(Some(text)),
+        Ok(_) | Err(_) => {
+            let detail = format!("the header `{name}` must be a text of 1 to {MOST_NAME} bytes");
+            Err(Unreadable::malformed(detail))
+        }
+    }
+}
+
+/// Reads a header that is `true` or `false`.
+fn flag_of(headers: &HeaderMap, name: &str) -> Result<bool, Unreadable> {
+    match text_of(headers, name)? {
+        None | Some("false") => Ok(false),
+        Some("true") => Ok(true),
+        Some(_) => {
+            let detail = format!("the header `{name}` must be `true` or `false`");
+            Err(Unreadable::malformed(detail))
+        }
+    }
+}
+
+/// Lists the models.
+async fn models(State(callers): State<Callers>) -> Result<Json<serde_json::Value>, Response> {
+    let site = callers.query(Query::Site).await?;
+    let names = site.services.iter().flat_map(|service| match &service.kind {
+        Kind::Engines { model, adapters, .. } => {
+            std::iter::once(model.as_str()).chain(adapters.iter().map(String::as_str)).collect()
+        }
+        Kind::Plain { .. } => Vec::new(),
+    });
+    Ok(Json(openai::models(names)))
+}
+
+/// Names the boxes for a caller.
+async fn addresses(
+    State(callers): State<Callers>,
+    QueryString(mut query): QueryString<HashMap<String, String>>,
+) -> Result<Json<hollyspoke::address::Answer>, Response> {
+    let caller = query.remove("caller").unwrap_or_default();
+    let data_centre = query.remove("data_centre");
+    let question = |answer| Query::Addresses { caller, data_centre, answer };
+    callers.query(question).await.map(Json)
+}
+
+/// Gives the box's state.
+async fn status(
+    State(callers): State<Callers>,
+) -> Result<Json<hollyspoke::status::Status>, Response> {
+    callers.query(Query::Status).await.map(Json)
+}
+
+/// Gives the site in force.
+async fn site(State(callers): State<Callers>) -> Result<Json<Site>, Response> {
+    callers.query(Query::Site).await.map(Json)
+}
+
+/// Gives the metrics.
+async fn metrics(State(callers): State<Callers>) -> Result<String, Response> {
+    callers.query(Query::Metrics).await
+}
+
+/// Tells whether callers may be sent here.
+async fn ready(State(callers): State<Callers>) -> Result<&'static str, Response> {
+    match callers.query(Query::Ready).await? {
+        true => Ok("ready\n"),
+        false => Err((StatusCode::SERVICE_UNAVAILABLE, "not ready\n").into_response()),
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke-daemon/src/connection.rs
@@ -0,0 +1,105 @@
+//! Callers' connections: accept, serve, answer what can't be read, and close at the planned stop.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::time::Duration;
+
+use axum::Router;
+use axum::body::Body;
+use axum::http::{Request, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tower::ServiceExt;
+
+use crate::problem::Unreadable;
+
+/// How long a caller may take to send a request's head.
+pub const HEAD_LIMIT: Duration = Duration::from_secs(10);
+
+/// The largest head of a request, in bytes.
+const MOST_HEAD: usize = 64 * 1024;
+
+/// The most headers of a request.
+const MOST_HEADERS: usize = 100;
+
+/// Accepts connections until told to stop.
+pub async fn accept(listener: TcpListener, router: Router, mut stopping: watch::Receiver<bool>) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopping.wait_for(|it| *it) => return,
+        };
+        match accepted {
+            Ok((socket, _)) => {
+                tokio::spawn(serve(socket, router.clone(), stopping.clone()));
+            }
+            // Too many open files or a connection that broke at once: try again a little later.
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+/// Serves one connection.
+async fn serve(socket: TcpStream, router: Router, mut stopping: watch::Receiver<bool>) {
+    if socket.set_nodelay(true).is_err() {
+        // The connection is gone already.
+        return;
+    }
+    let service = service_fn(move |request: Request<Incoming>| {
+        let router = router.clone();
+        Box::pin(async move { Ok::<_, Infallible>(answer(router, request).await) })
+    });
+    let mut connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_LIMIT)
+        .max_buf_size(MOST_HEAD)
+        .max_headers(MOST_HEADERS)
+        .serve_connection(TokioIo::new(socket), service);
+    let mut told = false;
+    let mut stop = std::pin::pin!(async move { drop(stopping.wait_for(|it| *it).await) });
+    let served = std::future::poll_fn(|cx| {
+        if !told && stop.as_mut().poll(cx).is_ready() {
+            told = true;
+            Pin::new(&mut connection).graceful_shutdown();
+        }
+        connection.poll_without_shutdown(cx)
+    })
+    .await;
+    let parts = connection.into_parts();
+    let mut socket = parts.io.into_inner();
+    // A head that never came whole is answered too; an idle connection just ends.
+    if served.is_err_and(|error| error.is_timeout()) && !parts.read_buf.is_empty() {
+        let _ = socket.write_all(&late_head()).await;
+    }
+    let _ = socket.shutdown().await;
+}
+
+/// Answers one request through the routes.
+async fn answer(router: Router, request: Request<Incoming>) -> axum::response::Response {
+    match router.oneshot(request.map(Body::new)).await {
+        Ok(response) => response,
+        Err(never) => match never {},
+    }
+}
+
+/// Writes the answer to a head that did not come in time.
+fn late_head() -> Vec<u8> {
+    let unreadable = Unreadable {
+        status: StatusCode::REQUEST_TIMEOUT,
+        slug: "slow-sender",
+        detail: format!("the request's head did not come within {} s", HEAD_LIMIT.as_secs()),
+    };
+    let body = serde_json::to_string(&unreadable.wire()).unwrap_or_default();
+    format!(
+        "HTTP/1.1 408 Request Timeout\r\ncontent-type: {}\r\ncontent-length: {}\r\n\
+         connection: close\r\n\r\n{body}",
+        hollyspoke_wire::caller::PROBLEM_TYPE,
+        body.len(),
+    )
+    .into_bytes()
+}
--- /dev/null
+++ b/crates/hollyspoke-daemon/src/openai.rs
@@ -0,0 +1,230 @@
+//! The OpenAI-style interface: what callers' existing clients send, and what they get.
+
+use std::sync::Arc;
+
+use hollyspoke::admission::BLOCK_TOKENS;
+use hollyspoke::event::Generate;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::problem::Unreadable;
+
+/// The tokens generated when a request does not say how many.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+
+/// The most tokens that a request may ask for.
+const MOST_TOKENS: u32 = 32_768;
+
+/// About how many bytes a token has.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// The most leading blocks of a prompt that are digested.
+const MOST_BLOCKS: usize = 32;
+
+/// Which of the two calls a request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Form {
+    /// `/v1/chat/completions`.
+    Chat,
+    /// `/v1/completions`.
+    Text,
+}
+
+/// A request, read.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Request {
+    /// What is asked for.
+    pub work: Generate,
+    /// Whether the answer is to come token by token.
+    pub stream: bool,
+    /// The form.
+    pub form: Form,
+}
+
+/// The fields of both forms that count here; others are passed over.
+#[derive(Debug, Deserialize)]
+struct Body {
+    /// The model.
+    model: String,
+    /// The messages of a chat.
+    #[serde(default)]
+    messages: Option<Vec<Message>>,
+    /// The prompt of a text.
+    #[serde(default)]
+    prompt: Option<Prompt>,
+    /// The most tokens.
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    /// The most tokens, by its newer name.
+    #[serde(default)]
+    max_completion_tokens: Option<u32>,
+    /// Whether the answer is to come token by token.
+    #[serde(default)]
+    stream: bool,
+}
+
+/// One message of a chat.
+#[derive(Debug, Deserialize)]
+struct Message {
+    /// Who speaks.
+    role: String,
+    /// What is said.
+    content: Content,
+}
+
+/// What is said, in one of its two shapes.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Content {
+    /// One text.
+    Text(String),
+    /// Several parts.
+    Parts(Vec<Part>),
+}
+
+/// A part of a message.
+#[derive(Debug, Deserialize)]
+struct Part {
+    /// The text, in parts that are text.
+    #[serde(default)]
+    text: String,
+}
+
+/// A prompt, in one of its two shapes.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Prompt {
+    /// One text.
+    One(String),
+    /// Several texts, taken as one.
+    Many(Vec<String>),
+}
+
+/// Reads a request's body.
+///
+/// # Errors
+///
+/// When it is not the JSON that the form asks for.
+pub fn read(form: Form, body: &[u8]) -> Result<Request, Unreadable> {
+    let body: Body = serde_json::from_slice(body).map_err(|error| {
+        Unreadable::malformed(format!("the body is not the JSON expected: {error}"))
+    })?;
+    let prompt = match form {
+        Form::Chat => chat_prompt(body.messages)?,
+        Form::Text => text_prompt(body.prompt)?,
+    };
+    let wanted = body.max_completion_tokens.or(body.max_tokens).unwrap_or(DEFAULT_MAX_TOKENS);
+    if !(1..=MOST_TOKENS).contains(&wanted) {
+        let detail = format!("`max_tokens` must be from 1 to {MOST_TOKENS}");
+        return Err(Unreadable::malformed(detail));
+    }
+    let prompt_tokens = prompt.len().div_ceil(BYTES_PER_TOKEN).max(1) as u32;
+    let work = Generate {
+        model: body.model,
+        prefix: prefix(&prompt),
+        prompt: Arc::from(prompt),
+        prompt_tokens,
+        max_tokens: wanted,
+    };
+    Ok(Request { work, stream: body.stream, form })
+}
+
+/// Makes one text of a chat.
+fn chat_prompt(messages: Option<Vec<Message>>) -> Result<String, Unreadable> {
+    let messages = messages.filter(|it| !it.is_empty());
+    let Some(messages) = messages else {
+        return Err(Unreadable::malformed("`messages` must be a list that is not empty"));
+    };
+    let mut prompt = String::new();
+    for message in messages {
+        prompt.push_str(&message.role);
+        prompt.push_str(": ");
+        match message.content {
+            Content::Text(text) => prompt.push_str(&text),
+            Content::Parts(parts) => parts.iter().for_each(|it| prompt.push_str(&it.text)),
+        }
+        prompt.push('\n');
+    }
+    Ok(prompt)
+}
+
+/// Makes one text of a prompt.
+fn text_prompt(prompt: Option<Prompt>) -> Result<String, Unreadable> {
+    match prompt {
+        Some(Prompt::One(text)) => Ok(text),
+        Some(Prompt::Many(texts)) => Ok(texts.concat()),
+        None => Err(Unreadable::malformed("`prompt` is missing")),
+    }
+}
+
+/// Digests a prompt's leading blocks, each together with all before it.
+fn prefix(prompt: &str) -> Vec<u64> {
+    let block = BLOCK_TOKENS as usize * BYTES_PER_TOKEN;
+    let mut digest = 0;
+    prompt
+        .as_bytes()
+        .chunks_exact(block)
+        .take(MOST_BLOCKS)
+        .map(|it| {
+            digest = xxh3_64_with_seed(it, digest);
+            digest
+        })
+        .collect()
+}
+
+/// Counts of an answer.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Usage {
+    /// The prompt's length, in tokens.
+    pub prompt_tokens: u32,
+    /// The answer's length, in tokens.
+    pub completion_tokens: u32,
+    /// Both together.
+    pub total_tokens: u32,
+}
+
+impl Usage {
+    /// Makes the counts.
+    pub fn new(prompt_tokens: u32, completion_tokens: u32) -> Usage {
+        let total_tokens = prompt_tokens + completion_tokens;
+        Usage { prompt_tokens, completion_tokens, total_tokens }
+    }
+}
+
+/// Makes a whole answer.
+pub fn whole(request: &Request, id: &str, text: &str, reason: &str, usage: Usage) -> Value {
+    let (object, choice) = match request.form {
+        Form::Chat => {
+            let message = json!({ "role": "assistant", "content": text });
+            ("chat.completion", json!({ "index": 0, "message": message, "finish_reason": reason }))
+        }
+        Form::Text => {
+            ("text_completion", json!({ "index": 0, "text": text, "finish_reason": reason }))
+        }
+    };
+    let model = &request.work.model;
+    json!({ "id": id, "object": object, "model": model, "choices": [choice], "usage": usage })
+}
+
+/// Makes one chunk of a streamed answer; the last one has the reason and no text.
+pub fn chunk(request: &Request, id: &str, text: &str, reason: Option<&str>) -> Value {
+    let (object, choice) = match request.form {
+        Form::Chat => {
+            let delta = if reason.is_some() { json!({}) } else { json!({ "content": text }) };
+            let choice = json!({ "index": 0, "delta": delta, "finish_reason": reason });
+            ("chat.completion.chunk", choice)
+        }
+        Form::Text => {
+            ("text_completion", json!({ "index": 0, "text": text, "finish_reason": reason }))
+        }
+    };
+    json!({ "id": id, "object": object, "model": request.work.model, "choices": [choice] })
+}
+
+/// Makes the list of models.
+pub fn models<'a>(names: impl Iterator<Item = &'a str>) -> Value {
+    let data: Vec<Value> =
+        names.map(|it| json!({ "id": it, "object": "model", "owned_by": "hollyspoke" })).collect();
+    json!({ "object": "list", "data": data })
+}
--- /dev/null
+++ b/crates/hollyspoke-daemon/src/problem.rs
@@ -0,0 +1,93 @@
+//! Problems as callers get them: `application/problem+json` with a stable type.
+
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::http::{HeaderValue, Response, StatusCode, header};
+use hollyspoke::outcome::{self, ProblemKind, Refusal};
+use hollyspoke_wire::caller;
+
+/// A request that could not be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unreadable {
+    /// The status.
+    pub status: StatusCode,
+    /// The last part of the stable type.
+    pub slug: &'static str,
+    /// What is wrong.
+    pub detail: String,
+}
+
+impl Unreadable {
+    /// Makes a problem of the status 400.
+    pub fn malformed(detail: impl Into<String>) -> Unreadable {
+        Unreadable { status: StatusCode::BAD_REQUEST, slug: "malformed", detail: detail.into() }
+    }
+
+    /// Gives the problem as it is sent.
+    pub fn wire(&self) -> caller::Problem {
+        caller::Problem {
+            kind: format!("{}{}", caller::PROBLEM_BASE, self.slug),
+            status: self.status.as_u16(),
+            title: self.status.canonical_reason().unwrap_or("problem").to_owned(),
+            detail: self.detail.clone(),
+            ran: "no".to_owned(),
+            retry_after_ms: None,
+        }
+    }
+}
+
+/// Gives a reducer's problem as it is sent.
+pub fn wire(problem: &outcome::Problem) -> caller::Problem {
+    let (status, title, ran) = match &problem.kind {
+        ProblemKind::NotRun(_, refusal) => {
+            let (status, title) = refused(*refusal);
+            (status, title, "no")
+        }
+        ProblemKind::Failed => (StatusCode::BAD_GATEWAY, "the request failed", "failed"),
+        ProblemKind::Unknown => {
+            (StatusCode::GATEWAY_TIMEOUT, "nobody can tell whether the request ran", "unknown")
+        }
+        ProblemKind::Superseded => {
+            (StatusCode::CONFLICT, "a later connection took the answer over", "unknown")
+        }
+    };
+    caller::Problem {
+        kind: format!("{}{}", caller::PROBLEM_BASE, problem.slug()),
+        status: status.as_u16(),
+        title: title.to_owned(),
+        detail: problem.detail.clone(),
+        ran: ran.to_owned(),
+        retry_after_ms: problem.retry_after.map(|it| it.as_millis() as u64),
+    }
+}
+
+/// Gives a refusal's status and words.
+fn refused(refusal: Refusal) -> (StatusCode, &'static str) {
+    match refusal {
+        Refusal::TooLate => (StatusCode::SERVICE_UNAVAILABLE, "the answer would come too late"),
+        Refusal::Limited => (StatusCode::TOO_MANY_REQUESTS, "the tenant is over its limit"),
+        Refusal::Unavailable => (StatusCode::SERVICE_UNAVAILABLE, "no upstream can take it"),
+        Refusal::Leaving => (StatusCode::SERVICE_UNAVAILABLE, "this box takes nothing new"),
+        Refusal::Invalid => (StatusCode::UNPROCESSABLE_ENTITY, "the request can't be served"),
+        Refusal::NotFound => (StatusCode::NOT_FOUND, "nothing here serves it"),
+        Refusal::StoreAway => {
+            (StatusCode::SERVICE_UNAVAILABLE, "the platform's store does not answer")
+        }
+    }
+}
+
+/// Makes the response of a problem.
+pub fn response(problem: &caller::Problem) -> Response<Body> {
+    let body = serde_json::to_vec(problem).unwrap_or_default();
+    let mut response = Response::new(Body::from(body));
+    *response.status_mut() =
+        StatusCode::from_u16(problem.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(caller::PROBLEM_TYPE));
+    if let Some(millis) = problem.retry_after_ms {
+        let seconds = Duration::from_millis(millis).as_secs_f64().ceil() as u64;
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
--- /dev/null
+++ b/crates/hollyspoke-daemon/src/run.rs
@@ -0,0 +1,133 @@
+//! Starts one box and sees it through to its planned stop.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use hollyspoke::event::Event;
+use hollyspoke::key::Incarnation;
+use hollyspoke::node::{self, Node};
+use hollyspoke::time::Time;
+use hollyspoke_wire::http::Client;
+use hollyspoke_wire::peer::Inbox;
+use hollyspoke_wire::platform::Platform;
+use rand::Rng;
+use slog::{Logger, info};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+
+use crate::callers::Callers;
+use crate::connection;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::shell::{self, Inputs, Shell};
+use crate::store::{self, SiteObject};
+
+/// How long connections get to close once the planned stop is complete.
+const CLOSING: Duration = Duration::from_millis(500);
+
+/// A box that runs.
+#[derive(Debug)]
+pub struct Running {
+    /// The address for callers.
+    pub callers: SocketAddr,
+    /// The address for other boxes.
+    pub peers: SocketAddr,
+    /// The way to the reducer.
+    inputs: Inputs,
+    /// The reducer's loop.
+    shell: JoinHandle<()>,
+    /// Tells connections to close.
+    stopping: watch::Sender<bool>,
+    /// The tasks that end with the box.
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Running {
+    /// Begins the planned stop.
+    pub fn leave(&self) {
+        self.inputs.event(Event::Leave);
+    }
+
+    /// Waits until the planned stop is complete.
+    pub async fn wait(mut self) {
+        // A loop that panicked is over too; the process then ends.
+        let _ = (&mut self.shell).await;
+        self.stopping.send_replace(true);
+        tokio::time::sleep(CLOSING).await;
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.shell.abort();
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Starts a box.
+///
+/// # Errors
+///
+/// When a socket can't be had.
+pub async fn start(settings: Settings, log: Logger) -> eyre::Result<Running> {
+    let callers = listen(settings.listen, "callers").await?;
+    let peers = listen(settings.listen_peers, "other boxes").await?;
+    let callers_address = callers.local_addr()?;
+    let peers_address = peers.local_addr()?;
+    let mut random = rand::rng();
+    let node = Node::new(
+        Time::ZERO,
+        node::Settings {
+            incarnation: Incarnation(random.random()),
+            name: settings.name.clone(),
+            caller_address: settings.advertise.unwrap_or(callers_address).to_string(),
+            peer_address: settings.advertise_peers.unwrap_or(peers_address).to_string(),
+            data_centre: settings.data_centre.clone(),
+            seeds: settings.seeds.iter().map(ToString::to_string).collect(),
+            random_seed: random.random(),
+        },
+    );
+    info!(log, "listening";
+        "callers" => %callers_address,
+        "peers" => %peers_address,
+        "incarnation" => %node.incarnation(),
+        "data_centre" => &settings.data_centre,
+        "site" => &settings.site,
+    );
+    let (inputs, receiver) = Inputs::new();
+    let (entry, entry_seen) = watch::channel(node.entry().clone());
+    let (arrived_sender, arrived) = mpsc::unbounded_channel();
+    let (stopping, stopping_seen) = watch::channel(false);
+    let platform = Platform::new(Client::new(), settings.platform.to_string());
+    let site = SiteObject {
+        platform: platform.clone(),
+        site: settings.site,
+        inputs: inputs.clone(),
+        log: log.clone(),
+    };
+    let router = Callers::new(inputs.clone(), settings.body_limit).router();
+    let shell = Shell::new(node, inputs.clone(), site, entry, Metrics::new()?, log);
+    let inbox = Inbox::new(entry_seen, arrived_sender);
+    let tasks = vec![
+        tokio::spawn(async move {
+            // The listener ends with the box; without it no other box reaches this one, which
+            // the members' view shows.
+            let _ = inbox.serve(peers).await;
+        }),
+        tokio::spawn(shell::pass_on(arrived, inputs.clone())),
+        tokio::spawn(store::list_boxes(platform, inputs.clone())),
+        tokio::spawn(connection::accept(callers, router, stopping_seen)),
+    ];
+    let shell = tokio::spawn(shell.run(receiver));
+    Ok(Running { callers: callers_address, peers: peers_address, inputs, shell, stopping, tasks })
+}
+
+/// Listens on an address.
+async fn listen(address: SocketAddr, whom: &str) -> eyre::Result<TcpListener> {
+    let listening = TcpListener::bind(address).await;
+    listening.wrap_err_with(|| format!("can't listen for {whom} on {address}"))
+}
--- /dev/null
+++ b/crates/hollyspoke-daemon/src/settings.rs
@@ -0,0 +1,248 @@
+//! A daemon's settings, from flags and environment variables, checked all together.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use pico_args::Arguments;
+
+/// The help text.
+pub const HELP: &str = "\
+hollyspoked: the daemon of every box
+
+Every flag may also be given as an environment variable: --data-centre is
+HOLLYSPOKE_DATA_CENTRE. The flag goes before the variable.
+
+  --name NAME              the box's name (required)
+  --data-centre NAME       the data centre it stands in (required)
+  --site NAME              the site it serves (required)
+  --platform ADDRESS       the platform's object interface (required)
+  --listen ADDRESS         where callers connect        [127.0.0.1:0]
+  --listen-peers ADDRESS   where other boxes connect    [127.0.0.1:0]
+  --advertise ADDRESS      what callers are told        [as listened on]
+  --advertise-peers ADDR   what other boxes are told    [as listened on]
+  --seeds ADDRESS,...      other boxes to greet         [none]
+  --body-limit BYTES       the largest request body     [1048576]
+  --log json|terminal      the form of the log          [json]
+  --help                   this text
+
+Addresses are IP numbers with a port; port 0 takes a free one, which the log's
+first line names. SIGTERM begins the planned stop: the box finishes what it has,
+hands its keys over and exits with 0. Exit code 2: a setting is wrong.
+";
+
+/// The default of `--body-limit`, in bytes.
+const BODY_LIMIT: usize = 1024 * 1024;
+
+/// The largest `--body-limit`, in bytes.
+const MOST_BODY_LIMIT: usize = 8 * 1024 * 1024;
+
+/// A daemon's settings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// The box's name.
+    pub name: String,
+    /// The data centre it stands in.
+    pub data_centre: String,
+    /// The site it serves.
+    pub site: String,
+    /// The platform's address.
+    pub platform: SocketAddr,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where other boxes connect.
+    pub listen_peers: SocketAddr,
+    /// What callers are told, where it differs.
+    pub advertise: Option<SocketAddr>,
+    /// What other boxes are told, where it differs.
+    pub advertise_peers: Option<SocketAddr>,
+    /// Other boxes to greet.
+    pub seeds: Vec<SocketAddr>,
+    /// The largest request body, in bytes.
+    pub body_limit: usize,
+    /// The form of the log.
+    pub log: LogForm,
+}
+
+/// The form of the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogForm {
+    /// A line of JSON a record.
+    Json,
+    /// Lines for a person.
+    Terminal,
+}
+
+/// One setting that is wrong.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Finding {
+    /// The flag.
+    pub flag: String,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.flag, self.message)
+    }
+}
+
+/// What is read, with the findings so far.
+struct Reader<'a> {
+    /// The command line.
+    arguments: Arguments,
+    /// The environment.
+    variable: &'a dyn Fn(&str) -> Option<String>,
+    /// The findings.
+    findings: Vec<Finding>,
+}
+
+impl Settings {
+    /// Reads the settings.
+    ///
+    /// # Errors
+    ///
+    /// Every setting that is wrong.
+    pub fn read(
+        arguments: Arguments,
+        variable: &dyn Fn(&str) -> Option<String>,
+    ) -> Result<Settings, Vec<Finding>> {
+        let mut reader = Reader { arguments, variable, findings: Vec::new() };
+        let name = reader.required("--name");
+        let data_centre = reader.required("--data-centre");
+        let site = reader.required("--site");
+        let platform = reader.required("--platform");
+        let platform = platform.and_then(|it| reader.address("--platform", &it));
+        let listen = reader.address_or("--listen", SocketAddr::from(([127, 0, 0, 1], 0)));
+        let listen_peers =
+            reader.address_or("--listen-peers", SocketAddr::from(([127, 0, 0, 1], 0)));
+        let advertise = reader.advertised("--advertise", listen);
+        let advertise_peers = reader.advertised("--advertise-peers", listen_peers);
+        let seeds = reader.seeds();
+        let body_limit = reader.body_limit();
+        let log = reader.log();
+        let findings = reader.finish();
+        match (name, data_centre, site, platform) {
+            (Some(name), Some(data_centre), Some(site), Some(platform)) if findings.is_empty() => {
+                Ok(Settings {
+                    name,
+                    data_centre,
+                    site,
+                    platform,
+                    listen,
+                    listen_peers,
+                    advertise,
+                    advertise_peers,
+                    seeds,
+                    body_limit,
+                    log,
+                })
+            }
+            _ => Err(findings),
+        }
+    }
+}
+
+impl Reader<'_> {
+    /// Reads a setting that may be left out.
+    fn optional(&mut self, flag: &'static str) -> Option<String> {
+        match self.arguments.opt_value_from_str::<_, String>(flag) {
+            Ok(Some(value)) => Some(value),
+            Ok(None) => (self.variable)(&variable_name(flag)).filter(|it| !it.is_empty()),
+            Err(error) => {
+                self.find(flag, error.to_string());
+                None
+            }
+        }
+    }
+
+    /// Reads a setting that must be there.
+    fn required(&mut self, flag: &'static str) -> Option<String> {
+        let value = self.optional(flag);
+        if value.is_none() {
+            let message = format!("is missing; give it or set {}", variable_name(flag));
+            self.find(flag, message);
+        }
+        value
+    }
+
+    /// Reads an address, or takes a default.
+    fn address_or(&mut self, flag: &'static str, default: SocketAddr) -> SocketAddr {
+        let Some(value) = self.optional(flag) else { return default };
+        self.address(flag, &value).unwrap_or(default)
+    }
+
+    /// Takes a text as an address.
+    fn address(&mut self, flag: &str, value: &str) -> Option<SocketAddr> {
+        let address = value.parse().ok();
+        if address.is_none() {
+            let message = format!("`{value}` is no IP number with a port, such as 10.1.0.7:8000");
+            self.find(flag, message);
+        }
+        address
+    }
+
+    /// Reads an address to tell others; it is needed where one listens on all addresses.
+    fn advertised(&mut self, flag: &'static str, listen: SocketAddr) -> Option<SocketAddr> {
+        let value = self.optional(flag);
+        if value.is_none() && listen.ip().is_unspecified() {
+            let message = format!("is needed, since {} can't be connected to", listen.ip());
+            self.find(flag, message);
+        }
+        self.address(flag, &value?)
+    }
+
+    /// Reads the seeds.
+    fn seeds(&mut self) -> Vec<SocketAddr> {
+        let Some(value) = self.optional("--seeds") else { return Vec::new() };
+        let parts = value.split(',').map(str::trim).filter(|it| !it.is_empty());
+        parts.filter_map(|it| self.address("--seeds", it)).collect()
+    }
+
+    /// Reads the largest body.
+    fn body_limit(&mut self) -> usize {
+        let Some(value) = self.optional("--body-limit") else { return BODY_LIMIT };
+        match value.parse() {
+            Ok(bytes) if (1..=MOST_BODY_LIMIT).contains(&bytes) => bytes,
+            Ok(_) | Err(_) => {
+                let message =
+                    format!("`{value}` is no number of bytes from 1 to {MOST_BODY_LIMIT}");
+                self.find("--body-limit", message);
+                BODY_LIMIT
+            }
+        }
+    }
+
+    /// Reads the form of the log.
+    fn log(&mut self) -> LogForm {
+        match self.optional("--log").as_deref() {
+            None | Some("json") => LogForm::Json,
+            Some("terminal") => LogForm::Terminal,
+            Some(other) => {
+                self.find("--log", format!("`{other}` is neither `json` nor `terminal`"));
+                LogForm::Json
+            }
+        }
+    }
+
+    /// Ends the reading: what is left on the command line is not known.
+    fn finish(mut self) -> Vec<Finding> {
+        let rest = std::mem::replace(&mut self.arguments, Arguments::from_vec(Vec::new()));
+        for argument in rest.finish() {
+            let flag = argument.to_string_lossy().into_owned();
+            self.find(&flag, "is not known; see --help".to_owned());
+        }
+        self.findings
+    }
+
+    /// Adds a finding.
+    fn find(&mut self, flag: &str, message: String) {
+        self.findings.push(Finding { flag: flag.to_owned(), message });
+    }
+}
+
+/// Gives the environment variable of a flag.
+fn variable_name(flag: &str) -> String {
+    let name = flag.trim_start_matches('-').replace('-', "_").to_uppercase();
+    format!("HOLLYSPOKE_{name}")
+}
--- /dev/null
+++ b/crates/hollyspoke-daemon/src/shell.rs
@@ -0,0 +1,344 @@
+//! The loop around the reducer: one task that feeds it events and carries out its effects.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use hollyspoke::address;
+use hollyspoke::effect::{CallerReply, Effect, Record};
+use hollyspoke::event::{Arrival, CallId, Event, Reply};
+use hollyspoke::key::Ticket;
+use hollyspoke::member::Entry;
+use hollyspoke::node::Node;
+use hollyspoke::site::Site;
+use hollyspoke::status::Status;
+use hollyspoke::time::Time;
+use hollyspoke_wire::engine::{Decode, Import};
+use hollyspoke_wire::http::Client;
+use hollyspoke_wire::peer::Arrived;
+use slog::{Logger, info};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::{AbortHandle, JoinHandle};
+use tokio::time::{Instant, MissedTickBehavior};
+
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::store::SiteObject;
+use crate::upstream::{self, PlainCall};
+
+/// How often the reducer is told that time has passed.
+pub const TICK: Duration = Duration::from_millis(20);
+
+/// What comes to the loop.
+#[derive(Debug)]
+pub enum Input {
+    /// An event for the reducer.
+    Event(Event),
+    /// A caller's request, with the way back to the caller.
+    Arrive {
+        /// The connection.
+        call: CallId,
+        /// The request.
+        arrival: Box<Arrival>,
+        /// Where its replies go.
+        replies: mpsc::UnboundedSender<CallerReply>,
+    },
+    /// A question about the box's state.
+    Query(Query),
+}
+
+/// A question about the box's state, with the way back for its answer.
+#[derive(Debug)]
+pub enum Query {
+    /// The state for operators.
+    Status(oneshot::Sender<Status>),
+    /// The addresses for a caller.
+    Addresses {
+        /// The caller's name.
+        caller: String,
+        /// The caller's data centre, where it said one.
+        data_centre: Option<String>,
+        /// Where the answer goes.
+        answer: oneshot::Sender<address::Answer>,
+    },
+    /// The site in force.
+    Site(oneshot::Sender<Site>),
+    /// Whether callers may be sent here.
+    Ready(oneshot::Sender<bool>),
+    /// The metrics as text.
+    Metrics(oneshot::Sender<String>),
+}
+
+/// The way into the loop.
+#[derive(Debug, Clone)]
+pub struct Inputs(mpsc::UnboundedSender<Input>);
+
+impl Inputs {
+    /// Makes the way in and its other end.
+    pub fn new() -> (Inputs, mpsc::UnboundedReceiver<Input>) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        (Inputs(sender), receiver)
+    }
+
+    /// Puts something in. Nothing happens when the loop has ended.
+    pub fn put(&self, input: Input) {
+        let _ = self.0.send(input);
+    }
+
+    /// Puts an event in.
+    pub fn event(&self, event: Event) {
+        self.put(Input::Event(event));
+    }
+}
+
+/// What the loop holds.
+#[derive(Debug)]
+pub struct Shell {
+    /// The reducer.
+    node: Node,
+    /// The origin of its clock.
+    origin: Instant,
+    /// The way in, for tasks.
+    inputs: Inputs,
+    /// The client for engines and services.
+    client: Client,
+    /// The connections to other boxes.
+    peers: Peers,
+    /// The site's object in the store.
+    site: SiteObject,
+    /// This box's entry, for greetings.
+    entry: watch::Sender<Entry>,
+    /// The callers' connections.
+    callers: HashMap<CallId, mpsc::UnboundedSender<CallerReply>>,
+    /// The tasks of attempts under way.
+    attempts: HashMap<Ticket, AbortHandle>,
+    /// The task that holds the watch.
+    watch: Option<JoinHandle<()>>,
+    /// The metrics.
+    metrics: Metrics,
+    /// The version for which the metrics have their labels.
+    labelled: u64,
+    /// The log.
+    log: Logger,
+}
+
+impl Shell {
+    /// Makes the loop's state.
+    pub fn new(
+        node: Node,
+        inputs: Inputs,
+        site: SiteObject,
+        entry: watch::Sender<Entry>,
+        metrics: Metrics,
+        log: Logger,
+    ) -> Shell {
+        let peers = Peers::new(node.incarnation(), inputs.clone());
+        Shell {
+            node,
+            origin: Instant::now(),
+            inputs,
+            client: Client::new(),
+            peers,
+            site,
+            entry,
+            callers: HashMap::new(),
+            attempts: HashMap::new(),
+            watch: None,
+            metrics,
+            labelled: 0,
+            log,
+        }
+    }
+
+    /// Runs until the planned stop is complete.
+    pub async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<Input>) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        loop {
+            let input = tokio::select! {
+                _ = ticks.tick() => Input::Event(Event::Tick),
+                Some(input) = inputs.recv() => input,
+            };
+            if self.take(input) {
+                break;
+            }
+        }
+        if let Some(watch) = self.watch {
+            watch.abort();
+        }
+    }
+
+    /// Takes an input; tells whether the box may exit.
+    fn take(&mut self, input: Input) -> bool {
+        match input {
+            Input::Event(event) => self.step(event),
+            Input::Arrive { call, arrival, replies } => {
+                self.callers.insert(call, replies);
+                self.step(Event::Arrive { call, arrival })
+            }
+            Input::Query(query) => {
+                self.answer(query);
+                false
+            }
+        }
+    }
+
+    /// Feeds the reducer one event; tells whether the box may exit.
+    fn step(&mut self, event: Event) -> bool {
+        if let Event::Gone(call) = event {
+            self.callers.remove(&call);
+        }
+        if let Event::Upstream { ticket, reply } = &event
+            && matches!(reply, Reply::Finished { .. } | Reply::Answered(_) | Reply::Failed { .. })
+        {
+            self.attempts.remove(ticket);
+        }
+        let now = Time::from_micros(self.origin.elapsed().as_micros() as u64);
+        let effects = self.node.step(now, event);
+        let mut exit = false;
+        for effect in effects {
+            exit |= self.carry_out(effect);
+        }
+        self.entry.send_if_modified(|entry| {
+            let changed = entry.beat != self.node.entry().beat;
+            if changed {
+                entry.clone_from(self.node.entry());
+            }
+            changed
+        });
+        exit
+    }
+
+    /// Carries out one effect; tells whether the box may exit.
+    fn carry_out(&mut self, effect: Effect) -> bool {
+        let client = self.client.clone();
+        let inputs = self.inputs.clone();
+        match effect {
+            Effect::Send { to, address, message } => self.peers.send(to, address, *message),
+            Effect::Greet(address) => self.peers.greet(address, self.node.entry().clone()),
+            Effect::Prefill { ticket, address, work, class } => {
+                let call = upstream::prefill(client, inputs, ticket, address, *work, class);
+                self.begin(ticket, call);
+            }
+            Effect::Import { ticket, address, from, tokens } => {
+                let import = Import { stream: ticket.to_string(), from, tokens };
+                self.begin(ticket, upstream::import(client, inputs, ticket, address, import));
+            }
+            Effect::Decode { ticket, address, work, from_seq } => {
+                let stream = ticket.to_string();
+                let decode = Decode { stream, max_tokens: work.max_tokens, from_seq };
+                self.begin(ticket, upstream::decode(client, inputs, ticket, address, decode));
+            }
+            Effect::Cancel { ticket, address } => {
+                if let Some(task) = self.attempts.remove(&ticket) {
+                    task.abort();
+                }
+                if !address.is_empty() {
+                    tokio::spawn(upstream::cancel(client, ticket, address));
+                }
+            }
+            Effect::Poll { engine, address } => {
+                tokio::spawn(async move {
+                    inputs.put(upstream::polled(client, engine, address).await);
+                });
+            }
+            Effect::Call { ticket, key, address, call, timeout, repeatable } => {
+                let call = PlainCall { ticket, key, address, call: *call, timeout, repeatable };
+                self.begin(ticket, upstream::call(client, inputs, call));
+            }
+            Effect::Reply { call, reply } => self.reply(call, reply),
+            Effect::Store { number, operation } => {
+                let platform = self.site.platform.clone();
+                tokio::spawn(async move {
+                    let answer = platform.operate(operation).await;
+                    inputs.event(Event::Store { number, answer });
+                });
+            }
+            Effect::Watch(true) => self.watch = Some(tokio::spawn(self.site.clone().watch())),
+            Effect::Watch(false) => {
+                if let Some(watch) = self.watch.take() {
+                    watch.abort();
+                }
+            }
+            Effect::Fetch => {
+                tokio::spawn(self.site.clone().fetch());
+            }
+            Effect::Record(record) => self.record(&record),
+            Effect::Note(note) => info!(self.log, "{}", note),
+            Effect::Exit => return true,
+        }
+        false
+    }
+
+    /// Begins a task of an attempt, in place of the one before.
+    fn begin(&mut self, ticket: Ticket, task: impl Future<Output = ()> + Send + 'static) {
+        let task = tokio::spawn(task);
+        self.attempts.insert(ticket, task.abort_handle());
+    }
+
+    /// Passes a reply to its caller.
+    fn reply(&mut self, call: CallId, reply: CallerReply) {
+        let more = matches!(reply, CallerReply::Token(_));
+        if let Some(replies) = self.callers.get(&call) {
+            // A caller that is gone says so by itself.
+            let _ = replies.send(reply);
+        }
+        if !more {
+            self.callers.remove(&call);
+        }
+    }
+
+    /// Writes a request's record to the log and the metrics.
+    fn record(&mut self, record: &Record) {
+        let current = self.node.site();
+        if self.labelled != current.version {
+            self.labelled = current.version;
+            self.metrics.configure(&current.site);
+        }
+        self.metrics.record(record);
+        let millis = |span: Option<Duration>| span.map(|it| it.as_secs_f64() * 1000.0);
+        info!(self.log, "request";
+            "key" => %record.key,
+            "service" => &record.service,
+            "tenant" => &record.tenant,
+            "class" => record.class,
+            "outcome" => &record.outcome,
+            "attempts" => record.attempts,
+            "queued_ms" => millis(Some(record.queued)),
+            "prefill_ms" => millis(record.prefill),
+            "transfer_ms" => millis(record.transfer),
+            "first_token_ms" => millis(record.first_token),
+            "between_tokens_ms" => millis(record.between_tokens),
+            "total_ms" => millis(Some(record.total)),
+            "tokens" => record.tokens,
+            "wasted_tokens" => record.wasted_tokens,
+            "good" => record.good,
+        );
+    }
+
+    /// Answers a question. A questioner that is gone needs no answer.
+    fn answer(&mut self, query: Query) {
+        match query {
+            Query::Status(answer) => drop(answer.send(self.node.status())),
+            Query::Addresses { caller, data_centre, answer } => {
+                drop(answer.send(self.node.addresses(&caller, data_centre.as_deref())));
+            }
+            Query::Site(answer) => drop(answer.send(self.node.site().site.clone())),
+            Query::Ready(answer) => drop(answer.send(self.node.is_ready())),
+            Query::Metrics(answer) => drop(answer.send(self.metrics.text())),
+        }
+    }
+}
+
+/// Passes what other boxes send on to the loop, until either end is gone.
+pub async fn pass_on(mut arrived: mpsc::UnboundedReceiver<Arrived>, inputs: Inputs) {
+    while let Some(arrived) = arrived.recv().await {
+        match arrived {
+            Arrived::Greeting(entry) => inputs.event(Event::Seen(entry)),
+            Arrived::Messages { from, messages } => {
+                for message in messages {
+                    inputs.event(Event::Peer { from, message: Box::new(message) });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke-daemon/src/upstream.rs
@@ -0,0 +1,214 @@
+//! The calls to engines and plain services that the reducer asks for.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use hollyspoke::event::{Answer, Call, Event, Generate, Reply, Report};
+use hollyspoke::key::{Key, Ticket};
+use hollyspoke::outcome::Trace;
+use hollyspoke_wire::caller;
+use hollyspoke_wire::engine::{
+    self, Cancel, Decode, Empty, Import, Line, Load, Prefill, Prefilled,
+};
+use hollyspoke_wire::http::{CallError, Client, read_whole};
+use http::{HeaderName, HeaderValue, Request};
+use http_body_util::Full;
+
+use crate::shell::{Input, Inputs};
+
+/// How long a cancel may take.
+const CANCEL_LIMIT: Duration = Duration::from_secs(1);
+
+/// How often a cancel is tried; the shard's owner sweeps up what is left.
+const CANCEL_TRIES: u32 = 3;
+
+/// How long a report may take.
+const POLL_LIMIT: Duration = Duration::from_millis(800);
+
+/// Headers of one connection alone, which are not passed on.
+const CONNECTION_HEADERS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+
+/// Tells whether a header is passed on.
+pub fn is_passed_on(name: &str) -> bool {
+    !CONNECTION_HEADERS.contains(&name) && name != "host"
+}
+
+/// Has an engine compute a prompt.
+pub async fn prefill(
+    client: Client,
+    inputs: Inputs,
+    ticket: Ticket,
+    address: String,
+    work: Generate,
+    class: u8,
+) {
+    let prefill = Prefill {
+        stream: ticket.to_string(),
+        model: work.model,
+        prompt: work.prompt.to_string(),
+        prompt_tokens: work.prompt_tokens,
+        priority: class,
+    };
+    let url = format!("http://{address}/v1/prefill");
+    let reply = match client.post::<Prefilled>(&url, &prefill).await {
+        Ok(_) => Reply::Prefilled,
+        Err(error) => failure(&error),
+    };
+    inputs.event(Event::Upstream { ticket, reply });
+}
+
+/// Has a decode engine fetch a prefill result.
+pub async fn import(
+    client: Client,
+    inputs: Inputs,
+    ticket: Ticket,
+    address: String,
+    import: Import,
+) {
+    let url = format!("http://{address}/v1/import");
+    let reply = match client.post::<Empty>(&url, &import).await {
+        Ok(Empty {}) => Reply::Imported,
+        Err(error) => failure(&error),
+    };
+    inputs.event(Event::Upstream { ticket, reply });
+}
+
+/// Has an engine generate, and passes on each token.
+pub async fn decode(
+    client: Client,
+    inputs: Inputs,
+    ticket: Ticket,
+    address: String,
+    decode: Decode,
+) {
+    let lines = match engine::decode(&client, &address, &decode).await {
+        Ok(lines) => lines,
+        Err(error) => {
+            inputs.event(Event::Upstream { ticket, reply: failure(&error) });
+            return;
+        }
+    };
+    let mut lines = std::pin::pin!(lines);
+    while let Some(line) = lines.next().await {
+        let (reply, last) = match line {
+            Ok(Line::Token { seq, text }) => (Reply::Token { seq, text: text.into() }, false),
+            Ok(Line::Finished { finished }) => (Reply::Finished { reason: finished.into() }, true),
+            Err(error) => (failure(&error), true),
+        };
+        inputs.event(Event::Upstream { ticket, reply });
+        if last {
+            return;
+        }
+    }
+    let error = CallError::Sent("the stream ended without its end".to_owned());
+    inputs.event(Event::Upstream { ticket, reply: failure(&error) });
+}
+
+/// Has an engine free what it holds for an attempt.
+pub async fn cancel(client: Client, ticket: Ticket, address: String) {
+    let url = format!("http://{address}/v1/cancel");
+    let body = Cancel { stream: ticket.to_string() };
+    for attempt in 0..CANCEL_TRIES {
+        let call = client.post::<Empty>(&url, &body);
+        if let Ok(Ok(Empty {})) = tokio::time::timeout(CANCEL_LIMIT, call).await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100 << attempt)).await;
+    }
+}
+
+/// Asks an engine for its report.
+pub async fn poll(client: &Client, address: &str) -> Option<Report> {
+    let url = format!("http://{address}/v1/report");
+    let call = client.get::<Load>(&url);
+    let load = tokio::time::timeout(POLL_LIMIT, call).await.ok()?.ok()?;
+    Some(load.report())
+}
+
+/// One call of a plain service.
+#[derive(Debug)]
+pub struct PlainCall {
+    /// The attempt.
+    pub ticket: Ticket,
+    /// The request's key.
+    pub key: Key,
+    /// The upstream's address.
+    pub address: String,
+    /// The call.
+    pub call: Call,
+    /// How long it may take.
+    pub timeout: Duration,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+}
+
+/// Calls a plain service.
+pub async fn call(client: Client, inputs: Inputs, plain: PlainCall) {
+    let ticket = plain.ticket;
+    let limit = plain.timeout;
+    let reply = match tokio::time::timeout(limit, call_once(client, plain)).await {
+        Ok(Ok(answer)) => Reply::Answered(answer),
+        Ok(Err(error)) => failure(&error),
+        Err(_) => failure(&CallError::Sent("the upstream did not answer in time".to_owned())),
+    };
+    inputs.event(Event::Upstream { ticket, reply });
+}
+
+/// Sends one call and reads its whole answer.
+async fn call_once(client: Client, plain: PlainCall) -> Result<Answer, CallError> {
+    let uri = format!("http://{}{}", plain.address, plain.call.path);
+    let mut request = Request::builder().method(plain.call.method.as_str()).uri(uri);
+    for (name, value) in &plain.call.headers {
+        request = request.header(name, value);
+    }
+    let request = request
+        .header(caller::KEY, plain.key.to_string())
+        .body(Full::new(Bytes::copy_from_slice(&plain.call.body)))
+        .map_err(|error| CallError::Connect(error.to_string()))?;
+    let response = match plain.repeatable {
+        true => client.send(request).await?,
+        false => client.send_fresh(request).await?,
+    };
+    let status = response.status().as_u16();
+    let headers = response.headers().iter().filter_map(passed_on).collect();
+    let body = read_whole(response).await?;
+    Ok(Answer { status, headers, body: body.as_ref().into() })
+}
+
+/// Gives a header as it is passed on, if it is.
+pub fn passed_on((name, value): (&HeaderName, &HeaderValue)) -> Option<(String, String)> {
+    let value = value.to_str().ok()?;
+    is_passed_on(name.as_str()).then(|| (name.to_string(), value.to_owned()))
+}
+
+/// Makes the reply for a call that failed.
+fn failure(error: &CallError) -> Reply {
+    if error.status() == Some(engine::STATUS_FULL) {
+        return Reply::Full;
+    }
+    let mut trace = Trace::clean();
+    if error.may_have_arrived() {
+        trace.mark_sent();
+    }
+    Reply::Failed { detail: error.to_string(), trace }
+}
+
+/// Gives the input that reports a poll.
+pub async fn polled(
+    client: Client,
+    engine: hollyspoke::site::UpstreamId,
+    address: String,
+) -> Input {
+    let report = poll(&client, &address).await;
+    Input::Event(Event::Polled { engine, report })
+}
--- /dev/null
+++ b/crates/hollyspoke-file/src/finding.rs
@@ -0,0 +1,76 @@
+//! One mistake in a file, with its place and a hint.
+
+use std::ops::Range;
+
+use annotate_snippets::{AnnotationKind, Group, Level, Renderer, Snippet};
+use serde::{Deserialize, Serialize};
+
+/// One mistake in a file.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finding {
+    /// The place, in bytes from the file's start.
+    pub span: Range<usize>,
+    /// What is wrong.
+    pub message: String,
+    /// What would be right, where that can be said.
+    pub hint: Option<String>,
+}
+
+impl Finding {
+    /// Makes a finding without a hint.
+    pub fn new(span: Range<usize>, message: impl Into<String>) -> Finding {
+        Finding { span, message: message.into(), hint: None }
+    }
+
+    /// Adds a hint.
+    pub fn hint(mut self, hint: impl Into<String>) -> Finding {
+        self.hint = Some(hint.into());
+        self
+    }
+
+    /// Gives the finding's line and column in a text, both from one; columns count characters.
+    pub fn place(&self, text: &str) -> (usize, usize) {
+        let before = text.get(..self.span.start).unwrap_or(text);
+        let line = before.matches('\n').count() + 1;
+        let last = before.rsplit('\n').next().unwrap_or("");
+        (line, last.chars().count() + 1)
+    }
+
+    /// Draws the finding with the lines it speaks of.
+    pub fn draw(&self, path: &str, text: &str) -> String {
+        let end = self.span.end.min(text.len());
+        let span = self.span.start.min(end)..end;
+        let snippet = Snippet::source(text)
+            .path(path)
+            .annotation(AnnotationKind::Primary.span(span).label(self.hint.clone()));
+        let group: Group<'_> = Level::ERROR.primary_title(self.message.clone()).element(snippet);
+        Renderer::plain().render(&[group]).to_string()
+    }
+}
+
+/// Finds the known name nearest to a wrong one, if it is near enough to be meant.
+pub fn nearest<'a>(wrong: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+    let most = (wrong.chars().count() / 3).max(1);
+    known
+        .into_iter()
+        .map(|it| (distance(wrong, it), it))
+        .filter(|(distance, _)| *distance <= most)
+        .min_by_key(|(distance, _)| *distance)
+        .map(|(_, it)| it)
+}
+
+/// Counts the single-character edits between two words.
+fn distance(a: &str, b: &str) -> usize {
+    let b: Vec<char> = b.chars().collect();
+    let mut row: Vec<usize> = (0..=b.len()).collect();
+    for (i, from) in a.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, to) in b.iter().enumerate() {
+            let replaced = diagonal + usize::from(from != *to);
+            diagonal = row[j + 1];
+            row[j + 1] = replaced.min(row[j] + 1).min(diagonal + 1);
+        }
+    }
+    row[b.len()]
+}
--- /dev/null
+++ b/crates/hollyspoke-file/src/parse.rs
@@ -0,0 +1,267 @@
+//! From a file's text to a draft of a site, which keeps the places of all names.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use hollyspoke::site::{Engine, Kind, Link, Model, Role, Service, Site, Tenant, Upstream};
+use toml::de::DeTable;
+
+use crate::finding::Finding;
+use crate::reader::{Placed, Reader};
+
+/// The default target for the first token, in milliseconds.
+const FIRST_TOKEN_MS: u64 = 1200;
+
+/// The default target for the time between tokens, in milliseconds.
+const BETWEEN_TOKENS_MS: u64 = 35;
+
+/// The default time that a call of a plain service may take, in milliseconds.
+const TIMEOUT_MS: u64 = 10_000;
+
+/// The bytes of one megabyte, as links' rates count them.
+const MEGABYTE: u64 = 1_000_000;
+
+/// What a name of the file stands for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Sort {
+    /// A data centre.
+    DataCentre,
+    /// A model.
+    Model,
+    /// An adapter of a model.
+    Adapter,
+    /// A service.
+    Service,
+    /// An engine or a plain upstream: they share one space of names.
+    Upstream,
+    /// A tenant.
+    Tenant,
+}
+
+impl Sort {
+    /// Gives the word for messages.
+    pub fn word(self) -> &'static str {
+        match self {
+            Sort::DataCentre => "data centre",
+            Sort::Model => "model",
+            Sort::Adapter => "adapter",
+            Sort::Service => "service",
+            Sort::Upstream => "engine or upstream",
+            Sort::Tenant => "tenant",
+        }
+    }
+}
+
+/// A site that may still contradict itself.
+#[derive(Debug, Clone, Default)]
+pub struct Draft {
+    /// The site.
+    pub site: Site,
+    /// The names that are given, with their places.
+    pub names: Vec<(Sort, Placed<String>)>,
+    /// The names that are referred to, with their places.
+    pub references: Vec<(Sort, Placed<String>)>,
+    /// The addresses, with their places.
+    pub addresses: Vec<Placed<String>>,
+    /// The path prefixes, with their places.
+    pub prefixes: Vec<Placed<String>>,
+    /// The tables of services, with their places.
+    pub services: Vec<(String, Range<usize>)>,
+}
+
+impl Draft {
+    /// Notes a name that is given; gives the name.
+    fn name(&mut self, sort: Sort, name: Option<Placed<String>>) -> String {
+        let Some(name) = name else { return String::new() };
+        let value = name.value.clone();
+        self.names.push((sort, name));
+        value
+    }
+
+    /// Notes a name that is referred to; gives the name.
+    fn reference(&mut self, sort: Sort, name: Option<Placed<String>>) -> String {
+        let Some(name) = name else { return String::new() };
+        let value = name.value.clone();
+        self.references.push((sort, name));
+        value
+    }
+
+    /// Notes an address; gives it.
+    fn address(&mut self, address: Option<Placed<String>>) -> String {
+        let Some(address) = address else { return String::new() };
+        let value = address.value.clone();
+        self.addresses.push(address);
+        value
+    }
+}
+
+/// Parses a file. Gives nothing when the text is no TOML; the findings then say why.
+pub fn parse(text: &str, findings: &mut Vec<Finding>) -> Option<Draft> {
+    let (root, errors) = DeTable::parse_recoverable(text);
+    for error in &errors {
+        let span = error.span().unwrap_or(0..0);
+        findings.push(Finding::new(span, error.message()));
+    }
+    if !errors.is_empty() {
+        return None;
+    }
+    let mut draft = Draft::default();
+    let whole = 0..text.find('\n').unwrap_or(text.len());
+    let mut reader = Reader::new(root.get_ref(), whole, "the file", findings);
+    draft.site.name = reader.text("site").map(|it| it.value).unwrap_or_default();
+    for data_centre in reader.texts("data_centres") {
+        let name = draft.name(Sort::DataCentre, Some(data_centre));
+        draft.site.data_centres.push(name);
+    }
+    let models = reader.tables("model");
+    let services = reader.tables("service");
+    let engines = reader.tables("engine");
+    let upstreams = reader.tables("upstream");
+    let links = reader.tables("link");
+    let tenants = reader.tables("tenant");
+    reader.finish();
+    for (table, span) in models {
+        model(&mut draft, Reader::new(table, span, "a model", findings));
+    }
+    for (table, span) in services {
+        service(&mut draft, Reader::new(table, span, "a service", findings));
+    }
+    for (table, span) in engines {
+        engine(&mut draft, Reader::new(table, span, "an engine", findings));
+    }
+    for (table, span) in upstreams {
+        upstream(&mut draft, Reader::new(table, span, "an upstream", findings));
+    }
+    for (table, span) in links {
+        link(&mut draft, Reader::new(table, span, "a link", findings));
+    }
+    for (table, span) in tenants {
+        tenant(&mut draft, Reader::new(table, span, "a tenant", findings));
+    }
+    Some(draft)
+}
+
+/// Reads a model.
+fn model(draft: &mut Draft, mut reader: Reader<'_, '_>) {
+    let name = draft.name(Sort::Model, reader.text("name"));
+    let kv_bytes_per_token = reader.count("kv_bytes_per_token").unwrap_or(0);
+    draft.site.models.push(Model { name, kv_bytes_per_token });
+    reader.finish();
+}
+
+/// Reads a service.
+fn service(draft: &mut Draft, mut reader: Reader<'_, '_>) {
+    let name = draft.name(Sort::Service, reader.text("name"));
+    draft.services.push((name.clone(), reader.span()));
+    let kind = reader.text("kind");
+    let kind = match kind.as_ref().map(|it| it.value.as_str()) {
+        Some("engines") => {
+            let model = draft.reference(Sort::Model, reader.text("model"));
+            let adapters = reader.texts("adapters");
+            let adapters =
+                adapters.into_iter().map(|it| draft.name(Sort::Adapter, Some(it))).collect();
+            let first_token = millis(reader.count_or("first_token_ms", FIRST_TOKEN_MS));
+            let between_tokens = millis(reader.count_or("between_tokens_ms", BETWEEN_TOKENS_MS));
+            Kind::Engines { model, adapters, first_token, between_tokens }
+        }
+        Some("plain") => {
+            let prefix = reader.text("prefix");
+            draft.prefixes.extend(prefix.clone());
+            let prefix = prefix.map(|it| it.value).unwrap_or_default();
+            let repeatable = reader.flag_or("repeatable", false);
+            let timeout = millis(reader.count_or("timeout_ms", TIMEOUT_MS));
+            Kind::Plain { prefix, repeatable, timeout }
+        }
+        Some(other) => {
+            let message = format!("there is no kind `{other}` of service");
+            let span = kind.as_ref().map_or(reader.span(), |it| it.span.clone());
+            reader.find(Finding::new(span, message).hint("write `engines` or `plain`"));
+            return;
+        }
+        None => return,
+    };
+    draft.site.services.push(Service { name, kind });
+    reader.finish();
+}
+
+/// Reads an engine.
+fn engine(draft: &mut Draft, mut reader: Reader<'_, '_>) {
+    let name = draft.name(Sort::Upstream, reader.text("name"));
+    let service = draft.reference(Sort::Service, reader.text("service"));
+    let data_centre = draft.reference(Sort::DataCentre, reader.text("data_centre"));
+    let address = draft.address(reader.text("address"));
+    let role = role(&mut reader);
+    let engine = Engine {
+        name,
+        service,
+        data_centre,
+        address,
+        role,
+        memory_tokens: reader.count("memory_tokens").unwrap_or(1),
+        prefill_rate: reader.count("prefill_tokens_per_second").unwrap_or(1),
+        token_time: millis(reader.count_or("token_ms", BETWEEN_TOKENS_MS)),
+        checks_orders: reader.flag_or("checks_orders", false),
+        leaving: reader.flag_or("leaving", false),
+    };
+    draft.site.engines.push(engine);
+    reader.finish();
+}
+
+/// Reads an engine's role.
+fn role(reader: &mut Reader<'_, '_>) -> Role {
+    let Some(role) = reader.text("role") else { return Role::Both };
+    match role.value.as_str() {
+        "prefill" => Role::Prefill,
+        "decode" => Role::Decode,
+        "both" => Role::Both,
+        other => {
+            let message = format!("there is no role `{other}`");
+            let hint = "write `prefill`, `decode` or `both`";
+            reader.find(Finding::new(role.span, message).hint(hint));
+            Role::Both
+        }
+    }
+}
+
+/// Reads a plain service's upstream.
+fn upstream(draft: &mut Draft, mut reader: Reader<'_, '_>) {
+    let upstream = Upstream {
+        name: draft.name(Sort::Upstream, reader.text("name")),
+        service: draft.reference(Sort::Service, reader.text("service")),
+        data_centre: draft.reference(Sort::DataCentre, reader.text("data_centre")),
+        address: draft.address(reader.text("address")),
+        leaving: reader.flag_or("leaving", false),
+    };
+    draft.site.upstreams.push(upstream);
+    reader.finish();
+}
+
+/// Reads a link.
+fn link(draft: &mut Draft, mut reader: Reader<'_, '_>) {
+    let link = Link {
+        from: draft.reference(Sort::DataCentre, reader.text("from")),
+        to: draft.reference(Sort::DataCentre, reader.text("to")),
+        bytes_per_second: reader
+            .count("megabytes_per_second")
+            .unwrap_or(1)
+            .saturating_mul(MEGABYTE),
+    };
+    draft.site.links.push(link);
+    reader.finish();
+}
+
+/// Reads a tenant.
+fn tenant(draft: &mut Draft, mut reader: Reader<'_, '_>) {
+    let tenant = Tenant {
+        name: draft.name(Sort::Tenant, reader.text("name")),
+        requests_per_second: reader.number_or_none("requests_per_second"),
+        share: reader.number_or_none("share").unwrap_or(1.0),
+    };
+    draft.site.tenants.push(tenant);
+    reader.finish();
+}
+
+/// Makes a span from milliseconds.
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
--- /dev/null
+++ b/crates/hollyspoke-file/src/reader.rs
@@ -0,0 +1,218 @@
+//! Reading of a table's entries, with a finding for each that is not as expected.
+
+use std::collections::BTreeSet;
+use std::ops::Range;
+use std::str::FromStr;
+
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+use crate::finding::{Finding, nearest};
+
+/// A value with its place.
+#[derive(Debug, Clone)]
+pub struct Placed<T> {
+    /// The value.
+    pub value: T,
+    /// Its place, in bytes.
+    pub span: Range<usize>,
+}
+
+/// A table that is being read.
+pub struct Reader<'a, 'f> {
+    /// The table.
+    table: &'a DeTable<'a>,
+    /// The table's place.
+    span: Range<usize>,
+    /// What the table is, for messages.
+    what: &'static str,
+    /// The keys that were asked for.
+    asked: BTreeSet<&'static str>,
+    /// The findings of the file.
+    findings: &'f mut Vec<Finding>,
+}
+
+impl<'a, 'f> Reader<'a, 'f> {
+    /// Begins to read a table.
+    pub fn new(
+        table: &'a DeTable<'a>,
+        span: Range<usize>,
+        what: &'static str,
+        findings: &'f mut Vec<Finding>,
+    ) -> Reader<'a, 'f> {
+        Reader { table, span, what, asked: BTreeSet::new(), findings }
+    }
+
+    /// Gives the table's place.
+    pub fn span(&self) -> Range<usize> {
+        self.span.clone()
+    }
+
+    /// Adds a finding.
+    pub fn find(&mut self, finding: Finding) {
+        self.findings.push(finding);
+    }
+
+    /// Reads a text that must be there.
+    pub fn text(&mut self, key: &'static str) -> Option<Placed<String>> {
+        let value = self.required(key)?;
+        self.as_text(key, value)
+    }
+
+    /// Reads a text that may be there.
+    pub fn text_or_none(&mut self, key: &'static str) -> Option<Placed<String>> {
+        let value = self.optional(key)?;
+        self.as_text(key, value)
+    }
+
+    /// Reads a list of texts that may be left out.
+    pub fn texts(&mut self, key: &'static str) -> Vec<Placed<String>> {
+        let Some(value) = self.optional(key) else { return Vec::new() };
+        let DeValue::Array(items) = value.get_ref() else {
+            self.wrong_type(key, "a list of texts", value);
+            return Vec::new();
+        };
+        items.iter().filter_map(|it| self.as_text(key, it)).collect()
+    }
+
+    /// Reads a positive whole number that must be there.
+    pub fn count(&mut self, key: &'static str) -> Option<u64> {
+        let value = self.required(key)?;
+        self.as_count(key, value)
+    }
+
+    /// Reads a positive whole number that may be left out.
+    pub fn count_or(&mut self, key: &'static str, default: u64) -> u64 {
+        let Some(value) = self.optional(key) else { return default };
+        self.as_count(key, value).unwrap_or(default)
+    }
+
+    /// Reads a positive number that may be left out.
+    pub fn number_or_none(&mut self, key: &'static str) -> Option<f64> {
+        let value = self.optional(key)?;
+        let number = match value.get_ref() {
+            DeValue::Integer(it) => parse_integer(it.as_str(), it.radix()).map(|it| it as f64),
+            DeValue::Float(it) => f64::from_str(&it.as_str().replace('_', "")).ok(),
+            _ => {
+                self.wrong_type(key, "a number", value);
+                return None;
+            }
+        };
+        let positive = number.filter(|it| it.is_finite() && *it > 0.0);
+        if positive.is_none() {
+            let message = format!("`{key}` must be a positive number");
+            self.find(Finding::new(value.span(), message));
+        }
+        positive
+    }
+
+    /// Reads a truth value that may be left out.
+    pub fn flag_or(&mut self, key: &'static str, default: bool) -> bool {
+        let Some(value) = self.optional(key) else { return default };
+        let DeValue::Boolean(flag) = value.get_ref() else {
+            self.wrong_type(key, "`true` or `false`", value);
+            return default;
+        };
+        *flag
+    }
+
+    /// Gives the tables of a list such as `[[engine]]`, with their places.
+    pub fn tables(&mut self, key: &'static str) -> Vec<(&'a DeTable<'a>, Range<usize>)> {
+        let Some(value) = self.optional(key) else { return Vec::new() };
+        let DeValue::Array(items) = value.get_ref() else {
+            let message = format!("`{key}` must be a list of tables");
+            let hint = format!("write `[[{key}]]`");
+            self.find(Finding::new(value.span(), message).hint(hint));
+            return Vec::new();
+        };
+        let mut tables = Vec::new();
+        for item in items.iter() {
+            match item.get_ref() {
+                DeValue::Table(table) => tables.push((table, item.span())),
+                _ => self.wrong_type(key, "a table", item),
+            }
+        }
+        tables
+    }
+
+    /// Ends the reading: what was never asked for is not known.
+    pub fn finish(mut self) {
+        for (key, _) in self.table.iter() {
+            let name: &str = key.get_ref();
+            if self.asked.contains(name) {
+                continue;
+            }
+            let message = format!("{} has no entry `{name}`", self.what);
+            let mut finding = Finding::new(key.span(), message);
+            if let Some(meant) = nearest(name, self.asked.iter().copied()) {
+                finding = finding.hint(format!("did you mean `{meant}`?"));
+            }
+            self.find(finding);
+        }
+    }
+
+    /// Gives an entry that may be left out.
+    fn optional(&mut self, key: &'static str) -> Option<&'a Spanned<DeValue<'a>>> {
+        self.asked.insert(key);
+        self.table.get(key)
+    }
+
+    /// Gives an entry that must be there.
+    fn required(&mut self, key: &'static str) -> Option<&'a Spanned<DeValue<'a>>> {
+        let value = self.optional(key);
+        if value.is_none() {
+            let message = format!("{} lacks `{key}`", self.what);
+            let span = self.span();
+            self.find(Finding::new(span, message).hint(format!("add `{key} = …`")));
+        }
+        value
+    }
+
+    /// Takes a value as a text that is not empty.
+    fn as_text(&mut self, key: &str, value: &Spanned<DeValue<'_>>) -> Option<Placed<String>> {
+        let DeValue::String(text) = value.get_ref() else {
+            self.wrong_type(key, "a text", value);
+            return None;
+        };
+        if text.is_empty() {
+            self.find(Finding::new(value.span(), format!("`{key}` must not be empty")));
+            return None;
+        }
+        Some(Placed { value: text.to_string(), span: value.span() })
+    }
+
+    /// Takes a value as a positive whole number.
+    fn as_count(&mut self, key: &str, value: &Spanned<DeValue<'_>>) -> Option<u64> {
+        let DeValue::Integer(integer) = value.get_ref() else {
+            self.wrong_type(key, "a whole number", value);
+            return None;
+        };
+        let number = parse_integer(integer.as_str(), integer.radix());
+        let positive = number.and_then(|it| u64::try_from(it).ok()).filter(|it| *it > 0);
+        if positive.is_none() {
+            let message = format!("`{key}` must be a positive whole number");
+            self.find(Finding::new(value.span(), message));
+        }
+        positive
+    }
+
+    /// Notes that an entry is of the wrong type.
+    fn wrong_type(&mut self, key: &str, wanted: &str, value: &Spanned<DeValue<'_>>) {
+        let found = match value.get_ref() {
+            DeValue::String(_) => "a text",
+            DeValue::Integer(_) => "a whole number",
+            DeValue::Float(_) => "a fraction",
+            DeValue::Boolean(_) => "a truth value",
+            DeValue::Datetime(_) => "a date",
+            DeValue::Array(_) => "a list",
+            DeValue::Table(_) => "a table",
+        };
+        let message = format!("`{key}` must be {wanted}, not {found}");
+        self.find(Finding::new(value.span(), message));
+    }
+}
+
+/// Reads the digits of a whole number.
+fn parse_integer(digits: &str, radix: u32) -> Option<i64> {
+    i64::from_str_radix(&digits.replace('_', ""), radix).ok()
+}
--- /dev/null
+++ b/crates/hollyspoke-standin/src/engine.rs
@@ -0,0 +1,413 @@
+//! A stand-in for a model engine: it computes prompts one after another, keeps each result a few
+//! seconds, takes results over from other engines, and generates a text that follows from the
+//! prompt.
+//!
+//! It frees a stream's memory when the answer is whole or the stream is cancelled, and not when a
+//! connection closes, so that a router which forgets to cancel is found out.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use axum::body::{Body, Bytes};
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use futures::stream;
+use hollyspoke_wire::engine::{Cancel, Decode, Empty, Import, Line, Load, Prefill, Prefilled};
+use hollyspoke_wire::http::Client;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Semaphore;
+use tokio::time::Instant;
+
+use crate::answer;
+
+/// What an engine can do.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The KV cache it can hold, in tokens.
+    pub memory_tokens: u64,
+    /// How fast it computes prompts, in tokens a second.
+    pub prefill_rate: u64,
+    /// How long a token takes.
+    pub token_time: Duration,
+    /// How long a prefill result is kept.
+    pub result_life: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            memory_tokens: 64_000,
+            prefill_rate: 20_000,
+            token_time: Duration::from_millis(2),
+            result_life: Duration::from_secs(3),
+        }
+    }
+}
+
+/// What goes wrong at the engine.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Faults {
+    /// Prefills fail at once.
+    pub fail_prefill: bool,
+    /// Prefills never end.
+    pub stall_prefill: bool,
+    /// Imports never end.
+    pub stall_import: bool,
+    /// Streams break off after so many tokens of a call.
+    pub break_after: Option<u32>,
+    /// Streams fall silent after so many tokens of a call.
+    pub stall_after: Option<u32>,
+    /// Everything takes so many times as long; zero counts as one.
+    pub slow: u32,
+    /// It says that it is leaving.
+    pub leaving: bool,
+}
+
+/// What has happened to the engine.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ledger {
+    /// Prefills begun.
+    pub prefills: u64,
+    /// Prefill results thrown away because nobody fetched them in time.
+    pub expired: u64,
+    /// Prompt tokens computed.
+    pub prefill_tokens: u64,
+    /// Decodes begun.
+    pub decodes: u64,
+    /// Decodes that came to their end.
+    pub finished: u64,
+    /// Streams cancelled while something was held for them.
+    pub cancelled: u64,
+    /// The KV cache in use now, in tokens.
+    pub used_tokens: u64,
+    /// The streams held now.
+    pub streams: Vec<String>,
+    /// How often each prompt's decode was begun, by the prompt's text.
+    pub decodes_of: BTreeMap<String, u64>,
+    /// Milliseconds since the last prefill or import began, if any did.
+    pub idle_ms: Option<u64>,
+}
+
+/// What an engine holds for a stream.
+#[derive(Debug, Clone)]
+struct Held {
+    /// The prompt.
+    prompt: String,
+    /// The memory in use, in tokens.
+    tokens: u64,
+    /// When the result is thrown away, while nobody has fetched it.
+    expires: Option<Instant>,
+}
+
+/// The engine's state.
+#[derive(Debug, Default)]
+struct Inner {
+    /// The streams.
+    held: BTreeMap<String, Held>,
+    /// What goes wrong.
+    faults: Faults,
+    /// What has happened.
+    ledger: Ledger,
+    /// When the last prefill or import began.
+    last_work: Option<Instant>,
+}
+
+impl Inner {
+    /// Gives the memory in use, in tokens.
+    fn used(&self) -> u64 {
+        self.held.values().map(|it| it.tokens).sum()
+    }
+
+    /// Throws away the results that nobody has fetched in time.
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let before = self.held.len();
+        self.held.retain(|_, it| it.expires.is_none_or(|at| now < at));
+        self.ledger.expired += (before - self.held.len()) as u64;
+    }
+}
+
+/// A handle on an engine.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// What it can do.
+    settings: Settings,
+    /// Its state.
+    inner: Arc<Mutex<Inner>>,
+    /// Prompts are computed one at a time.
+    compute: Arc<Semaphore>,
+    /// The client for fetching results.
+    client: Client,
+}
+
+impl Engine {
+    /// Makes an engine that holds nothing.
+    pub fn new(settings: Settings) -> Engine {
+        Engine {
+            settings,
+            inner: Arc::default(),
+            compute: Arc::new(Semaphore::new(1)),
+            client: Client::new(),
+        }
+    }
+
+    /// Makes the engine's routes.
+    pub fn router(&self) -> Router {
+        Router::new()
+            .route("/v1/prefill", post(prefill))
+            .route("/v1/export", post(export))
+            .route("/v1/import", post(import))
+            .route("/v1/decode", post(decode))
+            .route("/v1/cancel", post(cancel))
+            .route("/v1/report", get(report))
+            .route("/standin/faults", post(set_faults))
+            .route("/standin/ledger", get(ledger))
+            .layer(axum::extract::DefaultBodyLimit::max(hollyspoke_wire::http::BODY_LIMIT))
+            .with_state(self.clone())
+    }
+
+    /// Sets what goes wrong.
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+    }
+
+    /// Gives what has happened so far.
+    pub fn ledger(&self) -> Ledger {
+        let mut inner = self.lock();
+        inner.expire();
+        let mut ledger = inner.ledger.clone();
+        ledger.used_tokens = inner.used();
+        ledger.streams = inner.held.keys().cloned().collect();
+        ledger.idle_ms = inner.last_work.map(|it| it.elapsed().as_millis() as u64);
+        ledger
+    }
+
+    /// Locks the state; a panic elsewhere leaves it usable, since each change is whole.
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Gives the faults of this moment.
+    fn faults(&self) -> Faults {
+        self.lock().faults.clone()
+    }
+
+    /// Gives a time as the slowness of this moment makes it.
+    fn slowed(&self, time: Duration) -> Duration {
+        time * self.faults().slow.max(1)
+    }
+}
+
+/// Computes a prompt.
+async fn prefill(
+    State(engine): State<Engine>,
+    Json(wanted): Json<Prefill>,
+) -> Result<Json<Prefilled>, Response> {
+    let faults = engine.faults();
+    if faults.fail_prefill {
+        return Err(StatusCode::INTERNAL_SERVER_ERROR.into_response());
+    }
+    let tokens = u64::from(wanted.prompt_tokens);
+    {
+        let mut inner = engine.lock();
+        inner.expire();
+        inner.ledger.prefills += 1;
+        inner.last_work = Some(Instant::now());
+        let held = Held { prompt: wanted.prompt, tokens, expires: None };
+        inner.held.insert(wanted.stream.clone(), held);
+    }
+    let Ok(turn) = engine.compute.acquire().await else {
+        return Err(StatusCode::INTERNAL_SERVER_ERROR.into_response());
+    };
+    if faults.stall_prefill {
+        std::future::pending::<()>().await;
+    }
+    let time = Duration::from_secs_f64(tokens as f64 / engine.settings.prefill_rate as f64);
+    tokio::time::sleep(engine.slowed(time)).await;
+    drop(turn);
+    let mut inner = engine.lock();
+    inner.ledger.prefill_tokens += tokens;
+    let Some(held) = inner.held.get_mut(&wanted.stream) else {
+        return Err(StatusCode::GONE.into_response());
+    };
+    held.expires = Some(Instant::now() + engine.settings.result_life);
+    Ok(Json(Prefilled { cached_tokens: 0 }))
+}
+
+/// A prefill result on its way to another engine.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Exported {
+    /// The prompt; a real engine sends its KV cache.
+    prompt: String,
+}
+
+/// Gives a prefill result away.
+async fn export(
+    State(engine): State<Engine>,
+    Json(wanted): Json<Cancel>,
+) -> Result<Json<Exported>, Response> {
+    let mut inner = engine.lock();
+    inner.expire();
+    let ready = inner.held.get(&wanted.stream).is_some_and(|it| it.expires.is_some());
+    if !ready {
+        return Err(StatusCode::GONE.into_response());
+    }
+    let held = inner.held.remove(&wanted.stream);
+    held.map(|it| Json(Exported { prompt: it.prompt })).ok_or(StatusCode::GONE.into_response())
+}
+
+/// Takes a prefill result over.
+async fn import(
+    State(engine): State<Engine>,
+    Json(wanted): Json<Import>,
+) -> Result<Json<Empty>, Response> {
+    {
+        let mut inner = engine.lock();
+        inner.expire();
+        inner.last_work = Some(Instant::now());
+        let tokens = u64::from(wanted.tokens);
+        if inner.used() + tokens > engine.settings.memory_tokens {
+            return Err(StatusCode::CONFLICT.into_response());
+        }
+        let held = Held { prompt: String::new(), tokens, expires: None };
+        inner.held.insert(wanted.stream.clone(), held);
+    }
+    if engine.faults().stall_import {
+        std::future::pending::<()>().await;
+    }
+    let url = format!("http://{}/v1/export", wanted.from);
+    let export = Cancel { stream: wanted.stream.clone() };
+    let exported = engine.client.post::<Exported>(&url, &export).await;
+    let mut inner = engine.lock();
+    let Ok(exported) = exported else {
+        inner.held.remove(&wanted.stream);
+        return Err(StatusCode::BAD_GATEWAY.into_response());
+    };
+    let Some(held) = inner.held.get_mut(&wanted.stream) else {
+        return Err(StatusCode::GONE.into_response());
+    };
+    held.prompt = exported.prompt;
+    Ok(Json(Empty {}))
+}
+
+/// A stream that is being generated.
+struct Generation {
+    /// The engine.
+    engine: Engine,
+    /// The stream's name.
+    stream: String,
+    /// The prompt.
+    prompt: String,
+    /// The place of the next token.
+    seq: u32,
+    /// The answer's length, in tokens.
+    length: u32,
+    /// Why it ends there.
+    reason: &'static str,
+    /// Tokens given in this call.
+    given: u32,
+    /// Whether the end was said.
+    ended: bool,
+}
+
+impl Generation {
+    /// Gives the next line; nothing after the end, and an error when the stream breaks off.
+    async fn next(&mut self) -> Option<Result<Bytes, std::io::Error>> {
+        if self.ended {
+            return None;
+        }
+        let faults = self.engine.faults();
+        if faults.break_after.is_some_and(|it| self.given >= it) {
+            return Some(Err(std::io::Error::other("the engine broke the stream off")));
+        }
+        if faults.stall_after.is_some_and(|it| self.given >= it) {
+            std::future::pending::<()>().await;
+        }
+        if self.seq >= self.length {
+            self.ended = true;
+            let mut inner = self.engine.lock();
+            inner.held.remove(&self.stream);
+            inner.ledger.finished += 1;
+            return Some(Ok(line(&Line::Finished { finished: self.reason.to_owned() })));
+        }
+        tokio::time::sleep(self.engine.slowed(self.engine.settings.token_time)).await;
+        if !self.engine.lock().held.contains_key(&self.stream) {
+            // It was cancelled.
+            return Some(Err(std::io::Error::other("the stream was cancelled")));
+        }
+        let text = answer::token(&self.prompt, self.seq);
+        let token = line(&Line::Token { seq: self.seq, text });
+        self.seq += 1;
+        self.given += 1;
+        Some(Ok(token))
+    }
+}
+
+/// Writes one line.
+fn line(line: &Line) -> Bytes {
+    let mut bytes = serde_json::to_vec(line).unwrap_or_default();
+    bytes.push(b'\n');
+    Bytes::from(bytes)
+}
+
+/// Generates.
+async fn decode(State(engine): State<Engine>, Json(wanted): Json<Decode>) -> Response {
+    let prompt = {
+        let mut inner = engine.lock();
+        let Some(held) = inner.held.get(&wanted.stream) else {
+            return StatusCode::GONE.into_response();
+        };
+        let prompt = held.prompt.clone();
+        inner.ledger.decodes += 1;
+        *inner.ledger.decodes_of.entry(prompt.clone()).or_default() += 1;
+        prompt
+    };
+    let (length, reason) = answer::length(&prompt, wanted.max_tokens);
+    let generation = Generation {
+        engine,
+        stream: wanted.stream,
+        prompt,
+        seq: wanted.from_seq,
+        length,
+        reason,
+        given: 0,
+        ended: false,
+    };
+    let lines = stream::unfold(generation, |mut generation| async move {
+        let line = generation.next().await?;
+        Some((line, generation))
+    });
+    Body::from_stream(lines).into_response()
+}
+
+/// Frees all that is held for a stream.
+async fn cancel(State(engine): State<Engine>, Json(wanted): Json<Cancel>) -> Json<Empty> {
+    let mut inner = engine.lock();
+    if inner.held.remove(&wanted.stream).is_some() {
+        inner.ledger.cancelled += 1;
+    }
+    Json(Empty {})
+}
+
+/// Says how the engine does.
+async fn report(State(engine): State<Engine>) -> Json<Load> {
+    let ledger = engine.ledger();
+    let leaving = engine.faults().leaving;
+    Json(Load { used_tokens: ledger.used_tokens, streams: ledger.streams, leaving })
+}
+
+/// Sets what goes wrong.
+async fn set_faults(State(engine): State<Engine>, Json(faults): Json<Faults>) -> Json<Empty> {
+    engine.set_faults(faults);
+    Json(Empty {})
+}
+
+/// Gives what has happened so far.
+async fn ledger(State(engine): State<Engine>) -> Json<Ledger> {
+    Json(engine.ledger())
+}
--- /dev/null
+++ b/crates/hollyspoke-standin/src/main.rs
@@ -0,0 +1,54 @@
+//! Runs one stand-in as a process: `hollyspoke-standin platform|engine|service`.
+//!
+//! It prints one line of JSON, `{"listening":"<address>"}`, and serves until it is stopped.
+
+#![expect(clippy::print_stdout, reason = "the address is what the program prints")]
+
+use std::time::Duration;
+
+use axum::Router;
+use eyre::{WrapErr, bail};
+use hollyspoke_standin::engine::{Engine, Settings};
+use hollyspoke_standin::platform::Platform;
+use hollyspoke_standin::service::Service;
+use pico_args::Arguments;
+use tokio::net::TcpListener;
+
+/// Serves the stand-in that the arguments name.
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let mut arguments = Arguments::from_env();
+    let sort = arguments.subcommand()?;
+    let listen: Option<String> = arguments.opt_value_from_str("--listen")?;
+    let router = match sort.as_deref() {
+        Some("platform") => Platform::default().router(),
+        Some("engine") => engine(&mut arguments)?,
+        Some("service") => Service::default().router(),
+        Some(_) | None => {
+            bail!("usage: hollyspoke-standin platform|engine|service [--listen ADDRESS]")
+        }
+    };
+    let rest = arguments.finish();
+    if !rest.is_empty() {
+        bail!("unknown arguments: {rest:?}");
+    }
+    let listen = listen.unwrap_or_else(|| "127.0.0.1:0".to_owned());
+    let listener = TcpListener::bind(&listen).await.wrap_err("can't listen")?;
+    println!(r#"{{"listening":"{}"}}"#, listener.local_addr()?);
+    axum::serve(listener, router).await.wrap_err("the server stopped")
+}
+
+/// Makes an engine of the arguments.
+fn engine(arguments: &mut Arguments) -> eyre::Result<Router> {
+    let mut settings = Settings::default();
+    if let Some(tokens) = arguments.opt_value_from_str("--memory-tokens")? {
+        settings.memory_tokens = tokens;
+    }
+    if let Some(rate) = arguments.opt_value_from_str("--prefill-tokens-per-second")? {
+        settings.prefill_rate = rate;
+    }
+    if let Some(millis) = arguments.opt_value_from_str("--token-ms")? {
+        settings.token_time = Duration::from_millis(millis);
+    }
+    Ok(Engine::new(settings).router())
+}
--- /dev/null
+++ b/crates/hollyspoke/src/address.rs
@@ -0,0 +1,63 @@
+//! Which addresses a caller should use.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::member::{Entry, Table};
+use crate::rank;
+use crate::site::DataCentreId;
+
+/// How long a caller may keep an answer.
+pub const KEEP: Duration = Duration::from_secs(10);
+
+/// How many boxes an answer names at most.
+pub const MOST_BOXES: usize = 4;
+
+/// The answer to a caller that asks for addresses.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// How long the caller may keep the answer, in milliseconds.
+    pub keep_ms: u64,
+    /// The boxes, the first choice first.
+    pub boxes: Vec<Choice>,
+}
+
+/// One box in an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Choice {
+    /// The box's address for callers.
+    pub address: String,
+    /// The box's incarnation, the first part of a key, in hexadecimal.
+    pub incarnation: String,
+    /// The box's epoch, the second part of a key, in hexadecimal.
+    pub epoch: String,
+}
+
+/// Ranks the boxes for a caller: its own data centre first, then the others as fall-backs.
+///
+/// A box of another data centre always stands among the choices when there is one, so that the
+/// loss of a data centre leaves the caller an address.
+pub fn answer(members: &Table, caller: &str, data_centre: Option<DataCentreId>) -> Answer {
+    let near = data_centre.unwrap_or_else(|| members.my_data_centre());
+    let subject = DataCentreId::of(caller).0;
+    let mut boxes: Vec<&Entry> = members.live().collect();
+    rank::order(subject, &mut boxes, |it| it.incarnation.0);
+    let (mut chosen, far): (Vec<&Entry>, Vec<&Entry>) =
+        boxes.into_iter().partition(|it| it.data_centre == near);
+    if !far.is_empty() {
+        chosen.truncate(MOST_BOXES - 1);
+    }
+    chosen.extend(far);
+    chosen.truncate(MOST_BOXES);
+    Answer { keep_ms: KEEP.as_millis() as u64, boxes: chosen.into_iter().map(choice).collect() }
+}
+
+/// Gives a box as an answer names it.
+fn choice(entry: &Entry) -> Choice {
+    Choice {
+        address: entry.caller_address.clone(),
+        incarnation: entry.incarnation.to_string(),
+        epoch: format!("{:x}", entry.beat.epoch),
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke/src/claim.rs
@@ -0,0 +1,276 @@
+//! Callers' own idempotency keys: each is bound to one key of ours by a conditional write.
+//!
+//! Claims are grouped into [`SHARDS`] objects. One operation a shard is under way at a time, and
+//! all claims that wait for it go into the same write. A lost answer is settled by reading back:
+//! a claim found with this box's key is this box's; a claim not found is written again on the
+//! version just read, after which the lost write can no longer take effect.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::key::Key;
+use crate::node::Context;
+use crate::request;
+use crate::store::{Answer, Operation};
+use crate::time::Time;
+
+/// The objects over which claims are spread.
+pub const SHARDS: u64 = 64;
+
+/// The claims kept in one object; the oldest beyond it are dropped.
+pub const KEPT: usize = 4000;
+
+/// How long a request waits for its claim before it is refused as not run.
+pub const PATIENCE: Duration = Duration::from_secs(3);
+
+/// How long to wait before an operation is tried again after no answer.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// The kind of the objects.
+const KIND: &str = "claims";
+
+/// A caller's own key, digested together with its tenant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Claim(u64);
+
+impl Claim {
+    /// Makes the claim of a tenant's own key.
+    pub fn of(tenant: &str, own_key: &str) -> Claim {
+        let mut bytes = Vec::with_capacity(tenant.len() + own_key.len() + 1);
+        bytes.extend_from_slice(tenant.as_bytes());
+        bytes.push(0);
+        bytes.extend_from_slice(own_key.as_bytes());
+        Claim(xxh3_64(&bytes))
+    }
+
+    /// Gives the object that holds the claim.
+    fn shard(self) -> u64 {
+        self.0 % SHARDS
+    }
+}
+
+/// What has become of a claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Settled {
+    /// The claim is bound to this key.
+    Bound(Key),
+    /// The store is away, and nothing was sent for the request.
+    Away,
+}
+
+/// A request that waits for its claim.
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    /// The request.
+    request: request::Id,
+    /// The claim.
+    claim: Claim,
+    /// The key to bind it to.
+    key: Key,
+    /// Since when it waits.
+    since: Time,
+    /// Whether a binding to a home that is gone may be replaced.
+    may_replace: bool,
+}
+
+/// The claims in one object, the oldest first.
+#[derive(Debug, Clone, Default)]
+struct Bound {
+    /// The bindings.
+    claims: Vec<(Claim, Key)>,
+}
+
+impl Bound {
+    /// Reads an object's value: a line a claim, `<claim> <key>`. Lines that aren't are passed over.
+    fn parse(value: &str) -> Bound {
+        let line = |text: &str| {
+            let (claim, key) = text.split_once(' ')?;
+            Some((Claim(u64::from_str_radix(claim, 16).ok()?), key.parse().ok()?))
+        };
+        Bound { claims: value.lines().filter_map(line).collect() }
+    }
+
+    /// Writes an object's value.
+    fn print(&self) -> String {
+        self.claims.iter().map(|(claim, key)| format!("{:x} {key}\n", claim.0)).collect()
+    }
+
+    /// Finds the key to which a claim is bound.
+    fn find(&self, claim: Claim) -> Option<Key> {
+        self.claims.iter().find(|it| it.0 == claim).map(|it| it.1)
+    }
+
+    /// Binds a claim, in place of an older binding.
+    fn bind(&mut self, claim: Claim, key: Key) {
+        self.claims.retain(|it| it.0 != claim);
+        self.claims.push((claim, key));
+        let surplus = self.claims.len().saturating_sub(KEPT);
+        self.claims.drain(..surplus);
+    }
+}
+
+/// What is under way for one object.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Flight {
+    /// A read.
+    Get(u64),
+    /// A write.
+    Put(u64),
+    /// Nothing until a time.
+    Pause(Time),
+}
+
+/// One object's claims in waiting.
+#[derive(Debug, Clone, Default)]
+struct Shard {
+    /// The requests that wait.
+    waiting: Vec<Waiting>,
+    /// What is under way.
+    flight: Option<Flight>,
+}
+
+/// All claims in waiting at this box.
+#[derive(Debug, Clone, Default)]
+pub struct Claims {
+    /// The objects with something under way.
+    shards: BTreeMap<u64, Shard>,
+}
+
+impl Claims {
+    /// Has a claim bound to a key, or finds the key to which it is bound already.
+    pub fn want(
+        &mut self,
+        cx: &mut Context<'_>,
+        request: request::Id,
+        claim: Claim,
+        key: Key,
+        may_replace: bool,
+    ) {
+        let shard = self.shards.entry(claim.shard()).or_default();
+        shard.waiting.push(Waiting { request, claim, key, since: cx.now, may_replace });
+        if shard.flight.is_none() {
+            self.get(cx, claim.shard());
+        }
+    }
+
+    /// Forgets a request that no longer waits.
+    pub fn forget(&mut self, request: request::Id) {
+        for shard in self.shards.values_mut() {
+            shard.waiting.retain(|it| it.request != request);
+        }
+    }
+
+    /// Takes an answer of the store; gives the requests whose claims are settled.
+    pub fn answer(
+        &mut self,
+        cx: &mut Context<'_>,
+        number: u64,
+        answer: &Answer,
+    ) -> Vec<(request::Id, Settled)> {
+        let found = self.shards.iter().find(|(_, shard)| match shard.flight {
+            Some(Flight::Get(it) | Flight::Put(it)) => it == number,
+            Some(Flight::Pause(_)) | None => false,
+        });
+        let Some((&name, shard)) = found else { return Vec::new() };
+        let was_read = matches!(shard.flight, Some(Flight::Get(_)));
+        match answer {
+            Answer::Found { version, value } if was_read => {
+                self.merge(cx, name, *version, Bound::parse(value))
+            }
+            Answer::Absent if was_read => self.merge(cx, name, 0, Bound::default()),
+            Answer::Away => {
+                self.pause(cx.now, name);
+                Vec::new()
+            }
+            // After a write, taken or not, what stands there is read back: the read alone says
+            // whose claims hold.
+            Answer::Found { .. } | Answer::Absent | Answer::Written { .. } | Answer::Conflict => {
+                self.get(cx, name);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Tries again what is due, and gives up on the requests that have waited too long.
+    pub fn tick(&mut self, cx: &mut Context<'_>) -> Vec<(request::Id, Settled)> {
+        let now = cx.now;
+        let mut settled = Vec::new();
+        let mut due = Vec::new();
+        for (&name, shard) in &mut self.shards {
+            shard.waiting.retain(|it| {
+                let waits = now.since(it.since) < PATIENCE;
+                if !waits {
+                    settled.push((it.request, Settled::Away));
+                }
+                waits
+            });
+            if matches!(shard.flight, Some(Flight::Pause(until)) if until <= now) {
+                due.push(name);
+            }
+        }
+        for name in due {
+            self.get(cx, name);
+        }
+        settled
+    }
+
+    /// Settles what a read shows, and writes what it doesn't show yet.
+    fn merge(
+        &mut self,
+        cx: &mut Context<'_>,
+        name: u64,
+        version: u64,
+        mut bound: Bound,
+    ) -> Vec<(request::Id, Settled)> {
+        let Some(shard) = self.shards.get_mut(&name) else { return Vec::new() };
+        let mut settled = Vec::new();
+        let read = bound.clone();
+        let mut added = BTreeSet::new();
+        shard.waiting.retain(|it| {
+            match read.find(it.claim) {
+                Some(key) if !(it.may_replace && cx.members.is_dead(key.home)) => {
+                    settled.push((it.request, Settled::Bound(key)));
+                    return false;
+                }
+                Some(_) | None => {}
+            }
+            // A second request with the same claim waits for the read after the first one's write.
+            if added.insert(it.claim) {
+                bound.bind(it.claim, it.key);
+            }
+            true
+        });
+        if added.is_empty() {
+            shard.flight = None;
+            return settled;
+        }
+        let operation = Operation::Put {
+            kind: KIND.to_owned(),
+            name: format!("{name:02x}"),
+            expected: version,
+            value: bound.print(),
+        };
+        shard.flight = Some(Flight::Put(cx.store(operation)));
+        settled
+    }
+
+    /// Begins a read, if anybody waits for it.
+    fn get(&mut self, cx: &mut Context<'_>, name: u64) {
+        let Some(shard) = self.shards.get_mut(&name) else { return };
+        if shard.waiting.is_empty() {
+            shard.flight = None;
+            return;
+        }
+        let operation = Operation::Get { kind: KIND.to_owned(), name: format!("{name:02x}") };
+        shard.flight = Some(Flight::Get(cx.store(operation)));
+    }
+
+    /// Waits a little before the next try.
+    fn pause(&mut self, now: Time, name: u64) {
+        if let Some(shard) = self.shards.get_mut(&name) {
+            shard.flight = Some(Flight::Pause(now + PAUSE));
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke/src/config.rs
@@ -0,0 +1,126 @@
+//! The configuration in force: versions only go up.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::key::Incarnation;
+use crate::member::Table;
+use crate::rank;
+use crate::site::Site;
+use crate::time::Time;
+
+/// How many boxes of a data centre hold the watch on the store.
+pub const WATCHERS: usize = 2;
+
+/// How long a box that hears of no version waits before it reads the store itself.
+pub const QUIET: Duration = Duration::from_secs(5);
+
+/// How long a box cut off from the store and from every peer it knew goes on taking new work.
+pub const ISOLATION_LIMIT: Duration = Duration::from_secs(2);
+
+/// A site with the version under which the store accepted it.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Versioned {
+    /// The object's version.
+    pub version: u64,
+    /// The site.
+    pub site: Site,
+}
+
+/// What a box holds of the configuration.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// The newest version seen, with its site.
+    current: Arc<Versioned>,
+    /// When the box last heard of any version, from the store or a peer.
+    heard: Time,
+    /// Whether this box holds the watch.
+    watching: bool,
+    /// Whether the store answered the last time it was asked.
+    store_reachable: bool,
+    /// When the box last heard from the store or from any peer.
+    connected: Time,
+}
+
+impl Config {
+    /// Makes an empty configuration of version zero.
+    pub fn new(now: Time) -> Config {
+        Config {
+            current: Arc::default(),
+            heard: now,
+            watching: false,
+            store_reachable: true,
+            connected: now,
+        }
+    }
+
+    /// Gives the configuration in force.
+    pub fn current(&self) -> &Arc<Versioned> {
+        &self.current
+    }
+
+    /// Takes a version if it is newer than the one in force, and tells whether it was.
+    pub fn offer(&mut self, now: Time, offered: &Arc<Versioned>) -> bool {
+        self.heard = now;
+        if offered.version <= self.current.version {
+            return false;
+        }
+        self.current = offered.clone();
+        true
+    }
+
+    /// Notes that a peer has said something.
+    pub fn hear_peer(&mut self, now: Time) {
+        self.connected = now;
+    }
+
+    /// Notes that a peer which holds this version or an older one is alive.
+    pub fn hear_version(&mut self, now: Time, version: u64) {
+        if version == self.current.version && version > 0 {
+            self.heard = now;
+        }
+    }
+
+    /// Notes whether the store answers.
+    pub fn hear_store(&mut self, now: Time, reachable: bool) {
+        self.store_reachable = reachable;
+        if reachable {
+            self.connected = now;
+        }
+    }
+
+    /// Tells whether the store answered the last time it was asked.
+    pub fn store_reachable(&self) -> bool {
+        self.store_reachable
+    }
+
+    /// Tells whether the box has been cut off from store and peers alike for too long.
+    ///
+    /// A box that never had a peer is not cut off: nobody else could have told it anything.
+    pub fn isolated(&self, now: Time, had_peers: bool) -> bool {
+        had_peers && !self.store_reachable && now.since(self.connected) > ISOLATION_LIMIT
+    }
+
+    /// Decides whether the box should hold the watch; gives the answer when it changes.
+    pub fn watch_change(&mut self, me: Incarnation, members: &Table) -> Option<bool> {
+        let mut boxes = members.live_in(members.my_data_centre());
+        rank::order(rank::weight(0, members.my_data_centre().0), &mut boxes, |it| it.0);
+        let should = boxes.iter().take(WATCHERS).any(|&it| it == me);
+        if should == self.watching {
+            return None;
+        }
+        self.watching = should;
+        Some(should)
+    }
+
+    /// Decides whether the box should read the store itself; asked on each beat.
+    pub fn fetch_due(&mut self, now: Time) -> bool {
+        if self.watching || now.since(self.heard) < QUIET {
+            return false;
+        }
+        self.heard = now;
+        true
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke/src/front.rs
@@ -0,0 +1,503 @@
+//! The front: takes callers' requests, holds them, and delivers each answer once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use slotmap::SlotMap;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::claim::{Claim, Claims, Settled};
+use crate::effect::{CallerReply, Effect, Record};
+use crate::event::{Arrival, CallId, Reply, Work};
+use crate::home::{Ended, Home, Verdict};
+use crate::key::{Key, Ticket};
+use crate::limit::Limits;
+use crate::node::Context;
+use crate::outcome::{Problem, ProblemKind, Refusal, Trace};
+use crate::plain::Plain;
+use crate::pool::ShardId;
+use crate::request::{Id, Phase, Request, Timing};
+use crate::retry::Budget;
+use crate::site::{Kind, ServiceId};
+use crate::time::Time;
+
+/// The front's state.
+#[derive(Debug, Clone)]
+pub struct Front {
+    /// The keys of which this box is the home.
+    pub home: Home,
+    /// The requests in progress.
+    pub(crate) requests: SlotMap<Id, Request>,
+    /// The request of each attempt under way.
+    pub(crate) tickets: BTreeMap<Ticket, Id>,
+    /// The request of each caller's connection.
+    calls: BTreeMap<CallId, Id>,
+    /// The number of the last attempt.
+    pub(crate) last_ticket: u64,
+    /// Claims in waiting.
+    claims: Claims,
+    /// Tenants' limits.
+    limits: Limits,
+    /// The retries that may be made.
+    pub(crate) budget: Budget,
+    /// Plain upstreams.
+    pub(crate) plain: Plain,
+    /// The owners last told of this front, and when.
+    pub(crate) renewed: BTreeMap<ShardId, (crate::key::Incarnation, Time)>,
+}
+
+impl Front {
+    /// Makes a front without requests.
+    pub fn new(home: Home) -> Front {
+        Front {
+            home,
+            requests: SlotMap::with_key(),
+            tickets: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            last_ticket: 0,
+            claims: Claims::default(),
+            limits: Limits::default(),
+            budget: Budget::default(),
+            plain: Plain::default(),
+            renewed: BTreeMap::new(),
+        }
+    }
+
+    /// Gives the number of requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Takes a request. `closed` is why nothing new is run here, where that is so.
+    pub fn arrive(
+        &mut self,
+        cx: &mut Context<'_>,
+        call: CallId,
+        mut arrival: Arrival,
+        closed: Option<&str>,
+    ) {
+        arrival.repeatable = arrival.repeatable && may_repeat(cx, &arrival.work);
+        let digest = digest(&arrival);
+        if let Some(key) = arrival.key {
+            let verdict = self.home.verdict(key, digest, arrival.relayed, cx.members);
+            self.follow(cx, call, arrival, key, digest, verdict, closed);
+            return;
+        }
+        let key = self.home.mint();
+        let Some(own_key) = arrival.claim.clone() else {
+            self.follow(cx, call, arrival, key, digest, Verdict::Run, closed);
+            return;
+        };
+        if let Some(why) = closed {
+            refuse(cx, call, Refusal::Leaving, why, Some(Duration::from_secs(1)));
+            return;
+        }
+        let Some(service) = self.service(cx, call, &arrival) else { return };
+        let claim = Claim::of(&arrival.tenant, &own_key);
+        let may_replace = arrival.repeatable;
+        let id = self.insert(cx.now, call, arrival, key, digest, service);
+        self.claims.want(cx, id, claim, key, may_replace);
+    }
+
+    /// Does what a verdict says.
+    #[expect(clippy::too_many_arguments, reason = "one step of `arrive`, shared with claims")]
+    fn follow(
+        &mut self,
+        cx: &mut Context<'_>,
+        call: CallId,
+        arrival: Arrival,
+        key: Key,
+        digest: u64,
+        verdict: Verdict,
+        closed: Option<&str>,
+    ) {
+        match verdict {
+            Verdict::Run => {
+                if let Some(why) = closed {
+                    refuse(cx, call, Refusal::Leaving, why, Some(Duration::from_secs(1)));
+                    return;
+                }
+                let Some(service) = self.service(cx, call, &arrival) else { return };
+                let boxes = cx.members.live().count();
+                let taken = self.limits.take(cx.now, cx.site, &arrival.tenant, boxes);
+                if let Err(after) = taken {
+                    let detail = "the tenant is over its limit of requests a second";
+                    refuse(cx, call, Refusal::Limited, detail, Some(after));
+                    return;
+                }
+                let id = self.insert(cx.now, call, arrival, key, digest, service);
+                self.home.run(key, digest, id);
+                self.budget.earn();
+                self.begin(cx, id);
+            }
+            Verdict::Join(id) => self.join(cx, call, id),
+            Verdict::Replay(ended) => replay(cx, call, ended),
+            Verdict::Relay(home) => {
+                let address = cx.members.entry(home).map(|it| it.caller_address.clone());
+                let address = address.unwrap_or_default();
+                let repeatable = arrival.repeatable;
+                cx.reply(call, CallerReply::Relay { address, key, repeatable });
+            }
+            Verdict::Unknown if arrival.repeatable && arrival.claim.is_none() => {
+                let fresh = self.home.mint();
+                self.follow(cx, call, arrival, fresh, digest, Verdict::Run, closed);
+            }
+            Verdict::Unknown => {
+                let detail = "the box that had this request is gone; it may have run, and it \
+                              won't be run again under this key";
+                problem(cx, call, ProblemKind::Unknown, detail, None);
+            }
+            Verdict::Invalid(why) => refuse(cx, call, Refusal::Invalid, why, None),
+        }
+    }
+
+    /// Goes on with requests whose claims are settled.
+    pub fn settle_claims(&mut self, cx: &mut Context<'_>, settled: Vec<(Id, Settled)>) {
+        for (id, settled) in settled {
+            let Some(request) = self.requests.get(id) else { continue };
+            match settled {
+                Settled::Away => {
+                    let detail =
+                        "the platform's store does not answer, so the key can't be claimed";
+                    let after = Some(Duration::from_secs(2));
+                    self.give_up(cx, id, Refusal::StoreAway, detail, after);
+                }
+                Settled::Bound(key) if key == request.key => self.begin_claimed(cx, id),
+                Settled::Bound(key) => self.follow_claim(cx, id, key),
+            }
+        }
+    }
+
+    /// Runs a request whose claim is this box's own.
+    fn begin_claimed(&mut self, cx: &mut Context<'_>, id: Id) {
+        let Some(request) = self.requests.get(id) else { return };
+        let (key, digest) = (request.key, request.digest);
+        if self.home.verdict(key, digest, true, cx.members) != Verdict::Run {
+            // Another box has read the claim and passed its caller's retry on before this box
+            // had read it: the key runs already.
+            self.follow_claim(cx, id, key);
+            return;
+        }
+        let boxes = cx.members.live().count();
+        let tenant = request.arrival.tenant.clone();
+        if let Err(after) = self.limits.take(cx.now, cx.site, &tenant, boxes) {
+            let detail = "the tenant is over its limit of requests a second";
+            self.give_up(cx, id, Refusal::Limited, detail, Some(after));
+            return;
+        }
+        self.home.run(request.key, request.digest, id);
+        self.budget.earn();
+        self.begin(cx, id);
+    }
+
+    /// Treats a request like one that named the key to which its claim is bound.
+    fn follow_claim(&mut self, cx: &mut Context<'_>, id: Id, key: Key) {
+        let Some(request) = self.requests.remove(id) else { return };
+        let Some(call) = request.caller else { return };
+        self.calls.remove(&call);
+        let (arrival, digest) = (request.arrival, request.digest);
+        let verdict = self.home.verdict(key, digest, arrival.relayed, cx.members);
+        self.follow(cx, call, arrival, key, digest, verdict, None);
+    }
+
+    /// Takes a caller's going away.
+    pub fn gone(&mut self, cx: &mut Context<'_>, call: CallId) {
+        let Some(id) = self.calls.remove(&call) else { return };
+        let Some(request) = self.requests.get_mut(id) else { return };
+        request.caller = None;
+        let must_finish =
+            matches!(request.phase, Phase::Call { .. }) && !request.arrival.repeatable;
+        if must_finish {
+            // The upstream may be at work on it; its answer is kept for the caller's retry.
+            return;
+        }
+        let not_run = request.trace.not_run().is_some() || request.arrival.repeatable;
+        let key = request.key;
+        self.record(cx, id, "cancelled");
+        self.stop_attempt(cx, id, crate::message::End::Cancelled);
+        self.requests.remove(id);
+        if not_run {
+            self.home.forget(key);
+            return;
+        }
+        let detail = "the caller closed its connection and the request was stopped".to_owned();
+        let problem = Problem { kind: ProblemKind::Failed, detail, retry_after: None };
+        self.home.end(key, Ended::Problem(problem));
+    }
+
+    /// Takes an engine's or upstream's answer; late ones of older attempts are dropped.
+    pub fn upstream(&mut self, cx: &mut Context<'_>, ticket: Ticket, reply: Reply) {
+        let Some(&id) = self.tickets.get(&ticket) else { return };
+        match reply {
+            Reply::Prefilled => self.prefilled(cx, id),
+            Reply::Imported => self.imported(cx, id),
+            Reply::Token { seq, text } => self.token(cx, id, seq, text),
+            Reply::Finished { reason } => self.finished(cx, id, reason),
+            Reply::Full => self.full(cx, id),
+            Reply::Answered(answer) => self.answered(cx, id, answer),
+            Reply::Failed { detail, trace } => self.failed(cx, id, &detail, trace),
+        }
+    }
+
+    /// Takes the store's answer to a claim's operation.
+    pub fn store(&mut self, cx: &mut Context<'_>, number: u64, answer: &crate::store::Answer) {
+        let settled = self.claims.answer(cx, number, answer);
+        self.settle_claims(cx, settled);
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, cx: &mut Context<'_>) {
+        self.home.tick(cx.now);
+        let settled = self.claims.tick(cx);
+        self.settle_claims(cx, settled);
+        self.renew(cx);
+        let ids: Vec<Id> = self.requests.keys().collect();
+        for id in ids {
+            self.check_due(cx, id);
+        }
+    }
+
+    /// Ends a request with an answer.
+    pub(crate) fn complete(&mut self, cx: &mut Context<'_>, id: Id, ended: Ended) {
+        self.record(cx, id, "done");
+        let Some(request) = self.requests.remove(id) else { return };
+        if let Some(call) = request.caller {
+            self.calls.remove(&call);
+        }
+        self.home.end(request.key, ended);
+    }
+
+    /// Ends a request without an answer after something of it was sent.
+    pub(crate) fn fail(&mut self, cx: &mut Context<'_>, id: Id, kind: ProblemKind, detail: &str) {
+        let problem = Problem { kind, detail: detail.to_owned(), retry_after: None };
+        self.record(cx, id, problem.slug());
+        let Some(request) = self.requests.remove(id) else { return };
+        if let Some(call) = request.caller {
+            self.calls.remove(&call);
+            cx.reply(call, CallerReply::Problem(problem.clone()));
+        }
+        self.home.end(request.key, Ended::Problem(problem));
+    }
+
+    /// Refuses a request that is in the arena: as not run if that is provable, else as failed.
+    pub(crate) fn give_up(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: Id,
+        refusal: Refusal,
+        detail: &str,
+        retry_after: Option<Duration>,
+    ) {
+        let Some(request) = self.requests.get(id) else { return };
+        let Some(proof) = request.trace.not_run() else {
+            self.fail(cx, id, ProblemKind::Failed, detail);
+            return;
+        };
+        let kind = ProblemKind::NotRun(proof, refusal);
+        let problem = Problem { kind, detail: detail.to_owned(), retry_after };
+        self.record(cx, id, problem.slug());
+        let Some(request) = self.requests.remove(id) else { return };
+        self.claims.forget(id);
+        self.home.forget(request.key);
+        if let Some(call) = request.caller {
+            self.calls.remove(&call);
+            cx.reply(call, CallerReply::Problem(problem));
+        }
+    }
+
+    /// Gives an attempt a new ticket.
+    pub(crate) fn new_ticket(&mut self, cx: &Context<'_>, id: Id) -> Ticket {
+        self.last_ticket += 1;
+        let ticket = Ticket { front: cx.me, number: self.last_ticket };
+        if let Some(request) = self.requests.get_mut(id) {
+            request.ticket = Some(ticket);
+            request.attempts += 1;
+        }
+        self.tickets.insert(ticket, id);
+        ticket
+    }
+
+    /// Begins the first attempt.
+    fn begin(&mut self, cx: &mut Context<'_>, id: Id) {
+        let Some(request) = self.requests.get(id) else { return };
+        match request.arrival.work {
+            Work::Generate(_) => self.ask(cx, id),
+            Work::Call(_) => self.call(cx, id),
+        }
+    }
+
+    /// Joins a later connection to a request in progress; the earlier one is closed, so that the
+    /// answer is given once.
+    fn join(&mut self, cx: &mut Context<'_>, call: CallId, id: Id) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        if let Some(earlier) = request.caller.replace(call) {
+            self.calls.remove(&earlier);
+            let detail = "a later connection with the same key took the answer over";
+            problem(cx, earlier, ProblemKind::Superseded, detail, None);
+        }
+        self.calls.insert(call, id);
+        for text in &request.tokens {
+            cx.reply(call, CallerReply::Token(text.clone()));
+        }
+    }
+
+    /// Puts a request into the arena.
+    fn insert(
+        &mut self,
+        now: Time,
+        call: CallId,
+        arrival: Arrival,
+        key: Key,
+        digest: u64,
+        service: ServiceId,
+    ) -> Id {
+        let id = self.requests.insert(Request {
+            key,
+            digest,
+            arrival,
+            service,
+            caller: Some(call),
+            arrived: now,
+            phase: Phase::Claim,
+            since: now,
+            ticket: None,
+            attempts: 0,
+            trace: Trace::clean(),
+            tokens: Vec::new(),
+            avoid: None,
+            timing: Timing::default(),
+        });
+        self.calls.insert(call, id);
+        id
+    }
+
+    /// Finds the service a request names, or refuses it.
+    fn service(&self, cx: &mut Context<'_>, call: CallId, arrival: &Arrival) -> Option<ServiceId> {
+        let (found, named) = match &arrival.work {
+            Work::Generate(work) => (cx.site.service_of_model(&work.model), &work.model),
+            Work::Call(work) => (cx.site.service_of_path(&work.path), &work.path),
+        };
+        if let Some(service) = found {
+            return Some(service.id());
+        }
+        if cx.site.name.is_empty() {
+            let detail = "no configuration is in force here yet";
+            refuse(cx, call, Refusal::Unavailable, detail, Some(Duration::from_secs(1)));
+            return None;
+        }
+        let detail = format!("nothing here serves `{named}`");
+        refuse(cx, call, Refusal::NotFound, &detail, None);
+        None
+    }
+
+    /// Writes a request's record.
+    fn record(&mut self, cx: &mut Context<'_>, id: Id, outcome: &str) {
+        let Some(request) = self.requests.get(id) else { return };
+        let total = cx.now.since(request.arrived);
+        let tokens = request.tokens.len() as u32;
+        let first_token = request.timing.first_token;
+        let between_tokens = first_token
+            .filter(|_| tokens > 1)
+            .map(|first| total.saturating_sub(first) / (tokens - 1));
+        let service = cx.site.service(request.service);
+        let in_time = match service.map(|it| &it.kind) {
+            Some(Kind::Engines { first_token: target, between_tokens: most, .. }) => {
+                first_token.is_some_and(|it| it <= *target)
+                    && between_tokens.is_none_or(|it| it <= *most)
+            }
+            Some(Kind::Plain { timeout, .. }) => total <= *timeout,
+            None => false,
+        };
+        let record = Record {
+            key: request.key,
+            service: service.map(|it| it.name.clone()).unwrap_or_default(),
+            tenant: request.arrival.tenant.clone(),
+            class: request.arrival.class,
+            outcome: outcome.to_owned(),
+            attempts: request.attempts,
+            queued: request.timing.queued.unwrap_or(total),
+            prefill: request.timing.prefill,
+            transfer: request.timing.transfer,
+            first_token,
+            between_tokens,
+            total,
+            tokens,
+            wasted_tokens: request.timing.wasted_tokens,
+            good: outcome == "done" && in_time,
+        };
+        cx.effect(Effect::Record(Box::new(record)));
+    }
+}
+
+/// Gives an ended request's answer again.
+fn replay(cx: &mut Context<'_>, call: CallId, ended: Ended) {
+    match ended {
+        Ended::Generated { tokens, reason, prompt_tokens } => {
+            let count = tokens.len() as u32;
+            for text in tokens {
+                cx.reply(call, CallerReply::Token(text));
+            }
+            cx.reply(call, CallerReply::Finished { reason, prompt_tokens, tokens: count });
+        }
+        Ended::Answered(answer) => cx.reply(call, CallerReply::Answer(answer)),
+        Ended::Problem(problem) => cx.reply(call, CallerReply::Problem(problem)),
+        Ended::Dropped => {
+            problem(cx, call, ProblemKind::Unknown, "the answer is no longer kept", None);
+        }
+    }
+}
+
+/// Refuses a request of which nothing was sent.
+fn refuse(
+    cx: &mut Context<'_>,
+    call: CallId,
+    refusal: Refusal,
+    detail: &str,
+    retry_after: Option<Duration>,
+) {
+    let Some(proof) = Trace::clean().not_run() else { return };
+    problem(cx, call, ProblemKind::NotRun(proof, refusal), detail, retry_after);
+}
+
+/// Answers a caller with a problem.
+fn problem(
+    cx: &mut Context<'_>,
+    call: CallId,
+    kind: ProblemKind,
+    detail: &str,
+    retry_after: Option<Duration>,
+) {
+    let problem = Problem { kind, detail: detail.to_owned(), retry_after };
+    cx.reply(call, CallerReply::Problem(problem));
+}
+
+/// Tells whether work of this sort may run more than once if its caller doesn't say otherwise.
+fn may_repeat(cx: &Context<'_>, work: &Work) -> bool {
+    let Work::Call(call) = work else { return true };
+    let safe = matches!(call.method.as_str(), "GET" | "HEAD" | "OPTIONS");
+    let service = cx.site.service_of_path(&call.path).map(|it| &it.kind);
+    safe || matches!(service, Some(Kind::Plain { repeatable: true, .. }))
+}
+
+/// Digests what a request asks for, so that one key can't stand for two requests.
+fn digest(arrival: &Arrival) -> u64 {
+    let mut hasher = Xxh3::new();
+    let mut part = |bytes: &[u8]| {
+        hasher.update(&(bytes.len() as u64).to_le_bytes());
+        hasher.update(bytes);
+    };
+    match &arrival.work {
+        Work::Generate(work) => {
+            part(work.model.as_bytes());
+            part(work.prompt.as_bytes());
+            part(&work.max_tokens.to_le_bytes());
+        }
+        Work::Call(work) => {
+            part(work.method.as_bytes());
+            part(work.path.as_bytes());
+            part(&work.body);
+        }
+    }
+    part(arrival.tenant.as_bytes());
+    hasher.digest()
+}
--- /dev/null
+++ b/crates/hollyspoke/src/generate.rs
@@ -0,0 +1,450 @@
+//! The front's part in one generated answer: ask, prefill, transfer, decode, and what is done
+//! when one of them fails.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::effect::{CallerReply, Effect};
+use crate::event::{Generate, Work};
+use crate::front::Front;
+use crate::home::Ended;
+use crate::key::{Incarnation, Ticket};
+use crate::message::{Ask, End, Grant, Message, Stage};
+use crate::node::Context;
+use crate::outcome::{ProblemKind, Refusal, Trace};
+use crate::pool::ShardId;
+use crate::rank;
+use crate::request::{Id, Phase, Request};
+use crate::retry;
+use crate::site::{Kind, ServiceId, TenantId, UpstreamId};
+use crate::time::Time;
+
+/// How long an owner's silence lasts before the question is sent again.
+pub const ASK_AGAIN: Duration = Duration::from_millis(300);
+
+/// How long a prefill may take before its engine is taken to have failed.
+pub const PREFILL_LIMIT: Duration = Duration::from_secs(10);
+
+/// How long a transfer may take before the decode engine is taken to have failed.
+pub const TRANSFER_LIMIT: Duration = Duration::from_secs(2);
+
+/// How long a stream may be silent before the decode engine is taken to have failed.
+pub const TOKEN_LIMIT: Duration = Duration::from_secs(3);
+
+/// How long to wait before a decode engine that had no room is asked again.
+pub const ROOM_PAUSE: Duration = Duration::from_millis(50);
+
+/// How often a front renews the grants that it holds.
+pub const RENEW: Duration = Duration::from_secs(1);
+
+impl Front {
+    /// Asks a shard's owner for engines, with a new ticket.
+    pub(crate) fn ask(&mut self, cx: &mut Context<'_>, id: Id) {
+        let ticket = self.new_ticket(cx, id);
+        let Some(request) = self.requests.get_mut(id) else { return };
+        let shard = choose_shard(cx, request.service, ticket);
+        let Some(owner) = cx.owner(shard) else { return };
+        request.enter(cx.now, Phase::Ask { shard, owner, sent: cx.now });
+        let ask = question(cx, request, shard, ticket);
+        cx.send(owner, Message::Ask(ask));
+    }
+
+    /// Takes a grant.
+    pub fn granted(&mut self, cx: &mut Context<'_>, from: Incarnation, grant: Grant) {
+        let ticket = grant.ticket;
+        let waiting = self.tickets.get(&ticket).and_then(|&id| Some((id, self.requests.get(id)?)));
+        let Some((id, request)) = waiting else {
+            let end = End::Cancelled;
+            cx.send(from, Message::Release { shard: grant.shard, ticket, end });
+            return;
+        };
+        if !matches!(request.phase, Phase::Ask { .. }) {
+            // A repeated grant: the first one was taken.
+            return;
+        }
+        let address = cx.engine_address(grant.prefill);
+        let Some(request) = self.requests.get_mut(id) else { return };
+        let (Some(address), Work::Generate(work)) = (address, &request.arrival.work) else {
+            // The owner holds another version of the site: the engine is not known here.
+            let end = End::Cancelled;
+            cx.send(from, Message::Release { shard: grant.shard, ticket, end });
+            self.tickets.remove(&ticket);
+            self.ask(cx, id);
+            return;
+        };
+        let effect = Effect::Prefill {
+            ticket,
+            address,
+            work: Box::new(work.clone()),
+            class: request.arrival.class,
+        };
+        request.timing.queued.get_or_insert(cx.now.since(request.arrived));
+        request.trace.mark_sent();
+        request.enter(cx.now, Phase::Prefill(grant));
+        cx.effect(effect);
+    }
+
+    /// Takes an owner's refusal.
+    pub fn refused(
+        &mut self,
+        cx: &mut Context<'_>,
+        ticket: Ticket,
+        refusal: Refusal,
+        retry_after: Duration,
+    ) {
+        let Some(&id) = self.tickets.get(&ticket) else { return };
+        let Some(request) = self.requests.get(id) else { return };
+        if !matches!(request.phase, Phase::Ask { .. }) {
+            return;
+        }
+        self.tickets.remove(&ticket);
+        if refusal == Refusal::Leaving {
+            // The shard has passed to another owner, which is asked at once.
+            self.ask(cx, id);
+            return;
+        }
+        let detail = match refusal {
+            Refusal::TooLate => "the first token would come after it is due",
+            Refusal::Invalid => "no engine of the service can hold this request",
+            Refusal::Limited
+            | Refusal::Unavailable
+            | Refusal::Leaving
+            | Refusal::NotFound
+            | Refusal::StoreAway => "no engine of the service can take the request now",
+        };
+        let after = (refusal != Refusal::Invalid).then_some(retry_after);
+        self.give_up(cx, id, refusal, detail, after);
+    }
+
+    /// Goes on to the transfer.
+    pub(crate) fn prefilled(&mut self, cx: &mut Context<'_>, id: Id) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        let Phase::Prefill(grant) = &request.phase else { return };
+        let grant = Grant { stage: Stage::Transfer, ..grant.clone() };
+        request.timing.prefill = Some(cx.now.since(request.since));
+        progress(cx, &grant);
+        request.enter(cx.now, Phase::Transfer { grant, retry_at: None });
+        self.import(cx, id);
+    }
+
+    /// Has the decode engine fetch the prefill result.
+    fn import(&mut self, cx: &mut Context<'_>, id: Id) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        let Phase::Transfer { grant, retry_at } = &mut request.phase else { return };
+        *retry_at = None;
+        let addresses = (cx.engine_address(grant.decode), cx.engine_address(grant.prefill));
+        let (ticket, tokens) = (grant.ticket, grant.tokens);
+        let (Some(address), Some(from)) = addresses else {
+            self.failed(cx, id, "an engine was taken out of the site's file", Trace::clean());
+            return;
+        };
+        cx.effect(Effect::Import { ticket, address, from, tokens });
+    }
+
+    /// Waits a little for room on the decode engine.
+    pub(crate) fn full(&mut self, cx: &mut Context<'_>, id: Id) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        let Phase::Transfer { retry_at, .. } = &mut request.phase else { return };
+        *retry_at = Some(cx.now + ROOM_PAUSE);
+    }
+
+    /// Goes on to decode.
+    pub(crate) fn imported(&mut self, cx: &mut Context<'_>, id: Id) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        let Phase::Transfer { grant, .. } = &request.phase else { return };
+        let grant = Grant { stage: Stage::Decode, ..grant.clone() };
+        request.timing.transfer = Some(cx.now.since(request.since));
+        progress(cx, &grant);
+        let Work::Generate(work) = &request.arrival.work else { return };
+        let work = Box::new(Generate { prompt: Arc::from(""), ..work.clone() });
+        let (ticket, decode) = (grant.ticket, grant.decode);
+        let from_seq = request.tokens.len() as u32;
+        request.enter(cx.now, Phase::Decode { grant, last: cx.now });
+        let Some(address) = cx.engine_address(decode) else {
+            self.failed(cx, id, "an engine was taken out of the site's file", Trace::clean());
+            return;
+        };
+        cx.effect(Effect::Decode { ticket, address, work, from_seq });
+    }
+
+    /// Delivers a token if it is the next one.
+    pub(crate) fn token(&mut self, cx: &mut Context<'_>, id: Id, seq: u32, text: Arc<str>) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        let next = request.tokens.len() as u32;
+        let Phase::Decode { last, .. } = &mut request.phase else { return };
+        *last = cx.now;
+        if seq < next {
+            return;
+        }
+        if seq > next {
+            self.failed(cx, id, "the engine left out a token", Trace::clean());
+            return;
+        }
+        let arrived = request.arrived;
+        request.timing.first_token.get_or_insert(cx.now.since(arrived));
+        request.tokens.push(text.clone());
+        if let Some(call) = request.caller {
+            cx.reply(call, CallerReply::Token(text));
+        }
+    }
+
+    /// Ends a whole answer.
+    pub(crate) fn finished(&mut self, cx: &mut Context<'_>, id: Id, reason: Arc<str>) {
+        let Some(request) = self.requests.get(id) else { return };
+        let Work::Generate(work) = &request.arrival.work else { return };
+        if !matches!(request.phase, Phase::Decode { .. }) {
+            return;
+        }
+        let tokens = request.tokens.clone();
+        let count = tokens.len() as u32;
+        let prompt_tokens = work.prompt_tokens;
+        if let Some(call) = request.caller {
+            let reason = reason.clone();
+            cx.reply(call, CallerReply::Finished { reason, prompt_tokens, tokens: count });
+        }
+        self.release(cx, id, End::Done { tokens: count });
+        self.complete(cx, id, Ended::Generated { tokens, reason, prompt_tokens });
+    }
+
+    /// Takes the failure of an attempt: tries again where that is allowed, else ends.
+    pub(crate) fn failed(&mut self, cx: &mut Context<'_>, id: Id, detail: &str, trace: Trace) {
+        let Some(request) = self.requests.get(id) else { return };
+        let culprit = match &request.phase {
+            Phase::Claim | Phase::Ask { .. } => return,
+            Phase::Call { .. } => {
+                self.call_failed(cx, id, detail, trace);
+                return;
+            }
+            Phase::Prefill(grant) => grant.prefill,
+            Phase::Transfer { grant, .. } | Phase::Decode { grant, .. } => grant.decode,
+        };
+        self.fail_attempt(cx, id, End::Failed(culprit), Some(culprit), detail);
+    }
+
+    /// Ends an attempt that failed, and tries again where that is allowed.
+    fn fail_attempt(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: Id,
+        end: End,
+        avoid: Option<UpstreamId>,
+        detail: &str,
+    ) {
+        self.stop_attempt(cx, id, end);
+        let Some(request) = self.requests.get_mut(id) else { return };
+        request.avoid = avoid;
+        let may_repeat = request.arrival.repeatable && request.attempts < retry::MOST_ATTEMPTS;
+        if may_repeat && self.budget.spend() {
+            self.ask(cx, id);
+            return;
+        }
+        self.fail(cx, id, ProblemKind::Failed, detail);
+    }
+
+    /// Takes the owner's word that a grant is no longer held.
+    pub fn fenced(&mut self, cx: &mut Context<'_>, ticket: Ticket) {
+        let Some(&id) = self.tickets.get(&ticket) else { return };
+        if self.requests.get(id).is_some_and(|it| it.grant().is_some()) {
+            self.fail_attempt(cx, id, End::Cancelled, None, "the grant was taken back");
+        }
+    }
+
+    /// Stops every granted attempt, after a pause in which the owner may have ended them.
+    pub fn fence_all(&mut self, cx: &mut Context<'_>) {
+        let granted: Vec<Id> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.grant().is_some())
+            .map(|(id, _)| id)
+            .collect();
+        for id in granted {
+            self.fail_attempt(cx, id, End::Cancelled, None, "the box was paused for too long");
+        }
+    }
+
+    /// Stops the attempt under way: frees what engines hold, and tells the owner.
+    pub(crate) fn stop_attempt(&mut self, cx: &mut Context<'_>, id: Id, end: End) {
+        self.cancel_streams(cx, id);
+        self.release(cx, id, end);
+    }
+
+    /// Has the engines or the upstream of an attempt free what they hold.
+    fn cancel_streams(&mut self, cx: &mut Context<'_>, id: Id) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        let Some(ticket) = request.ticket else { return };
+        match &request.phase {
+            Phase::Claim | Phase::Ask { .. } => {}
+            Phase::Call { upstream } => {
+                let upstream = *upstream;
+                self.plain.end(cx.now, cx.site, upstream, ticket, crate::plain::CallEnd::Dropped);
+                cx.effect(Effect::Cancel { ticket, address: String::new() });
+            }
+            Phase::Prefill(grant) | Phase::Transfer { grant, .. } | Phase::Decode { grant, .. } => {
+                let first = !matches!(request.phase, Phase::Decode { .. });
+                if let (true, Work::Generate(work)) = (first, &request.arrival.work) {
+                    request.timing.wasted_tokens += work.prompt_tokens;
+                }
+                let engines = [grant.prefill, grant.decode];
+                for engine in engines {
+                    let Some(address) = cx.engine_address(engine) else { continue };
+                    cx.effect(Effect::Cancel { ticket, address });
+                }
+            }
+        }
+    }
+
+    /// Gives the attempt under way back to the shard's owner.
+    fn release(&mut self, cx: &mut Context<'_>, id: Id, end: End) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        let Some(ticket) = request.ticket.take() else { return };
+        self.tickets.remove(&ticket);
+        let (shard, owner) = match &request.phase {
+            Phase::Claim | Phase::Call { .. } => return,
+            Phase::Ask { shard, owner, .. } => (*shard, Some(*owner)),
+            Phase::Prefill(grant) | Phase::Transfer { grant, .. } | Phase::Decode { grant, .. } => {
+                (grant.shard, cx.owner(grant.shard))
+            }
+        };
+        let Some(owner) = owner else { return };
+        cx.send(owner, Message::Release { shard, ticket, end });
+    }
+
+    /// Does what is due for one request.
+    pub(crate) fn check_due(&mut self, cx: &mut Context<'_>, id: Id) {
+        let Some(request) = self.requests.get(id) else { return };
+        let now = cx.now;
+        let spent = now.since(request.since);
+        match &request.phase {
+            Phase::Claim => {}
+            Phase::Ask { shard, owner, sent } => {
+                let (shard, owner, sent) = (*shard, *owner, *sent);
+                self.check_ask(cx, id, shard, owner, sent);
+            }
+            Phase::Prefill(_) if spent > PREFILL_LIMIT => {
+                self.failed(cx, id, "the prefill took too long", Trace::clean());
+            }
+            Phase::Transfer { grant, .. } if spent > TRANSFER_LIMIT => {
+                let decode = grant.decode;
+                let waits_for_room =
+                    matches!(&request.phase, Phase::Transfer { retry_at: Some(_), .. });
+                let end = if waits_for_room { End::Full(decode) } else { End::Failed(decode) };
+                self.fail_attempt(cx, id, end, Some(decode), "the transfer took too long");
+            }
+            Phase::Transfer { retry_at: Some(at), .. } if *at <= now => self.import(cx, id),
+            Phase::Decode { last, .. } if now.since(*last) > TOKEN_LIMIT => {
+                self.failed(cx, id, "the stream fell silent", Trace::clean());
+            }
+            Phase::Prefill(_) | Phase::Transfer { .. } | Phase::Decode { .. } => {}
+            Phase::Call { .. } => self.check_call(cx, id),
+        }
+    }
+
+    /// Sends a question again, to the owner of this moment, or gives it up when it is too late.
+    fn check_ask(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: Id,
+        shard: ShardId,
+        asked: Incarnation,
+        sent: Time,
+    ) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        let late = cx.now.since(request.arrived) > first_token_target(cx, request.service);
+        if late && request.tokens.is_empty() {
+            self.stop_attempt(cx, id, End::Cancelled);
+            let detail = "the first token would come after it is due";
+            let after = Some(Duration::from_millis(500));
+            self.give_up(cx, id, Refusal::TooLate, detail, after);
+            return;
+        }
+        let Some(owner) = cx.owner(shard) else { return };
+        if owner == asked && cx.now.since(sent) < ASK_AGAIN {
+            return;
+        }
+        let Some(ticket) = request.ticket else { return };
+        if owner != asked {
+            let end = End::Cancelled;
+            cx.send(asked, Message::Release { shard, ticket, end });
+        }
+        request.phase = Phase::Ask { shard, owner, sent: cx.now };
+        let ask = question(cx, request, shard, ticket);
+        cx.send(owner, Message::Ask(ask));
+    }
+
+    /// Tells the owners of all shards that this front lives, where they need to know.
+    pub(crate) fn renew(&mut self, cx: &mut Context<'_>) {
+        let mut held: BTreeMap<ShardId, u32> = BTreeMap::new();
+        for grant in self.requests.values().filter_map(Request::grant) {
+            *held.entry(grant.shard).or_default() += 1;
+        }
+        for shard in cx.shards() {
+            let Some(owner) = cx.owner(shard) else { continue };
+            let count = held.get(&shard).copied().unwrap_or(0);
+            let told = self.renewed.get(&shard).copied();
+            let due = match told {
+                Some((last, _)) if last != owner => true,
+                Some((_, at)) => cx.now.since(at) >= RENEW,
+                None => true,
+            };
+            if due {
+                self.renewed.insert(shard, (owner, cx.now));
+                cx.send(owner, Message::Renew { shard, held: count });
+            }
+        }
+    }
+
+    /// Names the grants held in a shard to its owner.
+    pub fn declare(&mut self, cx: &mut Context<'_>, to: Incarnation, shard: ShardId) {
+        let held = self.requests.values().filter_map(Request::grant);
+        let held: Vec<Grant> = held.filter(|it| it.shard == shard).cloned().collect();
+        cx.send(to, Message::Declare { shard, held });
+    }
+}
+
+/// Tells the owner how far an attempt has come.
+fn progress(cx: &mut Context<'_>, grant: &Grant) {
+    let Some(owner) = cx.owner(grant.shard) else { return };
+    let message =
+        Message::Progress { shard: grant.shard, ticket: grant.ticket, stage: grant.stage };
+    cx.send(owner, message);
+}
+
+/// Makes the question for a request.
+fn question(cx: &Context<'_>, request: &Request, shard: ShardId, ticket: Ticket) -> Ask {
+    let (prompt_tokens, max_tokens, prefix) = match &request.arrival.work {
+        Work::Generate(work) => (work.prompt_tokens, work.max_tokens, work.prefix.clone()),
+        Work::Call(_) => (0, 0, Vec::new()),
+    };
+    let target = first_token_target(cx, request.service);
+    let spent = cx.now.since(request.arrived);
+    // A request that has begun to answer is finished even if its target was missed.
+    let due_in = if request.tokens.is_empty() { target.saturating_sub(spent) } else { target };
+    Ask {
+        shard,
+        ticket,
+        prompt_tokens,
+        max_tokens,
+        prefix,
+        class: request.arrival.class,
+        tenant: TenantId::of(&request.arrival.tenant),
+        due_in,
+        avoid: request.avoid,
+    }
+}
+
+/// Gives a service's target for the first token.
+fn first_token_target(cx: &Context<'_>, service: ServiceId) -> Duration {
+    match cx.site.service(service).map(|it| &it.kind) {
+        Some(Kind::Engines { first_token, .. }) => *first_token,
+        Some(Kind::Plain { timeout, .. }) => *timeout,
+        None => Duration::ZERO,
+    }
+}
+
+/// Chooses a shard for an attempt: each attempt may fall on another one.
+fn choose_shard(cx: &Context<'_>, service: ServiceId, ticket: Ticket) -> ShardId {
+    let parts = u64::from(cx.parts(service));
+    let part = rank::weight(ticket.front.0, ticket.number) % parts;
+    ShardId { service, part: part as u16 }
+}
--- /dev/null
+++ b/crates/hollyspoke/src/home.rs
@@ -0,0 +1,334 @@
+//! The keys of which this box is the home: each is run here at most once.
+//!
+//! Only the home incarnation runs a key. While a key's epoch is kept, the home joins a repeated
+//! request to the one in progress or gives its answer again. When the epoch is dropped, every key
+//! of it is answered as unknown, so that the table stays bounded and nothing is run again.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::event::Answer;
+use crate::key::{Incarnation, Key};
+use crate::member::{State, Table};
+use crate::outcome::Problem;
+use crate::request;
+use crate::time::Time;
+
+/// How long an epoch lasts.
+pub const EPOCH: Duration = Duration::from_secs(30);
+
+/// How many epochs are kept besides the one that runs.
+pub const KEPT_EPOCHS: u32 = 10;
+
+/// The most that kept answers may hold, in bytes; beyond it the oldest contents are dropped.
+pub const MOST_BYTES: usize = 16 * 1024 * 1024;
+
+/// The largest answer that is handed to a successor, in bytes.
+pub const HANDED_BYTES: usize = 4 * 1024;
+
+/// The most that all handed answers may hold, in bytes.
+pub const HANDOVER_BYTES: usize = 1024 * 1024;
+
+/// What came of a key.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Ended {
+    /// The tokens of a whole answer.
+    Generated {
+        /// The tokens.
+        tokens: Vec<Arc<str>>,
+        /// Why the engine stopped.
+        reason: Arc<str>,
+        /// The prompt's length, in tokens.
+        prompt_tokens: u32,
+    },
+    /// A plain service's answer.
+    Answered(Answer),
+    /// No answer.
+    Problem(Problem),
+    /// It ended, but its answer is no longer kept.
+    Dropped,
+}
+
+impl Ended {
+    /// Gives about how much memory the answer holds, in bytes.
+    fn bytes(&self) -> usize {
+        match self {
+            Ended::Generated { tokens, .. } => tokens.iter().map(|it| it.len() + 32).sum(),
+            Ended::Answered(answer) => {
+                let headers = answer.headers.iter().map(|(name, value)| name.len() + value.len());
+                answer.body.len() + headers.sum::<usize>()
+            }
+            Ended::Problem(problem) => problem.detail.len(),
+            Ended::Dropped => 0,
+        }
+    }
+}
+
+/// What is kept of one key.
+#[derive(Debug, Clone)]
+enum Kept {
+    /// It runs.
+    Running(request::Id),
+    /// It has ended.
+    Ended(Ended),
+}
+
+/// A key's row.
+#[derive(Debug, Clone)]
+struct Row {
+    /// A digest of the request, so that a key can't stand for two.
+    digest: u64,
+    /// What is kept.
+    kept: Kept,
+}
+
+/// What is to be done with a request that names a key.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Verdict {
+    /// Run it: its home is this box, and it was never run.
+    Run,
+    /// It runs already.
+    Join(request::Id),
+    /// It has ended: give the answer again.
+    Replay(Ended),
+    /// Pass it on to its home, or to the box which took the home's keys.
+    Relay(Incarnation),
+    /// Nobody can tell whether it ran.
+    Unknown,
+    /// The key stands for another request, or was never minted.
+    Invalid(&'static str),
+}
+
+/// The keys that a leaving box hands to its successor.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Handover {
+    /// The keys of one or more homes that are gone.
+    pub rows: Vec<(Key, u64, Ended)>,
+    /// The homes whose keys these are.
+    pub homes: Vec<Incarnation>,
+}
+
+/// The table of keys.
+#[derive(Debug, Clone)]
+pub struct Home {
+    /// This box.
+    me: Incarnation,
+    /// The epoch that runs.
+    epoch: u32,
+    /// When it began.
+    epoch_since: Time,
+    /// The oldest epoch kept.
+    floor: u32,
+    /// The keys, of this home and of those taken over.
+    rows: BTreeMap<Key, Row>,
+    /// The homes whose keys were taken over, and when.
+    inherited: BTreeMap<Incarnation, Time>,
+    /// The next nonce for a key minted here.
+    next_nonce: u64,
+    /// The bytes of kept answers.
+    bytes: usize,
+}
+
+impl Home {
+    /// Makes an empty table. Nonces minted here have the top bit set, callers' own do not need to.
+    pub fn new(now: Time, me: Incarnation) -> Home {
+        Home {
+            me,
+            epoch: 1,
+            epoch_since: now,
+            floor: 1,
+            rows: BTreeMap::new(),
+            inherited: BTreeMap::new(),
+            next_nonce: 1 << 63,
+            bytes: 0,
+        }
+    }
+
+    /// Gives the epoch that runs.
+    pub fn epoch(&self) -> u32 {
+        self.epoch
+    }
+
+    /// Gives the number of keys kept.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Tells whether no key is kept.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Mints a key of this home.
+    pub fn mint(&mut self) -> Key {
+        self.next_nonce += 1;
+        Key { home: self.me, epoch: self.epoch, nonce: self.next_nonce }
+    }
+
+    /// Decides what is to be done with a request that names a key.
+    pub fn verdict(&self, key: Key, digest: u64, relayed: bool, members: &Table) -> Verdict {
+        if let Some(row) = self.rows.get(&key) {
+            if row.digest != digest {
+                return Verdict::Invalid("the key was used for another request");
+            }
+            return match &row.kept {
+                Kept::Running(id) => Verdict::Join(*id),
+                Kept::Ended(Ended::Dropped) => Verdict::Unknown,
+                Kept::Ended(ended) => Verdict::Replay(ended.clone()),
+            };
+        }
+        if key.home == self.me {
+            return self.own_verdict(key);
+        }
+        if relayed || self.inherited.contains_key(&key.home) {
+            return Verdict::Unknown;
+        }
+        match home_of(key.home, members) {
+            Some(home) if home != self.me => Verdict::Relay(home),
+            Some(_) | None => Verdict::Unknown,
+        }
+    }
+
+    /// Decides on a key of this home that is not in the table.
+    fn own_verdict(&self, key: Key) -> Verdict {
+        if key.epoch > self.epoch {
+            return Verdict::Invalid("the key names an epoch that has not begun");
+        }
+        if key.epoch < self.floor {
+            return Verdict::Unknown;
+        }
+        Verdict::Run
+    }
+
+    /// Notes that a key runs now.
+    pub fn run(&mut self, key: Key, digest: u64, id: request::Id) {
+        self.rows.insert(key, Row { digest, kept: Kept::Running(id) });
+    }
+
+    /// Notes how a key ended.
+    pub fn end(&mut self, key: Key, ended: Ended) {
+        let Some(row) = self.rows.get_mut(&key) else { return };
+        self.bytes += ended.bytes();
+        row.kept = Kept::Ended(ended);
+        self.shrink();
+    }
+
+    /// Forgets a key that was not run, so that it may be run when the caller comes back.
+    pub fn forget(&mut self, key: Key) {
+        self.rows.remove(&key);
+    }
+
+    /// Advances the epoch and drops those that are too old.
+    pub fn tick(&mut self, now: Time) {
+        if now.since(self.epoch_since) < EPOCH {
+            return;
+        }
+        self.epoch_since = now;
+        self.epoch += 1;
+        self.floor = self.epoch.saturating_sub(KEPT_EPOCHS).max(1);
+        let floor = self.floor;
+        let me = self.me;
+        let bytes = &mut self.bytes;
+        self.rows.retain(|key, row| {
+            let Kept::Ended(ended) = &row.kept else { return true };
+            let keep = key.home != me || key.epoch >= floor;
+            if !keep {
+                *bytes = bytes.saturating_sub(ended.bytes());
+            }
+            keep
+        });
+        self.drop_inherited(now);
+    }
+
+    /// Gives the keys to hand to a successor.
+    pub fn handover(&self) -> Handover {
+        let mut homes: Vec<Incarnation> = self.inherited.keys().copied().collect();
+        homes.push(self.me);
+        let mut budget = HANDOVER_BYTES;
+        let mut rows = Vec::new();
+        for (&key, row) in self.rows.iter().rev() {
+            let ended = match &row.kept {
+                Kept::Running(_) => Ended::Dropped,
+                Kept::Ended(ended) => ended.clone(),
+            };
+            let bytes = ended.bytes();
+            if bytes > HANDED_BYTES || bytes > budget {
+                rows.push((key, row.digest, Ended::Dropped));
+                continue;
+            }
+            budget -= bytes;
+            rows.push((key, row.digest, ended));
+        }
+        Handover { rows, homes }
+    }
+
+    /// Takes the keys of a box that is leaving.
+    pub fn take(&mut self, now: Time, handover: Handover) {
+        for home in handover.homes.into_iter().filter(|it| *it != self.me) {
+            self.inherited.insert(home, now);
+        }
+        for (key, digest, ended) in handover.rows.into_iter().filter(|it| it.0.home != self.me) {
+            self.bytes += ended.bytes();
+            self.rows.insert(key, Row { digest, kept: Kept::Ended(ended) });
+        }
+        self.shrink();
+    }
+
+    /// Drops the keys that were taken over long enough ago.
+    fn drop_inherited(&mut self, now: Time) {
+        let kept_for = EPOCH * KEPT_EPOCHS;
+        let old: Vec<Incarnation> = self
+            .inherited
+            .iter()
+            .filter(|(_, since)| now.since(**since) > kept_for)
+            .map(|(&it, _)| it)
+            .collect();
+        for home in old {
+            self.inherited.remove(&home);
+            let bytes = &mut self.bytes;
+            self.rows.retain(|key, row| {
+                if key.home != home {
+                    return true;
+                }
+                if let Kept::Ended(ended) = &row.kept {
+                    *bytes = bytes.saturating_sub(ended.bytes());
+                }
+                false
+            });
+        }
+    }
+
+    /// Drops the contents of the oldest answers while they hold too much.
+    fn shrink(&mut self) {
+        if self.bytes <= MOST_BYTES {
+            return;
+        }
+        for row in self.rows.values_mut() {
+            let Kept::Ended(ended) = &mut row.kept else { continue };
+            self.bytes = self.bytes.saturating_sub(ended.bytes());
+            *ended = Ended::Dropped;
+            if self.bytes <= MOST_BYTES / 2 {
+                return;
+            }
+        }
+    }
+}
+
+/// The most successors that are followed from one home.
+const MOST_SUCCESSORS: usize = 8;
+
+/// Finds the box that holds a home's keys now, if it is alive in this box's view.
+fn home_of(home: Incarnation, members: &Table) -> Option<Incarnation> {
+    let mut holder = home;
+    for _ in 0..MOST_SUCCESSORS {
+        if members.is_alive(holder) {
+            return Some(holder);
+        }
+        let State::Left { successor } = members.entry(holder)?.beat.state else { return None };
+        holder = successor?;
+    }
+    None
+}
--- /dev/null
+++ b/crates/hollyspoke/src/lib.rs
@@ -0,0 +1,34 @@
+//! Every decision of the router, as one reducer: `step(now, event) -> effects`.
+//!
+//! The library has no I/O, no runtime, no wall clock and no threads. A driver turns sockets,
+//! timers and store answers into [`event::Event`]s, feeds them to [`node::Node::step`], and
+//! carries out the [`effect::Effect`]s that come back. Two nodes with the same settings that see
+//! the same events at the same times give the same effects.
+
+pub mod address;
+pub mod admission;
+pub mod call;
+pub mod claim;
+pub mod config;
+pub mod effect;
+pub mod event;
+pub mod front;
+pub mod generate;
+pub mod health;
+pub mod home;
+pub mod key;
+pub mod layout;
+pub mod limit;
+pub mod member;
+pub mod message;
+pub mod node;
+pub mod outcome;
+pub mod plain;
+pub mod pool;
+pub mod rank;
+pub mod request;
+pub mod retry;
+pub mod site;
+pub mod status;
+pub mod store;
+pub mod time;
