--- /dev/null
+++ b/crates/hollyspoke/src/pool.rs
@@ -0,0 +1,609 @@
+//! The owner's ledger of one shard: the one place that grants its engines' memory.
+//!
+//! The ledger is soft state. A new owner learns of running grants from the fronts that hold them
+//! and from the engines' own lists, and waits with new grants until it has heard from every live
+//! front or [`SETTLE`] is over. If two boxes own a shard for a moment they may grant too much;
+//! the engine then refuses, and the owner learns.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::admission::{self, Queue, Waiting};
+use crate::effect::Effect;
+use crate::event::Report;
+use crate::health::{self, Health};
+use crate::key::{Incarnation, Ticket};
+use crate::message::{Ask, End, Grant, Message, Stage};
+use crate::node::Context;
+use crate::outcome::Refusal;
+use crate::rank;
+use crate::site::{DataCentreId, Kind, Role, ServiceId, Site, UpstreamId};
+use crate::time::Time;
+
+/// The most engines in one shard.
+pub const SHARD_ENGINES: usize = 32;
+
+/// How long a new owner waits for the fronts before it grants.
+pub const SETTLE: Duration = Duration::from_millis(600);
+
+/// How long the grants of a front that has gone silent are kept.
+pub const GRANT_TTL: Duration = Duration::from_secs(4);
+
+/// How often each engine is asked for its report.
+pub const POLL: Duration = Duration::from_secs(1);
+
+/// How long a stream that the ledger doesn't know may stay on an engine.
+pub const STRAY_AFTER: Duration = Duration::from_secs(2);
+
+/// How long a fenced attempt is remembered.
+pub const FENCED_FOR: Duration = Duration::from_secs(60);
+
+/// How long a decode engine that refused for lack of room is given nothing more.
+pub const FULL_FOR: Duration = Duration::from_millis(200);
+
+/// A part of a service's engines that one box owns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ShardId {
+    /// The service.
+    pub service: ServiceId,
+    /// The part, from zero.
+    pub part: u16,
+}
+
+impl ShardId {
+    /// Gives the number by which owners are ranked.
+    pub fn number(self) -> u64 {
+        rank::weight(self.service.0, u64::from(self.part))
+    }
+}
+
+/// Lists a service's engines in shards, in an order that all boxes share.
+pub fn shards(site: &Site, service: ServiceId) -> Vec<Vec<UpstreamId>> {
+    let mut engines: Vec<_> =
+        site.engines.iter().filter(|it| ServiceId::of(&it.service) == service).collect();
+    engines.sort_by(|a, b| (&a.data_centre, &a.name).cmp(&(&b.data_centre, &b.name)));
+    let parts = engines.len().div_ceil(SHARD_ENGINES).max(1);
+    let mut shards = vec![Vec::new(); parts];
+    for (place, engine) in engines.iter().enumerate() {
+        // Dealing in turn gives every shard some engines of each data centre and role.
+        shards[place % parts].push(engine.id());
+    }
+    shards
+}
+
+/// One engine in the ledger.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// Its address.
+    pub address: String,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Its role.
+    pub role: Role,
+    /// The KV cache it can hold, in tokens.
+    pub memory_tokens: u64,
+    /// How fast it computes prompts, in tokens a second.
+    pub prefill_rate: f64,
+    /// How long a token takes.
+    pub token_time: Duration,
+    /// Whether it gets no new work, by the site's file or its own report.
+    pub leaving: bool,
+    /// The decode memory granted, in tokens.
+    pub reserved: u64,
+    /// When it is expected to have computed all prompts granted.
+    pub prefill_free: Time,
+    /// How much slower than the site's file says it computes prompts; 1 is as described.
+    pub slowness: f64,
+    /// The memory that its last report showed in use, in tokens.
+    pub reported: Option<u64>,
+    /// Until when it is given nothing after it refused for lack of room.
+    pub full_until: Time,
+    /// Its health.
+    pub health: Health,
+    /// When each prefix was last computed here; a hint that ages.
+    pub prefixes: BTreeMap<u64, Time>,
+    /// Failed polls in a row.
+    pub silent_polls: u32,
+}
+
+impl Engine {
+    /// Makes an engine's row from the site's file.
+    fn new(engine: &crate::site::Engine) -> Engine {
+        Engine {
+            address: engine.address.clone(),
+            data_centre: DataCentreId::of(&engine.data_centre),
+            role: engine.role,
+            memory_tokens: engine.memory_tokens,
+            prefill_rate: engine.prefill_rate as f64,
+            token_time: engine.token_time,
+            leaving: engine.leaving,
+            reserved: 0,
+            prefill_free: Time::ZERO,
+            slowness: 1.0,
+            reported: None,
+            full_until: Time::ZERO,
+            health: Health::default(),
+            prefixes: BTreeMap::new(),
+            silent_polls: 0,
+        }
+    }
+
+    /// Tells whether it may be given new work.
+    pub fn is_usable(&self, now: Time) -> bool {
+        !self.leaving && !self.health.is_out(now) && self.silent_polls < health::FAILURES
+    }
+
+    /// Gives the memory that may still be granted, in tokens.
+    ///
+    /// A report above the ledger means streams that the ledger doesn't know of yet.
+    pub fn free_tokens(&self, now: Time) -> u64 {
+        let used = self.reserved.max(self.reported.unwrap_or(0));
+        let ceiling = self.memory_tokens as f64 * self.health.weight(now);
+        (ceiling as u64).saturating_sub(used)
+    }
+}
+
+/// A grant in the ledger.
+#[derive(Debug, Clone)]
+struct Held {
+    /// What was granted.
+    grant: Grant,
+    /// When the attempt entered its stage.
+    since: Time,
+    /// How long the prefill was expected to take at the described rate.
+    prefill_expected: Duration,
+}
+
+/// What the owner knows of a front.
+#[derive(Debug, Clone, Copy)]
+struct Front {
+    /// When it was last heard.
+    heard: Time,
+    /// Renewals in a row whose count was not the ledger's.
+    mismatches: u8,
+}
+
+/// The ledger of one shard.
+#[derive(Debug, Clone)]
+pub struct Pool {
+    /// The shard.
+    shard: ShardId,
+    /// When this box became its owner.
+    since: Time,
+    /// Whether the wait for the fronts is over.
+    settled: bool,
+    /// The engines.
+    engines: BTreeMap<UpstreamId, Engine>,
+    /// When each link is expected to have carried all transfers granted.
+    links: BTreeMap<(DataCentreId, DataCentreId), Time>,
+    /// The grants.
+    grants: BTreeMap<Ticket, Held>,
+    /// The requests waiting.
+    queue: Queue,
+    /// The fronts heard.
+    fronts: BTreeMap<Incarnation, Front>,
+    /// Attempts taken from their fronts, and when.
+    fenced: BTreeMap<Ticket, Time>,
+    /// Streams seen on engines that the ledger doesn't know, since when.
+    strays: BTreeMap<(UpstreamId, Ticket), Time>,
+    /// When the engines were last polled.
+    polled: Option<Time>,
+}
+
+impl Pool {
+    /// Makes the ledger of a shard which this box has come to own.
+    pub fn new(now: Time, shard: ShardId, site: &Site) -> Pool {
+        let mut pool = Pool {
+            shard,
+            since: now,
+            settled: false,
+            engines: BTreeMap::new(),
+            links: BTreeMap::new(),
+            grants: BTreeMap::new(),
+            queue: Queue::default(),
+            fronts: BTreeMap::new(),
+            fenced: BTreeMap::new(),
+            strays: BTreeMap::new(),
+            polled: None,
+        };
+        pool.configure(site);
+        pool
+    }
+
+    /// Takes over a new version of the site, keeping what is known of engines that stay.
+    pub fn configure(&mut self, site: &Site) {
+        let shards = shards(site, self.shard.service);
+        let members = shards.get(usize::from(self.shard.part)).cloned().unwrap_or_default();
+        let mut engines = BTreeMap::new();
+        for engine in members.iter().filter_map(|&id| site.engine(id)) {
+            let mut fresh = Engine::new(engine);
+            if let Some(known) = self.engines.remove(&engine.id()) {
+                fresh = Engine {
+                    reserved: known.reserved,
+                    prefill_free: known.prefill_free,
+                    slowness: known.slowness,
+                    reported: known.reported,
+                    health: known.health,
+                    prefixes: known.prefixes,
+                    silent_polls: known.silent_polls,
+                    ..fresh
+                };
+            }
+            engines.insert(engine.id(), fresh);
+        }
+        self.engines = engines;
+    }
+
+    /// Gives the engines, for choosing and for the status page.
+    pub fn engines(&self) -> &BTreeMap<UpstreamId, Engine> {
+        &self.engines
+    }
+
+    /// Gives the number of grants held.
+    pub fn granted(&self) -> usize {
+        self.grants.len()
+    }
+
+    /// Gives the number of requests waiting.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Takes a front's question; a repeated one gets the answer it had.
+    pub fn ask(&mut self, cx: &mut Context<'_>, ask: Ask) {
+        self.hear(cx.now, ask.ticket.front);
+        if let Some(held) = self.grants.get(&ask.ticket) {
+            cx.send(ask.ticket.front, Message::Granted(held.grant.clone()));
+            return;
+        }
+        if self.fenced.contains_key(&ask.ticket) || self.queue.contains(ask.ticket) {
+            return;
+        }
+        let waiting = Waiting::new(cx.now, ask);
+        if let Some(refusal) = admission::refuse_on_arrival(cx.now, self, &waiting) {
+            let ticket = waiting.ask.ticket;
+            cx.send(ticket.front, refusal.message(ticket));
+            return;
+        }
+        self.queue.push(waiting);
+        self.pump(cx);
+    }
+
+    /// Takes a front's renewal.
+    pub fn renew(&mut self, cx: &mut Context<'_>, from: Incarnation, held: u32) {
+        let known = self.grants.keys().filter(|it| it.front == from).count();
+        let settled = self.settled;
+        let front = self.hear(cx.now, from);
+        if known == held as usize {
+            front.mismatches = 0;
+            self.pump(cx);
+            return;
+        }
+        // One difference may be a message on its way; a second one is not. A new owner asks at
+        // once, since it is to learn what runs.
+        front.mismatches += 1;
+        let must_ask = front.mismatches > 1 || !settled;
+        if must_ask {
+            front.mismatches = 0;
+            cx.send(from, Message::DeclareWanted(self.shard));
+        }
+    }
+
+    /// Takes the full list of a front's grants.
+    pub fn declare(&mut self, cx: &mut Context<'_>, from: Incarnation, held: Vec<Grant>) {
+        self.hear(cx.now, from);
+        let named: BTreeSet<Ticket> = held.iter().map(|it| it.ticket).collect();
+        let gone: Vec<Ticket> = self
+            .grants
+            .keys()
+            .filter(|it| it.front == from && !named.contains(it))
+            .copied()
+            .collect();
+        for ticket in gone {
+            // A grant on its way to the front is not named yet, so only older ones are dropped.
+            let age = cx.now.since(self.grants[&ticket].since);
+            if age > STRAY_AFTER {
+                self.drop_grant(cx, ticket);
+            }
+        }
+        for grant in held {
+            if self.fenced.contains_key(&grant.ticket) {
+                cx.send(from, Message::Fenced(grant.ticket));
+                continue;
+            }
+            self.adopt(cx.now, grant);
+        }
+        self.pump(cx);
+    }
+
+    /// Notes how far an attempt has come.
+    pub fn progress(&mut self, cx: &mut Context<'_>, ticket: Ticket, stage: Stage) {
+        self.hear(cx.now, ticket.front);
+        let now = cx.now;
+        let Some(held) = self.grants.get_mut(&ticket) else {
+            if self.fenced.contains_key(&ticket) {
+                cx.send(ticket.front, Message::Fenced(ticket));
+            }
+            return;
+        };
+        if stage <= held.grant.stage {
+            return;
+        }
+        let was = held.grant.stage;
+        let took = now.since(held.since);
+        held.grant.stage = stage;
+        held.since = now;
+        if was != Stage::Prefill {
+            return;
+        }
+        let expected = held.prefill_expected;
+        let prefill = held.grant.prefill;
+        if let Some(engine) = self.engines.get_mut(&prefill) {
+            engine.health.succeed(now);
+            admission::learn_rate(engine, expected, took);
+            engine.prefill_free = engine.prefill_free.min(now.max(engine.prefill_free));
+        }
+        self.pump(cx);
+    }
+
+    /// Takes an attempt back.
+    pub fn release(&mut self, cx: &mut Context<'_>, ticket: Ticket, end: End) {
+        self.hear(cx.now, ticket.front);
+        self.queue.remove(ticket);
+        self.learn_from(cx, end);
+        if let Some(held) = self.grants.remove(&ticket) {
+            self.free(cx.now, &held);
+        }
+        // A late copy of the question must not be granted.
+        self.fenced.insert(ticket, cx.now);
+        self.pump(cx);
+    }
+
+    /// Takes an engine's report.
+    pub fn report(&mut self, cx: &mut Context<'_>, id: UpstreamId, report: Option<Report>) {
+        let now = cx.now;
+        let leaving = cx.site.engine(id).is_some_and(|it| it.leaving);
+        let Some(engine) = self.engines.get_mut(&id) else { return };
+        let Some(report) = report else {
+            engine.silent_polls += 1;
+            return;
+        };
+        if engine.silent_polls >= health::FAILURES {
+            cx.note(format!("engine at {} answers again", engine.address));
+        }
+        engine.silent_polls = 0;
+        engine.leaving = leaving || report.leaving;
+        engine.reported = Some(report.used_tokens);
+        self.sweep(cx, id, &report.streams);
+        self.strays.retain(|(on, ticket), _| *on != id || report.streams.contains(ticket));
+        if now.since(self.since) < SETTLE {
+            return;
+        }
+        self.pump(cx);
+    }
+
+    /// Does what is due: expires silent fronts, polls engines, decides on those who wait.
+    pub fn tick(&mut self, cx: &mut Context<'_>) {
+        let now = cx.now;
+        self.expire_fronts(cx);
+        self.fenced.retain(|_, since| now.since(*since) < FENCED_FOR);
+        if self.polled.is_none_or(|at| now.since(at) >= POLL) {
+            self.polled = Some(now);
+            for (&engine, row) in &self.engines {
+                cx.effect(Effect::Poll { engine, address: row.address.clone() });
+            }
+        }
+        self.pump(cx);
+    }
+
+    /// Gives all that waits back to the fronts, when the shard passes to another owner.
+    pub fn hand_over(&mut self, cx: &mut Context<'_>) {
+        for waiting in self.queue.drain() {
+            let ticket = waiting.ask.ticket;
+            let message =
+                Message::Refused { ticket, refusal: Refusal::Leaving, retry_after: Duration::ZERO };
+            cx.send(ticket.front, message);
+        }
+    }
+
+    /// Decides on those who wait, in their order, as far as engines are free.
+    fn pump(&mut self, cx: &mut Context<'_>) {
+        if !self.is_settled(cx) {
+            return;
+        }
+        for (ticket, refusal) in admission::refuse_late(cx.now, self) {
+            self.queue.remove(ticket);
+            cx.send(ticket.front, refusal.message(ticket));
+        }
+        while let Some((ticket, placement)) = admission::next(cx.now, cx.site, self) {
+            let Some(waiting) = self.queue.remove(ticket) else { return };
+            let grant = self.book(cx.now, &waiting, &placement);
+            cx.send(ticket.front, Message::Granted(grant));
+        }
+    }
+
+    /// Books what a placement uses.
+    fn book(&mut self, now: Time, waiting: &Waiting, placement: &admission::Placement) -> Grant {
+        let ask = &waiting.ask;
+        let tokens = ask.prompt_tokens + ask.max_tokens;
+        if let Some(engine) = self.engines.get_mut(&placement.prefill) {
+            engine.prefill_free = placement.prefill_end;
+            for &digest in &ask.prefix {
+                engine.prefixes.insert(digest, now);
+            }
+            admission::forget_prefixes(now, engine);
+        }
+        if let Some(engine) = self.engines.get_mut(&placement.decode) {
+            engine.reserved += u64::from(tokens);
+        }
+        self.links.insert(placement.link, placement.ready);
+        self.queue.charge(ask.tenant, waiting.cost());
+        let grant = Grant {
+            shard: self.shard,
+            ticket: ask.ticket,
+            prefill: placement.prefill,
+            decode: placement.decode,
+            tokens,
+            max_tokens: ask.max_tokens,
+            stage: Stage::Prefill,
+        };
+        let held =
+            Held { grant: grant.clone(), since: now, prefill_expected: placement.prefill_time };
+        self.grants.insert(ask.ticket, held);
+        grant
+    }
+
+    /// Adds a grant that another owner made.
+    fn adopt(&mut self, now: Time, grant: Grant) {
+        if let Some(held) = self.grants.get_mut(&grant.ticket) {
+            held.grant.stage = held.grant.stage.max(grant.stage);
+            return;
+        }
+        if let Some(engine) = self.engines.get_mut(&grant.decode) {
+            engine.reserved += u64::from(grant.tokens);
+        }
+        self.queue.remove(grant.ticket);
+        let held = Held { grant, since: now, prefill_expected: Duration::ZERO };
+        self.grants.insert(held.grant.ticket, held);
+    }
+
+    /// Gives a grant's memory back to the ledger.
+    fn free(&mut self, now: Time, held: &Held) {
+        let tokens = u64::from(held.grant.tokens);
+        if let Some(engine) = self.engines.get_mut(&held.grant.decode) {
+            engine.reserved = engine.reserved.saturating_sub(tokens);
+            engine.reported = engine.reported.map(|it| it.saturating_sub(tokens));
+        }
+        if held.grant.stage > Stage::Prefill {
+            return;
+        }
+        // The rest of a prefill that was stopped is not computed any more.
+        if let Some(engine) = self.engines.get_mut(&held.grant.prefill) {
+            let left = held.prefill_expected.saturating_sub(now.since(held.since));
+            engine.prefill_free = engine.prefill_free - left;
+        }
+    }
+
+    /// Takes a grant from its front and stops the streams on the engines.
+    fn drop_grant(&mut self, cx: &mut Context<'_>, ticket: Ticket) {
+        let Some(held) = self.grants.remove(&ticket) else { return };
+        self.free(cx.now, &held);
+        self.fenced.insert(ticket, cx.now);
+        for engine in [held.grant.prefill, held.grant.decode] {
+            if let Some(row) = self.engines.get(&engine) {
+                cx.effect(Effect::Cancel { ticket, address: row.address.clone() });
+            }
+        }
+    }
+
+    /// Drops the grants and the questions of fronts that have gone silent.
+    fn expire_fronts(&mut self, cx: &mut Context<'_>) {
+        let now = cx.now;
+        let silent: Vec<Incarnation> = self
+            .fronts
+            .iter()
+            .filter(|(it, front)| **it != cx.me && now.since(front.heard) > GRANT_TTL)
+            .map(|(&it, _)| it)
+            .collect();
+        for front in silent {
+            self.fronts.remove(&front);
+            self.queue.remove_front(front);
+            let held: Vec<Ticket> =
+                self.grants.keys().filter(|it| it.front == front).copied().collect();
+            if !held.is_empty() {
+                cx.note(format!("front {front} is silent: {} grants end", held.len()));
+            }
+            for ticket in held {
+                self.drop_grant(cx, ticket);
+            }
+        }
+    }
+
+    /// Stops the streams on an engine which the ledger has not known for some time.
+    fn sweep(&mut self, cx: &mut Context<'_>, engine: UpstreamId, streams: &[Ticket]) {
+        let now = cx.now;
+        for &ticket in streams {
+            if self.grants.contains_key(&ticket) {
+                self.strays.remove(&(engine, ticket));
+                continue;
+            }
+            let since = *self.strays.entry((engine, ticket)).or_insert(now);
+            let waited = now.since(since) >= STRAY_AFTER;
+            if !waited || now.since(self.since) < STRAY_AFTER {
+                continue;
+            }
+            let Some(row) = self.engines.get(&engine) else { return };
+            cx.effect(Effect::Cancel { ticket, address: row.address.clone() });
+        }
+    }
+
+    /// Learns from how an attempt ended.
+    fn learn_from(&mut self, cx: &mut Context<'_>, end: End) {
+        let now = cx.now;
+        match end {
+            End::Done { .. } | End::Cancelled => {}
+            End::Full(id) => {
+                if let Some(engine) = self.engines.get_mut(&id) {
+                    engine.full_until = now + FULL_FOR;
+                }
+            }
+            End::Failed(id) => {
+                let Some(role) = self.engines.get(&id).map(|it| it.role) else { return };
+                let group = self.engines.values().filter(|it| it.role == role);
+                let (out, all) = group.fold((0, 0), |(out, all), it| {
+                    (out + usize::from(it.health.is_out(now)), all + 1)
+                });
+                let Some(engine) = self.engines.get_mut(&id) else { return };
+                if engine.health.fail(now, health::may_eject(out, all)) {
+                    cx.note(format!("engine at {} is out of service", engine.address));
+                }
+            }
+        }
+    }
+
+    /// Notes that a front lives.
+    fn hear(&mut self, now: Time, front: Incarnation) -> &mut Front {
+        let front = self.fronts.entry(front).or_insert(Front { heard: now, mismatches: 0 });
+        front.heard = now;
+        front
+    }
+
+    /// Tells whether the wait for the fronts is over.
+    fn is_settled(&mut self, cx: &Context<'_>) -> bool {
+        if !self.settled {
+            let all_heard = cx.members.alive().all(|it| self.fronts.contains_key(&it.incarnation));
+            self.settled = all_heard || cx.now.since(self.since) >= SETTLE;
+        }
+        self.settled
+    }
+
+    /// Gives the queue.
+    pub(crate) fn queue(&self) -> &Queue {
+        &self.queue
+    }
+
+    /// Gives when a link is expected to be free.
+    pub(crate) fn link_free(&self, link: (DataCentreId, DataCentreId)) -> Time {
+        self.links.get(&link).copied().unwrap_or(Time::ZERO)
+    }
+
+    /// Gives the expected ends of all streams being generated, with the memory each frees.
+    pub(crate) fn expected_ends(&self) -> impl Iterator<Item = (UpstreamId, Time, u64)> {
+        self.grants.values().map(|held| {
+            let token_time =
+                self.engines.get(&held.grant.decode).map_or(Duration::ZERO, |it| it.token_time);
+            let end = held.since + token_time * held.grant.max_tokens;
+            (held.grant.decode, end, u64::from(held.grant.tokens))
+        })
+    }
+
+    /// Gives the service's first-token target, where the site has the service.
+    pub fn first_token_target(&self, site: &Site) -> Option<Duration> {
+        match &site.service(self.shard.service)?.kind {
+            Kind::Engines { first_token, .. } => Some(*first_token),
+            Kind::Plain { .. } => None,
+        }
+    }
+}
--- /dev/null
+++ b/examples/quickstart/src/main.rs
@@ -0,0 +1,158 @@
+//! The quickstart: an embedded platform, two prefill and two decode engines and two boxes in one
+//! process. It applies a site file, sends one request, prints the answer as it streams, and shows
+//! which engines worked on it.
+
+#![expect(clippy::print_stdout, reason = "the quickstart shows what it does")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eyre::{bail, ensure};
+use hollyspoke_cli::apply::{self, Applied};
+use hollyspoke_cli::call::{self, Wanted};
+use hollyspoke_cli::caller::Caller;
+use hollyspoke_cli::exit::Exit;
+use hollyspoke_cli::show;
+use hollyspoke_daemon::run::{self, Running as Daemon};
+use hollyspoke_daemon::settings::{LogForm, Settings};
+use hollyspoke_standin::engine::{Engine, Settings as EngineSettings};
+use hollyspoke_standin::platform::Platform as PlatformStandin;
+use hollyspoke_standin::server::Running;
+use hollyspoke_wire::http::Client;
+use hollyspoke_wire::platform::Platform;
+
+/// The engines: name and role.
+const ENGINES: [(&str, &str); 4] = [
+    ("prefill-1", "prefill"),
+    ("prefill-2", "prefill"),
+    ("decode-1", "decode"),
+    ("decode-2", "decode"),
+];
+
+/// How long the boxes get to put the file in force.
+const IN_FORCE: Duration = Duration::from_secs(10);
+
+/// An engine of the quickstart.
+struct Started {
+    /// Its name.
+    name: &'static str,
+    /// Its role.
+    role: &'static str,
+    /// The engine.
+    engine: Engine,
+    /// Its server.
+    server: Running,
+}
+
+/// Runs the quickstart.
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let platform = Running::start(PlatformStandin::default().router()).await?;
+    let engines = start_engines().await?;
+    let first = start_box("box-1", platform.address, None).await?;
+    let second = start_box("box-2", platform.address, Some(first.peers)).await?;
+    let text = site_file(&engines);
+    println!("the site file:\n{text}");
+    let client = Client::new();
+    let store = Platform::new(client.clone(), platform.address.to_string());
+    let Applied::Accepted { version } = apply::apply(&store, "quickstart", &text, None).await
+    else {
+        bail!("the file was not accepted");
+    };
+    let boxes = wait_in_force(&client, first.callers, version).await?;
+    println!("accepted as version {version}, in force at {boxes} boxes\n");
+    let mut caller = Caller::new("quickstart", vec![first.callers.to_string()]);
+    let wanted = Wanted::Generate {
+        model: "demo-8b".to_owned(),
+        prompt: "Which seat is mine, and where do I find the press?".to_owned(),
+        max_tokens: 24,
+    };
+    println!("the answer:");
+    let exit = call::call(&mut caller, &wanted, false, Vec::new(), &mut std::io::stdout()).await?;
+    ensure!(exit == Exit::Done, "the request was not answered");
+    println!("\nthe engines' own ledgers:");
+    for started in &engines {
+        let ledger = started.engine.ledger();
+        println!(
+            "  {:<10} {} prefills, {} decodes, {} tokens of memory held",
+            started.name, ledger.prefills, ledger.decodes, ledger.used_tokens
+        );
+    }
+    second.leave();
+    first.leave();
+    second.wait().await;
+    first.wait().await;
+    println!("\nboth boxes have stopped as planned");
+    Ok(())
+}
+
+/// Starts the engines.
+async fn start_engines() -> eyre::Result<Vec<Started>> {
+    let mut engines = Vec::new();
+    for (name, role) in ENGINES {
+        let settings =
+            EngineSettings { token_time: Duration::from_millis(20), ..EngineSettings::default() };
+        let engine = Engine::new(settings);
+        let server = Running::start(engine.router()).await?;
+        engines.push(Started { name, role, engine, server });
+    }
+    Ok(engines)
+}
+
+/// Starts a box.
+async fn start_box(
+    name: &str,
+    platform: SocketAddr,
+    seed: Option<SocketAddr>,
+) -> eyre::Result<Daemon> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let settings = Settings {
+        name: name.to_owned(),
+        data_centre: "here".to_owned(),
+        site: "quickstart".to_owned(),
+        platform,
+        listen: any,
+        listen_peers: any,
+        advertise: None,
+        advertise_peers: None,
+        seeds: seed.into_iter().collect(),
+        body_limit: 1024 * 1024,
+        log: LogForm::Json,
+    };
+    run::start(settings, hollyspoke_daemon::log::none()).await
+}
+
+/// Writes the site file.
+fn site_file(engines: &[Started]) -> String {
+    let mut text = String::from(
+        "site = \"quickstart\"\n\
+         data_centres = [\"here\"]\n\n\
+         [[model]]\nname = \"demo-8b\"\nkv_bytes_per_token = 131072\n\n\
+         [[service]]\nname = \"demo\"\nkind = \"engines\"\nmodel = \"demo-8b\"\n",
+    );
+    for engine in engines {
+        text.push_str(&format!(
+            "\n[[engine]]\nname = \"{}\"\nservice = \"demo\"\ndata_centre = \"here\"\n\
+             address = \"{}\"\nrole = \"{}\"\nmemory_tokens = 64000\n\
+             prefill_tokens_per_second = 20000\ntoken_ms = 20\n",
+            engine.name, engine.server.address, engine.role
+        ));
+    }
+    text
+}
+
+/// Waits until a version is in force at both boxes; gives their number.
+async fn wait_in_force(client: &Client, first: SocketAddr, version: u64) -> eyre::Result<usize> {
+    let begun = tokio::time::Instant::now();
+    while begun.elapsed() < IN_FORCE {
+        let answers = show::ask_all(client, &first.to_string()).await?;
+        let in_force = |it: &show::BoxAnswer| {
+            it.status.as_ref().is_some_and(|status| status.site_version >= version)
+        };
+        if answers.len() == 2 && answers.iter().all(in_force) {
+            return Ok(answers.len());
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    bail!("the file did not come into force in {IN_FORCE:?}")
+}
--- /dev/null
+++ b/tests/src/cluster.rs
@@ -0,0 +1,339 @@
+//! A small site of separate processes: a platform, engines, services and boxes.
+
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use eyre::{OptionExt, bail, ensure};
+use hollyspoke::status::Status;
+use hollyspoke_cli::apply::{self, Applied};
+use hollyspoke_cli::caller::Caller;
+use hollyspoke_standin::{engine, service};
+use hollyspoke_wire::http::Client;
+use hollyspoke_wire::platform::Platform;
+use nix::sys::signal::Signal;
+use tokio::time::Instant;
+
+use crate::process::Process;
+
+/// The data centres, dealt out in turn.
+const DATA_CENTRES: [&str; 3] = ["north", "south", "east"];
+
+/// How long the site gets for anything that it should do soon.
+pub const SOON: Duration = Duration::from_secs(15);
+
+/// What a site is made of.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Boxes.
+    pub boxes: usize,
+    /// Engines that prefill.
+    pub prefills: usize,
+    /// Engines that decode.
+    pub decodes: usize,
+    /// Upstreams of the plain service.
+    pub services: usize,
+    /// The memory of a decode engine, in tokens.
+    pub memory_tokens: u64,
+    /// The prefill rate, in tokens a second.
+    pub prefill_rate: u64,
+    /// How long a token takes, in milliseconds.
+    pub token_ms: u64,
+    /// More of the site file.
+    pub more: String,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            boxes: 2,
+            prefills: 1,
+            decodes: 2,
+            services: 0,
+            memory_tokens: 8000,
+            prefill_rate: 20_000,
+            token_ms: 5,
+            more: String::new(),
+        }
+    }
+}
+
+/// A box.
+#[derive(Debug)]
+pub struct Member {
+    /// Its process.
+    pub process: Process,
+    /// Its name.
+    pub name: String,
+    /// Its address for other boxes.
+    pub peers: String,
+    /// Its incarnation.
+    pub incarnation: String,
+}
+
+impl Member {
+    /// Gives its address for callers.
+    pub fn address(&self) -> &str {
+        &self.process.address
+    }
+
+    /// Freezes it.
+    pub fn freeze(&self) {
+        self.process.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets it go on.
+    pub fn thaw(&self) {
+        self.process.signal(Signal::SIGCONT);
+    }
+
+    /// Begins its planned stop.
+    pub fn leave(&self) {
+        self.process.signal(Signal::SIGTERM);
+    }
+
+    /// Asks for its state.
+    pub async fn status(&self) -> eyre::Result<Status> {
+        let call = Client::new();
+        let url = format!("http://{}/v1/status", self.address());
+        Ok(tokio::time::timeout(Duration::from_secs(2), call.get(&url)).await??)
+    }
+}
+
+/// A running site.
+#[derive(Debug)]
+pub struct Cluster {
+    /// What it is made of.
+    pub plan: Plan,
+    /// The platform.
+    pub platform: Process,
+    /// The engines that prefill.
+    pub prefills: Vec<Process>,
+    /// The engines that decode.
+    pub decodes: Vec<Process>,
+    /// The upstreams of the plain service.
+    pub services: Vec<Process>,
+    /// The boxes.
+    pub boxes: Vec<Member>,
+    /// The names of engines and upstreams that are marked as leaving.
+    pub leaving: Vec<String>,
+}
+
+impl Cluster {
+    /// Starts a site and waits until its file is in force at every box.
+    pub async fn start(plan: Plan) -> eyre::Result<Cluster> {
+        let platform = Process::standin("platform", &[])?;
+        let (memory, rate) = (plan.memory_tokens.to_string(), plan.prefill_rate.to_string());
+        let token = plan.token_ms.to_string();
+        let engine = || {
+            let memory = ["--memory-tokens", &memory, "--prefill-tokens-per-second", &rate];
+            let arguments = [memory.as_slice(), &["--token-ms", &token]].concat();
+            Process::standin("engine", &arguments)
+        };
+        let prefills = (0..plan.prefills).map(|_| engine()).collect::<eyre::Result<_>>()?;
+        let decodes = (0..plan.decodes).map(|_| engine()).collect::<eyre::Result<_>>()?;
+        let services = (0..plan.services)
+            .map(|_| Process::standin("service", &[]))
+            .collect::<eyre::Result<_>>()?;
+        let boxes = Vec::new();
+        let leaving = Vec::new();
+        let mut cluster = Cluster { plan, platform, prefills, decodes, services, boxes, leaving };
+        for _ in 0..cluster.plan.boxes {
+            cluster.add_box()?;
+        }
+        cluster.wait_for_members(cluster.plan.boxes).await?;
+        let version = cluster.apply().await?;
+        cluster.wait_in_force(version).await?;
+        Ok(cluster)
+    }
+
+    /// Starts one more box.
+    pub fn add_box(&mut self) -> eyre::Result<()> {
+        let number = self.boxes.len();
+        let name = format!("box-{number}");
+        let mut arguments: Vec<String> = ["--name", &name, "--site", "test"].map(Into::into).into();
+        arguments.extend(["--data-centre".into(), DATA_CENTRES[number % 3].into()]);
+        arguments.extend(["--platform".into(), self.platform.address.clone()]);
+        let seeds: Vec<&str> = self.boxes.iter().take(2).map(|it| it.peers.as_str()).collect();
+        if !seeds.is_empty() {
+            arguments.extend(["--seeds".into(), seeds.join(",")]);
+        }
+        let (process, peers, incarnation) = Process::daemon(&arguments)?;
+        self.boxes.push(Member { process, name, peers, incarnation });
+        Ok(())
+    }
+
+    /// Writes the site file.
+    pub fn file(&self) -> String {
+        let mut text = format!(
+            "site = \"test\"\ndata_centres = {DATA_CENTRES:?}\n\n\
+             [[model]]\nname = \"m\"\nkv_bytes_per_token = 1000\n\n\
+             [[service]]\nname = \"llm\"\nkind = \"engines\"\nmodel = \"m\"\n\
+             first_token_ms = 3000\nbetween_tokens_ms = 200\n{}\n",
+            self.plan.more
+        );
+        let named = |processes: &[Process], sort: &str| -> Vec<(String, String, String)> {
+            let row = |(number, it): (usize, &Process)| {
+                (format!("{sort}-{number}"), it.address.clone(), sort.to_owned())
+            };
+            processes.iter().enumerate().map(row).collect()
+        };
+        let engines = [named(&self.prefills, "prefill"), named(&self.decodes, "decode")].concat();
+        for (place, (name, address, role)) in engines.iter().enumerate() {
+            let leaving = self.leaving.contains(name);
+            let data_centre = DATA_CENTRES[place % 3];
+            // Writing to a string does not fail.
+            let _ = write!(
+                text,
+                "[[engine]]\nname = \"{name}\"\nservice = \"llm\"\ndata_centre = \"{data_centre}\"\n\
+                 address = \"{address}\"\nrole = \"{role}\"\nmemory_tokens = {}\n\
+                 prefill_tokens_per_second = {}\ntoken_ms = {}\nleaving = {leaving}\n\n",
+                self.plan.memory_tokens, self.plan.prefill_rate, self.plan.token_ms
+            );
+        }
+        if !self.services.is_empty() {
+            text.push_str(
+                "[[service]]\nname = \"holds\"\nkind = \"plain\"\nprefix = \"/holds\"\n\
+                 timeout_ms = 3000\n\n",
+            );
+        }
+        for (name, address, _) in named(&self.services, "holds") {
+            let leaving = self.leaving.contains(&name);
+            let _ = write!(
+                text,
+                "[[upstream]]\nname = \"{name}\"\nservice = \"holds\"\ndata_centre = \"north\"\n\
+                 address = \"{address}\"\nleaving = {leaving}\n\n"
+            );
+        }
+        text
+    }
+
+    /// Gives the platform.
+    pub fn store(&self) -> Platform {
+        Platform::new(Client::new(), self.platform.address.clone())
+    }
+
+    /// Applies the site file; gives its version.
+    pub async fn apply(&self) -> eyre::Result<u64> {
+        match apply::apply(&self.store(), "test", &self.file(), None).await {
+            Applied::Accepted { version } => Ok(version),
+            other => bail!("the file was not accepted: {other:?}"),
+        }
+    }
+
+    /// Waits until the first box knows so many boxes, itself included.
+    pub async fn wait_for_members(&self, count: usize) -> eyre::Result<()> {
+        until(SOON, "the boxes do not find each other", async || {
+            for member in &self.boxes {
+                if member.status().await.map_or(0, |it| it.boxes.len()) < count {
+                    return false;
+                }
+            }
+            true
+        })
+        .await
+    }
+
+    /// Waits until a version is in force at every box; gives how long it took.
+    pub async fn wait_in_force(&self, version: u64) -> eyre::Result<Duration> {
+        let begun = Instant::now();
+        until(SOON, "the file does not come into force", async || {
+            for member in &self.boxes {
+                let in_force = member.status().await.map_or(0, |it| it.site_version);
+                if in_force < version {
+                    return false;
+                }
+            }
+            true
+        })
+        .await?;
+        Ok(begun.elapsed())
+    }
+
+    /// Makes a caller that knows some boxes.
+    pub fn caller(&self, name: &str) -> Caller {
+        Caller::new(name, self.boxes.iter().map(|it| it.address().to_owned()).collect())
+    }
+
+    /// Finds the box that owns the engines' shard.
+    pub async fn owner(&self) -> eyre::Result<usize> {
+        for (number, member) in self.boxes.iter().enumerate() {
+            if member.status().await.is_ok_and(|it| !it.pools.is_empty()) {
+                return Ok(number);
+            }
+        }
+        bail!("no box owns the shard")
+    }
+
+    /// Reads the ledgers of all engines that answer.
+    pub async fn engines(&self) -> Vec<engine::Ledger> {
+        let mut ledgers = Vec::new();
+        for process in self.prefills.iter().chain(&self.decodes) {
+            if let Ok(ledger) = process.ledger().await {
+                ledgers.push(ledger);
+            }
+        }
+        ledgers
+    }
+
+    /// Waits until no engine holds memory; gives how long it took.
+    pub async fn wait_memory_free(&self, limit: Duration) -> eyre::Result<Duration> {
+        let begun = Instant::now();
+        until(limit, "engines still hold memory", async || {
+            self.engines().await.iter().all(|it| it.used_tokens == 0)
+        })
+        .await?;
+        Ok(begun.elapsed())
+    }
+
+    /// Waits until some engine has come so far.
+    pub async fn wait_engines(
+        &self,
+        what: &str,
+        reached: impl Fn(&[engine::Ledger]) -> bool,
+    ) -> eyre::Result<()> {
+        until(SOON, what, async || reached(&self.engines().await)).await
+    }
+
+    /// Counts how often each request ran at the plain service, over all upstreams.
+    pub async fn runs(&self, body: &str) -> eyre::Result<u64> {
+        let mut runs = 0;
+        for process in &self.services {
+            let ledger: service::Ledger = process.ledger().await?;
+            runs += ledger.runs.get(body).copied().unwrap_or(0);
+        }
+        Ok(runs)
+    }
+
+    /// Reads every run of the plain service.
+    pub async fn all_runs(&self) -> eyre::Result<Vec<(String, u64)>> {
+        let mut runs = std::collections::BTreeMap::<String, u64>::new();
+        for process in &self.services {
+            let ledger: service::Ledger = process.ledger().await?;
+            for (body, count) in ledger.runs {
+                *runs.entry(body).or_default() += count;
+            }
+        }
+        Ok(runs.into_iter().collect())
+    }
+
+    /// Finds a box by its incarnation's text in a key.
+    pub fn home_of(&self, key: &str) -> eyre::Result<usize> {
+        let home = key.split('.').next().unwrap_or_default();
+        let place = self.boxes.iter().position(|it| it.incarnation == home);
+        place.ok_or_eyre("the key's home is none of the boxes")
+    }
+}
+
+/// Waits until something holds.
+pub async fn until(
+    limit: Duration,
+    what: &str,
+    mut holds: impl AsyncFnMut() -> bool,
+) -> eyre::Result<()> {
+    let begun = Instant::now();
+    while !holds().await {
+        ensure!(begun.elapsed() < limit, "{what} within {limit:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,5 @@
+//! What the failure tests share: processes, and a small site made of them.
+
+pub mod cluster;
+pub mod process;
+pub mod request;
--- /dev/null
+++ b/tests/src/process.rs
@@ -0,0 +1,141 @@
+//! Processes that a test starts, and stops again by their handles.
+
+use std::io::{BufRead, BufReader, Read};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use eyre::{OptionExt, WrapErr, bail};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use hollyspoke_wire::engine::Empty;
+use hollyspoke_wire::http::Client;
+
+/// A process with an address.
+#[derive(Debug)]
+pub struct Process {
+    /// The process.
+    child: Child,
+    /// The address that it printed.
+    pub address: String,
+    /// The lines that it has written.
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Process {
+    /// Starts a stand-in.
+    pub fn standin(sort: &str, arguments: &[&str]) -> eyre::Result<Process> {
+        let mut command = Command::new(program("hollyspoke-standin")?);
+        command.arg(sort).args(arguments).stdout(Stdio::piped()).stderr(Stdio::null());
+        let mut child = command.spawn().wrap_err("the stand-in does not start")?;
+        let output = child.stdout.take().ok_or_eyre("no output")?;
+        let (first, lines) = follow(output)?;
+        let address = first["listening"].as_str().ok_or_eyre("no address")?.to_owned();
+        Ok(Process { child, address, lines })
+    }
+
+    /// Starts a daemon.
+    pub fn daemon(arguments: &[String]) -> eyre::Result<(Process, String, String)> {
+        let mut command = Command::new(program("hollyspoked")?);
+        command.args(arguments).stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut child = command.spawn().wrap_err("the daemon does not start")?;
+        let output = child.stderr.take().ok_or_eyre("no output")?;
+        let (first, lines) = follow(output)?;
+        let text = |key: &str| first[key].as_str().unwrap_or_default().to_owned();
+        let (address, peers, incarnation) = (text("callers"), text("peers"), text("incarnation"));
+        if address.is_empty() {
+            bail!("the daemon's first line names no address: {first}");
+        }
+        Ok((Process { child, address, lines }, peers, incarnation))
+    }
+
+    /// Sends the process a signal.
+    pub fn signal(&self, signal: Signal) {
+        // A process that has ended already needs no signal.
+        let _ = kill(Pid::from_raw(self.child.id() as i32), signal);
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        // A process that has ended already needs no killing.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the process's end.
+    pub async fn wait(&mut self, limit: Duration) -> eyre::Result<ExitStatus> {
+        let begun = tokio::time::Instant::now();
+        while begun.elapsed() < limit {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        bail!("the process does not end")
+    }
+
+    /// Gives the lines written so far.
+    pub fn lines(&self) -> Vec<String> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Reads a stand-in's ledger.
+    pub async fn ledger<T: DeserializeOwned>(&self) -> eyre::Result<T> {
+        let url = format!("http://{}/standin/ledger", self.address);
+        Ok(Client::new().get(&url).await?)
+    }
+
+    /// Sets a stand-in's faults.
+    pub async fn faults(&self, faults: &impl Serialize) -> eyre::Result<()> {
+        let url = format!("http://{}/standin/faults", self.address);
+        let Empty {} = Client::new().post(&url, faults).await?;
+        Ok(())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Runs the operators' tool; gives its exit code and what it printed.
+pub async fn tool(arguments: &[&str]) -> eyre::Result<(u8, String)> {
+    let arguments = arguments.iter().map(Into::into).collect();
+    let mut out = Vec::new();
+    let arguments = pico_args::Arguments::from_vec(arguments);
+    let exit = hollyspoke_cli::command::run(arguments, &mut out).await?;
+    Ok((exit.number(), String::from_utf8(out)?))
+}
+
+/// Finds a program that was built beside the test.
+fn program(name: &str) -> eyre::Result<PathBuf> {
+    let test = std::env::current_exe()?;
+    let folder = test.ancestors().nth(2).ok_or_eyre("the test stands nowhere")?;
+    let program = folder.join(name);
+    if !program.exists() {
+        bail!("{name} is not built: run `cargo build --workspace --bins` first");
+    }
+    Ok(program)
+}
+
+/// Reads a first line of JSON, and collects the lines after it.
+fn follow(output: impl Read + Send + 'static) -> eyre::Result<(Value, Arc<Mutex<Vec<String>>>)> {
+    let mut output = BufReader::new(output);
+    let mut first = String::new();
+    output.read_line(&mut first)?;
+    let value = serde_json::from_str(&first).wrap_err("the first line is no JSON")?;
+    let lines = Arc::new(Mutex::new(Vec::new()));
+    let collected = lines.clone();
+    std::thread::spawn(move || {
+        for line in output.lines().map_while(Result::ok) {
+            collected.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+        }
+    });
+    Ok((value, lines))
+}
--- /dev/null
+++ b/tests/src/request.rs
@@ -0,0 +1,166 @@
+//! Requests as tests send them, with full control over box, key and connection.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::{OptionExt, WrapErr};
+use hollyspoke_wire::caller::{IDEMPOTENCY_KEY, KEY, ONCE, PROBLEM_TYPE, Problem};
+use hollyspoke_wire::http::Client;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+
+use crate::cluster::Member;
+
+/// How long one answer may take.
+const LIMIT: Duration = Duration::from_secs(40);
+
+/// A request to one box.
+#[derive(Debug, Clone)]
+pub struct Sending {
+    /// The method.
+    pub method: Method,
+    /// The path.
+    pub path: String,
+    /// The headers.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: String,
+}
+
+/// What came back.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Got {
+    /// An answer.
+    Answer {
+        /// The status.
+        status: u16,
+        /// The body.
+        body: String,
+    },
+    /// A problem.
+    Problem(Problem),
+    /// The connection broke, or nothing came in time.
+    Nothing(String),
+}
+
+impl Sending {
+    /// Makes a request for tokens.
+    pub fn generate(prompt: &str, max_tokens: u32, stream: bool) -> Sending {
+        let body = json!({
+            "model": "m", "prompt": prompt, "max_tokens": max_tokens, "stream": stream,
+        });
+        let path = "/v1/completions".to_owned();
+        Sending { method: Method::POST, path, headers: Vec::new(), body: body.to_string() }
+    }
+
+    /// Makes a call of the plain service that must run at most once.
+    pub fn hold(body: &str) -> Sending {
+        let path = "/holds/seat".to_owned();
+        Sending { method: Method::POST, path, headers: Vec::new(), body: body.to_owned() }
+            .header(ONCE, "true")
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &str, value: &str) -> Sending {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Adds a key.
+    pub fn key(self, key: &str) -> Sending {
+        self.header(KEY, key)
+    }
+
+    /// Adds a caller's own key.
+    pub fn own_key(self, key: &str) -> Sending {
+        self.header(IDEMPOTENCY_KEY, key)
+    }
+
+    /// Sends it and gives the response as soon as it begins.
+    pub async fn begin(&self, address: &str) -> eyre::Result<Response<Incoming>> {
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(format!("http://{address}{}", self.path));
+        for (name, value) in &self.headers {
+            request = request.header(name, value);
+        }
+        let request = request.body(Full::new(Bytes::from(self.body.clone())))?;
+        // A client of its own closes the connection when the response is dropped.
+        Ok(Client::new().send_fresh(request).await?)
+    }
+
+    /// Sends it and reads all that comes back.
+    pub async fn send(&self, address: &str) -> Got {
+        let whole = async {
+            let response = self.begin(address).await?;
+            let status = response.status().as_u16();
+            let is_problem =
+                response.headers().get("content-type").is_some_and(|it| it == PROBLEM_TYPE);
+            let body = response.into_body().collect().await?.to_bytes();
+            if is_problem {
+                return Ok(Got::Problem(serde_json::from_slice(&body)?));
+            }
+            Ok(Got::Answer { status, body: String::from_utf8_lossy(&body).into_owned() })
+        };
+        match tokio::time::timeout(LIMIT, whole).await {
+            Ok(Ok(got)) => got,
+            Ok(Err(error)) => {
+                let error: eyre::Report = error;
+                Got::Nothing(format!("{error:#}"))
+            }
+            Err(_) => Got::Nothing("nothing came in time".to_owned()),
+        }
+    }
+}
+
+impl Got {
+    /// Gives the generated text of a whole answer.
+    pub fn text(&self) -> eyre::Result<String> {
+        let Got::Answer { status: 200, body } = self else { eyre::bail!("no answer: {self:?}") };
+        let value: Value = serde_json::from_str(body).wrap_err("the answer is no JSON")?;
+        let text = value["choices"][0]["text"].as_str().ok_or_eyre("the answer has no text")?;
+        Ok(text.to_owned())
+    }
+
+    /// Gives the last part of a problem's type; empty for an answer.
+    pub fn slug(&self) -> &str {
+        match self {
+            Got::Problem(problem) => problem.kind.rsplit(':').next().unwrap_or_default(),
+            Got::Answer { .. } => "",
+            Got::Nothing(_) => "nothing",
+        }
+    }
+
+    /// Tells whether the request was answered.
+    pub fn is_answer(&self) -> bool {
+        matches!(self, Got::Answer { status: 200, .. })
+    }
+}
+
+/// Mints a key whose home is a box.
+pub fn key_of(member: &Member, nonce: u64) -> String {
+    format!("{}.1.{nonce:x}", member.incarnation)
+}
+
+/// Reads a streamed answer's text until its end; whether the end was said.
+pub async fn read_stream(response: Response<Incoming>) -> (String, bool) {
+    let mut body = response.into_body();
+    let mut rest = String::new();
+    let mut text = String::new();
+    while let Some(Ok(frame)) = body.frame().await {
+        let Ok(data) = frame.into_data() else { continue };
+        rest.push_str(&String::from_utf8_lossy(&data));
+        while let Some((event, later)) = rest.split_once("\n\n") {
+            let data = event.strip_prefix("data: ").unwrap_or_default().to_owned();
+            rest = later.to_owned();
+            if data == "[DONE]" {
+                return (text, true);
+            }
+            let value: Value = serde_json::from_str(&data).unwrap_or_default();
+            text.push_str(value["choices"][0]["text"].as_str().unwrap_or_default());
+        }
+    }
+    (text, false)
+}
