Find the store again at once after an outage, and spread decode by free memory

Cause of the first: after an outage the watch waited for a change, so that a box cut off from its peers stayed closed for up to 20 s after the store was back. A watch after a failure now begins from version zero and is answered at once; a watch waits 5 s instead of 20 s, which also bounds how long a silent store goes unnoticed (40 watchers of 20 data centres: 8 reads a second).

Cause of the second: placements that were ready equally early went to the first engine in the order of ids.

Before: leaving.rs box_cut_off failed after 15 s, and one decode engine of two got no work at all.

--- a/crates/hollyspoke-daemon/src/store.rs
+++ b/crates/hollyspoke-daemon/src/store.rs
@@ -46,6 +46,9 @@
         loop {
             let answer = self.platform.watch(SITE_KIND, &self.site, after).await;
             if !self.take(answer, &mut after) {
+                // The next watch answers at once with what is there, which shows that the
+                // platform is back without waiting for a change.
+                after = 0;
                 let jitter = rand::rng().random_range(0..JITTER_MS);
                 tokio::time::sleep(PAUSE + Duration::from_millis(jitter)).await;
             }
--- a/crates/hollyspoke-wire/src/platform.rs
+++ b/crates/hollyspoke-wire/src/platform.rs
@@ -20,8 +20,10 @@
 /// The kind under which sites are kept.
 pub const SITE_KIND: &str = "sites";
 
-/// How long a watch waits on the platform's side.
-pub const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// How long a watch waits on the platform's side. Two boxes of each data centre hold one, so that
+/// a short wait costs few reads, and it bounds how long a store that has fallen silent goes
+/// unnoticed.
+pub const WATCH_WAIT: Duration = Duration::from_secs(5);
 
 /// How long a read or a write may take.
 pub const CALL_LIMIT: Duration = Duration::from_secs(2);
--- a/crates/hollyspoke/src/admission.rs
+++ b/crates/hollyspoke/src/admission.rs
@@ -30,6 +30,9 @@
 /// The time added to a prefill and transfer for the calls between them.
 pub const CALL_TIME: Duration = Duration::from_millis(10);
 
+/// Placements that are ready within the same step, in microseconds, count as equally early.
+const READY_STEP: u64 = 2000;
+
 /// The weight of a new measurement of an engine's rate.
 const RATE_WEIGHT: f64 = 0.2;
 
@@ -255,32 +258,38 @@
 fn place(now: Time, site: &Site, pool: &Pool, waiting: &Waiting) -> Option<Placement> {
     let kv_bytes = kv_bytes(site, waiting);
     let decodes = decode_candidates(now, pool, waiting);
-    let mut best: Option<Placement> = None;
+    let mut best: Option<(Rank, Placement)> = None;
     for (&id, engine) in pool.engines() {
         if !engine.role.prefills() || !engine.is_usable(now) || is_avoided(pool, waiting, id) {
             continue;
         }
         let prefill_time = prefill_time(engine, &waiting.ask);
         let prefill_end = engine.prefill_free.max(now) + prefill_time;
-        for (&data_centre, &decode) in &decodes {
+        for (&data_centre, &(free, decode)) in &decodes {
             let link = ordered(engine.data_centre, data_centre);
             let crossing = seconds(kv_bytes as f64 / link_rate(site, link) as f64);
             let ready = prefill_end.max(pool.link_free(link)) + crossing;
-            if best.as_ref().is_some_and(|it| it.ready <= ready) {
+            let rank = (ready.as_micros() / READY_STEP, std::cmp::Reverse(free));
+            if best.as_ref().is_some_and(|(other, _)| *other <= rank) {
                 continue;
             }
-            best = Some(Placement { prefill: id, decode, link, prefill_time, prefill_end, ready });
+            let placement =
+                Placement { prefill: id, decode, link, prefill_time, prefill_end, ready };
+            best = Some((rank, placement));
         }
     }
-    best
+    best.map(|(_, placement)| placement)
 }
 
+/// How good a placement is, the best first: when it is ready, then the free decode memory.
+type Rank = (u64, std::cmp::Reverse<u64>);
+
 /// Finds in each data centre the decode engine with the most free memory, where it is enough.
 fn decode_candidates(
     now: Time,
     pool: &Pool,
     waiting: &Waiting,
-) -> BTreeMap<DataCentreId, UpstreamId> {
+) -> BTreeMap<DataCentreId, (u64, UpstreamId)> {
     let need = u64::from(waiting.tokens());
     let mut best: BTreeMap<DataCentreId, (u64, UpstreamId)> = BTreeMap::new();
     for (&id, engine) in pool.engines() {
@@ -295,7 +304,7 @@
             *entry = (free, id);
         }
     }
-    best.into_iter().map(|(data_centre, (_, id))| (data_centre, id)).collect()
+    best
 }
 
 /// Tells whether a request that has just failed on an engine should go to another one, which it
