Keep a running key's row when another request that only waits for its claim ends

Cause: with a late write of the store, box B may read a claim that box A wrote and pass the call on to A, its home, before A has read its own claim back. A runs the key for the passed-on call. When A's first caller then closed its connection, its request, still waiting for the claim, made the home forget the key, and the next sending of the same own key ran a second time: the incident 'a transfer went through twice'.

Ruled out: the claims object (both boxes read the same key); the claim's patience (the request was still in the arena); the relay itself.

--- /dev/null
+++ b/crates/hollyspoke-model/src/world.rs
@@ -0,0 +1,926 @@
+//! Boxes, engines, services, store, network and callers in one virtual time.
+
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyspoke::config::Versioned;
+use hollyspoke::effect::{CallerReply, Effect, Record};
+use hollyspoke::event::{Answer, Arrival, CallId, Event, Generate, Reply, Report, Work};
+use hollyspoke::key::{Incarnation, Key, Ticket};
+use hollyspoke::node::{Node, Settings};
+use hollyspoke::outcome::Trace;
+use hollyspoke::site::{DataCentreId, Site, UpstreamId};
+use hollyspoke::store as objects;
+use hollyspoke::time::{Time, seconds};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::engine::{Engine, Held};
+use crate::ledger::{Broken, Caller, End, Ledger};
+use crate::network::Network;
+use crate::store::{Done, Faults, Store};
+
+/// How often each box is told that time has passed.
+pub const TICK: Duration = Duration::from_millis(20);
+
+/// How long a call to an engine or service takes on its way.
+const CALL: Duration = Duration::from_millis(1);
+
+/// How long a store's answer takes.
+const STORE: Duration = Duration::from_millis(4);
+
+/// How long a box waits for the store.
+const STORE_LIMIT: Duration = Duration::from_secs(2);
+
+/// The prefix blocks that an engine's cache holds.
+const CACHE_BLOCKS: usize = 4096;
+
+/// The rate of a link that the site does not name, in bytes a second.
+const DEFAULT_LINK: u64 = 10_000_000_000;
+
+/// Something that happens in the world from outside.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// A caller sends a request.
+    Send(Box<Sending>),
+    /// A caller closes its connection.
+    Go(CallId),
+    /// A box dies.
+    Crash(usize),
+    /// A dead box starts anew.
+    Restart(usize),
+    /// A box stands still for a while.
+    Pause(usize, Duration),
+    /// A box begins its planned stop.
+    Leave(usize),
+    /// Two boxes can't reach each other, or can again.
+    Cut(usize, usize, bool),
+    /// The store's faults change.
+    Store(Faults),
+    /// The share of messages lost and repeated changes.
+    Noise(f64, f64),
+    /// An engine dies.
+    KillEngine(UpstreamId),
+    /// An engine comes back empty.
+    ReviveEngine(UpstreamId),
+    /// An engine becomes so many times slower.
+    SlowEngine(UpstreamId, f64),
+    /// Every link's rate becomes this share of what the site says.
+    SlowLinks(f64),
+    /// Engines stop or start to answer polls.
+    Reports(bool),
+    /// The share of calls that a plain service refuses to take, and of those that it runs without
+    /// answering, changes.
+    Services(f64, f64),
+    /// The site that is in force is accepted by the store once more, as a new version.
+    Apply,
+}
+
+/// A caller's sending of a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Sending {
+    /// The connection's number.
+    pub call: CallId,
+    /// The request; several sendings may belong to one.
+    pub request: u64,
+    /// The box.
+    pub at: usize,
+    /// What is sent. The prompt or body names the request.
+    pub arrival: Arrival,
+}
+
+/// Something that is due.
+#[derive(Debug, Clone)]
+enum Due {
+    /// A box's tick.
+    Tick(usize, u64),
+    /// An event for a box's life.
+    Event(usize, u64, Box<Event>),
+    /// An engine may have computed a prompt.
+    Computed(UpstreamId),
+    /// A transfer has ended.
+    Crossed(Crossing),
+    /// A token is due.
+    Token(Flow),
+    /// A cancel reaches an engine.
+    Cancelled(UpstreamId, Ticket),
+    /// A call reaches a plain service.
+    Runs(usize, u64, Ticket, u64),
+    /// A lost write takes effect.
+    Late(objects::Operation),
+    /// Something from outside.
+    Action(Box<Action>),
+}
+
+/// A transfer under way.
+#[derive(Debug, Clone)]
+struct Crossing {
+    /// The box that asked for it.
+    front: (usize, u64),
+    /// The attempt.
+    ticket: Ticket,
+    /// The decode engine.
+    to: UpstreamId,
+    /// What crosses.
+    held: Held,
+}
+
+/// A stream under way.
+#[derive(Debug, Clone, Copy)]
+struct Flow {
+    /// The box that reads it.
+    front: (usize, u64),
+    /// The attempt.
+    ticket: Ticket,
+    /// The engine.
+    engine: UpstreamId,
+    /// The place of the token due.
+    seq: u32,
+}
+
+/// An entry of the queue of what is due.
+#[derive(Debug, Clone)]
+struct Entry {
+    /// When.
+    at: Time,
+    /// The order among those at one time.
+    order: u64,
+    /// What.
+    due: Due,
+}
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Entry) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl Eq for Entry {}
+
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Entry) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Entry {
+    fn cmp(&self, other: &Entry) -> Ordering {
+        // The heap gives the greatest first: the earliest is the greatest.
+        (other.at, other.order).cmp(&(self.at, self.order))
+    }
+}
+
+/// A place at which a box runs, life after life.
+#[derive(Debug, Clone)]
+struct Seat {
+    /// The reducer, while the box lives.
+    node: Option<Node>,
+    /// The number of the life.
+    life: u64,
+    /// Until when the box stands still.
+    paused_until: Option<Time>,
+    /// What came while it stood still.
+    backlog: Vec<Event>,
+    /// Whether it holds the watch.
+    watching: bool,
+    /// The version in force at the last step.
+    version: u64,
+    /// Its data centre.
+    data_centre: String,
+}
+
+/// The world.
+#[derive(Debug)]
+pub struct World {
+    /// The time.
+    now: Time,
+    /// The number of the last entry.
+    last_order: u64,
+    /// What is due.
+    queue: BinaryHeap<Entry>,
+    /// The boxes.
+    seats: Vec<Seat>,
+    /// The engines.
+    pub engines: BTreeMap<UpstreamId, Engine>,
+    /// The engine at each address.
+    addresses: BTreeMap<String, UpstreamId>,
+    /// When each link is free.
+    links: BTreeMap<(DataCentreId, DataCentreId), Time>,
+    /// The share of its rate that each link has.
+    link_share: f64,
+    /// Whether engines answer polls.
+    reports: bool,
+    /// The share of calls that a plain service refuses to take, and of those that it runs without
+    /// answering.
+    services: (f64, f64),
+    /// The store.
+    pub store: Store,
+    /// The network between boxes.
+    pub network: Network,
+    /// What really happened.
+    pub ledger: Ledger,
+    /// The requests' records.
+    pub records: Vec<Record>,
+    /// Prompt tokens whose stream was generated.
+    pub useful_tokens: u64,
+    /// The site that the store has accepted.
+    site: Arc<Versioned>,
+    /// Attempts that a box has dropped.
+    dropped: BTreeSet<Ticket>,
+    /// The sendings, for passing on.
+    sendings: BTreeMap<CallId, Sending>,
+    /// The number of the last call made for passing on.
+    last_relay: u64,
+    /// Chance.
+    random: Pcg64Mcg,
+}
+
+impl World {
+    /// Makes a world with boxes in the site's data centres in turn, all knowing each other soon.
+    pub fn new(site: Site, boxes: usize, seed: u64) -> World {
+        let mut world = World {
+            now: Time::ZERO,
+            last_order: 0,
+            queue: BinaryHeap::new(),
+            seats: Vec::new(),
+            engines: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            links: BTreeMap::new(),
+            link_share: 1.0,
+            reports: true,
+            services: (0.0, 0.0),
+            store: Store::default(),
+            network: Network::default(),
+            ledger: Ledger::default(),
+            records: Vec::new(),
+            useful_tokens: 0,
+            site: Arc::new(Versioned { version: 1, site }),
+            dropped: BTreeSet::new(),
+            sendings: BTreeMap::new(),
+            last_relay: 1 << 40,
+            random: Pcg64Mcg::seed_from_u64(seed),
+        };
+        for engine in &world.site.site.engines {
+            world.engines.insert(engine.id(), Engine::new(engine, CACHE_BLOCKS));
+            world.addresses.insert(engine.address.clone(), engine.id());
+        }
+        let data_centres = world.site.site.data_centres.clone();
+        for number in 0..boxes {
+            let data_centre = data_centres[number % data_centres.len()].clone();
+            world.seats.push(Seat {
+                node: None,
+                life: 0,
+                paused_until: None,
+                backlog: Vec::new(),
+                watching: false,
+                version: 0,
+                data_centre,
+            });
+            world.restart(number);
+        }
+        world
+    }
+
+    /// Gives the time.
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
+    /// Gives the version that the store has accepted last.
+    pub fn accepted(&self) -> u64 {
+        self.site.version
+    }
+
+    /// Gives a box's reducer, while it lives.
+    pub fn node(&self, number: usize) -> Option<&Node> {
+        self.seats[number].node.as_ref()
+    }
+
+    /// Gives a key whose home is a box, in the box's epoch; nothing while it is dead.
+    pub fn key(&self, number: usize, nonce: u64) -> Option<Key> {
+        let entry = self.node(number)?.entry();
+        Some(Key { home: entry.incarnation, epoch: entry.beat.epoch, nonce })
+    }
+
+    /// Has something happen from outside at a time.
+    pub fn plan(&mut self, at: Time, action: Action) {
+        self.put(at, Due::Action(Box::new(action)));
+    }
+
+    /// Runs until a time, or until a promise is broken.
+    ///
+    /// # Errors
+    ///
+    /// The first promise broken.
+    pub fn run(&mut self, until: Time) -> Result<(), Broken> {
+        while let Some(entry) = self.queue.peek() {
+            if entry.at > until {
+                break;
+            }
+            let Some(entry) = self.queue.pop() else { break };
+            self.now = self.now.max(entry.at);
+            self.happen(entry.due);
+            if let Some(broken) = self.ledger.broken.first() {
+                return Err(Broken(format!("at {} ms: {broken}", self.now.as_micros() / 1000)));
+            }
+        }
+        self.now = self.now.max(until);
+        Ok(())
+    }
+
+    /// Gives the memory that engines hold now, in tokens, and their streams.
+    pub fn held(&mut self) -> Vec<(UpstreamId, u64, usize)> {
+        let now = self.now;
+        let mut held = Vec::new();
+        for (&id, engine) in &mut self.engines {
+            engine.expire(now);
+            if !engine.held.is_empty() {
+                held.push((id, engine.used(), engine.held.len()));
+            }
+        }
+        held
+    }
+
+    /// Puts something into the queue.
+    fn put(&mut self, at: Time, due: Due) {
+        self.last_order += 1;
+        self.queue.push(Entry { at, order: self.last_order, due });
+    }
+
+    /// Puts an event for a box's present life into the queue.
+    fn event(&mut self, after: Duration, front: (usize, u64), event: Event) {
+        self.put(self.now + after, Due::Event(front.0, front.1, Box::new(event)));
+    }
+
+    /// Does what is due.
+    fn happen(&mut self, due: Due) {
+        match due {
+            Due::Tick(number, life) => self.tick(number, life),
+            Due::Event(number, life, event) => self.deliver(number, life, *event),
+            Due::Computed(engine) => self.computed(engine),
+            Due::Crossed(crossing) => self.crossed(crossing),
+            Due::Token(flow) => self.token(flow),
+            Due::Cancelled(id, ticket) => {
+                let now = self.now;
+                let next = self.engines.get_mut(&id).and_then(|it| it.cancel(now, ticket));
+                if let Some(next) = next {
+                    self.put(next, Due::Computed(id));
+                }
+            }
+            Due::Runs(number, life, ticket, request) => self.runs(number, life, ticket, request),
+            Due::Late(operation) => {
+                self.store.apply(operation);
+            }
+            Due::Action(action) => self.act(*action),
+        }
+    }
+
+    /// Ticks a box, and plans its next tick.
+    fn tick(&mut self, number: usize, life: u64) {
+        let seat = &mut self.seats[number];
+        if seat.life != life || seat.node.is_none() {
+            return;
+        }
+        if let Some(until) = seat.paused_until {
+            if self.now < until {
+                self.put(until, Due::Tick(number, life));
+                return;
+            }
+            seat.paused_until = None;
+            let backlog = std::mem::take(&mut seat.backlog);
+            for event in backlog {
+                self.deliver(number, life, event);
+            }
+        }
+        self.put(self.now + TICK, Due::Tick(number, life));
+        self.deliver(number, life, Event::Tick);
+    }
+
+    /// Gives an event to a box, if it still lives the same life.
+    fn deliver(&mut self, number: usize, life: u64, event: Event) {
+        let now = self.now;
+        let seat = &mut self.seats[number];
+        if seat.life != life {
+            return;
+        }
+        if seat.paused_until.is_some_and(|until| now < until) {
+            seat.backlog.push(event);
+            return;
+        }
+        let Some(node) = &mut seat.node else { return };
+        let effects = node.step(now, event);
+        let version = node.site().version;
+        if version < seat.version {
+            let broken = format!("box {number} went from version {} to {version}", seat.version);
+            self.ledger.broken.push(Broken(broken));
+        }
+        seat.version = version;
+        for effect in effects {
+            self.carry_out((number, life), effect);
+        }
+    }
+
+    /// Carries out an effect of a box.
+    fn carry_out(&mut self, front: (usize, u64), effect: Effect) {
+        match effect {
+            Effect::Send { to, address, message } => {
+                let event = |from: Incarnation| Event::Peer { from, message: message.clone() };
+                self.send(front, to, &address, event);
+            }
+            Effect::Greet(address) => self.greet(front, &address),
+            Effect::Prefill { ticket, address, work, class } => {
+                self.prefill(front, ticket, &address, &work, class);
+            }
+            Effect::Import { ticket, address, from, tokens } => {
+                self.import(front, ticket, &address, &from, tokens);
+            }
+            Effect::Decode { ticket, address, work: _, from_seq } => {
+                self.decode(front, ticket, &address, from_seq);
+            }
+            Effect::Cancel { ticket, address } => {
+                self.dropped.insert(ticket);
+                if let Some(&engine) = self.addresses.get(&address) {
+                    self.put(self.now + CALL, Due::Cancelled(engine, ticket));
+                }
+            }
+            Effect::Poll { engine, .. } => self.poll(front, engine),
+            Effect::Call { ticket, call, .. } => {
+                let text = String::from_utf8_lossy(&call.body).into_owned();
+                let request = text.parse().unwrap_or(0);
+                let after = Duration::from_millis(self.random.random_range(1..30));
+                self.put(self.now + after, Due::Runs(front.0, front.1, ticket, request));
+            }
+            Effect::Reply { call, reply } => self.reply(call, reply),
+            Effect::Store { number, operation } => self.operate(front, number, operation),
+            Effect::Watch(watching) => {
+                self.seats[front.0].watching = watching;
+                if watching {
+                    self.show_site(front);
+                }
+            }
+            Effect::Fetch => self.show_site(front),
+            Effect::Record(record) => self.records.push(*record),
+            Effect::Note(_) => {}
+            Effect::Exit => self.stop(front.0),
+        }
+    }
+
+    /// Sends a message from box to box.
+    fn send(
+        &mut self,
+        front: (usize, u64),
+        to: Incarnation,
+        address: &str,
+        event: impl Fn(Incarnation) -> Event,
+    ) {
+        let Some(other) = seat_of(address) else { return };
+        let Some(from) = self.node(front.0).map(Node::incarnation) else { return };
+        let is_meant = self.node(other).is_some_and(|it| it.incarnation() == to);
+        if !is_meant {
+            return;
+        }
+        let life = self.seats[other].life;
+        for delay in self.network.deliveries(&mut self.random, front.0, other) {
+            self.event(delay, (other, life), event(from));
+        }
+    }
+
+    /// Greets the box at an address.
+    fn greet(&mut self, front: (usize, u64), address: &str) {
+        let Some(other) = seat_of(address) else { return };
+        let (Some(mine), Some(theirs)) = (self.node(front.0), self.node(other)) else { return };
+        let (mine, theirs) = (mine.entry().clone(), theirs.entry().clone());
+        let life = self.seats[other].life;
+        for delay in self.network.deliveries(&mut self.random, front.0, other) {
+            self.event(delay, (other, life), Event::Seen(mine.clone()));
+            self.event(delay * 2, front, Event::Seen(theirs.clone()));
+        }
+    }
+
+    /// Gives an engine a prompt.
+    fn prefill(
+        &mut self,
+        front: (usize, u64),
+        ticket: Ticket,
+        address: &str,
+        work: &Generate,
+        class: u8,
+    ) {
+        let now = self.now;
+        let request = work.prompt.split(':').next().and_then(|it| it.parse().ok()).unwrap_or(0);
+        let found = self.engine_at(address);
+        let Some((id, engine)) = found else {
+            self.fail(front, ticket, false);
+            return;
+        };
+        let next = engine.prefill(now + CALL, ticket, work, class);
+        self.ledger.prefill(request);
+        if let Some(next) = next {
+            self.put(next, Due::Computed(id));
+        }
+    }
+
+    /// Ends a prompt's computation where it is due, and tells the front.
+    fn computed(&mut self, id: UpstreamId) {
+        let now = self.now;
+        let Some(engine) = self.engines.get_mut(&id) else { return };
+        let (ticket, next) = engine.advance(now);
+        if let Some(next) = next {
+            self.put(next, Due::Computed(id));
+        }
+        let Some(ticket) = ticket else { return };
+        if let Some(front) = self.front_of(ticket) {
+            let event = Event::Upstream { ticket, reply: Reply::Prefilled };
+            self.event(CALL, front, event);
+        }
+    }
+
+    /// Begins a transfer.
+    fn import(
+        &mut self,
+        front: (usize, u64),
+        ticket: Ticket,
+        address: &str,
+        from: &str,
+        tokens: u32,
+    ) {
+        let now = self.now;
+        let Some((to, engine)) = self.engine_at(address) else {
+            self.fail(front, ticket, false);
+            return;
+        };
+        if !engine.reserve(ticket, u64::from(tokens)) {
+            self.event(CALL * 2, front, Event::Upstream { ticket, reply: Reply::Full });
+            return;
+        }
+        let to_centre = engine.data_centre;
+        let exported = self.engine_at(from).and_then(|(_, it)| {
+            let centre = it.data_centre;
+            it.export(now, ticket).map(|held| (centre, held))
+        });
+        let Some((from_centre, held)) = exported else {
+            if let Some(engine) = self.engines.get_mut(&to) {
+                engine.cancel(now, ticket);
+            }
+            self.fail(front, ticket, true);
+            return;
+        };
+        let link = (from_centre.min(to_centre), from_centre.max(to_centre));
+        let bytes = self.kv_bytes(held.prompt_tokens);
+        let rate = self.link_rate(link) * self.link_share;
+        let begin = self.links.get(&link).copied().unwrap_or(Time::ZERO).max(now);
+        let end = begin + seconds(bytes as f64 / rate);
+        self.links.insert(link, end);
+        self.put(end + CALL, Due::Crossed(Crossing { front, ticket, to, held }));
+    }
+
+    /// Ends a transfer.
+    fn crossed(&mut self, crossing: Crossing) {
+        let Crossing { front, ticket, to, held } = crossing;
+        let Some(engine) = self.engines.get_mut(&to) else { return };
+        let Some(mine) = engine.held.get_mut(&ticket) else { return };
+        mine.length = held.length;
+        mine.prompt_tokens = held.prompt_tokens;
+        self.event(CALL, front, Event::Upstream { ticket, reply: Reply::Imported });
+    }
+
+    /// Begins a stream.
+    fn decode(&mut self, front: (usize, u64), ticket: Ticket, address: &str, seq: u32) {
+        let begun = self.engine_at(address).and_then(|(id, engine)| {
+            let step = engine.token_time.mul_f64(engine.slow);
+            let held = engine.held.get_mut(&ticket)?;
+            held.decoding = true;
+            Some((id, step, held.prompt_tokens))
+        });
+        let Some((engine, step, prompt_tokens)) = begun else {
+            self.fail(front, ticket, true);
+            return;
+        };
+        self.useful_tokens += u64::from(prompt_tokens);
+        self.put(self.now + step, Due::Token(Flow { front, ticket, engine, seq }));
+    }
+
+    /// Gives a token, or the end of a stream. A stream whose reader is gone stands still and its
+    /// memory stays held until somebody cancels it.
+    fn token(&mut self, flow: Flow) {
+        let Flow { front, ticket, engine: id, seq } = flow;
+        if self.front_of(ticket) != Some(front) {
+            return;
+        }
+        let Some(engine) = self.engines.get_mut(&id) else { return };
+        let step = engine.token_time.mul_f64(engine.slow);
+        let Some(length) = engine.held.get(&ticket).map(|it| it.length) else {
+            self.fail(front, ticket, true);
+            return;
+        };
+        if seq >= length {
+            engine.held.remove(&ticket);
+            let reply = Reply::Finished { reason: "stop".into() };
+            self.event(CALL, front, Event::Upstream { ticket, reply });
+            return;
+        }
+        let reply = Reply::Token { seq, text: format!("t{seq}").into() };
+        self.event(CALL, front, Event::Upstream { ticket, reply });
+        self.put(self.now + step, Due::Token(Flow { seq: seq + 1, ..flow }));
+    }
+
+    /// Runs a call at the plain service, and answers it.
+    fn runs(&mut self, number: usize, life: u64, ticket: Ticket, request: u64) {
+        let (refused, lost) = self.services;
+        if self.random.random_bool(refused) {
+            self.fail((number, life), ticket, false);
+            return;
+        }
+        self.ledger.run(request);
+        if self.random.random_bool(lost) {
+            self.fail((number, life), ticket, true);
+            return;
+        }
+        let after = Duration::from_millis(self.random.random_range(1..30));
+        let answer = Answer { status: 200, headers: Vec::new(), body: Arc::from([]) };
+        let event = Event::Upstream { ticket, reply: Reply::Answered(answer) };
+        self.event(after, (number, life), event);
+    }
+
+    /// Answers a box's poll of an engine.
+    fn poll(&mut self, front: (usize, u64), engine: UpstreamId) {
+        let report = self.engines.get(&engine).filter(|it| !it.dead && self.reports).map(|it| {
+            let streams = it.held.keys().copied().collect();
+            Report { used_tokens: it.used(), streams, leaving: false }
+        });
+        let after = if report.is_some() { CALL * 2 } else { Duration::from_millis(800) };
+        self.event(after, front, Event::Polled { engine, report });
+    }
+
+    /// Tells a box that a call failed.
+    fn fail(&mut self, front: (usize, u64), ticket: Ticket, sent: bool) {
+        let mut trace = Trace::clean();
+        if sent {
+            trace.mark_sent();
+        }
+        let reply = Reply::Failed { detail: "it failed".to_owned(), trace };
+        self.event(CALL * 2, front, Event::Upstream { ticket, reply });
+    }
+
+    /// Takes a reply to a caller, and passes the request on where it says so.
+    fn reply(&mut self, call: CallId, reply: CallerReply) {
+        self.ledger.reply(self.now, call, &reply);
+        let CallerReply::Relay { address, key, repeatable } = reply else { return };
+        let Some(sending) = self.sendings.get(&call).cloned() else { return };
+        let home = address.strip_prefix("call:").and_then(|it| it.parse::<usize>().ok());
+        let home = home.filter(|it| self.seats[*it].node.is_some());
+        self.last_relay += 1;
+        let mut arrival = sending.arrival.clone();
+        arrival.claim = None;
+        let at = match home {
+            Some(home) => {
+                arrival.key = Some(key);
+                arrival.relayed = true;
+                home
+            }
+            None if repeatable => {
+                arrival.key = None;
+                sending.at
+            }
+            None => return,
+        };
+        let call = CallId(self.last_relay);
+        let sending = Sending { call, at, arrival, ..sending };
+        self.plan(self.now + CALL, Action::Send(Box::new(sending)));
+    }
+
+    /// Carries out an operation on the store.
+    fn operate(&mut self, front: (usize, u64), number: u64, operation: objects::Operation) {
+        let (after, answer) = match self.store.take(operation) {
+            Done::Answered(answer) => (STORE, answer),
+            Done::Lost => (STORE_LIMIT, objects::Answer::Away),
+            Done::Late(operation) => {
+                let after = Duration::from_millis(self.random.random_range(500..6000));
+                self.put(self.now + after, Due::Late(operation));
+                (STORE_LIMIT, objects::Answer::Away)
+            }
+        };
+        self.event(after, front, Event::Store { number, answer });
+    }
+
+    /// Gives a box the site in the store, if the store answers.
+    fn show_site(&mut self, front: (usize, u64)) {
+        if self.store.faults.down {
+            self.event(STORE_LIMIT, front, Event::StoreReachable(false));
+            return;
+        }
+        let site = self.site.clone();
+        self.event(STORE, front, Event::Site(site));
+    }
+
+    /// Lets something happen from outside.
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send(sending) => self.begin(*sending),
+            Action::Go(call) => self.go(call),
+            Action::Crash(number) => self.stop(number),
+            Action::Restart(number) => self.restart(number),
+            Action::Pause(number, time) => {
+                self.seats[number].paused_until = Some(self.now + time);
+            }
+            Action::Leave(number) => {
+                let life = self.seats[number].life;
+                self.deliver(number, life, Event::Leave);
+            }
+            Action::Cut(a, b, cut) => self.network.set_cut(a, b, cut),
+            Action::Store(faults) => {
+                let was_down = self.store.faults.down;
+                self.store.faults = faults;
+                if was_down != faults.down {
+                    self.tell_watchers();
+                }
+            }
+            Action::Noise(loss, repeat) => {
+                self.network.loss = loss;
+                self.network.repeat = repeat;
+            }
+            Action::KillEngine(id) => {
+                if let Some(engine) = self.engines.get_mut(&id) {
+                    engine.die();
+                }
+            }
+            Action::ReviveEngine(id) => {
+                if let Some(engine) = self.engines.get_mut(&id) {
+                    engine.dead = false;
+                }
+            }
+            Action::SlowEngine(id, slow) => {
+                if let Some(engine) = self.engines.get_mut(&id) {
+                    engine.slow = slow;
+                }
+            }
+            Action::SlowLinks(share) => self.link_share = share,
+            Action::Reports(reports) => self.reports = reports,
+            Action::Services(refused, lost) => self.services = (refused, lost),
+            Action::Apply => {
+                let version = self.site.version + 1;
+                self.site = Arc::new(Versioned { version, site: self.site.site.clone() });
+                self.tell_watchers();
+            }
+        }
+    }
+
+    /// Shows the watching boxes what the store has, or that it is away.
+    fn tell_watchers(&mut self) {
+        for number in 0..self.seats.len() {
+            if self.seats[number].watching && self.seats[number].node.is_some() {
+                let life = self.seats[number].life;
+                self.show_site((number, life));
+            }
+        }
+    }
+
+    /// Sends a caller's request.
+    fn begin(&mut self, sending: Sending) {
+        let life = self.seats[sending.at].life;
+        let caller = Caller {
+            request: sending.request,
+            at: sending.at,
+            sent: self.now,
+            once: !sending.arrival.repeatable,
+            tokens: 0,
+            first: None,
+            end: None,
+            gone: self.seats[sending.at].node.is_none(),
+        };
+        self.ledger.callers.insert(sending.call, caller);
+        let (call, at) = (sending.call, sending.at);
+        let arrival = Box::new(sending.arrival.clone());
+        self.sendings.insert(call, sending);
+        self.event(CALL, (at, life), Event::Arrive { call, arrival });
+    }
+
+    /// Closes a caller's connection.
+    fn go(&mut self, call: CallId) {
+        let Some(caller) = self.ledger.callers.get_mut(&call) else { return };
+        caller.gone = true;
+        let at = caller.at;
+        let life = self.seats[at].life;
+        self.event(CALL, (at, life), Event::Gone(call));
+    }
+
+    /// Ends a box's life.
+    fn stop(&mut self, number: usize) {
+        let now = self.now;
+        let seat = &mut self.seats[number];
+        seat.node = None;
+        seat.life += 1;
+        seat.watching = false;
+        seat.backlog.clear();
+        seat.paused_until = None;
+        seat.version = 0;
+        let open = |it: &&mut Caller| it.at == number && it.end.is_none();
+        for caller in self.ledger.callers.values_mut().filter(open) {
+            caller.gone = true;
+            caller.end = Some((now, End::Unknown));
+        }
+    }
+
+    /// Begins a box's next life.
+    fn restart(&mut self, number: usize) {
+        if self.seats[number].node.is_some() {
+            return;
+        }
+        let seeds = (0..self.seats.len().max(2)).filter(|it| *it != number).take(3);
+        let settings = Settings {
+            incarnation: Incarnation(self.random.random()),
+            name: format!("box-{number}"),
+            caller_address: format!("call:{number}"),
+            peer_address: format!("box:{number}"),
+            data_centre: self.seats[number].data_centre.clone(),
+            seeds: seeds.map(|it| format!("box:{it}")).collect(),
+            random_seed: self.random.random(),
+        };
+        let seat = &mut self.seats[number];
+        seat.life += 1;
+        seat.node = Some(Node::new(self.now, settings));
+        let life = seat.life;
+        let offset = Duration::from_micros(self.random.random_range(0..20_000));
+        self.put(self.now + offset, Due::Tick(number, life));
+    }
+
+    /// Finds the live engine at an address.
+    fn engine_at(&mut self, address: &str) -> Option<(UpstreamId, &mut Engine)> {
+        let id = *self.addresses.get(address)?;
+        let engine = self.engines.get_mut(&id).filter(|it| !it.dead)?;
+        Some((id, engine))
+    }
+
+    /// Finds the box whose attempt a ticket is, if it still lives and waits for it.
+    fn front_of(&self, ticket: Ticket) -> Option<(usize, u64)> {
+        if self.dropped.contains(&ticket) {
+            return None;
+        }
+        let lives = |it: &Seat| it.node.as_ref().is_some_and(|n| n.incarnation() == ticket.front);
+        let number = self.seats.iter().position(lives)?;
+        Some((number, self.seats[number].life))
+    }
+
+    /// Gives the size of a prefill result, in bytes.
+    fn kv_bytes(&self, prompt_tokens: u32) -> u64 {
+        let per_token = self.site.site.models.first().map_or(0, |it| it.kv_bytes_per_token);
+        per_token * u64::from(prompt_tokens)
+    }
+
+    /// Gives a link's rate, in bytes a second.
+    fn link_rate(&self, link: (DataCentreId, DataCentreId)) -> f64 {
+        let ends = |it: &hollyspoke::site::Link| {
+            let (a, b) = (DataCentreId::of(&it.from), DataCentreId::of(&it.to));
+            (a.min(b), a.max(b))
+        };
+        let named = self.site.site.links.iter().find(|it| ends(it) == link);
+        named.map_or(DEFAULT_LINK, |it| it.bytes_per_second) as f64
+    }
+}
+
+/// Finds the seat of an address between boxes.
+fn seat_of(address: &str) -> Option<usize> {
+    address.strip_prefix("box:")?.parse().ok()
+}
+
+/// Makes an arrival of a request for tokens; `length` is the answer's true length.
+pub fn generate(request: u64, prompt_tokens: u32, max_tokens: u32, length: u32) -> Arrival {
+    let prompt = crate::engine::prompt(request, length);
+    let work = Generate {
+        model: "m".to_owned(),
+        prompt: prompt.into(),
+        prompt_tokens,
+        prefix: Vec::new(),
+        max_tokens,
+    };
+    Arrival {
+        key: None,
+        claim: None,
+        relayed: false,
+        repeatable: true,
+        tenant: String::new(),
+        class: 0,
+        work: Work::Generate(work),
+    }
+}
+
+/// Makes an arrival of a call that must run at most once.
+pub fn hold(request: u64) -> Arrival {
+    let call = hollyspoke::event::Call {
+        method: "POST".to_owned(),
+        path: "/holds".to_owned(),
+        headers: Vec::new(),
+        body: request.to_string().into_bytes().into(),
+    };
+    Arrival {
+        key: None,
+        claim: None,
+        relayed: false,
+        repeatable: false,
+        tenant: String::new(),
+        class: 0,
+        work: Work::Call(call),
+    }
+}
--- a/crates/hollyspoke/src/front.rs
+++ b/crates/hollyspoke/src/front.rs
@@ -217,12 +217,12 @@
         self.stop_attempt(cx, id, crate::message::End::Cancelled);
         self.requests.remove(id);
         if not_run {
-            self.home.forget(key);
+            self.home.forget(key, id);
             return;
         }
         let detail = "the caller closed its connection and the request was stopped".to_owned();
         let problem = Problem { kind: ProblemKind::Failed, detail, retry_after: None };
-        self.home.end(key, Ended::Problem(problem));
+        self.home.end(key, id, Ended::Problem(problem));
     }
 
     /// Takes an engine's or upstream's answer; late ones of older attempts are dropped.
@@ -264,7 +264,7 @@
         if let Some(call) = request.caller {
             self.calls.remove(&call);
         }
-        self.home.end(request.key, ended);
+        self.home.end(request.key, id, ended);
     }
 
     /// Ends a request without an answer after something of it was sent.
@@ -276,7 +276,7 @@
             self.calls.remove(&call);
             cx.reply(call, CallerReply::Problem(problem.clone()));
         }
-        self.home.end(request.key, Ended::Problem(problem));
+        self.home.end(request.key, id, Ended::Problem(problem));
     }
 
     /// Refuses a request that is in the arena: as not run if that is provable, else as failed.
@@ -298,7 +298,7 @@
         self.record(cx, id, problem.slug());
         let Some(request) = self.requests.remove(id) else { return };
         self.claims.forget(id);
-        self.home.forget(request.key);
+        self.home.forget(request.key, id);
         if let Some(call) = request.caller {
             self.calls.remove(&call);
             cx.reply(call, CallerReply::Problem(problem));
--- a/crates/hollyspoke/src/home.rs
+++ b/crates/hollyspoke/src/home.rs
@@ -208,17 +208,26 @@
         self.rows.insert(key, Row { digest, kept: Kept::Running(id) });
     }
 
-    /// Notes how a key ended.
-    pub fn end(&mut self, key: Key, ended: Ended) {
+    /// Notes how a key ended, if it is this request that ran it.
+    pub fn end(&mut self, key: Key, id: request::Id, ended: Ended) {
         let Some(row) = self.rows.get_mut(&key) else { return };
+        if !matches!(row.kept, Kept::Running(runs) if runs == id) {
+            return;
+        }
         self.bytes += ended.bytes();
         row.kept = Kept::Ended(ended);
         self.shrink();
     }
 
     /// Forgets a key that was not run, so that it may be run when the caller comes back.
-    pub fn forget(&mut self, key: Key) {
-        self.rows.remove(&key);
+    ///
+    /// A request that only waits for its claim has a key that another one, passed on by a box
+    /// which read the claim first, may be running: that one's row stays.
+    pub fn forget(&mut self, key: Key, id: request::Id) {
+        let is_running = matches!(self.rows.get(&key), Some(Row { kept: Kept::Running(runs), .. }) if *runs == id);
+        if is_running {
+            self.rows.remove(&key);
+        }
     }
 
     /// Advances the epoch and drops those that are too old.
