Specify the core protocol apart from the code, and search it whole

Found by the search: a front that was paused while its question waited took a grant that its owner had ended meanwhile, since only grants were given up after a pause. The question now gets a new ticket as well.

--- /dev/null
+++ b/crates/hollyspoke-spec/src/claims.rs
@@ -0,0 +1,271 @@
+//! Claims: a caller's own key, sent to both boxes, bound in the store by a conditional write.
+//!
+//! Bounds: two boxes with one sending each and one more at either; one crash, one pause, one lost
+//! read, one lost answer of a write, one late write.
+
+use std::collections::BTreeSet;
+
+use crate::BoxId;
+use crate::search::{Specification, Steps};
+
+/// A safeguard that is left out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mutant {
+    /// A write without an answer is taken to have taken effect.
+    BelieveLostWrite,
+    /// A claim of a home that is gone is run anew.
+    RunUnknownHome,
+    /// The claim is written without a condition.
+    WriteBlindly,
+    /// A box that finds its own claim runs it although it runs already.
+    RunAgain,
+}
+
+/// What a box does with the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Phase {
+    /// Nothing yet.
+    Idle,
+    /// It reads the claim.
+    Reading,
+    /// It writes the claim.
+    Writing,
+    /// It waits before it reads again, after no answer.
+    Waiting,
+    /// It is done with its own sending.
+    Done,
+}
+
+/// What is on its way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Message {
+    /// A read, by a box.
+    Get(BoxId),
+    /// What a read found.
+    Found(BoxId, u8, Option<BoxId>),
+    /// A write, by a box, expecting a version.
+    Put(BoxId, u8),
+    /// A write that was given up on and may still take effect.
+    LatePut(BoxId, u8),
+    /// An answer to a write.
+    PutAnswer(BoxId),
+    /// The word that no answer came.
+    Away(BoxId),
+    /// The request, passed on to the box to which it is bound.
+    Relay(BoxId),
+}
+
+/// The state.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct State {
+    /// Whether each box lives as the incarnation that it was.
+    pub alive: [bool; 2],
+    /// What each box does.
+    pub phase: [Phase; 2],
+    /// Whether each box has run the request under its own key.
+    pub ran: [bool; 2],
+    /// The claim object: its version, and the box to which the request is bound.
+    pub claim: (u8, Option<BoxId>),
+    /// How often the request has run.
+    pub runs: u8,
+    /// What is on its way.
+    pub messages: BTreeSet<Message>,
+    /// Crashes left.
+    pub crashes: u8,
+    /// Lost reads, lost answers and late writes left.
+    pub losses: [u8; 3],
+}
+
+/// The highest version that is searched.
+const MOST_VERSIONS: u8 = 4;
+
+/// Makes the specification.
+pub fn specification(mutant: Option<Mutant>) -> Specification<State> {
+    let initial = State {
+        alive: [true; 2],
+        phase: [Phase::Idle; 2],
+        ran: [false; 2],
+        claim: (0, None),
+        runs: 0,
+        messages: BTreeSet::new(),
+        crashes: 1,
+        losses: [1, 1, 1],
+    };
+    Specification {
+        initial,
+        steps: Box::new(move |state| {
+            let mut steps = Steps::new(state);
+            boxes(state, &mut steps);
+            for &message in &state.messages {
+                deliver(state, message, mutant, &mut steps);
+            }
+            steps.finish()
+        }),
+        broken: Box::new(|state| (state.runs > 1).then(|| "the request ran twice".to_owned())),
+        unfinished: Box::new(|state| {
+            let waits = |it: BoxId| {
+                state.alive[it] && !matches!(state.phase[it], Phase::Idle | Phase::Done)
+            };
+            (waits(0) || waits(1)).then(|| "a box waits for its claim for ever".to_owned())
+        }),
+    }
+}
+
+/// Boxes get the request, go on after a wait, and crash.
+fn boxes(state: &State, steps: &mut Steps<'_, State>) {
+    for me in 0..2 {
+        if !state.alive[me] {
+            continue;
+        }
+        if state.phase[me] == Phase::Idle {
+            steps.may(format!("box {me} gets the request"), |it| read(it, me));
+        }
+        if state.phase[me] == Phase::Waiting {
+            steps.add(format!("box {me} reads again"), |it| read(it, me));
+        }
+        if state.crashes > 0 {
+            steps.may(format!("box {me} crashes"), |it| {
+                it.crashes -= 1;
+                it.alive[me] = false;
+            });
+        }
+    }
+}
+
+/// Begins a read.
+fn read(state: &mut State, me: BoxId) {
+    state.phase[me] = Phase::Reading;
+    state.messages.insert(Message::Get(me));
+}
+
+/// Delivers a message.
+fn deliver(state: &State, message: Message, mutant: Option<Mutant>, steps: &mut Steps<'_, State>) {
+    let name = format!("{message:?}");
+    match message {
+        Message::Get(me) => {
+            steps.add(name.clone(), |it| {
+                it.messages.remove(&message);
+                it.messages.insert(Message::Found(me, it.claim.0, it.claim.1));
+            });
+            if state.losses[0] > 0 {
+                steps.may(format!("{name} is lost"), |it| {
+                    it.losses[0] -= 1;
+                    it.messages.remove(&message);
+                    it.messages.insert(Message::Away(me));
+                });
+            }
+        }
+        Message::Put(me, expected) => put(state, me, expected, mutant, steps),
+        Message::LatePut(me, expected) => steps.add(name, |it| {
+            it.messages.remove(&message);
+            write(it, me, expected, mutant);
+        }),
+        Message::Found(me, version, bound) => steps.add(name, |it| {
+            it.messages.remove(&message);
+            if it.alive[me] && it.phase[me] == Phase::Reading {
+                found(it, me, version, bound, mutant);
+            }
+        }),
+        Message::PutAnswer(me) => steps.add(name, |it| {
+            it.messages.remove(&message);
+            if it.alive[me] && it.phase[me] == Phase::Writing {
+                read(it, me);
+            }
+        }),
+        Message::Away(me) => steps.add(name, |it| {
+            it.messages.remove(&message);
+            away(it, me, mutant);
+        }),
+        Message::Relay(me) => steps.add(name, |it| {
+            it.messages.remove(&message);
+            // A box that has died answers nothing; the caller is told that nobody can tell.
+            if it.alive[me] && !it.ran[me] {
+                run(it, me);
+            }
+        }),
+    }
+}
+
+/// A write reaches the store: it is answered, its answer is lost, or it takes effect late.
+fn put(
+    state: &State,
+    me: BoxId,
+    expected: u8,
+    mutant: Option<Mutant>,
+    steps: &mut Steps<'_, State>,
+) {
+    let message = Message::Put(me, expected);
+    steps.add(format!("{message:?}"), |it| {
+        it.messages.remove(&message);
+        write(it, me, expected, mutant);
+        it.messages.insert(Message::PutAnswer(me));
+    });
+    if state.losses[1] > 0 {
+        steps.may(format!("{message:?} and its answer is lost"), |it| {
+            it.losses[1] -= 1;
+            it.messages.remove(&message);
+            write(it, me, expected, mutant);
+            it.messages.insert(Message::Away(me));
+        });
+    }
+    if state.losses[2] > 0 {
+        steps.may(format!("{message:?} is late"), |it| {
+            it.losses[2] -= 1;
+            it.messages.remove(&message);
+            it.messages.insert(Message::LatePut(me, expected));
+            it.messages.insert(Message::Away(me));
+        });
+    }
+}
+
+/// The store takes a write if the version is the one expected.
+fn write(state: &mut State, me: BoxId, expected: u8, mutant: Option<Mutant>) {
+    let taken = state.claim.0 == expected || mutant == Some(Mutant::WriteBlindly);
+    if taken && state.claim.0 < MOST_VERSIONS {
+        state.claim = (state.claim.0 + 1, Some(me));
+    }
+}
+
+/// A box learns what the claim is.
+fn found(state: &mut State, me: BoxId, version: u8, bound: Option<BoxId>, mutant: Option<Mutant>) {
+    match bound {
+        None => {
+            state.phase[me] = Phase::Writing;
+            state.messages.insert(Message::Put(me, version));
+        }
+        Some(home) if home == me => {
+            state.phase[me] = Phase::Done;
+            if !state.ran[me] || mutant == Some(Mutant::RunAgain) {
+                run(state, me);
+            }
+        }
+        Some(home) => {
+            state.phase[me] = Phase::Done;
+            if state.alive[home] {
+                state.messages.insert(Message::Relay(home));
+            } else if mutant == Some(Mutant::RunUnknownHome) {
+                run(state, me);
+            }
+        }
+    }
+}
+
+/// A box learns that no answer came.
+fn away(state: &mut State, me: BoxId, mutant: Option<Mutant>) {
+    if !state.alive[me] {
+        return;
+    }
+    let wrote = state.phase[me] == Phase::Writing;
+    if wrote && mutant == Some(Mutant::BelieveLostWrite) {
+        state.phase[me] = Phase::Done;
+        run(state, me);
+        return;
+    }
+    state.phase[me] = Phase::Waiting;
+}
+
+/// A box runs the request.
+fn run(state: &mut State, me: BoxId) {
+    state.ran[me] = true;
+    state.runs = (state.runs + 1).min(2);
+}
--- /dev/null
+++ b/crates/hollyspoke-spec/src/grants.rs
@@ -0,0 +1,451 @@
+//! Grants and streams: no engine memory stays held by a request whose caller is gone.
+//!
+//! Bounds: two boxes, each the front of one request, either the owner; two engines with room for
+//! one stream each; one crash, one pause, one caller that goes, one engine that drops a stream;
+//! messages lost, repeated and reordered.
+
+use std::collections::BTreeSet;
+
+use crate::BoxId;
+use crate::search::{Specification, Steps};
+
+/// The most attempts of a request; after them the caller is told that it failed.
+const MOST_ATTEMPTS: u8 = 2;
+
+/// One attempt of a front's request.
+pub type Ticket = (BoxId, u8);
+
+/// A safeguard that is left out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mutant {
+    /// The owner keeps the grants of a front that has gone silent.
+    GrantOutlivesFront,
+    /// A new owner does not sweep the engines' streams.
+    NoSweep,
+    /// A caller's going frees nothing at the engine, and nobody asks again.
+    ForgetCancel,
+    /// A front that was paused goes on with a grant that was taken from it.
+    SkipFence,
+}
+
+/// What a front does with its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Phase {
+    /// The caller has not come yet.
+    Idle,
+    /// It has asked the owner.
+    Asking,
+    /// It has a grant for an engine.
+    Granted(usize),
+    /// It reads the engine's stream.
+    Streaming(usize),
+    /// It has given the whole answer.
+    Answered,
+    /// Its caller is gone.
+    Gone,
+}
+
+/// What is on its way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Message {
+    /// The front asks the owner.
+    Ask(Ticket),
+    /// The owner grants an engine.
+    Grant(Ticket, usize),
+    /// The engine is to begin the stream.
+    Begin(Ticket, usize),
+    /// The engine is to free the stream.
+    Cancel(Ticket, usize),
+    /// The owner takes the grant back.
+    Fenced(Ticket),
+}
+
+/// The state.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct State {
+    /// Whether each box lives.
+    alive: [bool; 2],
+    /// Whether each box stands still.
+    paused: [bool; 2],
+    /// Whether each box stood still and has not noticed yet.
+    stale: [bool; 2],
+    /// What each front does.
+    phase: [Phase; 2],
+    /// The number of each front's attempt.
+    attempt: [u8; 2],
+    /// The owner.
+    owner: BoxId,
+    /// The attempt and the engine that the owner's ledger has for each front.
+    ledger: [Option<(u8, usize)>; 2],
+    /// The attempts whose grants an owner has ended.
+    fenced: BTreeSet<Ticket>,
+    /// The attempt whose stream each engine holds.
+    streams: [Option<Ticket>; 2],
+    /// Whether a front gave an answer over a stream that was no longer its own.
+    stolen: bool,
+    /// What is on its way.
+    messages: BTreeSet<Message>,
+    /// Crashes left.
+    crashes: u8,
+    /// Pauses left.
+    pauses: u8,
+    /// Callers that may still go.
+    goings: u8,
+    /// Messages that may still be lost or repeated.
+    noise: u8,
+}
+
+impl State {
+    /// Tells whether a box works.
+    fn works(&self, it: BoxId) -> bool {
+        self.alive[it] && !self.paused[it]
+    }
+
+    /// Gives the attempt that a front makes now.
+    fn ticket(&self, front: BoxId) -> Ticket {
+        (front, self.attempt[front])
+    }
+
+    /// Begins a front's next attempt, or gives up after the last.
+    fn next_attempt(&mut self, front: BoxId) {
+        self.attempt[front] += 1;
+        let more = self.attempt[front] < MOST_ATTEMPTS;
+        self.phase[front] = if more { Phase::Asking } else { Phase::Answered };
+    }
+
+    /// Takes an attempt out of the owner's ledger.
+    fn release(&mut self, ticket: Ticket) {
+        if self.ledger[ticket.0].is_some_and(|(attempt, _)| attempt == ticket.1) {
+            self.ledger[ticket.0] = None;
+        }
+    }
+}
+
+/// Makes the specification.
+pub fn specification(mutant: Option<Mutant>) -> Specification<State> {
+    let initial = State {
+        alive: [true; 2],
+        paused: [false; 2],
+        stale: [false; 2],
+        phase: [Phase::Idle; 2],
+        attempt: [0; 2],
+        owner: 1,
+        ledger: [None; 2],
+        fenced: BTreeSet::new(),
+        streams: [None; 2],
+        stolen: false,
+        messages: BTreeSet::new(),
+        crashes: 1,
+        pauses: 1,
+        goings: 1,
+        noise: 1,
+    };
+    Specification {
+        initial,
+        steps: Box::new(move |state| {
+            let mut steps = Steps::new(state);
+            for front in 0..2 {
+                if state.works(front) {
+                    fronts(state, front, mutant, &mut steps);
+                }
+                faults(state, front, &mut steps);
+            }
+            owner(state, mutant, &mut steps);
+            for &message in &state.messages {
+                deliver(state, message, mutant, &mut steps);
+            }
+            let mut steps = steps.finish();
+            steps.iter_mut().for_each(|it| forget_dead_messages(&mut it.next));
+            steps.retain(|it| it.next != *state);
+            steps
+        }),
+        broken: Box::new(|state| {
+            state.stolen.then(|| "a front went on under a grant taken from it".to_owned())
+        }),
+        unfinished: Box::new(unfinished),
+    }
+}
+
+/// Drops the messages that change nothing whenever they arrive, so that fewer states differ.
+fn forget_dead_messages(state: &mut State) {
+    let messages = std::mem::take(&mut state.messages);
+    let is_current = |(front, attempt): Ticket| state.attempt[front] == attempt;
+    let kept = messages.iter().filter(|message| match **message {
+        Message::Ask(ticket) => {
+            is_current(ticket) && state.alive[ticket.0] && state.phase[ticket.0] == Phase::Asking
+        }
+        Message::Grant(ticket, _) => state.alive[ticket.0],
+        Message::Fenced(ticket) => is_current(ticket) && state.alive[ticket.0],
+        Message::Begin(..) => true,
+        Message::Cancel(ticket, engine) => {
+            let may_begin = messages.contains(&Message::Begin(ticket, engine));
+            state.streams[engine] == Some(ticket) || may_begin
+        }
+    });
+    state.messages = kept.copied().collect();
+}
+
+/// Gives what is wrong with a state at rest.
+fn unfinished(state: &State) -> Option<String> {
+    let some_owner = state.works(0) || state.works(1);
+    for (front, _) in state.streams.iter().flatten().copied() {
+        let done = matches!(state.phase[front], Phase::Gone | Phase::Answered);
+        if some_owner && !state.paused[front] && (!state.alive[front] || done) {
+            return Some(format!("an engine holds memory for box {front}, which needs it no more"));
+        }
+    }
+    let waits = |it: BoxId| {
+        let waiting = matches!(state.phase[it], Phase::Asking | Phase::Granted(_));
+        state.works(it) && waiting
+    };
+    (waits(0) || waits(1)).then(|| "a caller waits for ever".to_owned())
+}
+
+/// The steps of a front.
+fn fronts(state: &State, front: BoxId, mutant: Option<Mutant>, steps: &mut Steps<'_, State>) {
+    let ticket = state.ticket(front);
+    if state.stale[front] && mutant != Some(Mutant::SkipFence) {
+        steps.add(format!("box {front} sees that it stood still"), |it| {
+            it.stale[front] = false;
+            let engine = match it.phase[front] {
+                Phase::Granted(engine) | Phase::Streaming(engine) => Some(engine),
+                Phase::Asking => None,
+                Phase::Idle | Phase::Answered | Phase::Gone => return,
+            };
+            it.messages.extend(engine.map(|engine| Message::Cancel(ticket, engine)));
+            it.release(ticket);
+            it.next_attempt(front);
+        });
+        return;
+    }
+    match state.phase[front] {
+        Phase::Idle => steps.may(format!("a caller comes to box {front}"), |it| {
+            it.phase[front] = Phase::Asking;
+            it.messages.insert(Message::Ask(ticket));
+        }),
+        Phase::Asking => steps.add(format!("box {front} asks"), |it| {
+            it.messages.insert(Message::Ask(ticket));
+        }),
+        Phase::Granted(engine) => {
+            steps.add(format!("box {front} begins at engine {engine}"), |it| {
+                it.messages.insert(Message::Begin(ticket, engine));
+            });
+        }
+        Phase::Streaming(engine) => steps.add(format!("box {front} reads the end"), |it| {
+            it.release(ticket);
+            if it.streams[engine] == Some(ticket) {
+                it.streams[engine] = None;
+                it.phase[front] = Phase::Answered;
+            } else {
+                // The stream was stopped: the front asks again and resumes.
+                it.next_attempt(front);
+            }
+        }),
+        Phase::Answered | Phase::Gone => {}
+    }
+    let waits = !matches!(state.phase[front], Phase::Idle | Phase::Answered | Phase::Gone);
+    if waits && state.goings > 0 {
+        steps.may(format!("the caller of box {front} goes"), |it| {
+            it.goings -= 1;
+            if let Phase::Granted(engine) | Phase::Streaming(engine) = it.phase[front]
+                && mutant != Some(Mutant::ForgetCancel)
+            {
+                it.messages.insert(Message::Cancel(ticket, engine));
+            }
+            it.phase[front] = Phase::Gone;
+            it.release(ticket);
+        });
+    }
+}
+
+/// A box crashes, stands still, or goes on.
+fn faults(state: &State, number: BoxId, steps: &mut Steps<'_, State>) {
+    if state.alive[number] && state.crashes > 0 {
+        steps.may(format!("box {number} crashes"), |it| {
+            it.crashes -= 1;
+            it.alive[number] = false;
+            it.paused[number] = false;
+        });
+    }
+    if state.works(number) && state.pauses > 0 {
+        steps.may(format!("box {number} stands still"), |it| {
+            it.pauses -= 1;
+            it.paused[number] = true;
+        });
+    }
+    if state.paused[number] {
+        steps.add(format!("box {number} goes on"), |it| {
+            it.paused[number] = false;
+            it.stale[number] = true;
+        });
+    }
+}
+
+/// The steps of the owner, and of a box that takes its place.
+fn owner(state: &State, mutant: Option<Mutant>, steps: &mut Steps<'_, State>) {
+    let owner = state.owner;
+    if !state.works(owner) {
+        let other = 1 - owner;
+        if state.works(other) {
+            steps.add(format!("box {other} becomes the owner"), |it| {
+                it.owner = other;
+                it.ledger = [None; 2];
+                it.fenced.clear();
+            });
+        }
+        return;
+    }
+    for front in 0..2 {
+        if let Some((attempt, engine)) = state.ledger[front]
+            && !state.works(front)
+            && mutant != Some(Mutant::GrantOutlivesFront)
+        {
+            steps.add(format!("the owner ends the grant of silent box {front}"), |it| {
+                it.ledger[front] = None;
+                it.fenced.insert((front, attempt));
+                it.messages.insert(Message::Cancel((front, attempt), engine));
+            });
+        }
+    }
+    for engine in 0..2 {
+        sweep(state, engine, mutant, steps);
+    }
+}
+
+/// The owner finds a stream on an engine that its ledger does not have.
+fn sweep(state: &State, engine: usize, mutant: Option<Mutant>, steps: &mut Steps<'_, State>) {
+    let Some(ticket) = state.streams[engine] else { return };
+    let (front, attempt) = ticket;
+    if state.ledger[front] == Some((attempt, engine)) {
+        return;
+    }
+    let uses = state.ticket(front) == ticket
+        && matches!(state.phase[front], Phase::Granted(it) | Phase::Streaming(it) if it == engine);
+    if state.works(front) && uses && !state.fenced.contains(&ticket) {
+        steps.add(format!("box {front} declares its stream"), |it| {
+            it.ledger[front] = Some((attempt, engine));
+        });
+        return;
+    }
+    if matches!(mutant, Some(Mutant::NoSweep | Mutant::ForgetCancel)) {
+        return;
+    }
+    steps.add(format!("the owner sweeps engine {engine}"), |it| {
+        it.messages.insert(Message::Cancel(ticket, engine));
+        it.fenced.insert(ticket);
+        if it.works(front) {
+            it.messages.insert(Message::Fenced(ticket));
+        }
+    });
+}
+
+/// Delivers a message; it may also be lost, or stay to arrive again.
+fn deliver(state: &State, message: Message, mutant: Option<Mutant>, steps: &mut Steps<'_, State>) {
+    let takes = match message {
+        Message::Ask(_) => state.works(state.owner),
+        Message::Grant((front, _), _) | Message::Fenced((front, _)) => state.works(front),
+        Message::Begin(..) | Message::Cancel(..) => true,
+    };
+    if takes {
+        steps.add(format!("{message:?}"), |it| {
+            it.messages.remove(&message);
+            arrive(it, message, mutant);
+        });
+    } else {
+        steps.add(format!("{message:?} finds nobody"), |it| {
+            it.messages.remove(&message);
+        });
+    }
+    // A call to an engine that fails is known to have failed and is made again, so that only
+    // messages between boxes are lost for good.
+    let between_boxes =
+        matches!(message, Message::Ask(_) | Message::Grant(..) | Message::Fenced(_));
+    if between_boxes && state.noise > 0 {
+        steps.may(format!("{message:?} is lost"), |it| {
+            it.noise -= 1;
+            it.messages.remove(&message);
+        });
+        if takes {
+            steps.may(format!("{message:?} arrives twice"), |it| {
+                it.noise -= 1;
+                arrive(it, message, mutant);
+            });
+        }
+    }
+}
+
+/// What a message does where it arrives.
+fn arrive(state: &mut State, message: Message, mutant: Option<Mutant>) {
+    match message {
+        Message::Ask(ticket) => asked(state, ticket),
+        Message::Grant(ticket, engine) => {
+            let front = ticket.0;
+            let wanted = state.ticket(front) == ticket && state.phase[front] == Phase::Asking;
+            if wanted && (!state.stale[front] || mutant == Some(Mutant::SkipFence)) {
+                state.phase[front] = Phase::Granted(engine);
+            } else if state.ticket(front) != ticket || state.phase[front] == Phase::Gone {
+                state.release(ticket);
+            }
+        }
+        Message::Begin(ticket, engine) => begin(state, ticket, engine, mutant),
+        Message::Cancel(ticket, engine) => {
+            if state.streams[engine] == Some(ticket) {
+                state.streams[engine] = None;
+            }
+        }
+        Message::Fenced(ticket) => {
+            let front = ticket.0;
+            let granted = matches!(state.phase[front], Phase::Granted(_) | Phase::Streaming(_));
+            if granted && state.ticket(front) == ticket && mutant != Some(Mutant::SkipFence) {
+                state.next_attempt(front);
+            }
+        }
+    }
+}
+
+/// The owner is asked for an engine.
+fn asked(state: &mut State, ticket: Ticket) {
+    let front = ticket.0;
+    if state.fenced.contains(&ticket) {
+        return;
+    }
+    if let Some((attempt, engine)) = state.ledger[front] {
+        if attempt == ticket.1 {
+            state.messages.insert(Message::Grant(ticket, engine));
+        }
+        return;
+    }
+    let late = state.ticket(front) != ticket || state.phase[front] != Phase::Asking;
+    if late {
+        // The front gives the grant of a late question back.
+        return;
+    }
+    let other = state.ledger[1 - front].map(|(_, engine)| engine);
+    let free = |it: &usize| other != Some(*it) && state.streams[*it].is_none();
+    let Some(engine) = (0..2).find(free) else { return };
+    state.ledger[front] = Some((ticket.1, engine));
+    state.messages.insert(Message::Grant(ticket, engine));
+}
+
+/// An engine is told to begin a stream.
+fn begin(state: &mut State, ticket: Ticket, engine: usize, mutant: Option<Mutant>) {
+    let front = ticket.0;
+    let wanted = state.ticket(front) == ticket && state.phase[front] == Phase::Granted(engine);
+    let sent_and_left = !state.alive[front] || (state.stale[front] && !wanted);
+    if state.streams[engine].is_none() && (wanted || sent_and_left) {
+        state.streams[engine] = Some(ticket);
+    }
+    if !wanted || !state.works(front) {
+        return;
+    }
+    if state.streams[engine] == Some(ticket) {
+        // A grant that was taken back must not be used by a front that could know it.
+        let knew = state.fenced.contains(&ticket) && state.stale[front];
+        state.stolen |= knew && mutant == Some(Mutant::SkipFence);
+        state.phase[front] = Phase::Streaming(engine);
+    } else {
+        // The engine has no room: the owner learns, and the front asks again.
+        state.release(ticket);
+        state.next_attempt(front);
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke-spec/src/orders.rs
@@ -0,0 +1,178 @@
+//! Orders to engines under a lease whose holder may be paused.
+//!
+//! Bounds: two boxes, up to three tokens; engine 0 compares the tokens of orders, engine 1 does
+//! not; two pauses, one crash; orders stay on their way as long as they like, but for engine 1 no
+//! longer than the longest order, which a new holder waits out.
+
+use std::collections::BTreeSet;
+
+use crate::BoxId;
+use crate::search::{Specification, Steps};
+
+/// The highest token.
+const MOST_TOKENS: u8 = 3;
+
+/// A safeguard that is left out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mutant {
+    /// A holder does not look at its own clock before it orders.
+    SkipFence,
+    /// An engine that should compares no tokens.
+    IgnoreToken,
+    /// A new holder does not wait out the orders of the old one.
+    NoWait,
+}
+
+/// The state.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct State {
+    /// Whether each box lives.
+    alive: [bool; 2],
+    /// Whether each box stands still.
+    paused: [bool; 2],
+    /// The token under which each box believes that it holds the lease.
+    believes: [Option<u8>; 2],
+    /// Whether the lease has lapsed by each box's own clock.
+    lapsed: [bool; 2],
+    /// The token in the store, zero before the first.
+    token: u8,
+    /// Whether the lease in the store has stood unrenewed for its whole time.
+    expired: bool,
+    /// Orders on their way: engine and token.
+    orders: BTreeSet<(usize, u8)>,
+    /// The highest token whose order each engine has carried out.
+    seen: [u8; 2],
+    /// Whether an engine has carried out an older order after a newer one.
+    wrong: Option<usize>,
+    /// Pauses left.
+    pauses: u8,
+    /// Crashes left.
+    crashes: u8,
+}
+
+/// Makes the specification.
+pub fn specification(mutant: Option<Mutant>) -> Specification<State> {
+    let initial = State {
+        alive: [true; 2],
+        paused: [false; 2],
+        believes: [None; 2],
+        lapsed: [false; 2],
+        token: 0,
+        expired: true,
+        orders: BTreeSet::new(),
+        seen: [0; 2],
+        wrong: None,
+        pauses: 2,
+        crashes: 1,
+    };
+    Specification {
+        initial,
+        steps: Box::new(move |state| {
+            let mut steps = Steps::new(state);
+            for me in 0..2 {
+                if state.alive[me] && !state.paused[me] {
+                    boxes(state, me, mutant, &mut steps);
+                }
+                faults(state, me, &mut steps);
+            }
+            for &(engine, token) in &state.orders {
+                order(state, engine, token, mutant, &mut steps);
+            }
+            steps.finish()
+        }),
+        broken: Box::new(|state| {
+            let engine = state.wrong?;
+            Some(format!("engine {engine} carried out an older order after a newer one"))
+        }),
+        unfinished: Box::new(|_| None),
+    }
+}
+
+/// A box takes the lease, renews it, or orders.
+fn boxes(state: &State, me: BoxId, mutant: Option<Mutant>, steps: &mut Steps<'_, State>) {
+    if state.expired && state.believes[me].is_none() && state.token < MOST_TOKENS {
+        steps.may(format!("box {me} takes the lease"), |it| {
+            it.token += 1;
+            it.expired = false;
+            it.believes[me] = Some(it.token);
+            it.lapsed[me] = false;
+        });
+    }
+    let Some(token) = state.believes[me] else { return };
+    if state.lapsed[me] && mutant != Some(Mutant::SkipFence) {
+        steps.add(format!("box {me} sees that its lease has lapsed"), |it| {
+            it.believes[me] = None;
+        });
+        return;
+    }
+    for engine in 0..2 {
+        let older_on_way =
+            state.orders.iter().any(|(other, older)| *other == engine && *older < token);
+        let waits = engine == 1 && older_on_way && mutant != Some(Mutant::NoWait);
+        if !waits {
+            steps.may(format!("box {me} orders engine {engine} with token {token}"), |it| {
+                it.orders.insert((engine, token));
+            });
+        }
+    }
+}
+
+/// Time passes for a lease, and boxes stand still, go on, or crash.
+fn faults(state: &State, me: BoxId, steps: &mut Steps<'_, State>) {
+    let holds = state.believes[me] == Some(state.token) && state.token > 0;
+    if holds && !state.expired {
+        // The holder's own time is shorter than the store's: it lapses here first.
+        if !state.lapsed[me] {
+            steps.may(format!("the lease of box {me} lapses by its own clock"), |it| {
+                it.lapsed[me] = true;
+            });
+        } else {
+            steps.may("the lease expires for everybody", |it| it.expired = true);
+        }
+    }
+    if !state.alive[me] && state.believes[me].is_some() {
+        steps.may(format!("the lease of dead box {me} expires"), |it| {
+            it.believes[me] = None;
+            it.expired = true;
+        });
+    }
+    if state.alive[me] && !state.paused[me] && state.pauses > 0 {
+        steps.may(format!("box {me} stands still"), |it| {
+            it.pauses -= 1;
+            it.paused[me] = true;
+        });
+    }
+    if state.paused[me] {
+        steps.add(format!("box {me} goes on"), |it| it.paused[me] = false);
+    }
+    if state.alive[me] && state.crashes > 0 {
+        steps.may(format!("box {me} crashes"), |it| {
+            it.crashes -= 1;
+            it.alive[me] = false;
+            it.paused[me] = false;
+        });
+    }
+}
+
+/// An order reaches its engine.
+fn order(
+    state: &State,
+    engine: usize,
+    token: u8,
+    mutant: Option<Mutant>,
+    steps: &mut Steps<'_, State>,
+) {
+    steps.add(format!("engine {engine} gets the order with token {token}"), |it| {
+        it.orders.remove(&(engine, token));
+        let older = token < it.seen[engine];
+        let refuses = engine == 0 && older && mutant != Some(Mutant::IgnoreToken);
+        if refuses {
+            return;
+        }
+        if older {
+            it.wrong = Some(engine);
+        }
+        it.seen[engine] = it.seen[engine].max(token);
+    });
+    let _ = state;
+}
--- a/crates/hollyspoke/src/generate.rs
+++ b/crates/hollyspoke/src/generate.rs
@@ -261,6 +261,18 @@
         for id in granted {
             self.fail_attempt(cx, id, End::Cancelled, None, "the box was paused for too long");
         }
+        // A question that was answered meanwhile has a grant on its way which may have been
+        // ended: a new ticket makes that one worthless.
+        let asking: Vec<Id> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| matches!(request.phase, Phase::Ask { .. }))
+            .map(|(id, _)| id)
+            .collect();
+        for id in asking {
+            self.stop_attempt(cx, id, End::Cancelled);
+            self.ask(cx, id);
+        }
     }
 
     /// Stops the attempt under way: frees what engines hold, and tells the owner.
