--- /dev/null
+++ b/crates/hollyspoke-model/src/bound.rs
@@ -0,0 +1,64 @@
+//! What no scheduler could exceed, knowing all requests beforehand.
+
+use std::time::Duration;
+
+use crate::load::{Request, User};
+
+/// The most requests a second that any scheduler could answer within both targets.
+///
+/// Each resource alone bounds the number: the engines' prefill time and the decode engines'
+/// memory over time. Against each, the cheapest requests are counted first, the last one in part.
+/// Prefix caches are taken to hold every common prefix already. The bound is loose: it lets a
+/// scheduler choose short requests alone, which no fair one may.
+pub fn choosing(user: &User, requests: &[Request], span: Duration) -> f64 {
+    let prefill = most(requests, prefill_seconds(user, span), |it| prefill_cost(user, it));
+    let memory = most(requests, memory_seconds(user, span), |it| memory_cost(user, it));
+    prefill.min(memory).min(requests.len() as f64) / span.as_secs_f64()
+}
+
+/// The same for schedulers that do not choose by size: each request costs what the mean does.
+pub fn size_blind(user: &User, requests: &[Request], span: Duration) -> f64 {
+    let count = requests.len().max(1) as f64;
+    let mean = |cost: &dyn Fn(&Request) -> f64| requests.iter().map(cost).sum::<f64>() / count;
+    let prefill = prefill_seconds(user, span) / mean(&|it| prefill_cost(user, it));
+    let memory = memory_seconds(user, span) / mean(&|it| memory_cost(user, it));
+    prefill.min(memory).min(count) / span.as_secs_f64()
+}
+
+/// Counts the cheapest requests that a budget pays for.
+fn most(requests: &[Request], budget: f64, cost: impl Fn(&Request) -> f64) -> f64 {
+    let mut costs: Vec<f64> = requests.iter().map(cost).collect();
+    costs.sort_by(f64::total_cmp);
+    let mut left = budget;
+    let mut count = 0.0;
+    for cost in costs {
+        if cost > left {
+            return count + left / cost;
+        }
+        left -= cost;
+        count += 1.0;
+    }
+    count
+}
+
+/// Gives the prefill time that all engines have, in seconds.
+fn prefill_seconds(user: &User, span: Duration) -> f64 {
+    span.as_secs_f64() * user.plan.prefills as f64
+}
+
+/// Gives the decode memory that all engines have over time, in token-seconds.
+fn memory_seconds(user: &User, span: Duration) -> f64 {
+    span.as_secs_f64() * user.plan.decodes as f64 * user.plan.memory_tokens as f64
+}
+
+/// Gives the prefill time of a request, in seconds, with its common prefix cached.
+fn prefill_cost(user: &User, request: &Request) -> f64 {
+    let cached = request.prefix.len() as f64 * f64::from(hollyspoke::admission::BLOCK_TOKENS);
+    (f64::from(request.prompt_tokens) - cached).max(1.0) / user.plan.prefill_rate as f64
+}
+
+/// Gives the memory that a request holds over time, in token-seconds.
+fn memory_cost(user: &User, request: &Request) -> f64 {
+    let time = user.plan.token_time.as_secs_f64() * f64::from(request.length);
+    f64::from(request.tokens()) * time
+}
--- a/crates/hollyspoke-model/src/lib.rs
+++ b/crates/hollyspoke-model/src/lib.rs
@@ -5,10 +5,12 @@
 //! figures come from the same fakes. It is no bench for whole sites: nothing here has sockets.
 
 pub mod baseline;
+pub mod bound;
 pub mod engine;
 pub mod ledger;
 pub mod load;
 pub mod network;
+pub mod policy;
 pub mod result;
 pub mod store;
 pub mod world;
--- a/crates/hollyspoke-model/src/result.rs
+++ b/crates/hollyspoke-model/src/result.rs
@@ -1,1 +1,102 @@
-//! x
+//! What a run of a policy came to.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+/// The target for the first token.
+pub const FIRST_TOKEN: Duration = Duration::from_millis(1200);
+
+/// The target for the time between tokens.
+pub const BETWEEN_TOKENS: Duration = Duration::from_millis(35);
+
+/// The longest time that is told apart, in milliseconds.
+const MOST_MS: u64 = 600_000;
+
+/// One sending of a request, as its caller saw it.
+#[derive(Debug, Clone, Copy)]
+pub struct Seen {
+    /// The tenant.
+    pub tenant: usize,
+    /// The class.
+    pub class: u8,
+    /// From sending to the first token, if one came.
+    pub first_token: Option<Duration>,
+    /// The mean time between tokens.
+    pub between_tokens: Duration,
+    /// Whether the answer was whole.
+    pub whole: bool,
+    /// Whether it was refused as not run.
+    pub refused: bool,
+    /// Whether it is a refused request that came back.
+    pub again: bool,
+}
+
+impl Seen {
+    /// Tells whether it was answered within both targets.
+    pub fn is_good(&self) -> bool {
+        self.whole
+            && self.first_token.is_some_and(|it| it <= FIRST_TOKEN)
+            && self.between_tokens <= BETWEEN_TOKENS
+    }
+}
+
+/// A run's figures.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Figures {
+    /// Requests a second that came, without those that came back.
+    pub offered: f64,
+    /// Requests a second that were answered within both targets.
+    pub goodput: f64,
+    /// The same for class 0 alone.
+    pub goodput_first_class: f64,
+    /// The share of computed prompt tokens whose result was never decoded.
+    pub wasted: f64,
+    /// First-token times in milliseconds: median, 95 and 99 in 100.
+    pub first_token: [u64; 3],
+    /// The share of sendings that were refused as not run.
+    pub refused: f64,
+    /// The share of sendings that failed after they were sent, or never ended.
+    pub failed: f64,
+    /// The least share of a tenant's sendings that was good, by the greatest.
+    pub fairness: f64,
+}
+
+/// Works a run's figures out.
+pub fn figures(seen: &[Seen], span: Duration, computed: u64, useful: u64) -> Figures {
+    let seconds = span.as_secs_f64();
+    let count = |of: &dyn Fn(&Seen) -> bool| seen.iter().filter(|it| of(it)).count() as f64;
+    let total = (seen.len() as f64).max(1.0);
+    let mut times = Histogram::<u64>::new_with_bounds(1, MOST_MS, 3)
+        .unwrap_or_else(|error| unreachable!("the bounds are constants: {error}"));
+    for first in seen.iter().filter_map(|it| it.first_token) {
+        times.saturating_record(first.as_millis() as u64);
+    }
+    let wasted = computed.saturating_sub(useful) as f64 / (computed as f64).max(1.0);
+    Figures {
+        offered: count(&|it| !it.again) / seconds,
+        goodput: count(&Seen::is_good) / seconds,
+        goodput_first_class: count(&|it| it.is_good() && it.class == 0) / seconds,
+        wasted,
+        first_token: [50.0, 95.0, 99.0].map(|it| times.value_at_percentile(it)),
+        refused: count(&|it| it.refused) / total,
+        failed: count(&|it| !it.refused && !it.whole) / total,
+        fairness: fairness(seen),
+    }
+}
+
+/// Gives the least share of a tenant's sendings that was good, by the greatest, within class 0.
+fn fairness(seen: &[Seen]) -> f64 {
+    let mut shares = Vec::new();
+    let tenants = seen.iter().map(|it| it.tenant).max().map_or(0, |it| it + 1);
+    for tenant in 0..tenants {
+        let mine: Vec<&Seen> = seen.iter().filter(|it| it.tenant == tenant && !it.again).collect();
+        if !mine.is_empty() {
+            let good = mine.iter().filter(|it| it.is_good()).count();
+            shares.push(good as f64 / mine.len() as f64);
+        }
+    }
+    let most = shares.iter().copied().fold(0.0, f64::max);
+    let least = shares.iter().copied().fold(1.0, f64::min);
+    if most == 0.0 { 0.0 } else { least / most }
+}
--- a/crates/hollyspoke-model/src/world.rs
+++ b/crates/hollyspoke-model/src/world.rs
@@ -293,6 +293,12 @@
         self.site.version
     }
 
+    /// Gives a box that owns some engines.
+    pub fn owner(&self) -> Option<usize> {
+        let owns = |it: &Seat| it.node.as_ref().is_some_and(|it| !it.status().pools.is_empty());
+        self.seats.iter().position(owns)
+    }
+
     /// Gives a box's reducer, while it lives.
     pub fn node(&self, number: usize) -> Option<&Node> {
         self.seats[number].node.as_ref()
