Let requests that fit pass one for which no decode memory is free

Cause: at Bilbao's double load the head of the queue, a long prompt, kept all others waiting until enough memory came free in one engine, while smaller amounts lay idle. Ruled out: class order (class 0 alone is below the router without an owner too), links (p95 of transfers unchanged), refusals on arrival (they only turn away what would come too late).

--- a/crates/hollyspoke/src/admission.rs
+++ b/crates/hollyspoke/src/admission.rs
@@ -185,14 +185,9 @@
     let order = pool.queue().in_order();
     let ahead = now + PREFILL_AHEAD;
     for waiting in order {
-        let Some(placement) = place(now, site, pool, waiting) else {
-            // A smaller request may not pass a larger one of the same class for ever: the head
-            // keeps its turn unless no engine could ever hold it.
-            if could_ever_hold(pool, waiting) {
-                return None;
-            }
-            continue;
-        };
+        // A request that finds no room lets smaller ones pass: it is refused soon if it never
+        // finds any, so that it is not passed for ever.
+        let Some(placement) = place(now, site, pool, waiting) else { continue };
         let start = placement.prefill_end - placement.prefill_time;
         if start > ahead {
             return None;
