Serve a tenant's cheaper requests first

Cause: above capacity some requests must be refused whatever the order; which ones decides how many are answered in time. Within one tenant the order was by due time, that is by arrival. Ruled out: ordering by cost across tenants, which would let a tenant of short prompts crowd out another.

The cost falls on long prompts, which above capacity are refused more often; they are told when to come back.

--- a/crates/hollyspoke/src/admission.rs
+++ b/crates/hollyspoke/src/admission.rs
@@ -140,6 +140,7 @@
                 .class
                 .cmp(&b.ask.class)
                 .then(used(a).total_cmp(&used(b)))
+                .then(a.cost().total_cmp(&b.cost()))
                 .then(a.due.cmp(&b.due))
                 .then(a.ask.ticket.cmp(&b.ask.ticket))
         });
