--- a/crates/hollyspoke/src/admission.rs
+++ b/crates/hollyspoke/src/admission.rs
@@ -287,12 +287,9 @@
     waiting: &Waiting,
 ) -> BTreeMap<DataCentreId, (u64, UpstreamId)> {
     let need = u64::from(waiting.tokens());
-    // The memory is needed when the prompt is computed, at the soonest.
-    let rate = best_rate(pool, now).max(1.0);
-    let ahead = seconds(f64::from(waiting.ask.prompt_tokens) / rate);
     let mut best: BTreeMap<DataCentreId, (u64, UpstreamId)> = BTreeMap::new();
     for (&id, engine) in pool.engines() {
-        let free = engine.free_tokens_after(now, ahead);
+        let free = engine.free_tokens(now);
         let fits = free >= need && engine.full_until <= now;
         let avoided = is_avoided(pool, waiting, id);
         if !engine.role.decodes() || !engine.is_usable(now) || !fits || avoided {
--- a/crates/hollyspoke/src/pool.rs
+++ b/crates/hollyspoke/src/pool.rs
@@ -43,18 +43,6 @@
 /// How long a decode engine that refused for lack of room is given nothing more.
 pub const FULL_FOR: Duration = Duration::from_millis(200);
 
-/// The part of the memory that streams are expected to free in time which is counted on.
-pub const FREED_PART: f64 = 0.8;
-
-/// The largest share of the granted memory that is expected to be freed in time.
-const MOST_FREED: f64 = 0.15;
-
-/// The shortest mean hold that is reckoned with, in seconds.
-const MIN_HOLD: f64 = 0.1;
-
-/// The weight of a new measurement of the hold.
-const HOLD_WEIGHT: f64 = 0.05;
-
 /// A part of a service's engines that one box owns.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ShardId {
@@ -108,8 +96,6 @@
     pub prefill_free: Time,
     /// How much slower than the site's file says it computes prompts; 1 is as described.
     pub slowness: f64,
-    /// How long streams hold its memory, on average; nothing before the first has ended.
-    pub hold: Option<Duration>,
     /// The memory that its last report showed in use, in tokens.
     pub reported: Option<u64>,
     /// Until when it is given nothing after it refused for lack of room.
@@ -136,7 +122,6 @@
             reserved: 0,
             prefill_free: Time::ZERO,
             slowness: 1.0,
-            hold: None,
             reported: None,
             full_until: Time::ZERO,
             health: Health::default(),
@@ -158,18 +143,6 @@
         let ceiling = self.memory_tokens as f64 * self.health.weight(now);
         (ceiling as u64).saturating_sub(used)
     }
-
-    /// Gives the memory that may be granted for a stream which needs it only after a time: what is
-    /// free now, and a part of what streams are expected to free by then.
-    ///
-    /// Streams end at a rate of one a mean hold; [`FREED_PART`] of that is counted on. If it comes
-    /// otherwise, the prefill result waits on its engine for a little.
-    pub fn free_tokens_after(&self, now: Time, time: Duration) -> u64 {
-        let free = self.free_tokens(now);
-        let Some(hold) = self.hold else { return free };
-        let share = time.as_secs_f64() / hold.as_secs_f64().max(MIN_HOLD) * FREED_PART;
-        free + (self.reserved as f64 * share.min(MOST_FREED)) as u64
-    }
 }
 
 /// A grant in the ledger.
@@ -251,7 +224,6 @@
                     reserved: known.reserved,
                     prefill_free: known.prefill_free,
                     slowness: known.slowness,
-                    hold: known.hold,
                     reported: known.reported,
                     health: known.health,
                     prefixes: known.prefixes,
@@ -382,7 +354,6 @@
         self.queue.remove(ticket);
         self.learn_from(cx, end);
         if let Some(held) = self.grants.remove(&ticket) {
-            self.learn_hold(cx.now, &held);
             self.free(cx.now, &held);
         }
         // A late copy of the question must not be granted.
@@ -515,17 +486,6 @@
         }
     }
 
-    /// Learns how long a stream held its engine's memory.
-    fn learn_hold(&mut self, now: Time, held: &Held) {
-        if held.grant.stage != Stage::Decode {
-            return;
-        }
-        let Some(engine) = self.engines.get_mut(&held.grant.decode) else { return };
-        let seen = now.since(held.since);
-        let known = engine.hold.unwrap_or(seen);
-        engine.hold = Some(known.mul_f64(1.0 - HOLD_WEIGHT) + seen.mul_f64(HOLD_WEIGHT));
-    }
-
     /// Takes a grant from its front and stops the streams on the engines.
     fn drop_grant(&mut self, cx: &mut Context<'_>, ticket: Ticket) {
         let Some(held) = self.grants.remove(&ticket) else { return };
