Expect answers as long as they are, not as long as they may be

Cause: a request that came was refused when decode memory would not come free in time, reckoned as if every stream ran to the most tokens asked for. Answers have less than half of that, so that callers were turned away, and told to stay away too long, while memory came free.

The ledger now learns the share of the tokens asked for that answers have.

--- a/crates/hollyspoke/src/pool.rs
+++ b/crates/hollyspoke/src/pool.rs
@@ -43,6 +43,12 @@
 /// How long a decode engine that refused for lack of room is given nothing more.
 pub const FULL_FOR: Duration = Duration::from_millis(200);
 
+/// The share of the tokens asked for that answers are taken to have before any is known.
+const FIRST_ANSWER_SHARE: f64 = 0.5;
+
+/// The weight of a new answer in the mean of their lengths.
+const LENGTH_WEIGHT: f64 = 0.02;
+
 /// A part of a service's engines that one box owns.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ShardId {
@@ -190,6 +196,8 @@
     strays: BTreeMap<(UpstreamId, Ticket), Time>,
     /// When the engines were last polled.
     polled: Option<Time>,
+    /// The share of the tokens asked for that answers have, on average.
+    answer_share: f64,
 }
 
 impl Pool {
@@ -207,6 +215,7 @@
             fenced: BTreeMap::new(),
             strays: BTreeMap::new(),
             polled: None,
+            answer_share: FIRST_ANSWER_SHARE,
         };
         pool.configure(site);
         pool
@@ -354,6 +363,7 @@
         self.queue.remove(ticket);
         self.learn_from(cx, end);
         if let Some(held) = self.grants.remove(&ticket) {
+            self.learn_length(&held, end);
             self.free(cx.now, &held);
         }
         // A late copy of the question must not be granted.
@@ -486,6 +496,13 @@
         }
     }
 
+    /// Learns how long answers are against what was asked for.
+    fn learn_length(&mut self, held: &Held, end: End) {
+        let End::Done { tokens } = end else { return };
+        let share = f64::from(tokens) / f64::from(held.grant.max_tokens.max(1));
+        self.answer_share += LENGTH_WEIGHT * (share.min(1.0) - self.answer_share);
+    }
+
     /// Takes a grant from its front and stops the streams on the engines.
     fn drop_grant(&mut self, cx: &mut Context<'_>, ticket: Ticket) {
         let Some(held) = self.grants.remove(&ticket) else { return };
@@ -594,7 +611,8 @@
         self.grants.values().map(|held| {
             let token_time =
                 self.engines.get(&held.grant.decode).map_or(Duration::ZERO, |it| it.token_time);
-            let end = held.since + token_time * held.grant.max_tokens;
+            let tokens = f64::from(held.grant.max_tokens) * self.answer_share;
+            let end = held.since + token_time.mul_f64(tokens);
             (held.grant.decode, end, u64::from(held.grant.tokens))
         })
     }
