Work a site's shards out once for each version

Cause: every ledger listed the shards of its service anew, and looked each of its engines up by going through the site and digesting every name, so that a new version took time with the square of the engines. Ruled out: cloning the site (it is shared), owners' ranks (94 shards, one box).

--- a/crates/hollyspoke/src/layout.rs
+++ b/crates/hollyspoke/src/layout.rs
@@ -2,14 +2,19 @@
 
 use std::collections::BTreeMap;
 
-use crate::pool::{self, ShardId};
-use crate::site::{Kind, ServiceId, Site, UpstreamId};
+use crate::pool::ShardId;
+use crate::site::{Engine, Kind, ServiceId, Site, UpstreamId};
+
+/// The most engines in one shard.
+pub const SHARD_ENGINES: usize = 32;
 
 /// A site's shards and addresses.
 #[derive(Debug, Clone, Default)]
 pub struct Layout {
     /// All shards.
     pub shards: Vec<ShardId>,
+    /// The places in the site's list of the engines of each shard.
+    engines: BTreeMap<ShardId, Vec<usize>>,
     /// The number of shards of each service that has engines.
     pub parts: BTreeMap<ServiceId, u16>,
     /// The address of each engine.
@@ -17,17 +22,47 @@
 }
 
 impl Layout {
-    /// Works out a site's layout.
+    /// Works out a site's layout. It is the same at every box that has the same site.
     pub fn new(site: &Site) -> Layout {
         let mut layout = Layout::default();
+        let mut of_service: BTreeMap<ServiceId, Vec<usize>> = BTreeMap::new();
+        for (place, engine) in site.engines.iter().enumerate() {
+            of_service.entry(ServiceId::of(&engine.service)).or_default().push(place);
+            layout.addresses.insert(engine.id(), engine.address.clone());
+        }
         for service in &site.services {
             let Kind::Engines { .. } = service.kind else { continue };
-            let id = service.id();
-            let parts = pool::shards(site, id).len() as u16;
-            layout.parts.insert(id, parts);
-            layout.shards.extend((0..parts).map(|part| ShardId { service: id, part }));
+            let engines = of_service.remove(&service.id()).unwrap_or_default();
+            layout.deal(site, service.id(), engines);
         }
-        layout.addresses = site.engines.iter().map(|it| (it.id(), it.address.clone())).collect();
         layout
     }
+
+    /// Gives the engines of a shard.
+    pub fn engines_of<'a>(
+        &'a self,
+        site: &'a Site,
+        shard: ShardId,
+    ) -> impl Iterator<Item = &'a Engine> {
+        let places = self.engines.get(&shard).map(Vec::as_slice).unwrap_or_default();
+        places.iter().filter_map(|&place| site.engines.get(place))
+    }
+
+    /// Deals a service's engines out to as few shards as may be.
+    fn deal(&mut self, site: &Site, service: ServiceId, mut engines: Vec<usize>) {
+        engines.sort_by(|&a, &b| {
+            let order =
+                |place: usize| (&site.engines[place].data_centre, &site.engines[place].name);
+            order(a).cmp(&order(b))
+        });
+        let parts = engines.len().div_ceil(SHARD_ENGINES).max(1) as u16;
+        self.parts.insert(service, parts);
+        for part in 0..parts {
+            let shard = ShardId { service, part };
+            self.shards.push(shard);
+            // Dealing in turn gives every shard some engines of each data centre and role.
+            let mine = engines.iter().skip(usize::from(part)).step_by(usize::from(parts));
+            self.engines.insert(shard, mine.copied().collect());
+        }
+    }
 }
--- a/crates/hollyspoke/src/node.rs
+++ b/crates/hollyspoke/src/node.rs
@@ -525,7 +525,7 @@
         }
         self.layout = Layout::new(&offered.site);
         for pool in self.pools.values_mut() {
-            pool.configure(&offered.site);
+            pool.configure(&offered.site, &self.layout);
         }
         self.update_owners();
         let note = format!("version {} of site {} is in force", offered.version, offered.site.name);
@@ -572,7 +572,7 @@
         }
         for (&shard, &owner) in &self.owners {
             if owner == self.me && !self.pools.contains_key(&shard) {
-                self.pools.insert(shard, Pool::new(self.now, shard, &site.site));
+                self.pools.insert(shard, Pool::new(self.now, shard, &site.site, &self.layout));
             }
         }
     }
--- a/crates/hollyspoke/src/pool.rs
+++ b/crates/hollyspoke/src/pool.rs
@@ -15,6 +15,7 @@
 use crate::event::Report;
 use crate::health::{self, Health};
 use crate::key::{Incarnation, Ticket};
+use crate::layout::Layout;
 use crate::message::{Ask, End, Grant, Message, Stage};
 use crate::node::Context;
 use crate::outcome::Refusal;
@@ -22,9 +23,6 @@
 use crate::site::{DataCentreId, Kind, Role, ServiceId, Site, UpstreamId};
 use crate::time::Time;
 
-/// The most engines in one shard.
-pub const SHARD_ENGINES: usize = 32;
-
 /// How long a new owner waits for the fronts before it grants.
 pub const SETTLE: Duration = Duration::from_millis(600);
 
@@ -65,20 +63,6 @@
     }
 }
 
-/// Lists a service's engines in shards, in an order that all boxes share.
-pub fn shards(site: &Site, service: ServiceId) -> Vec<Vec<UpstreamId>> {
-    let mut engines: Vec<_> =
-        site.engines.iter().filter(|it| ServiceId::of(&it.service) == service).collect();
-    engines.sort_by(|a, b| (&a.data_centre, &a.name).cmp(&(&b.data_centre, &b.name)));
-    let parts = engines.len().div_ceil(SHARD_ENGINES).max(1);
-    let mut shards = vec![Vec::new(); parts];
-    for (place, engine) in engines.iter().enumerate() {
-        // Dealing in turn gives every shard some engines of each data centre and role.
-        shards[place % parts].push(engine.id());
-    }
-    shards
-}
-
 /// One engine in the ledger.
 #[derive(Debug, Clone)]
 pub struct Engine {
@@ -202,7 +186,7 @@
 
 impl Pool {
     /// Makes the ledger of a shard which this box has come to own.
-    pub fn new(now: Time, shard: ShardId, site: &Site) -> Pool {
+    pub fn new(now: Time, shard: ShardId, site: &Site, layout: &Layout) -> Pool {
         let mut pool = Pool {
             shard,
             since: now,
@@ -217,16 +201,14 @@
             polled: None,
             answer_share: FIRST_ANSWER_SHARE,
         };
-        pool.configure(site);
+        pool.configure(site, layout);
         pool
     }
 
     /// Takes over a new version of the site, keeping what is known of engines that stay.
-    pub fn configure(&mut self, site: &Site) {
-        let shards = shards(site, self.shard.service);
-        let members = shards.get(usize::from(self.shard.part)).cloned().unwrap_or_default();
+    pub fn configure(&mut self, site: &Site, layout: &Layout) {
         let mut engines = BTreeMap::new();
-        for engine in members.iter().filter_map(|&id| site.engine(id)) {
+        for engine in layout.engines_of(site, self.shard) {
             let mut fresh = Engine::new(engine);
             if let Some(known) = self.engines.remove(&engine.id()) {
                 fresh = Engine {
