Send each box's own heartbeat to every other, and introduce boxes to each other

Cause: at 75 boxes, heartbeats passed on to three others with 64 of them in each took live boxes for dead ten times in a minute, and cost 6.1 KB/s of the 8 KB/s a daemon has. A second cause came up on the way: a box that got a gossip from one it did not know had no address to ask it back at, so that large sites found each other only through their seeds.

Tried and dropped: passing on the 24 or 32 heartbeats that advanced last (worse: the same few go round).

Now a box sends its own heartbeat to all, everything it knows to one at random, and a new box is told of all others and tells each of itself.

--- a/crates/hollyspoke-model/src/world.rs
+++ b/crates/hollyspoke-model/src/world.rs
@@ -223,6 +223,8 @@
     pub ledger: Ledger,
     /// The requests' records.
     pub records: Vec<Record>,
+    /// What boxes noted for operators, and when.
+    pub notes: Vec<(Time, String)>,
     /// Prompt tokens whose stream was generated.
     pub useful_tokens: u64,
     /// The site that the store has accepted.
@@ -255,6 +257,7 @@
             network: Network::default(),
             ledger: Ledger::default(),
             records: Vec::new(),
+            notes: Vec::new(),
             useful_tokens: 0,
             site: Arc::new(Versioned { version: 1, site }),
             dropped: BTreeSet::new(),
@@ -468,7 +471,7 @@
             }
             Effect::Fetch => self.show_site(front),
             Effect::Record(record) => self.records.push(*record),
-            Effect::Note(_) => {}
+            Effect::Note(note) => self.notes.push((self.now, note)),
             Effect::Exit => self.stop(front.0),
         }
     }
--- a/crates/hollyspoke/src/member.rs
+++ b/crates/hollyspoke/src/member.rs
@@ -13,11 +13,11 @@
 use crate::site::DataCentreId;
 use crate::time::Time;
 
-/// How often a box gossips.
+/// How often a box gossips in a small site.
 pub const BEAT: Duration = Duration::from_millis(500);
 
-/// How many boxes a gossip goes to.
-pub const FANOUT: usize = 3;
+/// How often a box gossips in a large site.
+pub const LARGE_BEAT: Duration = Duration::from_millis(800);
 
 /// How long a counter may stand still before its box is taken for dead.
 pub const DEAD_AFTER: Duration = Duration::from_secs(3);
--- a/crates/hollyspoke/src/node.rs
+++ b/crates/hollyspoke/src/node.rs
@@ -39,8 +39,11 @@
 /// How often unknown boxes among the seeds and in the platform's list are greeted.
 pub const GREET: Duration = Duration::from_secs(2);
 
-/// The boxes up to which every gossip goes to all of them.
-pub const GOSSIP_TO_ALL: usize = 8;
+/// The boxes up to which every gossip tells all boxes of all others.
+pub const SMALL_SITE: usize = 8;
+
+/// The boxes to which a new configuration is passed on at once; gossip brings it to the rest.
+pub const PASS_ON_TO: usize = 8;
 
 /// The most heartbeats in one gossip.
 pub const MOST_BEATS: usize = 64;
@@ -324,7 +327,13 @@
             }
             Event::Seen(entry) => {
                 self.config.hear_peer(self.now);
+                let (new, is_new) = (entry.incarnation, self.members.is_dead(entry.incarnation));
                 self.learn(vec![entry]);
+                if is_new {
+                    // A box that has just started learns of all others at once.
+                    let known = self.members.alive().cloned().collect();
+                    self.send(new, Message::Entries(known));
+                }
             }
             Event::Listed(listed) => self.listed = listed,
             Event::Site(offered) => {
@@ -403,7 +412,7 @@
     /// Does what is due.
     fn tick(&mut self) {
         let now = self.now;
-        if self.gossiped.is_none_or(|at| now.since(at) >= member::BEAT) {
+        if self.gossiped.is_none_or(|at| now.since(at) >= self.beat_period()) {
             self.gossiped = Some(now);
             self.beat();
         }
@@ -427,26 +436,43 @@
             self.out.effects.push(Effect::Fetch);
         }
         self.greet();
+        self.gossip_out();
+    }
+
+    /// Sends this box's heartbeat to every other box, and what it knows of others to some.
+    ///
+    /// In a large site only one other box, at random, gets what is known of others: that lets
+    /// boxes find each other, and it is each box's own heartbeat that keeps it alive. Passing
+    /// heartbeats on to a few instead of sending one's own to all was tried with 75 boxes: live
+    /// ones were taken for dead.
+    fn gossip_out(&mut self) {
+        let others = self.others();
+        let Some(last) = others.len().checked_sub(1) else { return };
         let message = self.my_gossip();
-        for to in self.gossip_targets() {
-            self.send(to, message.clone());
+        let chosen = self.random.random_range(0..=last);
+        let own = match &message {
+            Message::Gossip { beats, site_version } => Message::Gossip {
+                beats: beats.iter().take(1).copied().collect(),
+                site_version: *site_version,
+            },
+            _ => return,
+        };
+        let small = others.len() < SMALL_SITE;
+        for (place, to) in others.into_iter().enumerate() {
+            let whole = small || place == chosen;
+            self.send(to, if whole { message.clone() } else { own.clone() });
         }
     }
 
-    /// Chooses whom to gossip with.
-    fn gossip_targets(&mut self) -> Vec<Incarnation> {
-        let me = self.me;
-        let mut others: Vec<Incarnation> =
-            self.members.alive().map(|it| it.incarnation).filter(|it| *it != me).collect();
-        if others.len() < GOSSIP_TO_ALL {
-            return others;
-        }
-        for place in 0..member::FANOUT {
-            let other = self.random.random_range(place..others.len());
-            others.swap(place, other);
-        }
-        others.truncate(member::FANOUT);
-        others
+    /// Gives how often this box gossips.
+    fn beat_period(&self) -> Duration {
+        let small = self.members.alive().count() <= SMALL_SITE;
+        if small { member::BEAT } else { member::LARGE_BEAT }
+    }
+
+    /// Gives all other boxes alive.
+    fn others(&self) -> Vec<Incarnation> {
+        self.members.alive().map(|it| it.incarnation).filter(|it| *it != self.me).collect()
     }
 
     /// Makes a gossip: this box's heartbeat and those of some others.
@@ -471,8 +497,7 @@
             }
         }
         if !unknown.is_empty() {
-            let mine = vec![self.members.my_entry().clone()];
-            self.reply_unknown(from, unknown, mine);
+            self.send(from, Message::EntriesWanted(unknown));
         }
         self.config.hear_version(now, site_version);
         let mine = self.config.current().version;
@@ -485,17 +510,15 @@
         self.update_owners();
     }
 
-    /// Asks for the entries of unknown boxes, and names this one in case it is unknown too.
-    fn reply_unknown(&mut self, from: Incarnation, unknown: Vec<Incarnation>, mine: Vec<Entry>) {
-        self.send(from, Message::EntriesWanted(unknown));
-        self.send(from, Message::Entries(mine));
-    }
-
     /// Takes entries of boxes.
     fn learn(&mut self, entries: Vec<Entry>) {
         for entry in entries {
             let (name, address) = (entry.name.clone(), entry.peer_address.clone());
+            let new = entry.incarnation;
             if self.members.learn(self.now, entry) {
+                // The new box can't answer one that it does not know.
+                let mine = vec![self.members.my_entry().clone()];
+                self.send(new, Message::Entries(mine));
                 self.out.effects.push(Effect::Note(format!("box {name} joined at {address}")));
             }
         }
@@ -535,7 +558,7 @@
             .alive()
             .filter(|it| it.incarnation != self.me)
             .map(|it| it.incarnation)
-            .take(GOSSIP_TO_ALL)
+            .take(PASS_ON_TO)
             .collect();
         for to in near {
             self.send(to, Message::Site(offered.clone()));
@@ -655,9 +678,7 @@
     fn tell_all(&mut self) {
         self.members.beat(self.now, self.front.home.epoch(), self.my_state());
         let message = self.my_gossip();
-        let others: Vec<Incarnation> =
-            self.members.alive().map(|it| it.incarnation).filter(|it| *it != self.me).collect();
-        for to in others {
+        for to in self.others() {
             self.send(to, message.clone());
         }
     }
