Keep a daemon's control traffic under 8 KB/s by payload at the size to design for

Cause: the digests of a prompt's leading blocks were more than half of an ask (8 digests of 9 bytes), and a heartbeat went to 74 boxes every 0.8 s.

The ask now carries digests of the first 1, 2, 4, 8, 16, 32 blocks in 32 bits, and a large site's beat is 1 s.

Headers of the calls that carry the messages are not counted.

--- a/crates/hollyspoke/src/admission.rs
+++ b/crates/hollyspoke/src/admission.rs
@@ -379,7 +379,9 @@
 /// Gives the time an engine needs for a prompt, less what its cache is believed to hold.
 fn prefill_time(engine: &Engine, ask: &Ask) -> Duration {
     let known = ask.prefix.iter().take_while(|it| engine.prefixes.contains_key(it)).count();
-    let cached = (known as u32 * BLOCK_TOKENS).min(ask.prompt_tokens.saturating_sub(1));
+    // The digests stand for 1, 2, 4, 8, … blocks.
+    let blocks = if known == 0 { 0 } else { 1 << (known - 1).min(16) };
+    let cached = (blocks * BLOCK_TOKENS).min(ask.prompt_tokens.saturating_sub(1));
     let tokens = f64::from(ask.prompt_tokens - cached);
     seconds(tokens * engine.slowness / engine.prefill_rate.max(1.0))
 }
--- a/crates/hollyspoke/src/generate.rs
+++ b/crates/hollyspoke/src/generate.rs
@@ -425,7 +425,7 @@
 /// Makes the question for a request.
 fn question(cx: &Context<'_>, request: &Request, shard: ShardId, ticket: Ticket) -> Ask {
     let (prompt_tokens, max_tokens, prefix) = match &request.arrival.work {
-        Work::Generate(work) => (work.prompt_tokens, work.max_tokens, work.prefix.clone()),
+        Work::Generate(work) => (work.prompt_tokens, work.max_tokens, sample(&work.prefix)),
         Work::Call(_) => (0, 0, Vec::new()),
     };
     let target = first_token_target(cx, request.service);
@@ -445,6 +445,13 @@
     }
 }
 
+/// Gives the digests of the first 1, 2, 4, 8, … blocks: a few bytes tell the owner about how much
+/// of a prompt an engine may know.
+fn sample(prefix: &[u64]) -> Vec<u32> {
+    let sampled = prefix.iter().enumerate().filter(|(place, _)| (place + 1).is_power_of_two());
+    sampled.map(|(_, digest)| *digest as u32).collect()
+}
+
 /// Gives a service's target for the first token.
 fn first_token_target(cx: &Context<'_>, service: ServiceId) -> Duration {
     match cx.site.service(service).map(|it| &it.kind) {
--- a/crates/hollyspoke/src/member.rs
+++ b/crates/hollyspoke/src/member.rs
@@ -17,7 +17,7 @@
 pub const BEAT: Duration = Duration::from_millis(500);
 
 /// How often a box gossips in a large site.
-pub const LARGE_BEAT: Duration = Duration::from_millis(800);
+pub const LARGE_BEAT: Duration = Duration::from_secs(1);
 
 /// How long a counter may stand still before its box is taken for dead.
 pub const DEAD_AFTER: Duration = Duration::from_secs(3);
--- a/crates/hollyspoke/src/message.rs
+++ b/crates/hollyspoke/src/message.rs
@@ -97,8 +97,8 @@
     pub prompt_tokens: u32,
     /// The most tokens that may be generated.
     pub max_tokens: u32,
-    /// Digests of the prompt's leading blocks, the shortest prefix first.
-    pub prefix: Vec<u64>,
+    /// Digests of the prompt's first 1, 2, 4, 8, … blocks.
+    pub prefix: Vec<u32>,
     /// The class, the lowest number first.
     pub class: u8,
     /// The tenant.
--- a/crates/hollyspoke/src/pool.rs
+++ b/crates/hollyspoke/src/pool.rs
@@ -93,7 +93,7 @@
     /// Its health.
     pub health: Health,
     /// When each prefix was last computed here; a hint that ages.
-    pub prefixes: BTreeMap<u64, Time>,
+    pub prefixes: BTreeMap<u32, Time>,
     /// Failed polls in a row.
     pub silent_polls: u32,
 }
