Order engines' models, adapters and roles under a lease in the store

One box of each data centre holds the lease and orders what an engine's report shows to differ from the site's file, two orders at a time. Its token is the object's version. The holder counts its time from when it sent the write and stops a second early; another takes over after it has seen one version stand for the whole time by its own clock. Engines that compare tokens refuse older ones; for the others a new holder waits out the longest order, and no order is begun that could outlast the lease.

Not covered: a holder that is paused between its look at the clock and the sending itself, with an engine that compares nothing, beyond the longest order.

--- a/crates/hollyspoke-daemon/src/shell.rs
+++ b/crates/hollyspoke-daemon/src/shell.rs
@@ -241,6 +241,9 @@
                     inputs.put(upstream::polled(client, engine, address).await);
                 });
             }
+            Effect::Order { address, token, order } => {
+                tokio::spawn(upstream::order(client, self.log.clone(), address, token, order));
+            }
             Effect::Call { ticket, key, address, call, timeout, repeatable } => {
                 let call = PlainCall { ticket, key, address, call: *call, timeout, repeatable };
                 self.begin(ticket, upstream::call(client, inputs, call));
--- a/crates/hollyspoke-daemon/src/upstream.rs
+++ b/crates/hollyspoke-daemon/src/upstream.rs
@@ -4,16 +4,19 @@
 
 use bytes::Bytes;
 use futures::StreamExt;
+use hollyspoke::effect::Order;
 use hollyspoke::event::{Answer, Call, Event, Generate, Reply, Report};
 use hollyspoke::key::{Key, Ticket};
+use hollyspoke::orders::LONGEST_ORDER;
 use hollyspoke::outcome::Trace;
 use hollyspoke_wire::caller;
 use hollyspoke_wire::engine::{
-    self, Cancel, Decode, Empty, Import, Line, Load, Prefill, Prefilled,
+    self, Cancel, Decode, Empty, FencedOrder, Import, Line, Load, Prefill, Prefilled,
 };
 use hollyspoke_wire::http::{CallError, Client, read_whole};
 use http::{HeaderName, HeaderValue, Request};
 use http_body_util::Full;
+use slog::{Logger, warn};
 
 use crate::shell::{Input, Inputs};
 
@@ -127,6 +130,18 @@
     }
 }
 
+/// Gives an engine an order. Whether it was carried out shows in the engine's next report.
+pub async fn order(client: Client, log: Logger, address: String, token: u64, order: Order) {
+    let url = format!("http://{address}/v1/orders");
+    let body = FencedOrder { token, role: order.role, load: order.load };
+    let call = client.post::<Empty>(&url, &body);
+    match tokio::time::timeout(LONGEST_ORDER, call).await {
+        Ok(Ok(Empty {})) => {}
+        Ok(Err(error)) => warn!(log, "an order failed"; "engine" => address, "error" => %error),
+        Err(_) => warn!(log, "an order took too long"; "engine" => address),
+    }
+}
+
 /// Asks an engine for its report.
 pub async fn poll(client: &Client, address: &str) -> Option<Report> {
     let url = format!("http://{address}/v1/report");
--- a/crates/hollyspoke-model/src/world.rs
+++ b/crates/hollyspoke-model/src/world.rs
@@ -454,6 +454,8 @@
                     self.put(self.now + CALL, Due::Cancelled(engine, ticket));
                 }
             }
+            // Engines of this world take no orders, and report no state that would call for one.
+            Effect::Order { .. } => {}
             Effect::Poll { engine, .. } => self.poll(front, engine),
             Effect::Call { ticket, call, .. } => {
                 let text = String::from_utf8_lossy(&call.body).into_owned();
@@ -657,7 +659,7 @@
     fn poll(&mut self, front: (usize, u64), engine: UpstreamId) {
         let report = self.engines.get(&engine).filter(|it| !it.dead && self.reports).map(|it| {
             let streams = it.held.keys().copied().collect();
-            Report { used_tokens: it.used(), streams, leaving: false }
+            Report { used_tokens: it.used(), streams, leaving: false, state: None }
         });
         let after = if report.is_some() { CALL * 2 } else { Duration::from_millis(800) };
         self.event(after, front, Event::Polled { engine, report });
--- a/crates/hollyspoke-standin/src/engine.rs
+++ b/crates/hollyspoke-standin/src/engine.rs
@@ -16,7 +16,10 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use futures::stream;
-use hollyspoke_wire::engine::{Cancel, Decode, Empty, Import, Line, Load, Prefill, Prefilled};
+use hollyspoke::site::Role;
+use hollyspoke_wire::engine::{
+    Cancel, Decode, Empty, FencedOrder, Import, Line, Load, Prefill, Prefilled,
+};
 use hollyspoke_wire::http::Client;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Semaphore;
@@ -35,6 +38,8 @@
     pub token_time: Duration,
     /// How long a prefill result is kept.
     pub result_life: Duration,
+    /// Whether it takes orders, and then whether it compares their tokens.
+    pub orders: Option<bool>,
 }
 
 impl Default for Settings {
@@ -44,6 +49,7 @@
             prefill_rate: 20_000,
             token_time: Duration::from_millis(2),
             result_life: Duration::from_secs(3),
+            orders: None,
         }
     }
 }
@@ -91,6 +97,12 @@
     pub decodes_of: BTreeMap<String, u64>,
     /// Milliseconds since the last prefill or import began, if any did.
     pub idle_ms: Option<u64>,
+    /// The tokens of the orders carried out, in order.
+    pub orders: Vec<u64>,
+    /// The tokens of the orders refused.
+    pub orders_refused: Vec<u64>,
+    /// What it has loaded.
+    pub loaded: Vec<String>,
 }
 
 /// What an engine holds for a stream.
@@ -115,6 +127,8 @@
     ledger: Ledger,
     /// When the last prefill or import began.
     last_work: Option<Instant>,
+    /// Its role by the last order; it works in any role all the same.
+    role: Option<Role>,
 }
 
 impl Inner {
@@ -164,6 +178,7 @@
             .route("/v1/import", post(import))
             .route("/v1/decode", post(decode))
             .route("/v1/cancel", post(cancel))
+            .route("/v1/orders", post(take_order))
             .route("/v1/report", get(report))
             .route("/standin/faults", post(set_faults))
             .route("/standin/ledger", get(ledger))
@@ -398,7 +413,29 @@
 async fn report(State(engine): State<Engine>) -> Json<Load> {
     let ledger = engine.ledger();
     let leaving = engine.faults().leaving;
-    Json(Load { used_tokens: ledger.used_tokens, streams: ledger.streams, leaving })
+    let role = engine.settings.orders.map(|_| engine.lock().role.unwrap_or(Role::Both));
+    let (used_tokens, streams, loaded) = (ledger.used_tokens, ledger.streams, ledger.loaded);
+    Json(Load { used_tokens, streams, leaving, role, loaded })
+}
+
+/// Takes an order.
+async fn take_order(
+    State(engine): State<Engine>,
+    Json(order): Json<FencedOrder>,
+) -> Result<Json<Empty>, Response> {
+    let Some(checks) = engine.settings.orders else {
+        return Err(StatusCode::NOT_FOUND.into_response());
+    };
+    let mut inner = engine.lock();
+    let highest = inner.ledger.orders.iter().copied().max().unwrap_or(0);
+    if checks && order.token < highest {
+        inner.ledger.orders_refused.push(order.token);
+        return Err(StatusCode::PRECONDITION_FAILED.into_response());
+    }
+    inner.ledger.orders.push(order.token);
+    inner.ledger.loaded = order.load;
+    inner.role = Some(order.role);
+    Ok(Json(Empty {}))
 }
 
 /// Sets what goes wrong.
--- a/crates/hollyspoke-standin/src/main.rs
+++ b/crates/hollyspoke-standin/src/main.rs
@@ -50,5 +50,12 @@
     if let Some(millis) = arguments.opt_value_from_str("--token-ms")? {
         settings.token_time = Duration::from_millis(millis);
     }
+    let orders: Option<String> = arguments.opt_value_from_str("--orders")?;
+    settings.orders = match orders.as_deref() {
+        None => None,
+        Some("checked") => Some(true),
+        Some("unchecked") => Some(false),
+        Some(other) => bail!("--orders is `checked` or `unchecked`, not `{other}`"),
+    };
     Ok(Engine::new(settings).router())
 }
--- a/crates/hollyspoke-wire/src/engine.rs
+++ b/crates/hollyspoke-wire/src/engine.rs
@@ -2,8 +2,9 @@
 
 use bytes::Bytes;
 use futures::{Stream, StreamExt, stream};
-use hollyspoke::event::Report;
+use hollyspoke::event::{EngineState, Report};
 use hollyspoke::key::Ticket;
+use hollyspoke::site::Role;
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -14,6 +15,9 @@
 /// The status with which a decode engine says that it has no room.
 pub const STATUS_FULL: u16 = 409;
 
+/// The status with which an engine refuses an order of an older token.
+pub const STATUS_FENCED: u16 = 412;
+
 /// The longest line of a stream, in bytes.
 const MOST_LINE: usize = 64 * 1024;
 
@@ -86,6 +90,18 @@
     pub stream: String,
 }
 
+/// `POST /v1/orders`: be of a role and load models and adapters. An engine that compares tokens
+/// answers one below the highest it has seen with the status [`STATUS_FENCED`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct FencedOrder {
+    /// The fencing token.
+    pub token: u64,
+    /// The role.
+    pub role: Role,
+    /// The model and adapters to have loaded.
+    pub load: Vec<String>,
+}
+
 /// An answer that says nothing.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Empty {}
@@ -100,13 +116,20 @@
     /// Whether it is leaving.
     #[serde(default)]
     pub leaving: bool,
+    /// Its role, where it takes orders.
+    #[serde(default)]
+    pub role: Option<Role>,
+    /// What it has loaded, where it takes orders.
+    #[serde(default)]
+    pub loaded: Vec<String>,
 }
 
 impl Load {
     /// Gives the report for the reducer; streams that are not the router's are left out.
     pub fn report(&self) -> Report {
         let streams = self.streams.iter().filter_map(|it| it.parse::<Ticket>().ok()).collect();
-        Report { used_tokens: self.used_tokens, streams, leaving: self.leaving }
+        let state = self.role.map(|role| EngineState { role, loaded: self.loaded.clone() });
+        Report { used_tokens: self.used_tokens, streams, leaving: self.leaving, state }
     }
 }
 
--- a/crates/hollyspoke/src/config.rs
+++ b/crates/hollyspoke/src/config.rs
@@ -103,11 +103,14 @@
         had_peers && !self.store_reachable && now.since(self.connected) > ISOLATION_LIMIT
     }
 
+    /// Tells whether this box is the first of its data centre, the one that orders its engines.
+    pub fn is_first(&self, me: Incarnation, members: &Table) -> bool {
+        first_boxes(members).first() == Some(&me)
+    }
+
     /// Decides whether the box should hold the watch; gives the answer when it changes.
     pub fn watch_change(&mut self, me: Incarnation, members: &Table) -> Option<bool> {
-        let mut boxes = members.live_in(members.my_data_centre());
-        rank::order(rank::weight(0, members.my_data_centre().0), &mut boxes, |it| it.0);
-        let should = boxes.iter().take(WATCHERS).any(|&it| it == me);
+        let should = first_boxes(members).iter().take(WATCHERS).any(|&it| it == me);
         if should == self.watching {
             return None;
         }
@@ -124,3 +127,11 @@
         true
     }
 }
+
+/// Ranks the boxes of this box's data centre for the duties that only some of them have.
+fn first_boxes(members: &Table) -> Vec<Incarnation> {
+    let near = members.my_data_centre();
+    let mut boxes = members.live_in(near);
+    rank::order(rank::weight(0, near.0), &mut boxes, |it| it.0);
+    boxes
+}
--- a/crates/hollyspoke/src/effect.rs
+++ b/crates/hollyspoke/src/effect.rs
@@ -9,7 +9,7 @@
 use crate::key::{Incarnation, Key, Ticket};
 use crate::message::Message;
 use crate::outcome::Problem;
-use crate::site::UpstreamId;
+use crate::site::{Role, UpstreamId};
 use crate::store;
 
 /// One thing to do. Effects are carried out in the order given.
@@ -73,6 +73,15 @@
         /// Its address.
         address: String,
     },
+    /// Give an engine an order.
+    Order {
+        /// The engine's address.
+        address: String,
+        /// The fencing token.
+        token: u64,
+        /// The order.
+        order: Order,
+    },
     /// Call a plain service's upstream.
     Call {
         /// The attempt.
@@ -114,6 +123,15 @@
     Exit,
 }
 
+/// What an engine should be.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// Its role.
+    pub role: Role,
+    /// The model and the adapters that it should have loaded.
+    pub load: Vec<String>,
+}
+
 /// What is said to a caller. `Token`s are followed by `Finished` or `Problem`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum CallerReply {
--- a/crates/hollyspoke/src/event.rs
+++ b/crates/hollyspoke/src/event.rs
@@ -9,7 +9,7 @@
 use crate::member::Entry;
 use crate::message::Message;
 use crate::outcome::Trace;
-use crate::site::UpstreamId;
+use crate::site::{Role, UpstreamId};
 use crate::store;
 
 /// One thing that happened.
@@ -178,6 +178,17 @@
     pub streams: Vec<Ticket>,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Its role and what it has loaded, where it takes orders.
+    pub state: Option<EngineState>,
+}
+
+/// What an engine that takes orders is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineState {
+    /// Its role.
+    pub role: Role,
+    /// The models and adapters that it has loaded.
+    pub loaded: Vec<String>,
 }
 
 /// A box in the platform's list, which lags.
--- /dev/null
+++ b/crates/hollyspoke/src/lease.rs
@@ -0,0 +1,178 @@
+//! A lease in the platform's store, with the object's version as its fencing token.
+//!
+//! The holder stops by its own clock before the lease can lapse for anybody else: its time counts
+//! from the moment it sent the write, and ends [`MARGIN`] early. Another box takes the lease over
+//! only after it has seen the same version stand for the lease's whole time by its own clock. No
+//! box's wall clock matters.
+
+use std::time::Duration;
+
+use crate::key::Incarnation;
+use crate::node::Context;
+use crate::store::{Answer, Operation};
+use crate::time::Time;
+
+/// How long a lease holds after its last write.
+pub const TTL: Duration = Duration::from_secs(9);
+
+/// How much earlier its holder stops.
+pub const MARGIN: Duration = Duration::from_secs(1);
+
+/// How often a holder renews.
+pub const RENEW: Duration = Duration::from_secs(3);
+
+/// How long to wait after no answer or a conflict.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// The kind of the objects.
+const KIND: &str = "leases";
+
+/// A lease that this box holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Held {
+    /// The fencing token: the version of the last write.
+    pub token: u64,
+    /// Until when it holds, by this box's own clock.
+    pub until: Time,
+    /// Since when this box has held it without a break.
+    pub since: Time,
+}
+
+/// What is under way with the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Flight {
+    /// Nothing until a time.
+    Rest(Time),
+    /// A read.
+    Get(u64),
+    /// A write, and when it was sent.
+    Put(u64, Time),
+}
+
+/// What was last seen in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Seen {
+    /// The version.
+    version: u64,
+    /// Since when it has stood, by this box's own clock.
+    since: Time,
+}
+
+/// One lease, as one box sees it.
+#[derive(Debug, Clone)]
+pub struct Lease {
+    /// The object's name.
+    name: String,
+    /// The lease, while this box holds it.
+    held: Option<Held>,
+    /// What was last seen.
+    seen: Option<Seen>,
+    /// What is under way.
+    flight: Flight,
+    /// When the last write was sent whose answer never came.
+    unanswered: Option<Time>,
+}
+
+impl Lease {
+    /// Makes a lease that this box does not hold.
+    pub fn new(now: Time, name: String) -> Lease {
+        Lease { name, held: None, seen: None, flight: Flight::Rest(now), unanswered: None }
+    }
+
+    /// Gives the lease if this box holds it now, by its own clock.
+    pub fn held(&self, now: Time) -> Option<Held> {
+        self.held.filter(|it| now < it.until)
+    }
+
+    /// Tries to take or to renew the lease, where this box should hold it.
+    pub fn tick(&mut self, cx: &mut Context<'_>, wanted: bool) {
+        let now = cx.now;
+        if self.held.is_some_and(|it| now >= it.until) {
+            self.held = None;
+        }
+        if !wanted {
+            return;
+        }
+        if matches!(self.flight, Flight::Rest(until) if until <= now) {
+            self.flight = Flight::Get(cx.store(self.get()));
+        }
+    }
+
+    /// Takes an answer of the store, if it is to this lease.
+    pub fn answer(&mut self, cx: &mut Context<'_>, number: u64, answer: &Answer) {
+        match self.flight {
+            Flight::Get(it) if it == number => self.read(cx, answer),
+            Flight::Put(it, sent) if it == number => self.written(cx.now, sent, answer),
+            Flight::Rest(_) | Flight::Get(_) | Flight::Put(..) => {}
+        }
+    }
+
+    /// Takes the answer to a read: writes if the lease is this box's or free.
+    fn read(&mut self, cx: &mut Context<'_>, answer: &Answer) {
+        let now = cx.now;
+        let (version, holder) = match answer {
+            Answer::Found { version, value } => (*version, value.parse::<Incarnation>().ok()),
+            Answer::Absent => (0, None),
+            Answer::Written { .. } | Answer::Conflict | Answer::Away => {
+                self.flight = Flight::Rest(now + PAUSE);
+                return;
+            }
+        };
+        let mine = holder == Some(cx.me);
+        if mine && let Some(sent) = self.unanswered.take() {
+            // The write whose answer was lost has taken effect.
+            self.hold(now, version, sent);
+        }
+        let stood = match self.seen {
+            Some(seen) if seen.version == version => now.since(seen.since),
+            Some(_) | None => {
+                self.seen = Some(Seen { version, since: now });
+                Duration::ZERO
+            }
+        };
+        let free = version == 0 || mine || stood >= TTL + MARGIN;
+        if !free {
+            self.flight = Flight::Rest(now + PAUSE);
+            return;
+        }
+        let operation = Operation::Put {
+            kind: KIND.to_owned(),
+            name: self.name.clone(),
+            expected: version,
+            value: cx.me.to_string(),
+        };
+        self.flight = Flight::Put(cx.store(operation), now);
+    }
+
+    /// Takes the answer to a write.
+    fn written(&mut self, now: Time, sent: Time, answer: &Answer) {
+        match answer {
+            Answer::Written { version } => {
+                self.unanswered = None;
+                self.hold(now, *version, sent);
+                self.flight = Flight::Rest(now + RENEW);
+            }
+            Answer::Away => {
+                self.unanswered = Some(sent);
+                self.flight = Flight::Rest(now + PAUSE);
+            }
+            Answer::Conflict | Answer::Found { .. } | Answer::Absent => {
+                self.held = None;
+                self.flight = Flight::Rest(now + PAUSE);
+            }
+        }
+    }
+
+    /// Holds the lease for its time from the moment the write was sent.
+    fn hold(&mut self, now: Time, version: u64, sent: Time) {
+        let until = sent + (TTL - MARGIN);
+        let since = self.held(now).map_or(now, |it| it.since);
+        self.seen = Some(Seen { version, since: now });
+        self.held = Some(Held { token: version, until, since });
+    }
+
+    /// Makes a read.
+    fn get(&self) -> Operation {
+        Operation::Get { kind: KIND.to_owned(), name: self.name.clone() }
+    }
+}
--- a/crates/hollyspoke/src/node.rs
+++ b/crates/hollyspoke/src/node.rs
@@ -17,6 +17,7 @@
 use crate::layout::Layout;
 use crate::member::{self, Beat, Entry, State, Table};
 use crate::message::Message;
+use crate::orders::Orders;
 use crate::pool::{Pool, ShardId};
 use crate::rank;
 use crate::site::{DataCentreId, Site, UpstreamId};
@@ -188,6 +189,8 @@
     front: Front,
     /// The shards that this box owns.
     pools: BTreeMap<ShardId, Pool>,
+    /// Orders to engines.
+    orders: Orders,
     /// Addresses of boxes to greet.
     seeds: Vec<String>,
     /// Addresses in the platform's list.
@@ -228,6 +231,7 @@
             owners_of: None,
             front: Front::new(Home::new(now, me)),
             pools: BTreeMap::new(),
+            orders: Orders::new(now, DataCentreId::of(&settings.data_centre)),
             seeds: settings.seeds,
             listed: Vec::new(),
             greeted: None,
@@ -319,6 +323,9 @@
                 self.front(|front, cx| front.upstream(cx, ticket, reply));
             }
             Event::Polled { engine, report } => {
+                if let Some(report) = &report {
+                    self.orders(|orders, cx| orders.report(cx, engine, report));
+                }
                 self.each_pool(|pool, cx| pool.report(cx, engine, report.clone()));
             }
             Event::Peer { from, message } => {
@@ -344,6 +351,7 @@
                 let reachable = answer != store::Answer::Away;
                 self.config.hear_store(self.now, reachable);
                 self.front(|front, cx| front.store(cx, number, &answer));
+                self.orders(|orders, cx| orders.answer(cx, number, &answer));
             }
             Event::StoreReachable(reachable) => self.config.hear_store(self.now, reachable),
             Event::Leave => self.leave(),
@@ -419,6 +427,8 @@
         self.update_owners();
         self.each_pool(Pool::tick);
         self.front(Front::tick);
+        let first = self.config.is_first(self.me, &self.members) && self.leaving.is_none();
+        self.orders(|orders, cx| orders.tick(cx, first));
         self.leave_further();
     }
 
@@ -727,6 +737,15 @@
         step(&mut self.front, &mut cx);
     }
 
+    /// Runs a step of the orders to engines.
+    fn orders(&mut self, step: impl FnOnce(&mut Orders, &mut Context<'_>)) {
+        let now = self.now;
+        let data_centre = self.members.my_data_centre();
+        let mut orders = std::mem::replace(&mut self.orders, Orders::new(now, data_centre));
+        self.front(|_, cx| step(&mut orders, cx));
+        self.orders = orders;
+    }
+
     /// Runs a step of one shard's ledger, if this box owns the shard.
     fn pool(&mut self, shard: ShardId, step: impl FnOnce(&mut Pool, &mut Context<'_>)) {
         let Some(mut pool) = self.pools.remove(&shard) else { return };
--- /dev/null
+++ b/crates/hollyspoke/src/orders.rs
@@ -0,0 +1,105 @@
+//! Orders to engines: models, adapters and roles, given by one box of each data centre.
+//!
+//! The box that holds its data centre's lease compares what engines report with what the site's
+//! file says, and orders the difference. Every order carries the lease's token. An engine that
+//! compares tokens refuses an older one. For one that does not, a new holder first waits until
+//! every order of the old one must have ended, and no order is begun that could outlast the lease.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::effect::{Effect, Order};
+use crate::event::Report;
+use crate::lease::Lease;
+use crate::node::Context;
+use crate::site::{DataCentreId, Engine, Kind, Site, UpstreamId};
+use crate::store::Answer;
+use crate::time::Time;
+
+/// The longest that an order may take on its way and at the engine.
+pub const LONGEST_ORDER: Duration = Duration::from_secs(3);
+
+/// How often the holder asks the engines of its data centre for their reports.
+pub const LOOK: Duration = Duration::from_secs(3);
+
+/// How many orders are under way at once, since the weights come at a limited rate.
+pub const MOST_ORDERS: usize = 2;
+
+/// The orders of one box.
+#[derive(Debug, Clone)]
+pub struct Orders {
+    /// The data centre's lease.
+    lease: Lease,
+    /// When engines were last asked for their reports.
+    looked: Option<Time>,
+    /// When each order under way was given.
+    given: BTreeMap<UpstreamId, Time>,
+}
+
+impl Orders {
+    /// Makes the orders of a box in a data centre.
+    pub fn new(now: Time, data_centre: DataCentreId) -> Orders {
+        let name = format!("orders-{:016x}", data_centre.0);
+        Orders { lease: Lease::new(now, name), looked: None, given: BTreeMap::new() }
+    }
+
+    /// Does what is due: the lease, and a look at the engines. `first` says whether this box is the
+    /// one of its data centre that should hold the lease.
+    pub fn tick(&mut self, cx: &mut Context<'_>, first: bool) {
+        let now = cx.now;
+        let near = cx.members.my_data_centre();
+        let here = |it: &&Engine| DataCentreId::of(&it.data_centre) == near;
+        let engines: Vec<&Engine> = cx.site.engines.iter().filter(here).collect();
+        self.lease.tick(cx, first && !engines.is_empty());
+        self.given.retain(|_, at| now.since(*at) < LONGEST_ORDER);
+        let due = self.looked.is_none_or(|at| now.since(at) >= LOOK);
+        if !due || self.lease.held(now).is_none() {
+            return;
+        }
+        self.looked = Some(now);
+        for engine in engines {
+            cx.effect(Effect::Poll { engine: engine.id(), address: engine.address.clone() });
+        }
+    }
+
+    /// Takes an answer of the store.
+    pub fn answer(&mut self, cx: &mut Context<'_>, number: u64, answer: &Answer) {
+        self.lease.answer(cx, number, answer);
+    }
+
+    /// Takes an engine's report, and orders what differs from the site's file.
+    pub fn report(&mut self, cx: &mut Context<'_>, id: UpstreamId, report: &Report) {
+        let now = cx.now;
+        let Some(held) = self.lease.held(now) else { return };
+        let Some(engine) = cx.site.engine(id) else { return };
+        let near = cx.members.my_data_centre();
+        if DataCentreId::of(&engine.data_centre) != near || engine.leaving {
+            return;
+        }
+        let Some(order) = difference(cx.site, engine, report) else { return };
+        let under_way = self.given.contains_key(&id) || self.given.len() >= MOST_ORDERS;
+        // The order must end while the lease still holds, whether or not the engine checks.
+        let too_late = now + LONGEST_ORDER > held.until;
+        let must_wait = !engine.checks_orders && now.since(held.since) < LONGEST_ORDER;
+        if under_way || too_late || must_wait {
+            return;
+        }
+        self.given.insert(id, now);
+        cx.note(format!("engine {} is ordered, token {}: {order:?}", engine.name, held.token));
+        let address = engine.address.clone();
+        cx.effect(Effect::Order { address, token: held.token, order });
+    }
+}
+
+/// Gives what an engine must be told to be as the site's file says.
+fn difference(site: &Site, engine: &Engine, report: &Report) -> Option<Order> {
+    let state = report.state.as_ref()?;
+    let service = site.services.iter().find(|it| it.name == engine.service)?;
+    let Kind::Engines { model, adapters, .. } = &service.kind else { return None };
+    let wanted: Vec<String> = std::iter::once(model).chain(adapters).cloned().collect();
+    let missing = wanted.iter().any(|it| !state.loaded.contains(it));
+    if state.role == engine.role && !missing {
+        return None;
+    }
+    Some(Order { role: engine.role, load: wanted })
+}
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -38,8 +38,10 @@
     pub prefill_rate: u64,
     /// How long a token takes, in milliseconds.
     pub token_ms: u64,
-    /// More of the site file.
+    /// More of the service of engines in the site file.
     pub more: String,
+    /// Whether the engines take orders; those that prefill then compare tokens, the others do not.
+    pub orders: bool,
 }
 
 impl Default for Plan {
@@ -53,6 +55,7 @@
             prefill_rate: 20_000,
             token_ms: 5,
             more: String::new(),
+            orders: false,
         }
     }
 }
@@ -124,13 +127,17 @@
         let platform = Process::standin("platform", &[])?;
         let (memory, rate) = (plan.memory_tokens.to_string(), plan.prefill_rate.to_string());
         let token = plan.token_ms.to_string();
-        let engine = || {
+        let orders = plan.orders;
+        let engine = |checks: bool| {
             let memory = ["--memory-tokens", &memory, "--prefill-tokens-per-second", &rate];
-            let arguments = [memory.as_slice(), &["--token-ms", &token]].concat();
+            let mut arguments = [memory.as_slice(), &["--token-ms", &token]].concat();
+            if orders {
+                arguments.extend(["--orders", if checks { "checked" } else { "unchecked" }]);
+            }
             Process::standin("engine", &arguments)
         };
-        let prefills = (0..plan.prefills).map(|_| engine()).collect::<eyre::Result<_>>()?;
-        let decodes = (0..plan.decodes).map(|_| engine()).collect::<eyre::Result<_>>()?;
+        let prefills = (0..plan.prefills).map(|_| engine(true)).collect::<eyre::Result<_>>()?;
+        let decodes = (0..plan.decodes).map(|_| engine(false)).collect::<eyre::Result<_>>()?;
         let services = (0..plan.services)
             .map(|_| Process::standin("service", &[]))
             .collect::<eyre::Result<_>>()?;
@@ -150,8 +157,10 @@
     pub fn add_box(&mut self) -> eyre::Result<()> {
         let number = self.boxes.len();
         let name = format!("box-{number}");
+        // Orders are a matter of one data centre.
+        let data_centre = if self.plan.orders { "north" } else { DATA_CENTRES[number % 3] };
         let mut arguments: Vec<String> = ["--name", &name, "--site", "test"].map(Into::into).into();
-        arguments.extend(["--data-centre".into(), DATA_CENTRES[number % 3].into()]);
+        arguments.extend(["--data-centre".into(), data_centre.into()]);
         arguments.extend(["--platform".into(), self.platform.address.clone()]);
         let seeds: Vec<&str> = self.boxes.iter().take(2).map(|it| it.peers.as_str()).collect();
         if !seeds.is_empty() {
@@ -180,13 +189,15 @@
         let engines = [named(&self.prefills, "prefill"), named(&self.decodes, "decode")].concat();
         for (place, (name, address, role)) in engines.iter().enumerate() {
             let leaving = self.leaving.contains(name);
-            let data_centre = DATA_CENTRES[place % 3];
+            let data_centre = if self.plan.orders { "north" } else { DATA_CENTRES[place % 3] };
+            let checks = role == "prefill";
             // Writing to a string does not fail.
             let _ = write!(
                 text,
                 "[[engine]]\nname = \"{name}\"\nservice = \"llm\"\ndata_centre = \"{data_centre}\"\n\
                  address = \"{address}\"\nrole = \"{role}\"\nmemory_tokens = {}\n\
-                 prefill_tokens_per_second = {}\ntoken_ms = {}\nleaving = {leaving}\n\n",
+                 prefill_tokens_per_second = {}\ntoken_ms = {}\nleaving = {leaving}\n\
+                 checks_orders = {checks}\n\n",
                 self.plan.memory_tokens, self.plan.prefill_rate, self.plan.token_ms
             );
         }
