--- a/crates/hollyspoke/src/pool.rs
+++ b/crates/hollyspoke/src/pool.rs
@@ -20,7 +20,7 @@
 use crate::node::Context;
 use crate::outcome::Refusal;
 use crate::rank;
-use crate::site::{DataCentreId, Kind, Role, ServiceId, Site, UpstreamId};
+use crate::site::{DataCentreId, Kind, Role, ServiceId, Site, TenantId, UpstreamId};
 use crate::time::Time;
 
 /// How long a new owner waits for the fronts before it grants.
@@ -411,6 +411,8 @@
         }
         while let Some((ticket, placement)) = admission::next(cx.now, cx.site, self) {
             let Some(waiting) = self.queue.remove(ticket) else { return };
+            let share = share_of(cx.site, waiting.ask.tenant);
+            self.queue.charge(waiting.ask.tenant, waiting.cost() / share);
             let grant = self.book(cx.now, &waiting, &placement);
             cx.send(ticket.front, Message::Granted(grant));
         }
@@ -431,7 +433,6 @@
             engine.reserved += u64::from(tokens);
         }
         self.links.insert(placement.link, placement.ready);
-        self.queue.charge(ask.tenant, waiting.cost());
         let grant = Grant {
             shard: self.shard,
             ticket: ask.ticket,
@@ -607,3 +608,9 @@
         }
     }
 }
+
+/// Gives a tenant's share against others; one that the site's file does not name has 1.
+fn share_of(site: &Site, tenant: TenantId) -> f64 {
+    let named = site.tenants.iter().find(|it| TenantId::of(&it.name) == tenant);
+    named.map_or(1.0, |it| it.share)
+}
