Split the three largest files by their jobs

No behaviour changes: promises.rs, gossip.rs, replay.rs, epochs.rs and json_lines.rs pass as before.

--- a/crates/hollyspoke-model/src/world.rs
+++ b/crates/hollyspoke-model/src/world.rs
@@ -1,26 +1,30 @@
 //! Boxes, engines, services, store, network and callers in one virtual time.
 
+mod action;
+mod upstream;
+
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use action::{Action, Sending, generate, hold};
+
 use hollyspoke::config::Versioned;
 use hollyspoke::effect::{CallerReply, Effect, Record};
-use hollyspoke::event::{Answer, Arrival, CallId, Event, Generate, Reply, Report, Work};
+use hollyspoke::event::{CallId, Event};
 use hollyspoke::key::{Incarnation, Key, Ticket};
 use hollyspoke::node::{Node, Settings};
-use hollyspoke::outcome::Trace;
 use hollyspoke::site::{DataCentreId, Site, UpstreamId};
 use hollyspoke::store as objects;
-use hollyspoke::time::{Time, seconds};
+use hollyspoke::time::Time;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::engine::{Engine, Held};
 use crate::ledger::{Broken, Caller, End, Ledger};
 use crate::network::Network;
-use crate::store::{Done, Faults, Store};
+use crate::store::{Done, Store};
 
 /// How often each box is told that time has passed.
 pub const TICK: Duration = Duration::from_millis(20);
@@ -43,57 +47,6 @@
 /// The rate of a link that the site does not name, in bytes a second.
 const DEFAULT_LINK: u64 = 10_000_000_000;
 
-/// Something that happens in the world from outside.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// A caller sends a request.
-    Send(Box<Sending>),
-    /// A caller closes its connection.
-    Go(CallId),
-    /// A box dies.
-    Crash(usize),
-    /// A dead box starts anew.
-    Restart(usize),
-    /// A box stands still for a while.
-    Pause(usize, Duration),
-    /// A box begins its planned stop.
-    Leave(usize),
-    /// Two boxes can't reach each other, or can again.
-    Cut(usize, usize, bool),
-    /// The store's faults change.
-    Store(Faults),
-    /// The share of messages lost and repeated changes.
-    Noise(f64, f64),
-    /// An engine dies.
-    KillEngine(UpstreamId),
-    /// An engine comes back empty.
-    ReviveEngine(UpstreamId),
-    /// An engine becomes so many times slower.
-    SlowEngine(UpstreamId, f64),
-    /// Every link's rate becomes this share of what the site says.
-    SlowLinks(f64),
-    /// Engines stop or start to answer polls.
-    Reports(bool),
-    /// The share of calls that a plain service refuses to take, and of those that it runs without
-    /// answering, changes.
-    Services(f64, f64),
-    /// The site that is in force is accepted by the store once more, as a new version.
-    Apply,
-}
-
-/// A caller's sending of a request.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Sending {
-    /// The connection's number.
-    pub call: CallId,
-    /// The request; several sendings may belong to one.
-    pub request: u64,
-    /// The box.
-    pub at: usize,
-    /// What is sent. The prompt or body names the request.
-    pub arrival: Arrival,
-}
-
 /// Something that is due.
 #[derive(Debug, Clone)]
 enum Due {
@@ -518,171 +471,6 @@
         }
     }
 
-    /// Gives an engine a prompt.
-    fn prefill(
-        &mut self,
-        front: (usize, u64),
-        ticket: Ticket,
-        address: &str,
-        work: &Generate,
-        class: u8,
-    ) {
-        let now = self.now;
-        let request = work.prompt.split(':').next().and_then(|it| it.parse().ok()).unwrap_or(0);
-        let found = self.engine_at(address);
-        let Some((id, engine)) = found else {
-            self.fail(front, ticket, false);
-            return;
-        };
-        let next = engine.prefill(now + CALL, ticket, work, class);
-        self.ledger.prefill(request);
-        if let Some(next) = next {
-            self.put(next, Due::Computed(id));
-        }
-    }
-
-    /// Ends a prompt's computation where it is due, and tells the front.
-    fn computed(&mut self, id: UpstreamId) {
-        let now = self.now;
-        let Some(engine) = self.engines.get_mut(&id) else { return };
-        let (ticket, next) = engine.advance(now);
-        if let Some(next) = next {
-            self.put(next, Due::Computed(id));
-        }
-        let Some(ticket) = ticket else { return };
-        if let Some(front) = self.front_of(ticket) {
-            let event = Event::Upstream { ticket, reply: Reply::Prefilled };
-            self.event(CALL, front, event);
-        }
-    }
-
-    /// Begins a transfer.
-    fn import(
-        &mut self,
-        front: (usize, u64),
-        ticket: Ticket,
-        address: &str,
-        from: &str,
-        tokens: u32,
-    ) {
-        let now = self.now;
-        let Some((to, engine)) = self.engine_at(address) else {
-            self.fail(front, ticket, false);
-            return;
-        };
-        if !engine.reserve(ticket, u64::from(tokens)) {
-            self.event(CALL * 2, front, Event::Upstream { ticket, reply: Reply::Full });
-            return;
-        }
-        let to_centre = engine.data_centre;
-        let exported = self.engine_at(from).and_then(|(_, it)| {
-            let centre = it.data_centre;
-            it.export(now, ticket).map(|held| (centre, held))
-        });
-        let Some((from_centre, held)) = exported else {
-            if let Some(engine) = self.engines.get_mut(&to) {
-                engine.cancel(now, ticket);
-            }
-            self.fail(front, ticket, true);
-            return;
-        };
-        let link = (from_centre.min(to_centre), from_centre.max(to_centre));
-        let bytes = self.kv_bytes(held.prompt_tokens);
-        let rate = self.link_rate(link) * self.link_share;
-        let begin = self.links.get(&link).copied().unwrap_or(Time::ZERO).max(now);
-        let end = begin + seconds(bytes as f64 / rate);
-        self.links.insert(link, end);
-        self.put(end + CALL, Due::Crossed(Crossing { front, ticket, to, held }));
-    }
-
-    /// Ends a transfer.
-    fn crossed(&mut self, crossing: Crossing) {
-        let Crossing { front, ticket, to, held } = crossing;
-        let Some(engine) = self.engines.get_mut(&to) else { return };
-        let Some(mine) = engine.held.get_mut(&ticket) else { return };
-        mine.length = held.length;
-        mine.prompt_tokens = held.prompt_tokens;
-        self.event(CALL, front, Event::Upstream { ticket, reply: Reply::Imported });
-    }
-
-    /// Begins a stream.
-    fn decode(&mut self, front: (usize, u64), ticket: Ticket, address: &str, seq: u32) {
-        let begun = self.engine_at(address).and_then(|(id, engine)| {
-            let step = engine.token_time.mul_f64(engine.slow);
-            let held = engine.held.get_mut(&ticket)?;
-            held.decoding = true;
-            Some((id, step, held.prompt_tokens))
-        });
-        let Some((engine, step, prompt_tokens)) = begun else {
-            self.fail(front, ticket, true);
-            return;
-        };
-        self.useful_tokens += u64::from(prompt_tokens);
-        self.put(self.now + step, Due::Token(Flow { front, ticket, engine, seq }));
-    }
-
-    /// Gives a token, or the end of a stream. A stream whose reader is gone stands still and its
-    /// memory stays held until somebody cancels it.
-    fn token(&mut self, flow: Flow) {
-        let Flow { front, ticket, engine: id, seq } = flow;
-        if self.front_of(ticket) != Some(front) {
-            return;
-        }
-        let Some(engine) = self.engines.get_mut(&id) else { return };
-        let step = engine.token_time.mul_f64(engine.slow);
-        let Some(length) = engine.held.get(&ticket).map(|it| it.length) else {
-            self.fail(front, ticket, true);
-            return;
-        };
-        if seq >= length {
-            engine.held.remove(&ticket);
-            let reply = Reply::Finished { reason: "stop".into() };
-            self.event(CALL, front, Event::Upstream { ticket, reply });
-            return;
-        }
-        let reply = Reply::Token { seq, text: format!("t{seq}").into() };
-        self.event(CALL, front, Event::Upstream { ticket, reply });
-        self.put(self.now + step, Due::Token(Flow { seq: seq + 1, ..flow }));
-    }
-
-    /// Runs a call at the plain service, and answers it.
-    fn runs(&mut self, number: usize, life: u64, ticket: Ticket, request: u64) {
-        let (refused, lost) = self.services;
-        if self.random.random_bool(refused) {
-            self.fail((number, life), ticket, false);
-            return;
-        }
-        self.ledger.run(request);
-        if self.random.random_bool(lost) {
-            self.fail((number, life), ticket, true);
-            return;
-        }
-        let after = Duration::from_millis(self.random.random_range(1..30));
-        let answer = Answer { status: 200, headers: Vec::new(), body: Arc::from([]) };
-        let event = Event::Upstream { ticket, reply: Reply::Answered(answer) };
-        self.event(after, (number, life), event);
-    }
-
-    /// Answers a box's poll of an engine.
-    fn poll(&mut self, front: (usize, u64), engine: UpstreamId) {
-        let report = self.engines.get(&engine).filter(|it| !it.dead && self.reports).map(|it| {
-            let streams = it.held.keys().copied().collect();
-            Report { used_tokens: it.used(), streams, leaving: false, state: None }
-        });
-        let after = if report.is_some() { CALL * 2 } else { Duration::from_millis(800) };
-        self.event(after, front, Event::Polled { engine, report });
-    }
-
-    /// Tells a box that a call failed.
-    fn fail(&mut self, front: (usize, u64), ticket: Ticket, sent: bool) {
-        let mut trace = Trace::clean();
-        if sent {
-            trace.mark_sent();
-        }
-        let reply = Reply::Failed { detail: "it failed".to_owned(), trace };
-        self.event(CALL * 2, front, Event::Upstream { ticket, reply });
-    }
-
     /// Takes a reply to a caller, and passes the request on where it says so.
     fn reply(&mut self, call: CallId, reply: CallerReply) {
         self.ledger.reply(self.now, call, &reply);
@@ -734,68 +522,6 @@
         self.event(STORE, front, Event::Site(site));
     }
 
-    /// Lets something happen from outside.
-    fn act(&mut self, action: Action) {
-        match action {
-            Action::Send(sending) => self.begin(*sending),
-            Action::Go(call) => self.go(call),
-            Action::Crash(number) => self.stop(number),
-            Action::Restart(number) => self.restart(number),
-            Action::Pause(number, time) => {
-                self.seats[number].paused_until = Some(self.now + time);
-            }
-            Action::Leave(number) => {
-                let life = self.seats[number].life;
-                self.deliver(number, life, Event::Leave);
-            }
-            Action::Cut(a, b, cut) => self.network.set_cut(a, b, cut),
-            Action::Store(faults) => {
-                let was_down = self.store.faults.down;
-                self.store.faults = faults;
-                if was_down != faults.down {
-                    self.tell_watchers();
-                }
-            }
-            Action::Noise(loss, repeat) => {
-                self.network.loss = loss;
-                self.network.repeat = repeat;
-            }
-            Action::KillEngine(id) => {
-                if let Some(engine) = self.engines.get_mut(&id) {
-                    engine.die();
-                }
-            }
-            Action::ReviveEngine(id) => {
-                if let Some(engine) = self.engines.get_mut(&id) {
-                    engine.dead = false;
-                }
-            }
-            Action::SlowEngine(id, slow) => {
-                if let Some(engine) = self.engines.get_mut(&id) {
-                    engine.slow = slow;
-                }
-            }
-            Action::SlowLinks(share) => self.link_share = share,
-            Action::Reports(reports) => self.reports = reports,
-            Action::Services(refused, lost) => self.services = (refused, lost),
-            Action::Apply => {
-                let version = self.site.version + 1;
-                self.site = Arc::new(Versioned { version, site: self.site.site.clone() });
-                self.tell_watchers();
-            }
-        }
-    }
-
-    /// Shows the watching boxes what the store has, or that it is away.
-    fn tell_watchers(&mut self) {
-        for number in 0..self.seats.len() {
-            if self.seats[number].watching && self.seats[number].node.is_some() {
-                let life = self.seats[number].life;
-                self.show_site((number, life));
-            }
-        }
-    }
-
     /// Sends a caller's request.
     fn begin(&mut self, sending: Sending) {
         let life = self.seats[sending.at].life;
@@ -903,43 +629,3 @@
 fn seat_of(address: &str) -> Option<usize> {
     address.strip_prefix("box:")?.parse().ok()
 }
-
-/// Makes an arrival of a request for tokens; `length` is the answer's true length.
-pub fn generate(request: u64, prompt_tokens: u32, max_tokens: u32, length: u32) -> Arrival {
-    let prompt = crate::engine::prompt(request, length);
-    let work = Generate {
-        model: "m".to_owned(),
-        prompt: prompt.into(),
-        prompt_tokens,
-        prefix: Vec::new(),
-        max_tokens,
-    };
-    Arrival {
-        key: None,
-        claim: None,
-        relayed: false,
-        repeatable: true,
-        tenant: String::new(),
-        class: 0,
-        work: Work::Generate(work),
-    }
-}
-
-/// Makes an arrival of a call that must run at most once.
-pub fn hold(request: u64) -> Arrival {
-    let call = hollyspoke::event::Call {
-        method: "POST".to_owned(),
-        path: "/holds".to_owned(),
-        headers: Vec::new(),
-        body: request.to_string().into_bytes().into(),
-    };
-    Arrival {
-        key: None,
-        claim: None,
-        relayed: false,
-        repeatable: false,
-        tenant: String::new(),
-        class: 0,
-        work: Work::Call(call),
-    }
-}
--- /dev/null
+++ b/crates/hollyspoke-model/src/world/upstream.rs
@@ -0,0 +1,180 @@
+//! Boxes' calls of engines and plain services in the world.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyspoke::event::{Answer, Event, Generate, Reply, Report};
+use hollyspoke::key::Ticket;
+use hollyspoke::outcome::Trace;
+use hollyspoke::site::UpstreamId;
+use hollyspoke::time::{Time, seconds};
+use rand::Rng;
+
+use crate::world::{CALL, Crossing, Due, Flow, World};
+
+impl World {
+    /// Gives an engine a prompt.
+    pub(super) fn prefill(
+        &mut self,
+        front: (usize, u64),
+        ticket: Ticket,
+        address: &str,
+        work: &Generate,
+        class: u8,
+    ) {
+        let now = self.now;
+        let request = work.prompt.split(':').next().and_then(|it| it.parse().ok()).unwrap_or(0);
+        let found = self.engine_at(address);
+        let Some((id, engine)) = found else {
+            self.fail(front, ticket, false);
+            return;
+        };
+        let next = engine.prefill(now + CALL, ticket, work, class);
+        self.ledger.prefill(request);
+        if let Some(next) = next {
+            self.put(next, Due::Computed(id));
+        }
+    }
+
+    /// Ends a prompt's computation where it is due, and tells the front.
+    pub(super) fn computed(&mut self, id: UpstreamId) {
+        let now = self.now;
+        let Some(engine) = self.engines.get_mut(&id) else { return };
+        let (ticket, next) = engine.advance(now);
+        if let Some(next) = next {
+            self.put(next, Due::Computed(id));
+        }
+        let Some(ticket) = ticket else { return };
+        if let Some(front) = self.front_of(ticket) {
+            let event = Event::Upstream { ticket, reply: Reply::Prefilled };
+            self.event(CALL, front, event);
+        }
+    }
+
+    /// Begins a transfer.
+    pub(super) fn import(
+        &mut self,
+        front: (usize, u64),
+        ticket: Ticket,
+        address: &str,
+        from: &str,
+        tokens: u32,
+    ) {
+        let now = self.now;
+        let Some((to, engine)) = self.engine_at(address) else {
+            self.fail(front, ticket, false);
+            return;
+        };
+        if !engine.reserve(ticket, u64::from(tokens)) {
+            self.event(CALL * 2, front, Event::Upstream { ticket, reply: Reply::Full });
+            return;
+        }
+        let to_centre = engine.data_centre;
+        let exported = self.engine_at(from).and_then(|(_, it)| {
+            let centre = it.data_centre;
+            it.export(now, ticket).map(|held| (centre, held))
+        });
+        let Some((from_centre, held)) = exported else {
+            if let Some(engine) = self.engines.get_mut(&to) {
+                engine.cancel(now, ticket);
+            }
+            self.fail(front, ticket, true);
+            return;
+        };
+        let link = (from_centre.min(to_centre), from_centre.max(to_centre));
+        let bytes = self.kv_bytes(held.prompt_tokens);
+        let rate = self.link_rate(link) * self.link_share;
+        let begin = self.links.get(&link).copied().unwrap_or(Time::ZERO).max(now);
+        let end = begin + seconds(bytes as f64 / rate);
+        self.links.insert(link, end);
+        self.put(end + CALL, Due::Crossed(Crossing { front, ticket, to, held }));
+    }
+
+    /// Ends a transfer.
+    pub(super) fn crossed(&mut self, crossing: Crossing) {
+        let Crossing { front, ticket, to, held } = crossing;
+        let Some(engine) = self.engines.get_mut(&to) else { return };
+        let Some(mine) = engine.held.get_mut(&ticket) else { return };
+        mine.length = held.length;
+        mine.prompt_tokens = held.prompt_tokens;
+        self.event(CALL, front, Event::Upstream { ticket, reply: Reply::Imported });
+    }
+
+    /// Begins a stream.
+    pub(super) fn decode(&mut self, front: (usize, u64), ticket: Ticket, address: &str, seq: u32) {
+        let begun = self.engine_at(address).and_then(|(id, engine)| {
+            let step = engine.token_time.mul_f64(engine.slow);
+            let held = engine.held.get_mut(&ticket)?;
+            held.decoding = true;
+            Some((id, step, held.prompt_tokens))
+        });
+        let Some((engine, step, prompt_tokens)) = begun else {
+            self.fail(front, ticket, true);
+            return;
+        };
+        self.useful_tokens += u64::from(prompt_tokens);
+        self.put(self.now + step, Due::Token(Flow { front, ticket, engine, seq }));
+    }
+
+    /// Gives a token, or the end of a stream. A stream whose reader is gone stands still and its
+    /// memory stays held until somebody cancels it.
+    pub(super) fn token(&mut self, flow: Flow) {
+        let Flow { front, ticket, engine: id, seq } = flow;
+        if self.front_of(ticket) != Some(front) {
+            return;
+        }
+        let Some(engine) = self.engines.get_mut(&id) else { return };
+        let step = engine.token_time.mul_f64(engine.slow);
+        let Some(length) = engine.held.get(&ticket).map(|it| it.length) else {
+            self.fail(front, ticket, true);
+            return;
+        };
+        if seq >= length {
+            engine.held.remove(&ticket);
+            let reply = Reply::Finished { reason: "stop".into() };
+            self.event(CALL, front, Event::Upstream { ticket, reply });
+            return;
+        }
+        let reply = Reply::Token { seq, text: format!("t{seq}").into() };
+        self.event(CALL, front, Event::Upstream { ticket, reply });
+        self.put(self.now + step, Due::Token(Flow { seq: seq + 1, ..flow }));
+    }
+
+    /// Runs a call at the plain service, and answers it.
+    pub(super) fn runs(&mut self, number: usize, life: u64, ticket: Ticket, request: u64) {
+        let (refused, lost) = self.services;
+        if self.random.random_bool(refused) {
+            self.fail((number, life), ticket, false);
+            return;
+        }
+        self.ledger.run(request);
+        if self.random.random_bool(lost) {
+            self.fail((number, life), ticket, true);
+            return;
+        }
+        let after = Duration::from_millis(self.random.random_range(1..30));
+        let answer = Answer { status: 200, headers: Vec::new(), body: Arc::from([]) };
+        let event = Event::Upstream { ticket, reply: Reply::Answered(answer) };
+        self.event(after, (number, life), event);
+    }
+
+    /// Answers a box's poll of an engine.
+    pub(super) fn poll(&mut self, front: (usize, u64), engine: UpstreamId) {
+        let report = self.engines.get(&engine).filter(|it| !it.dead && self.reports).map(|it| {
+            let streams = it.held.keys().copied().collect();
+            Report { used_tokens: it.used(), streams, leaving: false, state: None }
+        });
+        let after = if report.is_some() { CALL * 2 } else { Duration::from_millis(800) };
+        self.event(after, front, Event::Polled { engine, report });
+    }
+
+    /// Tells a box that a call failed.
+    pub(super) fn fail(&mut self, front: (usize, u64), ticket: Ticket, sent: bool) {
+        let mut trace = Trace::clean();
+        if sent {
+            trace.mark_sent();
+        }
+        let reply = Reply::Failed { detail: "it failed".to_owned(), trace };
+        self.event(CALL * 2, front, Event::Upstream { ticket, reply });
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke/src/node/context.rs
@@ -0,0 +1,99 @@
+//! What a step of one part of a box can see of the rest, and where it puts its effects.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::effect::{CallerReply, Effect};
+use crate::event::CallId;
+use crate::key::Incarnation;
+use crate::layout::Layout;
+use crate::member::Table;
+use crate::message::Message;
+use crate::pool::ShardId;
+use crate::site::{Site, UpstreamId};
+use crate::store;
+use crate::time::Time;
+
+/// What a step of one part can see of the rest, and where it puts its effects.
+pub struct Context<'a> {
+    /// The time of the event.
+    pub now: Time,
+    /// This box.
+    pub me: Incarnation,
+    /// The site in force.
+    pub site: &'a Site,
+    /// What follows from the site.
+    pub(super) layout: &'a Layout,
+    /// The members known.
+    pub members: &'a Table,
+    /// The owner of each shard.
+    pub(super) owners: &'a BTreeMap<ShardId, Incarnation>,
+    /// The effects and messages put out.
+    pub(super) out: &'a mut Out,
+}
+
+impl Context<'_> {
+    /// Asks the driver for something.
+    pub fn effect(&mut self, effect: Effect) {
+        self.out.effects.push(effect);
+    }
+
+    /// Notes something for the operator.
+    pub fn note(&mut self, note: String) {
+        self.effect(Effect::Note(note));
+    }
+
+    /// Answers a caller.
+    pub fn reply(&mut self, call: CallId, reply: CallerReply) {
+        self.effect(Effect::Reply { call, reply });
+    }
+
+    /// Sends a message to a box, this one included.
+    pub fn send(&mut self, to: Incarnation, message: Message) {
+        if to == self.me {
+            self.out.local.push_back(message);
+            return;
+        }
+        let Some(entry) = self.members.entry(to) else { return };
+        let address = entry.peer_address.clone();
+        self.effect(Effect::Send { to, address, message: Box::new(message) });
+    }
+
+    /// Begins an operation on the store; gives its number.
+    pub fn store(&mut self, operation: store::Operation) -> u64 {
+        self.out.last_operation += 1;
+        let number = self.out.last_operation;
+        self.effect(Effect::Store { number, operation });
+        number
+    }
+
+    /// Gives a shard's owner in this box's view.
+    pub fn owner(&self, shard: ShardId) -> Option<Incarnation> {
+        self.owners.get(&shard).copied()
+    }
+
+    /// Gives all shards of the site.
+    pub fn shards(&self) -> Vec<ShardId> {
+        self.layout.shards.clone()
+    }
+
+    /// Gives the number of a service's shards.
+    pub fn parts(&self, service: crate::site::ServiceId) -> u16 {
+        self.layout.parts.get(&service).copied().unwrap_or(1).max(1)
+    }
+
+    /// Gives an engine's address, if the site has the engine.
+    pub fn engine_address(&self, engine: UpstreamId) -> Option<String> {
+        self.layout.addresses.get(&engine).cloned()
+    }
+}
+
+/// Effects and messages put out during one step.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Out {
+    /// Effects for the driver.
+    pub(super) effects: Vec<Effect>,
+    /// Messages of this box to itself.
+    pub(super) local: VecDeque<Message>,
+    /// The number of the last operation on the store.
+    last_operation: u64,
+}
--- /dev/null
+++ b/crates/hollyspoke/src/node/gossip.rs
@@ -0,0 +1,144 @@
+//! Gossip: who lives, who is new, and which version of the configuration is in force.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::effect::Effect;
+use crate::key::Incarnation;
+use crate::member::{self, Beat, Entry};
+use crate::message::Message;
+use crate::node::Node;
+
+/// How often unknown boxes among the seeds and in the platform's list are greeted.
+pub(super) const GREET: Duration = Duration::from_secs(2);
+
+/// The boxes up to which every gossip tells all boxes of all others.
+pub(super) const SMALL_SITE: usize = 8;
+
+/// The boxes to which a new configuration is passed on at once; gossip brings it to the rest.
+pub(super) const PASS_ON_TO: usize = 8;
+
+/// The most heartbeats in one gossip.
+pub(super) const MOST_BEATS: usize = 64;
+
+impl Node {
+    /// Gossips, and does what is due as often.
+    pub(super) fn beat(&mut self) {
+        let now = self.now;
+        self.members.beat(now, self.front.home.epoch(), self.my_state());
+        for died in self.members.expire(now) {
+            self.out.effects.push(Effect::Note(format!("box {died} is silent")));
+        }
+        if let Some(watch) = self.config.watch_change(self.me, &self.members) {
+            self.out.effects.push(Effect::Watch(watch));
+        }
+        if self.config.fetch_due(now) {
+            self.out.effects.push(Effect::Fetch);
+        }
+        self.greet();
+        self.gossip_out();
+    }
+
+    /// Sends this box's heartbeat to every other box, and what it knows of others to some.
+    ///
+    /// In a large site only one other box, at random, gets what is known of others: that lets
+    /// boxes find each other, and it is each box's own heartbeat that keeps it alive. Passing
+    /// heartbeats on to a few instead of sending one's own to all was tried with 75 boxes: live
+    /// ones were taken for dead.
+    pub(super) fn gossip_out(&mut self) {
+        let others = self.others();
+        let Some(last) = others.len().checked_sub(1) else { return };
+        let message = self.my_gossip();
+        let chosen = self.random.random_range(0..=last);
+        let own = match &message {
+            Message::Gossip { beats, site_version } => Message::Gossip {
+                beats: beats.iter().take(1).copied().collect(),
+                site_version: *site_version,
+            },
+            _ => return,
+        };
+        let small = others.len() < SMALL_SITE;
+        for (place, to) in others.into_iter().enumerate() {
+            let whole = small || place == chosen;
+            self.send(to, if whole { message.clone() } else { own.clone() });
+        }
+    }
+
+    /// Gives how often this box gossips.
+    pub(super) fn beat_period(&self) -> Duration {
+        let small = self.members.alive().count() <= SMALL_SITE;
+        if small { member::BEAT } else { member::LARGE_BEAT }
+    }
+
+    /// Gives all other boxes alive.
+    pub(super) fn others(&self) -> Vec<Incarnation> {
+        self.members.alive().map(|it| it.incarnation).filter(|it| *it != self.me).collect()
+    }
+
+    /// Makes a gossip: this box's heartbeat and those of some others.
+    pub(super) fn my_gossip(&mut self) -> Message {
+        let mut beats = self.members.beats();
+        let mine = beats.iter().position(|it| it.incarnation == self.me).unwrap_or(0);
+        beats.swap(0, mine);
+        while beats.len() > MOST_BEATS {
+            let drop = self.random.random_range(1..beats.len());
+            beats.swap_remove(drop);
+        }
+        Message::Gossip { beats, site_version: self.config.current().version }
+    }
+
+    /// Takes a gossip.
+    pub(super) fn gossip(&mut self, from: Incarnation, beats: &[Beat], site_version: u64) {
+        let now = self.now;
+        let mut unknown = Vec::new();
+        for &beat in beats {
+            if self.members.hear(now, beat) {
+                unknown.push(beat.incarnation);
+            }
+        }
+        if !unknown.is_empty() {
+            self.send(from, Message::EntriesWanted(unknown));
+        }
+        self.config.hear_version(now, site_version);
+        let mine = self.config.current().version;
+        if site_version > mine {
+            self.send(from, Message::SiteWanted);
+        } else if site_version < mine {
+            let current = self.config.current().clone();
+            self.send(from, Message::Site(current));
+        }
+        self.update_owners();
+    }
+
+    /// Takes entries of boxes.
+    pub(super) fn learn(&mut self, entries: Vec<Entry>) {
+        for entry in entries {
+            let (name, address) = (entry.name.clone(), entry.peer_address.clone());
+            let new = entry.incarnation;
+            if self.members.learn(self.now, entry) {
+                // The new box can't answer one that it does not know.
+                let mine = vec![self.members.my_entry().clone()];
+                self.send(new, Message::Entries(mine));
+                self.out.effects.push(Effect::Note(format!("box {name} joined at {address}")));
+            }
+        }
+        self.update_owners();
+    }
+
+    /// Greets the boxes among seeds and in the platform's list that are not known to be alive.
+    pub(super) fn greet(&mut self) {
+        if self.greeted.is_some_and(|at| self.now.since(at) < GREET) {
+            return;
+        }
+        self.greeted = Some(self.now);
+        let listed = self.listed.iter().filter(|it| !it.leaving).map(|it| &it.peer_address);
+        let mut wanted: Vec<&String> = self.seeds.iter().chain(listed).collect();
+        wanted.sort();
+        wanted.dedup();
+        let known = |address: &String| self.members.alive().any(|it| it.peer_address == *address);
+        let greetings: Vec<Effect> =
+            wanted.into_iter().filter(|it| !known(it)).cloned().map(Effect::Greet).collect();
+        self.out.effects.extend(greetings);
+    }
+}
