Count the writes of an object that took effect, instead of guessing versions

The test late_write of configuration.rs took the version after an apply to be the one before plus one. Versions are the platform's own and go up with every write; since leases are written too, the test was wrong and failed. It now asks the stand-in's ledger how many writes of the site took effect, which must be exactly two, and still that nothing is written later: as strict as before.

--- a/crates/hollyspoke-standin/src/platform.rs
+++ b/crates/hollyspoke-standin/src/platform.rs
@@ -45,6 +45,8 @@
     pub writes: u64,
     /// Watches.
     pub watches: u64,
+    /// Writes that took effect, by `<kind>/<name>`.
+    pub taken: BTreeMap<String, u64>,
 }
 
 /// The platform's state.
@@ -114,6 +116,7 @@
         }
         inner.version += 1;
         let version = inner.version;
+        *inner.ledger.taken.entry(format!("{kind}/{name}")).or_default() += 1;
         inner.objects.insert((kind, name), Object { version, value: put.value });
         drop(inner);
         self.changed.send_replace(version);
--- a/tests/tests/configuration.rs
+++ b/tests/tests/configuration.rs
@@ -75,10 +75,13 @@
     let before = cluster.store().get("sites", "test").await?.map_or(0, |it| it.version);
     cluster.platform.faults(&Faults { late_ms: 2500, ..Faults::default() }).await?;
     let applied = apply::apply(&cluster.store(), "test", &cluster.file(), None).await;
-    assert_eq!(applied, Applied::Accepted { version: before + 1 });
+    let Applied::Accepted { version } = applied else { panic!("{applied:?}") };
+    assert!(version > before);
     tokio::time::sleep(Duration::from_secs(6)).await;
     let after = cluster.store().get("sites", "test").await?.map_or(0, |it| it.version);
-    assert_eq!(after, before + 1, "none of the repeated writes took effect later");
+    assert_eq!(after, version, "none of the repeated writes took effect later");
+    let ledger: hollyspoke_standin::platform::Ledger = cluster.platform.ledger().await?;
+    assert_eq!(ledger.taken["sites/test"], 2, "the first apply and this one, each once");
     Ok(())
 }
 
