Finish answers that have begun, and cancel on engines taken out of the file

Cause of the first: when an engine died under overload, the answers it was in the middle of asked for other engines like new requests: beyond ten the retry budget gave them up, and the owner refused them as too late. An answer that has begun now goes before all others, waits up to 20 s, and does not spend the budget; attempts stay bounded by three.

Cause of the second: the address of an engine that a new version no longer has was forgotten with it, so that a stream still running there could not be cancelled. The layout keeps the addresses of the version before.

--- a/crates/hollyspoke/src/generate.rs
+++ b/crates/hollyspoke/src/generate.rs
@@ -32,6 +32,9 @@
 /// How long a stream may be silent before the decode engine is taken to have failed.
 pub const TOKEN_LIMIT: Duration = Duration::from_secs(3);
 
+/// How long an answer that has begun may wait for other engines when its own have failed.
+pub const RESUME_LIMIT: Duration = Duration::from_secs(20);
+
 /// How long to wait before a decode engine that had no room is asked again.
 pub const ROOM_PAUSE: Duration = Duration::from_millis(50);
 
@@ -145,7 +148,10 @@
     /// Waits a little for room on the decode engine.
     pub(crate) fn full(&mut self, cx: &mut Context<'_>, id: Id) {
         let Some(request) = self.requests.get_mut(id) else { return };
-        let Phase::Transfer { retry_at, .. } = &mut request.phase else { return };
+        let Phase::Transfer { retry_at, .. } = &mut request.phase else {
+            self.failed(cx, id, "the engine has no room", Trace::clean());
+            return;
+        };
         *retry_at = Some(cx.now + ROOM_PAUSE);
     }
 
@@ -235,7 +241,9 @@
         let Some(request) = self.requests.get_mut(id) else { return };
         request.avoid = avoid;
         let may_repeat = request.arrival.repeatable && request.attempts < retry::MOST_ATTEMPTS;
-        if may_repeat && self.budget.spend() {
+        // An answer that has begun is finished whatever the budget: its caller has a part of it.
+        let has_begun = !request.tokens.is_empty();
+        if may_repeat && (has_begun || self.budget.spend()) {
             self.ask(cx, id);
             return;
         }
@@ -430,15 +438,17 @@
     };
     let target = first_token_target(cx, request.service);
     let spent = cx.now.since(request.arrived);
-    // A request that has begun to answer is finished even if its target was missed.
-    let due_in = if request.tokens.is_empty() { target.saturating_sub(spent) } else { target };
+    // An answer that has begun goes before all others, and is not refused for coming late.
+    let has_begun = !request.tokens.is_empty();
+    let due_in = if has_begun { RESUME_LIMIT } else { target.saturating_sub(spent) };
+    let class = if has_begun { 0 } else { request.arrival.class.saturating_add(1) };
     Ask {
         shard,
         ticket,
         prompt_tokens,
         max_tokens,
         prefix,
-        class: request.arrival.class,
+        class,
         tenant: TenantId::of(&request.arrival.tenant),
         due_in,
         avoid: request.avoid,
--- a/crates/hollyspoke/src/layout.rs
+++ b/crates/hollyspoke/src/layout.rs
@@ -1,6 +1,6 @@
 //! What follows from a site's file and is looked up often.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::pool::ShardId;
 use crate::site::{Engine, Kind, ServiceId, Site, UpstreamId};
@@ -17,8 +17,10 @@
     engines: BTreeMap<ShardId, Vec<usize>>,
     /// The number of shards of each service that has engines.
     pub parts: BTreeMap<ServiceId, u16>,
-    /// The address of each engine.
+    /// The address of each engine, and of those that the version before had.
     pub addresses: BTreeMap<UpstreamId, String>,
+    /// The engines of this version.
+    present: BTreeSet<UpstreamId>,
 }
 
 impl Layout {
@@ -29,6 +31,7 @@
         for (place, engine) in site.engines.iter().enumerate() {
             of_service.entry(ServiceId::of(&engine.service)).or_default().push(place);
             layout.addresses.insert(engine.id(), engine.address.clone());
+            layout.present.insert(engine.id());
         }
         for service in &site.services {
             let Kind::Engines { .. } = service.kind else { continue };
@@ -38,6 +41,17 @@
         layout
     }
 
+    /// Keeps the addresses of engines that the version before had: streams that run there must
+    /// still be cancelled.
+    pub fn keep_addresses(&mut self, before: &Layout) {
+        let gone = before.present.iter().filter(|it| !self.present.contains(it));
+        for id in gone {
+            if let Some(address) = before.addresses.get(id) {
+                self.addresses.insert(*id, address.clone());
+            }
+        }
+    }
+
     /// Gives the engines of a shard.
     pub fn engines_of<'a>(
         &'a self,
--- a/crates/hollyspoke/src/message.rs
+++ b/crates/hollyspoke/src/message.rs
@@ -99,7 +99,8 @@
     pub max_tokens: u32,
     /// Digests of the prompt's first 1, 2, 4, 8, … blocks.
     pub prefix: Vec<u32>,
-    /// The class, the lowest number first.
+    /// The order of service, the lowest number first: 0 for an answer that has begun, else one
+    /// more than the request's class.
     pub class: u8,
     /// The tenant.
     pub tenant: TenantId,
--- a/crates/hollyspoke/src/node.rs
+++ b/crates/hollyspoke/src/node.rs
@@ -314,7 +314,9 @@
         if !self.config.offer(self.now, offered) {
             return;
         }
-        self.layout = Layout::new(&offered.site);
+        let mut layout = Layout::new(&offered.site);
+        layout.keep_addresses(&self.layout);
+        self.layout = layout;
         for pool in self.pools.values_mut() {
             pool.configure(&offered.site, &self.layout);
         }
--- a/tests/tests/cancel.rs
+++ b/tests/tests/cancel.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hollyspoke_standin::engine::Faults;
-use hollyspoke_tests::cluster::{Cluster, Plan, SOON};
+use hollyspoke_tests::cluster::{Cluster, Plan, SOON, until};
 use hollyspoke_tests::request::Sending;
 use tokio::time::Instant;
 
@@ -72,6 +72,25 @@
     Ok(())
 }
 
+/// The engine is taken out of the file while it generates; the caller then goes.
+#[tokio::test]
+async fn engine_taken_out() -> eyre::Result<()> {
+    let mut cluster = Cluster::start(Plan { token_ms: 20, ..Plan::default() }).await?;
+    let caller = caller(&cluster, "long", 2000);
+    let begun = |it: &[hollyspoke_standin::engine::Ledger]| it.iter().any(|e| e.decodes > 0);
+    cluster.wait_engines("no decode begins", begun).await?;
+    let busy = usize::from(cluster.engines().await[1].decodes == 0);
+    let engine = cluster.decodes.remove(busy);
+    let version = cluster.apply().await?;
+    cluster.wait_in_force(version).await?;
+    caller.abort();
+    until(LIMIT, "the engine still holds memory", async || {
+        let ledger: eyre::Result<hollyspoke_standin::engine::Ledger> = engine.ledger().await;
+        ledger.is_ok_and(|it| it.used_tokens == 0)
+    })
+    .await
+}
+
 /// The caller goes while its request waits for memory; it is never begun.
 #[tokio::test]
 async fn while_queued() -> eyre::Result<()> {
--- a/tests/tests/promises.rs
+++ b/tests/tests/promises.rs
@@ -5,6 +5,7 @@
 use hollyspoke::event::CallId;
 use hollyspoke::site::UpstreamId;
 use hollyspoke::time::Time;
+use hollyspoke_model::ledger::End;
 use hollyspoke_model::load::Plan;
 use hollyspoke_model::store::Faults;
 use hollyspoke_model::world::{Action, Sending, World, generate, hold};
@@ -304,6 +305,33 @@
     check(120, 40, 10);
 }
 
+/// An engine dies under overload: every answer that had begun on it is finished on the other one,
+/// whatever else waits.
+#[test]
+fn begun_answers_finish() -> Result<(), String> {
+    for seed in 0..6 {
+        let plan = Plan { memory_tokens: 20_000, ..Plan::default() };
+        let mut world = World::new(plan.site(), BOXES, seed);
+        world.run(at(2000)).map_err(|it| it.to_string())?;
+        for number in 1..=400 {
+            let arrival = generate(number, 100, 400, 400);
+            let to = number as usize % BOXES;
+            let sending = Sending { call: CallId(number), request: number, at: to, arrival };
+            world.plan(at(2000 + number * 10), Action::Send(Box::new(sending)));
+        }
+        world.plan(at(4000), Action::KillEngine(engine(2)));
+        world.run(at(40_000)).map_err(|it| it.to_string())?;
+        let begun = world.ledger.callers.values().filter(|it| it.tokens > 0);
+        for caller in begun {
+            let whole = matches!(caller.end, Some((_, End::Whole)));
+            if !whole {
+                return Err(format!("seed {seed}: a begun answer was given up: {caller:?}"));
+            }
+        }
+    }
+    Ok(())
+}
+
 /// A late claim is read at another box, which passes the call on to its home, while the first
 /// caller still waits there for the claim and then goes: what its going ended was the other's row.
 #[test]
