--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,5 +1,6 @@
 //! What the failure tests share: processes, and a small site made of them.
 
 pub mod cluster;
+pub mod link;
 pub mod process;
 pub mod request;
