Do not take engines for dead when it is the reports that have stopped

Cause: an engine whose reports failed three times got no new work. When all reports stop, every engine was out while requests went on succeeding on them. Ruled out: memory (the ledger had it right) and ejection (no request failed).

A request that succeeds now counts like a report, and silence counts against an engine only while most of its shard's engines are not silent.

--- a/crates/hollyspoke/src/pool.rs
+++ b/crates/hollyspoke/src/pool.rs
@@ -151,6 +151,7 @@
                     health: known.health,
                     prefixes: known.prefixes,
                     silent_polls: known.silent_polls,
+                    silent: known.silent,
                     ..fresh
                 };
             }
@@ -264,7 +265,7 @@
         let expected = held.prefill_expected;
         let prefill = held.grant.prefill;
         if let Some(engine) = self.engines.get_mut(&prefill) {
-            engine.health.succeed(now);
+            engine.succeed(now);
             admission::learn_rate(engine, expected, took);
         }
         self.pump(cx);
@@ -291,12 +292,14 @@
         let Some(engine) = self.engines.get_mut(&id) else { return };
         let Some(report) = report else {
             engine.silent_polls += 1;
+            self.judge_silence();
             return;
         };
-        if engine.silent_polls >= health::FAILURES {
+        if engine.silent {
             cx.note(format!("engine at {} answers again", engine.address));
         }
         engine.silent_polls = 0;
+        engine.silent = false;
         engine.leaving = leaving || report.leaving;
         engine.reported = Some(report.used_tokens);
         self.sweep(cx, id, &report.streams);
@@ -307,6 +310,17 @@
         self.pump(cx);
     }
 
+    /// Decides which engines are taken to be dead for their silence. When most are silent it is
+    /// the reports that have stopped, and not the engines.
+    fn judge_silence(&mut self) {
+        let silent = |it: &Engine| it.silent_polls >= health::FAILURES;
+        let count = self.engines.values().filter(|it| silent(it)).count();
+        let most = count * 2 > self.engines.len();
+        for engine in self.engines.values_mut() {
+            engine.silent = silent(engine) && !most;
+        }
+    }
+
     /// Does what is due: expires silent fronts, polls engines, decides on those who wait.
     pub fn tick(&mut self, cx: &mut Context<'_>) {
         let now = cx.now;
--- a/crates/hollyspoke/src/pool/engine.rs
+++ b/crates/hollyspoke/src/pool/engine.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::health::{self, Health};
+use crate::health::Health;
 use crate::site::{DataCentreId, Role};
 use crate::time::Time;
 
@@ -38,8 +38,10 @@
     pub health: Health,
     /// When each prefix was last computed here; a hint that ages.
     pub prefixes: BTreeMap<u32, Time>,
-    /// Failed polls in a row.
+    /// Failed polls in a row, without a success of a request between.
     pub silent_polls: u32,
+    /// Whether it is taken to be dead for its silence.
+    pub silent: bool,
 }
 
 impl Engine {
@@ -61,12 +63,20 @@
             health: Health::default(),
             prefixes: BTreeMap::new(),
             silent_polls: 0,
+            silent: false,
         }
     }
 
     /// Tells whether it may be given new work.
     pub fn is_usable(&self, now: Time) -> bool {
-        !self.leaving && !self.health.is_out(now) && self.silent_polls < health::FAILURES
+        !self.leaving && !self.health.is_out(now) && !self.silent
+    }
+
+    /// Notes that a request succeeded here, which is as good as a report.
+    pub fn succeed(&mut self, now: Time) {
+        self.health.succeed(now);
+        self.silent_polls = 0;
+        self.silent = false;
     }
 
     /// Gives the memory that may still be granted, in tokens.
