Learn the rate of links, and refuse what can't cross them in time

Cause: transfers were booked at the rate in the site's file. With links at a tenth of it, prefill results waited for links that the ledger took for free, were given up after 2 s, and the decode engines were blamed and ejected for it. Ruled out: decode memory and prefill rate (p50 of first tokens unchanged).

A link's row now holds what has yet to cross it and how much slower than described it is, learnt from each transfer's end and from stalled ones; a stalled transfer is blamed on a slow link before the engine; and a request whose result could not be across in time is refused before its prefill.

--- a/crates/hollyspoke-model/src/world.rs
+++ b/crates/hollyspoke-model/src/world.rs
@@ -453,6 +453,11 @@
             self.event(CONNECT, front, Event::Unreachable(to));
             return;
         }
+        let stands_still = self.seats[other].paused_until.is_some_and(|it| it > self.now + CONNECT);
+        if stands_still {
+            // No answer comes in time, though the message waits there.
+            self.event(CONNECT, front, Event::Unreachable(to));
+        }
         let life = self.seats[other].life;
         for delay in self.network.deliveries(&mut self.random, front.0, other) {
             self.event(delay, (other, life), event(from));
--- a/crates/hollyspoke/src/admission.rs
+++ b/crates/hollyspoke/src/admission.rs
@@ -159,6 +159,8 @@
     pub link: (DataCentreId, DataCentreId),
     /// How long the prefill takes at the described rate.
     pub prefill_time: Duration,
+    /// How long the transfer takes at the link's described rate.
+    pub crossing: Duration,
     /// When the prefill ends.
     pub prefill_end: Time,
     /// When the prefill result has crossed the link.
@@ -181,8 +183,18 @@
     }
 }
 
-/// Finds the request to serve next and the engines for it, if any are free now.
-pub fn next(now: Time, site: &Site, pool: &Pool) -> Option<(Ticket, Placement)> {
+/// What is decided on a request that waits.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Decision {
+    /// It gets engines.
+    Grant(Placement),
+    /// Its first token would come too late even with the best engines there are.
+    Refuse(Turned),
+}
+
+/// Finds the request to decide on next: one for which engines are free now, or which no engines
+/// could serve in time any more.
+pub fn next(now: Time, site: &Site, pool: &Pool) -> Option<(Ticket, Decision)> {
     let order = pool.queue().in_order();
     let ahead = now + PREFILL_AHEAD;
     for waiting in order {
@@ -193,7 +205,13 @@
         if start > ahead {
             return None;
         }
-        return Some((waiting.ask.ticket, placement));
+        // The link may be what makes it late: waiting does not help, since the link's own backlog
+        // does not shrink faster than time passes.
+        let ticket = waiting.ask.ticket;
+        if let Some(turned) = too_late(placement.ready + CALL_TIME, waiting.due) {
+            return Some((ticket, Decision::Refuse(turned)));
+        }
+        return Some((ticket, Decision::Grant(placement)));
     }
     None
 }
@@ -264,13 +282,14 @@
         for (&data_centre, &(free, decode)) in &decodes {
             let link = ordered(engine.data_centre, data_centre);
             let crossing = seconds(kv_bytes as f64 / link_rate(site, link) as f64);
-            let ready = prefill_end.max(pool.link_free(link)) + crossing;
+            let row = pool.link(link);
+            let ready = prefill_end.max(row.free(now)) + row.crossing(crossing);
             let rank = (ready.as_micros() / READY_STEP, std::cmp::Reverse(free));
             if best.as_ref().is_some_and(|(other, _)| *other <= rank) {
                 continue;
             }
             let placement =
-                Placement { prefill: id, decode, link, prefill_time, prefill_end, ready };
+                Placement { prefill: id, decode, link, prefill_time, crossing, prefill_end, ready };
             best = Some((rank, placement));
         }
     }
--- a/crates/hollyspoke/src/pool.rs
+++ b/crates/hollyspoke/src/pool.rs
@@ -6,6 +6,7 @@
 //! the engine then refuses, and the owner learns.
 
 mod engine;
+mod link;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -13,8 +14,9 @@
 use serde::{Deserialize, Serialize};
 
 pub use engine::Engine;
+pub use link::Link;
 
-use crate::admission::{self, Queue, Waiting};
+use crate::admission::{self, Decision, Queue, Waiting};
 use crate::effect::Effect;
 use crate::event::Report;
 use crate::health;
@@ -76,8 +78,13 @@
     since: Time,
     /// How long the prefill was expected to take at the described rate.
     prefill_expected: Duration,
+    /// The link, and how long the transfer takes there at the described rate.
+    crossing: Option<(LinkId, Duration)>,
 }
 
+/// A link by its ends, the smaller first.
+pub type LinkId = (DataCentreId, DataCentreId);
+
 /// What the owner knows of a front.
 #[derive(Debug, Clone, Copy)]
 struct Front {
@@ -98,8 +105,8 @@
     settled: bool,
     /// The engines.
     engines: BTreeMap<UpstreamId, Engine>,
-    /// When each link is expected to have carried all transfers granted.
-    links: BTreeMap<(DataCentreId, DataCentreId), Time>,
+    /// The links between the engines' data centres.
+    links: BTreeMap<LinkId, Link>,
     /// The grants.
     grants: BTreeMap<Ticket, Held>,
     /// The requests waiting.
@@ -256,9 +263,17 @@
             return;
         }
         let was = held.grant.stage;
-        let took = now.since(held.since);
+        let began = held.since;
+        let took = now.since(began);
         held.grant.stage = stage;
         held.since = now;
+        if was == Stage::Transfer
+            && let Some((link, crossing)) = held.crossing.take()
+        {
+            let link = self.links.entry(link).or_default();
+            link.unbook(crossing);
+            link.learn(now, began, crossing);
+        }
         if was != Stage::Prefill {
             return;
         }
@@ -275,7 +290,10 @@
     pub fn release(&mut self, cx: &mut Context<'_>, ticket: Ticket, end: End) {
         self.hear(cx.now, ticket.front);
         self.queue.remove(ticket);
-        self.learn_from(cx, end);
+        let blames_link = self.learn_stalled(cx.now, ticket, end);
+        if !blames_link {
+            self.learn_from(cx, end);
+        }
         if let Some(held) = self.grants.remove(&ticket) {
             self.learn_length(&held, end);
             self.free(cx.now, &held);
@@ -354,8 +372,15 @@
             self.queue.remove(ticket);
             cx.send(ticket.front, refusal.message(ticket));
         }
-        while let Some((ticket, placement)) = admission::next(cx.now, cx.site, self) {
+        while let Some((ticket, decision)) = admission::next(cx.now, cx.site, self) {
             let Some(waiting) = self.queue.remove(ticket) else { return };
+            let placement = match decision {
+                Decision::Grant(placement) => placement,
+                Decision::Refuse(turned) => {
+                    cx.send(ticket.front, turned.message(ticket));
+                    continue;
+                }
+            };
             let share = share_of(cx.site, waiting.ask.tenant);
             self.queue.charge(waiting.ask.tenant, waiting.cost() / share);
             let grant = self.book(cx.now, &waiting, &placement);
@@ -377,7 +402,8 @@
         if let Some(engine) = self.engines.get_mut(&placement.decode) {
             engine.reserved += u64::from(tokens);
         }
-        self.links.insert(placement.link, placement.ready);
+        let link = self.links.entry(placement.link).or_default();
+        link.book(placement.crossing);
         let grant = Grant {
             shard: self.shard,
             ticket: ask.ticket,
@@ -387,8 +413,12 @@
             max_tokens: ask.max_tokens,
             stage: Stage::Prefill,
         };
-        let held =
-            Held { grant: grant.clone(), since: now, prefill_expected: placement.prefill_time };
+        let held = Held {
+            grant: grant.clone(),
+            since: now,
+            prefill_expected: placement.prefill_time,
+            crossing: Some((placement.link, placement.crossing)),
+        };
         self.grants.insert(ask.ticket, held);
         grant
     }
@@ -403,7 +433,7 @@
             engine.reserved += u64::from(grant.tokens);
         }
         self.queue.remove(grant.ticket);
-        let held = Held { grant, since: now, prefill_expected: Duration::ZERO };
+        let held = Held { grant, since: now, prefill_expected: Duration::ZERO, crossing: None };
         self.grants.insert(held.grant.ticket, held);
     }
 
@@ -414,6 +444,9 @@
             engine.reserved = engine.reserved.saturating_sub(tokens);
             engine.reported = engine.reported.map(|it| it.saturating_sub(tokens));
         }
+        if let Some((link, crossing)) = held.crossing {
+            self.links.entry(link).or_default().unbook(crossing);
+        }
         if held.grant.stage > Stage::Prefill {
             return;
         }
@@ -484,6 +517,22 @@
         }
     }
 
+    /// Learns from a transfer that did not come to its end; tells whether its link is to blame
+    /// and not the engine.
+    fn learn_stalled(&mut self, now: Time, ticket: Ticket, end: End) -> bool {
+        let Some(held) = self.grants.get(&ticket) else { return false };
+        let (Stage::Transfer, Some((link, crossing))) = (held.grant.stage, held.crossing) else {
+            return false;
+        };
+        if !matches!(end, End::Failed(_)) {
+            return false;
+        }
+        let waited = now.since(held.since);
+        let link = self.links.entry(link).or_default();
+        link.learn_stalled(waited, crossing);
+        link.is_to_blame()
+    }
+
     /// Learns from how an attempt ended.
     fn learn_from(&mut self, cx: &mut Context<'_>, end: End) {
         let now = cx.now;
@@ -529,9 +578,9 @@
         &self.queue
     }
 
-    /// Gives when a link is expected to be free.
-    pub(crate) fn link_free(&self, link: (DataCentreId, DataCentreId)) -> Time {
-        self.links.get(&link).copied().unwrap_or(Time::ZERO)
+    /// Gives a link as the ledger has it.
+    pub(crate) fn link(&self, link: LinkId) -> Link {
+        self.links.get(&link).copied().unwrap_or_default()
     }
 
     /// Gives the expected ends of all streams being generated, with the memory each frees.
