--- a/crates/hollyspoke-model/src/load.rs
+++ b/crates/hollyspoke-model/src/load.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use hollyspoke::admission::BLOCK_TOKENS;
+use hollyspoke::key::Incarnation;
+use hollyspoke::node::Settings;
 use hollyspoke::site::{Engine, Kind, Link, Model, Role, Service, Site, Tenant, Upstream};
 use hollyspoke::time::{Time, seconds};
 use rand::{Rng, SeedableRng};
@@ -133,6 +135,19 @@
     }
 }
 
+/// Gives the settings of a box in the first data centre, known by its number alone.
+pub fn settings(number: usize) -> Settings {
+    Settings {
+        incarnation: Incarnation(number as u64 + 1),
+        name: format!("box-{number}"),
+        caller_address: format!("call:{number}"),
+        peer_address: format!("box:{number}"),
+        data_centre: "north".to_owned(),
+        seeds: Vec::new(),
+        random_seed: 1,
+    }
+}
+
 /// A request of a load.
 #[derive(Debug, Clone)]
 pub struct Request {
--- a/crates/hollyspoke-model/src/world.rs
+++ b/crates/hollyspoke-model/src/world.rs
@@ -23,6 +23,7 @@
 
 use crate::engine::{Engine, Held};
 use crate::ledger::{Broken, Caller, End, Ledger};
+use crate::load::settings;
 use crate::network::Network;
 use crate::store::{Done, Store};
 
@@ -581,12 +582,10 @@
         let seeds = (0..self.seats.len().max(2)).filter(|it| *it != number).take(3);
         let settings = Settings {
             incarnation: Incarnation(self.random.random()),
-            name: format!("box-{number}"),
-            caller_address: format!("call:{number}"),
-            peer_address: format!("box:{number}"),
             data_centre: self.seats[number].data_centre.clone(),
             seeds: seeds.map(|it| format!("box:{it}")).collect(),
             random_seed: self.random.random(),
+            ..settings(number)
         };
         let seat = &mut self.seats[number];
         seat.life += 1;
--- a/tests/benches/capacity.rs
+++ b/tests/benches/capacity.rs
@@ -16,11 +16,11 @@
 use hollyspoke::lease::RENEW;
 use hollyspoke::member::{Beat, Entry, LARGE_BEAT, State};
 use hollyspoke::message::{Ask, End, Grant, Message, Stage};
-use hollyspoke::node::{Node, Settings};
+use hollyspoke::node::Node;
 use hollyspoke::pool::ShardId;
 use hollyspoke::site::{DataCentreId, ServiceId, Site, TenantId, UpstreamId};
 use hollyspoke::time::Time;
-use hollyspoke_model::load::Plan;
+use hollyspoke_model::load::{Plan, settings};
 use hollyspoke_model::world::generate;
 
 /// Ticks a second of a daemon.
@@ -128,16 +128,7 @@
 impl Box1 {
     /// Makes a box with a site in force.
     fn new(site: Site) -> Box1 {
-        let settings = Settings {
-            incarnation: Incarnation(1),
-            name: "box".to_owned(),
-            caller_address: "10.0.0.1:80".to_owned(),
-            peer_address: "10.0.0.1:81".to_owned(),
-            data_centre: "north".to_owned(),
-            seeds: Vec::new(),
-            random_seed: 1,
-        };
-        let mut it = Box1 { node: Node::new(Time::ZERO, settings), now: Time::ZERO };
+        let mut it = Box1 { node: Node::new(Time::ZERO, settings(0)), now: Time::ZERO };
         it.step(Event::Site(Arc::new(Versioned { version: 1, site })));
         it.step(Event::Tick);
         it
--- a/tests/benches/reducer.rs
+++ b/tests/benches/reducer.rs
@@ -7,10 +7,9 @@
 use hollyspoke::config::Versioned;
 use hollyspoke::effect::Effect;
 use hollyspoke::event::{CallId, Event, Reply};
-use hollyspoke::key::Incarnation;
-use hollyspoke::node::{Node, Settings};
+use hollyspoke::node::Node;
 use hollyspoke::time::Time;
-use hollyspoke_model::load::Plan;
+use hollyspoke_model::load::{Plan, settings};
 use hollyspoke_model::world::generate;
 
 /// Makes a box with a number of upstreams.
@@ -25,16 +24,7 @@
         kv_bytes_per_token: 1,
         ..Plan::default()
     };
-    let settings = Settings {
-        incarnation: Incarnation(1),
-        name: "box".to_owned(),
-        caller_address: "10.0.0.1:80".to_owned(),
-        peer_address: "10.0.0.1:81".to_owned(),
-        data_centre: "north".to_owned(),
-        seeds: Vec::new(),
-        random_seed: 1,
-    };
-    let mut node = Node::new(Time::ZERO, settings);
+    let mut node = Node::new(Time::ZERO, settings(0));
     let site = Arc::new(Versioned { version: 1, site: plan.site() });
     node.step(Time::ZERO, Event::Site(site));
     node.step(Time::ZERO, Event::Tick);
--- a/tests/tests/epochs.rs
+++ b/tests/tests/epochs.rs
@@ -8,10 +8,10 @@
 use hollyspoke::event::{Answer, CallId, Event, Reply};
 use hollyspoke::home::{EPOCH, KEPT_EPOCHS};
 use hollyspoke::key::{Incarnation, Key, Ticket};
-use hollyspoke::node::{Node, Settings};
+use hollyspoke::node::Node;
 use hollyspoke::outcome::ProblemKind;
 use hollyspoke::time::Time;
-use hollyspoke_model::load::Plan;
+use hollyspoke_model::load::{Plan, settings};
 use hollyspoke_model::world::hold;
 
 /// A box with its clock.
@@ -27,17 +27,8 @@
 impl Fixture {
     /// Makes a box with a plain service.
     fn new() -> Fixture {
-        let settings = Settings {
-            incarnation: Incarnation(1),
-            name: "box-1".to_owned(),
-            caller_address: "10.0.0.1:8000".to_owned(),
-            peer_address: "10.0.0.1:8001".to_owned(),
-            data_centre: "north".to_owned(),
-            seeds: Vec::new(),
-            random_seed: 1,
-        };
         let mut fixture =
-            Fixture { node: Node::new(Time::ZERO, settings), now: Time::ZERO, last_call: 0 };
+            Fixture { node: Node::new(Time::ZERO, settings(0)), now: Time::ZERO, last_call: 0 };
         let site = Versioned { version: 1, site: Plan::default().site() };
         fixture.step(Event::Site(Arc::new(site)));
         fixture
--- a/tests/tests/json_lines.rs
+++ b/tests/tests/json_lines.rs
@@ -7,23 +7,14 @@
 use hollyspoke::effect::Effect;
 use hollyspoke::event::{CallId, Event, Reply};
 use hollyspoke::key::Incarnation;
-use hollyspoke::node::{Node, Settings};
+use hollyspoke::node::Node;
 use hollyspoke::time::Time;
-use hollyspoke_model::load::Plan;
+use hollyspoke_model::load::{Plan, settings};
 use hollyspoke_model::world::generate;
 
 /// Makes a box.
 fn node() -> Node {
-    let settings = Settings {
-        incarnation: Incarnation(1),
-        name: "box-1".to_owned(),
-        caller_address: "10.0.0.1:8000".to_owned(),
-        peer_address: "10.0.0.1:8001".to_owned(),
-        data_centre: "north".to_owned(),
-        seeds: Vec::new(),
-        random_seed: 1,
-    };
-    Node::new(Time::ZERO, settings)
+    Node::new(Time::ZERO, settings(0))
 }
 
 /// The events of one request from its arrival to its end.
--- a/tests/tests/replay.rs
+++ b/tests/tests/replay.rs
@@ -13,10 +13,10 @@
 use hollyspoke::key::{Incarnation, Key};
 use hollyspoke::member::{Beat, State};
 use hollyspoke::message::Message;
-use hollyspoke::node::{Node, Settings};
+use hollyspoke::node::Node;
 use hollyspoke::store::{Answer, Operation};
 use hollyspoke::time::Time;
-use hollyspoke_model::load::Plan;
+use hollyspoke_model::load::{Plan, settings};
 use hollyspoke_model::store::Store;
 use hollyspoke_model::world::hold;
 use hollyspoke_spec::search::{Specification, Step};
@@ -205,16 +205,7 @@
 
 /// Makes a box.
 fn node(number: usize) -> Node {
-    let settings = Settings {
-        incarnation: incarnation(number),
-        name: format!("box-{number}"),
-        caller_address: format!("call:{number}"),
-        peer_address: format!("box:{number}"),
-        data_centre: "north".to_owned(),
-        seeds: Vec::new(),
-        random_seed: 1,
-    };
-    Node::new(Time::ZERO, settings)
+    Node::new(Time::ZERO, settings(number))
 }
 
 /// Walks through a specification: `choose` gives a number below its argument.
