Give tenants that the site's file does not name one account together

Cause: each name in the tenant's header had a share of its own of busy engines, so that a caller gained by making names up, and the queue kept every name it had ever seen. Ruled out: the limits, which only named tenants have.

--- a/crates/hollyspoke/src/admission.rs
+++ b/crates/hollyspoke/src/admission.rs
@@ -131,7 +131,7 @@
     }
 
     /// Gives those who wait in the order in which they are served: by class, then by what their
-    /// tenant has used of its share, then by when the first token is due.
+    /// tenant has used of its share, then the cheaper first, then by when the first token is due.
     pub fn in_order(&self) -> Vec<&Waiting> {
         let mut order: Vec<&Waiting> = self.waiting.iter().collect();
         order.sort_by(|a, b| {
--- a/crates/hollyspoke/src/generate.rs
+++ b/crates/hollyspoke/src/generate.rs
@@ -449,12 +449,19 @@
         max_tokens,
         prefix,
         class,
-        tenant: TenantId::of(&request.arrival.tenant),
+        tenant: account(cx, &request.arrival.tenant),
         due_in,
         avoid: request.avoid,
     }
 }
 
+/// Gives the account on which a tenant's requests wait for engines. Tenants that the site's file
+/// does not name have one together, so that a caller gains nothing by making names up.
+fn account(cx: &Context<'_>, tenant: &str) -> TenantId {
+    let is_named = cx.site.tenants.iter().any(|it| it.name == tenant);
+    TenantId::of(if is_named { tenant } else { "" })
+}
+
 /// Gives the digests of the first 1, 2, 4, 8, … blocks: a few bytes tell the owner about how much
 /// of a prompt an engine may know.
 fn sample(prefix: &[u64]) -> Vec<u32> {
