--- a/crates/hollyspoke-spec/src/orders.rs
+++ b/crates/hollyspoke-spec/src/orders.rs
@@ -76,7 +76,7 @@
                 faults(state, me, &mut steps);
             }
             for &(engine, token) in &state.orders {
-                order(state, engine, token, mutant, &mut steps);
+                order(engine, token, mutant, &mut steps);
             }
             steps.finish()
         }),
@@ -155,13 +155,7 @@
 }
 
 /// An order reaches its engine.
-fn order(
-    state: &State,
-    engine: usize,
-    token: u8,
-    mutant: Option<Mutant>,
-    steps: &mut Steps<'_, State>,
-) {
+fn order(engine: usize, token: u8, mutant: Option<Mutant>, steps: &mut Steps<'_, State>) {
     steps.add(format!("engine {engine} gets the order with token {token}"), |it| {
         it.orders.remove(&(engine, token));
         let older = token < it.seen[engine];
@@ -174,5 +168,4 @@
         }
         it.seen[engine] = it.seen[engine].max(token);
     });
-    let _ = state;
 }
--- a/crates/hollyspoke/src/front.rs
+++ b/crates/hollyspoke/src/front.rs
@@ -21,6 +21,26 @@
 use crate::site::{Kind, ServiceId};
 use crate::time::Time;
 
+/// How long a caller should stay away from a box that takes nothing new.
+const CLOSED_RETRY: Duration = Duration::from_secs(1);
+
+/// How long a caller should stay away while the store does not answer.
+const STORE_RETRY: Duration = Duration::from_secs(2);
+
+/// What is said to a tenant that is over its limit.
+const OVER_LIMIT: &str = "the tenant is over its limit of requests a second";
+
+/// A request that has just come, with its caller's connection.
+#[derive(Debug)]
+struct Incoming {
+    /// The connection.
+    call: CallId,
+    /// The request.
+    arrival: Arrival,
+    /// A digest of what is asked for.
+    digest: u64,
+}
+
 /// The front's state.
 #[derive(Debug, Clone)]
 pub struct Front {
@@ -77,70 +97,63 @@
         closed: Option<&str>,
     ) {
         arrival.repeatable = arrival.repeatable && may_repeat(cx, &arrival.work);
-        let digest = digest(&arrival);
-        if let Some(key) = arrival.key {
-            let verdict = self.home.verdict(key, digest, arrival.relayed, cx.members);
-            self.follow(cx, call, arrival, key, digest, verdict, closed);
+        let incoming = Incoming { call, digest: digest(&arrival), arrival };
+        if let Some(key) = incoming.arrival.key {
+            let relayed = incoming.arrival.relayed;
+            let verdict = self.home.verdict(key, incoming.digest, relayed, cx.members);
+            self.follow(cx, incoming, key, verdict, closed);
             return;
         }
         let key = self.home.mint();
-        let Some(own_key) = arrival.claim.clone() else {
-            self.follow(cx, call, arrival, key, digest, Verdict::Run, closed);
-            return;
-        };
+        match incoming.arrival.claim.clone() {
+            Some(own_key) => self.claim(cx, incoming, key, &own_key, closed),
+            None => self.follow(cx, incoming, key, Verdict::Run, closed),
+        }
+    }
+
+    /// Has a request wait until its caller's own key is bound.
+    fn claim(
+        &mut self,
+        cx: &mut Context<'_>,
+        incoming: Incoming,
+        key: Key,
+        own_key: &str,
+        closed: Option<&str>,
+    ) {
         if let Some(why) = closed {
-            refuse(cx, call, Refusal::Leaving, why, Some(Duration::from_secs(1)));
+            refuse(cx, incoming.call, Refusal::Leaving, why, Some(CLOSED_RETRY));
             return;
         }
-        let Some(service) = self.service(cx, call, &arrival) else { return };
-        let claim = Claim::of(&arrival.tenant, &own_key);
-        let may_replace = arrival.repeatable;
-        let id = self.insert(cx.now, call, arrival, key, digest, service);
+        let Some(service) = self.service(cx, &incoming) else { return };
+        let claim = Claim::of(&incoming.arrival.tenant, own_key);
+        let may_replace = incoming.arrival.repeatable;
+        let id = self.insert(cx.now, incoming, key, service);
         self.claims.want(cx, id, claim, key, may_replace);
     }
 
     /// Does what a verdict says.
-    #[expect(clippy::too_many_arguments, reason = "one step of `arrive`, shared with claims")]
     fn follow(
         &mut self,
         cx: &mut Context<'_>,
-        call: CallId,
-        arrival: Arrival,
+        incoming: Incoming,
         key: Key,
-        digest: u64,
         verdict: Verdict,
         closed: Option<&str>,
     ) {
+        let call = incoming.call;
+        let repeatable = incoming.arrival.repeatable;
         match verdict {
-            Verdict::Run => {
-                if let Some(why) = closed {
-                    refuse(cx, call, Refusal::Leaving, why, Some(Duration::from_secs(1)));
-                    return;
-                }
-                let Some(service) = self.service(cx, call, &arrival) else { return };
-                let boxes = cx.members.live().count();
-                let taken = self.limits.take(cx.now, cx.site, &arrival.tenant, boxes);
-                if let Err(after) = taken {
-                    let detail = "the tenant is over its limit of requests a second";
-                    refuse(cx, call, Refusal::Limited, detail, Some(after));
-                    return;
-                }
-                let id = self.insert(cx.now, call, arrival, key, digest, service);
-                self.home.run(key, digest, id);
-                self.budget.earn();
-                self.begin(cx, id);
-            }
+            Verdict::Run => self.run(cx, incoming, key, closed),
             Verdict::Join(id) => self.join(cx, call, id),
             Verdict::Replay(ended) => replay(cx, call, ended),
             Verdict::Relay(home) => {
                 let address = cx.members.entry(home).map(|it| it.caller_address.clone());
                 let address = address.unwrap_or_default();
-                let repeatable = arrival.repeatable;
                 cx.reply(call, CallerReply::Relay { address, key, repeatable });
             }
-            Verdict::Unknown if arrival.repeatable && arrival.claim.is_none() => {
+            Verdict::Unknown if repeatable && incoming.arrival.claim.is_none() => {
                 let fresh = self.home.mint();
-                self.follow(cx, call, arrival, fresh, digest, Verdict::Run, closed);
+                self.run(cx, incoming, fresh, closed);
             }
             Verdict::Unknown => {
                 let detail = "the box that had this request is gone; it may have run, and it \
@@ -151,6 +164,30 @@
         }
     }
 
+    /// Runs a request of which this box is the home.
+    fn run(&mut self, cx: &mut Context<'_>, incoming: Incoming, key: Key, closed: Option<&str>) {
+        let (call, digest) = (incoming.call, incoming.digest);
+        if let Some(why) = closed {
+            refuse(cx, call, Refusal::Leaving, why, Some(CLOSED_RETRY));
+            return;
+        }
+        let Some(service) = self.service(cx, &incoming) else { return };
+        if let Err(after) = self.take_limit(cx, &incoming.arrival.tenant) {
+            refuse(cx, call, Refusal::Limited, OVER_LIMIT, Some(after));
+            return;
+        }
+        let id = self.insert(cx.now, incoming, key, service);
+        self.home.run(key, digest, id);
+        self.budget.earn();
+        self.begin(cx, id);
+    }
+
+    /// Takes one request of a tenant from its part of the limit, or gives the time to come back.
+    fn take_limit(&mut self, cx: &Context<'_>, tenant: &str) -> Result<(), Duration> {
+        let boxes = cx.members.live().count();
+        self.limits.take(cx.now, cx.site, tenant, boxes)
+    }
+
     /// Goes on with requests whose claims are settled.
     pub fn settle_claims(&mut self, cx: &mut Context<'_>, settled: Vec<(Id, Settled)>) {
         for (id, settled) in settled {
@@ -159,8 +196,7 @@
                 Settled::Away => {
                     let detail =
                         "the platform's store does not answer, so the key can't be claimed";
-                    let after = Some(Duration::from_secs(2));
-                    self.give_up(cx, id, Refusal::StoreAway, detail, after);
+                    self.give_up(cx, id, Refusal::StoreAway, detail, Some(STORE_RETRY));
                 }
                 Settled::Bound(key) if key == request.key => self.begin_claimed(cx, id),
                 Settled::Bound(key) => self.follow_claim(cx, id, key),
@@ -178,14 +214,12 @@
             self.follow_claim(cx, id, key);
             return;
         }
-        let boxes = cx.members.live().count();
         let tenant = request.arrival.tenant.clone();
-        if let Err(after) = self.limits.take(cx.now, cx.site, &tenant, boxes) {
-            let detail = "the tenant is over its limit of requests a second";
-            self.give_up(cx, id, Refusal::Limited, detail, Some(after));
+        if let Err(after) = self.take_limit(cx, &tenant) {
+            self.give_up(cx, id, Refusal::Limited, OVER_LIMIT, Some(after));
             return;
         }
-        self.home.run(request.key, request.digest, id);
+        self.home.run(key, digest, id);
         self.budget.earn();
         self.begin(cx, id);
     }
@@ -195,9 +229,10 @@
         let Some(request) = self.requests.remove(id) else { return };
         let Some(call) = request.caller else { return };
         self.calls.remove(&call);
-        let (arrival, digest) = (request.arrival, request.digest);
-        let verdict = self.home.verdict(key, digest, arrival.relayed, cx.members);
-        self.follow(cx, call, arrival, key, digest, verdict, None);
+        let incoming = Incoming { call, arrival: request.arrival, digest: request.digest };
+        let relayed = incoming.arrival.relayed;
+        let verdict = self.home.verdict(key, incoming.digest, relayed, cx.members);
+        self.follow(cx, incoming, key, verdict, None);
     }
 
     /// Takes a caller's going away.
@@ -342,15 +377,8 @@
     }
 
     /// Puts a request into the arena.
-    fn insert(
-        &mut self,
-        now: Time,
-        call: CallId,
-        arrival: Arrival,
-        key: Key,
-        digest: u64,
-        service: ServiceId,
-    ) -> Id {
+    fn insert(&mut self, now: Time, incoming: Incoming, key: Key, service: ServiceId) -> Id {
+        let Incoming { call, arrival, digest } = incoming;
         let id = self.requests.insert(Request {
             key,
             digest,
@@ -372,8 +400,9 @@
     }
 
     /// Finds the service a request names, or refuses it.
-    fn service(&self, cx: &mut Context<'_>, call: CallId, arrival: &Arrival) -> Option<ServiceId> {
-        let (found, named) = match &arrival.work {
+    fn service(&self, cx: &mut Context<'_>, incoming: &Incoming) -> Option<ServiceId> {
+        let call = incoming.call;
+        let (found, named) = match &incoming.arrival.work {
             Work::Generate(work) => (cx.site.service_of_model(&work.model), &work.model),
             Work::Call(work) => (cx.site.service_of_path(&work.path), &work.path),
         };
