--- a/crates/hollyspoke-model/src/world.rs
+++ b/crates/hollyspoke-model/src/world.rs
@@ -1,9 +1,9 @@
 //! Boxes, engines, services, store, network and callers in one virtual time.
 
 mod action;
+mod due;
 mod upstream;
 
-use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,8 +21,10 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::engine::{Engine, Held};
+use crate::engine::Engine;
 use crate::ledger::{Broken, Caller, End, Ledger};
+use due::{Crossing, Due, Entry, Flow};
+
 use crate::load::settings;
 use crate::network::Network;
 use crate::store::{Done, Store};
@@ -48,87 +50,6 @@
 /// The rate of a link that the site does not name, in bytes a second.
 const DEFAULT_LINK: u64 = 10_000_000_000;
 
-/// Something that is due.
-#[derive(Debug, Clone)]
-enum Due {
-    /// A box's tick.
-    Tick(usize, u64),
-    /// An event for a box's life.
-    Event(usize, u64, Box<Event>),
-    /// An engine may have computed a prompt.
-    Computed(UpstreamId),
-    /// A transfer has ended.
-    Crossed(Crossing),
-    /// A token is due.
-    Token(Flow),
-    /// A cancel reaches an engine.
-    Cancelled(UpstreamId, Ticket),
-    /// A call reaches a plain service.
-    Runs(usize, u64, Ticket, u64),
-    /// A lost write takes effect.
-    Late(objects::Operation),
-    /// Something from outside.
-    Action(Box<Action>),
-}
-
-/// A transfer under way.
-#[derive(Debug, Clone)]
-struct Crossing {
-    /// The box that asked for it.
-    front: (usize, u64),
-    /// The attempt.
-    ticket: Ticket,
-    /// The decode engine.
-    to: UpstreamId,
-    /// What crosses.
-    held: Held,
-}
-
-/// A stream under way.
-#[derive(Debug, Clone, Copy)]
-struct Flow {
-    /// The box that reads it.
-    front: (usize, u64),
-    /// The attempt.
-    ticket: Ticket,
-    /// The engine.
-    engine: UpstreamId,
-    /// The place of the token due.
-    seq: u32,
-}
-
-/// An entry of the queue of what is due.
-#[derive(Debug, Clone)]
-struct Entry {
-    /// When.
-    at: Time,
-    /// The order among those at one time.
-    order: u64,
-    /// What.
-    due: Due,
-}
-
-impl PartialEq for Entry {
-    fn eq(&self, other: &Entry) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-
-impl Eq for Entry {}
-
-impl PartialOrd for Entry {
-    fn partial_cmp(&self, other: &Entry) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Entry {
-    fn cmp(&self, other: &Entry) -> Ordering {
-        // The heap gives the greatest first: the earliest is the greatest.
-        (other.at, other.order).cmp(&(self.at, self.order))
-    }
-}
-
 /// A place at which a box runs, life after life.
 #[derive(Debug, Clone)]
 struct Seat {
--- a/crates/hollyspoke/src/pool.rs
+++ b/crates/hollyspoke/src/pool.rs
@@ -6,6 +6,7 @@
 //! the engine then refuses, and the owner learns.
 
 mod engine;
+mod learn;
 mod link;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,8 +19,6 @@
 
 use crate::admission::{self, Decision, Queue, Waiting};
 use crate::effect::Effect;
-use crate::event::Report;
-use crate::health;
 use crate::key::{Incarnation, Ticket};
 use crate::layout::Layout;
 use crate::message::{Ask, End, Grant, Message, Stage};
@@ -303,42 +302,6 @@
         self.pump(cx);
     }
 
-    /// Takes an engine's report.
-    pub fn report(&mut self, cx: &mut Context<'_>, id: UpstreamId, report: Option<Report>) {
-        let now = cx.now;
-        let leaving = cx.site.engine(id).is_some_and(|it| it.leaving);
-        let Some(engine) = self.engines.get_mut(&id) else { return };
-        let Some(report) = report else {
-            engine.silent_polls += 1;
-            self.judge_silence();
-            return;
-        };
-        if engine.silent {
-            cx.note(format!("engine at {} answers again", engine.address));
-        }
-        engine.silent_polls = 0;
-        engine.silent = false;
-        engine.leaving = leaving || report.leaving;
-        engine.reported = Some(report.used_tokens);
-        self.sweep(cx, id, &report.streams);
-        self.strays.retain(|(on, ticket), _| *on != id || report.streams.contains(ticket));
-        if now.since(self.since) < SETTLE {
-            return;
-        }
-        self.pump(cx);
-    }
-
-    /// Decides which engines are taken to be dead for their silence. When most are silent it is
-    /// the reports that have stopped, and not the engines.
-    fn judge_silence(&mut self) {
-        let silent = |it: &Engine| it.silent_polls >= health::FAILURES;
-        let count = self.engines.values().filter(|it| silent(it)).count();
-        let most = count * 2 > self.engines.len();
-        for engine in self.engines.values_mut() {
-            engine.silent = silent(engine) && !most;
-        }
-    }
-
     /// Does what is due: expires silent fronts, polls engines, decides on those who wait.
     pub fn tick(&mut self, cx: &mut Context<'_>) {
         let now = cx.now;
@@ -457,13 +420,6 @@
         }
     }
 
-    /// Learns how long answers are against what was asked for.
-    fn learn_length(&mut self, held: &Held, end: End) {
-        let End::Done { tokens } = end else { return };
-        let share = f64::from(tokens) / f64::from(held.grant.max_tokens.max(1));
-        self.answer_share += LENGTH_WEIGHT * (share.min(1.0) - self.answer_share);
-    }
-
     /// Takes a grant from its front and stops the streams on the engines.
     fn drop_grant(&mut self, cx: &mut Context<'_>, ticket: Ticket) {
         let Some(held) = self.grants.remove(&ticket) else { return };
@@ -499,64 +455,6 @@
         }
     }
 
-    /// Stops the streams on an engine which the ledger has not known for some time.
-    fn sweep(&mut self, cx: &mut Context<'_>, engine: UpstreamId, streams: &[Ticket]) {
-        let now = cx.now;
-        for &ticket in streams {
-            if self.grants.contains_key(&ticket) {
-                self.strays.remove(&(engine, ticket));
-                continue;
-            }
-            let since = *self.strays.entry((engine, ticket)).or_insert(now);
-            let waited = now.since(since) >= STRAY_AFTER;
-            if !waited || now.since(self.since) < STRAY_AFTER {
-                continue;
-            }
-            let Some(row) = self.engines.get(&engine) else { return };
-            cx.effect(Effect::Cancel { ticket, address: row.address.clone() });
-        }
-    }
-
-    /// Learns from a transfer that did not come to its end; tells whether its link is to blame
-    /// and not the engine.
-    fn learn_stalled(&mut self, now: Time, ticket: Ticket, end: End) -> bool {
-        let Some(held) = self.grants.get(&ticket) else { return false };
-        let (Stage::Transfer, Some((link, crossing))) = (held.grant.stage, held.crossing) else {
-            return false;
-        };
-        if !matches!(end, End::Failed(_)) {
-            return false;
-        }
-        let waited = now.since(held.since);
-        let link = self.links.entry(link).or_default();
-        link.learn_stalled(waited, crossing);
-        link.is_to_blame()
-    }
-
-    /// Learns from how an attempt ended.
-    fn learn_from(&mut self, cx: &mut Context<'_>, end: End) {
-        let now = cx.now;
-        match end {
-            End::Done { .. } | End::Cancelled => {}
-            End::Full(id) => {
-                if let Some(engine) = self.engines.get_mut(&id) {
-                    engine.full_until = now + FULL_FOR;
-                }
-            }
-            End::Failed(id) => {
-                let Some(role) = self.engines.get(&id).map(|it| it.role) else { return };
-                let group = self.engines.values().filter(|it| it.role == role);
-                let (out, all) = group.fold((0, 0), |(out, all), it| {
-                    (out + usize::from(it.health.is_out(now)), all + 1)
-                });
-                let Some(engine) = self.engines.get_mut(&id) else { return };
-                if engine.health.fail(now, health::may_eject(out, all)) {
-                    cx.note(format!("engine at {} is out of service", engine.address));
-                }
-            }
-        }
-    }
-
     /// Notes that a front lives.
     fn hear(&mut self, now: Time, front: Incarnation) -> &mut Front {
         let front = self.fronts.entry(front).or_insert(Front { heard: now, mismatches: 0 });
