--- a/tests/tests/configuration.rs
+++ b/tests/tests/configuration.rs
@@ -85,6 +85,37 @@
     Ok(())
 }
 
+/// The platform is slow at every call: boxes serve, an apply is accepted and comes into force.
+#[tokio::test]
+async fn slow_store() -> eyre::Result<()> {
+    let cluster = site().await?;
+    cluster.platform.faults(&Faults { delay_ms: 1200, ..Faults::default() }).await?;
+    let version = cluster.apply().await?;
+    let took = cluster.wait_in_force(version).await?;
+    println!("in force {took:?} after an apply at a store that is 1.2 s late");
+    let got = Sending::generate("slow store", 10, false).send(cluster.boxes[0].address()).await;
+    assert_eq!(got.text()?, answer::whole("slow store", 10));
+    Ok(())
+}
+
+/// The store is away when the site is started: boxes wait, and serve when it is back.
+#[tokio::test]
+async fn store_away_at_start() -> eyre::Result<()> {
+    let mut cluster = Cluster::start(Plan { boxes: 0, ..Plan::default() }).await?;
+    cluster.platform.faults(&Faults { down: true, ..Faults::default() }).await?;
+    for _ in 0..2 {
+        cluster.add_box()?;
+    }
+    cluster.wait_for_members(2).await?;
+    let early = Sending::generate("early", 10, false).send(cluster.boxes[0].address()).await;
+    assert_eq!(early.slug(), "unavailable", "{early:?}");
+    cluster.platform.faults(&Faults::default()).await?;
+    cluster.wait_in_force(1).await?;
+    let got = Sending::generate("later", 10, false).send(cluster.boxes[0].address()).await;
+    assert_eq!(got.text()?, answer::whole("later", 10));
+    Ok(())
+}
+
 /// Two operators apply at the same time, each having seen the same version: one is told.
 #[tokio::test]
 async fn operators_race() -> eyre::Result<()> {
