Do not ask a platform without end that answers every watch at once

Cause: the watch was asked again at once whatever came, so that a platform which does not wait, or shows the same version again, got as many reads as the network carries.

--- a/crates/hollyspoke-daemon/src/store.rs
+++ b/crates/hollyspoke-daemon/src/store.rs
@@ -8,6 +8,7 @@
 use hollyspoke_wire::platform::{Object, Platform, SITE_KIND};
 use rand::Rng;
 use slog::{Logger, warn};
+use tokio::time::Instant;
 
 use crate::shell::Inputs;
 
@@ -44,7 +45,9 @@
     pub async fn watch(self) {
         let mut after = 0;
         loop {
+            let began = Instant::now();
             let answer = self.platform.watch(SITE_KIND, &self.site, after).await;
+            let is_news = matches!(&answer, Ok(Some(object)) if object.version > after);
             if !self.take(answer, &mut after) {
                 // The next watch answers at once with what is there, which shows that the
                 // platform is back without waiting for a change.
@@ -52,6 +55,11 @@
                 let jitter = rand::rng().random_range(0..JITTER_MS);
                 tokio::time::sleep(PAUSE + Duration::from_millis(jitter)).await;
             }
+            // A platform that answers at once without news is not asked without end. After news
+            // the watch is held again at once: the store may go away right after a write.
+            if !is_news {
+                tokio::time::sleep_until(began + PAUSE).await;
+            }
         }
     }
 
