Give the dropping of a plain call an effect of its own

A cancel with an empty address stood for it, and each driver had to know. The benches' site without bounds stood twice. No behaviour changes: promises.rs, replay.rs, cancel.rs, retry_key.rs, json_lines.rs, under_load.rs and paused_question.rs pass.

--- a/crates/hollyspoke-daemon/src/shell.rs
+++ b/crates/hollyspoke-daemon/src/shell.rs
@@ -229,13 +229,10 @@
                 self.begin(ticket, upstream::decode(client, inputs, ticket, address, decode));
             }
             Effect::Cancel { ticket, address } => {
-                if let Some(task) = self.attempts.remove(&ticket) {
-                    task.abort();
-                }
-                if !address.is_empty() {
-                    tokio::spawn(upstream::cancel(client, ticket, address));
-                }
+                self.drop_attempt(ticket);
+                tokio::spawn(upstream::cancel(client, ticket, address));
             }
+            Effect::Drop(ticket) => self.drop_attempt(ticket),
             Effect::Poll { engine, address } => {
                 tokio::spawn(async move {
                     inputs.put(upstream::polled(client, engine, address).await);
@@ -278,6 +275,13 @@
         self.attempts.insert(ticket, task.abort_handle());
     }
 
+    /// Ends the task of an attempt, which closes its connection.
+    fn drop_attempt(&mut self, ticket: Ticket) {
+        if let Some(task) = self.attempts.remove(&ticket) {
+            task.abort();
+        }
+    }
+
     /// Passes a reply to its caller.
     fn reply(&mut self, call: CallId, reply: CallerReply) {
         let more = matches!(reply, CallerReply::Token(_));
--- a/crates/hollyspoke-model/src/load.rs
+++ b/crates/hollyspoke-model/src/load.rs
@@ -54,6 +54,20 @@
 }
 
 impl Plan {
+    /// Makes the plan of a number of engines, half in each role, that are never full: for
+    /// measuring the reducer and not the engines.
+    pub fn boundless(engines: usize) -> Plan {
+        Plan {
+            prefills: engines / 2,
+            decodes: engines / 2,
+            services: 0,
+            memory_tokens: 1 << 40,
+            prefill_rate: 1 << 40,
+            kv_bytes_per_token: 1,
+            ..Plan::default()
+        }
+    }
+
     /// Makes the site: a model `m`, a service `llm` of engines, and a plain service at `/holds`.
     pub fn site(&self) -> Site {
         let mut site = Site {
--- a/crates/hollyspoke-model/src/world.rs
+++ b/crates/hollyspoke-model/src/world.rs
@@ -332,6 +332,9 @@
                     self.put(self.now + CALL, Due::Cancelled(engine, ticket));
                 }
             }
+            Effect::Drop(ticket) => {
+                self.dropped.insert(ticket);
+            }
             // Engines of this world take no orders, and report no state that would call for one.
             Effect::Order { .. } => {}
             Effect::Poll { engine, .. } => self.poll(front, engine),
--- a/crates/hollyspoke/src/effect.rs
+++ b/crates/hollyspoke/src/effect.rs
@@ -66,6 +66,8 @@
         /// The engine's address.
         address: String,
     },
+    /// Drop an attempt's call of a plain service; the upstream is told nothing.
+    Drop(Ticket),
     /// Ask an engine for its report.
     Poll {
         /// The engine.
--- a/crates/hollyspoke/src/generate.rs
+++ b/crates/hollyspoke/src/generate.rs
@@ -298,7 +298,7 @@
             Phase::Call { upstream } => {
                 let upstream = *upstream;
                 self.plain.end(cx.now, cx.site, upstream, ticket, crate::plain::CallEnd::Dropped);
-                cx.effect(Effect::Cancel { ticket, address: String::new() });
+                cx.effect(Effect::Drop(ticket));
             }
             Phase::Prefill(grant) | Phase::Transfer { grant, .. } | Phase::Decode { grant, .. } => {
                 let first = !matches!(request.phase, Phase::Decode { .. });
--- a/tests/benches/capacity.rs
+++ b/tests/benches/capacity.rs
@@ -105,17 +105,7 @@
 
 /// Makes the site of a number of engines, half in each role.
 fn site(engines: usize) -> Site {
-    let half = engines / 2;
-    Plan {
-        prefills: half,
-        decodes: half,
-        services: 0,
-        memory_tokens: 1 << 40,
-        prefill_rate: 1 << 40,
-        kv_bytes_per_token: 1,
-        ..Plan::default()
-    }
-    .site()
+    Plan::boundless(engines).site()
 }
 
 /// A box under measurement, with its clock.
--- a/tests/benches/reducer.rs
+++ b/tests/benches/reducer.rs
@@ -14,16 +14,7 @@
 
 /// Makes a box with a number of upstreams.
 fn node(upstreams: usize) -> Node {
-    let half = upstreams / 2;
-    let plan = Plan {
-        prefills: half,
-        decodes: half,
-        services: 0,
-        memory_tokens: 1 << 40,
-        prefill_rate: 1 << 40,
-        kv_bytes_per_token: 1,
-        ..Plan::default()
-    };
+    let plan = Plan::boundless(upstreams);
     let mut node = Node::new(Time::ZERO, settings(0));
     let site = Arc::new(Versioned { version: 1, site: plan.site() });
     node.step(Time::ZERO, Event::Site(site));
