--- a/crates/hollyspoke-daemon/src/lib.rs
+++ b/crates/hollyspoke-daemon/src/lib.rs
@@ -3,7 +3,7 @@
 
 pub mod callers;
 pub mod connection;
-pub mod log;
+pub use hollyspoke_log as log;
 pub mod metrics;
 pub mod openai;
 pub mod peers;
--- a/crates/hollyspoke-daemon/src/settings.rs
+++ b/crates/hollyspoke-daemon/src/settings.rs
@@ -63,14 +63,7 @@
     pub log: LogForm,
 }
 
-/// The form of the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LogForm {
-    /// A line of JSON a record.
-    Json,
-    /// Lines for a person.
-    Terminal,
-}
+pub use hollyspoke_log::Form as LogForm;
 
 /// One setting that is wrong.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/directory.rs
@@ -0,0 +1,181 @@
+//! The engines that the platform lists, and what their answers have told.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyspoke::time::Time;
+
+use crate::engine::{Engine, EngineKey, Stage};
+use crate::event::ToldLoad;
+use crate::health::Health;
+
+/// The rate at which a prompt is read before any was measured, in tokens a millisecond.
+const FIRST_READING_RATE: f64 = 30.0;
+
+/// The weight of the newest measurement of a rate.
+const NEWEST: f64 = 0.3;
+
+/// How long an engine's own measurements are preferred to those of its whole service.
+const MEASUREMENT_LIFE: Duration = Duration::from_secs(8);
+
+/// What is known of one engine.
+#[derive(Debug, Clone)]
+pub struct Known {
+    /// The engine as listed.
+    pub engine: Arc<Engine>,
+    /// What its answers tell of its health.
+    pub health: Health,
+    /// The load that it last told, and when.
+    pub told: Option<(ToldLoad, Time)>,
+    /// Its measured rate of reading, in tokens a millisecond, and when it was measured.
+    rate: Option<(f64, Time)>,
+    /// Whether another incarnation answered at its address.
+    is_replaced: bool,
+}
+
+impl Known {
+    /// Tells whether the engine takes new requests.
+    pub fn is_open(&self) -> bool {
+        !self.engine.is_draining && !self.is_replaced
+    }
+}
+
+/// All engines.
+#[derive(Debug, Clone, Default)]
+pub struct Directory {
+    /// The engines by key.
+    engines: BTreeMap<EngineKey, Known>,
+    /// The engines of each service.
+    by_service: HashMap<Arc<str>, Vec<EngineKey>>,
+    /// The rate of reading measured over a service's engines, by stage.
+    rates: HashMap<(Arc<str>, bool), f64>,
+    /// The highest revision seen.
+    revision: u64,
+}
+
+impl Directory {
+    /// Takes a whole list; tells whether it was newer than what is known.
+    pub fn list(&mut self, engines: Vec<Engine>, revision: u64) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        self.revision = revision;
+        let mut old = std::mem::take(&mut self.engines);
+        for engine in engines {
+            let known = old.remove(&engine.key);
+            self.engines.insert(engine.key, renew(known, engine));
+        }
+        self.index();
+        true
+    }
+
+    /// Takes one engine's change; tells whether it was newer than what is known.
+    pub fn change(&mut self, engine: Engine, revision: u64) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        self.revision = revision;
+        let known = self.engines.remove(&engine.key);
+        self.engines.insert(engine.key, renew(known, engine));
+        self.index();
+        true
+    }
+
+    /// Removes an engine; tells whether it was there.
+    pub fn leave(&mut self, id: &str, revision: u64) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        self.revision = revision;
+        let found = self.engines.remove(&EngineKey::of(id)).is_some();
+        self.index();
+        found
+    }
+
+    /// Notes that another incarnation answered at an engine's address.
+    pub fn replace(&mut self, engine: EngineKey) {
+        if let Some(known) = self.engines.get_mut(&engine) {
+            known.is_replaced = true;
+        }
+    }
+
+    /// Finds an engine.
+    pub fn get(&self, engine: EngineKey) -> Option<&Known> {
+        self.engines.get(&engine)
+    }
+
+    /// Finds an engine to change what is known of it.
+    pub fn get_mut(&mut self, engine: EngineKey) -> Option<&mut Known> {
+        self.engines.get_mut(&engine)
+    }
+
+    /// Goes over the engines of a service that take new requests.
+    pub fn open(&self, service: &str) -> impl Iterator<Item = &Known> {
+        let keys = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
+        keys.iter().filter_map(|it| self.engines.get(it)).filter(|it| it.is_open())
+    }
+
+    /// Gives the number of engines.
+    pub fn len(&self) -> usize {
+        self.engines.len()
+    }
+
+    /// Tells whether no engine is known.
+    pub fn is_empty(&self) -> bool {
+        self.engines.is_empty()
+    }
+
+    /// Gives the highest revision seen.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Notes how long an engine took for the tokens before and of one prompt.
+    pub fn measure(&mut self, engine: EngineKey, tokens: u64, took: Duration, now: Time) {
+        let millis = took.as_secs_f64() * 1e3;
+        if millis <= 0.0 {
+            return;
+        }
+        let sample = tokens as f64 / millis;
+        let Some(known) = self.engines.get_mut(&engine) else { return };
+        let fresh = known.rate.filter(|(_, at)| now.since(*at) < MEASUREMENT_LIFE);
+        let rate = fresh.map_or(sample, |(rate, _)| rate + NEWEST * (sample - rate));
+        known.rate = Some((rate, now));
+        let group = (known.engine.service.clone(), known.engine.stage == Some(Stage::Prefill));
+        let shared = self.rates.entry(group).or_insert(sample);
+        *shared += NEWEST * (sample - *shared);
+    }
+
+    /// Gives the rate at which an engine reads prompts, in tokens a millisecond.
+    pub fn rate(&self, known: &Known, now: Time) -> f64 {
+        if let Some((rate, at)) = known.rate
+            && now.since(at) < MEASUREMENT_LIFE
+        {
+            return rate;
+        }
+        let reads_for_others = known.engine.stage == Some(Stage::Prefill);
+        let group = (known.engine.service.clone(), reads_for_others);
+        let first = if reads_for_others { FIRST_READING_RATE } else { FIRST_READING_RATE / 2.0 };
+        self.rates.get(&group).copied().unwrap_or(first)
+    }
+
+    /// Works the engines of each service out.
+    fn index(&mut self) {
+        self.by_service.clear();
+        for (&key, known) in &self.engines {
+            self.by_service.entry(known.engine.service.clone()).or_default().push(key);
+        }
+    }
+}
+
+/// Joins what was known of an incarnation with its newest entry.
+fn renew(known: Option<Known>, engine: Engine) -> Known {
+    let engine = Arc::new(engine);
+    match known {
+        Some(known) => Known { engine, ..known },
+        None => {
+            Known { engine, health: Health::default(), told: None, rate: None, is_replaced: false }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -0,0 +1,185 @@
+//! What a gateway has its driver do.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyspoke::outcome::NotRun;
+
+use crate::engine::Engine;
+use crate::message::Message;
+use crate::request::{CallKey, FlightKey};
+
+/// Where a prompt that was read lies.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Source {
+    /// The engine that read it.
+    pub address: SocketAddr,
+    /// The engine's name for it.
+    pub handle: String,
+}
+
+/// What an engine is asked to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Task {
+    /// To run a plain request.
+    Plain,
+    /// To read the prompt for another engine.
+    Read,
+    /// To generate the answer, with the prompt from a source or by reading it itself.
+    Generate(Option<Source>),
+}
+
+/// One call to an engine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Send {
+    /// The request.
+    pub flight: FlightKey,
+    /// The call.
+    pub call: CallKey,
+    /// The engine.
+    pub engine: Arc<Engine>,
+    /// What it is asked to do.
+    pub task: Task,
+    /// The time that is left.
+    pub deadline: Duration,
+    /// The last event that the client has, if the stream goes on from there.
+    pub last_event: Option<u64>,
+}
+
+/// Why a request gets an answer of the gateway's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// It was not run; the client may come back after the time.
+    NotRun(NotRun, NotRunReason, Duration),
+    /// No route covers it.
+    NoRoute,
+    /// Its engine failed, and it may have run.
+    Broken,
+    /// Its time passed, and it may have run.
+    Late,
+}
+
+/// Why a request was not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotRunReason {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// The process is about to end.
+    Stopping,
+    /// No engine can take it.
+    NoEngine,
+    /// The engines turned it away.
+    TurnedAway,
+    /// It would be served too late.
+    Overloaded,
+    /// Its time passed before it was sent.
+    TimedOut,
+}
+
+/// A decision worth a line in the log.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Note {
+    /// A version of the configuration came into force.
+    Configured {
+        /// The version.
+        version: u64,
+        /// Its routes.
+        routes: usize,
+    },
+    /// The list of engines was read whole.
+    Listed {
+        /// The engines.
+        engines: usize,
+        /// The revision.
+        revision: u64,
+    },
+    /// An engine was added or changed.
+    Engine {
+        /// The engine's id.
+        id: Arc<str>,
+        /// Its address.
+        address: SocketAddr,
+        /// Whether it drains.
+        is_draining: bool,
+    },
+    /// An engine left.
+    EngineLeft {
+        /// The engine's id.
+        id: Arc<str>,
+    },
+    /// An engine is avoided for a time, or used again.
+    Avoided {
+        /// The engine's id.
+        id: Arc<str>,
+        /// For how long.
+        span: Duration,
+    },
+    /// A call was sent.
+    Sent {
+        /// The client's id of the request.
+        request: Arc<str>,
+        /// The engine's id.
+        engine: Arc<str>,
+        /// What it is asked to do.
+        task: &'static str,
+        /// How soon the first event is expected.
+        expected: Duration,
+        /// The calls sent before for the request.
+        before: u32,
+    },
+    /// A call failed.
+    Failed {
+        /// The client's id of the request.
+        request: Arc<str>,
+        /// The engine's id.
+        engine: Arc<str>,
+        /// How.
+        how: &'static str,
+        /// The status, 0 if none came.
+        status: u16,
+    },
+    /// A request ended.
+    Ended {
+        /// The client's id of the request.
+        request: Arc<str>,
+        /// How.
+        how: &'static str,
+        /// The time since its arrival.
+        after: Duration,
+    },
+    /// A node was first heard, or went silent.
+    Peer {
+        /// Where it listens.
+        address: SocketAddr,
+        /// Whether it lives.
+        is_alive: bool,
+    },
+    /// The process was told to stop.
+    Stopping,
+}
+
+/// What the driver does.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Sends a call.
+    Send(Send),
+    /// Drops a call and its connection.
+    Cancel(CallKey),
+    /// Gives the client the answer of a call; a stream's events follow as they come.
+    Deliver(FlightKey, CallKey),
+    /// Lets the events of a call follow those passed before, in the same answer.
+    Join(FlightKey, CallKey),
+    /// Gives the client an answer of the gateway's own.
+    Refuse(FlightKey, Refusal),
+    /// Ends a begun answer so that the client sees that it is not whole.
+    Break(FlightKey),
+    /// Ends a begun answer as whole.
+    Finish(FlightKey),
+    /// Frees a prompt that was read.
+    Free(Source),
+    /// Sends a datagram to nodes.
+    Tell(Vec<SocketAddr>, Message),
+    /// Writes a line to the log.
+    Note(Note),
+}
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/engine.rs
@@ -0,0 +1,48 @@
+//! One incarnation of an engine, as the platform lists it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The short name of an incarnation: a hash of its id, the same on all nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct EngineKey(pub u64);
+
+impl EngineKey {
+    /// Makes the key of an id.
+    pub fn of(id: &str) -> EngineKey {
+        EngineKey(xxh3_64(id.as_bytes()))
+    }
+}
+
+/// The part of a request that an engine serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// It reads prompts for other engines.
+    Prefill,
+    /// It generates answers; it can read prompts itself, more slowly.
+    Decode,
+}
+
+/// One incarnation of an engine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Engine {
+    /// The key made from the id.
+    pub key: EngineKey,
+    /// The id; another start of the engine has another one.
+    pub id: Arc<str>,
+    /// The service that it belongs to.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: Arc<str>,
+    /// Its stage, for services with stages.
+    pub stage: Option<Stage>,
+    /// How many requests it works on at once.
+    pub slots: u32,
+    /// Whether it is about to leave and takes nothing new.
+    pub is_draining: bool,
+}
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -0,0 +1,86 @@
+//! What happens to a gateway.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::engine::Engine;
+use crate::message::Message;
+use crate::request::{CallKey, FlightKey, Request};
+use crate::route::Configuration;
+
+/// What an engine tells of its load with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ToldLoad {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// What an answer proves about the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Execution {
+    /// The engine says that it has not run the request and never will.
+    Refused,
+    /// Another incarnation has the address and has not run the request.
+    Moved,
+    /// The request has run, or may have.
+    Ran,
+}
+
+/// The head of an engine's answer, and the handle if it read a prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// What the answer proves.
+    pub execution: Execution,
+    /// The engine's load, if it tells.
+    pub told: Option<ToldLoad>,
+    /// Where the prompt lies, for an answer to the reading of a prompt.
+    pub handle: Option<String>,
+}
+
+/// What happens to a call to an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallEvent {
+    /// The connection never opened: nothing was sent.
+    Unsent,
+    /// The head of a stream has come.
+    Began(Answer),
+    /// A whole answer has come; a stream has come to its whole end.
+    Answered(Answer),
+    /// Whole events of a stream were passed to the client; the id of the last, if it has one.
+    Passed(Option<u64>),
+    /// The connection ended, or gave what is no answer to the request, after it was sent.
+    Broken,
+}
+
+/// What happens to a gateway.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A version of the configuration was read.
+    Configured(Arc<Configuration>),
+    /// All engines were listed; the revision of the list.
+    Listed(Vec<Engine>, u64),
+    /// An engine appeared or changed; the revision of the change.
+    Changed(Engine, u64),
+    /// An engine left, by its id; the revision of the change.
+    Left(Arc<str>, u64),
+    /// A request came whole.
+    Arrived(FlightKey, Request),
+    /// The client of a request closed its connection.
+    ClientLeft(FlightKey),
+    /// Something happened to a call.
+    Call(CallKey, CallEvent),
+    /// A datagram came from another node.
+    Heard(Message),
+    /// The nodes to greet, from the settings.
+    Seeds(Vec<SocketAddr>),
+    /// The process was told to stop.
+    Stop,
+    /// Time passed.
+    Tick,
+}
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/flight.rs
@@ -0,0 +1,136 @@
+//! One request from its arrival to its end, and the calls made for it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyspoke::outcome::Trace;
+use hollyspoke::time::Time;
+
+use crate::effect::{Source, Task};
+use crate::engine::{Engine, EngineKey};
+use crate::message::Load;
+use crate::request::{CallKey, FlightKey, Request};
+use crate::route::{Route, RouteKind, Service};
+
+/// The most times that engines may turn one request away before it is given up.
+const MOST_REJECTIONS: u32 = 3;
+
+/// The share of a safe request's time-out after which silence is taken for a failure.
+const SILENT_SHARE: f64 = 0.5;
+
+/// The pauses between events, in longest allowed ones, after which a stream is taken for broken.
+const SILENT_GAPS: u32 = 4;
+
+/// The least silence after which a stream is taken for broken.
+const LEAST_SILENCE: Duration = Duration::from_millis(1000);
+
+/// The least silence after which the reading of a prompt is taken for failed.
+const LEAST_READING_SILENCE: Duration = Duration::from_millis(350);
+
+/// One request.
+#[derive(Debug, Clone)]
+pub struct Flight {
+    /// The request.
+    pub request: Request,
+    /// Its route, as it was at the arrival.
+    pub route: Arc<Route>,
+    /// Its service.
+    pub service: Service,
+    /// When it arrived.
+    pub arrived: Time,
+    /// When it has to have its final answer.
+    pub ends: Time,
+    /// The call under way.
+    pub call: Option<CallKey>,
+    /// When silence of the call under way is taken for a failure.
+    pub patience: Option<Time>,
+    /// Whether it may have run.
+    pub trace: Trace,
+    /// The engines that it was sent to.
+    pub tried: Vec<EngineKey>,
+    /// The engines that have run it, or may have.
+    pub runs: u32,
+    /// Arrivals at engines that count for the budget.
+    pub arrivals: u32,
+    /// Times that an engine turned it away.
+    pub rejections: u32,
+    /// Calls made for it.
+    pub sends: u32,
+    /// Whether the reading of its prompt for another engine has failed.
+    pub reading_failed: bool,
+    /// Where its prompt lies, read and not yet taken.
+    pub source: Option<Source>,
+    /// Whether the head of an answer was given to the client.
+    pub has_begun: bool,
+    /// The last event given to the client.
+    pub last_event: Option<u64>,
+}
+
+/// One call to an engine.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// The request.
+    pub flight: FlightKey,
+    /// The engine.
+    pub engine: Arc<Engine>,
+    /// What the engine was asked to do.
+    pub task: Task,
+    /// When the call was sent.
+    pub sent: Time,
+    /// The work that it is at the engine.
+    pub load: Load,
+    /// The tokens that the engine reads before and with this prompt.
+    pub ahead: u64,
+    /// Whether the head of a stream has come.
+    pub has_begun: bool,
+}
+
+impl Flight {
+    /// Tells whether the request may run at one more engine.
+    pub fn may_run_again(&self) -> bool {
+        let has_attempts = self.runs < self.route.max_attempts.max(1);
+        let may_repeat = self.runs == 0 || self.route.is_idempotent();
+        has_attempts && may_repeat && self.rejections <= MOST_REJECTIONS
+    }
+
+    /// Gives the event after which a stream goes on: the last passed, else the client's own.
+    pub fn resume_point(&self) -> Option<u64> {
+        self.last_event.or(self.request.last_event)
+    }
+
+    /// Gives the silence after which a call is taken for failed, if it may be repeated then.
+    pub fn patience_for(&self, task: &Task, expected: Duration) -> Option<Duration> {
+        match task {
+            Task::Read => Some((expected * 3).max(expected + LEAST_READING_SILENCE)),
+            _ if !self.route.is_idempotent() => None,
+            Task::Plain => Some(self.route.timeout.mul_f64(SILENT_SHARE)),
+            Task::Generate(_) => Some((expected * 3).max(self.route.target)),
+        }
+    }
+
+    /// Gives the silence after an event after which a stream is taken for broken.
+    pub fn gap_patience(&self) -> Option<Duration> {
+        if !self.route.is_idempotent() || self.route.kind != RouteKind::Stream {
+            return None;
+        }
+        let gap = self.route.longest_gap.unwrap_or(LEAST_SILENCE);
+        Some((gap * SILENT_GAPS).max(LEAST_SILENCE))
+    }
+}
+
+impl Call {
+    /// Tells whether the engine may run the request through this call.
+    pub fn is_run(&self) -> bool {
+        self.task != Task::Read
+    }
+}
+
+/// Gives a task's name for the log.
+pub fn task_name(task: &Task) -> &'static str {
+    match task {
+        Task::Plain => "plain",
+        Task::Read => "read",
+        Task::Generate(Some(_)) => "generate",
+        Task::Generate(None) => "read and generate",
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -0,0 +1,252 @@
+//! The reducer: takes an event, passes it to the part concerned, and collects the effects.
+
+mod call;
+mod end;
+mod peers;
+mod start;
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyspoke::time::Time;
+use rand::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::budget::{Bound, Budget};
+use crate::directory::Directory;
+use crate::effect::{Effect, Note};
+use crate::event::Event;
+use crate::flight::{Call, Flight};
+use crate::load::Ledger;
+use crate::member::Members;
+use crate::message::Standing;
+use crate::request::{CallKey, FlightKey};
+use crate::route::Configuration;
+
+/// What a gateway has to know from the start.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This node's zone.
+    pub zone: Arc<str>,
+    /// Where this node listens for other nodes' datagrams.
+    pub peer: SocketAddr,
+    /// Where this node listens for clients.
+    pub front: SocketAddr,
+    /// How often requests may be sent to a second engine.
+    pub bound: Bound,
+    /// How long a stopped process may take to end.
+    pub grace: Duration,
+    /// A number drawn at the start of the process.
+    pub incarnation: u64,
+}
+
+/// The share of the grace after which a stopping node takes no new requests.
+const LAST_REQUEST_SHARE: f64 = 0.6;
+
+/// All that one node decides.
+#[derive(Debug, Clone)]
+pub struct Gateway {
+    /// The settings.
+    settings: Settings,
+    /// The time of the event under way.
+    now: Time,
+    /// The configuration in force.
+    configuration: Option<Arc<Configuration>>,
+    /// Whether the engines were ever listed.
+    is_listed: bool,
+    /// The engines.
+    directory: Directory,
+    /// The work at the engines.
+    ledger: Ledger,
+    /// The other nodes.
+    members: Members,
+    /// The repeats of each service.
+    budgets: HashMap<Arc<str>, Budget>,
+    /// The longest deadline that clients have given on each route.
+    deadlines: HashMap<Arc<str>, Duration>,
+    /// The requests under way.
+    flights: HashMap<FlightKey, Flight>,
+    /// The calls under way.
+    calls: HashMap<CallKey, Call>,
+    /// When each request is looked at again.
+    due: BTreeSet<(Time, FlightKey)>,
+    /// The number of the next call.
+    next_call: u64,
+    /// The number of the next datagram.
+    next_sequence: u64,
+    /// When the next heartbeat is due.
+    next_heartbeat: Time,
+    /// When the process was told to stop.
+    stopped: Option<Time>,
+    /// The source of chance.
+    random: Pcg64Mcg,
+    /// What the event under way has led to.
+    effects: Vec<Effect>,
+}
+
+impl Gateway {
+    /// Makes a gateway that knows nothing yet.
+    pub fn new(settings: Settings) -> Gateway {
+        let random = Pcg64Mcg::seed_from_u64(settings.incarnation);
+        Gateway {
+            settings,
+            now: Time::ZERO,
+            configuration: None,
+            is_listed: false,
+            directory: Directory::default(),
+            ledger: Ledger::default(),
+            members: Members::default(),
+            budgets: HashMap::new(),
+            deadlines: HashMap::new(),
+            flights: HashMap::new(),
+            calls: HashMap::new(),
+            due: BTreeSet::new(),
+            next_call: 0,
+            next_sequence: 0,
+            next_heartbeat: Time::ZERO,
+            stopped: None,
+            random,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Takes an event and gives what is to be done.
+    pub fn step(&mut self, now: Time, event: Event) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        match event {
+            Event::Configured(configuration) => self.configure(configuration),
+            Event::Listed(engines, revision) => self.list(engines, revision),
+            Event::Changed(engine, revision) => self.change(engine, revision),
+            Event::Left(id, revision) => self.leave(&id, revision),
+            Event::Arrived(flight, request) => self.arrive(flight, request),
+            Event::ClientLeft(flight) => self.client_left(flight),
+            Event::Call(call, event) => self.called(call, event),
+            Event::Heard(message) => self.hear(&message),
+            Event::Seeds(seeds) => self.members.introduce(self.settings.peer, seeds),
+            Event::Stop => self.stop(),
+            Event::Tick => {}
+        }
+        self.expire();
+        self.beat();
+        self.tell_changes();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Gives the time at which the gateway needs a tick at the latest.
+    pub fn next_due(&self) -> Time {
+        let first = self.due.first().map(|&(it, _)| it);
+        first.map_or(self.next_heartbeat, |it| it.min(self.next_heartbeat))
+    }
+
+    /// Tells whether clients are to use this node.
+    pub fn is_ready(&self) -> bool {
+        self.standing() == Standing::Ready
+    }
+
+    /// Tells whether the process was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopped.is_some()
+    }
+
+    /// Tells whether a stopped process has nothing left to do at a time.
+    pub fn is_done(&self, now: Time) -> bool {
+        self.is_closing(now) && self.flights.is_empty()
+    }
+
+    /// Gives the limits of what clients may send, once a configuration is known.
+    pub fn limits(&self) -> Option<crate::route::Limits> {
+        self.configuration.as_ref().map(|it| it.limits)
+    }
+
+    /// Gives where clients may connect, this node first if it is ready.
+    pub fn fronts(&self) -> Vec<SocketAddr> {
+        let own = self.is_ready().then_some(self.settings.front);
+        own.into_iter().chain(self.members.fronts()).collect()
+    }
+
+    /// Gives the version in force.
+    pub fn version(&self) -> Option<u64> {
+        self.configuration.as_ref().map(|it| it.version)
+    }
+
+    /// Gives the number of requests under way.
+    pub fn flight_count(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// Tells how this node stands.
+    fn standing(&self) -> Standing {
+        if self.stopped.is_some() {
+            Standing::Stopping
+        } else if self.configuration.is_none() || !self.is_listed {
+            Standing::Starting
+        } else {
+            Standing::Ready
+        }
+    }
+
+    /// Tells whether a stopping node takes no new requests any more.
+    fn is_closing(&self, now: Time) -> bool {
+        let open = self.settings.grace.mul_f64(LAST_REQUEST_SHARE);
+        self.stopped.is_some_and(|it| now.since(it) >= open)
+    }
+
+    /// Takes a version of the configuration; an older one than that in force is ignored.
+    fn configure(&mut self, configuration: Arc<Configuration>) {
+        if self.version().is_some_and(|it| it >= configuration.version) {
+            return;
+        }
+        let routes = configuration.route_count();
+        self.note(Note::Configured { version: configuration.version, routes });
+        self.configuration = Some(configuration);
+        self.beat_at_once();
+    }
+
+    /// Takes a whole list of engines.
+    fn list(&mut self, engines: Vec<crate::engine::Engine>, revision: u64) {
+        if self.directory.list(engines, revision) {
+            self.note(Note::Listed { engines: self.directory.len(), revision });
+        }
+        if !self.is_listed {
+            self.is_listed = true;
+            self.beat_at_once();
+        }
+    }
+
+    /// Takes one engine's change.
+    fn change(&mut self, engine: crate::engine::Engine, revision: u64) {
+        let (id, address, is_draining) = (engine.id.clone(), engine.address, engine.is_draining);
+        let old = self.directory.get(engine.key).map(|it| it.engine.is_draining);
+        if self.directory.change(engine, revision) && old != Some(is_draining) {
+            self.note(Note::Engine { id, address, is_draining });
+        }
+    }
+
+    /// Takes an engine's leaving.
+    fn leave(&mut self, id: &Arc<str>, revision: u64) {
+        if self.directory.leave(id, revision) {
+            self.note(Note::EngineLeft { id: id.clone() });
+        }
+    }
+
+    /// Notes that the process was told to stop.
+    fn stop(&mut self) {
+        if self.stopped.is_none() {
+            self.stopped = Some(self.now);
+            self.note(Note::Stopping);
+            self.beat_at_once();
+        }
+    }
+
+    /// Adds a line for the log.
+    fn note(&mut self, note: Note) {
+        self.effects.push(Effect::Note(note));
+    }
+
+    /// Draws a number.
+    fn draw(&mut self) -> u64 {
+        self.random.next_u64()
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/gateway/end.rs
@@ -0,0 +1,127 @@
+//! The end of a request: by its answer, its time, its client, or because nobody can take it.
+
+use std::time::Duration;
+
+use hollyspoke::time::Time;
+
+use super::Gateway;
+use crate::effect::{Effect, NotRunReason, Note, Refusal};
+use crate::request::FlightKey;
+
+/// When a client may come back whose request no engine could take.
+const RETRY_AFTER: Duration = Duration::from_millis(600);
+
+impl Gateway {
+    /// Looks at the requests that are due: their time has passed, or their engine is silent.
+    pub(super) fn expire(&mut self) {
+        while let Some(&(due, key)) = self.due.first() {
+            if due > self.now {
+                return;
+            }
+            self.due.pop_first();
+            self.expire_one(key);
+        }
+    }
+
+    /// Looks at one request that is due.
+    fn expire_one(&mut self, key: FlightKey) {
+        let Some(flight) = self.flights.get(&key) else { return };
+        if flight.ends <= self.now {
+            return self.time_out(key);
+        }
+        let Some(patience) = flight.patience else { return };
+        if patience > self.now {
+            self.due.insert((patience, key));
+            return;
+        }
+        self.fall_silent(key);
+    }
+
+    /// Has a request looked at again at a time.
+    pub(super) fn wake_at(&mut self, key: FlightKey, time: Option<Time>) {
+        if let Some(time) = time {
+            self.due.insert((time, key));
+        }
+    }
+
+    /// Gives a request its final answer because its time has passed.
+    fn time_out(&mut self, key: FlightKey) {
+        self.give_up(key, NotRunReason::TimedOut);
+    }
+
+    /// Drops a call whose engine is silent and goes on elsewhere.
+    fn fall_silent(&mut self, key: FlightKey) {
+        let Some(call_key) = self.flights.get(&key).and_then(|it| it.call) else { return };
+        let Some(call) = self.take_call(call_key) else { return };
+        self.effects.push(Effect::Cancel(call_key));
+        self.note_failure(&call, "silent", 0);
+        self.miss(&call);
+        self.lost(&call);
+    }
+
+    /// Ends a request whose client has left.
+    pub(super) fn client_left(&mut self, key: FlightKey) {
+        self.drop_call(key);
+        self.end(key, "client left");
+    }
+
+    /// Gives a request up.
+    pub(super) fn give_up(&mut self, key: FlightKey, reason: NotRunReason) {
+        self.give_up_until(key, reason, RETRY_AFTER);
+    }
+
+    /// Gives a request up; if it has not run, the client may come back after a time.
+    pub(super) fn give_up_until(&mut self, key: FlightKey, reason: NotRunReason, retry: Duration) {
+        self.drop_call(key);
+        let Some(flight) = self.flights.get(&key) else { return };
+        if flight.has_begun {
+            return self.break_off(key);
+        }
+        let refusal = match flight.trace.not_run() {
+            Some(proof) => Refusal::NotRun(proof, reason, retry),
+            None if flight.ends <= self.now => Refusal::Late,
+            None => Refusal::Broken,
+        };
+        let how = match refusal {
+            Refusal::NotRun(_, NotRunReason::Overloaded, _) => "refused: overloaded",
+            Refusal::NotRun(_, NotRunReason::NoEngine, _) => "refused: no engine",
+            Refusal::NotRun(_, NotRunReason::TimedOut, _) => "refused: time passed",
+            Refusal::NotRun(..) => "refused: turned away",
+            Refusal::NoRoute => "no route",
+            Refusal::Broken => "broken",
+            Refusal::Late => "time passed",
+        };
+        self.effects.push(Effect::Refuse(key, refusal));
+        self.end(key, how);
+    }
+
+    /// Ends a begun answer visibly unfinished.
+    pub(super) fn break_off(&mut self, key: FlightKey) {
+        self.drop_call(key);
+        self.effects.push(Effect::Break(key));
+        self.end(key, "broken off");
+    }
+
+    /// Removes a request and frees its prompt if nobody has taken it.
+    pub(super) fn end(&mut self, key: FlightKey, how: &'static str) {
+        let Some(flight) = self.flights.remove(&key) else { return };
+        self.due.remove(&(flight.ends, key));
+        if let Some(source) = flight.source {
+            self.effects.push(Effect::Free(source));
+        }
+        let after = self.now.since(flight.arrived);
+        self.note(Note::Ended { request: flight.request.id, how, after });
+    }
+
+    /// Drops the call under way. If it could run the request, it may have.
+    fn drop_call(&mut self, key: FlightKey) {
+        let Some(call_key) = self.flights.get(&key).and_then(|it| it.call) else { return };
+        let Some(call) = self.take_call(call_key) else { return };
+        self.effects.push(Effect::Cancel(call_key));
+        if call.is_run()
+            && let Some(flight) = self.flights.get_mut(&key)
+        {
+            flight.trace.mark_sent();
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -0,0 +1,254 @@
+//! A request's arrival, and the choice of the engine for each of its calls.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyspoke::outcome::Trace;
+
+use super::Gateway;
+use crate::effect::{Effect, NotRunReason, Note, Refusal, Send, Task};
+use crate::engine::EngineKey;
+use crate::flight::{Call, Flight, task_name};
+use crate::message::Load;
+use crate::placement::{Choice, View};
+use crate::request::{CallKey, FlightKey, Request};
+use crate::route::{Route, Staged};
+
+/// When a client may come back that no configuration could be shown.
+const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(500);
+
+/// When a client may come back whose node is about to end.
+const STOPPING_RETRY: Duration = Duration::from_millis(50);
+
+/// The share of the target that reading for another engine may take before an engine that reads
+/// and generates is considered.
+const ALONE_SHARE: f64 = 0.4;
+
+/// The share of the target within which the first event must be expected.
+const LATEST_SHARE: f64 = 0.95;
+
+/// The share of the longest deadline on a route below which a request is taken for a repeated one.
+const REPEATED_SHARE: f64 = 0.97;
+
+/// The bounds of the time after which a client may come back.
+const RETRY_BOUNDS: (Duration, Duration) = (Duration::from_millis(400), Duration::from_secs(3));
+
+/// The next call of a request.
+struct Next {
+    /// What the engine is asked to do.
+    task: Task,
+    /// The engine.
+    choice: Choice,
+}
+
+impl Gateway {
+    /// Takes a request that came whole.
+    pub(super) fn arrive(&mut self, key: FlightKey, request: Request) {
+        let Some(configuration) = self.configuration.clone() else {
+            let reason = NotRunReason::NoConfiguration;
+            return self.refuse_unsent(key, reason, NO_CONFIGURATION_RETRY);
+        };
+        if self.is_closing(self.now) {
+            return self.refuse_unsent(key, NotRunReason::Stopping, STOPPING_RETRY);
+        }
+        let Some(route) = configuration.route(&request.host, &request.path).cloned() else {
+            return self.effects.push(Effect::Refuse(key, Refusal::NoRoute));
+        };
+        let draw = self.draw();
+        let Some(service) = configuration.service(route.service(draw)).cloned() else {
+            return self.refuse_unsent(key, NotRunReason::NoEngine, NO_CONFIGURATION_RETRY);
+        };
+        let budget = self.budgets.entry(service.name.clone()).or_default();
+        budget.arrive(self.now, &self.settings.bound);
+        let held = request.deadline.map_or(route.timeout, |it| it.min(route.timeout));
+        let flight = Flight {
+            ends: self.now + held,
+            arrived: self.now,
+            request,
+            route,
+            service,
+            call: None,
+            patience: None,
+            trace: Trace::clean(),
+            tried: Vec::new(),
+            runs: 0,
+            arrivals: 0,
+            rejections: 0,
+            sends: 0,
+            reading_failed: false,
+            source: None,
+            has_begun: false,
+            last_event: None,
+        };
+        self.due.insert((flight.ends, key));
+        let is_repeated = self.is_repeated(&flight.route, &flight.request);
+        self.flights.insert(key, flight);
+        self.proceed(key, is_repeated);
+    }
+
+    /// Sends the next call of a request, or gives it up.
+    pub(super) fn proceed(&mut self, key: FlightKey, serve_late: bool) {
+        let Some(flight) = self.flights.get(&key) else { return };
+        if !flight.may_run_again() {
+            return self.give_up(key, NotRunReason::TurnedAway);
+        }
+        let draw = self.draw();
+        let Some(next) = self.next_call(key, draw) else {
+            return self.give_up(key, NotRunReason::NoEngine);
+        };
+        let flight = &self.flights[&key];
+        let latest = flight.route.target.mul_f64(LATEST_SHARE);
+        let is_late = next.choice.expected > latest && flight.service.staged.is_some();
+        if is_late && flight.sends == 0 && !serve_late {
+            let wait = next.choice.expected.saturating_sub(latest / 2);
+            return self.refuse_overloaded(key, wait);
+        }
+        if flight.arrivals > 0 && next.task != Task::Read && !self.charge(key) {
+            return self.give_up(key, NotRunReason::TurnedAway);
+        }
+        self.send(key, next);
+    }
+
+    /// Chooses the next call of a request.
+    fn next_call(&self, key: FlightKey, draw: u64) -> Option<Next> {
+        let flight = self.flights.get(&key)?;
+        let view = View {
+            directory: &self.directory,
+            ledger: &self.ledger,
+            service: &flight.service,
+            zone: &self.settings.zone,
+            tried: &flight.tried,
+            now: self.now,
+            draw,
+        };
+        match flight.service.staged {
+            None => view.plain().map(|choice| Next { task: Task::Plain, choice }),
+            Some(staged) => next_staged(flight, &view, &staged),
+        }
+    }
+
+    /// Sends a call.
+    fn send(&mut self, key: FlightKey, next: Next) {
+        let call = CallKey(self.next_call);
+        self.next_call += 1;
+        let now = self.now;
+        let Some(flight) = self.flights.get_mut(&key) else { return };
+        let Next { task, choice } = next;
+        let load = load_of(flight, &task);
+        flight.call = Some(call);
+        flight.tried.push(choice.engine.key);
+        flight.sends += 1;
+        if task != Task::Read {
+            flight.arrivals += 1;
+        }
+        flight.patience = flight.patience_for(&task, choice.expected).map(|it| now + it);
+        if let Some(patience) = flight.patience {
+            self.due.insert((patience, key));
+        }
+        let last_event = flight.resume_point();
+        let deadline = flight.ends.since(now);
+        let note = Note::Sent {
+            request: flight.request.id.clone(),
+            engine: choice.engine.id.clone(),
+            task: task_name(&task),
+            expected: choice.expected,
+            before: flight.sends - 1,
+        };
+        let engine = choice.engine.clone();
+        self.ledger.add(engine.key, load);
+        self.calls.insert(
+            call,
+            Call {
+                flight: key,
+                engine: engine.clone(),
+                task: task.clone(),
+                sent: now,
+                load,
+                ahead: choice.ahead,
+                has_begun: false,
+            },
+        );
+        self.note(note);
+        let send = Send { flight: key, call, engine, task, deadline, last_event };
+        self.effects.push(Effect::Send(send));
+    }
+
+    /// Charges a repeat to the service's budget, if it allows one.
+    fn charge(&mut self, key: FlightKey) -> bool {
+        let nodes = self.members.most();
+        let Some(flight) = self.flights.get(&key) else { return false };
+        let Some(budget) = self.budgets.get_mut(&flight.service.name) else { return false };
+        let is_allowed = budget.allows(self.now, &self.settings.bound, nodes);
+        if is_allowed {
+            budget.charge(self.now);
+        }
+        is_allowed
+    }
+
+    /// Tells whether a client has come back with a request: less time is left than others give.
+    fn is_repeated(&mut self, route: &Arc<Route>, request: &Request) -> bool {
+        let Some(deadline) = request.deadline else { return false };
+        let longest = self.deadlines.entry(route.name.clone()).or_insert(deadline);
+        *longest = (*longest).max(deadline);
+        deadline < longest.mul_f64(REPEATED_SHARE)
+    }
+
+    /// Refuses a request that would be served too late.
+    fn refuse_overloaded(&mut self, key: FlightKey, wait: Duration) {
+        let (least, most) = RETRY_BOUNDS;
+        self.give_up_until(key, NotRunReason::Overloaded, wait.clamp(least, most));
+    }
+
+    /// Refuses a request that was never taken up.
+    fn refuse_unsent(&mut self, key: FlightKey, reason: NotRunReason, retry: Duration) {
+        let Some(proof) = Trace::clean().not_run() else { return };
+        self.effects.push(Effect::Refuse(key, Refusal::NotRun(proof, reason, retry)));
+    }
+}
+
+/// Chooses the next call at a service with stages.
+fn next_staged(flight: &Flight, view: &View<'_>, staged: &Staged) -> Option<Next> {
+    let tokens = flight.request.tokens_in();
+    let held = flight.request.tokens_held();
+    if let Some(source) = &flight.source {
+        let reader = flight.tried.last().copied();
+        let zone = reader.and_then(|it| zone_of(view, it)).unwrap_or_else(|| view.zone.into());
+        let choice = view.generating(staged, held, &zone)?;
+        return Some(Next { task: Task::Generate(Some(source.clone())), choice });
+    }
+    let alone = view.alone(staged, tokens, held);
+    let reading = if flight.reading_failed { None } else { view.reading(staged, tokens) };
+    let generate = |choice| Some(Next { task: Task::Generate(None), choice });
+    let read = |choice| Some(Next { task: Task::Read, choice });
+    match (reading, alone) {
+        (Some(reading), Some(alone)) => {
+            let is_slow = reading.expected > flight.route.target.mul_f64(ALONE_SHARE);
+            if is_slow && alone.expected < reading.expected {
+                generate(alone)
+            } else {
+                read(reading)
+            }
+        }
+        (Some(reading), None) => read(reading),
+        (None, Some(alone)) => generate(alone),
+        (None, None) => None,
+    }
+}
+
+/// Gives the zone of an engine, if it is still known.
+fn zone_of(view: &View<'_>, engine: EngineKey) -> Option<Arc<str>> {
+    view.directory.get(engine).map(|it| it.engine.zone.clone())
+}
+
+/// Gives the work that a call is at its engine.
+fn load_of(flight: &Flight, task: &Task) -> Load {
+    let narrow = |tokens: u64| u32::try_from(tokens).unwrap_or(u32::MAX / 4);
+    let tokens = narrow(flight.request.tokens_in());
+    let held = narrow(flight.request.tokens_held());
+    match task {
+        Task::Plain => Load { reading: 0, calls: 1, held: 0 },
+        Task::Read => Load { reading: tokens, calls: 1, held: tokens },
+        Task::Generate(Some(_)) => Load { reading: 0, calls: 1, held },
+        Task::Generate(None) => Load { reading: tokens, calls: 1, held },
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -0,0 +1,24 @@
+//! Every decision of a gateway that forwards requests whole, as one reducer.
+//!
+//! [`gateway::Gateway::step`] takes an [`event::Event`] and gives [`effect::Effect`]s. The library
+//! has no I/O, no runtime, no wall clock and no threads. A driver turns sockets, timers and store
+//! answers into events and carries the effects out.
+//!
+//! Imports go one way: `route`, `engine` and `request` at the ground; `message`, `event` and
+//! `effect` above them; then one mechanism a file (`budget`, `health`, `load`, `directory`,
+//! `member`, `placement`); `flight` follows one request; `gateway` composes all.
+
+pub mod budget;
+pub mod directory;
+pub mod effect;
+pub mod engine;
+pub mod event;
+pub mod flight;
+pub mod gateway;
+pub mod health;
+pub mod load;
+pub mod member;
+pub mod message;
+pub mod placement;
+pub mod request;
+pub mod route;
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -0,0 +1,148 @@
+//! The other nodes: who lives, and which of them clients may use.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hollyspoke::time::Time;
+
+use crate::message::{Message, Standing};
+
+/// How often a node tells the others that it lives.
+pub const HEARTBEAT_EVERY: Duration = Duration::from_millis(350);
+
+/// The silence after which a node is taken for dead.
+const DEAD_AFTER: Duration = Duration::from_millis(1250);
+
+/// How long a silent node is still greeted.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
+
+/// How often seeds that have not answered are greeted.
+const GREET_EVERY: Duration = Duration::from_millis(1000);
+
+/// One other node.
+#[derive(Debug, Clone)]
+struct Peer {
+    /// The number of its life.
+    incarnation: u64,
+    /// The highest sequence heard in this life.
+    sequence: u64,
+    /// Where it listens for clients.
+    front: SocketAddr,
+    /// Whether it takes requests.
+    standing: Standing,
+    /// When it was last heard.
+    heard: Time,
+    /// Whether its silence was noted.
+    is_silent: bool,
+}
+
+/// What a datagram told about its sender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Hearing {
+    /// An older datagram that came late; it is ignored.
+    Stale,
+    /// A node that was not known or was taken for dead.
+    New,
+    /// A living node.
+    Known,
+}
+
+/// All other nodes.
+#[derive(Debug, Clone, Default)]
+pub struct Members {
+    /// The nodes heard, by where they listen.
+    peers: BTreeMap<SocketAddr, Peer>,
+    /// Nodes named by the settings or by others, and not heard yet.
+    greeted: BTreeSet<SocketAddr>,
+    /// When greetings were last sent.
+    last_greeting: Option<Time>,
+    /// The most nodes that lived at once, this one included.
+    most: usize,
+}
+
+impl Members {
+    /// Adds nodes to greet.
+    pub fn introduce(&mut self, own: SocketAddr, nodes: impl IntoIterator<Item = SocketAddr>) {
+        for node in nodes {
+            if node != own && !self.peers.contains_key(&node) {
+                self.greeted.insert(node);
+            }
+        }
+    }
+
+    /// Takes in a datagram.
+    pub fn hear(&mut self, message: &Message, now: Time) -> Hearing {
+        self.greeted.remove(&message.sender);
+        let old = self.peers.get(&message.sender);
+        let same_life = old.is_some_and(|it| it.incarnation == message.incarnation);
+        if same_life && old.is_some_and(|it| it.sequence >= message.sequence) {
+            return Hearing::Stale;
+        }
+        let is_known = old.is_some_and(|it| !it.is_silent);
+        let peer = Peer {
+            incarnation: message.incarnation,
+            sequence: message.sequence,
+            front: message.front,
+            standing: message.standing,
+            heard: now,
+            is_silent: false,
+        };
+        self.peers.insert(message.sender, peer);
+        self.most = self.most.max(self.count(now));
+        if is_known { Hearing::Known } else { Hearing::New }
+    }
+
+    /// Gives the nodes that have just been found silent, and forgets those silent for long.
+    pub fn sweep(&mut self, now: Time) -> Vec<SocketAddr> {
+        self.peers.retain(|_, it| now.since(it.heard) < FORGOTTEN_AFTER);
+        let mut silent = Vec::new();
+        for (&address, peer) in &mut self.peers {
+            if !peer.is_silent && now.since(peer.heard) > DEAD_AFTER {
+                peer.is_silent = true;
+                silent.push(address);
+            }
+        }
+        silent
+    }
+
+    /// Gives the living nodes.
+    pub fn alive(&self) -> Vec<SocketAddr> {
+        self.peers.iter().filter(|(_, it)| !it.is_silent).map(|(&address, _)| address).collect()
+    }
+
+    /// Gives the nodes that a heartbeat goes to: those heard of late, and now and then those that
+    /// are silent or have not been heard yet.
+    pub fn audience(&mut self, now: Time) -> Vec<SocketAddr> {
+        let mut audience = self.alive();
+        if self.last_greeting.is_none_or(|it| now.since(it) >= GREET_EVERY) {
+            self.last_greeting = Some(now);
+            audience.extend(self.peers.iter().filter(|(_, it)| it.is_silent).map(|(&it, _)| it));
+            audience.extend(self.greeted.iter().copied());
+        }
+        audience
+    }
+
+    /// Gives where clients may connect besides this node.
+    ///
+    /// If most nodes fell silent, it is as likely that this node was cut off; all are then named,
+    /// since clients pass over addresses that fail.
+    pub fn fronts(&self) -> Vec<SocketAddr> {
+        let serving = |it: &&Peer| it.standing == Standing::Ready;
+        let alive: Vec<_> =
+            self.peers.values().filter(serving).filter(|it| !it.is_silent).collect();
+        let all: Vec<_> = self.peers.values().filter(serving).collect();
+        let chosen = if alive.len() * 2 < all.len() { all } else { alive };
+        chosen.into_iter().map(|it| it.front).collect()
+    }
+
+    /// Gives how many nodes live, this one included.
+    pub fn count(&self, now: Time) -> usize {
+        1 + self.peers.values().filter(|it| now.since(it.heard) <= DEAD_AFTER).count()
+    }
+
+    /// Gives the most nodes that have lived at once, this one included.
+    pub fn most(&self) -> usize {
+        self.most.max(1)
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -0,0 +1,57 @@
+//! What nodes tell each other, in datagrams that may be lost, doubled or late.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::engine::EngineKey;
+
+/// The work that one node has at one engine now.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Tokens of prompts that the engine is reading, or has yet to read.
+    pub reading: u32,
+    /// Calls under way.
+    pub calls: u32,
+    /// Tokens that the calls hold, or will hold, in the engine's memory.
+    pub held: u32,
+}
+
+impl Load {
+    /// Tells whether there is no work.
+    pub fn is_empty(&self) -> bool {
+        *self == Load::default()
+    }
+}
+
+/// Whether a node takes requests from clients.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Standing {
+    /// It knows no configuration yet.
+    Starting,
+    /// It serves.
+    Ready,
+    /// It is being stopped.
+    Stopping,
+}
+
+/// One datagram. Loads are absolute, so that a lost datagram is mended by the next.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// A number drawn at the sender's start.
+    pub incarnation: u64,
+    /// Counts the sender's datagrams.
+    pub sequence: u64,
+    /// Where the sender listens for datagrams.
+    pub sender: SocketAddr,
+    /// Where the sender listens for clients.
+    pub front: SocketAddr,
+    /// Whether the sender takes requests.
+    pub standing: Standing,
+    /// The work that has changed, or all work if `is_whole`.
+    pub loads: Vec<(EngineKey, Load)>,
+    /// Whether engines that are not among `loads` have no work of the sender's.
+    pub is_whole: bool,
+    /// Some nodes that the sender has heard from of late.
+    pub peers: Vec<SocketAddr>,
+}
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -0,0 +1,201 @@
+//! Which engine takes a call.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyspoke::time::Time;
+
+use crate::directory::{Directory, Known};
+use crate::engine::{Engine, EngineKey, Stage};
+use crate::load::Ledger;
+use crate::route::{Service, Staged};
+
+/// How long the load that an engine told with an answer counts.
+const TOLD_LIFE: Duration = Duration::from_millis(400);
+
+/// What another zone costs, in shares of an engine that is full.
+const OTHER_ZONE: f64 = 0.1;
+
+/// What a rate of failure of one costs, in shares of an engine that is full.
+const FAILURE: f64 = 2.0;
+
+/// The work for each slot above which an engine's queue is too long for new work.
+const LONGEST_QUEUE: f64 = 4.0;
+
+/// The share of an engine's memory that is given out.
+const MEMORY_SHARE: f64 = 0.95;
+
+/// What moving a prompt to another zone costs beside its time.
+const OTHER_ZONE_MOVE: Duration = Duration::from_millis(25);
+
+/// What a failure rate of one costs where time is compared.
+const FAILURE_TIME: Duration = Duration::from_millis(1500);
+
+/// What reading beside streams that are running costs them.
+const BESIDE_STREAMS: Duration = Duration::from_millis(60);
+
+/// The time from a call's sending to an engine's start on it.
+const CALL_OVERHEAD: Duration = Duration::from_millis(15);
+
+/// An engine for a call.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// The engine.
+    pub engine: Arc<Engine>,
+    /// How soon it is expected to be done with what comes before the answer.
+    pub expected: Duration,
+    /// The tokens of prompts that are read before and with this one.
+    pub ahead: u64,
+}
+
+/// What a choice is made from.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// The engines.
+    pub directory: &'a Directory,
+    /// The work at them.
+    pub ledger: &'a Ledger,
+    /// The service.
+    pub service: &'a Service,
+    /// This node's zone.
+    pub zone: &'a str,
+    /// Engines that the request was sent to before.
+    pub tried: &'a [EngineKey],
+    /// The time.
+    pub now: Time,
+    /// A number that parts equals.
+    pub draw: u64,
+}
+
+impl View<'_> {
+    /// Chooses an engine for a plain request; none if all queues are too long.
+    pub fn plain(&self) -> Option<Choice> {
+        let candidates = self.candidates(None);
+        let (known, cost) = self.cheapest(&candidates, |it| self.plain_cost(it))?;
+        if self.queue(known) > LONGEST_QUEUE {
+            return None;
+        }
+        let expected = Duration::from_secs_f64((cost * 0.1).clamp(0.0, 10.0));
+        Some(Choice { engine: known.engine.clone(), expected, ahead: 0 })
+    }
+
+    /// Chooses an engine to read a prompt for another.
+    pub fn reading(&self, staged: &Staged, tokens: u64) -> Option<Choice> {
+        let mut candidates = self.candidates(Some(Stage::Prefill));
+        candidates.retain(|it| self.has_memory(it, staged, tokens));
+        let (known, _) = self.cheapest(&candidates, |it| {
+            let zone = if self.is_near(it) { Duration::ZERO } else { OTHER_ZONE_MOVE };
+            (self.reading_time(it, tokens) + zone + self.failure_time(it)).as_secs_f64()
+        })?;
+        let expected = self.reading_time(known, tokens) + self.move_time(staged, tokens);
+        Some(Choice { engine: known.engine.clone(), expected, ahead: self.ahead(known) + tokens })
+    }
+
+    /// Chooses an engine that reads the prompt itself and then generates.
+    pub fn alone(&self, staged: &Staged, tokens: u64, held: u64) -> Option<Choice> {
+        let mut candidates = self.candidates(Some(Stage::Decode));
+        candidates.retain(|it| self.has_memory(it, staged, held));
+        let (known, cost) = self.cheapest(&candidates, |it| {
+            let load = self.ledger.at(it.engine.key);
+            let beside = BESIDE_STREAMS * load.calls.min(4);
+            (self.reading_time(it, tokens) + beside + self.failure_time(it)).as_secs_f64()
+        })?;
+        let expected = Duration::from_secs_f64(cost);
+        Some(Choice { engine: known.engine.clone(), expected, ahead: self.ahead(known) + tokens })
+    }
+
+    /// Chooses an engine that generates from a prompt read in a zone.
+    pub fn generating(&self, staged: &Staged, held: u64, source_zone: &str) -> Option<Choice> {
+        let mut candidates = self.candidates(Some(Stage::Decode));
+        candidates.retain(|it| self.has_memory(it, staged, held));
+        let (known, _) = self.cheapest(&candidates, |it| {
+            let load = self.ledger.at(it.engine.key);
+            let memory = f64::from(load.held) / staged.memory_tokens.max(1) as f64;
+            let reads = if load.reading > 0 { OTHER_ZONE } else { 0.0 };
+            let zone = if *it.engine.zone == *source_zone { 0.0 } else { OTHER_ZONE };
+            memory + reads + zone + it.health.rate(self.now) * FAILURE
+        })?;
+        let expected = CALL_OVERHEAD + self.move_time(staged, held);
+        Some(Choice { engine: known.engine.clone(), expected, ahead: 0 })
+    }
+
+    /// Gives the engines that may take the call: those not tried and in good health, else those in
+    /// poor health, else those tried before.
+    fn candidates(&self, stage: Option<Stage>) -> Vec<&Known> {
+        let of_stage = self
+            .directory
+            .open(&self.service.name)
+            .filter(|it| stage.is_none() || it.engine.stage.is_none() || it.engine.stage == stage);
+        let all: Vec<_> = of_stage.collect();
+        let new: Vec<_> =
+            all.iter().copied().filter(|it| !self.tried.contains(&it.engine.key)).collect();
+        let good: Vec<_> = new.iter().copied().filter(|it| !it.health.is_poor(self.now)).collect();
+        [good, new, all].into_iter().find(|it| !it.is_empty()).unwrap_or_default()
+    }
+
+    /// Finds the candidate that costs least; equals are parted by the draw.
+    fn cheapest<'a>(
+        &self,
+        candidates: &[&'a Known],
+        cost: impl Fn(&Known) -> f64,
+    ) -> Option<(&'a Known, f64)> {
+        let count = candidates.len();
+        if count == 0 {
+            return None;
+        }
+        let first = (self.draw % count as u64) as usize;
+        let turned = candidates.iter().cycle().skip(first).take(count);
+        turned.map(|&it| (it, cost(it))).min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
+    /// Gives the cost of a plain request at an engine.
+    fn plain_cost(&self, known: &Known) -> f64 {
+        let zone = if self.is_near(known) { 0.0 } else { OTHER_ZONE };
+        self.queue(known) + zone + known.health.rate(self.now) * FAILURE
+    }
+
+    /// Gives the work at an engine for each of its slots.
+    fn queue(&self, known: &Known) -> f64 {
+        let sent = self.ledger.at(known.engine.key).calls;
+        let told = known.told.filter(|(_, at)| self.now.since(*at) < TOLD_LIFE);
+        let told = told.map_or(0, |(it, _)| it.running + it.waiting);
+        f64::from(sent.max(told)) / f64::from(known.engine.slots.max(1))
+    }
+
+    /// Gives the tokens that an engine has yet to read.
+    fn ahead(&self, known: &Known) -> u64 {
+        u64::from(self.ledger.at(known.engine.key).reading)
+    }
+
+    /// Gives the time until an engine would have read a prompt.
+    fn reading_time(&self, known: &Known, tokens: u64) -> Duration {
+        let rate = self.directory.rate(known, self.now).max(0.1);
+        let millis = (self.ahead(known) + tokens) as f64 / rate;
+        CALL_OVERHEAD + Duration::from_secs_f64(millis / 1e3)
+    }
+
+    /// Gives the time that a move of a prompt takes over an idle link.
+    fn move_time(&self, staged: &Staged, tokens: u64) -> Duration {
+        let bits = (tokens * staged.token_bytes * 8) as f64;
+        let rate = (staged.link_mbps * 1e6).max(1.0);
+        Duration::from_secs_f64((bits / rate).min(10.0))
+    }
+
+    /// Gives what an engine's failures cost in time.
+    fn failure_time(&self, known: &Known) -> Duration {
+        FAILURE_TIME.mul_f64(known.health.rate(self.now))
+    }
+
+    /// Tells whether an engine has memory for more tokens. An empty engine always has, so that a
+    /// request larger than all engines gets the engine's own answer.
+    fn has_memory(&self, known: &Known, staged: &Staged, tokens: u64) -> bool {
+        let held = u64::from(self.ledger.at(known.engine.key).held);
+        let most = staged.memory_tokens as f64 * MEMORY_SHARE;
+        held == 0 || (held + tokens) as f64 <= most
+    }
+
+    /// Tells whether an engine is in this node's zone.
+    fn is_near(&self, known: &Known) -> bool {
+        *known.engine.zone == *self.zone
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/request.rs
@@ -0,0 +1,51 @@
+//! A client's request as the reducer sees it: names, sizes and times, never the bytes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The number of a request at one node; never used twice in one life of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FlightKey(pub u64);
+
+/// The number of a call to an engine; never used twice in one life of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallKey(pub u64);
+
+/// A request that has come whole.
+#[derive(Debug, Clone, Default)]
+pub struct Request {
+    /// The client's own id of the request, for logs.
+    pub id: Arc<str>,
+    /// The host that it names.
+    pub host: String,
+    /// The path, without the query.
+    pub path: String,
+    /// How long the client waits, if it says so.
+    pub deadline: Option<Duration>,
+    /// The tokens of the prompt, if the client tells.
+    pub prompt_tokens: Option<u64>,
+    /// The most tokens of the answer, if the client tells.
+    pub answer_tokens: Option<u64>,
+    /// The last event that the client has, if it resumes a stream.
+    pub last_event: Option<u64>,
+    /// The bytes of the body.
+    pub body_bytes: u64,
+}
+
+/// How many bytes of a body make one token where the client does not tell.
+const BYTES_A_TOKEN: u64 = 4;
+
+/// The tokens of an answer where the client does not tell.
+const USUAL_ANSWER_TOKENS: u64 = 256;
+
+impl Request {
+    /// Gives the tokens to read, guessed from the body if the client does not tell.
+    pub fn tokens_in(&self) -> u64 {
+        self.prompt_tokens.unwrap_or(self.body_bytes / BYTES_A_TOKEN).max(1)
+    }
+
+    /// Gives the most tokens that the request can hold in an engine's memory.
+    pub fn tokens_held(&self) -> u64 {
+        self.tokens_in() + self.answer_tokens.unwrap_or(USUAL_ANSWER_TOKENS)
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke-server/src/answer.rs
@@ -0,0 +1,78 @@
+//! The body of an answer to a client: whole, or a stream that may break.
+
+use std::cell::Cell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::sync::mpsc;
+
+use crate::node::FlightGuard;
+
+/// The answer was broken off; the client sees that it is not whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BrokenOff;
+
+impl std::fmt::Display for BrokenOff {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the answer was broken off")
+    }
+}
+
+impl std::error::Error for BrokenOff {}
+
+/// The events of a stream, as they come.
+#[derive(Debug)]
+pub struct Stream {
+    /// Whole events.
+    pub pieces: mpsc::Receiver<Bytes>,
+    /// Set if the stream ends unfinished.
+    pub is_broken: Rc<Cell<bool>>,
+}
+
+/// A body.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// A whole body, until it is taken.
+    Whole(Option<Bytes>),
+    /// A stream; dropping the guard tells that the client has left.
+    Stream(Stream, Option<FlightGuard>),
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match self.get_mut() {
+            AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
+            AnswerBody::Stream(stream, guard) => match stream.pieces.poll_recv(context) {
+                Poll::Ready(Some(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                Poll::Ready(None) if stream.is_broken.get() => Poll::Ready(Some(Err(BrokenOff))),
+                Poll::Ready(None) => {
+                    guard.take();
+                    Poll::Ready(None)
+                }
+                Poll::Pending => Poll::Pending,
+            },
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, AnswerBody::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
+            }
+            AnswerBody::Stream(..) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke-server/src/dialect.rs
@@ -0,0 +1,98 @@
+//! The port to a platform: functions that turn its messages into the product's own types and back.
+//! They translate; they neither decide nor keep anything.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollyspoke_gateway::effect::{Send, Source};
+use hollyspoke_gateway::engine::Engine;
+use hollyspoke_gateway::event::Answer;
+use hollyspoke_gateway::request::Request;
+use hollyspoke_gateway::route::Configuration;
+use http::{request, response};
+
+/// What is kept in the platform's store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// The configuration.
+    Configuration,
+    /// The engines.
+    Engines,
+}
+
+/// One object of the store.
+#[derive(Debug, Clone)]
+pub enum Item {
+    /// A version of the configuration.
+    Configuration(Arc<Configuration>),
+    /// An engine.
+    Engine(Engine),
+}
+
+/// A page of a list.
+#[derive(Debug, Clone)]
+pub struct Page {
+    /// The objects that could be read.
+    pub items: Vec<Item>,
+    /// Findings about objects that could not be read.
+    pub findings: Vec<String>,
+    /// The name after which the list goes on, if it does.
+    pub next: Option<String>,
+    /// The store's revision.
+    pub revision: u64,
+}
+
+/// One change.
+#[derive(Debug, Clone)]
+pub enum Change {
+    /// An object was made or replaced.
+    Put(Item),
+    /// The object of a name is gone.
+    Gone(Arc<str>),
+}
+
+/// What has changed since a revision.
+#[derive(Debug, Clone)]
+pub struct Changes {
+    /// The changes and their revisions.
+    pub changes: Vec<(Change, u64)>,
+    /// Findings about objects that could not be read.
+    pub findings: Vec<String>,
+    /// The store's revision.
+    pub revision: u64,
+}
+
+/// Bytes that are not what the platform's pages say.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Malformed(pub String);
+
+/// The functions of one platform.
+#[derive(Debug, Clone, Copy)]
+pub struct Dialect {
+    /// Reads the head of a client's request, with the size of its body.
+    pub read_request: fn(&request::Parts, usize) -> Request,
+    /// Makes the head of a call to an engine from the client's head.
+    pub call_head: fn(&request::Parts, &Send) -> request::Parts,
+    /// Reads the head of an engine's answer; an error if it answers another request.
+    pub read_answer: fn(&response::Parts, &request::Parts) -> Result<Answer, Malformed>,
+    /// Reads the handle from the answer to the reading of a prompt.
+    pub read_handle: fn(&[u8]) -> Option<String>,
+    /// Makes the request that frees a prompt.
+    pub free: fn(&Source) -> request::Builder,
+    /// Makes the path that lists a kind, after a name.
+    pub list: fn(Kind, Option<&str>) -> String,
+    /// Makes the path that waits for changes of a kind since a revision.
+    pub watch: fn(Kind, u64, Duration) -> String,
+    /// Reads a page of a list.
+    pub read_page: fn(Kind, &[u8]) -> Result<Page, Malformed>,
+    /// Reads changes.
+    pub read_changes: fn(Kind, &[u8]) -> Result<Changes, Malformed>,
+    /// The path at which clients ask for addresses.
+    pub resolve_path: &'static str,
+    /// The path at which the platform asks whether this node is ready.
+    pub ready_path: &'static str,
+    /// Makes the answer to a client that asks for addresses, and how long it may keep them.
+    pub resolved: fn(&[SocketAddr], Duration) -> Bytes,
+}
--- /dev/null
+++ b/crates/hollyspoke-server/src/front.rs
@@ -0,0 +1,206 @@
+//! Clients' connections.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollyspoke_gateway::effect::Refusal;
+use hollyspoke_gateway::route::Limits;
+use http::header::{CONNECTION, CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, request, response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::warn;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::answer::AnswerBody;
+use crate::node::{Bytestring, ClientAnswer, Node};
+
+/// What clients may send before a configuration is known.
+const FIRST_LIMITS: Limits = Limits {
+    head_bytes: 16 << 10,
+    body_bytes: 4 << 20,
+    head_timeout: Duration::from_secs(5),
+    idle_timeout: Duration::from_secs(15),
+};
+
+/// The least size of a connection's buffer that the server takes.
+const LEAST_BUFFER: usize = 8192;
+
+/// What is added to the time a connection may rest, since clients count from their own side.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [HeaderName; 6] = [
+    CONNECTION,
+    TRANSFER_ENCODING,
+    http::header::TE,
+    http::header::TRAILER,
+    http::header::UPGRADE,
+    http::header::PROXY_AUTHORIZATION,
+];
+
+/// The header that tells how long a connection may rest.
+const KEEP_ALIVE: &str = "keep-alive";
+
+/// Why a request was not taken up.
+enum Unread {
+    /// Its body is larger than the limit.
+    TooLarge,
+    /// Its body did not come in time.
+    TooSlow,
+    /// Its body is malformed, or its client has left.
+    Malformed,
+}
+
+/// Takes clients' connections until the node closes.
+pub async fn listen(node: Rc<Node>, listener: TcpListener, closing: watch::Receiver<bool>) {
+    let mut closed = closing.clone();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    tokio::task::spawn_local(serve(node.clone(), stream, closing.clone()));
+                }
+            }
+            _ = closed.wait_for(|it| *it) => return,
+        }
+    }
+}
+
+/// Serves one connection. When the node closes, the request under way is still answered.
+async fn serve(node: Rc<Node>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+    // Without it small answers wait; the connection works all the same.
+    _ = stream.set_nodelay(true);
+    let limits = node.with(|it| it.limits()).unwrap_or(FIRST_LIMITS);
+    let service = service_fn(|request| {
+        let node = node.clone();
+        async move { Ok::<_, Infallible>(answer(node, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout + IDLE_MARGIN)
+        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = closing.wait_for(|it| *it) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended
+        && error.is_parse()
+    {
+        warn!(node.log, "malformed request"; "error" => %error);
+    }
+}
+
+/// Answers one request.
+async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let limits = node.with(|it| it.limits()).unwrap_or(FIRST_LIMITS);
+    let (head, body) = request.into_parts();
+    let body = match read_body(&head, body, &limits).await {
+        Ok(body) => body,
+        Err(Unread::TooLarge) => return closing_status(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(Unread::TooSlow) => return closing_status(StatusCode::REQUEST_TIMEOUT),
+        Err(Unread::Malformed) => return closing_status(StatusCode::BAD_REQUEST),
+    };
+    let (guard, receiver) = node.begin(Bytestring { head: Rc::new(head), body });
+    let received = receiver.await;
+    let mut response = match received {
+        Ok(ClientAnswer::Whole(head, body)) => {
+            Response::from_parts(pass_head(head), AnswerBody::Whole(Some(body)))
+        }
+        Ok(ClientAnswer::Stream(head, stream)) => {
+            Response::from_parts(pass_head(head), AnswerBody::Stream(stream, Some(guard)))
+        }
+        Ok(ClientAnswer::Refused(refusal)) => refused(refusal),
+        Err(_) => status(StatusCode::BAD_GATEWAY),
+    };
+    if node.with(|it| it.is_stopping()) {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Reads a request's whole body.
+async fn read_body(
+    head: &request::Parts,
+    body: Incoming,
+    limits: &Limits,
+) -> Result<Bytes, Unread> {
+    let announced = head.headers.get(CONTENT_LENGTH).and_then(|it| it.to_str().ok()?.parse().ok());
+    if announced.is_some_and(|it: usize| it > limits.body_bytes) {
+        return Err(Unread::TooLarge);
+    }
+    let whole = Limited::new(body, limits.body_bytes).collect();
+    match tokio::time::timeout(limits.idle_timeout, whole).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Unread::TooLarge),
+        Ok(Err(_)) => Err(Unread::Malformed),
+        Err(_) => Err(Unread::TooSlow),
+    }
+}
+
+/// Gives the head of an engine's answer as the client gets it.
+fn pass_head(mut head: response::Parts) -> response::Parts {
+    remove_hop_headers(&mut head.headers);
+    head.version = http::Version::HTTP_11;
+    head
+}
+
+/// Removes the headers that concern one connection only, and those that it names.
+pub fn remove_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|it| it.to_str().ok())
+        .flat_map(|it| it.split(','))
+        .map(|it| it.trim().to_owned())
+        .collect();
+    for name in named {
+        headers.remove(name.as_str());
+    }
+    for name in &HOP_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove(KEEP_ALIVE);
+}
+
+/// Makes an answer of the gateway's own.
+fn refused(refusal: Refusal) -> Response<AnswerBody> {
+    match refusal {
+        Refusal::NotRun(_, _, retry) => {
+            let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
+            let seconds = format!("{:.3}", retry.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                response.headers_mut().insert(RETRY_AFTER, value);
+            }
+            response
+        }
+        Refusal::NoRoute => status(StatusCode::NOT_FOUND),
+        Refusal::Broken => status(StatusCode::BAD_GATEWAY),
+        Refusal::Late => status(StatusCode::GATEWAY_TIMEOUT),
+    }
+}
+
+/// Makes an answer of a status alone.
+pub fn status(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::Whole(None));
+    *response.status_mut() = status;
+    response
+}
+
+/// Makes an answer of a status alone, after which the connection ends.
+fn closing_status(code: StatusCode) -> Response<AnswerBody> {
+    let mut response = status(code);
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
--- /dev/null
+++ b/crates/hollyspoke-server/src/http1.rs
@@ -0,0 +1,81 @@
+//! One HTTP/1.1 connection to a server.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// Why a request got no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// Nothing was sent.
+    Unsent,
+    /// It was sent, or may have been.
+    Broken,
+}
+
+/// A connection; it is closed when dropped.
+#[derive(Debug)]
+pub struct Connection {
+    /// Sends requests.
+    sender: SendRequest<Full<Bytes>>,
+    /// The task that moves bytes.
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Unsent`] if it does not open in time.
+    pub async fn open(address: SocketAddr, within: Duration) -> Result<Connection, Failure> {
+        let opening = tokio::time::timeout(within, TcpStream::connect(address)).await;
+        let Ok(Ok(stream)) = opening else { return Err(Failure::Unsent) };
+        // Without it small requests wait; the connection works all the same.
+        _ = stream.set_nodelay(true);
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|_| Failure::Unsent)?;
+        let task = tokio::task::spawn_local(async move {
+            // An error reaches whoever waits for the answer.
+            _ = connection.await;
+        });
+        Ok(Connection { sender, task: task.abort_handle() })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Unsent`] only if nothing was sent.
+    pub async fn send(
+        &mut self,
+        request: http::Request<Full<Bytes>>,
+    ) -> Result<http::Response<Incoming>, Failure> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut error) => Err(match error.take_message() {
+                Some(_) => Failure::Unsent,
+                None => Failure::Broken,
+            }),
+        }
+    }
+}
+
+/// Reads a whole body of at most some bytes; none if it is longer or breaks.
+pub async fn read_whole(body: Incoming, most: usize) -> Option<Bytes> {
+    let whole = Limited::new(body, most).collect().await;
+    whole.ok().map(http_body_util::Collected::to_bytes)
+}
--- /dev/null
+++ b/crates/hollyspoke-server/src/node.rs
@@ -0,0 +1,267 @@
+//! The reducer of one node, and what its effects need: tasks, channels and the clock.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use hollyspoke::time::Time;
+use hollyspoke_gateway::effect::{Effect, Refusal, Send};
+use hollyspoke_gateway::event::Event;
+use hollyspoke_gateway::gateway::Gateway;
+use hollyspoke_gateway::request::{CallKey, FlightKey};
+use http::{request, response};
+use slog::Logger;
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::answer::Stream;
+use crate::dialect::Dialect;
+use crate::peers::Peers;
+use crate::{notes, upstream};
+
+/// The events of a stream that may wait for a client that reads slowly.
+const WAITING_PIECES: usize = 16;
+
+/// What a client is given.
+#[derive(Debug)]
+pub enum ClientAnswer {
+    /// An engine's whole answer.
+    Whole(response::Parts, Bytes),
+    /// An engine's stream.
+    Stream(response::Parts, Stream),
+    /// An answer of the gateway's own.
+    Refused(Refusal),
+}
+
+/// The bytes of a request, kept until its end.
+#[derive(Debug, Clone)]
+pub struct Bytestring {
+    /// The head.
+    pub head: Rc<request::Parts>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Where a request's answer goes.
+#[derive(Debug)]
+struct Outlet {
+    /// The request.
+    request: Bytestring,
+    /// Where the head of the answer goes, until it is given.
+    head: Option<oneshot::Sender<ClientAnswer>>,
+    /// Where a stream's events go, once it has begun.
+    pieces: Option<mpsc::Sender<Bytes>>,
+    /// Set if the stream ends unfinished.
+    is_broken: Rc<Cell<bool>>,
+}
+
+/// An engine's answer that waits for the reducer's decision.
+#[derive(Debug)]
+struct Waiting {
+    /// The head.
+    head: response::Parts,
+    /// The body, if it came whole.
+    body: Option<Bytes>,
+}
+
+/// One node.
+#[derive(Debug)]
+pub struct Node {
+    /// The reducer.
+    gateway: RefCell<Gateway>,
+    /// What the platform speaks.
+    pub dialect: Dialect,
+    /// The log.
+    pub log: Logger,
+    /// The origin of the reducer's time.
+    origin: Instant,
+    /// The sockets between nodes.
+    peers: Peers,
+    /// Where answers go.
+    outlets: RefCell<HashMap<FlightKey, Outlet>>,
+    /// The tasks of calls.
+    calls: RefCell<HashMap<CallKey, AbortHandle>>,
+    /// Answers that wait for a decision.
+    waiting: RefCell<HashMap<CallKey, Waiting>>,
+    /// The number of the next request.
+    next_flight: Cell<u64>,
+    /// Wakes the timer after an event.
+    pub woken: Notify,
+}
+
+/// Tells the reducer that the client has left, when dropped.
+#[derive(Debug)]
+pub struct FlightGuard {
+    /// The node.
+    node: Rc<Node>,
+    /// The request.
+    flight: FlightKey,
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.node.dispatch(Event::ClientLeft(self.flight));
+        self.node.outlets.borrow_mut().remove(&self.flight);
+    }
+}
+
+impl Node {
+    /// Makes a node around a reducer.
+    pub fn new(gateway: Gateway, dialect: Dialect, log: Logger, peers: Peers) -> Rc<Node> {
+        Rc::new(Node {
+            gateway: RefCell::new(gateway),
+            dialect,
+            log,
+            origin: Instant::now(),
+            peers,
+            outlets: RefCell::default(),
+            calls: RefCell::default(),
+            waiting: RefCell::default(),
+            next_flight: Cell::new(0),
+            woken: Notify::new(),
+        })
+    }
+
+    /// Gives the reducer's time.
+    pub fn now(&self) -> Time {
+        Time::ZERO + self.origin.elapsed()
+    }
+
+    /// Gives the time at which the reducer needs a tick.
+    pub fn next_due(&self) -> Instant {
+        let due = self.gateway.borrow().next_due();
+        self.origin + due.since(Time::ZERO)
+    }
+
+    /// Reads the reducer.
+    pub fn with<T>(&self, read: impl FnOnce(&Gateway) -> T) -> T {
+        read(&self.gateway.borrow())
+    }
+
+    /// Takes an event to the reducer and carries out the effects.
+    pub fn dispatch(self: &Rc<Node>, event: Event) {
+        let effects = self.gateway.borrow_mut().step(self.now(), event);
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        self.woken.notify_one();
+    }
+
+    /// Takes up a request; its answer comes through the receiver. Dropping the guard before the
+    /// answer's end tells that the client has left.
+    pub fn begin(
+        self: &Rc<Node>,
+        request: Bytestring,
+    ) -> (FlightGuard, oneshot::Receiver<ClientAnswer>) {
+        let flight = FlightKey(self.next_flight.get());
+        self.next_flight.set(flight.0 + 1);
+        let (sender, receiver) = oneshot::channel();
+        let read = (self.dialect.read_request)(&request.head, request.body.len());
+        let outlet = Outlet { request, head: Some(sender), pieces: None, is_broken: Rc::default() };
+        self.outlets.borrow_mut().insert(flight, outlet);
+        let guard = FlightGuard { node: self.clone(), flight };
+        self.dispatch(Event::Arrived(flight, read));
+        (guard, receiver)
+    }
+
+    /// Keeps an engine's answer until the reducer decides on it with the event that follows.
+    pub fn keep(&self, call: CallKey, head: response::Parts, body: Option<Bytes>) {
+        self.waiting.borrow_mut().insert(call, Waiting { head, body });
+    }
+
+    /// Drops an answer that the reducer had no use for.
+    pub fn drop_kept(&self, call: CallKey) {
+        self.waiting.borrow_mut().remove(&call);
+    }
+
+    /// Notes that a call's task has ended.
+    pub fn call_ended(&self, call: CallKey) {
+        self.calls.borrow_mut().remove(&call);
+    }
+
+    /// Gives where a stream's events go.
+    pub fn pieces(&self, flight: FlightKey) -> Option<mpsc::Sender<Bytes>> {
+        self.outlets.borrow().get(&flight)?.pieces.clone()
+    }
+
+    /// Carries out one effect.
+    fn carry_out(self: &Rc<Node>, effect: Effect) {
+        match effect {
+            Effect::Send(send) => self.send(send),
+            Effect::Cancel(call) => self.cancel(call),
+            Effect::Deliver(flight, call) => self.deliver(flight, call),
+            Effect::Join(_, call) => self.drop_kept(call),
+            Effect::Refuse(flight, refusal) => self.refuse(flight, refusal),
+            Effect::Break(flight) => self.close(flight, true),
+            Effect::Finish(flight) => self.close(flight, false),
+            Effect::Free(source) => {
+                tokio::task::spawn_local(upstream::free(self.clone(), source));
+            }
+            Effect::Tell(nodes, message) => self.peers.tell(&nodes, &message),
+            Effect::Note(note) => notes::write(&self.log, &note),
+        }
+    }
+
+    /// Starts a call.
+    fn send(self: &Rc<Node>, send: Send) {
+        let outlets = self.outlets.borrow();
+        let Some(request) = outlets.get(&send.flight).map(|it| it.request.clone()) else { return };
+        drop(outlets);
+        let call = send.call;
+        let task = tokio::task::spawn_local(upstream::call(self.clone(), send, request));
+        self.calls.borrow_mut().insert(call, task.abort_handle());
+    }
+
+    /// Drops a call.
+    fn cancel(&self, call: CallKey) {
+        let task = self.calls.borrow_mut().remove(&call);
+        if let Some(task) = task {
+            task.abort();
+        }
+        self.drop_kept(call);
+    }
+
+    /// Gives the client an engine's answer.
+    fn deliver(&self, flight: FlightKey, call: CallKey) {
+        let Some(kept) = self.waiting.borrow_mut().remove(&call) else { return };
+        let mut outlets = self.outlets.borrow_mut();
+        let Some(outlet) = outlets.get_mut(&flight) else { return };
+        let Some(sender) = outlet.head.take() else { return };
+        let answer = match kept.body {
+            Some(body) => ClientAnswer::Whole(kept.head, body),
+            None => {
+                let (pieces, receiver) = mpsc::channel(WAITING_PIECES);
+                outlet.pieces = Some(pieces);
+                let is_broken = outlet.is_broken.clone();
+                ClientAnswer::Stream(kept.head, Stream { pieces: receiver, is_broken })
+            }
+        };
+        // An error says that the client has left, which its guard tells.
+        _ = sender.send(answer);
+    }
+
+    /// Gives the client an answer of the gateway's own.
+    fn refuse(&self, flight: FlightKey, refusal: Refusal) {
+        let sender = self.outlets.borrow_mut().get_mut(&flight).and_then(|it| it.head.take());
+        if let Some(sender) = sender {
+            // An error says that the client has left, which its guard tells.
+            _ = sender.send(ClientAnswer::Refused(refusal));
+        }
+    }
+
+    /// Ends a stream, whole or broken off.
+    fn close(&self, flight: FlightKey, is_broken: bool) {
+        if let Some(outlet) = self.outlets.borrow_mut().get_mut(&flight) {
+            outlet.is_broken.set(is_broken);
+            outlet.pieces = None;
+        }
+    }
+}
+
+/// Gives the address of a node's datagram socket from the address of one of its services.
+pub fn peer_address(node: SocketAddr, port: u16) -> SocketAddr {
+    SocketAddr::new(node.ip(), port)
+}
--- /dev/null
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -0,0 +1,36 @@
+//! Writes the reducer's decisions to the log, one structured line each.
+
+use hollyspoke_gateway::effect::Note;
+use slog::{Logger, info};
+
+/// Writes a line.
+pub fn write(log: &Logger, note: &Note) {
+    match note {
+        Note::Configured { version, routes } => {
+            info!(log, "configuration in force"; "version" => version, "routes" => routes);
+        }
+        Note::Listed { engines, revision } => {
+            info!(log, "engines listed"; "engines" => engines, "revision" => revision);
+        }
+        Note::Engine { id, address, is_draining } => info!(log, "engine";
+            "engine" => %id, "address" => %address, "draining" => is_draining),
+        Note::EngineLeft { id } => info!(log, "engine left"; "engine" => %id),
+        Note::Avoided { id, span } => info!(log, "engine avoided";
+            "engine" => %id, "span_ms" => millis(span)),
+        Note::Sent { request, engine, task, expected, before } => info!(log, "call sent";
+            "request" => %request, "engine" => %engine, "task" => task,
+            "expected_ms" => millis(expected), "before" => before),
+        Note::Failed { request, engine, how, status } => info!(log, "call failed";
+            "request" => %request, "engine" => %engine, "how" => how, "status" => status),
+        Note::Ended { request, how, after } => info!(log, "request ended";
+            "request" => %request, "how" => how, "after_ms" => millis(after)),
+        Note::Peer { address, is_alive } => info!(log, "peer";
+            "peer" => %address, "alive" => is_alive),
+        Note::Stopping => info!(log, "stopping"),
+    }
+}
+
+/// Gives a span in whole milliseconds.
+fn millis(span: &std::time::Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/hollyspoke-server/src/peers.rs
@@ -0,0 +1,50 @@
+//! Datagrams between nodes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use hollyspoke_gateway::event::Event;
+use hollyspoke_gateway::message::Message;
+use tokio::net::UdpSocket;
+
+use crate::node::Node;
+
+/// The most bytes of a datagram.
+const LONGEST_DATAGRAM: usize = 8192;
+
+/// The socket between nodes.
+#[derive(Debug, Clone)]
+pub struct Peers {
+    /// The socket.
+    socket: Rc<UdpSocket>,
+}
+
+impl Peers {
+    /// Binds the socket.
+    ///
+    /// # Errors
+    ///
+    /// If the address can't be bound.
+    pub async fn bind(address: SocketAddr) -> std::io::Result<Peers> {
+        Ok(Peers { socket: Rc::new(UdpSocket::bind(address).await?) })
+    }
+
+    /// Sends a datagram to nodes. One that can't be sent at once is lost, as on the way.
+    pub fn tell(&self, nodes: &[SocketAddr], message: &Message) {
+        let Ok(bytes) = bincode::serialize(message) else { return };
+        for &node in nodes {
+            _ = self.socket.try_send_to(&bytes, node);
+        }
+    }
+
+    /// Takes datagrams to the node, until the process ends.
+    pub async fn listen(self, node: Rc<Node>) {
+        let mut buffer = vec![0; LONGEST_DATAGRAM];
+        loop {
+            let Ok((length, _)) = self.socket.recv_from(&mut buffer).await else { continue };
+            if let Ok(message) = bincode::deserialize(&buffer[..length]) {
+                node.dispatch(Event::Heard(message));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke-server/src/settings.rs
@@ -0,0 +1,201 @@
+//! The settings of one node: a TOML file whose findings are gathered and reported together.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use hollyspoke_gateway::budget::Bound;
+use serde::Deserialize;
+
+/// The file as it is written.
+#[derive(Debug, Clone, Deserialize, PartialEq)]
+pub struct File {
+    /// This node.
+    pub node: NodeSection,
+    /// Where this node listens.
+    pub listen: ListenSection,
+    /// The platform's store.
+    pub store: StoreSection,
+    /// The bounds that are kept.
+    #[serde(default)]
+    pub bounds: BoundsSection,
+}
+
+/// This node.
+#[derive(Debug, Clone, Deserialize, PartialEq)]
+pub struct NodeSection {
+    /// The node's name, for logs.
+    pub name: String,
+    /// The node's zone.
+    pub zone: String,
+    /// Addresses of some other nodes; of each only the IP counts.
+    #[serde(default)]
+    pub seeds: Vec<String>,
+}
+
+/// Where the node listens.
+#[derive(Debug, Clone, Deserialize, PartialEq)]
+pub struct ListenSection {
+    /// For clients.
+    pub front: String,
+    /// For the platform's question whether the node is ready.
+    pub ready: String,
+    /// For clients that ask for addresses.
+    pub directory: String,
+    /// The port for other nodes, the same on all nodes.
+    pub peer_port: u16,
+}
+
+/// The store.
+#[derive(Debug, Clone, Deserialize, PartialEq)]
+pub struct StoreSection {
+    /// Where it listens.
+    pub address: String,
+}
+
+/// The bounds.
+#[derive(Debug, Clone, Deserialize, PartialEq)]
+#[serde(default)]
+pub struct BoundsSection {
+    /// Repeats allowed for each request.
+    pub retry_ratio: f64,
+    /// Repeats allowed beside the ratio, over all nodes.
+    pub retry_allowance: f64,
+    /// The span over which both are counted, in seconds.
+    pub retry_window_s: f64,
+    /// How long a stopped process may take to end, in seconds.
+    pub grace_s: f64,
+}
+
+impl Default for BoundsSection {
+    fn default() -> BoundsSection {
+        BoundsSection {
+            retry_ratio: 0.1,
+            retry_allowance: 10.0,
+            retry_window_s: 10.0,
+            grace_s: 8.0,
+        }
+    }
+}
+
+/// One setting that is wrong.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Finding {
+    /// The setting's name.
+    pub setting: String,
+    /// What is wrong with it.
+    pub message: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.setting, self.message)
+    }
+}
+
+/// The settings, checked.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// The node's name, for logs.
+    pub name: String,
+    /// The node's zone.
+    pub zone: String,
+    /// Where the node listens for clients.
+    pub front: SocketAddr,
+    /// Where the node tells whether it is ready.
+    pub ready: SocketAddr,
+    /// Where the node tells clients which addresses to use.
+    pub directory: SocketAddr,
+    /// Where the node listens for other nodes.
+    pub peer: SocketAddr,
+    /// Where some other nodes listen for other nodes.
+    pub seeds: Vec<SocketAddr>,
+    /// Where the store listens.
+    pub store: SocketAddr,
+    /// How often requests may be sent to a second engine.
+    pub bound: Bound,
+    /// How long a stopped process may take to end.
+    pub grace: Duration,
+}
+
+/// The checks so far.
+#[derive(Default)]
+struct Checker {
+    /// What is wrong.
+    findings: Vec<Finding>,
+}
+
+impl Settings {
+    /// Reads and checks the file.
+    ///
+    /// # Errors
+    ///
+    /// All that is wrong with it.
+    pub fn read(path: &Path) -> Result<Settings, Vec<Finding>> {
+        let text = std::fs::read_to_string(path).map_err(|error| {
+            vec![Finding { setting: path.display().to_string(), message: error.to_string() }]
+        })?;
+        Settings::parse(&text)
+    }
+
+    /// Parses and checks the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// All that is wrong with it.
+    pub fn parse(text: &str) -> Result<Settings, Vec<Finding>> {
+        let file: File = toml::from_str(text).map_err(|error| {
+            vec![Finding { setting: "file".to_owned(), message: error.to_string() }]
+        })?;
+        let mut checker = Checker::default();
+        let front = checker.address("listen.front", &file.listen.front);
+        let ready = checker.address("listen.ready", &file.listen.ready);
+        let directory = checker.address("listen.directory", &file.listen.directory);
+        let store = checker.address("store.address", &file.store.address);
+        let seeds = file.node.seeds.iter().filter(|it| !it.is_empty());
+        let seeds: Vec<_> = seeds.map(|it| checker.address("node.seeds", it)).collect();
+        let bounds = &file.bounds;
+        let ratio = checker.not_negative("bounds.retry_ratio", bounds.retry_ratio);
+        let allowance = checker.not_negative("bounds.retry_allowance", bounds.retry_allowance);
+        let window = checker.not_negative("bounds.retry_window_s", bounds.retry_window_s);
+        let grace = checker.not_negative("bounds.grace_s", bounds.grace_s);
+        if !checker.findings.is_empty() {
+            return Err(checker.findings);
+        }
+        let port = file.listen.peer_port;
+        Ok(Settings {
+            name: file.node.name,
+            zone: file.node.zone,
+            front,
+            ready,
+            directory,
+            peer: SocketAddr::new(front.ip(), port),
+            seeds: seeds.into_iter().map(|it| SocketAddr::new(it.ip(), port)).collect(),
+            store,
+            bound: Bound { ratio, allowance, window: Duration::from_secs_f64(window) },
+            grace: Duration::from_secs_f64(grace),
+        })
+    }
+}
+
+impl Checker {
+    /// Reads an address; a placeholder stands in for one that is wrong.
+    fn address(&mut self, setting: &str, text: &str) -> SocketAddr {
+        text.parse().unwrap_or_else(|_| {
+            let message = format!("`{text}` is not IP:PORT");
+            self.findings.push(Finding { setting: setting.to_owned(), message });
+            SocketAddr::from(([0, 0, 0, 0], 0))
+        })
+    }
+
+    /// Checks a number that may not be negative.
+    fn not_negative(&mut self, setting: &str, value: f64) -> f64 {
+        if value.is_finite() && (0.0..1e9).contains(&value) {
+            return value;
+        }
+        let message = format!("{value} is not a number from 0 up");
+        self.findings.push(Finding { setting: setting.to_owned(), message });
+        0.0
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke-server/src/sync.rs
@@ -0,0 +1,216 @@
+//! Follows a kind of object in the platform's store: a whole list, then changes as they come, and
+//! a whole list again whenever the changes stop coming.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollyspoke_gateway::event::Event;
+use http::header::HOST;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use slog::{info, warn};
+
+use crate::dialect::{Change, Item, Kind};
+use crate::http1::{Connection, read_whole};
+use crate::node::Node;
+
+/// How long a connection to the store may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long a list may take.
+const LIST_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// How long the store waits for changes before it answers that there are none. It bounds how long
+/// a connection that died without a word goes unnoticed.
+const WATCH_FOR: Duration = Duration::from_millis(1800);
+
+/// What a watch may take beyond its own time.
+const WATCH_MARGIN: Duration = Duration::from_millis(500);
+
+/// The pause after a failed call, at least and at most.
+const PAUSE_MS: (u64, u64) = (120, 350);
+
+/// The most bytes of one answer.
+const LONGEST_ANSWER: usize = 16 << 20;
+
+/// Why a call to the store gave nothing.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Failure {
+    /// No answer came, or none in time.
+    NoAnswer,
+    /// The store refused.
+    Refused(StatusCode),
+    /// The answer could not be read.
+    Malformed(String),
+}
+
+/// One follower.
+struct Follower {
+    /// The node.
+    node: Rc<Node>,
+    /// The store.
+    store: SocketAddr,
+    /// The kind.
+    kind: Kind,
+    /// The connection, kept while it answers.
+    connection: Option<Connection>,
+    /// Whether the last call failed.
+    is_away: bool,
+    /// The source of pauses.
+    random: Pcg64Mcg,
+}
+
+/// Follows a kind until the process ends.
+pub async fn follow(node: Rc<Node>, store: SocketAddr, kind: Kind) {
+    let random = Pcg64Mcg::from_os_rng();
+    let mut follower = Follower { node, store, kind, connection: None, is_away: false, random };
+    loop {
+        let failure = match follower.list().await {
+            Ok(revision) => follower.watch(revision).await,
+            Err(failure) => failure,
+        };
+        follower.note_away(&failure);
+        follower.pause(&failure).await;
+    }
+}
+
+impl Follower {
+    /// Reads the whole list; gives its revision.
+    async fn list(&mut self) -> Result<u64, Failure> {
+        let mut items = Vec::new();
+        let mut next: Option<String> = None;
+        let revision = loop {
+            let path = (self.node.dialect.list)(self.kind, next.as_deref());
+            let bytes = self.get(&path, LIST_TIMEOUT).await?;
+            let page = (self.node.dialect.read_page)(self.kind, &bytes);
+            let page = page.map_err(|it| Failure::Malformed(it.0))?;
+            self.note_findings(&page.findings);
+            items.extend(page.items);
+            next = page.next;
+            if next.is_none() {
+                break page.revision;
+            }
+        };
+        self.note_back();
+        self.take_list(items, revision);
+        Ok(revision)
+    }
+
+    /// Takes changes as they come; gives why they stopped.
+    async fn watch(&mut self, mut since: u64) -> Failure {
+        loop {
+            let path = (self.node.dialect.watch)(self.kind, since, WATCH_FOR);
+            let bytes = match self.get(&path, WATCH_FOR + WATCH_MARGIN).await {
+                Ok(bytes) => bytes,
+                Err(failure) => return failure,
+            };
+            let changes = match (self.node.dialect.read_changes)(self.kind, &bytes) {
+                Ok(changes) => changes,
+                Err(malformed) => return Failure::Malformed(malformed.0),
+            };
+            self.note_findings(&changes.findings);
+            for (change, revision) in changes.changes {
+                self.take_change(change, revision);
+            }
+            since = since.max(changes.revision);
+        }
+    }
+
+    /// Asks the store for a path.
+    async fn get(&mut self, path: &str, within: Duration) -> Result<Bytes, Failure> {
+        let answer = tokio::time::timeout(within, self.exchange(path)).await;
+        let answer = answer.unwrap_or(Err(Failure::NoAnswer));
+        if answer.is_err() {
+            self.connection = None;
+        }
+        answer
+    }
+
+    /// Sends one request, over the kept connection if there is one.
+    async fn exchange(&mut self, path: &str) -> Result<Bytes, Failure> {
+        let mut connection = match self.connection.take() {
+            Some(connection) => connection,
+            None => Connection::open(self.store, CONNECT_TIMEOUT)
+                .await
+                .map_err(|_| Failure::NoAnswer)?,
+        };
+        let request = Request::get(path)
+            .header(HOST, self.store.to_string())
+            .body(Full::default())
+            .map_err(|it| Failure::Malformed(it.to_string()))?;
+        let response = connection.send(request).await.map_err(|_| Failure::NoAnswer)?;
+        let status = response.status();
+        let bytes = read_whole(response.into_body(), LONGEST_ANSWER).await;
+        let bytes = bytes.ok_or(Failure::NoAnswer)?;
+        if status != StatusCode::OK {
+            return Err(Failure::Refused(status));
+        }
+        self.connection = Some(connection);
+        Ok(bytes)
+    }
+
+    /// Takes a whole list to the reducer.
+    fn take_list(&self, items: Vec<Item>, revision: u64) {
+        let mut engines = Vec::new();
+        for item in items {
+            match item {
+                Item::Configuration(it) => self.node.dispatch(Event::Configured(it)),
+                Item::Engine(it) => engines.push(it),
+            }
+        }
+        if self.kind == Kind::Engines {
+            self.node.dispatch(Event::Listed(engines, revision));
+        }
+    }
+
+    /// Takes a change to the reducer.
+    fn take_change(&self, change: Change, revision: u64) {
+        let event = match change {
+            Change::Put(Item::Configuration(it)) => Event::Configured(it),
+            Change::Put(Item::Engine(it)) => Event::Changed(it, revision),
+            Change::Gone(id) if self.kind == Kind::Engines => Event::Left(id, revision),
+            Change::Gone(_) => return,
+        };
+        self.node.dispatch(event);
+    }
+
+    /// Logs what could not be read.
+    fn note_findings(&self, findings: &[String]) {
+        for finding in findings {
+            warn!(self.node.log, "object not read"; "finding" => finding);
+        }
+    }
+
+    /// Logs that the store was lost.
+    fn note_away(&mut self, failure: &Failure) {
+        if !self.is_away {
+            let kind = format!("{:?}", self.kind);
+            warn!(self.node.log, "store lost"; "kind" => kind, "why" => format!("{failure:?}"));
+        }
+        self.is_away = true;
+    }
+
+    /// Logs that the store is back.
+    fn note_back(&mut self) {
+        if self.is_away {
+            let kind = format!("{:?}", self.kind);
+            info!(self.node.log, "store regained"; "kind" => kind);
+        }
+        self.is_away = false;
+    }
+
+    /// Waits before the next call; not at all if it is only the history that is gone.
+    async fn pause(&mut self, failure: &Failure) {
+        if *failure == Failure::Refused(StatusCode::GONE) {
+            return;
+        }
+        let (least, most) = PAUSE_MS;
+        let millis = self.random.random_range(least..=most);
+        tokio::time::sleep(Duration::from_millis(millis)).await;
+    }
+}
--- /dev/null
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -0,0 +1,122 @@
+//! Calls to engines. Each has a connection of its own, which is closed after the answer: bytes
+//! that an engine sends beyond it, or late, can then belong to no other request.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollyspoke_gateway::effect::{Send, Source, Task};
+use hollyspoke_gateway::event::{Answer, CallEvent, Event};
+use http::{StatusCode, response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+
+use crate::http1::{Connection, Failure, read_whole};
+use crate::node::{Bytestring, Node};
+use crate::splitter::Splitter;
+
+/// How long a connection to an engine may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// How long the freeing of a prompt may take.
+const FREE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The most bytes of an answer that is kept whole.
+const LONGEST_ANSWER: usize = 8 << 20;
+
+/// The media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Makes a call and tells the reducer what becomes of it.
+pub async fn call(node: Rc<Node>, send: Send, request: Bytestring) {
+    let call = send.call;
+    let event = match exchange(&node, &send, &request).await {
+        Ok(answer) => CallEvent::Answered(answer),
+        Err(Failure::Unsent) => CallEvent::Unsent,
+        Err(Failure::Broken) => CallEvent::Broken,
+    };
+    node.call_ended(call);
+    node.dispatch(Event::Call(call, event));
+    node.drop_kept(call);
+}
+
+/// Makes a call and gives its whole answer; a stream is passed on as it comes.
+async fn exchange(node: &Rc<Node>, send: &Send, request: &Bytestring) -> Result<Answer, Failure> {
+    let mut connection = Connection::open(send.engine.address, CONNECT_TIMEOUT).await?;
+    let head = (node.dialect.call_head)(&request.head, send);
+    let message = http::Request::from_parts(head, Full::new(request.body.clone()));
+    let (head, body) = connection.send(message).await?.into_parts();
+    let answer = (node.dialect.read_answer)(&head, &request.head).map_err(|_| Failure::Broken)?;
+    if is_stream(send, &head) {
+        return pass_on(node, send, answer, head, body).await;
+    }
+    let bytes = read_whole(body, LONGEST_ANSWER).await.ok_or(Failure::Broken)?;
+    let handle = match send.task {
+        Task::Read => (node.dialect.read_handle)(&bytes),
+        _ => None,
+    };
+    node.keep(send.call, head, Some(bytes));
+    Ok(Answer { handle, ..answer })
+}
+
+/// Passes a stream on, whole events at a time, until its end.
+async fn pass_on(
+    node: &Rc<Node>,
+    send: &Send,
+    answer: Answer,
+    head: response::Parts,
+    mut body: Incoming,
+) -> Result<Answer, Failure> {
+    let mut splitter = Splitter::default();
+    let mut head = Some(head);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Failure::Broken)?;
+        let Ok(bytes) = frame.into_data() else { continue };
+        let Some(events) = splitter.push(&bytes) else { continue };
+        begin(node, send, &answer, &mut head);
+        pass(node, send, events.bytes, events.last_id).await?;
+    }
+    begin(node, send, &answer, &mut head);
+    let rest = splitter.rest();
+    if !rest.is_empty() {
+        pass(node, send, rest, None).await?;
+    }
+    Ok(answer)
+}
+
+/// Tells the reducer that a stream has begun, once.
+fn begin(node: &Rc<Node>, send: &Send, answer: &Answer, head: &mut Option<response::Parts>) {
+    if let Some(head) = head.take() {
+        node.keep(send.call, head, None);
+        node.dispatch(Event::Call(send.call, CallEvent::Began(answer.clone())));
+    }
+}
+
+/// Passes events to the client.
+async fn pass(
+    node: &Rc<Node>,
+    send: &Send,
+    bytes: Bytes,
+    last_id: Option<u64>,
+) -> Result<(), Failure> {
+    let pieces = node.pieces(send.flight).ok_or(Failure::Broken)?;
+    pieces.send(bytes).await.map_err(|_| Failure::Broken)?;
+    node.dispatch(Event::Call(send.call, CallEvent::Passed(last_id)));
+    Ok(())
+}
+
+/// Tells whether an answer is a stream of events.
+fn is_stream(send: &Send, head: &response::Parts) -> bool {
+    let media = head.headers.get(http::header::CONTENT_TYPE);
+    let is_events = media.is_some_and(|it| it.as_bytes().starts_with(EVENT_STREAM.as_bytes()));
+    head.status == StatusCode::OK && is_events && send.task != Task::Read
+}
+
+/// Frees a prompt that nobody takes. It lapses by itself if this fails.
+pub async fn free(node: Rc<Node>, source: Source) {
+    let Ok(mut connection) = Connection::open(source.address, CONNECT_TIMEOUT).await else {
+        return;
+    };
+    let Ok(request) = (node.dialect.free)(&source).body(Full::default()) else { return };
+    _ = tokio::time::timeout(FREE_TIMEOUT, connection.send(request)).await;
+}
