Let silence end a call only if the request can go elsewhere, and ask for room before health

Cause: unsafe and single-attempt requests were ended at half their time-out; and with one healthy engine full, none was found although others had room.

--- a/crates/hollyspoke-gateway/src/gateway/end.rs
+++ b/crates/hollyspoke-gateway/src/gateway/end.rs
@@ -6,7 +6,7 @@
 
 use super::Gateway;
 use crate::effect::{Effect, NotRunReason, Note, Refusal};
-use crate::request::FlightKey;
+use crate::request::{CallKey, FlightKey};
 
 /// When a client may come back whose request no engine could take.
 const RETRY_AFTER: Duration = Duration::from_millis(600);
@@ -49,9 +49,13 @@
         self.give_up(key, NotRunReason::TimedOut);
     }
 
-    /// Drops a call whose engine is silent and goes on elsewhere.
+    /// Drops a call whose engine is silent and goes on elsewhere, if the request may be sent
+    /// elsewhere. Else silence is no reason to end it.
     fn fall_silent(&mut self, key: FlightKey) {
         let Some(call_key) = self.flights.get(&key).and_then(|it| it.call) else { return };
+        if !self.can_leave(call_key) {
+            return;
+        }
         let Some(call) = self.take_call(call_key) else { return };
         self.effects.push(Effect::Cancel(call_key));
         self.note_failure(&call, "silent", 0);
@@ -59,6 +63,14 @@
         self.lost(&call);
     }
 
+    /// Tells whether a request may be sent elsewhere while a call is under way.
+    fn can_leave(&self, call_key: CallKey) -> bool {
+        let Some(call) = self.calls.get(&call_key) else { return false };
+        let Some(flight) = self.flights.get(&call.flight) else { return false };
+        let runs = flight.runs + u32::from(call.is_run() && !call.has_begun);
+        !call.is_run() || runs < flight.route.max_attempts
+    }
+
     /// Ends a request whose client has left.
     pub(super) fn client_left(&mut self, key: FlightKey) {
         self.drop_call(key);
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -70,7 +70,7 @@
 impl View<'_> {
     /// Chooses an engine for a plain request; none if all queues are too long.
     pub fn plain(&self) -> Option<Choice> {
-        let candidates = self.candidates(None);
+        let candidates = self.candidates(None, |_| true);
         let (known, cost) = self.cheapest(&candidates, |it| self.plain_cost(it))?;
         if self.queue(known) > LONGEST_QUEUE {
             return None;
@@ -81,8 +81,8 @@
 
     /// Chooses an engine to read a prompt for another.
     pub fn reading(&self, staged: &Staged, tokens: u64) -> Option<Choice> {
-        let mut candidates = self.candidates(Some(Stage::Prefill));
-        candidates.retain(|it| self.has_memory(it, staged, tokens));
+        let candidates =
+            self.candidates(Some(Stage::Prefill), |it| self.has_memory(it, staged, tokens));
         let (known, _) = self.cheapest(&candidates, |it| {
             let zone = if self.is_near(it) { Duration::ZERO } else { OTHER_ZONE_MOVE };
             (self.reading_time(it, tokens) + zone + self.failure_time(it)).as_secs_f64()
@@ -93,8 +93,8 @@
 
     /// Chooses an engine that reads the prompt itself and then generates.
     pub fn alone(&self, staged: &Staged, tokens: u64, held: u64) -> Option<Choice> {
-        let mut candidates = self.candidates(Some(Stage::Decode));
-        candidates.retain(|it| self.has_memory(it, staged, held));
+        let candidates =
+            self.candidates(Some(Stage::Decode), |it| self.has_memory(it, staged, held));
         let (known, cost) = self.cheapest(&candidates, |it| {
             let load = self.ledger.at(it.engine.key);
             let beside = BESIDE_STREAMS * load.calls.min(4);
@@ -106,8 +106,8 @@
 
     /// Chooses an engine that generates from a prompt read in a zone.
     pub fn generating(&self, staged: &Staged, held: u64, source_zone: &str) -> Option<Choice> {
-        let mut candidates = self.candidates(Some(Stage::Decode));
-        candidates.retain(|it| self.has_memory(it, staged, held));
+        let candidates =
+            self.candidates(Some(Stage::Decode), |it| self.has_memory(it, staged, held));
         let (known, _) = self.cheapest(&candidates, |it| {
             let load = self.ledger.at(it.engine.key);
             let memory = f64::from(load.held) / staged.memory_tokens.max(1) as f64;
@@ -119,17 +119,17 @@
         Some(Choice { engine: known.engine.clone(), expected, ahead: 0 })
     }
 
-    /// Gives the engines that may take the call: those not tried and in good health, else those in
-    /// poor health, else those tried before.
-    fn candidates(&self, stage: Option<Stage>) -> Vec<&Known> {
-        let of_stage = self
-            .directory
-            .open(&self.service.name)
-            .filter(|it| stage.is_none() || it.engine.stage.is_none() || it.engine.stage == stage);
-        let all: Vec<_> = of_stage.collect();
-        let new: Vec<_> =
-            all.iter().copied().filter(|it| !self.tried.contains(&it.engine.key)).collect();
-        let good: Vec<_> = new.iter().copied().filter(|it| !it.health.is_poor(self.now)).collect();
+    /// Gives the engines that may take the call and have room for it: those not tried and in good
+    /// health, else those in poor health, else those tried before.
+    fn candidates(&self, stage: Option<Stage>, has_room: impl Fn(&Known) -> bool) -> Vec<&Known> {
+        let is_of_stage =
+            |it: &&Known| stage.is_none() || it.engine.stage.is_none() || it.engine.stage == stage;
+        let open = self.directory.open(&self.service.name);
+        let all: Vec<_> = open.filter(is_of_stage).filter(|it| has_room(it)).collect();
+        let is_new = |it: &&Known| !self.tried.contains(&it.engine.key);
+        let new: Vec<_> = all.iter().copied().filter(is_new).collect();
+        let is_good = |it: &&Known| !it.health.is_poor(self.now);
+        let good: Vec<_> = new.iter().copied().filter(is_good).collect();
         [good, new, all].into_iter().find(|it| !it.is_empty()).unwrap_or_default()
     }
 
