Set decode memory aside before a prompt is read, and have requests wait for room

Change: a reading is sent only with room set aside at the engine that is to generate; without room a request waits for 0.22 of its target and is then refused with a time; a client that comes back waits until its end.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -125,6 +125,10 @@
         task: &'static str,
         /// How soon the first event is expected.
         expected: Duration,
+        /// The tokens of the prompt.
+        tokens: u64,
+        /// The tokens that it is expected to hold.
+        held: u64,
         /// The calls sent before for the request.
         before: u32,
     },
--- a/crates/hollyspoke-gateway/src/flight.rs
+++ b/crates/hollyspoke-gateway/src/flight.rs
@@ -60,6 +60,14 @@
     pub reading_failed: bool,
     /// Where its prompt lies, read and not yet taken.
     pub source: Option<Source>,
+    /// When the prompt was read that lies at the source.
+    pub read_at: Time,
+    /// The memory set aside in the ledger at the engine that is to generate.
+    pub reserved: Option<(EngineKey, Load)>,
+    /// Set while the request waits for room at an engine: until when it may wait.
+    pub waits_until: Option<Time>,
+    /// Whether the client has come back with it after a refusal.
+    pub is_repeated: bool,
     /// Whether the head of an answer was given to the client.
     pub has_begun: bool,
     /// The last event given to the client.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 mod call;
 mod end;
 mod peers;
+mod room;
 mod start;
 
 use std::collections::{BTreeSet, HashMap};
@@ -45,6 +46,9 @@
 /// The share of the grace after which a stopping node takes no new requests.
 const LAST_REQUEST_SHARE: f64 = 0.6;
 
+/// The length of a run before any was measured.
+const FIRST_MEAN_RUN: Duration = Duration::from_secs(2);
+
 /// All that one node decides.
 #[derive(Debug, Clone)]
 pub struct Gateway {
@@ -70,6 +74,10 @@
     flights: HashMap<FlightKey, Flight>,
     /// The calls under way.
     calls: HashMap<CallKey, Call>,
+    /// The requests that wait for room at an engine.
+    waiting: Vec<FlightKey>,
+    /// How long a run at an engine with stages holds its memory, in the mean.
+    mean_run: Duration,
     /// When each request is looked at again.
     due: BTreeSet<(Time, FlightKey)>,
     /// The number of the next call.
@@ -102,6 +110,8 @@
             deadlines: HashMap::new(),
             flights: HashMap::new(),
             calls: HashMap::new(),
+            waiting: Vec::new(),
+            mean_run: FIRST_MEAN_RUN,
             due: BTreeSet::new(),
             next_call: 0,
             next_sequence: 0,
@@ -128,6 +138,7 @@
             Event::Stop => self.stop(),
             Event::Tick => {}
         }
+        self.admit_waiting();
         self.expire();
         self.beat();
         self.tell_changes();
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -41,7 +41,7 @@
         {
             flight.arrivals = flight.arrivals.saturating_sub(1);
         }
-        self.proceed(call.flight, true);
+        self.proceed(call.flight);
     }
 
     /// The head of a stream has come: the client gets it, or the stream goes on behind what the
@@ -109,7 +109,7 @@
         if matches!(call.task, Task::Read | Task::Generate(Some(_))) {
             flight.reading_failed = true;
         }
-        self.proceed(call.flight, true);
+        self.proceed(call.flight);
     }
 
     /// A prompt was read for another engine.
@@ -120,9 +120,11 @@
             self.fail(call);
             return self.reading_failed(call.flight);
         };
+        let now = self.now;
         let Some(flight) = self.flights.get_mut(&call.flight) else { return };
+        flight.read_at = now;
         flight.source = Some(Source { address: call.engine.address, handle });
-        self.proceed(call.flight, true);
+        self.proceed(call.flight);
     }
 
     /// The reading of a prompt failed; the engine that generates reads it itself.
@@ -131,7 +133,7 @@
             flight.reading_failed = true;
             flight.arrivals += 1;
         }
-        self.proceed(key, true);
+        self.proceed(key);
     }
 
     /// An engine ran the request to an end.
@@ -140,6 +142,7 @@
         let Some(flight) = self.flights.get_mut(&call.flight) else { return };
         flight.trace.mark_sent();
         if call.has_begun {
+            self.measure_run(self.now.since(call.sent));
             self.effects.push(Effect::Finish(call.flight));
             return self.end(call.flight, "whole");
         }
@@ -148,7 +151,7 @@
             self.note_failure(call, "failed", answer.status);
             self.fail(call);
             if self.can_repeat(call.flight) {
-                return self.proceed(call.flight, true);
+                return self.proceed(call.flight);
             }
         }
         let Some(flight) = self.flights.get(&call.flight) else { return };
@@ -183,7 +186,7 @@
         flight.source = None;
         flight.reading_failed = true;
         if self.can_repeat(call.flight) {
-            return self.proceed(call.flight, true);
+            return self.proceed(call.flight);
         }
         self.give_up(call.flight, NotRunReason::TurnedAway);
     }
--- a/crates/hollyspoke-gateway/src/gateway/end.rs
+++ b/crates/hollyspoke-gateway/src/gateway/end.rs
@@ -29,6 +29,9 @@
         if flight.ends <= self.now {
             return self.time_out(key);
         }
+        if flight.waits_until.is_some_and(|it| it <= self.now) {
+            return self.refuse_for_room(key);
+        }
         let Some(patience) = flight.patience else { return };
         if patience > self.now {
             self.due.insert((patience, key));
@@ -116,6 +119,7 @@
 
     /// Removes a request and frees its prompt if nobody has taken it.
     pub(super) fn end(&mut self, key: FlightKey, how: &'static str) {
+        self.unreserve(key);
         let Some(flight) = self.flights.remove(&key) else { return };
         self.due.remove(&(flight.ends, key));
         if let Some(source) = flight.source {
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/gateway/room.rs
@@ -0,0 +1,114 @@
+//! Requests that wait for room in an engine's memory, and memory set aside for those whose prompt is
+//! being read.
+
+use std::time::Duration;
+
+use hollyspoke::time::Time;
+
+use super::Gateway;
+use crate::effect::NotRunReason;
+use crate::engine::{EngineKey, Stage};
+use crate::flight::Flight;
+use crate::message::Load;
+use crate::request::FlightKey;
+use crate::route::Staged;
+
+/// The share of the target for which a request waits before it is refused: a client whose request
+/// is refused within a quarter loses least by coming back.
+const WAIT_SHARE: f64 = 0.22;
+
+/// The share of a handle's life for which a prompt that was read waits for room.
+const HANDLE_SHARE: f64 = 0.7;
+
+/// The weight of the newest run in the mean length of a run.
+const NEWEST: f64 = 0.05;
+
+impl Gateway {
+    /// Has a request wait for room, or gives it up if no room can come.
+    pub(super) fn wait_for_room(&mut self, key: FlightKey) {
+        let Some(flight) = self.flights.get(&key) else { return };
+        let Some(staged) = flight.service.staged.filter(|_| self.can_find_room(flight)) else {
+            return self.give_up(key, NotRunReason::NoEngine);
+        };
+        if flight.waits_until.is_some() {
+            return;
+        }
+        let until = wait_end(flight, &staged);
+        if until <= self.now {
+            return self.refuse_for_room(key);
+        }
+        if let Some(flight) = self.flights.get_mut(&key) {
+            flight.waits_until = Some(until);
+        }
+        self.waiting.push(key);
+        self.wake_at(key, Some(until));
+    }
+
+    /// Sends the waiting requests for which there is room now: those whose prompt was read first,
+    /// then those that can be in time, then those whose client has come back, each in the order of arrival.
+    pub(super) fn admit_waiting(&mut self) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.retain(|it| self.flights.get(it).is_some_and(|it| it.waits_until.is_some()));
+        waiting.sort_by_key(|it| {
+            let flight = &self.flights[it];
+            (flight.source.is_none(), flight.is_repeated, *it)
+        });
+        for &key in &waiting {
+            self.proceed(key);
+        }
+        waiting.retain(|it| self.flights.get(it).is_some_and(|it| it.waits_until.is_some()));
+        self.waiting.extend(waiting);
+    }
+
+    /// Refuses a request for which no room came in time.
+    pub(super) fn refuse_for_room(&mut self, key: FlightKey) {
+        let spread = (self.draw() % 1000) as f64 / 1000.0;
+        let wait = self.mean_run.mul_f64(0.5 + 0.5 * spread);
+        self.refuse_overloaded(key, wait);
+    }
+
+    /// Sets memory aside at the engine that is to generate.
+    pub(super) fn reserve(&mut self, key: FlightKey, engine: Option<EngineKey>) {
+        let Some(engine) = engine else { return };
+        let Some(flight) = self.flights.get_mut(&key) else { return };
+        let held = u32::try_from(flight.request.tokens_held()).unwrap_or(u32::MAX / 4);
+        let load = Load { reading: 0, calls: 0, held };
+        flight.reserved = Some((engine, load));
+        self.ledger.add(engine, load);
+    }
+
+    /// Gives back the memory that was set aside for a request.
+    pub(super) fn unreserve(&mut self, key: FlightKey) {
+        let reserved = self.flights.get_mut(&key).and_then(|it| it.reserved.take());
+        if let Some((engine, load)) = reserved {
+            self.ledger.remove(engine, load);
+        }
+    }
+
+    /// Learns how long a run holds its memory.
+    pub(super) fn measure_run(&mut self, took: Duration) {
+        let mean = self.mean_run.as_secs_f64();
+        let mean = mean + NEWEST * (took.as_secs_f64() - mean);
+        self.mean_run = Duration::from_secs_f64(mean.max(0.0));
+    }
+
+    /// Tells whether an engine could take the request if it had room.
+    fn can_find_room(&self, flight: &Flight) -> bool {
+        let mut open = self.directory.open(&flight.service.name);
+        open.any(|it| it.engine.stage == Some(Stage::Decode))
+    }
+}
+
+/// Gives until when a request may wait for room.
+fn wait_end(flight: &Flight, staged: &Staged) -> Time {
+    if flight.source.is_some() {
+        return flight.read_at + staged.handle_ttl.mul_f64(HANDLE_SHARE);
+    }
+    if flight.is_repeated || flight.sends > 0 {
+        return flight.ends;
+    }
+    flight.arrived + flight.route.target.mul_f64(WAIT_SHARE)
+}
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -34,11 +34,13 @@
 const RETRY_BOUNDS: (Duration, Duration) = (Duration::from_millis(400), Duration::from_secs(3));
 
 /// The next call of a request.
-struct Next {
+pub(super) struct Next {
     /// What the engine is asked to do.
     task: Task,
     /// The engine.
     choice: Choice,
+    /// The engine that is to generate, if another reads the prompt for it.
+    generator: Option<EngineKey>,
 }
 
 impl Gateway {
@@ -61,6 +63,7 @@
         let budget = self.budgets.entry(service.name.clone()).or_default();
         budget.arrive(self.now, &self.settings.bound);
         let held = request.deadline.map_or(route.timeout, |it| it.min(route.timeout));
+        let is_repeated = self.is_repeated(&route, &request);
         let flight = Flight {
             ends: self.now + held,
             arrived: self.now,
@@ -77,29 +80,32 @@
             sends: 0,
             reading_failed: false,
             source: None,
+            read_at: self.now,
+            reserved: None,
+            waits_until: None,
+            is_repeated,
             has_begun: false,
             last_event: None,
         };
         self.due.insert((flight.ends, key));
-        let is_repeated = self.is_repeated(&flight.route, &flight.request);
         self.flights.insert(key, flight);
-        self.proceed(key, is_repeated);
+        self.proceed(key);
     }
 
-    /// Sends the next call of a request, or gives it up.
-    pub(super) fn proceed(&mut self, key: FlightKey, serve_late: bool) {
+    /// Sends the next call of a request, has it wait for room, or gives it up.
+    pub(super) fn proceed(&mut self, key: FlightKey) {
         let Some(flight) = self.flights.get(&key) else { return };
         if !flight.may_run_again() {
             return self.give_up(key, NotRunReason::TurnedAway);
         }
         let draw = self.draw();
         let Some(next) = self.next_call(key, draw) else {
-            return self.give_up(key, NotRunReason::NoEngine);
+            return self.wait_for_room(key);
         };
         let flight = &self.flights[&key];
         let latest = flight.route.target.mul_f64(LATEST_SHARE);
         let is_late = next.choice.expected > latest && flight.service.staged.is_some();
-        if is_late && flight.sends == 0 && !serve_late {
+        if is_late && flight.sends == 0 && !flight.is_repeated {
             let wait = next.choice.expected.saturating_sub(latest / 2);
             return self.refuse_overloaded(key, wait);
         }
@@ -110,7 +116,7 @@
     }
 
     /// Chooses the next call of a request.
-    fn next_call(&self, key: FlightKey, draw: u64) -> Option<Next> {
+    pub(super) fn next_call(&self, key: FlightKey, draw: u64) -> Option<Next> {
         let flight = self.flights.get(&key)?;
         let view = View {
             directory: &self.directory,
@@ -122,18 +128,24 @@
             draw,
         };
         match flight.service.staged {
-            None => view.plain().map(|choice| Next { task: Task::Plain, choice }),
+            None => {
+                let choice = view.plain()?;
+                Some(Next { task: Task::Plain, choice, generator: None })
+            }
             Some(staged) => next_staged(flight, &view, &staged),
         }
     }
 
     /// Sends a call.
-    fn send(&mut self, key: FlightKey, next: Next) {
+    pub(super) fn send(&mut self, key: FlightKey, next: Next) {
         let call = CallKey(self.next_call);
         self.next_call += 1;
         let now = self.now;
+        self.unreserve(key);
+        self.reserve(key, next.generator);
         let Some(flight) = self.flights.get_mut(&key) else { return };
-        let Next { task, choice } = next;
+        let Next { task, choice, .. } = next;
+        flight.waits_until = None;
         let load = load_of(flight, &task);
         flight.call = Some(call);
         flight.tried.push(choice.engine.key);
@@ -152,6 +164,8 @@
             engine: choice.engine.id.clone(),
             task: task_name(&task),
             expected: choice.expected,
+            tokens: flight.request.tokens_in(),
+            held: flight.request.tokens_held(),
             before: flight.sends - 1,
         };
         let engine = choice.engine.clone();
@@ -194,7 +208,7 @@
     }
 
     /// Refuses a request that would be served too late.
-    fn refuse_overloaded(&mut self, key: FlightKey, wait: Duration) {
+    pub(super) fn refuse_overloaded(&mut self, key: FlightKey, wait: Duration) {
         let (least, most) = RETRY_BOUNDS;
         self.give_up_until(key, NotRunReason::Overloaded, wait.clamp(least, most));
     }
@@ -206,33 +220,29 @@
     }
 }
 
-/// Chooses the next call at a service with stages.
+/// Chooses the next call at a service with stages. A prompt is read for another engine only if that
+/// engine has room for it.
 fn next_staged(flight: &Flight, view: &View<'_>, staged: &Staged) -> Option<Next> {
     let tokens = flight.request.tokens_in();
     let held = flight.request.tokens_held();
     if let Some(source) = &flight.source {
         let reader = flight.tried.last().copied();
         let zone = reader.and_then(|it| zone_of(view, it)).unwrap_or_else(|| view.zone.into());
-        let choice = view.generating(staged, held, &zone)?;
-        return Some(Next { task: Task::Generate(Some(source.clone())), choice });
+        let preferred = flight.reserved.map(|(engine, _)| engine);
+        let choice = view.generating(staged, held, &zone, preferred)?;
+        return Some(Next { task: Task::Generate(Some(source.clone())), choice, generator: None });
     }
-    let alone = view.alone(staged, tokens, held);
+    let alone = view.alone(staged, tokens, held)?;
     let reading = if flight.reading_failed { None } else { view.reading(staged, tokens) };
-    let generate = |choice| Some(Next { task: Task::Generate(None), choice });
-    let read = |choice| Some(Next { task: Task::Read, choice });
-    match (reading, alone) {
-        (Some(reading), Some(alone)) => {
-            let is_slow = reading.expected > flight.route.target.mul_f64(ALONE_SHARE);
-            if is_slow && alone.expected < reading.expected {
-                generate(alone)
-            } else {
-                read(reading)
-            }
-        }
-        (Some(reading), None) => read(reading),
-        (None, Some(alone)) => generate(alone),
-        (None, None) => None,
-    }
+    let is_slow = |reading: &Choice| {
+        let is_slow = reading.expected > flight.route.target.mul_f64(ALONE_SHARE);
+        is_slow && alone.expected < reading.expected
+    };
+    let Some(reading) = reading.filter(|it| !is_slow(it)) else {
+        return Some(Next { task: Task::Generate(None), choice: alone, generator: None });
+    };
+    let generator = view.generating(staged, held, &reading.engine.zone, None)?;
+    Some(Next { task: Task::Read, choice: reading, generator: Some(generator.engine.key) })
 }
 
 /// Gives the zone of an engine, if it is still known.
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -104,11 +104,22 @@
         Some(Choice { engine: known.engine.clone(), expected, ahead: self.ahead(known) + tokens })
     }
 
-    /// Chooses an engine that generates from a prompt read in a zone.
-    pub fn generating(&self, staged: &Staged, held: u64, source_zone: &str) -> Option<Choice> {
-        let candidates =
-            self.candidates(Some(Stage::Decode), |it| self.has_memory(it, staged, held));
+    /// Chooses an engine that generates from a prompt read in a zone; the preferred one, where
+    /// memory was set aside, if it can still be used.
+    pub fn generating(
+        &self,
+        staged: &Staged,
+        held: u64,
+        source_zone: &str,
+        preferred: Option<EngineKey>,
+    ) -> Option<Choice> {
+        let has_room =
+            |it: &Known| preferred == Some(it.engine.key) || self.has_memory(it, staged, held);
+        let candidates = self.candidates(Some(Stage::Decode), has_room);
         let (known, _) = self.cheapest(&candidates, |it| {
+            if preferred == Some(it.engine.key) {
+                return 0.0;
+            }
             let load = self.ledger.at(it.engine.key);
             let memory = f64::from(load.held) / staged.memory_tokens.max(1) as f64;
             let reads = if load.reading > 0 { OTHER_ZONE } else { 0.0 };
--- a/crates/hollyspoke-gateway/src/request.rs
+++ b/crates/hollyspoke-gateway/src/request.rs
@@ -26,6 +26,8 @@
     pub prompt_tokens: Option<u64>,
     /// The most tokens of the answer, if the client tells.
     pub answer_tokens: Option<u64>,
+    /// The tokens of the answer as the client guesses them.
+    pub guessed_tokens: Option<u64>,
     /// The last event that the client has, if it resumes a stream.
     pub last_event: Option<u64>,
     /// The bytes of the body.
@@ -44,8 +46,12 @@
         self.prompt_tokens.unwrap_or(self.body_bytes / BYTES_A_TOKEN).max(1)
     }
 
-    /// Gives the most tokens that the request can hold in an engine's memory.
+    /// Gives the tokens that the request is expected to hold in an engine's memory at its end.
+    ///
+    /// A guess is right in the median and often far off, so that it is drawn towards the most.
     pub fn tokens_held(&self) -> u64 {
-        self.tokens_in() + self.answer_tokens.unwrap_or(USUAL_ANSWER_TOKENS)
+        let most = self.answer_tokens.unwrap_or(USUAL_ANSWER_TOKENS);
+        let guess = self.guessed_tokens.map_or(most, |it| it.min(most));
+        self.tokens_in() + guess.midpoint(most)
     }
 }
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -17,9 +17,11 @@
         Note::EngineLeft { id } => info!(log, "engine left"; "engine" => %id),
         Note::Avoided { id, span } => info!(log, "engine avoided";
             "engine" => %id, "span_ms" => millis(span)),
-        Note::Sent { request, engine, task, expected, before } => info!(log, "call sent";
+        Note::Sent { request, engine, task, expected, tokens, held, before } => {
+            info!(log, "call sent";
             "request" => %request, "engine" => %engine, "task" => task,
-            "expected_ms" => millis(expected), "before" => before),
+            "expected_ms" => millis(expected), "tokens" => tokens, "held" => held, "before" => before)
+        }
         Note::Failed { request, engine, how, status } => info!(log, "call failed";
             "request" => %request, "engine" => %engine, "how" => how, "status" => status),
         Note::Ended { request, how, after } => info!(log, "request ended";
