Give unreachable engines nothing, and offer a prompt turned away to a second engine

Cause: an engine that can't be reached runs nothing and so seemed to have the most room: up to 100 calls of one request went to one dead engine. A prompt turned away once was freed and read again. Change: engines not reached of late are no candidates; one that turned a request away counts as full for 200 ms; a prompt turned away once is offered to a second engine while its handle lasts; the reading of a prompt is not given up before the target.

--- a/crates/hollyspoke-gateway/src/directory.rs
+++ b/crates/hollyspoke-gateway/src/directory.rs
@@ -32,9 +32,24 @@
     rate: Option<(f64, Time)>,
     /// Whether another incarnation answered at its address.
     is_replaced: bool,
+    /// When it last turned a request away.
+    turned_away: Option<Time>,
 }
 
+/// How long an engine that turned a request away is taken to have no room.
+const FULL_FOR: Duration = Duration::from_millis(200);
+
 impl Known {
+    /// Notes that the engine turned a request away.
+    pub fn turn_away(&mut self, now: Time) {
+        self.turned_away = Some(now);
+    }
+
+    /// Tells whether the engine has turned a request away of late.
+    pub fn is_full(&self, now: Time) -> bool {
+        self.turned_away.is_some_and(|it| now.since(it) < FULL_FOR)
+    }
+
     /// Tells whether the engine takes new requests.
     pub fn is_open(&self) -> bool {
         !self.engine.is_draining && !self.is_replaced
@@ -174,8 +189,13 @@
     let engine = Arc::new(engine);
     match known {
         Some(known) => Known { engine, ..known },
-        None => {
-            Known { engine, health: Health::default(), told: None, rate: None, is_replaced: false }
-        }
+        None => Known {
+            engine,
+            health: Health::default(),
+            told: None,
+            rate: None,
+            is_replaced: false,
+            turned_away: None,
+        },
     }
 }
--- a/crates/hollyspoke-gateway/src/flight.rs
+++ b/crates/hollyspoke-gateway/src/flight.rs
@@ -18,15 +18,15 @@
 /// The share of a safe request's time-out after which silence is taken for a failure.
 const SILENT_SHARE: f64 = 0.5;
 
+/// The share of a handle's life for which the prompt is counted on.
+const HANDLE_SHARE: f64 = 0.7;
+
 /// The pauses between events, in longest allowed ones, after which a stream is taken for broken.
 const SILENT_GAPS: u32 = 4;
 
 /// The least silence after which a stream is taken for broken.
 const LEAST_SILENCE: Duration = Duration::from_millis(1000);
 
-/// The least silence after which the reading of a prompt is taken for failed.
-const LEAST_READING_SILENCE: Duration = Duration::from_millis(350);
-
 /// One request.
 #[derive(Debug, Clone)]
 pub struct Flight {
@@ -60,6 +60,8 @@
     pub reading_failed: bool,
     /// Where its prompt lies, read and not yet taken.
     pub source: Option<Source>,
+    /// Whether an engine has turned the prompt at the source away.
+    pub handle_refused: bool,
     /// When the prompt was read that lies at the source.
     pub read_at: Time,
     /// The memory set aside in the ledger at the engine that is to generate.
@@ -109,13 +111,19 @@
     /// Gives the silence after which a call is taken for failed, if it may be repeated then.
     pub fn patience_for(&self, task: &Task, expected: Duration) -> Option<Duration> {
         match task {
-            Task::Read => Some((expected * 3).max(expected + LEAST_READING_SILENCE)),
+            Task::Read => Some((expected * 3).max(self.route.target)),
             _ if !self.route.is_idempotent() => None,
             Task::Plain => Some(self.route.timeout.mul_f64(SILENT_SHARE)),
             Task::Generate(_) => Some((expected * 3).max(self.route.target)),
         }
     }
 
+    /// Gives until when the prompt at the source can be counted on.
+    pub fn handle_end(&self) -> Time {
+        let life = self.service.staged.map_or(Duration::ZERO, |it| it.handle_ttl);
+        self.read_at + life.mul_f64(HANDLE_SHARE)
+    }
+
     /// Gives the silence after an event after which a stream is taken for broken.
     pub fn gap_patience(&self) -> Option<Duration> {
         if !self.route.is_idempotent() || self.route.kind != RouteKind::Stream {
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -94,24 +94,41 @@
     /// An engine has not run the request and said so.
     fn turned_away(&mut self, call: &Call, answer: &Answer) {
         self.note_failure(call, "turned away", answer.status);
+        let now = self.now;
         if answer.execution == Execution::Moved {
             self.directory.replace(call.engine.key);
-        }
-        let source = self.flights.get_mut(&call.flight).and_then(|it| it.source.take());
-        if let Some(source) = source {
-            self.effects.push(Effect::Free(source));
+        } else if let Some(known) = self.directory.get_mut(call.engine.key) {
+            known.turn_away(now);
         }
         let Some(flight) = self.flights.get_mut(&call.flight) else { return };
         flight.rejections += 1;
-        if call.task == Task::Read {
-            flight.arrivals += 1;
-        }
-        if matches!(call.task, Task::Read | Task::Generate(Some(_))) {
-            flight.reading_failed = true;
+        match call.task {
+            Task::Read => {
+                flight.arrivals += 1;
+                flight.reading_failed = true;
+            }
+            Task::Generate(Some(_)) => self.handle_turned_away(call.flight),
+            Task::Generate(None) | Task::Plain => {}
         }
         self.proceed(call.flight);
     }
 
+    /// An engine that was to generate turned a prompt away that was read for it. It was full, or
+    /// the prompt is gone, which a second engine shows.
+    fn handle_turned_away(&mut self, key: FlightKey) {
+        let now = self.now;
+        let Some(flight) = self.flights.get_mut(&key) else { return };
+        let is_first = !flight.handle_refused;
+        flight.handle_refused = true;
+        if is_first && now < flight.handle_end() {
+            return;
+        }
+        flight.reading_failed = true;
+        if let Some(source) = flight.source.take() {
+            self.effects.push(Effect::Free(source));
+        }
+    }
+
     /// A prompt was read for another engine.
     fn prompt_read(&mut self, call: &Call, answer: Answer) {
         let handle = answer.handle.filter(|_| answer.status == OK);
--- a/crates/hollyspoke-gateway/src/gateway/room.rs
+++ b/crates/hollyspoke-gateway/src/gateway/room.rs
@@ -11,15 +11,11 @@
 use crate::flight::Flight;
 use crate::message::Load;
 use crate::request::FlightKey;
-use crate::route::Staged;
 
 /// The share of the target for which a request waits before it is refused: a client whose request
 /// is refused within a quarter loses least by coming back.
 const WAIT_SHARE: f64 = 0.22;
 
-/// The share of a handle's life for which a prompt that was read waits for room.
-const HANDLE_SHARE: f64 = 0.7;
-
 /// The weight of the newest run in the mean length of a run.
 const NEWEST: f64 = 0.05;
 
@@ -27,13 +23,13 @@
     /// Has a request wait for room, or gives it up if no room can come.
     pub(super) fn wait_for_room(&mut self, key: FlightKey) {
         let Some(flight) = self.flights.get(&key) else { return };
-        let Some(staged) = flight.service.staged.filter(|_| self.can_find_room(flight)) else {
+        if flight.service.staged.is_none() || !self.can_find_room(flight) {
             return self.give_up(key, NotRunReason::NoEngine);
-        };
+        }
         if flight.waits_until.is_some() {
             return;
         }
-        let until = wait_end(flight, &staged);
+        let until = wait_end(flight);
         if until <= self.now {
             return self.refuse_for_room(key);
         }
@@ -103,9 +99,9 @@
 }
 
 /// Gives until when a request may wait for room.
-fn wait_end(flight: &Flight, staged: &Staged) -> Time {
+fn wait_end(flight: &Flight) -> Time {
     if flight.source.is_some() {
-        return flight.read_at + staged.handle_ttl.mul_f64(HANDLE_SHARE);
+        return flight.handle_end();
     }
     if flight.is_repeated || flight.sends > 0 {
         return flight.ends;
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -80,6 +80,7 @@
             sends: 0,
             reading_failed: false,
             source: None,
+            handle_refused: false,
             read_at: self.now,
             reserved: None,
             waits_until: None,
--- a/crates/hollyspoke-gateway/src/health.rs
+++ b/crates/hollyspoke-gateway/src/health.rs
@@ -63,7 +63,12 @@
 
     /// Tells whether the engine is to be avoided while others can be used.
     pub fn is_poor(&self, now: Time) -> bool {
-        self.avoided_until.is_some_and(|it| now < it) || self.rate(now) > POOR_RATE
+        self.is_out(now) || self.rate(now) > POOR_RATE
+    }
+
+    /// Tells whether the engine could not be reached of late, so that it gets nothing.
+    pub fn is_out(&self, now: Time) -> bool {
+        self.avoided_until.is_some_and(|it| now < it)
     }
 
     /// Sets the rate of failure.
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -131,12 +131,16 @@
     }
 
     /// Gives the engines that may take the call and have room for it: those not tried and in good
-    /// health, else those in poor health, else those tried before.
+    /// health, else those in poor health, else those tried before. Those that could not be reached
+    /// of late are left out: they seem to have room just because nothing runs there.
     fn candidates(&self, stage: Option<Stage>, has_room: impl Fn(&Known) -> bool) -> Vec<&Known> {
         let is_of_stage =
             |it: &&Known| stage.is_none() || it.engine.stage.is_none() || it.engine.stage == stage;
         let open = self.directory.open(&self.service.name);
-        let all: Vec<_> = open.filter(is_of_stage).filter(|it| has_room(it)).collect();
+        let all: Vec<_> = open
+            .filter(is_of_stage)
+            .filter(|it| !it.health.is_out(self.now) && has_room(it))
+            .collect();
         let is_new = |it: &&Known| !self.tried.contains(&it.engine.key);
         let new: Vec<_> = all.iter().copied().filter(is_new).collect();
         let is_good = |it: &&Known| !it.health.is_poor(self.now);
@@ -200,6 +204,9 @@
     /// Tells whether an engine has memory for more tokens. An empty engine always has, so that a
     /// request larger than all engines gets the engine's own answer.
     fn has_memory(&self, known: &Known, staged: &Staged, tokens: u64) -> bool {
+        if known.is_full(self.now) {
+            return false;
+        }
         let held = u64::from(self.ledger.at(known.engine.key).held);
         let most = staged.memory_tokens as f64 * MEMORY_SHARE;
         held == 0 || (held + tokens) as f64 <= most
