Have refused clients come back after 0.8 to 1.3 mean runs, and serve first what can be in time

Cause: clients came back half a mean run later, into the same burst, and were then served late. Change: the time named grows to 0.8 to 1.3 of the mean time that a run holds its memory; among the waiting, those within their target go first, whether they came back or not.

--- a/crates/hollyspoke-gateway/src/gateway/room.rs
+++ b/crates/hollyspoke-gateway/src/gateway/room.rs
@@ -50,7 +50,8 @@
         waiting.retain(|it| self.flights.get(it).is_some_and(|it| it.waits_until.is_some()));
         waiting.sort_by_key(|it| {
             let flight = &self.flights[it];
-            (flight.source.is_none(), flight.is_repeated, *it)
+            let is_late = self.now.since(flight.arrived) > flight.route.target;
+            (flight.source.is_none(), is_late, *it)
         });
         for &key in &waiting {
             self.proceed(key);
@@ -62,7 +63,7 @@
     /// Refuses a request for which no room came in time.
     pub(super) fn refuse_for_room(&mut self, key: FlightKey) {
         let spread = (self.draw() % 1000) as f64 / 1000.0;
-        let wait = self.mean_run.mul_f64(0.5 + 0.5 * spread);
+        let wait = self.mean_run.mul_f64(0.8 + 0.5 * spread);
         self.refuse_overloaded(key, wait);
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -31,7 +31,7 @@
 const REPEATED_SHARE: f64 = 0.97;
 
 /// The bounds of the time after which a client may come back.
-const RETRY_BOUNDS: (Duration, Duration) = (Duration::from_millis(400), Duration::from_secs(3));
+const RETRY_BOUNDS: (Duration, Duration) = (Duration::from_millis(400), Duration::from_secs(6));
 
 /// The next call of a request.
 pub(super) struct Next {
