Count a stream by the memory that it holds in the mean over its run

Cause: streams at an engine are at all ages, but each was counted with its length at the end. Change: the prompt and half of the guessed answer.

--- a/crates/hollyspoke-gateway/src/request.rs
+++ b/crates/hollyspoke-gateway/src/request.rs
@@ -46,12 +46,12 @@
         self.prompt_tokens.unwrap_or(self.body_bytes / BYTES_A_TOKEN).max(1)
     }
 
-    /// Gives the tokens that the request is expected to hold in an engine's memory at its end.
-    ///
-    /// A guess is right in the median and often far off, so that it is drawn towards the most.
+    /// Gives the tokens that the request is expected to hold in an engine's memory, in the mean over
+    /// its run: the prompt and half of the answer as guessed. The requests at an engine are at all
+    /// ages, so that the mean is what they hold together.
     pub fn tokens_held(&self) -> u64 {
         let most = self.answer_tokens.unwrap_or(USUAL_ANSWER_TOKENS);
         let guess = self.guessed_tokens.map_or(most, |it| it.min(most));
-        self.tokens_in() + guess
+        self.tokens_in() + guess / 2
     }
 }
