Test the gateway's reducer, and serve prompts that are late for their own length

Cause: 48 tests of routes, plain calls, streams and peers; one failed: a prompt of 54,000 tokens was refused as too late by an empty engine, at every try. Ruled out: memory. Change: lateness refuses only a prompt that stands behind others.

--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -105,7 +105,9 @@
         };
         let flight = &self.flights[&key];
         let latest = flight.route.target.mul_f64(LATEST_SHARE);
-        let is_late = next.choice.expected > latest && flight.service.staged.is_some();
+        // A prompt that is late for its own length would be late at any time.
+        let has_queue = next.choice.ahead > flight.request.tokens_in();
+        let is_late = next.choice.expected > latest && has_queue;
         if is_late && flight.sends == 0 && !flight.is_repeated {
             let wait = next.choice.expected.saturating_sub(latest / 2);
             return self.refuse_overloaded(key, wait);
--- /dev/null
+++ b/tests/src/gateway.rs
@@ -0,0 +1,250 @@
+//! A gateway's reducer with engines made up by the test.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyspoke::time::Time;
+use hollyspoke_gateway::budget::Bound;
+use hollyspoke_gateway::effect::{Effect, Refusal, Send, Task};
+use hollyspoke_gateway::engine::{Engine, EngineKey, Stage};
+use hollyspoke_gateway::event::{Answer, CallEvent, Event, Execution};
+use hollyspoke_gateway::gateway::{Gateway, Settings};
+use hollyspoke_gateway::request::{CallKey, FlightKey, Request};
+use hollyspoke_gateway::route::{Configuration, Limits, Route, RouteKind, Service, Split, Staged};
+
+/// The service of plain requests.
+pub const PLAIN: &str = "orders";
+
+/// The service with stages.
+pub const MODEL: &str = "model";
+
+/// The host of all routes.
+pub const HOST: &str = "host.example";
+
+/// The memory of an engine with stages, in tokens.
+pub const MEMORY: u64 = 60_000;
+
+/// A reducer and the clock that the test moves.
+#[derive(Debug)]
+pub struct World {
+    /// The reducer.
+    pub gateway: Gateway,
+    /// The time.
+    pub now: Time,
+    /// The number of the next request.
+    next_flight: u64,
+}
+
+/// Gives settings of a node.
+pub fn settings(number: u8) -> Settings {
+    Settings {
+        zone: "north".into(),
+        peer: SocketAddr::from(([10, 0, 0, number], 7000)),
+        front: SocketAddr::from(([10, 0, 0, number], 8000)),
+        bound: Bound { ratio: 0.2, allowance: 50.0, window: Duration::from_secs(10) },
+        grace: Duration::from_secs(8),
+        incarnation: u64::from(number),
+    }
+}
+
+/// Gives a route; its prefix is `/NAME/`.
+pub fn route(name: &str, kind: RouteKind, service: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: HOST.into(),
+        prefix: format!("/{name}/").into(),
+        kind,
+        timeout: Duration::from_secs(14),
+        target: Duration::from_millis(900),
+        priority: 1,
+        splits: vec![Split { service: service.into(), weight: 1 }],
+        max_attempts: 2,
+        resumable: false,
+        longest_gap: Some(Duration::from_millis(300)),
+    }
+}
+
+/// Gives a configuration with the usual services and the routes `safe`, `unsafe`, `once` and
+/// `resumed`.
+pub fn configuration(version: u64) -> Configuration {
+    let resumed = Route { resumable: true, ..route("resumed", RouteKind::Stream, MODEL) };
+    let once = Route { max_attempts: 1, ..route("once", RouteKind::Stream, MODEL) };
+    let routes = vec![
+        route("safe", RouteKind::Safe, PLAIN),
+        route("unsafe", RouteKind::Unsafe, PLAIN),
+        once,
+        resumed,
+    ];
+    configuration_of(version, routes)
+}
+
+/// Gives a configuration with the usual services and some routes.
+pub fn configuration_of(version: u64, routes: Vec<Route>) -> Configuration {
+    let staged = Staged {
+        memory_tokens: MEMORY,
+        token_bytes: 18_432,
+        link_mbps: 350_000.0,
+        handle_ttl: Duration::from_millis(500),
+    };
+    let limits = Limits {
+        head_bytes: 16_384,
+        body_bytes: 1 << 20,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let services = vec![
+        Service { name: PLAIN.into(), staged: None },
+        Service { name: MODEL.into(), staged: Some(staged) },
+    ];
+    Configuration::new(version, limits, routes, services)
+}
+
+/// Gives an engine; its last address byte is its number.
+pub fn engine(number: u8, service: &str, stage: Option<Stage>) -> Engine {
+    let id = format!("engine-{number}");
+    Engine {
+        key: EngineKey::of(&id),
+        id: id.into(),
+        service: service.into(),
+        address: SocketAddr::from(([10, 1, 0, number], 9000)),
+        zone: "north".into(),
+        stage,
+        slots: 6,
+        is_draining: false,
+    }
+}
+
+/// Gives two plain engines (1, 2), two that read prompts (11, 12) and two that generate (21, 22).
+pub fn engines() -> Vec<Engine> {
+    vec![
+        engine(1, PLAIN, None),
+        engine(2, PLAIN, None),
+        engine(11, MODEL, Some(Stage::Prefill)),
+        engine(12, MODEL, Some(Stage::Prefill)),
+        engine(21, MODEL, Some(Stage::Decode)),
+        engine(22, MODEL, Some(Stage::Decode)),
+    ]
+}
+
+/// Gives a request on a route of [`configuration`].
+pub fn request(route: &str) -> Request {
+    Request {
+        id: format!("request-{route}").into(),
+        host: HOST.to_owned(),
+        path: format!("/{route}/x"),
+        deadline: Some(Duration::from_secs(14)),
+        prompt_tokens: Some(5000),
+        answer_tokens: Some(1000),
+        guessed_tokens: Some(800),
+        last_event: None,
+        body_bytes: 5000,
+    }
+}
+
+/// Gives an answer that proves that the request ran.
+pub fn ran(status: u16) -> Answer {
+    Answer { status, execution: Execution::Ran, told: None, handle: None }
+}
+
+/// Gives an answer that proves that the request did not run.
+pub fn turned_away() -> Answer {
+    Answer { status: 503, execution: Execution::Refused, told: None, handle: None }
+}
+
+/// Gives the answer to the reading of a prompt.
+pub fn read(handle: &str) -> Answer {
+    Answer { handle: Some(handle.to_owned()), ..ran(200) }
+}
+
+impl Default for World {
+    fn default() -> World {
+        World::new()
+    }
+}
+
+impl World {
+    /// Makes a node that knows the usual configuration and engines.
+    pub fn new() -> World {
+        let mut world = World::unconfigured();
+        world.event(Event::Configured(Arc::new(configuration(1))));
+        world.event(Event::Listed(engines(), 10));
+        world
+    }
+
+    /// Makes a node that knows nothing.
+    pub fn unconfigured() -> World {
+        World { gateway: Gateway::new(settings(1)), now: Time::from_millis(1000), next_flight: 0 }
+    }
+
+    /// Gives the reducer an event; the effects leave out the log and the datagrams.
+    pub fn event(&mut self, event: Event) -> Vec<Effect> {
+        let effects = self.gateway.step(self.now, event);
+        effects.into_iter().filter(|it| !matches!(it, Effect::Note(_) | Effect::Tell(..))).collect()
+    }
+
+    /// Has a request arrive.
+    pub fn arrive(&mut self, request: Request) -> (FlightKey, Vec<Effect>) {
+        let flight = FlightKey(self.next_flight);
+        self.next_flight += 1;
+        (flight, self.event(Event::Arrived(flight, request)))
+    }
+
+    /// Has a request arrive and gives its first call.
+    pub fn sent(&mut self, request: Request) -> (FlightKey, Send) {
+        let (flight, effects) = self.arrive(request);
+        (flight, only_send(&effects))
+    }
+
+    /// Has something happen to a call.
+    pub fn call(&mut self, call: CallKey, event: CallEvent) -> Vec<Effect> {
+        self.event(Event::Call(call, event))
+    }
+
+    /// Has a stream's prompt read and its first event come; gives the call that generates.
+    pub fn streaming(&mut self, request: Request) -> (FlightKey, Send) {
+        let (flight, reading) = self.sent(request);
+        assert_eq!(reading.task, Task::Read);
+        let effects = self.call(reading.call, CallEvent::Answered(read("h")));
+        let generating = only_send(&effects);
+        let effects = self.call(generating.call, CallEvent::Began(ran(200)));
+        assert_eq!(effects, [Effect::Deliver(flight, generating.call)]);
+        (flight, generating)
+    }
+
+    /// Lets time pass, with a tick whenever the reducer asks for one.
+    pub fn pass(&mut self, span: Duration) -> Vec<Effect> {
+        let end = self.now + span;
+        let mut effects = Vec::new();
+        while self.now < end {
+            let due = self.gateway.next_due();
+            self.now = due.max(self.now + Duration::from_micros(1)).min(end);
+            effects.extend(self.event(Event::Tick));
+        }
+        effects
+    }
+}
+
+/// Gives the only call that was sent.
+pub fn only_send(effects: &[Effect]) -> Send {
+    let sends: Vec<_> = effects
+        .iter()
+        .filter_map(|it| match it {
+            Effect::Send(send) => Some(send.clone()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(sends.len(), 1, "one call among {effects:?}");
+    sends.into_iter().next().expect("there is one")
+}
+
+/// Gives the only refusal.
+pub fn only_refusal(effects: &[Effect]) -> Refusal {
+    let mut refusals = effects.iter().filter_map(|it| match it {
+        Effect::Refuse(_, refusal) => Some(*refusal),
+        _ => None,
+    });
+    let first = refusals.next().unwrap_or_else(|| panic!("no refusal among {effects:?}"));
+    assert!(refusals.next().is_none(), "more than one refusal among {effects:?}");
+    first
+}
--- /dev/null
+++ b/tests/tests/gateway_peers.rs
@@ -0,0 +1,138 @@
+//! What nodes tell each other.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hollyspoke::time::Time;
+use hollyspoke_gateway::effect::{Effect, Task};
+use hollyspoke_gateway::engine::EngineKey;
+use hollyspoke_gateway::event::Event;
+use hollyspoke_gateway::gateway::Gateway;
+use hollyspoke_gateway::message::{Load, Message, Standing};
+use hollyspoke_tests::gateway::{MEMORY, World, request, settings};
+
+/// Gives a heartbeat of another node.
+fn heartbeat(number: u8, sequence: u64) -> Message {
+    Message {
+        incarnation: 1,
+        sequence,
+        sender: SocketAddr::from(([10, 0, 0, number], 7000)),
+        front: SocketAddr::from(([10, 0, 0, number], 8000)),
+        standing: Standing::Ready,
+        loads: Vec::new(),
+        is_whole: true,
+        peers: Vec::new(),
+    }
+}
+
+/// Gives where a node listens for clients.
+fn front(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 8000))
+}
+
+#[test]
+fn greeted_seed_answers() {
+    let mut first = Gateway::new(settings(1));
+    let mut second = Gateway::new(settings(2));
+    let now = Time::from_millis(1000);
+    let seeds = vec![settings(2).peer];
+    let effects = first.step(now, Event::Seeds(seeds));
+    let told = told(&effects);
+    assert_eq!(told.0, [settings(2).peer]);
+    let effects = second.step(now, Event::Heard(told.1));
+    let (to, answer) = self::told(&effects);
+    assert!(to.contains(&settings(1).peer));
+    first.step(now, Event::Heard(answer));
+    assert!(first.fronts().is_empty(), "neither knows a configuration");
+}
+
+#[test]
+fn fronts_follow_heartbeats() {
+    let mut world = World::new();
+    for number in [2, 3, 4] {
+        world.event(Event::Heard(heartbeat(number, 1)));
+    }
+    assert_eq!(world.gateway.fronts().len(), 4);
+    world.pass(Duration::from_millis(700));
+    for number in [3, 4] {
+        world.event(Event::Heard(heartbeat(number, 2)));
+    }
+    world.pass(Duration::from_millis(1000));
+    assert_eq!(world.gateway.fronts(), [front(1), front(3), front(4)]);
+}
+
+#[test]
+fn stopping_peer_leaves_the_answer() {
+    let mut world = World::new();
+    world.event(Event::Heard(heartbeat(2, 1)));
+    let stopping = Message { standing: Standing::Stopping, ..heartbeat(2, 2) };
+    world.event(Event::Heard(stopping));
+    assert_eq!(world.gateway.fronts(), [front(1)]);
+}
+
+/// If most nodes fall silent at once, it may be this one that is cut off.
+#[test]
+fn silence_of_most() {
+    let mut world = World::new();
+    for number in [2, 3, 4, 5] {
+        world.event(Event::Heard(heartbeat(number, 1)));
+    }
+    world.pass(Duration::from_secs(3));
+    assert_eq!(world.gateway.fronts().len(), 5);
+}
+
+#[test]
+fn late_datagram_is_ignored() {
+    let mut world = World::new();
+    world.event(Event::Heard(heartbeat(2, 5)));
+    let stale = Message { standing: Standing::Stopping, ..heartbeat(2, 4) };
+    world.event(Event::Heard(stale));
+    assert_eq!(world.gateway.fronts().len(), 2);
+}
+
+#[test]
+fn peers_work_takes_room() {
+    let mut world = World::new();
+    let full = Load { reading: 0, calls: 9, held: MEMORY as u32 };
+    let loads = ["engine-21", "engine-22"].map(|it| (EngineKey::of(it), full));
+    let message = Message { loads: loads.to_vec(), ..heartbeat(2, 1) };
+    world.event(Event::Heard(message));
+    let (_, effects) = world.arrive(request("once"));
+    assert_eq!(effects, [], "it waits");
+    let effects = world.event(Event::Heard(heartbeat(2, 2)));
+    let sent = effects.iter().any(|it| matches!(it, Effect::Send(it) if it.task == Task::Read));
+    assert!(sent, "the room is free: {effects:?}");
+}
+
+#[test]
+fn dead_peers_work_is_forgotten() {
+    let mut world = World::new();
+    let full = Load { reading: 0, calls: 9, held: MEMORY as u32 };
+    let loads = ["engine-21", "engine-22"].map(|it| (EngineKey::of(it), full));
+    let message = Message { loads: loads.to_vec(), ..heartbeat(2, 1) };
+    world.event(Event::Heard(message));
+    world.pass(Duration::from_secs(2));
+    let (_, send) = world.sent(request("once"));
+    assert_eq!(send.task, Task::Read);
+}
+
+#[test]
+fn stream_is_told_at_once() {
+    let mut world = World::new();
+    world.event(Event::Heard(heartbeat(2, 1)));
+    let now = world.now;
+    let arrived = Event::Arrived(hollyspoke_gateway::request::FlightKey(900), request("once"));
+    let effects = world.gateway.step(now, arrived);
+    let (to, message) = told(&effects);
+    assert_eq!(to, [SocketAddr::from(([10, 0, 0, 2], 7000))]);
+    assert!(message.loads.iter().any(|(_, load)| load.reading == 5000));
+}
+
+/// Gives the last datagram among effects and whom it goes to.
+fn told(effects: &[Effect]) -> (Vec<SocketAddr>, Message) {
+    let mut found = effects.iter().filter_map(|it| match it {
+        Effect::Tell(to, message) => Some((to.clone(), message.clone())),
+        _ => None,
+    });
+    found.next_back().expect("a datagram")
+}
--- /dev/null
+++ b/tests/tests/gateway_plain.rs
@@ -0,0 +1,194 @@
+//! Plain requests: what may be sent again, and what a client is told.
+
+use std::time::Duration;
+
+use hollyspoke_gateway::effect::{Effect, NotRunReason, Refusal};
+use hollyspoke_gateway::event::{Answer, CallEvent, Event, Execution};
+use hollyspoke_gateway::route::{Route, RouteKind};
+use hollyspoke_tests::gateway::{
+    PLAIN, World, configuration_of, engine, only_refusal, only_send, ran, request, route,
+    turned_away,
+};
+
+#[test]
+fn answer_is_delivered() {
+    let mut world = World::new();
+    let (flight, send) = world.sent(request("unsafe"));
+    let effects = world.call(send.call, CallEvent::Answered(ran(200)));
+    assert_eq!(effects, [Effect::Deliver(flight, send.call)]);
+}
+
+#[test]
+fn unsafe_broken() {
+    let mut world = World::new();
+    let (_, send) = world.sent(request("unsafe"));
+    let effects = world.call(send.call, CallEvent::Broken);
+    assert_eq!(only_refusal(&effects), Refusal::Broken);
+}
+
+#[test]
+fn unsafe_failure_is_passed_on() {
+    let mut world = World::new();
+    let (flight, send) = world.sent(request("unsafe"));
+    let effects = world.call(send.call, CallEvent::Answered(ran(500)));
+    assert_eq!(effects, [Effect::Deliver(flight, send.call)]);
+}
+
+#[test]
+fn unproven_promise_is_not_passed_on() {
+    let mut world = World::new();
+    let (_, send) = world.sent(request("unsafe"));
+    let effects = world.call(send.call, CallEvent::Answered(ran(503)));
+    assert_eq!(only_refusal(&effects), Refusal::Broken);
+}
+
+#[test]
+fn not_reached_goes_elsewhere() {
+    let mut world = World::new();
+    let (_, first) = world.sent(request("unsafe"));
+    let effects = world.call(first.call, CallEvent::Unsent);
+    let second = only_send(&effects);
+    assert_ne!(first.engine.id, second.engine.id);
+}
+
+/// An engine that can't be reached runs nothing, and seemed to have the most room.
+#[test]
+fn unreachable_gets_nothing() {
+    let mut world = World::new();
+    let (_, first) = world.sent(request("unsafe"));
+    let second = only_send(&world.call(first.call, CallEvent::Unsent));
+    let effects = world.call(second.call, CallEvent::Unsent);
+    let Refusal::NotRun(_, reason, retry) = only_refusal(&effects) else { panic!("{effects:?}") };
+    assert_eq!(reason, NotRunReason::NoEngine);
+    assert!(retry > Duration::ZERO);
+}
+
+#[test]
+fn turned_away_everywhere() {
+    let mut world = World::new();
+    let (_, send) = world.sent(request("unsafe"));
+    let mut effects = world.call(send.call, CallEvent::Answered(turned_away()));
+    while effects.iter().any(|it| matches!(it, Effect::Send(_))) {
+        let send = only_send(&effects);
+        effects = world.call(send.call, CallEvent::Answered(turned_away()));
+    }
+    assert!(matches!(only_refusal(&effects), Refusal::NotRun(..)));
+}
+
+#[test]
+fn moved_engine_is_not_asked_again() {
+    let mut world = World::new();
+    let (_, first) = world.sent(request("unsafe"));
+    let moved = Answer { execution: Execution::Moved, ..ran(421) };
+    let second = only_send(&world.call(first.call, CallEvent::Answered(moved)));
+    assert_ne!(first.engine.id, second.engine.id);
+    for _ in 0..8 {
+        let (_, send) = world.sent(request("unsafe"));
+        assert_eq!(send.engine.id, second.engine.id);
+    }
+}
+
+#[test]
+fn safe_is_repeated_once() {
+    let mut world = World::new();
+    let (flight, first) = world.sent(request("safe"));
+    let second = only_send(&world.call(first.call, CallEvent::Answered(ran(500))));
+    assert_ne!(first.engine.id, second.engine.id);
+    let effects = world.call(second.call, CallEvent::Answered(ran(500)));
+    assert_eq!(effects, [Effect::Deliver(flight, second.call)]);
+}
+
+#[test]
+fn silence_of_a_safe_one() {
+    let mut world = World::new();
+    let (_, first) = world.sent(request("safe"));
+    let effects = world.pass(Duration::from_secs(8));
+    assert!(effects.contains(&Effect::Cancel(first.call)));
+    only_send(&effects);
+}
+
+/// Silence gives no reason to end an answer where the request can't go elsewhere.
+#[test]
+fn silence_without_another_attempt() {
+    let single = Route { max_attempts: 1, ..route("safe", RouteKind::Safe, PLAIN) };
+    let routes = vec![single, route("unsafe", RouteKind::Unsafe, PLAIN)];
+    let mut world = World::new();
+    world.event(Event::Configured(std::sync::Arc::new(configuration_of(2, routes))));
+    for name in ["safe", "unsafe"] {
+        let (_, send) = world.sent(request(name));
+        let effects = world.pass(Duration::from_millis(13_900));
+        assert_eq!(effects, [], "{name}");
+        let effects = world.pass(Duration::from_millis(200));
+        assert!(effects.contains(&Effect::Cancel(send.call)));
+        assert_eq!(only_refusal(&effects), Refusal::Late);
+    }
+}
+
+#[test]
+fn client_deadline_ends_it() {
+    let mut world = World::new();
+    let mut request = request("unsafe");
+    request.deadline = Some(Duration::from_millis(700));
+    let (_, send) = world.sent(request);
+    assert_eq!(send.deadline, Duration::from_millis(700));
+    let effects = world.pass(Duration::from_millis(701));
+    assert_eq!(only_refusal(&effects), Refusal::Late);
+}
+
+#[test]
+fn client_left() {
+    let mut world = World::new();
+    let (flight, send) = world.sent(request("safe"));
+    let effects = world.event(Event::ClientLeft(flight));
+    assert_eq!(effects, [Effect::Cancel(send.call)]);
+    assert_eq!(world.gateway.flight_count(), 0);
+    assert_eq!(world.call(send.call, CallEvent::Answered(ran(200))), []);
+}
+
+#[test]
+fn draining_gets_nothing_new() {
+    let mut world = World::new();
+    let mut leaving = engine(1, PLAIN, None);
+    leaving.is_draining = true;
+    world.event(Event::Changed(leaving, 11));
+    for _ in 0..8 {
+        let (_, send) = world.sent(request("safe"));
+        assert_eq!(&*send.engine.id, "engine-2");
+    }
+    world.event(Event::Left("engine-2".into(), 12));
+    let (_, effects) = world.arrive(request("safe"));
+    assert!(matches!(only_refusal(&effects), Refusal::NotRun(..)));
+}
+
+#[test]
+fn budget_bounds_repeats() {
+    let mut world = World::new();
+    let mut repeats = 0;
+    for _ in 0..400 {
+        let (_, send) = world.sent(request("safe"));
+        let effects = world.call(send.call, CallEvent::Answered(ran(500)));
+        if effects.iter().any(|it| matches!(it, Effect::Send(_))) {
+            repeats += 1;
+            let send = only_send(&effects);
+            world.call(send.call, CallEvent::Answered(ran(200)));
+        }
+    }
+    assert!((40..=130).contains(&repeats), "{repeats} repeats of 400, bound 0.2 x 400 + 50");
+}
+
+#[test]
+fn stopping_serves_then_refuses() {
+    let mut world = World::new();
+    let (flight, before) = world.sent(request("unsafe"));
+    world.event(Event::Stop);
+    assert!(!world.gateway.is_ready());
+    assert!(world.gateway.fronts().is_empty());
+    world.sent(request("unsafe"));
+    world.pass(Duration::from_secs(5));
+    let (_, effects) = world.arrive(request("unsafe"));
+    let Refusal::NotRun(_, reason, _) = only_refusal(&effects) else { panic!("{effects:?}") };
+    assert_eq!(reason, NotRunReason::Stopping);
+    assert!(!world.gateway.is_done(world.now));
+    let effects = world.call(before.call, CallEvent::Answered(ran(200)));
+    assert_eq!(effects, [Effect::Deliver(flight, before.call)]);
+}
--- /dev/null
+++ b/tests/tests/gateway_routes.rs
@@ -0,0 +1,83 @@
+//! Which route and service a request gets, and which configuration is in force.
+
+use std::sync::Arc;
+
+use hollyspoke_gateway::effect::{NotRunReason, Refusal};
+use hollyspoke_gateway::event::Event;
+use hollyspoke_gateway::route::{Route, RouteKind, Split};
+use hollyspoke_tests::gateway::{
+    HOST, MODEL, PLAIN, World, configuration_of, engines, only_refusal, only_send, request, route,
+};
+
+/// Gives a route with a prefix of its own.
+fn with_prefix(name: &str, prefix: &str) -> Route {
+    Route { prefix: prefix.into(), ..route(name, RouteKind::Safe, PLAIN) }
+}
+
+#[test]
+fn longest_prefix() {
+    let routes = vec![with_prefix("a", "/"), with_prefix("b", "/x/"), with_prefix("c", "/x/y/")];
+    let configuration = configuration_of(1, routes);
+    let found = |path: &str| configuration.route(HOST, path).map(|it| it.name.to_string());
+    assert_eq!(found("/x/y/z").as_deref(), Some("c"));
+    assert_eq!(found("/x/y/").as_deref(), Some("c"));
+    assert_eq!(found("/x/y").as_deref(), Some("b"));
+    assert_eq!(found("/x").as_deref(), Some("a"));
+    assert!(configuration.route("other.example", "/x/").is_none());
+}
+
+#[test]
+fn split_by_weight() {
+    let splits = vec![
+        Split { service: PLAIN.into(), weight: 90 },
+        Split { service: MODEL.into(), weight: 10 },
+    ];
+    let route = Route { splits, ..route("a", RouteKind::Safe, PLAIN) };
+    let to_model = (0..1000).filter(|&it| &**route.service(it) == MODEL).count();
+    assert_eq!(to_model, 100);
+}
+
+#[test]
+fn unknown_route() {
+    let mut world = World::new();
+    let (_, effects) = world.arrive(request("nowhere"));
+    assert_eq!(only_refusal(&effects), Refusal::NoRoute);
+}
+
+#[test]
+fn no_configuration() {
+    let mut world = World::unconfigured();
+    let (_, effects) = world.arrive(request("safe"));
+    let Refusal::NotRun(_, reason, _) = only_refusal(&effects) else { panic!("{effects:?}") };
+    assert_eq!(reason, NotRunReason::NoConfiguration);
+    assert!(!world.gateway.is_ready());
+}
+
+#[test]
+fn ready_with_both() {
+    let mut world = World::unconfigured();
+    world.event(Event::Listed(engines(), 10));
+    assert!(!world.gateway.is_ready());
+    world.event(Event::Configured(Arc::new(configuration_of(1, Vec::new()))));
+    assert!(world.gateway.is_ready());
+}
+
+#[test]
+fn older_is_ignored() {
+    let mut world = World::unconfigured();
+    world.event(Event::Listed(engines(), 10));
+    let newer = vec![route("safe", RouteKind::Safe, PLAIN)];
+    world.event(Event::Configured(Arc::new(configuration_of(7, newer))));
+    world.event(Event::Configured(Arc::new(configuration_of(6, Vec::new()))));
+    assert_eq!(world.gateway.version(), Some(7));
+    let (_, effects) = world.arrive(request("safe"));
+    only_send(&effects);
+}
+
+#[test]
+fn stale_list_is_ignored() {
+    let mut world = World::new();
+    world.event(Event::Listed(Vec::new(), 9));
+    let (_, effects) = world.arrive(request("safe"));
+    only_send(&effects);
+}
--- /dev/null
+++ b/tests/tests/gateway_streams.rs
@@ -0,0 +1,196 @@
+//! Streams through engines that read prompts and engines that generate.
+
+use std::time::Duration;
+
+use hollyspoke_gateway::effect::{Effect, NotRunReason, Refusal, Task};
+use hollyspoke_gateway::engine::Stage;
+use hollyspoke_gateway::event::{CallEvent, Event};
+use hollyspoke_gateway::request::Request;
+use hollyspoke_tests::gateway::{
+    MEMORY, MODEL, World, engine, only_refusal, only_send, ran, read, request, turned_away,
+};
+
+/// Gives a request that fills an engine's memory.
+fn filling(route: &str) -> Request {
+    Request { prompt_tokens: Some(MEMORY * 9 / 10), ..request(route) }
+}
+
+#[test]
+fn read_then_generated() {
+    let mut world = World::new();
+    let (flight, generating) = world.streaming(request("once"));
+    let Task::Generate(Some(source)) = &generating.task else { panic!("{generating:?}") };
+    assert_eq!(source.handle, "h");
+    assert_eq!(generating.engine.stage, Some(Stage::Decode));
+    assert_eq!(world.call(generating.call, CallEvent::Passed(Some(1))), []);
+    let effects = world.call(generating.call, CallEvent::Answered(ran(200)));
+    assert_eq!(effects, [Effect::Finish(flight)]);
+}
+
+/// A prompt read without room for it at an engine that generates is read for nothing.
+#[test]
+fn no_room_no_reading() {
+    let mut world = World::new();
+    world.streaming(filling("once"));
+    world.streaming(filling("once"));
+    let (_, effects) = world.arrive(request("once"));
+    assert_eq!(effects, []);
+}
+
+/// A client whose request is refused within a quarter of the target loses least by coming back.
+#[test]
+fn no_room_is_refused_soon() {
+    let mut world = World::new();
+    world.streaming(filling("once"));
+    world.streaming(filling("once"));
+    world.arrive(request("once"));
+    let effects = world.pass(Duration::from_millis(225));
+    let Refusal::NotRun(_, reason, retry) = only_refusal(&effects) else { panic!("{effects:?}") };
+    assert_eq!(reason, NotRunReason::Overloaded);
+    assert!(retry >= Duration::from_millis(400), "{retry:?}");
+}
+
+#[test]
+fn room_that_comes_is_used() {
+    let mut world = World::new();
+    let (_, first) = world.streaming(filling("once"));
+    world.streaming(filling("once"));
+    world.arrive(request("once"));
+    let effects = world.call(first.call, CallEvent::Answered(ran(200)));
+    assert_eq!(only_send(&effects).task, Task::Read);
+}
+
+/// A client that came back has no further try, so that its request waits.
+#[test]
+fn returned_request_waits() {
+    let mut world = World::new();
+    world.streaming(filling("once"));
+    world.streaming(filling("once"));
+    let mut returned = request("once");
+    returned.deadline = Some(Duration::from_secs(10));
+    world.arrive(returned);
+    assert_eq!(world.pass(Duration::from_secs(3)), []);
+}
+
+/// The engine was full: the prompt is offered to a second one before it is read again.
+#[test]
+fn prompt_turned_away_once() {
+    let mut world = World::new();
+    let (_, reading) = world.sent(request("once"));
+    let first = only_send(&world.call(reading.call, CallEvent::Answered(read("h"))));
+    let effects = world.call(first.call, CallEvent::Answered(turned_away()));
+    let second = only_send(&effects);
+    assert_eq!(second.task, first.task);
+    assert_ne!(second.engine.id, first.engine.id);
+    let effects = world.call(second.call, CallEvent::Answered(turned_away()));
+    assert!(effects.iter().any(|it| matches!(it, Effect::Free(_))));
+}
+
+/// A prompt that is late for its own length would be late at any time; refusing it helps nobody.
+#[test]
+fn long_prompt_is_served() {
+    let mut world = World::new();
+    let (_, send) = world.sent(filling("once"));
+    assert_eq!(send.task, Task::Read);
+}
+
+#[test]
+fn prompt_not_read() {
+    for event in [CallEvent::Broken, CallEvent::Answered(ran(500))] {
+        let mut world = World::new();
+        let (_, reading) = world.sent(request("once"));
+        let effects = world.call(reading.call, event);
+        assert_eq!(only_send(&effects).task, Task::Generate(None));
+    }
+}
+
+#[test]
+fn broken_stream_goes_on() {
+    let mut world = World::new();
+    let (flight, first) = world.streaming(request("resumed"));
+    world.call(first.call, CallEvent::Passed(Some(4)));
+    let second = only_send(&world.call(first.call, CallEvent::Broken));
+    assert_eq!(second.last_event, Some(4));
+    assert_ne!(second.engine.id, first.engine.id);
+    let effects = world.call(second.call, CallEvent::Began(ran(200)));
+    assert_eq!(effects, [Effect::Join(flight, second.call)]);
+    world.call(second.call, CallEvent::Passed(Some(5)));
+    let effects = world.call(second.call, CallEvent::Answered(ran(200)));
+    assert_eq!(effects, [Effect::Finish(flight)]);
+}
+
+#[test]
+fn broken_stream_that_may_not_go_on() {
+    let mut world = World::new();
+    let (flight, first) = world.streaming(request("once"));
+    world.call(first.call, CallEvent::Passed(Some(4)));
+    assert_eq!(world.call(first.call, CallEvent::Broken), [Effect::Break(flight)]);
+}
+
+#[test]
+fn attempts_are_bounded() {
+    let mut world = World::new();
+    let (flight, first) = world.streaming(request("resumed"));
+    let second = only_send(&world.call(first.call, CallEvent::Broken));
+    world.call(second.call, CallEvent::Began(ran(200)));
+    assert_eq!(world.call(second.call, CallEvent::Broken), [Effect::Break(flight)]);
+}
+
+#[test]
+fn stream_that_stalls() {
+    let mut world = World::new();
+    let (_, first) = world.streaming(request("resumed"));
+    world.call(first.call, CallEvent::Passed(Some(1)));
+    let effects = world.pass(Duration::from_millis(1500));
+    assert!(effects.contains(&Effect::Cancel(first.call)));
+    assert_eq!(only_send(&effects).last_event, Some(1));
+}
+
+#[test]
+fn stream_that_stalls_and_may_not_go_on() {
+    let mut world = World::new();
+    let (_, first) = world.streaming(request("once"));
+    world.call(first.call, CallEvent::Passed(Some(1)));
+    assert_eq!(world.pass(Duration::from_secs(10)), []);
+}
+
+#[test]
+fn client_left_before_generating() {
+    let mut world = World::new();
+    let (flight, reading) = world.sent(request("once"));
+    let generating = only_send(&world.call(reading.call, CallEvent::Answered(read("h"))));
+    let effects = world.event(Event::ClientLeft(flight));
+    assert_eq!(effects[0], Effect::Cancel(generating.call));
+    assert!(matches!(effects[1], Effect::Free(_)));
+}
+
+#[test]
+fn client_left_frees_the_room() {
+    let mut world = World::new();
+    let (first, _) = world.streaming(filling("once"));
+    world.streaming(filling("once"));
+    world.event(Event::ClientLeft(first));
+    let (_, send) = world.sent(request("once"));
+    assert_eq!(send.task, Task::Read);
+}
+
+/// With all that read prompts gone, an engine that generates reads the prompt itself.
+#[test]
+fn no_engine_that_reads() {
+    let mut world = World::new();
+    let decoders = vec![engine(21, MODEL, Some(Stage::Decode))];
+    world.event(Event::Listed(decoders, 20));
+    let (_, send) = world.sent(request("once"));
+    assert_eq!(send.task, Task::Generate(None));
+}
+
+#[test]
+fn long_queue_goes_around() {
+    let mut world = World::new();
+    let mut alone = 0;
+    for _ in 0..12 {
+        let (_, send) = world.sent(request("once"));
+        alone += u32::from(send.task == Task::Generate(None));
+    }
+    assert!(alone > 0, "some prompts are read by the engines that generate");
+}
