Leave freed memory to one of those that wait, and share budgets by word

Cause: on the grown site 352 of 5,300 prompts were turned away by the engine that had room when they were read: told and known calls agreed at all of them, but several fronts took the same freed memory within the 2 ms until they heard of each other. Those whose front had used up its 87th part of the budget were then refused. Ruled out: lost datagrams (calls agreed), slots (16, at most 10 used), lapsed handles (a second engine took them). Change: memory that another node frees is left to others for a drawn time that grows with the nodes; a reservation that has become too many goes elsewhere before its prompt is moved; heartbeats carry what each node spent of a service's budget, and a node may use three parts while all keep the bound; an engine found replaced is told to all; the failed-call line tells the load known and told.

--- a/crates/hollyspoke-gateway/src/budget.rs
+++ b/crates/hollyspoke-gateway/src/budget.rs
@@ -1,13 +1,16 @@
 //! How often requests of a service may be sent to a second engine.
 //!
 //! The bound holds over all nodes without a message: each takes a share of its own requests and an
-//! equal part of the fixed allowance.
+//! equal part of the fixed allowance. With the others' word on what they spend, a node may use more
+//! than its part.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use hollyspoke::time::Time;
 
+use crate::message::Spending;
+
 /// The bound that all nodes together keep.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bound {
@@ -23,6 +26,10 @@
 /// that have just joined, don't break it.
 const USED_SHARE: f64 = 0.7;
 
+/// How many times its own part one node may use while all together keep the bound. What others
+/// spend is known with a delay, in which all may spend.
+const MOST_PARTS: f64 = 3.0;
+
 /// One service's requests and repeats of late at one node.
 #[derive(Debug, Clone, Default)]
 pub struct Budget {
@@ -44,13 +51,34 @@
         self.repeats.push_back(now);
     }
 
-    /// Tells whether a repeat may be sent now by one of `nodes` nodes.
-    pub fn allows(&mut self, now: Time, bound: &Bound, nodes: usize) -> bool {
+    /// Gives what was spent within the window.
+    pub fn spending(&mut self, now: Time, bound: &Bound) -> Spending {
         forget(&mut self.requests, now, bound.window);
         forget(&mut self.repeats, now, bound.window);
-        let earned = self.requests.len() as f64 * bound.ratio;
-        let allowance = bound.allowance / nodes.max(1) as f64;
-        (self.repeats.len() + 1) as f64 <= (earned + allowance) * USED_SHARE
+        let narrow = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        Spending { requests: narrow(self.requests.len()), repeats: narrow(self.repeats.len()) }
+    }
+
+    /// Tells whether a repeat may be sent now by one of `nodes` nodes.
+    ///
+    /// A node that knows what the others have spent may use some times its own part, as long as
+    /// all together keep the bound. Without the others' word it keeps to its own part.
+    pub fn allows(
+        &mut self,
+        now: Time,
+        bound: &Bound,
+        nodes: usize,
+        others: Option<Spending>,
+    ) -> bool {
+        let own = self.spending(now, bound);
+        let earned = f64::from(own.requests) * bound.ratio;
+        let part = (earned + bound.allowance / nodes.max(1) as f64) * USED_SHARE;
+        let next = f64::from(own.repeats) + 1.0;
+        let Some(others) = others else { return next <= part };
+        let requests = f64::from(own.requests) + f64::from(others.requests);
+        let whole = (requests * bound.ratio + bound.allowance) * USED_SHARE;
+        let is_whole_kept = next + f64::from(others.repeats) <= whole;
+        next <= part || (is_whole_kept && next <= part * MOST_PARTS)
     }
 }
 
--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -7,8 +7,8 @@
 use hollyspoke::outcome::NotRun;
 
 use crate::engine::Engine;
-use crate::event::Kind;
-use crate::message::Message;
+use crate::event::{Kind, ToldLoad};
+use crate::message::{Load, Message};
 use crate::request::{CallKey, FlightKey};
 
 /// Where a prompt that was read lies.
@@ -143,6 +143,10 @@
         how: &'static str,
         /// The status, 0 if none came.
         status: u16,
+        /// The load that the engine told last.
+        told: Option<ToldLoad>,
+        /// The work of all nodes at the engine, as this node knows it.
+        known: Load,
     },
     /// A request ended.
     Ended {
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -97,6 +97,7 @@
         let now = self.now;
         if answer.execution == Execution::Moved {
             self.directory.replace(call.engine.key);
+            self.tell_replaced(call.engine.key);
         } else if let Some(known) = self.directory.get_mut(call.engine.key) {
             known.turn_away(now);
         }
@@ -279,6 +280,9 @@
     pub(super) fn note_failure(&mut self, call: &Call, how: &'static str, status: u16) {
         let Some(flight) = self.flights.get(&call.flight) else { return };
         let request = flight.request.id.clone();
-        self.note(Note::Failed { request, engine: call.engine.id.clone(), how, status });
+        let engine = call.engine.id.clone();
+        let told = self.directory.get(call.engine.key).and_then(|it| it.told).map(|it| it.0);
+        let known = self.ledger.at(call.engine.key);
+        self.note(Note::Failed { request, engine, how, status, told, known });
     }
 }
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -1,16 +1,30 @@
 //! What nodes tell each other: that they live, and the work that they have sent to engines.
 
 use std::net::SocketAddr;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::Gateway;
 use crate::effect::{Effect, Note};
 use crate::engine::EngineKey;
 use crate::member::{HEARTBEAT_EVERY, Hearing};
-use crate::message::{EngineNews, Load, Message};
+use crate::message::{EngineNews, Load, Message, Spending};
 
 /// The most nodes that one datagram names.
 const MOST_NAMED: usize = 8;
 
+/// The least time for which memory that another node freed is left to others.
+const LEAVE_LEAST: Duration = Duration::from_millis(3);
+
+/// What each node adds to the longest such time.
+const LEAVE_A_NODE: Duration = Duration::from_micros(500);
+
+/// Gives the name of a service that nodes use among themselves.
+pub(super) fn service_hash(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
 impl Gateway {
     /// Takes in a datagram.
     pub(super) fn hear(&mut self, message: &Message) {
@@ -31,7 +45,15 @@
         if let Some(news) = &message.news {
             self.take_news(news);
         }
-        self.ledger.hear(message.sender, &message.loads, message.is_whole);
+        for &engine in &message.replaced {
+            self.directory.replace(engine);
+        }
+        let until = self.now + self.leave_span();
+        let loads = &message.loads;
+        let has_freed = self.ledger.hear(message.sender, loads, message.is_whole, until);
+        if has_freed && let Some(&first) = self.waiting.first() {
+            self.wake_at(first, Some(until));
+        }
     }
 
     /// Sends the heartbeat if it is due.
@@ -50,6 +72,14 @@
         self.tell(audience, message);
     }
 
+    /// Draws for how long memory that another node freed is left to others. The more nodes there
+    /// are, the longer, so that one of them takes it and is heard before the next tries.
+    fn leave_span(&mut self) -> Duration {
+        let spread = self.draw() % 1000;
+        let longest = LEAVE_LEAST + LEAVE_A_NODE * self.members.most() as u32;
+        LEAVE_LEAST + longest.mul_f64(spread as f64 / 1000.0)
+    }
+
     /// Has the heartbeat sent with this event.
     pub(super) fn beat_at_once(&mut self) {
         self.next_heartbeat = self.now;
@@ -75,6 +105,21 @@
         self.tell(audience, message);
     }
 
+    /// Tells the others that another incarnation has an engine's address.
+    pub(super) fn tell_replaced(&mut self, engine: EngineKey) {
+        let mut message = self.message(false);
+        message.replaced = vec![engine];
+        let audience = self.members.alive();
+        self.tell(audience, message);
+    }
+
+    /// Gives what this node has spent of each service's budget.
+    fn spending(&mut self) -> Vec<(u64, Spending)> {
+        let (now, bound) = (self.now, self.settings.bound);
+        let budgets = self.budgets.iter_mut();
+        budgets.map(|(name, it)| (service_hash(name), it.spending(now, &bound))).collect()
+    }
+
     /// Adds a datagram to nodes, if there are any.
     fn tell(&mut self, audience: Vec<SocketAddr>, message: Message) {
         if !audience.is_empty() {
@@ -86,6 +131,7 @@
     fn message(&mut self, is_whole: bool) -> Message {
         self.next_sequence += 1;
         let loads: Vec<(EngineKey, Load)> = if is_whole { self.ledger.own() } else { Vec::new() };
+        let spending = if is_whole { self.spending() } else { Vec::new() };
         let peers = if is_whole { self.some_peers() } else { Vec::new() };
         Message {
             incarnation: self.settings.incarnation,
@@ -96,6 +142,8 @@
             loads,
             is_whole,
             knowledge: self.knowledge(),
+            spending,
+            replaced: Vec::new(),
             news: None,
             peers,
         }
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -9,6 +9,7 @@
 use crate::effect::{Effect, NotRunReason, Note, Refusal, Send, Task};
 use crate::engine::EngineKey;
 use crate::flight::{Call, Flight, task_name};
+use crate::gateway::peers::service_hash;
 use crate::message::Load;
 use crate::placement::{Choice, View};
 use crate::request::{CallKey, FlightKey, Request};
@@ -194,8 +195,9 @@
     fn charge(&mut self, key: FlightKey) -> bool {
         let nodes = self.members.most();
         let Some(flight) = self.flights.get(&key) else { return false };
+        let others = self.members.spending(service_hash(&flight.service.name));
         let Some(budget) = self.budgets.get_mut(&flight.service.name) else { return false };
-        let is_allowed = budget.allows(self.now, &self.settings.bound, nodes);
+        let is_allowed = budget.allows(self.now, &self.settings.bound, nodes, others);
         if is_allowed {
             budget.charge(self.now);
         }
--- a/crates/hollyspoke-gateway/src/load.rs
+++ b/crates/hollyspoke-gateway/src/load.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
+use hollyspoke::time::Time;
+
 use crate::engine::EngineKey;
 use crate::message::Load;
 
@@ -13,6 +15,10 @@
     own: BTreeMap<EngineKey, Load>,
     /// Other nodes' work, by where they listen.
     peers: HashMap<SocketAddr, HashMap<EngineKey, Load>>,
+    /// The sum of other nodes' work.
+    others: HashMap<EngineKey, Load>,
+    /// Until when memory that another node freed is left to others.
+    contested: HashMap<EngineKey, Time>,
     /// Engines at which the own work has changed since it was last told.
     changed: BTreeSet<EngineKey>,
 }
@@ -20,58 +26,65 @@
 impl Ledger {
     /// Adds own work.
     pub fn add(&mut self, engine: EngineKey, load: Load) {
-        let own = self.own.entry(engine).or_default();
-        own.reading += load.reading;
-        own.calls += load.calls;
-        own.held += load.held;
+        self.own.entry(engine).or_default().add(load);
         self.changed.insert(engine);
     }
 
     /// Takes own work away.
     pub fn remove(&mut self, engine: EngineKey, load: Load) {
         let own = self.own.entry(engine).or_default();
-        own.reading = own.reading.saturating_sub(load.reading);
-        own.calls = own.calls.saturating_sub(load.calls);
-        own.held = own.held.saturating_sub(load.held);
+        own.remove(load);
         if own.is_empty() {
             self.own.remove(&engine);
         }
         self.changed.insert(engine);
     }
 
-    /// Takes in what another node tells.
-    pub fn hear(&mut self, peer: SocketAddr, loads: &[(EngineKey, Load)], is_whole: bool) {
-        let known = self.peers.entry(peer).or_default();
-        if is_whole {
-            known.clear();
+    /// Takes in what another node tells. Memory that it freed is left to others until a time;
+    /// tells whether there is any.
+    pub fn hear(
+        &mut self,
+        peer: SocketAddr,
+        loads: &[(EngineKey, Load)],
+        is_whole: bool,
+        leave_until: Time,
+    ) -> bool {
+        let mut told: Vec<_> = loads.to_vec();
+        if is_whole && let Some(known) = self.peers.get(&peer) {
+            let named: BTreeSet<_> = loads.iter().map(|it| it.0).collect();
+            let unnamed = known.keys().filter(|it| !named.contains(it));
+            told.extend(unnamed.map(|&it| (it, Load::default())));
         }
-        for &(engine, load) in loads {
-            if load.is_empty() {
-                known.remove(&engine);
-            } else {
-                known.insert(engine, load);
+        let mut has_freed = false;
+        for (engine, load) in told {
+            let old = self.set(peer, engine, load);
+            if load.held < old.held {
+                self.contested.insert(engine, leave_until);
+                has_freed = true;
             }
         }
+        has_freed
     }
 
     /// Forgets what a node told.
     pub fn forget(&mut self, peer: SocketAddr) {
-        self.peers.remove(&peer);
+        for (engine, load) in self.peers.remove(&peer).unwrap_or_default() {
+            self.others.entry(engine).or_default().remove(load);
+        }
     }
 
     /// Gives the work of all nodes at an engine.
     pub fn at(&self, engine: EngineKey) -> Load {
         let mut sum = self.own_at(engine);
-        for peer in self.peers.values() {
-            if let Some(load) = peer.get(&engine) {
-                sum.reading += load.reading;
-                sum.calls += load.calls;
-                sum.held += load.held;
-            }
-        }
+        sum.add(self.others.get(&engine).copied().unwrap_or_default());
         sum
     }
 
+    /// Tells whether another node has just freed memory at an engine, which many may want.
+    pub fn is_contested(&self, engine: EngineKey, now: Time) -> bool {
+        self.contested.get(&engine).is_some_and(|&it| now < it)
+    }
+
     /// Gives this node's work at an engine.
     pub fn own_at(&self, engine: EngineKey) -> Load {
         self.own.get(&engine).copied().unwrap_or_default()
@@ -87,4 +100,18 @@
     pub fn own(&self) -> Vec<(EngineKey, Load)> {
         self.own.iter().map(|(&engine, &load)| (engine, load)).collect()
     }
+
+    /// Sets another node's work at an engine; gives what was known before.
+    fn set(&mut self, peer: SocketAddr, engine: EngineKey, load: Load) -> Load {
+        let known = self.peers.entry(peer).or_default();
+        let old = if load.is_empty() { known.remove(&engine) } else { known.insert(engine, load) };
+        let old = old.unwrap_or_default();
+        let sum = self.others.entry(engine).or_default();
+        sum.remove(old);
+        sum.add(load);
+        if sum.is_empty() {
+            self.others.remove(&engine);
+        }
+        old
+    }
 }
--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -8,7 +8,7 @@
 use hollyspoke::time::Time;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::message::{Knowledge, Message, Standing};
+use crate::message::{Knowledge, Message, Spending, Standing};
 
 /// How often a node tells the others that it lives.
 pub const HEARTBEAT_EVERY: Duration = Duration::from_millis(350);
@@ -35,6 +35,8 @@
     standing: Standing,
     /// What it knows of the store.
     knowledge: Knowledge,
+    /// What it has spent of each service's budget.
+    spending: Vec<(u64, Spending)>,
     /// When it was last heard.
     heard: Time,
     /// Whether its silence was noted.
@@ -84,12 +86,15 @@
             return Hearing::Stale;
         }
         let is_known = old.is_some_and(|it| !it.is_silent);
+        let told = message.is_whole.then(|| message.spending.clone());
+        let spending = told.or_else(|| old.map(|it| it.spending.clone())).unwrap_or_default();
         let peer = Peer {
             incarnation: message.incarnation,
             sequence: message.sequence,
             front: message.front,
             standing: message.standing,
             knowledge: message.knowledge,
+            spending,
             heard: now,
             is_silent: false,
         };
@@ -157,6 +162,20 @@
         peers.filter(|it| !it.is_silent && it.knowledge.sees_store).count()
     }
 
+    /// Gives what all living nodes have spent of a service's budget; none if fewer than half of
+    /// those that have lived are heard.
+    pub fn spending(&self, service: u64) -> Option<Spending> {
+        let alive: Vec<_> = self.peers.values().filter(|it| !it.is_silent).collect();
+        if (alive.len() + 1) * 2 < self.most {
+            return None;
+        }
+        let told = alive.iter().flat_map(|it| &it.spending).filter(|it| it.0 == service);
+        Some(told.fold(Spending::default(), |sum, (_, it)| Spending {
+            requests: sum.requests.saturating_add(it.requests),
+            repeats: sum.repeats.saturating_add(it.repeats),
+        }))
+    }
+
     /// Gives the newest that any living node knows.
     pub fn newest(&self) -> Knowledge {
         let alive = self.peers.values().filter(|it| !it.is_silent);
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -18,6 +18,20 @@
 }
 
 impl Load {
+    /// Adds work.
+    pub fn add(&mut self, load: Load) {
+        self.reading = self.reading.saturating_add(load.reading);
+        self.calls = self.calls.saturating_add(load.calls);
+        self.held = self.held.saturating_add(load.held);
+    }
+
+    /// Takes work away.
+    pub fn remove(&mut self, load: Load) {
+        self.reading = self.reading.saturating_sub(load.reading);
+        self.calls = self.calls.saturating_sub(load.calls);
+        self.held = self.held.saturating_sub(load.held);
+    }
+
     /// Tells whether there is no work.
     pub fn is_empty(&self) -> bool {
         *self == Load::default()
@@ -55,6 +69,15 @@
     pub changes: Vec<EngineChange>,
 }
 
+/// A service's requests and repeats at one node within the window of the budget.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spending {
+    /// Requests.
+    pub requests: u32,
+    /// Repeats.
+    pub repeats: u32,
+}
+
 /// One datagram. Loads are absolute, so that a lost datagram is mended by the next.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
@@ -74,6 +97,10 @@
     pub is_whole: bool,
     /// What the sender knows of the store.
     pub knowledge: Knowledge,
+    /// What the sender has spent of each service's budget, by a hash of the service's name.
+    pub spending: Vec<(u64, Spending)>,
+    /// Engines whose address the sender has just found taken by another incarnation.
+    pub replaced: Vec<EngineKey>,
     /// Changes that the sender has just read.
     pub news: Option<EngineNews>,
     /// Some nodes that the sender has heard from of late.
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -25,6 +25,10 @@
 /// The share of an engine's memory that is given out.
 const MEMORY_SHARE: f64 = 0.95;
 
+/// The share that is given out where another node has just freed memory: beyond it, the nodes that
+/// wait for memory would all take it at once.
+const CONTESTED_SHARE: f64 = 0.8;
+
 /// What moving a prompt to another zone costs beside its time.
 const OTHER_ZONE_MOVE: Duration = Duration::from_millis(25);
 
@@ -113,11 +117,14 @@
         source_zone: &str,
         preferred: Option<EngineKey>,
     ) -> Option<Choice> {
-        let has_room =
-            |it: &Known| preferred == Some(it.engine.key) || self.has_memory(it, staged, held);
+        let is_kept = |it: &Known| {
+            let total = u64::from(self.ledger.at(it.engine.key).held);
+            preferred == Some(it.engine.key) && total <= staged.memory_tokens
+        };
+        let has_room = |it: &Known| is_kept(it) || self.has_memory(it, staged, held);
         let candidates = self.candidates(Some(Stage::Decode), has_room);
         let (known, _) = self.cheapest(&candidates, |it| {
-            if preferred == Some(it.engine.key) {
+            if is_kept(it) {
                 return 0.0;
             }
             let load = self.ledger.at(it.engine.key);
@@ -207,9 +214,12 @@
         if known.is_full(self.now) {
             return false;
         }
-        let held = u64::from(self.ledger.at(known.engine.key).held);
-        let most = staged.memory_tokens as f64 * MEMORY_SHARE;
-        held == 0 || (held + tokens) as f64 <= most
+        let engine = known.engine.key;
+        let held = u64::from(self.ledger.at(engine).held);
+        let memory = staged.memory_tokens as f64;
+        let is_contested = self.ledger.is_contested(engine, self.now);
+        let share = if is_contested { CONTESTED_SHARE } else { MEMORY_SHARE };
+        held == 0 || (held + tokens) as f64 <= memory * share
     }
 
     /// Tells whether an engine is in this node's zone.
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -22,8 +22,10 @@
             "request" => %request, "engine" => %engine, "task" => task,
             "expected_ms" => millis(expected), "tokens" => tokens, "held" => held, "before" => before)
         }
-        Note::Failed { request, engine, how, status } => info!(log, "call failed";
-            "request" => %request, "engine" => %engine, "how" => how, "status" => status),
+        Note::Failed { request, engine, how, status, told, known } => info!(log, "call failed";
+            "request" => %request, "engine" => %engine, "how" => how, "status" => status,
+            "told" => told.map(|it| format!("{},{},{}", it.running, it.waiting, it.slots)),
+            "held" => known.held, "calls" => known.calls),
         Note::Ended { request, how, after } => info!(log, "request ended";
             "request" => %request, "how" => how, "after_ms" => millis(after)),
         Note::Peer { address, is_alive } => info!(log, "peer";
--- /dev/null
+++ b/tests/tests/gateway_followers.rs
@@ -0,0 +1,143 @@
+//! Which nodes follow the store, and how the others keep up.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hollyspoke_gateway::effect::Effect;
+use hollyspoke_gateway::engine::EngineChange;
+use hollyspoke_gateway::event::{Event, Kind};
+use hollyspoke_gateway::message::{EngineNews, Knowledge, Message, Standing};
+use hollyspoke_tests::gateway::{PLAIN, World, engine, request};
+
+/// What a node knows that follows the store and is not behind [`World::new`].
+const SEEING: Knowledge = Knowledge { version: 1, revision: 10, sees_store: true };
+
+/// Gives a heartbeat of another node.
+fn heartbeat(number: u8, sequence: u64, knowledge: Knowledge) -> Message {
+    Message {
+        incarnation: 1,
+        sequence,
+        sender: SocketAddr::from(([10, 0, 0, number], 7000)),
+        front: SocketAddr::from(([10, 0, 0, number], 8000)),
+        standing: Standing::Ready,
+        loads: Vec::new(),
+        is_whole: true,
+        knowledge,
+        spending: Vec::new(),
+        replaced: Vec::new(),
+        news: None,
+        peers: Vec::new(),
+    }
+}
+
+/// Lets a second pass with heartbeats of nodes 2 to 9, and gives what the node did.
+fn second(world: &mut World, sequence: u64, knowledge: Knowledge) -> Vec<Effect> {
+    let mut effects = Vec::new();
+    for step in 0..4 {
+        for number in 2..=9 {
+            let message = heartbeat(number, sequence * 4 + step, knowledge);
+            effects.extend(world.gateway.step(world.now, Event::Heard(message)));
+        }
+        world.now = world.now + Duration::from_millis(250);
+        effects.extend(world.gateway.step(world.now, Event::Tick));
+    }
+    effects
+}
+
+/// Gives the last word on following among effects.
+fn follows(effects: &[Effect]) -> Option<bool> {
+    effects.iter().rev().find_map(|it| match it {
+        Effect::Follow(follows) => Some(*follows),
+        _ => None,
+    })
+}
+
+/// Makes a node that three others spare from following. Whether node 1 itself is among the three
+/// depends on its hash, so that the test looks for a world in which it is not.
+fn spared() -> World {
+    let mut world = World::new();
+    let effects = second(&mut world, 1, SEEING);
+    assert_eq!(follows(&effects), Some(false), "node 1 is not among the first three of nine");
+    world
+}
+
+#[test]
+fn others_follow() {
+    spared();
+}
+
+#[test]
+fn followers_lose_the_store() {
+    let mut world = spared();
+    let blind = Knowledge { sees_store: false, ..SEEING };
+    assert_eq!(follows(&second(&mut world, 2, blind)), Some(true));
+    assert_eq!(follows(&second(&mut world, 3, SEEING)), Some(false));
+}
+
+#[test]
+fn followers_die() {
+    let mut world = spared();
+    let mut effects = Vec::new();
+    for _ in 0..10 {
+        world.now = world.now + Duration::from_millis(250);
+        effects.extend(world.gateway.step(world.now, Event::Tick));
+    }
+    assert_eq!(follows(&effects), Some(true));
+}
+
+#[test]
+fn news_is_taken() {
+    let mut world = spared();
+    let change = EngineChange::Left("engine-1".into(), 12);
+    let news = EngineNews { since: 10, changes: vec![change] };
+    let message = Message { news: Some(news), ..heartbeat(2, 1000, SEEING) };
+    world.event(Event::Heard(message));
+    for _ in 0..6 {
+        let (_, send) = world.sent(request("safe"));
+        assert_eq!(&*send.engine.id, "engine-2");
+    }
+}
+
+/// News after a gap is not taken, since what lies between is missing; the list is read.
+#[test]
+fn gap_is_read() {
+    let mut world = spared();
+    let change = EngineChange::Put(engine(3, PLAIN, None), 14);
+    let news = EngineNews { since: 12, changes: vec![change] };
+    let message = Message { news: Some(news), ..heartbeat(2, 1000, SEEING) };
+    world.event(Event::Heard(message));
+    for _ in 0..12 {
+        let (_, send) = world.sent(request("safe"));
+        assert_ne!(&*send.engine.id, "engine-3");
+    }
+    let ahead = Knowledge { revision: 14, ..SEEING };
+    let effects = second(&mut world, 300, ahead);
+    assert!(effects.contains(&Effect::Read(Kind::Engines)));
+    assert!(!effects.contains(&Effect::Read(Kind::Configuration)));
+}
+
+#[test]
+fn newer_configuration_is_read() {
+    let mut world = spared();
+    let ahead = Knowledge { version: 2, ..SEEING };
+    let effects = second(&mut world, 2, ahead);
+    assert!(effects.contains(&Effect::Read(Kind::Configuration)));
+}
+
+/// What a follower reads goes to the others at once.
+#[test]
+fn changes_are_passed_on() {
+    let mut world = World::new();
+    world.event(Event::Heard(heartbeat(2, 1, SEEING)));
+    let change = EngineChange::Left("engine-1".into(), 12);
+    let now = world.now;
+    let effects = world.gateway.step(now, Event::Changed(vec![change.clone()]));
+    let passed = effects.iter().any(|it| match it {
+        Effect::Tell(_, message) => {
+            let news = EngineNews { since: 10, changes: vec![change.clone()] };
+            message.news == Some(news)
+        }
+        _ => false,
+    });
+    assert!(passed, "{effects:?}");
+}
--- a/tests/tests/gateway_peers.rs
+++ b/tests/tests/gateway_peers.rs
@@ -22,6 +22,8 @@
         loads: Vec::new(),
         is_whole: true,
         knowledge: Knowledge::default(),
+        spending: Vec::new(),
+        replaced: Vec::new(),
         news: None,
         peers: Vec::new(),
     }
--- /dev/null
+++ b/tests/tests/platform_settings.rs
@@ -0,0 +1,70 @@
+//! The settings file of a node: all findings at once, each with its name.
+
+use std::process::{Command, Output};
+
+use hollyspoke_server::settings::Settings;
+
+/// A file as the platform fills it in.
+const FILE: &str = r#"
+[node]
+name = "node-1"
+zone = "north"
+seeds = ["10.1.0.38:8144", "10.2.0.40:8144"]
+
+[listen]
+front = "10.1.0.38:8149"
+ready = "10.1.0.38:8141"
+directory = "10.1.0.38:8143"
+peer_port = 7380
+
+[store]
+address = "10.200.1.7:8142"
+
+[bounds]
+retry_ratio = 0.2
+retry_allowance = 56
+retry_window_s = 10
+grace_s = 8
+"#;
+
+#[test]
+fn whole_file() {
+    let settings = Settings::parse(FILE).expect("the file is right");
+    assert_eq!(settings.peer.to_string(), "10.1.0.38:7380");
+    let seeds: Vec<_> = settings.seeds.iter().map(ToString::to_string).collect();
+    assert_eq!(seeds, ["10.1.0.38:7380", "10.2.0.40:7380"]);
+    assert_eq!(settings.grace.as_secs(), 8);
+}
+
+#[test]
+fn all_findings_at_once() {
+    let file = FILE.replace("8149", "x").replace("10.200.1.7:8142", "store").replace("0.2", "-1");
+    let findings = Settings::parse(&file).expect_err("three settings are wrong");
+    let names: Vec<_> = findings.iter().map(|it| it.setting.as_str()).collect();
+    assert_eq!(names, ["listen.front", "store.address", "bounds.retry_ratio"]);
+}
+
+#[test]
+fn no_toml() {
+    let findings = Settings::parse("[node").expect_err("it is no TOML");
+    assert!(findings[0].message.contains("line 1"), "{findings:?}");
+}
+
+/// Runs the program with arguments.
+fn program(arguments: &[&str]) -> Output {
+    let path = env!("CARGO_BIN_EXE_hollyspoke-node-path");
+    Command::new(path).args(arguments).output().expect("the program can be run")
+}
+
+#[test]
+fn help_and_mistakes() {
+    let help = program(&["--help"]);
+    assert!(help.status.success());
+    assert!(String::from_utf8_lossy(&help.stdout).contains("--settings FILE"));
+    for arguments in [vec!["--nonsense"], vec!["--settings", "/nowhere/at/all"], vec![]] {
+        let output = program(&arguments);
+        assert_eq!(output.status.code(), Some(2), "{arguments:?}");
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(text.lines().count(), 1, "{text}");
+    }
+}
