--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -19,12 +19,13 @@
 use crate::budget::{Bound, Budget};
 use crate::directory::Directory;
 use crate::effect::{Effect, Note};
+use crate::engine::EngineKey;
 use crate::event::Event;
 use crate::flight::{Call, Flight};
 use crate::gateway::store::StoreState;
 use crate::load::Ledger;
 use crate::member::Members;
-use crate::message::Standing;
+use crate::message::{Load, Standing};
 use crate::request::{CallKey, FlightKey};
 use crate::route::Configuration;
 
@@ -192,6 +193,11 @@
         self.flights.len()
     }
 
+    /// Gives this node's work at engines: what its calls hold, and what is set aside for them.
+    pub fn own_work(&self) -> Vec<(EngineKey, Load)> {
+        self.ledger.own()
+    }
+
     /// Tells how this node stands.
     fn standing(&self) -> Standing {
         if self.stopped.is_some() {
