--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -42,6 +42,7 @@
             self.effects.push(Effect::Tell(vec![message.sender], answer));
         }
         self.members.introduce(self.settings.peer, message.peers.iter().copied());
+        self.read_if_newer(message.knowledge.version);
         if let Some(news) = &message.news {
             self.take_news(news);
         }
--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -37,6 +37,8 @@
     configuration_answered: Option<Time>,
     /// When the store last answered about engines.
     engines_answered: Option<Time>,
+    /// The newest version for which the configuration was read as soon as it was heard of.
+    asked_for: u64,
     /// Whether the configuration was behind others' at the last heartbeat.
     configuration_behind: bool,
     /// Whether the engines were behind others' at the last heartbeat.
@@ -49,6 +51,7 @@
             follows: true,
             configuration_answered: None,
             engines_answered: None,
+            asked_for: 0,
             configuration_behind: false,
             engines_behind: false,
         }
@@ -170,6 +173,17 @@
         self.store.engines_behind = behind;
     }
 
+    /// Has the configuration read as soon as another node knows a newer one. A node that follows
+    /// the store gets it from there.
+    pub(super) fn read_if_newer(&mut self, version: u64) {
+        let is_newer = version > self.version().unwrap_or(0);
+        let was_asked = self.store.asked_for >= version;
+        if is_newer && !was_asked && !self.store.follows {
+            self.store.asked_for = version;
+            self.effects.push(Effect::Read(Kind::Configuration));
+        }
+    }
+
     /// Tells whether this node is to follow the store.
     fn should_follow(&self) -> bool {
         let chosen = self.members.chosen(self.settings.peer, FOLLOWERS);
--- a/crates/hollyspoke-server/src/directory.rs
+++ b/crates/hollyspoke-server/src/directory.rs
@@ -1,5 +1,5 @@
-//! The small services beside the front: which addresses clients use, and whether this node is
-//! ready.
+//! The small services beside the front: which addresses clients use, whether this node is ready,
+//! and its metrics.
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -25,6 +25,9 @@
 /// How long clients may keep an answer.
 const KEEP_FOR: Duration = Duration::from_secs(2);
 
+/// The path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
 /// How long a head may take.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -59,6 +62,9 @@
         let is_ready = node.with(|it| it.is_ready());
         return status(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
     }
+    if path == METRICS_PATH {
+        return Response::new(AnswerBody::Whole(Some(node.metrics.text().into())));
+    }
     if path == node.dialect.resolve_path {
         return resolve(node);
     }
--- /dev/null
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -0,0 +1,114 @@
+//! Metrics by `opentelemetry`, read by Prometheus: requests by how they ended, with their times,
+//! calls by task, failures by kind, and what this node knows.
+
+use std::time::Duration;
+
+use eyre::WrapErr;
+use hollyspoke_gateway::effect::Note;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// The bounds of histograms of seconds.
+const SECONDS: [f64; 12] = [0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.9, 1.5, 3.0, 6.0, 10.0, 15.0];
+
+/// A node's metrics.
+#[derive(Debug)]
+pub struct Metrics {
+    /// What Prometheus reads.
+    registry: Registry,
+    /// The provider; it must live as long as its instruments.
+    _provider: SdkMeterProvider,
+    /// From a request's arrival to its end, by how it ended.
+    ended: Histogram<f64>,
+    /// Calls to engines, by what they were asked to do.
+    calls: Counter<u64>,
+    /// Calls that failed, by how.
+    failures: Counter<u64>,
+    /// Tokens of prompts that were sent to be read.
+    tokens: Counter<u64>,
+    /// The version of the configuration in force.
+    version: Gauge<u64>,
+    /// Changes of engines.
+    engines: Counter<u64>,
+    /// Nodes that were first heard or fell silent.
+    peers: Counter<u64>,
+}
+
+impl Metrics {
+    /// Makes the metrics.
+    ///
+    /// # Errors
+    ///
+    /// If the exporter can't be set up.
+    pub fn new() -> eyre::Result<Metrics> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .without_scope_info()
+            .build()
+            .wrap_err("the metrics exporter can't be set up")?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("hollyspoke");
+        let count = |name: &'static str, what: &'static str| {
+            meter.u64_counter(name).with_description(what).build()
+        };
+        let ended = meter
+            .f64_histogram("hollyspoke_request")
+            .with_description("from a request's arrival to its end, by how it ended")
+            .with_unit("s")
+            .with_boundaries(SECONDS.to_vec())
+            .build();
+        let version = meter
+            .u64_gauge("hollyspoke_configuration_version")
+            .with_description("the version of the configuration in force")
+            .build();
+        Ok(Metrics {
+            ended,
+            version,
+            calls: count("hollyspoke_calls", "calls to engines, by task"),
+            failures: count("hollyspoke_call_failures", "failed calls, by how"),
+            tokens: count("hollyspoke_prompt_tokens", "tokens of prompts sent to be read"),
+            engines: count("hollyspoke_engine_changes", "engines that changed or left"),
+            peers: count("hollyspoke_peer_changes", "nodes first heard or fallen silent"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts one decision.
+    pub fn record(&self, note: &Note) {
+        match note {
+            Note::Ended { how, after, .. } => self.record_end(how, *after),
+            Note::Sent { task, tokens, .. } => {
+                self.calls.add(1, &[KeyValue::new("task", *task)]);
+                if matches!(*task, "read" | "read and generate") {
+                    self.tokens.add(*tokens, &[]);
+                }
+            }
+            Note::Failed { how, .. } => self.failures.add(1, &[KeyValue::new("how", *how)]),
+            Note::Configured { version, .. } => self.version.record(*version, &[]),
+            Note::Engine { .. } | Note::EngineLeft { .. } => self.engines.add(1, &[]),
+            Note::Peer { is_alive, .. } => {
+                self.peers.add(1, &[KeyValue::new("alive", *is_alive)]);
+            }
+            Note::Listed { .. } | Note::Avoided { .. } | Note::Follows(_) | Note::Stopping => {}
+        }
+    }
+
+    /// Writes all metrics in Prometheus' text form.
+    pub fn text(&self) -> String {
+        let mut bytes = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut bytes) {
+            Ok(()) => String::from_utf8_lossy(&bytes).into_owned(),
+            Err(error) => format!("# {error}\n"),
+        }
+    }
+
+    /// Counts a request's end.
+    fn record_end(&self, how: &'static str, after: Duration) {
+        self.ended.record(after.as_secs_f64(), &[KeyValue::new("how", how)]);
+    }
+}
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -19,6 +19,7 @@
 
 use crate::answer::Stream;
 use crate::dialect::{Dialect, Kind};
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::{notes, upstream};
 
@@ -76,6 +77,8 @@
     pub dialect: Dialect,
     /// The log.
     pub log: Logger,
+    /// The metrics.
+    pub metrics: Metrics,
     /// The origin of the reducer's time.
     origin: Instant,
     /// The sockets between nodes.
@@ -116,8 +119,18 @@
 
 impl Node {
     /// Makes a node around a reducer.
-    pub fn new(gateway: Gateway, dialect: Dialect, log: Logger, peers: Peers) -> Rc<Node> {
-        Rc::new(Node {
+    ///
+    /// # Errors
+    ///
+    /// If the metrics can't be set up.
+    pub fn new(
+        gateway: Gateway,
+        dialect: Dialect,
+        log: Logger,
+        peers: Peers,
+    ) -> eyre::Result<Rc<Node>> {
+        Ok(Rc::new(Node {
+            metrics: Metrics::new()?,
             gateway: RefCell::new(gateway),
             dialect,
             log,
@@ -131,7 +144,7 @@
             configuration_wanted: Notify::new(),
             engines_wanted: Notify::new(),
             woken: Notify::new(),
-        })
+        }))
     }
 
     /// Gives the reducer's time.
@@ -229,7 +242,10 @@
             }
             Effect::Read(kind) => self.wanted(kind).notify_one(),
             Effect::Tell(nodes, message) => self.peers.tell(&nodes, &message),
-            Effect::Note(note) => notes::write(&self.log, &note),
+            Effect::Note(note) => {
+                self.metrics.record(&note);
+                notes::write(&self.log, &note);
+            }
         }
     }
 
--- a/crates/hollyspoke-server/src/run.rs
+++ b/crates/hollyspoke-server/src/run.rs
@@ -42,6 +42,8 @@
     pub ready: SocketAddr,
     /// Where it tells clients which addresses to use.
     pub directory: SocketAddr,
+    /// Where it gives its metrics, if anywhere.
+    pub metrics: Option<SocketAddr>,
     /// How long a stop may take.
     grace: Duration,
     /// Closes the front's connections.
@@ -80,6 +82,10 @@
     let front = bind(settings.front).await?;
     let ready = bind(settings.ready).await?;
     let directory = bind(settings.directory).await?;
+    let metrics = match settings.metrics {
+        Some(address) => Some(bind(address).await?),
+        None => None,
+    };
     let peers = Peers::bind(settings.peer)
         .await
         .wrap_err_with(|| format!("cannot bind {} for other nodes", settings.peer))?;
@@ -92,12 +98,13 @@
         grace: settings.grace,
         incarnation: Pcg64Mcg::from_os_rng().next_u64(),
     });
-    let node = Node::new(gateway, dialect, log, peers.clone());
+    let node = Node::new(gateway, dialect, log, peers.clone())?;
     let running = Running {
         node: node.clone(),
         front: front.local_addr()?,
         ready: ready.local_addr()?,
         directory: directory.local_addr()?,
+        metrics: metrics.as_ref().map(TcpListener::local_addr).transpose()?,
         grace: settings.grace,
         close,
     };
@@ -111,6 +118,9 @@
     tokio::task::spawn_local(front::listen(node.clone(), front, closing));
     tokio::task::spawn_local(directory::listen(node.clone(), ready));
     tokio::task::spawn_local(directory::listen(node.clone(), directory));
+    if let Some(metrics) = metrics {
+        tokio::task::spawn_local(directory::listen(node.clone(), metrics));
+    }
     Ok(running)
 }
 
--- a/crates/hollyspoke-server/src/settings.rs
+++ b/crates/hollyspoke-server/src/settings.rs
@@ -43,6 +43,9 @@
     pub ready: String,
     /// For clients that ask for addresses.
     pub directory: String,
+    /// For whoever reads the metrics, if anybody.
+    #[serde(default)]
+    pub metrics: Option<String>,
     /// The port for other nodes, the same on all nodes.
     pub peer_port: u16,
 }
@@ -107,6 +110,8 @@
     pub ready: SocketAddr,
     /// Where the node tells clients which addresses to use.
     pub directory: SocketAddr,
+    /// Where the node gives its metrics, if anywhere.
+    pub metrics: Option<SocketAddr>,
     /// Where the node listens for other nodes.
     pub peer: SocketAddr,
     /// Where some other nodes listen for other nodes.
@@ -152,6 +157,8 @@
         let front = checker.address("listen.front", &file.listen.front);
         let ready = checker.address("listen.ready", &file.listen.ready);
         let directory = checker.address("listen.directory", &file.listen.directory);
+        let metrics = file.listen.metrics.as_ref();
+        let metrics = metrics.map(|it| checker.address("listen.metrics", it));
         let store = checker.address("store.address", &file.store.address);
         let seeds = file.node.seeds.iter().filter(|it| !it.is_empty());
         let seeds: Vec<_> = seeds.map(|it| checker.address("node.seeds", it)).collect();
@@ -170,6 +177,7 @@
             front,
             ready,
             directory,
+            metrics,
             peer: SocketAddr::new(front.ip(), port),
             seeds: seeds.into_iter().map(|it| SocketAddr::new(it.ip(), port)).collect(),
             store,
--- a/tests/src/platform.rs
+++ b/tests/src/platform.rs
@@ -74,6 +74,20 @@
     pub dropped: Rc<Cell<u32>>,
 }
 
+/// An object of the store.
+struct Object {
+    /// Its kind.
+    kind: String,
+    /// Its name.
+    name: String,
+    /// The revision of its last change.
+    revision: u64,
+    /// What was written.
+    spec: Value,
+    /// Whether it was removed.
+    is_gone: bool,
+}
+
 /// The store.
 #[derive(Clone)]
 pub struct Store {
@@ -83,8 +97,8 @@
     pub mood: Rc<Cell<StoreMood>>,
     /// The revision.
     revision: Rc<Cell<u64>>,
-    /// The objects: kind, name, revision, spec, whether it is gone.
-    objects: Rc<RefCell<Vec<(String, String, u64, Value, bool)>>>,
+    /// The objects, those that are gone too.
+    objects: Rc<RefCell<Vec<Object>>>,
     /// Wakes watches.
     changed: Rc<Notify>,
 }
@@ -311,8 +325,9 @@
         let revision = self.revision.get() + 1;
         self.revision.set(revision);
         let mut objects = self.objects.borrow_mut();
-        objects.retain(|it| it.0 != kind || it.1 != name);
-        objects.push((kind.to_owned(), name.to_owned(), revision, spec, is_gone));
+        objects.retain(|it| it.kind != kind || it.name != name);
+        let (kind, name) = (kind.to_owned(), name.to_owned());
+        objects.push(Object { kind, name, revision, spec, is_gone });
         self.changed.notify_waiters();
     }
 
@@ -337,13 +352,14 @@
     /// Gives the objects of a kind after a revision, as events or as items.
     fn since(&self, kind: &str, since: u64, as_events: bool) -> Vec<Value> {
         let objects = self.objects.borrow();
-        let newer = objects.iter().filter(|it| it.0 == kind && it.2 > since);
-        let newer = newer.filter(|it| as_events || !it.4);
+        let newer = objects.iter().filter(|it| it.kind == kind && it.revision > since);
+        let newer = newer.filter(|it| as_events || !it.is_gone);
         newer
-            .map(|(_, name, revision, spec, gone)| {
-                let object = json!({"metadata": {"name": name, "revision": revision, "made": 1,
-                    "finalizers": [], "deleting": false}, "spec": spec, "status": null});
-                if as_events { json!({"object": object, "gone": gone}) } else { object }
+            .map(|it| {
+                let metadata = json!({"name": it.name, "revision": it.revision, "made": 1,
+                    "finalizers": [], "deleting": false});
+                let object = json!({"metadata": metadata, "spec": it.spec, "status": null});
+                if as_events { json!({"object": object, "gone": it.is_gone}) } else { object }
             })
             .collect()
     }
@@ -358,6 +374,7 @@
         front: free,
         ready: free,
         directory: free,
+        metrics: Some(free),
         peer: free,
         seeds,
         store,
--- a/tests/tests/gateway_followers.rs
+++ b/tests/tests/gateway_followers.rs
@@ -124,6 +124,18 @@
     assert!(effects.contains(&Effect::Read(Kind::Configuration)));
 }
 
+/// A newer version is read with the first heartbeat that tells of it, and once.
+#[test]
+fn newer_configuration_is_read_at_once() {
+    let mut world = spared();
+    let ahead = Knowledge { version: 2, ..SEEING };
+    let now = world.now;
+    let first = world.gateway.step(now, Event::Heard(heartbeat(2, 1000, ahead)));
+    assert!(first.contains(&Effect::Read(Kind::Configuration)));
+    let second = world.gateway.step(now, Event::Heard(heartbeat(3, 1000, ahead)));
+    assert!(!second.contains(&Effect::Read(Kind::Configuration)));
+}
+
 /// What a follower reads goes to the others at once.
 #[test]
 fn changes_are_passed_on() {
--- a/tests/tests/platform_plain.rs
+++ b/tests/tests/platform_plain.rs
@@ -60,6 +60,19 @@
     });
 }
 
+#[test]
+fn metrics_count() {
+    local(async {
+        let (node, _) = with_engine(script(|it| vec![Act::Send(whole(it, "x"))])).await;
+        ask(node.front, &client_head("POST", "/unsafe/x", "id-1", "b")).await;
+        let question = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+        let text = ask(node.metrics.expect("it has an address"), question).await;
+        let line = r#"hollyspoke_request_seconds_count{how="answered"} 1"#;
+        assert!(text.contains(line), "{text}");
+        assert!(text.contains("hollyspoke_configuration_version 1"), "{text}");
+    });
+}
+
 #[test]
 fn unknown_route() {
     local(async {
