Count an answer that is late for its engine's slowness as failed

Change: a plain answer or a first event after the route's target, and a pause over the longest allowed, count as failures of the engine in its rate.

--- a/crates/hollyspoke-gateway/src/flight.rs
+++ b/crates/hollyspoke-gateway/src/flight.rs
@@ -91,6 +91,8 @@
     pub load: Load,
     /// The tokens that the engine reads before and with this prompt.
     pub ahead: u64,
+    /// When the last event of a stream came.
+    pub last_event_at: Time,
     /// Whether the head of a stream has come.
     pub has_begun: bool,
 }
@@ -135,6 +137,19 @@
 }
 
 impl Call {
+    /// Tells whether an answer that begins now is late for the engine's own slowness: a plain one
+    /// after the route's target, a stream after the target or the end of a pause too long.
+    pub fn is_slow(&self, now: Time, flight: &Flight) -> bool {
+        match self.task {
+            Task::Read => false,
+            _ if self.has_begun => {
+                let longest = flight.route.longest_gap;
+                longest.is_some_and(|it| now.since(self.last_event_at) > it)
+            }
+            Task::Plain | Task::Generate(_) => now.since(self.sent) > flight.route.target,
+        }
+    }
+
     /// Tells whether the engine may run the request through this call.
     pub fn is_run(&self) -> bool {
         self.task != Task::Read
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -52,6 +52,7 @@
         self.finish_reading(key);
         if let Some(call) = self.calls.get_mut(&key) {
             call.has_begun = true;
+            call.last_event_at = self.now;
         }
         let now = self.now;
         let Some(flight) = self.flights.get_mut(&call.flight) else { return };
@@ -72,12 +73,17 @@
 
     /// Events were given to the client.
     fn call_passed(&mut self, key: CallKey, id: Option<u64>) {
-        let Some(call) = self.calls.get(&key) else { return };
-        let key = call.flight;
         let now = self.now;
-        let Some(flight) = self.flights.get_mut(&key) else { return };
+        let Some(call) = self.calls.get_mut(&key) else { return };
+        let pause = now.since(call.last_event_at);
+        call.last_event_at = now;
+        let call = call.clone();
+        let Some(flight) = self.flights.get_mut(&call.flight) else { return };
         flight.last_event = id.or(flight.last_event);
         flight.patience = flight.gap_patience().map(|it| now + it);
+        if flight.route.longest_gap.is_some_and(|it| pause > it) {
+            self.fail(&call);
+        }
     }
 
     /// A whole answer has come.
@@ -236,13 +242,16 @@
         }
     }
 
-    /// Learns from an answer: load, health, and the rate of reading.
+    /// Learns from an answer: load, health (an answer that comes late counts as failed), and the rate of reading.
     fn learn(&mut self, call: &Call, answer: &Answer) {
         let now = self.now;
         if let Some(known) = self.directory.get_mut(call.engine.key) {
             known.told = answer.told.map(|it| (it, now)).or(known.told);
-            if answer.status < SERVER_ERROR && answer.execution == Execution::Ran {
-                known.health.succeed(now);
+            let is_good = answer.status < SERVER_ERROR && answer.execution == Execution::Ran;
+            match self.flights.get(&call.flight) {
+                Some(flight) if is_good && call.is_slow(now, flight) => known.health.fail(now),
+                _ if is_good => known.health.succeed(now),
+                _ => {}
             }
         }
         let has_read = match call.task {
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -183,6 +183,7 @@
                 sent: now,
                 load,
                 ahead: choice.ahead,
+                last_event_at: now,
                 has_begun: false,
             },
         );
--- a/tests/tests/gateway_plain.rs
+++ b/tests/tests/gateway_plain.rs
@@ -161,6 +161,22 @@
     assert!(matches!(only_refusal(&effects), Refusal::NotRun(..)));
 }
 
+/// An engine that answers well and late is avoided like one that fails.
+#[test]
+fn slow_engine_is_avoided() {
+    let mut world = World::new();
+    let mut to_slow = 0;
+    for _ in 0..30 {
+        let (_, send) = world.sent(request("unsafe"));
+        let is_slow = &*send.engine.id == "engine-1";
+        to_slow += u32::from(is_slow);
+        let took = if is_slow { 1000 } else { 60 };
+        world.pass(Duration::from_millis(took));
+        world.call(send.call, CallEvent::Answered(ran(200)));
+    }
+    assert!(to_slow <= 6, "{to_slow} of 30 went to the slow engine");
+}
+
 #[test]
 fn budget_bounds_repeats() {
     let mut world = World::new();
