Send heartbeats less often beyond 100 nodes, and let more nodes follow the store there

Change: the interval grows with the nodes beyond 100, the silence that is borne with it; one more follower for each 100 nodes, since silence is noticed later; living nodes are counted only when a node is new.

--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -8,7 +8,7 @@
 use super::Gateway;
 use crate::effect::{Effect, Note};
 use crate::engine::EngineKey;
-use crate::member::{HEARTBEAT_EVERY, Hearing};
+use crate::member::Hearing;
 use crate::message::{EngineNews, Load, Message, Spending};
 
 /// The most nodes that one datagram names.
@@ -62,7 +62,7 @@
         if self.now < self.next_heartbeat {
             return;
         }
-        self.next_heartbeat = self.now + HEARTBEAT_EVERY;
+        self.next_heartbeat = self.now + self.members.heartbeat_every();
         for silent in self.members.sweep(self.now) {
             self.ledger.forget(silent);
             self.note(Note::Peer { address: silent, is_alive: false });
--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -16,9 +16,12 @@
 use crate::message::{EngineNews, Knowledge};
 use crate::route::Configuration;
 
-/// How many nodes follow the store.
+/// How many nodes follow the store, at least.
 const FOLLOWERS: usize = 3;
 
+/// For how many nodes there is one more: where silence is noticed later, more may be lost at once.
+const NODES_A_FOLLOWER: usize = 100;
+
 /// How many of them must say that the store answers them.
 const LEAST_SEEING: usize = 2;
 
@@ -186,7 +189,8 @@
 
     /// Tells whether this node is to follow the store.
     fn should_follow(&self) -> bool {
-        let chosen = self.members.chosen(self.settings.peer, FOLLOWERS);
+        let count = FOLLOWERS + self.members.most() / NODES_A_FOLLOWER;
+        let chosen = self.members.chosen(self.settings.peer, count);
         let is_chosen = chosen.contains(&self.settings.peer);
         is_chosen || self.members.seeing(&chosen) < LEAST_SEEING
     }
--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -10,11 +10,15 @@
 
 use crate::message::{Knowledge, Message, Spending, Standing};
 
-/// How often a node tells the others that it lives.
-pub const HEARTBEAT_EVERY: Duration = Duration::from_millis(350);
+/// How often a node tells the others that it lives, up to [`SMALL`] nodes.
+const HEARTBEAT_EVERY: Duration = Duration::from_millis(350);
 
-/// The silence after which a node is taken for dead.
-const DEAD_AFTER: Duration = Duration::from_millis(1250);
+/// The number of nodes beyond which heartbeats come less often, so that each node's part of them
+/// stays the same.
+const SMALL: usize = 100;
+
+/// The silence after which a node is taken for dead, in heartbeats.
+const DEAD_AFTER_BEATS: f64 = 3.6;
 
 /// How long a silent node is still greeted.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
@@ -68,6 +72,17 @@
 }
 
 impl Members {
+    /// Gives how often this node tells the others that it lives.
+    pub fn heartbeat_every(&self) -> Duration {
+        let share = self.most.max(SMALL) as f64 / SMALL as f64;
+        HEARTBEAT_EVERY.mul_f64(share)
+    }
+
+    /// Gives the silence after which a node is taken for dead.
+    fn dead_after(&self) -> Duration {
+        self.heartbeat_every().mul_f64(DEAD_AFTER_BEATS)
+    }
+
     /// Adds nodes to greet.
     pub fn introduce(&mut self, own: SocketAddr, nodes: impl IntoIterator<Item = SocketAddr>) {
         for node in nodes {
@@ -99,16 +114,20 @@
             is_silent: false,
         };
         self.peers.insert(message.sender, peer);
+        if is_known {
+            return Hearing::Known;
+        }
         self.most = self.most.max(self.count(now));
-        if is_known { Hearing::Known } else { Hearing::New }
+        Hearing::New
     }
 
     /// Gives the nodes that have just been found silent, and forgets those silent for long.
     pub fn sweep(&mut self, now: Time) -> Vec<SocketAddr> {
         self.peers.retain(|_, it| now.since(it.heard) < FORGOTTEN_AFTER);
         let mut silent = Vec::new();
+        let dead_after = self.dead_after();
         for (&address, peer) in &mut self.peers {
-            if !peer.is_silent && now.since(peer.heard) > DEAD_AFTER {
+            if !peer.is_silent && now.since(peer.heard) > dead_after {
                 peer.is_silent = true;
                 silent.push(address);
             }
@@ -188,7 +207,8 @@
 
     /// Gives how many nodes live, this one included.
     pub fn count(&self, now: Time) -> usize {
-        1 + self.peers.values().filter(|it| now.since(it.heard) <= DEAD_AFTER).count()
+        let dead_after = self.dead_after();
+        1 + self.peers.values().filter(|it| now.since(it.heard) <= dead_after).count()
     }
 
     /// Gives the most nodes that have lived at once, this one included.
--- a/tests/tests/gateway_peers.rs
+++ b/tests/tests/gateway_peers.rs
@@ -140,3 +140,33 @@
     });
     found.next_back().expect("a datagram")
 }
+
+/// With many nodes heartbeats come less often, and silence is borne for longer.
+#[test]
+fn many_nodes() {
+    let mut world = World::new();
+    for number in 0..=255 {
+        let message = Message {
+            sender: SocketAddr::from(([10, 9, 0, number], 7000)),
+            front: SocketAddr::from(([10, 9, 0, number], 8000)),
+            ..heartbeat(2, 1)
+        };
+        world.event(Event::Heard(message));
+    }
+    assert_eq!(world.gateway.fronts().len(), 257);
+    let beats = |world: &mut World, span: u64| {
+        let end = world.now + Duration::from_millis(span);
+        let mut beats = 0;
+        while world.now < end {
+            world.now = world.now + Duration::from_millis(10);
+            let effects = world.gateway.step(world.now, Event::Tick);
+            beats += effects.iter().filter(|it| matches!(it, Effect::Tell(..))).count();
+        }
+        beats
+    };
+    assert!(beats(&mut world, 2700) <= 4, "900 ms each");
+    let mut live = heartbeat(3, 2);
+    live.front = front(3);
+    world.event(Event::Heard(live));
+    assert!(world.gateway.fronts().contains(&front(3)));
+}
