--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -10,6 +10,7 @@
 use hollyspoke_gateway::engine::{Engine, EngineKey, Stage};
 use hollyspoke_gateway::event::{Answer, CallEvent, Event, Execution};
 use hollyspoke_gateway::gateway::{Gateway, Settings};
+use hollyspoke_gateway::message::{Knowledge, Message, Standing};
 use hollyspoke_gateway::request::{CallKey, FlightKey, Request};
 use hollyspoke_gateway::route::{Configuration, Limits, Route, RouteKind, Service, Split, Staged};
 
@@ -251,3 +252,22 @@
     assert!(refusals.next().is_none(), "more than one refusal among {effects:?}");
     first
 }
+
+/// Gives a heartbeat of another node that knows something of the store.
+pub fn heartbeat(number: u8, sequence: u64, knowledge: Knowledge) -> Message {
+    let Settings { peer, front, .. } = settings(number);
+    Message {
+        incarnation: 1,
+        sequence,
+        sender: peer,
+        front,
+        standing: Standing::Ready,
+        loads: Vec::new(),
+        is_whole: true,
+        knowledge,
+        spending: Vec::new(),
+        replaced: Vec::new(),
+        news: None,
+        peers: Vec::new(),
+    }
+}
--- a/tests/tests/gateway_followers.rs
+++ b/tests/tests/gateway_followers.rs
@@ -1,35 +1,16 @@
 //! Which nodes follow the store, and how the others keep up.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use hollyspoke_gateway::effect::Effect;
 use hollyspoke_gateway::engine::EngineChange;
 use hollyspoke_gateway::event::{Event, Kind};
-use hollyspoke_gateway::message::{EngineNews, Knowledge, Message, Standing};
-use hollyspoke_tests::gateway::{PLAIN, World, engine, request};
+use hollyspoke_gateway::message::{EngineNews, Knowledge, Message};
+use hollyspoke_tests::gateway::{PLAIN, World, engine, heartbeat, request};
 
 /// What a node knows that follows the store and is not behind [`World::new`].
 const SEEING: Knowledge = Knowledge { version: 1, revision: 10, sees_store: true };
 
-/// Gives a heartbeat of another node.
-fn heartbeat(number: u8, sequence: u64, knowledge: Knowledge) -> Message {
-    Message {
-        incarnation: 1,
-        sequence,
-        sender: SocketAddr::from(([10, 0, 0, number], 7000)),
-        front: SocketAddr::from(([10, 0, 0, number], 8000)),
-        standing: Standing::Ready,
-        loads: Vec::new(),
-        is_whole: true,
-        knowledge,
-        spending: Vec::new(),
-        replaced: Vec::new(),
-        news: None,
-        peers: Vec::new(),
-    }
-}
-
 /// Lets a second pass with heartbeats of nodes 2 to 9, and gives what the node did.
 fn second(world: &mut World, sequence: u64, knowledge: Knowledge) -> Vec<Effect> {
     let mut effects = Vec::new();
--- a/tests/tests/gateway_peers.rs
+++ b/tests/tests/gateway_peers.rs
@@ -9,24 +9,11 @@
 use hollyspoke_gateway::event::Event;
 use hollyspoke_gateway::gateway::Gateway;
 use hollyspoke_gateway::message::{Knowledge, Load, Message, Standing};
-use hollyspoke_tests::gateway::{MEMORY, World, request, settings};
+use hollyspoke_tests::gateway::{self, MEMORY, World, request, settings};
 
-/// Gives a heartbeat of another node.
+/// Gives a heartbeat of another node that knows nothing of the store.
 fn heartbeat(number: u8, sequence: u64) -> Message {
-    Message {
-        incarnation: 1,
-        sequence,
-        sender: SocketAddr::from(([10, 0, 0, number], 7000)),
-        front: SocketAddr::from(([10, 0, 0, number], 8000)),
-        standing: Standing::Ready,
-        loads: Vec::new(),
-        is_whole: true,
-        knowledge: Knowledge::default(),
-        spending: Vec::new(),
-        replaced: Vec::new(),
-        news: None,
-        peers: Vec::new(),
-    }
+    gateway::heartbeat(number, sequence, Knowledge::default())
 }
 
 /// Gives where a node listens for clients.
