Let the server's files import each other one way

Cause: answer, node, peers and upstream of hollyspoke-server imported each other in a circle. Change: the node is given what makes calls as a struct of functions; datagrams go to a function; an answer's body holds a hook that is called when it is dropped. Bytestring is ReceivedRequest.

--- a/crates/hollyspoke-server/src/answer.rs
+++ b/crates/hollyspoke-server/src/answer.rs
@@ -9,8 +9,6 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
-use crate::node::FlightGuard;
-
 /// The answer was broken off; the client sees that it is not whole.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BrokenOff;
@@ -32,13 +30,37 @@
     pub is_broken: Rc<Cell<bool>>,
 }
 
+/// Calls a function when it is dropped.
+pub struct DropHook(Option<Box<dyn FnOnce()>>);
+
+impl DropHook {
+    /// Makes a hook.
+    pub fn new(function: impl FnOnce() + 'static) -> DropHook {
+        DropHook(Some(Box::new(function)))
+    }
+}
+
+impl std::fmt::Debug for DropHook {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("DropHook")
+    }
+}
+
+impl Drop for DropHook {
+    fn drop(&mut self) {
+        if let Some(function) = self.0.take() {
+            function();
+        }
+    }
+}
+
 /// A body.
 #[derive(Debug)]
 pub enum AnswerBody {
     /// A whole body, until it is taken.
     Whole(Option<Bytes>),
-    /// A stream; dropping the guard tells that the client has left.
-    Stream(Stream, Option<FlightGuard>),
+    /// A stream; the hook is dropped at its end, or when the client leaves.
+    Stream(Stream, Option<DropHook>),
 }
 
 impl Body for AnswerBody {
--- a/crates/hollyspoke-server/src/front.rs
+++ b/crates/hollyspoke-server/src/front.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 
 use crate::answer::AnswerBody;
-use crate::node::{Bytestring, ClientAnswer, Node};
+use crate::node::{ClientAnswer, Node, ReceivedRequest};
 
 /// What clients may send before a configuration is known.
 const FIRST_LIMITS: Limits = Limits {
@@ -112,14 +112,14 @@
         Err(Unread::TooSlow) => return closing_status(StatusCode::REQUEST_TIMEOUT),
         Err(Unread::Malformed) => return closing_status(StatusCode::BAD_REQUEST),
     };
-    let (guard, receiver) = node.begin(Bytestring { head: Rc::new(head), body });
+    let (hook, receiver) = node.begin(ReceivedRequest { head: Rc::new(head), body });
     let received = receiver.await;
     let mut response = match received {
         Ok(ClientAnswer::Whole(head, body)) => {
             Response::from_parts(pass_head(head), AnswerBody::Whole(Some(body)))
         }
         Ok(ClientAnswer::Stream(head, stream)) => {
-            Response::from_parts(pass_head(head), AnswerBody::Stream(stream, Some(guard)))
+            Response::from_parts(pass_head(head), AnswerBody::Stream(stream, Some(hook)))
         }
         Ok(ClientAnswer::Refused(refusal)) => refused(refusal),
         Err(_) => status(StatusCode::BAD_GATEWAY),
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use hollyspoke::time::Time;
-use hollyspoke_gateway::effect::{Effect, Refusal, Send};
+use hollyspoke_gateway::effect::{Effect, Refusal, Send, Source};
 use hollyspoke_gateway::event::Event;
 use hollyspoke_gateway::gateway::Gateway;
 use hollyspoke_gateway::request::{CallKey, FlightKey};
@@ -17,11 +17,11 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::answer::Stream;
+use crate::answer::{DropHook, Stream};
 use crate::dialect::{Dialect, Kind};
 use crate::metrics::Metrics;
+use crate::notes;
 use crate::peers::Peers;
-use crate::{notes, upstream};
 
 /// The events of a stream that may wait for a client that reads slowly.
 const WAITING_PIECES: usize = 16;
@@ -37,9 +37,9 @@
     Refused(Refusal),
 }
 
-/// The bytes of a request, kept until its end.
+/// A request as it was received, kept until its end.
 #[derive(Debug, Clone)]
-pub struct Bytestring {
+pub struct ReceivedRequest {
     /// The head.
     pub head: Rc<request::Parts>,
     /// The body.
@@ -50,7 +50,7 @@
 #[derive(Debug)]
 struct Outlet {
     /// The request.
-    request: Bytestring,
+    request: ReceivedRequest,
     /// Where the head of the answer goes, until it is given.
     head: Option<oneshot::Sender<ClientAnswer>>,
     /// Where a stream's events go, once it has begun.
@@ -83,6 +83,8 @@
     origin: Instant,
     /// The sockets between nodes.
     peers: Peers,
+    /// What makes calls to engines.
+    upstream: Upstream,
     /// Where answers go.
     outlets: RefCell<HashMap<FlightKey, Outlet>>,
     /// The tasks of calls.
@@ -101,20 +103,13 @@
     pub woken: Notify,
 }
 
-/// Tells the reducer that the client has left, when dropped.
-#[derive(Debug)]
-pub struct FlightGuard {
-    /// The node.
-    node: Rc<Node>,
-    /// The request.
-    flight: FlightKey,
-}
-
-impl Drop for FlightGuard {
-    fn drop(&mut self) {
-        self.node.dispatch(Event::ClientLeft(self.flight));
-        self.node.outlets.borrow_mut().remove(&self.flight);
-    }
+/// What makes calls to engines.
+#[derive(Debug, Clone, Copy)]
+pub struct Upstream {
+    /// Starts the task of a call.
+    pub call: fn(Rc<Node>, Send, ReceivedRequest) -> AbortHandle,
+    /// Starts the freeing of a prompt.
+    pub free: fn(Rc<Node>, Source),
 }
 
 impl Node {
@@ -128,6 +123,7 @@
         dialect: Dialect,
         log: Logger,
         peers: Peers,
+        upstream: Upstream,
     ) -> eyre::Result<Rc<Node>> {
         Ok(Rc::new(Node {
             metrics: Metrics::new()?,
@@ -136,6 +132,7 @@
             log,
             origin: Instant::now(),
             peers,
+            upstream,
             outlets: RefCell::default(),
             calls: RefCell::default(),
             waiting: RefCell::default(),
@@ -172,21 +169,28 @@
         self.woken.notify_one();
     }
 
-    /// Takes up a request; its answer comes through the receiver. Dropping the guard before the
+    /// Takes up a request; its answer comes through the receiver. Dropping the hook before the
     /// answer's end tells that the client has left.
     pub fn begin(
         self: &Rc<Node>,
-        request: Bytestring,
-    ) -> (FlightGuard, oneshot::Receiver<ClientAnswer>) {
+        request: ReceivedRequest,
+    ) -> (DropHook, oneshot::Receiver<ClientAnswer>) {
         let flight = FlightKey(self.next_flight.get());
         self.next_flight.set(flight.0 + 1);
         let (sender, receiver) = oneshot::channel();
         let read = (self.dialect.read_request)(&request.head, request.body.len());
         let outlet = Outlet { request, head: Some(sender), pieces: None, is_broken: Rc::default() };
         self.outlets.borrow_mut().insert(flight, outlet);
-        let guard = FlightGuard { node: self.clone(), flight };
+        let node = self.clone();
+        let hook = DropHook::new(move || node.client_left(flight));
         self.dispatch(Event::Arrived(flight, read));
-        (guard, receiver)
+        (hook, receiver)
+    }
+
+    /// Notes that nobody waits for a request's answer any more.
+    fn client_left(self: &Rc<Node>, flight: FlightKey) {
+        self.dispatch(Event::ClientLeft(flight));
+        self.outlets.borrow_mut().remove(&flight);
     }
 
     /// Keeps an engine's answer until the reducer decides on it with the event that follows.
@@ -233,7 +237,7 @@
             Effect::Break(flight) => self.close(flight, true),
             Effect::Finish(flight) => self.close(flight, false),
             Effect::Free(source) => {
-                tokio::task::spawn_local(upstream::free(self.clone(), source));
+                (self.upstream.free)(self.clone(), source);
             }
             Effect::Follow(follows) => {
                 self.follows.set(follows);
@@ -255,8 +259,8 @@
         let Some(request) = outlets.get(&send.flight).map(|it| it.request.clone()) else { return };
         drop(outlets);
         let call = send.call;
-        let task = tokio::task::spawn_local(upstream::call(self.clone(), send, request));
-        self.calls.borrow_mut().insert(call, task.abort_handle());
+        let task = (self.upstream.call)(self.clone(), send, request);
+        self.calls.borrow_mut().insert(call, task);
     }
 
     /// Drops a call.
--- a/crates/hollyspoke-server/src/peers.rs
+++ b/crates/hollyspoke-server/src/peers.rs
@@ -3,12 +3,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use hollyspoke_gateway::event::Event;
 use hollyspoke_gateway::message::Message;
 use tokio::net::UdpSocket;
 
-use crate::node::Node;
-
 /// The most bytes of a datagram.
 const LONGEST_DATAGRAM: usize = 8192;
 
@@ -46,13 +43,13 @@
         }
     }
 
-    /// Takes datagrams to the node, until the process ends.
-    pub async fn listen(self, node: Rc<Node>) {
+    /// Takes datagrams to a function, until the process ends.
+    pub async fn listen(self, hear: impl Fn(Message)) {
         let mut buffer = vec![0; LONGEST_DATAGRAM];
         loop {
             let Ok((length, _)) = self.socket.recv_from(&mut buffer).await else { continue };
             if let Ok(message) = bincode::deserialize(&buffer[..length]) {
-                node.dispatch(Event::Heard(message));
+                hear(message);
             }
         }
     }
--- a/crates/hollyspoke-server/src/run.rs
+++ b/crates/hollyspoke-server/src/run.rs
@@ -20,6 +20,7 @@
 use crate::node::Node;
 use crate::peers::Peers;
 use crate::settings::Settings;
+use crate::upstream::UPSTREAM;
 use crate::{directory, front, sync};
 
 /// How often the settings file is looked at, since it may change without a signal.
@@ -98,7 +99,7 @@
         grace: settings.grace,
         incarnation: Pcg64Mcg::from_os_rng().next_u64(),
     });
-    let node = Node::new(gateway, dialect, log, peers.clone())?;
+    let node = Node::new(gateway, dialect, log, peers.clone(), UPSTREAM)?;
     let running = Running {
         node: node.clone(),
         front: front.local_addr()?,
@@ -110,7 +111,9 @@
     };
     info!(node.log, "started"; "front" => %running.front, "store" => %settings.store);
     node.dispatch(Event::Seeds(settings.seeds.clone()));
-    tokio::task::spawn_local(peers.listen(node.clone()));
+    let hearing = node.clone();
+    let hear = move |message| hearing.dispatch(Event::Heard(message));
+    tokio::task::spawn_local(peers.listen(hear));
     tokio::task::spawn_local(tick(node.clone()));
     for kind in [Kind::Configuration, Kind::Engines] {
         tokio::task::spawn_local(sync::follow(node.clone(), settings.store, kind));
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 
 use crate::http1::{Connection, Failure, read_whole};
-use crate::node::{Bytestring, Node};
+use crate::node::{Node, ReceivedRequest, Upstream};
 use crate::splitter::Splitter;
 
 /// How long a connection to an engine may take to open.
@@ -27,8 +27,16 @@
 /// The media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// Calls over connections of this process.
+pub const UPSTREAM: Upstream = Upstream {
+    call: |node, send, request| tokio::task::spawn_local(call(node, send, request)).abort_handle(),
+    free: |node, source| {
+        tokio::task::spawn_local(free(node, source));
+    },
+};
+
 /// Makes a call and tells the reducer what becomes of it.
-pub async fn call(node: Rc<Node>, send: Send, request: Bytestring) {
+async fn call(node: Rc<Node>, send: Send, request: ReceivedRequest) {
     let call = send.call;
     let event = match exchange(&node, &send, &request).await {
         Ok(answer) => CallEvent::Answered(answer),
@@ -41,7 +49,11 @@
 }
 
 /// Makes a call and gives its whole answer; a stream is passed on as it comes.
-async fn exchange(node: &Rc<Node>, send: &Send, request: &Bytestring) -> Result<Answer, Failure> {
+async fn exchange(
+    node: &Rc<Node>,
+    send: &Send,
+    request: &ReceivedRequest,
+) -> Result<Answer, Failure> {
     let mut connection = Connection::open(send.engine.address, CONNECT_TIMEOUT).await?;
     let head = (node.dialect.call_head)(&request.head, send);
     let message = http::Request::from_parts(head, Full::new(request.body.clone()));
@@ -113,7 +125,7 @@
 }
 
 /// Frees a prompt that nobody takes. It lapses by itself if this fails.
-pub async fn free(node: Rc<Node>, source: Source) {
+async fn free(node: Rc<Node>, source: Source) {
     let Ok(mut connection) = Connection::open(source.address, CONNECT_TIMEOUT).await else {
         return;
     };
