--- a/tests/src/platform.rs
+++ b/tests/src/platform.rs
@@ -101,8 +101,8 @@
     objects: Rc<RefCell<Vec<Object>>>,
     /// The most objects of a page.
     pub page: Rc<Cell<usize>>,
-    /// Changes made right after the first page was given.
-    pub between_pages: Rc<RefCell<Vec<(String, Option<Value>)>>>,
+    /// Engines that leave right after the first page was given.
+    pub leave_between_pages: Rc<RefCell<Vec<String>>>,
     /// How many of the next reads of a page after the first are refused.
     pub refused_pages: Rc<Cell<u32>>,
     /// Wakes watches.
@@ -252,7 +252,7 @@
         revision: Rc::new(Cell::new(1)),
         objects: Rc::default(),
         page: Rc::new(Cell::new(500)),
-        between_pages: Rc::default(),
+        leave_between_pages: Rc::default(),
         refused_pages: Rc::default(),
         changed: Rc::default(),
     };
@@ -372,9 +372,8 @@
         items.truncate(self.page.get());
         let page = json!({"items": items, "more": more, "at": self.revision.get()});
         if after.is_none() && kind == "servers" {
-            for (name, spec) in self.between_pages.borrow_mut().drain(..) {
-                let is_gone = spec.is_none();
-                self.write(kind, &name, spec.unwrap_or_default(), is_gone);
+            for name in self.leave_between_pages.borrow_mut().drain(..) {
+                self.remove(kind, &name);
             }
         }
         page
--- a/tests/tests/platform_store.rs
+++ b/tests/tests/platform_store.rs
@@ -125,7 +125,7 @@
         let second = answering("second").await;
         store.list("e-2", &second, "plain", None);
         store.page.set(1);
-        store.between_pages.borrow_mut().push(("e-1".to_owned(), None));
+        store.leave_between_pages.borrow_mut().push("e-1".to_owned());
         let node = node(&store).await;
         for _ in 0..10 {
             until(node.front, |it| it.ends_with("second")).await;
