--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -78,6 +78,20 @@
     TimedOut,
 }
 
+impl NotRunReason {
+    /// Gives the reason as the log tells it.
+    pub fn name(self) -> &'static str {
+        match self {
+            NotRunReason::NoConfiguration => "refused: no configuration",
+            NotRunReason::Stopping => "refused: stopping",
+            NotRunReason::NoEngine => "refused: no engine",
+            NotRunReason::TurnedAway => "refused: turned away",
+            NotRunReason::Overloaded => "refused: overloaded",
+            NotRunReason::TimedOut => "refused: time passed",
+        }
+    }
+}
+
 /// A decision worth a line in the log.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Note {
--- a/crates/hollyspoke-gateway/src/gateway/end.rs
+++ b/crates/hollyspoke-gateway/src/gateway/end.rs
@@ -98,10 +98,7 @@
             None => Refusal::Broken,
         };
         let how = match refusal {
-            Refusal::NotRun(_, NotRunReason::Overloaded, _) => "refused: overloaded",
-            Refusal::NotRun(_, NotRunReason::NoEngine, _) => "refused: no engine",
-            Refusal::NotRun(_, NotRunReason::TimedOut, _) => "refused: time passed",
-            Refusal::NotRun(..) => "refused: turned away",
+            Refusal::NotRun(_, reason, _) => reason.name(),
             Refusal::NoRoute => "no route",
             Refusal::Broken => "broken",
             Refusal::Late => "time passed",
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -49,21 +49,27 @@
     pub(super) fn arrive(&mut self, key: FlightKey, request: Request) {
         let Some(configuration) = self.configuration.clone() else {
             let reason = NotRunReason::NoConfiguration;
-            return self.refuse_unsent(key, reason, NO_CONFIGURATION_RETRY);
+            return self.refuse_unsent(key, &request, reason, NO_CONFIGURATION_RETRY);
         };
         if self.is_closing(self.now) {
-            return self.refuse_unsent(key, NotRunReason::Stopping, STOPPING_RETRY);
+            return self.refuse_unsent(key, &request, NotRunReason::Stopping, STOPPING_RETRY);
         }
         let Some(route) = configuration.route(&request.host, &request.path).cloned() else {
+            self.note_refusal(&request, "no route");
             return self.effects.push(Effect::Refuse(key, Refusal::NoRoute));
         };
         let held = request.deadline.map_or(route.timeout, |it| it.min(route.timeout));
         if self.outlives_stop(held) {
-            return self.refuse_unsent(key, NotRunReason::Stopping, STOPPING_RETRY);
+            return self.refuse_unsent(key, &request, NotRunReason::Stopping, STOPPING_RETRY);
         }
         let draw = self.draw();
         let Some(service) = configuration.service(route.service(draw)).cloned() else {
-            return self.refuse_unsent(key, NotRunReason::NoEngine, NO_CONFIGURATION_RETRY);
+            return self.refuse_unsent(
+                key,
+                &request,
+                NotRunReason::NoEngine,
+                NO_CONFIGURATION_RETRY,
+            );
         };
         let budget = self.budgets.entry(service.name.clone()).or_default();
         budget.arrive(self.now, &self.settings.bound);
@@ -223,10 +229,22 @@
     }
 
     /// Refuses a request that was never taken up.
-    fn refuse_unsent(&mut self, key: FlightKey, reason: NotRunReason, retry: Duration) {
+    fn refuse_unsent(
+        &mut self,
+        key: FlightKey,
+        request: &Request,
+        reason: NotRunReason,
+        retry: Duration,
+    ) {
         let Some(proof) = Trace::clean().not_run() else { return };
+        self.note_refusal(request, reason.name());
         self.effects.push(Effect::Refuse(key, Refusal::NotRun(proof, reason, retry)));
     }
+
+    /// Adds the refusal of a request that was never taken up to the log.
+    fn note_refusal(&mut self, request: &Request, how: &'static str) {
+        self.note(Note::Ended { request: request.id.clone(), how, after: Duration::ZERO });
+    }
 }
 
 /// Chooses the next call at a service with stages. A prompt is read for another engine only if that
--- a/tests/tests/gateway_routes.rs
+++ b/tests/tests/gateway_routes.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 
-use hollyspoke_gateway::effect::{NotRunReason, Refusal};
+use hollyspoke_gateway::effect::{Effect, NotRunReason, Note, Refusal};
 use hollyspoke_gateway::event::Event;
+use hollyspoke_gateway::request::FlightKey;
 use hollyspoke_gateway::route::{Route, RouteKind, Split};
 use hollyspoke_tests::gateway::{
     HOST, MODEL, PLAIN, World, configuration_of, engines, only_refusal, only_send, request, route,
@@ -53,6 +54,25 @@
     assert!(!world.gateway.is_ready());
 }
 
+/// Each refusal of a request that was never taken up has its line in the log.
+#[test]
+fn refusals_are_logged() {
+    let mut world = World::unconfigured();
+    let arrived = |key| Event::Arrived(FlightKey(key), request("nowhere"));
+    let logged = |effects: Vec<Effect>| {
+        effects.into_iter().find_map(|it| match it {
+            Effect::Note(Note::Ended { how, .. }) => Some(how),
+            _ => None,
+        })
+    };
+    let now = world.now;
+    let first = world.gateway.step(now, arrived(1));
+    assert_eq!(logged(first), Some("refused: no configuration"));
+    let mut world = World::new();
+    let second = world.gateway.step(now, arrived(2));
+    assert_eq!(logged(second), Some("no route"));
+}
+
 #[test]
 fn ready_with_both() {
     let mut world = World::unconfigured();
