--- a/crates/hollyspoke-standin/src/main.rs
+++ b/crates/hollyspoke-standin/src/main.rs
@@ -2,8 +2,9 @@
 //!
 //! It prints one line of JSON, `{"listening":"<address>"}`, and serves until it is stopped.
 
-#![expect(clippy::print_stdout, reason = "the address is what the program prints")]
+#![expect(clippy::print_stdout, clippy::print_stderr, reason = "the address, help and mistakes")]
 
+use std::process::ExitCode;
 use std::time::Duration;
 
 use axum::Router;
@@ -14,19 +15,50 @@
 use pico_args::Arguments;
 use tokio::net::TcpListener;
 
+/// The exit code for arguments that are wrong.
+const EXIT_USAGE: u8 = 2;
+
+/// What `--help` prints.
+const HELP: &str = "\
+hollyspoke-standin: stands in for the platform, an engine or a plain service
+
+Usage: hollyspoke-standin platform|engine|service [--listen ADDRESS]
+
+  --listen ADDRESS                 where to listen; a free port of 127.0.0.1 if not given
+  --memory-tokens N                an engine's memory
+  --prefill-tokens-per-second N    an engine's rate of reading
+  --token-ms N                     an engine's time a token
+  --orders checked|unchecked       whether an engine takes orders, and compares their tokens
+  -h, --help                       prints this text
+";
+
 /// Serves the stand-in that the arguments name.
 #[tokio::main]
-async fn main() -> eyre::Result<()> {
+async fn main() -> ExitCode {
     let mut arguments = Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    match serve(arguments).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:#}; see --help");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+/// Serves the stand-in that the arguments name until it is stopped.
+async fn serve(mut arguments: Arguments) -> eyre::Result<()> {
     let sort = arguments.subcommand()?;
     let listen: Option<String> = arguments.opt_value_from_str("--listen")?;
     let router = match sort.as_deref() {
         Some("platform") => Platform::default().router(),
         Some("engine") => engine(&mut arguments)?,
         Some("service") => Service::default().router(),
-        Some(_) | None => {
-            bail!("usage: hollyspoke-standin platform|engine|service [--listen ADDRESS]")
-        }
+        Some(other) => bail!("`{other}` is not platform, engine or service"),
+        None => bail!("name one of platform, engine and service"),
     };
     let rest = arguments.finish();
     if !rest.is_empty() {
