Send a request that comes again to the engine that keeps its prompt

Change: a node notes which engine generates from which prompt and tells the others with the datagram it sends anyway. A request with that prompt goes to that engine without a reading; if that one has no room or leaves, another engine takes the prompt from there. After an engine has broken, the reader still keeps the prompt.

What is left is the final loss of all nodes, after which nobody knows where the prompts are.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -27,8 +27,21 @@
     Plain,
     /// To read the prompt for another engine.
     Read,
-    /// To generate the answer, with the prompt from a source or by reading it itself.
-    Generate(Option<Source>),
+    /// To generate the answer.
+    Generate(Prompt),
+}
+
+/// How an engine that generates comes by the prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Prompt {
+    /// It reads the prompt itself.
+    Unread,
+    /// Another engine has read the prompt for it.
+    Read(Source),
+    /// It keeps the prompt from an earlier run.
+    Kept,
+    /// Another engine keeps the prompt from an earlier run, and listens there.
+    KeptAt(SocketAddr),
 }
 
 /// One call to an engine.
--- a/crates/hollyspoke-gateway/src/flight.rs
+++ b/crates/hollyspoke-gateway/src/flight.rs
@@ -6,7 +6,7 @@
 use hollyspoke::outcome::Trace;
 use hollyspoke::time::Time;
 
-use crate::effect::{Source, Task};
+use crate::effect::{Prompt, Source, Task};
 use crate::engine::{Engine, EngineKey};
 use crate::message::Load;
 use crate::request::{CallKey, FlightKey, Request};
@@ -161,7 +161,9 @@
     match task {
         Task::Plain => "plain",
         Task::Read => "read",
-        Task::Generate(Some(_)) => "generate",
-        Task::Generate(None) => "read and generate",
+        Task::Generate(Prompt::Read(_)) => "generate",
+        Task::Generate(Prompt::Unread) => "read and generate",
+        Task::Generate(Prompt::Kept) => "generate from own memory",
+        Task::Generate(Prompt::KeptAt(_)) => "generate from another's memory",
     }
 }
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod end;
+mod kept;
 mod peers;
 mod room;
 mod start;
@@ -26,6 +27,7 @@
 use crate::load::Ledger;
 use crate::member::Members;
 use crate::message::{Load, Standing};
+use crate::prompt::Prompts;
 use crate::request::{CallKey, FlightKey};
 use crate::route::Configuration;
 
@@ -76,6 +78,8 @@
     ledger: Ledger,
     /// The other nodes.
     members: Members,
+    /// The prompts that engines keep.
+    prompts: Prompts,
     /// The repeats of each service.
     budgets: HashMap<Arc<str>, Budget>,
     /// The longest deadline that clients have given on each route.
@@ -118,6 +122,7 @@
             directory: Directory::default(),
             ledger: Ledger::default(),
             members: Members::default(),
+            prompts: Prompts::default(),
             budgets: HashMap::new(),
             deadlines: HashMap::new(),
             flights: HashMap::new(),
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -3,10 +3,11 @@
 use hollyspoke::time::Time;
 
 use super::Gateway;
-use crate::effect::{Effect, NotRunReason, Note, Source, Task};
+use crate::effect::{Effect, NotRunReason, Note, Prompt, Source, Task};
 use crate::event::{Answer, CallEvent, Execution};
 use crate::flight::Call;
 use crate::message::Load;
+use crate::prompt::Kept;
 use crate::request::{CallKey, FlightKey};
 
 /// The status of an answer as asked for.
@@ -59,6 +60,9 @@
         flight.runs += 1;
         flight.trace.mark_sent();
         flight.source = None;
+        if let Some(prompt) = flight.request.prompt {
+            self.prompts.see(Kept { prompt, engine: call.engine.key }, now);
+        }
         flight.patience = flight.gap_patience().map(|it| now + it);
         let patience = flight.patience;
         let effect = if flight.has_begun {
@@ -114,8 +118,8 @@
                 flight.arrivals += 1;
                 flight.reading_failed = true;
             }
-            Task::Generate(Some(_)) => self.handle_turned_away(call.flight),
-            Task::Generate(None) | Task::Plain => {}
+            Task::Generate(Prompt::Read(_)) => self.handle_turned_away(call.flight),
+            Task::Generate(_) | Task::Plain => {}
         }
         self.proceed(call.flight);
     }
@@ -147,6 +151,9 @@
         let now = self.now;
         let Some(flight) = self.flights.get_mut(&call.flight) else { return };
         flight.read_at = now;
+        if let Some(prompt) = flight.request.prompt {
+            self.prompts.note(Kept { prompt, engine: call.engine.key }, now);
+        }
         flight.source = Some(Source { address: call.engine.address, handle });
         self.proceed(call.flight);
     }
@@ -256,7 +263,7 @@
         }
         let has_read = match call.task {
             Task::Read => answer.handle.is_some(),
-            Task::Generate(None) => answer.status == OK,
+            Task::Generate(Prompt::Unread) => answer.status == OK,
             _ => false,
         };
         if has_read && call.engine.stage.is_some() {
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/gateway/kept.rs
@@ -0,0 +1,55 @@
+//! The choice of an engine for a request that comes again: its prompt may still lie in the memory
+//! of an engine that has read it.
+
+use super::Gateway;
+use super::start::Next;
+use crate::directory::Known;
+use crate::effect::{Prompt, Task};
+use crate::engine::{EngineKey, Stage};
+use crate::flight::Flight;
+use crate::placement::View;
+use crate::route::Staged;
+
+impl Gateway {
+    /// Chooses the next call of a request whose prompt some engine keeps: that engine if it
+    /// generates and has room, else another one that takes the prompt from there.
+    pub(super) fn next_kept(
+        &self,
+        flight: &Flight,
+        view: &View<'_>,
+        staged: &Staged,
+    ) -> Option<Next> {
+        if flight.source.is_some() {
+            return None;
+        }
+        let prompt = flight.request.prompt?;
+        let keepers = self.prompts.keepers(prompt).filter(|&it| !has_failed(flight, it));
+        let keepers = keepers.filter_map(|it| self.directory.get(it));
+        let keepers: Vec<_> = keepers.filter(|it| !it.health.is_poor(self.now)).collect();
+        let held = flight.request.tokens_held();
+        let generators = keepers.iter().filter(|it| it.engine.stage != Some(Stage::Prefill));
+        let own = generators.filter(|it| view.has_room(it, staged, held)).map(|it| kept_by(it));
+        own.chain(keepers.iter().filter_map(|it| taken_from(it, view, staged, held))).next()
+    }
+}
+
+/// Tells whether an engine has just failed a request that may have begun there.
+fn has_failed(flight: &Flight, engine: EngineKey) -> bool {
+    flight.runs > 0 && flight.tried.last() == Some(&engine)
+}
+
+/// Makes the call to an engine that keeps the prompt.
+fn kept_by(keeper: &Known) -> Next {
+    let choice = View::at(keeper);
+    Next { task: Task::Generate(Prompt::Kept), choice, generator: None }
+}
+
+/// Makes the call to an engine that takes the prompt from the one that keeps it.
+fn taken_from(keeper: &Known, view: &View<'_>, staged: &Staged, held: u64) -> Option<Next> {
+    let choice = view.generating(staged, held, &keeper.engine.zone, None)?;
+    if choice.engine.key == keeper.engine.key {
+        return None;
+    }
+    let prompt = Prompt::KeptAt(keeper.engine.address);
+    Some(Next { task: Task::Generate(prompt), choice, generator: None })
+}
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -49,6 +49,9 @@
         for &engine in &message.replaced {
             self.directory.replace(engine);
         }
+        for &kept in &message.kept {
+            self.prompts.note(kept, self.now);
+        }
         let until = self.now + self.leave_span();
         let loads = &message.loads;
         let has_freed = self.ledger.hear(message.sender, loads, message.is_whole, until);
@@ -86,14 +89,16 @@
         self.next_heartbeat = self.now;
     }
 
-    /// Tells the living nodes what work has changed.
+    /// Tells the living nodes what work has changed, and which engines keep new prompts.
     pub(super) fn tell_changes(&mut self) {
         let changed = self.ledger.take_changed();
-        if changed.is_empty() {
+        let kept = self.prompts.take_untold();
+        if changed.is_empty() && kept.is_empty() {
             return;
         }
         let mut message = self.message(false);
         message.loads = changed;
+        message.kept = kept;
         let audience = self.members.alive();
         self.tell(audience, message);
     }
@@ -146,6 +151,7 @@
             spending,
             replaced: Vec::new(),
             news: None,
+            kept: Vec::new(),
             peers,
         }
     }
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -6,7 +6,7 @@
 use hollyspoke::outcome::Trace;
 
 use super::Gateway;
-use crate::effect::{Effect, NotRunReason, Note, Refusal, Send, Task};
+use crate::effect::{Effect, NotRunReason, Note, Prompt, Refusal, Send, Task};
 use crate::engine::EngineKey;
 use crate::flight::{Call, Flight, task_name};
 use crate::gateway::peers::service_hash;
@@ -37,11 +37,11 @@
 /// The next call of a request.
 pub(super) struct Next {
     /// What the engine is asked to do.
-    task: Task,
+    pub(super) task: Task,
     /// The engine.
-    choice: Choice,
+    pub(super) choice: Choice,
     /// The engine that is to generate, if another reads the prompt for it.
-    generator: Option<EngineKey>,
+    pub(super) generator: Option<EngineKey>,
 }
 
 impl Gateway {
@@ -145,7 +145,9 @@
                 let choice = view.plain()?;
                 Some(Next { task: Task::Plain, choice, generator: None })
             }
-            Some(staged) => next_staged(flight, &view, &staged),
+            Some(staged) => self
+                .next_kept(flight, &view, &staged)
+                .or_else(|| next_staged(flight, &view, &staged)),
         }
     }
 
@@ -257,7 +259,11 @@
         let zone = reader.and_then(|it| zone_of(view, it)).unwrap_or_else(|| view.zone.into());
         let preferred = flight.reserved.map(|(engine, _)| engine);
         let choice = view.generating(staged, held, &zone, preferred)?;
-        return Some(Next { task: Task::Generate(Some(source.clone())), choice, generator: None });
+        return Some(Next {
+            task: Task::Generate(Prompt::Read(source.clone())),
+            choice,
+            generator: None,
+        });
     }
     let alone = view.alone(staged, tokens, held)?;
     let reading = if flight.reading_failed { None } else { view.reading(staged, tokens) };
@@ -266,7 +272,7 @@
         is_slow && alone.expected < reading.expected
     };
     let Some(reading) = reading.filter(|it| !is_slow(it)) else {
-        return Some(Next { task: Task::Generate(None), choice: alone, generator: None });
+        return Some(Next { task: Task::Generate(Prompt::Unread), choice: alone, generator: None });
     };
     let generator = view.generating(staged, held, &reading.engine.zone, None)?;
     Some(Next { task: Task::Read, choice: reading, generator: Some(generator.engine.key) })
@@ -285,7 +291,7 @@
     match task {
         Task::Plain => Load { reading: 0, calls: 1, held: 0 },
         Task::Read => Load { reading: tokens, calls: 1, held: tokens },
-        Task::Generate(Some(_)) => Load { reading: 0, calls: 1, held },
-        Task::Generate(None) => Load { reading: tokens, calls: 1, held },
+        Task::Generate(Prompt::Unread) => Load { reading: tokens, calls: 1, held },
+        Task::Generate(_) => Load { reading: 0, calls: 1, held },
     }
 }
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod member;
 pub mod message;
 pub mod placement;
+pub mod prompt;
 pub mod request;
 pub mod route;
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::engine::{EngineChange, EngineKey};
+use crate::prompt::Kept;
 
 /// The work that one node has at one engine now.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -103,6 +104,8 @@
     pub replaced: Vec<EngineKey>,
     /// Changes that the sender has just read.
     pub news: Option<EngineNews>,
+    /// Prompts that engines have begun to generate from for the sender.
+    pub kept: Vec<Kept>,
     /// Some nodes that the sender has heard from of late.
     pub peers: Vec<SocketAddr>,
 }
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -137,6 +137,16 @@
         Some(Choice { engine: known.engine.clone(), expected, ahead: 0 })
     }
 
+    /// Makes the choice of an engine that has the prompt already.
+    pub fn at(known: &Known) -> Choice {
+        Choice { engine: known.engine.clone(), expected: CALL_OVERHEAD, ahead: 0 }
+    }
+
+    /// Tells whether an engine takes new requests and has room for one.
+    pub fn has_room(&self, known: &Known, staged: &Staged, held: u64) -> bool {
+        known.is_open() && self.has_memory(known, staged, held)
+    }
+
     /// Gives the engines that may take the call and have room for it: those not tried and in good
     /// health, else those in poor health, else those tried before. Those that could not be reached
     /// of late are left out: they seem to have room just because nothing runs there.
--- a/crates/hollyspoke-gateway/src/request.rs
+++ b/crates/hollyspoke-gateway/src/request.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::prompt::PromptKey;
+
 /// The number of a request at one node; never used twice in one life of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct FlightKey(pub u64);
@@ -28,6 +30,8 @@
     pub answer_tokens: Option<u64>,
     /// The tokens of the answer as the client guesses them.
     pub guessed_tokens: Option<u64>,
+    /// The prompt's name, if the client tells.
+    pub prompt: Option<PromptKey>,
     /// The last event that the client has, if it resumes a stream.
     pub last_event: Option<u64>,
     /// The bytes of the body.
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -138,6 +138,7 @@
         prompt_tokens: Some(5000),
         answer_tokens: Some(1000),
         guessed_tokens: Some(800),
+        prompt: None,
         last_event: None,
         body_bytes: 5000,
     }
@@ -268,6 +269,7 @@
         spending: Vec::new(),
         replaced: Vec::new(),
         news: None,
+        kept: Vec::new(),
         peers: Vec::new(),
     }
 }
--- /dev/null
+++ b/tests/tests/gateway_prompts.rs
@@ -0,0 +1,150 @@
+//! Requests whose prompt an engine still keeps from an earlier run.
+
+use std::time::Duration;
+
+use hollyspoke_gateway::effect::{Effect, Prompt, Send, Task};
+use hollyspoke_gateway::engine::{Engine, EngineKey};
+use hollyspoke_gateway::event::{CallEvent, Event};
+use hollyspoke_gateway::message::{Knowledge, Message};
+use hollyspoke_gateway::prompt::{Kept, PromptKey};
+use hollyspoke_gateway::request::{FlightKey, Request};
+use hollyspoke_tests::gateway::{
+    MEMORY, World, engines, heartbeat, only_send, ran, read, request, turned_away,
+};
+
+/// Gives a request with a named prompt.
+fn named(route: &str) -> Request {
+    Request { prompt: Some(PromptKey(7)), ..request(route) }
+}
+
+/// Gives a request of a client that goes on behind an event.
+fn resuming() -> Request {
+    Request { last_event: Some(4), deadline: Some(Duration::from_secs(9)), ..named("resumed") }
+}
+
+/// Gives the word of another node that an engine keeps the prompt.
+fn told(sequence: u64, engine: EngineKey) -> Event {
+    let kept = vec![Kept { prompt: PromptKey(7), engine }];
+    Event::Heard(Message { kept, ..heartbeat(2, sequence, Knowledge::default()) })
+}
+
+/// Has a stream begin whose client then leaves; gives its engines, the reading one first.
+fn abandoned(world: &mut World) -> (Send, Send) {
+    let (flight, reading) = world.sent(named("resumed"));
+    let generating = only_send(&world.call(reading.call, CallEvent::Answered(read("h"))));
+    world.call(generating.call, CallEvent::Began(ran(200)));
+    world.event(Event::ClientLeft(flight));
+    (reading, generating)
+}
+
+/// Gives the engine of a number.
+fn numbered(number: u8) -> Engine {
+    let id = format!("engine-{number}");
+    engines().into_iter().find(|it| *it.id == *id).expect("the number is in use")
+}
+
+#[test]
+fn resumed_where_it_ran() {
+    let mut world = World::new();
+    let (_, first) = abandoned(&mut world);
+    let (_, again) = world.sent(resuming());
+    assert_eq!(again.task, Task::Generate(Prompt::Kept));
+    assert_eq!(again.engine.id, first.engine.id);
+    assert_eq!(again.last_event, Some(4));
+}
+
+#[test]
+fn learned_from_another_node() {
+    for number in [21, 22] {
+        let mut world = World::new();
+        world.event(told(1, numbered(number).key));
+        let (_, again) = world.sent(resuming());
+        assert_eq!(again.task, Task::Generate(Prompt::Kept));
+        assert_eq!(again.engine.id, numbered(number).id);
+    }
+}
+
+#[test]
+fn told_to_other_nodes() {
+    let mut world = World::new();
+    world.event(Event::Heard(heartbeat(2, 1, Knowledge::default())));
+    let (_, reading) = world.sent(named("resumed"));
+    let generating = only_send(&world.call(reading.call, CallEvent::Answered(read("h"))));
+    let began = Event::Call(generating.call, CallEvent::Began(ran(200)));
+    let effects = world.gateway.step(world.now, began);
+    let kept = Kept { prompt: PromptKey(7), engine: generating.engine.key };
+    let is_told = |it: &Effect| matches!(it, Effect::Tell(_, message) if message.kept == [kept]);
+    assert!(effects.iter().any(is_told), "{effects:?}");
+}
+
+#[test]
+fn full_keeper_hands_it_over() {
+    let mut world = World::new();
+    world.event(told(1, numbered(21).key));
+    let (_, again) = world.sent(resuming());
+    let effects = world.call(again.call, CallEvent::Answered(turned_away()));
+    let other = only_send(&effects);
+    assert_eq!(other.task, Task::Generate(Prompt::KeptAt(numbered(21).address)));
+    assert_eq!(other.engine.id, numbered(22).id);
+}
+
+#[test]
+fn leaving_keeper_hands_it_over() {
+    let mut world = World::new();
+    let mut all = engines();
+    for engine in &mut all {
+        engine.is_draining = engine.key == numbered(21).key;
+    }
+    world.event(Event::Listed(all, 20));
+    world.event(told(1, numbered(21).key));
+    let (_, again) = world.sent(resuming());
+    assert_eq!(again.task, Task::Generate(Prompt::KeptAt(numbered(21).address)));
+}
+
+/// The engine that generated has crashed; the one that read still has the prompt.
+#[test]
+fn broken_stream_takes_it_from_the_reader() {
+    let mut world = World::new();
+    let (_, reading) = world.sent(named("resumed"));
+    let generating = only_send(&world.call(reading.call, CallEvent::Answered(read("h"))));
+    world.call(generating.call, CallEvent::Began(ran(200)));
+    let second = only_send(&world.call(generating.call, CallEvent::Broken));
+    assert_eq!(second.task, Task::Generate(Prompt::KeptAt(reading.engine.address)));
+    assert_ne!(second.engine.id, generating.engine.id);
+}
+
+#[test]
+fn unreachable_keeper_is_passed_over() {
+    let mut world = World::new();
+    world.event(told(1, numbered(21).key));
+    let (_, again) = world.sent(resuming());
+    let effects = world.call(again.call, CallEvent::Unsent);
+    assert_eq!(only_send(&effects).task, Task::Read);
+}
+
+#[test]
+fn old_word_is_forgotten() {
+    let mut world = World::new();
+    world.event(told(1, numbered(21).key));
+    world.pass(Duration::from_secs(13));
+    world.event(Event::Heard(Message {
+        kept: vec![Kept { prompt: PromptKey(8), engine: numbered(21).key }],
+        ..heartbeat(2, 2, Knowledge::default())
+    }));
+    let (_, again) = world.sent(resuming());
+    assert_eq!(again.task, Task::Read);
+}
+
+/// Many clients may come back at once; an engine without room for them takes no more.
+#[test]
+fn keeper_without_room() {
+    let mut world = World::new();
+    world.event(told(1, numbered(21).key));
+    let large = Request { prompt_tokens: Some(MEMORY * 9 / 10), ..resuming() };
+    let (_, first) = world.sent(large.clone());
+    let (_, second) = world.sent(large);
+    assert_eq!(first.task, Task::Generate(Prompt::Kept));
+    assert_eq!(second.task, Task::Generate(Prompt::KeptAt(numbered(21).address)));
+    assert_eq!(world.gateway.flight_count(), 2);
+    world.event(Event::ClientLeft(FlightKey(0)));
+}
--- a/tests/tests/gateway_streams.rs
+++ b/tests/tests/gateway_streams.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hollyspoke_gateway::effect::{Effect, NotRunReason, Refusal, Task};
+use hollyspoke_gateway::effect::{Effect, NotRunReason, Prompt, Refusal, Task};
 use hollyspoke_gateway::engine::Stage;
 use hollyspoke_gateway::event::{CallEvent, Event};
 use hollyspoke_gateway::request::Request;
@@ -19,7 +19,7 @@
 fn read_then_generated() {
     let mut world = World::new();
     let (flight, generating) = world.streaming(request("once"));
-    let Task::Generate(Some(source)) = &generating.task else { panic!("{generating:?}") };
+    let Task::Generate(Prompt::Read(source)) = &generating.task else { panic!("{generating:?}") };
     assert_eq!(source.handle, "h");
     assert_eq!(generating.engine.stage, Some(Stage::Decode));
     assert_eq!(world.call(generating.call, CallEvent::Passed(Some(1))), []);
@@ -100,7 +100,7 @@
         let mut world = World::new();
         let (_, reading) = world.sent(request("once"));
         let effects = world.call(reading.call, event);
-        assert_eq!(only_send(&effects).task, Task::Generate(None));
+        assert_eq!(only_send(&effects).task, Task::Generate(Prompt::Unread));
     }
 }
 
@@ -181,7 +181,7 @@
     let decoders = vec![engine(21, MODEL, Some(Stage::Decode))];
     world.event(Event::Listed(decoders, 20));
     let (_, send) = world.sent(request("once"));
-    assert_eq!(send.task, Task::Generate(None));
+    assert_eq!(send.task, Task::Generate(Prompt::Unread));
 }
 
 #[test]
@@ -190,7 +190,7 @@
     let mut alone = 0;
     for _ in 0..12 {
         let (_, send) = world.sent(request("once"));
-        alone += u32::from(send.task == Task::Generate(None));
+        alone += u32::from(send.task == Task::Generate(Prompt::Unread));
     }
     assert!(alone > 0, "some prompts are read by the engines that generate");
 }
