Have nodes tell each other which engines they did not reach

Cause: each node found out for itself which engines were dead.

Ruled out: a shorter time for connections to open; it would take lost packets for dead engines, and changes nothing about the number of tries.

Change: a node tells the others which engines it has not reached. An engine that two others did not reach within 1.5 s gets nothing, unless no other engine of its kind is left; one node alone may be cut off itself.

--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::engine::EngineKey;
 use crate::event::Event;
 use crate::flight::{Call, Flight};
+use crate::gateway::peers::Untold;
 use crate::gateway::store::StoreState;
 use crate::load::Ledger;
 use crate::member::Members;
@@ -100,6 +101,8 @@
     next_sequence: u64,
     /// What this node has from the store itself.
     store: StoreState,
+    /// What is to be told to the other nodes with this event.
+    untold: Untold,
     /// When the next heartbeat is due.
     next_heartbeat: Time,
     /// When the process was told to stop.
@@ -133,6 +136,7 @@
             next_call: 0,
             next_sequence: 0,
             store: StoreState::default(),
+            untold: Untold::default(),
             next_heartbeat: Time::ZERO,
             stopped: None,
             random,
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -107,7 +107,7 @@
         let now = self.now;
         if answer.execution == Execution::Moved {
             self.directory.replace(call.engine.key);
-            self.tell_replaced(call.engine.key);
+            self.untold.replaced.push(call.engine.key);
         } else if let Some(known) = self.directory.get_mut(call.engine.key) {
             known.turn_away(now);
         }
@@ -289,6 +289,7 @@
         let now = self.now;
         let Some(known) = self.directory.get_mut(call.engine.key) else { return };
         let span = known.health.miss(now);
+        self.untold.missed.push(call.engine.key);
         self.note(Note::Avoided { id: call.engine.id.clone(), span });
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -20,6 +20,22 @@
 /// What each node adds to the longest such time.
 const LEAVE_A_NODE: Duration = Duration::from_micros(500);
 
+/// What a node has found out about engines and not told yet.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Untold {
+    /// Engines whose address another incarnation has.
+    pub(super) replaced: Vec<EngineKey>,
+    /// Engines that were not reached, or fell silent.
+    pub(super) missed: Vec<EngineKey>,
+}
+
+impl Untold {
+    /// Tells whether there is nothing to tell.
+    fn is_empty(&self) -> bool {
+        self.replaced.is_empty() && self.missed.is_empty()
+    }
+}
+
 /// Gives the name of a service that nodes use among themselves.
 pub(super) fn service_hash(name: &str) -> u64 {
     xxh3_64(name.as_bytes())
@@ -49,6 +65,11 @@
         for &engine in &message.replaced {
             self.directory.replace(engine);
         }
+        for &engine in &message.missed {
+            if let Some(known) = self.directory.get_mut(engine) {
+                known.health.suspect(message.sender, self.now);
+            }
+        }
         for &kept in &message.kept {
             self.prompts.note(kept, self.now);
         }
@@ -89,16 +110,20 @@
         self.next_heartbeat = self.now;
     }
 
-    /// Tells the living nodes what work has changed, and which engines keep new prompts.
+    /// Tells the living nodes what work has changed, which engines keep new prompts, and which
+    /// were replaced or not reached.
     pub(super) fn tell_changes(&mut self) {
         let changed = self.ledger.take_changed();
         let kept = self.prompts.take_untold();
-        if changed.is_empty() && kept.is_empty() {
+        let untold = std::mem::take(&mut self.untold);
+        if changed.is_empty() && kept.is_empty() && untold.is_empty() {
             return;
         }
         let mut message = self.message(false);
         message.loads = changed;
         message.kept = kept;
+        message.replaced = untold.replaced;
+        message.missed = untold.missed;
         let audience = self.members.alive();
         self.tell(audience, message);
     }
@@ -111,14 +136,6 @@
         self.tell(audience, message);
     }
 
-    /// Tells the others that another incarnation has an engine's address.
-    pub(super) fn tell_replaced(&mut self, engine: EngineKey) {
-        let mut message = self.message(false);
-        message.replaced = vec![engine];
-        let audience = self.members.alive();
-        self.tell(audience, message);
-    }
-
     /// Gives what this node has spent of each service's budget.
     fn spending(&mut self) -> Vec<(u64, Spending)> {
         let (now, bound) = (self.now, self.settings.bound);
@@ -150,6 +167,7 @@
             knowledge: self.knowledge(),
             spending,
             replaced: Vec::new(),
+            missed: Vec::new(),
             news: None,
             kept: Vec::new(),
             peers,
--- a/crates/hollyspoke-gateway/src/health.rs
+++ b/crates/hollyspoke-gateway/src/health.rs
@@ -1,5 +1,6 @@
 //! What an engine's answers tell about it: its rate of failure, and whether it is to be avoided.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hollyspoke::time::Time;
@@ -16,6 +17,12 @@
 /// The longest time an engine is avoided before it is tried again.
 const LONGEST_AVOIDANCE: Duration = Duration::from_secs(4);
 
+/// How long the word of other nodes counts that they did not reach an engine.
+const SUSPECTED_FOR: Duration = Duration::from_millis(1500);
+
+/// How many other nodes must say so: one alone may be cut off itself.
+const LEAST_SUSPECTING: usize = 2;
+
 /// The rate of failure above which an engine is avoided while others are better.
 const POOR_RATE: f64 = 0.35;
 
@@ -30,6 +37,8 @@
     unopened: u32,
     /// Until when it is avoided.
     avoided_until: Option<Time>,
+    /// The nodes that have not reached it of late, and when they said so.
+    suspecting: Vec<(SocketAddr, Time)>,
 }
 
 impl Health {
@@ -37,6 +46,7 @@
     pub fn succeed(&mut self, now: Time) {
         self.unopened = 0;
         self.avoided_until = None;
+        self.suspecting.clear();
         self.set(now, self.rate(now) * (1.0 - NEWEST));
     }
 
@@ -55,6 +65,19 @@
         span
     }
 
+    /// Notes that another node has not reached the engine.
+    pub fn suspect(&mut self, node: SocketAddr, now: Time) {
+        let is_other = |it: &(SocketAddr, Time)| it.0 != node;
+        self.suspecting.retain(|it| is_other(it) && now.since(it.1) < SUSPECTED_FOR);
+        self.suspecting.push((node, now));
+    }
+
+    /// Tells whether several other nodes have not reached the engine of late.
+    pub fn is_suspected(&self, now: Time) -> bool {
+        let fresh = self.suspecting.iter().filter(|it| now.since(it.1) < SUSPECTED_FOR);
+        fresh.count() >= LEAST_SUSPECTING
+    }
+
     /// Gives the rate of failure, from 0 to 1, which fades with time.
     pub fn rate(&self, now: Time) -> f64 {
         let halves = now.since(self.rated).as_secs_f64() / HALF_LIFE.as_secs_f64();
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -102,6 +102,8 @@
     pub spending: Vec<(u64, Spending)>,
     /// Engines whose address the sender has just found taken by another incarnation.
     pub replaced: Vec<EngineKey>,
+    /// Engines that the sender has just not reached, or that fell silent to it.
+    pub missed: Vec<EngineKey>,
     /// Changes that the sender has just read.
     pub news: Option<EngineNews>,
     /// Prompts that engines have begun to generate from for the sender.
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -149,15 +149,17 @@
 
     /// Gives the engines that may take the call and have room for it: those not tried and in good
     /// health, else those in poor health, else those tried before. Those that could not be reached
-    /// of late are left out: they seem to have room just because nothing runs there.
+    /// of late are left out: they seem to have room just because nothing runs there. Those that
+    /// other nodes could not reach are left out too, unless there are no more.
     fn candidates(&self, stage: Option<Stage>, has_room: impl Fn(&Known) -> bool) -> Vec<&Known> {
         let is_of_stage =
             |it: &&Known| stage.is_none() || it.engine.stage.is_none() || it.engine.stage == stage;
-        let open = self.directory.open(&self.service.name);
-        let all: Vec<_> = open
-            .filter(is_of_stage)
-            .filter(|it| !it.health.is_out(self.now) && has_room(it))
-            .collect();
+        let open = self.directory.open(&self.service.name).filter(is_of_stage);
+        let mut all: Vec<_> = open.filter(|it| !it.health.is_out(self.now)).collect();
+        if all.iter().any(|it| !it.health.is_suspected(self.now)) {
+            all.retain(|it| !it.health.is_suspected(self.now));
+        }
+        all.retain(|it| has_room(it));
         let is_new = |it: &&Known| !self.tried.contains(&it.engine.key);
         let new: Vec<_> = all.iter().copied().filter(is_new).collect();
         let is_good = |it: &&Known| !it.health.is_poor(self.now);
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -268,6 +268,7 @@
         knowledge,
         spending: Vec::new(),
         replaced: Vec::new(),
+        missed: Vec::new(),
         news: None,
         kept: Vec::new(),
         peers: Vec::new(),
