Keep engines for two seconds whose entries lapsed while the store was away

Two changes in one commit, since both touch how a list is taken.

Change: after an outage of 1.5 s or more an engine that is missing and was not about to leave stays until two seconds after the store's return, then it is taken as gone.

A list counts as known up to the store's revision, which rises with every change of anything, so that one node's new list made all others believe that they were behind. Change: a node tells the revision of the last change of an engine, apart from the one up to which it misses nothing; a follower that has to read the list again passes on what is new in it.

Ruled out for 1: trusting the peers' lists; they lapse at the same time.

Conclusion: both kept.

--- a/crates/hollyspoke-gateway/src/directory.rs
+++ b/crates/hollyspoke-gateway/src/directory.rs
@@ -1,12 +1,12 @@
 //! The engines that the platform lists, and what their answers have told.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use hollyspoke::time::Time;
 
-use crate::engine::{Engine, EngineKey, Stage};
+use crate::engine::{Engine, EngineChange, EngineKey, Stage};
 use crate::event::ToldLoad;
 use crate::health::Health;
 
@@ -34,6 +34,8 @@
     is_replaced: bool,
     /// When it last turned a request away.
     turned_away: Option<Time>,
+    /// Set if its entry was missing after the store had been away: until when it may come back.
+    missing_until: Option<Time>,
 }
 
 /// How long an engine that turned a request away is taken to have no room.
@@ -50,6 +52,12 @@
         self.turned_away.is_some_and(|it| now.since(it) < FULL_FOR)
     }
 
+    /// Notes that the engine's entry is missing, and until when it may come back.
+    fn miss_until(self, until: Time) -> Known {
+        let until = self.missing_until.map_or(until, |it| it.min(until));
+        Known { missing_until: Some(until), ..self }
+    }
+
     /// Tells whether the engine takes new requests.
     pub fn is_open(&self) -> bool {
         !self.engine.is_draining && !self.is_replaced
@@ -65,47 +73,104 @@
     by_service: HashMap<Arc<str>, Vec<EngineKey>>,
     /// The rate of reading measured over a service's engines, by stage.
     rates: HashMap<(Arc<str>, bool), f64>,
-    /// The highest revision seen.
-    revision: u64,
+    /// The revision of the newest change that was seen. None if all that is known comes from the
+    /// first list, which does not tell when the last change was.
+    changed: Option<u64>,
+    /// The revision up to which nothing is missing.
+    complete: u64,
 }
 
 impl Directory {
-    /// Takes a whole list; tells whether it was newer than what is known.
-    pub fn list(&mut self, engines: Vec<Engine>, revision: u64) -> bool {
-        if revision < self.revision {
-            return false;
+    /// Takes a whole list and gives what it changes; none if it was older than what is known.
+    /// Engines that are missing in it stay until `missing_until`, if that is given.
+    pub fn list(
+        &mut self,
+        engines: Vec<Engine>,
+        revision: u64,
+        missing_until: Option<Time>,
+    ) -> Option<Vec<EngineChange>> {
+        if revision < self.complete {
+            return None;
         }
-        self.revision = revision;
+        let changes = self.difference(&engines, revision);
+        let is_first = self.complete == 0;
+        if !is_first && !changes.is_empty() {
+            self.changed = Some(revision);
+        }
+        self.complete = revision;
         let mut old = std::mem::take(&mut self.engines);
         for engine in engines {
             let known = old.remove(&engine.key);
             self.engines.insert(engine.key, renew(known, engine));
         }
+        if let Some(until) = missing_until {
+            let missing = old.into_iter().filter(|(_, it)| !it.engine.is_draining);
+            self.engines.extend(missing.map(|(key, it)| (key, it.miss_until(until))));
+        }
         self.index();
+        Some(changes)
+    }
+
+    /// Gives the changes that lead from what is known to a list.
+    fn difference(&self, engines: &[Engine], revision: u64) -> Vec<EngineChange> {
+        let listed: HashSet<EngineKey> = engines.iter().map(|it| it.key).collect();
+        let is_new = |it: &&Engine| self.engines.get(&it.key).is_none_or(|old| *old.engine != **it);
+        let put = engines.iter().filter(is_new).map(|it| EngineChange::Put(it.clone(), revision));
+        let gone = self.engines.values().filter(|it| !listed.contains(&it.engine.key));
+        let left = gone.map(|it| EngineChange::Left(it.engine.id.clone(), revision));
+        put.chain(left).collect()
+    }
+
+    /// Notes a change; tells whether it was newer than what is known.
+    fn advance(&mut self, revision: u64) -> bool {
+        if revision < self.complete {
+            return false;
+        }
+        self.changed = Some(revision);
+        self.complete = revision;
         true
     }
 
     /// Takes one engine's change; tells whether it was newer than what is known.
     pub fn change(&mut self, engine: Engine, revision: u64) -> bool {
-        if revision < self.revision {
+        if !self.advance(revision) {
             return false;
         }
-        self.revision = revision;
         let known = self.engines.remove(&engine.key);
         self.engines.insert(engine.key, renew(known, engine));
         self.index();
         true
     }
 
-    /// Removes an engine; tells whether it was there.
-    pub fn leave(&mut self, id: &str, revision: u64) -> bool {
-        if revision < self.revision {
+    /// Removes an engine; tells whether it was there. One that was not about to leave stays until
+    /// `missing_until`, if that is given.
+    pub fn leave(&mut self, id: &str, revision: u64, missing_until: Option<Time>) -> bool {
+        if !self.advance(revision) {
             return false;
         }
-        self.revision = revision;
-        let found = self.engines.remove(&EngineKey::of(id)).is_some();
+        let Some(known) = self.engines.remove(&EngineKey::of(id)) else { return false };
+        if let Some(until) = missing_until.filter(|_| !known.engine.is_draining) {
+            self.engines.insert(known.engine.key, known.miss_until(until));
+        }
         self.index();
-        found
+        true
+    }
+
+    /// Removes the engines that were missing for long enough to be gone, and gives them.
+    pub fn remove_missing(&mut self, now: Time) -> Vec<Arc<Engine>> {
+        let is_gone = |it: &Known| it.missing_until.is_some_and(|until| until <= now);
+        let gone: Vec<_> =
+            self.engines.values().filter(|it| is_gone(it)).map(|it| it.engine.clone()).collect();
+        if !gone.is_empty() {
+            self.engines.retain(|_, it| !is_gone(it));
+            self.index();
+        }
+        gone
+    }
+
+    /// Gives when the next missing engine is to be taken as gone.
+    pub fn next_removal(&self) -> Option<Time> {
+        self.engines.values().filter_map(|it| it.missing_until).min()
     }
 
     /// Notes that another incarnation answered at an engine's address.
@@ -131,6 +196,11 @@
         keys.iter().filter_map(|it| self.engines.get(it)).filter(|it| it.is_open())
     }
 
+    /// Goes over all engines, those that leave too.
+    pub fn all(&self) -> impl Iterator<Item = &Known> {
+        self.engines.values()
+    }
+
     /// Gives the number of engines.
     pub fn len(&self) -> usize {
         self.engines.len()
@@ -141,9 +211,21 @@
         self.engines.is_empty()
     }
 
-    /// Gives the highest revision seen.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Gives the revision of the newest change that was seen, 0 if none was. Nodes that know a
+    /// lower one may be behind.
+    pub fn changed(&self) -> u64 {
+        self.changed.unwrap_or(0)
+    }
+
+    /// Gives the revision up to which nothing is missing.
+    pub fn complete(&self) -> u64 {
+        self.complete
+    }
+
+    /// Gives the revision that another node must know for the next change to follow on what it
+    /// knows.
+    pub fn next_since(&self) -> u64 {
+        self.changed.unwrap_or(self.complete)
     }
 
     /// Notes how long an engine took for the tokens before and of one prompt.
@@ -188,7 +270,7 @@
 fn renew(known: Option<Known>, engine: Engine) -> Known {
     let engine = Arc::new(engine);
     match known {
-        Some(known) => Known { engine, ..known },
+        Some(known) => Known { engine, missing_until: None, ..known },
         None => Known {
             engine,
             health: Health::default(),
@@ -196,6 +278,7 @@
             rate: None,
             is_replaced: false,
             turned_away: None,
+            missing_until: None,
         },
     }
 }
--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -78,6 +78,8 @@
     Changed(Vec<EngineChange>),
     /// The store answered about a kind of object.
     StoreAnswered(Kind),
+    /// The store did not answer, or refused, about a kind of object.
+    StoreFailed(Kind),
     /// A request came whole.
     Arrived(FlightKey, Request),
     /// The client of a request closed its connection.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -152,6 +152,7 @@
             Event::Listed(engines, revision) => self.list(engines, revision),
             Event::Changed(changes) => self.change(changes),
             Event::StoreAnswered(kind) => self.store_answered(kind),
+            Event::StoreFailed(kind) => self.store_failed(kind),
             Event::Arrived(flight, request) => self.arrive(flight, request),
             Event::ClientLeft(flight) => self.client_left(flight),
             Event::Call(call, event) => self.called(call, event),
@@ -160,6 +161,7 @@
             Event::Stop => self.stop(),
             Event::Tick => {}
         }
+        self.remove_missing();
         self.admit_waiting();
         self.expire();
         self.beat();
@@ -170,7 +172,10 @@
     /// Gives the time at which the gateway needs a tick at the latest.
     pub fn next_due(&self) -> Time {
         let first = self.due.first().map(|&(it, _)| it);
-        first.map_or(self.next_heartbeat, |it| it.min(self.next_heartbeat))
+        [first, self.directory.next_removal()]
+            .into_iter()
+            .flatten()
+            .fold(self.next_heartbeat, Time::min)
     }
 
     /// Tells whether clients are to use this node.
--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -28,6 +28,12 @@
 /// How long an answer of the store counts.
 const ANSWER_LIFE: Duration = Duration::from_millis(2500);
 
+/// The least time without an answer after which entries may have lapsed that are not renewed.
+const LEAST_OUTAGE: Duration = Duration::from_millis(1500);
+
+/// How long after the store's return the engines that live are back in it.
+const BACK_WITHIN: Duration = Duration::from_secs(2);
+
 /// The most changes that are passed on in one datagram; beyond, the others read for themselves.
 const MOST_PASSED_ON: usize = 16;
 
@@ -40,6 +46,10 @@
     configuration_answered: Option<Time>,
     /// When the store last answered about engines.
     engines_answered: Option<Time>,
+    /// Since when the store has not answered about engines.
+    engines_away: Option<Time>,
+    /// When the store last answered about engines again after an outage.
+    engines_back: Option<Time>,
     /// The newest version for which the configuration was read as soon as it was heard of.
     asked_for: u64,
     /// Whether the configuration was behind others' at the last heartbeat.
@@ -54,6 +64,8 @@
             follows: true,
             configuration_answered: None,
             engines_answered: None,
+            engines_away: None,
+            engines_back: None,
             asked_for: 0,
             configuration_behind: false,
             engines_behind: false,
@@ -75,8 +87,13 @@
 
     /// Takes a whole list of engines.
     pub(super) fn list(&mut self, engines: Vec<Engine>, revision: u64) {
-        if self.directory.list(engines, revision) {
+        let since = self.directory.next_since();
+        let missing_until = self.missing_until();
+        if let Some(changes) = self.directory.list(engines, revision, missing_until) {
             self.note(Note::Listed { engines: self.directory.len(), revision });
+            if self.is_listed && self.store.follows {
+                self.pass_on(since, changes);
+            }
         }
         if !self.is_listed {
             self.is_listed = true;
@@ -86,20 +103,23 @@
 
     /// Takes changes that this node read from the store, and passes them on.
     pub(super) fn change(&mut self, changes: Vec<EngineChange>) {
-        let since = self.directory.revision();
-        let newer: Vec<_> = changes.into_iter().filter(|it| it.revision() > since).collect();
-        if newer.is_empty() {
-            return;
-        }
+        let since = self.directory.next_since();
+        let own = self.directory.complete();
+        let newer: Vec<_> = changes.into_iter().filter(|it| it.revision() > own).collect();
         self.apply(&newer);
-        if newer.len() <= MOST_PASSED_ON {
-            self.tell_news(EngineNews { since, changes: newer });
+        self.pass_on(since, newer);
+    }
+
+    /// Passes changes on, if they are not too many: then the others read for themselves.
+    fn pass_on(&mut self, since: u64, changes: Vec<EngineChange>) {
+        if !changes.is_empty() && changes.len() <= MOST_PASSED_ON {
+            self.tell_news(EngineNews { since, changes });
         }
     }
 
     /// Takes changes that another node passed on, if none between is missing.
     pub(super) fn take_news(&mut self, news: &EngineNews) {
-        let own = self.directory.revision();
+        let own = self.directory.complete();
         if !self.is_listed || own < news.since {
             return;
         }
@@ -129,7 +149,8 @@
 
     /// Takes one engine's leaving.
     fn leave(&mut self, id: &Arc<str>, revision: u64) {
-        if self.directory.leave(id, revision) {
+        let missing_until = self.missing_until();
+        if self.directory.leave(id, revision, missing_until) && missing_until.is_none() {
             self.note(Note::EngineLeft { id: id.clone() });
         }
     }
@@ -138,7 +159,41 @@
     pub(super) fn store_answered(&mut self, kind: Kind) {
         match kind {
             Kind::Configuration => self.store.configuration_answered = Some(self.now),
-            Kind::Engines => self.store.engines_answered = Some(self.now),
+            Kind::Engines => self.engines_answered(),
+        }
+    }
+
+    /// Notes that the store answered about engines.
+    fn engines_answered(&mut self) {
+        self.store.engines_answered = Some(self.now);
+        let away = self.store.engines_away.take();
+        if away.is_some_and(|it| self.now.since(it) >= LEAST_OUTAGE) {
+            self.store.engines_back = Some(self.now);
+        }
+    }
+
+    /// Notes that the store did not answer.
+    pub(super) fn store_failed(&mut self, kind: Kind) {
+        if kind == Kind::Engines {
+            self.store.engines_away.get_or_insert(self.now);
+        }
+    }
+
+    /// Gives until when an engine stays whose entry is missing: entries lapse while the store is
+    /// away, and engines that live are back soon after its return. None if the store was there.
+    fn missing_until(&self) -> Option<Time> {
+        let is_away = |it: Time| self.now.since(it) >= LEAST_OUTAGE;
+        if self.store.engines_away.is_some_and(is_away) {
+            return Some(self.now + BACK_WITHIN);
+        }
+        let end = self.store.engines_back? + BACK_WITHIN;
+        (self.now < end).then_some(end)
+    }
+
+    /// Takes the engines as gone that did not come back after an outage of the store.
+    pub(super) fn remove_missing(&mut self) {
+        for engine in self.directory.remove_missing(self.now) {
+            self.note(Note::EngineLeft { id: engine.id.clone() });
         }
     }
 
@@ -149,7 +204,7 @@
             is_fresh(self.store.configuration_answered) && is_fresh(self.store.engines_answered);
         Knowledge {
             version: self.version().unwrap_or(0),
-            revision: self.directory.revision(),
+            revision: self.directory.changed(),
             sees_store: self.store.follows && answered,
         }
     }
@@ -169,7 +224,7 @@
             self.effects.push(Effect::Read(Kind::Configuration));
         }
         self.store.configuration_behind = behind;
-        let behind = self.directory.revision() < newest.revision;
+        let behind = self.directory.complete() < newest.revision;
         if behind && self.store.engines_behind {
             self.effects.push(Effect::Read(Kind::Engines));
         }
--- a/crates/hollyspoke-server/src/sync.rs
+++ b/crates/hollyspoke-server/src/sync.rs
@@ -340,6 +340,7 @@
             warn!(self.node.log, "store lost"; "kind" => kind, "why" => format!("{failure:?}"));
         }
         self.is_away = true;
+        self.node.dispatch(Event::StoreFailed(self.kind));
     }
 
     /// Logs that the store is back.
--- a/tests/tests/gateway_followers.rs
+++ b/tests/tests/gateway_followers.rs
@@ -6,7 +6,7 @@
 use hollyspoke_gateway::engine::EngineChange;
 use hollyspoke_gateway::event::{Event, Kind};
 use hollyspoke_gateway::message::{EngineNews, Knowledge, Message};
-use hollyspoke_tests::gateway::{PLAIN, World, engine, heartbeat, request};
+use hollyspoke_tests::gateway::{PLAIN, World, engine, engines, heartbeat, request};
 
 /// What a node knows that follows the store and is not behind [`World::new`].
 const SEEING: Knowledge = Knowledge { version: 1, revision: 10, sees_store: true };
@@ -134,3 +134,44 @@
     });
     assert!(passed, "{effects:?}");
 }
+
+/// Gives the changes of engines that were passed on.
+fn passed_on(effects: &[Effect]) -> Vec<EngineNews> {
+    let news = effects.iter().filter_map(|it| match it {
+        Effect::Tell(_, message) => message.news.clone(),
+        _ => None,
+    });
+    news.collect()
+}
+
+/// A follower that had to read the list again tells the others what is new in it, so that they
+/// need not all read it too.
+#[test]
+fn new_in_a_list_is_passed_on() {
+    let mut world = World::new();
+    world.event(Event::Heard(heartbeat(2, 1, SEEING)));
+    let mut listed = engines();
+    let gone = listed.remove(0);
+    let now = world.now;
+    let effects = world.gateway.step(now, Event::Listed(listed, 30));
+    let changes = vec![EngineChange::Left(gone.id, 30)];
+    assert_eq!(passed_on(&effects), [EngineNews { since: 10, changes }]);
+}
+
+/// The store's revision rises with every change of anything. A list in which nothing is new must
+/// not make the others read it.
+#[test]
+fn nothing_new_in_a_list() {
+    let mut world = World::new();
+    world.event(Event::Heard(heartbeat(2, 1, SEEING)));
+    let now = world.now;
+    let mut effects = world.gateway.step(now, Event::Listed(engines(), 30));
+    world.now = now + Duration::from_millis(400);
+    effects.extend(world.gateway.step(world.now, Event::Tick));
+    assert_eq!(passed_on(&effects), []);
+    let told = effects.iter().filter_map(|it| match it {
+        Effect::Tell(_, message) => Some(message.knowledge.revision),
+        _ => None,
+    });
+    assert_eq!(told.max(), Some(0), "no change of an engine is known");
+}
