Ask engines what they keep when a node starts, and have resumed streams wait for it

Cause: after all nodes are lost at once nobody knows which engine keeps which prompt, and every stream that a client comes back with is read anew.

Ruled out: choosing engines by a hash of the prompt, which needs no message. The reader and its zone are chosen by their queues, and a client comes back to a node of another zone; the hash would have to go before both.

Change: 100 ms after a node can serve it asks its part of the engines that generate (by rendezvous over the nodes heard) which parts of prompts they keep, once in its life, and tells the others. A request that goes on behind an event and whose prompt nobody knows waits for that until 350 ms after the node could first serve; it is late already. Such a request counts as one that came back. The log names the engine that a prompt is taken from.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -31,6 +31,17 @@
     Generate(Prompt),
 }
 
+impl Task {
+    /// Gives the engine that the prompt is taken from, if it is another one.
+    pub fn source(&self) -> Option<SocketAddr> {
+        match self {
+            Task::Generate(Prompt::Read(source)) => Some(source.address),
+            Task::Generate(Prompt::KeptAt(address)) => Some(*address),
+            _ => None,
+        }
+    }
+}
+
 /// How an engine that generates comes by the prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Prompt {
@@ -151,6 +162,8 @@
         engine: Arc<str>,
         /// What it is asked to do.
         task: &'static str,
+        /// The engine that the prompt is taken from.
+        source: Option<SocketAddr>,
         /// How soon the first event is expected.
         expected: Duration,
         /// The tokens of the prompt.
@@ -216,6 +229,8 @@
     Finish(FlightKey),
     /// Frees a prompt that was read.
     Free(Source),
+    /// Asks an engine which parts of prompts it keeps.
+    Survey(Arc<Engine>),
     /// Follows the store's changes from now on, or no more.
     Follow(bool),
     /// Reads a kind of object from the store, whole and once.
--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::engine::{Engine, EngineChange};
+use crate::engine::{Engine, EngineChange, EngineKey};
 use crate::message::Message;
+use crate::prompt::PromptKey;
 use crate::request::{CallKey, FlightKey, Request};
 use crate::route::Configuration;
 
@@ -90,6 +91,8 @@
     Heard(Message),
     /// The nodes to greet, from the settings.
     Seeds(Vec<SocketAddr>),
+    /// An engine told which parts of prompts it keeps.
+    Surveyed(EngineKey, Vec<PromptKey>),
     /// The process was told to stop.
     Stop,
     /// Time passed.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 mod room;
 mod start;
 mod store;
+mod survey;
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -25,6 +26,7 @@
 use crate::flight::{Call, Flight};
 use crate::gateway::peers::Untold;
 use crate::gateway::store::StoreState;
+use crate::gateway::survey::Survey;
 use crate::load::Ledger;
 use crate::member::Members;
 use crate::message::{Load, Standing};
@@ -101,6 +103,8 @@
     next_sequence: u64,
     /// What this node has from the store itself.
     store: StoreState,
+    /// How far this node is with asking engines which prompts they keep.
+    survey: Survey,
     /// What is to be told to the other nodes with this event.
     untold: Untold,
     /// When the next heartbeat is due.
@@ -136,6 +140,7 @@
             next_call: 0,
             next_sequence: 0,
             store: StoreState::default(),
+            survey: Survey::default(),
             untold: Untold::default(),
             next_heartbeat: Time::ZERO,
             stopped: None,
@@ -158,10 +163,12 @@
             Event::Call(call, event) => self.called(call, event),
             Event::Heard(message) => self.hear(&message),
             Event::Seeds(seeds) => self.members.introduce(self.settings.peer, seeds),
+            Event::Surveyed(engine, prompts) => self.surveyed(engine, prompts),
             Event::Stop => self.stop(),
             Event::Tick => {}
         }
         self.remove_missing();
+        self.survey();
         self.admit_waiting();
         self.expire();
         self.beat();
@@ -172,10 +179,8 @@
     /// Gives the time at which the gateway needs a tick at the latest.
     pub fn next_due(&self) -> Time {
         let first = self.due.first().map(|&(it, _)| it);
-        [first, self.directory.next_removal()]
-            .into_iter()
-            .flatten()
-            .fold(self.next_heartbeat, Time::min)
+        let times = [first, self.directory.next_removal(), self.survey.due()];
+        times.into_iter().flatten().fold(self.next_heartbeat, Time::min)
     }
 
     /// Tells whether clients are to use this node.
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -109,6 +109,9 @@
         if !flight.may_run_again() {
             return self.give_up(key, NotRunReason::TurnedAway);
         }
+        if let Some(until) = self.waits_for_survey(flight) {
+            return self.wait_for_survey(key, until);
+        }
         let draw = self.draw();
         let Some(next) = self.next_call(key, draw) else {
             return self.wait_for_room(key);
@@ -178,6 +181,7 @@
             request: flight.request.id.clone(),
             engine: choice.engine.id.clone(),
             task: task_name(&task),
+            source: task.source(),
             expected: choice.expected,
             tokens: flight.request.tokens_in(),
             held: flight.request.tokens_held(),
@@ -216,8 +220,12 @@
         is_allowed
     }
 
-    /// Tells whether a client has come back with a request: less time is left than others give.
+    /// Tells whether a client has come back with a request: it goes on behind an event, or less
+    /// time is left than others give.
     fn is_repeated(&mut self, route: &Arc<Route>, request: &Request) -> bool {
+        if request.last_event.is_some() {
+            return true;
+        }
         let Some(deadline) = request.deadline else { return false };
         let longest = self.deadlines.entry(route.name.clone()).or_insert(deadline);
         *longest = (*longest).max(deadline);
--- a/crates/hollyspoke-server/src/dialect.rs
+++ b/crates/hollyspoke-server/src/dialect.rs
@@ -9,6 +9,7 @@
 use hollyspoke_gateway::effect::{Send, Source};
 use hollyspoke_gateway::engine::Engine;
 use hollyspoke_gateway::event::Answer;
+use hollyspoke_gateway::prompt::PromptKey;
 use hollyspoke_gateway::request::Request;
 use hollyspoke_gateway::route::Configuration;
 use http::{request, response};
@@ -74,6 +75,10 @@
     pub read_handle: fn(&[u8]) -> Option<String>,
     /// Makes the request that frees a prompt.
     pub free: fn(&Source) -> request::Builder,
+    /// Makes the request that asks an engine which parts of prompts it keeps.
+    pub survey: fn(&Engine) -> request::Builder,
+    /// Reads the parts from the answer, the largest first.
+    pub read_survey: fn(&[u8]) -> Option<Vec<PromptKey>>,
     /// Makes the path that lists a kind, after a name; whether the answer may be stale.
     pub list: fn(Kind, Option<&str>, bool) -> String,
     /// Makes the path that waits for changes of a kind since a revision.
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -4,10 +4,12 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use hollyspoke::time::Time;
 use hollyspoke_gateway::effect::{Effect, Refusal, Send, Source};
+use hollyspoke_gateway::engine::Engine;
 use hollyspoke_gateway::event::Event;
 use hollyspoke_gateway::gateway::Gateway;
 use hollyspoke_gateway::request::{CallKey, FlightKey};
@@ -110,6 +112,8 @@
     pub call: fn(Rc<Node>, Send, ReceivedRequest) -> AbortHandle,
     /// Starts the freeing of a prompt.
     pub free: fn(Rc<Node>, Source),
+    /// Starts asking an engine which parts of prompts it keeps.
+    pub survey: fn(Rc<Node>, Arc<Engine>),
 }
 
 impl Node {
@@ -239,6 +243,7 @@
             Effect::Free(source) => {
                 (self.upstream.free)(self.clone(), source);
             }
+            Effect::Survey(engine) => (self.upstream.survey)(self.clone(), engine),
             Effect::Follow(follows) => {
                 self.follows.set(follows);
                 self.configuration_wanted.notify_one();
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -17,9 +17,10 @@
         Note::EngineLeft { id } => info!(log, "engine left"; "engine" => %id),
         Note::Avoided { id, span } => info!(log, "engine avoided";
             "engine" => %id, "span_ms" => millis(span)),
-        Note::Sent { request, engine, task, expected, tokens, held, before } => {
+        Note::Sent { request, engine, task, source, expected, tokens, held, before } => {
             info!(log, "call sent";
             "request" => %request, "engine" => %engine, "task" => task,
+            "source" => source.map(|it| it.to_string()),
             "expected_ms" => millis(expected), "tokens" => tokens, "held" => held, "before" => before)
         }
         Note::Failed { request, engine, how, status, told, known } => info!(log, "call failed";
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -2,11 +2,14 @@
 //! that an engine sends beyond it, or late, can then belong to no other request.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hollyspoke_gateway::effect::{Send, Source, Task};
+use hollyspoke_gateway::engine::Engine;
 use hollyspoke_gateway::event::{Answer, CallEvent, Event};
+use hollyspoke_gateway::prompt::PromptKey;
 use http::{StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -18,6 +21,9 @@
 /// How long a connection to an engine may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// How long an engine may take to tell which prompts it keeps.
+const SURVEY_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// How long the freeing of a prompt may take.
 const FREE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -33,6 +39,9 @@
     free: |node, source| {
         tokio::task::spawn_local(free(node, source));
     },
+    survey: |node, engine| {
+        tokio::task::spawn_local(survey(node, engine));
+    },
 };
 
 /// Makes a call and tells the reducer what becomes of it.
@@ -132,3 +141,23 @@
     let Ok(request) = (node.dialect.free)(&source).body(Full::default()) else { return };
     _ = tokio::time::timeout(FREE_TIMEOUT, connection.send(request)).await;
 }
+
+/// Asks an engine which parts of prompts it keeps, and tells the reducer.
+async fn survey(node: Rc<Node>, engine: Arc<Engine>) {
+    let asked = tokio::time::timeout(SURVEY_TIMEOUT, kept_prompts(&node, &engine)).await;
+    if let Ok(Some(prompts)) = asked {
+        node.dispatch(Event::Surveyed(engine.key, prompts));
+    }
+}
+
+/// Gives the parts of prompts that an engine keeps; none if it does not tell.
+async fn kept_prompts(node: &Node, engine: &Engine) -> Option<Vec<PromptKey>> {
+    let mut connection = Connection::open(engine.address, CONNECT_TIMEOUT).await.ok()?;
+    let request = (node.dialect.survey)(engine).body(Full::default()).ok()?;
+    let response = connection.send(request).await.ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let bytes = read_whole(response.into_body(), LONGEST_ANSWER).await?;
+    (node.dialect.read_survey)(&bytes)
+}
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -179,13 +179,15 @@
         World { gateway: Gateway::new(settings(1)), now: Time::from_millis(1000), next_flight: 0 }
     }
 
-    /// Gives the reducer an event; the effects leave out the log and the datagrams.
+    /// Gives the reducer an event; the effects leave out the log, and what a node does apart from
+    /// requests: datagrams, the store, and asking engines which prompts they keep.
     pub fn event(&mut self, event: Event) -> Vec<Effect> {
-        let effects = self.gateway.step(self.now, event);
+        let mut effects = self.gateway.step(self.now, event);
+        effects.retain(|it| {
+            let is_note = matches!(it, Effect::Note(_));
+            !is_note && !matches!(it, Effect::Tell(..) | Effect::Follow(_) | Effect::Survey(_))
+        });
         effects
-            .into_iter()
-            .filter(|it| !matches!(it, Effect::Note(_) | Effect::Tell(..) | Effect::Follow(_)))
-            .collect()
     }
 
     /// Has a request arrive.
--- /dev/null
+++ b/tests/tests/gateway_survey.rs
@@ -0,0 +1,98 @@
+//! A node that starts asks engines which prompts they keep.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyspoke_gateway::effect::{Effect, Prompt, Task};
+use hollyspoke_gateway::engine::{EngineKey, Stage};
+use hollyspoke_gateway::event::Event;
+use hollyspoke_gateway::message::Knowledge;
+use hollyspoke_gateway::prompt::PromptKey;
+use hollyspoke_gateway::request::Request;
+use hollyspoke_tests::gateway::{World, configuration, engines, heartbeat, only_send, request};
+
+/// Gives a request of a client that goes on behind an event.
+fn resuming() -> Request {
+    Request { prompt: Some(PromptKey(7)), last_event: Some(4), ..request("resumed") }
+}
+
+/// Lets time pass, and gives the engines that were asked meanwhile.
+fn asked_within(world: &mut World, span: Duration) -> Vec<EngineKey> {
+    let end = world.now + span;
+    let mut keys = Vec::new();
+    while world.now < end {
+        world.now = world.gateway.next_due().max(world.now + Duration::from_micros(1)).min(end);
+        let effects = world.gateway.step(world.now, Event::Tick);
+        keys.extend(effects.iter().filter_map(|it| match it {
+            Effect::Survey(engine) => Some(engine.key),
+            _ => None,
+        }));
+    }
+    keys.sort();
+    keys
+}
+
+/// Gives the engines that generate.
+fn generators() -> Vec<EngineKey> {
+    let all = engines().into_iter().filter(|it| it.stage == Some(Stage::Decode));
+    let mut keys: Vec<_> = all.map(|it| it.key).collect();
+    keys.sort();
+    keys
+}
+
+#[test]
+fn lone_node_asks_all_once() {
+    let mut world = World::new();
+    assert_eq!(asked_within(&mut world, Duration::from_millis(90)), []);
+    assert_eq!(asked_within(&mut world, Duration::from_millis(20)), generators());
+    assert_eq!(asked_within(&mut world, Duration::from_secs(5)), []);
+}
+
+/// Each engine is asked by one node.
+#[test]
+fn nodes_share_the_engines() {
+    let mut world = World::new();
+    for number in 2..=40 {
+        world.event(Event::Heard(heartbeat(number, 1, Knowledge::default())));
+    }
+    let asked = asked_within(&mut world, Duration::from_millis(200));
+    assert!(asked.len() < generators().len(), "39 others ask the rest");
+}
+
+#[test]
+fn node_that_knows_nothing_asks_nobody() {
+    let mut world = World::unconfigured();
+    world.event(Event::Configured(Arc::new(configuration(1))));
+    assert_eq!(asked_within(&mut world, Duration::from_secs(1)), []);
+}
+
+#[test]
+fn resuming_waits_for_the_answer() {
+    let mut world = World::new();
+    let (_, effects) = world.arrive(resuming());
+    assert_eq!(effects, []);
+    world.pass(Duration::from_millis(120));
+    let keeper = EngineKey::of("engine-22");
+    let effects = world.event(Event::Surveyed(keeper, vec![PromptKey(9), PromptKey(7)]));
+    let send = only_send(&effects);
+    assert_eq!(send.task, Task::Generate(Prompt::Kept));
+    assert_eq!(send.engine.key, keeper);
+}
+
+#[test]
+fn resuming_waits_no_longer() {
+    let mut world = World::new();
+    world.arrive(resuming());
+    let effects = world.pass(Duration::from_millis(360));
+    assert_eq!(only_send(&effects).task, Task::Read);
+}
+
+#[test]
+fn others_do_not_wait() {
+    let mut world = World::new();
+    let (_, send) = world.sent(request("resumed"));
+    assert_eq!(send.task, Task::Read);
+    world.pass(Duration::from_secs(1));
+    let (_, send) = world.sent(resuming());
+    assert_eq!(send.task, Task::Read);
+}
--- a/tests/tests/platform_heads.rs
+++ b/tests/tests/platform_heads.rs
@@ -6,7 +6,7 @@
 use hollyspoke_gateway::effect::{Prompt, Send, Task};
 use hollyspoke_gateway::prompt::PromptKey;
 use hollyspoke_gateway::request::{CallKey, FlightKey};
-use hollyspoke_platform::engine::call_head;
+use hollyspoke_platform::engine::{call_head, read_survey};
 use hollyspoke_platform::ingress::read_request;
 use hollyspoke_tests::gateway::{MODEL, engine};
 use http::{Request, request};
@@ -48,3 +48,11 @@
         assert!(!made.headers.contains_key("x-kv-source"));
     }
 }
+
+#[test]
+fn kept_list_is_read() {
+    let body = br#"{"epoch":"e","nextToken":9,"held":[["","5c1e",200,"m"],["","91bd",5000,"m"]]}"#;
+    let kept = read_survey(body).expect("a list");
+    assert_eq!(kept, [PromptKey::of("91bd"), PromptKey::of("5c1e")]);
+    assert_eq!(read_survey(b"{}"), None);
+}
