Have a request that came back wait no longer than a first one, and go before it

A request whose client had come back waited to its end, up to 14 s; the client gave up after 3.6 s of silence (101 tries ended by the deadline, 36 by the client's leaving), and the node had held it without ever offering it to an engine.

Change: it waits for 0.22 of the target like a first one and then gets its answer; while it waits it goes before requests that have a further try.

--- a/crates/hollyspoke-gateway/src/gateway/room.rs
+++ b/crates/hollyspoke-gateway/src/gateway/room.rs
@@ -41,7 +41,8 @@
     }
 
     /// Sends the waiting requests for which there is room now: those whose prompt was read first,
-    /// then those that can be in time, then those whose client has come back, each in the order of arrival.
+    /// then those that can be in time, of these first the ones whose client has come back and has no
+    /// further try, each in the order of arrival.
     pub(super) fn admit_waiting(&mut self) {
         if self.waiting.is_empty() {
             return;
@@ -51,7 +52,7 @@
         waiting.sort_by_key(|it| {
             let flight = &self.flights[it];
             let is_late = self.now.since(flight.arrived) > flight.route.target;
-            (flight.source.is_none(), is_late, *it)
+            (flight.source.is_none(), is_late, !flight.is_repeated, *it)
         });
         for &key in &waiting {
             self.proceed(key);
@@ -104,7 +105,7 @@
     if flight.source.is_some() {
         return flight.handle_end();
     }
-    if flight.is_repeated || flight.sends > 0 {
+    if flight.sends > 0 {
         return flight.ends;
     }
     flight.arrived + flight.route.target.mul_f64(WAIT_SHARE)
