Have one more node follow the store for each that is cut off from it

Cause: as soon as two of the three followers got no answers, all nodes followed.

Ruled out: fewer tries by each; it delays the store's return for all.

Change: a follower that gets no answers for 0.7 s of failing calls, or 2.5 s without any, says so, and the next node in the order that all share follows too; at most eight more. Those that get none go on trying.

Tests: gateway_followers.rs one_more_for_each_blind (all nine followed before), failing_follower_says_so. followers_lose_the_store holds as it was, with the new word for a node without answers.

--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -1,8 +1,7 @@
 //! What is known of the platform's store, and which nodes follow it.
 //!
 //! A few nodes follow the store and pass on what they see; the others read it once when they learn
-//! that they are behind. A node follows by itself whenever fewer than two of those chosen say that
-//! the store answers them.
+//! that they are behind. For each follower that gets no answers the next node follows too.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,12 +21,16 @@
 /// For how many nodes there is one more: where silence is noticed later, more may be lost at once.
 const NODES_A_FOLLOWER: usize = 100;
 
-/// How many of them must say that the store answers them.
-const LEAST_SEEING: usize = 2;
+/// How many more nodes may follow while others get no answers. If the store is away for all, a few
+/// are enough to notice its return.
+const MOST_BLIND: usize = 8;
 
-/// How long an answer of the store counts.
+/// The time without an answer after which a follower is blind: a watch may take almost this long.
 const ANSWER_LIFE: Duration = Duration::from_millis(2500);
 
+/// The time for which calls must fail for the same.
+const FAILING_FOR: Duration = Duration::from_millis(700);
+
 /// The least time without an answer after which entries may have lapsed that are not renewed.
 const LEAST_OUTAGE: Duration = Duration::from_millis(1500);
 
@@ -37,17 +40,35 @@
 /// The most changes that are passed on in one datagram; beyond, the others read for themselves.
 const MOST_PASSED_ON: usize = 16;
 
+/// How the store answers about one kind of object.
+#[derive(Debug, Clone, Copy, Default)]
+struct Contact {
+    /// When it last answered.
+    answered: Option<Time>,
+    /// Since when calls have failed.
+    away: Option<Time>,
+}
+
+impl Contact {
+    /// Tells whether a node that has followed the store since a time gets no answers.
+    fn is_lost(&self, now: Time, since: Time) -> bool {
+        let last = self.answered.map_or(since, |it| it.max(since));
+        let is_failing = self.away.is_some_and(|it| now.since(it.max(since)) >= FAILING_FOR);
+        is_failing || now.since(last) >= ANSWER_LIFE
+    }
+}
+
 /// What a node has from the store itself, and what it asked for.
 #[derive(Debug, Clone)]
 pub(super) struct StoreState {
     /// Whether this node follows the store.
     follows: bool,
-    /// When the store last answered about the configuration.
-    configuration_answered: Option<Time>,
-    /// When the store last answered about engines.
-    engines_answered: Option<Time>,
-    /// Since when the store has not answered about engines.
-    engines_away: Option<Time>,
+    /// Since when it does, or does not.
+    since: Time,
+    /// How the store answers about the configuration.
+    configuration: Contact,
+    /// How the store answers about engines.
+    engines: Contact,
     /// When the store last answered about engines again after an outage.
     engines_back: Option<Time>,
     /// The newest version for which the configuration was read as soon as it was heard of.
@@ -62,9 +83,9 @@
     fn default() -> StoreState {
         StoreState {
             follows: true,
-            configuration_answered: None,
-            engines_answered: None,
-            engines_away: None,
+            since: Time::ZERO,
+            configuration: Contact::default(),
+            engines: Contact::default(),
             engines_back: None,
             asked_for: 0,
             configuration_behind: false,
@@ -73,6 +94,22 @@
     }
 }
 
+impl StoreState {
+    /// Gives how the store answers about a kind.
+    fn contact(&mut self, kind: Kind) -> &mut Contact {
+        match kind {
+            Kind::Configuration => &mut self.configuration,
+            Kind::Engines => &mut self.engines,
+        }
+    }
+
+    /// Tells whether the node follows the store and gets no answers.
+    fn is_blind(&self, now: Time) -> bool {
+        let contacts = [self.configuration, self.engines];
+        self.follows && contacts.iter().any(|it| it.is_lost(now, self.since))
+    }
+}
+
 impl Gateway {
     /// Takes a version of the configuration; an older one than that in force is ignored.
     pub(super) fn configure(&mut self, configuration: Arc<Configuration>) {
@@ -157,33 +194,26 @@
 
     /// Notes that the store answered.
     pub(super) fn store_answered(&mut self, kind: Kind) {
-        match kind {
-            Kind::Configuration => self.store.configuration_answered = Some(self.now),
-            Kind::Engines => self.engines_answered(),
-        }
-    }
-
-    /// Notes that the store answered about engines.
-    fn engines_answered(&mut self) {
-        self.store.engines_answered = Some(self.now);
-        let away = self.store.engines_away.take();
-        if away.is_some_and(|it| self.now.since(it) >= LEAST_OUTAGE) {
-            self.store.engines_back = Some(self.now);
+        let now = self.now;
+        let contact = self.store.contact(kind);
+        contact.answered = Some(now);
+        let away = contact.away.take();
+        let was_away = away.is_some_and(|it| now.since(it) >= LEAST_OUTAGE);
+        if kind == Kind::Engines && was_away {
+            self.store.engines_back = Some(now);
         }
     }
 
     /// Notes that the store did not answer.
     pub(super) fn store_failed(&mut self, kind: Kind) {
-        if kind == Kind::Engines {
-            self.store.engines_away.get_or_insert(self.now);
-        }
+        self.store.contact(kind).away.get_or_insert(self.now);
     }
 
     /// Gives until when an engine stays whose entry is missing: entries lapse while the store is
     /// away, and engines that live are back soon after its return. None if the store was there.
     fn missing_until(&self) -> Option<Time> {
         let is_away = |it: Time| self.now.since(it) >= LEAST_OUTAGE;
-        if self.store.engines_away.is_some_and(is_away) {
+        if self.store.engines.away.is_some_and(is_away) {
             return Some(self.now + BACK_WITHIN);
         }
         let end = self.store.engines_back? + BACK_WITHIN;
@@ -199,13 +229,10 @@
 
     /// Tells what this node knows.
     pub(super) fn knowledge(&self) -> Knowledge {
-        let is_fresh = |at: Option<Time>| at.is_some_and(|it| self.now.since(it) < ANSWER_LIFE);
-        let answered =
-            is_fresh(self.store.configuration_answered) && is_fresh(self.store.engines_answered);
         Knowledge {
             version: self.version().unwrap_or(0),
             revision: self.directory.changed(),
-            sees_store: self.store.follows && answered,
+            is_blind: self.store.is_blind(self.now),
         }
     }
 
@@ -215,6 +242,7 @@
         let follows = self.should_follow();
         if follows != self.store.follows {
             self.store.follows = follows;
+            self.store.since = self.now;
             self.note(Note::Follows(follows));
             self.effects.push(Effect::Follow(follows));
         }
@@ -245,8 +273,6 @@
     /// Tells whether this node is to follow the store.
     fn should_follow(&self) -> bool {
         let count = FOLLOWERS + self.members.most() / NODES_A_FOLLOWER;
-        let chosen = self.members.chosen(self.settings.peer, count);
-        let is_chosen = chosen.contains(&self.settings.peer);
-        is_chosen || self.members.seeing(&chosen) < LEAST_SEEING
+        self.members.is_follower(self.settings.peer, count, count + MOST_BLIND)
     }
 }
--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -165,20 +165,17 @@
         chosen.into_iter().map(|it| it.front).collect()
     }
 
-    /// Chooses some of the living nodes, this one among them, the same on all nodes that know of
-    /// the same nodes.
-    pub fn chosen(&self, own: SocketAddr, count: usize) -> Vec<SocketAddr> {
-        let mut alive = self.alive();
-        alive.push(own);
-        rank::order(0, &mut alive, |it| xxh3_64(it.to_string().as_bytes()));
-        alive.truncate(count);
-        alive
-    }
-
-    /// Counts the nodes among some that say that the store answers them.
-    pub fn seeing(&self, nodes: &[SocketAddr]) -> usize {
-        let peers = nodes.iter().filter_map(|it| self.peers.get(it));
-        peers.filter(|it| !it.is_silent && it.knowledge.sees_store).count()
+    /// Tells whether this node is among those that follow the store: the first `count` of the living
+    /// nodes in an order that is the same on all nodes. Those that get no answers follow too and
+    /// are not counted; `most` bounds all together.
+    pub fn is_follower(&self, own: SocketAddr, count: usize, most: usize) -> bool {
+        let mut order = self.alive();
+        order.push(own);
+        rank::order(0, &mut order, |it| xxh3_64(it.to_string().as_bytes()));
+        let before: Vec<_> = order.iter().take(most).take_while(|it| **it != own).collect();
+        let is_blind = |it: &SocketAddr| self.peers.get(it).is_some_and(|it| it.knowledge.is_blind);
+        let answered = before.iter().filter(|it| !is_blind(it)).count();
+        before.len() < most && answered < count
     }
 
     /// Gives what all living nodes have spent of a service's budget; none if fewer than half of
@@ -201,7 +198,7 @@
         alive.fold(Knowledge::default(), |newest, peer| Knowledge {
             version: newest.version.max(peer.knowledge.version),
             revision: newest.revision.max(peer.knowledge.revision),
-            sees_store: newest.sees_store || peer.knowledge.sees_store,
+            is_blind: newest.is_blind && peer.knowledge.is_blind,
         })
     }
 
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -57,8 +57,8 @@
     pub version: u64,
     /// The revision of the newest change of an engine.
     pub revision: u64,
-    /// Whether the node follows the store and has had answers of late.
-    pub sees_store: bool,
+    /// Whether the node follows the store and gets no answers.
+    pub is_blind: bool,
 }
 
 /// Changes of engines that the sender has just read from the store.
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -174,9 +174,15 @@
         world
     }
 
+    /// Makes a node of a number that knows nothing.
+    pub fn numbered(number: u8) -> World {
+        let gateway = Gateway::new(settings(number));
+        World { gateway, now: Time::from_millis(1000), next_flight: 0 }
+    }
+
     /// Makes a node that knows nothing.
     pub fn unconfigured() -> World {
-        World { gateway: Gateway::new(settings(1)), now: Time::from_millis(1000), next_flight: 0 }
+        World::numbered(1)
     }
 
     /// Gives the reducer an event; the effects leave out the log, and what a node does apart from
--- a/tests/tests/gateway_followers.rs
+++ b/tests/tests/gateway_followers.rs
@@ -9,7 +9,7 @@
 use hollyspoke_tests::gateway::{PLAIN, World, engine, engines, heartbeat, request};
 
 /// What a node knows that follows the store and is not behind [`World::new`].
-const SEEING: Knowledge = Knowledge { version: 1, revision: 10, sees_store: true };
+const SEEING: Knowledge = Knowledge { version: 1, revision: 10, is_blind: false };
 
 /// Lets a second pass with heartbeats of nodes 2 to 9, and gives what the node did.
 fn second(world: &mut World, sequence: u64, knowledge: Knowledge) -> Vec<Effect> {
@@ -50,7 +50,7 @@
 #[test]
 fn followers_lose_the_store() {
     let mut world = spared();
-    let blind = Knowledge { sees_store: false, ..SEEING };
+    let blind = Knowledge { is_blind: true, ..SEEING };
     assert_eq!(follows(&second(&mut world, 2, blind)), Some(true));
     assert_eq!(follows(&second(&mut world, 3, SEEING)), Some(false));
 }
@@ -175,3 +175,65 @@
     });
     assert_eq!(told.max(), Some(0), "no change of an engine is known");
 }
+
+/// Gives which of nine nodes follow the store while some of them get no answers from it.
+fn followers(blind: &[u8]) -> Vec<u8> {
+    let does_follow = |own: &u8| {
+        let mut world = World::numbered(*own);
+        for number in (1..=9).filter(|it| it != own) {
+            let knowledge = Knowledge { is_blind: blind.contains(&number), ..SEEING };
+            world.event(Event::Heard(heartbeat(number, 1, knowledge)));
+        }
+        follows(&tick_for(&mut world, Duration::from_millis(400))) != Some(false)
+    };
+    (1..=9).filter(does_follow).collect()
+}
+
+/// For each follower that is cut off from the store one more node turns to it, not all.
+#[test]
+fn one_more_for_each_blind() {
+    let first = followers(&[]);
+    assert_eq!(first.len(), 3);
+    for blind in 1..=3 {
+        let more = followers(&first[..blind]);
+        assert_eq!(more.len(), 3 + blind);
+        assert!(first.iter().all(|it| more.contains(it)), "those that are blind go on trying");
+    }
+}
+
+/// Lets time pass without a word from others.
+fn tick_for(world: &mut World, span: Duration) -> Vec<Effect> {
+    let end = world.now + span;
+    let mut effects = Vec::new();
+    while world.now < end {
+        world.now = world.gateway.next_due().max(world.now + Duration::from_micros(1)).min(end);
+        effects.extend(world.gateway.step(world.now, Event::Tick));
+    }
+    effects
+}
+
+/// Gives whether the last heartbeat called the node blind.
+fn is_blind(effects: &[Effect]) -> Option<bool> {
+    effects.iter().rev().find_map(|it| match it {
+        Effect::Tell(_, message) if message.is_whole => Some(message.knowledge.is_blind),
+        _ => None,
+    })
+}
+
+/// A follower whose calls fail says so soon, and takes it back with the next answer.
+#[test]
+fn failing_follower_says_so() {
+    let mut world = World::new();
+    for kind in [Kind::Configuration, Kind::Engines] {
+        world.event(Event::StoreAnswered(kind));
+    }
+    world.event(Event::Heard(heartbeat(2, 1, SEEING)));
+    assert_eq!(is_blind(&tick_for(&mut world, Duration::from_millis(400))), Some(false));
+    world.event(Event::Heard(heartbeat(2, 2, SEEING)));
+    world.event(Event::StoreFailed(Kind::Configuration));
+    assert_eq!(is_blind(&tick_for(&mut world, Duration::from_millis(1200))), Some(true));
+    world.event(Event::StoreAnswered(Kind::Configuration));
+    world.event(Event::StoreAnswered(Kind::Engines));
+    world.event(Event::Heard(heartbeat(2, 3, SEEING)));
+    assert_eq!(is_blind(&tick_for(&mut world, Duration::from_millis(400))), Some(false));
+}
