Have nodes tell each other which engines turned a request away

Cause: after a loss of power of all nodes the engines go on with streams that no node knows of.

Ruled out: asking engines for their memory in use with the survey; what they report is 0.9 s old, and the streams nobody knows of end within a few seconds.

Change: a node tells the others which engine turned a request away and how much it would have held. For 200 ms the engine gets nothing of that size or larger from anyone; a smaller request may still fit, which was not considered before.

Tests: gateway_full.rs, full_for_another_node and smaller_one_may_fit fail without the change.

--- a/crates/hollyspoke-gateway/src/directory.rs
+++ b/crates/hollyspoke-gateway/src/directory.rs
@@ -32,8 +32,8 @@
     rate: Option<(f64, Time)>,
     /// Whether another incarnation answered at its address.
     is_replaced: bool,
-    /// When it last turned a request away.
-    turned_away: Option<Time>,
+    /// The request that it last turned away, and when.
+    turned_away: Option<(u32, Time)>,
     /// Set if its entry was missing after the store had been away: until when it may come back.
     missing_until: Option<Time>,
 }
@@ -42,14 +42,19 @@
 const FULL_FOR: Duration = Duration::from_millis(200);
 
 impl Known {
-    /// Notes that the engine turned a request away.
-    pub fn turn_away(&mut self, now: Time) {
-        self.turned_away = Some(now);
+    /// Notes that the engine turned a request away that would have held some tokens.
+    pub fn turn_away(&mut self, held: u32, now: Time) {
+        let smallest = match self.turned_away {
+            Some((known, at)) if now.since(at) < FULL_FOR => known.min(held),
+            _ => held,
+        };
+        self.turned_away = Some((smallest, now));
     }
 
-    /// Tells whether the engine has turned a request away of late.
-    pub fn is_full(&self, now: Time) -> bool {
-        self.turned_away.is_some_and(|it| now.since(it) < FULL_FOR)
+    /// Tells whether the engine has of late turned away a request that held as much, or less.
+    pub fn is_full(&self, held: u64, now: Time) -> bool {
+        self.turned_away
+            .is_some_and(|(smallest, at)| now.since(at) < FULL_FOR && held >= u64::from(smallest))
     }
 
     /// Notes that the engine's entry is missing, and until when it may come back.
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -6,7 +6,7 @@
 use crate::effect::{Effect, NotRunReason, Note, Prompt, Source, Task};
 use crate::event::{Answer, CallEvent, Execution};
 use crate::flight::Call;
-use crate::message::Load;
+use crate::message::{Full, Load};
 use crate::prompt::Kept;
 use crate::request::{CallKey, FlightKey};
 
@@ -109,7 +109,8 @@
             self.directory.replace(call.engine.key);
             self.untold.replaced.push(call.engine.key);
         } else if let Some(known) = self.directory.get_mut(call.engine.key) {
-            known.turn_away(now);
+            known.turn_away(call.load.held, now);
+            self.untold.full.push(Full { engine: call.engine.key, held: call.load.held });
         }
         let Some(flight) = self.flights.get_mut(&call.flight) else { return };
         flight.rejections += 1;
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -9,7 +9,7 @@
 use crate::effect::{Effect, Note};
 use crate::engine::EngineKey;
 use crate::member::Hearing;
-use crate::message::{EngineNews, Load, Message, Spending};
+use crate::message::{EngineNews, Full, Load, Message, Spending};
 
 /// The most nodes that one datagram names.
 const MOST_NAMED: usize = 8;
@@ -27,12 +27,14 @@
     pub(super) replaced: Vec<EngineKey>,
     /// Engines that were not reached, or fell silent.
     pub(super) missed: Vec<EngineKey>,
+    /// Engines that had no room.
+    pub(super) full: Vec<Full>,
 }
 
 impl Untold {
     /// Tells whether there is nothing to tell.
     fn is_empty(&self) -> bool {
-        self.replaced.is_empty() && self.missed.is_empty()
+        self.replaced.is_empty() && self.missed.is_empty() && self.full.is_empty()
     }
 }
 
@@ -70,6 +72,11 @@
                 known.health.suspect(message.sender, self.now);
             }
         }
+        for full in &message.full {
+            if let Some(known) = self.directory.get_mut(full.engine) {
+                known.turn_away(full.held, self.now);
+            }
+        }
         for &kept in &message.kept {
             self.prompts.note(kept, self.now);
         }
@@ -111,7 +118,7 @@
     }
 
     /// Tells the living nodes what work has changed, which engines keep new prompts, and which
-    /// were replaced or not reached.
+    /// were replaced, not reached or full.
     pub(super) fn tell_changes(&mut self) {
         let changed = self.ledger.take_changed();
         let kept = self.prompts.take_untold();
@@ -124,6 +131,7 @@
         message.kept = kept;
         message.replaced = untold.replaced;
         message.missed = untold.missed;
+        message.full = untold.full;
         let audience = self.members.alive();
         self.tell(audience, message);
     }
@@ -168,6 +176,7 @@
             spending,
             replaced: Vec::new(),
             missed: Vec::new(),
+            full: Vec::new(),
             news: None,
             kept: Vec::new(),
             peers,
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -79,6 +79,15 @@
     pub repeats: u32,
 }
 
+/// An engine that turned a request away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Full {
+    /// The engine.
+    pub engine: EngineKey,
+    /// The tokens that the request would have held in its memory.
+    pub held: u32,
+}
+
 /// One datagram. Loads are absolute, so that a lost datagram is mended by the next.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
@@ -104,6 +113,8 @@
     pub replaced: Vec<EngineKey>,
     /// Engines that the sender has just not reached, or that fell silent to it.
     pub missed: Vec<EngineKey>,
+    /// Engines that had no room for a request of the sender's.
+    pub full: Vec<Full>,
     /// Changes that the sender has just read.
     pub news: Option<EngineNews>,
     /// Prompts that engines have begun to generate from for the sender.
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -223,7 +223,7 @@
     /// Tells whether an engine has memory for more tokens. An empty engine always has, so that a
     /// request larger than all engines gets the engine's own answer.
     fn has_memory(&self, known: &Known, staged: &Staged, tokens: u64) -> bool {
-        if known.is_full(self.now) {
+        if known.is_full(tokens, self.now) {
             return false;
         }
         let engine = known.engine.key;
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -277,6 +277,7 @@
         spending: Vec::new(),
         replaced: Vec::new(),
         missed: Vec::new(),
+        full: Vec::new(),
         news: None,
         kept: Vec::new(),
         peers: Vec::new(),
--- /dev/null
+++ b/tests/tests/gateway_full.rs
@@ -0,0 +1,57 @@
+//! Engines that turn requests away since their memory is full.
+
+use std::time::Duration;
+
+use hollyspoke_gateway::effect::{Effect, Task};
+use hollyspoke_gateway::engine::EngineKey;
+use hollyspoke_gateway::event::{CallEvent, Event};
+use hollyspoke_gateway::message::{Full, Knowledge, Message};
+use hollyspoke_gateway::request::Request;
+use hollyspoke_tests::gateway::{World, heartbeat, only_send, read, request, turned_away};
+
+/// Gives the word of another node that both engines that generate had no room.
+fn both_full(held: u32) -> Event {
+    let full = ["engine-21", "engine-22"].map(|it| Full { engine: EngineKey::of(it), held });
+    Event::Heard(Message { full: full.to_vec(), ..heartbeat(2, 1, Knowledge::default()) })
+}
+
+/// Gives a request with a prompt of some tokens.
+fn sized(tokens: u64) -> Request {
+    Request { prompt_tokens: Some(tokens), ..request("once") }
+}
+
+/// No prompt is read for engines that have just turned another node's request away.
+#[test]
+fn full_for_another_node() {
+    let mut world = World::new();
+    world.event(both_full(4000));
+    let (_, effects) = world.arrive(sized(5000));
+    assert_eq!(effects, []);
+    let effects = world.pass(Duration::from_millis(250));
+    assert!(!effects.is_empty(), "the word counts for a short time");
+}
+
+#[test]
+fn smaller_one_may_fit() {
+    let mut world = World::new();
+    world.event(both_full(9000));
+    let (_, send) = world.sent(sized(2000));
+    assert_eq!(send.task, Task::Read);
+}
+
+#[test]
+fn own_refusal_is_told() {
+    let mut world = World::new();
+    world.event(Event::Heard(heartbeat(2, 1, Knowledge::default())));
+    let (_, reading) = world.sent(sized(5000));
+    let generating = only_send(&world.call(reading.call, CallEvent::Answered(read("h"))));
+    let refused = Event::Call(generating.call, CallEvent::Answered(turned_away()));
+    let effects = world.gateway.step(world.now, refused);
+    let is_told = effects.iter().any(|it| match it {
+        Effect::Tell(_, message) => {
+            message.full.iter().any(|it| it.engine == generating.engine.key && it.held > 5000)
+        }
+        _ => false,
+    });
+    assert!(is_told, "{effects:?}");
+}
