Let changes of plain calls gather before they are told

Cause: each change of work costs a datagram to every node.

Change: memory and reading are told at once as before; the calls alone wait for the next datagram, at most 4 ms for each node. A heartbeat tells all work, so that nothing is told twice. The message is boxed in the effect.

Test: plain_calls_gather fails without the change.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -236,7 +236,7 @@
     /// Reads a kind of object from the store, whole and once.
     Read(Kind),
     /// Sends a datagram to nodes.
-    Tell(Vec<SocketAddr>, Message),
+    Tell(Vec<SocketAddr>, Box<Message>),
     /// Writes a line to the log.
     Note(Note),
 }
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -107,6 +107,8 @@
     survey: Survey,
     /// What is to be told to the other nodes with this event.
     untold: Untold,
+    /// Since when changes gather that are not urgent.
+    gathering_since: Option<Time>,
     /// When the next heartbeat is due.
     next_heartbeat: Time,
     /// When the process was told to stop.
@@ -142,6 +144,7 @@
             store: StoreState::default(),
             survey: Survey::default(),
             untold: Untold::default(),
+            gathering_since: None,
             next_heartbeat: Time::ZERO,
             stopped: None,
             random,
@@ -179,7 +182,8 @@
     /// Gives the time at which the gateway needs a tick at the latest.
     pub fn next_due(&self) -> Time {
         let first = self.due.first().map(|&(it, _)| it);
-        let times = [first, self.directory.next_removal(), self.survey.due()];
+        let gathered = self.gathered_at();
+        let times = [first, self.directory.next_removal(), self.survey.due(), gathered];
         times.into_iter().flatten().fold(self.next_heartbeat, Time::min)
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hollyspoke::time::Time;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Gateway;
@@ -20,6 +21,10 @@
 /// What each node adds to the longest such time.
 const LEAVE_A_NODE: Duration = Duration::from_micros(500);
 
+/// How long changes gather that are not urgent, for each node: the more nodes there are, the more
+/// datagrams each change costs, and the less it counts.
+const GATHER_A_NODE: Duration = Duration::from_millis(4);
+
 /// What a node has found out about engines and not told yet.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Untold {
@@ -57,7 +62,7 @@
             self.ledger.forget(message.sender);
             self.note(Note::Peer { address: message.sender, is_alive: true });
             let answer = self.message(true);
-            self.effects.push(Effect::Tell(vec![message.sender], answer));
+            self.effects.push(Effect::Tell(vec![message.sender], Box::new(answer)));
         }
         self.members.introduce(self.settings.peer, message.peers.iter().copied());
         self.read_if_newer(message.knowledge.version);
@@ -101,6 +106,9 @@
         self.keep_up();
         let audience = self.members.audience(self.now);
         let message = self.message(true);
+        // The heartbeat tells all work, so that no changes are left to tell.
+        self.ledger.take_changed();
+        self.gathering_since = None;
         self.tell(audience, message);
     }
 
@@ -120,12 +128,14 @@
     /// Tells the living nodes what work has changed, which engines keep new prompts, and which
     /// were replaced, not reached or full.
     pub(super) fn tell_changes(&mut self) {
-        let changed = self.ledger.take_changed();
         let kept = self.prompts.take_untold();
         let untold = std::mem::take(&mut self.untold);
-        if changed.is_empty() && kept.is_empty() && untold.is_empty() {
+        let is_urgent = self.ledger.is_urgent() || !kept.is_empty() || !untold.is_empty();
+        if !is_urgent && !self.has_gathered() {
             return;
         }
+        self.gathering_since = None;
+        let changed = self.ledger.take_changed();
         let mut message = self.message(false);
         message.loads = changed;
         message.kept = kept;
@@ -136,6 +146,22 @@
         self.tell(audience, message);
     }
 
+    /// Tells whether changes that are not urgent have gathered for long enough to be told.
+    fn has_gathered(&mut self) -> bool {
+        if !self.ledger.has_changed() {
+            return false;
+        }
+        self.gathering_since.get_or_insert(self.now);
+        self.gathered_at().is_some_and(|it| it <= self.now)
+    }
+
+    /// Gives when the changes that are not urgent are told at the latest.
+    pub(super) fn gathered_at(&self) -> Option<Time> {
+        let nodes = u32::try_from(self.members.most()).unwrap_or(u32::MAX);
+        let span = GATHER_A_NODE.saturating_mul(nodes).min(self.members.heartbeat_every());
+        self.gathering_since.map(|it| it + span)
+    }
+
     /// Passes on changes of engines that were read from the store.
     pub(super) fn tell_news(&mut self, news: EngineNews) {
         let mut message = self.message(false);
@@ -154,7 +180,7 @@
     /// Adds a datagram to nodes, if there are any.
     fn tell(&mut self, audience: Vec<SocketAddr>, message: Message) {
         if !audience.is_empty() {
-            self.effects.push(Effect::Tell(audience, message));
+            self.effects.push(Effect::Tell(audience, Box::new(message)));
         }
     }
 
--- a/crates/hollyspoke-gateway/src/load.rs
+++ b/crates/hollyspoke-gateway/src/load.rs
@@ -21,13 +21,15 @@
     contested: HashMap<EngineKey, Time>,
     /// Engines at which the own work has changed since it was last told.
     changed: BTreeSet<EngineKey>,
+    /// Whether some of that is memory or reading, which others must know of at once.
+    is_urgent: bool,
 }
 
 impl Ledger {
     /// Adds own work.
     pub fn add(&mut self, engine: EngineKey, load: Load) {
         self.own.entry(engine).or_default().add(load);
-        self.changed.insert(engine);
+        self.note_change(engine, load);
     }
 
     /// Takes own work away.
@@ -37,7 +39,24 @@
         if own.is_empty() {
             self.own.remove(&engine);
         }
+        self.note_change(engine, load);
+    }
+
+    /// Notes that own work has changed.
+    fn note_change(&mut self, engine: EngineKey, load: Load) {
         self.changed.insert(engine);
+        self.is_urgent |= load.held > 0 || load.reading > 0;
+    }
+
+    /// Tells whether own work has changed since it was last told.
+    pub fn has_changed(&self) -> bool {
+        !self.changed.is_empty()
+    }
+
+    /// Tells whether others must know of the changes at once: engines tell their calls themselves,
+    /// but not what memory is set aside and what waits to be read.
+    pub fn is_urgent(&self) -> bool {
+        self.is_urgent
     }
 
     /// Takes in what another node tells. Memory that it freed is left to others until a time;
@@ -93,6 +112,7 @@
     /// Gives the own work that has changed since the last time.
     pub fn take_changed(&mut self) -> Vec<(EngineKey, Load)> {
         let changed = std::mem::take(&mut self.changed);
+        self.is_urgent = false;
         changed.into_iter().map(|it| (it, self.own_at(it))).collect()
     }
 
--- a/tests/tests/gateway_peers.rs
+++ b/tests/tests/gateway_peers.rs
@@ -122,7 +122,7 @@
 /// Gives the last datagram among effects and whom it goes to.
 fn told(effects: &[Effect]) -> (Vec<SocketAddr>, Message) {
     let mut found = effects.iter().filter_map(|it| match it {
-        Effect::Tell(to, message) => Some((to.clone(), message.clone())),
+        Effect::Tell(to, message) => Some((to.clone(), (**message).clone())),
         _ => None,
     });
     found.next_back().expect("a datagram")
@@ -157,3 +157,37 @@
     world.event(Event::Heard(live));
     assert!(world.gateway.fronts().contains(&front(3)));
 }
+
+/// Gives the number of datagrams among effects that tell of changed work.
+fn change_count(effects: &[Effect]) -> usize {
+    let is_change = |it: &&Effect| matches!(it, Effect::Tell(_, it) if !it.is_whole);
+    effects.iter().filter(is_change).count()
+}
+
+/// Lets time pass, and counts the datagrams that tell of changed work.
+fn changes_told_within(world: &mut World, span: Duration) -> usize {
+    let end = world.now + span;
+    let mut count = 0;
+    while world.now < end {
+        world.now = world.gateway.next_due().max(world.now + Duration::from_micros(1)).min(end);
+        count += change_count(&world.gateway.step(world.now, Event::Tick));
+    }
+    count
+}
+
+/// A plain call costs a datagram to each node, and engines tell their calls themselves.
+#[test]
+fn plain_calls_gather() {
+    let mut world = World::new();
+    world.event(Event::Heard(heartbeat(2, 1)));
+    world.pass(Duration::from_millis(360));
+    for number in 1..=5 {
+        let request = hollyspoke_tests::gateway::request("safe");
+        let key = hollyspoke_gateway::request::FlightKey(100 + number);
+        let effects = world.gateway.step(world.now, Event::Arrived(key, request));
+        assert_eq!(change_count(&effects), 0);
+    }
+    assert_eq!(changes_told_within(&mut world, Duration::from_millis(7)), 0);
+    assert_eq!(changes_told_within(&mut world, Duration::from_millis(2)), 1);
+    assert_eq!(changes_told_within(&mut world, Duration::from_millis(100)), 0);
+}
