Wake up less often for datagrams, and look for room only after news of some

Nearly all of a node's time goes into datagrams, some 1,000 a second.

Change: the timer is woken only if it has to tick earlier; the next removal of a missing engine is kept; waiting requests look for room after a datagram only if it told of freed memory, a kept prompt or a changed engine.

Ruled out: fewer heartbeats; they are a quarter of the datagrams, and silence would be noticed later.

--- a/crates/hollyspoke-gateway/src/directory.rs
+++ b/crates/hollyspoke-gateway/src/directory.rs
@@ -83,6 +83,8 @@
     changed: Option<u64>,
     /// The revision up to which nothing is missing.
     complete: u64,
+    /// When the next missing engine is to be taken as gone.
+    next_removal: Option<Time>,
 }
 
 impl Directory {
@@ -163,19 +165,20 @@
 
     /// Removes the engines that were missing for long enough to be gone, and gives them.
     pub fn remove_missing(&mut self, now: Time) -> Vec<Arc<Engine>> {
+        if self.next_removal.is_none_or(|it| now < it) {
+            return Vec::new();
+        }
         let is_gone = |it: &Known| it.missing_until.is_some_and(|until| until <= now);
         let gone: Vec<_> =
             self.engines.values().filter(|it| is_gone(it)).map(|it| it.engine.clone()).collect();
-        if !gone.is_empty() {
-            self.engines.retain(|_, it| !is_gone(it));
-            self.index();
-        }
+        self.engines.retain(|_, it| !is_gone(it));
+        self.index();
         gone
     }
 
     /// Gives when the next missing engine is to be taken as gone.
     pub fn next_removal(&self) -> Option<Time> {
-        self.engines.values().filter_map(|it| it.missing_until).min()
+        self.next_removal
     }
 
     /// Notes that another incarnation answered at an engine's address.
@@ -262,8 +265,9 @@
         self.rates.get(&group).copied().unwrap_or(first)
     }
 
-    /// Works the engines of each service out.
+    /// Works out what is kept beside the engines: those of each service, and the next removal.
     fn index(&mut self) {
+        self.next_removal = self.engines.values().filter_map(|it| it.missing_until).min();
         self.by_service.clear();
         for (&key, known) in &self.engines {
             self.by_service.entry(known.engine.service.clone()).or_default().push(key);
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -93,6 +93,8 @@
     calls: HashMap<CallKey, Call>,
     /// The requests that wait for room at an engine.
     waiting: Vec<FlightKey>,
+    /// Whether the event under way may have brought room for those that wait.
+    may_have_room: bool,
     /// How long a run at an engine with stages holds its memory, in the mean.
     mean_run: Duration,
     /// When each request is looked at again.
@@ -137,6 +139,7 @@
             flights: HashMap::new(),
             calls: HashMap::new(),
             waiting: Vec::new(),
+            may_have_room: false,
             mean_run: FIRST_MEAN_RUN,
             due: BTreeSet::new(),
             next_call: 0,
@@ -155,6 +158,7 @@
     /// Takes an event and gives what is to be done.
     pub fn step(&mut self, now: Time, event: Event) -> Vec<Effect> {
         self.now = self.now.max(now);
+        self.may_have_room = !matches!(event, Event::Heard(_));
         match event {
             Event::Configured(configuration) => self.configure(configuration),
             Event::Listed(engines, revision) => self.list(engines, revision),
@@ -172,7 +176,9 @@
         }
         self.remove_missing();
         self.survey();
-        self.admit_waiting();
+        if self.may_have_room {
+            self.admit_waiting();
+        }
         self.expire();
         self.beat();
         self.tell_changes();
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -88,6 +88,7 @@
         let until = self.now + self.leave_span();
         let loads = &message.loads;
         let has_freed = self.ledger.hear(message.sender, loads, message.is_whole, until);
+        self.may_have_room = has_freed || !message.kept.is_empty() || message.news.is_some();
         if has_freed && let Some(&first) = self.waiting.first() {
             self.wake_at(first, Some(until));
         }
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -101,7 +101,9 @@
     configuration_wanted: Notify,
     /// Wakes the follower of engines.
     engines_wanted: Notify,
-    /// Wakes the timer after an event.
+    /// When the timer ticks next.
+    ticks_at: Cell<Instant>,
+    /// Wakes the timer after an event that needs an earlier tick.
     pub woken: Notify,
 }
 
@@ -144,6 +146,7 @@
             follows: Cell::new(true),
             configuration_wanted: Notify::new(),
             engines_wanted: Notify::new(),
+            ticks_at: Cell::new(Instant::now()),
             woken: Notify::new(),
         }))
     }
@@ -154,11 +157,18 @@
     }
 
     /// Gives the time at which the reducer needs a tick.
-    pub fn next_due(&self) -> Instant {
+    fn next_due(&self) -> Instant {
         let due = self.gateway.borrow().next_due();
         self.origin + due.since(Time::ZERO)
     }
 
+    /// Gives the time of the next tick, which the timer waits for unless it is woken.
+    pub fn arm(&self) -> Instant {
+        let due = self.next_due();
+        self.ticks_at.set(due);
+        due
+    }
+
     /// Reads the reducer.
     pub fn with<T>(&self, read: impl FnOnce(&Gateway) -> T) -> T {
         read(&self.gateway.borrow())
@@ -170,7 +180,9 @@
         for effect in effects {
             self.carry_out(effect);
         }
-        self.woken.notify_one();
+        if self.next_due() < self.ticks_at.get() {
+            self.woken.notify_one();
+        }
     }
 
     /// Takes up a request; its answer comes through the receiver. Dropping the hook before the
--- a/crates/hollyspoke-server/src/run.rs
+++ b/crates/hollyspoke-server/src/run.rs
@@ -152,7 +152,7 @@
 async fn tick(node: Rc<Node>) {
     loop {
         tokio::select! {
-            () = tokio::time::sleep_until(node.next_due()) => node.dispatch(Event::Tick),
+            () = tokio::time::sleep_until(node.arm()) => node.dispatch(Event::Tick),
             () = node.woken.notified() => {}
         }
     }
