Read the repository's sources in one place, and know one more name

Cause: the walk over source files stood in two tests, and the name of the platform's list of kept parts was not among those that must stand in platform/ alone.

--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod platform;
 pub mod process;
 pub mod request;
+pub mod source;
--- a/tests/tests/imports.rs
+++ b/tests/tests/imports.rs
@@ -1,7 +1,9 @@
 //! Modules of a crate import each other one way, so that each can be read and tested alone.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::path::{Path, PathBuf};
+use std::path::Path;
+
+use hollyspoke_tests::source::{files, root};
 
 /// The modules of a crate, each with those that it imports.
 type Imports = BTreeMap<String, BTreeSet<String>>;
@@ -30,25 +32,6 @@
     ("hollyspoke-daemon", &["peers", "shell", "store", "upstream"]),
 ];
 
-/// Gives the repository's folder.
-fn root() -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("..")
-}
-
-/// Gives the source files below a folder.
-fn sources(folder: &Path) -> Vec<PathBuf> {
-    let mut files = Vec::new();
-    for entry in std::fs::read_dir(folder).expect("a folder") {
-        let path = entry.expect("an entry").path();
-        if path.is_dir() {
-            files.extend(sources(&path));
-        } else if path.extension().is_some_and(|it| it == "rs") {
-            files.push(path);
-        }
-    }
-    files
-}
-
 /// Gives the module that a file belongs to: a module's parts count as one with it.
 fn module(source: &Path, file: &Path) -> String {
     let below = file.strip_prefix(source).expect("a file of the crate");
@@ -58,7 +41,7 @@
 
 /// Reads which modules of a crate import which.
 fn imports(source: &Path) -> Imports {
-    let files = sources(source);
+    let files = files(source);
     let mut imports = Imports::new();
     for file in &files {
         imports.entry(module(source, file)).or_default();
--- a/tests/tests/platform_names.rs
+++ b/tests/tests/platform_names.rs
@@ -1,10 +1,10 @@
 //! The platform's names stand in `platform/` alone.
 
-use std::path::{Path, PathBuf};
+use hollyspoke_tests::source;
 
 /// Headers, paths, fields and words of the platform's pages. `/objects/` is not among them: the
 /// product's own store interface, older than the adapter, has the same path.
-const NAMES: [&str; 25] = [
+const NAMES: [&str; 26] = [
     "x-request-id",
     "x-deadline-ms",
     "x-expect-instance",
@@ -23,6 +23,7 @@
     "x-not-executed",
     "prefillhandle",
     "kv-handle",
+    "kv-list",
     "pathprefix",
     "trafficsplit",
     "targetlatencyms",
@@ -32,24 +33,9 @@
     "tokenkvbytes",
 ];
 
-/// Gives the sources under a folder.
-fn sources(folder: &Path) -> Vec<PathBuf> {
-    let mut found = Vec::new();
-    for entry in std::fs::read_dir(folder).expect("the folder is there") {
-        let path = entry.expect("the entry can be read").path();
-        if path.is_dir() {
-            found.extend(sources(&path));
-        } else if path.extension().is_some_and(|it| it == "rs") {
-            found.push(path);
-        }
-    }
-    found
-}
-
 #[test]
 fn only_in_the_adapter() {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
-    for path in sources(&root.join("crates")) {
+    for path in source::files(&source::root().join("crates")) {
         let text = std::fs::read_to_string(&path).expect("a source is text");
         let text = text.to_ascii_lowercase();
         for name in NAMES {
@@ -60,8 +46,8 @@
 
 #[test]
 fn the_adapter_is_small() {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../platform/src");
-    let lines: usize = sources(&root)
+    let folder = source::root().join("platform/src");
+    let lines: usize = source::files(&folder)
         .iter()
         .map(|it| std::fs::read_to_string(it).expect("a source is text").lines().count())
         .sum();
