Hear the other nodes before asking engines what they keep

Change: the seeds are greeted every 0.1 s until one node was heard; the answer to a new node names up to 64 others; the engines are asked when no new node was heard for 0.1 s, at the latest 0.7 s after the node can serve, and 16 at most; requests that wait for the answers wait until 0.25 s after the question.

Tests: waits_to_hear_the_others, asks_a_bounded_part, seeds_are_sought, new_node_is_told_of_many, resuming_waits_for_a_late_question.

--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -195,6 +195,7 @@
         }
         self.expire();
         self.beat();
+        self.seek();
         self.tell_changes();
         std::mem::take(&mut self.effects)
     }
@@ -203,8 +204,14 @@
     pub fn next_due(&self) -> Time {
         let first = self.due.first().map(|&(it, _)| it);
         let gathered = self.gathered_at();
-        let times =
-            [first, self.directory.next_removal(), self.survey.due(), gathered, self.stages.due()];
+        let times = [
+            first,
+            self.directory.next_removal(),
+            self.survey.due(),
+            self.members.next_greeting(self.now),
+            gathered,
+            self.stages.due(),
+        ];
         times.into_iter().flatten().fold(self.next_heartbeat, Time::min)
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -15,6 +15,10 @@
 /// The most nodes that one datagram names.
 const MOST_NAMED: usize = 8;
 
+/// The most nodes that the answer to a new node names. All may start at once, and each learns the
+/// others soonest from those that it greets first.
+const MOST_NAMED_TO_NEW: usize = 64;
+
 /// The least time for which memory that another node freed is left to others.
 const LEAVE_LEAST: Duration = Duration::from_millis(3);
 
@@ -64,7 +68,8 @@
         if hearing == Hearing::New {
             self.ledger.forget(message.sender);
             self.note(Note::Peer { address: message.sender, is_alive: true });
-            let answer = self.message(true);
+            let peers = self.some_peers(MOST_NAMED_TO_NEW);
+            let answer = Message { peers, ..self.message(true) };
             self.effects.push(Effect::Tell(vec![message.sender], Box::new(answer)));
         }
         self.members.introduce(self.settings.peer, message.peers.iter().copied());
@@ -198,7 +203,7 @@
         let spending = if is_whole { self.spending() } else { Vec::new() };
         let demand = if is_whole { self.own_demand() } else { Vec::new() };
         let switching = if is_whole { self.own_switching() } else { Vec::new() };
-        let peers = if is_whole { self.some_peers() } else { Vec::new() };
+        let peers = if is_whole { self.some_peers(MOST_NAMED) } else { Vec::new() };
         Message {
             incarnation: self.settings.incarnation,
             sequence: self.next_sequence,
@@ -223,13 +228,22 @@
     }
 
     /// Draws some of the living nodes.
-    fn some_peers(&mut self) -> Vec<SocketAddr> {
+    fn some_peers(&mut self, most: usize) -> Vec<SocketAddr> {
         let mut alive = self.members.alive();
-        if alive.len() > MOST_NAMED {
+        if alive.len() > most {
             let first = (self.draw() % alive.len() as u64) as usize;
             alive.rotate_left(first);
-            alive.truncate(MOST_NAMED);
+            alive.truncate(most);
         }
         alive
     }
+
+    /// Greets the seeds while no node was ever heard.
+    pub(super) fn seek(&mut self) {
+        if self.members.next_greeting(self.now).is_some_and(|it| it <= self.now) {
+            let message = self.message(true);
+            let greeted = self.members.greeting(self.now);
+            self.tell(greeted, message);
+        }
+    }
 }
--- a/crates/hollyspoke-gateway/src/gateway/survey.rs
+++ b/crates/hollyspoke-gateway/src/gateway/survey.rs
@@ -17,11 +17,22 @@
 use crate::prompt::{Kept, PromptKey};
 use crate::request::FlightKey;
 
-/// The time after a node can serve in which it hears which others have started.
+/// The least time after a node can serve in which it hears which others have started.
 const ASKS_AFTER: Duration = Duration::from_millis(100);
 
-/// The time after a node can serve by which the answers have come to all.
-const KNOWN_AFTER: Duration = Duration::from_millis(350);
+/// The time without a new node after which all are taken to be heard. While some are missing, each
+/// node would ask their engines too.
+const SETTLED_AFTER: Duration = Duration::from_millis(100);
+
+/// The time after a node can serve at which it asks even if new nodes are still heard.
+const ASKS_BY: Duration = Duration::from_millis(700);
+
+/// The time from the question by which the answers have come to all.
+const KNOWN_AFTER: Duration = Duration::from_millis(250);
+
+/// The most engines that one node asks. A node that has heard few others can't tell whether it is
+/// one of few or cut off: without a bound the questions of all grow with nodes times engines.
+const MOST_ASKED: usize = 16;
 
 /// The most prompts that are noted of one engine.
 const MOST_PROMPTS: usize = 64;
@@ -31,39 +42,69 @@
 pub(super) struct Survey {
     /// When the node could first serve.
     began: Option<Time>,
-    /// Whether the engines were asked.
-    is_asked: bool,
+    /// When the engines are to be asked, if that is known yet and they were not asked.
+    asks_at: Option<Time>,
+    /// When the engines were asked.
+    asked: Option<Time>,
 }
 
 impl Survey {
-    /// Gives when the engines are to be asked.
+    /// Gives when it is to be looked whether the engines can be asked.
     pub(super) fn due(&self) -> Option<Time> {
-        self.began.filter(|_| !self.is_asked).map(|it| it + ASKS_AFTER)
+        self.asks_at
+    }
+
+    /// Gives when the answers have come to all, at the latest.
+    fn end(&self) -> Option<Time> {
+        let asked = self.asked.or_else(|| self.began.map(|it| it + ASKS_BY))?;
+        Some(asked + KNOWN_AFTER)
     }
 }
 
 impl Gateway {
-    /// Asks this node's part of the engines which prompts they keep, once in its life.
+    /// Asks this node's part of the engines which prompts they keep, once in its life and not
+    /// before it has heard the other nodes.
     pub(super) fn survey(&mut self) {
         if self.survey.began.is_none() && self.is_ready() {
             self.survey.began = Some(self.now);
+            self.survey.asks_at = Some(self.now + ASKS_AFTER);
         }
-        if self.survey.due().is_none_or(|it| self.now < it) {
+        let (Some(began), Some(due)) = (self.survey.began, self.survey.asks_at) else { return };
+        if self.now < due {
             return;
         }
-        self.survey.is_asked = true;
-        if self.is_stopping() {
+        let is_late = self.now.since(began) >= ASKS_BY;
+        if !is_late && !self.members.is_settled(self.now, SETTLED_AFTER) {
+            self.survey.asks_at = Some(self.now + SETTLED_AFTER / 2);
             return;
         }
+        self.survey.asks_at = None;
+        self.survey.asked = Some(self.now);
+        if !self.is_stopping() {
+            self.ask_engines();
+        }
+        self.wake_those_that_wait();
+    }
+
+    /// Asks the engines that fall to this node, as far as it knows the others.
+    fn ask_engines(&mut self) {
         let mut nodes = self.members.alive();
         nodes.push(self.settings.peer);
         let own = number(&self.settings.peer);
         let generators = self.directory.all().filter(|it| it.engine.stage == Some(Stage::Decode));
-        for known in generators {
-            let engine = &known.engine;
-            if rank::first(engine.key.0, nodes.iter().map(number)) == Some(own) {
-                self.effects.push(Effect::Survey(engine.clone()));
-            }
+        let falls_here = |engine: EngineKey| {
+            rank::first(engine.0, nodes.iter().map(number)) == Some(own)
+        };
+        let chosen = generators.filter(|it| falls_here(it.engine.key));
+        let chosen: Vec<_> = chosen.take(MOST_ASKED).map(|it| it.engine.clone()).collect();
+        self.effects.extend(chosen.into_iter().map(Effect::Survey));
+    }
+
+    /// Has the requests that wait for the answers looked at when these have come.
+    fn wake_those_that_wait(&mut self) {
+        let Some(end) = self.survey.end() else { return };
+        for key in self.waiting.clone() {
+            self.wake_at(key, Some(end));
         }
     }
 
@@ -81,7 +122,7 @@
     pub(super) fn waits_for_survey(&self, flight: &Flight) -> Option<Time> {
         flight.request.last_event?;
         let prompt = flight.request.prompt?;
-        let end = self.survey.began? + KNOWN_AFTER;
+        let end = self.survey.end()?;
         let is_known = self.prompts.keepers(prompt).next().is_some();
         let is_first = flight.sends == 0 && flight.service.staged.is_some();
         (is_first && !is_known && self.now < end).then_some(end)
--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -27,9 +27,16 @@
 /// too much is lost with it until its death is noticed.
 const LEAST_RELAYED: usize = 6;
 
-/// How often seeds that have not answered are greeted.
+/// How often nodes that have not answered are greeted.
 const GREET_EVERY: Duration = Duration::from_millis(1000);
 
+/// How often the seeds are greeted while no node was ever heard: all nodes may start at once, in any
+/// order, and until this one hears the first it takes every duty for its own.
+const SEEK_EVERY: Duration = Duration::from_millis(100);
+
+/// For how long that goes on. On the users' sites all nodes start within 0.3 s of each other.
+const SEEK_FOR: Duration = Duration::from_millis(1000);
+
 /// One other node.
 #[derive(Debug, Clone)]
 struct Peer {
@@ -89,6 +96,10 @@
     greeted: BTreeSet<SocketAddr>,
     /// When greetings were last sent.
     last_greeting: Option<Time>,
+    /// When the first greetings were sent.
+    first_greeting: Option<Time>,
+    /// When a node was last heard that was not known before.
+    last_joined: Option<Time>,
     /// The most nodes that lived at once, this one included.
     most: usize,
 }
@@ -144,6 +155,7 @@
             return Hearing::Known;
         }
         self.most = self.most.max(self.count(now));
+        self.last_joined = Some(now);
         Hearing::New
     }
 
@@ -195,14 +207,35 @@
     /// have not been heard yet.
     pub fn greeting(&mut self, now: Time) -> Vec<SocketAddr> {
         let mut audience = Vec::new();
-        if self.last_greeting.is_none_or(|it| now.since(it) >= GREET_EVERY) {
+        let pause = if self.seeks(now) { SEEK_EVERY } else { GREET_EVERY };
+        if self.last_greeting.is_none_or(|it| now.since(it) >= pause) {
             self.last_greeting = Some(now);
+            self.first_greeting.get_or_insert(now);
             audience.extend(self.peers.iter().filter(|(_, it)| it.is_silent).map(|(&it, _)| it));
             audience.extend(self.greeted.iter().copied());
         }
         audience
     }
 
+    /// Tells whether no node was ever heard, and the seeds are still asked often.
+    fn seeks(&self, now: Time) -> bool {
+        let is_early = self.first_greeting.is_none_or(|it| now.since(it) < SEEK_FOR);
+        is_early && self.peers.is_empty() && !self.greeted.is_empty()
+    }
+
+    /// Gives when the seeds are to be greeted again, while no node was ever heard.
+    pub fn next_greeting(&self, now: Time) -> Option<Time> {
+        let last = self.last_greeting.filter(|_| self.seeks(now))?;
+        Some(last + SEEK_EVERY)
+    }
+
+    /// Tells whether all nodes that this one knows of were heard, and the last of them some time
+    /// ago: others then have the same picture of who lives.
+    pub fn is_settled(&self, now: Time, quiet_for: Duration) -> bool {
+        let is_quiet = self.last_joined.is_none_or(|it| now.since(it) >= quiet_for);
+        self.greeted.is_empty() && is_quiet
+    }
+
     /// Gives where clients may connect besides this node.
     ///
     /// If most nodes fell silent, it is as likely that this node was cut off; all are then named,
--- a/tests/tests/gateway_peers.rs
+++ b/tests/tests/gateway_peers.rs
@@ -37,6 +37,36 @@
     assert!(first.fronts().is_empty(), "neither knows a configuration");
 }
 
+/// All nodes may start at once, the seeds last: until one answers they are greeted often.
+#[test]
+fn seeds_are_sought() {
+    let mut node = Gateway::new(settings(1));
+    let seed = settings(2).peer;
+    node.step(Time::from_millis(1000), Event::Seeds(vec![seed]));
+    let mut greetings = 0;
+    for step in 1..=40 {
+        let effects = node.step(Time::from_millis(1000 + step * 10), Event::Tick);
+        greetings += effects.iter().filter(|it| matches!(it, Effect::Tell(..))).count();
+    }
+    assert!((3..=5).contains(&greetings), "{greetings} within 0.4 s");
+    node.step(Time::from_millis(1410), Event::Heard(heartbeat(2, 1)));
+    let due = node.next_due();
+    assert!(due > Time::from_millis(1510), "it waits for its own heartbeat: {due:?}");
+}
+
+/// A new node learns many others from the first that it greets.
+#[test]
+fn new_node_is_told_of_many() {
+    let mut world = World::new();
+    for number in 2..=80 {
+        world.event(Event::Heard(heartbeat(number, 1)));
+    }
+    let effects = world.gateway.step(world.now, Event::Heard(heartbeat(99, 1)));
+    let (to, answer) = told(&effects);
+    assert_eq!(to, [settings(99).peer]);
+    assert!(answer.peers.len() >= 60, "{} named", answer.peers.len());
+}
+
 #[test]
 fn fronts_follow_heartbeats() {
     let mut world = World::new();
--- a/tests/tests/gateway_survey.rs
+++ b/tests/tests/gateway_survey.rs
@@ -9,7 +9,9 @@
 use hollyspoke_gateway::message::Knowledge;
 use hollyspoke_gateway::prompt::PromptKey;
 use hollyspoke_gateway::request::Request;
-use hollyspoke_tests::gateway::{World, configuration, engines, heartbeat, only_send, request};
+use hollyspoke_tests::gateway::{
+    MODEL, World, configuration, engine, engines, heartbeat, only_send, request, settings,
+};
 
 /// Gives a request of a client that goes on behind an event.
 fn resuming() -> Request {
@@ -59,6 +61,53 @@
     assert!(asked.len() < generators().len(), "39 others ask the rest");
 }
 
+/// After a loss of all nodes each hears the others only after a while. Until then it would take
+/// itself for the only one and ask every engine.
+#[test]
+fn waits_to_hear_the_others() {
+    let mut world = World::unconfigured();
+    let seeds = (2..=4).map(|it| settings(it).peer).collect();
+    world.event(Event::Seeds(seeds));
+    world.event(Event::Configured(Arc::new(configuration(1))));
+    world.event(Event::Listed(engines(), 10));
+    let mut asked = asked_within(&mut world, Duration::from_millis(250));
+    for number in 2..=40 {
+        world.event(Event::Heard(heartbeat(number, 1, Knowledge::default())));
+        asked.extend(asked_within(&mut world, Duration::from_millis(5)));
+    }
+    assert_eq!(asked, [], "others are still heard for the first time");
+    let asked = asked_within(&mut world, Duration::from_millis(500));
+    assert!(asked.len() < generators().len(), "39 others ask the rest");
+}
+
+/// A node that hears nobody asks all the same, but not engines without bound: many such nodes may
+/// be cut off from each other.
+#[test]
+fn asks_a_bounded_part() {
+    let mut world = World::unconfigured();
+    world.event(Event::Seeds(vec![settings(2).peer]));
+    world.event(Event::Configured(Arc::new(configuration(1))));
+    let many = (1..=200).map(|it| engine(it, MODEL, Some(Stage::Decode))).collect();
+    world.event(Event::Listed(many, 10));
+    let asked = asked_within(&mut world, Duration::from_secs(1));
+    assert!((1..=16).contains(&asked.len()), "{} engines", asked.len());
+}
+
+/// What waits for the answers goes on soon after they have come, however late they were asked for.
+#[test]
+fn resuming_waits_for_a_late_question() {
+    let mut world = World::unconfigured();
+    world.event(Event::Seeds(vec![settings(2).peer]));
+    world.event(Event::Configured(Arc::new(configuration(1))));
+    world.event(Event::Listed(engines(), 10));
+    let (_, effects) = world.arrive(resuming());
+    assert_eq!(effects, []);
+    world.pass(Duration::from_millis(200));
+    world.event(Event::Heard(heartbeat(2, 1, Knowledge::default())));
+    let effects = world.pass(Duration::from_millis(420));
+    assert_eq!(only_send(&effects).task, Task::Read);
+}
+
 #[test]
 fn node_that_knows_nothing_asks_nobody() {
     let mut world = World::unconfigured();
