Pass on many changes of engines in datagrams that build on each other

Cause: a follower passed on at most 16 changes at once. When a large site starts, 16 to 32 engines enter between two answers of the store; nothing was told then, and all 295 nodes read the list, 6 pages and a call to catch up.

Change: up to 512 changes go out in parts of 16, each saying which revision it follows on; a node that misses a part does not take the next and reads the list, as before. Changes of one revision, as the difference of two lists has them, stay in one datagram, and are left out if they are more than 64.

Tests: many_changes_are_passed_on, lost_part_is_read. Not run red first: the first asserts more than one datagram of news where there was none.

--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -42,8 +42,18 @@
 /// themselves.
 const DECIDES_AFTER: Duration = Duration::from_millis(800);
 
-/// The most changes that are passed on in one datagram; beyond, the others read for themselves.
-const MOST_PASSED_ON: usize = 16;
+/// The most changes that are passed on in one datagram: about 85 bytes each, so that one fits into
+/// a packet.
+const CHANGES_A_DATAGRAM: usize = 16;
+
+/// The most changes of one revision that are passed on, which must go in one datagram of at most
+/// 8,192 bytes.
+const MOST_OF_A_REVISION: usize = 64;
+
+/// The most changes that are passed on at once; beyond, the others read for themselves. When a
+/// large site starts, its engines enter by tens between two answers of the store, and all nodes
+/// reading the list for that were most of the calls to the store (`docs/SCALE.md`).
+const MOST_PASSED_ON: usize = 512;
 
 /// How the store answers about one kind of object.
 #[derive(Debug, Clone, Copy, Default)]
@@ -152,10 +162,21 @@
         self.pass_on(since, newer);
     }
 
-    /// Passes changes on, if they are not too many: then the others read for themselves.
+    /// Passes changes on, in datagrams that build on each other, if they are not too many: then the
+    /// others read for themselves.
     fn pass_on(&mut self, since: u64, changes: Vec<EngineChange>) {
-        if !changes.is_empty() && changes.len() <= MOST_PASSED_ON {
-            self.tell_news(EngineNews { since, changes });
+        if changes.len() > MOST_PASSED_ON {
+            return;
+        }
+        let parts = parts(changes);
+        if parts.iter().any(|it| it.len() > MOST_OF_A_REVISION) {
+            return;
+        }
+        let mut since = since;
+        for part in parts {
+            let last = part.last().map_or(since, EngineChange::revision);
+            self.tell_news(EngineNews { since, changes: part });
+            since = last;
         }
     }
 
@@ -281,3 +302,20 @@
         self.members.is_follower(self.settings.peer, count, count + MOST_BLIND)
     }
 }
+
+/// Parts changes into datagrams. Changes of one revision, as the difference between two lists has
+/// them, stay together: a node that misses one datagram must not take the next.
+fn parts(changes: Vec<EngineChange>) -> Vec<Vec<EngineChange>> {
+    let mut parts: Vec<Vec<EngineChange>> = Vec::new();
+    for change in changes {
+        let last = parts.last_mut().filter(|part| {
+            let is_same = part.last().map(EngineChange::revision) == Some(change.revision());
+            is_same || part.len() < CHANGES_A_DATAGRAM
+        });
+        match last {
+            Some(part) => part.push(change),
+            None => parts.push(vec![change]),
+        }
+    }
+    parts
+}
--- a/tests/tests/gateway_followers.rs
+++ b/tests/tests/gateway_followers.rs
@@ -159,6 +159,51 @@
     assert_eq!(passed_on(&effects), [EngineNews { since: 10, changes }]);
 }
 
+/// Gives 40 new engines, each with a revision of its own.
+fn many_changes() -> Vec<EngineChange> {
+    (0..40).map(|it| EngineChange::Put(engine(100 + it, PLAIN, None), 20 + u64::from(it))).collect()
+}
+
+/// Gives what a node does that hears datagrams of news.
+fn hears(world: &mut World, news: impl IntoIterator<Item = EngineNews>) {
+    for (sequence, news) in (2000..).zip(news) {
+        let message = Message { news: Some(news), ..heartbeat(2, sequence, SEEING) };
+        world.event(Event::Heard(message));
+    }
+}
+
+/// The engines of a large site enter by tens at once. Nobody is to read the list for that.
+#[test]
+fn many_changes_are_passed_on() {
+    let mut follower = World::new();
+    follower.event(Event::Heard(heartbeat(2, 1, SEEING)));
+    let now = follower.now;
+    let effects = follower.gateway.step(now, Event::Changed(many_changes()));
+    let news = passed_on(&effects);
+    assert!(news.len() > 1, "more than fits into one datagram");
+    let mut other = spared();
+    hears(&mut other, news);
+    let knows = Knowledge { revision: 59, ..SEEING };
+    let effects = second(&mut other, 900, knows);
+    assert!(!effects.contains(&Effect::Read(Kind::Engines)), "nothing is missing");
+}
+
+/// If one of these datagrams is lost, those behind it are not taken, and the list is read.
+#[test]
+fn lost_part_is_read() {
+    let mut follower = World::new();
+    follower.event(Event::Heard(heartbeat(2, 1, SEEING)));
+    let now = follower.now;
+    let effects = follower.gateway.step(now, Event::Changed(many_changes()));
+    let mut news = passed_on(&effects);
+    news.remove(1);
+    let mut other = spared();
+    hears(&mut other, news);
+    let knows = Knowledge { revision: 59, ..SEEING };
+    let effects = second(&mut other, 900, knows);
+    assert!(effects.contains(&Effect::Read(Kind::Engines)));
+}
+
 /// The store's revision rises with every change of anything. A list in which nothing is new must
 /// not make the others read it.
 #[test]
