Tell work by data centre, and heartbeats to others every fourth time

Spans that were set for 60 nodes grew with all nodes: freed memory was left to others for 150 ms.

Change: beyond 100 nodes, work at engines is told at once to the nodes of the own data centre and of the engines', and to the others with the heartbeats that reach them. Heartbeats go to the own data centre every 0.6 s and to all every 2.4 s, at once if there is news, always from nodes that follow the store or give orders; each tells its cadence, so that nodes that disagree on how many there are don't take each other for dead. Engines elsewhere cost 75 ms or 0.3 of an engine more, since what is known of them is older. Clients are told of the nodes of the data centre that they ask in, if there are eight. New keepers of prompts gather for 0.3 s. The log counts peers and engines that change at once. What a datagram's sender told before is changed in place. Up to 100 nodes nothing changes but the log.

Tests: data_centres.rs (8). Written with the change, not run red.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -218,12 +218,21 @@
         /// The time since its arrival.
         after: Duration,
     },
-    /// A node was first heard, or went silent.
-    Peer {
-        /// Where it listens.
-        address: SocketAddr,
-        /// Whether it lives.
-        is_alive: bool,
+    /// Nodes were first heard, or fell silent.
+    Peers {
+        /// Where those listen that were heard.
+        heard: Vec<SocketAddr>,
+        /// Where those listen that fell silent.
+        silent: Vec<SocketAddr>,
+        /// How many live now.
+        alive: usize,
+    },
+    /// Many engines changed at once.
+    ManyEngines {
+        /// Those that were added or changed.
+        put: usize,
+        /// Those that left.
+        left: usize,
     },
     /// This node follows the store's changes from now on, or no more.
     Follows(bool),
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -21,19 +21,20 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::budget::{Bound, Budget};
+use crate::cadence::Cadence;
 use crate::demand::{Meter, Runs};
 use crate::directory::Directory;
 use crate::effect::{Effect, Note};
 use crate::engine::EngineKey;
 use crate::event::Event;
 use crate::flight::{Call, Flight};
-use crate::gateway::peers::Untold;
+use crate::gateway::peers::{PeerChanges, Untold};
 use crate::gateway::stages::Stages;
 use crate::gateway::store::StoreState;
 use crate::gateway::survey::Survey;
 use crate::load::Ledger;
 use crate::member::Members;
-use crate::message::{Load, Standing};
+use crate::message::{Load, Standing, ZoneKey};
 use crate::prompt::Prompts;
 use crate::request::{CallKey, FlightKey};
 use crate::route::Configuration;
@@ -116,10 +117,19 @@
     survey: Survey,
     /// What is to be told to the other nodes with this event.
     untold: Untold,
+    /// The nodes that are to be named in the log with the next heartbeat.
+    peer_changes: PeerChanges,
     /// Since when changes gather that are not urgent.
     gathering_since: Option<Time>,
     /// When the next heartbeat is due.
     next_heartbeat: Time,
+    /// The heartbeats sent so far, from a drawn number on, so that those of all nodes to other data
+    /// centres are spread.
+    heartbeats: u32,
+    /// Whether the next heartbeat goes to all nodes.
+    beats_wide: bool,
+    /// The cadence that nodes of other data centres were last told.
+    told_far: Option<Cadence>,
     /// When the process was told to stop.
     stopped: Option<Time>,
     /// The source of chance.
@@ -132,15 +142,16 @@
     /// Makes a gateway that knows nothing yet.
     pub fn new(settings: Settings) -> Gateway {
         let random = Pcg64Mcg::seed_from_u64(settings.incarnation);
+        let heartbeats = settings.incarnation as u32;
         let stages = Stages::new(&settings);
         Gateway {
+            members: Members::new(ZoneKey::of(&settings.zone)),
             settings,
             now: Time::ZERO,
             configuration: None,
             is_listed: false,
             directory: Directory::default(),
             ledger: Ledger::default(),
-            members: Members::default(),
             prompts: Prompts::default(),
             budgets: HashMap::new(),
             deadlines: HashMap::new(),
@@ -157,8 +168,12 @@
             store: StoreState::default(),
             survey: Survey::default(),
             untold: Untold::default(),
+            peer_changes: PeerChanges::default(),
             gathering_since: None,
             next_heartbeat: Time::ZERO,
+            heartbeats,
+            beats_wide: true,
+            told_far: None,
             stopped: None,
             random,
             effects: Vec::new(),
@@ -210,6 +225,7 @@
             self.survey.due(),
             self.members.next_greeting(self.now),
             gathered,
+            self.kept_told_at(),
             self.stages.due(),
         ];
         times.into_iter().flatten().fold(self.next_heartbeat, Time::min)
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -1,5 +1,6 @@
 //! What nodes tell each other: that they live, and the work that they have sent to engines.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,9 +8,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Gateway;
+use crate::cadence::{Cadence, FAR_BEATS};
 use crate::effect::{Effect, Note};
 use crate::engine::EngineKey;
-use crate::member::Hearing;
+use crate::member::{Hearing, Reach};
 use crate::message::{EngineNews, Full, Load, Message, Spending};
 
 /// The most nodes that one datagram names.
@@ -29,6 +31,10 @@
 /// datagrams each change costs, and the less it counts.
 const GATHER_A_NODE: Duration = Duration::from_millis(4);
 
+/// How long new keepers of prompts gather where nodes are many. A run takes some 0.3 s on the users'
+/// sites, and its end is told anyway.
+const KEPT_GATHERS_FOR: Duration = Duration::from_millis(300);
+
 /// What a node has found out about engines and not told yet.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Untold {
@@ -40,6 +46,15 @@
     pub(super) full: Vec<Full>,
 }
 
+/// The nodes that were first heard or fell silent since the last heartbeat.
+#[derive(Debug, Clone, Default)]
+pub(super) struct PeerChanges {
+    /// Those heard.
+    heard: Vec<SocketAddr>,
+    /// Those that fell silent.
+    silent: Vec<SocketAddr>,
+}
+
 impl Untold {
     /// Tells whether there is nothing to tell.
     fn is_empty(&self) -> bool {
@@ -67,7 +82,7 @@
         }
         if hearing == Hearing::New {
             self.ledger.forget(message.sender);
-            self.note(Note::Peer { address: message.sender, is_alive: true });
+            self.peer_changes.heard.push(message.sender);
             let peers = self.some_peers(MOST_NAMED_TO_NEW);
             let answer = Message { peers, ..self.message(true) };
             self.effects.push(Effect::Tell(vec![message.sender], Box::new(answer)));
@@ -110,11 +125,12 @@
         if self.now < self.next_heartbeat {
             return;
         }
-        self.next_heartbeat = self.now + self.members.heartbeat_every();
+        self.next_heartbeat = self.now + self.cadence().every();
         for silent in self.members.sweep(self.now) {
             self.ledger.forget(silent);
-            self.note(Note::Peer { address: silent, is_alive: false });
+            self.peer_changes.silent.push(silent);
         }
+        self.note_peers();
         self.keep_up();
         self.balance();
         let message = self.message(true);
@@ -123,32 +139,70 @@
         // The heartbeat tells all work, so that no changes are left to tell.
         self.ledger.take_changed();
         self.gathering_since = None;
-        self.tell_all(message);
+        let reach = self.heartbeat_reach();
+        self.tell_within(&reach, message);
+    }
+
+    /// Adds the nodes to the log that were heard or fell silent since the last heartbeat, in one line
+    /// however many they are.
+    fn note_peers(&mut self) {
+        let PeerChanges { heard, silent } = std::mem::take(&mut self.peer_changes);
+        if !heard.is_empty() || !silent.is_empty() {
+            let alive = self.members.alive().len();
+            self.note(Note::Peers { heard, silent, alive });
+        }
+    }
+
+    /// Gives how far this heartbeat goes: to all nodes if they are few, if something new is to be
+    /// told to all, and now and then; else to the own zone.
+    fn heartbeat_reach(&mut self) -> Reach {
+        self.heartbeats = self.heartbeats.wrapping_add(1);
+        let cadence = self.cadence();
+        let is_turn = self.heartbeats.is_multiple_of(FAR_BEATS);
+        let is_slower = self.told_far != Some(cadence);
+        if !self.members.is_large() || self.is_wide() || self.beats_wide || is_turn || is_slower {
+            self.beats_wide = false;
+            self.told_far = Some(cadence);
+            return Reach::All;
+        }
+        Reach::Zones(BTreeSet::new())
+    }
+
+    /// Tells whether this node has a duty for all nodes, which must notice its death soon.
+    fn is_wide(&self) -> bool {
+        self.follows_store() || self.gives_orders()
+    }
+
+    /// Gives how often this node tells the others that it lives.
+    pub(super) fn cadence(&self) -> Cadence {
+        self.members.cadence(self.is_wide())
     }
 
     /// Draws for how long memory that another node freed is left to others. The more nodes there
     /// are, the longer, so that one of them takes it and is heard before the next tries.
     fn leave_span(&mut self) -> Duration {
         let spread = self.draw() % 1000;
-        let longest = LEAVE_LEAST + LEAVE_A_NODE * self.members.most() as u32;
+        let longest = LEAVE_LEAST + LEAVE_A_NODE * self.members.most_told() as u32;
         LEAVE_LEAST + longest.mul_f64(spread as f64 / 1000.0)
     }
 
-    /// Has the heartbeat sent with this event.
+    /// Has the heartbeat sent with this event, to all nodes.
     pub(super) fn beat_at_once(&mut self) {
         self.next_heartbeat = self.now;
+        self.beats_wide = true;
     }
 
     /// Tells the living nodes what work has changed, which engines keep new prompts, and which
     /// were replaced, not reached or full.
     pub(super) fn tell_changes(&mut self) {
-        let kept = self.prompts.take_untold();
-        let untold = std::mem::take(&mut self.untold);
-        let is_urgent = self.ledger.is_urgent() || !kept.is_empty() || !untold.is_empty();
+        let is_kept_due = self.kept_told_at().is_some_and(|it| it <= self.now);
+        let is_urgent = self.ledger.is_urgent() || is_kept_due || !self.untold.is_empty();
         if !is_urgent && !self.has_gathered() {
             return;
         }
         self.gathering_since = None;
+        let kept = self.prompts.take_untold();
+        let untold = std::mem::take(&mut self.untold);
         let changed = self.ledger.take_changed();
         let mut message = self.message(false);
         message.loads = changed;
@@ -156,7 +210,13 @@
         message.replaced = untold.replaced;
         message.missed = untold.missed;
         message.full = untold.full;
-        self.tell_all(message);
+        self.tell_concerned(message);
+    }
+
+    /// Gives when new keepers of prompts are told at the latest.
+    pub(super) fn kept_told_at(&self) -> Option<Time> {
+        let span = if self.members.is_large() { KEPT_GATHERS_FOR } else { Duration::ZERO };
+        self.prompts.untold_since().map(|it| it + span)
     }
 
     /// Tells whether changes that are not urgent have gathered for long enough to be told.
@@ -171,7 +231,7 @@
     /// Gives when the changes that are not urgent are told at the latest.
     pub(super) fn gathered_at(&self) -> Option<Time> {
         let nodes = u32::try_from(self.members.most()).unwrap_or(u32::MAX);
-        let span = GATHER_A_NODE.saturating_mul(nodes).min(self.members.heartbeat_every());
+        let span = GATHER_A_NODE.saturating_mul(nodes).min(self.cadence().every());
         self.gathering_since.map(|it| it + span)
     }
 
@@ -214,6 +274,7 @@
             standing: self.standing(),
             loads,
             is_whole,
+            cadence: is_whole.then(|| self.cadence()),
             knowledge: self.knowledge(),
             spending,
             demand,
--- a/crates/hollyspoke-gateway/src/gateway/stages.rs
+++ b/crates/hollyspoke-gateway/src/gateway/stages.rs
@@ -193,6 +193,11 @@
         }
     }
 
+    /// Tells whether this node has engines change their stage.
+    pub(super) fn gives_orders(&self) -> bool {
+        !self.stages.moves.is_empty()
+    }
+
     /// Tells whether this node is the one to give orders.
     fn leads(&self) -> bool {
         self.is_ready() && !self.knowledge().is_blind && self.members.is_first(self.settings.peer)
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -140,6 +140,7 @@
             ledger: &self.ledger,
             service: &flight.service,
             zone: &self.settings.zone,
+            knows_far: !self.members.is_large(),
             tried: &flight.tried,
             now: self.now,
             draw,
--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -46,6 +46,9 @@
 /// a packet.
 const CHANGES_A_DATAGRAM: usize = 16;
 
+/// The most changes of engines that get a line of their own in the log when they come at once.
+const MOST_NOTED: usize = 2;
+
 /// The most changes of one revision that are passed on, which must go in one datagram of at most
 /// 8,192 bytes.
 const MOST_OF_A_REVISION: usize = 64;
@@ -192,30 +195,44 @@
 
     /// Applies changes.
     fn apply(&mut self, changes: &[EngineChange]) {
+        let mut notes = Vec::new();
         for change in changes {
-            match change {
+            notes.extend(match change {
                 EngineChange::Put(engine, revision) => self.put(engine, *revision),
                 EngineChange::Left(id, revision) => self.leave(id, *revision),
-            }
+            });
+        }
+        self.note_engines(notes);
+    }
+
+    /// Adds changes of engines to the log: each of a few, and how many others there were.
+    fn note_engines(&mut self, mut notes: Vec<Note>) {
+        let others = notes.split_off(notes.len().min(MOST_NOTED));
+        for note in notes {
+            self.note(note);
+        }
+        if !others.is_empty() {
+            let left = others.iter().filter(|it| matches!(it, Note::EngineLeft { .. })).count();
+            self.note(Note::ManyEngines { put: others.len() - left, left });
         }
     }
 
     /// Takes one engine's change.
-    fn put(&mut self, engine: &Engine, revision: u64) {
+    fn put(&mut self, engine: &Engine, revision: u64) -> Option<Note> {
         let old = self.directory.get(engine.key).map(|it| it.engine.is_draining);
         let is_news = old != Some(engine.is_draining);
-        if self.directory.change(engine.clone(), revision) && is_news {
+        let is_taken = self.directory.change(engine.clone(), revision);
+        (is_taken && is_news).then(|| {
             let (id, address) = (engine.id.clone(), engine.address);
-            self.note(Note::Engine { id, address, is_draining: engine.is_draining });
-        }
+            Note::Engine { id, address, is_draining: engine.is_draining }
+        })
     }
 
     /// Takes one engine's leaving.
-    fn leave(&mut self, id: &Arc<str>, revision: u64) {
+    fn leave(&mut self, id: &Arc<str>, revision: u64) -> Option<Note> {
         let missing_until = self.missing_until();
-        if self.directory.leave(id, revision, missing_until) && missing_until.is_none() {
-            self.note(Note::EngineLeft { id: id.clone() });
-        }
+        let has_left = self.directory.leave(id, revision, missing_until);
+        (has_left && missing_until.is_none()).then(|| Note::EngineLeft { id: id.clone() })
     }
 
     /// Notes that the store answered.
@@ -253,6 +270,11 @@
         }
     }
 
+    /// Tells whether this node follows the store.
+    pub(super) fn follows_store(&self) -> bool {
+        self.store.follows
+    }
+
     /// Tells what this node knows.
     pub(super) fn knowledge(&self) -> Knowledge {
         Knowledge {
--- a/crates/hollyspoke-gateway/src/gateway/survey.rs
+++ b/crates/hollyspoke-gateway/src/gateway/survey.rs
@@ -92,9 +92,8 @@
         nodes.push(self.settings.peer);
         let own = number(&self.settings.peer);
         let generators = self.directory.all().filter(|it| it.engine.stage == Some(Stage::Decode));
-        let falls_here = |engine: EngineKey| {
-            rank::first(engine.0, nodes.iter().map(number)) == Some(own)
-        };
+        let falls_here =
+            |engine: EngineKey| rank::first(engine.0, nodes.iter().map(number)) == Some(own);
         let chosen = generators.filter(|it| falls_here(it.engine.key));
         let chosen: Vec<_> = chosen.take(MOST_ASKED).map(|it| it.engine.clone()).collect();
         self.effects.extend(chosen.into_iter().map(Effect::Survey));
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! `member`, `placement`, `demand`, `ratio`); `flight` follows one request; `gateway` composes all.
 
 pub mod budget;
+pub mod cadence;
 pub mod demand;
 pub mod directory;
 pub mod effect;
--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -8,18 +8,9 @@
 use hollyspoke::time::Time;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::cadence::{Cadence, SMALL};
 use crate::message::{Demand, Knowledge, Message, Spending, Standing, ZoneKey};
 
-/// How often a node tells the others that it lives, up to [`SMALL`] nodes.
-const HEARTBEAT_EVERY: Duration = Duration::from_millis(350);
-
-/// The number of nodes beyond which heartbeats come less often, so that each node's part of them
-/// stays the same.
-const SMALL: usize = 100;
-
-/// The silence after which a node is taken for dead, in heartbeats.
-const DEAD_AFTER_BEATS: f64 = 3.6;
-
 /// How long a silent node is still greeted.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
 
@@ -27,6 +18,10 @@
 /// too much is lost with it until its death is noticed.
 const LEAST_RELAYED: usize = 6;
 
+/// The nodes of the own data centre that take requests from which on clients are told of these
+/// alone, in deployments of more than [`SMALL`] nodes: a few may be dead and not noticed yet.
+const LEAST_NEAR_FRONTS: usize = 8;
+
 /// How often nodes that have not answered are greeted.
 const GREET_EVERY: Duration = Duration::from_millis(1000);
 
@@ -44,6 +39,8 @@
     incarnation: u64,
     /// The highest sequence heard in this life.
     sequence: u64,
+    /// Its number in orders that are the same on all nodes.
+    number: u64,
     /// Where it listens for clients.
     front: SocketAddr,
     /// Its zone.
@@ -56,12 +53,75 @@
     spending: Vec<(u64, Spending)>,
     /// What clients ask of it, by service.
     demand: Vec<(u64, Demand)>,
+    /// How often its heartbeats come.
+    cadence: Cadence,
     /// When it was last heard.
     heard: Time,
     /// Whether its silence was noted.
     is_silent: bool,
 }
 
+impl Peer {
+    /// Makes a node that is just heard for the first time.
+    fn new(message: &Message, cadence: Cadence) -> Peer {
+        Peer {
+            incarnation: message.incarnation,
+            sequence: 0,
+            number: number(&message.sender),
+            front: message.front,
+            zone: message.zone,
+            standing: message.standing,
+            knowledge: message.knowledge,
+            spending: Vec::new(),
+            demand: Vec::new(),
+            cadence,
+            heard: Time::ZERO,
+            is_silent: true,
+        }
+    }
+
+    /// Takes what it tells of itself.
+    fn take(&mut self, message: &Message, now: Time) {
+        self.incarnation = message.incarnation;
+        self.sequence = message.sequence;
+        self.front = message.front;
+        self.zone = message.zone;
+        self.standing = message.standing;
+        self.knowledge = message.knowledge;
+        self.cadence = message.cadence.unwrap_or(self.cadence);
+        if message.is_whole {
+            self.spending.clone_from(&message.spending);
+            self.demand.clone_from(&message.demand);
+        }
+        self.heard = now;
+        self.is_silent = false;
+    }
+
+    /// Gives the silence after which it is taken for dead by a node of a zone.
+    fn dead_after(&self, own: ZoneKey) -> Duration {
+        self.cadence.dead_after(self.zone == own)
+    }
+}
+
+/// How far a datagram goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Reach {
+    /// To all nodes.
+    All,
+    /// To the nodes of the own zone and of these.
+    Zones(BTreeSet<ZoneKey>),
+}
+
+impl Reach {
+    /// Tells whether it includes another zone than the own.
+    fn includes(&self, zone: ZoneKey) -> bool {
+        match self {
+            Reach::All => true,
+            Reach::Zones(zones) => zones.contains(&zone),
+        }
+    }
+}
+
 /// Whom a datagram goes to.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Audience {
@@ -88,8 +148,10 @@
 }
 
 /// All other nodes.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Members {
+    /// The zone of this node.
+    own: ZoneKey,
     /// The nodes heard, by where they listen.
     peers: BTreeMap<SocketAddr, Peer>,
     /// Nodes named by the settings or by others, and not heard yet.
@@ -102,18 +164,39 @@
     last_joined: Option<Time>,
     /// The most nodes that lived at once, this one included.
     most: usize,
+    /// The same, of the own zone.
+    most_near: usize,
 }
 
 impl Members {
-    /// Gives how often this node tells the others that it lives.
-    pub fn heartbeat_every(&self) -> Duration {
-        let share = self.most.max(SMALL) as f64 / SMALL as f64;
-        HEARTBEAT_EVERY.mul_f64(share)
+    /// Makes the members as a node of a zone knows them that has heard nobody.
+    pub fn new(own: ZoneKey) -> Members {
+        Members {
+            own,
+            peers: BTreeMap::new(),
+            greeted: BTreeSet::new(),
+            last_greeting: None,
+            first_greeting: None,
+            last_joined: None,
+            most: 1,
+            most_near: 1,
+        }
     }
 
-    /// Gives the silence after which a node is taken for dead.
-    fn dead_after(&self) -> Duration {
-        self.heartbeat_every().mul_f64(DEAD_AFTER_BEATS)
+    /// Gives how often this node tells the others that it lives. One that is wide has a duty for
+    /// all of them.
+    pub fn cadence(&self, is_wide: bool) -> Cadence {
+        Cadence::of(self.most, self.most_near, is_wide)
+    }
+
+    /// Tells whether there are so many nodes that not all are told everything.
+    pub fn is_large(&self) -> bool {
+        self.most > SMALL
+    }
+
+    /// Gives how many nodes at most have heard at once what this node tells of an engine near by.
+    pub fn most_told(&self) -> usize {
+        if self.is_large() { self.most_near } else { self.most }
     }
 
     /// Adds nodes to greet.
@@ -128,33 +211,19 @@
     /// Takes in a datagram.
     pub fn hear(&mut self, message: &Message, now: Time) -> Hearing {
         self.greeted.remove(&message.sender);
-        let old = self.peers.get(&message.sender);
-        let same_life = old.is_some_and(|it| it.incarnation == message.incarnation);
-        if same_life && old.is_some_and(|it| it.sequence >= message.sequence) {
+        let cadence = self.cadence(false);
+        let peer = self.peers.entry(message.sender).or_insert_with(|| Peer::new(message, cadence));
+        let same_life = peer.incarnation == message.incarnation;
+        if same_life && peer.sequence >= message.sequence {
             return Hearing::Stale;
         }
-        let is_known = old.is_some_and(|it| !it.is_silent);
-        let told = message.is_whole.then(|| message.spending.clone());
-        let spending = told.or_else(|| old.map(|it| it.spending.clone())).unwrap_or_default();
-        let told = message.is_whole.then(|| message.demand.clone());
-        let demand = told.or_else(|| old.map(|it| it.demand.clone())).unwrap_or_default();
-        let peer = Peer {
-            incarnation: message.incarnation,
-            sequence: message.sequence,
-            front: message.front,
-            zone: message.zone,
-            standing: message.standing,
-            knowledge: message.knowledge,
-            spending,
-            demand,
-            heard: now,
-            is_silent: false,
-        };
-        self.peers.insert(message.sender, peer);
+        let is_known = !peer.is_silent;
+        peer.take(message, now);
         if is_known {
             return Hearing::Known;
         }
         self.most = self.most.max(self.count(now));
+        self.most_near = self.most_near.max(1 + self.alive_in(self.own).len());
         self.last_joined = Some(now);
         Hearing::New
     }
@@ -163,9 +232,8 @@
     pub fn sweep(&mut self, now: Time) -> Vec<SocketAddr> {
         self.peers.retain(|_, it| now.since(it.heard) < FORGOTTEN_AFTER);
         let mut silent = Vec::new();
-        let dead_after = self.dead_after();
         for (&address, peer) in &mut self.peers {
-            if !peer.is_silent && now.since(peer.heard) > dead_after {
+            if !peer.is_silent && now.since(peer.heard) > peer.dead_after(self.own) {
                 peer.is_silent = true;
                 silent.push(address);
             }
@@ -184,21 +252,24 @@
         alive.map(|(&address, _)| address).collect()
     }
 
-    /// Gives whom a datagram to all living nodes goes to: those of the own zone and of small ones,
-    /// and one of each larger zone, chosen by a subject.
-    pub fn audience(&self, own: ZoneKey, subject: u64) -> Audience {
-        let mut zones: BTreeMap<ZoneKey, Vec<SocketAddr>> = BTreeMap::new();
+    /// Gives whom a datagram to living nodes goes to: those of the own zone and of small ones, and
+    /// one of each larger zone that it reaches, chosen by a subject.
+    pub fn audience(&self, reach: &Reach, subject: u64) -> Audience {
+        let mut zones: BTreeMap<ZoneKey, Vec<(SocketAddr, u64)>> = BTreeMap::new();
         for (&address, peer) in self.peers.iter().filter(|(_, it)| !it.is_silent) {
-            zones.entry(peer.zone).or_default().push(address);
+            if peer.zone == self.own || reach.includes(peer.zone) {
+                zones.entry(peer.zone).or_default().push((address, peer.number));
+            }
         }
         let mut audience = Audience::default();
-        for (zone, mut nodes) in zones {
-            if zone == own || nodes.len() < LEAST_RELAYED {
-                audience.direct.extend(nodes);
+        for (zone, nodes) in zones {
+            if zone == self.own || nodes.len() < LEAST_RELAYED {
+                audience.direct.extend(nodes.iter().map(|it| it.0));
                 continue;
             }
-            rank::order(subject, &mut nodes, number);
-            audience.relays.extend(nodes.first());
+            let first = rank::first(subject, nodes.iter().map(|it| it.1));
+            let relay = nodes.iter().find(|it| Some(it.1) == first);
+            audience.relays.extend(relay.map(|it| it.0));
         }
         audience
     }
@@ -236,16 +307,23 @@
         self.greeted.is_empty() && is_quiet
     }
 
-    /// Gives where clients may connect besides this node.
+    /// Gives where clients may connect besides this node. Of many nodes those of the own zone are
+    /// named, which are the nearest to the clients that ask here and know the engines near by best.
     ///
     /// If most nodes fell silent, it is as likely that this node was cut off; all are then named,
     /// since clients pass over addresses that fail.
     pub fn fronts(&self) -> Vec<SocketAddr> {
         let serving = |it: &&Peer| it.standing == Standing::Ready;
-        let alive: Vec<_> =
-            self.peers.values().filter(serving).filter(|it| !it.is_silent).collect();
         let all: Vec<_> = self.peers.values().filter(serving).collect();
-        let chosen = if alive.len() * 2 < all.len() { all } else { alive };
+        let alive: Vec<_> = all.iter().copied().filter(|it| !it.is_silent).collect();
+        let near: Vec<_> = alive.iter().copied().filter(|it| it.zone == self.own).collect();
+        let chosen = if self.is_large() && near.len() >= LEAST_NEAR_FRONTS {
+            near
+        } else if alive.len() * 2 < all.len() {
+            all
+        } else {
+            alive
+        };
         chosen.into_iter().map(|it| it.front).collect()
     }
 
@@ -311,12 +389,12 @@
 
     /// Gives how many nodes live, this one included.
     pub fn count(&self, now: Time) -> usize {
-        let dead_after = self.dead_after();
-        1 + self.peers.values().filter(|it| now.since(it.heard) <= dead_after).count()
+        let lives = |it: &&Peer| now.since(it.heard) <= it.dead_after(self.own);
+        1 + self.peers.values().filter(lives).count()
     }
 
     /// Gives the most nodes that have lived at once, this one included.
     pub fn most(&self) -> usize {
-        self.most.max(1)
+        self.most
     }
 }
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::cadence::Cadence;
 use crate::engine::{EngineChange, EngineKey, Stage};
 use crate::prompt::Kept;
 
@@ -158,6 +159,8 @@
     pub loads: Vec<(EngineKey, Load)>,
     /// Whether engines that are not among `loads` have no work of the sender's.
     pub is_whole: bool,
+    /// How often such whole datagrams come, told with each of them.
+    pub cadence: Option<Cadence>,
     /// What the sender knows of the store.
     pub knowledge: Knowledge,
     /// What the sender has spent of each service's budget, by a hash of the service's name.
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -32,6 +32,14 @@
 /// What moving a prompt to another zone costs beside its time.
 const OTHER_ZONE_MOVE: Duration = Duration::from_millis(25);
 
+/// What it costs to choose an engine of another zone whose work is known from seldom heartbeats
+/// alone, where time is compared: most of a prompt of 5,000 tokens that a reader may have been sent
+/// meanwhile, which takes it 90 ms.
+const FAR_DOUBT: Duration = Duration::from_millis(75);
+
+/// The same, in shares of an engine that is full: two calls of six, or of a dozen four.
+const FAR_DOUBT_SHARE: f64 = 0.3;
+
 /// What a failure rate of one costs where time is compared.
 const FAILURE_TIME: Duration = Duration::from_millis(1500);
 
@@ -63,6 +71,8 @@
     pub service: &'a Service,
     /// This node's zone.
     pub zone: &'a str,
+    /// Whether the work at engines of other zones is known as soon as that of the own zone.
+    pub knows_far: bool,
     /// Engines that the request was sent to before.
     pub tried: &'a [EngineKey],
     /// The time.
@@ -89,7 +99,8 @@
             self.candidates(Some(Stage::Prefill), |it| self.has_memory(it, staged, tokens));
         let (known, _) = self.cheapest(&candidates, |it| {
             let zone = if self.is_near(it) { Duration::ZERO } else { OTHER_ZONE_MOVE };
-            (self.reading_time(it, tokens) + zone + self.failure_time(it)).as_secs_f64()
+            let doubt = self.doubt(it);
+            (self.reading_time(it, tokens) + zone + doubt + self.failure_time(it)).as_secs_f64()
         })?;
         let expected = self.reading_time(known, tokens) + self.move_time(staged, tokens);
         Some(Choice { engine: known.engine.clone(), expected, ahead: self.ahead(known) + tokens })
@@ -102,7 +113,8 @@
         let (known, cost) = self.cheapest(&candidates, |it| {
             let load = self.ledger.at(it.engine.key);
             let beside = BESIDE_STREAMS * load.calls.min(4);
-            (self.reading_time(it, tokens) + beside + self.failure_time(it)).as_secs_f64()
+            let doubt = self.doubt(it);
+            (self.reading_time(it, tokens) + beside + doubt + self.failure_time(it)).as_secs_f64()
         })?;
         let expected = Duration::from_secs_f64(cost);
         Some(Choice { engine: known.engine.clone(), expected, ahead: self.ahead(known) + tokens })
@@ -131,7 +143,7 @@
             let memory = f64::from(load.held) / staged.memory_tokens.max(1) as f64;
             let reads = if load.reading > 0 { OTHER_ZONE } else { 0.0 };
             let zone = if *it.engine.zone == *source_zone { 0.0 } else { OTHER_ZONE };
-            memory + reads + zone + it.health.rate(self.now) * FAILURE
+            memory + reads + zone + self.doubt_share(it) + it.health.rate(self.now) * FAILURE
         })?;
         let expected = CALL_OVERHEAD + self.move_time(staged, held);
         Some(Choice { engine: known.engine.clone(), expected, ahead: 0 })
@@ -185,7 +197,18 @@
     /// Gives the cost of a plain request at an engine.
     fn plain_cost(&self, known: &Known) -> f64 {
         let zone = if self.is_near(known) { 0.0 } else { OTHER_ZONE };
-        self.queue(known) + zone + known.health.rate(self.now) * FAILURE
+        let doubt = self.doubt_share(known);
+        self.queue(known) + zone + doubt + known.health.rate(self.now) * FAILURE
+    }
+
+    /// Gives what the age of what is known of an engine costs in time.
+    fn doubt(&self, known: &Known) -> Duration {
+        if self.knows_far || self.is_near(known) { Duration::ZERO } else { FAR_DOUBT }
+    }
+
+    /// Gives what the age of what is known of an engine costs, in shares of one that is full.
+    fn doubt_share(&self, known: &Known) -> f64 {
+        if self.knows_far || self.is_near(known) { 0.0 } else { FAR_DOUBT_SHARE }
     }
 
     /// Gives the work at an engine for each of its slots.
--- a/crates/hollyspoke-gateway/src/prompt.rs
+++ b/crates/hollyspoke-gateway/src/prompt.rs
@@ -57,6 +57,8 @@
     noted: VecDeque<(Time, PromptKey)>,
     /// What this node has seen itself and not told yet.
     untold: Vec<Kept>,
+    /// Since when there is some of that.
+    untold_since: Option<Time>,
 }
 
 impl Prompts {
@@ -64,6 +66,7 @@
     pub fn see(&mut self, kept: Kept, now: Time) {
         self.note(kept, now);
         self.untold.push(kept);
+        self.untold_since.get_or_insert(now);
     }
 
     /// Notes that an engine keeps a prompt.
@@ -86,8 +89,14 @@
         engines.iter().rev().copied()
     }
 
+    /// Gives since when something is to be told to others.
+    pub fn untold_since(&self) -> Option<Time> {
+        self.untold_since
+    }
+
     /// Gives what is to be told to others.
     pub fn take_untold(&mut self) -> Vec<Kept> {
+        self.untold_since = None;
         std::mem::take(&mut self.untold)
     }
 
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -110,8 +110,10 @@
             Note::Failed { how, .. } => self.failures.add(1, &[KeyValue::new("how", *how)]),
             Note::Configured { version, .. } => self.version.record(*version, &[]),
             Note::Engine { .. } | Note::EngineLeft { .. } => self.engines.add(1, &[]),
-            Note::Peer { is_alive, .. } => {
-                self.peers.add(1, &[KeyValue::new("alive", *is_alive)]);
+            Note::ManyEngines { put, left } => self.engines.add((put + left) as u64, &[]),
+            Note::Peers { heard, silent, .. } => {
+                self.peers.add(heard.len() as u64, &[KeyValue::new("alive", true)]);
+                self.peers.add(silent.len() as u64, &[KeyValue::new("alive", false)]);
             }
             Note::Switch { stage, engines, demand, .. } => {
                 self.split.record(u64::from(engines.readers), &[KeyValue::new("stage", "reads")]);
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -1,5 +1,7 @@
 //! Writes the reducer's decisions to the log, one structured line each.
 
+use std::net::SocketAddr;
+
 use hollyspoke_gateway::effect::Note;
 use hollyspoke_gateway::engine::Stage;
 use slog::{Logger, info};
@@ -30,8 +32,11 @@
             "held" => known.held, "calls" => known.calls),
         Note::Ended { request, how, after } => info!(log, "request ended";
             "request" => %request, "how" => how, "after_ms" => millis(after)),
-        Note::Peer { address, is_alive } => info!(log, "peer";
-            "peer" => %address, "alive" => is_alive),
+        Note::Peers { heard, silent, alive } => info!(log, "peers changed";
+            "heard" => heard.len(), "silent" => silent.len(), "alive" => alive,
+            "heard_first" => some(heard), "silent_first" => some(silent)),
+        Note::ManyEngines { put, left } => info!(log, "engines changed";
+            "changed" => put, "left" => left),
         Note::Follows(follows) => info!(log, "follows the store"; "follows" => follows),
         Note::Lease(token) => info!(log, "lease for orders";
             "held" => token.is_some(), "token" => token),
@@ -46,6 +51,15 @@
     }
 }
 
+/// The most nodes that one line names.
+const MOST_NAMED: usize = 4;
+
+/// Gives the first of some addresses.
+fn some(nodes: &[SocketAddr]) -> String {
+    let first: Vec<_> = nodes.iter().take(MOST_NAMED).map(SocketAddr::to_string).collect();
+    first.join(" ")
+}
+
 /// Gives a stage's name.
 fn stage_name(stage: Stage) -> &'static str {
     match stage {
--- a/tests/soak/src/client.rs
+++ b/tests/soak/src/client.rs
@@ -211,9 +211,8 @@
             body: digest(&wanted.body),
             after: wanted.after,
         });
-        let until = leaves_after.map_or(wanted.deadline, |it| {
-            wanted.deadline.min(Instant::now() + it)
-        });
+        let until =
+            leaves_after.map_or(wanted.deadline, |it| wanted.deadline.min(Instant::now() + it));
         let exchanged = tokio::time::timeout_at(until, self.exchange(wanted, node, &id)).await;
         let Ok(outcome) = exchanged else {
             self.kept = None;
--- a/tests/soak/src/cluster.rs
+++ b/tests/soak/src/cluster.rs
@@ -25,7 +25,8 @@
 use crate::standin::{engine, store};
 
 /// The ports of a box, the same on all boxes.
-const PORTS: Ports = Ports { front: 8149, ready: 8141, directory: 8143, peers: 7380, metrics: 9464 };
+const PORTS: Ports =
+    Ports { front: 8149, ready: 8141, directory: 8143, peers: 7380, metrics: 9464 };
 
 /// The data centres that boxes and upstreams are spread over.
 const DATA_CENTRES: [&str; 2] = ["north", "south"];
--- a/tests/soak/src/judge.rs
+++ b/tests/soak/src/judge.rs
@@ -228,7 +228,8 @@
         finding(Promise::AsAsked, run.began, format!("{} ran {id}, which nobody sent", run.engine))
     });
     let altered = records.attempts.values().flat_map(|attempt| {
-        let other = attempt.runs.iter().filter(|it| it.path != attempt.path || it.body != attempt.body);
+        let other =
+            attempt.runs.iter().filter(|it| it.path != attempt.path || it.body != attempt.body);
         other.map(|run| {
             let what = format!("{} ran {} as {}", run.engine, attempt.id, run.path);
             finding(Promise::AsAsked, run.began, what)
@@ -368,7 +369,8 @@
     }
     if late.len() >= LEAST_LEFT && late.len() * 4 > left {
         let (at, first) = &late[0];
-        let what = format!("{} of {left} runs went on for clients that had left: {first}", late.len());
+        let what =
+            format!("{} of {left} runs went on for clients that had left: {first}", late.len());
         findings.push(finding(Promise::MemoryFreed, *at, what));
     }
     findings
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -164,15 +164,15 @@
 
 /// Prints the verdict.
 fn verdict(plan: &Plan, outcome: &Outcome) -> ExitCode {
-    let total = judge::seconds(&outcome.observations).into_iter().fold(
-        Second::default(),
-        |sum, it| Second {
-            served: sum.served + it.served,
-            late: sum.late + it.late,
-            refused: sum.refused + it.refused,
-            broken: sum.broken + it.broken,
-        },
-    );
+    let total =
+        judge::seconds(&outcome.observations).into_iter().fold(Second::default(), |sum, it| {
+            Second {
+                served: sum.served + it.served,
+                late: sum.late + it.late,
+                refused: sum.refused + it.refused,
+                broken: sum.broken + it.broken,
+            }
+        });
     println!(
         "seed {}: {} faults; served {}, late {}, refused {}, broken {}; {} findings; {}",
         plan.seed,
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -377,11 +377,7 @@
 }
 
 /// Stops boxes in turn and starts each again when it has ended.
-async fn stop_in_turn(
-    cluster: &Rc<Cluster>,
-    nodes: &[usize],
-    gap: Duration,
-) -> eyre::Result<()> {
+async fn stop_in_turn(cluster: &Rc<Cluster>, nodes: &[usize], gap: Duration) -> eyre::Result<()> {
     let mut restarts = Vec::new();
     for &node in nodes {
         if cluster.signal(node, Signal::SIGTERM) {
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -277,6 +277,7 @@
         standing: Standing::Ready,
         loads: Vec::new(),
         is_whole: true,
+        cadence: None,
         knowledge,
         spending: Vec::new(),
         demand: Vec::new(),
--- /dev/null
+++ b/tests/tests/data_centres.rs
@@ -0,0 +1,232 @@
+//! Many nodes in several data centres: what is told to whom, and what silence means.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyspoke_gateway::cadence::Cadence;
+use hollyspoke_gateway::effect::Effect;
+use hollyspoke_gateway::engine::{Engine, Stage};
+use hollyspoke_gateway::event::Event;
+use hollyspoke_gateway::message::{Knowledge, Message, ZoneKey};
+use hollyspoke_gateway::request::FlightKey;
+use hollyspoke_tests::gateway::{
+    MODEL, PLAIN, World, configuration, engine, heartbeat, only_send, request,
+};
+
+/// The data centres; the node under test stands in the first.
+const ZONES: [&str; 3] = ["north", "south", "east"];
+
+/// The cadence of a node with many others.
+const SELDOM: Cadence = Cadence { near_ms: 500, far_ms: 2000 };
+
+/// Gives where a node listens for other nodes.
+fn peer(zone: usize, number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 1 + zone as u8, 0, number], 7000))
+}
+
+/// Gives a heartbeat of a node in a data centre.
+fn beat(zone: usize, number: u8, sequence: u64) -> Message {
+    Message {
+        sender: peer(zone, number),
+        front: SocketAddr::from(([10, 1 + zone as u8, 0, number], 8000)),
+        zone: ZoneKey::of(ZONES[zone]),
+        cadence: Some(SELDOM),
+        ..heartbeat(2, sequence, Knowledge::default())
+    }
+}
+
+/// Makes a node that hears a number of nodes in each data centre.
+fn world(nodes: u8) -> World {
+    world_of(World::unconfigured(), nodes)
+}
+
+/// Has a node hear a number of nodes in each data centre.
+fn world_of(mut world: World, nodes: u8) -> World {
+    world.event(Event::Configured(Arc::new(configuration(1))));
+    for zone in 0..ZONES.len() {
+        for number in 1..=nodes {
+            world.event(Event::Heard(beat(zone, number, 1)));
+        }
+    }
+    world
+}
+
+/// Gives engines of both services in a data centre.
+fn engines_in(zone: usize) -> Vec<Engine> {
+    let first = 40 * zone as u8;
+    let engines = [
+        engine(first + 1, PLAIN, None),
+        engine(first + 2, MODEL, Some(Stage::Prefill)),
+        engine(first + 3, MODEL, Some(Stage::Decode)),
+    ];
+    engines.into_iter().map(|it| Engine { zone: ZONES[zone].into(), ..it }).collect()
+}
+
+/// Gives the zones whose nodes a change of work is told to, when a stream goes to an engine.
+fn zones_told(world: &mut World) -> BTreeSet<usize> {
+    let arrival = Event::Arrived(FlightKey(900), request("once"));
+    let effects = world.gateway.step(world.now, arrival);
+    let told = effects.iter().filter_map(|it| match it {
+        Effect::Tell(nodes, message) if !message.is_whole => Some(nodes),
+        _ => None,
+    });
+    told.flatten().map(zone_of).collect()
+}
+
+/// Gives the number of a node's zone.
+fn zone_of(node: &SocketAddr) -> usize {
+    let zones = 0..ZONES.len();
+    let mut of = zones.filter(|&zone| (1..=250).any(|it| peer(zone, it) == *node));
+    of.next().expect("a node of a zone")
+}
+
+#[test]
+fn few_nodes_are_all_told() {
+    let mut world = world(20);
+    world.event(Event::Listed(engines_in(0), 10));
+    assert_eq!(zones_told(&mut world), BTreeSet::from([0, 1, 2]));
+}
+
+/// What each of many nodes hears is not to grow with the data centres.
+#[test]
+fn work_near_by_is_told_near_by() {
+    let mut world = world(50);
+    world.event(Event::Listed(engines_in(0), 10));
+    assert_eq!(zones_told(&mut world), BTreeSet::from([0]));
+}
+
+/// Those who stand beside the engine must know of it too.
+#[test]
+fn work_elsewhere_is_told_there() {
+    let mut world = world(50);
+    world.event(Event::Listed(engines_in(1), 10));
+    assert_eq!(zones_told(&mut world), BTreeSet::from([0, 1]));
+}
+
+/// What is known of engines elsewhere is older: they get work when the own ones are much fuller.
+#[test]
+fn engines_near_by_come_first() {
+    let mut world = world(50);
+    let all = (0..ZONES.len()).flat_map(engines_in).collect();
+    world.event(Event::Listed(all, 10));
+    let (_, send) = world.sent(request("safe"));
+    assert_eq!(&*send.engine.zone, ZONES[0]);
+    let mut elsewhere = 0;
+    for number in 0..40 {
+        let arrival = Event::Arrived(FlightKey(500 + number), request("once"));
+        let send = only_send(&world.event(arrival));
+        elsewhere += usize::from(*send.engine.zone != *ZONES[0]);
+        if elsewhere > 0 {
+            break;
+        }
+    }
+    assert!(elsewhere > 0, "a full data centre sends work elsewhere");
+}
+
+/// What a node did in some time.
+#[derive(Debug, Default)]
+struct Doings {
+    /// Its heartbeats.
+    heartbeats: usize,
+    /// Those of them that went to other data centres too.
+    far: usize,
+    /// Its last word on following the store; it follows at first, while it has heard nobody.
+    follows: Option<bool>,
+}
+
+impl Doings {
+    /// Takes what one step led to.
+    fn take(&mut self, effects: &[Effect]) {
+        let told = effects.iter().filter_map(|it| match it {
+            Effect::Tell(nodes, message) if message.is_whole => Some(nodes),
+            _ => None,
+        });
+        let told: BTreeSet<usize> = told.flatten().map(zone_of).collect();
+        self.heartbeats += usize::from(!told.is_empty());
+        self.far += usize::from(told.len() > 1);
+        for effect in effects {
+            if let Effect::Follow(follows) = effect {
+                self.follows = Some(*follows);
+            }
+        }
+    }
+}
+
+/// Lets time pass in which all other nodes are heard, which know something of the store.
+fn pass(world: &mut World, span: Duration, knowledge: Knowledge) -> Doings {
+    let end = world.now + span;
+    let mut doings = Doings::default();
+    while world.now < end {
+        world.now = world.now + Duration::from_millis(50);
+        let sequence = world.now.since(hollyspoke::time::Time::ZERO).as_millis() as u64;
+        for zone in 0..ZONES.len() {
+            for number in 1..=50 {
+                let message = Message { knowledge, ..beat(zone, number, sequence) };
+                doings.take(&world.gateway.step(world.now, Event::Heard(message)));
+            }
+        }
+        doings.take(&world.gateway.step(world.now, Event::Tick));
+    }
+    doings
+}
+
+#[test]
+fn few_heartbeats_go_far() {
+    let mut world = world(50);
+    world.event(Event::Listed(engines_in(0), 10));
+    pass(&mut world, Duration::from_secs(2), Knowledge::default());
+    let doings = pass(&mut world, Duration::from_secs(12), Knowledge::default());
+    assert!((20..=26).contains(&doings.heartbeats), "{doings:?}");
+    assert!((5..=7).contains(&doings.far), "{doings:?}");
+}
+
+/// A node that follows the store has a duty for all, who must notice its death soon.
+#[test]
+fn followers_are_heard_by_all() {
+    let blind = Knowledge { is_blind: true, ..Knowledge::default() };
+    let found = (1..=60).find_map(|number| {
+        let mut world = world_of(World::numbered(number), 50);
+        let first = pass(&mut world, Duration::from_secs(1), blind);
+        let follows = first.follows != Some(false);
+        follows.then(|| pass(&mut world, Duration::from_secs(3), blind))
+    });
+    let doings = found.expect("one of sixty follows");
+    assert_eq!(doings.far, doings.heartbeats, "{doings:?}");
+}
+
+/// A node elsewhere is heard every two seconds, and lives; one near by that is silent as long does
+/// not.
+#[test]
+fn silence_near_and_far() {
+    let mut world = world(50);
+    world.event(Event::Listed(engines_in(0), 10));
+    world.pass(Duration::from_millis(2600));
+    let effects = world.gateway.step(world.now, Event::Stop);
+    let told = effects.iter().filter_map(|it| match it {
+        Effect::Tell(nodes, message) if message.is_whole => Some(nodes),
+        _ => None,
+    });
+    let told: BTreeSet<usize> = told.flatten().map(zone_of).collect();
+    assert_eq!(told, BTreeSet::from([1, 2]), "those near by are dead, the others are not");
+}
+
+/// Clients are sent to the nodes near by, which know the engines near by best.
+#[test]
+fn clients_stay_near_by() {
+    let mut world = world(50);
+    world.event(Event::Listed(engines_in(0), 10));
+    let fronts = world.gateway.fronts();
+    assert_eq!(fronts.len(), 51, "the own data centre's, and this node");
+    let mut few = World::unconfigured();
+    few.event(Event::Configured(Arc::new(configuration(1))));
+    few.event(Event::Listed(engines_in(0), 10));
+    for zone in 1..ZONES.len() {
+        for number in 1..=60 {
+            few.event(Event::Heard(beat(zone, number, 1)));
+        }
+    }
+    few.event(Event::Heard(beat(0, 1, 1)));
+    assert_eq!(few.gateway.fronts().len(), 122, "too few near by: all are named");
+}
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -156,7 +156,8 @@
     assert_eq!(with(probed(14_100, 1, 200)), [Promise::NewestVersion]);
     assert_eq!(with(probed(14_100, 1, 404)), []);
     let disturbed = at(9000, What::StoreDisturbed { span: SECOND });
-    let seen = [versions[0].clone(), versions[1].clone(), second, disturbed, probed(14_100, 2, 404)];
+    let seen =
+        [versions[0].clone(), versions[1].clone(), second, disturbed, probed(14_100, 2, 404)];
     assert_eq!(broken(&seen), [], "the store was disturbed");
 }
 
@@ -195,7 +196,8 @@
         let (kind, after) = (Kind::Once, 0);
         let engine = "a".to_owned();
         let left = attempt.clone();
-        let sent = What::Sent { attempt: attempt.clone(), kind, node: 0, path: path.clone(), body, after };
+        let sent =
+            What::Sent { attempt: attempt.clone(), kind, node: 0, path: path.clone(), body, after };
         seen.push(at(5000, sent));
         seen.push(at(5010, What::Began { engine, attempt, path, body, is_reading: false }));
         seen.push(at(5100, What::Left { attempt: left }));
