Greet nodes as soon as they are named, and count changes in the log

Cause: names of other nodes came with the seeds' first answer and were greeted a second later.

Change: nodes that were named are greeted within 50 ms, the answer to one that this node has greeted itself is left out, and a node names up to 64 others in its first 0.9 s. A new cadence is told twice to other data centres. Beyond four changes of engines between two heartbeats the log gives their number.

Tests: the tests of gateway_survey, gateway_peers and data_centres.

--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -21,16 +21,15 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::budget::{Bound, Budget};
-use crate::cadence::Cadence;
 use crate::demand::{Meter, Runs};
 use crate::directory::Directory;
 use crate::effect::{Effect, Note};
 use crate::engine::EngineKey;
 use crate::event::Event;
 use crate::flight::{Call, Flight};
-use crate::gateway::peers::{PeerChanges, Untold};
+use crate::gateway::peers::{PeerChanges, ToldFar, Untold};
 use crate::gateway::stages::Stages;
-use crate::gateway::store::StoreState;
+use crate::gateway::store::{EngineChanges, StoreState};
 use crate::gateway::survey::Survey;
 use crate::load::Ledger;
 use crate::member::Members;
@@ -119,6 +118,8 @@
     untold: Untold,
     /// The nodes that are to be named in the log with the next heartbeat.
     peer_changes: PeerChanges,
+    /// The changes of engines that are to be counted in the log with the next heartbeat.
+    engine_changes: EngineChanges,
     /// Since when changes gather that are not urgent.
     gathering_since: Option<Time>,
     /// When the next heartbeat is due.
@@ -129,7 +130,7 @@
     /// Whether the next heartbeat goes to all nodes.
     beats_wide: bool,
     /// The cadence that nodes of other data centres were last told.
-    told_far: Option<Cadence>,
+    told_far: Option<ToldFar>,
     /// When the process was told to stop.
     stopped: Option<Time>,
     /// The source of chance.
@@ -169,6 +170,7 @@
             survey: Survey::default(),
             untold: Untold::default(),
             peer_changes: PeerChanges::default(),
+            engine_changes: EngineChanges::default(),
             gathering_since: None,
             next_heartbeat: Time::ZERO,
             heartbeats,
@@ -194,7 +196,7 @@
             Event::ClientLeft(flight) => self.client_left(flight),
             Event::Call(call, event) => self.called(call, event),
             Event::Heard(message) => self.hear(&message),
-            Event::Seeds(seeds) => self.members.introduce(self.settings.peer, seeds),
+            Event::Seeds(seeds) => self.members.introduce(self.settings.peer, seeds, self.now),
             Event::Surveyed(engine, prompts) => self.surveyed(engine, prompts),
             Event::Stored(number, answer) => self.stored(number, &answer),
             Event::Inspected(engine, count) => self.inspected(engine, count),
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -21,6 +21,10 @@
 /// others soonest from those that it greets first.
 const MOST_NAMED_TO_NEW: usize = 64;
 
+/// The time after a node's start in which it names as many to all: two heartbeats of a large
+/// deployment, after which all were named.
+const YOUNG_FOR: Duration = Duration::from_millis(900);
+
 /// The least time for which memory that another node freed is left to others.
 const LEAVE_LEAST: Duration = Duration::from_millis(3);
 
@@ -46,6 +50,19 @@
     pub(super) full: Vec<Full>,
 }
 
+/// How often a new cadence is told to other data centres before the next heartbeat may stay out:
+/// the first may be lost, and a seldom heard node would then be taken for dead.
+const CADENCE_TOLD: u32 = 2;
+
+/// The cadence that nodes of other data centres were told.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ToldFar {
+    /// The cadence.
+    cadence: Cadence,
+    /// How often it was told.
+    times: u32,
+}
+
 /// The nodes that were first heard or fell silent since the last heartbeat.
 #[derive(Debug, Clone, Default)]
 pub(super) struct PeerChanges {
@@ -76,6 +93,7 @@
         if message.is_relayed {
             self.relay(message);
         }
+        let knows_this_one = self.members.was_greeted(message.sender);
         let hearing = self.members.hear(message, self.now);
         if hearing == Hearing::Stale {
             return;
@@ -83,11 +101,11 @@
         if hearing == Hearing::New {
             self.ledger.forget(message.sender);
             self.peer_changes.heard.push(message.sender);
-            let peers = self.some_peers(MOST_NAMED_TO_NEW);
-            let answer = Message { peers, ..self.message(true) };
-            self.effects.push(Effect::Tell(vec![message.sender], Box::new(answer)));
+            if !knows_this_one {
+                self.answer_new(message);
+            }
         }
-        self.members.introduce(self.settings.peer, message.peers.iter().copied());
+        self.members.introduce(self.settings.peer, message.peers.iter().copied(), self.now);
         self.read_if_newer(message.knowledge.version);
         if let Some(news) = &message.news {
             self.take_news(news);
@@ -120,6 +138,15 @@
         }
     }
 
+    /// Answers a node that was not known. One that names few others is told of many.
+    fn answer_new(&mut self, message: &Message) {
+        let mut answer = self.message(true);
+        if message.peers.len() < MOST_NAMED {
+            answer.peers = self.some_peers(MOST_NAMED_TO_NEW);
+        }
+        self.effects.push(Effect::Tell(vec![message.sender], Box::new(answer)));
+    }
+
     /// Sends the heartbeat if it is due.
     pub(super) fn beat(&mut self) {
         if self.now < self.next_heartbeat {
@@ -131,6 +158,7 @@
             self.peer_changes.silent.push(silent);
         }
         self.note_peers();
+        self.note_engine_count();
         self.keep_up();
         self.balance();
         let message = self.message(true);
@@ -159,10 +187,16 @@
         self.heartbeats = self.heartbeats.wrapping_add(1);
         let cadence = self.cadence();
         let is_turn = self.heartbeats.is_multiple_of(FAR_BEATS);
-        let is_slower = self.told_far != Some(cadence);
-        if !self.members.is_large() || self.is_wide() || self.beats_wide || is_turn || is_slower {
+        let is_new = self.told_far.is_none_or(|it| it.cadence != cadence);
+        if is_new {
+            self.told_far = Some(ToldFar { cadence, times: 0 });
+        }
+        let is_untold = self.told_far.is_some_and(|it| it.times < CADENCE_TOLD);
+        if !self.members.is_large() || self.is_wide() || self.beats_wide || is_turn || is_untold {
             self.beats_wide = false;
-            self.told_far = Some(cadence);
+            if let Some(told) = &mut self.told_far {
+                told.times += 1;
+            }
             return Reach::All;
         }
         Reach::Zones(BTreeSet::new())
@@ -263,7 +297,8 @@
         let spending = if is_whole { self.spending() } else { Vec::new() };
         let demand = if is_whole { self.own_demand() } else { Vec::new() };
         let switching = if is_whole { self.own_switching() } else { Vec::new() };
-        let peers = if is_whole { self.some_peers(MOST_NAMED) } else { Vec::new() };
+        let most_named = if self.is_young() { MOST_NAMED_TO_NEW } else { MOST_NAMED };
+        let peers = if is_whole { self.some_peers(most_named) } else { Vec::new() };
         Message {
             incarnation: self.settings.incarnation,
             sequence: self.next_sequence,
@@ -288,6 +323,12 @@
         }
     }
 
+    /// Tells whether this node has just started, perhaps with all others: what it has heard may be
+    /// news to them.
+    fn is_young(&self) -> bool {
+        self.now.since(Time::ZERO) < YOUNG_FOR
+    }
+
     /// Draws some of the living nodes.
     fn some_peers(&mut self, most: usize) -> Vec<SocketAddr> {
         let mut alive = self.members.alive();
@@ -299,7 +340,7 @@
         alive
     }
 
-    /// Greets the seeds while no node was ever heard.
+    /// Greets nodes that are to be greeted before the next heartbeat.
     pub(super) fn seek(&mut self) {
         if self.members.next_greeting(self.now).is_some_and(|it| it <= self.now) {
             let message = self.message(true);
--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -46,8 +46,8 @@
 /// a packet.
 const CHANGES_A_DATAGRAM: usize = 16;
 
-/// The most changes of engines that get a line of their own in the log when they come at once.
-const MOST_NOTED: usize = 2;
+/// The most changes of engines between two heartbeats that get a line of their own in the log.
+const MOST_NOTED: usize = 4;
 
 /// The most changes of one revision that are passed on, which must go in one datagram of at most
 /// 8,192 bytes.
@@ -76,6 +76,17 @@
     }
 }
 
+/// The changes of engines since the last heartbeat.
+#[derive(Debug, Clone, Default)]
+pub(super) struct EngineChanges {
+    /// Those with a line of their own in the log.
+    noted: usize,
+    /// Others that were added or changed.
+    put: usize,
+    /// Others that left.
+    left: usize,
+}
+
 /// What a node has from the store itself, and what it asked for.
 #[derive(Debug, Clone)]
 pub(super) struct StoreState {
@@ -205,15 +216,27 @@
         self.note_engines(notes);
     }
 
-    /// Adds changes of engines to the log: each of a few, and how many others there were.
-    fn note_engines(&mut self, mut notes: Vec<Note>) {
-        let others = notes.split_off(notes.len().min(MOST_NOTED));
+    /// Adds changes of engines to the log: the first between two heartbeats one by one, the others
+    /// by their number.
+    fn note_engines(&mut self, notes: Vec<Note>) {
         for note in notes {
-            self.note(note);
+            let changes = &mut self.engine_changes;
+            if changes.noted < MOST_NOTED {
+                changes.noted += 1;
+                self.note(note);
+            } else if matches!(note, Note::EngineLeft { .. }) {
+                changes.left += 1;
+            } else {
+                changes.put += 1;
+            }
         }
-        if !others.is_empty() {
-            let left = others.iter().filter(|it| matches!(it, Note::EngineLeft { .. })).count();
-            self.note(Note::ManyEngines { put: others.len() - left, left });
+    }
+
+    /// Adds the number of changes to the log that have no line of their own.
+    pub(super) fn note_engine_count(&mut self) {
+        let EngineChanges { put, left, .. } = std::mem::take(&mut self.engine_changes);
+        if put + left > 0 {
+            self.note(Note::ManyEngines { put, left });
         }
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/survey.rs
+++ b/crates/hollyspoke-gateway/src/gateway/survey.rs
@@ -25,7 +25,7 @@
 const SETTLED_AFTER: Duration = Duration::from_millis(100);
 
 /// The time after a node can serve at which it asks even if new nodes are still heard.
-const ASKS_BY: Duration = Duration::from_millis(700);
+const ASKS_BY: Duration = Duration::from_millis(900);
 
 /// The time from the question by which the answers have come to all.
 const KNOWN_AFTER: Duration = Duration::from_millis(250);
--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -32,6 +32,11 @@
 /// For how long that goes on. On the users' sites all nodes start within 0.3 s of each other.
 const SEEK_FOR: Duration = Duration::from_millis(1000);
 
+/// The time in which names of nodes gather that were never greeted. Until a node has heard most of
+/// the others it takes duties for its own that are theirs: 295 nodes that started at once and knew
+/// three others at their second heartbeat all followed the store (`docs/SCALE.md`).
+const GREET_NEW_AFTER: Duration = Duration::from_millis(50);
+
 /// One other node.
 #[derive(Debug, Clone)]
 struct Peer {
@@ -154,8 +159,10 @@
     own: ZoneKey,
     /// The nodes heard, by where they listen.
     peers: BTreeMap<SocketAddr, Peer>,
-    /// Nodes named by the settings or by others, and not heard yet.
-    greeted: BTreeSet<SocketAddr>,
+    /// Nodes named by the settings or by others, and not heard yet, and whether they were greeted.
+    greeted: BTreeMap<SocketAddr, bool>,
+    /// Since when some of them were not greeted.
+    fresh_since: Option<Time>,
     /// When greetings were last sent.
     last_greeting: Option<Time>,
     /// When the first greetings were sent.
@@ -174,7 +181,8 @@
         Members {
             own,
             peers: BTreeMap::new(),
-            greeted: BTreeSet::new(),
+            greeted: BTreeMap::new(),
+            fresh_since: None,
             last_greeting: None,
             first_greeting: None,
             last_joined: None,
@@ -200,14 +208,26 @@
     }
 
     /// Adds nodes to greet.
-    pub fn introduce(&mut self, own: SocketAddr, nodes: impl IntoIterator<Item = SocketAddr>) {
+    pub fn introduce(
+        &mut self,
+        own: SocketAddr,
+        nodes: impl IntoIterator<Item = SocketAddr>,
+        now: Time,
+    ) {
         for node in nodes {
-            if node != own && !self.peers.contains_key(&node) {
-                self.greeted.insert(node);
+            let is_known = self.peers.contains_key(&node) || self.greeted.contains_key(&node);
+            if node != own && !is_known {
+                self.greeted.insert(node, false);
+                self.fresh_since.get_or_insert(now);
             }
         }
     }
 
+    /// Tells whether a node was greeted that has not been heard yet.
+    pub fn was_greeted(&self, node: SocketAddr) -> bool {
+        self.greeted.get(&node).is_some_and(|it| *it)
+    }
+
     /// Takes in a datagram.
     pub fn hear(&mut self, message: &Message, now: Time) -> Hearing {
         self.greeted.remove(&message.sender);
@@ -274,17 +294,24 @@
         audience
     }
 
-    /// Gives the nodes that are greeted now, now and then: those that are silent, and those that
-    /// have not been heard yet.
+    /// Gives the nodes that are greeted now: those never greeted, and now and then those that are
+    /// silent or have not been heard yet.
     pub fn greeting(&mut self, now: Time) -> Vec<SocketAddr> {
         let mut audience = Vec::new();
         let pause = if self.seeks(now) { SEEK_EVERY } else { GREET_EVERY };
-        if self.last_greeting.is_none_or(|it| now.since(it) >= pause) {
+        let is_turn = self.last_greeting.is_none_or(|it| now.since(it) >= pause);
+        if is_turn {
             self.last_greeting = Some(now);
             self.first_greeting.get_or_insert(now);
             audience.extend(self.peers.iter().filter(|(_, it)| it.is_silent).map(|(&it, _)| it));
-            audience.extend(self.greeted.iter().copied());
         }
+        for (&node, was_greeted) in &mut self.greeted {
+            if is_turn || !*was_greeted {
+                audience.push(node);
+                *was_greeted = true;
+            }
+        }
+        self.fresh_since = None;
         audience
     }
 
@@ -294,10 +321,12 @@
         is_early && self.peers.is_empty() && !self.greeted.is_empty()
     }
 
-    /// Gives when the seeds are to be greeted again, while no node was ever heard.
+    /// Gives when nodes are to be greeted before the next heartbeat: the seeds while no node was
+    /// ever heard, and those never greeted.
     pub fn next_greeting(&self, now: Time) -> Option<Time> {
-        let last = self.last_greeting.filter(|_| self.seeks(now))?;
-        Some(last + SEEK_EVERY)
+        let fresh = self.fresh_since.map(|it| it + GREET_NEW_AFTER);
+        let last = self.last_greeting.filter(|_| self.seeks(now));
+        [fresh, last.map(|it| it + SEEK_EVERY)].into_iter().flatten().min()
     }
 
     /// Tells whether all nodes that this one knows of were heard, and the last of them some time
