--- a/crates/hollyspoke-gateway/src/budget.rs
+++ b/crates/hollyspoke-gateway/src/budget.rs
@@ -1,7 +1,7 @@
 //! How often requests of a service may be sent to a second engine.
 //!
-//! The bound holds over all nodes without a message: each takes a share of its own requests and an
-//! equal part of the fixed allowance. With the others' word on what they spend, a node may use more
+//! The bound holds over all boxes without a message: each takes a share of its own requests and an
+//! equal part of the fixed allowance. With the others' word on what they spend, a box may use more
 //! than its part.
 
 use std::collections::VecDeque;
@@ -11,26 +11,26 @@
 
 use crate::message::Spending;
 
-/// The bound that all nodes together keep.
+/// The bound that all boxes together keep.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bound {
     /// Repeats allowed for each request.
     pub ratio: f64,
-    /// Repeats allowed beside the ratio, over all nodes.
+    /// Repeats allowed beside the ratio, over all boxes.
     pub allowance: f64,
     /// The span over which both are counted.
     pub window: Duration,
 }
 
-/// The part of the bound that is used, so that requests counted at the window's edge, and nodes
+/// The part of the bound that is used, so that requests counted at the window's edge, and boxes
 /// that have just joined, don't break it.
 const USED_SHARE: f64 = 0.7;
 
-/// How many times its own part one node may use while all together keep the bound. What others
+/// How many times its own part one box may use while all together keep the bound. What others
 /// spend is known with a delay, in which all may spend.
 const MOST_PARTS: f64 = 3.0;
 
-/// One service's requests and repeats of late at one node.
+/// One service's requests and repeats of late at one box.
 #[derive(Debug, Clone, Default)]
 pub struct Budget {
     /// When requests arrived.
@@ -59,9 +59,9 @@
         Spending { requests: narrow(self.requests.len()), repeats: narrow(self.repeats.len()) }
     }
 
-    /// Tells whether a repeat may be sent now by one of `nodes` nodes.
+    /// Tells whether a repeat may be sent now by one of `nodes` boxes.
     ///
-    /// A node that knows what the others have spent may use some times its own part, as long as
+    /// A box that knows what the others have spent may use some times its own part, as long as
     /// all together keep the bound. Without the others' word it keeps to its own part.
     pub fn allows(
         &mut self,
--- a/crates/hollyspoke-gateway/src/cadence.rs
+++ b/crates/hollyspoke-gateway/src/cadence.rs
@@ -1,36 +1,36 @@
-//! How often a node tells the others that it lives, and which silence means that it does not.
+//! How often a box tells the others that it lives, and which silence means that it does not.
 //!
-//! Up to [`SMALL`] nodes everybody tells everybody everything at once. Beyond, a node's own data
-//! centre hears it more often than the others do, so that what each node hears grows with its data
+//! Up to [`SMALL`] boxes everybody tells everybody everything at once. Beyond, a box's own data
+//! centre hears it more often than the others do, so that what each box hears grows with its data
 //! centre and not with all of them (`docs/SCALE.md`).
 
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-/// The number of nodes up to which all hear each other equally often. Beyond, each would hear more
-/// than the 290 heartbeats a second that 100 nodes send.
+/// The number of boxes up to which all hear each other equally often. Beyond, each would hear more
+/// than the 290 heartbeats a second that 100 boxes send.
 pub const SMALL: usize = 100;
 
-/// How often a node tells the others that it lives, up to [`SMALL`] nodes, in milliseconds.
+/// How often a box tells the others that it lives, up to [`SMALL`] boxes, in milliseconds.
 const SMALL_EVERY_MS: u32 = 350;
 
-/// How often a node tells its own data centre that it lives, beyond [`SMALL`] nodes, in
+/// How often a box tells its own data centre that it lives, beyond [`SMALL`] boxes, in
 /// milliseconds.
 const LARGE_EVERY_MS: u32 = 600;
 
-/// Of how many heartbeats one goes to all data centres, beyond [`SMALL`] nodes: what is known of the
-/// engines elsewhere serves to send work there when the own ones are full, and that is rare.
+/// Of how many heartbeats one goes to all data centres, beyond [`SMALL`] boxes: what is known of
+/// the engines elsewhere serves to send work there when the own ones are full, and that is rare.
 pub const FAR_BEATS: u32 = 4;
 
-/// The silence after which a node is taken for dead, in heartbeats.
+/// The silence after which a box is taken for dead, in heartbeats.
 const DEAD_AFTER_BEATS: f64 = 3.6;
 
-/// The same for nodes of other data centres whose heartbeats come less often. Two that are lost in
+/// The same for boxes of other data centres whose heartbeats come less often. Two that are lost in
 /// a row, each over two ways that lose 3 in 100, are 4 in 1,000.
 const DEAD_AFTER_FAR_BEATS: f64 = 2.6;
 
-/// How often a node sends whole heartbeats, as it tells with each.
+/// How often a box sends whole heartbeats, as it tells with each.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cadence {
     /// The time between those to its own data centre, in milliseconds.
@@ -40,13 +40,13 @@
 }
 
 impl Cadence {
-    /// Gives the cadence of one of `all` nodes, of which `near` are in its data centre. One that is
+    /// Gives the cadence of one of `all` boxes, of which `near` are in its data centre. One that is
     /// wide has a duty for all, so that they must notice its death soon.
     pub fn of(all: usize, near: usize, is_wide: bool) -> Cadence {
         if all <= SMALL {
             return Cadence { near_ms: SMALL_EVERY_MS, far_ms: SMALL_EVERY_MS };
         }
-        // Beyond SMALL nodes in one data centre each one's part of the heartbeats stays the same.
+        // Beyond SMALL boxes in one data centre each one's part of the heartbeats stays the same.
         let share = near.max(SMALL) as f64 / SMALL as f64;
         let near_ms = (f64::from(LARGE_EVERY_MS) * share) as u32;
         let far_ms = if is_wide { near_ms } else { near_ms * FAR_BEATS };
@@ -58,7 +58,7 @@
         Duration::from_millis(u64::from(self.near_ms))
     }
 
-    /// Gives the silence after which a node with this cadence is taken for dead.
+    /// Gives the silence after which a box with this cadence is taken for dead.
     pub fn dead_after(self, is_near: bool) -> Duration {
         if is_near || self.far_ms <= self.near_ms {
             return Duration::from_millis(u64::from(self.near_ms)).mul_f64(DEAD_AFTER_BEATS);
--- a/crates/hollyspoke-gateway/src/demand.rs
+++ b/crates/hollyspoke-gateway/src/demand.rs
@@ -1,4 +1,4 @@
-//! What clients ask of a service with stages, as one node sees it: the tokens to read and the
+//! What clients ask of a service with stages, as one box sees it: the tokens to read and the
 //! memory to hold, each as a mean that forgets.
 
 use std::time::Duration;
@@ -124,6 +124,6 @@
     }
 }
 
-/// The share of what is assumed at the start that goes on counting, so that a node without runs
+/// The share of what is assumed at the start that goes on counting, so that a box without runs
 /// still has a mean.
 const LAST_SHARE: f64 = 0.1;
--- a/crates/hollyspoke-gateway/src/directory.rs
+++ b/crates/hollyspoke-gateway/src/directory.rs
@@ -265,7 +265,7 @@
         self.engines.is_empty()
     }
 
-    /// Gives the revision of the newest change that was seen, 0 if none was. Nodes that know a
+    /// Gives the revision of the newest change that was seen, 0 if none was. Boxes that know a
     /// lower one may be behind.
     pub fn changed(&self) -> u64 {
         self.changed.unwrap_or(0)
@@ -276,7 +276,7 @@
         self.complete
     }
 
-    /// Gives the revision that another node must know for the next change to follow on what it
+    /// Gives the revision that another box must know for the next change to follow on what it
     /// knows.
     pub fn next_since(&self) -> u64 {
         self.changed.unwrap_or(self.complete)
--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -85,7 +85,7 @@
     pub engine: Arc<Engine>,
     /// The stage that it is to have.
     pub stage: Stage,
-    /// The name of the node that gives the order.
+    /// The name of the box that gives the order.
     pub holder: Arc<str>,
     /// The fencing token of the lease under which it is given.
     pub token: u64,
@@ -206,7 +206,7 @@
         status: u16,
         /// The load that the engine told last.
         told: Option<ToldLoad>,
-        /// The work of all nodes at the engine, as this node knows it.
+        /// The work of all boxes at the engine, as this box knows it.
         known: Load,
     },
     /// A request ended.
@@ -218,7 +218,7 @@
         /// The time since its arrival.
         after: Duration,
     },
-    /// Nodes were first heard, or fell silent.
+    /// Boxes were first heard, or fell silent.
     Peers {
         /// Where those listen that were heard.
         heard: Vec<SocketAddr>,
@@ -234,9 +234,9 @@
         /// Those that left.
         left: usize,
     },
-    /// This node follows the store's changes from now on, or no more.
+    /// This box follows the store's changes from now on, or no more.
     Follows(bool),
-    /// This node holds the lease for orders from now on, under a fencing token, or no more.
+    /// This box holds the lease for orders from now on, under a fencing token, or no more.
     Lease(Option<u64>),
     /// An engine is to change its stage.
     Switch {
@@ -302,7 +302,7 @@
     Order(Order),
     /// Reads a kind of object from the store, whole and once.
     Read(Kind),
-    /// Sends a datagram to nodes.
+    /// Sends a datagram to boxes.
     Tell(Vec<SocketAddr>, Box<Message>),
     /// Writes a line to the log.
     Note(Note),
--- a/crates/hollyspoke-gateway/src/engine.rs
+++ b/crates/hollyspoke-gateway/src/engine.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The short name of an incarnation: a hash of its id, the same on all nodes.
+/// The short name of an incarnation: a hash of its id, the same on all boxes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EngineKey(pub u64);
 
@@ -37,8 +37,8 @@
     pub service: Arc<str>,
     /// Where it listens.
     pub address: SocketAddr,
-    /// Its zone.
-    pub zone: Arc<str>,
+    /// Its data centre.
+    pub data_centre: Arc<str>,
     /// Its stage, for services with stages.
     pub stage: Option<Stage>,
     /// How many requests it works on at once.
--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -104,9 +104,9 @@
     ClientLeft(FlightKey),
     /// Something happened to a call.
     Call(CallKey, CallEvent),
-    /// A datagram came from another node.
+    /// A datagram came from another box.
     Heard(Message),
-    /// The nodes to greet, from the settings.
+    /// The boxes to greet, from the settings.
     Seeds(Vec<SocketAddr>),
     /// An engine told which parts of prompts it keeps.
     Surveyed(EngineKey, Vec<PromptKey>),
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -33,7 +33,7 @@
 use crate::gateway::survey::Survey;
 use crate::load::Ledger;
 use crate::member::Members;
-use crate::message::{Load, Standing, ZoneKey};
+use crate::message::{DataCentreKey, Load, Standing};
 use crate::prompt::Prompts;
 use crate::request::{CallKey, FlightKey};
 use crate::route::Configuration;
@@ -41,33 +41,33 @@
 /// What a gateway has to know from the start.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// This node's zone.
-    pub zone: Arc<str>,
-    /// Where this node listens for other nodes' datagrams.
+    /// This box's data centre.
+    pub data_centre: Arc<str>,
+    /// Where this box listens for other boxes' datagrams.
     pub peer: SocketAddr,
-    /// Where this node listens for clients.
+    /// Where this box listens for clients.
     pub front: SocketAddr,
     /// How often requests may be sent to a second engine.
     pub bound: Bound,
     /// How long a stopped process may take to end.
     pub grace: Duration,
-    /// The least time between orders of two nodes to one engine.
+    /// The least time between orders of two boxes to one engine.
     pub order_pause: Duration,
     /// A number drawn at the start of the process.
     pub incarnation: u64,
 }
 
-/// The share of the grace after which a stopping node takes no new requests.
+/// The share of the grace after which a stopping box takes no new requests.
 const LAST_REQUEST_SHARE: f64 = 0.6;
 
-/// The share of the grace in which a stopping node takes all requests; later it takes those alone
+/// The share of the grace in which a stopping box takes all requests; later it takes those alone
 /// whose whole time fits into what is left.
 const ALL_REQUESTS_SHARE: f64 = 0.35;
 
 /// The part of the grace at its end in which nothing is to be under way.
 const GRACE_MARGIN: Duration = Duration::from_millis(600);
 
-/// All that one node decides.
+/// All that one box decides.
 #[derive(Debug, Clone)]
 pub struct Gateway {
     /// The settings.
@@ -82,7 +82,7 @@
     directory: Directory,
     /// The work at the engines.
     ledger: Ledger,
-    /// The other nodes.
+    /// The other boxes.
     members: Members,
     /// The prompts that engines keep.
     prompts: Prompts,
@@ -102,7 +102,7 @@
     runs: Runs,
     /// What clients ask of each service with stages.
     meters: HashMap<Arc<str>, Meter>,
-    /// The changes of engines' stages that this node orders.
+    /// The changes of engines' stages that this box orders.
     stages: Stages,
     /// When each request is looked at again.
     due: BTreeSet<(Time, FlightKey)>,
@@ -110,13 +110,13 @@
     next_call: u64,
     /// The number of the next datagram.
     next_sequence: u64,
-    /// What this node has from the store itself.
+    /// What this box has from the store itself.
     store: StoreState,
-    /// How far this node is with asking engines which prompts they keep.
+    /// How far this box is with asking engines which prompts they keep.
     survey: Survey,
-    /// What is to be told to the other nodes with this event.
+    /// What is to be told to the other boxes with this event.
     untold: Untold,
-    /// The nodes that are to be named in the log with the next heartbeat.
+    /// The boxes that are to be named in the log with the next heartbeat.
     peer_changes: PeerChanges,
     /// The changes of engines that are to be counted in the log with the next heartbeat.
     engine_changes: EngineChanges,
@@ -124,12 +124,12 @@
     gathering_since: Option<Time>,
     /// When the next heartbeat is due.
     next_heartbeat: Time,
-    /// The heartbeats sent so far, from a drawn number on, so that those of all nodes to other data
+    /// The heartbeats sent so far, from a drawn number on, so that those of all boxes to other data
     /// centres are spread.
     heartbeats: u32,
-    /// Whether the next heartbeat goes to all nodes.
+    /// Whether the next heartbeat goes to all boxes.
     beats_wide: bool,
-    /// The cadence that nodes of other data centres were last told.
+    /// The cadence that boxes of other data centres were last told.
     told_far: Option<ToldFar>,
     /// When the process was told to stop.
     stopped: Option<Time>,
@@ -146,7 +146,7 @@
         let heartbeats = settings.incarnation as u32;
         let stages = Stages::new(&settings);
         Gateway {
-            members: Members::new(ZoneKey::of(&settings.zone)),
+            members: Members::new(DataCentreKey::of(&settings.data_centre)),
             settings,
             now: Time::ZERO,
             configuration: None,
@@ -233,7 +233,7 @@
         times.into_iter().flatten().fold(self.next_heartbeat, Time::min)
     }
 
-    /// Tells whether clients are to use this node.
+    /// Tells whether clients are to use this box.
     pub fn is_ready(&self) -> bool {
         self.standing() == Standing::Ready
     }
@@ -253,7 +253,7 @@
         self.configuration.as_ref().map(|it| it.limits)
     }
 
-    /// Gives where clients may connect, this node first if it is ready.
+    /// Gives where clients may connect, this box first if it is ready.
     pub fn fronts(&self) -> Vec<SocketAddr> {
         let own = self.is_ready().then_some(self.settings.front);
         own.into_iter().chain(self.members.fronts()).collect()
@@ -269,12 +269,12 @@
         self.flights.len()
     }
 
-    /// Gives this node's work at engines: what its calls hold, and what is set aside for them.
+    /// Gives this box's work at engines: what its calls hold, and what is set aside for them.
     pub fn own_work(&self) -> Vec<(EngineKey, Load)> {
         self.ledger.own()
     }
 
-    /// Tells how this node stands.
+    /// Tells how this box stands.
     fn standing(&self) -> Standing {
         if self.stopped.is_some() {
             Standing::Stopping
@@ -285,7 +285,7 @@
         }
     }
 
-    /// Tells whether a stopping node takes no new requests any more.
+    /// Tells whether a stopping box takes no new requests any more.
     fn is_closing(&self, now: Time) -> bool {
         let open = self.settings.grace.mul_f64(LAST_REQUEST_SHARE);
         self.stopped.is_some_and(|it| now.since(it) >= open)
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -252,7 +252,8 @@
         }
     }
 
-    /// Learns from an answer: load, health (an answer that comes late counts as failed), and the rate of reading.
+    /// Learns from an answer: load, health (an answer that comes late counts as failed), and the
+    /// rate of reading.
     fn learn(&mut self, call: &Call, answer: &Answer) {
         let now = self.now;
         if let Some(known) = self.directory.get_mut(call.engine.key) {
--- a/crates/hollyspoke-gateway/src/gateway/kept.rs
+++ b/crates/hollyspoke-gateway/src/gateway/kept.rs
@@ -46,7 +46,7 @@
 
 /// Makes the call to an engine that takes the prompt from the one that keeps it.
 fn taken_from(keeper: &Known, view: &View<'_>, staged: &Staged, held: u64) -> Option<Next> {
-    let choice = view.generating(staged, held, &keeper.engine.zone, None)?;
+    let choice = view.generating(staged, held, &keeper.engine.data_centre, None)?;
     if choice.engine.key == keeper.engine.key {
         return None;
     }
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -1,4 +1,4 @@
-//! What nodes tell each other: that they live, and the work that they have sent to engines.
+//! What boxes tell each other: that they live, and the work that they have sent to engines.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -14,32 +14,32 @@
 use crate::member::{Hearing, Reach};
 use crate::message::{EngineNews, Full, Load, Message, Spending};
 
-/// The most nodes that one datagram names.
+/// The most boxes that one datagram names.
 const MOST_NAMED: usize = 8;
 
-/// The most nodes that the answer to a new node names. All may start at once, and each learns the
+/// The most boxes that the answer to a new box names. All may start at once, and each learns the
 /// others soonest from those that it greets first.
 const MOST_NAMED_TO_NEW: usize = 64;
 
-/// The time after a node's start in which it names as many to all: two heartbeats of a large
+/// The time after a box's start in which it names as many to all: two heartbeats of a large
 /// deployment, after which all were named.
 const YOUNG_FOR: Duration = Duration::from_millis(900);
 
-/// The least time for which memory that another node freed is left to others.
+/// The least time for which memory that another box freed is left to others.
 const LEAVE_LEAST: Duration = Duration::from_millis(3);
 
-/// What each node adds to the longest such time.
+/// What each box adds to the longest such time.
 const LEAVE_A_NODE: Duration = Duration::from_micros(500);
 
-/// How long changes gather that are not urgent, for each node: the more nodes there are, the more
+/// How long changes gather that are not urgent, for each box: the more boxes there are, the more
 /// datagrams each change costs, and the less it counts.
 const GATHER_A_NODE: Duration = Duration::from_millis(4);
 
-/// How long new keepers of prompts gather where nodes are many. A run takes some 0.3 s on the users'
-/// sites, and its end is told anyway.
+/// How long new keepers of prompts gather where boxes are many. A run takes some 0.3 s on the
+/// users' sites, and its end is told anyway.
 const KEPT_GATHERS_FOR: Duration = Duration::from_millis(300);
 
-/// What a node has found out about engines and not told yet.
+/// What a box has found out about engines and not told yet.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Untold {
     /// Engines whose address another incarnation has.
@@ -51,10 +51,10 @@
 }
 
 /// How often a new cadence is told to other data centres before the next heartbeat may stay out:
-/// the first may be lost, and a seldom heard node would then be taken for dead.
+/// the first may be lost, and a seldom heard box would then be taken for dead.
 const CADENCE_TOLD: u32 = 2;
 
-/// The cadence that nodes of other data centres were told.
+/// The cadence that boxes of other data centres were told.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ToldFar {
     /// The cadence.
@@ -63,7 +63,7 @@
     times: u32,
 }
 
-/// The nodes that were first heard or fell silent since the last heartbeat.
+/// The boxes that were first heard or fell silent since the last heartbeat.
 #[derive(Debug, Clone, Default)]
 pub(super) struct PeerChanges {
     /// Those heard.
@@ -79,7 +79,7 @@
     }
 }
 
-/// Gives the name of a service that nodes use among themselves.
+/// Gives the name of a service that boxes use among themselves.
 pub(super) fn service_hash(name: &str) -> u64 {
     xxh3_64(name.as_bytes())
 }
@@ -138,7 +138,7 @@
         }
     }
 
-    /// Answers a node that was not known. One that names few others is told of many.
+    /// Answers a box that was not known. One that names few others is told of many.
     fn answer_new(&mut self, message: &Message) {
         let mut answer = self.message(true);
         if message.peers.len() < MOST_NAMED {
@@ -171,8 +171,8 @@
         self.tell_within(&reach, message);
     }
 
-    /// Adds the nodes to the log that were heard or fell silent since the last heartbeat, in one line
-    /// however many they are.
+    /// Adds the boxes to the log that were heard or fell silent since the last heartbeat, in one
+    /// line however many they are.
     fn note_peers(&mut self) {
         let PeerChanges { heard, silent } = std::mem::take(&mut self.peer_changes);
         if !heard.is_empty() || !silent.is_empty() {
@@ -181,8 +181,8 @@
         }
     }
 
-    /// Gives how far this heartbeat goes: to all nodes if they are few, if something new is to be
-    /// told to all, and now and then; else to the own zone.
+    /// Gives how far this heartbeat goes: to all boxes if they are few, if something new is to be
+    /// told to all, and now and then; else to the own data centre.
     fn heartbeat_reach(&mut self) -> Reach {
         self.heartbeats = self.heartbeats.wrapping_add(1);
         let cadence = self.cadence();
@@ -199,20 +199,20 @@
             }
             return Reach::All;
         }
-        Reach::Zones(BTreeSet::new())
+        Reach::DataCentres(BTreeSet::new())
     }
 
-    /// Tells whether this node has a duty for all nodes, which must notice its death soon.
+    /// Tells whether this box has a duty for all boxes, which must notice its death soon.
     fn is_wide(&self) -> bool {
         self.follows_store() || self.gives_orders()
     }
 
-    /// Gives how often this node tells the others that it lives.
+    /// Gives how often this box tells the others that it lives.
     pub(super) fn cadence(&self) -> Cadence {
         self.members.cadence(self.is_wide())
     }
 
-    /// Draws for how long memory that another node freed is left to others. The more nodes there
+    /// Draws for how long memory that another box freed is left to others. The more boxes there
     /// are, the longer, so that one of them takes it and is heard before the next tries.
     fn leave_span(&mut self) -> Duration {
         let spread = self.draw() % 1000;
@@ -220,13 +220,13 @@
         LEAVE_LEAST + longest.mul_f64(spread as f64 / 1000.0)
     }
 
-    /// Has the heartbeat sent with this event, to all nodes.
+    /// Has the heartbeat sent with this event, to all boxes.
     pub(super) fn beat_at_once(&mut self) {
         self.next_heartbeat = self.now;
         self.beats_wide = true;
     }
 
-    /// Tells the living nodes what work has changed, which engines keep new prompts, and which
+    /// Tells the living boxes what work has changed, which engines keep new prompts, and which
     /// were replaced, not reached or full.
     pub(super) fn tell_changes(&mut self) {
         let is_kept_due = self.kept_told_at().is_some_and(|it| it <= self.now);
@@ -276,14 +276,14 @@
         self.tell_all(message);
     }
 
-    /// Gives what this node has spent of each service's budget.
+    /// Gives what this box has spent of each service's budget.
     fn spending(&mut self) -> Vec<(u64, Spending)> {
         let (now, bound) = (self.now, self.settings.bound);
         let budgets = self.budgets.iter_mut();
         budgets.map(|(name, it)| (service_hash(name), it.spending(now, &bound))).collect()
     }
 
-    /// Adds a datagram to nodes, if there are any.
+    /// Adds a datagram to boxes, if there are any.
     pub(super) fn tell(&mut self, audience: Vec<SocketAddr>, message: Message) {
         if !audience.is_empty() {
             self.effects.push(Effect::Tell(audience, Box::new(message)));
@@ -304,7 +304,7 @@
             sequence: self.next_sequence,
             sender: self.settings.peer,
             front: self.settings.front,
-            zone: self.zone(),
+            data_centre: self.data_centre(),
             is_relayed: false,
             standing: self.standing(),
             loads,
@@ -323,13 +323,13 @@
         }
     }
 
-    /// Tells whether this node has just started, perhaps with all others: what it has heard may be
+    /// Tells whether this box has just started, perhaps with all others: what it has heard may be
     /// news to them.
     fn is_young(&self) -> bool {
         self.now.since(Time::ZERO) < YOUNG_FOR
     }
 
-    /// Draws some of the living nodes.
+    /// Draws some of the living boxes.
     fn some_peers(&mut self, most: usize) -> Vec<SocketAddr> {
         let mut alive = self.members.alive();
         if alive.len() > most {
@@ -340,7 +340,7 @@
         alive
     }
 
-    /// Greets nodes that are to be greeted before the next heartbeat.
+    /// Greets boxes that are to be greeted before the next heartbeat.
     pub(super) fn seek(&mut self) {
         if self.members.next_greeting(self.now).is_some_and(|it| it <= self.now) {
             let message = self.message(true);
--- a/crates/hollyspoke-gateway/src/gateway/relay.rs
+++ b/crates/hollyspoke-gateway/src/gateway/relay.rs
@@ -1,32 +1,33 @@
-//! Datagrams to many nodes. Bytes between zones are dear, so that one node of each other zone passes
-//! on to the rest of its zone what it hears.
+//! Datagrams to many boxes. Bytes between data centres are dear, so that one box of each other data
+//! centre passes on to the rest of its data centre what it hears.
 //!
-//! Beyond some size not everything is told to all: work at engines is told at once to the nodes of
-//! the own zone and of the engines' zones, and to the others with the heartbeats that reach them.
+//! Beyond some size not everything is told to all: work at engines is told at once to the boxes of
+//! the own data centre and of the engines' data centres, and to the others with the heartbeats that
+//! reach them.
 //!
 //! A dead relay is noticed after some heartbeats. Until then changes are lost that went through it;
-//! heartbeats go through another node each time, and mend that.
+//! heartbeats go through another box each time, and mend that.
 
 use std::collections::BTreeSet;
 
 use super::Gateway;
 use crate::engine::EngineKey;
 use crate::member::{Reach, number};
-use crate::message::{Message, ZoneKey};
+use crate::message::{DataCentreKey, Message};
 
 impl Gateway {
-    /// Gives the short name of this node's zone.
-    pub(super) fn zone(&self) -> ZoneKey {
-        ZoneKey::of(&self.settings.zone)
+    /// Gives the short name of this box's data centre.
+    pub(super) fn data_centre(&self) -> DataCentreKey {
+        DataCentreKey::of(&self.settings.data_centre)
     }
 
-    /// Sends a datagram to all living nodes.
+    /// Sends a datagram to all living boxes.
     pub(super) fn tell_all(&mut self, message: Message) {
         self.tell_within(&Reach::All, message);
     }
 
-    /// Sends a datagram to the nodes whom the engines concern that it names: all of few nodes, of
-    /// many those of the engines' zones and of the own.
+    /// Sends a datagram to the boxes whom the engines concern that it names: all of few boxes, of
+    /// many those of the engines' data centres and of the own.
     pub(super) fn tell_concerned(&mut self, message: Message) {
         let reach = self.concerned(&message);
         self.tell_within(&reach, message);
@@ -43,16 +44,16 @@
         let missed = message.missed.iter().copied();
         let replaced = message.replaced.iter().copied();
         let engines = loads.chain(kept).chain(full).chain(missed).chain(replaced);
-        Reach::Zones(self.zones_of(engines))
+        Reach::DataCentres(self.data_centres_of(engines))
     }
 
-    /// Gives the zones of engines.
-    fn zones_of(&self, engines: impl Iterator<Item = EngineKey>) -> BTreeSet<ZoneKey> {
+    /// Gives the data centres of engines.
+    fn data_centres_of(&self, engines: impl Iterator<Item = EngineKey>) -> BTreeSet<DataCentreKey> {
         let known = engines.filter_map(|it| self.directory.get(it));
-        known.map(|it| ZoneKey::of(&it.engine.zone)).collect()
+        known.map(|it| DataCentreKey::of(&it.engine.data_centre)).collect()
     }
 
-    /// Sends a datagram to living nodes. Changes of one node go one way, so that they arrive in
+    /// Sends a datagram to living boxes. Changes of one box go one way, so that they arrive in
     /// order.
     pub(super) fn tell_within(&mut self, reach: &Reach, message: Message) {
         let own = number(&self.settings.peer);
@@ -65,9 +66,9 @@
         self.tell(audience.direct, message);
     }
 
-    /// Passes a datagram on to the other nodes of this zone.
+    /// Passes a datagram on to the other boxes of this data centre.
     pub(super) fn relay(&mut self, message: &Message) {
-        let mut nodes = self.members.alive_in(self.zone());
+        let mut nodes = self.members.alive_in(self.data_centre());
         nodes.retain(|it| *it != message.sender);
         self.tell(nodes, Message { is_relayed: false, ..message.clone() });
     }
--- a/crates/hollyspoke-gateway/src/gateway/room.rs
+++ b/crates/hollyspoke-gateway/src/gateway/room.rs
@@ -1,5 +1,5 @@
-//! Requests that wait for room in an engine's memory, and memory set aside for those whose prompt is
-//! being read.
+//! Requests that wait for room in an engine's memory, and memory set aside for those whose prompt
+//! is being read.
 
 use hollyspoke::time::Time;
 
@@ -36,8 +36,8 @@
     }
 
     /// Sends the waiting requests for which there is room now: those whose prompt was read first,
-    /// then those that can be in time, of these first the ones whose client has come back and has no
-    /// further try, each in the order of arrival.
+    /// then those that can be in time, of these first the ones whose client has come back and has
+    /// no further try, each in the order of arrival.
     pub(super) fn admit_waiting(&mut self) {
         if self.waiting.is_empty() {
             return;
--- a/crates/hollyspoke-gateway/src/gateway/stages.rs
+++ b/crates/hollyspoke-gateway/src/gateway/stages.rs
@@ -1,9 +1,9 @@
 //! Orders to engines to change their stage, so that as many read and as many generate as the load
 //! asks for.
 //!
-//! The first of the living nodes looks at the load with each heartbeat. It gives an order only
+//! The first of the living boxes looks at the load with each heartbeat. It gives an order only
 //! while it holds the lease in the store, and takes the lease only while it has one to give. All
-//! nodes stop sending to an engine before it is ordered to change.
+//! boxes stop sending to an engine before it is ordered to change.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,7 +26,7 @@
 /// The name of the lease in the store.
 const LEASE: &str = "stages";
 
-/// The spans of the lease. It is held for single orders, which take milliseconds; the next node can
+/// The spans of the lease. It is held for single orders, which take milliseconds; the next box can
 /// have it after `ttl` and a `margin`.
 const TERMS: Terms = Terms {
     ttl: Duration::from_secs(4),
@@ -45,7 +45,7 @@
 /// forth: a change costs an engine some 6 s on the users' sites.
 const REVERSES_AFTER: Duration = Duration::from_secs(15);
 
-/// The time in which all nodes hear that an engine is to change.
+/// The time in which all boxes hear that an engine is to change.
 const SETTLES_AFTER: Duration = Duration::from_millis(40);
 
 /// The time after which an engine is ordered even if prompts wait there: it turns those away.
@@ -57,7 +57,7 @@
 /// How often it is looked whether an order can be given.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
-/// For how long the nodes leave an engine out that is to be ordered, and not ordered yet.
+/// For how long the boxes leave an engine out that is to be ordered, and not ordered yet.
 const PLANNED_SPAN: Duration = Duration::from_secs(3);
 
 /// How long what runs at an engine may take to end before it changes, beside the change itself.
@@ -72,7 +72,7 @@
 /// How far an order is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
-    /// The nodes are told to leave the engine out.
+    /// The boxes are told to leave the engine out.
     Settling,
     /// The order was sent.
     Sent,
@@ -97,12 +97,12 @@
     tries: u32,
 }
 
-/// The changes that this node orders.
+/// The changes that this box orders.
 #[derive(Debug, Clone)]
 pub(super) struct Stages {
     /// The lease.
     lease: Lease,
-    /// This node's name as a holder.
+    /// This box's name as a holder.
     holder: Arc<str>,
     /// The fencing token that was last logged as held.
     noted: Option<u64>,
@@ -121,7 +121,7 @@
 }
 
 impl Stages {
-    /// Makes the stages of a node that has ordered nothing.
+    /// Makes the stages of a box that has ordered nothing.
     pub(super) fn new(settings: &Settings) -> Stages {
         let holder = format!("{}-{:016x}", settings.peer, settings.incarnation);
         Stages {
@@ -157,14 +157,14 @@
         }
     }
 
-    /// Gives what clients ask of each service at this node.
+    /// Gives what clients ask of each service at this box.
     pub(super) fn own_demand(&mut self) -> Vec<(u64, Demand)> {
         let (now, run) = (self.now, self.runs.mean(self.now));
         let meters = self.meters.iter_mut();
         meters.map(|(name, it)| (service_hash(name), it.demand(now, run))).collect()
     }
 
-    /// Gives the changes that this node orders, for the others.
+    /// Gives the changes that this box orders, for the others.
     pub(super) fn own_switching(&self) -> Vec<Switching> {
         self.stages.moves.iter().map(|it| self.switching(it)).collect()
     }
@@ -175,7 +175,7 @@
         self.directory.switch(switching.engine, switching.stage, self.now + span);
     }
 
-    /// Looks whether the engines' stages fit the load, if that is this node's to decide.
+    /// Looks whether the engines' stages fit the load, if that is this box's to decide.
     pub(super) fn balance(&mut self) {
         if !self.leads() {
             return self.drop_planned();
@@ -193,12 +193,12 @@
         }
     }
 
-    /// Tells whether this node has engines change their stage.
+    /// Tells whether this box has engines change their stage.
     pub(super) fn gives_orders(&self) -> bool {
         !self.stages.moves.is_empty()
     }
 
-    /// Tells whether this node is the one to give orders.
+    /// Tells whether this box is the one to give orders.
     fn leads(&self) -> bool {
         self.is_ready() && !self.knowledge().is_blind && self.members.is_first(self.settings.peer)
     }
@@ -267,8 +267,10 @@
             Change::ToReading => Stage::Decode,
         };
         let readers_near = |known: &Known| {
-            let near =
-                self.directory.staying(service).filter(|it| it.engine.zone == known.engine.zone);
+            let near = self
+                .directory
+                .staying(service)
+                .filter(|it| it.engine.data_centre == known.engine.data_centre);
             near.filter(|it| it.coming_stage(self.now) == Some(Stage::Prefill)).count() as i64
         };
         let open = self.directory.open(service, self.now);
@@ -281,7 +283,7 @@
         chosen.map(|it| it.engine.key)
     }
 
-    /// Plans a change, and has all nodes leave the engine out.
+    /// Plans a change, and has all boxes leave the engine out.
     fn plan(&mut self, engine: EngineKey, change: Change, engines: Split, demand: Demand) {
         let stage = match change {
             Change::ToGenerating => Stage::Decode,
@@ -299,18 +301,18 @@
         self.announce(&step);
     }
 
-    /// Tells all nodes, this one too, how far a change is.
+    /// Tells all boxes, this one too, how far a change is.
     fn announce(&mut self, step: &Move) {
         let switching = self.switching(step);
         self.tell_switching(switching);
     }
 
-    /// Tells all nodes that an engine stays as it is.
+    /// Tells all boxes that an engine stays as it is.
     fn release(&mut self, step: &Move) {
         self.tell_switching(Switching { span_ms: 0, ..self.switching(step) });
     }
 
-    /// Tells all nodes of a change.
+    /// Tells all boxes of a change.
     fn tell_switching(&mut self, switching: Switching) {
         self.hear_switching(&switching);
         let mut message = self.message(false);
@@ -318,7 +320,7 @@
         self.tell_all(message);
     }
 
-    /// Gives what the other nodes need to know of a change.
+    /// Gives what the other boxes need to know of a change.
     fn switching(&self, step: &Move) -> Switching {
         let span = match step.phase {
             Phase::Settling | Phase::Sent => PLANNED_SPAN,
@@ -389,7 +391,7 @@
         self.stages.noted = token;
     }
 
-    /// Tells whether this node may give an order now: the lease lasts longer than the order may
+    /// Tells whether this box may give an order now: the lease lasts longer than the order may
     /// take, and those of the holder before are long over.
     fn may_order(&self) -> bool {
         let now = self.now;
@@ -399,7 +401,7 @@
         !must_wait && now + LONGEST_ORDER <= held.until
     }
 
-    /// Sends the orders whose engines the nodes have left.
+    /// Sends the orders whose engines the boxes have left.
     fn send_orders(&mut self) {
         let now = self.now;
         let Some(held) = self.stages.lease.held(now).filter(|_| self.may_order()) else { return };
@@ -492,12 +494,12 @@
         self.release(&step);
     }
 
-    /// Gives up the changes that are not ordered yet: another node decides from now on.
+    /// Gives up the changes that are not ordered yet: another box decides from now on.
     fn drop_planned(&mut self) {
         let is_planned = |it: &&Move| it.phase == Phase::Settling;
         let planned: Vec<_> = self.stages.moves.iter().filter(is_planned).copied().collect();
         for step in planned {
-            self.cancel_move(step.engine, "not the first node any more");
+            self.cancel_move(step.engine, "not the first box any more");
         }
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -18,7 +18,7 @@
 /// When a client may come back that no configuration could be shown.
 const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(500);
 
-/// When a client may come back whose node is about to end.
+/// When a client may come back whose box is about to end.
 const STOPPING_RETRY: Duration = Duration::from_millis(50);
 
 /// The share of the target that reading for another engine may take before an engine that reads
@@ -139,7 +139,7 @@
             directory: &self.directory,
             ledger: &self.ledger,
             service: &flight.service,
-            zone: &self.settings.zone,
+            data_centre: &self.settings.data_centre,
             knows_far: !self.members.is_large(),
             tried: &flight.tried,
             now: self.now,
@@ -269,9 +269,11 @@
     let held = flight.request.tokens_held();
     if let Some(source) = &flight.source {
         let reader = flight.tried.last().copied();
-        let zone = reader.and_then(|it| zone_of(view, it)).unwrap_or_else(|| view.zone.into());
+        let data_centre = reader
+            .and_then(|it| data_centre_of(view, it))
+            .unwrap_or_else(|| view.data_centre.into());
         let preferred = flight.reserved.map(|(engine, _)| engine);
-        let choice = view.generating(staged, held, &zone, preferred)?;
+        let choice = view.generating(staged, held, &data_centre, preferred)?;
         return Some(Next {
             task: Task::Generate(Prompt::Read(source.clone())),
             choice,
@@ -287,13 +289,13 @@
     let Some(reading) = reading.filter(|it| !is_slow(it)) else {
         return Some(Next { task: Task::Generate(Prompt::Unread), choice: alone, generator: None });
     };
-    let generator = view.generating(staged, held, &reading.engine.zone, None)?;
+    let generator = view.generating(staged, held, &reading.engine.data_centre, None)?;
     Some(Next { task: Task::Read, choice: reading, generator: Some(generator.engine.key) })
 }
 
-/// Gives the zone of an engine, if it is still known.
-fn zone_of(view: &View<'_>, engine: EngineKey) -> Option<Arc<str>> {
-    view.directory.get(engine).map(|it| it.engine.zone.clone())
+/// Gives the data centre of an engine, if it is still known.
+fn data_centre_of(view: &View<'_>, engine: EngineKey) -> Option<Arc<str>> {
+    view.directory.get(engine).map(|it| it.engine.data_centre.clone())
 }
 
 /// Gives the work that a call is at its engine.
--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -1,7 +1,7 @@
-//! What is known of the platform's store, and which nodes follow it.
+//! What is known of the platform's store, and which boxes follow it.
 //!
-//! A few nodes follow the store and pass on what they see; the others read it once when they learn
-//! that they are behind. For each follower that gets no answers the next node follows too.
+//! A few boxes follow the store and pass on what they see; the others read it once when they learn
+//! that they are behind. For each follower that gets no answers the next box follows too.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,13 +15,13 @@
 use crate::message::{EngineNews, Knowledge};
 use crate::route::Configuration;
 
-/// How many nodes follow the store, at least.
+/// How many boxes follow the store, at least.
 const FOLLOWERS: usize = 3;
 
-/// For how many nodes there is one more: where silence is noticed later, more may be lost at once.
+/// For how many boxes there is one more: where silence is noticed later, more may be lost at once.
 const NODES_A_FOLLOWER: usize = 100;
 
-/// How many more nodes may follow while others get no answers. If the store is away for all, a few
+/// How many more boxes may follow while others get no answers. If the store is away for all, a few
 /// are enough to notice its return.
 const MOST_BLIND: usize = 8;
 
@@ -37,7 +37,7 @@
 /// How long after the store's return the engines that live are back in it.
 const BACK_WITHIN: Duration = Duration::from_secs(2);
 
-/// The time after a node's start in which it hears the others, before it decides whether it follows
+/// The time after a box's start in which it hears the others, before it decides whether it follows
 /// the store: if all followed until then, each would read every change while engines enter
 /// themselves.
 const DECIDES_AFTER: Duration = Duration::from_millis(800);
@@ -54,7 +54,7 @@
 const MOST_OF_A_REVISION: usize = 64;
 
 /// The most changes that are passed on at once; beyond, the others read for themselves. When a
-/// large site starts, its engines enter by tens between two answers of the store, and all nodes
+/// large site starts, its engines enter by tens between two answers of the store, and all boxes
 /// reading the list for that were most of the calls to the store (`docs/SCALE.md`).
 const MOST_PASSED_ON: usize = 512;
 
@@ -68,7 +68,7 @@
 }
 
 impl Contact {
-    /// Tells whether a node that has followed the store since a time gets no answers.
+    /// Tells whether a box that has followed the store since a time gets no answers.
     fn is_lost(&self, now: Time, since: Time) -> bool {
         let last = self.answered.map_or(since, |it| it.max(since));
         let is_failing = self.away.is_some_and(|it| now.since(it.max(since)) >= FAILING_FOR);
@@ -87,10 +87,10 @@
     left: usize,
 }
 
-/// What a node has from the store itself, and what it asked for.
+/// What a box has from the store itself, and what it asked for.
 #[derive(Debug, Clone)]
 pub(super) struct StoreState {
-    /// Whether this node follows the store.
+    /// Whether this box follows the store.
     follows: bool,
     /// Since when it does, or does not.
     since: Time,
@@ -132,7 +132,7 @@
         }
     }
 
-    /// Tells whether the node follows the store and gets no answers.
+    /// Tells whether the box follows the store and gets no answers.
     fn is_blind(&self, now: Time) -> bool {
         let contacts = [self.configuration, self.engines];
         self.follows && contacts.iter().any(|it| it.is_lost(now, self.since))
@@ -167,7 +167,7 @@
         }
     }
 
-    /// Takes changes that this node read from the store, and passes them on.
+    /// Takes changes that this box read from the store, and passes them on.
     pub(super) fn change(&mut self, changes: Vec<EngineChange>) {
         let since = self.directory.next_since();
         let own = self.directory.complete();
@@ -194,7 +194,7 @@
         }
     }
 
-    /// Takes changes that another node passed on, if none between is missing.
+    /// Takes changes that another box passed on, if none between is missing.
     pub(super) fn take_news(&mut self, news: &EngineNews) {
         let own = self.directory.complete();
         if !self.is_listed || own < news.since {
@@ -293,12 +293,12 @@
         }
     }
 
-    /// Tells whether this node follows the store.
+    /// Tells whether this box follows the store.
     pub(super) fn follows_store(&self) -> bool {
         self.store.follows
     }
 
-    /// Tells what this node knows.
+    /// Tells what this box knows.
     pub(super) fn knowledge(&self) -> Knowledge {
         Knowledge {
             version: self.version().unwrap_or(0),
@@ -307,7 +307,7 @@
         }
     }
 
-    /// Decides whether this node follows the store, and reads what it has been behind with since
+    /// Decides whether this box follows the store, and reads what it has been behind with since
     /// the last heartbeat.
     pub(super) fn keep_up(&mut self) {
         let follows = self.should_follow() && self.now.since(Time::ZERO) >= DECIDES_AFTER;
@@ -330,7 +330,7 @@
         self.store.engines_behind = behind;
     }
 
-    /// Has the configuration read as soon as another node knows a newer one. A node that follows
+    /// Has the configuration read as soon as another box knows a newer one. A box that follows
     /// the store gets it from there.
     pub(super) fn read_if_newer(&mut self, version: u64) {
         let is_newer = version > self.version().unwrap_or(0);
@@ -341,7 +341,7 @@
         }
     }
 
-    /// Tells whether this node is to follow the store.
+    /// Tells whether this box is to follow the store.
     fn should_follow(&self) -> bool {
         let count = FOLLOWERS + self.members.most() / NODES_A_FOLLOWER;
         self.members.is_follower(self.settings.peer, count, count + MOST_BLIND)
@@ -349,7 +349,7 @@
 }
 
 /// Parts changes into datagrams. Changes of one revision, as the difference between two lists has
-/// them, stay together: a node that misses one datagram must not take the next.
+/// them, stay together: a box that misses one datagram must not take the next.
 fn parts(changes: Vec<EngineChange>) -> Vec<Vec<EngineChange>> {
     let mut parts: Vec<Vec<EngineChange>> = Vec::new();
     for change in changes {
--- a/crates/hollyspoke-gateway/src/gateway/survey.rs
+++ b/crates/hollyspoke-gateway/src/gateway/survey.rs
@@ -1,7 +1,7 @@
-//! What the engines' memory holds when a node starts.
+//! What the engines' memory holds when a box starts.
 //!
-//! If all nodes were lost at once, nobody knows any more where the prompts of the streams are that
-//! clients come back with. Each node that starts asks a part of the engines, and tells the others;
+//! If all boxes were lost at once, nobody knows any more where the prompts of the streams are that
+//! clients come back with. Each box that starts asks a part of the engines, and tells the others;
 //! requests that go on behind an event wait for that.
 
 use std::time::Duration;
@@ -17,30 +17,30 @@
 use crate::prompt::{Kept, PromptKey};
 use crate::request::FlightKey;
 
-/// The least time after a node can serve in which it hears which others have started.
+/// The least time after a box can serve in which it hears which others have started.
 const ASKS_AFTER: Duration = Duration::from_millis(100);
 
-/// The time without a new node after which all are taken to be heard. While some are missing, each
-/// node would ask their engines too.
+/// The time without a new box after which all are taken to be heard. While some are missing, each
+/// box would ask their engines too.
 const SETTLED_AFTER: Duration = Duration::from_millis(100);
 
-/// The time after a node can serve at which it asks even if new nodes are still heard.
+/// The time after a box can serve at which it asks even if new boxes are still heard.
 const ASKS_BY: Duration = Duration::from_millis(900);
 
 /// The time from the question by which the answers have come to all.
 const KNOWN_AFTER: Duration = Duration::from_millis(250);
 
-/// The most engines that one node asks. A node that has heard few others can't tell whether it is
-/// one of few or cut off: without a bound the questions of all grow with nodes times engines.
+/// The most engines that one box asks. A box that has heard few others can't tell whether it is
+/// one of few or cut off: without a bound the questions of all grow with boxes times engines.
 const MOST_ASKED: usize = 16;
 
 /// The most prompts that are noted of one engine.
 const MOST_PROMPTS: usize = 64;
 
-/// How far a node is with asking the engines.
+/// How far a box is with asking the engines.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Survey {
-    /// When the node could first serve.
+    /// When the box could first serve.
     began: Option<Time>,
     /// When the engines are to be asked, if that is known yet and they were not asked.
     asks_at: Option<Time>,
@@ -62,8 +62,8 @@
 }
 
 impl Gateway {
-    /// Asks this node's part of the engines which prompts they keep, once in its life and not
-    /// before it has heard the other nodes.
+    /// Asks this box's part of the engines which prompts they keep, once in its life and not
+    /// before it has heard the other boxes.
     pub(super) fn survey(&mut self) {
         if self.survey.began.is_none() && self.is_ready() {
             self.survey.began = Some(self.now);
@@ -86,7 +86,7 @@
         self.wake_those_that_wait();
     }
 
-    /// Asks the engines that fall to this node, as far as it knows the others.
+    /// Asks the engines that fall to this box, as far as it knows the others.
     fn ask_engines(&mut self) {
         let mut nodes = self.members.alive();
         nodes.push(self.settings.peer);
--- a/crates/hollyspoke-gateway/src/health.rs
+++ b/crates/hollyspoke-gateway/src/health.rs
@@ -17,10 +17,10 @@
 /// The longest time an engine is avoided before it is tried again.
 const LONGEST_AVOIDANCE: Duration = Duration::from_secs(4);
 
-/// How long the word of other nodes counts that they did not reach an engine.
+/// How long the word of other boxes counts that they did not reach an engine.
 const SUSPECTED_FOR: Duration = Duration::from_millis(1500);
 
-/// How many other nodes must say so: one alone may be cut off itself.
+/// How many other boxes must say so: one alone may be cut off itself.
 const LEAST_SUSPECTING: usize = 2;
 
 /// The rate of failure above which an engine is avoided while others are better.
@@ -37,7 +37,7 @@
     unopened: u32,
     /// Until when it is avoided.
     avoided_until: Option<Time>,
-    /// The nodes that have not reached it of late, and when they said so.
+    /// The boxes that have not reached it of late, and when they said so.
     suspecting: Vec<(SocketAddr, Time)>,
 }
 
@@ -65,14 +65,14 @@
         span
     }
 
-    /// Notes that another node has not reached the engine.
+    /// Notes that another box has not reached the engine.
     pub fn suspect(&mut self, node: SocketAddr, now: Time) {
         let is_other = |it: &(SocketAddr, Time)| it.0 != node;
         self.suspecting.retain(|it| is_other(it) && now.since(it.1) < SUSPECTED_FOR);
         self.suspecting.push((node, now));
     }
 
-    /// Tells whether several other nodes have not reached the engine of late.
+    /// Tells whether several other boxes have not reached the engine of late.
     pub fn is_suspected(&self, now: Time) -> bool {
         let fresh = self.suspecting.iter().filter(|it| now.since(it.1) < SUSPECTED_FOR);
         fresh.count() >= LEAST_SUSPECTING
--- a/crates/hollyspoke-gateway/src/load.rs
+++ b/crates/hollyspoke-gateway/src/load.rs
@@ -1,4 +1,4 @@
-//! What all nodes have sent to the engines: the node's own calls at once, others' by datagram.
+//! What all boxes have sent to the engines: the box's own calls at once, others' by datagram.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -11,13 +11,13 @@
 /// The work at every engine.
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
-    /// This node's own work.
+    /// This box's own work.
     own: BTreeMap<EngineKey, Load>,
-    /// Other nodes' work, by where they listen.
+    /// Other boxes' work, by where they listen.
     peers: HashMap<SocketAddr, HashMap<EngineKey, Load>>,
-    /// The sum of other nodes' work.
+    /// The sum of other boxes' work.
     others: HashMap<EngineKey, Load>,
-    /// Until when memory that another node freed is left to others.
+    /// Until when memory that another box freed is left to others.
     contested: HashMap<EngineKey, Time>,
     /// Engines at which the own work has changed since it was last told.
     changed: BTreeSet<EngineKey>,
@@ -59,7 +59,7 @@
         self.is_urgent
     }
 
-    /// Takes in what another node tells. Memory that it freed is left to others until a time;
+    /// Takes in what another box tells. Memory that it freed is left to others until a time;
     /// tells whether there is any.
     pub fn hear(
         &mut self,
@@ -85,26 +85,26 @@
         has_freed
     }
 
-    /// Forgets what a node told.
+    /// Forgets what a box told.
     pub fn forget(&mut self, peer: SocketAddr) {
         for (engine, load) in self.peers.remove(&peer).unwrap_or_default() {
             self.others.entry(engine).or_default().remove(load);
         }
     }
 
-    /// Gives the work of all nodes at an engine.
+    /// Gives the work of all boxes at an engine.
     pub fn at(&self, engine: EngineKey) -> Load {
         let mut sum = self.own_at(engine);
         sum.add(self.others.get(&engine).copied().unwrap_or_default());
         sum
     }
 
-    /// Tells whether another node has just freed memory at an engine, which many may want.
+    /// Tells whether another box has just freed memory at an engine, which many may want.
     pub fn is_contested(&self, engine: EngineKey, now: Time) -> bool {
         self.contested.get(&engine).is_some_and(|&it| now < it)
     }
 
-    /// Gives this node's work at an engine.
+    /// Gives this box's work at an engine.
     pub fn own_at(&self, engine: EngineKey) -> Load {
         self.own.get(&engine).copied().unwrap_or_default()
     }
@@ -121,7 +121,7 @@
         self.own.iter().map(|(&engine, &load)| (engine, load)).collect()
     }
 
-    /// Sets another node's work at an engine; gives what was known before.
+    /// Sets another box's work at an engine; gives what was known before.
     fn set(&mut self, peer: SocketAddr, engine: EngineKey, load: Load) -> Load {
         let known = self.peers.entry(peer).or_default();
         let old = if load.is_empty() { known.remove(&engine) } else { known.insert(engine, load) };
--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -1,4 +1,4 @@
-//! The other nodes: who lives, and which of them clients may use.
+//! The other boxes: who lives, and which of them clients may use.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -9,47 +9,47 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::cadence::{Cadence, SMALL};
-use crate::message::{Demand, Knowledge, Message, Spending, Standing, ZoneKey};
+use crate::message::{DataCentreKey, Demand, Knowledge, Message, Spending, Standing};
 
-/// How long a silent node is still greeted.
+/// How long a silent box is still greeted.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
 
-/// The nodes of a zone from which on one of them passes on what nodes of other zones tell: below,
-/// too much is lost with it until its death is noticed.
+/// The boxes of a data centre from which on one of them passes on what boxes of other data centres
+/// tell: below, too much is lost with it until its death is noticed.
 const LEAST_RELAYED: usize = 6;
 
-/// The nodes of the own data centre that take requests from which on clients are told of these
-/// alone, in deployments of more than [`SMALL`] nodes: a few may be dead and not noticed yet.
+/// The boxes of the own data centre that take requests from which on clients are told of these
+/// alone, in deployments of more than [`SMALL`] boxes: a few may be dead and not noticed yet.
 const LEAST_NEAR_FRONTS: usize = 8;
 
-/// How often nodes that have not answered are greeted.
+/// How often boxes that have not answered are greeted.
 const GREET_EVERY: Duration = Duration::from_millis(1000);
 
-/// How often the seeds are greeted while no node was ever heard: all nodes may start at once, in any
+/// How often the seeds are greeted while no box was ever heard: all boxes may start at once, in any
 /// order, and until this one hears the first it takes every duty for its own.
 const SEEK_EVERY: Duration = Duration::from_millis(100);
 
-/// For how long that goes on. On the users' sites all nodes start within 0.3 s of each other.
+/// For how long that goes on. On the users' sites all boxes start within 0.3 s of each other.
 const SEEK_FOR: Duration = Duration::from_millis(1000);
 
-/// The time in which names of nodes gather that were never greeted. Until a node has heard most of
-/// the others it takes duties for its own that are theirs: 295 nodes that started at once and knew
+/// The time in which names of boxes gather that were never greeted. Until a box has heard most of
+/// the others it takes duties for its own that are theirs: 295 boxes that started at once and knew
 /// three others at their second heartbeat all followed the store (`docs/SCALE.md`).
 const GREET_NEW_AFTER: Duration = Duration::from_millis(50);
 
-/// One other node.
+/// One other box.
 #[derive(Debug, Clone)]
 struct Peer {
     /// The number of its life.
     incarnation: u64,
     /// The highest sequence heard in this life.
     sequence: u64,
-    /// Its number in orders that are the same on all nodes.
+    /// Its number in orders that are the same on all boxes.
     number: u64,
     /// Where it listens for clients.
     front: SocketAddr,
-    /// Its zone.
-    zone: ZoneKey,
+    /// Its data centre.
+    data_centre: DataCentreKey,
     /// Whether it takes requests.
     standing: Standing,
     /// What it knows of the store.
@@ -67,14 +67,14 @@
 }
 
 impl Peer {
-    /// Makes a node that is just heard for the first time.
+    /// Makes a box that is just heard for the first time.
     fn new(message: &Message, cadence: Cadence) -> Peer {
         Peer {
             incarnation: message.incarnation,
             sequence: 0,
             number: number(&message.sender),
             front: message.front,
-            zone: message.zone,
+            data_centre: message.data_centre,
             standing: message.standing,
             knowledge: message.knowledge,
             spending: Vec::new(),
@@ -90,7 +90,7 @@
         self.incarnation = message.incarnation;
         self.sequence = message.sequence;
         self.front = message.front;
-        self.zone = message.zone;
+        self.data_centre = message.data_centre;
         self.standing = message.standing;
         self.knowledge = message.knowledge;
         self.cadence = message.cadence.unwrap_or(self.cadence);
@@ -102,27 +102,27 @@
         self.is_silent = false;
     }
 
-    /// Gives the silence after which it is taken for dead by a node of a zone.
-    fn dead_after(&self, own: ZoneKey) -> Duration {
-        self.cadence.dead_after(self.zone == own)
+    /// Gives the silence after which it is taken for dead by a box of a data centre.
+    fn dead_after(&self, own: DataCentreKey) -> Duration {
+        self.cadence.dead_after(self.data_centre == own)
     }
 }
 
 /// How far a datagram goes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Reach {
-    /// To all nodes.
+    /// To all boxes.
     All,
-    /// To the nodes of the own zone and of these.
-    Zones(BTreeSet<ZoneKey>),
+    /// To the boxes of the own data centre and of these.
+    DataCentres(BTreeSet<DataCentreKey>),
 }
 
 impl Reach {
-    /// Tells whether it includes another zone than the own.
-    fn includes(&self, zone: ZoneKey) -> bool {
+    /// Tells whether it includes another data centre than the own.
+    fn includes(&self, data_centre: DataCentreKey) -> bool {
         match self {
             Reach::All => true,
-            Reach::Zones(zones) => zones.contains(&zone),
+            Reach::DataCentres(data_centres) => data_centres.contains(&data_centre),
         }
     }
 }
@@ -130,13 +130,13 @@
 /// Whom a datagram goes to.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Audience {
-    /// The nodes that it is sent to and no further.
+    /// The boxes that it is sent to and no further.
     pub direct: Vec<SocketAddr>,
-    /// The nodes that pass it on to the others of their zones.
+    /// The boxes that pass it on to the others of their data centres.
     pub relays: Vec<SocketAddr>,
 }
 
-/// Gives a node's number in orders that are the same on all nodes.
+/// Gives a box's number in orders that are the same on all boxes.
 pub fn number(node: &SocketAddr) -> u64 {
     xxh3_64(node.to_string().as_bytes())
 }
@@ -146,20 +146,20 @@
 pub enum Hearing {
     /// An older datagram that came late; it is ignored.
     Stale,
-    /// A node that was not known or was taken for dead.
+    /// A box that was not known or was taken for dead.
     New,
-    /// A living node.
+    /// A living box.
     Known,
 }
 
-/// All other nodes.
+/// All other boxes.
 #[derive(Debug, Clone)]
 pub struct Members {
-    /// The zone of this node.
-    own: ZoneKey,
-    /// The nodes heard, by where they listen.
+    /// The data centre of this box.
+    own: DataCentreKey,
+    /// The boxes heard, by where they listen.
     peers: BTreeMap<SocketAddr, Peer>,
-    /// Nodes named by the settings or by others, and not heard yet, and whether they were greeted.
+    /// Boxes named by the settings or by others, and not heard yet, and whether they were greeted.
     greeted: BTreeMap<SocketAddr, bool>,
     /// Since when some of them were not greeted.
     fresh_since: Option<Time>,
@@ -167,17 +167,17 @@
     last_greeting: Option<Time>,
     /// When the first greetings were sent.
     first_greeting: Option<Time>,
-    /// When a node was last heard that was not known before.
+    /// When a box was last heard that was not known before.
     last_joined: Option<Time>,
-    /// The most nodes that lived at once, this one included.
+    /// The most boxes that lived at once, this one included.
     most: usize,
-    /// The same, of the own zone.
+    /// The same, of the own data centre.
     most_near: usize,
 }
 
 impl Members {
-    /// Makes the members as a node of a zone knows them that has heard nobody.
-    pub fn new(own: ZoneKey) -> Members {
+    /// Makes the members as a box of a data centre knows them that has heard nobody.
+    pub fn new(own: DataCentreKey) -> Members {
         Members {
             own,
             peers: BTreeMap::new(),
@@ -191,23 +191,23 @@
         }
     }
 
-    /// Gives how often this node tells the others that it lives. One that is wide has a duty for
+    /// Gives how often this box tells the others that it lives. One that is wide has a duty for
     /// all of them.
     pub fn cadence(&self, is_wide: bool) -> Cadence {
         Cadence::of(self.most, self.most_near, is_wide)
     }
 
-    /// Tells whether there are so many nodes that not all are told everything.
+    /// Tells whether there are so many boxes that not all are told everything.
     pub fn is_large(&self) -> bool {
         self.most > SMALL
     }
 
-    /// Gives how many nodes at most have heard at once what this node tells of an engine near by.
+    /// Gives how many boxes at most have heard at once what this box tells of an engine near by.
     pub fn most_told(&self) -> usize {
         if self.is_large() { self.most_near } else { self.most }
     }
 
-    /// Adds nodes to greet.
+    /// Adds boxes to greet.
     pub fn introduce(
         &mut self,
         own: SocketAddr,
@@ -223,7 +223,7 @@
         }
     }
 
-    /// Tells whether a node was greeted that has not been heard yet.
+    /// Tells whether a box was greeted that has not been heard yet.
     pub fn was_greeted(&self, node: SocketAddr) -> bool {
         self.greeted.get(&node).is_some_and(|it| *it)
     }
@@ -248,7 +248,7 @@
         Hearing::New
     }
 
-    /// Gives the nodes that have just been found silent, and forgets those silent for long.
+    /// Gives the boxes that have just been found silent, and forgets those silent for long.
     pub fn sweep(&mut self, now: Time) -> Vec<SocketAddr> {
         self.peers.retain(|_, it| now.since(it.heard) < FORGOTTEN_AFTER);
         let mut silent = Vec::new();
@@ -261,29 +261,30 @@
         silent
     }
 
-    /// Gives the living nodes.
+    /// Gives the living boxes.
     pub fn alive(&self) -> Vec<SocketAddr> {
         self.peers.iter().filter(|(_, it)| !it.is_silent).map(|(&address, _)| address).collect()
     }
 
-    /// Gives the living nodes of a zone.
-    pub fn alive_in(&self, zone: ZoneKey) -> Vec<SocketAddr> {
-        let alive = self.peers.iter().filter(|(_, it)| !it.is_silent && it.zone == zone);
+    /// Gives the living boxes of a data centre.
+    pub fn alive_in(&self, data_centre: DataCentreKey) -> Vec<SocketAddr> {
+        let alive =
+            self.peers.iter().filter(|(_, it)| !it.is_silent && it.data_centre == data_centre);
         alive.map(|(&address, _)| address).collect()
     }
 
-    /// Gives whom a datagram to living nodes goes to: those of the own zone and of small ones, and
-    /// one of each larger zone that it reaches, chosen by a subject.
+    /// Gives whom a datagram to living boxes goes to: those of the own data centre and of small
+    /// ones, and one of each larger data centre that it reaches, chosen by a subject.
     pub fn audience(&self, reach: &Reach, subject: u64) -> Audience {
-        let mut zones: BTreeMap<ZoneKey, Vec<(SocketAddr, u64)>> = BTreeMap::new();
+        let mut data_centres: BTreeMap<DataCentreKey, Vec<(SocketAddr, u64)>> = BTreeMap::new();
         for (&address, peer) in self.peers.iter().filter(|(_, it)| !it.is_silent) {
-            if peer.zone == self.own || reach.includes(peer.zone) {
-                zones.entry(peer.zone).or_default().push((address, peer.number));
+            if peer.data_centre == self.own || reach.includes(peer.data_centre) {
+                data_centres.entry(peer.data_centre).or_default().push((address, peer.number));
             }
         }
         let mut audience = Audience::default();
-        for (zone, nodes) in zones {
-            if zone == self.own || nodes.len() < LEAST_RELAYED {
+        for (data_centre, nodes) in data_centres {
+            if data_centre == self.own || nodes.len() < LEAST_RELAYED {
                 audience.direct.extend(nodes.iter().map(|it| it.0));
                 continue;
             }
@@ -294,7 +295,7 @@
         audience
     }
 
-    /// Gives the nodes that are greeted now: those never greeted, and now and then those that are
+    /// Gives the boxes that are greeted now: those never greeted, and now and then those that are
     /// silent or have not been heard yet.
     pub fn greeting(&mut self, now: Time) -> Vec<SocketAddr> {
         let mut audience = Vec::new();
@@ -315,13 +316,13 @@
         audience
     }
 
-    /// Tells whether no node was ever heard, and the seeds are still asked often.
+    /// Tells whether no box was ever heard, and the seeds are still asked often.
     fn seeks(&self, now: Time) -> bool {
         let is_early = self.first_greeting.is_none_or(|it| now.since(it) < SEEK_FOR);
         is_early && self.peers.is_empty() && !self.greeted.is_empty()
     }
 
-    /// Gives when nodes are to be greeted before the next heartbeat: the seeds while no node was
+    /// Gives when boxes are to be greeted before the next heartbeat: the seeds while no box was
     /// ever heard, and those never greeted.
     pub fn next_greeting(&self, now: Time) -> Option<Time> {
         let fresh = self.fresh_since.map(|it| it + GREET_NEW_AFTER);
@@ -329,23 +330,24 @@
         [fresh, last.map(|it| it + SEEK_EVERY)].into_iter().flatten().min()
     }
 
-    /// Tells whether all nodes that this one knows of were heard, and the last of them some time
+    /// Tells whether all boxes that this one knows of were heard, and the last of them some time
     /// ago: others then have the same picture of who lives.
     pub fn is_settled(&self, now: Time, quiet_for: Duration) -> bool {
         let is_quiet = self.last_joined.is_none_or(|it| now.since(it) >= quiet_for);
         self.greeted.is_empty() && is_quiet
     }
 
-    /// Gives where clients may connect besides this node. Of many nodes those of the own zone are
-    /// named, which are the nearest to the clients that ask here and know the engines near by best.
+    /// Gives where clients may connect besides this box. Of many boxes those of the own data centre
+    /// are named, which are the nearest to the clients that ask here and know the engines near by
+    /// best.
     ///
-    /// If most nodes fell silent, it is as likely that this node was cut off; all are then named,
+    /// If most boxes fell silent, it is as likely that this box was cut off; all are then named,
     /// since clients pass over addresses that fail.
     pub fn fronts(&self) -> Vec<SocketAddr> {
         let serving = |it: &&Peer| it.standing == Standing::Ready;
         let all: Vec<_> = self.peers.values().filter(serving).collect();
         let alive: Vec<_> = all.iter().copied().filter(|it| !it.is_silent).collect();
-        let near: Vec<_> = alive.iter().copied().filter(|it| it.zone == self.own).collect();
+        let near: Vec<_> = alive.iter().copied().filter(|it| it.data_centre == self.own).collect();
         let chosen = if self.is_large() && near.len() >= LEAST_NEAR_FRONTS {
             near
         } else if alive.len() * 2 < all.len() {
@@ -356,8 +358,8 @@
         chosen.into_iter().map(|it| it.front).collect()
     }
 
-    /// Tells whether this node is among those that follow the store: the first `count` of the living
-    /// nodes in an order that is the same on all nodes. Those that get no answers follow too and
+    /// Tells whether this box is among those that follow the store: the first `count` of the living
+    /// boxes in an order that is the same on all boxes. Those that get no answers follow too and
     /// are not counted; `most` bounds all together.
     pub fn is_follower(&self, own: SocketAddr, count: usize, most: usize) -> bool {
         let mut order = self.alive();
@@ -369,7 +371,7 @@
         before.len() < most && answered < count
     }
 
-    /// Tells whether this node comes first of the living ones that serve and have the store's
+    /// Tells whether this box comes first of the living ones that serve and have the store's
     /// answers, in the order in which they follow it: it is the one to give orders.
     pub fn is_first(&self, own: SocketAddr) -> bool {
         let able = |it: &SocketAddr| {
@@ -385,14 +387,14 @@
         order.into_iter().find(able) == Some(own)
     }
 
-    /// Gives what clients ask of a service at the living nodes beside this one.
+    /// Gives what clients ask of a service at the living boxes beside this one.
     pub fn demand(&self, service: u64) -> Demand {
         let alive = self.peers.values().filter(|it| !it.is_silent);
         let told = alive.flat_map(|it| &it.demand).filter(|it| it.0 == service);
         told.fold(Demand::default(), |sum, (_, it)| sum.plus(*it))
     }
 
-    /// Gives what all living nodes have spent of a service's budget; none if fewer than half of
+    /// Gives what all living boxes have spent of a service's budget; none if fewer than half of
     /// those that have lived are heard.
     pub fn spending(&self, service: u64) -> Option<Spending> {
         let alive: Vec<_> = self.peers.values().filter(|it| !it.is_silent).collect();
@@ -406,7 +408,7 @@
         }))
     }
 
-    /// Gives the newest that any living node knows.
+    /// Gives the newest that any living box knows.
     pub fn newest(&self) -> Knowledge {
         let alive = self.peers.values().filter(|it| !it.is_silent);
         alive.fold(Knowledge::default(), |newest, peer| Knowledge {
@@ -416,13 +418,13 @@
         })
     }
 
-    /// Gives how many nodes live, this one included.
+    /// Gives how many boxes live, this one included.
     pub fn count(&self, now: Time) -> usize {
         let lives = |it: &&Peer| now.since(it.heard) <= it.dead_after(self.own);
         1 + self.peers.values().filter(lives).count()
     }
 
-    /// Gives the most nodes that have lived at once, this one included.
+    /// Gives the most boxes that have lived at once, this one included.
     pub fn most(&self) -> usize {
         self.most
     }
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -1,4 +1,4 @@
-//! What nodes tell each other, in datagrams that may be lost, doubled or late.
+//! What boxes tell each other, in datagrams that may be lost, doubled or late.
 
 use std::net::SocketAddr;
 
@@ -9,20 +9,20 @@
 use crate::engine::{EngineChange, EngineKey, Stage};
 use crate::prompt::Kept;
 
-/// The short name of a zone: a hash of its name, the same on all nodes.
+/// The short name of a data centre: a hash of its name, the same on all boxes.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-pub struct ZoneKey(pub u32);
+pub struct DataCentreKey(pub u32);
 
-impl ZoneKey {
+impl DataCentreKey {
     /// Makes the key of a name.
-    pub fn of(name: &str) -> ZoneKey {
-        ZoneKey(xxh3_64(name.as_bytes()) as u32)
+    pub fn of(name: &str) -> DataCentreKey {
+        DataCentreKey(xxh3_64(name.as_bytes()) as u32)
     }
 }
 
-/// The work that one node has at one engine now.
+/// The work that one box has at one engine now.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Tokens of prompts that the engine is reading, or has yet to read.
@@ -54,7 +54,7 @@
     }
 }
 
-/// Whether a node takes requests from clients.
+/// Whether a box takes requests from clients.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Standing {
     /// It knows no configuration yet.
@@ -65,14 +65,14 @@
     Stopping,
 }
 
-/// What a node knows of the store.
+/// What a box knows of the store.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Knowledge {
     /// The version of the configuration; 0 if none is known.
     pub version: u64,
     /// The revision of the newest change of an engine.
     pub revision: u64,
-    /// Whether the node follows the store and gets no answers.
+    /// Whether the box follows the store and gets no answers.
     pub is_blind: bool,
 }
 
@@ -85,7 +85,7 @@
     pub changes: Vec<EngineChange>,
 }
 
-/// A service's requests and repeats at one node within the window of the budget.
+/// A service's requests and repeats at one box within the window of the budget.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Spending {
     /// Requests.
@@ -103,7 +103,7 @@
     pub held: u32,
 }
 
-/// The work that clients ask of one service with stages, at one node or at all.
+/// The work that clients ask of one service with stages, at one box or at all.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Demand {
     /// Tokens of prompts a second.
@@ -115,7 +115,7 @@
 }
 
 impl Demand {
-    /// Adds another node's demand.
+    /// Adds another box's demand.
     #[must_use]
     pub fn plus(self, other: Demand) -> Demand {
         Demand {
@@ -149,9 +149,9 @@
     pub sender: SocketAddr,
     /// Where the sender listens for clients.
     pub front: SocketAddr,
-    /// The short name of the sender's zone.
-    pub zone: ZoneKey,
-    /// Whether the receiver passes the datagram on to the other nodes of its zone.
+    /// The short name of the sender's data centre.
+    pub data_centre: DataCentreKey,
+    /// Whether the receiver passes the datagram on to the other boxes of its data centre.
     pub is_relayed: bool,
     /// Whether the sender takes requests.
     pub standing: Standing,
@@ -179,6 +179,6 @@
     pub news: Option<EngineNews>,
     /// Prompts that engines have begun to generate from for the sender.
     pub kept: Vec<Kept>,
-    /// Some nodes that the sender has heard from of late.
+    /// Some boxes that the sender has heard from of late.
     pub peers: Vec<SocketAddr>,
 }
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -13,8 +13,8 @@
 /// How long the load that an engine told with an answer counts.
 const TOLD_LIFE: Duration = Duration::from_millis(400);
 
-/// What another zone costs, in shares of an engine that is full.
-const OTHER_ZONE: f64 = 0.1;
+/// What another data centre costs, in shares of an engine that is full.
+const OTHER_DATA_CENTRE: f64 = 0.1;
 
 /// What a rate of failure of one costs, in shares of an engine that is full.
 const FAILURE: f64 = 2.0;
@@ -25,16 +25,16 @@
 /// The share of an engine's memory that is given out.
 const MEMORY_SHARE: f64 = 0.95;
 
-/// The share that is given out where another node has just freed memory: beyond it, the nodes that
+/// The share that is given out where another box has just freed memory: beyond it, the boxes that
 /// wait for memory would all take it at once.
 const CONTESTED_SHARE: f64 = 0.8;
 
-/// What moving a prompt to another zone costs beside its time.
-const OTHER_ZONE_MOVE: Duration = Duration::from_millis(25);
+/// What moving a prompt to another data centre costs beside its time.
+const OTHER_DATA_CENTRE_MOVE: Duration = Duration::from_millis(25);
 
-/// What it costs to choose an engine of another zone whose work is known from seldom heartbeats
-/// alone, where time is compared: most of a prompt of 5,000 tokens that a reader may have been sent
-/// meanwhile, which takes it 90 ms.
+/// What it costs to choose an engine of another data centre whose work is known from seldom
+/// heartbeats alone, where time is compared: most of a prompt of 5,000 tokens that a reader may
+/// have been sent meanwhile, which takes it 90 ms.
 const FAR_DOUBT: Duration = Duration::from_millis(75);
 
 /// The same, in shares of an engine that is full: two calls of six, or of a dozen four.
@@ -69,9 +69,10 @@
     pub ledger: &'a Ledger,
     /// The service.
     pub service: &'a Service,
-    /// This node's zone.
-    pub zone: &'a str,
-    /// Whether the work at engines of other zones is known as soon as that of the own zone.
+    /// This box's data centre.
+    pub data_centre: &'a str,
+    /// Whether the work at engines of other data centres is known as soon as that of the own data
+    /// centre.
     pub knows_far: bool,
     /// Engines that the request was sent to before.
     pub tried: &'a [EngineKey],
@@ -98,9 +99,11 @@
         let candidates =
             self.candidates(Some(Stage::Prefill), |it| self.has_memory(it, staged, tokens));
         let (known, _) = self.cheapest(&candidates, |it| {
-            let zone = if self.is_near(it) { Duration::ZERO } else { OTHER_ZONE_MOVE };
+            let data_centre =
+                if self.is_near(it) { Duration::ZERO } else { OTHER_DATA_CENTRE_MOVE };
             let doubt = self.doubt(it);
-            (self.reading_time(it, tokens) + zone + doubt + self.failure_time(it)).as_secs_f64()
+            (self.reading_time(it, tokens) + data_centre + doubt + self.failure_time(it))
+                .as_secs_f64()
         })?;
         let expected = self.reading_time(known, tokens) + self.move_time(staged, tokens);
         Some(Choice { engine: known.engine.clone(), expected, ahead: self.ahead(known) + tokens })
@@ -120,13 +123,13 @@
         Some(Choice { engine: known.engine.clone(), expected, ahead: self.ahead(known) + tokens })
     }
 
-    /// Chooses an engine that generates from a prompt read in a zone; the preferred one, where
-    /// memory was set aside, if it can still be used.
+    /// Chooses an engine that generates from a prompt read in a data centre; the preferred one,
+    /// where memory was set aside, if it can still be used.
     pub fn generating(
         &self,
         staged: &Staged,
         held: u64,
-        source_zone: &str,
+        source_data_centre: &str,
         preferred: Option<EngineKey>,
     ) -> Option<Choice> {
         let is_kept = |it: &Known| {
@@ -141,9 +144,10 @@
             }
             let load = self.ledger.at(it.engine.key);
             let memory = f64::from(load.held) / staged.memory_tokens.max(1) as f64;
-            let reads = if load.reading > 0 { OTHER_ZONE } else { 0.0 };
-            let zone = if *it.engine.zone == *source_zone { 0.0 } else { OTHER_ZONE };
-            memory + reads + zone + self.doubt_share(it) + it.health.rate(self.now) * FAILURE
+            let reads = if load.reading > 0 { OTHER_DATA_CENTRE } else { 0.0 };
+            let data_centre =
+                if *it.engine.data_centre == *source_data_centre { 0.0 } else { OTHER_DATA_CENTRE };
+            memory + reads + data_centre + self.doubt_share(it) + it.health.rate(self.now) * FAILURE
         })?;
         let expected = CALL_OVERHEAD + self.move_time(staged, held);
         Some(Choice { engine: known.engine.clone(), expected, ahead: 0 })
@@ -162,7 +166,7 @@
     /// Gives the engines that may take the call and have room for it: those not tried and in good
     /// health, else those in poor health, else those tried before. Those that could not be reached
     /// of late are left out: they seem to have room just because nothing runs there. Those that
-    /// other nodes could not reach are left out too, unless there are no more.
+    /// other boxes could not reach are left out too, unless there are no more.
     fn candidates(&self, stage: Option<Stage>, has_room: impl Fn(&Known) -> bool) -> Vec<&Known> {
         let is_of_stage =
             |it: &&Known| stage.is_none() || it.engine.stage.is_none() || it.engine.stage == stage;
@@ -196,9 +200,9 @@
 
     /// Gives the cost of a plain request at an engine.
     fn plain_cost(&self, known: &Known) -> f64 {
-        let zone = if self.is_near(known) { 0.0 } else { OTHER_ZONE };
+        let data_centre = if self.is_near(known) { 0.0 } else { OTHER_DATA_CENTRE };
         let doubt = self.doubt_share(known);
-        self.queue(known) + zone + doubt + known.health.rate(self.now) * FAILURE
+        self.queue(known) + data_centre + doubt + known.health.rate(self.now) * FAILURE
     }
 
     /// Gives what the age of what is known of an engine costs in time.
@@ -257,8 +261,8 @@
         held == 0 || (held + tokens) as f64 <= memory * share
     }
 
-    /// Tells whether an engine is in this node's zone.
+    /// Tells whether an engine is in this box's data centre.
     fn is_near(&self, known: &Known) -> bool {
-        *known.engine.zone == *self.zone
+        *known.engine.data_centre == *self.data_centre
     }
 }
--- a/crates/hollyspoke-gateway/src/prompt.rs
+++ b/crates/hollyspoke-gateway/src/prompt.rs
@@ -55,14 +55,14 @@
     keepers: HashMap<PromptKey, Keepers>,
     /// When each prompt was noted, the oldest first.
     noted: VecDeque<(Time, PromptKey)>,
-    /// What this node has seen itself and not told yet.
+    /// What this box has seen itself and not told yet.
     untold: Vec<Kept>,
     /// Since when there is some of that.
     untold_since: Option<Time>,
 }
 
 impl Prompts {
-    /// Notes what this node has seen, to be told to others.
+    /// Notes what this box has seen, to be told to others.
     pub fn see(&mut self, kept: Kept, now: Time) {
         self.note(kept, now);
         self.untold.push(kept);
--- a/crates/hollyspoke-gateway/src/request.rs
+++ b/crates/hollyspoke-gateway/src/request.rs
@@ -5,7 +5,7 @@
 
 use crate::prompt::PromptKey;
 
-/// The number of a request at one node; never used twice in one life of the process.
+/// The number of a request at one box; never used twice in one life of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct FlightKey(pub u64);
 
@@ -50,9 +50,9 @@
         self.prompt_tokens.unwrap_or(self.body_bytes / BYTES_A_TOKEN).max(1)
     }
 
-    /// Gives the tokens that the request is expected to hold in an engine's memory, in the mean over
-    /// its run: the prompt and half of the answer as guessed. The requests at an engine are at all
-    /// ages, so that the mean is what they hold together.
+    /// Gives the tokens that the request is expected to hold in an engine's memory, in the mean
+    /// over its run: the prompt and half of the answer as guessed. The requests at an engine are at
+    /// all ages, so that the mean is what they hold together.
     pub fn tokens_held(&self) -> u64 {
         let most = self.answer_tokens.unwrap_or(USUAL_ANSWER_TOKENS);
         let guess = self.guessed_tokens.map_or(most, |it| it.min(most));
--- a/crates/hollyspoke-server/src/dialect.rs
+++ b/crates/hollyspoke-server/src/dialect.rs
@@ -102,7 +102,7 @@
     pub read_changes: fn(Kind, &[u8]) -> Result<Changes, Malformed>,
     /// The path at which clients ask for addresses.
     pub resolve_path: &'static str,
-    /// The path at which the platform asks whether this node is ready.
+    /// The path at which the platform asks whether this box is ready.
     pub ready_path: &'static str,
     /// Makes the answer to a client that asks for addresses, and how long it may keep them.
     pub resolved: fn(&[SocketAddr], Duration) -> Bytes,
--- a/crates/hollyspoke-server/src/directory.rs
+++ b/crates/hollyspoke-server/src/directory.rs
@@ -1,4 +1,4 @@
-//! The small services beside the front: which addresses clients use, whether this node is ready,
+//! The small services beside the front: which addresses clients use, whether this box is ready,
 //! and its metrics.
 
 use std::convert::Infallible;
--- a/crates/hollyspoke-server/src/front.rs
+++ b/crates/hollyspoke-server/src/front.rs
@@ -58,7 +58,7 @@
     Malformed,
 }
 
-/// Takes clients' connections until the node closes.
+/// Takes clients' connections until the box closes.
 pub async fn listen(node: Rc<Node>, listener: TcpListener, closing: watch::Receiver<bool>) {
     let mut closed = closing.clone();
     loop {
@@ -73,7 +73,7 @@
     }
 }
 
-/// Serves one connection. When the node closes, the request under way is still answered.
+/// Serves one connection. When the box closes, the request under way is still answered.
 async fn serve(node: Rc<Node>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
     // Without it small answers wait; the connection works all the same.
     _ = stream.set_nodelay(true);
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -1,5 +1,5 @@
 //! Metrics by `opentelemetry`, read by Prometheus: requests by how they ended, with their times,
-//! calls by task, failures by kind, and what this node knows.
+//! calls by task, failures by kind, and what this box knows.
 
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
 /// The bounds of histograms of seconds.
 const SECONDS: [f64; 12] = [0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.9, 1.5, 3.0, 6.0, 10.0, 15.0];
 
-/// A node's metrics.
+/// A box's metrics.
 #[derive(Debug)]
 pub struct Metrics {
     /// What Prometheus reads.
@@ -33,17 +33,17 @@
     version: Gauge<u64>,
     /// Changes of engines.
     engines: Counter<u64>,
-    /// Nodes that were first heard or fell silent.
+    /// Boxes that were first heard or fell silent.
     peers: Counter<u64>,
     /// The engines by stage when one was last to change.
     split: Gauge<u64>,
     /// The demand that the last change was decided on.
     demand: Gauge<u64>,
-    /// Changes of engines' stages that this node decided.
+    /// Changes of engines' stages that this box decided.
     switches: Counter<u64>,
     /// Orders to engines, by what became of them.
     orders: Counter<u64>,
-    /// Whether this node holds the lease for orders.
+    /// Whether this box holds the lease for orders.
     lease: Gauge<u64>,
 }
 
@@ -90,8 +90,8 @@
             demand: gauge("hollyspoke_demand", "tokens a second read, and tokens held, then"),
             switches: count("hollyspoke_stage_changes", "changes of stage decided"),
             orders: count("hollyspoke_orders", "orders to engines, by what became of them"),
-            lease: gauge("hollyspoke_order_lease", "whether this node holds the lease for orders"),
-            peers: count("hollyspoke_peer_changes", "nodes first heard or fallen silent"),
+            lease: gauge("hollyspoke_order_lease", "whether this box holds the lease for orders"),
+            peers: count("hollyspoke_peer_changes", "boxes first heard or fallen silent"),
             registry,
             _provider: provider,
         })
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -1,4 +1,4 @@
-//! The reducer of one node, and what its effects need: tasks, channels and the clock.
+//! The reducer of one box, and what its effects need: tasks, channels and the clock.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -71,7 +71,7 @@
     body: Option<Bytes>,
 }
 
-/// One node.
+/// One box.
 #[derive(Debug)]
 pub struct Node {
     /// The reducer.
@@ -84,7 +84,7 @@
     pub metrics: Metrics,
     /// The origin of the reducer's time.
     origin: Instant,
-    /// The sockets between nodes.
+    /// The sockets between boxes.
     peers: Peers,
     /// Where the store listens.
     pub store: SocketAddr,
@@ -128,7 +128,7 @@
 }
 
 impl Node {
-    /// Makes a node around a reducer.
+    /// Makes a box around a reducer.
     ///
     /// # Errors
     ///
@@ -342,7 +342,7 @@
     }
 }
 
-/// Gives the address of a node's datagram socket from the address of one of its services.
+/// Gives the address of a box's datagram socket from the address of one of its services.
 pub fn peer_address(node: SocketAddr, port: u16) -> SocketAddr {
     SocketAddr::new(node.ip(), port)
 }
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -51,7 +51,7 @@
     }
 }
 
-/// The most nodes that one line names.
+/// The most boxes that one line names.
 const MOST_NAMED: usize = 4;
 
 /// Gives the first of some addresses.
--- a/crates/hollyspoke-server/src/peers.rs
+++ b/crates/hollyspoke-server/src/peers.rs
@@ -1,4 +1,4 @@
-//! Datagrams between nodes. Numbers are written in as few bytes as they need: most are small, and
+//! Datagrams between boxes. Numbers are written in as few bytes as they need: most are small, and
 //! bytes between data centres are dear.
 
 use std::net::SocketAddr;
@@ -16,7 +16,7 @@
     bincode::DefaultOptions::new()
 }
 
-/// The socket between nodes.
+/// The socket between boxes.
 #[derive(Debug, Clone)]
 pub struct Peers {
     /// The socket.
@@ -42,7 +42,7 @@
         self.socket.local_addr()
     }
 
-    /// Sends a datagram to nodes. One that can't be sent at once is lost, as on the way.
+    /// Sends a datagram to boxes. One that can't be sent at once is lost, as on the way.
     pub fn tell(&self, nodes: &[SocketAddr], message: &Message) {
         let Ok(bytes) = codec().serialize(message) else { return };
         for &node in nodes {
--- a/crates/hollyspoke-server/src/run.rs
+++ b/crates/hollyspoke-server/src/run.rs
@@ -1,4 +1,4 @@
-//! Runs one node until it is told to stop.
+//! Runs one box until it is told to stop.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -29,13 +29,13 @@
 /// The part of the grace that is left unused.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
-/// How often a stopping node looks whether it is done.
+/// How often a stopping box looks whether it is done.
 const STOP_EVERY: Duration = Duration::from_millis(50);
 
-/// A node that runs.
+/// A box that runs.
 #[derive(Debug)]
 pub struct Running {
-    /// The node.
+    /// The box.
     pub node: Rc<Node>,
     /// Where it listens for clients.
     pub front: SocketAddr,
@@ -51,7 +51,7 @@
     close: watch::Sender<bool>,
 }
 
-/// Runs a node until it was told to stop and has answered what it had taken up. Needs a
+/// Runs a box until it was told to stop and has answered what it had taken up. Needs a
 /// [`tokio::task::LocalSet`].
 ///
 /// # Errors
@@ -71,7 +71,7 @@
     Ok(())
 }
 
-/// Starts a node. Needs a [`tokio::task::LocalSet`]. Ports may be 0.
+/// Starts a box. Needs a [`tokio::task::LocalSet`]. Ports may be 0.
 ///
 /// # Errors
 ///
@@ -89,10 +89,10 @@
     };
     let peers = Peers::bind(settings.peer)
         .await
-        .wrap_err_with(|| format!("cannot bind {} for other nodes", settings.peer))?;
+        .wrap_err_with(|| format!("cannot bind {} for other boxes", settings.peer))?;
     let (close, closing) = watch::channel(false);
     let gateway = Gateway::new(gateway::Settings {
-        zone: settings.zone.as_str().into(),
+        data_centre: settings.data_centre.as_str().into(),
         peer: peers.address()?,
         front: front.local_addr()?,
         bound: settings.bound,
--- a/crates/hollyspoke-server/src/settings.rs
+++ b/crates/hollyspoke-server/src/settings.rs
@@ -1,4 +1,4 @@
-//! The settings of one node: a TOML file whose findings are gathered and reported together.
+//! The settings of one box: a TOML file whose findings are gathered and reported together.
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -11,9 +11,10 @@
 /// The file as it is written.
 #[derive(Debug, Clone, Deserialize, PartialEq)]
 pub struct File {
-    /// This node.
+    /// This box.
+    #[serde(rename = "box")]
     pub node: NodeSection,
-    /// Where this node listens.
+    /// Where this box listens.
     pub listen: ListenSection,
     /// The platform's store.
     pub store: StoreSection,
@@ -22,31 +23,31 @@
     pub bounds: BoundsSection,
 }
 
-/// This node.
+/// This box.
 #[derive(Debug, Clone, Deserialize, PartialEq)]
 pub struct NodeSection {
-    /// The node's name, for logs.
+    /// The box's name, for logs.
     pub name: String,
-    /// The node's zone.
-    pub zone: String,
-    /// Addresses of some other nodes; of each only the IP counts.
+    /// The box's data centre.
+    pub data_centre: String,
+    /// Addresses of some other boxes; of each only the IP counts.
     #[serde(default)]
     pub seeds: Vec<String>,
 }
 
-/// Where the node listens.
+/// Where the box listens.
 #[derive(Debug, Clone, Deserialize, PartialEq)]
 pub struct ListenSection {
     /// For clients.
     pub front: String,
-    /// For the platform's question whether the node is ready.
+    /// For the platform's question whether the box is ready.
     pub ready: String,
     /// For clients that ask for addresses.
     pub directory: String,
     /// For whoever reads the metrics, if anybody.
     #[serde(default)]
     pub metrics: Option<String>,
-    /// The port for other nodes, the same on all nodes.
+    /// The port for other boxes, the same on all boxes.
     pub peer_port: u16,
 }
 
@@ -63,13 +64,13 @@
 pub struct BoundsSection {
     /// Repeats allowed for each request.
     pub retry_ratio: f64,
-    /// Repeats allowed beside the ratio, over all nodes.
+    /// Repeats allowed beside the ratio, over all boxes.
     pub retry_allowance: f64,
     /// The span over which both are counted, in seconds.
     pub retry_window_s: f64,
     /// How long a stopped process may take to end, in seconds.
     pub grace_s: f64,
-    /// The least time between orders of two nodes to one engine, in milliseconds.
+    /// The least time between orders of two boxes to one engine, in milliseconds.
     pub order_pause_ms: f64,
 }
 
@@ -103,21 +104,21 @@
 /// The settings, checked.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
-    /// The node's name, for logs.
+    /// The box's name, for logs.
     pub name: String,
-    /// The node's zone.
-    pub zone: String,
-    /// Where the node listens for clients.
+    /// The box's data centre.
+    pub data_centre: String,
+    /// Where the box listens for clients.
     pub front: SocketAddr,
-    /// Where the node tells whether it is ready.
+    /// Where the box tells whether it is ready.
     pub ready: SocketAddr,
-    /// Where the node tells clients which addresses to use.
+    /// Where the box tells clients which addresses to use.
     pub directory: SocketAddr,
-    /// Where the node gives its metrics, if anywhere.
+    /// Where the box gives its metrics, if anywhere.
     pub metrics: Option<SocketAddr>,
-    /// Where the node listens for other nodes.
+    /// Where the box listens for other boxes.
     pub peer: SocketAddr,
-    /// Where some other nodes listen for other nodes.
+    /// Where some other boxes listen for other boxes.
     pub seeds: Vec<SocketAddr>,
     /// Where the store listens.
     pub store: SocketAddr,
@@ -125,7 +126,7 @@
     pub bound: Bound,
     /// How long a stopped process may take to end.
     pub grace: Duration,
-    /// The least time between orders of two nodes to one engine.
+    /// The least time between orders of two boxes to one engine.
     pub order_pause: Duration,
 }
 
@@ -166,7 +167,7 @@
         let metrics = metrics.map(|it| checker.address("listen.metrics", it));
         let store = checker.address("store.address", &file.store.address);
         let seeds = file.node.seeds.iter().filter(|it| !it.is_empty());
-        let seeds: Vec<_> = seeds.map(|it| checker.address("node.seeds", it)).collect();
+        let seeds: Vec<_> = seeds.map(|it| checker.address("box.seeds", it)).collect();
         let bounds = &file.bounds;
         let ratio = checker.not_negative("bounds.retry_ratio", bounds.retry_ratio);
         let allowance = checker.not_negative("bounds.retry_allowance", bounds.retry_allowance);
@@ -179,7 +180,7 @@
         let port = file.listen.peer_port;
         Ok(Settings {
             name: file.node.name,
-            zone: file.node.zone,
+            data_centre: file.node.data_centre,
             front,
             ready,
             directory,
--- a/crates/hollyspoke-server/src/sync.rs
+++ b/crates/hollyspoke-server/src/sync.rs
@@ -103,7 +103,7 @@
 
 /// One follower.
 struct Follower {
-    /// The node.
+    /// The box.
     node: Rc<Node>,
     /// The store.
     store: SocketAddr,
--- a/tests/soak/src/cluster.rs
+++ b/tests/soak/src/cluster.rs
@@ -512,9 +512,9 @@
     let (ratio, allowance) = if is_free { (10.0, 1e6) } else { (0.2, 50.0) };
     let sections = HashMap::from([
         (
-            "node",
+            "box",
             json!({"name": format!("box-{index}"), "seeds": seeds,
-                "zone": DATA_CENTRES[index % DATA_CENTRES.len()]}),
+                "data_centre": DATA_CENTRES[index % DATA_CENTRES.len()]}),
         ),
         (
             "listen",
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -10,7 +10,7 @@
 use hollyspoke_gateway::engine::{Engine, EngineKey, Stage};
 use hollyspoke_gateway::event::{Answer, CallEvent, Event, Execution};
 use hollyspoke_gateway::gateway::{Gateway, Settings};
-use hollyspoke_gateway::message::{Knowledge, Message, Standing, ZoneKey};
+use hollyspoke_gateway::message::{DataCentreKey, Knowledge, Message, Standing};
 use hollyspoke_gateway::request::{CallKey, FlightKey, Request};
 use hollyspoke_gateway::route::{Configuration, Limits, Route, RouteKind, Service, Split, Staged};
 
@@ -37,10 +37,10 @@
     next_flight: u64,
 }
 
-/// Gives settings of a node.
+/// Gives settings of a box.
 pub fn settings(number: u8) -> Settings {
     Settings {
-        zone: "north".into(),
+        data_centre: "north".into(),
         peer: SocketAddr::from(([10, 0, 0, number], 7000)),
         front: SocketAddr::from(([10, 0, 0, number], 8000)),
         bound: Bound { ratio: 0.2, allowance: 50.0, window: Duration::from_secs(10) },
@@ -111,7 +111,7 @@
         id: id.into(),
         service: service.into(),
         address: SocketAddr::from(([10, 1, 0, number], 9000)),
-        zone: "north".into(),
+        data_centre: "north".into(),
         stage,
         slots: 6,
         is_draining: false,
@@ -168,7 +168,7 @@
 }
 
 impl World {
-    /// Makes a node that knows the usual configuration and engines.
+    /// Makes a box that knows the usual configuration and engines.
     pub fn new() -> World {
         let mut world = World::unconfigured();
         world.event(Event::Configured(Arc::new(configuration(1))));
@@ -176,18 +176,18 @@
         world
     }
 
-    /// Makes a node of a number that knows nothing.
+    /// Makes a box of a number that knows nothing.
     pub fn numbered(number: u8) -> World {
         let gateway = Gateway::new(settings(number));
         World { gateway, now: Time::from_millis(1000), next_flight: 0 }
     }
 
-    /// Makes a node that knows nothing.
+    /// Makes a box that knows nothing.
     pub fn unconfigured() -> World {
         World::numbered(1)
     }
 
-    /// Gives the reducer an event; the effects leave out the log, and what a node does apart from
+    /// Gives the reducer an event; the effects leave out the log, and what a box does apart from
     /// requests: datagrams, the store, and asking engines which prompts they keep.
     pub fn event(&mut self, event: Event) -> Vec<Effect> {
         let mut effects = self.gateway.step(self.now, event);
@@ -264,7 +264,7 @@
     first
 }
 
-/// Gives a heartbeat of another node that knows something of the store.
+/// Gives a heartbeat of another box that knows something of the store.
 pub fn heartbeat(number: u8, sequence: u64, knowledge: Knowledge) -> Message {
     let Settings { peer, front, .. } = settings(number);
     Message {
@@ -272,7 +272,7 @@
         sequence,
         sender: peer,
         front,
-        zone: ZoneKey::of("north"),
+        data_centre: DataCentreKey::of("north"),
         is_relayed: false,
         standing: Standing::Ready,
         loads: Vec::new(),
--- a/tests/src/platform.rs
+++ b/tests/src/platform.rs
@@ -452,12 +452,12 @@
     }
 }
 
-/// Gives the settings of a node on free ports.
+/// Gives the settings of a box on free ports.
 pub fn settings(store: SocketAddr, seeds: Vec<SocketAddr>) -> Settings {
     let free = SocketAddr::from(([127, 0, 0, 1], 0));
     Settings {
         name: "node".to_owned(),
-        zone: "north".to_owned(),
+        data_centre: "north".to_owned(),
         front: free,
         ready: free,
         directory: free,
@@ -471,7 +471,7 @@
     }
 }
 
-/// Starts a node and waits until it is ready.
+/// Starts a box and waits until it is ready.
 pub async fn node(store: &Store) -> Running {
     let running = run::start(&settings(store.address, Vec::new()), DIALECT, log())
         .await
--- a/tests/src/stages.rs
+++ b/tests/src/stages.rs
@@ -1,4 +1,4 @@
-//! A node that changes engines' stages, with a store and engines made up by the test.
+//! A box that changes engines' stages, with a store and engines made up by the test.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -45,10 +45,10 @@
     Deaf,
 }
 
-/// A node, the store and the engines.
+/// A box, the store and the engines.
 #[derive(Debug)]
 pub struct Loop {
-    /// The node.
+    /// The box.
     pub world: World,
     /// Whether the store answers.
     pub has_store: bool,
@@ -114,7 +114,7 @@
 }
 
 impl Loop {
-    /// Makes a node that knows engines that read and engines that generate.
+    /// Makes a box that knows engines that read and engines that generate.
     pub fn new(readers: u8, generators: u8) -> Loop {
         let mut world = World::unconfigured();
         let reader = |it| engine(10 + it, MODEL, Some(Stage::Prefill));
--- a/tests/tests/data_centres.rs
+++ b/tests/tests/data_centres.rs
@@ -1,4 +1,4 @@
-//! Many nodes in several data centres: what is told to whom, and what silence means.
+//! Many boxes in several data centres: what is told to whom, and what silence means.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -9,62 +9,65 @@
 use hollyspoke_gateway::effect::Effect;
 use hollyspoke_gateway::engine::{Engine, Stage};
 use hollyspoke_gateway::event::Event;
-use hollyspoke_gateway::message::{Knowledge, Message, ZoneKey};
+use hollyspoke_gateway::message::{DataCentreKey, Knowledge, Message};
 use hollyspoke_gateway::request::FlightKey;
 use hollyspoke_tests::gateway::{
     MODEL, PLAIN, World, configuration, engine, heartbeat, only_send, request,
 };
 
-/// The data centres; the node under test stands in the first.
-const ZONES: [&str; 3] = ["north", "south", "east"];
+/// The data centres; the box under test stands in the first.
+const DATA_CENTRES: [&str; 3] = ["north", "south", "east"];
 
-/// The cadence of a node with many others.
+/// The cadence of a box with many others.
 const SELDOM: Cadence = Cadence { near_ms: 500, far_ms: 2000 };
 
-/// Gives where a node listens for other nodes.
-fn peer(zone: usize, number: u8) -> SocketAddr {
-    SocketAddr::from(([10, 1 + zone as u8, 0, number], 7000))
+/// Gives where a box listens for other boxes.
+fn peer(data_centre: usize, number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 1 + data_centre as u8, 0, number], 7000))
 }
 
-/// Gives a heartbeat of a node in a data centre.
-fn beat(zone: usize, number: u8, sequence: u64) -> Message {
+/// Gives a heartbeat of a box in a data centre.
+fn beat(data_centre: usize, number: u8, sequence: u64) -> Message {
     Message {
-        sender: peer(zone, number),
-        front: SocketAddr::from(([10, 1 + zone as u8, 0, number], 8000)),
-        zone: ZoneKey::of(ZONES[zone]),
+        sender: peer(data_centre, number),
+        front: SocketAddr::from(([10, 1 + data_centre as u8, 0, number], 8000)),
+        data_centre: DataCentreKey::of(DATA_CENTRES[data_centre]),
         cadence: Some(SELDOM),
         ..heartbeat(2, sequence, Knowledge::default())
     }
 }
 
-/// Makes a node that hears a number of nodes in each data centre.
+/// Makes a box that hears a number of boxes in each data centre.
 fn world(nodes: u8) -> World {
     world_of(World::unconfigured(), nodes)
 }
 
-/// Has a node hear a number of nodes in each data centre.
+/// Has a box hear a number of boxes in each data centre.
 fn world_of(mut world: World, nodes: u8) -> World {
     world.event(Event::Configured(Arc::new(configuration(1))));
-    for zone in 0..ZONES.len() {
+    for data_centre in 0..DATA_CENTRES.len() {
         for number in 1..=nodes {
-            world.event(Event::Heard(beat(zone, number, 1)));
+            world.event(Event::Heard(beat(data_centre, number, 1)));
         }
     }
     world
 }
 
 /// Gives engines of both services in a data centre.
-fn engines_in(zone: usize) -> Vec<Engine> {
-    let first = 40 * zone as u8;
+fn engines_in(data_centre: usize) -> Vec<Engine> {
+    let first = 40 * data_centre as u8;
     let engines = [
         engine(first + 1, PLAIN, None),
         engine(first + 2, MODEL, Some(Stage::Prefill)),
         engine(first + 3, MODEL, Some(Stage::Decode)),
     ];
-    engines.into_iter().map(|it| Engine { zone: ZONES[zone].into(), ..it }).collect()
+    engines
+        .into_iter()
+        .map(|it| Engine { data_centre: DATA_CENTRES[data_centre].into(), ..it })
+        .collect()
 }
 
-/// Gives the zones whose nodes a change of work is told to, when a stream goes to an engine.
+/// Gives the data centres whose boxes a change of work is told to, when a stream goes to an engine.
 fn zones_told(world: &mut World) -> BTreeSet<usize> {
     let arrival = Event::Arrived(FlightKey(900), request("once"));
     let effects = world.gateway.step(world.now, arrival);
@@ -72,13 +75,14 @@
         Effect::Tell(nodes, message) if !message.is_whole => Some(nodes),
         _ => None,
     });
-    told.flatten().map(zone_of).collect()
+    told.flatten().map(data_centre_of).collect()
 }
 
-/// Gives the number of a node's zone.
-fn zone_of(node: &SocketAddr) -> usize {
-    let zones = 0..ZONES.len();
-    let mut of = zones.filter(|&zone| (1..=250).any(|it| peer(zone, it) == *node));
+/// Gives the number of a box's data centre.
+fn data_centre_of(node: &SocketAddr) -> usize {
+    let data_centres = 0..DATA_CENTRES.len();
+    let mut of =
+        data_centres.filter(|&data_centre| (1..=250).any(|it| peer(data_centre, it) == *node));
     of.next().expect("a node of a zone")
 }
 
@@ -89,7 +93,7 @@
     assert_eq!(zones_told(&mut world), BTreeSet::from([0, 1, 2]));
 }
 
-/// What each of many nodes hears is not to grow with the data centres.
+/// What each of many boxes hears is not to grow with the data centres.
 #[test]
 fn work_near_by_is_told_near_by() {
     let mut world = world(50);
@@ -109,15 +113,15 @@
 #[test]
 fn engines_near_by_come_first() {
     let mut world = world(50);
-    let all = (0..ZONES.len()).flat_map(engines_in).collect();
+    let all = (0..DATA_CENTRES.len()).flat_map(engines_in).collect();
     world.event(Event::Listed(all, 10));
     let (_, send) = world.sent(request("safe"));
-    assert_eq!(&*send.engine.zone, ZONES[0]);
+    assert_eq!(&*send.engine.data_centre, DATA_CENTRES[0]);
     let mut elsewhere = 0;
     for number in 0..40 {
         let arrival = Event::Arrived(FlightKey(500 + number), request("once"));
         let send = only_send(&world.event(arrival));
-        elsewhere += usize::from(*send.engine.zone != *ZONES[0]);
+        elsewhere += usize::from(*send.engine.data_centre != *DATA_CENTRES[0]);
         if elsewhere > 0 {
             break;
         }
@@ -125,7 +129,7 @@
     assert!(elsewhere > 0, "a full data centre sends work elsewhere");
 }
 
-/// What a node did in some time.
+/// What a box did in some time.
 #[derive(Debug, Default)]
 struct Doings {
     /// Its heartbeats.
@@ -143,7 +147,7 @@
             Effect::Tell(nodes, message) if message.is_whole => Some(nodes),
             _ => None,
         });
-        let told: BTreeSet<usize> = told.flatten().map(zone_of).collect();
+        let told: BTreeSet<usize> = told.flatten().map(data_centre_of).collect();
         self.heartbeats += usize::from(!told.is_empty());
         self.far += usize::from(told.len() > 1);
         for effect in effects {
@@ -154,16 +158,16 @@
     }
 }
 
-/// Lets time pass in which all other nodes are heard, which know something of the store.
+/// Lets time pass in which all other boxes are heard, which know something of the store.
 fn pass(world: &mut World, span: Duration, knowledge: Knowledge) -> Doings {
     let end = world.now + span;
     let mut doings = Doings::default();
     while world.now < end {
         world.now = world.now + Duration::from_millis(50);
         let sequence = world.now.since(hollyspoke::time::Time::ZERO).as_millis() as u64;
-        for zone in 0..ZONES.len() {
+        for data_centre in 0..DATA_CENTRES.len() {
             for number in 1..=50 {
-                let message = Message { knowledge, ..beat(zone, number, sequence) };
+                let message = Message { knowledge, ..beat(data_centre, number, sequence) };
                 doings.take(&world.gateway.step(world.now, Event::Heard(message)));
             }
         }
@@ -182,7 +186,7 @@
     assert!((5..=7).contains(&doings.far), "{doings:?}");
 }
 
-/// A node that follows the store has a duty for all, who must notice its death soon.
+/// A box that follows the store has a duty for all, who must notice its death soon.
 #[test]
 fn followers_are_heard_by_all() {
     let blind = Knowledge { is_blind: true, ..Knowledge::default() };
@@ -196,7 +200,7 @@
     assert_eq!(doings.far, doings.heartbeats, "{doings:?}");
 }
 
-/// A node elsewhere is heard every two seconds, and lives; one near by that is silent as long does
+/// A box elsewhere is heard every two seconds, and lives; one near by that is silent as long does
 /// not.
 #[test]
 fn silence_near_and_far() {
@@ -208,11 +212,11 @@
         Effect::Tell(nodes, message) if message.is_whole => Some(nodes),
         _ => None,
     });
-    let told: BTreeSet<usize> = told.flatten().map(zone_of).collect();
+    let told: BTreeSet<usize> = told.flatten().map(data_centre_of).collect();
     assert_eq!(told, BTreeSet::from([1, 2]), "those near by are dead, the others are not");
 }
 
-/// Clients are sent to the nodes near by, which know the engines near by best.
+/// Clients are sent to the boxes near by, which know the engines near by best.
 #[test]
 fn clients_stay_near_by() {
     let mut world = world(50);
@@ -222,9 +226,9 @@
     let mut few = World::unconfigured();
     few.event(Event::Configured(Arc::new(configuration(1))));
     few.event(Event::Listed(engines_in(0), 10));
-    for zone in 1..ZONES.len() {
+    for data_centre in 1..DATA_CENTRES.len() {
         for number in 1..=60 {
-            few.event(Event::Heard(beat(zone, number, 1)));
+            few.event(Event::Heard(beat(data_centre, number, 1)));
         }
     }
     few.event(Event::Heard(beat(0, 1, 1)));
--- a/tests/tests/gateway_followers.rs
+++ b/tests/tests/gateway_followers.rs
@@ -1,4 +1,4 @@
-//! Which nodes follow the store, and how the others keep up.
+//! Which boxes follow the store, and how the others keep up.
 
 use std::time::Duration;
 
@@ -9,10 +9,10 @@
 use hollyspoke_gateway::message::{EngineNews, Knowledge, Message};
 use hollyspoke_tests::gateway::{PLAIN, World, engine, engines, heartbeat, request};
 
-/// What a node knows that follows the store and is not behind [`World::new`].
+/// What a box knows that follows the store and is not behind [`World::new`].
 const SEEING: Knowledge = Knowledge { version: 1, revision: 10, is_blind: false };
 
-/// Lets a second pass with heartbeats of nodes 2 to 9, and gives what the node did.
+/// Lets a second pass with heartbeats of boxes 2 to 9, and gives what the box did.
 fn second(world: &mut World, sequence: u64, knowledge: Knowledge) -> Vec<Effect> {
     let mut effects = Vec::new();
     for step in 0..4 {
@@ -34,7 +34,7 @@
     })
 }
 
-/// Makes a node that three others spare from following. Whether node 1 itself is among the three
+/// Makes a box that three others spare from following. Whether box 1 itself is among the three
 /// depends on its hash, so that the test looks for a world in which it is not.
 fn spared() -> World {
     let mut world = World::new();
@@ -164,7 +164,7 @@
     (0..40).map(|it| EngineChange::Put(engine(100 + it, PLAIN, None), 20 + u64::from(it))).collect()
 }
 
-/// Gives what a node does that hears datagrams of news.
+/// Gives what a box does that hears datagrams of news.
 fn hears(world: &mut World, news: impl IntoIterator<Item = EngineNews>) {
     for (sequence, news) in (2000..).zip(news) {
         let message = Message { news: Some(news), ..heartbeat(2, sequence, SEEING) };
@@ -222,7 +222,7 @@
     assert_eq!(told.max(), Some(0), "no change of an engine is known");
 }
 
-/// Gives which of nine nodes follow the store while some of them get no answers from it.
+/// Gives which of nine boxes follow the store while some of them get no answers from it.
 fn followers(blind: &[u8]) -> Vec<u8> {
     let does_follow = |own: &u8| {
         let mut world = World::numbered(*own);
@@ -235,7 +235,7 @@
     (1..=9).filter(does_follow).collect()
 }
 
-/// For each follower that is cut off from the store one more node turns to it, not all.
+/// For each follower that is cut off from the store one more box turns to it, not all.
 #[test]
 fn one_more_for_each_blind() {
     let first = followers(&[]);
@@ -258,7 +258,7 @@
     effects
 }
 
-/// Gives whether the last heartbeat called the node blind.
+/// Gives whether the last heartbeat called the box blind.
 fn is_blind(effects: &[Effect]) -> Option<bool> {
     effects.iter().rev().find_map(|it| match it {
         Effect::Tell(_, message) if message.is_whole => Some(message.knowledge.is_blind),
@@ -284,7 +284,7 @@
     assert_eq!(is_blind(&tick_for(&mut world, Duration::from_millis(400))), Some(false));
 }
 
-/// A node that has just started hears the others before it follows; alone it follows all the same.
+/// A box that has just started hears the others before it follows; alone it follows all the same.
 #[test]
 fn waits_at_first() {
     let mut world = World::unconfigured();
--- a/tests/tests/gateway_full.rs
+++ b/tests/tests/gateway_full.rs
@@ -9,7 +9,7 @@
 use hollyspoke_gateway::request::Request;
 use hollyspoke_tests::gateway::{World, heartbeat, only_send, read, request, turned_away};
 
-/// Gives the word of another node that both engines that generate had no room.
+/// Gives the word of another box that both engines that generate had no room.
 fn both_full(held: u32) -> Event {
     let full = ["engine-21", "engine-22"].map(|it| Full { engine: EngineKey::of(it), held });
     Event::Heard(Message { full: full.to_vec(), ..heartbeat(2, 1, Knowledge::default()) })
@@ -20,7 +20,7 @@
     Request { prompt_tokens: Some(tokens), ..request("once") }
 }
 
-/// No prompt is read for engines that have just turned another node's request away.
+/// No prompt is read for engines that have just turned another box's request away.
 #[test]
 fn full_for_another_node() {
     let mut world = World::new();
--- a/tests/tests/gateway_outages.rs
+++ b/tests/tests/gateway_outages.rs
@@ -53,7 +53,7 @@
     assert!(!is_served(&mut world));
 }
 
-/// A node that is still away learns of the lapse from one that sees the store again.
+/// A box that is still away learns of the lapse from one that sees the store again.
 #[test]
 fn change_heard_while_away() {
     let mut world = World::new();
--- a/tests/tests/gateway_peers.rs
+++ b/tests/tests/gateway_peers.rs
@@ -1,4 +1,4 @@
-//! What nodes tell each other.
+//! What boxes tell each other.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,12 +11,12 @@
 use hollyspoke_gateway::message::{Knowledge, Load, Message, Standing};
 use hollyspoke_tests::gateway::{self, MEMORY, World, request, settings};
 
-/// Gives a heartbeat of another node that knows nothing of the store.
+/// Gives a heartbeat of another box that knows nothing of the store.
 fn heartbeat(number: u8, sequence: u64) -> Message {
     gateway::heartbeat(number, sequence, Knowledge::default())
 }
 
-/// Gives where a node listens for clients.
+/// Gives where a box listens for clients.
 fn front(number: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, number], 8000))
 }
@@ -37,7 +37,7 @@
     assert!(first.fronts().is_empty(), "neither knows a configuration");
 }
 
-/// All nodes may start at once, the seeds last: until one answers they are greeted often.
+/// All boxes may start at once, the seeds last: until one answers they are greeted often.
 #[test]
 fn seeds_are_sought() {
     let mut node = Gateway::new(settings(1));
@@ -54,7 +54,7 @@
     assert!(due > Time::from_millis(1510), "it waits for its own heartbeat: {due:?}");
 }
 
-/// A new node learns many others from the first that it greets.
+/// A new box learns many others from the first that it greets.
 #[test]
 fn new_node_is_told_of_many() {
     let mut world = World::new();
@@ -91,7 +91,7 @@
     assert_eq!(world.gateway.fronts(), [front(1)]);
 }
 
-/// If most nodes fall silent at once, it may be this one that is cut off.
+/// If most boxes fall silent at once, it may be this one that is cut off.
 #[test]
 fn silence_of_most() {
     let mut world = World::new();
@@ -158,7 +158,7 @@
     found.next_back().expect("a datagram")
 }
 
-/// With many nodes heartbeats come less often, and silence is borne for longer.
+/// With many boxes heartbeats come less often, and silence is borne for longer.
 #[test]
 fn many_nodes() {
     let mut world = World::new();
@@ -205,7 +205,7 @@
     count
 }
 
-/// A plain call costs a datagram to each node, and engines tell their calls themselves.
+/// A plain call costs a datagram to each box, and engines tell their calls themselves.
 #[test]
 fn plain_calls_gather() {
     let mut world = World::new();
--- a/tests/tests/gateway_prompts.rs
+++ b/tests/tests/gateway_prompts.rs
@@ -22,7 +22,7 @@
     Request { last_event: Some(4), deadline: Some(Duration::from_secs(9)), ..named("resumed") }
 }
 
-/// Gives the word of another node that an engine keeps the prompt.
+/// Gives the word of another box that an engine keeps the prompt.
 fn told(sequence: u64, engine: EngineKey) -> Event {
     let kept = vec![Kept { prompt: PromptKey(7), engine }];
     Event::Heard(Message { kept, ..heartbeat(2, sequence, Knowledge::default()) })
--- a/tests/tests/gateway_reach.rs
+++ b/tests/tests/gateway_reach.rs
@@ -1,4 +1,4 @@
-//! Engines that cannot be reached, and what nodes tell each other about them.
+//! Engines that cannot be reached, and what boxes tell each other about them.
 
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 use hollyspoke_gateway::message::{Knowledge, Message};
 use hollyspoke_tests::gateway::{World, heartbeat, ran, request};
 
-/// Gives the word of a node that it has not reached engines.
+/// Gives the word of a box that it has not reached engines.
 fn missed(node: u8, sequence: u64, engines: &[u8]) -> Event {
     let missed = engines.iter().map(|it| EngineKey::of(&format!("engine-{it}"))).collect();
     Event::Heard(Message { missed, ..heartbeat(node, sequence, Knowledge::default()) })
@@ -25,7 +25,7 @@
     count
 }
 
-/// A dead engine must not be found out by every node for itself.
+/// A dead engine must not be found out by every box for itself.
 #[test]
 fn word_of_two_nodes_counts() {
     let mut world = World::new();
@@ -34,7 +34,7 @@
     assert_eq!(sent_to_first(&mut world), 0);
 }
 
-/// One node alone may be cut off itself.
+/// One box alone may be cut off itself.
 #[test]
 fn word_of_one_node_does_not() {
     let mut world = World::new();
@@ -52,7 +52,7 @@
     assert!(sent_to_first(&mut world) > 0);
 }
 
-/// If others have reached no engine of a service, this node tries all the same.
+/// If others have reached no engine of a service, this box tries all the same.
 #[test]
 fn last_engines_are_tried() {
     let mut world = World::new();
--- a/tests/tests/gateway_relay.rs
+++ b/tests/tests/gateway_relay.rs
@@ -1,4 +1,5 @@
-//! One node of each other zone passes on what it hears, so that few bytes cross between zones.
+//! One box of each other data centre passes on what it hears, so that few bytes cross between data
+//! centres.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -6,25 +7,29 @@
 
 use hollyspoke_gateway::effect::Effect;
 use hollyspoke_gateway::event::Event;
-use hollyspoke_gateway::message::{Knowledge, Message, ZoneKey};
+use hollyspoke_gateway::message::{DataCentreKey, Knowledge, Message};
 use hollyspoke_tests::gateway::{World, heartbeat, request, settings};
 
-/// Gives a heartbeat of a node in a zone.
-fn beat_from(number: u8, sequence: u64, zone: &str) -> Message {
-    Message { zone: ZoneKey::of(zone), ..heartbeat(number, sequence, Knowledge::default()) }
+/// Gives a heartbeat of a box in a data centre.
+fn beat_from(number: u8, sequence: u64, data_centre: &str) -> Message {
+    Message {
+        data_centre: DataCentreKey::of(data_centre),
+        ..heartbeat(number, sequence, Knowledge::default())
+    }
 }
 
-/// Gives where a node listens for other nodes.
+/// Gives where a box listens for other boxes.
 fn peer(number: u8) -> SocketAddr {
     settings(number).peer
 }
 
-/// Makes node 1 of `north` that knows nodes 2 and 3 of `north`, 11 to 18 of `south` and 21 of `east`.
+/// Makes box 1 of `north` that knows boxes 2 and 3 of `north`, 11 to 18 of `south` and 21 of
+/// `east`.
 fn world() -> World {
     let mut world = World::new();
-    for (numbers, zone) in [(2..=3, "north"), (11..=18, "south"), (21..=21, "east")] {
+    for (numbers, data_centre) in [(2..=3, "north"), (11..=18, "south"), (21..=21, "east")] {
         for number in numbers {
-            world.event(Event::Heard(beat_from(number, 1, zone)));
+            world.event(Event::Heard(beat_from(number, 1, data_centre)));
         }
     }
     world
@@ -66,16 +71,16 @@
     assert!(!passed[0].1.is_relayed, "nobody passes it on again");
 }
 
-/// Changes of one node go one way and arrive in order; its heartbeats try them all, so that a dead
+/// Changes of one box go one way and arrive in order; its heartbeats try them all, so that a dead
 /// relay does not make it look dead.
 #[test]
 fn heartbeats_take_turns() {
     let mut world = world();
     let mut relays = BTreeSet::new();
     for sequence in 2..40 {
-        for (numbers, zone) in [(2..=3, "north"), (11..=18, "south"), (21..=21, "east")] {
+        for (numbers, data_centre) in [(2..=3, "north"), (11..=18, "south"), (21..=21, "east")] {
             for number in numbers {
-                world.event(Event::Heard(beat_from(number, sequence, zone)));
+                world.event(Event::Heard(beat_from(number, sequence, data_centre)));
             }
         }
         world.now = world.now + Duration::from_millis(350);
--- a/tests/tests/gateway_stages.rs
+++ b/tests/tests/gateway_stages.rs
@@ -1,4 +1,4 @@
-//! The first node has engines change their stage, so that as many read and generate as the load
+//! The first box has engines change their stage, so that as many read and generate as the load
 //! asks for; it does so under a lease, and nothing is harmed when orders or the store fail.
 
 use std::time::Duration;
@@ -163,7 +163,7 @@
     assert!((1..=10).contains(&it.orders.len()), "{} orders", it.orders.len());
 }
 
-/// Only the first of the living nodes orders; node 2 and node 1 differ in who is first.
+/// Only the first of the living boxes orders; box 2 and box 1 differ in who is first.
 #[test]
 fn one_node_orders() {
     let mut ordering = 0;
@@ -181,7 +181,7 @@
     assert!((1..8).contains(&ordering), "node 1 is first of {ordering} of 8 pairs");
 }
 
-/// An engine of which another node says that it changes gets nothing, and its entry ends that.
+/// An engine of which another box says that it changes gets nothing, and its entry ends that.
 #[test]
 fn switching_engine_gets_nothing() {
     let mut world = World::new();
--- a/tests/tests/gateway_survey.rs
+++ b/tests/tests/gateway_survey.rs
@@ -1,4 +1,4 @@
-//! A node that starts asks engines which prompts they keep.
+//! A box that starts asks engines which prompts they keep.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,7 +50,7 @@
     assert_eq!(asked_within(&mut world, Duration::from_secs(5)), []);
 }
 
-/// Each engine is asked by one node.
+/// Each engine is asked by one box.
 #[test]
 fn nodes_share_the_engines() {
     let mut world = World::new();
@@ -61,7 +61,7 @@
     assert!(asked.len() < generators().len(), "39 others ask the rest");
 }
 
-/// After a loss of all nodes each hears the others only after a while. Until then it would take
+/// After a loss of all boxes each hears the others only after a while. Until then it would take
 /// itself for the only one and ask every engine.
 #[test]
 fn waits_to_hear_the_others() {
@@ -80,7 +80,7 @@
     assert!(asked.len() < generators().len(), "39 others ask the rest");
 }
 
-/// A node that hears nobody asks all the same, but not engines without bound: many such nodes may
+/// A box that hears nobody asks all the same, but not engines without bound: many such boxes may
 /// be cut off from each other.
 #[test]
 fn asks_a_bounded_part() {
@@ -115,7 +115,7 @@
     assert_eq!(asked_within(&mut world, Duration::from_secs(1)), []);
 }
 
-/// A node that stops before it has asked must not be woken over and over for it.
+/// A box that stops before it has asked must not be woken over and over for it.
 #[test]
 fn stopping_node_does_not_ask() {
     let mut world = World::new();
--- a/tests/tests/platform_orders.rs
+++ b/tests/tests/platform_orders.rs
@@ -82,7 +82,7 @@
     }
 }
 
-/// A node that sees memory run short orders a reader to generate: first the lease, then the report
+/// A box that sees memory run short orders a reader to generate: first the lease, then the report
 /// of the engine, then the order with the count that the report told.
 #[test]
 fn reader_is_ordered() {
--- a/tests/tests/platform_plain.rs
+++ b/tests/tests/platform_plain.rs
@@ -1,4 +1,4 @@
-//! Plain calls through a node to engines that answer well, badly or not at all.
+//! Plain calls through a box to engines that answer well, badly or not at all.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,7 +10,7 @@
 };
 use tokio::net::TcpStream;
 
-/// Starts a node before one plain engine with a script.
+/// Starts a box before one plain engine with a script.
 async fn with_engine(script: Script) -> (Running, Engine) {
     let store = store().await;
     let engine = engine(script).await;
--- a/tests/tests/platform_settings.rs
+++ b/tests/tests/platform_settings.rs
@@ -1,4 +1,4 @@
-//! The settings file of a node: all findings at once, each with its name.
+//! The settings file of a box: all findings at once, each with its name.
 
 use std::process::{Command, Output};
 
@@ -7,9 +7,9 @@
 
 /// A file as the platform fills it in.
 const FILE: &str = r#"
-[node]
+[box]
 name = "node-1"
-zone = "north"
+data_centre = "north"
 seeds = ["10.1.0.38:8144", "10.2.0.40:8144"]
 
 [listen]
@@ -50,7 +50,7 @@
 
 #[test]
 fn no_toml() {
-    let findings = Settings::parse("[node").expect_err("it is no TOML");
+    let findings = Settings::parse("[box").expect_err("it is no TOML");
     assert!(findings[0].message.contains("line 1"), "{findings:?}");
 }
 
--- a/tests/tests/platform_store.rs
+++ b/tests/tests/platform_store.rs
@@ -1,4 +1,4 @@
-//! A node and the platform's store: away, slow to answer, forgetful, and changing.
+//! A box and the platform's store: away, slow to answer, forgetful, and changing.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,7 +37,7 @@
     (store, engine)
 }
 
-/// A node that knows no configuration says that the request was not run; it denies nothing.
+/// A box that knows no configuration says that the request was not run; it denies nothing.
 #[test]
 fn away_at_the_start() {
     for mood in [StoreMood::Busy, StoreMood::Silent] {
--- a/tests/tests/run_lengths.rs
+++ b/tests/tests/run_lengths.rs
@@ -1,4 +1,4 @@
-//! How long runs hold their memory, and what clients ask, as a node measures them.
+//! How long runs hold their memory, and what clients ask, as a box measures them.
 
 use std::time::Duration;
 
