Tell of free memory and kept prompts with heartbeats where boxes are many

Cause: of the four datagrams of a stream two are for nobody who waits: that an engine keeps its prompt, and that its end frees memory of an engine that has plenty. With heartbeats every 0.6 s each box heard some 340 datagrams a second.

Change: beyond 100 boxes the end of a run at an engine with more than half of its memory free, and the word who keeps a prompt, come with the next heartbeat or change; heartbeats come every 0.8 s, to others every 3.2 s. Two boxes that greet each other at once don't answer each other; one that was greeted more than 0.1 s before gets its answer.

--- a/crates/hollyspoke-gateway/src/cadence.rs
+++ b/crates/hollyspoke-gateway/src/cadence.rs
@@ -17,7 +17,7 @@
 
 /// How often a box tells its own data centre that it lives, beyond [`SMALL`] boxes, in
 /// milliseconds.
-const LARGE_EVERY_MS: u32 = 600;
+const LARGE_EVERY_MS: u32 = 800;
 
 /// Of how many heartbeats one goes to all data centres, beyond [`SMALL`] boxes: what is known of
 /// the engines elsewhere serves to send work there when the own ones are full, and that is rare.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -227,7 +227,6 @@
             self.survey.due(),
             self.members.next_greeting(self.now),
             gathered,
-            self.kept_told_at(),
             self.stages.due(),
         ];
         times.into_iter().flatten().fold(self.next_heartbeat, Time::min)
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -6,6 +6,7 @@
 use crate::effect::{Effect, NotRunReason, Note, Prompt, Source, Task};
 use crate::event::{Answer, CallEvent, Execution};
 use crate::flight::Call;
+use crate::load::Urgency;
 use crate::message::{Full, Load};
 use crate::prompt::Kept;
 use crate::request::{CallKey, FlightKey};
@@ -17,6 +18,10 @@
 /// them that does not prove it is not passed on.
 const PROMISES: [u16; 3] = [408, 429, 503];
 
+/// The share of an engine's memory from which on it is scarce: below, two prompts of the mean length
+/// fit in beside what is held (the users' engines hold eight).
+const SCARCE_SHARE: f64 = 0.5;
+
 /// The lowest status of an engine's own failure.
 const SERVER_ERROR: u16 = 500;
 
@@ -231,7 +236,8 @@
     /// Takes a call out, with its work.
     pub(super) fn take_call(&mut self, key: CallKey) -> Option<Call> {
         let call = self.calls.remove(&key)?;
-        self.ledger.remove(call.engine.key, call.load);
+        let urgency = self.end_urgency(&call);
+        self.ledger.remove(call.engine.key, call.load, urgency);
         if matches!(call.task, Task::Generate(_)) {
             self.runs.end(self.now);
         }
@@ -242,13 +248,24 @@
         Some(call)
     }
 
+    /// Gives how soon others must hear that a call has ended. Where boxes are many, the end of a run
+    /// at an engine with much free memory can wait: nobody waits for what it frees.
+    fn end_urgency(&self, call: &Call) -> Urgency {
+        let flight = self.flights.get(&call.flight);
+        let Some(staged) = flight.and_then(|it| it.service.staged) else { return Urgency::Now };
+        let held = f64::from(self.ledger.at(call.engine.key).held);
+        let is_free = held < staged.memory_tokens as f64 * SCARCE_SHARE;
+        let can_wait = self.members.is_large() && call.load.reading == 0 && is_free;
+        if can_wait { Urgency::Later } else { Urgency::Now }
+    }
+
     /// Notes that an engine has read the prompt of a call that goes on.
     fn finish_reading(&mut self, key: CallKey) {
         let Some(call) = self.calls.get_mut(&key) else { return };
         let read = Load { reading: call.load.reading, calls: 0, held: 0 };
         call.load.reading = 0;
         if read.reading > 0 {
-            self.ledger.remove(call.engine.key, read);
+            self.ledger.remove(call.engine.key, read, Urgency::Now);
         }
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -35,10 +35,6 @@
 /// datagrams each change costs, and the less it counts.
 const GATHER_A_NODE: Duration = Duration::from_millis(4);
 
-/// How long new keepers of prompts gather where boxes are many. A run takes some 0.3 s on the
-/// users' sites, and its end is told anyway.
-const KEPT_GATHERS_FOR: Duration = Duration::from_millis(300);
-
 /// What a box has found out about engines and not told yet.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Untold {
@@ -93,7 +89,7 @@
         if message.is_relayed {
             self.relay(message);
         }
-        let knows_this_one = self.members.was_greeted(message.sender);
+        let knows_this_one = self.members.was_greeted(message.sender, self.now);
         let hearing = self.members.hear(message, self.now);
         if hearing == Hearing::Stale {
             return;
@@ -161,9 +157,11 @@
         self.note_engine_count();
         self.keep_up();
         self.balance();
-        let message = self.message(true);
+        let mut message = self.message(true);
         let greeted = self.members.greeting(self.now);
         self.tell(greeted, message.clone());
+        // Where boxes are many, keepers of prompts are not told by themselves.
+        message.kept = self.prompts.take_untold();
         // The heartbeat tells all work, so that no changes are left to tell.
         self.ledger.take_changed();
         self.gathering_since = None;
@@ -229,8 +227,8 @@
     /// Tells the living boxes what work has changed, which engines keep new prompts, and which
     /// were replaced, not reached or full.
     pub(super) fn tell_changes(&mut self) {
-        let is_kept_due = self.kept_told_at().is_some_and(|it| it <= self.now);
-        let is_urgent = self.ledger.is_urgent() || is_kept_due || !self.untold.is_empty();
+        let has_urgent_kept = self.prompts.has_untold() && !self.members.is_large();
+        let is_urgent = self.ledger.is_urgent() || has_urgent_kept || !self.untold.is_empty();
         if !is_urgent && !self.has_gathered() {
             return;
         }
@@ -247,12 +245,6 @@
         self.tell_concerned(message);
     }
 
-    /// Gives when new keepers of prompts are told at the latest.
-    pub(super) fn kept_told_at(&self) -> Option<Time> {
-        let span = if self.members.is_large() { KEPT_GATHERS_FOR } else { Duration::ZERO };
-        self.prompts.untold_since().map(|it| it + span)
-    }
-
     /// Tells whether changes that are not urgent have gathered for long enough to be told.
     fn has_gathered(&mut self) -> bool {
         if !self.ledger.has_changed() {
--- a/crates/hollyspoke-gateway/src/gateway/room.rs
+++ b/crates/hollyspoke-gateway/src/gateway/room.rs
@@ -7,6 +7,7 @@
 use crate::effect::NotRunReason;
 use crate::engine::{EngineKey, Stage};
 use crate::flight::Flight;
+use crate::load::Urgency;
 use crate::message::Load;
 use crate::request::FlightKey;
 
@@ -77,7 +78,7 @@
     pub(super) fn unreserve(&mut self, key: FlightKey) {
         let reserved = self.flights.get_mut(&key).and_then(|it| it.reserved.take());
         if let Some((engine, load)) = reserved {
-            self.ledger.remove(engine, load);
+            self.ledger.remove(engine, load, Urgency::Now);
         }
     }
 
--- a/crates/hollyspoke-gateway/src/load.rs
+++ b/crates/hollyspoke-gateway/src/load.rs
@@ -8,6 +8,15 @@
 use crate::engine::EngineKey;
 use crate::message::Load;
 
+/// How soon others must hear of a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Urgency {
+    /// At once, if memory or reading changes: engines tell their calls themselves.
+    Now,
+    /// With the next datagram.
+    Later,
+}
+
 /// The work at every engine.
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
@@ -29,23 +38,23 @@
     /// Adds own work.
     pub fn add(&mut self, engine: EngineKey, load: Load) {
         self.own.entry(engine).or_default().add(load);
-        self.note_change(engine, load);
+        self.note_change(engine, load, Urgency::Now);
     }
 
     /// Takes own work away.
-    pub fn remove(&mut self, engine: EngineKey, load: Load) {
+    pub fn remove(&mut self, engine: EngineKey, load: Load, urgency: Urgency) {
         let own = self.own.entry(engine).or_default();
         own.remove(load);
         if own.is_empty() {
             self.own.remove(&engine);
         }
-        self.note_change(engine, load);
+        self.note_change(engine, load, urgency);
     }
 
     /// Notes that own work has changed.
-    fn note_change(&mut self, engine: EngineKey, load: Load) {
+    fn note_change(&mut self, engine: EngineKey, load: Load, urgency: Urgency) {
         self.changed.insert(engine);
-        self.is_urgent |= load.held > 0 || load.reading > 0;
+        self.is_urgent |= urgency == Urgency::Now && (load.held > 0 || load.reading > 0);
     }
 
     /// Tells whether own work has changed since it was last told.
--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -14,6 +14,10 @@
 /// How long a silent box is still greeted.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
 
+/// The time in which a greeting arrives at a box that lives. One that greets this box later may have
+/// started after it.
+const GREETING_ARRIVES_IN: Duration = Duration::from_millis(100);
+
 /// The boxes of a data centre from which on one of them passes on what boxes of other data centres
 /// tell: below, too much is lost with it until its death is noticed.
 const LEAST_RELAYED: usize = 6;
@@ -159,8 +163,8 @@
     own: DataCentreKey,
     /// The boxes heard, by where they listen.
     peers: BTreeMap<SocketAddr, Peer>,
-    /// Boxes named by the settings or by others, and not heard yet, and whether they were greeted.
-    greeted: BTreeMap<SocketAddr, bool>,
+    /// Boxes named by the settings or by others, and not heard yet, and when they were greeted.
+    greeted: BTreeMap<SocketAddr, Option<Time>>,
     /// Since when some of them were not greeted.
     fresh_since: Option<Time>,
     /// When greetings were last sent.
@@ -217,15 +221,17 @@
         for node in nodes {
             let is_known = self.peers.contains_key(&node) || self.greeted.contains_key(&node);
             if node != own && !is_known {
-                self.greeted.insert(node, false);
+                self.greeted.insert(node, None);
                 self.fresh_since.get_or_insert(now);
             }
         }
     }
 
-    /// Tells whether a box was greeted that has not been heard yet.
-    pub fn was_greeted(&self, node: SocketAddr) -> bool {
-        self.greeted.get(&node).is_some_and(|it| *it)
+    /// Tells whether a box that has not been heard yet was greeted just now, so that it knows this
+    /// one.
+    pub fn was_greeted(&self, node: SocketAddr, now: Time) -> bool {
+        let greeted = self.greeted.get(&node).copied().flatten();
+        greeted.is_some_and(|it| now.since(it) < GREETING_ARRIVES_IN)
     }
 
     /// Takes in a datagram.
@@ -306,10 +312,10 @@
             self.first_greeting.get_or_insert(now);
             audience.extend(self.peers.iter().filter(|(_, it)| it.is_silent).map(|(&it, _)| it));
         }
-        for (&node, was_greeted) in &mut self.greeted {
-            if is_turn || !*was_greeted {
+        for (&node, greeted) in &mut self.greeted {
+            if is_turn || greeted.is_none() {
                 audience.push(node);
-                *was_greeted = true;
+                *greeted = Some(now);
             }
         }
         self.fresh_since = None;
--- a/crates/hollyspoke-gateway/src/prompt.rs
+++ b/crates/hollyspoke-gateway/src/prompt.rs
@@ -57,8 +57,6 @@
     noted: VecDeque<(Time, PromptKey)>,
     /// What this box has seen itself and not told yet.
     untold: Vec<Kept>,
-    /// Since when there is some of that.
-    untold_since: Option<Time>,
 }
 
 impl Prompts {
@@ -66,7 +64,6 @@
     pub fn see(&mut self, kept: Kept, now: Time) {
         self.note(kept, now);
         self.untold.push(kept);
-        self.untold_since.get_or_insert(now);
     }
 
     /// Notes that an engine keeps a prompt.
@@ -89,14 +86,13 @@
         engines.iter().rev().copied()
     }
 
-    /// Gives since when something is to be told to others.
-    pub fn untold_since(&self) -> Option<Time> {
-        self.untold_since
+    /// Tells whether something is to be told to others.
+    pub fn has_untold(&self) -> bool {
+        !self.untold.is_empty()
     }
 
     /// Gives what is to be told to others.
     pub fn take_untold(&mut self) -> Vec<Kept> {
-        self.untold_since = None;
         std::mem::take(&mut self.untold)
     }
 
--- a/tests/tests/gateway_peers.rs
+++ b/tests/tests/gateway_peers.rs
@@ -54,6 +54,20 @@
     assert!(due > Time::from_millis(1510), "it waits for its own heartbeat: {due:?}");
 }
 
+/// Two boxes that greet each other at once need no answers; one that starts after it was greeted does.
+#[test]
+fn greetings_cross() {
+    let other = settings(2).peer;
+    let answers = |pause: u64| {
+        let mut node = Gateway::new(settings(1));
+        node.step(Time::from_millis(1000), Event::Seeds(vec![other]));
+        let effects = node.step(Time::from_millis(1001 + pause), Event::Heard(heartbeat(2, 1)));
+        effects.iter().any(|it| matches!(it, Effect::Tell(to, _) if *to == [other]))
+    };
+    assert!(!answers(20));
+    assert!(answers(200));
+}
+
 /// A new box learns many others from the first that it greets.
 #[test]
 fn new_node_is_told_of_many() {
