Reset only the connections that are open, in the soak

Change: a new connection's receiver begins with what was reset before.

Test: soak_proxy.rs, failed first.

--- a/tests/soak/src/proxy.rs
+++ b/tests/soak/src/proxy.rs
@@ -67,7 +67,10 @@
         tokio::select! {
             accepted = listener.accept() => {
                 if let Ok((near, _)) = accepted {
-                    tokio::task::spawn_local(carry(near, to, mode.clone(), reset.clone()));
+                    let mut later = reset.clone();
+                    // Resets before its time are not for this connection.
+                    later.mark_unchanged();
+                    tokio::task::spawn_local(carry(near, to, mode.clone(), later));
                 }
             }
             closed = mode.changed() => if closed.is_err() { return },
