End the boxes of a soak that is told to end

Stand-ins end by themselves.

Change: on SIGTERM and SIGINT the run is dropped, and its processes with it.

--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -14,6 +14,7 @@
 use hollyspoke_soak::standin::{engine, store};
 use hollyspoke_soak::{report, schedule};
 use pico_args::Arguments;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
 
 /// The exit code if a promise is broken, or a deliberate fault is not caught.
@@ -148,11 +149,22 @@
     std::fs::create_dir_all(&plan.folder).wrap_err("no folder for the run")?;
     std::fs::write(plan.folder.join("schedule.txt"), schedule.join("\n"))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let outcome = LocalSet::new().block_on(&runtime, run::run(plan))?;
+    let outcome = LocalSet::new().block_on(&runtime, run_unless_interrupted(plan))?;
     write_files(plan, &outcome)?;
     Ok(verdict(plan, &outcome))
 }
 
+/// Runs a plan, unless this program is told to end; all processes of the run end with it.
+async fn run_unless_interrupted(plan: &Plan) -> eyre::Result<Outcome> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        outcome = run::run(plan) => outcome,
+        _ = terminate.recv() => bail!("terminated; the run's processes are ended"),
+        _ = interrupt.recv() => bail!("interrupted; the run's processes are ended"),
+    }
+}
+
 /// Writes what was seen, and the page about it.
 fn write_files(plan: &Plan, outcome: &Outcome) -> eyre::Result<()> {
     let lines: Result<Vec<_>, _> = outcome.observations.iter().map(serde_json::to_string).collect();
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -2,8 +2,11 @@
 
 use std::path::Path;
 use std::process::Command;
+use std::time::Duration;
 
 use hollyspoke_tests::process::program;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
 
 /// Runs the soak; gives whether it succeeded and what it printed.
 fn soak(arguments: &[&str], name: &str) -> (bool, String) {
@@ -36,6 +39,45 @@
     assert!(is_good, "{text}");
 }
 
+/// Gives the processes whose settings lie in a folder.
+fn processes_of(folder: &Path) -> Vec<String> {
+    let settings = folder.join("box-0.toml").to_string_lossy().into_owned();
+    let processes = std::fs::read_dir("/proc").expect("the kernel lists processes");
+    let named = processes.filter_map(|it| it.ok()?.file_name().into_string().ok());
+    let numbered = named.filter(|it| it.bytes().all(|it| it.is_ascii_digit()));
+    let has_settings = |id: &String| {
+        let environment = std::fs::read(format!("/proc/{id}/environ")).unwrap_or_default();
+        String::from_utf8_lossy(&environment).contains(&settings)
+    };
+    numbered.filter(has_settings).collect()
+}
+
+/// A run that is told to end takes its boxes with it.
+#[test]
+fn interrupted_run() {
+    let program = program("hollyspoke-soak").expect("it is built");
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("soak-interrupted");
+    let mut child = Command::new(program)
+        .args(["--boxes", "2", "--out"])
+        .arg(&folder)
+        .spawn()
+        .expect("the program runs");
+    let wait_until = |is_there: bool| {
+        for _ in 0..200 {
+            if processes_of(&folder).is_empty() != is_there {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        panic!("boxes there: {:?}", processes_of(&folder));
+    };
+    wait_until(true);
+    let id = Pid::from_raw(i32::try_from(child.id()).expect("a process id"));
+    kill(id, Signal::SIGTERM).expect("it runs");
+    child.wait().expect("it ends");
+    wait_until(false);
+}
+
 /// A seed gives the same schedule each time.
 #[test]
 fn same_schedule() {
