Tell all of work at engines whose memory is scarce

From the logs of all boxes (to second 26): 2,039 of 10,459 prompts that had been read were turned away since the engine was full, nearly all in the two bursts; 446 of the 448 whose engine's data centre the logs tell were elsewhere, and ran 1.8 to 4.2 requests more than the box knew of. A full data centre sends work to others by what their heartbeats told up to 3.2 s before.

Change: a change of work at an engine of whose memory 0.4 or more is held goes to all boxes at once. In calm times that is rare, so that what a box hears stays as it was; the ends of runs there are told at once too (0.5 before).

Test: scarce_memory_is_told_to_all, failed first.

Small deployments are not concerned.

--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -18,10 +18,6 @@
 /// them that does not prove it is not passed on.
 const PROMISES: [u16; 3] = [408, 429, 503];
 
-/// The share of an engine's memory from which on it is scarce: below, two prompts of the mean length
-/// fit in beside what is held (the users' engines hold eight).
-const SCARCE_SHARE: f64 = 0.5;
-
 /// The lowest status of an engine's own failure.
 const SERVER_ERROR: u16 = 500;
 
@@ -251,10 +247,7 @@
     /// Gives how soon others must hear that a call has ended. Where boxes are many, the end of a run
     /// at an engine with much free memory can wait: nobody waits for what it frees.
     fn end_urgency(&self, call: &Call) -> Urgency {
-        let flight = self.flights.get(&call.flight);
-        let Some(staged) = flight.and_then(|it| it.service.staged) else { return Urgency::Now };
-        let held = f64::from(self.ledger.at(call.engine.key).held);
-        let is_free = held < staged.memory_tokens as f64 * SCARCE_SHARE;
+        let is_free = !self.is_scarce(call.engine.key);
         let can_wait = self.members.is_large() && call.load.reading == 0 && is_free;
         if can_wait { Urgency::Later } else { Urgency::Now }
     }
--- a/crates/hollyspoke-gateway/src/gateway/relay.rs
+++ b/crates/hollyspoke-gateway/src/gateway/relay.rs
@@ -27,7 +27,7 @@
     }
 
     /// Sends a datagram to the boxes whom the engines concern that it names: all of few boxes, of
-    /// many those of the engines' data centres and of the own.
+    /// many those of the engines' data centres and of the own, and all if memory is scarce there.
     pub(super) fn tell_concerned(&mut self, message: Message) {
         let reach = self.concerned(&message);
         self.tell_within(&reach, message);
@@ -35,7 +35,8 @@
 
     /// Gives whom the engines concern that a datagram names.
     fn concerned(&self, message: &Message) -> Reach {
-        if !self.members.is_large() {
+        let is_scarce = message.loads.iter().any(|it| self.is_scarce(it.0));
+        if is_scarce || !self.members.is_large() {
             return Reach::All;
         }
         let loads = message.loads.iter().map(|it| it.0);
--- a/crates/hollyspoke-gateway/src/gateway/room.rs
+++ b/crates/hollyspoke-gateway/src/gateway/room.rs
@@ -15,7 +15,21 @@
 /// is refused within a quarter loses least by coming back.
 const WAIT_SHARE: f64 = 0.22;
 
+/// The share of an engine's memory from which on it is scarce: boxes of other data centres may soon
+/// look for room there. The users' engines hold eight prompts of the mean length; three are in.
+const SCARCE_SHARE: f64 = 0.4;
+
 impl Gateway {
+    /// Tells whether an engine's memory is scarce.
+    pub(super) fn is_scarce(&self, engine: EngineKey) -> bool {
+        let Some(known) = self.directory.get(engine) else { return false };
+        let configuration = self.configuration.as_ref();
+        let service = configuration.and_then(|it| it.service(&known.engine.service));
+        let Some(staged) = service.and_then(|it| it.staged) else { return false };
+        let held = f64::from(self.ledger.at(engine).held);
+        held >= staged.memory_tokens as f64 * SCARCE_SHARE
+    }
+
     /// Has a request wait for room, or gives it up if no room can come.
     pub(super) fn wait_for_room(&mut self, key: FlightKey) {
         let Some(flight) = self.flights.get(&key) else { return };
--- a/tests/tests/data_centres.rs
+++ b/tests/tests/data_centres.rs
@@ -7,13 +7,13 @@
 
 use hollyspoke_gateway::cadence::Cadence;
 use hollyspoke_gateway::effect::Effect;
-use hollyspoke_gateway::engine::{Engine, Stage};
+use hollyspoke_gateway::engine::{Engine, EngineKey, Stage};
 use hollyspoke_gateway::event::{CallEvent, Event};
-use hollyspoke_gateway::message::{DataCentreKey, Knowledge, Message};
+use hollyspoke_gateway::message::{DataCentreKey, Knowledge, Load, Message};
 use hollyspoke_gateway::prompt::PromptKey;
 use hollyspoke_gateway::request::{FlightKey, Request};
 use hollyspoke_tests::gateway::{
-    MODEL, PLAIN, World, configuration, engine, heartbeat, only_send, ran, request,
+    MEMORY, MODEL, PLAIN, World, configuration, engine, heartbeat, only_send, ran, request,
 };
 
 /// The data centres; the box under test stands in the first.
@@ -102,6 +102,19 @@
     assert_eq!(zones_told(&mut world), BTreeSet::from([0]));
 }
 
+/// A data centre that is full sends work to the others, which must not be full by then without its
+/// knowing: 446 of 448 prompts that a full engine turned away had come from elsewhere.
+#[test]
+fn scarce_memory_is_told_to_all() {
+    let mut world = world(50);
+    world.event(Event::Listed(engines_in(0), 10));
+    let held = (MEMORY as f64 * 0.5) as u32;
+    let full = Load { reading: 0, calls: 4, held };
+    let message = Message { loads: vec![(EngineKey::of("engine-3"), full)], ..beat(0, 1, 2) };
+    world.event(Event::Heard(message));
+    assert_eq!(zones_told(&mut world), BTreeSet::from([0, 1, 2]));
+}
+
 /// Those who stand beside the engine must know of it too.
 #[test]
 fn work_elsewhere_is_told_there() {
