Hand the configuration and the engines over to boxes that the store does not answer

Cause: a box that the store turns away went on by keys and routes that were withdrawn until the store answered it again, and one that started then never served, although other boxes knew all it needed.

--- /dev/null
+++ b/crates/hollyspoke-gateway/src/snapshot.rs
@@ -0,0 +1,67 @@
+//! What a box hands over whole to another that can't read it from the platform's store: the
+//! configuration in force, and the list of engines. Of customers' keys it holds the digests alone.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::customer::{Customer, Customers};
+use crate::engine::Engine;
+use crate::route::{Configuration, Limits, Route, Service};
+
+/// The parts of one version of the configuration.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Version {
+    /// The version.
+    pub version: u64,
+    /// What clients may send.
+    pub limits: Limits,
+    /// The routes.
+    pub routes: Vec<Route>,
+    /// The services.
+    pub services: Vec<Service>,
+    /// The customers, if requests need their keys.
+    pub customers: Option<Vec<Customer>>,
+}
+
+impl Version {
+    /// Takes a configuration apart.
+    pub fn of(configuration: &Configuration) -> Version {
+        let customers = configuration.customers.as_ref();
+        Version {
+            version: configuration.version,
+            limits: configuration.limits,
+            routes: configuration.routes().map(|it| Route::clone(it)).collect(),
+            services: configuration.services().cloned().collect(),
+            customers: customers.map(|it| it.iter().map(|it| Customer::clone(it)).collect()),
+        }
+    }
+
+    /// Puts the configuration together again.
+    pub fn configuration(self) -> Arc<Configuration> {
+        let Version { version, limits, routes, services, customers } = self;
+        let configuration = Configuration::new(version, limits, routes, services);
+        Arc::new(match customers {
+            Some(customers) => configuration.with_customers(Customers::new(customers)),
+            None => configuration,
+        })
+    }
+}
+
+/// The list of engines at a revision of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// The engines.
+    pub engines: Vec<Engine>,
+    /// The revision up to which nothing is missing.
+    pub revision: u64,
+}
+
+/// What a box hands over.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The configuration, if the box knows one.
+    pub version: Option<Version>,
+    /// The engines, if the box has listed them.
+    pub listing: Option<Listing>,
+}
--- /dev/null
+++ b/tests/tests/gateway_handover.rs
@@ -0,0 +1,125 @@
+//! The configuration and the list of engines from box to box, where the store does not give them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bincode::Options;
+use hollyspoke::quota::Limit;
+use hollyspoke_gateway::credential::KeyDigest;
+use hollyspoke_gateway::customer::{Customer, CustomerKey, Customers, Unit};
+use hollyspoke_gateway::effect::{Effect, Refusal};
+use hollyspoke_gateway::event::{Event, Kind};
+use hollyspoke_gateway::message::Knowledge;
+use hollyspoke_gateway::request::Request;
+use hollyspoke_gateway::snapshot::Snapshot;
+use hollyspoke_tests::gateway::{
+    World, configuration, engines, heartbeat, only_refusal, only_send, request, settings,
+};
+
+/// What a box knows that follows the store.
+const NEWEST: Knowledge = Knowledge { version: 2, revision: 12, is_blind: false };
+
+/// Gives the usual configuration with the customer `press` and its keys.
+fn with_keys(version: u64, keys: &[&[u8]]) -> Event {
+    let customer = Customer {
+        key: CustomerKey::of("press"),
+        name: "press".into(),
+        priority: Some(2),
+        unit: Unit::Token { plain: 200 },
+        limit: Some(Limit { rate: 1e6, burst: 1e6 }),
+        credentials: keys.iter().map(|it| KeyDigest::of(it)).collect(),
+    };
+    let customers = Customers::new(vec![customer]);
+    Event::Configured(Arc::new(configuration(version).with_customers(customers)))
+}
+
+/// Gives a request with a key.
+fn keyed(key: &[u8]) -> Request {
+    Request { credential: Some(KeyDigest::of(key)), ..request("safe") }
+}
+
+/// Gives what a box hands over that knows the newest version, as it arrives at another.
+fn handed_over() -> Event {
+    let mut provider = World::numbered(2);
+    provider.event(Event::Listed(engines(), 12));
+    provider.event(with_keys(2, &[b"newer"]));
+    let bytes = bincode::DefaultOptions::new().serialize(&provider.gateway.snapshot());
+    let bytes = bytes.expect("it can be written");
+    let snapshot: Snapshot = bincode::DefaultOptions::new().deserialize(&bytes).expect("whole");
+    Event::Fetched(Box::new(snapshot))
+}
+
+/// Lets time pass while another box tells with each heartbeat what it knows; gives the boxes asked.
+fn asked(world: &mut World, knowledge: Knowledge, beats: u64) -> usize {
+    let mut asked = 0;
+    for beat in 0..beats {
+        world.event(Event::Heard(heartbeat(2, 1000 + beat, knowledge)));
+        let effects = world.pass(Duration::from_millis(350));
+        let provider = settings(2).peer;
+        asked += effects.iter().filter(|it| **it == Effect::Fetch(provider)).count();
+    }
+    asked
+}
+
+/// A box that stays behind asks another, and goes on by what it gets: a key taken away is refused.
+#[test]
+fn behind_for_long() {
+    let mut world = World::unconfigured();
+    world.event(Event::Listed(engines(), 10));
+    world.event(with_keys(1, &[b"older"]));
+    world.event(Event::StoreFailed(Kind::Configuration));
+    assert!(asked(&mut world, NEWEST, 4) >= 1);
+    only_send(&world.arrive(keyed(b"older")).1);
+    world.event(handed_over());
+    assert_eq!(world.gateway.version(), Some(2));
+    let (_, effects) = world.arrive(keyed(b"older"));
+    assert_eq!(only_refusal(&effects), Refusal::UnknownKey);
+    only_send(&world.arrive(keyed(b"newer")).1);
+}
+
+/// A box that keeps up asks nobody.
+#[test]
+fn not_behind() {
+    let mut world = World::unconfigured();
+    world.event(Event::Listed(engines(), 12));
+    world.event(with_keys(2, &[b"newer"]));
+    assert_eq!(asked(&mut world, NEWEST, 8), 0);
+}
+
+/// A box that starts without the store serves by what another box hands over.
+#[test]
+fn start_without_store() {
+    let mut world = World::unconfigured();
+    world.event(Event::StoreFailed(Kind::Configuration));
+    world.event(Event::StoreFailed(Kind::Engines));
+    assert!(asked(&mut world, NEWEST, 4) >= 1);
+    assert!(!world.gateway.is_ready());
+    world.event(handed_over());
+    assert!(world.gateway.is_ready());
+    only_send(&world.arrive(keyed(b"newer")).1);
+}
+
+/// What is handed over late, and older than what is known, changes nothing.
+#[test]
+fn older_is_ignored() {
+    let mut world = World::unconfigured();
+    world.event(Event::Listed(Vec::new(), 20));
+    world.event(with_keys(3, &[b"newest"]));
+    world.event(handed_over());
+    assert_eq!(world.gateway.version(), Some(3));
+    let (_, effects) = world.arrive(keyed(b"newest"));
+    assert!(!effects.iter().any(|it| matches!(it, Effect::Send(_))), "no engine is listed");
+}
+
+/// A box that knows less is not asked.
+#[test]
+fn nobody_to_ask() {
+    let mut world = World::unconfigured();
+    world.event(Event::StoreFailed(Kind::Engines));
+    let starting = Knowledge::default();
+    let mut message = heartbeat(2, 1000, starting);
+    message.standing = hollyspoke_gateway::message::Standing::Starting;
+    world.event(Event::Heard(message));
+    let effects = world.pass(Duration::from_secs(1));
+    assert!(!effects.iter().any(|it| matches!(it, Effect::Fetch(_))));
+}
--- /dev/null
+++ b/tests/tests/platform_handover.rs
@@ -0,0 +1,77 @@
+//! A box that the store says nothing to, beside one that it answers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hollyspoke_platform::DIALECT;
+use hollyspoke_server::run::{self, Running};
+use hollyspoke_tests::platform::{
+    Act, Script, ask, client_head, engine, local, log, settings, status, store, whole,
+};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+
+/// Starts a box at an address of the loopback before a store.
+async fn start(ip: [u8; 4], store: SocketAddr, port: u16, seeds: Vec<SocketAddr>) -> Running {
+    let mut settings = settings(store, seeds);
+    settings.peer = SocketAddr::from((ip, port));
+    run::start(&settings, DIALECT, log()).await.expect("the ports are free")
+}
+
+/// Gives a port for other boxes that is likely free.
+fn port() -> u16 {
+    20_000 + (std::process::id() % 20_000) as u16
+}
+
+#[test]
+fn store_answers_one_alone() {
+    local(async {
+        let good = store().await;
+        let script: Script = Rc::new(|it| vec![Act::Send(whole(it, "x"))]);
+        let engine = engine(script).await;
+        good.configure(1);
+        good.list("e-1", &engine, "plain", None);
+        let nowhere = SocketAddr::from(([127, 0, 0, 9], 9));
+        let first = start([127, 0, 0, 2], good.address, port(), Vec::new()).await;
+        let seeds = vec![SocketAddr::from(([127, 0, 0, 2], port()))];
+        let second = start([127, 0, 0, 3], nowhere, port(), seeds).await;
+        let ready = async {
+            while !second.node.with(|it| it.is_ready()) {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(5), ready).await.expect("it is told");
+        let answer = ask(second.front, &client_head("POST", "/safe/x", "id-1", "")).await;
+        assert_eq!(status(&answer), "200");
+        // A newer version comes the same way.
+        good.configure(7);
+        let newer = async {
+            while second.node.with(|it| it.version()) != Some(7) {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(3), newer).await.expect("within the bound");
+        drop(first);
+    });
+}
+
+/// Who is no box gets nothing.
+#[test]
+fn strangers() {
+    local(async {
+        let good = store().await;
+        good.configure(1);
+        let port = port() + 1;
+        let node = start([127, 0, 0, 4], good.address, port, Vec::new()).await;
+        while !node.node.with(|it| it.version().is_some()) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let mut stream = TcpStream::connect((std::net::Ipv4Addr::new(127, 0, 0, 4), port))
+            .await
+            .expect("it listens");
+        let mut bytes = Vec::new();
+        let read = stream.read_to_end(&mut bytes).await;
+        assert!(read.is_err() || bytes.is_empty());
+    });
+}
