--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -22,7 +22,6 @@
 
 use crate::answer::{DropHook, Stream};
 use crate::dialect::{Dialect, Kind};
-use crate::handover;
 use crate::metrics::Metrics;
 use crate::notes;
 use crate::peers::Peers;
@@ -111,7 +110,7 @@
     pub woken: Notify,
 }
 
-/// What makes calls to engines and to the store.
+/// What makes calls to engines, to other boxes and to the store.
 #[derive(Debug, Clone, Copy)]
 pub struct Upstream {
     /// Starts the task of a call.
@@ -124,6 +123,8 @@
     pub inspect: fn(Rc<Node>, Arc<Engine>),
     /// Starts an order to an engine.
     pub order: fn(Rc<Node>, Order),
+    /// Starts fetching a snapshot from another box.
+    pub fetch: fn(Rc<Node>, SocketAddr),
     /// Starts an operation on an object in the store, under a number.
     pub store: fn(Rc<Node>, u64, Operation),
 }
@@ -288,9 +289,7 @@
                 self.engines_wanted.notify_one();
             }
             Effect::Read(kind) => self.wanted(kind).notify_one(),
-            Effect::Fetch(provider) => {
-                tokio::task::spawn_local(handover::fetch(self.clone(), provider));
-            }
+            Effect::Fetch(provider) => (self.upstream.fetch)(self.clone(), provider),
             Effect::Tell(nodes, message) => self.peers.tell(&nodes, &message),
             Effect::Note(note) => {
                 self.metrics.record(&note);
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -13,6 +13,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
+use crate::handover;
 use crate::http1::{Connection, Failure, read_whole};
 use crate::node::{Node, ReceivedRequest, Upstream};
 use crate::objects;
@@ -48,6 +49,9 @@
     order: |node, it| {
         tokio::task::spawn_local(order(node, it));
     },
+    fetch: |node, provider| {
+        tokio::task::spawn_local(handover::fetch(node, provider));
+    },
     store: |node, number, operation| {
         tokio::task::spawn_local(objects::carry_out(node, number, operation));
     },
