--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -307,15 +307,14 @@
             generator: None,
         });
     }
-    let alone = view.alone(staged, tokens, held, flight.route.longest_gap);
+    let alone = view.alone(staged, tokens, held)?;
     let reading = if flight.reading_failed { None } else { view.reading(staged, tokens) };
     let is_slow = |reading: &Choice| {
         let is_slow = reading.expected > flight.route.target.mul_f64(ALONE_SHARE);
-        is_slow && alone.as_ref().is_some_and(|it| it.expected < reading.expected)
+        is_slow && alone.expected < reading.expected
     };
     let Some(reading) = reading.filter(|it| !is_slow(it)) else {
-        let choice = alone.or_else(|| view.alone(staged, tokens, held, None))?;
-        return Some(Next { task: Task::Generate(Prompt::Unread), choice, generator: None });
+        return Some(Next { task: Task::Generate(Prompt::Unread), choice: alone, generator: None });
     };
     let generator = view.generating(staged, held, &reading.engine.data_centre, None)?;
     Some(Next { task: Task::Read, choice: reading, generator: Some(generator.engine.key) })
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -46,10 +46,6 @@
 /// What reading beside streams that are running costs them.
 const BESIDE_STREAMS: Duration = Duration::from_millis(60);
 
-/// The share of the longest pause that reading beside streams may take. The rest is the event's own
-/// time: 11 tokens at 5 ms each of 300 ms on the users' sites.
-const STALL_SHARE: f64 = 0.8;
-
 /// The time from a call's sending to an engine's start on it.
 const CALL_OVERHEAD: Duration = Duration::from_millis(15);
 
@@ -113,18 +109,10 @@
         Some(Choice { engine: known.engine.clone(), expected, ahead: self.ahead(known) + tokens })
     }
 
-    /// Chooses an engine that reads the prompt itself and then generates. Streams that run there
-    /// must not pause for longer than `gap` meanwhile.
-    pub fn alone(
-        &self,
-        staged: &Staged,
-        tokens: u64,
-        held: u64,
-        gap: Option<Duration>,
-    ) -> Option<Choice> {
-        let candidates = self.candidates(Some(Stage::Decode), |it| {
-            self.has_memory(it, staged, held) && !self.would_stall(it, tokens, gap)
-        });
+    /// Chooses an engine that reads the prompt itself and then generates.
+    pub fn alone(&self, staged: &Staged, tokens: u64, held: u64) -> Option<Choice> {
+        let candidates =
+            self.candidates(Some(Stage::Decode), |it| self.has_memory(it, staged, held));
         let (known, cost) = self.cheapest(&candidates, |it| {
             let load = self.ledger.at(it.engine.key);
             let beside = BESIDE_STREAMS * load.calls.min(4);
@@ -247,14 +235,6 @@
         CALL_OVERHEAD + Duration::from_secs_f64(millis / 1e3)
     }
 
-    /// Tells whether reading a prompt would hold the streams that run at an engine up for longer than
-    /// they may pause: it reads in pieces between their tokens, and an event has several tokens.
-    fn would_stall(&self, known: &Known, tokens: u64, gap: Option<Duration>) -> bool {
-        let Some(gap) = gap else { return false };
-        let is_idle = self.ledger.at(known.engine.key).calls == 0;
-        !is_idle && self.reading_time(known, tokens) > gap.mul_f64(STALL_SHARE)
-    }
-
     /// Gives the time that a move of a prompt takes over an idle link.
     fn move_time(&self, staged: &Staged, tokens: u64) -> Duration {
         let bits = (tokens * staged.token_bytes * 8) as f64;
