--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -117,8 +117,6 @@
     calls: HashMap<CallKey, Call>,
     /// The requests that wait for room at an engine.
     waiting: Vec<FlightKey>,
-    /// Since when requests have waited without a break.
-    queued_since: Option<Time>,
     /// Whether the event under way may have brought room for those that wait.
     may_have_room: bool,
     /// How long runs at engines with stages hold their memory.
@@ -184,7 +182,6 @@
             flights: HashMap::new(),
             calls: HashMap::new(),
             waiting: Vec::new(),
-            queued_since: None,
             may_have_room: false,
             runs: Runs::default(),
             meters: HashMap::new(),
--- a/crates/hollyspoke-gateway/src/gateway/room.rs
+++ b/crates/hollyspoke-gateway/src/gateway/room.rs
@@ -1,7 +1,7 @@
 //! Requests that wait for room in an engine's memory, and memory set aside for those whose prompt
 //! is being read.
 
-use hollyspoke::time::{Time, seconds};
+use hollyspoke::time::Time;
 
 use super::Gateway;
 use crate::effect::NotRunReason;
@@ -11,16 +11,9 @@
 use crate::message::Load;
 use crate::request::FlightKey;
 
-/// The share of the target for which requests have waited without a break after which the queue is
-/// taken to stand: more comes than room does, and those that wait only make each other late.
-const STANDING_SHARE: f64 = 0.25;
-
-/// The share of the target for which a request waits in a queue that stands.
-const STANDING_WAIT_SHARE: f64 = 0.125;
-
-/// The share of the target within which the first event of a request must be expected that waits
-/// for room. The rest is for what can't be foreseen.
-const IN_TIME_SHARE: f64 = 0.9;
+/// The share of the target for which a request waits before it is refused: a client whose request
+/// is refused within a quarter loses least by coming back.
+const WAIT_SHARE: f64 = 0.22;
 
 /// The share of an engine's memory from which on it is scarce: boxes of other data centres may soon
 /// look for room there. The users' engines hold eight prompts of the mean length; three are in.
@@ -46,7 +39,7 @@
         if flight.waits_until.is_some() {
             return;
         }
-        let until = self.wait_end(flight);
+        let until = wait_end(flight);
         if until <= self.now {
             return self.refuse_for_room(key);
         }
@@ -54,7 +47,6 @@
             flight.waits_until = Some(until);
         }
         self.waiting.push(key);
-        self.queued_since.get_or_insert(self.now);
         self.wake_at(key, Some(until));
     }
 
@@ -63,7 +55,6 @@
     /// no further try, each in the order of arrival.
     pub(super) fn admit_waiting(&mut self) {
         if self.waiting.is_empty() {
-            self.queued_since = None;
             return;
         }
         let mut waiting = std::mem::take(&mut self.waiting);
@@ -105,26 +96,6 @@
         }
     }
 
-    /// Gives until when a request may wait for room. One that was never sent waits as long as its
-    /// first event can still be in time.
-    fn wait_end(&self, flight: &Flight) -> Time {
-        if flight.source.is_some() {
-            return flight.handle_end();
-        }
-        if flight.sends > 0 {
-            return flight.ends;
-        }
-        let rate = self.directory.best_rate(&flight.service.name).max(1.0);
-        let reading = seconds(flight.request.tokens_in() as f64 / rate / 1e3);
-        let target = flight.route.target;
-        let in_time = target.mul_f64(IN_TIME_SHARE).saturating_sub(reading);
-        let stands = self.queued_since.is_some_and(|it| {
-            self.now.since(it) > target.mul_f64(STANDING_SHARE)
-        });
-        let longest = if stands { target.mul_f64(STANDING_WAIT_SHARE) } else { in_time };
-        flight.arrived + longest.min(in_time)
-    }
-
     /// Tells whether an engine could take the request if it had room.
     fn can_find_room(&self, flight: &Flight) -> bool {
         let mut open = self.directory.open(&flight.service.name, self.now);
@@ -132,3 +103,13 @@
     }
 }
 
+/// Gives until when a request may wait for room.
+fn wait_end(flight: &Flight) -> Time {
+    if flight.source.is_some() {
+        return flight.handle_end();
+    }
+    if flight.sends > 0 {
+        return flight.ends;
+    }
+    flight.arrived + flight.route.target.mul_f64(WAIT_SHARE)
+}
