Soak: customers with keys and a limit, and connections that go silent for good

Cause: the promises about keys and limits are new, and no run could break them; connections that go silent were listed as not built.

Change: a run has four customers whose keys come and go with each version, one of them limited to 5,000 tokens a second; of a hundred requests three come with a key that nobody holds and three with one taken away, all with a made-up customer's name.

Boxes: sites without limits look at nothing for them, and a box that starts hears totals before it knows a limit.

--- a/crates/hollyspoke-gateway/src/gateway/customer.rs
+++ b/crates/hollyspoke-gateway/src/gateway/customer.rs
@@ -175,9 +175,11 @@
         self.quota.see(self.now, picture);
     }
 
-    /// Takes in what another box has let through.
+    /// Takes in what another box has let through. A box that has just started hears it before it
+    /// knows any limit.
     pub(super) fn hear_usage(&mut self, message: &Message) {
-        if self.settings.sharing == Sharing::Totals && self.configuration.is_some() {
+        let may_count = self.configuration.is_none() || self.quota.has_limits();
+        if self.settings.sharing == Sharing::Totals && may_count {
             self.see_boxes();
             let usage = &message.usage;
             let (sender, life) = (message.sender, message.incarnation);
--- a/crates/hollyspoke/src/quota.rs
+++ b/crates/hollyspoke/src/quota.rs
@@ -189,6 +189,11 @@
         self.limits = limits;
     }
 
+    /// Tells whether any customer has a limit.
+    pub fn has_limits(&self) -> bool {
+        !self.limits.is_empty()
+    }
+
     /// Takes how many boxes there are and are heard now, and forgets those silent for long.
     pub fn see(&mut self, now: Time, picture: Picture) {
         self.heard.retain(|_, it| now.since(it.at) < FORGOTTEN_AFTER);
--- a/tests/soak/src/judge.rs
+++ b/tests/soak/src/judge.rs
@@ -1,5 +1,6 @@
 //! What must hold, checked against what was seen. Each promise is one function.
 
+mod customers;
 mod records;
 
 use std::collections::BTreeMap;
@@ -38,6 +39,18 @@
     StaysAlive,
     /// Memory and descriptors are bounded.
     Bounded,
+    /// Nothing runs with a key that is not known, or was taken away some time ago.
+    KnownKey,
+    /// A key that is known is not refused.
+    KeyAccepted,
+    /// Clients' keys reach no upstream, log or metric.
+    KeyHidden,
+    /// Upstreams are told the customer whose key the client sent.
+    RightCustomer,
+    /// A customer's sum over all boxes stays within its limit.
+    WithinLimit,
+    /// Only customers that have a limit are refused by it.
+    LimitedOnly,
 }
 
 /// A promise that was broken.
@@ -139,6 +152,12 @@
         recovers,
         stays_alive,
         bounded,
+        customers::known_key,
+        customers::key_accepted,
+        customers::key_hidden,
+        customers::right_customer,
+        customers::within_limit,
+        customers::limited_only,
     ];
     let mut findings: Vec<_> = checks.iter().flat_map(|it| it(&records, bounds)).collect();
     findings.sort_by_key(|it| (it.at, it.promise));
--- /dev/null
+++ b/tests/soak/src/keys.rs
@@ -0,0 +1,97 @@
+//! The customers of a run, their keys and their limits. Each version of the configuration holds the
+//! keys of its own number and of the one before, so that keys come and go with each change.
+
+use hollyspoke::quota::{Limit, Tolerance};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::mutant::Mutant;
+use crate::observation::Kind;
+
+/// What all keys begin with, by which they are looked for where they must not be.
+pub const KEY_MARK: &str = "soak-key-";
+
+/// The customers. The last has a limit.
+pub const CUSTOMERS: [&str; 4] = ["press", "town", "school", "night"];
+
+/// The limit of the last customer, in tokens: its clients ask for about three times as much.
+pub const LIMIT: Limit = Limit { rate: 5000.0, burst: 5000.0 };
+
+/// How exactly it is to be kept: the share of the users' pages, and a slack of some six requests.
+pub const TOLERANCE: Tolerance =
+    Tolerance { window: std::time::Duration::from_secs(8), overrun: 0.1, slack: 20_000.0 };
+
+/// What a request counts that tells no tokens.
+pub const PLAIN_TOKENS: u64 = 200;
+
+/// The most tokens of an answer that clients ask for.
+pub const ANSWER_TOKENS: u64 = 200;
+
+/// How many versions hold a key.
+pub const HELD_FOR: u64 = 2;
+
+/// Who sends a request, and with which key.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Caller {
+    /// The customer; empty for nobody.
+    pub customer: String,
+    /// The version that brought the key; none for one that no version holds.
+    pub key: Option<u64>,
+    /// What the request counts.
+    pub units: u64,
+}
+
+impl Caller {
+    /// Gives the key as it is sent.
+    pub fn text(&self) -> String {
+        match self.key {
+            Some(version) => key(&self.customer, version),
+            None => format!("{KEY_MARK}{}-made-up", self.customer),
+        }
+    }
+
+    /// Tells whether the customer has a limit.
+    pub fn is_limited(&self) -> bool {
+        is_limited(&self.customer)
+    }
+
+    /// Tells whether a version holds the key.
+    pub fn is_held_by(&self, version: u64) -> bool {
+        self.key.is_some_and(|it| (it..it + HELD_FOR).contains(&version))
+    }
+}
+
+/// Tells whether a customer has a limit.
+pub fn is_limited(customer: &str) -> bool {
+    CUSTOMERS.last() == Some(&customer)
+}
+
+/// Gives what a request counts.
+pub fn units(kind: Kind, prompt_tokens: u64) -> u64 {
+    if kind.is_stream() { prompt_tokens + ANSWER_TOKENS } else { PLAIN_TOKENS }
+}
+
+/// Gives the customers as a version of the configuration has them.
+pub fn customers(version: u64, mutant: Option<Mutant>) -> Value {
+    let oldest = match mutant {
+        Some(Mutant::KeepsKeys) => 0,
+        _ => (version + 1).saturating_sub(HELD_FOR),
+    };
+    let all = CUSTOMERS.iter().map(|&name| {
+        let keys: Vec<_> = (oldest..=version).map(|it| key(name, it)).collect();
+        let is_forgotten = mutant == Some(Mutant::ForgetsKeys) && name == CUSTOMERS[1];
+        let keys = if is_forgotten { Vec::new() } else { keys };
+        let is_limited = is_limited(name) || mutant == Some(Mutant::LimitsAll);
+        let times = if mutant == Some(Mutant::LiftsLimit) { 20.0 } else { 1.0 };
+        let rate = if is_limited { LIMIT.rate * times } else { 0.0 };
+        let burst = if is_limited { LIMIT.burst * times } else { 0.0 };
+        json!({"name": name, "apiKeys": keys, "priority": 1, "unit": "token_stream",
+            "plainTokens": PLAIN_TOKENS, "ratePerS": rate, "burstSize": burst})
+    });
+    all.collect()
+}
+
+/// Gives a customer's key that a version brought.
+fn key(customer: &str, version: u64) -> String {
+    format!("{KEY_MARK}{customer}-{version}")
+}
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod cluster;
 pub mod judge;
+pub mod keys;
 pub mod mutant;
 pub mod observation;
 pub mod proxy;
--- a/tests/soak/src/observation.rs
+++ b/tests/soak/src/observation.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::keys::Caller;
+
 /// A time of the machine's clock, in microseconds since the Unix epoch: the same for all processes.
 pub type Micros = u64;
 
@@ -126,6 +128,8 @@
         body: u64,
         /// The events that the client had already.
         after: u64,
+        /// Who sent it.
+        caller: Caller,
     },
     /// A client got a whole answer.
     Answered {
@@ -174,6 +178,15 @@
         body: u64,
         /// Whether a prompt is read for another engine.
         is_reading: bool,
+        /// The customer that the upstream was told.
+        customer: Option<String>,
+        /// Whether a client's key stood in what the upstream was sent.
+        has_key: bool,
+    },
+    /// A client's key was found where none may be.
+    KeyFound {
+        /// Where.
+        place: String,
     },
     /// A run ended.
     RunEnded {
--- a/tests/soak/src/schedule.rs
+++ b/tests/soak/src/schedule.rs
@@ -84,6 +84,11 @@
         /// Of a hundred.
         share: u64,
     },
+    /// Open connections go silent for good, without a reset, while new ones work.
+    MuteLinks {
+        /// Of a hundred.
+        share: u64,
+    },
     /// Nothing passes on the connections to one box or upstream.
     HoldLinks {
         /// For how long.
@@ -149,6 +154,7 @@
         Fault::LoseAnswers { share: share / 2, span: long },
         Fault::SlowEngine { times, span: long },
         Fault::ResetLinks { share },
+        Fault::MuteLinks { share },
         Fault::HoldLinks { span: short },
         Fault::Configure,
         Fault::Configure,
