Let customers below their limits through after all boxes have started anew

A box that has heard nobody takes 40 others to be there and begins with a fortieth of a bucket; when it hears them it kept that, took levels that others had guessed as well for known, and what all let through became a debt.

Change: what a young box begins with grows with the boxes that it hears; it tells no level while that is a guess; buckets begin with a third of the tolerance, up to the burst, in place of half of the lesser.

--- a/crates/hollyspoke-gateway/src/gateway/customer.rs
+++ b/crates/hollyspoke-gateway/src/gateway/customer.rs
@@ -190,7 +190,7 @@
     /// Gives what this box is to tell of customers with a heartbeat.
     pub(super) fn heartbeat_usage(&mut self) -> Usage {
         if self.heartbeats.is_multiple_of(COMPLETE_EVERY) {
-            self.quota.take_untold();
+            self.quota.take_untold(self.now);
             return self.complete_usage();
         }
         self.changed_usage()
@@ -200,7 +200,9 @@
     pub(super) fn changed_usage(&mut self) -> Usage {
         match self.settings.sharing {
             Sharing::Parts => Usage::default(),
-            Sharing::Totals => Usage { accounts: self.quota.take_untold(), is_complete: false },
+            Sharing::Totals => {
+                Usage { accounts: self.quota.take_untold(self.now), is_complete: false }
+            }
         }
     }
 
@@ -208,7 +210,7 @@
     pub(super) fn complete_usage(&self) -> Usage {
         match self.settings.sharing {
             Sharing::Parts => Usage::default(),
-            Sharing::Totals => Usage { accounts: self.quota.accounts(), is_complete: true },
+            Sharing::Totals => Usage { accounts: self.quota.accounts(self.now), is_complete: true },
         }
     }
 }
--- a/crates/hollyspoke/src/quota.rs
+++ b/crates/hollyspoke/src/quota.rs
@@ -23,9 +23,10 @@
 /// large ones.
 const LEAST_LEVEL: f64 = 1.0;
 
-/// The share of the tolerance that a bucket starts with at the start of its box. All boxes may
-/// start at once, and twice within a window; each time the customer gets this part anew.
-const START_SHARE: f64 = 0.5;
+/// The share of the tolerance that a bucket starts with at the start of its box, up to the burst.
+/// All boxes may start at once, and twice within a window; each time the customer gets this part
+/// anew.
+const START_SHARE: f64 = 0.33;
 
 /// The share of the tolerance that may cover what unheard boxes let through, before the others
 /// leave a part of the rate to them.
@@ -114,8 +115,9 @@
     pub customer: K,
     /// All units that the box has let through in this life, without those given back; it wraps.
     pub total: u32,
-    /// What the box believes that all may still let through; negative for a debt.
-    pub level: i32,
+    /// What the box believes that all may still let through; negative for a debt. None if it has
+    /// just started and knows no more than others that have.
+    pub level: Option<i32>,
 }
 
 /// One customer's bucket.
@@ -202,6 +204,7 @@
         }
         for bucket in self.buckets.values_mut() {
             bucket.fill(now, self.picture, &self.tolerance);
+            bucket.share_start(now, self.picture, picture, &self.tolerance);
         }
         self.picture = picture;
     }
@@ -263,21 +266,21 @@
     }
 
     /// Gives the totals that others have yet to hear.
-    pub fn take_untold(&mut self) -> Vec<Account<K>> {
+    pub fn take_untold(&mut self, now: Time) -> Vec<Account<K>> {
         let mut untold = Vec::new();
         for (&customer, bucket) in &mut self.buckets {
             if bucket.telling > 0 {
                 bucket.telling -= 1;
-                untold.push(bucket.account(customer));
+                untold.push(bucket.account(customer, now));
             }
         }
         untold
     }
 
     /// Gives all totals.
-    pub fn accounts(&self) -> Vec<Account<K>> {
+    pub fn accounts(&self, now: Time) -> Vec<Account<K>> {
         let used = self.buckets.iter().filter(|(_, it)| it.total != 0 || it.telling > 0);
-        used.map(|(&customer, it)| it.account(customer)).collect()
+        used.map(|(&customer, it)| it.account(customer, now)).collect()
     }
 
     /// Tells whether a customer has a change that others must hear soon, since less than half of
@@ -296,9 +299,11 @@
         let picture = self.picture;
         let is_known = self.buckets.contains_key(&account.customer);
         let Some(bucket) = self.bucket(now, account.customer) else { return };
-        if bucket.is_guessed && now.since(Time::ZERO) < YOUNG_FOR {
+        if bucket.is_guessed_at(now)
+            && let Some(level) = account.level
+        {
             bucket.is_guessed = false;
-            bucket.level = f64::from(account.level) - f64::from(bucket.total);
+            bucket.level = f64::from(level) - f64::from(bucket.total);
             return;
         }
         // The bucket was full until now: what the other let through is all that is missing.
@@ -325,10 +330,9 @@
         let share = picture.heard_share(tolerance, limit);
         let age = now.since(Time::ZERO);
         let earned = limit.rate * share * age.as_secs_f64();
-        let start = tolerance.units(limit).min(limit.burst) * START_SHARE * share;
         let mut bucket = Bucket {
             limit,
-            level: earned + start,
+            level: earned + start_level(tolerance, limit) * share,
             filled: now,
             is_guessed: age < YOUNG_FOR,
             total: 0,
@@ -346,6 +350,20 @@
         self.filled = now;
     }
 
+    /// Adds what a bucket of a box that has just started has from the boxes that it hears since.
+    fn share_start(&mut self, now: Time, old: Picture, new: Picture, tolerance: &Tolerance) {
+        let share = |it: Picture| it.heard_share(tolerance, self.limit);
+        let more = share(new) - share(old);
+        if self.is_guessed_at(now) && more > 0.0 {
+            self.level += start_level(tolerance, self.limit) * more;
+        }
+    }
+
+    /// Tells whether the level is no more than a guess of a box that has just started.
+    fn is_guessed_at(&self, now: Time) -> bool {
+        self.is_guessed && now.since(Time::ZERO) < YOUNG_FOR
+    }
+
     /// Takes what this box lets through.
     fn spend(&mut self, units: u64) {
         self.level -= units as f64;
@@ -354,8 +372,9 @@
     }
 
     /// Gives what is told of the bucket.
-    fn account<K>(&self, customer: K) -> Account<K> {
-        Account { customer, total: self.total, level: self.level as i32 }
+    fn account<K>(&self, customer: K, now: Time) -> Account<K> {
+        let level = (!self.is_guessed_at(now)).then_some(self.level as i32);
+        Account { customer, total: self.total, level }
     }
 }
 
@@ -366,6 +385,11 @@
     }
 }
 
+/// Gives what all boxes together begin with if all start at once.
+fn start_level(tolerance: &Tolerance, limit: Limit) -> f64 {
+    (tolerance.units(limit) * START_SHARE).min(limit.burst)
+}
+
 /// Gives the level up to which a bucket fills.
 fn most_level(share: f64, limit: Limit) -> f64 {
     (limit.burst * share).max(LEAST_LEVEL)
--- a/tests/src/quota.rs
+++ b/tests/src/quota.rs
@@ -21,6 +21,9 @@
 /// The silence after which a box is not counted on any more.
 const PUNCTUAL: Duration = Duration::from_millis(402);
 
+/// The boxes that one takes to be there which has heard nobody yet.
+const UNHEARD_BOXES: usize = 40;
+
 /// The customer.
 const CUSTOMER: u32 = 7;
 
@@ -186,7 +189,7 @@
 
     /// Starts all boxes anew, each with a full bucket: a mistake to be caught.
     pub fn restart_full(&mut self) {
-        let full = Account { customer: CUSTOMER, total: 0, level: self.limit.burst as i32 };
+        let full = Account { customer: CUSTOMER, total: 0, level: Some(self.limit.burst as i32) };
         let nobody = SocketAddr::from(([10, 0, 0, 2], 0));
         self.restart(0..self.members.len());
         for member in &mut self.members {
@@ -258,7 +261,8 @@
             self.members[number].tells = self.now + TELL_EVERY;
             let is_first = self.now.since(self.members[number].began) < TELL_EVERY;
             let member = &mut self.members[number];
-            let accounts = member.quota.take_untold();
+            let since = Time::ZERO + self.now.since(member.began);
+            let accounts = member.quota.take_untold(since);
             let (life, is_cut) = (member.life, member.is_cut);
             for other in 0..self.members.len() {
                 if other == number || is_cut || self.members[other].is_cut {
@@ -270,7 +274,8 @@
                 self.hear(other, number, life, &accounts, is_first);
                 // A box that has just started is answered at once, with all totals.
                 if is_first {
-                    let answer = self.members[other].quota.accounts();
+                    let since = Time::ZERO + self.now.since(self.members[other].began);
+                    let answer = self.members[other].quota.accounts(since);
                     let life = self.members[other].life;
                     self.hear(number, other, life, &answer, true);
                 }
@@ -305,6 +310,8 @@
         let heard = member.heard.values().filter(|&&it| now.since(it) <= PUNCTUAL).count();
         let picture = match self.sharing {
             Sharing::Parts => Picture::alone(boxes),
+            // One that has heard nobody takes many others to be there.
+            Sharing::Totals if member.heard.is_empty() => Picture::alone(UNHEARD_BOXES),
             Sharing::Totals => Picture { boxes, unheard: boxes - 1 - heard },
             Sharing::TotalsUnminded | Sharing::Whole => Picture { boxes, unheard: 0 },
         };
--- a/tests/tests/quota.rs
+++ b/tests/tests/quota.rs
@@ -137,6 +137,21 @@
     }
 }
 
+/// After the loss of all boxes a customer below its limit is served at once.
+#[test]
+fn usual_load_passes_after_a_restart() {
+    for limit in [SMALL, LARGE] {
+        let mut fleet = Fleet::new(BOXES, limit, TOLERANCE, Sharing::Totals, 5);
+        fleet.run(Duration::from_secs(5), load(limit, USUAL, Spread::Even));
+        fleet.restart(0..BOXES);
+        fleet.forget();
+        fleet.run(Duration::from_secs(3), load(limit, USUAL, Spread::Even));
+        let share = fleet.outcome().share;
+        println!("{limit:?}, restarted: {share:.3} of the entitlement");
+        assert!(share > 0.95, "{limit:?}: {share}");
+    }
+}
+
 /// A box that starts among others serves a customer far below its limit at once.
 #[test]
 fn box_that_starts_asks_the_others() {
