Limits hold where boxes start while they are cut off, and until they are missed

A box that has heard nobody took 40 boxes to be there. Searching further (600 to 6,000 drawn schedules a form, by hand) found three more: boxes that start in a part that is cut off believed that part to be all (1.04); a box that starts forgets its debts and lets one more request of any size through (1.05); until others are missed, 0.4 s, their silence counted as rest (1.004 to 1.037 with nearly all cut off at once).

Change: 1,500 boxes are taken to be there until one is heard; boxes tell each other the most that they know of, less those stopped in order; setting `bounds.quota_boxes`. What a box lets through in a life must be earned in it until others tell it the level. What others told in the last second counts as going on while they are not heard. 0.2 of the tolerance covers the unheard (0.5 before).

Open: all boxes of a part that is cut off starting at the same moment, where `bounds.quota_boxes` is not set.

--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -66,6 +66,8 @@
     pub tolerance: Tolerance,
     /// How boxes share customers' limits.
     pub sharing: Sharing,
+    /// How many boxes share them, if the operator knows.
+    pub boxes: Option<usize>,
     /// How long a stopped process may take to end.
     pub grace: Duration,
     /// The least time between orders of two boxes to one engine.
--- a/crates/hollyspoke-gateway/src/gateway/customer.rs
+++ b/crates/hollyspoke-gateway/src/gateway/customer.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hollyspoke::outcome::Trace;
-use hollyspoke::quota::Picture;
+use hollyspoke::quota::{MOST_BOXES, Picture};
 
 use super::{Gateway, Sharing};
 use crate::customer::{Caller, Customer};
@@ -18,11 +18,6 @@
 /// a version within some tens of milliseconds of each other.
 const BEHIND_RETRY: Duration = Duration::from_millis(250);
 
-/// The boxes that a box takes to be there which has heard nobody yet although others are named.
-/// Half of the largest deployment that the users have given for small machines; too many only
-/// makes its part of a limit small until it hears somebody.
-const UNHEARD_BOXES: usize = 40;
-
 /// How often a box looks which others it hears, before it goes by a customer's limit: a small part
 /// of the silence after which a heartbeat is overdue.
 const SEE_EVERY: Duration = Duration::from_millis(50);
@@ -161,20 +156,23 @@
             return;
         }
         self.sees_boxes_at = self.now + SEE_EVERY;
-        let boxes = match self.members.most() {
-            1 if self.members.is_seeking() => UNHEARD_BOXES,
-            most => most,
-        };
+        let boxes = self.sharing_boxes();
         let picture = match self.settings.sharing {
             Sharing::Parts => Picture::alone(boxes),
-            Sharing::Totals => {
-                let heard = 1 + self.members.punctual(self.now);
-                Picture { boxes, unheard: boxes.saturating_sub(heard) }
-            }
+            Sharing::Totals => Picture::heard(boxes, self.members.punctual(self.now)),
         };
         self.quota.see(self.now, picture);
     }
 
+    /// Gives how many boxes share customers' limits: as many as the operator says or more that live,
+    /// or else the most that were heard of.
+    fn sharing_boxes(&self) -> usize {
+        match self.settings.boxes {
+            Some(boxes) => boxes.max(self.members.count(self.now)),
+            None => self.members.most_serving().unwrap_or(MOST_BOXES),
+        }
+    }
+
     /// Takes in what another box has let through. A box that has just started hears it before it
     /// knows any limit.
     pub(super) fn hear_usage(&mut self, message: &Message) {
@@ -198,21 +196,30 @@
 
     /// Gives what others have yet to hear of customers.
     pub(super) fn changed_usage(&mut self) -> Usage {
-        match self.settings.sharing {
-            Sharing::Parts => Usage::default(),
-            Sharing::Totals => {
-                Usage { accounts: self.quota.take_untold(self.now), is_complete: false }
-            }
-        }
+        let accounts = match self.settings.sharing {
+            Sharing::Parts => Vec::new(),
+            Sharing::Totals => self.quota.take_untold(self.now),
+        };
+        Usage { accounts, ..self.bare_usage() }
     }
 
     /// Gives all that this box has let through for customers.
     pub(super) fn complete_usage(&self) -> Usage {
         match self.settings.sharing {
-            Sharing::Parts => Usage::default(),
-            Sharing::Totals => Usage { accounts: self.quota.accounts(self.now), is_complete: true },
+            Sharing::Parts => self.bare_usage(),
+            Sharing::Totals => Usage {
+                accounts: self.quota.accounts(self.now),
+                is_complete: true,
+                ..self.bare_usage()
+            },
         }
     }
+
+    /// Gives what is told of limits without any account: how many boxes share them.
+    fn bare_usage(&self) -> Usage {
+        let boxes = self.members.most_serving().unwrap_or(0);
+        Usage { boxes: u32::try_from(boxes).unwrap_or(u32::MAX), ..Usage::default() }
+    }
 }
 
 /// Tells whether a request's route lets it through with its key under a configuration. One whose
--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -106,6 +106,11 @@
         self.is_silent = false;
     }
 
+    /// Tells whether it was stopped in order, so that nobody waits for it.
+    fn has_stopped(&self) -> bool {
+        self.is_silent && self.standing == Standing::Stopping
+    }
+
     /// Gives the silence after which it is taken for dead by a box of a data centre.
     fn dead_after(&self, own: DataCentreKey) -> Duration {
         self.cadence.dead_after(self.data_centre == own)
@@ -182,6 +187,8 @@
     most: usize,
     /// The same, of the own data centre.
     most_near: usize,
+    /// The most boxes that others have told of, which may have heard some before this one started.
+    most_by_others: usize,
 }
 
 impl Members {
@@ -197,6 +204,7 @@
             last_joined: None,
             most: 1,
             most_near: 1,
+            most_by_others: 1,
         }
     }
 
@@ -250,6 +258,7 @@
         }
         let is_known = !peer.is_silent;
         peer.take(message, now);
+        self.most_by_others = self.most_by_others.max(message.usage.boxes as usize);
         if is_known {
             return Hearing::Known;
         }
@@ -261,7 +270,7 @@
 
     /// Gives the boxes that have just been found silent, and forgets those silent for long.
     pub fn sweep(&mut self, now: Time) -> Vec<SocketAddr> {
-        self.peers.retain(|_, it| now.since(it.heard) < FORGOTTEN_AFTER);
+        self.forget(now);
         let mut silent = Vec::new();
         for (&address, peer) in &mut self.peers {
             if !peer.is_silent && now.since(peer.heard) > peer.dead_after(self.own) {
@@ -272,6 +281,15 @@
         silent
     }
 
+    /// Forgets boxes that are silent for long. Those that were stopped are not counted any more.
+    fn forget(&mut self, now: Time) {
+        let is_old = |it: &Peer| now.since(it.heard) >= FORGOTTEN_AFTER;
+        let stopped = self.peers.values().filter(|it| is_old(it) && it.has_stopped()).count();
+        self.peers.retain(|_, it| !is_old(it));
+        self.most = self.most.saturating_sub(stopped).max(1);
+        self.most_by_others = self.most_by_others.saturating_sub(stopped).max(1);
+    }
+
     /// Gives the living boxes.
     pub fn alive(&self) -> Vec<SocketAddr> {
         self.peers.iter().filter(|(_, it)| !it.is_silent).map(|(&address, _)| address).collect()
@@ -426,6 +444,15 @@
         self.peers.values().filter(is_punctual).count()
     }
 
+    /// Gives the most boxes that lived at once, as this one and the others have heard, without those
+    /// that were stopped in order and have not come back; none if nobody was ever heard although
+    /// some are named. Others that are silent may have been cut off and go on serving.
+    pub fn most_serving(&self) -> Option<usize> {
+        let stopped = self.peers.values().filter(|it| it.has_stopped()).count();
+        let most = self.most.max(self.most_by_others);
+        (!self.is_seeking()).then_some(most.saturating_sub(stopped).max(1))
+    }
+
     /// Chooses a living box that serves and knows the newest version of the configuration, at least
     /// one that is given, by a number drawn from all of `u64`. One of the own data centre goes
     /// first, since bytes between data centres are dear.
@@ -450,7 +477,7 @@
     }
 
     /// Tells whether no box was ever heard although some are named.
-    pub fn is_seeking(&self) -> bool {
+    fn is_seeking(&self) -> bool {
         self.peers.is_empty() && !self.greeted.is_empty()
     }
 
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -103,6 +103,9 @@
     pub accounts: Vec<Account<CustomerKey>>,
     /// Whether it is all accounts.
     pub is_complete: bool,
+    /// The most boxes that lived at once, as the sender and those it heard know; 0 if it does not
+    /// say.
+    pub boxes: u32,
 }
 
 /// An engine that turned a request away.
--- a/crates/hollyspoke-server/src/run.rs
+++ b/crates/hollyspoke-server/src/run.rs
@@ -101,6 +101,7 @@
         order_pause: settings.order_pause,
         tolerance: settings.tolerance,
         sharing: settings.sharing,
+        boxes: settings.boxes,
         incarnation: Pcg64Mcg::from_os_rng().next_u64(),
     });
     let node = Node::new(gateway, dialect, log, peers.clone(), settings.store, UPSTREAM)?;
--- a/crates/hollyspoke-server/src/settings.rs
+++ b/crates/hollyspoke-server/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::num::NonZeroUsize;
 use std::path::Path;
 use std::time::Duration;
 
@@ -82,6 +83,8 @@
     pub quota_slack: f64,
     /// How boxes share customers' limits.
     pub quota_sharing: SharingSetting,
+    /// How many boxes share customers' limits, if that is known.
+    pub quota_boxes: Option<NonZeroUsize>,
 }
 
 /// How boxes share customers' limits.
@@ -106,6 +109,7 @@
             quota_overrun: 0.1,
             quota_slack: 0.0,
             quota_sharing: SharingSetting::Totals,
+            quota_boxes: None,
         }
     }
 }
@@ -156,6 +160,8 @@
     pub tolerance: Tolerance,
     /// How boxes share customers' limits.
     pub sharing: Sharing,
+    /// How many boxes share them, if that is known.
+    pub boxes: Option<usize>,
 }
 
 /// The checks so far.
@@ -230,6 +236,7 @@
                 SharingSetting::Parts => Sharing::Parts,
                 SharingSetting::Totals => Sharing::Totals,
             },
+            boxes: bounds.quota_boxes.map(NonZeroUsize::get),
         })
     }
 }
--- a/crates/hollyspoke/src/quota.rs
+++ b/crates/hollyspoke/src/quota.rs
@@ -29,8 +29,9 @@
 const START_SHARE: f64 = 0.33;
 
 /// The share of the tolerance that may cover what unheard boxes let through, before the others
-/// leave a part of the rate to them.
-const UNHEARD_SHARE: f64 = 0.5;
+/// leave a part of the rate to them. The rest is for starts, and for the moments until boxes that are
+/// cut off are missed (`docs/design/shifted.md`).
+const UNHEARD_SHARE: f64 = 0.2;
 
 /// How long a box that has just started takes its levels from the others: they have the history
 /// that it lacks.
@@ -43,9 +44,23 @@
 /// The silence after which a box's next total holds what it let through unheard.
 const UNHEARD_AFTER: Duration = Duration::from_secs(1);
 
+/// The span over which it is measured how fast the others let through for a customer: long against
+/// the time between two heartbeats, short against the window of a bound.
+const PACE_SPAN: Duration = Duration::from_secs(1);
+
+/// The share of a burst that is kept at most for what the others may have let through and not told
+/// yet, so that late news can't stop a customer that is far below its limit.
+const MOST_UNTOLD: f64 = 0.5;
+
 /// How long the totals of a silent box are kept. Members are forgotten after the same time.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
 
+/// The boxes that one takes to be there which has heard nobody and was not told how many there are:
+/// the largest deployment that is designed for (`docs/CAPACITY.md`). Too many only make its part of
+/// a limit small until it hears somebody; too few let boxes that start while they are cut off use
+/// what is not theirs.
+pub const MOST_BOXES: usize = 1500;
+
 /// What a customer may ask for, in units of its own: requests, or tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Limit {
@@ -92,12 +107,22 @@
 }
 
 impl Picture {
+    /// Gives the picture of a box that hears others.
+    pub fn heard(boxes: usize, others: usize) -> Picture {
+        Picture { boxes, unheard: boxes.saturating_sub(1 + others) }
+    }
+
     /// Gives the picture of one of several boxes that tell each other nothing.
     pub fn alone(boxes: usize) -> Picture {
         let boxes = boxes.max(1);
         Picture { boxes, unheard: boxes - 1 }
     }
 
+    /// Gives the part of the boxes that is heard, this one included.
+    fn heard_part(self) -> f64 {
+        1.0 - self.unheard as f64 / self.boxes.max(1) as f64
+    }
+
     /// Gives the share of a limit that the heard boxes have together. Only a side with most of the
     /// boxes may count on the tolerance: there is one such side at most.
     fn heard_share(self, tolerance: &Tolerance, limit: Limit) -> f64 {
@@ -131,6 +156,12 @@
     filled: Time,
     /// Whether the level was guessed by a young box, and the others may know better.
     is_guessed: bool,
+    /// What the box has earned for the customer since it started, less what it let through; none
+    /// once others have told the level. A box that starts does not know of debts that it made
+    /// before: it must not make another at once.
+    earned: Option<f64>,
+    /// What the others told of late, which fades over [`PACE_SPAN`].
+    told: f64,
     /// All units that this box has let through; it wraps.
     total: u32,
     /// How often the total is still to be told.
@@ -150,6 +181,19 @@
     totals: BTreeMap<K, u32>,
 }
 
+/// What all buckets of a box go by at a time.
+#[derive(Debug, Clone, Copy)]
+struct View {
+    /// The time.
+    now: Time,
+    /// The boxes.
+    picture: Picture,
+    /// How exactly limits are kept.
+    tolerance: Tolerance,
+    /// How old the others' last words are in the mean.
+    age: Duration,
+}
+
 /// All customers' buckets at one box.
 #[derive(Debug, Clone)]
 pub struct Quota<K> {
@@ -163,6 +207,17 @@
     buckets: BTreeMap<K, Bucket>,
     /// What the others have told.
     heard: BTreeMap<SocketAddr, Heard<K>>,
+    /// How old the others' last words are in the mean.
+    news: News,
+}
+
+/// How old the last words of the others are that are heard.
+#[derive(Debug, Clone, Copy)]
+struct News {
+    /// The mean of their ages.
+    age: Duration,
+    /// When that was so.
+    at: Time,
 }
 
 impl<K: Copy + Ord> Quota<K> {
@@ -174,18 +229,19 @@
             limits: BTreeMap::new(),
             buckets: BTreeMap::new(),
             heard: BTreeMap::new(),
+            news: News { age: Duration::ZERO, at: Time::ZERO },
         }
     }
 
     /// Takes the limits of a new configuration. Buckets keep their levels, as far as the new limits
     /// allow them.
     pub fn set_limits(&mut self, now: Time, limits: BTreeMap<K, Limit>) {
-        let (picture, tolerance) = (self.picture, self.tolerance);
+        let view = self.view(now);
         for (customer, bucket) in &mut self.buckets {
-            bucket.fill(now, picture, &tolerance);
+            bucket.fill(&view);
             if let Some(&limit) = limits.get(customer) {
                 bucket.limit = limit;
-                bucket.fill(now, picture, &tolerance);
+                bucket.fill(&view);
             }
         }
         self.limits = limits;
@@ -202,9 +258,12 @@
         if picture == self.picture {
             return;
         }
+        let old = self.view(now);
+        let new = View { picture, ..old };
         for bucket in self.buckets.values_mut() {
-            bucket.fill(now, self.picture, &self.tolerance);
-            bucket.share_start(now, self.picture, picture, &self.tolerance);
+            bucket.fill(&old);
+            bucket.share_start(&old, &new);
+            bucket.told *= (picture.heard_part() / self.picture.heard_part()).min(1.0);
         }
         self.picture = picture;
     }
@@ -216,12 +275,11 @@
     ///
     /// The time after which the bucket has something again.
     pub fn take(&mut self, now: Time, customer: K, units: u64) -> Result<(), Duration> {
-        let (picture, tolerance) = (self.picture, self.tolerance);
+        let view = self.view(now);
         let Some(bucket) = self.bucket(now, customer) else { return Ok(()) };
-        let share = picture.heard_share(&tolerance, bucket.limit);
-        let needed = needed(units, share, bucket.limit);
-        if bucket.level < needed {
-            return Err(seconds((needed - bucket.level) / (bucket.limit.rate * share)));
+        let missing = bucket.missing(units, &view);
+        if missing > 0.0 {
+            return Err(seconds(missing / (bucket.limit.rate * view.share(bucket.limit))));
         }
         bucket.spend(units);
         Ok(())
@@ -231,6 +289,7 @@
     pub fn give_back(&mut self, customer: K, units: u64) {
         let Some(bucket) = self.buckets.get_mut(&customer) else { return };
         bucket.level += units as f64;
+        bucket.earned = bucket.earned.map(|it| it + units as f64);
         bucket.total = bucket.total.wrapping_sub(units as u32);
         bucket.telling = TOLD_TIMES;
     }
@@ -245,6 +304,7 @@
         accounts: &[Account<K>],
         is_complete: bool,
     ) {
+        self.news.take(now, self.picture);
         let heard = self.heard.entry(sender).or_insert_with(|| Heard::new(incarnation, now));
         if heard.incarnation != incarnation {
             // A new life of a known box began at zero.
@@ -303,59 +363,98 @@
             && let Some(level) = account.level
         {
             bucket.is_guessed = false;
+            bucket.earned = None;
             bucket.level = f64::from(level) - f64::from(bucket.total);
             return;
         }
         // The bucket was full until now: what the other let through is all that is missing.
         let units = if is_known { units } else { units.max(0.0) };
+        bucket.told += units;
         bucket.level -= units - left_to_unheard(bucket.limit, picture, units, silence);
     }
 
     /// Gives a customer's bucket as it is now; none without a limit.
     fn bucket(&mut self, now: Time, customer: K) -> Option<&mut Bucket> {
         let limit = *self.limits.get(&customer)?;
-        let (picture, tolerance) = (self.picture, self.tolerance);
-        let bucket = self
-            .buckets
-            .entry(customer)
-            .or_insert_with(|| Bucket::new(limit, now, picture, &tolerance));
-        bucket.fill(now, picture, &tolerance);
+        let view = self.view(now);
+        let bucket = self.buckets.entry(customer).or_insert_with(|| Bucket::new(limit, &view));
+        bucket.fill(&view);
         Some(bucket)
     }
+
+    /// Gives what all buckets go by at a time.
+    fn view(&self, now: Time) -> View {
+        let (picture, tolerance) = (self.picture, self.tolerance);
+        View { now, picture, tolerance, age: self.news.age_at(now) }
+    }
+}
+
+impl View {
+    /// Gives the share of a limit that the heard boxes have together.
+    fn share(&self, limit: Limit) -> f64 {
+        self.picture.heard_share(&self.tolerance, limit)
+    }
 }
 
 impl Bucket {
     /// Makes the bucket of a customer that a box has not seen since its start.
-    fn new(limit: Limit, now: Time, picture: Picture, tolerance: &Tolerance) -> Bucket {
-        let share = picture.heard_share(tolerance, limit);
-        let age = now.since(Time::ZERO);
+    fn new(limit: Limit, view: &View) -> Bucket {
+        let share = view.share(limit);
+        let age = view.now.since(Time::ZERO);
         let earned = limit.rate * share * age.as_secs_f64();
+        let level = earned + start_level(&view.tolerance, limit) * share;
         let mut bucket = Bucket {
             limit,
-            level: earned + start_level(tolerance, limit) * share,
-            filled: now,
+            level,
+            filled: view.now,
             is_guessed: age < YOUNG_FOR,
+            earned: Some(level),
+            told: 0.0,
             total: 0,
             telling: 0,
         };
-        bucket.fill(now, picture, tolerance);
+        bucket.fill(view);
         bucket
     }
 
     /// Brings the level up to a time.
-    fn fill(&mut self, now: Time, picture: Picture, tolerance: &Tolerance) {
-        let share = picture.heard_share(tolerance, self.limit);
-        let earned = self.limit.rate * share * now.since(self.filled).as_secs_f64();
+    fn fill(&mut self, view: &View) {
+        let share = view.share(self.limit);
+        let span = view.now.since(self.filled).as_secs_f64();
+        let earned = self.limit.rate * share * span;
+        self.told *= (-span / PACE_SPAN.as_secs_f64()).exp();
         self.level = (self.level + earned).min(most_level(share, self.limit));
-        self.filled = now;
+        self.earned = self.earned.map(|it| it + earned);
+        self.filled = view.now;
+    }
+
+    /// Gives the units that are missing for a request to pass.
+    fn missing(&self, units: u64, view: &View) -> f64 {
+        let share = view.share(self.limit);
+        let owed = units as f64 * (1.0 - share);
+        let needed = needed(units, share, self.limit) + self.untold(share, view.age);
+        // A full bucket is enough where others go on telling; alone, what they told soon fades.
+        let is_alone = view.picture.unheard + 1 >= view.picture.boxes;
+        let most = if is_alone { f64::INFINITY } else { most_level(share, self.limit) };
+        let of_level = needed.min(most) - self.level;
+        let of_earned = self.earned.map_or(0.0, |it| owed - it);
+        of_level.max(of_earned).max(0.0)
+    }
+
+    /// Gives what the others have let through and not told yet if they go on as before.
+    fn untold(&self, share: f64, age: Duration) -> f64 {
+        let pace = self.told / PACE_SPAN.as_secs_f64();
+        let most = self.limit.burst * share * MOST_UNTOLD;
+        (pace * age.as_secs_f64()).clamp(0.0, most)
     }
 
     /// Adds what a bucket of a box that has just started has from the boxes that it hears since.
-    fn share_start(&mut self, now: Time, old: Picture, new: Picture, tolerance: &Tolerance) {
-        let share = |it: Picture| it.heard_share(tolerance, self.limit);
-        let more = share(new) - share(old);
-        if self.is_guessed_at(now) && more > 0.0 {
-            self.level += start_level(tolerance, self.limit) * more;
+    fn share_start(&mut self, old: &View, new: &View) {
+        let more = new.share(self.limit) - old.share(self.limit);
+        if self.is_guessed_at(new.now) && more > 0.0 {
+            let start = start_level(&new.tolerance, self.limit) * more;
+            self.level += start;
+            self.earned = self.earned.map(|it| it + start);
         }
     }
 
@@ -367,6 +466,7 @@
     /// Takes what this box lets through.
     fn spend(&mut self, units: u64) {
         self.level -= units as f64;
+        self.earned = self.earned.map(|it| it - units as f64);
         self.total = self.total.wrapping_add(units as u32);
         self.telling = TOLD_TIMES;
     }
@@ -378,6 +478,20 @@
     }
 }
 
+impl News {
+    /// Gives the age at a time.
+    fn age_at(&self, now: Time) -> Duration {
+        self.age + now.since(self.at)
+    }
+
+    /// Takes in that one of the others is heard.
+    fn take(&mut self, now: Time, picture: Picture) {
+        let others = picture.boxes.saturating_sub(1 + picture.unheard).max(1) as f64;
+        self.age = self.age_at(now).mul_f64(1.0 - 1.0 / others);
+        self.at = now;
+    }
+}
+
 impl<K> Heard<K> {
     /// Makes what is known of a box that is heard for the first time.
     fn new(incarnation: u64, now: Time) -> Heard<K> {
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -47,6 +47,7 @@
         bound: Bound { ratio: 0.2, allowance: 50.0, window: Duration::from_secs(10) },
         tolerance: Tolerance { window: Duration::from_secs(8), overrun: 0.1, slack: 0.0 },
         sharing: Sharing::Totals,
+        boxes: None,
         grace: Duration::from_secs(8),
         order_pause: Duration::from_secs(3),
         incarnation: u64::from(number),
--- a/tests/src/platform.rs
+++ b/tests/src/platform.rs
@@ -492,6 +492,7 @@
         order_pause: Duration::from_secs(3),
         tolerance: Tolerance { window: Duration::from_secs(8), overrun: 0.1, slack: 0.0 },
         sharing: Sharing::Totals,
+        boxes: None,
     }
 }
 
--- a/tests/src/quota.rs
+++ b/tests/src/quota.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hollyspoke::quota::{Account, Limit, Picture, Quota, Tolerance};
+use hollyspoke::quota::{Account, Limit, MOST_BOXES, Picture, Quota, Tolerance};
 use hollyspoke::time::Time;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -21,9 +21,6 @@
 /// The silence after which a box is not counted on any more.
 const PUNCTUAL: Duration = Duration::from_millis(402);
 
-/// The boxes that one takes to be there which has heard nobody yet.
-const UNHEARD_BOXES: usize = 40;
-
 /// The customer.
 const CUSTOMER: u32 = 7;
 
@@ -55,8 +52,23 @@
     sees: Time,
     /// When it last heard each box.
     heard: BTreeMap<usize, Time>,
-    /// Whether nothing reaches it or leaves it.
-    is_cut: bool,
+    /// The most boxes that it has heard at once in this life, itself included.
+    most: usize,
+    /// The most that others have told of.
+    most_by_others: usize,
+    /// With whom it can talk.
+    side: Side,
+}
+
+/// The boxes that one can talk with are those of the same side.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Side {
+    /// Those that are not cut off.
+    Main,
+    /// Those that are cut off together.
+    Split,
+    /// One that is cut off alone, by its number.
+    Alone(usize),
 }
 
 /// What a run came to.
@@ -117,7 +129,9 @@
                 tells: Time::ZERO + TELL_EVERY.mul_f64(random.random()),
                 sees: Time::ZERO,
                 heard: BTreeMap::new(),
-                is_cut: false,
+                most: 1,
+                most_by_others: 1,
+                side: Side::Main,
             })
             .collect();
         let mut fleet = Fleet {
@@ -161,10 +175,17 @@
         }
     }
 
-    /// Cuts the first boxes off, or heals them.
+    /// Cuts the first boxes off, each alone, or heals them.
     pub fn cut(&mut self, count: usize, is_cut: bool) {
+        for (number, member) in self.members.iter_mut().take(count).enumerate() {
+            member.side = if is_cut { Side::Alone(number) } else { Side::Main };
+        }
+    }
+
+    /// Cuts the first boxes off together, so that they hear each other.
+    pub fn split(&mut self, count: usize) {
         for member in self.members.iter_mut().take(count) {
-            member.is_cut = is_cut;
+            member.side = Side::Split;
         }
     }
 
@@ -181,7 +202,9 @@
                 tells: self.now,
                 sees: self.now,
                 heard: BTreeMap::new(),
-                is_cut: member.is_cut,
+                most: 1,
+                most_by_others: 1,
+                side: member.side,
             };
             member.quota.set_limits(Time::ZERO, BTreeMap::from([(CUSTOMER, limit)]));
         }
@@ -263,9 +286,9 @@
             let member = &mut self.members[number];
             let since = Time::ZERO + self.now.since(member.began);
             let accounts = member.quota.take_untold(since);
-            let (life, is_cut) = (member.life, member.is_cut);
+            let (life, side) = (member.life, member.side);
             for other in 0..self.members.len() {
-                if other == number || is_cut || self.members[other].is_cut {
+                if other == number || self.members[other].side != side {
                     continue;
                 }
                 if self.random.random_bool(self.lost) {
@@ -293,7 +316,9 @@
         is_complete: bool,
     ) {
         let (now, sharing) = (self.now, self.sharing);
+        let most = self.members[from].most.max(self.members[from].most_by_others);
         let member = &mut self.members[to];
+        member.most_by_others = member.most_by_others.max(most);
         member.heard.insert(from, now);
         if matches!(sharing, Sharing::Totals | Sharing::TotalsUnminded) {
             let sender = SocketAddr::from(([10, 0, 0, 1], from as u16));
@@ -308,11 +333,12 @@
         let now = self.now;
         let member = &mut self.members[number];
         let heard = member.heard.values().filter(|&&it| now.since(it) <= PUNCTUAL).count();
+        member.most = member.most.max(1 + heard);
         let picture = match self.sharing {
             Sharing::Parts => Picture::alone(boxes),
             // One that has heard nobody takes many others to be there.
-            Sharing::Totals if member.heard.is_empty() => Picture::alone(UNHEARD_BOXES),
-            Sharing::Totals => Picture { boxes, unheard: boxes - 1 - heard },
+            Sharing::Totals if member.heard.is_empty() => Picture::alone(MOST_BOXES),
+            Sharing::Totals => Picture::heard(member.most.max(member.most_by_others), heard),
             Sharing::TotalsUnminded | Sharing::Whole => Picture { boxes, unheard: 0 },
         };
         let now = Time::ZERO + now.since(member.began);
--- a/tests/tests/gateway_customers.rs
+++ b/tests/tests/gateway_customers.rs
@@ -258,7 +258,7 @@
 /// Gives what another box has let through for the customer `press`.
 fn told(number: u8, sequence: u64, total: u32, is_complete: bool) -> Message {
     let account = Account { customer: CustomerKey::of("press"), total, level: Some(0) };
-    let usage = Usage { accounts: vec![account], is_complete };
+    let usage = Usage { accounts: vec![account], is_complete, boxes: 0 };
     Message { usage, ..heartbeat(number, sequence, Knowledge::default()) }
 }
 
--- a/tests/tests/platform_settings.rs
+++ b/tests/tests/platform_settings.rs
@@ -48,6 +48,15 @@
     assert_eq!(names, ["listen.front", "store.address", "bounds.retry_ratio"]);
 }
 
+/// The number of boxes that share limits is optional, and never 0.
+#[test]
+fn boxes_that_share() {
+    assert_eq!(Settings::parse(FILE).expect("the file is right").boxes, None);
+    let set = |boxes: &str| Settings::parse(&format!("{FILE}quota_boxes = {boxes}\n"));
+    assert_eq!(set("78").expect("the file is right").boxes, Some(78));
+    assert!(set("0").is_err());
+}
+
 #[test]
 fn no_toml() {
     let findings = Settings::parse("[box").expect_err("it is no TOML");
--- a/tests/tests/quota.rs
+++ b/tests/tests/quota.rs
@@ -1,9 +1,11 @@
 //! Customers' limits over many boxes: what a customer gets of what it is entitled to, and what all
 //! boxes let through together, under loads and faults.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use hollyspoke::quota::{Limit, Tolerance};
+use hollyspoke::quota::{Account, Limit, Picture, Quota, Tolerance};
 use hollyspoke::time::Time;
 use hollyspoke_tests::quota::{Fleet, STEP, Sharing};
 use proptest::prelude::*;
@@ -137,6 +139,44 @@
     }
 }
 
+/// A box that starts while it is cut off can't know how many others there are: what it takes must
+/// be surely small. Found by `bound_holds` in CI: 9 of 78 cut off, of which 7 and 6 started anew.
+#[test]
+fn boxes_that_start_cut_off_keep_the_bound() {
+    for (limit, count) in [(SMALL, 9), (LARGE, 9), (SMALL, BOXES / 3), (LARGE, BOXES / 3)] {
+        let mut fleet = Fleet::new(BOXES, limit, TOLERANCE, Sharing::Totals, 5);
+        fleet.cut(count, true);
+        for _ in 0..2 {
+            fleet.run(Duration::from_secs(3), load(limit, 4.3, Spread::Even));
+            fleet.restart(0..count);
+        }
+        fleet.run(Duration::from_secs(9), load(limit, 4.3, Spread::Even));
+        let used = fleet.bound_used();
+        println!("{limit:?}, {count} started while cut off: {used:.3} of the bound");
+        assert!(used <= 1.0, "{limit:?}, {count} started while cut off: {used}");
+    }
+}
+
+/// Boxes that are cut off together hear each other; those of them that start learn from the others
+/// that there are more than they hear.
+#[test]
+fn boxes_that_start_in_a_split_keep_the_bound() {
+    for limit in [SMALL, LARGE] {
+        let mut fleet = Fleet::new(BOXES, limit, TOLERANCE, Sharing::Totals, 5);
+        fleet.run(Duration::from_secs(2), load(limit, 4.3, Spread::Even));
+        fleet.split(BOXES / 3);
+        fleet.run(Duration::from_secs(2), load(limit, 4.3, Spread::Even));
+        for first in [0, BOXES / 6] {
+            fleet.restart(first..first + BOXES / 6);
+            fleet.run(Duration::from_secs(3), load(limit, 4.3, Spread::Even));
+        }
+        fleet.run(Duration::from_secs(9), load(limit, 4.3, Spread::Even));
+        let used = fleet.bound_used();
+        println!("{limit:?}, started in a split: {used:.3} of the bound");
+        assert!(used <= 1.0, "{limit:?}, started in a split: {used}");
+    }
+}
+
 /// After the loss of all boxes a customer below its limit is served at once.
 #[test]
 fn usual_load_passes_after_a_restart() {
@@ -197,11 +237,34 @@
     assert!(used > 1.0, "{used}");
 }
 
+/// A request that is larger than a burst gets its turn while the others go on with small ones, also
+/// where some boxes are not heard.
+#[test]
+fn large_requests_get_their_turn() {
+    let limit = Limit { rate: 1000.0, burst: 1000.0 };
+    let mut quota = Quota::new(TOLERANCE);
+    quota.set_limits(Time::ZERO, BTreeMap::from([(7, limit)]));
+    let other = SocketAddr::from(([10, 0, 0, 2], 0));
+    let served = (0..1000u64).find(|&step| {
+        let now = Time::from_millis(5000 + step * 10);
+        quota.see(now, Picture { boxes: 4, unheard: 2 });
+        if step % 30 == 0 {
+            let total = 90 * (step / 30) as u32;
+            let told = Account { customer: 7, total, level: Some(0) };
+            quota.hear(now, other, 1, &[told], true);
+        }
+        step > 100 && quota.take(now, 7, 5000).is_ok()
+    });
+    assert!(served.is_some());
+}
+
 /// What happens to the boxes in a drawn run.
 #[derive(Debug, Clone, Copy)]
 enum Fault {
-    /// So many are cut off.
+    /// So many are cut off, each alone.
     Cut(usize),
+    /// So many are cut off together. Some of them don't start anew and know how many there are.
+    Split(usize),
     /// All can talk again.
     Heal,
     /// So many start anew.
@@ -214,12 +277,58 @@
 fn fault() -> impl Strategy<Value = Fault> {
     prop_oneof![
         (1..BOXES).prop_map(Fault::Cut),
+        (BOXES / 3..BOXES).prop_map(Fault::Split),
         Just(Fault::Heal),
         (1..BOXES / 3).prop_map(Fault::Restart),
         Just(Fault::Calm),
     ]
 }
 
+/// Plays faults, each followed by a span in milliseconds, and gives the share of the bound used.
+fn play_faults(
+    limit: Limit,
+    times: f64,
+    seed: u64,
+    lost: f64,
+    faults: impl IntoIterator<Item = (Fault, u64)>,
+) -> f64 {
+    let mut fleet = Fleet::new(BOXES, limit, TOLERANCE, Sharing::Totals, seed);
+    fleet.lost = lost;
+    for (fault, span) in faults {
+        match fault {
+            Fault::Cut(count) => fleet.cut(count, true),
+            Fault::Split(count) => fleet.split(count),
+            Fault::Heal => fleet.cut(BOXES, false),
+            Fault::Restart(count) => fleet.restart(0..count),
+            Fault::Calm => {}
+        }
+        fleet.run(Duration::from_millis(span), load(limit, times, Spread::Even));
+    }
+    fleet.bound_used()
+}
+
+/// Schedules that were found by chance to exceed the bound.
+#[test]
+fn found_faults_keep_the_bound() {
+    use Fault::{Calm, Cut, Heal, Restart, Split};
+    let schedules: [(f64, &[(Fault, u64)]); 5] = [
+        // In CI, 1.013: boxes that start while they are cut off took 39 others to be there.
+        (4.28, &[(Cut(9), 2011), (Restart(7), 2000), (Restart(6), 3821)]),
+        // The others, 1.004 to 1.037: what others let through in the 0.4 s until they are missed.
+        (3.43, &[(Split(40), 2051), (Restart(5), 4361), (Cut(15), 2000)]),
+        (4.74, &[(Restart(7), 4822), (Cut(51), 3943), (Cut(75), 4058)]),
+        (4.93, &[(Split(75), 2093), (Split(36), 3851), (Cut(58), 2513), (Heal, 2558)]),
+        (4.69, &[(Calm, 3884), (Cut(75), 2978), (Cut(72), 2601), (Restart(7), 3501)]),
+    ];
+    for (times, faults) in schedules {
+        for seed in 1..=3 {
+            let used = play_faults(LARGE, times, seed, 0.02, faults.iter().copied());
+            println!("{times} {faults:?}, seed {seed}: {used:.3}");
+            assert!(used <= 1.0, "{times} {faults:?}, seed {seed}: {used}");
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
 
@@ -233,17 +342,7 @@
         lost in 0.0..0.1,
     ) {
         let limit = if is_large { LARGE } else { SMALL };
-        let mut fleet = Fleet::new(BOXES, limit, TOLERANCE, Sharing::Totals, seed);
-        fleet.lost = lost;
-        for (fault, span) in faults {
-            match fault {
-                Fault::Cut(count) => fleet.cut(count, true),
-                Fault::Heal => fleet.cut(BOXES, false),
-                Fault::Restart(count) => fleet.restart(0..count),
-                Fault::Calm => {}
-            }
-            fleet.run(Duration::from_millis(span), load(limit, times, Spread::Even));
-        }
-        prop_assert!(fleet.bound_used() <= 1.0, "{}", fleet.bound_used());
+        let used = play_faults(limit, times, seed, lost, faults);
+        prop_assert!(used <= 1.0, "{}", used);
     }
 }
