Hear datagrams that tell of many customers, and log those that are lost here

The buffer for datagrams had 8,192 bytes; all accounts of 520 customers take 10 KB. What a box tells a new one, every sixteenth heartbeat and each greeting hold all accounts, so that from some 400 customers on they were cut off, could not be read and were passed over without a word. A datagram sent before the runtime knew that the socket is writable was lost as silently.

Change: the buffer holds what UDP carries; binding waits until the socket is writable; a datagram that can't be written, sent or read is logged, the first, the second, the fourth and so on.

--- a/crates/hollyspoke-server/src/peers.rs
+++ b/crates/hollyspoke-server/src/peers.rs
@@ -1,15 +1,19 @@
 //! Datagrams between boxes. Numbers are written in as few bytes as they need: most are small, and
 //! bytes between data centres are dear.
 
+use std::cell::Cell;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bincode::Options;
 use hollyspoke_gateway::message::Message;
+use slog::{Logger, warn};
 use tokio::net::UdpSocket;
 
-/// The most bytes of a datagram.
-const LONGEST_DATAGRAM: usize = 8192;
+/// The most bytes of a datagram: what UDP carries over IPv4. All accounts of 520 customers, the most
+/// that is designed for, take 10 KB.
+const LONGEST_DATAGRAM: usize = 65_507;
 
 /// Gives how messages are written.
 fn codec() -> impl Options {
@@ -21,6 +25,10 @@
 pub struct Peers {
     /// The socket.
     socket: Rc<UdpSocket>,
+    /// The log.
+    log: Logger,
+    /// How many datagrams could not be sent or read.
+    failures: Rc<Cell<u64>>,
 }
 
 impl Peers {
@@ -29,8 +37,11 @@
     /// # Errors
     ///
     /// If the address can't be bound.
-    pub async fn bind(address: SocketAddr) -> std::io::Result<Peers> {
-        Ok(Peers { socket: Rc::new(UdpSocket::bind(address).await?) })
+    pub async fn bind(address: SocketAddr, log: Logger) -> std::io::Result<Peers> {
+        let socket = Rc::new(UdpSocket::bind(address).await?);
+        // Until the runtime knows that it is writable, nothing is sent.
+        socket.writable().await?;
+        Ok(Peers { socket, log, failures: Rc::default() })
     }
 
     /// Gives where the socket is bound.
@@ -44,9 +55,24 @@
 
     /// Sends a datagram to boxes. One that can't be sent at once is lost, as on the way.
     pub fn tell(&self, nodes: &[SocketAddr], message: &Message) {
-        let Ok(bytes) = codec().serialize(message) else { return };
+        let bytes = match codec().serialize(message) {
+            Ok(bytes) => bytes,
+            Err(error) => return self.note("datagram not written", &error),
+        };
         for &node in nodes {
-            _ = self.socket.try_send_to(&bytes, node);
+            if let Err(error) = self.socket.try_send_to(&bytes, node) {
+                self.note("datagram not sent", &error);
+            }
+        }
+    }
+
+    /// Logs that a datagram is lost here: the first, the second, the fourth and so on, since a box
+    /// that is cut off fails with each.
+    fn note(&self, what: &str, error: &dyn Display) {
+        let count = self.failures.get() + 1;
+        self.failures.set(count);
+        if count.is_power_of_two() {
+            warn!(self.log, "{}", what; "error" => %error, "failures" => count);
         }
     }
 
@@ -54,9 +80,16 @@
     pub async fn listen(self, hear: impl Fn(Message)) {
         let mut buffer = vec![0; LONGEST_DATAGRAM];
         loop {
-            let Ok((length, _)) = self.socket.recv_from(&mut buffer).await else { continue };
-            if let Ok(message) = codec().deserialize(&buffer[..length]) {
-                hear(message);
+            let length = match self.socket.recv_from(&mut buffer).await {
+                Ok((length, _)) => length,
+                Err(error) => {
+                    self.note("no datagram received", &error);
+                    continue;
+                }
+            };
+            match codec().deserialize(&buffer[..length]) {
+                Ok(message) => hear(message),
+                Err(error) => self.note("datagram not read", &error),
             }
         }
     }
--- a/crates/hollyspoke-server/src/run.rs
+++ b/crates/hollyspoke-server/src/run.rs
@@ -90,7 +90,7 @@
         Some(address) => Some(bind(address).await?),
         None => None,
     };
-    let (peers, handovers) = bind_peers(settings.peer).await?;
+    let (peers, handovers) = bind_peers(settings.peer, &log).await?;
     let (close, closing) = watch::channel(false);
     let gateway = Gateway::new(gateway::Settings {
         data_centre: settings.data_centre.as_str().into(),
@@ -135,12 +135,12 @@
 
 /// Binds the two sockets for other boxes at one port: for datagrams and for handovers. A port that
 /// the system chooses may be taken for one of them; then another is tried.
-async fn bind_peers(address: SocketAddr) -> eyre::Result<(Peers, TcpListener)> {
+async fn bind_peers(address: SocketAddr, log: &Logger) -> eyre::Result<(Peers, TcpListener)> {
     let wrong = || format!("cannot bind {address} for other boxes");
     let mut tries = if address.port() == 0 { MOST_BINDS } else { 1 };
     loop {
         tries -= 1;
-        let peers = Peers::bind(address).await.wrap_err_with(wrong)?;
+        let peers = Peers::bind(address, log.clone()).await.wrap_err_with(wrong)?;
         match TcpListener::bind(peers.address()?).await {
             Ok(listener) => return Ok((peers, listener)),
             Err(error) if tries == 0 => return Err(error).wrap_err_with(wrong),
