Soak: datagrams between boxes are disturbed, and boxes are cut off from the others

Change: setting `listen.peer_announced_port`, the port at which others reach a box that stands behind something that passes on what comes there; the harness stands there (`peering.rs`) and passes on datagrams and handovers. Faults `Datagrams` (lost, doubled, late) and `Split` (some boxes, both ways, out or in).

--- a/crates/hollyspoke-server/src/run.rs
+++ b/crates/hollyspoke-server/src/run.rs
@@ -94,7 +94,7 @@
     let (close, closing) = watch::channel(false);
     let gateway = Gateway::new(gateway::Settings {
         data_centre: settings.data_centre.as_str().into(),
-        peer: peers.address()?,
+        peer: settings.announced.map_or_else(|| peers.address(), Ok)?,
         front: front.local_addr()?,
         bound: settings.bound,
         grace: settings.grace,
--- a/crates/hollyspoke-server/src/settings.rs
+++ b/crates/hollyspoke-server/src/settings.rs
@@ -52,6 +52,10 @@
     pub metrics: Option<String>,
     /// The port for other boxes, the same on all boxes.
     pub peer_port: u16,
+    /// The port at which other boxes reach this one, if it is another: something that stands before
+    /// it passes on what comes there. The same on all boxes.
+    #[serde(default)]
+    pub peer_announced_port: Option<u16>,
 }
 
 /// The store.
@@ -146,6 +150,8 @@
     pub metrics: Option<SocketAddr>,
     /// Where the box listens for other boxes.
     pub peer: SocketAddr,
+    /// Where other boxes reach this one, if not there.
+    pub announced: Option<SocketAddr>,
     /// Where some other boxes listen for other boxes.
     pub seeds: Vec<SocketAddr>,
     /// Where the store listens.
@@ -218,6 +224,8 @@
             return Err(checker.findings);
         }
         let port = file.listen.peer_port;
+        let announced_port = file.listen.peer_announced_port;
+        let seed_port = announced_port.unwrap_or(port);
         Ok(Settings {
             name: file.node.name,
             data_centre: file.node.data_centre,
@@ -226,7 +234,8 @@
             directory,
             metrics,
             peer: SocketAddr::new(front.ip(), port),
-            seeds: seeds.into_iter().map(|it| SocketAddr::new(it.ip(), port)).collect(),
+            announced: announced_port.map(|it| SocketAddr::new(front.ip(), it)),
+            seeds: seeds.into_iter().map(|it| SocketAddr::new(it.ip(), seed_port)).collect(),
             store,
             bound: Bound { ratio, allowance, window: Duration::from_secs_f64(window) },
             grace: Duration::from_secs_f64(grace),
--- a/tests/soak/src/cluster.rs
+++ b/tests/soak/src/cluster.rs
@@ -20,14 +20,21 @@
 use crate::keys::{KEY_MARK, TOLERANCE, customers};
 use crate::mutant::Mutant;
 use crate::observation::{BoxChange, Observation, What};
+use crate::peering::{Peering, Place};
 use crate::proxy::{Mode, Proxy};
 use crate::standin::Greeting;
 use crate::standin::store::Done;
 use crate::standin::{engine, store};
 
 /// The ports of a box, the same on all boxes.
-const PORTS: Ports =
-    Ports { front: 8149, ready: 8141, directory: 8143, peers: 7380, metrics: 9464 };
+const PORTS: Ports = Ports {
+    front: 8149,
+    ready: 8141,
+    directory: 8143,
+    peers: 7380,
+    announced: 7381,
+    metrics: 9464,
+};
 
 /// The data centres that boxes and upstreams are spread over.
 const DATA_CENTRES: [&str; 2] = ["north", "south"];
@@ -48,6 +55,8 @@
     directory: u16,
     /// For other boxes.
     peers: u16,
+    /// Where other boxes reach it.
+    announced: u16,
     /// For metrics.
     metrics: u16,
 }
@@ -123,6 +132,8 @@
 pub struct Cluster {
     /// The boxes.
     pub nodes: Vec<Node>,
+    /// The ways between them.
+    pub peering: Rc<Peering>,
     /// The upstreams that live.
     pub upstreams: RefCell<Vec<Rc<Upstream>>>,
     /// The store.
@@ -218,8 +229,12 @@
     ) -> eyre::Result<Rc<Cluster>> {
         let store = start_store(folder)?;
         let nodes = make_nodes(size, folder, store.address, mutant).await?;
+        let at = |index: usize, port: u16| SocketAddr::from((ip(index), port));
+        let place = |it| Place { own: at(it, PORTS.peers), announced: at(it, PORTS.announced) };
+        let peering = Peering::open((0..size.boxes).map(place).collect()).await?;
         let cluster = Rc::new(Cluster {
             nodes,
+            peering,
             upstreams: RefCell::default(),
             store,
             sink,
@@ -534,7 +549,7 @@
         (
             "listen",
             json!({"front": at(PORTS.front), "ready": at(PORTS.ready), "peer_port": PORTS.peers,
-                "directory": at(PORTS.directory), "metrics": at(PORTS.metrics)}),
+                "peer_announced_port": PORTS.announced, "directory": at(PORTS.directory), "metrics": at(PORTS.metrics)}),
         ),
         ("store", json!({"address": store.to_string()})),
         (
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod keys;
 pub mod mutant;
 pub mod observation;
+pub mod peering;
 pub mod proxy;
 pub mod report;
 pub mod run;
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -25,6 +25,7 @@
 use crate::keys::{CUSTOMERS, Caller, KEY_MARK, units};
 use crate::mutant::Mutant;
 use crate::observation::{BoxChange, Kind, Micros, Observation, What, digest, now};
+use crate::peering::Disorder;
 use crate::schedule::{Fault, Planned};
 use crate::standin::engine::Command;
 use crate::standin::store::{self, Mood};
@@ -252,7 +253,9 @@
         | Fault::EnginePause { span }
         | Fault::LoseAnswers { span, .. }
         | Fault::SlowEngine { span, .. }
-        | Fault::HoldLinks { span } => span,
+        | Fault::HoldLinks { span }
+        | Fault::Datagrams { span, .. }
+        | Fault::Split { span, .. } => span,
         Fault::Kill { .. } | Fault::KillAll => DOWN_FOR,
         Fault::Stop { count, gap } => gap * count as u32,
         Fault::EngineCrash => LAPSES_AFTER,
@@ -297,6 +300,21 @@
             hold_links(cluster, span, random).await;
             Ok(())
         }
+        Fault::Datagrams { disorder, span } => {
+            cluster.peering.set(disorder);
+            tokio::time::sleep(span).await;
+            cluster.peering.set(Disorder::default());
+            Ok(())
+        }
+        Fault::Split { count, direction, span } => {
+            let nodes = some_nodes(cluster, count, random);
+            disturb(cluster, &nodes);
+            let cut = cluster.peering.cut(&nodes, direction);
+            tokio::time::sleep(span).await;
+            cluster.peering.heal(cut);
+            disturb(cluster, &nodes);
+            Ok(())
+        }
         Fault::ResetLinks { share } => {
             reset_links(cluster, share);
             Ok(())
@@ -334,6 +352,13 @@
     }
 }
 
+/// Notes that boxes are disturbed.
+fn disturb(cluster: &Cluster, nodes: &[usize]) {
+    for &node in nodes {
+        cluster.changed(node, BoxChange::Disturbed);
+    }
+}
+
 /// Draws some boxes.
 fn some_nodes(cluster: &Cluster, count: usize, random: &mut Pcg64Mcg) -> Vec<usize> {
     let all: Vec<_> = (0..cluster.nodes.len()).collect();
--- a/tests/soak/src/schedule.rs
+++ b/tests/soak/src/schedule.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::peering::{Direction, Disorder};
 use crate::standin::store::Mood;
 
 /// The time at the start without faults, in which everything comes up.
@@ -94,6 +95,22 @@
         /// For how long.
         span: Duration,
     },
+    /// Datagrams between boxes are lost, doubled or late.
+    Datagrams {
+        /// How many of them.
+        disorder: Disorder,
+        /// For how long.
+        span: Duration,
+    },
+    /// Some boxes are cut off from the others, and not from each other, nor from anything else.
+    Split {
+        /// How many.
+        count: usize,
+        /// Which way.
+        direction: Direction,
+        /// For how long.
+        span: Duration,
+    },
     /// The configuration changes.
     Configure,
     /// An upstream drains, and leaves.
@@ -142,6 +159,10 @@
     let count = random.random_range(1..=3);
     let share = random.random_range(10..=60);
     let times = random.random_range(2..=6);
+    let directions = [Direction::Both, Direction::Both, Direction::Out, Direction::In];
+    let direction = directions.choose(random).copied().unwrap_or(Direction::Both);
+    let lost = random.random_range(0..=30);
+    let disorder = Disorder { lost, doubled: random.random_range(0..=30), late: 40 - lost };
     let faults = [
         Fault::Kill { count },
         Fault::Kill { count: 1 },
@@ -156,6 +177,8 @@
         Fault::ResetLinks { share },
         Fault::MuteLinks { share },
         Fault::HoldLinks { span: short },
+        Fault::Datagrams { disorder, span: long },
+        Fault::Split { count, direction, span: long },
         Fault::Configure,
         Fault::Configure,
         Fault::Drain,
--- a/tests/src/platform.rs
+++ b/tests/src/platform.rs
@@ -485,6 +485,7 @@
         directory: free,
         metrics: Some(free),
         peer: free,
+        announced: None,
         seeds,
         store,
         bound: Bound { ratio: 0.2, allowance: 50.0, window: Duration::from_secs(10) },
--- a/tests/tests/platform_settings.rs
+++ b/tests/tests/platform_settings.rs
@@ -48,6 +48,16 @@
     assert_eq!(names, ["listen.front", "store.address", "bounds.retry_ratio"]);
 }
 
+/// Boxes may be reached at another port than they listen at.
+#[test]
+fn announced_port() {
+    let file = FILE.replace("peer_port = 7380", "peer_port = 7380\npeer_announced_port = 7390");
+    let settings = Settings::parse(&file).expect("the file is right");
+    assert_eq!(settings.peer.to_string(), "10.1.0.38:7380");
+    assert_eq!(settings.announced.map(|it| it.to_string()).as_deref(), Some("10.1.0.38:7390"));
+    assert_eq!(settings.seeds[0].port(), 7390);
+}
+
 /// The number of boxes that share limits is optional, and never 0.
 #[test]
 fn boxes_that_share() {
