Soak: the holder of orders is struck after its order, and the store's answers are lost

Faults struck boxes at random, so that the one that holds the lease was rarely hit in the second after an order; no store answer was lost after its write had taken effect.

Change: `StrikeHolder` waits for the next order and kills, pauses or cuts off the box that gave it, 0 to 1 s later; the store has the mood `Lossy`.

--- a/tests/soak/src/cluster.rs
+++ b/tests/soak/src/cluster.rs
@@ -142,6 +142,8 @@
     sink: Sink,
     /// The deliberate fault.
     mutant: Option<Mutant>,
+    /// The name of the box that gave the last order to an upstream.
+    pub holder: watch::Sender<String>,
     /// The number of the next upstream.
     next_upstream: Cell<u64>,
     /// The version of the configuration.
@@ -239,6 +241,7 @@
             store,
             sink,
             mutant,
+            holder: watch::Sender::default(),
             next_upstream: Cell::new(0),
             version: Rc::default(),
             folder: folder.to_owned(),
@@ -257,6 +260,12 @@
         Ok(cluster)
     }
 
+    /// Gives the box that a holder's name is of.
+    pub fn holder_node(&self, name: &str) -> Option<usize> {
+        let is_of = |it: usize| name.starts_with(&format!("{}:{}-", ip(it), PORTS.announced));
+        (0..self.nodes.len()).find(|&it| is_of(it))
+    }
+
     /// Tells whether the run has a deliberate fault.
     pub fn has(&self, mutant: Mutant) -> bool {
         self.mutant == Some(mutant)
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -25,8 +25,8 @@
 use crate::keys::{CUSTOMERS, Caller, KEY_MARK, units};
 use crate::mutant::Mutant;
 use crate::observation::{BoxChange, Kind, Micros, Observation, What, digest, now};
-use crate::peering::Disorder;
-use crate::schedule::{Fault, Planned};
+use crate::peering::{Direction, Disorder};
+use crate::schedule::{Blow, Fault, Planned};
 use crate::standin::engine::Command;
 use crate::standin::store::{self, Mood};
 
@@ -57,6 +57,12 @@
 /// How long the boxes may take to stop at the end.
 const STOP_WITHIN: Duration = Duration::from_secs(10);
 
+/// How long the holder of the lease is waited for that is to be struck.
+const HOLDS_WITHIN: Duration = Duration::from_secs(6);
+
+/// How long a holder stands still or is cut off: longer than its lease, so that another one follows.
+const BLOW_FOR: Duration = Duration::from_millis(3500);
+
 /// What a run is to do.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -159,7 +165,8 @@
 ) {
     let end = Instant::now() + span;
     while let Ok(Some(observation)) = tokio::time::timeout_at(end, seen.recv()).await {
-        if let What::Ordered { engine, stage, .. } = &observation.what {
+        if let What::Ordered { engine, stage, holder, .. } = &observation.what {
+            cluster.holder.send_replace(holder.clone());
             tokio::task::spawn_local(switch(cluster.clone(), engine.clone(), stage.clone()));
         }
         observations.push(observation);
@@ -256,7 +263,10 @@
         | Fault::HoldLinks { span }
         | Fault::Datagrams { span, .. }
         | Fault::Split { span, .. } => span,
-        Fault::Kill { .. } | Fault::KillAll => DOWN_FOR,
+        Fault::Kill { .. } | Fault::KillAll | Fault::StrikeHolder { blow: Blow::Kill, .. } => {
+            DOWN_FOR
+        }
+        Fault::StrikeHolder { .. } => BLOW_FOR,
         Fault::Stop { count, gap } => gap * count as u32,
         Fault::EngineCrash => LAPSES_AFTER,
         Fault::Drain => DRAINS_FOR,
@@ -275,6 +285,7 @@
     match fault {
         Fault::Kill { count } => kill(cluster, &some_nodes(cluster, count, random)).await,
         Fault::KillAll => kill_all(cluster).await,
+        Fault::StrikeHolder { blow, after } => strike_holder(cluster, blow, after).await,
         Fault::Pause { count, span } => {
             pause(cluster, &some_nodes(cluster, count, random), span).await;
             Ok(())
@@ -307,12 +318,7 @@
             Ok(())
         }
         Fault::Split { count, direction, span } => {
-            let nodes = some_nodes(cluster, count, random);
-            disturb(cluster, &nodes);
-            let cut = cluster.peering.cut(&nodes, direction);
-            tokio::time::sleep(span).await;
-            cluster.peering.heal(cut);
-            disturb(cluster, &nodes);
+            split(cluster, &some_nodes(cluster, count, random), direction, span).await;
             Ok(())
         }
         Fault::ResetLinks { share } => {
@@ -401,6 +407,32 @@
     Ok(())
 }
 
+/// Strikes the box that gives the next order, some time after it; none if no order comes soon.
+async fn strike_holder(cluster: &Rc<Cluster>, blow: Blow, after: Duration) -> eyre::Result<()> {
+    let mut holder = cluster.holder.subscribe();
+    if !matches!(tokio::time::timeout(HOLDS_WITHIN, holder.changed()).await, Ok(Ok(()))) {
+        return Ok(());
+    }
+    let name = holder.borrow_and_update().clone();
+    let Some(node) = cluster.holder_node(&name) else { return Ok(()) };
+    tokio::time::sleep(after).await;
+    match blow {
+        Blow::Kill => kill(cluster, &[node]).await?,
+        Blow::Pause => pause(cluster, &[node], BLOW_FOR).await,
+        Blow::Cut => split(cluster, &[node], Direction::Both, BLOW_FOR).await,
+    }
+    Ok(())
+}
+
+/// Cuts boxes off from the others for a span.
+async fn split(cluster: &Cluster, nodes: &[usize], direction: Direction, span: Duration) {
+    disturb(cluster, nodes);
+    let cut = cluster.peering.cut(nodes, direction);
+    tokio::time::sleep(span).await;
+    cluster.peering.heal(cut);
+    disturb(cluster, nodes);
+}
+
 /// Has boxes stand still.
 async fn pause(cluster: &Rc<Cluster>, nodes: &[usize], span: Duration) {
     for &node in nodes {
--- a/tests/soak/src/schedule.rs
+++ b/tests/soak/src/schedule.rs
@@ -33,6 +33,14 @@
     },
     /// All boxes are killed at once and started again.
     KillAll,
+    /// The box that gives the next order to an upstream, as the holder of the lease, is struck right
+    /// after it.
+    StrikeHolder {
+        /// How it is struck.
+        blow: Blow,
+        /// How long after its order.
+        after: Duration,
+    },
     /// Boxes stand still for a while.
     Pause {
         /// How many.
@@ -117,6 +125,17 @@
     Drain,
 }
 
+/// How one box is struck.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Blow {
+    /// It is killed and started again.
+    Kill,
+    /// It stands still, for longer than its lease.
+    Pause,
+    /// It is cut off from the other boxes.
+    Cut,
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{self:?}")
@@ -154,11 +173,14 @@
     let short = span(200, 1500);
     let long = span(800, 3500);
     let gap = span(200, 1200);
-    let moods = [Mood::Busy, Mood::Silent, Mood::Forgetful];
+    let moods = [Mood::Busy, Mood::Silent, Mood::Forgetful, Mood::Lossy];
     let mood = moods.choose(random).copied().unwrap_or(Mood::Busy);
     let count = random.random_range(1..=3);
     let share = random.random_range(10..=60);
     let times = random.random_range(2..=6);
+    let blows = [Blow::Kill, Blow::Pause, Blow::Cut];
+    let blow = blows.choose(random).copied().unwrap_or(Blow::Kill);
+    let after = Duration::from_millis(random.random_range(0..=1000));
     let directions = [Direction::Both, Direction::Both, Direction::Out, Direction::In];
     let direction = directions.choose(random).copied().unwrap_or(Direction::Both);
     let lost = random.random_range(0..=30);
@@ -166,6 +188,7 @@
     let faults = [
         Fault::Kill { count },
         Fault::Kill { count: 1 },
+        Fault::StrikeHolder { blow, after },
         Fault::Pause { count, span: short },
         Fault::Stop { count, gap },
         Fault::Store { mood, span: long },
--- a/tests/soak/src/standin/store.rs
+++ b/tests/soak/src/standin/store.rs
@@ -17,6 +17,8 @@
     Silent,
     /// It has forgotten its history.
     Forgetful,
+    /// It does what it is asked, and its answers are lost.
+    Lossy,
 }
 
 /// What the store is told.
@@ -63,6 +65,7 @@
                     Mood::Busy => StoreMood::Busy,
                     Mood::Silent => StoreMood::Silent,
                     Mood::Forgetful => StoreMood::Forgetful,
+                    Mood::Lossy => StoreMood::Lossy,
                 }),
                 Command::Put { kind, name, spec } => store.put(&kind, &name, spec),
                 Command::Remove { kind, name } => store.remove(&kind, &name),
--- a/tests/src/platform.rs
+++ b/tests/src/platform.rs
@@ -29,6 +29,8 @@
     Silent,
     /// Its history is gone: watches get 410.
     Forgetful,
+    /// It does what it is asked, and its answers are lost with the connection.
+    Lossy,
 }
 
 /// A head and a body that a peer sent.
@@ -283,8 +285,13 @@
                 ("429 Too Many Requests", Value::Null)
             }
             StoreMood::Forgetful if path.contains("watch=") => ("410 Gone", Value::Null),
-            StoreMood::Well | StoreMood::Forgetful => store.respond(&received, &path).await,
+            StoreMood::Well | StoreMood::Forgetful | StoreMood::Lossy => {
+                store.respond(&received, &path).await
+            }
         };
+        if store.mood.get() == StoreMood::Lossy {
+            return;
+        }
         if store.silenced.get() != silenced {
             std::future::pending::<()>().await;
         }
