A head that has begun must be whole in the time for heads; the soak sends flawed requests

The HTTP library has one time for the next head, in which connections also rest, and it was set to the longer of the two; `head_timeout` was decoded and never used.

Change: `head_clock.rs` sees the bytes come and the requests begin and end, and `front.rs` closes a connection whose head takes longer than the configuration's time from its first byte. A connection that rests, a body that comes by itself and half of the next head during an answer are none of it.

Soak: flawed requests (`rough.rs`) at all boxes, promise `FlawsEnd`, deliberate fault `awaits-heads`, caught.

--- a/crates/hollyspoke-server/src/front.rs
+++ b/crates/hollyspoke-server/src/front.rs
@@ -16,11 +16,12 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use slog::warn;
+use slog::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::answer::AnswerBody;
+use crate::head_clock::{Clocked, HeadClock, Serving};
 use crate::node::{ClientAnswer, Node, ReceivedRequest};
 
 /// What clients may send before a configuration is known.
@@ -80,18 +81,26 @@
     // Without it small answers wait; the connection works all the same.
     _ = stream.set_nodelay(true);
     let limits = node.with(|it| it.limits()).unwrap_or(FIRST_LIMITS);
+    let clock = HeadClock::new();
     let service = service_fn(|request| {
-        let node = node.clone();
-        async move { Ok::<_, Infallible>(answer(node, request).await) }
+        let (node, serving) = (node.clone(), clock.serve());
+        async move {
+            let response = answer(node, request, &serving).await;
+            Ok::<_, Infallible>(response.map(|it| serving.with(it)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout + IDLE_MARGIN)
         .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Clocked::new(stream, clock.clone())), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
+        () = clock.overdue(limits.head_timeout) => {
+            info!(node.log, "head not whole in time");
+            return;
+        }
         _ = closing.wait_for(|it| *it) => {
             connection.as_mut().graceful_shutdown();
             connection.await
@@ -105,7 +114,11 @@
 }
 
 /// Answers one request.
-async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
+async fn answer(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+    serving: &Serving,
+) -> Response<AnswerBody> {
     let limits = node.with(|it| it.limits()).unwrap_or(FIRST_LIMITS);
     let (mut head, body) = request.into_parts();
     hide_credentials(&mut head.headers);
@@ -115,6 +128,7 @@
         Err(Unread::TooSlow) => return closing_status(StatusCode::REQUEST_TIMEOUT),
         Err(Unread::Malformed) => return closing_status(StatusCode::BAD_REQUEST),
     };
+    serving.body_read();
     let (hook, receiver) = node.begin(ReceivedRequest { head: Rc::new(head), body });
     let received = receiver.await;
     let mut response = match received {
--- /dev/null
+++ b/crates/hollyspoke-server/src/head_clock.rs
@@ -0,0 +1,194 @@
+//! How long a client takes for the head of a request, from its first byte on.
+//!
+//! The HTTP library bounds the time from the end of one request to the next head, in which a
+//! connection may rest. A head that has begun has a shorter time: this module sees the bytes come.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// What a connection is at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// No byte has come since the last request.
+    Resting,
+    /// A head is coming, since a time.
+    Head(Instant),
+    /// A request is served.
+    Serving {
+        /// Whether bytes have come that are no part of it.
+        has_more: bool,
+    },
+}
+
+/// What one connection is at, for whoever reads it, serves it and closes it.
+#[derive(Debug)]
+pub struct HeadClock {
+    /// The state.
+    state: Cell<State>,
+    /// Wakes whoever waits for the next head.
+    begun: Notify,
+}
+
+impl HeadClock {
+    /// Makes the clock of a new connection.
+    pub fn new() -> Rc<HeadClock> {
+        Rc::new(HeadClock { state: Cell::new(State::Resting), begun: Notify::new() })
+    }
+
+    /// Notes that bytes have come.
+    fn read(&self) {
+        match self.state.get() {
+            State::Resting => self.begin(),
+            State::Head(_) => {}
+            State::Serving { .. } => self.state.set(State::Serving { has_more: true }),
+        }
+    }
+
+    /// Notes that a head begins.
+    fn begin(&self) {
+        self.state.set(State::Head(Instant::now()));
+        self.begun.notify_one();
+    }
+
+    /// Notes that a head is whole; the request is served until what is given is dropped.
+    pub fn serve(self: &Rc<HeadClock>) -> Serving {
+        self.state.set(State::Serving { has_more: false });
+        Serving(self.clone())
+    }
+
+    /// Waits until a head has been coming for longer than a time.
+    pub async fn overdue(&self, timeout: Duration) {
+        loop {
+            match self.state.get() {
+                State::Head(since) if since.elapsed() >= timeout => return,
+                State::Head(since) => tokio::time::sleep_until(since + timeout).await,
+                State::Resting | State::Serving { .. } => self.begun.notified().await,
+            }
+        }
+    }
+}
+
+/// A request is served while this exists.
+#[derive(Debug)]
+pub struct Serving(Rc<HeadClock>);
+
+impl Serving {
+    /// Notes that the request's body is whole: what has come so far was part of it.
+    pub fn body_read(&self) {
+        self.0.state.set(State::Serving { has_more: false });
+    }
+
+    /// Binds it to the body of the answer.
+    pub fn with<B>(self, body: B) -> Served<B> {
+        Served { body, _serving: self }
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        match self.0.state.get() {
+            State::Serving { has_more: true } => self.0.begin(),
+            _ => self.0.state.set(State::Resting),
+        }
+    }
+}
+
+/// The body of an answer; the request is served until it is dropped.
+#[derive(Debug)]
+pub struct Served<B> {
+    /// The body.
+    body: B,
+    /// The request.
+    _serving: Serving,
+}
+
+impl<B: Body + Unpin> Body for Served<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A client's connection whose clock sees what comes.
+#[derive(Debug)]
+pub struct Clocked {
+    /// The connection.
+    stream: TcpStream,
+    /// The clock.
+    clock: Rc<HeadClock>,
+}
+
+impl Clocked {
+    /// Has a clock see what comes on a connection.
+    pub fn new(stream: TcpStream, clock: Rc<HeadClock>) -> Clocked {
+        Clocked { stream, clock }
+    }
+}
+
+impl AsyncRead for Clocked {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.clock.read();
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for Clocked {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        pieces: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, pieces)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/hollyspoke-server/src/lib.rs
+++ b/crates/hollyspoke-server/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod directory;
 pub mod front;
 pub mod handover;
+pub mod head_clock;
 pub mod http1;
 pub mod metrics;
 pub mod node;
--- a/tests/soak/src/cluster.rs
+++ b/tests/soak/src/cluster.rs
@@ -477,8 +477,9 @@
         {"name": "plain", "healthPath": "/health", "maxConnections": 100},
         {"name": "model", "healthPath": "/health", "maxConnections": 100, "engine": engine},
     ]);
+    let header_ms = if mutant == Some(Mutant::AwaitsHeads) { 60_000 } else { 3000 };
     let limits = json!({"maxHeaderBytes": 16384, "maxBodyBytes": 100_000,
-        "headerTimeoutMs": 3000, "idleTimeoutMs": 15000});
+        "headerTimeoutMs": header_ms, "idleTimeoutMs": 15000});
     json!({"version": version, "routes": routes, "services": services, "limits": limits,
         "tenants": customers(version, mutant)})
 }
--- a/tests/soak/src/judge.rs
+++ b/tests/soak/src/judge.rs
@@ -39,6 +39,8 @@
     StaysAlive,
     /// Memory and descriptors are bounded.
     Bounded,
+    /// A box is done in time with requests that break the rules or never end.
+    FlawsEnd,
     /// Nothing runs with a key that is not known, or was taken away some time ago.
     KnownKey,
     /// A key that is known is not refused.
@@ -120,6 +122,10 @@
 /// margin for a loaded machine.
 const UNREAD_WITHIN: Micros = 600 * MILLISECOND;
 
+/// The time in which a box must be done with a request that has a flaw: the time for a head, 3 s in
+/// these configurations and 5 s at a box that has none yet, and a second for a loaded machine.
+const FLAW_WITHIN: Micros = 6 * SECOND;
+
 /// What a stopped process may take beyond its grace on a loaded machine.
 const STOP_MARGIN: Micros = SECOND;
 
@@ -152,6 +158,7 @@
         recovers,
         stays_alive,
         bounded,
+        flaws_end,
         customers::known_key,
         customers::key_accepted,
         customers::key_hidden,
@@ -470,6 +477,20 @@
     worst.into_values().collect()
 }
 
+/// Checks that boxes which nothing disturbs are done in time with requests that have a flaw.
+fn flaws_end(records: &Records, _: &Bounds) -> Vec<Finding> {
+    let late = records.flawed.iter().filter(|it| {
+        let is_late = !it.is_done || it.span > FLAW_WITHIN;
+        is_late && !records.is_disturbed(it.node, it.at.saturating_sub(it.span), it.at)
+    });
+    let findings = late.map(|it| {
+        let (node, flaw, span) = (it.node, it.flaw, it.span / MILLISECOND);
+        let what = format!("{flaw}: box {node} was not done with it within {span} ms");
+        finding(Promise::FlawsEnd, it.at, what)
+    });
+    findings.collect()
+}
+
 impl Records {
     /// Tells whether a run ended by its upstream's own doing.
     fn broke_off(&self, run: &records::Run) -> bool {
--- a/tests/soak/src/judge/records.rs
+++ b/tests/soak/src/judge/records.rs
@@ -4,6 +4,7 @@
 
 use crate::keys::Caller;
 use crate::observation::{BoxChange, Kind, Micros, Observation, RunEnd, What};
+use crate::rough::Flaw;
 
 /// The end of a run.
 #[derive(Debug, Clone, Copy)]
@@ -132,6 +133,21 @@
     pub(super) status: u16,
 }
 
+/// A request with a flaw.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Flawed {
+    /// When the box was done with it, or was waited for no longer.
+    pub(super) at: Micros,
+    /// The box.
+    pub(super) node: usize,
+    /// The flaw.
+    pub(super) flaw: Flaw,
+    /// How long it took.
+    pub(super) span: Micros,
+    /// Whether the box was done with it.
+    pub(super) is_done: bool,
+}
+
 /// What a process uses.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Usage {
@@ -170,6 +186,8 @@
     pub(super) restarts: Vec<Micros>,
     /// Where clients' keys were found that may be nowhere.
     pub(super) keys_found: Vec<(Micros, String)>,
+    /// Requests with a flaw.
+    pub(super) flawed: Vec<Flawed>,
     /// What processes use.
     pub(super) usages: Vec<Usage>,
     /// The time of the last observation.
@@ -270,6 +288,10 @@
             What::StillActive { engine, runs } => {
                 self.still_active.push((at, engine.clone(), *runs));
             }
+            What::Flawed { node, flaw, span, is_done } => {
+                let (node, flaw, span, is_done) = (*node, *flaw, *span, *is_done);
+                self.flawed.push(Flawed { at, node, flaw, span, is_done });
+            }
             What::KeyFound { place } => self.keys_found.push((at, place.clone())),
             What::EngineGone { engine } => {
                 self.engine_ends.insert(engine.clone(), at);
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod peering;
 pub mod proxy;
 pub mod report;
+pub mod rough;
 pub mod run;
 pub mod schedule;
 pub mod standin;
--- a/tests/soak/src/mutant.rs
+++ b/tests/soak/src/mutant.rs
@@ -35,6 +35,8 @@
     EndsByItself,
     /// Memory is bounded by less than any process needs.
     LeastMemory,
+    /// The configuration gives clients a minute for a head.
+    AwaitsHeads,
     /// The configuration goes on holding keys that were taken away.
     KeepsKeys,
     /// The configuration lacks the keys of a customer.
@@ -51,7 +53,7 @@
 
 impl Mutant {
     /// All of them, with the name that the command line takes and the promise that they break.
-    pub const ALL: [(Mutant, &'static str, Promise); 19] = [
+    pub const ALL: [(Mutant, &'static str, Promise); 20] = [
         (Mutant::RunsTwice, "runs-twice", Promise::RunsOnce),
         (Mutant::SpoilsAnswer, "spoils-answer", Promise::WholeAnswer),
         (Mutant::SkipsEvent, "skips-event", Promise::EventsInOrder),
@@ -65,6 +67,7 @@
         (Mutant::StaysDown, "stays-down", Promise::Recovers),
         (Mutant::EndsByItself, "ends-by-itself", Promise::StaysAlive),
         (Mutant::LeastMemory, "least-memory", Promise::Bounded),
+        (Mutant::AwaitsHeads, "awaits-heads", Promise::FlawsEnd),
         (Mutant::KeepsKeys, "keeps-keys", Promise::KnownKey),
         (Mutant::ForgetsKeys, "forgets-keys", Promise::KeyAccepted),
         (Mutant::ShowsKey, "shows-key", Promise::KeyHidden),
--- a/tests/soak/src/observation.rs
+++ b/tests/soak/src/observation.rs
@@ -6,6 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::keys::Caller;
+use crate::rough::Flaw;
 
 /// A time of the machine's clock, in microseconds since the Unix epoch: the same for all processes.
 pub type Micros = u64;
@@ -265,6 +266,17 @@
         /// Open descriptors.
         descriptors: u64,
     },
+    /// A request with a flaw came to a box.
+    Flawed {
+        /// The box.
+        node: usize,
+        /// The flaw.
+        flaw: Flaw,
+        /// How long the box took to answer it or to close the connection.
+        span: Micros,
+        /// Whether it did.
+        is_done: bool,
+    },
     /// An engine's runs after the last client has gone.
     StillActive {
         /// The engine.
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -5,6 +5,7 @@
 use hollyspoke_soak::observation::{
     BoxChange, Kind, MILLISECOND, Micros, Observation, RunEnd, SECOND, What, digest,
 };
+use hollyspoke_soak::rough::Flaw;
 
 /// The body of all requests.
 const BODY: &[u8] = b"body";
@@ -204,6 +205,19 @@
     assert_eq!(broken(&[running(), usage(65 << 20)]), [Promise::Bounded]);
 }
 
+/// A box must be done with a request that has a flaw, unless something disturbs the box.
+#[test]
+fn flaw_that_lasts() {
+    let flawed = |span: Micros, is_done| {
+        at(9000, What::Flawed { node: 0, flaw: Flaw::HalfHead, span, is_done })
+    };
+    assert_eq!(broken(&[running(), flawed(3 * SECOND, true)]), []);
+    assert_eq!(broken(&[running(), flawed(7 * SECOND, true)]), [Promise::FlawsEnd]);
+    assert_eq!(broken(&[running(), flawed(8 * SECOND, false)]), [Promise::FlawsEnd]);
+    let paused = [running(), node(4000, BoxChange::Paused), node(6500, BoxChange::Resumed)];
+    assert_eq!(broken(&[&paused[..], &[flawed(7 * SECOND, true)]].concat()), []);
+}
+
 #[test]
 fn runs_for_nobody() {
     let mut seen = vec![running()];
