One set-up of metrics for both daemons

Change: crate hollyspoke-metrics has them once, as hollyspoke-log has the log. No metric, name or bound has changed.

Tests: metrics.rs, platform_keys.rs and imports.rs pass.

--- a/crates/hollyspoke-daemon/src/metrics.rs
+++ b/crates/hollyspoke-daemon/src/metrics.rs
@@ -3,13 +3,11 @@
 
 use std::collections::BTreeSet;
 
-use eyre::WrapErr;
 use hollyspoke::effect::Record;
 use hollyspoke::site::Site;
+use hollyspoke_metrics::Exporter;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use opentelemetry::metrics::{Counter, Histogram};
 
 /// The bounds of histograms of seconds.
 const SECONDS: [f64; 14] =
@@ -25,9 +23,7 @@
 #[derive(Debug)]
 pub struct Metrics {
     /// What Prometheus reads.
-    registry: Registry,
-    /// The provider; it must live as long as its instruments.
-    _provider: SdkMeterProvider,
+    exporter: Exporter,
     /// From arrival to the first token.
     first_token: Histogram<f64>,
     /// The mean time between tokens.
@@ -61,26 +57,9 @@
     ///
     /// When the exporter can't be set up.
     pub fn new() -> eyre::Result<Metrics> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .without_scope_info()
-            .build()
-            .wrap_err("the metrics exporter can't be set up")?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("hollyspoke");
-        let seconds = |name: &'static str, what: &'static str| {
-            meter
-                .f64_histogram(name)
-                .with_description(what)
-                .with_unit("s")
-                .with_boundaries(SECONDS.to_vec())
-                .build()
-        };
-        let count = |name: &'static str, what: &'static str| {
-            meter.u64_counter(name).with_description(what).build()
-        };
+        let exporter = Exporter::new()?;
+        let seconds = |name, what| exporter.seconds(name, what, &SECONDS);
+        let count = |name, what| exporter.counter(name, what);
         Ok(Metrics {
             first_token: seconds("hollyspoke_first_token", "from arrival to the first token"),
             between_tokens: seconds("hollyspoke_between_tokens", "the mean time between tokens"),
@@ -93,8 +72,7 @@
             tokens: count("hollyspoke_tokens", "tokens generated"),
             wasted: count("hollyspoke_wasted_prefill_tokens", "prompt tokens computed in vain"),
             retries: count("hollyspoke_retries", "attempts beyond the first"),
-            registry,
-            _provider: provider,
+            exporter,
             tenants: BTreeSet::new(),
         })
     }
@@ -136,10 +114,6 @@
 
     /// Writes all metrics in Prometheus' text form.
     pub fn text(&self) -> String {
-        let mut bytes = Vec::new();
-        match TextEncoder::new().encode(&self.registry.gather(), &mut bytes) {
-            Ok(()) => String::from_utf8_lossy(&bytes).into_owned(),
-            Err(error) => format!("# {error}\n"),
-        }
+        self.exporter.text()
     }
 }
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -4,13 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eyre::WrapErr;
 use hollyspoke_gateway::effect::Note;
 use hollyspoke_gateway::engine::Stage;
+use hollyspoke_metrics::Exporter;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 /// The bounds of histograms of seconds.
 const SECONDS: [f64; 12] = [0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.9, 1.5, 3.0, 6.0, 10.0, 15.0];
@@ -19,9 +17,7 @@
 #[derive(Debug)]
 pub struct Metrics {
     /// What Prometheus reads.
-    registry: Registry,
-    /// The provider; it must live as long as its instruments.
-    _provider: SdkMeterProvider,
+    exporter: Exporter,
     /// From a request's arrival to its end, by how it ended.
     ended: Histogram<f64>,
     /// Customers' requests, by customer and how they ended.
@@ -59,34 +55,14 @@
     ///
     /// If the exporter can't be set up.
     pub fn new() -> eyre::Result<Metrics> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .without_scope_info()
-            .build()
-            .wrap_err("the metrics exporter can't be set up")?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("hollyspoke");
-        let count = |name: &'static str, what: &'static str| {
-            meter.u64_counter(name).with_description(what).build()
-        };
-        let ended = meter
-            .f64_histogram("hollyspoke_request")
-            .with_description("from a request's arrival to its end, by how it ended")
-            .with_unit("s")
-            .with_boundaries(SECONDS.to_vec())
-            .build();
-        let gauge = |name: &'static str, what: &'static str| {
-            meter.u64_gauge(name).with_description(what).build()
-        };
-        let version = meter
-            .u64_gauge("hollyspoke_configuration_version")
-            .with_description("the version of the configuration in force")
-            .build();
+        let exporter = Exporter::new()?;
+        let ended = "from a request's arrival to its end, by how it ended";
+        let version = "the version of the configuration in force";
+        let count = |name, what| exporter.counter(name, what);
+        let gauge = |name, what| exporter.gauge(name, what);
         Ok(Metrics {
-            ended,
-            version,
+            ended: exporter.seconds("hollyspoke_request", ended, &SECONDS),
+            version: gauge("hollyspoke_configuration_version", version),
             customer_requests: count(
                 "hollyspoke_customer_requests",
                 "customers' requests, by customer and how they ended",
@@ -105,8 +81,7 @@
             orders: count("hollyspoke_orders", "orders to engines, by what became of them"),
             lease: gauge("hollyspoke_order_lease", "whether this box holds the lease for orders"),
             peers: count("hollyspoke_peer_changes", "boxes first heard or fallen silent"),
-            registry,
-            _provider: provider,
+            exporter,
         })
     }
 
@@ -151,11 +126,7 @@
 
     /// Writes all metrics in Prometheus' text form.
     pub fn text(&self) -> String {
-        let mut bytes = Vec::new();
-        match TextEncoder::new().encode(&self.registry.gather(), &mut bytes) {
-            Ok(()) => String::from_utf8_lossy(&bytes).into_owned(),
-            Err(error) => format!("# {error}\n"),
-        }
+        self.exporter.text()
     }
 
     /// Counts a customer's request.
