Split the quota into its bucket, what others have told, and the whole

Change: `quota/bucket.rs` decides for one customer and keeps its fields to itself, `quota/heard.rs` keeps what others told; the soak's `rough` is named `malformed`. No decision has changed.

Tests: quota (14, one drawn), gateway_customers, gateway_shares, tenants, soak_judge, imports pass.

--- a/crates/hollyspoke/src/quota.rs
+++ b/crates/hollyspoke/src/quota.rs
@@ -9,6 +9,12 @@
 //! about it. Each then leaves the others an equal part of the rate; a box that hears nobody has its
 //! own part alone. A site whose boxes tell each other nothing is the same case
 //! ([`Picture::alone`]).
+//!
+//! What others have yet to tell counts as much as they told of late. A box that has just started has
+//! no history: until others tell it the level, it lets through what it has earned since.
+
+mod bucket;
+mod heard;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -16,42 +22,15 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::time::{Time, seconds};
-
-/// The level from which on a request passes at boxes that all hear each other, in units. One that
-/// is larger than what is left passes too and leaves a debt, so that small requests can't starve
-/// large ones.
-const LEAST_LEVEL: f64 = 1.0;
-
-/// The share of the tolerance that a bucket starts with at the start of its box, up to the burst.
-/// All boxes may start at once, and twice within a window; each time the customer gets this part
-/// anew.
-const START_SHARE: f64 = 0.33;
+use crate::time::Time;
+use bucket::{Bucket, View};
+use heard::{Heard, News};
 
 /// The share of the tolerance that may cover what unheard boxes let through, before the others
 /// leave a part of the rate to them. The rest is for starts, and for the moments until boxes that are
 /// cut off are missed (`docs/design/shifted.md`).
 const UNHEARD_SHARE: f64 = 0.2;
 
-/// How long a box that has just started takes its levels from the others: they have the history
-/// that it lacks.
-const YOUNG_FOR: Duration = Duration::from_secs(3);
-
-/// How often a total that has changed is told, so that it arrives although messages are lost. Where
-/// 3 in 100 are lost, two in a row are one in 1,100; all totals together mend that some seconds later.
-const TOLD_TIMES: u8 = 2;
-
-/// The silence after which a box's next total holds what it let through unheard.
-const UNHEARD_AFTER: Duration = Duration::from_secs(1);
-
-/// The span over which it is measured how fast the others let through for a customer: long against
-/// the time between two heartbeats, short against the window of a bound.
-const PACE_SPAN: Duration = Duration::from_secs(1);
-
-/// The share of a burst that is kept at most for what the others may have let through and not told
-/// yet, so that late news can't stop a customer that is far below its limit.
-const MOST_UNTOLD: f64 = 0.5;
-
 /// How long the totals of a silent box are kept. Members are forgotten after the same time.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
 
@@ -145,55 +124,6 @@
     pub level: Option<i32>,
 }
 
-/// One customer's bucket.
-#[derive(Debug, Clone)]
-struct Bucket {
-    /// The limit.
-    limit: Limit,
-    /// What all boxes may still let through.
-    level: f64,
-    /// When the level was last brought up to the time.
-    filled: Time,
-    /// Whether the level was guessed by a young box, and the others may know better.
-    is_guessed: bool,
-    /// What the box has earned for the customer since it started, less what it let through; none
-    /// once others have told the level. A box that starts does not know of debts that it made
-    /// before: it must not make another at once.
-    earned: Option<f64>,
-    /// What the others told of late, which fades over [`PACE_SPAN`].
-    told: f64,
-    /// All units that this box has let through; it wraps.
-    total: u32,
-    /// How often the total is still to be told.
-    telling: u8,
-}
-
-/// What one other box has told.
-#[derive(Debug, Clone)]
-struct Heard<K> {
-    /// The number of its life.
-    incarnation: u64,
-    /// When it was last heard.
-    at: Time,
-    /// Whether all its totals are known, so that one that is new began at zero.
-    is_complete: bool,
-    /// Its totals.
-    totals: BTreeMap<K, u32>,
-}
-
-/// What all buckets of a box go by at a time.
-#[derive(Debug, Clone, Copy)]
-struct View {
-    /// The time.
-    now: Time,
-    /// The boxes.
-    picture: Picture,
-    /// How exactly limits are kept.
-    tolerance: Tolerance,
-    /// How old the others' last words are in the mean.
-    age: Duration,
-}
-
 /// All customers' buckets at one box.
 #[derive(Debug, Clone)]
 pub struct Quota<K> {
@@ -211,15 +141,6 @@
     news: News,
 }
 
-/// How old the last words of the others are that are heard.
-#[derive(Debug, Clone, Copy)]
-struct News {
-    /// The mean of their ages.
-    age: Duration,
-    /// When that was so.
-    at: Time,
-}
-
 impl<K: Copy + Ord> Quota<K> {
     /// Makes the buckets of a box that has just started.
     pub fn new(tolerance: Tolerance) -> Quota<K> {
@@ -240,8 +161,7 @@
         for (customer, bucket) in &mut self.buckets {
             bucket.fill(&view);
             if let Some(&limit) = limits.get(customer) {
-                bucket.limit = limit;
-                bucket.fill(&view);
+                bucket.set_limit(limit, &view);
             }
         }
         self.limits = limits;
@@ -261,9 +181,7 @@
         let old = self.view(now);
         let new = View { picture, ..old };
         for bucket in self.buckets.values_mut() {
-            bucket.fill(&old);
-            bucket.share_start(&old, &new);
-            bucket.told *= (picture.heard_part() / self.picture.heard_part()).min(1.0);
+            bucket.see(&old, &new);
         }
         self.picture = picture;
     }
@@ -276,22 +194,14 @@
     /// The time after which the bucket has something again.
     pub fn take(&mut self, now: Time, customer: K, units: u64) -> Result<(), Duration> {
         let view = self.view(now);
-        let Some(bucket) = self.bucket(now, customer) else { return Ok(()) };
-        let missing = bucket.missing(units, &view);
-        if missing > 0.0 {
-            return Err(seconds(missing / (bucket.limit.rate * view.share(bucket.limit))));
-        }
-        bucket.spend(units);
-        Ok(())
+        self.bucket(now, customer).map_or(Ok(()), |it| it.take(units, &view))
     }
 
     /// Gives back what was taken for a request that has not run.
     pub fn give_back(&mut self, customer: K, units: u64) {
-        let Some(bucket) = self.buckets.get_mut(&customer) else { return };
-        bucket.level += units as f64;
-        bucket.earned = bucket.earned.map(|it| it + units as f64);
-        bucket.total = bucket.total.wrapping_sub(units as u32);
-        bucket.telling = TOLD_TIMES;
+        if let Some(bucket) = self.buckets.get_mut(&customer) {
+            bucket.give_back(units);
+        }
     }
 
     /// Takes in what another box has let through. A complete list names all customers that the box
@@ -329,8 +239,7 @@
     pub fn take_untold(&mut self, now: Time) -> Vec<Account<K>> {
         let mut untold = Vec::new();
         for (&customer, bucket) in &mut self.buckets {
-            if bucket.telling > 0 {
-                bucket.telling -= 1;
+            if bucket.take_telling() {
                 untold.push(bucket.account(customer, now));
             }
         }
@@ -339,38 +248,29 @@
 
     /// Gives all totals.
     pub fn accounts(&self, now: Time) -> Vec<Account<K>> {
-        let used = self.buckets.iter().filter(|(_, it)| it.total != 0 || it.telling > 0);
+        let used = self.buckets.iter().filter(|(_, it)| it.is_used());
         used.map(|(&customer, it)| it.account(customer, now)).collect()
     }
 
     /// Tells whether a customer has a change that others must hear soon, since less than half of
     /// its burst is left.
     pub fn is_urgent(&self) -> bool {
-        self.buckets.values().any(|it| it.telling == TOLD_TIMES && it.level < it.limit.burst * 0.5)
+        self.buckets.values().any(Bucket::is_urgent)
     }
 
     /// Gives what a customer may still use, as this box believes; none without a limit.
     pub fn level(&mut self, now: Time, customer: K) -> Option<f64> {
-        self.bucket(now, customer).map(|it| it.level)
+        self.bucket(now, customer).map(|it| it.level())
     }
 
     /// Learns what another box let through for a customer.
     fn learn(&mut self, now: Time, account: Account<K>, units: f64, silence: Duration) {
-        let picture = self.picture;
+        let view = self.view(now);
         let is_known = self.buckets.contains_key(&account.customer);
-        let Some(bucket) = self.bucket(now, account.customer) else { return };
-        if bucket.is_guessed_at(now)
-            && let Some(level) = account.level
-        {
-            bucket.is_guessed = false;
-            bucket.earned = None;
-            bucket.level = f64::from(level) - f64::from(bucket.total);
-            return;
-        }
-        // The bucket was full until now: what the other let through is all that is missing.
         let units = if is_known { units } else { units.max(0.0) };
-        bucket.told += units;
-        bucket.level -= units - left_to_unheard(bucket.limit, picture, units, silence);
+        if let Some(bucket) = self.bucket(now, account.customer) {
+            bucket.hear(units, account.level, silence, &view);
+        }
     }
 
     /// Gives a customer's bucket as it is now; none without a limit.
@@ -388,138 +288,3 @@
         View { now, picture, tolerance, age: self.news.age_at(now) }
     }
 }
-
-impl View {
-    /// Gives the share of a limit that the heard boxes have together.
-    fn share(&self, limit: Limit) -> f64 {
-        self.picture.heard_share(&self.tolerance, limit)
-    }
-}
-
-impl Bucket {
-    /// Makes the bucket of a customer that a box has not seen since its start.
-    fn new(limit: Limit, view: &View) -> Bucket {
-        let share = view.share(limit);
-        let age = view.now.since(Time::ZERO);
-        let earned = limit.rate * share * age.as_secs_f64();
-        let level = earned + start_level(&view.tolerance, limit) * share;
-        let mut bucket = Bucket {
-            limit,
-            level,
-            filled: view.now,
-            is_guessed: age < YOUNG_FOR,
-            earned: Some(level),
-            told: 0.0,
-            total: 0,
-            telling: 0,
-        };
-        bucket.fill(view);
-        bucket
-    }
-
-    /// Brings the level up to a time.
-    fn fill(&mut self, view: &View) {
-        let share = view.share(self.limit);
-        let span = view.now.since(self.filled).as_secs_f64();
-        let earned = self.limit.rate * share * span;
-        self.told *= (-span / PACE_SPAN.as_secs_f64()).exp();
-        self.level = (self.level + earned).min(most_level(share, self.limit));
-        self.earned = self.earned.map(|it| it + earned);
-        self.filled = view.now;
-    }
-
-    /// Gives the units that are missing for a request to pass.
-    fn missing(&self, units: u64, view: &View) -> f64 {
-        let share = view.share(self.limit);
-        let owed = units as f64 * (1.0 - share);
-        let needed = needed(units, share, self.limit) + self.untold(share, view.age);
-        // A full bucket is enough where others go on telling; alone, what they told soon fades.
-        let is_alone = view.picture.unheard + 1 >= view.picture.boxes;
-        let most = if is_alone { f64::INFINITY } else { most_level(share, self.limit) };
-        let of_level = needed.min(most) - self.level;
-        let of_earned = self.earned.map_or(0.0, |it| owed - it);
-        of_level.max(of_earned).max(0.0)
-    }
-
-    /// Gives what the others have let through and not told yet if they go on as before.
-    fn untold(&self, share: f64, age: Duration) -> f64 {
-        let pace = self.told / PACE_SPAN.as_secs_f64();
-        let most = self.limit.burst * share * MOST_UNTOLD;
-        (pace * age.as_secs_f64()).clamp(0.0, most)
-    }
-
-    /// Adds what a bucket of a box that has just started has from the boxes that it hears since.
-    fn share_start(&mut self, old: &View, new: &View) {
-        let more = new.share(self.limit) - old.share(self.limit);
-        if self.is_guessed_at(new.now) && more > 0.0 {
-            let start = start_level(&new.tolerance, self.limit) * more;
-            self.level += start;
-            self.earned = self.earned.map(|it| it + start);
-        }
-    }
-
-    /// Tells whether the level is no more than a guess of a box that has just started.
-    fn is_guessed_at(&self, now: Time) -> bool {
-        self.is_guessed && now.since(Time::ZERO) < YOUNG_FOR
-    }
-
-    /// Takes what this box lets through.
-    fn spend(&mut self, units: u64) {
-        self.level -= units as f64;
-        self.earned = self.earned.map(|it| it - units as f64);
-        self.total = self.total.wrapping_add(units as u32);
-        self.telling = TOLD_TIMES;
-    }
-
-    /// Gives what is told of the bucket.
-    fn account<K>(&self, customer: K, now: Time) -> Account<K> {
-        let level = (!self.is_guessed_at(now)).then_some(self.level as i32);
-        Account { customer, total: self.total, level }
-    }
-}
-
-impl News {
-    /// Gives the age at a time.
-    fn age_at(&self, now: Time) -> Duration {
-        self.age + now.since(self.at)
-    }
-
-    /// Takes in that one of the others is heard.
-    fn take(&mut self, now: Time, picture: Picture) {
-        let others = picture.boxes.saturating_sub(1 + picture.unheard).max(1) as f64;
-        self.age = self.age_at(now).mul_f64(1.0 - 1.0 / others);
-        self.at = now;
-    }
-}
-
-impl<K> Heard<K> {
-    /// Makes what is known of a box that is heard for the first time.
-    fn new(incarnation: u64, now: Time) -> Heard<K> {
-        Heard { incarnation, at: now, is_complete: false, totals: BTreeMap::new() }
-    }
-}
-
-/// Gives what all boxes together begin with if all start at once.
-fn start_level(tolerance: &Tolerance, limit: Limit) -> f64 {
-    (tolerance.units(limit) * START_SHARE).min(limit.burst)
-}
-
-/// Gives the level up to which a bucket fills.
-fn most_level(share: f64, limit: Limit) -> f64 {
-    (limit.burst * share).max(LEAST_LEVEL)
-}
-
-/// Gives the level that lets a request through. Boxes that don't hear each other would all make a
-/// debt at once: each may do so only by its share of the request.
-fn needed(units: u64, share: f64, limit: Limit) -> f64 {
-    (units as f64 * (1.0 - share)).clamp(LEAST_LEVEL, most_level(share, limit))
-}
-
-/// Gives what of a total was left to a box while it was not heard, and is not to be counted again.
-fn left_to_unheard(limit: Limit, picture: Picture, units: f64, silence: Duration) -> f64 {
-    if silence < UNHEARD_AFTER {
-        return 0.0;
-    }
-    let part = limit.rate * silence.as_secs_f64() / picture.boxes.max(1) as f64;
-    units.clamp(0.0, part)
-}
--- /dev/null
+++ b/crates/hollyspoke/src/quota/bucket.rs
@@ -0,0 +1,258 @@
+//! One customer's bucket at one box.
+
+use std::time::Duration;
+
+use super::{Account, Limit, Picture, Tolerance};
+use crate::time::{Time, seconds};
+
+/// The level from which on a request passes at boxes that all hear each other, in units. One that
+/// is larger than what is left passes too and leaves a debt, so that small requests can't starve
+/// large ones.
+const LEAST_LEVEL: f64 = 1.0;
+
+/// The share of the tolerance that a bucket starts with at the start of its box, up to the burst.
+/// All boxes may start at once, and twice within a window; each time the customer gets this part
+/// anew.
+const START_SHARE: f64 = 0.33;
+
+/// How long a box that has just started takes its levels from the others: they have the history
+/// that it lacks.
+const YOUNG_FOR: Duration = Duration::from_secs(3);
+
+/// How often a total that has changed is told, so that it arrives although messages are lost. Where
+/// 3 in 100 are lost, two in a row are one in 1,100; all totals together mend that some seconds later.
+const TOLD_TIMES: u8 = 2;
+
+/// The silence after which a box's next total holds what it let through unheard.
+const UNHEARD_AFTER: Duration = Duration::from_secs(1);
+
+/// The span over which it is measured how fast the others let through for a customer: long against
+/// the time between two heartbeats, short against the window of a bound.
+const PACE_SPAN: Duration = Duration::from_secs(1);
+
+/// The share of a burst that is kept at most for what the others may have let through and not told
+/// yet, so that late news can't stop a customer that is far below its limit.
+const MOST_UNTOLD: f64 = 0.5;
+
+/// What all buckets of a box go by at a time.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct View {
+    /// The time.
+    pub(super) now: Time,
+    /// The boxes.
+    pub(super) picture: Picture,
+    /// How exactly limits are kept.
+    pub(super) tolerance: Tolerance,
+    /// How old the others' last words are in the mean.
+    pub(super) age: Duration,
+}
+
+/// One customer's bucket.
+#[derive(Debug, Clone)]
+pub(super) struct Bucket {
+    /// The limit.
+    limit: Limit,
+    /// What all boxes may still let through.
+    level: f64,
+    /// When the level was last brought up to the time.
+    filled: Time,
+    /// Whether the level was guessed by a young box, and the others may know better.
+    is_guessed: bool,
+    /// What the box has earned for the customer since it started, less what it let through; none
+    /// once others have told the level. A box that starts does not know of debts that it made
+    /// before: it must not make another at once.
+    earned: Option<f64>,
+    /// What the others told of late, which fades over [`PACE_SPAN`].
+    told: f64,
+    /// All units that this box has let through; it wraps.
+    total: u32,
+    /// How often the total is still to be told.
+    telling: u8,
+}
+
+impl View {
+    /// Gives the share of a limit that the heard boxes have together.
+    pub(super) fn share(&self, limit: Limit) -> f64 {
+        self.picture.heard_share(&self.tolerance, limit)
+    }
+}
+
+impl Bucket {
+    /// Makes the bucket of a customer that a box has not seen since its start.
+    pub(super) fn new(limit: Limit, view: &View) -> Bucket {
+        let share = view.share(limit);
+        let age = view.now.since(Time::ZERO);
+        let earned = limit.rate * share * age.as_secs_f64();
+        let level = earned + start_level(&view.tolerance, limit) * share;
+        let mut bucket = Bucket {
+            limit,
+            level,
+            filled: view.now,
+            is_guessed: age < YOUNG_FOR,
+            earned: Some(level),
+            told: 0.0,
+            total: 0,
+            telling: 0,
+        };
+        bucket.fill(view);
+        bucket
+    }
+
+    /// Brings the level up to a time.
+    pub(super) fn fill(&mut self, view: &View) {
+        let share = view.share(self.limit);
+        let span = view.now.since(self.filled).as_secs_f64();
+        let earned = self.limit.rate * share * span;
+        self.told *= (-span / PACE_SPAN.as_secs_f64()).exp();
+        self.level = (self.level + earned).min(most_level(share, self.limit));
+        self.earned = self.earned.map(|it| it + earned);
+        self.filled = view.now;
+    }
+
+    /// Takes the limit of a new configuration.
+    pub(super) fn set_limit(&mut self, limit: Limit, view: &View) {
+        self.limit = limit;
+        self.fill(view);
+    }
+
+    /// Takes that more boxes or fewer are heard.
+    pub(super) fn see(&mut self, old: &View, new: &View) {
+        self.fill(old);
+        self.share_start(old, new);
+        let part = new.picture.heard_part() / old.picture.heard_part();
+        self.told *= part.min(1.0);
+    }
+
+    /// Lets a request through.
+    ///
+    /// # Errors
+    ///
+    /// The time after which there is enough.
+    pub(super) fn take(&mut self, units: u64, view: &View) -> Result<(), Duration> {
+        let missing = self.missing(units, view);
+        if missing > 0.0 {
+            return Err(seconds(missing / (self.limit.rate * view.share(self.limit))));
+        }
+        self.change(units as f64);
+        self.total = self.total.wrapping_add(units as u32);
+        self.telling = TOLD_TIMES;
+        Ok(())
+    }
+
+    /// Gives back what was taken for a request that has not run.
+    pub(super) fn give_back(&mut self, units: u64) {
+        self.change(-(units as f64));
+        self.total = self.total.wrapping_sub(units as u32);
+        self.telling = TOLD_TIMES;
+    }
+
+    /// Takes in what another box has let through since it told before, and after which silence. A
+    /// bucket that is new was full until now, so that this is all that is missing.
+    pub(super) fn hear(&mut self, units: f64, level: Option<i32>, silence: Duration, view: &View) {
+        if self.is_guessed_at(view.now)
+            && let Some(level) = level
+        {
+            self.is_guessed = false;
+            self.earned = None;
+            self.level = f64::from(level) - f64::from(self.total);
+            return;
+        }
+        self.told += units;
+        self.level -= units - left_to_unheard(self.limit, view.picture, units, silence);
+    }
+
+    /// Gives what a customer may still use.
+    pub(super) fn level(&self) -> f64 {
+        self.level
+    }
+
+    /// Tells whether the box has let anything through that others may have to hear.
+    pub(super) fn is_used(&self) -> bool {
+        self.total != 0 || self.telling > 0
+    }
+
+    /// Tells whether there is a change that others must hear soon, since less than half of the
+    /// burst is left.
+    pub(super) fn is_urgent(&self) -> bool {
+        self.telling == TOLD_TIMES && self.level < self.limit.burst * 0.5
+    }
+
+    /// Tells whether a change is to be told now, and counts that it is.
+    pub(super) fn take_telling(&mut self) -> bool {
+        let is_untold = self.telling > 0;
+        self.telling = self.telling.saturating_sub(1);
+        is_untold
+    }
+
+    /// Gives the units that are missing for a request to pass.
+    fn missing(&self, units: u64, view: &View) -> f64 {
+        let share = view.share(self.limit);
+        let owed = units as f64 * (1.0 - share);
+        let needed = needed(units, share, self.limit) + self.untold(share, view.age);
+        // A full bucket is enough where others go on telling; alone, what they told soon fades.
+        let is_alone = view.picture.unheard + 1 >= view.picture.boxes;
+        let most = if is_alone { f64::INFINITY } else { most_level(share, self.limit) };
+        let of_level = needed.min(most) - self.level;
+        let of_earned = self.earned.map_or(0.0, |it| owed - it);
+        of_level.max(of_earned).max(0.0)
+    }
+
+    /// Gives what the others have let through and not told yet if they go on as before.
+    fn untold(&self, share: f64, age: Duration) -> f64 {
+        let pace = self.told / PACE_SPAN.as_secs_f64();
+        let most = self.limit.burst * share * MOST_UNTOLD;
+        (pace * age.as_secs_f64()).clamp(0.0, most)
+    }
+
+    /// Adds what a bucket of a box that has just started has from the boxes that it hears since.
+    fn share_start(&mut self, old: &View, new: &View) {
+        let more = new.share(self.limit) - old.share(self.limit);
+        if self.is_guessed_at(new.now) && more > 0.0 {
+            let start = start_level(&new.tolerance, self.limit) * more;
+            self.level += start;
+            self.earned = self.earned.map(|it| it + start);
+        }
+    }
+
+    /// Tells whether the level is no more than a guess of a box that has just started.
+    fn is_guessed_at(&self, now: Time) -> bool {
+        self.is_guessed && now.since(Time::ZERO) < YOUNG_FOR
+    }
+
+    /// Takes units away.
+    fn change(&mut self, units: f64) {
+        self.level -= units;
+        self.earned = self.earned.map(|it| it - units);
+    }
+
+    /// Gives what is told of the bucket.
+    pub(super) fn account<K>(&self, customer: K, now: Time) -> Account<K> {
+        let level = (!self.is_guessed_at(now)).then_some(self.level as i32);
+        Account { customer, total: self.total, level }
+    }
+}
+
+/// Gives what all boxes together begin with if all start at once.
+fn start_level(tolerance: &Tolerance, limit: Limit) -> f64 {
+    (tolerance.units(limit) * START_SHARE).min(limit.burst)
+}
+
+/// Gives the level up to which a bucket fills.
+fn most_level(share: f64, limit: Limit) -> f64 {
+    (limit.burst * share).max(LEAST_LEVEL)
+}
+
+/// Gives the level that lets a request through. Boxes that don't hear each other would all make a
+/// debt at once: each may do so only by its share of the request.
+fn needed(units: u64, share: f64, limit: Limit) -> f64 {
+    (units as f64 * (1.0 - share)).clamp(LEAST_LEVEL, most_level(share, limit))
+}
+
+/// Gives what of a total was left to a box while it was not heard, and is not to be counted again.
+fn left_to_unheard(limit: Limit, picture: Picture, units: f64, silence: Duration) -> f64 {
+    if silence < UNHEARD_AFTER {
+        return 0.0;
+    }
+    let part = limit.rate * silence.as_secs_f64() / picture.boxes.max(1) as f64;
+    units.clamp(0.0, part)
+}
--- a/tests/soak/src/judge/records.rs
+++ b/tests/soak/src/judge/records.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use crate::keys::Caller;
+use crate::malformed::Flaw;
 use crate::observation::{BoxChange, Kind, Micros, Observation, RunEnd, What};
-use crate::rough::Flaw;
 
 /// The end of a run.
 #[derive(Debug, Clone, Copy)]
--- a/tests/soak/src/rough.rs
+++ b/tests/soak/src/malformed.rs
@@ -80,7 +80,7 @@
         for node in 0..cluster.nodes.len() {
             number += 1;
             let flaw = Flaw::ALL.choose(&mut random).copied().unwrap_or(Flaw::Noise);
-            let id = format!("{seed:x}-rough-{number:06}");
+            let id = format!("{seed:x}-malformed-{number:06}");
             tokio::task::spawn_local(come(cluster.clone(), node, flaw, id));
         }
         tokio::time::sleep(EVERY.mul_f64(random.random_range(0.5..1.5))).await;
--- a/tests/soak/src/observation.rs
+++ b/tests/soak/src/observation.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::keys::Caller;
-use crate::rough::Flaw;
+use crate::malformed::Flaw;
 
 /// A time of the machine's clock, in microseconds since the Unix epoch: the same for all processes.
 pub type Micros = u64;
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -23,10 +23,10 @@
 use crate::cluster::{Cluster, Size, Upstream, hold, version_path};
 use crate::judge::{Bounds, Finding, judge};
 use crate::keys::{CUSTOMERS, Caller, KEY_MARK, units};
+use crate::malformed;
 use crate::mutant::Mutant;
 use crate::observation::{BoxChange, Kind, Micros, Observation, What, digest, now};
 use crate::peering::{Direction, Disorder};
-use crate::rough;
 use crate::schedule::{Blow, Fault, Planned};
 use crate::standin::engine::Command;
 use crate::standin::store::{self, Mood};
@@ -113,7 +113,7 @@
     }
     let probing = tokio::task::spawn_local(probe(cluster.clone(), shared.clone()));
     let sampling = tokio::task::spawn_local(sample(cluster.clone()));
-    let rough = tokio::task::spawn_local(rough::run(cluster.clone(), plan.seed));
+    let malformed = tokio::task::spawn_local(malformed::run(cluster.clone(), plan.seed));
     tokio::task::spawn_local(strike(cluster.clone(), plan.clone()));
     if let Some(mutant) = plan.mutant {
         tokio::task::spawn_local(commit(cluster.clone(), mutant));
@@ -122,7 +122,7 @@
     collect(&mut seen, &mut observations, plan.length, &cluster).await;
     shared.goes_on.set(false);
     probing.abort();
-    rough.abort();
+    malformed.abort();
     collect(&mut seen, &mut observations, DRAINED_AFTER, &cluster).await;
     look_for_runs(&cluster).await;
     look_at_metrics(&cluster).await;
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -2,10 +2,10 @@
 
 use hollyspoke_soak::judge::{Bounds, Finding, Promise, judge};
 use hollyspoke_soak::keys::Caller;
+use hollyspoke_soak::malformed::Flaw;
 use hollyspoke_soak::observation::{
     BoxChange, Kind, MILLISECOND, Micros, Observation, RunEnd, SECOND, What, digest,
 };
-use hollyspoke_soak::rough::Flaw;
 
 /// The body of all requests.
 const BODY: &[u8] = b"body";
