Clients refused by a box that has heard nobody yet come back after 0.25 s

It has heard the first of them after 0.1 to 0.4 s.

Change: in the first second, until somebody is heard, the time told is 0.25 s and a spread.

Tests: nobody_heard_yet failed first (10 s).

--- a/crates/hollyspoke-gateway/src/gateway/customer.rs
+++ b/crates/hollyspoke-gateway/src/gateway/customer.rs
@@ -18,6 +18,10 @@
 /// a version within some tens of milliseconds of each other.
 const BEHIND_RETRY: Duration = Duration::from_millis(250);
 
+/// When a client may come back whose customer's limit is all but used up for a box that has just
+/// started and heard nobody yet. Boxes that start at once hear the first after 0.1 to 0.4 s.
+const UNHEARD_RETRY: Duration = Duration::from_millis(250);
+
 /// How often a box looks which others it hears, before it goes by a customer's limit: a small part
 /// of the silence after which a heartbeat is overdue.
 const SEE_EVERY: Duration = Duration::from_millis(50);
@@ -104,6 +108,7 @@
         let Some(proof) = Trace::clean().not_run() else { return };
         let spread = (self.draw() % 1000) as f64 / 1000.0;
         let (least, most) = RETRY_BOUNDS;
+        let wait = if self.members.seeks(self.now) { UNHEARD_RETRY } else { wait };
         let wait = wait.mul_f64(1.0 + RETRY_SPREAD * spread).clamp(least, most);
         self.note_refusal(request, "over limit", Some(customer));
         self.effects.push(Effect::Refuse(key, Refusal::OverLimit(proof, wait)));
--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -345,8 +345,9 @@
         audience
     }
 
-    /// Tells whether no box was ever heard, and the seeds are still asked often.
-    fn seeks(&self, now: Time) -> bool {
+    /// Tells whether no box was ever heard, and the seeds are still asked often: the first second
+    /// after the start.
+    pub fn seeks(&self, now: Time) -> bool {
         let is_early = self.first_greeting.is_none_or(|it| now.since(it) < SEEK_FOR);
         is_early && self.peers.is_empty() && !self.greeted.is_empty()
     }
--- a/tests/tests/gateway_shares.rs
+++ b/tests/tests/gateway_shares.rs
@@ -59,7 +59,6 @@
     };
     let configuration = configuration(1).with_customers(Customers::new(vec![customer]));
     world.event(Event::Configured(Arc::new(configuration)));
-    world.pass(Duration::from_secs(2));
     world
 }
 
@@ -68,6 +67,14 @@
     Request { credential: Some(KeyDigest::of(KEY)), ..request("once") }
 }
 
+/// Has a request of the customer refused; gives the time after which it may come back.
+fn over_limit(world: &mut World) -> Duration {
+    match only_refusal(&world.arrive(keyed()).1) {
+        Refusal::OverLimit(_, wait) => wait,
+        other => panic!("{other:?}"),
+    }
+}
+
 /// A box that starts in a part that is cut off learns from the boxes there how many there are, and
 /// tells those that start after it.
 #[test]
@@ -114,9 +121,26 @@
 /// A box that has heard nobody although others are named takes a part that is surely small.
 #[test]
 fn nobody_heard() {
+    let settled = |seeds: &[u8], boxes| {
+        let mut world = lonely(seeds, boxes);
+        world.pass(Duration::from_secs(2));
+        world
+    };
+    let wait = over_limit(&mut settled(&[2, 3], None));
+    assert_eq!(wait, Duration::from_secs(10));
+    settled(&[], None).sent(keyed());
+    settled(&[2, 3], Some(1)).sent(keyed());
+}
+
+/// A box that has just started hears others within some tenths of a second: clients that it refuses
+/// meanwhile are told to come back then.
+#[test]
+fn nobody_heard_yet() {
     let mut world = lonely(&[2, 3], None);
-    let refusal = only_refusal(&world.arrive(keyed()).1);
-    assert!(matches!(refusal, Refusal::OverLimit(..)), "{refusal:?}");
-    lonely(&[], None).sent(keyed());
-    lonely(&[2, 3], Some(1)).sent(keyed());
+    world.pass(Duration::from_millis(50));
+    let wait = over_limit(&mut world);
+    assert!((250..=400).contains(&wait.as_millis()), "{wait:?}");
+    world.event(Event::Heard(beat(2, 1, 2)));
+    world.pass(Duration::from_millis(300));
+    world.sent(keyed());
 }
