Soak: how faults are brought about is a module of its own

Cause: `run.rs` had grown to 666 lines with two jobs, the course of a run and the bringing of its faults.

Change: `faults.rs` brings the faults of a schedule and takes them away; `run.rs` is left with the course of a run (309 lines). Moved as it stood; a striking task is given the seed and the faults it needs, not the whole plan.

--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod client;
 pub mod cluster;
+pub mod faults;
 pub mod judge;
 pub mod keys;
 pub mod malformed;
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -12,37 +12,24 @@
 use http::header::HOST;
 use http_body_util::{BodyExt, Full};
 use nix::sys::signal::Signal;
-use rand::seq::IndexedRandom;
-use rand::{Rng, SeedableRng};
-use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::client::{self, Shared};
-use crate::cluster::{Cluster, Size, Upstream, hold, version_path};
+use crate::cluster::{Cluster, Size, Upstream, version_path};
+use crate::faults::{strike, tell_all};
 use crate::judge::{Bounds, Finding, judge};
 use crate::keys::{CUSTOMERS, Caller, KEY_MARK, units};
 use crate::malformed;
 use crate::mutant::Mutant;
-use crate::observation::{BoxChange, Kind, Micros, Observation, What, digest, now};
-use crate::peering::{Direction, Disorder};
-use crate::schedule::{Blow, Fault, Planned};
-use crate::standin::engine::{Command, Telling};
-use crate::standin::store::{self, Mood};
+use crate::observation::{BoxChange, Kind, Observation, What, digest, now};
+use crate::schedule::{Fault, Planned};
+use crate::standin::engine::Command;
 
 /// How long boxes may take to be ready.
 const READY_WITHIN: Duration = Duration::from_secs(20);
 
-/// How long a killed box stays down.
-const DOWN_FOR: Duration = Duration::from_millis(400);
-
-/// How long an entry stays whose upstream is gone: three heartbeats of 1.2 s.
-const LAPSES_AFTER: Duration = Duration::from_millis(3600);
-
-/// How long an upstream that drains still serves.
-const DRAINS_FOR: Duration = Duration::from_secs(3);
-
 /// How long an engine takes to change its stage, and its entry to show it.
 const SWITCHES_AFTER: Duration = Duration::from_millis(1700);
 
@@ -58,12 +45,6 @@
 /// How long the boxes may take to stop at the end.
 const STOP_WITHIN: Duration = Duration::from_secs(10);
 
-/// How long the holder of the lease is waited for that is to be struck.
-const HOLDS_WITHIN: Duration = Duration::from_secs(6);
-
-/// How long a holder stands still or is cut off: longer than its lease, so that another one follows.
-const BLOW_FOR: Duration = Duration::from_millis(3500);
-
 /// What a run is to do.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -114,7 +95,7 @@
     let probing = tokio::task::spawn_local(probe(cluster.clone(), shared.clone()));
     let sampling = tokio::task::spawn_local(sample(cluster.clone()));
     let malformed = tokio::task::spawn_local(malformed::run(cluster.clone(), plan.seed));
-    tokio::task::spawn_local(strike(cluster.clone(), plan.clone()));
+    tokio::task::spawn_local(strike(cluster.clone(), plan.seed, plan.faults.clone()));
     if let Some(mutant) = plan.mutant {
         tokio::task::spawn_local(commit(cluster.clone(), mutant));
     }
@@ -231,344 +212,6 @@
     }
 }
 
-/// Brings the faults of a plan at their times.
-async fn strike(cluster: Rc<Cluster>, plan: Plan) {
-    let begun = Instant::now();
-    let mut random = Pcg64Mcg::seed_from_u64(plan.seed ^ 0x5EED);
-    for planned in plan.faults {
-        tokio::time::sleep_until(begun + planned.at).await;
-        cluster.see(What::Fault { name: planned.fault.to_string(), span: span(planned.fault) });
-        let (cluster, seed) = (cluster.clone(), random.random());
-        tokio::task::spawn_local(async move {
-            let mut random = Pcg64Mcg::seed_from_u64(seed);
-            if let Err(error) = bring(&cluster, planned.fault, &mut random).await {
-                report(&error);
-            }
-        });
-    }
-}
-
-/// Tells of a fault that could not be brought.
-#[expect(clippy::print_stderr, reason = "whoever reads the run's output must know")]
-fn report(error: &eyre::Report) {
-    eprintln!("a fault could not be brought: {error:#}");
-}
-
-/// Gives how long a fault lasts, for the report.
-fn span(fault: Fault) -> Micros {
-    let span = match fault {
-        Fault::Pause { span, .. }
-        | Fault::Store { span, .. }
-        | Fault::CutFromStore { span, .. }
-        | Fault::EnginePause { span }
-        | Fault::LoseAnswers { span, .. }
-        | Fault::SlowEngine { span, .. }
-        | Fault::LyingEngine { span, .. }
-        | Fault::HoldLinks { span }
-        | Fault::Datagrams { span, .. }
-        | Fault::Split { span, .. } => span,
-        Fault::Kill { .. } | Fault::KillAll | Fault::StrikeHolder { blow: Blow::Kill, .. } => {
-            DOWN_FOR
-        }
-        Fault::StrikeHolder { .. } => BLOW_FOR,
-        Fault::Stop { count, gap } => gap * count as u32,
-        Fault::EngineCrash => LAPSES_AFTER,
-        Fault::Drain => DRAINS_FOR,
-        Fault::ResetLinks { .. } | Fault::MuteLinks { .. } | Fault::Configure => Duration::ZERO,
-    };
-    micros(span)
-}
-
-/// Gives a span in microseconds.
-fn micros(span: Duration) -> Micros {
-    u64::try_from(span.as_micros()).unwrap_or(Micros::MAX)
-}
-
-/// Brings one fault, and takes it away again.
-async fn bring(cluster: &Rc<Cluster>, fault: Fault, random: &mut Pcg64Mcg) -> eyre::Result<()> {
-    match fault {
-        Fault::Kill { count } => kill(cluster, &some_nodes(cluster, count, random)).await,
-        Fault::KillAll => kill_all(cluster).await,
-        Fault::StrikeHolder { blow, after } => strike_holder(cluster, blow, after).await,
-        Fault::Pause { count, span } => {
-            pause(cluster, &some_nodes(cluster, count, random), span).await;
-            Ok(())
-        }
-        Fault::Stop { count, gap } => {
-            stop_in_turn(cluster, &some_nodes(cluster, count, random), gap).await
-        }
-        Fault::Store { mood, span } => {
-            disturb_store(cluster, mood, span).await;
-            Ok(())
-        }
-        Fault::CutFromStore { count, span } => {
-            cut_from_store(cluster, &some_nodes(cluster, count, random), span).await;
-            Ok(())
-        }
-        Fault::HoldLinks { span } => {
-            hold_links(cluster, span, random).await;
-            Ok(())
-        }
-        Fault::Datagrams { disorder, span } => {
-            cluster.peering.set(disorder);
-            tokio::time::sleep(span).await;
-            cluster.peering.set(Disorder::default());
-            Ok(())
-        }
-        Fault::Split { count, direction, span } => {
-            split(cluster, &some_nodes(cluster, count, random), direction, span).await;
-            Ok(())
-        }
-        Fault::ResetLinks { share } => {
-            reset_links(cluster, share);
-            Ok(())
-        }
-        Fault::MuteLinks { share } => {
-            mute_links(cluster, share);
-            Ok(())
-        }
-        Fault::Configure => {
-            cluster.configure().await;
-            Ok(())
-        }
-        Fault::EngineCrash => crash(cluster, random).await,
-        Fault::Drain => drain(cluster, random).await,
-        Fault::EnginePause { span } => {
-            let Some(upstream) = one_upstream(cluster, random) else { return Ok(()) };
-            cluster.signal_upstream(&upstream, Signal::SIGSTOP);
-            tokio::time::sleep(span).await;
-            cluster.signal_upstream(&upstream, Signal::SIGCONT);
-            Ok(())
-        }
-        Fault::LoseAnswers { share, span } => {
-            tell_all(cluster, Command::Lose(share));
-            tokio::time::sleep(span).await;
-            tell_all(cluster, Command::Lose(0));
-            Ok(())
-        }
-        Fault::LyingEngine { telling, span } => {
-            let Some(upstream) = one_upstream(cluster, random) else { return Ok(()) };
-            cluster.tell_upstream(&upstream, Command::Tell(telling));
-            tokio::time::sleep(span).await;
-            cluster.tell_upstream(&upstream, Command::Tell(Telling::Truth));
-            Ok(())
-        }
-        Fault::SlowEngine { times, span } => {
-            let Some(upstream) = one_upstream(cluster, random) else { return Ok(()) };
-            cluster.tell_upstream(&upstream, Command::Slow(times));
-            tokio::time::sleep(span).await;
-            cluster.tell_upstream(&upstream, Command::Slow(1));
-            Ok(())
-        }
-    }
-}
-
-/// Notes that boxes are disturbed.
-fn disturb(cluster: &Cluster, nodes: &[usize]) {
-    for &node in nodes {
-        cluster.changed(node, BoxChange::Disturbed);
-    }
-}
-
-/// Draws some boxes.
-fn some_nodes(cluster: &Cluster, count: usize, random: &mut Pcg64Mcg) -> Vec<usize> {
-    let all: Vec<_> = (0..cluster.nodes.len()).collect();
-    all.choose_multiple(random, count).copied().collect()
-}
-
-/// Draws an upstream that does not drain.
-fn one_upstream(cluster: &Cluster, random: &mut Pcg64Mcg) -> Option<Rc<Upstream>> {
-    let upstreams = cluster.upstreams.borrow();
-    let staying: Vec<_> = upstreams.iter().filter(|it| !it.is_draining.get()).collect();
-    staying.choose(random).map(|it| Rc::clone(it))
-}
-
-/// Kills boxes and starts them again.
-async fn kill(cluster: &Rc<Cluster>, nodes: &[usize]) -> eyre::Result<()> {
-    for &node in nodes {
-        cluster.changed(node, BoxChange::Killed);
-        cluster.signal(node, Signal::SIGKILL);
-    }
-    tokio::time::sleep(DOWN_FOR).await;
-    for &node in nodes {
-        cluster.ended(node).await;
-        cluster.start_node(node)?;
-    }
-    Ok(())
-}
-
-/// Kills all boxes and starts them again, unless they are to stay down.
-async fn kill_all(cluster: &Rc<Cluster>) -> eyre::Result<()> {
-    let all: Vec<_> = (0..cluster.nodes.len()).collect();
-    if cluster.has(Mutant::StaysDown) {
-        for &node in &all {
-            cluster.changed(node, BoxChange::Killed);
-            cluster.signal(node, Signal::SIGKILL);
-        }
-    } else {
-        kill(cluster, &all).await?;
-    }
-    cluster.see(What::AllRestarted);
-    Ok(())
-}
-
-/// Strikes the box that gives the next order, some time after it; none if no order comes soon.
-async fn strike_holder(cluster: &Rc<Cluster>, blow: Blow, after: Duration) -> eyre::Result<()> {
-    let mut holder = cluster.holder.subscribe();
-    if !matches!(tokio::time::timeout(HOLDS_WITHIN, holder.changed()).await, Ok(Ok(()))) {
-        return Ok(());
-    }
-    let name = holder.borrow_and_update().clone();
-    let Some(node) = cluster.holder_node(&name) else { return Ok(()) };
-    tokio::time::sleep(after).await;
-    match blow {
-        Blow::Kill => kill(cluster, &[node]).await?,
-        Blow::Pause => pause(cluster, &[node], BLOW_FOR).await,
-        Blow::Cut => split(cluster, &[node], Direction::Both, BLOW_FOR).await,
-    }
-    Ok(())
-}
-
-/// Cuts boxes off from the others for a span.
-async fn split(cluster: &Cluster, nodes: &[usize], direction: Direction, span: Duration) {
-    disturb(cluster, nodes);
-    let cut = cluster.peering.cut(nodes, direction);
-    tokio::time::sleep(span).await;
-    cluster.peering.heal(cut);
-    disturb(cluster, nodes);
-}
-
-/// Has boxes stand still.
-async fn pause(cluster: &Rc<Cluster>, nodes: &[usize], span: Duration) {
-    for &node in nodes {
-        cluster.changed(node, BoxChange::Paused);
-        cluster.signal(node, Signal::SIGSTOP);
-    }
-    tokio::time::sleep(span).await;
-    for &node in nodes {
-        cluster.signal(node, Signal::SIGCONT);
-        cluster.changed(node, BoxChange::Resumed);
-    }
-}
-
-/// Stops boxes in turn and starts each again when it has ended.
-async fn stop_in_turn(cluster: &Rc<Cluster>, nodes: &[usize], gap: Duration) -> eyre::Result<()> {
-    let mut restarts = Vec::new();
-    for &node in nodes {
-        if cluster.signal(node, Signal::SIGTERM) {
-            cluster.changed(node, BoxChange::Terminated);
-        }
-        let cluster = cluster.clone();
-        restarts.push(tokio::task::spawn_local(async move {
-            if cluster.has(Mutant::CutsOnStop) {
-                tokio::time::sleep(Duration::from_millis(30)).await;
-                cluster.signal(node, Signal::SIGKILL);
-            }
-            cluster.ended(node).await;
-            tokio::time::sleep(DOWN_FOR).await;
-            cluster.start_node(node)
-        }));
-        tokio::time::sleep(gap).await;
-    }
-    for restart in restarts {
-        restart.await??;
-    }
-    Ok(())
-}
-
-/// Has the store behave differently for a span.
-async fn disturb_store(cluster: &Rc<Cluster>, mood: Mood, span: Duration) {
-    cluster.see(What::StoreDisturbed { span: micros(span) });
-    cluster.command(&store::Command::Mood(mood)).await;
-    tokio::time::sleep(span).await;
-    cluster.command(&store::Command::Mood(Mood::Well)).await;
-}
-
-/// Holds what passes from boxes to the store and back.
-async fn cut_from_store(cluster: &Cluster, nodes: &[usize], span: Duration) {
-    let ways: Vec<_> = nodes.iter().map(|&it| &cluster.nodes[it].store).collect();
-    disturb(cluster, nodes);
-    hold(&ways, true);
-    tokio::time::sleep(span).await;
-    hold(&ways, false);
-    disturb(cluster, nodes);
-}
-
-/// Holds what passes to one box's front, or to one upstream.
-async fn hold_links(cluster: &Rc<Cluster>, span: Duration, random: &mut Pcg64Mcg) {
-    if random.random_bool(0.5) {
-        for node in some_nodes(cluster, 1, random) {
-            cluster.changed(node, BoxChange::Disturbed);
-            hold(&[&cluster.nodes[node].front], true);
-            tokio::time::sleep(span).await;
-            hold(&[&cluster.nodes[node].front], false);
-            cluster.changed(node, BoxChange::Disturbed);
-        }
-        return;
-    }
-    if let Some(upstream) = one_upstream(cluster, random) {
-        hold(&[&upstream.proxy], true);
-        tokio::time::sleep(span).await;
-        hold(&[&upstream.proxy], false);
-    }
-}
-
-/// Resets a share of all connections.
-fn reset_links(cluster: &Cluster, share: u64) {
-    for (index, node) in cluster.nodes.iter().enumerate() {
-        cluster.changed(index, BoxChange::Disturbed);
-        node.front.reset(share);
-        node.store.reset(share);
-    }
-    for upstream in cluster.upstreams.borrow().iter() {
-        upstream.proxy.reset(share);
-    }
-}
-
-/// Has a share of all connections go silent for good.
-fn mute_links(cluster: &Cluster, share: u64) {
-    for (index, node) in cluster.nodes.iter().enumerate() {
-        cluster.changed(index, BoxChange::Disturbed);
-        node.front.mute(share);
-        node.store.mute(share);
-    }
-    for upstream in cluster.upstreams.borrow().iter() {
-        upstream.proxy.mute(share);
-    }
-}
-
-/// Kills an upstream; another one comes, and its entry lapses.
-async fn crash(cluster: &Rc<Cluster>, random: &mut Pcg64Mcg) -> eyre::Result<()> {
-    let Some(upstream) = one_upstream(cluster, random) else { return Ok(()) };
-    cluster.kill_upstream(&upstream);
-    let stage = upstream.stage.borrow().clone();
-    tokio::time::sleep(DOWN_FOR).await;
-    cluster.start_upstream(stage.as_deref()).await?;
-    tokio::time::sleep(LAPSES_AFTER).await;
-    cluster.leave(&upstream).await;
-    Ok(())
-}
-
-/// Has an upstream drain and leave; another one comes first.
-async fn drain(cluster: &Rc<Cluster>, random: &mut Pcg64Mcg) -> eyre::Result<()> {
-    let Some(upstream) = one_upstream(cluster, random) else { return Ok(()) };
-    let stage = upstream.stage.borrow().clone();
-    cluster.start_upstream(stage.as_deref()).await?;
-    upstream.is_draining.set(true);
-    cluster.enter(&upstream).await;
-    tokio::time::sleep(DRAINS_FOR).await;
-    cluster.leave(&upstream).await;
-    cluster.kill_upstream(&upstream);
-    Ok(())
-}
-
-/// Tells all upstreams how to behave.
-fn tell_all(cluster: &Cluster, command: Command) {
-    for upstream in cluster.upstreams.borrow().iter() {
-        cluster.tell_upstream(upstream, command);
-    }
-}
-
 /// Asks the engines how many runs they have after the last client has gone.
 async fn look_for_runs(cluster: &Rc<Cluster>) {
     let upstreams = cluster.upstreams.borrow().clone();
