Repeats are seen: a line for each with what the box went by, and a metric

Cause: a log said which calls failed, not whether a repeat followed, what the box had spent or what the others had told; the hypotheses on the incident could not be told apart.

Change: the lines 'repeat sent' and 'repeat not allowed' with the box's own requests and repeats, the others' as told, and the boxes that the allowance is divided by; the metric hollyspoke_repeats by service. No decision has changed.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -10,7 +10,7 @@
 use crate::customer::Caller;
 use crate::engine::{Engine, Stage};
 use crate::event::{Kind, ToldLoad};
-use crate::message::{Demand, Load, Message};
+use crate::message::{Demand, Load, Message, Spending};
 use crate::ratio::Split;
 use crate::request::{CallKey, FlightKey};
 
@@ -204,6 +204,21 @@
         /// The calls sent before for the request.
         before: u32,
     },
+    /// A request that had come to an engine was to be sent to another one.
+    Repeat {
+        /// The client's id of the request.
+        request: Arc<str>,
+        /// The service.
+        service: Arc<str>,
+        /// Whether the budget allowed it.
+        is_sent: bool,
+        /// What this box had spent within the window, without this one.
+        own: Spending,
+        /// What the others had told of theirs; none if too few were heard.
+        others: Option<Spending>,
+        /// The boxes that the fixed allowance was divided by.
+        boxes: usize,
+    },
     /// A call failed.
     Failed {
         /// The client's id of the request.
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -234,11 +234,15 @@
         let Some(flight) = self.flights.get(&key) else { return false };
         let others = self.members.spending(service_hash(&flight.service.name));
         let Some(budget) = self.budgets.get_mut(&flight.service.name) else { return false };
-        let is_allowed = budget.allows(self.now, &self.settings.bound, nodes, others);
-        if is_allowed {
+        let is_sent = budget.allows(self.now, &self.settings.bound, nodes, others);
+        let own = budget.spending(self.now, &self.settings.bound);
+        if is_sent {
             budget.charge(self.now);
         }
-        is_allowed
+        let request = flight.request.id.clone();
+        let service = flight.service.name.clone();
+        self.note(Note::Repeat { request, service, is_sent, own, others, boxes: nodes });
+        is_sent
     }
 
     /// Tells whether a client has come back with a request: it goes on behind an event, or less
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -28,6 +28,8 @@
     calls: Counter<u64>,
     /// Calls that failed, by how.
     failures: Counter<u64>,
+    /// Requests that were to be sent to one more engine, by service and whether they were.
+    repeats: Counter<u64>,
     /// Tokens of prompts that were sent to be read.
     tokens: Counter<u64>,
     /// The version of the configuration in force.
@@ -73,6 +75,7 @@
             ),
             calls: count("hollyspoke_calls", "calls to engines, by task"),
             failures: count("hollyspoke_call_failures", "failed calls, by how"),
+            repeats: count("hollyspoke_repeats", "repeats wanted, by service and whether sent"),
             tokens: count("hollyspoke_prompt_tokens", "tokens of prompts sent to be read"),
             engines: count("hollyspoke_engine_changes", "engines that changed or left"),
             split: gauge("hollyspoke_engines", "engines by stage at the last change"),
@@ -100,6 +103,10 @@
                     self.tokens.add(*tokens, &[]);
                 }
             }
+            Note::Repeat { service, is_sent, .. } => {
+                let service = KeyValue::new("service", service.clone());
+                self.repeats.add(1, &[service, KeyValue::new("sent", *is_sent)]);
+            }
             Note::Failed { how, .. } => self.failures.add(1, &[KeyValue::new("how", *how)]),
             Note::Configured { version, .. } => self.version.record(*version, &[]),
             Note::Engine { .. } | Note::EngineLeft { .. } => self.engines.add(1, &[]),
