Readings that are turned away count, and calls that are held up: two more tests of repeats

A reading after a run that failed was not charged when it was turned away: with the code before the mend sixteen repeats in a window that allowed thirteen (readings_turned_away_count, run on: 1.23 of the bound); with the mend it passes.

--- a/tests/tests/gateway_repeats.rs
+++ b/tests/tests/gateway_repeats.rs
@@ -1,11 +1,22 @@
 //! How often requests are sent to one more engine, at one box and over all of them.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use hollyspoke_gateway::effect::{Effect, Note};
+use hollyspoke_gateway::budget::Bound;
+use hollyspoke_gateway::effect::{Effect, Note, Task};
+use hollyspoke_gateway::engine::EngineKey;
 use hollyspoke_gateway::event::{CallEvent, Event};
+use hollyspoke_gateway::gateway::{Gateway, Settings};
+use hollyspoke_gateway::message::{Knowledge, Message};
+use hollyspoke_gateway::prompt::{Kept, PromptKey};
+use hollyspoke_gateway::request::Request;
 use hollyspoke_tests::fleet::{BOUND, Behaviour, Fleet};
-use hollyspoke_tests::gateway::{MODEL, PLAIN, World, ran, request};
+use hollyspoke_tests::gateway::{
+    MODEL, PLAIN, World, configuration, engines, heartbeat, only_send, ran, request, settings,
+    turned_away,
+};
+use hollyspoke_tests::repeats::{Arrival, Asked, Records};
 
 /// Has a safe request fail at its first engine and succeed at the next, if there is one; gives
 /// whether it was sent to another one, as the log tells.
@@ -160,3 +171,65 @@
         fleet.run(LASTS);
     });
 }
+
+/// A repeat counts when it arrives. Calls that are held up on the way for a second arrive with those
+/// that are sent later: 3 s of that used 1.01 of the bound before boxes left a margin for it.
+#[test]
+fn repeats_bounded_with_held_calls() {
+    let held = Duration::from_secs(1);
+    check_bound("calls held up at the start", |fleet| {
+        for number in 0..6 {
+            fleet.hold_calls(number, held);
+        }
+        fleet.run(LASTS);
+    });
+    check_bound("calls held up later, while boxes stand still", |fleet| {
+        fleet.run(Duration::from_secs(9));
+        for number in 0..6 {
+            fleet.hold_calls(number, held);
+            fleet.run(Duration::from_millis(100));
+            fleet.hold(number, held);
+        }
+        fleet.run(LASTS);
+    });
+}
+
+/// The first reading of a prompt is free if an engine takes it up. One that was turned away after
+/// the request had failed at another engine was not charged either: `call sent` with `task=read` and
+/// `before=1`, then `call failed how="turned away"`, and no `repeat sent` between them. Forty
+/// requests in a window were repeated sixteen times so, and thirteen were allowed.
+#[test]
+fn readings_turned_away_count() {
+    let bound = Bound { allowance: 5.0, ..BOUND };
+    let mut world = World::new();
+    world.gateway = Gateway::new(Settings { bound, ..settings(1) });
+    world.event(Event::Configured(Arc::new(configuration(1))));
+    world.event(Event::Listed(engines(), 10));
+    let mut records = Records::default();
+    for number in 0..80 {
+        world.pass(Duration::from_millis(250));
+        world.event(keeper_told(number));
+        let request = Request { prompt: Some(PromptKey(7)), ..request("resumed") };
+        records.asked.push(Asked { service: MODEL, at: world.now });
+        let (flight, mut effects) = world.arrive(request);
+        while effects.iter().any(|it| matches!(it, Effect::Send(_))) {
+            records.arrivals.push(Arrival {
+                service: MODEL,
+                flight: (0, 0, flight.0),
+                at: world.now,
+                is_free: false,
+            });
+            let send = only_send(&effects);
+            let answer = if send.task == Task::Read { turned_away() } else { ran(500) };
+            effects = world.call(send.call, CallEvent::Answered(answer));
+        }
+    }
+    let used = records.bound_used(MODEL, &bound);
+    assert!(used <= 1.0, "{used:.3} of the bound, {} repeats", records.repeat_count(MODEL));
+}
+
+/// Gives the word of another box that an engine keeps the prompt.
+fn keeper_told(number: u64) -> Event {
+    let kept = vec![Kept { prompt: PromptKey(7), engine: EngineKey::of("engine-21") }];
+    Event::Heard(Message { kept, ..heartbeat(2, number + 1, Knowledge::default()) })
+}
