Drawn loads and faults keep the bound on repeats; full starts are caught

Change: tests only. Buckets alone: any requests, repeats, pauses and starts at four boxes stay within 0.91 of the bound, and buckets that are full at each start do not. Six boxes under drawn restarts, stops, cuts, stand-stills, held-up calls, lost and late datagrams, failing engines and bursts stay within the bound.

--- /dev/null
+++ b/tests/tests/repeats_drawn.rs
@@ -0,0 +1,203 @@
+//! The bound on repeats under drawn loads and faults: buckets alone, and whole boxes.
+
+use std::time::Duration;
+
+use hollyspoke::time::Time;
+use hollyspoke_gateway::budget::{Budget, Part};
+use hollyspoke_tests::fleet::{BOUND, Behaviour, Fleet};
+use hollyspoke_tests::gateway::{MODEL, PLAIN};
+use hollyspoke_tests::repeats::{Arrival, Asked, Records};
+use proptest::prelude::*;
+
+/// What happens to the buckets of several boxes.
+#[derive(Debug, Clone, Copy)]
+enum Act {
+    /// Requests arrive at a box.
+    Requests(usize, u8),
+    /// A box wants to repeat.
+    Repeats(usize, u8),
+    /// Time passes, in milliseconds.
+    Pass(u16),
+    /// A box starts anew.
+    Restart(usize),
+}
+
+/// How a box starts anew.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Start {
+    /// With an empty bucket.
+    Empty,
+    /// With a full one: a mistake to be caught.
+    Full,
+}
+
+/// The boxes whose buckets are drawn.
+const BOXES: usize = 4;
+
+/// Draws what happens.
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        (0..BOXES, 1..60u8).prop_map(|(number, count)| Act::Requests(number, count)),
+        (0..BOXES, 1..60u8).prop_map(|(number, count)| Act::Repeats(number, count)),
+        (1..3000u16).prop_map(Act::Pass),
+        (0..BOXES).prop_map(Act::Restart),
+    ]
+}
+
+/// Gives what a start puts into a bucket.
+fn begin(start: Start, now: Time, part: Part<'_>) -> Budget {
+    let mut budget = Budget::default();
+    if start == Start::Full {
+        for _ in 0..1000 {
+            budget.arrive(now, part);
+        }
+    }
+    budget
+}
+
+/// Plays what was drawn on buckets; gives the share of the bound that was used.
+fn play(acts: &[Act], start: Start) -> f64 {
+    let part = Part { bound: &BOUND, boxes: BOXES };
+    let mut now = Time::from_millis(1);
+    let mut lives: Vec<_> = (0..BOXES).map(|_| (now, begin(start, Time::ZERO, part))).collect();
+    let mut records = Records::default();
+    // All calls are of one request, which has come to an engine already.
+    let call = Arrival { service: PLAIN, flight: (0, 0, 0), at: Time::ZERO, is_free: false };
+    records.arrivals.push(call);
+    for &act in acts {
+        match act {
+            Act::Requests(number, count) => {
+                let (began, budget) = &mut lives[number];
+                for _ in 0..count {
+                    budget.arrive(Time::ZERO + now.since(*began), part);
+                    records.asked.push(Asked { service: PLAIN, at: now });
+                }
+            }
+            Act::Repeats(number, count) => {
+                let (began, budget) = &mut lives[number];
+                for _ in 0..count {
+                    if budget.take(Time::ZERO + now.since(*began), part) {
+                        records.arrivals.push(Arrival { at: now, ..call });
+                    }
+                }
+            }
+            Act::Pass(span) => now = now + Duration::from_millis(u64::from(span)),
+            Act::Restart(number) => lives[number] = (now, begin(start, Time::ZERO, part)),
+        }
+    }
+    records.bound_used(PLAIN, &BOUND)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+
+    /// Whatever arrives, whoever starts when: all lives of all boxes together stay within the bound.
+    #[test]
+    fn buckets_keep_the_bound(acts in prop::collection::vec(act(), 1..120)) {
+        let used = play(&acts, Start::Empty);
+        prop_assert!(used <= 0.91, "{used}");
+    }
+}
+
+/// Buckets that are full at each start break it, so that the property can fail.
+#[test]
+fn full_starts_are_caught() {
+    let crash_loop: Vec<_> = (0..12)
+        .flat_map(|it| [Act::Restart(it % BOXES), Act::Repeats(it % BOXES, 60), Act::Pass(100)])
+        .collect();
+    assert!(play(&crash_loop, Start::Full) > 1.0);
+    assert!(play(&crash_loop, Start::Empty) <= 0.91);
+}
+
+/// A fault of whole boxes.
+#[derive(Debug, Clone)]
+enum Fault {
+    /// Boxes are killed and start at once.
+    Restart(Vec<usize>),
+    /// A box is told to stop, and starts some time later.
+    Stop(usize),
+    /// Boxes are cut off from the others, and hear each other.
+    Part(Vec<usize>),
+    /// All boxes hear each other.
+    Heal,
+    /// A box stands still, for so many milliseconds.
+    Hold(usize, u64),
+    /// A box's calls are held up.
+    HoldCalls(usize, u64),
+    /// Datagrams are lost, a share of a hundred, or late by milliseconds.
+    Datagrams(u8, u64),
+    /// Engines turn calls away and fail runs, shares of a hundred.
+    Engines(u8, u8),
+    /// So many times the usual traffic arrives.
+    Traffic(u8),
+}
+
+/// The boxes of a fleet.
+const FLEET: usize = 6;
+
+/// Draws a fault.
+fn fault() -> impl Strategy<Value = Fault> {
+    let some = || prop::sample::subsequence((0..FLEET).collect::<Vec<_>>(), 1..=FLEET);
+    prop_oneof![
+        some().prop_map(Fault::Restart),
+        (0..FLEET).prop_map(Fault::Stop),
+        some().prop_map(Fault::Part),
+        Just(Fault::Heal),
+        (0..FLEET, 100..2500u64).prop_map(|(number, span)| Fault::Hold(number, span)),
+        (0..FLEET, 100..800u64).prop_map(|(number, span)| Fault::HoldCalls(number, span)),
+        (0..80u8, 1..1500u64).prop_map(|(lost, late)| Fault::Datagrams(lost, late)),
+        (0..=100u8, 0..=100u8).prop_map(|(turns_away, fails)| Fault::Engines(turns_away, fails)),
+        (1..=3u8).prop_map(Fault::Traffic),
+    ]
+}
+
+/// Brings a fault about.
+fn bring(fleet: &mut Fleet, fault: &Fault) {
+    match fault {
+        Fault::Restart(members) => fleet.restart(members.iter().copied()),
+        Fault::Stop(number) => {
+            fleet.stop(*number);
+            fleet.run(Duration::from_millis(300));
+            fleet.start([*number]);
+        }
+        Fault::Part(members) => fleet.part(members.iter().copied(), 1),
+        Fault::Heal => fleet.part(0..FLEET, 0),
+        Fault::Hold(number, span) => fleet.hold(*number, Duration::from_millis(*span)),
+        Fault::HoldCalls(number, span) => fleet.hold_calls(*number, Duration::from_millis(*span)),
+        Fault::Datagrams(lost, late) => {
+            fleet.lost = f64::from(*lost) / 100.0;
+            fleet.delay_ms = 1..=*late;
+        }
+        Fault::Engines(turns_away, fails) => {
+            let share = |it: u8| f64::from(it) / 100.0;
+            fleet.behaviour = Behaviour { turns_away: share(*turns_away), fails: share(*fails) };
+        }
+        Fault::Traffic(times) => {
+            fleet.traffic.plain = 40.9 * f64::from(*times);
+            fleet.traffic.streams = 18.2 * f64::from(*times);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { max_shrink_iters: 60, ..ProptestConfig::with_cases(8) })]
+
+    /// Six boxes whose engines fail nearly all calls, under drawn faults.
+    #[test]
+    fn boxes_keep_the_bound(
+        seed in 0..1000u64,
+        faults in prop::collection::vec((fault(), 100..3000u64), 1..14),
+    ) {
+        let mut fleet = Fleet::settled(FLEET, seed);
+        fleet.behaviour = Behaviour { turns_away: 0.6, fails: 0.9 };
+        for (fault, pause) in &faults {
+            bring(&mut fleet, fault);
+            fleet.run(Duration::from_millis(*pause));
+        }
+        fleet.run(Duration::from_secs(5));
+        for service in [PLAIN, MODEL] {
+            let used = fleet.records.bound_used(service, &BOUND);
+            prop_assert!(used <= 1.0, "{service}: {used}");
+        }
+    }
+}
