How many boxes live is kept in the store, so that a part that starts at once knows it

Cause: the number of boxes that a bound is divided by came from hearing alone.

Change: the first box writes the number into an object of ours when it has changed (fewer only after a minute); each box that follows the store reads it once in its life, and its heartbeats tell the others. A box that serves has its configuration from the store or from a box that has, so that it hears of the number the same way. Once a box has heard as many itself it goes by its hearing.

Ruled out: counting the named boxes that were never heard: those named by the settings may all lie in the part.

Boxes lost for good without a word keep their part.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -254,6 +254,13 @@
         /// How many live now.
         alive: usize,
     },
+    /// The number of boxes was read from the store, or written.
+    Census {
+        /// The boxes; 0 if the store holds no number.
+        boxes: usize,
+        /// Whether it was written.
+        is_written: bool,
+    },
     /// Many engines changed at once.
     ManyEngines {
         /// Those that were added or changed.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! The reducer: takes an event, passes it to the part concerned, and collects the effects.
 
 mod call;
+mod census;
 mod customer;
 mod end;
 mod handover;
@@ -32,6 +33,7 @@
 use crate::engine::EngineKey;
 use crate::event::Event;
 use crate::flight::{Call, Flight};
+use crate::gateway::census::Census;
 use crate::gateway::peers::{PeerChanges, ToldFar, Untold};
 use crate::gateway::stages::Stages;
 use crate::gateway::store::{EngineChanges, StoreState};
@@ -110,6 +112,8 @@
     budgets: HashMap<Arc<str>, Budget>,
     /// The customers' limits.
     quota: Quota<CustomerKey>,
+    /// How many boxes live by the store.
+    census: Census,
     /// When it is looked again which boxes share them.
     sees_boxes_at: Time,
     /// The longest deadline that clients have given on each route.
@@ -172,6 +176,7 @@
         Gateway {
             members: Members::new(DataCentreKey::of(&settings.data_centre)),
             quota: Quota::new(settings.tolerance),
+            census: Census::default(),
             sees_boxes_at: Time::ZERO,
             settings,
             now: Time::ZERO,
--- a/crates/hollyspoke-gateway/src/gateway/customer.rs
+++ b/crates/hollyspoke-gateway/src/gateway/customer.rs
@@ -174,7 +174,7 @@
     pub(super) fn sharing_boxes(&self) -> usize {
         match self.settings.boxes {
             Some(boxes) => boxes.max(self.members.count(self.now)),
-            None => self.members.most_serving().unwrap_or(MOST_BOXES),
+            None => self.known_boxes().unwrap_or(MOST_BOXES),
         }
     }
 
@@ -222,7 +222,7 @@
 
     /// Gives what is told of limits without any account: how many boxes share them.
     fn bare_usage(&self) -> Usage {
-        let boxes = self.members.most_serving().unwrap_or(0);
+        let boxes = self.known_boxes().unwrap_or(0);
         Usage { boxes: u32::try_from(boxes).unwrap_or(u32::MAX), ..Usage::default() }
     }
 }
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -158,6 +158,7 @@
         self.note_peers();
         self.note_engine_count();
         self.keep_up();
+        self.take_census();
         self.balance();
         let mut message = self.message(true);
         let greeted = self.members.greeting(self.now);
--- a/crates/hollyspoke-gateway/src/gateway/stages.rs
+++ b/crates/hollyspoke-gateway/src/gateway/stages.rs
@@ -199,7 +199,7 @@
     }
 
     /// Tells whether this box is the one to give orders.
-    fn leads(&self) -> bool {
+    pub(super) fn leads(&self) -> bool {
         self.is_ready() && !self.knowledge().is_blind && self.members.is_first(self.settings.peer)
     }
 
@@ -362,6 +362,9 @@
 
     /// Takes the store's answer to an operation.
     pub(super) fn stored(&mut self, number: u64, answer: &Answer) {
+        if self.census_stored(number, answer) {
+            return;
+        }
         let (next, begun) = (self.stages.last_operation + 1, &mut None);
         self.stages.lease.answer(self.now, number, answer, |operation| {
             *begun = Some(operation);
@@ -374,6 +377,13 @@
         }
     }
 
+    /// Begins an operation on the store and gives its number.
+    pub(super) fn begin_operation(&mut self, operation: Operation) -> u64 {
+        let number = self.stages.last_operation + 1;
+        self.begin(number, Some(operation));
+        number
+    }
+
     /// Begins an operation on the store, if there is one.
     fn begin(&mut self, number: u64, operation: Option<Operation>) {
         if let Some(operation) = operation {
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -126,7 +126,7 @@
             }
             Note::OrderEnded { how, .. } => self.orders.add(1, &[KeyValue::new("how", *how)]),
             Note::Lease(token) => self.lease.record(u64::from(token.is_some()), &[]),
-            Note::Ordered { .. } => {}
+            Note::Ordered { .. } | Note::Census { .. } => {}
             Note::Listed { .. } | Note::Avoided { .. } | Note::Follows(_) | Note::Stopping => {}
         }
     }
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -42,6 +42,8 @@
         Note::Peers { heard, silent, alive } => info!(log, "peers changed";
             "heard" => heard.len(), "silent" => silent.len(), "alive" => alive,
             "heard_first" => some(heard), "silent_first" => some(silent)),
+        Note::Census { boxes, is_written } => info!(log, "boxes in the store";
+            "boxes" => boxes, "written" => is_written),
         Note::ManyEngines { put, left } => info!(log, "engines changed";
             "changed" => put, "left" => left),
         Note::Follows(follows) => info!(log, "follows the store"; "follows" => follows),
