Soak: engines leave orders unanswered and carry them out late

Change: the fault DelayOrders, drawn apart from the others: 30 to 100 of 100 orders get no answer and are carried out 2 to 8 s later, unless another was carried out first. An order counts when it comes, as for the users.

--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -65,6 +65,7 @@
         | Fault::LoseAnswers { span, .. }
         | Fault::Storm { span, .. }
         | Fault::SlowEngine { span, .. }
+        | Fault::DelayOrders { span, .. }
         | Fault::LyingEngine { span, .. }
         | Fault::HoldLinks { span }
         | Fault::Datagrams { span, .. }
@@ -148,6 +149,12 @@
             tell_all(cluster, Command::Lose(0));
             Ok(())
         }
+        Fault::DelayOrders { share, span } => {
+            tell_all(cluster, Command::DelayOrders(share));
+            tokio::time::sleep(span).await;
+            tell_all(cluster, Command::DelayOrders(0));
+            Ok(())
+        }
         Fault::LyingEngine { telling, span } => {
             let Some(upstream) = one_upstream(cluster, random) else { return Ok(()) };
             cluster.tell_upstream(&upstream, Command::Tell(telling));
--- a/tests/soak/src/schedule.rs
+++ b/tests/soak/src/schedule.rs
@@ -102,6 +102,13 @@
         /// For how long.
         span: Duration,
     },
+    /// Engines leave orders unanswered and carry them out late.
+    DelayOrders {
+        /// Of a hundred.
+        share: u64,
+        /// For how long.
+        span: Duration,
+    },
     /// An upstream tells a load that it does not have.
     LyingEngine {
         /// What it tells.
@@ -195,6 +202,7 @@
         planned.push(Planned { at: end, fault: Fault::KillAll });
     }
     planned.extend(draw_storm(seed, end));
+    planned.extend(draw_late_orders(seed, end));
     planned.sort_by_key(|it| it.at);
     planned
 }
@@ -212,6 +220,17 @@
     Some(Planned { at, fault: Fault::Storm { refusal, share, losses, span } })
 }
 
+/// Draws the time in which orders are carried out late, apart from the other faults; none in a short
+/// run.
+fn draw_late_orders(seed: u64, end: Duration) -> Option<Planned> {
+    let mut random = Pcg64Mcg::seed_from_u64(seed.rotate_left(17));
+    let share = random.random_range(30..=100);
+    let span = Duration::from_millis(random.random_range(2000..=8000));
+    let latest = end.checked_sub(span)?;
+    let fault = Fault::DelayOrders { share, span };
+    Some(Planned { at: latest.mul_f64(random.random()), fault })
+}
+
 /// Draws one fault.
 fn draw_fault(random: &mut Pcg64Mcg) -> Fault {
     let mut span = |least: u64, most: u64| Duration::from_millis(random.random_range(least..=most));
--- a/tests/soak/src/standin/engine.rs
+++ b/tests/soak/src/standin/engine.rs
@@ -60,12 +60,17 @@
     Fail(u64),
     /// Of a hundred requests, so many are turned away.
     Refuse(u64),
+    /// Of a hundred orders, so many get no answer and are carried out late.
+    DelayOrders(u64),
     /// Works so many times as long.
     Slow(u32),
     /// Tells its load so.
     Tell(Telling),
 }
 
+/// How late an order is carried out whose answer is lost, in milliseconds, at least and at most.
+const LATE_ORDER_MS: (u64, u64) = (2000, 8000);
+
 /// How an upstream tells its load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Telling {
@@ -97,6 +102,8 @@
     fails: Cell<u64>,
     /// The requests that are turned away, of a hundred.
     refuses: Cell<u64>,
+    /// The orders that get no answer and are carried out late, of a hundred.
+    delays: Cell<u64>,
     /// How many times as long it works.
     slow: Cell<u32>,
     /// How it tells its load.
@@ -105,6 +112,14 @@
     next: Cell<u64>,
 }
 
+/// An order that was taken.
+struct Order {
+    /// The stage to change to.
+    stage: String,
+    /// The orders carried out before.
+    count: u64,
+}
+
 /// Counts a run for as long as it lives.
 struct Run<'a>(&'a Engine);
 
@@ -145,6 +160,7 @@
             loses: Cell::new(0),
             fails: Cell::new(0),
             refuses: Cell::new(0),
+            delays: Cell::new(0),
             slow: Cell::new(1),
             telling: Cell::new(Telling::Truth),
             next: Cell::new(0),
@@ -158,6 +174,7 @@
                     Command::Lose(share) => told.loses.set(share),
                     Command::Fail(share) => told.fails.set(share),
                     Command::Refuse(share) => told.refuses.set(share),
+                    Command::DelayOrders(share) => told.delays.set(share),
                     Command::Slow(times) => told.slow.set(times.max(1)),
                     Command::Tell(telling) => told.telling.set(telling),
                 }
@@ -187,6 +204,10 @@
         let (method, path) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
         let bytes = match (method, path) {
             ("GET", "/report") => self.report(received),
+            ("POST", "/order") if self.draw("order") < self.delays.get() => {
+                self.order_late(received);
+                return false;
+            }
             ("POST", "/order") => self.order(received),
             ("GET", "/kv-list") => {
                 let list = json!({"epoch": 1, "nextToken": 0, "held": []});
@@ -208,29 +229,62 @@
 
     /// Takes an order to change the stage.
     fn order(self: &Rc<Engine>, received: &Received) -> Vec<u8> {
+        let status = match self.ordered(received) {
+            Ok(order) => {
+                self.carry_out(order);
+                "202 Accepted"
+            }
+            Err(status) => status,
+        };
+        platform::answer(received, status, "", "")
+    }
+
+    /// Takes an order without an answer, and carries it out some seconds later if it still can.
+    fn order_late(self: &Rc<Engine>, received: &Received) {
+        let Ok(order) = self.ordered(received) else { return };
+        let span = LATE_ORDER_MS.1 - LATE_ORDER_MS.0;
+        let late = Duration::from_millis(LATE_ORDER_MS.0 + self.draw("late") * span / 100);
+        let engine = self.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(late).await;
+            if !engine.is_switching.get() && order.count == engine.orders.get() {
+                engine.carry_out(order);
+            }
+        });
+    }
+
+    /// Reads and notes an order that can be carried out.
+    ///
+    /// # Errors
+    ///
+    /// The status of the answer to one that can't.
+    fn ordered(&self, received: &Received) -> Result<Order, &'static str> {
         let body: serde_json::Value = serde_json::from_slice(&received.body).unwrap_or_default();
-        let refused = |status: &str| platform::answer(received, status, "", "");
         if received.header("x-expect-instance").is_some_and(|it| it != self.settings.id) {
-            return refused("421 Misdirected Request");
+            return Err("421 Misdirected Request");
         }
         let count = body["expectedCount"].as_u64();
         if self.is_switching.get() || count.is_some_and(|it| it != self.orders.get()) {
-            return refused("409 Conflict");
+            return Err("409 Conflict");
         }
         let stage = body["stage"].as_str().unwrap_or_default().to_owned();
         let holder = body["holder"].as_str().unwrap_or_default().to_owned();
         let token = body["fencingToken"].as_u64().unwrap_or_default();
-        self.orders.set(self.orders.get() + 1);
         let engine = self.settings.id.clone();
-        write(&Observation::new(What::Ordered { engine, holder, token, stage: stage.clone() }));
+        self.see(What::Ordered { engine, holder, token, stage: stage.clone() });
+        Ok(Order { stage, count: self.orders.get() })
+    }
+
+    /// Changes the stage.
+    fn carry_out(self: &Rc<Engine>, order: Order) {
+        self.orders.set(self.orders.get() + 1);
         self.is_switching.set(true);
         let engine = self.clone();
         tokio::task::spawn_local(async move {
             tokio::time::sleep(SWITCH).await;
-            *engine.stage.borrow_mut() = Some(stage);
+            *engine.stage.borrow_mut() = Some(order.stage);
             engine.is_switching.set(false);
         });
-        refused("202 Accepted")
     }
 
     /// Gives a prompt away, or frees it.
