--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod report;
 pub mod run;
 pub mod schedule;
+pub mod shrink;
 pub mod standin;
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -8,11 +8,13 @@
 
 use eyre::{WrapErr, bail};
 use hollyspoke_soak::cluster::Size;
-use hollyspoke_soak::judge::{self, Second};
+use hollyspoke_soak::judge::{self, Promise, Second};
 use hollyspoke_soak::mutant::Mutant;
+use hollyspoke_soak::report;
 use hollyspoke_soak::run::{self, Outcome, Plan};
+use hollyspoke_soak::schedule::{self, Planned};
+use hollyspoke_soak::shrink::shrink;
 use hollyspoke_soak::standin::{engine, store};
-use hollyspoke_soak::{report, schedule};
 use pico_args::Arguments;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
@@ -29,6 +31,9 @@
 /// How many requests a stand-in engine works on at once.
 const SLOTS: u32 = 12;
 
+/// The most runs to find the faults that break a promise: some fifteen minutes of 30 s each.
+const MOST_SHRINKING_RUNS: usize = 24;
+
 /// What `--help` prints.
 const HELP: &str = "\
 hollyspoke-soak: real processes under faults that a seed draws, and a judge
@@ -44,6 +49,8 @@
   --mutant NAME    commits a deliberate fault; succeeds if its promise is found broken
   --mutants        lists the deliberate faults
   --schedule       prints the faults of the seed and ends
+  --shrink         plays a schedule that breaks a promise with fewer and fewer faults, and prints
+                   those that remain
   --out FOLDER     settings, logs, schedule and report (target/soak/SEED)
   -h, --help       prints this text
 
@@ -56,6 +63,8 @@
     plan: Plan,
     /// Whether the schedule is only printed.
     only_schedule: bool,
+    /// Whether a schedule that breaks a promise is shrunk.
+    shrinks: bool,
 }
 
 /// Runs what the arguments say.
@@ -120,6 +129,7 @@
         clients: arguments.opt_value_from_str("--clients")?.unwrap_or(24),
     };
     let only_schedule = arguments.contains("--schedule");
+    let shrinks = arguments.contains("--shrink");
     let folder: Option<PathBuf> = arguments.opt_value_from_str("--out")?;
     let folder = folder.unwrap_or_else(|| Path::new("target/soak").join(seed.to_string()));
     let rest = arguments.finish();
@@ -131,27 +141,58 @@
         None => schedule::draw(seed, length),
     };
     let plan = Plan { seed, length, size, faults, mutant, folder };
-    Ok(Asked { plan, only_schedule })
+    Ok(Asked { plan, only_schedule, shrinks })
 }
 
 /// Runs a plan and tells the verdict.
 fn soak(asked: &Asked) -> eyre::Result<ExitCode> {
     let plan = &asked.plan;
-    let schedule: Vec<_> = plan
-        .faults
-        .iter()
-        .map(|it| format!("{:7.3} s  {}", it.at.as_secs_f64(), it.fault))
-        .collect();
     if asked.only_schedule {
-        println!("{}", schedule.join("\n"));
+        println!("{}", schedule_text(&plan.faults));
         return Ok(ExitCode::SUCCESS);
     }
+    let outcome = play(plan)?;
+    let code = verdict(plan, &outcome);
+    if let Some(first) = outcome.findings.first().filter(|_| asked.shrinks) {
+        shrink_to(plan, first.promise)?;
+    }
+    Ok(code)
+}
+
+/// Plays a plan, and leaves its schedule, what was seen and the page in its folder.
+fn play(plan: &Plan) -> eyre::Result<Outcome> {
     std::fs::create_dir_all(&plan.folder).wrap_err("no folder for the run")?;
-    std::fs::write(plan.folder.join("schedule.txt"), schedule.join("\n"))?;
+    std::fs::write(plan.folder.join("schedule.txt"), schedule_text(&plan.faults))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let outcome = LocalSet::new().block_on(&runtime, run_unless_interrupted(plan))?;
     write_files(plan, &outcome)?;
-    Ok(verdict(plan, &outcome))
+    Ok(outcome)
+}
+
+/// Prints few faults of a plan that still break a promise.
+fn shrink_to(plan: &Plan, promise: Promise) -> eyre::Result<()> {
+    let mut number = 0;
+    let shrunk = shrink(&plan.faults, MOST_SHRINKING_RUNS, |faults| {
+        number += 1;
+        let folder = plan.folder.join(format!("shrink-{number}"));
+        let outcome = play(&Plan { faults: faults.to_vec(), folder, ..plan.clone() })?;
+        let still_fails = outcome.findings.iter().any(|it| it.promise == promise);
+        println!(
+            "  {} faults: {promise:?} {}",
+            faults.len(),
+            if still_fails { "broken" } else { "kept" }
+        );
+        Ok(still_fails)
+    })?;
+    println!("{promise:?} is broken by these, after {} runs:", shrunk.runs);
+    println!("{}", schedule_text(&shrunk.faults));
+    Ok(())
+}
+
+/// Gives a schedule's text, a line a fault.
+fn schedule_text(faults: &[Planned]) -> String {
+    let lines = faults.iter().map(|it| format!("{:7.3} s  {}", it.at.as_secs_f64(), it.fault));
+    lines.collect::<Vec<_>>().join("\n")
 }
 
 /// Runs a plan, unless this program is told to end; all processes of the run end with it.
