--- /dev/null
+++ b/tests/src/crashes.rs
@@ -0,0 +1,88 @@
+//! Requests that crash the engines that run them: how they come, and what was seen of them and of
+//! the requests beside them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use hollyspoke::time::Time;
+use hollyspoke_gateway::effect::Refusal;
+use hollyspoke_gateway::engine::EngineKey;
+use hollyspoke_gateway::request::FlightKey;
+
+/// How long a harmful request runs before its engine crashes.
+pub const CRASHES_AFTER: Duration = Duration::from_millis(60);
+
+/// How long a crashed engine takes to be back.
+pub const BACK_AFTER: Duration = Duration::from_millis(2500);
+
+/// How many crashes of its engines a request is allowed before it counts as harmful.
+pub const ALLOWED: usize = 3;
+
+/// A request that crashes the engines that run it, and comes again at any box.
+#[derive(Debug, Clone, Copy)]
+pub struct Harmful {
+    /// Its route.
+    pub route: &'static str,
+    /// How often it comes.
+    pub every: Duration,
+    /// Whether reading its prompt for another engine crashes an engine too.
+    pub when_read: bool,
+}
+
+/// What is known of one engine.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct State {
+    /// How often it has crashed.
+    pub crashes: u64,
+    /// Until when it is down.
+    pub down_until: Time,
+}
+
+/// The engines, and what was seen.
+#[derive(Debug, Clone, Default)]
+pub struct Crashes {
+    /// The engines that have crashed.
+    pub states: BTreeMap<EngineKey, State>,
+    /// The requests that are harmful.
+    pub harmful: BTreeSet<FlightKey>,
+    /// When engines crashed under a harmful request.
+    pub caused: Vec<Time>,
+    /// When harmful requests came to engines.
+    pub arrivals: Vec<Time>,
+    /// What harmful requests were told by the boxes.
+    pub answers: Vec<(Time, Refusal)>,
+    /// The other requests that were refused, and when.
+    pub refused: Vec<(Time, Refusal)>,
+    /// When answers to other requests were broken off.
+    pub broken_off: Vec<Time>,
+}
+
+impl Crashes {
+    /// Gives what is known of an engine.
+    pub fn state(&self, engine: EngineKey) -> State {
+        self.states.get(&engine).copied().unwrap_or_default()
+    }
+
+    /// Notes what a request was told by its box.
+    pub fn answered(&mut self, flight: FlightKey, refusal: Refusal, at: Time) {
+        if self.harmful.contains(&flight) {
+            self.answers.push((at, refusal));
+        } else {
+            self.refused.push((at, refusal));
+        }
+    }
+
+    /// Notes that an answer was broken off.
+    pub fn broke_off(&mut self, flight: FlightKey, at: Time) {
+        if !self.harmful.contains(&flight) {
+            self.broken_off.push(at);
+        }
+    }
+
+    /// Gives how often harmful requests came to engines later than some time after the third crash;
+    /// none if there were not as many crashes.
+    pub fn late_arrivals(&self, contact: Duration) -> Option<usize> {
+        let third = *self.caused.get(ALLOWED - 1)?;
+        Some(self.arrivals.iter().filter(|&&it| it > third + contact).count())
+    }
+}
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -11,7 +11,7 @@
 use hollyspoke::time::Time;
 use hollyspoke_gateway::budget::Bound;
 use hollyspoke_gateway::effect::{Effect, Note, Send, Task};
-use hollyspoke_gateway::engine::{Engine, Stage};
+use hollyspoke_gateway::engine::{Engine, EngineChange, EngineKey, Stage};
 use hollyspoke_gateway::event::{CallEvent, Event, Kind};
 use hollyspoke_gateway::gateway::{Gateway, Settings};
 use hollyspoke_gateway::message::Message;
@@ -20,6 +20,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::crashes::{BACK_AFTER, CRASHES_AFTER, Crashes, Harmful, State};
 use crate::gateway::{
     MODEL, PLAIN, configuration, engine, ran, read, request, settings, turned_away,
 };
@@ -43,6 +44,9 @@
 /// How many boxes a box is told of by its settings.
 const SEEDS: usize = 3;
 
+/// The last part of a harmful request's path.
+const HARMFUL: &str = "harmful";
+
 /// The users' bound on their site of six boxes.
 pub const BOUND: Bound = Bound { ratio: 0.2, allowance: 52.0, window: Duration::from_secs(10) };
 
@@ -81,6 +85,17 @@
     calls_held_until: Time,
 }
 
+/// A call and its box.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Caller {
+    /// The box.
+    number: usize,
+    /// The box's life.
+    life: u64,
+    /// The call.
+    call: CallKey,
+}
+
 /// What is yet to happen.
 #[derive(Debug)]
 enum Due {
@@ -90,8 +105,14 @@
     Datagram(usize, Box<Message>),
     /// A call arrives at its engine.
     Call(usize, u64, Box<Send>),
-    /// A box hears of one of its calls.
-    Answer(usize, u64, CallKey, CallEvent),
+    /// A box hears of one of its calls, from an engine that has crashed so often before.
+    Answer(Caller, EngineKey, u64, CallEvent),
+    /// A harmful call crashes its engine, which has crashed so often before.
+    Crash(Caller, EngineKey, u64),
+    /// A crashed engine is back.
+    Back(EngineKey),
+    /// A box hears of engines from the store.
+    Changed(usize, Vec<EngineChange>),
     /// The store answers a box's watches.
     Watched(usize, u64),
     /// The store answers an operation of a box.
@@ -121,6 +142,12 @@
     objects: BTreeMap<String, (u64, String)>,
     /// What was seen.
     pub records: Records,
+    /// The harmful request that comes, if one does.
+    pub harmful: Option<Harmful>,
+    /// The engines that crash, and what was seen of that.
+    pub crashes: Crashes,
+    /// The store's revision.
+    revision: u64,
     /// The source of chance.
     random: Pcg64Mcg,
 }
@@ -139,6 +166,9 @@
             lost: 0.0,
             objects: BTreeMap::new(),
             records: Records::default(),
+            harmful: None,
+            crashes: Crashes::default(),
+            revision: 10,
             random: Pcg64Mcg::seed_from_u64(seed),
         };
         for _ in 0..boxes {
@@ -181,7 +211,7 @@
             let seeds = (0..boxes).take(SEEDS).map(|it| settings_of(it).peer).collect();
             self.step(number, Event::Seeds(seeds));
             self.step(number, Event::Configured(Arc::new(configuration(1))));
-            self.step(number, Event::Listed(engines(), 10));
+            self.step(number, Event::Listed(self.engines(), self.revision));
             let life = self.members[number].life;
             self.plan(self.now, Due::Watched(number, life));
         }
@@ -221,6 +251,7 @@
         let end = self.now + span;
         self.draw_requests(PLAIN, self.traffic.plain, end);
         self.draw_requests(MODEL, self.traffic.streams, end);
+        self.draw_harmful(end);
         loop {
             let first = self.due.keys().next().map(|it| it.0);
             let tick = self.next_tick();
@@ -256,6 +287,19 @@
         }
     }
 
+    /// Draws when and where the harmful request comes until a time.
+    fn draw_harmful(&mut self, end: Time) {
+        let Some(harmful) = self.harmful else { return };
+        let mut at = self.now + harmful.every;
+        while at < end {
+            let path = format!("/{}/{HARMFUL}", harmful.route);
+            let request = Request { path, ..request(harmful.route) };
+            let number = self.random.random_range(0..self.members.len());
+            self.plan(at, Due::Request(number, request));
+            at = at + harmful.every;
+        }
+    }
+
     /// Adds what is yet to happen.
     fn plan(&mut self, at: Time, due: Due) {
         self.next += 1;
@@ -276,9 +320,12 @@
     /// Has something happen. A box that stands still takes it in when it goes on.
     fn happen(&mut self, due: Due) {
         let number = match &due {
-            Due::Request(number, _) | Due::Datagram(number, _) | Due::Answer(number, ..) => *number,
+            Due::Request(number, _) | Due::Datagram(number, _) => *number,
+            Due::Answer(Caller { number, .. }, ..) | Due::Changed(number, _) => *number,
             Due::Watched(number, _) | Due::Stored(number, ..) => *number,
             Due::Call(number, life, send) => return self.arrive(*number, *life, send),
+            Due::Crash(_, engine, before) => return self.crash_by(*engine, *before),
+            Due::Back(engine) => return self.come_back(*engine),
         };
         let held_until = self.members[number].held_until;
         if held_until > self.now {
@@ -287,9 +334,12 @@
         match due {
             Due::Request(number, request) => self.ask(number, request),
             Due::Datagram(number, message) => self.step(number, Event::Heard(*message)),
-            Due::Answer(number, life, call, event) if self.members[number].life == life => {
+            Due::Answer(Caller { life, call, .. }, _, _, event)
+                if self.members[number].life == life =>
+            {
                 self.step(number, Event::Call(call, event));
             }
+            Due::Changed(_, changes) => self.step(number, Event::Changed(changes)),
             Due::Watched(number, life) if self.members[number].life == life => {
                 self.step(number, Event::StoreAnswered(Kind::Configuration));
                 self.step(number, Event::StoreAnswered(Kind::Engines));
@@ -299,6 +349,7 @@
                 self.step(number, Event::Stored(operation, answer));
             }
             Due::Answer(..) | Due::Call(..) | Due::Watched(..) | Due::Stored(..) => {}
+            Due::Crash(..) | Due::Back(_) => {}
         }
     }
 
@@ -309,14 +360,32 @@
         let number =
             if up(&number) { Some(number) } else { alive.choose(&mut self.random).copied() };
         let Some(number) = number else { return };
-        let service = if request.path.starts_with("/safe/") { PLAIN } else { MODEL };
-        self.records.asked.push(Asked { service, at: self.now });
         self.next += 1;
+        if request.path.ends_with(HARMFUL) {
+            self.crashes.harmful.insert(FlightKey(self.next));
+        }
+        let is_plain = ["/safe/", "/unsafe/"].iter().any(|it| request.path.starts_with(it));
+        let service = if is_plain { PLAIN } else { MODEL };
+        self.records.asked.push(Asked { service, at: self.now });
         self.step(number, Event::Arrived(FlightKey(self.next), request));
     }
 
     /// Has a call arrive at its engine, which answers.
     fn arrive(&mut self, number: usize, life: u64, send: &Send) {
+        let caller = Caller { number, life, call: send.call };
+        let engine = send.engine.key;
+        let State { crashes, down_until } = self.crashes.state(engine);
+        if self.now < down_until {
+            let unsent = Due::Answer(caller, engine, crashes, CallEvent::Unsent);
+            return self.plan(self.now + TRANSIT, unsent);
+        }
+        if self.crashes.harmful.contains(&send.flight) {
+            let when_read = self.harmful.is_some_and(|it| it.when_read);
+            if when_read || send.task != Task::Read {
+                self.crashes.arrivals.push(self.now);
+                return self.plan(self.now + CRASHES_AFTER, Due::Crash(caller, engine, crashes));
+            }
+        }
         let is_turned_away = self.random.random_bool(self.behaviour.turns_away);
         let is_failed = self.random.random_bool(self.behaviour.fails);
         let is_reading = send.task == Task::Read;
@@ -341,11 +410,65 @@
         };
         let mut at = self.now + Duration::from_millis(self.random.random_range(ANSWERS_IN_MS));
         for event in events {
-            self.plan(at, Due::Answer(number, life, send.call, event.clone()));
+            self.plan(at, Due::Answer(caller, engine, crashes, event.clone()));
             at = at + STREAM_LASTS;
         }
     }
 
+    /// Has an engine crash under a harmful request, unless it has crashed since that began.
+    fn crash_by(&mut self, engine: EngineKey, before: u64) {
+        if self.crashes.state(engine).crashes == before {
+            self.crashes.caused.push(self.now);
+            self.crash(engine);
+        }
+    }
+
+    /// Has engines crash without a request's fault.
+    pub fn crash_all(&mut self, engines: impl IntoIterator<Item = EngineKey>) {
+        for engine in engines {
+            self.crash(engine);
+        }
+    }
+
+    /// Has an engine crash: what it has under way breaks.
+    fn crash(&mut self, engine: EngineKey) {
+        let state = self.crashes.states.entry(engine).or_default();
+        state.crashes += 1;
+        state.down_until = self.now + BACK_AFTER;
+        let crashes = state.crashes;
+        let mut broken = Vec::new();
+        self.due.retain(|_, due| match due {
+            Due::Answer(caller, of, ..) | Due::Crash(caller, of, _) if *of == engine => {
+                if !broken.contains(caller) {
+                    broken.push(*caller);
+                }
+                false
+            }
+            _ => true,
+        });
+        for caller in broken {
+            let answer = Due::Answer(caller, engine, crashes, CallEvent::Broken);
+            self.plan(self.now + TRANSIT, answer);
+        }
+        self.plan(self.now + BACK_AFTER, Due::Back(engine));
+    }
+
+    /// Has a crashed engine be back, which all boxes hear from the store.
+    fn come_back(&mut self, engine: EngineKey) {
+        self.revision += 1;
+        let Some(engine) = self.engines().into_iter().find(|it| it.key == engine) else { return };
+        let change = EngineChange::Put(engine, self.revision);
+        for number in 0..self.members.len() {
+            let at = self.now + STORE_ANSWERS_IN;
+            self.plan(at, Due::Changed(number, vec![change.clone()]));
+        }
+    }
+
+    /// Gives the engines as they are listed now.
+    pub fn engines(&self) -> Vec<Engine> {
+        engines()
+    }
+
     /// Gives a box an event and carries out what it does.
     fn step(&mut self, number: usize, event: Event) {
         let member = &mut self.members[number];
@@ -364,6 +487,10 @@
                     let at = self.now + STORE_ANSWERS_IN;
                     self.plan(at, Due::Stored(number, life, operation, answer));
                 }
+                Effect::Refuse(flight, refusal) => {
+                    self.crashes.answered(flight, refusal, self.now);
+                }
+                Effect::Break(flight) => self.crashes.broke_off(flight, self.now),
                 Effect::Note(Note::Repeat { service, is_sent: false, .. }) => {
                     let service = if *service == *PLAIN { PLAIN } else { MODEL };
                     self.records.refused.push(Refused { service, at: self.now });
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the failure tests share: processes, and a small site made of them.
 
 pub mod cluster;
+pub mod crashes;
 pub mod fleet;
 pub mod gateway;
 pub mod link;
