Calls that fail are logged with the path and the signature of their request

A signature digests method, host, target, body and caller where the body lies; six digits of it are shown. No decision uses it yet.

--- a/crates/hollyspoke-gateway/src/credential.rs
+++ b/crates/hollyspoke-gateway/src/credential.rs
@@ -15,6 +15,11 @@
     pub fn of(key: &[u8]) -> KeyDigest {
         KeyDigest(Sha256::digest(key).into())
     }
+
+    /// Adds the digest to another one.
+    pub fn add_to(&self, digest: &mut Sha256) {
+        digest.update(self.0);
+    }
 }
 
 impl fmt::Debug for KeyDigest {
--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -13,6 +13,7 @@
 use crate::message::{Demand, Load, Message};
 use crate::ratio::Split;
 use crate::request::{CallKey, FlightKey};
+use crate::signature::Signature;
 
 /// Where a prompt that was read lies.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -221,6 +222,10 @@
     Failed {
         /// The client's id of the request.
         request: Arc<str>,
+        /// What makes the request the same as another one.
+        signature: Signature,
+        /// Its path.
+        path: Arc<str>,
         /// The engine's id.
         engine: Arc<str>,
         /// How.
--- a/crates/hollyspoke-gateway/src/flight.rs
+++ b/crates/hollyspoke-gateway/src/flight.rs
@@ -12,6 +12,7 @@
 use crate::message::Load;
 use crate::request::{CallKey, FlightKey, Request};
 use crate::route::{Route, RouteKind, Service};
+use crate::signature::Signature;
 
 /// The most times that engines may turn one request away before it is given up.
 const MOST_REJECTIONS: u32 = 3;
@@ -33,6 +34,8 @@
 pub struct Flight {
     /// The request.
     pub request: Request,
+    /// What makes it the same as another one.
+    pub signature: Signature,
     /// Its route, as it was at the arrival.
     pub route: Arc<Route>,
     /// Its service.
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -313,9 +313,10 @@
     pub(super) fn note_failure(&mut self, call: &Call, how: &'static str, status: u16) {
         let Some(flight) = self.flights.get(&call.flight) else { return };
         let request = flight.request.id.clone();
+        let (signature, path) = (flight.signature, flight.request.path.as_str().into());
         let engine = call.engine.id.clone();
         let told = self.directory.get(call.engine.key).and_then(|it| it.told).map(|it| it.0);
         let known = self.ledger.at(call.engine.key);
-        self.note(Note::Failed { request, engine, how, status, told, known });
+        self.note(Note::Failed { request, signature, path, engine, how, status, told, known });
     }
 }
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -15,6 +15,7 @@
 use crate::placement::{Choice, View};
 use crate::request::{CallKey, FlightKey, Request};
 use crate::route::{Route, Staged};
+use crate::signature::Signature;
 
 /// When a client may come back that no configuration could be shown.
 const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(500);
@@ -83,6 +84,11 @@
         self.meter(&service, &request);
         let flight = Flight {
             ends: self.now + held,
+            signature: Signature::of(
+                request.content,
+                identity.customer.as_deref(),
+                request.credential,
+            ),
             customer: identity.customer,
             caller: identity.caller,
             units,
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod ratio;
 pub mod request;
 pub mod route;
+pub mod signature;
 pub mod snapshot;
--- a/crates/hollyspoke-gateway/src/request.rs
+++ b/crates/hollyspoke-gateway/src/request.rs
@@ -5,6 +5,7 @@
 
 use crate::credential::KeyDigest;
 use crate::prompt::PromptKey;
+use crate::signature::Content;
 
 /// The number of a request at one box; never used twice in one life of the process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -39,6 +40,8 @@
     pub credential: Option<KeyDigest>,
     /// The bytes of the body.
     pub body_bytes: u64,
+    /// The digest of what it asks for.
+    pub content: Content,
 }
 
 /// How many bytes of a body make one token where the client does not tell.
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -14,6 +14,7 @@
 use hollyspoke_gateway::event::Event;
 use hollyspoke_gateway::gateway::Gateway;
 use hollyspoke_gateway::request::{CallKey, FlightKey};
+use hollyspoke_gateway::signature::Content;
 use http::{request, response};
 use slog::Logger;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -207,7 +208,8 @@
         let flight = FlightKey(self.next_flight.get());
         self.next_flight.set(flight.0 + 1);
         let (sender, receiver) = oneshot::channel();
-        let read = (self.dialect.read_request)(&request.head, request.body.len());
+        let mut read = (self.dialect.read_request)(&request.head, request.body.len());
+        read.content = content(&request, &read.host);
         let outlet = Outlet { request, head: Some(sender), pieces: None, is_broken: Rc::default() };
         self.outlets.borrow_mut().insert(flight, outlet);
         let node = self.clone();
@@ -353,3 +355,10 @@
         }
     }
 }
+
+/// Digests what a request asks for, in place.
+fn content(request: &ReceivedRequest, host: &str) -> Content {
+    let ReceivedRequest { head, body } = request;
+    let target = head.uri.path_and_query().map_or("", |it| it.as_str());
+    Content::of(head.method.as_str(), host, target, body)
+}
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -32,10 +32,12 @@
                 "request" => %request, "service" => %service,
                 "left" => saved, "boxes" => boxes)
         }
-        Note::Failed { request, engine, how, status, told, known } => info!(log, "call failed";
-            "request" => %request, "engine" => %engine, "how" => how, "status" => status,
+        Note::Failed { request, signature, path, engine, how, status, told, known } => {
+            info!(log, "call failed";
+            "request" => %request, "signature" => signature.short(), "path" => %path, "engine" => %engine, "how" => how, "status" => status,
             "told" => told.map(|it| format!("{},{},{}", it.running, it.waiting, it.slots)),
-            "held" => known.held, "calls" => known.calls),
+            "held" => known.held, "calls" => known.calls)
+        }
         Note::Ended { request, customer, units, how, after } => info!(log, "request ended";
             "request" => %request, "customer" => customer.as_deref(), "units" => units,
             "how" => how, "after_ms" => millis(after)),
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -16,13 +16,14 @@
 use hollyspoke_gateway::gateway::{Gateway, Settings};
 use hollyspoke_gateway::message::Message;
 use hollyspoke_gateway::request::{CallKey, FlightKey, Request};
+use hollyspoke_gateway::signature::Content;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::crashes::{BACK_AFTER, CRASHES_AFTER, Crashes, Harmful, State};
 use crate::gateway::{
-    MODEL, PLAIN, configuration, engine, ran, read, request, settings, turned_away,
+    HOST, MODEL, PLAIN, configuration, engine, ran, read, request, settings, turned_away,
 };
 use crate::repeats::{Arrival, Asked, Records, Refused};
 
@@ -105,8 +106,8 @@
     Datagram(usize, Box<Message>),
     /// A call arrives at its engine.
     Call(usize, u64, Box<Send>),
-    /// A box hears of one of its calls, from an engine that has crashed so often before.
-    Answer(Caller, EngineKey, u64, CallEvent),
+    /// A box hears of one of its calls, from an engine.
+    Answer(Caller, EngineKey, CallEvent),
     /// A harmful call crashes its engine, which has crashed so often before.
     Crash(Caller, EngineKey, u64),
     /// A crashed engine is back.
@@ -282,7 +283,8 @@
             let route = if service == PLAIN { "safe" } else { "resumed" };
             let id = format!("request-{}", self.next);
             let number = self.random.random_range(0..self.members.len());
-            let request = Request { id: id.as_str().into(), ..request(route) };
+            let content = Content::of("POST", HOST, route, id.as_bytes());
+            let request = Request { id: id.as_str().into(), content, ..request(route) };
             self.plan(at, Due::Request(number, request));
         }
     }
@@ -293,7 +295,8 @@
         let mut at = self.now + harmful.every;
         while at < end {
             let path = format!("/{}/{HARMFUL}", harmful.route);
-            let request = Request { path, ..request(harmful.route) };
+            let content = Content::of("POST", HOST, &path, b"");
+            let request = Request { path, content, ..request(harmful.route) };
             let number = self.random.random_range(0..self.members.len());
             self.plan(at, Due::Request(number, request));
             at = at + harmful.every;
@@ -334,7 +337,7 @@
         match due {
             Due::Request(number, request) => self.ask(number, request),
             Due::Datagram(number, message) => self.step(number, Event::Heard(*message)),
-            Due::Answer(Caller { life, call, .. }, _, _, event)
+            Due::Answer(Caller { life, call, .. }, _, event)
                 if self.members[number].life == life =>
             {
                 self.step(number, Event::Call(call, event));
@@ -376,7 +379,7 @@
         let engine = send.engine.key;
         let State { crashes, down_until } = self.crashes.state(engine);
         if self.now < down_until {
-            let unsent = Due::Answer(caller, engine, crashes, CallEvent::Unsent);
+            let unsent = Due::Answer(caller, engine, CallEvent::Unsent);
             return self.plan(self.now + TRANSIT, unsent);
         }
         if self.crashes.harmful.contains(&send.flight) {
@@ -410,7 +413,7 @@
         };
         let mut at = self.now + Duration::from_millis(self.random.random_range(ANSWERS_IN_MS));
         for event in events {
-            self.plan(at, Due::Answer(caller, engine, crashes, event.clone()));
+            self.plan(at, Due::Answer(caller, engine, event.clone()));
             at = at + STREAM_LASTS;
         }
     }
@@ -435,7 +438,6 @@
         let state = self.crashes.states.entry(engine).or_default();
         state.crashes += 1;
         state.down_until = self.now + BACK_AFTER;
-        let crashes = state.crashes;
         let mut broken = Vec::new();
         self.due.retain(|_, due| match due {
             Due::Answer(caller, of, ..) | Due::Crash(caller, of, _) if *of == engine => {
@@ -447,7 +449,7 @@
             _ => true,
         });
         for caller in broken {
-            let answer = Due::Answer(caller, engine, crashes, CallEvent::Broken);
+            let answer = Due::Answer(caller, engine, CallEvent::Broken);
             self.plan(self.now + TRANSIT, answer);
         }
         self.plan(self.now + BACK_AFTER, Due::Back(engine));
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -14,6 +14,7 @@
 use hollyspoke_gateway::message::{DataCentreKey, Knowledge, Message, Standing, Usage};
 use hollyspoke_gateway::request::{CallKey, FlightKey, Request};
 use hollyspoke_gateway::route::{Configuration, Limits, Route, RouteKind, Service, Split, Staged};
+use hollyspoke_gateway::signature::Content;
 
 /// The service of plain requests.
 pub const PLAIN: &str = "orders";
@@ -149,6 +150,7 @@
         last_event: None,
         credential: None,
         body_bytes: 5000,
+        content: Content::of("POST", HOST, &format!("/{route}/x"), b""),
     }
 }
 
