A machine's suspension counts as time that has passed

Cause: the reducer's time was the runtime's steady clock, which stands still while a machine is suspended. After some seconds away a lease, a deadline, other boxes' last words and a customer's share seemed as fresh as before, and watches of the store were waited for by what was left of their time.

Change: server::clock adds the time by which CLOCK_BOOTTIME has gone ahead of CLOCK_MONOTONIC; it is looked at before each event and before an order is sent. An order that a suspension held up is not sent any more.

No suspension of a real machine was measured: none can be brought about here.

--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hollyspoke::store::Operation;
@@ -22,6 +23,7 @@
 use tokio::time::Instant;
 
 use crate::answer::{DropHook, Stream};
+use crate::clock::Clock;
 use crate::dialect::{Dialect, Kind};
 use crate::metrics::Metrics;
 use crate::notes;
@@ -83,8 +85,8 @@
     pub log: Logger,
     /// The metrics.
     pub metrics: Metrics,
-    /// The origin of the reducer's time.
-    origin: Instant,
+    /// The reducer's clock.
+    clock: Clock,
     /// The sockets between boxes.
     peers: Peers,
     /// Where the store listens.
@@ -151,7 +153,7 @@
             gateway: RefCell::new(gateway),
             dialect,
             log,
-            origin: Instant::now(),
+            clock: Clock::default(),
             peers,
             store,
             upstream,
@@ -169,13 +171,12 @@
 
     /// Gives the reducer's time.
     pub fn now(&self) -> Time {
-        Time::ZERO + self.origin.elapsed()
+        self.clock.now()
     }
 
     /// Gives the time at which the reducer needs a tick.
     fn next_due(&self) -> Instant {
-        let due = self.gateway.borrow().next_due();
-        self.origin + due.since(Time::ZERO)
+        self.clock.instant(self.gateway.borrow().next_due())
     }
 
     /// Gives the time of the next tick, which the timer waits for unless it is woken.
@@ -192,6 +193,25 @@
 
     /// Takes an event to the reducer and carries out the effects.
     pub fn dispatch(self: &Rc<Node>, event: Event) {
+        self.notice_suspension();
+        self.step(event);
+    }
+
+    /// Tells the reducer if the machine was suspended since the last event.
+    pub fn notice_suspension(self: &Rc<Node>) {
+        if let Some(span) = self.clock.look() {
+            self.suspended(span);
+        }
+    }
+
+    /// Tells the reducer that the machine was suspended for a time.
+    pub fn suspended(self: &Rc<Node>, span: Duration) {
+        self.clock.add(span);
+        self.step(Event::Suspended(span));
+    }
+
+    /// Has the reducer take an event, and carries out the effects.
+    fn step(self: &Rc<Node>, event: Event) {
         let effects = self.gateway.borrow_mut().step(self.now(), event);
         for effect in effects {
             self.carry_out(effect);
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -176,10 +176,16 @@
 }
 
 /// Sends an order; the answer is unknown unless the engine gave one or was never reached.
-async fn send_order(node: &Node, order: &Order) -> OrderAnswer {
+async fn send_order(node: &Rc<Node>, order: &Order) -> OrderAnswer {
+    let begun = node.now();
     let Ok(mut connection) = Connection::open(order.engine.address, CONNECT_TIMEOUT).await else {
         return OrderAnswer::Refused;
     };
+    // A machine that was suspended meanwhile would send it when the lease is over.
+    node.notice_suspension();
+    if node.now().since(begun) >= LONGEST_ORDER {
+        return OrderAnswer::Refused;
+    }
     let (head, body) = (node.dialect.order)(order);
     let Ok(request) = head.body(Full::new(body)) else { return OrderAnswer::Refused };
     match connection.send(request).await {
