Operators see the requests that are held back, and let them go

At the metrics' address alone: GET /held gives path, customer, engines, since when, until when and whether the crashes are proven; DELETE /held/SIGNATURE lets one go at all boxes.

--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -121,7 +121,7 @@
         }
     }
 
-    /// Lets the requests go whose signature begins as shown; tells how many there were.
+    /// Lets the requests go whose signature begins as shown.
     pub(super) fn lift(&mut self, short: &str) {
         for signature in self.quarantine.find(short) {
             self.quarantine.acquit(signature, self.now);
--- a/crates/hollyspoke-server/src/directory.rs
+++ b/crates/hollyspoke-server/src/directory.rs
@@ -1,18 +1,23 @@
 //! The small services beside the front: which addresses clients use, whether this box is ready,
-//! and its metrics.
+//! its metrics, and for operators alone the requests that are held back.
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use hollyspoke_gateway::event::Event;
+use hollyspoke_gateway::gateway::Held;
 use http::header::CONTENT_TYPE;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
+use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::answer::AnswerBody;
@@ -31,20 +36,52 @@
 /// How long a head may take.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The path of the requests that are held back; one of them is below it, by its signature as the
+/// log shows it.
+const HELD_PATH: &str = "/held";
+
+/// Who connects to a listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Audience {
+    /// Clients and the platform.
+    Clients,
+    /// Operators, on a network of theirs.
+    Operators,
+}
+
+/// A request that is held back, for operators.
+#[derive(Debug, Serialize)]
+struct HeldText {
+    /// The signature as the log shows it.
+    signature: String,
+    /// The customer that sent it, if it is known.
+    customer: Option<Arc<str>>,
+    /// Its path, if this box knows it.
+    path: Option<Arc<str>>,
+    /// The engines that crashed under it.
+    engines: Vec<String>,
+    /// Whether all of them are proven to have crashed.
+    proven: bool,
+    /// When the last one did, in seconds of Unix time.
+    since: u64,
+    /// Until when it is held back, in seconds of Unix time.
+    until: u64,
+}
+
 /// Takes connections until the process ends.
-pub async fn listen(node: Rc<Node>, listener: TcpListener) {
+pub async fn listen(node: Rc<Node>, listener: TcpListener, audience: Audience) {
     loop {
         if let Ok((stream, _)) = listener.accept().await {
-            tokio::task::spawn_local(serve(node.clone(), stream));
+            tokio::task::spawn_local(serve(node.clone(), stream, audience));
         }
     }
 }
 
 /// Serves one connection.
-async fn serve(node: Rc<Node>, stream: TcpStream) {
+async fn serve(node: Rc<Node>, stream: TcpStream, audience: Audience) {
     _ = stream.set_nodelay(true);
     let service = service_fn(|request| {
-        let response = answer(&node, &request);
+        let response = answer(&node, &request, audience);
         async move { Ok::<_, Infallible>(response) }
     });
     // A connection that breaks concerns nobody else.
@@ -56,8 +93,17 @@
 }
 
 /// Answers one question.
-fn answer(node: &Rc<Node>, request: &Request<Incoming>) -> Response<AnswerBody> {
+fn answer(
+    node: &Rc<Node>,
+    request: &Request<Incoming>,
+    audience: Audience,
+) -> Response<AnswerBody> {
     let path = request.uri().path();
+    if audience == Audience::Operators
+        && let Some(rest) = path.strip_prefix(HELD_PATH)
+    {
+        return held(node, request.method(), rest);
+    }
     if path == node.dialect.ready_path {
         let is_ready = node.with(|it| it.is_ready());
         return status(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
@@ -71,6 +117,43 @@
     status(StatusCode::NOT_FOUND)
 }
 
+/// Tells which requests are held back, or lets one go.
+fn held(node: &Rc<Node>, method: &Method, rest: &str) -> Response<AnswerBody> {
+    let all = node.with(|it| it.held());
+    match (method, rest.strip_prefix('/')) {
+        (&Method::GET, None) if rest.is_empty() => {
+            let all: Vec<_> = all.into_iter().map(held_text).collect();
+            json(serde_json::to_vec(&all).unwrap_or_default().into())
+        }
+        (&Method::DELETE, Some(short)) if all.iter().any(|it| it.short == short) => {
+            node.dispatch(Event::Lift(short.to_owned()));
+            status(StatusCode::NO_CONTENT)
+        }
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+/// Gives a held request as operators see it.
+fn held_text(held: Held) -> HeldText {
+    HeldText {
+        signature: held.short,
+        customer: held.customer,
+        path: held.path,
+        engines: held.engines,
+        proven: held.is_proven,
+        since: held.since,
+        until: held.until,
+    }
+}
+
+/// Makes an answer in JSON.
+fn json(body: Bytes) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::Whole(Some(body)));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
 /// Tells which addresses clients may use.
 fn resolve(node: &Rc<Node>) -> Response<AnswerBody> {
     let mut fronts = node.with(|it| it.fronts());
@@ -81,9 +164,5 @@
         fronts.shuffle(&mut rand_pcg::Pcg64Mcg::from_os_rng());
         fronts.truncate(MOST_ADDRESSES);
     }
-    let body = (node.dialect.resolved)(&fronts, KEEP_FOR);
-    let mut response = Response::new(AnswerBody::Whole(Some(body)));
-    let json = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(CONTENT_TYPE, json);
-    response
+    json((node.dialect.resolved)(&fronts, KEEP_FOR))
 }
--- a/crates/hollyspoke-server/src/run.rs
+++ b/crates/hollyspoke-server/src/run.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 
 use crate::dialect::{Dialect, Kind};
+use crate::directory::Audience;
 use crate::node::Node;
 use crate::peers::Peers;
 use crate::settings::Settings;
@@ -126,10 +127,10 @@
         tokio::task::spawn_local(sync::follow(node.clone(), settings.store, kind));
     }
     tokio::task::spawn_local(front::listen(node.clone(), front, closing));
-    tokio::task::spawn_local(directory::listen(node.clone(), ready));
-    tokio::task::spawn_local(directory::listen(node.clone(), directory));
+    tokio::task::spawn_local(directory::listen(node.clone(), ready, Audience::Clients));
+    tokio::task::spawn_local(directory::listen(node.clone(), directory, Audience::Clients));
     if let Some(metrics) = metrics {
-        tokio::task::spawn_local(directory::listen(node.clone(), metrics));
+        tokio::task::spawn_local(directory::listen(node.clone(), metrics, Audience::Operators));
     }
     Ok(running)
 }
