--- a/crates/hollyspoke-gateway/src/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/quarantine.rs
@@ -211,7 +211,7 @@
         }
         let before = (self.epoch, self.crashes);
         if word.epoch > self.epoch {
-            self.epoch = word.epoch;
+            (self.epoch, self.at) = (word.epoch, 0);
             self.crashes = Crashes::default();
         }
         for (own, told) in self.crashes.iter_mut().zip(word.crashes) {
