--- a/crates/hollyspoke-gateway/src/gateway/cases.rs
+++ b/crates/hollyspoke-gateway/src/gateway/cases.rs
@@ -176,20 +176,20 @@
         self.cases.is_read = true;
         self.cases.read_at = self.now;
         value.clone_into(&mut self.cases.value);
-        let before = self.held_signatures();
         // What is no list of cases was not written by a box; it is replaced with the next write.
         let saved: Vec<Saved> = serde_json::from_str(value).unwrap_or_default();
         for case in &saved {
             let Some(signature) = Signature::parse(&case.signature) else { continue };
             let word = Word { signature, epoch: case.epoch, crashes: case.crashes, at: case.at };
-            self.quarantine.hear(&word, self.now, None);
-            let path = case.path.clone();
-            if let Some(path) = path {
+            let is_held = self.quarantine.hear(&word, self.now, None);
+            if let Some(path) = case.path.clone() {
                 let about = About { customer: case.customer.clone(), path };
                 self.quarantine.see(signature, self.now, || about);
             }
+            if is_held {
+                self.note_held(&[signature]);
+            }
         }
-        self.note_held(&before);
         self.note(Note::CasesRead { cases: saved.len() });
     }
 }
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -4,17 +4,17 @@
 //! Waiting for the answer, or for the engine to be back, would let the request crash another engine
 //! with each try meanwhile; being a suspect costs an innocent request little.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::Gateway;
+use super::cases::BACKUP_AFTER;
 use crate::effect::{Effect, NotRunReason, Note, Refusal};
 use crate::engine::{Engine, EngineKey};
 use crate::event::Probe;
 use crate::flight::{Call, Flight};
 use crate::message::Message;
-use crate::quarantine::{About, HELD_FOR, Life, MOST_CRASHES, Proof, Verdict};
+use crate::quarantine::{About, HELD_FOR, Life, Proof, Verdict};
 use crate::request::FlightKey;
 use crate::signature::Signature;
 
@@ -90,9 +90,8 @@
     /// Notes how well it is known that an engine has crashed.
     fn confirm(&mut self, ended: Life, proof: Proof) {
         let unix = self.unix();
-        let before = self.held_signatures();
-        self.quarantine.confirm(ended, proof, self.now, unix);
-        self.note_held(&before);
+        let held = self.quarantine.confirm(ended, proof, self.now, unix);
+        self.note_held(&held);
     }
 
     /// Takes the engines that have ended without a word: whatever broke there crashed with them, and
@@ -202,14 +201,7 @@
 
     /// Gives the engines at which requests are tried that are all but held back.
     pub(super) fn trials(&self) -> Vec<EngineKey> {
-        if self.quarantine.is_empty() {
-            return Vec::new();
-        }
-        let is_trial = |it: &&Call| {
-            let flight = self.flights.get(&it.flight);
-            flight.is_some_and(|it| self.quarantine.verdict(it.signature) == Verdict::Trial)
-        };
-        self.calls.values().filter(is_trial).map(|it| it.engine.key).collect()
+        self.calls.values().filter(|it| it.stand.is_last()).map(|it| it.engine.key).collect()
     }
 
     /// Takes what another box tells of requests under which engines have crashed.
@@ -217,12 +209,12 @@
         if message.crashes.is_empty() {
             return;
         }
-        let before = self.held_signatures();
-        let saves_at = self.follows_store().then(|| self.now + super::cases::BACKUP_AFTER);
+        let saves_at = self.follows_store().then(|| self.now + BACKUP_AFTER);
         for word in &message.crashes {
-            self.quarantine.hear(word, self.now, saves_at);
+            if self.quarantine.hear(word, self.now, saves_at) {
+                self.note_held(&[word.signature]);
+            }
         }
-        self.note_held(&before);
         self.may_have_room = true;
     }
 
@@ -241,21 +233,9 @@
         self.quarantine.sweep(self.now, unix);
     }
 
-    /// Gives the requests that are held back.
-    pub(super) fn held_signatures(&self) -> HashSet<Signature> {
-        if self.quarantine.is_empty() {
-            return HashSet::new();
-        }
-        self.quarantine.held().map(|it| it.0).collect()
-    }
-
-    /// Logs the requests that are held back and were not before.
-    pub(super) fn note_held(&mut self, before: &HashSet<Signature>) {
-        if self.quarantine.is_empty() {
-            return;
-        }
-        let held: Vec<_> = self.quarantine.held().map(|it| it.0).collect();
-        for signature in held.into_iter().filter(|it| !before.contains(it)) {
+    /// Logs requests that are held back from now on.
+    pub(super) fn note_held(&mut self, signatures: &[Signature]) {
+        for &signature in signatures {
             let Some(case) = self.quarantine.case(signature) else { continue };
             let engines: Vec<_> = case.crashes().map(|it| self.engine_name(it.engine)).collect();
             let (about, until) = (case.about.clone(), case.at + HELD_FOR.as_secs());
@@ -269,11 +249,6 @@
         let known = self.directory.get(call.engine.key);
         known.is_none_or(|it| it.engine.born == call.engine.born)
     }
-
-    /// Tells how often engines have crashed under a request, as far as this box knows.
-    pub fn crashes_under(&self, signature: Signature) -> usize {
-        self.quarantine.case(signature).map_or(0, |it| it.count().min(MOST_CRASHES))
-    }
 }
 
 /// Gives what operators see of a request.
--- a/crates/hollyspoke-gateway/src/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/quarantine.rs
@@ -10,7 +10,7 @@
 //! higher epoch wins, and of one epoch each crash stands in its place, so that boxes that see the
 //! same engine crash count it once.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -81,6 +81,13 @@
     crashes: usize,
 }
 
+impl Stand {
+    /// Tells whether one more crash would hold the request back.
+    pub fn is_last(self) -> bool {
+        self.crashes + 1 == MOST_CRASHES
+    }
+}
+
 /// What may be done with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -129,12 +136,12 @@
     pub at: u64,
     /// What operators see of the request, if this box has seen it.
     pub about: Option<About>,
+    /// Whether it was noted that the request is held back.
+    is_held: bool,
     /// When it last changed here.
     changed: Time,
     /// When the request last came here, or word of it.
     seen: Time,
-    /// Whether the other boxes have yet to hear of it.
-    is_untold: bool,
     /// From when on the store is to have it, if it has yet to.
     saves_at: Option<Time>,
     /// When word of an earlier epoch was last answered.
@@ -149,9 +156,9 @@
             crashes: Crashes::default(),
             at: 0,
             about: None,
+            is_held: false,
             changed: now,
             seen: now,
-            is_untold: false,
             saves_at: None,
             set_right: None,
         }
@@ -172,6 +179,13 @@
         self.crashes().all(|it| it.proof == Proof::Proven)
     }
 
+    /// Tells whether the request is held back and was not the last time.
+    fn becomes_held(&mut self) -> bool {
+        let is_held = self.count() == MOST_CRASHES;
+        let was_held = std::mem::replace(&mut self.is_held, is_held);
+        is_held && !was_held
+    }
+
     /// Gives what may be done with the request.
     fn verdict(&self) -> Verdict {
         match self.count() {
@@ -190,18 +204,10 @@
         Word { signature, epoch: self.epoch, crashes, at: self.at }
     }
 
-    /// Notes a change that others are to hear of.
-    fn change(&mut self, now: Time) {
-        self.changed = now;
-        self.is_untold = true;
-        self.saves_at = Some(now);
-    }
-
     /// Ends the case; what is left of its crashes begins the next one.
-    fn end(&mut self, left: Crashes, now: Time) {
+    fn end(&mut self, left: Crashes) {
         self.epoch += 1;
         self.crashes = left;
-        self.change(now);
     }
 
     /// Takes over word of a case; tells whether that changed something.
@@ -257,6 +263,11 @@
 pub struct Quarantine {
     /// The cases.
     cases: HashMap<Signature, Case>,
+    /// The cases that the other boxes have yet to hear of. Kept apart, since it is looked at with each
+    /// event.
+    untold: BTreeSet<Signature>,
+    /// When the first of the cases is to be saved that the store lacks.
+    saves_at: Option<Time>,
 }
 
 impl Quarantine {
@@ -316,23 +327,30 @@
             let is_of = it.engine == lives.engine && is_same_life(it.born, lives.born);
             is_of && it.proof != Proof::Proven
         };
-        for case in self.cases.values_mut() {
+        let mut ended = Vec::new();
+        for (&signature, case) in &mut self.cases {
             let wrong: Vec<Proof> =
                 case.crashes().filter(|it| is_wrong(it)).map(|it| it.proof).collect();
             let left = case.crashes.map(|it| it.filter(|it| !is_wrong(it)));
             match wrong.into_iter().max() {
                 None => {}
                 Some(Proof::Asked) => case.crashes = left,
-                Some(_) => case.end(left, now),
+                Some(_) => {
+                    case.end(left);
+                    ended.push(signature);
+                }
             }
         }
+        self.change(ended, now);
     }
 
     /// Notes how well it is known that a life of an engine has ended, at a Unix time in seconds. If
-    /// the life is not known, that holds for all of it.
-    pub fn confirm(&mut self, ended: Life, proof: Proof, now: Time, unix: u64) {
+    /// the life is not known, that holds for all of it. Gives the requests that are held back from
+    /// now on.
+    pub fn confirm(&mut self, ended: Life, proof: Proof, now: Time, unix: u64) -> Vec<Signature> {
         let is_of = |it: &Crash| it.engine == ended.engine && is_same_life(it.born, ended.born);
-        for case in self.cases.values_mut() {
+        let mut changed = Vec::new();
+        for (&signature, case) in &mut self.cases {
             let mut is_news = false;
             for crash in case.crashes.iter_mut().flatten() {
                 if is_of(crash) && crash.proof < proof {
@@ -342,9 +360,24 @@
             }
             if is_news {
                 case.at = unix;
-                case.change(now);
+                changed.push(signature);
             }
         }
+        changed.sort();
+        let mut held = changed.clone();
+        held.retain(|it| self.cases.get_mut(it).is_some_and(Case::becomes_held));
+        self.change(changed, now);
+        held
+    }
+
+    /// Notes changes of cases that others are to hear of, and the store is to have.
+    fn change(&mut self, signatures: Vec<Signature>, now: Time) {
+        for signature in signatures {
+            let Some(case) = self.cases.get_mut(&signature) else { continue };
+            (case.changed, case.saves_at) = (now, Some(now));
+            self.untold.insert(signature);
+            self.saves_at = Some(now);
+        }
     }
 
     /// Ends the case of a request that was answered whole, or that an operator lets go; tells whether
@@ -353,7 +386,8 @@
         let Some(case) = self.cases.get_mut(&signature).filter(|it| it.count() > 0) else {
             return false;
         };
-        case.end(Crashes::default(), now);
+        case.end(Crashes::default());
+        self.change(vec![signature], now);
         true
     }
 
@@ -372,42 +406,45 @@
         }
         self.make_room(word.signature);
         let case = self.cases.entry(word.signature).or_insert_with(|| Case::new(now));
-        let was_held = case.count() == MOST_CRASHES;
         if case.join(word) {
             (case.changed, case.seen) = (now, now);
             case.saves_at = case.saves_at.or(saves_at);
-        } else if word.epoch < case.epoch {
-            set_right(case, now);
+            self.saves_at = [self.saves_at, saves_at].into_iter().flatten().min();
+        } else if word.epoch < case.epoch && set_right(case, now) {
+            self.untold.insert(word.signature);
         }
-        !was_held && case.count() == MOST_CRASHES
+        case.becomes_held()
     }
 
     /// Drops crashes that were not proven in time, and cases that are over.
     pub fn sweep(&mut self, now: Time, unix: u64) {
-        for case in self.cases.values_mut() {
+        let mut lapsed = Vec::new();
+        for (&signature, case) in &mut self.cases {
             let is_late = now.since(case.changed) >= PROVEN_WITHIN;
             if is_late && case.count() > 0 && !case.is_proven() {
                 let left = case.crashes.map(|it| it.filter(|it| it.proof == Proof::Proven));
-                case.end(left, now);
+                case.end(left);
+                lapsed.push(signature);
             }
         }
+        self.change(lapsed, now);
         self.cases.retain(|_, it| !it.is_over(now, unix));
     }
 
     /// Takes the words that the other boxes have yet to hear.
     pub fn take_untold(&mut self) -> Vec<Word> {
-        let untold = self.cases.iter_mut().filter(|(_, it)| it.is_untold).take(MOST_TOLD);
-        untold
-            .map(|(&signature, case)| {
-                case.is_untold = false;
-                case.word(signature)
-            })
-            .collect()
+        let mut words = Vec::new();
+        while words.len() < MOST_TOLD
+            && let Some(signature) = self.untold.pop_first()
+        {
+            words.extend(self.cases.get(&signature).map(|it| it.word(signature)));
+        }
+        words
     }
 
     /// Tells whether the other boxes have yet to hear of a case.
     pub fn has_untold(&self) -> bool {
-        self.cases.values().any(|it| it.is_untold)
+        !self.untold.is_empty()
     }
 
     /// Gives what each heartbeat tells, for boxes that missed it: the requests that are held back or
@@ -427,6 +464,9 @@
     /// Tells whether the store is to have something that it lacks: of cases with at least so many
     /// crashes, and of those that it had and that have ended.
     pub fn has_unsaved(&self, least: usize, now: Time) -> bool {
+        if self.saves_at.is_none_or(|it| it > now) {
+            return false;
+        }
         let is_due = |it: &Case| it.saves_at.is_some_and(|it| it <= now);
         self.cases.values().any(|it| is_due(it) && (it.count() >= least || it.epoch > 0))
     }
@@ -446,6 +486,7 @@
 
     /// Notes that the store has what was to be saved, or will have.
     pub fn saved(&mut self) {
+        self.saves_at = None;
         for case in self.cases.values_mut() {
             case.saves_at = None;
         }
@@ -453,6 +494,7 @@
 
     /// Notes that the store may lack everything.
     pub fn not_saved(&mut self, now: Time) {
+        self.saves_at = Some(now);
         for case in self.cases.values_mut().filter(|it| it.count() > 0) {
             case.saves_at.get_or_insert(now);
         }
@@ -490,10 +532,11 @@
     }
 }
 
-/// Has word of an ended case told again, to a box that missed it.
-fn set_right(case: &mut Case, now: Time) {
-    if case.set_right.is_none_or(|it| now.since(it) >= SET_RIGHT_EVERY) {
+/// Tells whether word of an ended case is to be told again, to a box that missed it.
+fn set_right(case: &mut Case, now: Time) -> bool {
+    let is_due = case.set_right.is_none_or(|it| now.since(it) >= SET_RIGHT_EVERY);
+    if is_due {
         case.set_right = Some(now);
-        case.is_untold = true;
     }
+    is_due
 }
