Soak: requests that crash upstreams, which come again at any box and are back under their id

Real processes: a safe request and a stream that may be resumed end each upstream that begins to run them after 60 ms; they come every 0.2 to 0.7 s in every run, beside all other faults.

--- a/tests/soak/src/client.rs
+++ b/tests/soak/src/client.rs
@@ -30,7 +30,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The deadline of a plain request.
-const PLAIN_DEADLINE: Duration = Duration::from_secs(3);
+pub(crate) const PLAIN_DEADLINE: Duration = Duration::from_secs(3);
 
 /// The deadline of a stream.
 const STREAM_DEADLINE: Duration = Duration::from_secs(5);
@@ -99,7 +99,7 @@
 }
 
 /// One client.
-struct Client {
+pub(crate) struct Client {
     /// What it shares with the others.
     shared: Rc<Shared>,
     /// Its number.
@@ -116,24 +116,24 @@
 
 /// What is asked for.
 #[derive(Debug, Clone)]
-struct Wanted {
+pub(crate) struct Wanted {
     /// The kind.
-    kind: Kind,
+    pub(crate) kind: Kind,
     /// The path.
-    path: String,
+    pub(crate) path: String,
     /// The body.
-    body: Bytes,
+    pub(crate) body: Bytes,
     /// The events that came so far.
-    after: u64,
+    pub(crate) after: u64,
     /// Who asks.
-    caller: Caller,
+    pub(crate) caller: Caller,
     /// When the client gives up.
-    deadline: Instant,
+    pub(crate) deadline: Instant,
 }
 
 /// How a try ended.
 #[derive(Debug)]
-enum Outcome {
+pub(crate) enum Outcome {
     /// The whole answer came.
     Served,
     /// Another answer came whole; if it promises that the request has not run, when to come back.
@@ -148,15 +148,7 @@
 
 /// Runs a client until clients are told to end.
 pub async fn run(shared: Rc<Shared>, number: usize) {
-    let seed = shared.seed.wrapping_mul(1000).wrapping_add(number as u64);
-    let mut client = Client {
-        shared,
-        number,
-        random: Pcg64Mcg::seed_from_u64(seed),
-        boxes: (Vec::new(), Instant::now()),
-        kept: None,
-        next: 0,
-    };
+    let mut client = Client::new(shared, number);
     while client.shared.goes_on.get() {
         let wanted = client.draw();
         client.serve(wanted).await;
@@ -166,6 +158,24 @@
 }
 
 impl Client {
+    /// Makes a client that knows no box yet.
+    pub(crate) fn new(shared: Rc<Shared>, number: usize) -> Client {
+        let seed = shared.seed.wrapping_mul(1000).wrapping_add(number as u64);
+        Client {
+            shared,
+            number,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            boxes: (Vec::new(), Instant::now()),
+            kept: None,
+            next: 0,
+        }
+    }
+
+    /// Forgets the kept connection, so that the next try goes to any box.
+    pub(crate) fn forget_connection(&mut self) {
+        self.kept = None;
+    }
+
     /// Draws a request.
     fn draw(&mut self) -> Wanted {
         let kinds = [Kind::Safe, Kind::Safe, Kind::Unsafe, Kind::Unsafe, Kind::Once, Kind::Resumed];
@@ -222,7 +232,11 @@
     }
 
     /// Makes one try.
-    async fn attempt(&mut self, wanted: &Wanted, leaves_after: Option<Duration>) -> Outcome {
+    pub(crate) async fn attempt(
+        &mut self,
+        wanted: &Wanted,
+        leaves_after: Option<Duration>,
+    ) -> Outcome {
         let Some(node) = self.choose().await else {
             tokio::time::sleep(Duration::from_millis(100)).await;
             return Outcome::Unreached;
--- a/tests/soak/src/cluster.rs
+++ b/tests/soak/src/cluster.rs
@@ -17,9 +17,10 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::client::{HOST_NAME, Sink, Way};
+use crate::faults::report;
 use crate::keys::{KEY_MARK, TOLERANCE, customers};
 use crate::mutant::Mutant;
-use crate::observation::{BoxChange, Observation, What};
+use crate::observation::{BoxChange, MILLISECOND, Observation, What, now};
 use crate::peering::{Peering, Place};
 use crate::proxy::{Mode, Proxy};
 use crate::standin::Greeting;
@@ -42,6 +43,9 @@
 /// How often it is looked whether a process has ended.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
+/// How long an upstream that has crashed takes to be back: less than its entry takes to lapse.
+const BACK_AFTER: Duration = Duration::from_millis(2000);
+
 /// The memory of an engine, in tokens.
 const MEMORY_TOKENS: u64 = 60_000;
 
@@ -106,6 +110,8 @@
     pub address: SocketAddr,
     /// Its data centre.
     data_centre: &'static str,
+    /// When this life of it began, in milliseconds of Unix time.
+    born: u64,
     /// The process.
     child: RefCell<Child>,
     /// Its way.
@@ -327,10 +333,31 @@
                     self.changed(index, BoxChange::Ended);
                 }
             }
+            self.restart_crashed();
             tokio::time::sleep(LOOK_EVERY).await;
         }
     }
 
+    /// Has the upstreams that ended by themselves be back under their ids some time later.
+    fn restart_crashed(self: &Rc<Cluster>) {
+        let has_ended = |it: &Rc<Upstream>| !matches!(it.child.borrow_mut().try_wait(), Ok(None));
+        let ended: Vec<_> =
+            self.upstreams.borrow().iter().filter(|it| has_ended(it)).cloned().collect();
+        for upstream in ended {
+            self.kill_upstream(&upstream);
+            let cluster = self.clone();
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(BACK_AFTER).await;
+                let stage = upstream.stage.borrow().clone();
+                let (id, data_centre) = (upstream.id.clone(), upstream.data_centre);
+                if let Err(error) = cluster.begin_upstream(id, data_centre, stage.as_deref()).await
+                {
+                    report(&error);
+                }
+            });
+        }
+    }
+
     /// Looks for clients' keys in the logs of all boxes.
     pub fn look_for_keys(&self) {
         for (index, node) in self.nodes.iter().enumerate() {
@@ -359,8 +386,20 @@
     pub async fn start_upstream(&self, stage: Option<&str>) -> eyre::Result<()> {
         let number = self.next_upstream.get();
         self.next_upstream.set(number + 1);
-        let id = format!("i-{number:04x}");
+        let data_centre = DATA_CENTRES[number as usize % DATA_CENTRES.len()];
+        self.begin_upstream(format!("i-{number:04x}"), data_centre, stage).await
+    }
+
+    /// Begins a life of an upstream and enters it in the store.
+    async fn begin_upstream(
+        &self,
+        id: String,
+        data_centre: &'static str,
+        stage: Option<&str>,
+    ) -> eyre::Result<()> {
+        let born = now() / MILLISECOND;
         let mut arguments = vec!["engine".to_owned(), "--id".to_owned(), id.clone()];
+        arguments.extend(["--born".to_owned(), born.to_string()]);
         arguments.extend(stage.iter().flat_map(|it| ["--stage".to_owned(), (*it).to_owned()]));
         let mutant = self.mutant.iter();
         arguments.extend(mutant.flat_map(|it| ["--mutant".to_owned(), it.name().to_owned()]));
@@ -379,7 +418,8 @@
             id,
             stage: RefCell::new(stage.map(str::to_owned)),
             address,
-            data_centre: DATA_CENTRES[number as usize % DATA_CENTRES.len()],
+            data_centre,
+            born,
             child: RefCell::new(child),
             proxy: Proxy::open(address).await?,
             is_draining: Cell::new(false),
@@ -396,7 +436,7 @@
         let state = if upstream.is_draining.get() { "draining" } else { "ready" };
         let spec = json!({"service": service, "address": upstream.proxy.address.to_string(),
             "zone": upstream.data_centre, "version": "v1", "slots": engine::SLOTS, "state": state,
-            "coldLeftMs": 0, "callSeq": 0, "stage": stage});
+            "coldLeftMs": 0, "callSeq": 0, "stage": stage, "born": upstream.born});
         self.put("servers", &upstream.id, spec).await;
     }
 
--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -49,9 +49,9 @@
     }
 }
 
-/// Tells of a fault that could not be brought.
+/// Tells of a fault that could not be brought, or taken away again.
 #[expect(clippy::print_stderr, reason = "whoever reads the run's output must know")]
-fn report(error: &eyre::Report) {
+pub(crate) fn report(error: &eyre::Report) {
     eprintln!("a fault could not be brought: {error:#}");
 }
 
--- a/tests/soak/src/judge.rs
+++ b/tests/soak/src/judge.rs
@@ -1,6 +1,7 @@
 //! What must hold, checked against what was seen. Each promise is one function.
 
 mod customers;
+mod harm;
 mod records;
 
 use std::collections::BTreeMap;
@@ -53,6 +54,8 @@
     WithinLimit,
     /// Only customers that have a limit are refused by it.
     LimitedOnly,
+    /// A request that crashes the upstreams that run it is held back after the third.
+    HarmHeldBack,
 }
 
 /// A promise that was broken.
@@ -165,6 +168,7 @@
         customers::right_customer,
         customers::within_limit,
         customers::limited_only,
+        harm::held_back,
     ];
     let mut findings: Vec<_> = checks.iter().flat_map(|it| it(&records, bounds)).collect();
     findings.sort_by_key(|it| (it.at, it.promise));
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod cluster;
 pub mod faults;
+pub mod harmful;
 pub mod judge;
 pub mod keys;
 pub mod malformed;
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -108,6 +108,7 @@
 /// Reads the settings of a stand-in engine.
 fn engine_settings(mut arguments: Arguments) -> eyre::Result<engine::Settings> {
     Ok(engine::Settings {
+        born: arguments.value_from_str("--born")?,
         id: arguments.value_from_str("--id")?,
         stage: arguments.opt_value_from_str("--stage")?,
         slots: SLOTS,
--- a/tests/soak/src/mutant.rs
+++ b/tests/soak/src/mutant.rs
@@ -49,11 +49,13 @@
     LiftsLimit,
     /// The configuration limits customers that have no limit.
     LimitsAll,
+    /// Requests that crash upstreams have another body each time.
+    VariesHarm,
 }
 
 impl Mutant {
     /// All of them, with the name that the command line takes and the promise that they break.
-    pub const ALL: [(Mutant, &'static str, Promise); 20] = [
+    pub const ALL: [(Mutant, &'static str, Promise); 21] = [
         (Mutant::RunsTwice, "runs-twice", Promise::RunsOnce),
         (Mutant::SpoilsAnswer, "spoils-answer", Promise::WholeAnswer),
         (Mutant::SkipsEvent, "skips-event", Promise::EventsInOrder),
@@ -74,6 +76,7 @@
         (Mutant::NamesOther, "names-other", Promise::RightCustomer),
         (Mutant::LiftsLimit, "lifts-limit", Promise::WithinLimit),
         (Mutant::LimitsAll, "limits-all", Promise::LimitedOnly),
+        (Mutant::VariesHarm, "varies-harm", Promise::HarmHeldBack),
     ];
 
     /// Gives its name.
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -19,6 +19,7 @@
 use crate::client::{self, Shared};
 use crate::cluster::{Cluster, Size, Upstream, version_path};
 use crate::faults::{strike, tell_all};
+use crate::harmful;
 use crate::judge::{Bounds, Finding, judge};
 use crate::keys::{CUSTOMERS, Caller, KEY_MARK, units};
 use crate::malformed;
@@ -94,6 +95,7 @@
     }
     let probing = tokio::task::spawn_local(probe(cluster.clone(), shared.clone()));
     let sampling = tokio::task::spawn_local(sample(cluster.clone()));
+    let harming = tokio::task::spawn_local(harmful::run(shared.clone(), plan.mutant));
     let malformed = tokio::task::spawn_local(malformed::run(cluster.clone(), plan.seed));
     tokio::task::spawn_local(strike(cluster.clone(), plan.seed, plan.faults.clone()));
     if let Some(mutant) = plan.mutant {
@@ -104,6 +106,7 @@
     shared.goes_on.set(false);
     probing.abort();
     malformed.abort();
+    harming.abort();
     collect(&mut seen, &mut observations, DRAINED_AFTER, &cluster).await;
     look_for_runs(&cluster).await;
     look_at_metrics(&cluster).await;
--- a/tests/soak/src/standin/engine.rs
+++ b/tests/soak/src/standin/engine.rs
@@ -35,6 +35,12 @@
 /// How long an engine with the fault [`Mutant::WorksOn`] works for nobody.
 const WORKS_ON_FOR: Duration = Duration::from_secs(3);
 
+/// The end of the path of a request that crashes the upstreams that run it.
+pub const HARMFUL: &str = "/harmful";
+
+/// How long such a request runs before that.
+pub const CRASHES_AFTER: Duration = Duration::from_millis(60);
+
 /// What a change of the stage takes.
 const SWITCH: Duration = Duration::from_millis(1500);
 
@@ -47,6 +53,8 @@
     pub stage: Option<String>,
     /// How many requests it works on at once.
     pub slots: u32,
+    /// When this life of it began, in milliseconds of Unix time.
+    pub born: u64,
     /// A deliberate fault.
     pub mutant: Option<Mutant>,
 }
@@ -223,7 +231,7 @@
     fn report(&self, received: &Received) -> Vec<u8> {
         let report = json!({"stage": *self.stage.borrow(), "models": [],
             "busy": self.is_switching.get(), "callSeq": self.orders.get(), "queued": 0,
-            "active": self.active.get(), "kvUsed": 0, "kvTotal": 60000, "prefillHandles": 0});
+            "born": self.settings.born, "active": self.active.get(), "kvUsed": 0, "kvTotal": 60000, "prefillHandles": 0});
         platform::whole(received, &report.to_string())
     }
 
@@ -323,6 +331,10 @@
         let _run = Run(self);
         let is_reading = received.header("x-serving-stage") == Some("prefill");
         self.begin(&attempt, path, received, is_reading);
+        if path.ends_with(HARMFUL) && !is_reading {
+            tokio::time::sleep(CRASHES_AFTER).await;
+            std::process::exit(1);
+        }
         if self.settings.mutant == Some(Mutant::RunsTwice) && method == "POST" && !is_reading {
             self.begin(&attempt, path, received, is_reading);
         }
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -345,3 +345,34 @@
     let night = by(sent(5000, Kind::Safe), caller("night", Some(1), 200));
     assert_eq!(broken(&[running(), night, refused]), []);
 }
+
+/// Tries of one harmful request, a second apart, each of which comes to another upstream.
+fn harmful(count: u64) -> Vec<Observation> {
+    let mut seen = vec![running()];
+    for number in 0..count {
+        let millis = 5000 + 1000 * number;
+        let mut pair = [sent(millis, Kind::Safe), began(millis + 10, &format!("e-{number}"))];
+        for it in &mut pair {
+            match &mut it.what {
+                What::Sent { attempt, path, .. } | What::Began { attempt, path, .. } => {
+                    *attempt = format!("r-{number}");
+                    "/safe/harmful".clone_into(path);
+                }
+                _ => {}
+            }
+        }
+        seen.extend(pair);
+    }
+    seen
+}
+
+/// Three runs crash upstreams, the fourth to seventh are within the time in which boxes come to know,
+/// three more are allowed.
+#[test]
+fn harmful_request_sent_on() {
+    assert_eq!(broken(&harmful(10)), []);
+    assert_eq!(broken(&harmful(11)), [Promise::HarmHeldBack]);
+    let mut disturbed = harmful(11);
+    disturbed.push(at(5000, What::StoreDisturbed { span: 20 * SECOND }));
+    assert_eq!(broken(&disturbed), []);
+}
