--- /dev/null
+++ b/tests/tests/crashes_drawn.rs
@@ -0,0 +1,109 @@
+//! The bound on repeats of a request that crashes engines, under drawn faults of boxes, datagrams and
+//! engines.
+
+use std::time::Duration;
+
+use hollyspoke_tests::crashes::Harmful;
+use hollyspoke_tests::fleet::Fleet;
+use proptest::prelude::*;
+
+/// The time after the third crash in which all boxes come to know.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// The repeats that are allowed later.
+const MOST_REPEATS: usize = 3;
+
+/// The boxes.
+const FLEET: usize = 6;
+
+/// A fault.
+#[derive(Debug, Clone)]
+enum Fault {
+    /// Boxes are killed and start at once.
+    Restart(Vec<usize>),
+    /// A box is told to stop, and starts some time later.
+    Stop(usize),
+    /// Boxes are cut off from the others, and hear each other.
+    Part(Vec<usize>),
+    /// All boxes hear each other.
+    Heal,
+    /// Datagrams are lost, a share of a hundred, or late by milliseconds.
+    Datagrams(u8, u64),
+    /// Engines crash by themselves: every so many of them.
+    Crash(usize),
+    /// Connections to all engines break.
+    Reset,
+}
+
+/// Draws a fault.
+fn fault() -> impl Strategy<Value = Fault> {
+    let some = || prop::sample::subsequence((0..FLEET).collect::<Vec<_>>(), 1..=FLEET);
+    prop_oneof![
+        some().prop_map(Fault::Restart),
+        (0..FLEET).prop_map(Fault::Stop),
+        some().prop_map(Fault::Part),
+        Just(Fault::Heal),
+        (0..70u8, 1..800u64).prop_map(|(lost, late)| Fault::Datagrams(lost, late)),
+        (2..6usize).prop_map(Fault::Crash),
+        Just(Fault::Reset),
+    ]
+}
+
+/// Draws a harmful request.
+fn harmful() -> impl Strategy<Value = Harmful> {
+    let routes = prop::sample::select(vec!["resumed", "once", "safe", "unsafe"]);
+    (routes, 100..1500u64, any::<bool>()).prop_map(|(route, every, when_read)| Harmful {
+        route,
+        every: Duration::from_millis(every),
+        when_read,
+    })
+}
+
+/// Brings a fault about.
+fn bring(fleet: &mut Fleet, fault: &Fault) {
+    match fault {
+        Fault::Restart(members) => fleet.restart(members.iter().copied()),
+        Fault::Stop(number) => {
+            fleet.stop(*number);
+            fleet.run(Duration::from_millis(300));
+            fleet.start([*number]);
+        }
+        Fault::Part(members) => fleet.part(members.iter().copied(), 1),
+        Fault::Heal => fleet.part(0..FLEET, 0),
+        Fault::Datagrams(lost, late) => {
+            fleet.lost = f64::from(*lost) / 100.0;
+            fleet.delay_ms = 1..=*late;
+        }
+        Fault::Crash(step) => {
+            let engines = fleet.engines();
+            fleet.crash_all(engines.iter().step_by(*step).map(|it| it.key));
+        }
+        Fault::Reset => {
+            let engines = fleet.engines();
+            fleet.reset_all(engines.iter().map(|it| it.key));
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { max_shrink_iters: 60, ..ProptestConfig::with_cases(8) })]
+
+    /// Whatever happens to boxes and datagrams, the request comes to engines no more often than is
+    /// allowed.
+    #[test]
+    fn repeats_are_bounded(
+        seed in 0..1000u64,
+        harmful in harmful(),
+        faults in prop::collection::vec((fault(), 100..3000u64), 1..12),
+    ) {
+        let mut fleet = Fleet::settled(FLEET, seed);
+        fleet.harmful = Some(harmful);
+        for (fault, pause) in &faults {
+            bring(&mut fleet, fault);
+            fleet.run(Duration::from_millis(*pause));
+        }
+        fleet.run(Duration::from_secs(5));
+        let late = fleet.crashes.late_arrivals(CONTACT).unwrap_or(0);
+        prop_assert!(late <= MOST_REPEATS, "{late} late arrivals, {} crashes", fleet.crashes.caused.len());
+    }
+}
