--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -69,6 +69,9 @@
     pub streams: f64,
 }
 
+/// The users' traffic on their site of six boxes.
+pub const USUAL: Traffic = Traffic { plain: 40.9, streams: 18.2 };
+
 /// One box.
 #[derive(Debug)]
 struct Member {
@@ -166,7 +169,7 @@
             due: BTreeMap::new(),
             next: 0,
             behaviour: Behaviour::default(),
-            traffic: Traffic { plain: 40.9, streams: 18.2 },
+            traffic: USUAL,
             delay_ms: 1..=3,
             lost: 0.0,
             objects: BTreeMap::new(),
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod cluster;
 pub mod crashes;
+pub mod faults;
 pub mod fleet;
 pub mod gateway;
 pub mod link;
--- a/tests/tests/crashes_drawn.rs
+++ b/tests/tests/crashes_drawn.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hollyspoke_tests::crashes::Harmful;
+use hollyspoke_tests::faults::{FLEET, Fault, bring};
 use hollyspoke_tests::fleet::Fleet;
 use proptest::prelude::*;
 
@@ -13,28 +14,6 @@
 /// The repeats that are allowed later.
 const MOST_REPEATS: usize = 3;
 
-/// The boxes.
-const FLEET: usize = 6;
-
-/// A fault.
-#[derive(Debug, Clone)]
-enum Fault {
-    /// Boxes are killed and start at once.
-    Restart(Vec<usize>),
-    /// A box is told to stop, and starts some time later.
-    Stop(usize),
-    /// Boxes are cut off from the others, and hear each other.
-    Part(Vec<usize>),
-    /// All boxes hear each other.
-    Heal,
-    /// Datagrams are lost, a share of a hundred, or late by milliseconds.
-    Datagrams(u8, u64),
-    /// Engines crash by themselves: every so many of them.
-    Crash(usize),
-    /// Connections to all engines break.
-    Reset,
-}
-
 /// Draws a fault.
 fn fault() -> impl Strategy<Value = Fault> {
     let some = || prop::sample::subsequence((0..FLEET).collect::<Vec<_>>(), 1..=FLEET);
@@ -59,32 +38,6 @@
     })
 }
 
-/// Brings a fault about.
-fn bring(fleet: &mut Fleet, fault: &Fault) {
-    match fault {
-        Fault::Restart(members) => fleet.restart(members.iter().copied()),
-        Fault::Stop(number) => {
-            fleet.stop(*number);
-            fleet.run(Duration::from_millis(300));
-            fleet.start([*number]);
-        }
-        Fault::Part(members) => fleet.part(members.iter().copied(), 1),
-        Fault::Heal => fleet.part(0..FLEET, 0),
-        Fault::Datagrams(lost, late) => {
-            fleet.lost = f64::from(*lost) / 100.0;
-            fleet.delay_ms = 1..=*late;
-        }
-        Fault::Crash(step) => {
-            let engines = fleet.engines();
-            fleet.crash_all(engines.iter().step_by(*step).map(|it| it.key));
-        }
-        Fault::Reset => {
-            let engines = fleet.engines();
-            fleet.reset_all(engines.iter().map(|it| it.key));
-        }
-    }
-}
-
 proptest! {
     #![proptest_config(ProptestConfig { max_shrink_iters: 60, ..ProptestConfig::with_cases(8) })]
 
--- a/tests/tests/repeats_drawn.rs
+++ b/tests/tests/repeats_drawn.rs
@@ -4,6 +4,7 @@
 
 use hollyspoke::time::Time;
 use hollyspoke_gateway::budget::{Budget, Part};
+use hollyspoke_tests::faults::{FLEET, Fault, bring};
 use hollyspoke_tests::fleet::{BOUND, Behaviour, Fleet};
 use hollyspoke_tests::gateway::{MODEL, PLAIN};
 use hollyspoke_tests::repeats::{Arrival, Asked, Records};
@@ -109,32 +110,6 @@
     assert!(play(&crash_loop, Start::Empty) <= 0.91);
 }
 
-/// A fault of whole boxes.
-#[derive(Debug, Clone)]
-enum Fault {
-    /// Boxes are killed and start at once.
-    Restart(Vec<usize>),
-    /// A box is told to stop, and starts some time later.
-    Stop(usize),
-    /// Boxes are cut off from the others, and hear each other.
-    Part(Vec<usize>),
-    /// All boxes hear each other.
-    Heal,
-    /// A box stands still, for so many milliseconds.
-    Hold(usize, u64),
-    /// A box's calls are held up.
-    HoldCalls(usize, u64),
-    /// Datagrams are lost, a share of a hundred, or late by milliseconds.
-    Datagrams(u8, u64),
-    /// Engines turn calls away and fail runs, shares of a hundred.
-    Engines(u8, u8),
-    /// So many times the usual traffic arrives.
-    Traffic(u8),
-}
-
-/// The boxes of a fleet.
-const FLEET: usize = 6;
-
 /// Draws a fault.
 fn fault() -> impl Strategy<Value = Fault> {
     let some = || prop::sample::subsequence((0..FLEET).collect::<Vec<_>>(), 1..=FLEET);
@@ -151,34 +126,6 @@
     ]
 }
 
-/// Brings a fault about.
-fn bring(fleet: &mut Fleet, fault: &Fault) {
-    match fault {
-        Fault::Restart(members) => fleet.restart(members.iter().copied()),
-        Fault::Stop(number) => {
-            fleet.stop(*number);
-            fleet.run(Duration::from_millis(300));
-            fleet.start([*number]);
-        }
-        Fault::Part(members) => fleet.part(members.iter().copied(), 1),
-        Fault::Heal => fleet.part(0..FLEET, 0),
-        Fault::Hold(number, span) => fleet.hold(*number, Duration::from_millis(*span)),
-        Fault::HoldCalls(number, span) => fleet.hold_calls(*number, Duration::from_millis(*span)),
-        Fault::Datagrams(lost, late) => {
-            fleet.lost = f64::from(*lost) / 100.0;
-            fleet.delay_ms = 1..=*late;
-        }
-        Fault::Engines(turns_away, fails) => {
-            let share = |it: u8| f64::from(it) / 100.0;
-            fleet.behaviour = Behaviour { turns_away: share(*turns_away), fails: share(*fails) };
-        }
-        Fault::Traffic(times) => {
-            fleet.traffic.plain = 40.9 * f64::from(*times);
-            fleet.traffic.streams = 18.2 * f64::from(*times);
-        }
-    }
-}
-
 proptest! {
     #![proptest_config(ProptestConfig { max_shrink_iters: 60, ..ProptestConfig::with_cases(8) })]
 
