hollyspoked counts a suspension as a pause, by the clock that both daemons share

Cause: the same as in hollyspoke-node: its reducer's time was the steady clock. It takes a gap of over 2 s between two events for a pause already, and a suspension left no gap. The clock is a crate of its own now; nothing of it has changed.

--- a/crates/hollyspoke-server/src/clock.rs
+++ b/crates/hollyspoke-clock/src/lib.rs
@@ -1,4 +1,4 @@
-//! The reducer's clock: the runtime's steady time, and the time for which the machine was suspended.
+//! The clock of both daemons' reducers: the runtime's steady time, and the time for which the machine was suspended.
 //!
 //! The steady clock stands still meanwhile, so that a lease, a deadline or another box's last word
 //! would seem as fresh after some seconds away as before. Another clock of the system counts on.
--- a/crates/hollyspoke-daemon/src/shell.rs
+++ b/crates/hollyspoke-daemon/src/shell.rs
@@ -8,14 +8,14 @@
 use hollyspoke::key::Ticket;
 use hollyspoke::member::Entry;
 use hollyspoke::node::Node;
-use hollyspoke::time::Time;
+use hollyspoke_clock::Clock;
 use hollyspoke_wire::engine::{Decode, Import};
 use hollyspoke_wire::http::Client;
 use hollyspoke_wire::peer::Arrived;
 use slog::{Logger, info};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{AbortHandle, JoinHandle};
-use tokio::time::{Instant, MissedTickBehavior};
+use tokio::time::MissedTickBehavior;
 
 use crate::input::{Input, Inputs, Query};
 use crate::metrics::Metrics;
@@ -31,8 +31,8 @@
 pub struct Shell {
     /// The reducer.
     node: Node,
-    /// The origin of its clock.
-    origin: Instant,
+    /// Its clock.
+    clock: Clock,
     /// The way in, for tasks.
     inputs: Inputs,
     /// The client for engines and services.
@@ -70,7 +70,7 @@
         let peers = Peers::new(node.incarnation(), inputs.clone());
         Shell {
             node,
-            origin: Instant::now(),
+            clock: Clock::default(),
             inputs,
             client: Client::new(),
             peers,
@@ -128,7 +128,11 @@
         {
             self.attempts.remove(ticket);
         }
-        let now = Time::from_micros(self.origin.elapsed().as_micros() as u64);
+        // The reducer takes a gap for a pause, after which what it held may be another box's.
+        if let Some(span) = self.clock.look() {
+            self.clock.add(span);
+        }
+        let now = self.clock.now();
         let effects = self.node.step(now, event);
         let mut exit = false;
         for effect in effects {
--- a/crates/hollyspoke-server/src/lib.rs
+++ b/crates/hollyspoke-server/src/lib.rs
@@ -4,7 +4,6 @@
 //! is another dialect.
 
 pub mod answer;
-pub mod clock;
 pub mod dialect;
 pub mod directory;
 pub mod front;
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use hollyspoke::store::Operation;
 use hollyspoke::time::Time;
+use hollyspoke_clock::Clock;
 use hollyspoke_gateway::effect::{Effect, Order, Refusal, Send, Source};
 use hollyspoke_gateway::engine::Engine;
 use hollyspoke_gateway::event::Event;
@@ -23,7 +24,6 @@
 use tokio::time::Instant;
 
 use crate::answer::{DropHook, Stream};
-use crate::clock::Clock;
 use crate::dialect::{Dialect, Kind};
 use crate::metrics::Metrics;
 use crate::notes;
--- a/tests/tests/suspension.rs
+++ b/tests/tests/suspension.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use hollyspoke_clock::Clock;
 use hollyspoke_gateway::effect::{Effect, Refusal};
 use hollyspoke_gateway::event::{Event, Kind};
-use hollyspoke_server::clock::Clock;
 use hollyspoke_tests::gateway::{World, only_refusal, request};
 use hollyspoke_tests::platform::{
     Act, Script, ask, client_head, engine, local, node, status, store, whole,
