--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -221,9 +221,11 @@
     /// Tells all boxes of the cases that have changed.
     pub(super) fn tell_words(&mut self) {
         while self.quarantine.has_untold() {
-            let mut message = self.message(false);
-            message.crashes = self.quarantine.take_untold();
-            self.tell_all(message);
+            let crashes = self.quarantine.take_untold();
+            if !crashes.is_empty() {
+                let message = Message { crashes, ..self.message(false) };
+                self.tell_all(message);
+            }
         }
     }
 
