--- a/crates/hollyspoke-gateway/src/flight.rs
+++ b/crates/hollyspoke-gateway/src/flight.rs
@@ -77,7 +77,7 @@
     pub handle_refused: bool,
     /// When the prompt was read that lies at the source.
     pub read_at: Time,
-    /// The memory set aside in the ledger at the engine that is to generate.
+    /// The memory reserved in the ledger at the engine that is to generate.
     pub reserved: Option<(EngineKey, Load)>,
     /// Set while the request waits for room at an engine: until when it may wait.
     pub waits_until: Option<Time>,
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -335,7 +335,7 @@
         self.flights.len()
     }
 
-    /// Gives this box's work at engines: what its calls hold, and what is set aside for them.
+    /// Gives this box's work at engines: what its calls hold, and what is reserved for them.
     pub fn own_work(&self) -> Vec<(EngineKey, Load)> {
         self.ledger.own()
     }
--- a/crates/hollyspoke-gateway/src/gateway/room.rs
+++ b/crates/hollyspoke-gateway/src/gateway/room.rs
@@ -1,4 +1,4 @@
-//! Requests that wait for room in an engine's memory, and memory set aside for those whose prompt
+//! Requests that wait for room in an engine's memory, and memory reserved for those whose prompt
 //! is being read.
 
 use hollyspoke::time::Time;
@@ -80,7 +80,7 @@
         self.refuse_overloaded(key, wait);
     }
 
-    /// Sets memory aside at the engine that is to generate.
+    /// Reserves memory at the engine that is to generate.
     pub(super) fn reserve(&mut self, key: FlightKey, engine: Option<EngineKey>) {
         let Some(engine) = engine else { return };
         let Some(flight) = self.flights.get_mut(&key) else { return };
@@ -90,7 +90,7 @@
         self.ledger.add(engine, load);
     }
 
-    /// Gives back the memory that was set aside for a request.
+    /// Releases the memory that was reserved for a request.
     pub(super) fn unreserve(&mut self, key: FlightKey) {
         let reserved = self.flights.get_mut(&key).and_then(|it| it.reserved.take());
         if let Some((engine, load)) = reserved {
--- a/crates/hollyspoke-gateway/src/load.rs
+++ b/crates/hollyspoke-gateway/src/load.rs
@@ -63,7 +63,7 @@
     }
 
     /// Tells whether others must know of the changes at once: engines tell their calls themselves,
-    /// but not what memory is set aside and what waits to be read.
+    /// but not what memory is reserved and what waits to be read.
     pub fn is_urgent(&self) -> bool {
         self.is_urgent
     }
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -82,7 +82,7 @@
     pub trials: &'a [EngineKey],
     /// The time.
     pub now: Time,
-    /// A number that parts equals.
+    /// A drawn number that breaks ties.
     pub draw: u64,
 }
 
@@ -128,7 +128,7 @@
     }
 
     /// Chooses an engine that generates from a prompt read in a data centre; the preferred one,
-    /// where memory was set aside, if it can still be used.
+    /// where memory was reserved, if it can still be used.
     pub fn generating(
         &self,
         staged: &Staged,
@@ -203,7 +203,7 @@
         engines
     }
 
-    /// Finds the candidate that costs least; equals are parted by the draw.
+    /// Finds the cheapest candidate; the drawn number breaks ties.
     fn cheapest<'a>(
         &self,
         candidates: &[&'a Known],
