Crashes are proven by the list too, for boxes that started after them

Cause: a crash was proven by a change: another born in an entry, an entry that goes. Boxes that were all lost before the engines were back learnt the crashes from the store, as likely ones, and the engines from a list that showed their next lives already; nothing changed any more, the crashes lapsed after 10 s, and the request crashed four more engines.

Change: with each heartbeat a likely crash is proven if the list has its engine in a later life, or has not had it for 4 s while the store is there.

The four kinds of faults stay in crashes_drawn.rs.

--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -25,6 +25,10 @@
 /// How long a request waits while the same one is tried: most are answered or broken by then.
 const TRIAL_WAIT: Duration = Duration::from_millis(600);
 
+/// How long an engine must be missing in the list for its crash to be taken for proven: longer than
+/// word of an engine that has just entered itself takes to come to all boxes.
+const UNLISTED_FOR: Duration = Duration::from_secs(4);
+
 /// A request that is held back, as operators see it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Held {
@@ -229,8 +233,26 @@
         }
     }
 
-    /// Drops what is out of date.
+    /// Takes the crashes for proven whose engine is listed in a later life, or not any more. A box that
+    /// has started since sees no change that tells it.
+    fn prove_by_list(&mut self) {
+        if self.quarantine.is_empty() || !self.is_listed || self.missing_until().is_some() {
+            return;
+        }
+        for (life, since) in self.quarantine.unproven() {
+            let is_gone = match self.directory.get(life.engine) {
+                Some(known) => life.born.is_some() && known.engine.born > life.born,
+                None => self.now.since(since) >= UNLISTED_FOR,
+            };
+            if is_gone {
+                self.confirm(life, Proof::Proven);
+            }
+        }
+    }
+
+    /// Proves what can be proven, and drops what is out of date.
     pub(super) fn sweep_quarantine(&mut self) {
+        self.prove_by_list();
         let unix = self.unix();
         self.quarantine.sweep(self.now, unix);
     }
--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -281,7 +281,7 @@
 
     /// Gives until when an engine stays whose entry is missing: entries lapse while the store is
     /// away, and engines that live are back soon after its return. None if the store was there.
-    fn missing_until(&self) -> Option<Time> {
+    pub(super) fn missing_until(&self) -> Option<Time> {
         let is_away = |it: Time| self.now.since(it) >= LEAST_OUTAGE;
         if self.store.engines.away.is_some_and(is_away) {
             return Some(self.now + BACK_WITHIN);
--- a/crates/hollyspoke-gateway/src/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/quarantine.rs
@@ -169,6 +169,15 @@
         self.cases.retain(|_, it| !it.is_over(now, unix));
     }
 
+    /// Gives the lives of engines whose crashes are likely and not proven, and since when nothing has
+    /// changed about them.
+    pub fn unproven(&self) -> Vec<(Life, Time)> {
+        let cases = self.cases.values();
+        let crashes = cases.flat_map(|case| case.crashes().map(|it| (it, case.changed)));
+        let likely = crashes.filter(|(it, _)| it.proof == Proof::Likely);
+        likely.map(|(it, at)| (Life { engine: it.engine, born: it.born }, at)).collect()
+    }
+
     /// Takes the words that the other boxes have yet to hear.
     pub fn take_untold(&mut self) -> Vec<Word> {
         let mut words = Vec::new();
--- a/tests/tests/crashes_drawn.rs
+++ b/tests/tests/crashes_drawn.rs
@@ -25,6 +25,10 @@
         (0..70u8, 1..800u64).prop_map(|(lost, late)| Fault::Datagrams(lost, late)),
         (2..6usize).prop_map(Fault::Crash),
         Just(Fault::Reset),
+        (0..FLEET, 100..2500u64).prop_map(|(number, span)| Fault::Hold(number, span)),
+        (0..FLEET, 100..800u64).prop_map(|(number, span)| Fault::HoldCalls(number, span)),
+        (0..=100u8, 0..=100u8).prop_map(|(turns_away, fails)| Fault::Engines(turns_away, fails)),
+        (1..=3u8).prop_map(Fault::Traffic),
     ]
 }
 
--- a/tests/tests/gateway_crashes.rs
+++ b/tests/tests/gateway_crashes.rs
@@ -5,6 +5,7 @@
 use hollyspoke_gateway::effect::{NotRunReason, Refusal};
 use hollyspoke_gateway::engine::{EngineKey, Stage};
 use hollyspoke_tests::crashes::Harmful;
+use hollyspoke_tests::faults::{Fault, bring};
 use hollyspoke_tests::fleet::Fleet;
 
 /// The time after the third crash in which all boxes come to know.
@@ -213,3 +214,30 @@
     let reads = fleet.case_reads - 24;
     assert!((1..=33).contains(&reads), "{reads}");
 }
+
+/// Three engines crashed within 0.2 s, and all boxes were lost before these were back. Boxes that
+/// start learn the crashes from the store and the engines from a list that shows their next lives
+/// already: nothing changed any more that proved the crashes, the boxes went on saying that they
+/// were in doubt, and after 10 s they let the request go; it crashed four more. Drawn by
+/// crashes_drawn.rs with more kinds of faults, and shrunk to this.
+#[test]
+fn proven_after_all_were_lost() {
+    let every = Duration::from_millis(485);
+    let mut fleet = Fleet::settled(6, 12);
+    fleet.harmful = Some(Harmful { route: "resumed", every, when_read: true });
+    let faults = [
+        (Fault::Stop(0), 2745),
+        (Fault::Crash(2), 101),
+        (Fault::Restart(vec![0, 1, 2, 3, 4, 5]), 417),
+        (Fault::Restart(vec![0, 1, 3, 4, 5]), 2543),
+        (Fault::Datagrams(63, 226), 947),
+        (Fault::Heal, 901),
+        (Fault::Engines(84, 18), 2706),
+    ];
+    for (fault, pause) in &faults {
+        bring(&mut fleet, fault);
+        fleet.run(Duration::from_millis(*pause));
+    }
+    fleet.run(Duration::from_secs(5));
+    assert_eq!(fleet.crashes.late_arrivals(CONTACT), Some(0));
+}
