--- a/tests/src/crashes.rs
+++ b/tests/src/crashes.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hollyspoke::time::Time;
-use hollyspoke_gateway::effect::Refusal;
+use hollyspoke_gateway::effect::{NotRunReason, Refusal};
 use hollyspoke_gateway::engine::EngineKey;
 use hollyspoke_gateway::request::FlightKey;
 
@@ -79,6 +79,14 @@
         }
     }
 
+    /// Counts the harmless requests that were refused as if they were harmful.
+    pub fn wrongly_held(&self) -> usize {
+        let is_wrong = |refusal: &Refusal| {
+            matches!(refusal, Refusal::Harmful(_) | Refusal::NotRun(_, NotRunReason::Doubted, _))
+        };
+        self.refused.iter().filter(|(_, it)| is_wrong(it)).count()
+    }
+
     /// Gives how often harmful requests came to engines later than some time after the third crash;
     /// none if there were not as many crashes.
     pub fn late_arrivals(&self, contact: Duration) -> Option<usize> {
--- a/tests/tests/crashes_drawn.rs
+++ b/tests/tests/crashes_drawn.rs
@@ -63,4 +63,23 @@
         let late = fleet.crashes.late_arrivals(CONTACT).unwrap_or(0);
         prop_assert!(late <= MOST_REPEATS, "{late} late arrivals, {} crashes", fleet.crashes.caused.len());
     }
+
+    /// Whatever happens, neither a popular request nor any other harmless one is taken for harmful.
+    #[test]
+    fn harmless_requests_go_on(
+        seed in 0..1000u64,
+        harmful in harmful(),
+        popular in prop::sample::select(vec!["resumed", "once", "safe"]),
+        faults in prop::collection::vec((fault(), 100..3000u64), 1..12),
+    ) {
+        let mut fleet = Fleet::settled(FLEET, seed);
+        fleet.harmful = Some(harmful);
+        fleet.popular = Some((popular, Duration::from_millis(100)));
+        for (fault, pause) in &faults {
+            bring(&mut fleet, fault);
+            fleet.run(Duration::from_millis(*pause));
+        }
+        fleet.run(Duration::from_secs(5));
+        prop_assert_eq!(fleet.crashes.wrongly_held(), 0);
+    }
 }
--- a/tests/tests/gateway_crashes.rs
+++ b/tests/tests/gateway_crashes.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hollyspoke_gateway::effect::{NotRunReason, Refusal};
+use hollyspoke_gateway::effect::Refusal;
 use hollyspoke_gateway::engine::{EngineKey, Stage};
 use hollyspoke_tests::crashes::Harmful;
 use hollyspoke_tests::faults::{Fault, bring};
@@ -131,14 +131,6 @@
     engines.filter(|it| it.stage == Some(Stage::Decode)).map(|it| it.key).collect()
 }
 
-/// Counts the harmless requests that were refused as if they were harmful.
-fn refused_as_harmful(fleet: &Fleet) -> usize {
-    let is_wrong = |refusal: &Refusal| {
-        matches!(refusal, Refusal::Harmful(_) | Refusal::NotRun(_, NotRunReason::Doubted, _))
-    };
-    fleet.crashes.refused.iter().filter(|(_, it)| is_wrong(it)).count()
-}
-
 /// Engines crash by themselves, one after the other and all at once, under requests that come once
 /// and under one that many send: none of them is ever taken for harmful.
 #[test]
@@ -155,7 +147,7 @@
             }
         }
         fleet.run(Duration::from_secs(3));
-        assert_eq!(refused_as_harmful(&fleet), 0, "seed {seed}, {popular}");
+        assert_eq!(fleet.crashes.wrongly_held(), 0, "seed {seed}, {popular}");
     }
 }
 
@@ -166,7 +158,7 @@
         let mut fleet = troubled(STREAM, seed);
         fleet.popular = Some(("resumed", Duration::from_millis(50)));
         fleet.run(LASTS);
-        assert_eq!(refused_as_harmful(&fleet), 0, "seed {seed}");
+        assert_eq!(fleet.crashes.wrongly_held(), 0, "seed {seed}");
         assert_eq!(fleet.crashes.caused.len(), 3, "seed {seed}");
     }
 }
@@ -182,7 +174,7 @@
         fleet.run(Duration::from_millis(100));
         fleet.reset_all(engines.iter().copied());
     }
-    assert_eq!(refused_as_harmful(&fleet), 0);
+    assert_eq!(fleet.crashes.wrongly_held(), 0);
 }
 
 /// A request that is held back gets a final answer at once, at every box, and engines hear nothing
