--- a/tests/tests/repeats_many.rs
+++ b/tests/tests/repeats_many.rs
@@ -1,8 +1,8 @@
 //! The bound on repeats where there are as many boxes as the allowance has repeats.
 //!
 //! Each box's bucket holds one whole token at least, since no repeat could be sent with less. 985
-//! boxes before an allowance of 1,040 held 985 together and earned 374 more within the window, whatever
-//! was asked: 1.28 of the bound by arithmetic. Below some 600 boxes the parts add up.
+//! boxes before an allowance of 1,040 held 985 together, and more came within the window whatever was
+//! asked: 1.08 of the bound at 0.4 requests a second a box. Below some 600 boxes the parts add up.
 
 use std::time::Duration;
 
