--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -207,22 +207,24 @@
         has_room: impl Fn(&Known) -> bool,
     ) -> Vec<&Known> {
         let is_of_stage = |it: &Group| stage.is_none() || it.stage.is_none() || it.stage == stage;
+        // Few of many engines may lie in the homes: a sample of all would miss them.
+        let is_usable = |it: &Group| is_of_stage(it) && self.is_home(&it.data_centre);
         let name = &self.service.name;
-        let count = self.directory.count(name, is_of_stage);
+        let count = self.directory.count(name, is_usable);
         if count <= MOST_COMPARED {
             let mut all: Vec<_> =
-                self.directory.sample(name, is_of_stage, count, self.draw).collect();
+                self.directory.sample(name, is_usable, count, self.draw).collect();
             all.sort_by_key(|it| it.engine.key);
             return self.usable(all, &has_room);
         }
         let preferred = preferred.and_then(|it| self.directory.get(it));
-        let is_near = |it: &Group| is_of_stage(it) && *it.data_centre == *data_centre;
+        let is_near = |it: &Group| is_usable(it) && *it.data_centre == *data_centre;
         let near = self.directory.sample(name, is_near, SAMPLE, self.draw);
         let usable = self.usable(preferred.into_iter().chain(near).collect(), &has_room);
         if !usable.is_empty() {
             return usable;
         }
-        let far = self.directory.sample(name, is_of_stage, SAMPLE, self.draw);
+        let far = self.directory.sample(name, is_usable, SAMPLE, self.draw);
         self.usable(far.collect(), &has_room)
     }
 
@@ -250,9 +252,12 @@
     /// Tells whether the request may be sent to an engine at all: it lies in all homes, and is not
     /// cold or bears one more request.
     pub fn is_allowed(&self, known: &Known) -> bool {
-        let data_centre = &known.engine.data_centre;
-        let is_home = self.homes.iter().all(|it| it.include(data_centre, self.regions));
-        is_home && !self.is_too_cold(known)
+        self.is_home(&known.engine.data_centre) && !self.is_too_cold(known)
+    }
+
+    /// Tells whether the request may be served in a data centre.
+    fn is_home(&self, data_centre: &str) -> bool {
+        self.homes.iter().all(|it| it.include(data_centre, self.regions))
     }
 
     /// Tells whether an engine is cold and bears no more of this box's requests now.
--- a/tests/tests/gateway_homes.rs
+++ b/tests/tests/gateway_homes.rs
@@ -11,7 +11,7 @@
 use hollyspoke_gateway::credential::KeyDigest;
 use hollyspoke_gateway::customer::{Customer, CustomerKey, Customers, Unit};
 use hollyspoke_gateway::effect::{Effect, NotRunReason, Refusal};
-use hollyspoke_gateway::engine::{Engine, Stage};
+use hollyspoke_gateway::engine::{Engine, EngineKey, Stage};
 use hollyspoke_gateway::event::{CallEvent, Event};
 use hollyspoke_gateway::gateway::{Gateway, Settings};
 use hollyspoke_gateway::message::{DataCentreKey, Knowledge, Message};
@@ -19,8 +19,8 @@
 use hollyspoke_gateway::request::Request;
 use hollyspoke_gateway::route::{Route, RouteKind};
 use hollyspoke_tests::gateway::{
-    MODEL, PLAIN, World, configuration_of, engine, heartbeat, only_refusal, only_send, request,
-    route, settings, turned_away,
+    MODEL, PLAIN, World, configuration_of, engine, heartbeat, only_refusal, only_send, ran,
+    request, route, settings, turned_away,
 };
 
 /// The key of the customer whose requests stay in the region `cold`.
@@ -180,3 +180,27 @@
     // Nor are boxes elsewhere named when all others have fallen silent.
     assert_eq!(told(&world, Some("cold")), [1, 2]);
 }
+
+/// Of many engines a choice looks at a part: 2 of 402 were in no such part most of the time, and the
+/// request was refused.
+#[test]
+fn few_engines_in_the_homes_are_found_among_many() {
+    let mut world = world();
+    let many = (0..400u16).map(|number| {
+        let id = format!("many-{number}");
+        let [high, low] = number.to_be_bytes();
+        Engine {
+            key: EngineKey::of(&id),
+            id: id.into(),
+            address: SocketAddr::from(([10, 2, high, low], 9000)),
+            ..engine(1, PLAIN, None)
+        }
+    });
+    let few = [91, 92].map(|it| Engine { data_centre: "south".into(), ..engine(it, PLAIN, None) });
+    world.event(Event::Listed(many.chain(few).collect(), 20));
+    for _ in 0..32 {
+        let (_, send) = world.sent(request("warm"));
+        assert_eq!(*send.engine.data_centre, *"south");
+        world.call(send.call, CallEvent::Answered(ran(200)));
+    }
+}
