Start of many boxes: a bound that the code before does not keep

The bound of five times the datagrams of 100 boxes held for the code before too (274,425 at 300 against 5 x 57,984). Four times, 231,936, does not; the code now sends 162,026. The check is stricter; nothing else changes.

--- a/tests/tests/start_together.rs
+++ b/tests/tests/start_together.rs
@@ -197,5 +197,5 @@
     };
     let (few, many) = (datagrams(100), datagrams(300));
 
-    assert!(many < few * 5, "{few} and {many}");
+    assert!(many < few * 4, "{few} and {many}");
 }
