Sight: what engines in need take is read, logged and measured

Change: answers to calls, orders and questions carry what the engine says of the requests that it takes; lines 'engine limited', 'engine limit lifted', 'engine limit not read', gauge hollyspoke_engine_limit_milli.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -10,6 +10,7 @@
 use crate::customer::Caller;
 use crate::engine::{Engine, EngineKey, Stage};
 use crate::event::{Kind, ToldLoad};
+use crate::intake::Change;
 use crate::message::{Demand, Load, Message};
 use crate::quarantine::About;
 use crate::ratio::Split;
@@ -207,6 +208,13 @@
         /// For how long.
         span: Duration,
     },
+    /// What an engine takes has changed.
+    Limited {
+        /// The engine's id.
+        id: Arc<str>,
+        /// What has become of its limit.
+        change: Change,
+    },
     /// A call was sent.
     Sent {
         /// The client's id of the request.
--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -8,6 +8,7 @@
 
 use crate::engine::{Engine, EngineChange, EngineKey};
 use crate::evacuation::{Change, Evacuation};
+use crate::intake::Told;
 use crate::message::Message;
 use crate::prompt::PromptKey;
 use crate::request::{CallKey, FlightKey, Request};
@@ -39,7 +40,7 @@
 }
 
 /// The head of an engine's answer, and the handle if it read a prompt.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Answer {
     /// The status.
     pub status: u16,
@@ -47,12 +48,14 @@
     pub execution: Execution,
     /// The engine's load, if it tells.
     pub told: Option<ToldLoad>,
+    /// What it says of the requests that it takes.
+    pub limit: Told,
     /// Where the prompt lies, for an answer to the reading of a prompt.
     pub handle: Option<String>,
 }
 
 /// What happens to a call to an engine.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum CallEvent {
     /// The connection never opened: nothing was sent.
     Unsent,
@@ -142,6 +145,8 @@
     Ordered(EngineKey, OrderAnswer),
     /// An engine was asked whether it lives.
     Probed(EngineKey, Probe),
+    /// An engine named a limit in its answer to an order or a question.
+    Limited(EngineKey, Told),
     /// An operator lets the held requests go whose signature begins so.
     Lift(String),
     /// The machine was suspended for a time that has been added to the clock since.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 mod evacuation;
 mod handover;
 mod kept;
+mod limit;
 mod peers;
 mod quarantine;
 mod relay;
@@ -45,6 +46,7 @@
 use crate::gateway::stages::Stages;
 use crate::gateway::store::{EngineChanges, StoreState};
 use crate::gateway::survey::Survey;
+use crate::intake;
 use crate::load::Ledger;
 use crate::member::Members;
 use crate::message::{DataCentreKey, Load, Standing};
@@ -122,6 +124,8 @@
     evacuation: Evacuation,
     /// When this box last sent to cold engines.
     turns: Turns,
+    /// What engines in need take.
+    intakes: intake::Table,
     /// The work at the engines.
     ledger: Ledger,
     /// The other boxes.
@@ -209,6 +213,7 @@
             directory: Directory::default(),
             evacuation: Evacuation::default(),
             turns: Turns::default(),
+            intakes: intake::Table::default(),
             ledger: Ledger::default(),
             prompts: Prompts::default(),
             budgets: HashMap::new(),
@@ -266,6 +271,7 @@
             Event::Inspected(engine, count) => self.inspected(engine, count),
             Event::Ordered(engine, answer) => self.ordered(engine, answer),
             Event::Probed(engine, probe) => self.probed(engine, probe),
+            Event::Limited(engine, told) => self.named(engine, told),
             Event::Lift(short) => self.lift(&short),
             Event::Suspended(span) => self.resume(span),
             Event::Stop => self.stop(),
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -275,6 +275,7 @@
         if !self.is_of_this_life(call) {
             return;
         }
+        self.learn_limit(call, answer);
         let now = self.now;
         if let Some(known) = self.directory.get_mut(call.engine.key) {
             known.told = answer.told.map(|it| (it, now)).or(known.told);
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! Imports go one way: `route`, `engine` and `request` at the ground; `message`, `event` and
 //! `effect` above them; then one mechanism a file (`budget`, `health`, `load`, `directory`,
-//! `member`, `placement`, `demand`, `ratio`, `evacuation`, `region`, `cold`); `flight` follows one request; `gateway` composes all.
+//! `member`, `placement`, `demand`, `ratio`, `evacuation`, `region`, `cold`,
+//! `intake`); `flight` follows one request; `gateway` composes all.
 
 pub mod budget;
 pub mod cadence;
@@ -22,6 +23,7 @@
 pub mod flight;
 pub mod gateway;
 pub mod health;
+pub mod intake;
 pub mod load;
 pub mod member;
 pub mod message;
--- a/crates/hollyspoke-server/src/dialect.rs
+++ b/crates/hollyspoke-server/src/dialect.rs
@@ -10,6 +10,7 @@
 use hollyspoke_gateway::effect::{Order, Send, Source};
 use hollyspoke_gateway::engine::Engine;
 use hollyspoke_gateway::event::{Answer, OrderAnswer};
+use hollyspoke_gateway::intake::Told;
 use hollyspoke_gateway::prompt::PromptKey;
 use hollyspoke_gateway::request::Request;
 use hollyspoke_gateway::route::Configuration;
@@ -83,6 +84,8 @@
     pub call_head: fn(&request::Parts, &Send) -> request::Parts,
     /// Reads the head of an engine's answer; an error if it answers another request.
     pub read_answer: fn(&response::Parts, &request::Parts) -> Result<Answer, Malformed>,
+    /// Reads what an engine's answer says of the requests that it takes.
+    pub read_limit: fn(&response::Parts) -> Told,
     /// Reads the handle from the answer to the reading of a prompt.
     pub read_handle: fn(&[u8]) -> Option<String>,
     /// Makes the request that frees a prompt.
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -6,6 +6,7 @@
 
 use hollyspoke_gateway::effect::Note;
 use hollyspoke_gateway::engine::Stage;
+use hollyspoke_gateway::intake::Change;
 use hollyspoke_metrics::Exporter;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
@@ -52,6 +53,8 @@
     lease: Gauge<u64>,
     /// Whether a data centre is evacuated.
     evacuated: Gauge<u64>,
+    /// What engines in need take, in thousandths of a request a second.
+    limits: Gauge<u64>,
 }
 
 impl Metrics {
@@ -89,6 +92,10 @@
             orders: count("hollyspoke_orders", "orders to engines, by what became of them"),
             lease: gauge("hollyspoke_order_lease", "whether this box holds the lease for orders"),
             evacuated: gauge("hollyspoke_evacuated", "whether a data centre is evacuated"),
+            limits: gauge(
+                "hollyspoke_engine_limit_milli",
+                "thousandths of a request a second that an engine takes from all boxes; 0: no limit",
+            ),
             peers: count("hollyspoke_peer_changes", "boxes first heard or fallen silent"),
             exporter,
         })
@@ -137,6 +144,7 @@
                 let data_centre = KeyValue::new("data_centre", data_centre.clone());
                 self.evacuated.record(u64::from(!is_lifted), &[data_centre]);
             }
+            Note::Limited { id, change } => self.record_limit(id, change),
             Note::Ordered { .. } | Note::Census { .. } | Note::CasesRead { .. } => {}
             Note::Released { .. } | Note::Suspended(_) => {}
             Note::Listed { .. } | Note::Avoided { .. } | Note::Follows(_) | Note::Stopping => {}
@@ -148,6 +156,16 @@
         self.exporter.text()
     }
 
+    /// Takes what an engine takes now.
+    fn record_limit(&self, id: &Arc<str>, change: &Change) {
+        let engine = KeyValue::new("engine", id.clone());
+        match change {
+            Change::Named(_, rate) => self.limits.record((rate * 1e3) as u64, &[engine]),
+            Change::Lifted => self.limits.record(0, &[engine]),
+            Change::Unreadable => {}
+        }
+    }
+
     /// Counts a customer's request.
     fn record_customer(&self, customer: &Arc<str>, units: u64, how: &'static str) {
         let customer = KeyValue::new("customer", customer.clone());
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -4,6 +4,7 @@
 
 use hollyspoke_gateway::effect::Note;
 use hollyspoke_gateway::engine::Stage;
+use hollyspoke_gateway::intake::Change;
 use slog::{Logger, info, warn};
 
 /// Writes a line.
@@ -24,6 +25,7 @@
         Note::EngineLeft { id } => info!(log, "engine left"; "engine" => %id),
         Note::Avoided { id, span } => info!(log, "engine avoided";
             "engine" => %id, "span_ms" => millis(span)),
+        Note::Limited { id, change } => write_limit(log, id, change),
         Note::Sent { request, engine, task, source, expected, tokens, held, before } => {
             info!(log, "call sent";
             "request" => %request, "engine" => %engine, "task" => task,
@@ -75,6 +77,16 @@
     }
 }
 
+/// Writes a line on what an engine takes.
+fn write_limit(log: &Logger, id: &str, change: &Change) {
+    match change {
+        Change::Named(told, rate) => warn!(log, "engine limited";
+            "engine" => id, "told" => told, "per_s" => rate),
+        Change::Unreadable => warn!(log, "engine limit not read"; "engine" => id),
+        Change::Lifted => info!(log, "engine limit lifted"; "engine" => id),
+    }
+}
+
 /// The most boxes that one line names.
 const MOST_NAMED: usize = 4;
 
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -7,8 +7,9 @@
 
 use bytes::Bytes;
 use hollyspoke_gateway::effect::{LONGEST_ORDER, Order, Send, Source, Task};
-use hollyspoke_gateway::engine::Engine;
+use hollyspoke_gateway::engine::{Engine, EngineKey};
 use hollyspoke_gateway::event::{Answer, CallEvent, Event, OrderAnswer, Probe};
+use hollyspoke_gateway::intake::Told;
 use http::{StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -161,7 +162,7 @@
 /// Asks an engine which parts of prompts it keeps, and tells the reducer.
 async fn survey(node: Rc<Node>, engine: Arc<Engine>) {
     let question = (node.dialect.survey)(&engine);
-    if let Some(bytes) = ask(&engine, question).await
+    if let Some(bytes) = ask(&node, &engine, question).await
         && let Some(prompts) = (node.dialect.read_survey)(&bytes)
     {
         node.dispatch(Event::Surveyed(engine.key, prompts));
@@ -189,7 +190,11 @@
     let (head, body) = (node.dialect.order)(order);
     let Ok(request) = head.body(Full::new(body)) else { return OrderAnswer::Refused };
     match connection.send(request).await {
-        Ok(response) => (node.dialect.read_order)(response.status()),
+        Ok(response) => {
+            let (head, _) = response.into_parts();
+            tell_limit(node, order.engine.key, &head);
+            (node.dialect.read_order)(head.status)
+        }
         Err(Failure::Unsent) => OrderAnswer::Refused,
         Err(Failure::Broken) => OrderAnswer::Unknown,
     }
@@ -197,7 +202,7 @@
 
 /// Asks an engine how many orders it has taken, and tells the reducer.
 async fn inspect(node: Rc<Node>, engine: Arc<Engine>) {
-    let report = ask(&engine, (node.dialect.report)(&engine)).await;
+    let report = ask(&node, &engine, (node.dialect.report)(&engine)).await;
     let report = report.and_then(|it| (node.dialect.read_report)(&it));
     node.dispatch(Event::Inspected(engine.key, report.map(|it| it.order_count)));
 }
@@ -211,14 +216,15 @@
 
 /// Sends the question whether an engine lives; none if no answer came. Any answer shows that
 /// something lives there.
-async fn exchange_probe(node: &Node, engine: &Engine) -> Option<Probe> {
+async fn exchange_probe(node: &Rc<Node>, engine: &Engine) -> Option<Probe> {
     let mut connection = Connection::open(engine.address, CONNECT_TIMEOUT).await.ok()?;
     let question = (node.dialect.report)(engine).body(Full::default()).ok()?;
-    let response = connection.send(question).await.ok()?;
-    match response.status() {
+    let (head, body) = connection.send(question).await.ok()?.into_parts();
+    tell_limit(node, engine.key, &head);
+    match head.status {
         StatusCode::MISDIRECTED_REQUEST => Some(Probe::Replaced),
         StatusCode::OK => {
-            let bytes = read_whole(response.into_body(), LONGEST_ANSWER).await?;
+            let bytes = read_whole(body, LONGEST_ANSWER).await?;
             let born = (node.dialect.read_report)(&bytes).and_then(|it| it.born);
             Some(Probe::Lives(born))
         }
@@ -227,17 +233,32 @@
 }
 
 /// Asks an engine about itself; none if it does not tell.
-async fn ask(engine: &Engine, question: http::request::Builder) -> Option<Bytes> {
-    let asked = tokio::time::timeout(ASK_TIMEOUT, exchange_question(engine, question)).await;
+async fn ask(node: &Rc<Node>, engine: &Engine, question: http::request::Builder) -> Option<Bytes> {
+    let asked = tokio::time::timeout(ASK_TIMEOUT, exchange_question(node, engine, question)).await;
     asked.ok().flatten()
 }
 
 /// Sends a question and reads the answer.
-async fn exchange_question(engine: &Engine, question: http::request::Builder) -> Option<Bytes> {
+async fn exchange_question(
+    node: &Rc<Node>,
+    engine: &Engine,
+    question: http::request::Builder,
+) -> Option<Bytes> {
     let mut connection = Connection::open(engine.address, CONNECT_TIMEOUT).await.ok()?;
     let response = connection.send(question.body(Full::default()).ok()?).await.ok()?;
-    if response.status() != StatusCode::OK {
+    let (head, body) = response.into_parts();
+    tell_limit(node, engine.key, &head);
+    if head.status != StatusCode::OK {
         return None;
     }
-    read_whole(response.into_body(), LONGEST_ANSWER).await
+    read_whole(body, LONGEST_ANSWER).await
+}
+
+/// Tells the reducer of a limit that an engine names in its answer to an order or a question. One of
+/// another engine at its address says nothing of it.
+fn tell_limit(node: &Rc<Node>, engine: EngineKey, head: &response::Parts) {
+    let told = (node.dialect.read_limit)(head);
+    if told != Told::Nothing && head.status != StatusCode::MISDIRECTED_REQUEST {
+        node.dispatch(Event::Limited(engine, told));
+    }
 }
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -13,6 +13,7 @@
 use hollyspoke_gateway::evacuation::Evacuation;
 use hollyspoke_gateway::event::{Answer, CallEvent, Event, Execution};
 use hollyspoke_gateway::gateway::{CASES, Gateway, Settings, Sharing};
+use hollyspoke_gateway::intake::Told;
 use hollyspoke_gateway::message::{DataCentreKey, Knowledge, Message, Standing, Usage};
 use hollyspoke_gateway::region::{Homes, Regions};
 use hollyspoke_gateway::request::{CallKey, FlightKey, Request};
@@ -164,12 +165,13 @@
 
 /// Gives an answer that proves that the request ran.
 pub fn ran(status: u16) -> Answer {
-    Answer { status, execution: Execution::Ran, told: None, handle: None }
+    let limit = Told::Nothing;
+    Answer { status, execution: Execution::Ran, told: None, limit, handle: None }
 }
 
 /// Gives an answer that proves that the request did not run.
 pub fn turned_away() -> Answer {
-    Answer { status: 503, execution: Execution::Refused, told: None, handle: None }
+    Answer { execution: Execution::Refused, ..ran(503) }
 }
 
 /// Gives the answer to the reading of a prompt.
--- a/tests/tests/gateway_stages.rs
+++ b/tests/tests/gateway_stages.rs
@@ -7,7 +7,9 @@
 use hollyspoke_gateway::engine::{EngineKey, Stage};
 use hollyspoke_gateway::event::{Answer, CallEvent, Event, Execution};
 use hollyspoke_gateway::message::{Knowledge, Switching};
-use hollyspoke_tests::gateway::{World, engine, heartbeat, only_send, read, request, settings};
+use hollyspoke_tests::gateway::{
+    World, engine, heartbeat, only_send, ran, read, request, settings,
+};
 use hollyspoke_tests::stages::{Loop, Obedience, SWITCH};
 
 /// Long enough for a load to be known and an engine to have changed.
@@ -209,7 +211,7 @@
 #[test]
 fn wrong_stage_teaches() {
     let mut world = World::new();
-    let misdirected = Answer { status: 421, execution: Execution::Moved, told: None, handle: None };
+    let misdirected = Answer { execution: Execution::Moved, ..ran(421) };
     let (_, reading) = world.sent(request("once"));
     let effects = world.call(reading.call, CallEvent::Answered(misdirected));
     let next = only_send(&effects);
--- a/tests/tests/platform_names.rs
+++ b/tests/tests/platform_names.rs
@@ -4,7 +4,7 @@
 
 /// Headers, paths, fields and words of the platform's pages. `/objects/` is not among them: the
 /// product's own store interface, older than the adapter, has the same path.
-const NAMES: [&str; 26] = [
+const NAMES: [&str; 27] = [
     "x-request-id",
     "x-deadline-ms",
     "x-expect-instance",
@@ -20,6 +20,7 @@
     "x-prompt-prefix",
     "x-server-stamp",
     "x-server-load",
+    "server-limit",
     "x-not-executed",
     "prefillhandle",
     "kv-handle",
