Limits that engines name are not kept: a failing test

Boxes that an answer has told count from half a second later on, the sum from 3 s after the naming on, as the users' rule says.

--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -12,8 +12,9 @@
 use hollyspoke_gateway::budget::Bound;
 use hollyspoke_gateway::effect::{Effect, Note, Send, Task};
 use hollyspoke_gateway::engine::{Engine, EngineChange, EngineKey, Stage};
-use hollyspoke_gateway::event::{CallEvent, Event, Kind, Probe};
+use hollyspoke_gateway::event::{Answer as Answered, CallEvent, Event, Kind, Probe};
 use hollyspoke_gateway::gateway::{CASES, Gateway, Settings};
+use hollyspoke_gateway::intake::Told;
 use hollyspoke_gateway::message::Message;
 use hollyspoke_gateway::request::{CallKey, FlightKey, Request};
 use hollyspoke_gateway::signature::Content;
@@ -25,6 +26,7 @@
 use crate::gateway::{
     HOST, MODEL, PLAIN, configuration, engine, ran, read, request, settings, turned_away,
 };
+use crate::needs::Needs;
 use crate::repeats::{Arrival, Asked, Records, Refused};
 
 /// How long a call takes to reach an engine.
@@ -156,6 +158,8 @@
     pub popular: Option<(&'static str, Duration)>,
     /// The engines that crash, and what was seen of that.
     pub crashes: Crashes,
+    /// The engines that name limits, and what came to them.
+    pub needs: Needs,
     /// The store's revision.
     revision: u64,
     /// The source of chance.
@@ -180,6 +184,7 @@
             harmful: None,
             popular: None,
             crashes: Crashes::default(),
+            needs: Needs::default(),
             revision: 10,
             random: Pcg64Mcg::seed_from_u64(seed),
         };
@@ -412,6 +417,7 @@
             let unsent = Due::Answer(caller, engine, CallEvent::Unsent);
             return self.plan(self.now + TRANSIT, unsent);
         }
+        let limit = self.needs.arrive(number, engine, self.now);
         if self.crashes.harmful.contains(&send.flight) {
             let when_read = self.harmful.is_some_and(|it| it.when_read);
             if when_read || send.task != Task::Read {
@@ -443,7 +449,7 @@
         };
         let mut at = self.now + Duration::from_millis(self.random.random_range(ANSWERS_IN_MS));
         for event in events {
-            self.plan(at, Due::Answer(caller, engine, event.clone()));
+            self.plan(at, Due::Answer(caller, engine, limited(event, limit)));
             at = at + STREAM_LASTS;
         }
     }
@@ -465,6 +471,7 @@
 
     /// Has an engine crash, under a call or not: what it has under way breaks.
     fn crash(&mut self, engine: EngineKey, caller: Option<Caller>) {
+        self.needs.forget(engine, self.now);
         let state = self.crashes.states.entry(engine).or_default();
         state.crashes += 1;
         state.down_until = self.now + BACK_AFTER;
@@ -544,7 +551,15 @@
                     let at = self.now + STORE_ANSWERS_IN;
                     self.plan(at, Due::Stored(number, life, operation, answer));
                 }
-                Effect::Probe(engine) => self.probe(number, engine.key),
+                Effect::Probe(engine) => {
+                    self.ask_engine(number, engine.key);
+                    self.probe(number, engine.key);
+                }
+                Effect::Survey(engine) | Effect::Inspect(engine) => {
+                    self.ask_engine(number, engine.key);
+                }
+                Effect::Order(order) => self.ask_engine(number, order.engine.key),
+                Effect::Free(source) => self.ask_engine(number, source.engine),
                 Effect::Refuse(flight, refusal) => {
                     self.crashes.answered(flight, refusal, self.now);
                 }
@@ -558,6 +573,23 @@
         }
     }
 
+    /// Has a question or an order of a box come to an engine that may be in need.
+    fn ask_engine(&mut self, number: usize, engine: EngineKey) {
+        _ = self.needs.arrive(number, engine, self.now);
+    }
+
+    /// Has engines name a limit from now on, or none.
+    pub fn limit(&mut self, engines: impl IntoIterator<Item = EngineKey>, rate: Option<f64>) {
+        for engine in engines {
+            self.needs.name(engine, rate, self.now);
+        }
+    }
+
+    /// Gives the time.
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
     /// Has the store carry out an operation.
     fn carry_out(&mut self, operation: Operation) -> Answer {
         if matches!(&operation, Operation::Get { kind, .. } if kind == CASES) {
@@ -594,6 +626,16 @@
     }
 }
 
+/// Adds to an event what the engine says of the requests that it takes.
+fn limited(event: &CallEvent, limit: Told) -> CallEvent {
+    let add = |answer: &Answered| Answered { limit, ..answer.clone() };
+    match event {
+        CallEvent::Began(answer) => CallEvent::Began(add(answer)),
+        CallEvent::Answered(answer) => CallEvent::Answered(add(answer)),
+        other => other.clone(),
+    }
+}
+
 /// Gives the settings of a box.
 fn settings_of(number: usize) -> Settings {
     let number = u8::try_from(number + 1).expect("at most 255 boxes");
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod gateway;
 pub mod link;
+pub mod needs;
 pub mod platform;
 pub mod process;
 pub mod quota;
