--- a/tests/tests/gateway_limits.rs
+++ b/tests/tests/gateway_limits.rs
@@ -7,9 +7,7 @@
 
 use std::time::Duration;
 
-use hollyspoke::time::Time;
 use hollyspoke_gateway::engine::EngineKey;
-use hollyspoke_gateway::event::Event;
 use hollyspoke_tests::fleet::Fleet;
 use hollyspoke_tests::gateway::{MODEL, PLAIN};
 
