Permits for engines in need, and datagrams with numbered, optional fields

What all boxes send to an engine that names a limit is a number that they keep together. Three ways were weighed. A bucket with one whole permit at each box: 6 boxes have more than the 5 that are allowed beside the limit. Boxes drawn by a hash, as for cold engines: half of the rate at most, nothing of what comes to the boxes that were not drawn. One box issues the permits of an engine, others ask it: two datagrams a request, the whole limit, wherever the work is. Built: the last. A side that does not hear most boxes has three parts of 0.067 of the limit, which belong to the boxes that come first for the engine.

Boxes must tell each other of it while older ones live beside them, whose format has neither a version nor numbered fields. What came later stands behind a mark that the first format can't begin with, in CBOR (minicbor), and is sent to boxes that have told that they read it. No decision uses either yet.

--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -49,7 +49,7 @@
 use crate::intake;
 use crate::load::Ledger;
 use crate::member::Members;
-use crate::message::{DataCentreKey, Load, Standing};
+use crate::message::{DataCentreKey, Format, Load, Standing};
 use crate::prompt::Prompts;
 use crate::quarantine::Quarantine;
 use crate::region::Regions;
@@ -359,6 +359,11 @@
         self.members.knows_ip(ip)
     }
 
+    /// Gives what a box can read of datagrams, as far as it has told.
+    pub fn format(&self, node: SocketAddr) -> Format {
+        self.members.format(node)
+    }
+
     /// Gives the number of boxes that live as this one knows, itself included.
     pub fn living_boxes(&self) -> usize {
         self.members.count(self.now)
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -13,7 +13,7 @@
 use crate::engine::EngineKey;
 use crate::evacuation::Evacuation;
 use crate::member::{Hearing, Reach};
-use crate::message::{EngineNews, Full, Load, Message, Named, Usage};
+use crate::message::{EngineNews, Format, Full, Load, Message, Named, Usage};
 
 /// The most boxes that one datagram names.
 const MOST_NAMED: usize = 8;
@@ -314,6 +314,8 @@
             news: None,
             kept: Vec::new(),
             peers,
+            format: Some(Format::Permits),
+            extension: None,
         }
     }
 
--- a/crates/hollyspoke-gateway/src/intake.rs
+++ b/crates/hollyspoke-gateway/src/intake.rs
@@ -4,8 +4,13 @@
 //! lifts it, if the engine made it after the limit was named: its call was sent later than that.
 //! Answers to orders and questions name limits too, and lift none: what they lack proves nothing of
 //! what the engine says to requests.
+//!
+//! Boxes tell each other, since one that sends an engine nothing can't learn from it. Words carry
+//! their age: the newer one holds, in whichever order they come. A wrong one lasts until the
+//! engine's next answer.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use hollyspoke::time::Time;
 
@@ -19,6 +24,10 @@
 /// (`docs/CAPACITY.md`); an engine that takes a tenth of them alone is in no need.
 pub const MOST_RATE: f64 = 3400.0;
 
+/// How long it is kept that a limit was lifted, so that older words do not bring it back: longer than
+/// word of it takes to come to all boxes, also over some lost datagrams.
+const LIFTED_KEPT_FOR: Duration = Duration::from_secs(10);
+
 /// What an answer says of the requests that its engine takes.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum Told {
@@ -42,6 +51,19 @@
     named: Time,
 }
 
+/// What a box tells of an engine's limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Word {
+    /// The engine.
+    pub engine: EngineKey,
+    /// The life of the engine that is spoken of, if it tells.
+    pub born: Option<u64>,
+    /// The requests a second that it takes; none if the limit was lifted.
+    pub rate: Option<f64>,
+    /// How long ago that was so, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// What has become of an engine's limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Change {
@@ -59,7 +81,9 @@
     /// The limits.
     limits: BTreeMap<EngineKey, Limit>,
     /// The engines whose last word was no number.
-    unreadable: BTreeMap<EngineKey, Time>,
+    unreadable: BTreeSet<EngineKey>,
+    /// The engines whose limit was lifted of late: of which life, and when.
+    lifted: BTreeMap<EngineKey, (Option<u64>, Time)>,
 }
 
 impl Table {
@@ -86,8 +110,7 @@
         match told {
             Told::Rate(rate) if rate.is_finite() => self.name(engine, rate, now),
             Told::Rate(_) | Told::Unreadable => {
-                let is_new = self.unreadable.insert(engine.key, now).is_none();
-                is_new.then_some(Change::Unreadable)
+                self.unreadable.insert(engine.key).then_some(Change::Unreadable)
             }
             Told::Nothing if may_lift => self.lift(engine.key, sent),
             Told::Nothing => None,
@@ -98,26 +121,86 @@
     fn name(&mut self, engine: &Engine, told: f64, now: Time) -> Option<Change> {
         self.unreadable.remove(&engine.key);
         if told > MOST_RATE {
-            return self.limits.remove(&engine.key).map(|_| Change::Lifted);
+            return self.lift(engine.key, now);
         }
         let rate = told.max(LEAST_RATE);
-        let limit = Limit { rate, born: engine.born, named: now };
-        let before = self.limits.insert(engine.key, limit);
-        let is_new = before.is_none_or(|it| it.rate != rate);
+        let is_new = self.set(engine.key, Limit { rate, born: engine.born, named: now });
         is_new.then_some(Change::Named(told, rate))
     }
 
-    /// Takes word that an engine no longer had a limit when it answered something sent at a time.
+    /// Sets an engine's limit; tells whether it is another rate than before.
+    fn set(&mut self, engine: EngineKey, limit: Limit) -> bool {
+        self.lifted.remove(&engine);
+        let before = self.limits.insert(engine, limit);
+        before.is_none_or(|it| it.rate != limit.rate)
+    }
+
+    /// Takes word that an engine had no limit any more when it answered something sent at a time.
     fn lift(&mut self, engine: EngineKey, sent: Time) -> Option<Change> {
-        self.limits.get(&engine).filter(|it| it.named <= sent)?;
+        let limit = *self.limits.get(&engine).filter(|it| it.named <= sent)?;
         self.limits.remove(&engine);
         self.unreadable.remove(&engine);
+        self.lifted.insert(engine, (limit.born, sent));
         Some(Change::Lifted)
     }
 
+    /// Takes what another box tells, if it is newer than what is known; gives what has changed. The
+    /// life of the engine that is listed is given, if it tells.
+    pub fn hear(&mut self, word: &Word, listed: Option<u64>, now: Time) -> Option<Change> {
+        if word.born < listed {
+            return None;
+        }
+        let at = now - Duration::from_millis(u64::from(word.age_ms));
+        let known = self.limits.get(&word.engine).map(|it| (it.born, it.named));
+        let known = known.or_else(|| self.lifted.get(&word.engine).copied());
+        if known.is_some_and(|known| (word.born, at) <= known) {
+            return None;
+        }
+        match word.rate.filter(|it| it.is_finite()) {
+            Some(rate) => {
+                let kept = rate.clamp(LEAST_RATE, MOST_RATE);
+                let limit = Limit { rate: kept, born: word.born, named: at };
+                self.set(word.engine, limit).then_some(Change::Named(rate, kept))
+            }
+            None => {
+                self.lifted.insert(word.engine, (word.born, at));
+                self.limits.remove(&word.engine).map(|_| Change::Lifted)
+            }
+        }
+    }
+
+    /// Gives what there is to tell of an engine.
+    pub fn word(&self, engine: EngineKey, now: Time) -> Option<Word> {
+        let age = |at: Time| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
+        if let Some(limit) = self.limits.get(&engine) {
+            let (born, rate) = (limit.born, Some(limit.rate));
+            return Some(Word { engine, born, rate, age_ms: age(limit.named) });
+        }
+        let &(born, at) = self.lifted.get(&engine)?;
+        Some(Word { engine, born, rate: None, age_ms: age(at) })
+    }
+
+    /// Gives the engines that have a limit.
+    pub fn limited(&self) -> impl Iterator<Item = EngineKey> {
+        self.limits.keys().copied()
+    }
+
+    /// Gives the engines that have a limit, or had one until of late.
+    pub fn engines(&self) -> impl Iterator<Item = EngineKey> {
+        self.limits.keys().chain(self.lifted.keys()).copied()
+    }
+
+    /// Forgets what was lifted long ago, and engines or lives of them that are not listed any more.
+    pub fn sweep(&mut self, now: Time, is_listed: impl Fn(EngineKey, Option<u64>) -> bool) {
+        self.limits.retain(|&engine, it| is_listed(engine, it.born));
+        self.unreadable.retain(|&engine| is_listed(engine, None));
+        self.lifted.retain(|_, (_, at)| now.since(*at) < LIFTED_KEPT_FOR);
+    }
+
     /// Forgets what an engine has said, since that life of it has ended.
     pub fn forget(&mut self, engine: EngineKey) {
         self.limits.remove(&engine);
         self.unreadable.remove(&engine);
+        self.lifted.remove(&engine);
     }
 }
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -7,7 +7,7 @@
 //! Imports go one way: `route`, `engine` and `request` at the ground; `message`, `event` and
 //! `effect` above them; then one mechanism a file (`budget`, `health`, `load`, `directory`,
 //! `member`, `placement`, `demand`, `ratio`, `evacuation`, `region`, `cold`,
-//! `intake`); `flight` follows one request; `gateway` composes all.
+//! `intake`, `permit`); `flight` follows one request; `gateway` composes all.
 
 pub mod budget;
 pub mod cadence;
@@ -27,6 +27,7 @@
 pub mod load;
 pub mod member;
 pub mod message;
+pub mod permit;
 pub mod placement;
 pub mod prompt;
 pub mod quarantine;
--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -9,7 +9,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::cadence::{Cadence, SMALL};
-use crate::message::{DataCentreKey, Demand, Knowledge, Message, Named, Standing};
+use crate::engine::EngineKey;
+use crate::message::{DataCentreKey, Demand, Format, Knowledge, Message, Named, Standing};
 
 /// How long a silent box is still greeted.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
@@ -73,6 +74,8 @@
     heard: Time,
     /// Whether its silence was noted.
     is_silent: bool,
+    /// What it can read of datagrams.
+    format: Format,
 }
 
 impl Peer {
@@ -91,11 +94,16 @@
             dead_after: cadence.dead_after(message.data_centre == own),
             heard: Time::ZERO,
             is_silent: true,
+            format: Format::default(),
         }
     }
 
     /// Takes what it tells of itself.
     fn take(&mut self, message: &Message, own: DataCentreKey, now: Time) {
+        if message.is_whole || self.incarnation != message.incarnation {
+            self.format = message.format.unwrap_or_default();
+        }
+        self.format = self.format.max(message.format.unwrap_or_default());
         self.incarnation = message.incarnation;
         self.sequence = message.sequence;
         self.front = message.front;
@@ -551,6 +559,52 @@
         }
     }
 
+    /// Gives what a box can read of datagrams.
+    pub fn format(&self, node: SocketAddr) -> Format {
+        self.peers.get(&node).map_or(Format::First, |it| it.format)
+    }
+
+    /// Gives the box that issues an engine's permits: the first for it of those that live, serve and
+    /// can, in the engine's data centre if there is one; this one too, if it serves.
+    pub fn issuer(
+        &self,
+        own: SocketAddr,
+        serves: bool,
+        engine: EngineKey,
+        data_centre: DataCentreKey,
+    ) -> SocketAddr {
+        let is_able = |it: &Peer| {
+            !it.is_silent && it.standing == Standing::Ready && it.format >= Format::Permits
+        };
+        let others = self.peers.iter().filter(|(_, it)| is_able(it));
+        let others = others.map(|(&node, it)| (node, it.number, it.data_centre));
+        let own_entry = (own, number(&own), self.own);
+        let all = others.chain(serves.then_some(own_entry));
+        let place = |it: &(SocketAddr, u64, DataCentreKey)| {
+            (it.2 != data_centre, rank::place(engine.0, it.1))
+        };
+        all.min_by_key(place).map_or(own, |it| it.0)
+    }
+
+    /// Gives how many of the first boxes for an engine are heard, this one included, of all that are
+    /// known; none if fewer are known than there are.
+    pub fn first_heard(
+        &self,
+        own: SocketAddr,
+        engine: EngineKey,
+        first: usize,
+        boxes: usize,
+    ) -> usize {
+        let others = self.peers.values().filter(|it| !it.has_stopped());
+        let others = others.map(|it| (it.number, !it.is_silent));
+        let mut all: Vec<_> = others.chain([(number(&own), true)]).collect();
+        if all.len() < boxes {
+            return 0;
+        }
+        rank::order(engine.0, &mut all, |it| it.0);
+        all.iter().take(first).filter(|it| it.1).count()
+    }
+
     /// Gives how many boxes live, this one included.
     pub fn count(&self, now: Time) -> usize {
         let (near, far) = self.least_silence();
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -10,6 +10,8 @@
 use crate::customer::CustomerKey;
 use crate::engine::{EngineChange, EngineKey, Stage};
 use crate::evacuation::Evacuation;
+use crate::intake;
+use crate::permit::{Ask, Reply};
 use crate::prompt::Kept;
 use crate::quarantine::Word;
 
@@ -154,8 +156,22 @@
     pub span_ms: u32,
 }
 
+/// What a box can read of datagrams.
+///
+/// The fields of [`Message`] up to `peers` are those of the first format, and stay as they are. Those
+/// of [`Extension`] are numbered and optional where they are written; a box that can't read them is
+/// sent the others alone.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Format {
+    /// The first fields alone.
+    #[default]
+    First,
+    /// Limits of engines, and permits, too.
+    Permits,
+}
+
 /// One datagram. Loads are absolute, so that a lost datagram is mended by the next.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Message {
     /// A number drawn at the sender's start.
     pub incarnation: u64,
@@ -201,4 +217,28 @@
     pub kept: Vec<Kept>,
     /// Some boxes that the sender has heard from of late.
     pub peers: Vec<Named>,
+    /// What the sender can read, if the datagram tells.
+    #[serde(skip)]
+    pub format: Option<Format>,
+    /// What a box of the first format can't read.
+    #[serde(skip)]
+    pub extension: Option<Box<Extension>>,
+}
+
+/// What datagrams tell since the first format.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Extension {
+    /// What engines in need take.
+    pub limits: Vec<intake::Word>,
+    /// Questions for permits that the receiver issues.
+    pub asks: Vec<Ask>,
+    /// Answers to the receiver's questions for permits.
+    pub replies: Vec<Reply>,
+}
+
+impl Extension {
+    /// Gives it as a part of a datagram, if it tells anything.
+    pub fn filled(self) -> Option<Box<Extension>> {
+        (self != Extension::default()).then(|| Box::new(self))
+    }
 }
--- /dev/null
+++ b/crates/hollyspoke-server/src/datagram.rs
@@ -0,0 +1,228 @@
+//! How datagrams between boxes are written and read.
+//!
+//! The first format has a message's first fields one after the other, without a version: a box that
+//! reads it takes nothing else, neither a field less nor a byte more. It stays as it is. What came
+//! later is written behind a mark that the first format can't begin with: the version, and numbered,
+//! optional fields, of which the first holds the datagram in the first format. A reader passes over
+//! numbers that it does not know, and takes those that are missing for empty.
+//!
+//! A box is sent the later format only once it has told that it can read it, and only for what the
+//! first one does not hold. It tells with its whole datagrams, in an entry of the demand for services
+//! that is of no service: boxes of the first format keep it and never look it up.
+
+use bincode::Options;
+use eyre::{WrapErr, ensure};
+use hollyspoke_gateway::engine::EngineKey;
+use hollyspoke_gateway::intake::Word;
+use hollyspoke_gateway::message::{Demand, Extension, Format, Message};
+use hollyspoke_gateway::permit::{Ask, Outcome, Reply};
+use minicbor::{Decode, Encode};
+
+/// The first byte of a datagram in a later format. The first format begins with a number in as few
+/// bytes as it needs, whose first byte is at most 254.
+const MARK: u8 = 255;
+
+/// The version that this box writes, and tells that it can read.
+const VERSION: u8 = 1;
+
+/// The entry of the demand in which a box tells the version that it can read: a number drawn once,
+/// which is the hash of no service's name but by a chance of one in 2^64.
+const TOLD_IN: u64 = 0x7d5c_05bd_0f8a_2c31;
+
+/// A datagram in a later format.
+#[derive(Debug, Encode, Decode)]
+#[cbor(map)]
+struct Later {
+    /// The datagram in the first format.
+    #[cbor(n(0), with = "minicbor::bytes")]
+    first: Vec<u8>,
+    /// What engines in need take.
+    #[n(1)]
+    limits: Option<Vec<LimitField>>,
+    /// Questions for permits.
+    #[n(2)]
+    asks: Option<Vec<AskField>>,
+    /// Answers to questions for permits.
+    #[n(3)]
+    replies: Option<Vec<ReplyField>>,
+}
+
+/// What an engine in need takes.
+#[derive(Debug, Encode, Decode)]
+#[cbor(map)]
+struct LimitField {
+    /// The engine's key.
+    #[n(0)]
+    engine: u64,
+    /// The life of the engine.
+    #[n(1)]
+    born: Option<u64>,
+    /// Requests a second; none if the limit was lifted.
+    #[n(2)]
+    rate: Option<f64>,
+    /// How long ago that was so, in milliseconds.
+    #[n(3)]
+    age_ms: u32,
+}
+
+/// A question for a permit.
+#[derive(Debug, Encode, Decode)]
+#[cbor(map)]
+struct AskField {
+    /// The number of the question.
+    #[n(0)]
+    number: u64,
+    /// The engine's limit as the asking box knows it.
+    #[n(1)]
+    limit: LimitField,
+    /// For how long the request may wait, in milliseconds.
+    #[n(2)]
+    patience_ms: u32,
+}
+
+/// The answer to a question for a permit: one of its last three fields is there.
+#[derive(Debug, Encode, Decode)]
+#[cbor(map)]
+struct ReplyField {
+    /// The number of the question.
+    #[n(0)]
+    number: u64,
+    /// The engine's key.
+    #[n(1)]
+    engine: u64,
+    /// After how many milliseconds the permit can be used.
+    #[n(2)]
+    issued_in_ms: Option<u32>,
+    /// For how many milliseconds there is none.
+    #[n(3)]
+    refused_for_ms: Option<u32>,
+    /// Whether the engine has no limit.
+    #[n(4)]
+    is_unlimited: Option<bool>,
+}
+
+/// Gives how the first format is written.
+fn first_format() -> impl Options {
+    bincode::DefaultOptions::new()
+}
+
+/// Writes a datagram for boxes that can read a format.
+///
+/// # Errors
+///
+/// If the message can't be written.
+pub fn write(message: &Message, format: Format) -> eyre::Result<Vec<u8>> {
+    let first = write_first(message)?;
+    let Some(extension) = message.extension.as_ref().filter(|_| format >= Format::Permits) else {
+        return Ok(first);
+    };
+    let later = Later {
+        first,
+        limits: filled(extension.limits.iter().map(LimitField::of).collect()),
+        asks: filled(extension.asks.iter().map(AskField::of).collect()),
+        replies: filled(extension.replies.iter().map(ReplyField::of).collect()),
+    };
+    let mut bytes = vec![MARK, VERSION];
+    minicbor::encode(&later, &mut bytes).wrap_err("a field can't be written")?;
+    Ok(bytes)
+}
+
+/// Reads a datagram.
+///
+/// # Errors
+///
+/// If it is in no format that is known.
+pub fn read(bytes: &[u8]) -> eyre::Result<Message> {
+    let Some((&MARK, rest)) = bytes.split_first() else { return read_first(bytes) };
+    let Some((&version, fields)) = rest.split_first() else { eyre::bail!("no version") };
+    ensure!(version >= VERSION, "no such version: {version}");
+    let later: Later = minicbor::decode(fields).wrap_err("a field can't be read")?;
+    let mut message = read_first(&later.first)?;
+    message.format = Some(Format::Permits);
+    message.extension = Extension {
+        limits: later.limits.iter().flatten().map(LimitField::word).collect(),
+        asks: later.asks.iter().flatten().map(AskField::ask).collect(),
+        replies: later.replies.iter().flatten().filter_map(ReplyField::reply).collect(),
+    }
+    .filled();
+    Ok(message)
+}
+
+/// Writes the first format. A whole datagram tells which version this box can read.
+fn write_first(message: &Message) -> eyre::Result<Vec<u8>> {
+    if !message.is_whole {
+        return Ok(first_format().serialize(message)?);
+    }
+    let told = Demand { reading: u32::from(VERSION), held: 0, requests: 0 };
+    let mut telling = Message { extension: None, ..message.clone() };
+    telling.demand.push((TOLD_IN, told));
+    Ok(first_format().serialize(&telling)?)
+}
+
+/// Reads the first format.
+fn read_first(bytes: &[u8]) -> eyre::Result<Message> {
+    let mut message: Message = first_format().deserialize(bytes)?;
+    let is_telling = |it: &(u64, Demand)| it.0 == TOLD_IN;
+    let told = message.demand.iter().find(|it| is_telling(it)).map(|it| it.1.reading);
+    message.demand.retain(|it| !is_telling(it));
+    if told.is_some_and(|it| it >= u32::from(VERSION)) {
+        message.format = Some(Format::Permits);
+    }
+    Ok(message)
+}
+
+/// Gives a field that is left out if it holds nothing.
+fn filled<T>(items: Vec<T>) -> Option<Vec<T>> {
+    (!items.is_empty()).then_some(items)
+}
+
+impl LimitField {
+    /// Makes the field of what a box tells.
+    fn of(word: &Word) -> LimitField {
+        let &Word { engine, born, rate, age_ms } = word;
+        LimitField { engine: engine.0, born, rate, age_ms }
+    }
+
+    /// Gives what a box tells.
+    fn word(&self) -> Word {
+        let &LimitField { engine, born, rate, age_ms } = self;
+        Word { engine: EngineKey(engine), born, rate, age_ms }
+    }
+}
+
+impl AskField {
+    /// Makes the field of a question.
+    fn of(ask: &Ask) -> AskField {
+        let limit = LimitField::of(&ask.word);
+        AskField { number: ask.number, limit, patience_ms: ask.patience_ms }
+    }
+
+    /// Gives the question.
+    fn ask(&self) -> Ask {
+        let word = self.limit.word();
+        Ask { number: self.number, word, patience_ms: self.patience_ms }
+    }
+}
+
+impl ReplyField {
+    /// Makes the field of an answer.
+    fn of(reply: &Reply) -> ReplyField {
+        let (mut issued_in_ms, mut refused_for_ms, mut is_unlimited) = (None, None, None);
+        match reply.outcome {
+            Outcome::Issued(in_ms) => issued_in_ms = Some(in_ms),
+            Outcome::Refused(for_ms) => refused_for_ms = Some(for_ms),
+            Outcome::Unlimited => is_unlimited = Some(true),
+        }
+        let engine = reply.engine.0;
+        ReplyField { number: reply.number, engine, issued_in_ms, refused_for_ms, is_unlimited }
+    }
+
+    /// Gives the answer; none if it is of a kind that this box does not know.
+    fn reply(&self) -> Option<Reply> {
+        let issued = self.issued_in_ms.map(Outcome::Issued);
+        let refused = self.refused_for_ms.map(Outcome::Refused);
+        let unlimited = self.is_unlimited.filter(|&it| it).map(|_| Outcome::Unlimited);
+        let outcome = issued.or(refused).or(unlimited)?;
+        Some(Reply { number: self.number, engine: EngineKey(self.engine), outcome })
+    }
+}
--- a/crates/hollyspoke-server/src/lib.rs
+++ b/crates/hollyspoke-server/src/lib.rs
@@ -4,6 +4,7 @@
 //! is another dialect.
 
 pub mod answer;
+pub mod datagram;
 pub mod dialect;
 pub mod directory;
 pub mod front;
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -15,6 +15,7 @@
 use hollyspoke_gateway::engine::Engine;
 use hollyspoke_gateway::event::Event;
 use hollyspoke_gateway::gateway::Gateway;
+use hollyspoke_gateway::message::{Format, Message};
 use hollyspoke_gateway::request::{CallKey, FlightKey};
 use hollyspoke_gateway::signature::Content;
 use http::{request, response};
@@ -320,7 +321,7 @@
             }
             Effect::Read(kind) => self.wanted(kind).notify_one(),
             Effect::Fetch(provider) => (self.upstream.fetch)(self.clone(), provider),
-            Effect::Tell(nodes, message) => self.peers.tell(&nodes, &message),
+            Effect::Tell(nodes, message) => self.tell(nodes, &message),
             Effect::Note(note) => {
                 self.metrics.record(&note);
                 notes::write(&self.log, &note);
@@ -328,6 +329,18 @@
         }
     }
 
+    /// Sends a datagram to boxes, each in the format that it can read.
+    fn tell(&self, nodes: Vec<SocketAddr>, message: &Message) {
+        if message.extension.is_none() {
+            return self.peers.tell(&nodes, message, Format::First);
+        }
+        let reads_later =
+            |it: &SocketAddr| self.with(|gateway| gateway.format(*it)) > Format::First;
+        let (later, first): (Vec<_>, Vec<_>) = nodes.into_iter().partition(reads_later);
+        self.peers.tell(&later, message, Format::Permits);
+        self.peers.tell(&first, message, Format::First);
+    }
+
     /// Starts a call.
     fn send(self: &Rc<Node>, send: Send) {
         let outlets = self.outlets.borrow();
--- a/crates/hollyspoke-server/src/peers.rs
+++ b/crates/hollyspoke-server/src/peers.rs
@@ -1,25 +1,20 @@
-//! Datagrams between boxes. Numbers are written in as few bytes as they need: most are small, and
-//! bytes between data centres are dear.
+//! Datagrams between boxes.
 
 use std::cell::Cell;
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bincode::Options;
-use hollyspoke_gateway::message::Message;
+use hollyspoke_gateway::message::{Format, Message};
 use slog::{Logger, warn};
 use tokio::net::UdpSocket;
 
+use crate::datagram;
+
 /// The most bytes of a datagram: what UDP carries over IPv4. All accounts of 520 customers, the most
 /// that is designed for, take 10 KB.
 const LONGEST_DATAGRAM: usize = 65_507;
 
-/// Gives how messages are written.
-fn codec() -> impl Options {
-    bincode::DefaultOptions::new()
-}
-
 /// The socket between boxes.
 #[derive(Debug, Clone)]
 pub struct Peers {
@@ -53,9 +48,13 @@
         self.socket.local_addr()
     }
 
-    /// Sends a datagram to boxes. One that can't be sent at once is lost, as on the way.
-    pub fn tell(&self, nodes: &[SocketAddr], message: &Message) {
-        let bytes = match codec().serialize(message) {
+    /// Sends a datagram to boxes that can read a format. One that can't be sent at once is lost, as on
+    /// the way.
+    pub fn tell(&self, nodes: &[SocketAddr], message: &Message, format: Format) {
+        if nodes.is_empty() {
+            return;
+        }
+        let bytes = match datagram::write(message, format) {
             Ok(bytes) => bytes,
             Err(error) => return self.note("datagram not written", &error),
         };
@@ -87,7 +86,7 @@
                     continue;
                 }
             };
-            match codec().deserialize(&buffer[..length]) {
+            match datagram::read(&buffer[..length]) {
                 Ok(message) => hear(message),
                 Err(error) => self.note("datagram not read", &error),
             }
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -14,7 +14,7 @@
 use hollyspoke_gateway::event::{Answer, CallEvent, Event, Execution};
 use hollyspoke_gateway::gateway::{CASES, Gateway, Settings, Sharing};
 use hollyspoke_gateway::intake::Told;
-use hollyspoke_gateway::message::{DataCentreKey, Knowledge, Message, Standing, Usage};
+use hollyspoke_gateway::message::{DataCentreKey, Format, Knowledge, Message, Standing, Usage};
 use hollyspoke_gateway::region::{Homes, Regions};
 use hollyspoke_gateway::request::{CallKey, FlightKey, Request};
 use hollyspoke_gateway::route::{Configuration, Limits, Route, RouteKind, Service, Split, Staged};
@@ -315,5 +315,7 @@
         news: None,
         kept: Vec::new(),
         peers: Vec::new(),
+        format: Some(Format::Permits),
+        extension: None,
     }
 }
--- /dev/null
+++ b/tests/src/permits.rs
@@ -0,0 +1,364 @@
+//! Permits alone, at any number of boxes and any rate: boxes that ask, issue and use them for one
+//! engine, over datagrams that may be lost, while boxes are cut off and start again.
+//!
+//! Who lives is known to each box as its heartbeats tell it: a box that is gone is missed some time
+//! later, one that starts has heard nobody.
+
+use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use hollyspoke::rank;
+use hollyspoke::time::Time;
+use hollyspoke_gateway::engine::EngineKey;
+use hollyspoke_gateway::permit::{Holder, Issuer, PARTS, Side};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::needs::{WINDOW, allowed};
+
+/// The engine.
+const ENGINE: EngineKey = EngineKey(41);
+
+/// For how long a request may wait for its turn.
+const PATIENCE: Duration = Duration::from_millis(60);
+
+/// How long a call takes to reach the engine, in milliseconds.
+const TRANSIT_MS: RangeInclusive<u64> = 1..=4;
+
+/// How long a datagram takes, in milliseconds.
+const DELAY_MS: RangeInclusive<u64> = 1..=4;
+
+/// The silence after which a box counts as missing and after which it is taken for dead, in
+/// heartbeats: the means of what boxes go by.
+const MISSED_AFTER_BEATS: (f64, f64) = (1.15, 3.6);
+
+/// One box.
+#[derive(Debug)]
+struct Member {
+    /// What it issues.
+    issuer: Issuer,
+    /// What it holds.
+    holder: Holder,
+    /// When this life of it began.
+    began: Time,
+    /// When the life before ended.
+    died: Time,
+    /// Until when it is down.
+    down_until: Time,
+    /// With whom it exchanges datagrams: those of the same side.
+    side: usize,
+}
+
+/// What is yet to happen.
+#[derive(Debug, Clone, Copy)]
+enum Due {
+    /// A request comes to a box.
+    Request(usize),
+    /// A question comes from one box to another.
+    Ask(usize, usize),
+    /// The answer comes to a box: the time until the permit, or until the next one.
+    Reply(usize, Result<Duration, Duration>),
+    /// A box uses a permit.
+    Use(usize),
+    /// A request comes to the engine.
+    Arrival,
+    /// A box looks whether it issues the permits.
+    Beat(usize),
+}
+
+/// Boxes and one engine in need.
+#[derive(Debug)]
+pub struct Site {
+    /// What the engine takes.
+    rate: f64,
+    /// The boxes.
+    members: Vec<Member>,
+    /// The boxes in the order in which they issue the engine's permits.
+    order: Vec<usize>,
+    /// When the sides last changed, and what they were before.
+    parted: (Time, Vec<usize>),
+    /// The time.
+    now: Time,
+    /// What is yet to happen.
+    due: BTreeMap<(Time, u64), Due>,
+    /// The number of the next entry.
+    next: u64,
+    /// The share of datagrams that are lost.
+    pub lost: f64,
+    /// What came to the engine.
+    arrivals: Vec<Time>,
+    /// The source of chance.
+    random: Pcg64Mcg,
+}
+
+impl Site {
+    /// Makes boxes that have heard each other, before an engine that takes so many requests a second.
+    pub fn new(boxes: usize, rate: f64, seed: u64) -> Site {
+        let member = |_| Member {
+            issuer: Issuer::default(),
+            holder: Holder::default(),
+            began: Time::ZERO,
+            died: Time::ZERO,
+            down_until: Time::ZERO,
+            side: 0,
+        };
+        let mut order: Vec<_> = (0..boxes).collect();
+        rank::order(ENGINE.0, &mut order, |it| *it as u64);
+        let mut site = Site {
+            rate,
+            members: (0..boxes).map(member).collect(),
+            order,
+            parted: (Time::ZERO, vec![0; boxes]),
+            now: Time::from_millis(60_000),
+            due: BTreeMap::new(),
+            next: 0,
+            lost: 0.0,
+            arrivals: Vec::new(),
+            random: Pcg64Mcg::seed_from_u64(seed),
+        };
+        for number in 0..boxes {
+            site.plan(site.now, Due::Beat(number));
+        }
+        site
+    }
+
+    /// Gives the time.
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
+    /// Cuts boxes off from the others: gives each the number of its side.
+    pub fn part(&mut self, side: impl Fn(usize) -> usize) {
+        self.parted = (self.now, self.members.iter().map(|it| it.side).collect());
+        for (number, member) in self.members.iter_mut().enumerate() {
+            member.side = side(number);
+        }
+    }
+
+    /// Has boxes end and start again after a time; they know nothing then.
+    pub fn restart(&mut self, members: impl IntoIterator<Item = usize>, down: Duration) {
+        for number in members {
+            let member = &mut self.members[number];
+            member.issuer = Issuer::default();
+            member.holder = Holder::default();
+            member.died = self.now;
+            member.down_until = self.now + down;
+            member.began = member.down_until;
+        }
+    }
+
+    /// Has time pass, with so many requests a second at all boxes together, and one at each box at the
+    /// same moment now and then.
+    pub fn run(&mut self, span: Duration, a_second: f64, all_every: Option<Duration>) {
+        let end = self.now + span;
+        self.draw_requests(a_second, end);
+        let mut at = all_every.map(|it| self.now + it);
+        while let (Some(moment), Some(every)) = (at.filter(|it| *it < end), all_every) {
+            for number in 0..self.members.len() {
+                self.plan(moment, Due::Request(number));
+            }
+            at = Some(moment + every);
+        }
+        while let Some((&(at, _), _)) = self.due.first_key_value() {
+            if at > end {
+                break;
+            }
+            let Some((_, due)) = self.due.pop_first() else { break };
+            self.now = at;
+            self.happen(due);
+        }
+        self.now = end;
+    }
+
+    /// Gives the most that came to the engine in the span, as a share of what is allowed.
+    pub fn bound_used(&self) -> f64 {
+        let mut first = 0;
+        let mut most = 0;
+        for (last, at) in self.arrivals.iter().enumerate() {
+            while self.arrivals[first] + WINDOW <= *at {
+                first += 1;
+            }
+            most = most.max(last + 1 - first);
+        }
+        most as f64 / allowed(self.rate)
+    }
+
+    /// Gives the share of the limit that came to the engine from a time on.
+    pub fn limit_used(&self, from: Time) -> f64 {
+        let count = self.arrivals.iter().filter(|it| **it >= from).count();
+        count as f64 / (self.rate * self.now.since(from).as_secs_f64())
+    }
+
+    /// Draws when and where requests come until a time.
+    fn draw_requests(&mut self, a_second: f64, end: Time) {
+        let mut at = self.now;
+        loop {
+            let pause = -(1.0 - self.random.random::<f64>()).ln() / a_second;
+            at = at + Duration::from_secs_f64(pause);
+            if at >= end {
+                return;
+            }
+            let number = self.random.random_range(0..self.members.len());
+            self.plan(at, Due::Request(number));
+        }
+    }
+
+    /// Adds what is yet to happen.
+    fn plan(&mut self, at: Time, due: Due) {
+        self.next += 1;
+        self.due.insert((at, self.next), due);
+    }
+
+    /// Adds what happens after some milliseconds.
+    fn plan_in(&mut self, millis: RangeInclusive<u64>, due: Due) {
+        let span = Duration::from_millis(self.random.random_range(millis));
+        self.plan(self.now + span, due);
+    }
+
+    /// Has something happen. What concerns a box that is down is lost with it.
+    fn happen(&mut self, due: Due) {
+        let concerned = match due {
+            Due::Request(number) | Due::Use(number) | Due::Reply(number, _) => Some(number),
+            Due::Beat(number) => return self.look(number),
+            Due::Ask(_, to) => Some(to),
+            Due::Arrival => None,
+        };
+        if concerned.is_some_and(|it| self.now < self.members[it].down_until) {
+            return;
+        }
+        match due {
+            Due::Request(number) => self.ask(number),
+            Due::Ask(from, to) => self.answer(from, to),
+            Due::Reply(number, reply) => self.take_reply(number, reply),
+            Due::Use(number) => self.send(number),
+            Due::Arrival => self.arrivals.push(self.now),
+            Due::Beat(_) => {}
+        }
+    }
+
+    /// Has a box look whether it issues the permits, as it does with each heartbeat.
+    fn look(&mut self, number: usize) {
+        if self.now >= self.members[number].down_until {
+            let issues = self.issuer(number) == number;
+            let issuer = &mut self.members[number].issuer;
+            issuer.retain(|_| issues);
+            if issues {
+                issuer.begin(ENGINE, self.now);
+            }
+        }
+        self.plan(self.now + self.beat(), Due::Beat(number));
+    }
+
+    /// Has a box with a request send it, or ask for a permit.
+    fn ask(&mut self, number: usize) {
+        let now = self.now;
+        let holder = &self.members[number].holder;
+        if holder.has(ENGINE, now) {
+            return self.send(number);
+        }
+        if holder.is_refused(ENGINE, PATIENCE, now) {
+            return;
+        }
+        let issuer = self.issuer(number);
+        if issuer == number {
+            let issued = self.issue(number);
+            return self.take_reply(number, issued);
+        }
+        self.tell(number, issuer, Due::Ask(number, issuer));
+    }
+
+    /// Has a box answer a question.
+    fn answer(&mut self, from: usize, to: usize) {
+        let issued =
+            if self.issuer(to) == to { self.issue(to) } else { Err(Duration::from_millis(100)) };
+        self.tell(to, from, Due::Reply(from, issued));
+    }
+
+    /// Has a box decide on a permit.
+    fn issue(&mut self, number: usize) -> Result<Duration, Duration> {
+        let side = self.side(number);
+        self.members[number].issuer.issue(ENGINE, self.rate, side, PATIENCE, self.now)
+    }
+
+    /// Has a box take the answer to its question.
+    fn take_reply(&mut self, number: usize, reply: Result<Duration, Duration>) {
+        let now = self.now;
+        match reply {
+            Ok(wait) => {
+                self.members[number].holder.add(ENGINE, now + wait);
+                self.plan(now + wait, Due::Use(number));
+            }
+            Err(wait) => self.members[number].holder.refuse(ENGINE, wait, now),
+        }
+    }
+
+    /// Has a box send a request, if it has a permit.
+    fn send(&mut self, number: usize) {
+        let now = self.now;
+        let holder = &mut self.members[number].holder;
+        if holder.has(ENGINE, now) {
+            holder.take(ENGINE, now);
+            self.plan_in(TRANSIT_MS, Due::Arrival);
+        }
+    }
+
+    /// Sends a datagram from one box to another.
+    fn tell(&mut self, from: usize, to: usize, due: Due) {
+        let is_lost = self.random.random_bool(self.lost);
+        if !is_lost && self.members[from].side == self.members[to].side {
+            self.plan_in(DELAY_MS, due);
+        }
+    }
+
+    /// Gives the time between two heartbeats.
+    fn beat(&self) -> Duration {
+        Duration::from_millis(if self.members.len() > 100 { 800 } else { 350 })
+    }
+
+    /// Tells whether a box has heard another within some heartbeats.
+    fn hears(&self, number: usize, other: usize, beats: f64) -> bool {
+        let spread = rank::weight(number as u64, other as u64) as f64 / u64::MAX as f64;
+        let (own, its) = (&self.members[number], &self.members[other]);
+        let (parted, before) = &self.parted;
+        let is_together = own.side == its.side;
+        let was_together = before[number] == before[other];
+        let is_up = self.now >= its.down_until;
+        let healed = if was_together { Time::ZERO } else { *parted };
+        let first = own.began.max(its.began).max(healed) + self.beat().mul_f64(spread);
+        if is_up && is_together && self.now >= first {
+            return true;
+        }
+        let last = match (is_together, was_together) {
+            (true, _) => its.died,
+            (false, true) if its.began > *parted => its.died,
+            (false, true) => *parted,
+            (false, false) => return false,
+        };
+        let silence = self.beat().mul_f64(beats - spread);
+        own.began <= last && self.now.since(last) < silence
+    }
+
+    /// Gives the box that issues permits, as a box knows the others.
+    fn issuer(&self, number: usize) -> usize {
+        let (_, dead) = MISSED_AFTER_BEATS;
+        let lives = |it: &&usize| **it == number || self.hears(number, **it, dead);
+        self.order.iter().find(lives).copied().unwrap_or(number)
+    }
+
+    /// Tells how a box that issues permits stands to the others.
+    fn side(&self, number: usize) -> Side {
+        let (late, dead) = MISSED_AFTER_BEATS;
+        let boxes = self.members.len();
+        let others = (0..boxes).filter(|it| *it != number);
+        let heard = others.filter(|it| self.hears(number, *it, late + 1.0)).count();
+        if (1 + heard) * 2 > boxes {
+            return Side::Most;
+        }
+        // A box knows all others once it has heard them, for a minute.
+        let has_heard_all = self.now.since(self.members[number].began) > Duration::from_secs(5);
+        let first = self.order.iter().take(PARTS);
+        let is_heard = |it: &&usize| **it == number || self.hears(number, **it, dead);
+        Side::Parts(if has_heard_all { first.filter(is_heard).count() } else { 0 })
+    }
+}
--- /dev/null
+++ b/tests/src/recorded.rs
@@ -0,0 +1,154 @@
+//! What boxes of an older version tell and hand over, made up whole, so that its recorded bytes can
+//! be held against what is read and written now.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hollyspoke::quota::{Account, Limit};
+use hollyspoke_gateway::cadence::Cadence;
+use hollyspoke_gateway::credential::KeyDigest;
+use hollyspoke_gateway::customer::{Customer, CustomerKey, Unit};
+use hollyspoke_gateway::engine::{Engine, EngineChange, EngineKey, Stage};
+use hollyspoke_gateway::evacuation::Evacuation;
+use hollyspoke_gateway::message::{
+    DataCentreKey, Demand, EngineNews, Full, Knowledge, Load, Message, Named, Standing, Switching,
+    Usage,
+};
+use hollyspoke_gateway::prompt::{Kept, PromptKey};
+use hollyspoke_gateway::quarantine::{Crash, Proof, Word};
+use hollyspoke_gateway::region::Homes;
+use hollyspoke_gateway::request::Request;
+use hollyspoke_gateway::route::{Configuration, RouteKind, Service};
+use hollyspoke_gateway::signature::Signature;
+use hollyspoke_gateway::snapshot::{Listing, Question, Snapshot, Version};
+
+use crate::gateway::{
+    MODEL, PLAIN, configuration, configuration_of, engine, heartbeat, request, route,
+};
+
+/// Gives where a box listens.
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7000))
+}
+
+/// Gives the signature of some request.
+fn signature() -> Signature {
+    let Request { content, .. } = request("safe");
+    Signature::of(content, Some("north-desk"), None)
+}
+
+/// Gives an engine with all that its entry tells.
+fn listed() -> Engine {
+    let stage = Some(Stage::Decode);
+    Engine {
+        born: Some(1_790_000_000_123),
+        is_draining: true,
+        cold_left_ms: 2500,
+        ..engine(21, MODEL, stage)
+    }
+}
+
+/// Gives a heartbeat in which nothing is left out.
+pub fn whole() -> Message {
+    let load = Load { reading: 5000, calls: 3, held: 70_000 };
+    let account =
+        |level| Account { customer: CustomerKey::of("north-desk"), total: 123_456, level };
+    let crash = Crash {
+        engine: EngineKey::of("engine-21"),
+        born: Some(1_790_000_000_123),
+        proof: Proof::Proven,
+    };
+    let word = Word {
+        signature: signature(),
+        epoch: 2,
+        crashes: [Some(crash), None, None],
+        at: 1_790_000_100,
+    };
+    Message {
+        incarnation: 0xfeed_beef_0000_0001,
+        standing: Standing::Stopping,
+        is_relayed: true,
+        loads: vec![(EngineKey::of("engine-21"), load), (EngineKey(7), Load::default())],
+        cadence: Some(Cadence { near_ms: 800, far_ms: 3200 }),
+        evacuation: Evacuation {
+            revision: 90,
+            data_centres: BTreeSet::from([Arc::from("north"), Arc::from("west")]),
+        },
+        demand: vec![(77, Demand { reading: 9000, held: 60_000, requests: 44 })],
+        usage: Usage {
+            accounts: vec![account(None), account(Some(-9))],
+            is_complete: true,
+            boxes: 985,
+        },
+        switching: vec![Switching { engine: EngineKey(9), stage: Stage::Prefill, span_ms: 3000 }],
+        replaced: vec![EngineKey(1)],
+        missed: vec![EngineKey(2), EngineKey(3)],
+        crashes: vec![word],
+        full: vec![Full { engine: EngineKey(4), held: 5271 }],
+        news: Some(EngineNews {
+            since: 80,
+            changes: vec![
+                EngineChange::Put(listed(), 81),
+                EngineChange::Left("engine-1".into(), 82),
+            ],
+        }),
+        kept: vec![Kept { prompt: PromptKey::of("part"), engine: EngineKey(5) }],
+        peers: vec![Named { address: address(9), data_centre: DataCentreKey::of("west") }],
+        ..heartbeat(2, 300, Knowledge { version: 12, revision: 99, is_blind: true })
+    }
+}
+
+/// Gives a datagram that tells a change alone.
+pub fn partial() -> Message {
+    let load = Load { reading: 0, calls: 1, held: 0 };
+    Message {
+        is_whole: false,
+        loads: vec![(EngineKey::of("engine-1"), load)],
+        ..heartbeat(3, 4, Knowledge { version: 1, revision: 10, is_blind: false })
+    }
+}
+
+/// Gives what a box asks that has a list.
+pub fn question() -> Question {
+    Question { version: 11, revision: Some(70) }
+}
+
+/// Gives a handover of a whole configuration and list.
+pub fn snapshot() -> Snapshot {
+    let homes = Homes::new(vec![Arc::from("south")]);
+    let customer = Customer {
+        key: CustomerKey::of("north-desk"),
+        name: "north-desk".into(),
+        priority: Some(2),
+        unit: Unit::Token { plain: 40 },
+        limit: Some(Limit { rate: 120.5, burst: 800.0 }),
+        homes: homes.clone(),
+        credentials: vec![KeyDigest::of(b"a key")],
+    };
+    let mut once = route("once", RouteKind::Unsafe, PLAIN);
+    once.homes = homes;
+    let usual = configuration(12);
+    let service = Service { cold_rate: Some(9.9), name: PLAIN.into(), staged: None };
+    let staged = usual.service(MODEL).cloned();
+    let services = [service].into_iter().chain(staged).collect();
+    let small: Configuration = configuration_of(12, Vec::new());
+    let version = Version {
+        version: 12,
+        limits: small.limits,
+        routes: vec![once],
+        services,
+        customers: Some(vec![customer]),
+    };
+    Snapshot {
+        version: Some(version),
+        listing: Some(Listing::Whole { engines: vec![listed()], revision: 99 }),
+        evacuation: Evacuation { revision: 90, data_centres: BTreeSet::from([Arc::from("north")]) },
+    }
+}
+
+/// Gives a handover of changes alone.
+pub fn changes() -> Snapshot {
+    let changes = vec![EngineChange::Put(listed(), 81), EngineChange::Left("engine-1".into(), 82)];
+    Snapshot { listing: Some(Listing::Changes { changes, revision: 85 }), ..Snapshot::default() }
+}
--- /dev/null
+++ b/tests/tests/formats.rs
@@ -0,0 +1,151 @@
+//! What boxes of an older version tell and hand over is read, and what they are sent they can read.
+//!
+//! While boxes are replaced one after the other, old and new ones live side by side. The format of
+//! datagrams and handovers has neither a version nor numbered fields: one more field, and of a soak
+//! with two versions 37 and 21 lines said `datagram not read`, and a customer got 70,234 units of its
+//! 69,500. The bytes in `files/formats` were written by the code before anything was added.
+
+use std::path::PathBuf;
+
+use bincode::Options;
+use hollyspoke_gateway::engine::EngineKey;
+use hollyspoke_gateway::intake::Word;
+use hollyspoke_gateway::message::{Extension, Format, Message};
+use hollyspoke_gateway::permit::{Ask, Outcome, Reply};
+use hollyspoke_gateway::snapshot::{Question, Snapshot};
+use hollyspoke_server::datagram::{read, write};
+use hollyspoke_tests::recorded::{changes, partial, question, snapshot, whole};
+use proptest::prelude::*;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// The first byte of a datagram in a later format.
+const MARK: u8 = 255;
+
+/// Gives recorded bytes.
+fn recorded(name: &str) -> Vec<u8> {
+    let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/files/formats");
+    let text = std::fs::read_to_string(folder.join(name)).expect("it was recorded");
+    let digits: Vec<_> = text.chars().filter(char::is_ascii_hexdigit).collect();
+    let byte = |pair: &[char]| {
+        u8::from_str_radix(&pair.iter().collect::<String>(), 16).expect("two digits")
+    };
+    digits.chunks(2).map(byte).collect()
+}
+
+/// Reads as a box of the first format does, which takes not a byte more.
+fn read_first<T: DeserializeOwned>(bytes: &[u8]) -> bincode::Result<T> {
+    bincode::DefaultOptions::new().deserialize(bytes)
+}
+
+/// Writes as a box of the first format does.
+fn write_first(value: &impl Serialize) -> Vec<u8> {
+    bincode::DefaultOptions::new().serialize(value).expect("it can be written")
+}
+
+/// Gives all that the later format tells.
+fn extension() -> Extension {
+    let word = |rate| Word { engine: EngineKey(u64::MAX), born: Some(1), rate, age_ms: 40 };
+    let reply = |outcome| Reply { number: 3, engine: EngineKey(9), outcome };
+    Extension {
+        limits: vec![word(Some(3.5)), word(None)],
+        asks: vec![Ask { number: 7, word: word(Some(0.1)), patience_ms: 66 }],
+        replies: vec![
+            reply(Outcome::Issued(0)),
+            reply(Outcome::Refused(250)),
+            reply(Outcome::Unlimited),
+        ],
+    }
+}
+
+#[test]
+fn old_datagrams_are_read() {
+    for (name, told) in [("whole", whole()), ("partial", partial())] {
+        let message = read(&recorded(name)).expect("it is read");
+        assert_eq!(message, Message { format: None, ..told }, "{name}");
+    }
+}
+
+#[test]
+fn old_handovers_are_read() {
+    assert_eq!(read_first::<Question>(&recorded("question")).expect("it is read"), question());
+    assert_eq!(read_first::<Snapshot>(&recorded("snapshot")).expect("it is read"), snapshot());
+    assert_eq!(read_first::<Snapshot>(&recorded("changes")).expect("it is read"), changes());
+}
+
+/// What an old box is sent has the very bytes that it writes itself, but for the entry of the demand in
+/// which this box tells what it can read; that one it keeps, for no service.
+#[test]
+fn old_boxes_read_what_they_are_sent() {
+    assert_eq!(write_first(&question()), recorded("question"));
+    assert_eq!(write_first(&snapshot()), recorded("snapshot"));
+    assert_eq!(write_first(&changes()), recorded("changes"));
+    let extended = |message| Message { extension: extension().filled(), ..message };
+    let bytes = write(&extended(partial()), Format::First).expect("it is written");
+    assert_eq!(bytes, recorded("partial"));
+    let bytes = write(&extended(whole()), Format::First).expect("it is written");
+    let mut heard: Message = read_first(&bytes).expect("it is read");
+    assert_eq!(heard.demand.len(), whole().demand.len() + 1);
+    heard.demand.truncate(whole().demand.len());
+    assert_eq!(write_first(&heard), recorded("whole"));
+}
+
+#[test]
+fn new_boxes_tell_each_other_all() {
+    for told in [whole(), partial()] {
+        let told = Message { extension: extension().filled(), ..told };
+        let bytes = write(&told, Format::Permits).expect("it is written");
+        assert_eq!(bytes[0], MARK);
+        assert_eq!(read(&bytes).expect("it is read"), told);
+    }
+}
+
+/// A box that has nothing of the later format to tell writes the first one, and is known all the same.
+#[test]
+fn known_by_its_heartbeat() {
+    let bytes = write(&whole(), Format::Permits).expect("it is written");
+    assert_ne!(bytes[0], MARK);
+    assert_eq!(read(&bytes).expect("it is read"), whole());
+}
+
+/// A later version may add fields, and say so: the ones that are known are read.
+#[test]
+fn later_fields_are_passed_over() {
+    let told = Message { extension: extension().filled(), ..partial() };
+    let mut bytes = write(&told, Format::Permits).expect("it is written");
+    bytes[1] = 9;
+    // A map of four fields becomes one of five, with a text under number 200.
+    assert_eq!(bytes[2], 0xa4);
+    bytes[2] = 0xa5;
+    bytes.extend([0x18, 200, 0x64, b'n', b'e', b'w', b's']);
+    assert_eq!(read(&bytes).expect("it is read"), told);
+}
+
+/// Bytes of datagrams, in the first format and in the later one: the mark, the version and the length
+/// cost 8 bytes, a limit about 30.
+#[test]
+fn sizes() {
+    let size = |message: &Message, format| write(message, format).expect("it is written").len();
+    let told = Message { extension: extension().filled(), ..partial() };
+    let first = size(&told, Format::First);
+    let later = size(&told, Format::Permits);
+    assert!(later - first <= 8 + 6 * 40, "{first} and {later} bytes");
+    let telling = size(&whole(), Format::First) - recorded("whole").len();
+    assert!(telling <= 13, "{telling} bytes more");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(300))]
+
+    /// No bytes make a reader fail but by an error.
+    #[test]
+    fn spoilt_bytes(place in 0..400usize, byte: u8, cut in 0..400usize) {
+        let told = Message { extension: extension().filled(), ..whole() };
+        let mut bytes = write(&told, Format::Permits).expect("it is written");
+        let place = place % bytes.len();
+        bytes[place] = byte;
+        _ = read(&bytes);
+        bytes.truncate(cut);
+        _ = read(&bytes);
+    }
+}
