Limits that engines name are kept by all boxes together

What was seen: engines that named 3.5 and 3.3 requests a second got 61 and 44 in 4 s, where 26 and 25 are allowed; callers noticed nothing, the engines did. Cause: no field of the answers but the told load came as far as a decision; its class is a number that all boxes keep together and that none was made to keep.

Change: a limit that an engine names binds all that goes there. A call needs a permit, which the one box issues that comes first for the engine; it waits for a turn that comes within 0.22 of its target, the shorter the lower its rank, goes to another engine, or is refused at once with the time of the next turn. What runs goes on; questions for kept prompts and freed handles are left out, a kept prompt is no reason to wait, a repeat takes its token only once it has a place. An answer without a limit lifts it at all boxes, if its call was sent after the naming; a new life begins without. Lines 'engine limited' (told_by, age_ms), 'request ended' has limited, how="refused: engines limited".

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -135,6 +135,8 @@
     Evacuated,
     /// No engine lies in the regions where it may be served.
     NoHome,
+    /// All engines that could take it are in need, and take no more for now.
+    Limited,
     /// The engines turned it away.
     TurnedAway,
     /// It would be served too late.
@@ -155,6 +157,7 @@
             NotRunReason::NoEngine => "refused: no engine",
             NotRunReason::Evacuated => "refused: evacuated",
             NotRunReason::NoHome => "refused: no engine in its regions",
+            NotRunReason::Limited => "refused: engines limited",
             NotRunReason::TurnedAway => "refused: turned away",
             NotRunReason::Overloaded => "refused: overloaded",
             NotRunReason::TimedOut => "refused: time passed",
@@ -214,6 +217,10 @@
         id: Arc<str>,
         /// What has become of its limit.
         change: Change,
+        /// The box that told; none if the engine did itself.
+        told_by: Option<SocketAddr>,
+        /// How long ago it was so.
+        age: Duration,
     },
     /// A call was sent.
     Sent {
@@ -274,6 +281,8 @@
         customer: Option<Arc<str>>,
         /// The units of the customer's limit that the request took.
         units: u64,
+        /// The engines in need that it could not be sent to.
+        kept_from: Vec<Arc<str>>,
         /// How.
         how: &'static str,
         /// The time since its arrival.
--- a/crates/hollyspoke-gateway/src/flight.rs
+++ b/crates/hollyspoke-gateway/src/flight.rs
@@ -82,6 +82,12 @@
     pub reserved: Option<(EngineKey, Load)>,
     /// Set while the request waits for room at an engine: until when it may wait.
     pub waits_until: Option<Time>,
+    /// The question for a permit that it waits for.
+    pub asked: Option<Asked>,
+    /// The questions for permits since the last call.
+    pub asks: u32,
+    /// The engines in need that it could not be sent to.
+    pub kept_from: Vec<EngineKey>,
     /// Whether the client has come back with it after a refusal.
     pub is_repeated: bool,
     /// Whether the head of an answer was given to the client.
@@ -90,6 +96,17 @@
     pub last_event: Option<u64>,
 }
 
+/// A question for a permit to go to an engine in need.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Asked {
+    /// The engine.
+    pub engine: EngineKey,
+    /// Until when the answer, or the permit, is waited for.
+    pub until: Time,
+    /// Whether a permit was issued that can be used later.
+    pub is_issued: bool,
+}
+
 /// One call to an engine.
 #[derive(Debug, Clone)]
 pub struct Call {
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 mod kept;
 mod limit;
 mod peers;
+mod permits;
 mod quarantine;
 mod relay;
 mod repeats;
@@ -43,6 +44,7 @@
 use crate::gateway::cases::Cases;
 use crate::gateway::census::Census;
 use crate::gateway::peers::{PeerChanges, Untold};
+use crate::gateway::permits::Permits;
 use crate::gateway::stages::Stages;
 use crate::gateway::store::{EngineChanges, StoreState};
 use crate::gateway::survey::Survey;
@@ -126,6 +128,8 @@
     turns: Turns,
     /// What engines in need take.
     intakes: intake::Table,
+    /// The permits to send to them.
+    permits: Permits,
     /// The work at the engines.
     ledger: Ledger,
     /// The other boxes.
@@ -214,6 +218,7 @@
             evacuation: Evacuation::default(),
             turns: Turns::default(),
             intakes: intake::Table::default(),
+            permits: Permits::default(),
             ledger: Ledger::default(),
             prompts: Prompts::default(),
             budgets: HashMap::new(),
@@ -289,6 +294,7 @@
         self.seek();
         self.keep_cases();
         self.tell_words();
+        self.tell_limits();
         self.tell_changes();
         std::mem::take(&mut self.effects)
     }
@@ -305,6 +311,7 @@
             gathered,
             self.stages.due(),
             self.cases_due(),
+            self.permits.next_start(self.now),
         ];
         times.into_iter().flatten().fold(self.next_heartbeat, Time::min)
     }
--- a/crates/hollyspoke-gateway/src/gateway/end.rs
+++ b/crates/hollyspoke-gateway/src/gateway/end.rs
@@ -30,6 +30,9 @@
         if flight.ends <= self.now {
             return self.time_out(key);
         }
+        if self.is_asked_in_vain(flight) {
+            return self.proceed(key);
+        }
         if flight.waits_until.is_some_and(|it| it <= self.now) {
             return self.refuse_for_room(key);
         }
@@ -125,11 +128,12 @@
         self.end(key, "broken off");
     }
 
-    /// Frees a prompt that was read, if there is one. An engine that is evacuated gets nothing and
-    /// drops the prompt by itself.
+    /// Frees a prompt that was read, if there is one. An engine that is evacuated or in need gets
+    /// nothing and drops the prompt by itself.
     pub(super) fn free(&mut self, source: Option<Source>) {
         let Some(source) = source else { return };
-        if !self.directory.get(source.engine).is_some_and(Known::is_evacuated) {
+        let is_evacuated = self.directory.get(source.engine).is_some_and(Known::is_evacuated);
+        if !is_evacuated && self.intakes.of(source.engine).is_none() {
             self.effects.push(Effect::Free(source));
         }
     }
@@ -143,7 +147,8 @@
         let after = self.now.since(flight.arrived);
         let customer = flight.customer.map(|it| it.name.clone());
         let (request, units) = (flight.request.id, flight.units);
-        self.note(Note::Ended { request, customer, units, how, after });
+        let kept_from = flight.kept_from.iter().map(|&it| self.engine_name(it).into()).collect();
+        self.note(Note::Ended { request, customer, units, kept_from, how, after });
     }
 
     /// Drops the call under way. If it could run the request, it may have.
--- a/crates/hollyspoke-gateway/src/gateway/kept.rs
+++ b/crates/hollyspoke-gateway/src/gateway/kept.rs
@@ -29,7 +29,9 @@
         let keepers: Vec<_> = keepers.filter(|it| !it.health.is_poor(self.now)).collect();
         let held = flight.request.tokens_held();
         let generators = keepers.iter().filter(|it| it.engine.stage != Some(Stage::Prefill));
-        let own = generators.filter(|it| view.has_room(it, staged, held)).map(|it| kept_by(it));
+        // A kept prompt is no reason to wait for an engine in need: others read it in less.
+        let at_once = generators.filter(|it| !view.must_ask(it.engine.key));
+        let own = at_once.filter(|it| view.has_room(it, staged, held)).map(|it| kept_by(it));
         own.chain(keepers.iter().filter_map(|it| taken_from(it, view, staged, held))).next()
     }
 }
--- a/crates/hollyspoke-gateway/src/gateway/limit.rs
+++ b/crates/hollyspoke-gateway/src/gateway/limit.rs
@@ -1,4 +1,7 @@
-//! What engines in need take: learnt from their answers.
+//! What engines in need take: learnt from their answers, and told to the other boxes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
 
 use hollyspoke::time::Time;
 
@@ -7,7 +10,8 @@
 use crate::engine::EngineKey;
 use crate::event::{Answer, Execution};
 use crate::flight::Call;
-use crate::intake::{Change, Told};
+use crate::intake::{Change, Told, Word};
+use crate::message::{Extension, Message};
 
 /// The lowest status of an answer that is no success.
 const NO_SUCCESS: u16 = 300;
@@ -33,15 +37,68 @@
         let Some(known) = self.directory.get(engine) else { return };
         let change = self.intakes.learn(&known.engine, told, sent, may_lift, self.now);
         if let Some(change) = change {
-            self.note_limit(engine, change);
+            self.untold.limits.push(engine);
+            self.limit_changed(engine, change, None, Duration::ZERO);
+        }
+    }
+
+    /// Takes what another box tells of limits.
+    pub(super) fn hear_limits(&mut self, sender: SocketAddr, told: &Extension) {
+        let asked = told.asks.iter().map(|it| &it.word);
+        for word in told.limits.iter().chain(asked) {
+            self.hear_limit(word, sender);
+        }
+    }
+
+    /// Takes what another box tells of one engine's limit.
+    fn hear_limit(&mut self, word: &Word, sender: SocketAddr) {
+        let Some(known) = self.directory.get(word.engine) else { return };
+        if let Some(change) = self.intakes.hear(word, known.engine.born, self.now) {
+            let age = Duration::from_millis(u64::from(word.age_ms));
+            self.limit_changed(word.engine, change, Some(sender), age);
         }
     }
 
-    /// Adds a change of what an engine takes to the log.
-    fn note_limit(&mut self, engine: EngineKey, change: Change) {
+    /// Forgets an engine's limit, since the box that issues its permits knows that it has none.
+    pub(super) fn forget_limit(&mut self, engine: EngineKey) {
+        self.intakes.forget(engine);
+        self.limit_changed(engine, Change::Lifted, None, Duration::ZERO);
+    }
+
+    /// Goes by a change of what an engine takes, and adds it to the log.
+    fn limit_changed(
+        &mut self,
+        engine: EngineKey,
+        change: Change,
+        told_by: Option<SocketAddr>,
+        age: Duration,
+    ) {
+        self.permits.held.reopen(engine);
+        self.begin_to_issue(engine);
+        self.may_have_room = true;
         if let Some(known) = self.directory.get(engine) {
             let id = known.engine.id.clone();
-            self.note(Note::Limited { id, change });
+            self.note(Note::Limited { id, change, told_by, age });
         }
     }
+
+    /// Tells all boxes at once of the limits that have changed by the engines' own word. What others
+    /// have told is not passed on: all would tell all.
+    pub(super) fn tell_limits(&mut self) {
+        let changed = std::mem::take(&mut self.untold.limits);
+        let limits: Vec<_> =
+            changed.into_iter().filter_map(|it| self.intakes.word(it, self.now)).collect();
+        if !limits.is_empty() {
+            let extension = Extension { limits, ..Extension::default() }.filled();
+            let message = Message { extension, ..self.message(false) };
+            self.tell_all(message);
+        }
+    }
+
+    /// Gives the limits that this box's heartbeat tells: those of the engines whose permits it issues,
+    /// so that each is told by one box, however many there are.
+    pub(super) fn limits_to_tell(&self) -> Vec<Word> {
+        let issued = self.intakes.engines().filter(|&it| self.issues(it));
+        issued.filter_map(|it| self.intakes.word(it, self.now)).collect()
+    }
 }
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -13,7 +13,7 @@
 use crate::engine::EngineKey;
 use crate::evacuation::Evacuation;
 use crate::member::{Hearing, Reach};
-use crate::message::{EngineNews, Format, Full, Load, Message, Named, Usage};
+use crate::message::{EngineNews, Extension, Format, Full, Load, Message, Named, Usage};
 
 /// The most boxes that one datagram names.
 const MOST_NAMED: usize = 8;
@@ -45,6 +45,8 @@
     pub(super) missed: Vec<EngineKey>,
     /// Engines that had no room.
     pub(super) full: Vec<Full>,
+    /// Engines whose limit has changed by their own word.
+    pub(super) limits: Vec<EngineKey>,
 }
 
 /// The boxes that were first heard or fell silent since the last heartbeat.
@@ -77,6 +79,11 @@
         if message.is_relayed {
             self.relay(message);
         }
+        if let Some(extension) = &message.extension {
+            // It holds also if a later datagram has overtaken it.
+            self.hear_limits(message.sender, extension);
+            self.hear_permits(message.sender, extension);
+        }
         let knows_this_one = self.members.was_greeted(message.sender, self.now);
         let hearing = self.members.hear(message, self.now);
         if hearing == Hearing::Stale {
@@ -160,6 +167,7 @@
         self.take_census();
         self.balance();
         self.sweep_quarantine();
+        self.sweep_permits();
         let mut message = self.message(true);
         let greeted = self.members.greeting(self.now);
         if !greeted.is_empty() {
@@ -168,6 +176,8 @@
         }
         message.usage = self.heartbeat_usage();
         message.crashes = self.quarantine.reminder();
+        let limits = self.limits_to_tell();
+        message.extension = Extension { limits, ..Extension::default() }.filled();
         // Where boxes are many, keepers of prompts are not told by themselves.
         message.kept = self.prompts.take_untold();
         // The heartbeat tells all work, so that no changes are left to tell.
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/gateway/permits.rs
@@ -0,0 +1,372 @@
+//! Permits for engines in need: asked of the box that issues them, issued, and used.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hollyspoke::time::Time;
+
+use super::Gateway;
+use crate::directory::Known;
+use crate::effect::NotRunReason;
+use crate::engine::{EngineKey, Stage};
+use crate::flight::{Asked, Flight};
+use crate::message::{DataCentreKey, Extension, Message};
+use crate::permit::{
+    ANSWERED_WITHIN, ASKED_AGAIN_AFTER, Ask, Holder, Issuer, Outcome, PARTS, Reply, Side,
+};
+use crate::placement::Asking;
+use crate::request::FlightKey;
+
+/// The most questions for permits of one call. Each takes a datagram and its answer; where all
+/// engines of a service are in need, a fifth one seldom finds what four did not.
+const MOST_ASKS: u32 = 4;
+
+/// The share of the target for which a request waits for permits before it is refused: as for room.
+const WAIT_SHARE: f64 = 0.22;
+
+/// The engines of a service that are looked at for the time at which a client may come back.
+const MOST_LOOKED_AT: usize = 64;
+
+/// The least time after which a client may come back that no engine in need could take.
+const LEAST_RETRY: Duration = Duration::from_millis(400);
+
+/// The spread of the times at which such clients come back, so that they do not come together.
+const RETRY_SPREAD: f64 = 0.5;
+
+/// How long a question is kept for its answer.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(1);
+
+/// Whether a request may be sent to an engine now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Leave {
+    /// It may.
+    Given,
+    /// It waits for a permit.
+    Awaited,
+    /// There is no permit in time.
+    Refused,
+}
+
+/// A question that has no answer yet.
+#[derive(Debug, Clone, Copy)]
+struct Question {
+    /// The request.
+    flight: FlightKey,
+    /// The engine.
+    engine: EngineKey,
+    /// When it was asked.
+    at: Time,
+}
+
+/// What this box has of permits.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Permits {
+    /// Those that it holds.
+    pub(super) held: Holder,
+    /// Those that it issues.
+    issuer: Issuer,
+    /// Its questions for others.
+    questions: BTreeMap<u64, Question>,
+    /// The number of the last question.
+    last: u64,
+}
+
+impl Permits {
+    /// Gives when a permit can be used that can't be yet.
+    pub(super) fn next_start(&self, now: Time) -> Option<Time> {
+        self.held.next_start(now)
+    }
+}
+
+impl Gateway {
+    /// Tells whether a request may ask for permits.
+    pub(super) fn asking(&self, flight: &Flight) -> Asking {
+        match flight.asked {
+            Some(asked) if self.is_waiting_for(&asked) => Asking::At(asked.engine),
+            _ if flight.asks >= MOST_ASKS || self.permit_end(flight) <= self.now => Asking::Never,
+            _ => Asking::Open(self.patience(flight)),
+        }
+    }
+
+    /// Tells whether a question may still bring a permit.
+    fn is_waiting_for(&self, asked: &Asked) -> bool {
+        let is_left = !asked.is_issued || self.permits.held.expects(asked.engine, self.now);
+        self.now < asked.until && is_left
+    }
+
+    /// Tells whether a request has asked for a permit that does not come.
+    pub(super) fn is_asked_in_vain(&self, flight: &Flight) -> bool {
+        flight.asked.is_some_and(|it| !self.is_waiting_for(&it))
+    }
+
+    /// Gives until when a request may wait for permits.
+    fn permit_end(&self, flight: &Flight) -> Time {
+        let span = flight.route.target.mul_f64(WAIT_SHARE);
+        if flight.source.is_some() {
+            return flight.handle_end();
+        }
+        let begun = if flight.sends == 0 { flight.arrived } else { self.now };
+        (begun + span).min(flight.ends)
+    }
+
+    /// Gets a permit for a request that is to go to an engine, if it needs one.
+    pub(super) fn seek_permit(&mut self, key: FlightKey, engine: EngineKey) -> Leave {
+        if self.intakes.of(engine).is_none() || self.permits.held.has(engine, self.now) {
+            return Leave::Given;
+        }
+        self.drop_vain_question(key);
+        let Some(flight) = self.flights.get_mut(&key) else { return Leave::Refused };
+        if flight.asked.is_some_and(|it| it.engine == engine) {
+            return Leave::Awaited;
+        }
+        flight.asks += 1;
+        let patience = self.flights.get(&key).map_or(Duration::ZERO, |it| self.patience(it));
+        let issuer = self.issuer(engine);
+        if issuer == self.settings.peer {
+            self.issue_to_own(key, engine, patience)
+        } else {
+            self.ask_for_permit(key, engine, patience, issuer);
+            Leave::Awaited
+        }
+    }
+
+    /// Forgets a question that brings no permit any more: one without an answer is not asked again at
+    /// once.
+    fn drop_vain_question(&mut self, key: FlightKey) {
+        let Some(asked) = self.flights.get(&key).and_then(|it| it.asked) else { return };
+        if self.is_waiting_for(&asked) {
+            return;
+        }
+        if !asked.is_issued {
+            self.permits.held.refuse(asked.engine, ASKED_AGAIN_AFTER, self.now);
+        }
+        if let Some(flight) = self.flights.get_mut(&key) {
+            flight.asked = None;
+            flight.kept_from.push(asked.engine);
+        }
+    }
+
+    /// Issues a permit to a request of this box.
+    fn issue_to_own(&mut self, key: FlightKey, engine: EngineKey, patience: Duration) -> Leave {
+        match self.issue(engine, patience) {
+            Outcome::Issued(0) => {
+                self.permits.held.add(engine, self.now);
+                Leave::Given
+            }
+            Outcome::Unlimited => Leave::Given,
+            Outcome::Issued(in_ms) => {
+                let from = self.now + millis(in_ms);
+                self.permits.held.add(engine, from);
+                self.await_permit(
+                    key,
+                    Asked { engine, until: from + ANSWERED_WITHIN, is_issued: true },
+                );
+                Leave::Awaited
+            }
+            Outcome::Refused(wait_ms) => {
+                self.keep_away(key, engine, millis(wait_ms));
+                Leave::Refused
+            }
+        }
+    }
+
+    /// Asks another box for a permit.
+    fn ask_for_permit(
+        &mut self,
+        key: FlightKey,
+        engine: EngineKey,
+        patience: Duration,
+        issuer: SocketAddr,
+    ) {
+        let Some(word) = self.intakes.word(engine, self.now) else { return };
+        self.permits.last += 1;
+        let number = self.permits.last;
+        let patience_ms = whole_millis(patience);
+        let question = Question { flight: key, engine, at: self.now };
+        self.permits.questions.insert(number, question);
+        let until = self.now + ANSWERED_WITHIN;
+        self.await_permit(key, Asked { engine, until, is_issued: false });
+        let asks = vec![Ask { number, word, patience_ms }];
+        let extension = Extension { asks, ..Extension::default() }.filled();
+        let message = Message { extension, ..self.message(false) };
+        self.tell(vec![issuer], message);
+    }
+
+    /// Gives for how long a request may wait for its turn: the higher its rank, the longer, so that
+    /// the next turns are left to the higher ranks.
+    fn patience(&self, flight: &Flight) -> Duration {
+        let left = self.permit_end(flight).since(self.now);
+        left / (1 + u32::from(flight.rank()))
+    }
+
+    /// Has a request wait for a permit.
+    fn await_permit(&mut self, key: FlightKey, asked: Asked) {
+        let Some(flight) = self.flights.get_mut(&key) else { return };
+        flight.asked = Some(asked);
+        if flight.waits_until.is_none() {
+            self.waiting.push(key);
+        }
+        let until = flight.waits_until.map_or(asked.until, |it| it.max(asked.until));
+        flight.waits_until = Some(until);
+        self.wake_at(key, Some(asked.until));
+    }
+
+    /// Notes that a request can't go to an engine, and that no other can for a time.
+    fn keep_away(&mut self, key: FlightKey, engine: EngineKey, wait: Duration) {
+        self.permits.held.refuse(engine, wait, self.now);
+        if let Some(flight) = self.flights.get_mut(&key) {
+            flight.asked = None;
+            flight.kept_from.push(engine);
+        }
+    }
+
+    /// Gives the box that issues an engine's permits.
+    fn issuer(&self, engine: EngineKey) -> SocketAddr {
+        let known = self.directory.get(engine);
+        let data_centre = known.map(|it| DataCentreKey::of(&it.engine.data_centre));
+        let data_centre = data_centre.unwrap_or_default();
+        self.members.issuer(self.settings.peer, self.is_ready(), engine, data_centre)
+    }
+
+    /// Decides on a permit for an engine whose permits this box issues.
+    fn issue(&mut self, engine: EngineKey, patience: Duration) -> Outcome {
+        let Some(limit) = self.intakes.of(engine) else { return Outcome::Unlimited };
+        let side = self.side(engine);
+        match self.permits.issuer.issue(engine, limit.rate, side, patience, self.now) {
+            Ok(wait) => Outcome::Issued(whole_millis(wait)),
+            Err(wait) => Outcome::Refused(whole_millis(wait).max(1)),
+        }
+    }
+
+    /// Tells how this box stands to the others as an issuer.
+    fn side(&self, engine: EngineKey) -> Side {
+        let boxes = self.sharing_boxes();
+        if (1 + self.members.punctual(self.now)) * 2 > boxes {
+            return Side::Most;
+        }
+        Side::Parts(self.members.first_heard(self.settings.peer, engine, PARTS, boxes))
+    }
+
+    /// Takes in questions for permits, and answers to this box's own.
+    pub(super) fn hear_permits(&mut self, sender: SocketAddr, told: &Extension) {
+        let replies: Vec<_> = told.asks.iter().map(|it| self.answer(it)).collect();
+        if !replies.is_empty() {
+            let extension = Extension { replies, ..Extension::default() }.filled();
+            let answer = Message { extension, ..self.message(false) };
+            self.tell(vec![sender], answer);
+        }
+        for reply in &told.replies {
+            self.hear_reply(reply);
+        }
+    }
+
+    /// Answers a question for a permit. A box that does not issue the engine's permits, as it knows the
+    /// others, refuses it: two that issue them would issue them twice.
+    fn answer(&mut self, ask: &Ask) -> Reply {
+        let engine = ask.word.engine;
+        let outcome = if self.issuer(engine) == self.settings.peer {
+            self.issue(engine, millis(ask.patience_ms))
+        } else {
+            Outcome::Refused(whole_millis(ASKED_AGAIN_AFTER))
+        };
+        Reply { number: ask.number, engine, outcome }
+    }
+
+    /// Takes the answer to a question for a permit.
+    fn hear_reply(&mut self, reply: &Reply) {
+        let Some(question) = self.permits.questions.remove(&reply.number) else { return };
+        let Question { flight: key, engine, at } = question;
+        if engine != reply.engine || self.now.since(at) > ANSWERED_WITHIN {
+            return;
+        }
+        self.may_have_room = true;
+        match reply.outcome {
+            Outcome::Issued(in_ms) => {
+                let from = self.now + millis(in_ms);
+                self.permits.held.add(engine, from);
+                let until = from + ANSWERED_WITHIN;
+                self.put_off(key, Asked { engine, until, is_issued: true });
+            }
+            Outcome::Refused(wait_ms) => self.keep_away(key, engine, millis(wait_ms)),
+            Outcome::Unlimited => self.forget_limit(engine),
+        }
+    }
+
+    /// Has a request that asked go on waiting, for a permit that can be used later.
+    fn put_off(&mut self, key: FlightKey, asked: Asked) {
+        let waits = self.flights.get(&key).and_then(|it| it.asked);
+        if waits.is_some_and(|it| it.engine == asked.engine) {
+            self.await_permit(key, asked);
+        }
+    }
+
+    /// Gives after which time an engine may take a request whose engines are all in need and take no
+    /// more; none if one of them is not.
+    pub(super) fn limited_for(&self, flight: &Flight) -> Option<Duration> {
+        if self.intakes.is_empty() {
+            return None;
+        }
+        let is_able = |it: &&Known| {
+            let stage = it.engine.stage;
+            self.is_home(flight, it) && stage != Some(Stage::Prefill)
+        };
+        let engines = self.directory.open(&flight.service.name, self.now).filter(is_able);
+        let mut least = None;
+        for known in engines.take(MOST_LOOKED_AT) {
+            let engine = known.engine.key;
+            let limit = self.intakes.of(engine)?;
+            let usual = Duration::from_secs_f64(1.0 / limit.rate);
+            let wait = self.permits.held.wait(engine, self.now).unwrap_or(usual);
+            least = Some(least.map_or(wait, |it: Duration| it.min(wait)));
+        }
+        least
+    }
+
+    /// Refuses a request whose engines are all in need and take no more.
+    pub(super) fn refuse_limited(&mut self, key: FlightKey, wait: Duration) {
+        let spread = (self.draw() % 1000) as f64 / 1000.0;
+        let retry = wait.max(LEAST_RETRY).mul_f64(1.0 + RETRY_SPREAD * spread);
+        self.give_up_until(key, NotRunReason::Limited, retry);
+    }
+
+    /// Forgets permits and questions that are over, and goes by which engines' permits this box issues
+    /// now.
+    pub(super) fn sweep_permits(&mut self) {
+        let now = self.now;
+        let directory = &self.directory;
+        self.intakes.sweep(now, |engine, born| {
+            directory.get(engine).is_some_and(|it| born.is_none() || it.engine.born <= born)
+        });
+        self.permits.held.sweep(now);
+        self.permits.questions.retain(|_, it| now.since(it.at) < FORGOTTEN_AFTER);
+        let limited: Vec<_> = self.intakes.limited().collect();
+        let issued: BTreeSet<_> = limited.into_iter().filter(|&it| self.issues(it)).collect();
+        self.permits.issuer.retain(|it| issued.contains(&it));
+        for engine in issued {
+            self.permits.issuer.begin(engine, now);
+        }
+    }
+
+    /// Begins to issue the permits of an engine that has just named a limit, if this box issues them.
+    pub(super) fn begin_to_issue(&mut self, engine: EngineKey) {
+        if self.intakes.of(engine).is_some() && self.issues(engine) {
+            self.permits.issuer.begin(engine, self.now);
+        }
+    }
+
+    /// Tells whether this box issues an engine's permits.
+    pub(super) fn issues(&self, engine: EngineKey) -> bool {
+        self.issuer(engine) == self.settings.peer
+    }
+}
+
+/// Gives a span of whole milliseconds.
+fn millis(count: u32) -> Duration {
+    Duration::from_millis(u64::from(count))
+}
+
+/// Gives a span in milliseconds, rounded up.
+fn whole_millis(span: Duration) -> u32 {
+    u32::try_from(span.as_micros().div_ceil(1000)).unwrap_or(u32::MAX)
+}
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -150,7 +150,7 @@
     }
 
     /// Gives an engine's id, or its short name if it is not listed any more.
-    fn engine_name(&self, engine: EngineKey) -> String {
+    pub(super) fn engine_name(&self, engine: EngineKey) -> String {
         let known = self.directory.get(engine);
         known.map_or_else(|| format!("{:016x}", engine.0), |it| it.engine.id.to_string())
     }
--- a/crates/hollyspoke-gateway/src/gateway/room.rs
+++ b/crates/hollyspoke-gateway/src/gateway/room.rs
@@ -35,6 +35,9 @@
     /// Has a request wait for room, or gives it up if no room can come.
     pub(super) fn wait_for_room(&mut self, key: FlightKey) {
         let Some(flight) = self.flights.get(&key) else { return };
+        if let Some(wait) = self.limited_for(flight) {
+            return self.refuse_limited(key, wait);
+        }
         if flight.service.staged.is_none() || !self.can_find_room(flight) {
             let reason = self.why_no_engine(flight);
             return self.give_up(key, reason);
@@ -121,7 +124,7 @@
     }
 
     /// Tells whether a request may be served where an engine is.
-    fn is_home(&self, flight: &Flight, known: &Known) -> bool {
+    pub(super) fn is_home(&self, flight: &Flight, known: &Known) -> bool {
         let regions = &self.settings.regions;
         flight.homes().iter().all(|it| it.include(&known.engine.data_centre, regions))
     }
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -11,6 +11,7 @@
 use crate::engine::EngineKey;
 use crate::flight::{Call, Flight, task_name};
 use crate::gateway::customer::identify;
+use crate::gateway::permits::Leave;
 use crate::message::Load;
 use crate::placement::{Choice, View};
 use crate::quarantine::Verdict;
@@ -37,6 +38,11 @@
 /// The bounds of the time after which a client may come back.
 const RETRY_BOUNDS: (Duration, Duration) = (Duration::from_millis(400), Duration::from_secs(6));
 
+/// The questions for permits of readers after which those of engines that read and generate are asked
+/// for: where all are in need, the readers' are gone first, and the generators' were left unused by 44
+/// in 100.
+const READER_ASKS: u32 = 2;
+
 /// The next call of a request.
 pub(super) struct Next {
     /// What the engine is asked to do.
@@ -114,6 +120,9 @@
             read_at: self.now,
             reserved: None,
             waits_until: None,
+            asked: None,
+            asks: 0,
+            kept_from: Vec::new(),
             is_repeated,
             has_begun: false,
             last_event: None,
@@ -138,19 +147,8 @@
         if let Some(until) = self.waits_for_survey(flight) {
             return self.wait_for_survey(key, until);
         }
-        let draw = self.draw();
-        let Some(next) = self.next_call(key, draw) else {
-            return self.wait_for_room(key);
-        };
-        let flight = &self.flights[&key];
-        let latest = flight.route.target.mul_f64(LATEST_SHARE);
-        // A prompt that is late for its own length would be late at any time.
-        let has_queue = next.choice.ahead > flight.request.tokens_in();
-        let is_late = next.choice.expected > latest && has_queue;
-        if is_late && flight.sends == 0 && !flight.is_repeated {
-            let wait = next.choice.expected.saturating_sub(latest / 2);
-            return self.refuse_overloaded(key, wait);
-        }
+        let Some(next) = self.next_permitted(key) else { return };
+        let Some(flight) = self.flights.get(&key) else { return };
         let is_repeat = flight.arrivals > 0;
         if is_repeat && !self.take_repeat(key) {
             return self.give_up(key, NotRunReason::TurnedAway);
@@ -158,6 +156,33 @@
         self.send(key, next, is_repeat);
     }
 
+    /// Chooses the next call of a request, with a permit if its engine is in need; none if the request
+    /// waits or was refused.
+    fn next_permitted(&mut self, key: FlightKey) -> Option<Next> {
+        loop {
+            let draw = self.draw();
+            let Some(next) = self.next_call(key, draw) else {
+                self.wait_for_room(key);
+                return None;
+            };
+            let flight = &self.flights[&key];
+            let latest = flight.route.target.mul_f64(LATEST_SHARE);
+            // A prompt that is late for its own length would be late at any time.
+            let has_queue = next.choice.ahead > flight.request.tokens_in();
+            let is_late = next.choice.expected > latest && has_queue;
+            if is_late && flight.sends == 0 && !flight.is_repeated {
+                let wait = next.choice.expected.saturating_sub(latest / 2);
+                self.refuse_overloaded(key, wait);
+                return None;
+            }
+            match self.seek_permit(key, next.choice.engine.key) {
+                Leave::Given => return Some(next),
+                Leave::Awaited => return None,
+                Leave::Refused => {}
+            }
+        }
+    }
+
     /// Chooses the next call of a request.
     pub(super) fn next_call(&self, key: FlightKey, draw: u64) -> Option<Next> {
         let flight = self.flights.get(&key)?;
@@ -174,6 +199,9 @@
             regions: &self.settings.regions,
             turns: &self.turns,
             part: self.cold_part(),
+            intakes: &self.intakes,
+            permits: &self.permits.held,
+            asking: self.asking(flight),
             is_suspect: verdict != Verdict::Clear,
             trials: &trials,
             now: self.now,
@@ -202,6 +230,8 @@
         let stand = self.quarantine.stand(flight.signature);
         let Next { task, choice, .. } = next;
         flight.waits_until = None;
+        flight.asked = None;
+        flight.asks = 0;
         let load = load_of(flight, &task);
         flight.call = Some(call);
         flight.tried.push(choice.engine.key);
@@ -228,6 +258,7 @@
         };
         let engine = choice.engine.clone();
         self.note_cold(engine.key);
+        self.permits.held.take(engine.key, now);
         self.ledger.add(engine.key, load);
         if matches!(task, Task::Generate(_)) {
             self.runs.begin(now);
@@ -294,6 +325,7 @@
             request: request.id.clone(),
             customer: customer.map(|it| it.name.clone()),
             units: 0,
+            kept_from: Vec::new(),
             how,
             after: Duration::ZERO,
         });
@@ -318,16 +350,21 @@
             generator: None,
         });
     }
-    let alone = view.alone(staged, tokens, held)?;
-    let reading = if flight.reading_failed { None } else { view.reading(staged, tokens) };
+    let alone = view.alone(staged, tokens, held);
+    // A request that waits for a permit of a reader asks for those of generators later.
+    let later = view.unasked();
+    let generates = alone.clone().or_else(|| later.alone(staged, tokens, held))?;
+    let reads_alone = flight.reading_failed || flight.asked.is_none() && flight.asks >= READER_ASKS;
+    let reading = if reads_alone { None } else { view.reading(staged, tokens) };
     let is_slow = |reading: &Choice| {
         let is_slow = reading.expected > flight.route.target.mul_f64(ALONE_SHARE);
-        is_slow && alone.expected < reading.expected
+        is_slow && generates.expected < reading.expected
     };
     let Some(reading) = reading.filter(|it| !is_slow(it)) else {
-        return Some(Next { task: Task::Generate(Prompt::Unread), choice: alone, generator: None });
+        let task = Task::Generate(Prompt::Unread);
+        return Some(Next { task, choice: alone?, generator: None });
     };
-    let generator = view.generating(staged, held, &reading.engine.data_centre, None)?;
+    let generator = later.generating(staged, held, &reading.engine.data_centre, None)?;
     Some(Next { task: Task::Read, choice: reading, generator: Some(generator.engine.key) })
 }
 
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -8,7 +8,9 @@
 use crate::cold::{Part, Turns};
 use crate::directory::{Directory, Group, Known};
 use crate::engine::{Engine, EngineKey, Stage};
+use crate::intake;
 use crate::load::Ledger;
+use crate::permit::Holder;
 use crate::region::{Homes, Regions};
 use crate::route::{Service, Staged};
 
@@ -66,6 +68,17 @@
 /// 5 in 100 of all in 96 of 100 cases, and the cost of a choice does not grow with the engines.
 const SAMPLE: usize = 64;
 
+/// Whether a request may ask for a permit to go to an engine in need.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Asking {
+    /// At any engine whose next permit comes within the time that it can wait.
+    Open(Duration),
+    /// It has asked at this engine, and waits.
+    At(EngineKey),
+    /// No more.
+    Never,
+}
+
 /// An engine for a call.
 #[derive(Debug, Clone)]
 pub struct Choice {
@@ -101,6 +114,12 @@
     pub turns: &'a Turns,
     /// This box's part of what cold engines bear.
     pub part: Part,
+    /// What engines in need take.
+    pub intakes: &'a intake::Table,
+    /// The permits to send to them.
+    pub permits: &'a Holder,
+    /// Whether the request may wait for one more.
+    pub asking: Asking,
     /// Whether engines have crashed under the request.
     pub is_suspect: bool,
     /// Engines at which a request is tried that may crash them.
@@ -249,10 +268,32 @@
         self.keep_apart(chosen)
     }
 
-    /// Tells whether the request may be sent to an engine at all: it lies in all homes, and is not
-    /// cold or bears one more request.
+    /// Tells whether the request may be sent to an engine at all: it lies in all homes, is not cold or
+    /// bears one more request, and is not in need or may have a permit for it.
     pub fn is_allowed(&self, known: &Known) -> bool {
-        self.is_home(&known.engine.data_centre) && !self.is_too_cold(known)
+        let engine = known.engine.key;
+        self.is_home(&known.engine.data_centre)
+            && !self.is_too_cold(known)
+            && (!self.must_ask(engine) || self.may_ask(engine))
+    }
+
+    /// Gives the view of a request that has not asked for a permit yet.
+    pub fn unasked(&self) -> View<'_> {
+        View { asking: Asking::Open(Duration::ZERO), ..*self }
+    }
+
+    /// Tells whether a request can go to an engine only with a permit that is not there yet.
+    pub fn must_ask(&self, engine: EngineKey) -> bool {
+        self.intakes.of(engine).is_some() && !self.permits.has(engine, self.now)
+    }
+
+    /// Tells whether the request may wait for a permit for an engine.
+    fn may_ask(&self, engine: EngineKey) -> bool {
+        match self.asking {
+            Asking::Open(patience) => !self.permits.is_refused(engine, patience, self.now),
+            Asking::At(asked) => asked == engine,
+            Asking::Never => false,
+        }
     }
 
     /// Tells whether the request may be served in a data centre.
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -144,7 +144,7 @@
                 let data_centre = KeyValue::new("data_centre", data_centre.clone());
                 self.evacuated.record(u64::from(!is_lifted), &[data_centre]);
             }
-            Note::Limited { id, change } => self.record_limit(id, change),
+            Note::Limited { id, change, .. } => self.record_limit(id, change),
             Note::Ordered { .. } | Note::Census { .. } | Note::CasesRead { .. } => {}
             Note::Released { .. } | Note::Suspended(_) => {}
             Note::Listed { .. } | Note::Avoided { .. } | Note::Follows(_) | Note::Stopping => {}
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -5,7 +5,7 @@
 use hollyspoke_gateway::effect::Note;
 use hollyspoke_gateway::engine::Stage;
 use hollyspoke_gateway::intake::Change;
-use slog::{Logger, info, warn};
+use slog::{Logger, info, o, warn};
 
 /// Writes a line.
 pub fn write(log: &Logger, note: &Note) {
@@ -25,7 +25,11 @@
         Note::EngineLeft { id } => info!(log, "engine left"; "engine" => %id),
         Note::Avoided { id, span } => info!(log, "engine avoided";
             "engine" => %id, "span_ms" => millis(span)),
-        Note::Limited { id, change } => write_limit(log, id, change),
+        Note::Limited { id, change, told_by, age } => {
+            let told_by = told_by.map(|it| it.to_string());
+            let log = log.new(o!("told_by" => told_by, "age_ms" => millis(age)));
+            write_limit(&log, id, change);
+        }
         Note::Sent { request, engine, task, source, expected, tokens, held, before } => {
             info!(log, "call sent";
             "request" => %request, "engine" => %engine, "task" => task,
@@ -44,9 +48,12 @@
             "told" => told.map(|it| format!("{},{},{}", it.running, it.waiting, it.slots)),
             "held" => known.held, "calls" => known.calls)
         }
-        Note::Ended { request, customer, units, how, after } => info!(log, "request ended";
+        Note::Ended { request, customer, units, kept_from, how, after } => {
+            info!(log, "request ended";
             "request" => %request, "customer" => customer.as_deref(), "units" => units,
-            "how" => how, "after_ms" => millis(after)),
+            "limited" => (!kept_from.is_empty()).then(|| kept_from.join(" ")),
+            "how" => how, "after_ms" => millis(after))
+        }
         Note::Peers { heard, silent, alive } => info!(log, "peers changed";
             "heard" => heard.len(), "silent" => silent.len(), "alive" => alive,
             "heard_first" => some(heard), "silent_first" => some(silent)),
--- /dev/null
+++ b/tests/soak/src/judge/intake.rs
@@ -0,0 +1,135 @@
+//! Upstreams that name how many requests a second they take from all boxes together.
+
+use std::collections::BTreeMap;
+
+use super::records::{Attempt, Records};
+use super::{Bounds, Finding, Promise, finding};
+use crate::observation::{MILLISECOND, Micros, SECOND};
+
+/// The span over which what comes to an upstream is counted.
+const WINDOW: Micros = 4 * SECOND;
+
+/// How long after a box was told what it sends counts, with a margin for a loaded machine.
+const COUNTS_AFTER: Micros = 700 * MILLISECOND;
+
+/// The times by which what a limit allows may be exceeded.
+const OVERRUN: f64 = 1.5;
+
+/// The requests by which it may be exceeded beside that.
+const SLACK: f64 = 5.0;
+
+/// A request, or the reading of a prompt, that came to an upstream.
+#[derive(Debug, Clone, Copy)]
+struct Arrival {
+    /// When it came.
+    at: Micros,
+    /// The box.
+    node: usize,
+    /// When the box had the head of the answer.
+    answered: Option<Micros>,
+}
+
+/// Checks that upstreams get no more than they take, from boxes that they have told and that were not
+/// disturbed.
+pub(super) fn limit_kept(records: &Records, bounds: &Bounds) -> Vec<Finding> {
+    if !bounds.reads_limits || records.limits.is_empty() {
+        return Vec::new();
+    }
+    let mut arrivals: BTreeMap<&str, Vec<Arrival>> = BTreeMap::new();
+    for attempt in records.attempts.values() {
+        for (engine, arrival) in arrivals_of(attempt) {
+            arrivals.entry(engine).or_default().push(arrival);
+        }
+    }
+    let findings = records.limits.iter().filter_map(|(engine, named)| {
+        let arrivals = arrivals.remove(engine.as_str()).unwrap_or_default();
+        check(engine, named, arrivals, records, bounds)
+    });
+    findings.collect()
+}
+
+/// Gives where and when a try came. A stream's head is taken for answered when it begins, a plain
+/// answer when its run ends.
+fn arrivals_of(attempt: &Attempt) -> Vec<(&str, Arrival)> {
+    let node = attempt.node;
+    let runs = attempt.runs.iter().map(|run| {
+        let is_early = attempt.kind.is_stream() && !run.is_reading;
+        let answered = if is_early { Some(run.began) } else { run.end.map(|it| it.at) };
+        (run.engine.as_str(), Arrival { at: run.began, node, answered })
+    });
+    let turned_away = attempt.turned_away.iter().zip(&attempt.turned_away_by);
+    let turned_away = turned_away
+        .map(|(&at, engine)| (engine.as_str(), Arrival { at, node, answered: Some(at) }));
+    runs.chain(turned_away).collect()
+}
+
+/// Checks what came to one upstream.
+fn check(
+    engine: &str,
+    named: &[(Micros, u64)],
+    mut arrivals: Vec<Arrival>,
+    records: &Records,
+    bounds: &Bounds,
+) -> Option<Finding> {
+    arrivals.sort_by_key(|it| it.at);
+    let gone = records.engine_ends.get(engine).copied().unwrap_or(Micros::MAX);
+    for (begun, until) in spans(named, gone) {
+        let told = told_at(&arrivals, begun, until);
+        let counts = |it: &&Arrival| {
+            let is_told = told.get(&it.node).is_some_and(|told| it.at >= told + COUNTS_AFTER);
+            let from = it.at.saturating_sub(bounds.contact);
+            is_told && it.at < until && !records.is_disturbed(it.node, from, it.at)
+        };
+        let counted: Vec<Micros> = arrivals.iter().filter(counts).map(|it| it.at).collect();
+        for &end in counted.iter().filter(|it| **it >= begun + bounds.contact) {
+            let within = counted.iter().filter(|it| **it <= end && **it + WINDOW > end).count();
+            let rate = most_named(named, end) as f64 / 1e3;
+            let allowed = rate * (WINDOW / SECOND) as f64 * OVERRUN + SLACK;
+            if within as f64 > allowed {
+                let what = format!("{engine} takes {rate} a second and got {within} in 4 s");
+                return Some(finding(Promise::LimitKept, end, what));
+            }
+        }
+    }
+    None
+}
+
+/// Gives the spans in which an upstream names limits, one after the other without a break.
+fn spans(named: &[(Micros, u64)], gone: Micros) -> Vec<(Micros, Micros)> {
+    let mut spans = Vec::new();
+    let mut begun = None;
+    for &(at, milli) in named {
+        match (begun, milli) {
+            (None, 1..) => begun = Some(at),
+            (Some(since), 0) => {
+                spans.push((since, at));
+                begun = None;
+            }
+            _ => {}
+        }
+    }
+    spans.extend(begun.map(|it| (it, gone)));
+    spans
+}
+
+/// Gives when each box had its first answer of a span.
+fn told_at(arrivals: &[Arrival], begun: Micros, until: Micros) -> BTreeMap<usize, Micros> {
+    let mut told = BTreeMap::new();
+    for arrival in arrivals.iter().filter(|it| it.at >= begun && it.at < until) {
+        if let Some(answered) = arrival.answered {
+            let first = told.entry(arrival.node).or_insert(answered);
+            *first = answered.min(*first);
+        }
+    }
+    told
+}
+
+/// Gives the highest limit that was named in the window that ends at a time.
+fn most_named(named: &[(Micros, u64)], end: Micros) -> u64 {
+    let ends = named.iter().skip(1).map(|it| it.0).chain([Micros::MAX]);
+    let in_window = named
+        .iter()
+        .zip(ends)
+        .filter(|(it, until)| it.0 <= end && until + WINDOW.min(Micros::MAX - until) > end);
+    in_window.map(|(it, _)| it.1).max().unwrap_or(0)
+}
--- /dev/null
+++ b/tests/tests/platform_limits.rs
@@ -0,0 +1,90 @@
+//! Limits that engines name, through sockets: two boxes before one engine that takes so many requests
+//! a second from both together.
+//!
+//! Boxes took only the told load from engines' answers, so that one which had named 3.7 a second got
+//! 40 requests in 4 s.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hollyspoke_platform::DIALECT;
+use hollyspoke_server::run::{self, Running};
+use hollyspoke_tests::needs::{WINDOW, allowed};
+use hollyspoke_tests::platform::{
+    Act, Received, Store, answer, ask, client_head, engine, local, log, node, settings, status,
+    store,
+};
+use tokio::time::Instant;
+
+/// The requests a second that the engine takes.
+const RATE: f64 = 3.0;
+
+/// The pause between two requests at each box.
+const EVERY: Duration = Duration::from_millis(40);
+
+/// Starts a box that knows another one, and waits until they have heard each other.
+async fn second_node(store: &Store, first: &Running) -> Running {
+    let seeds: Vec<SocketAddr> = vec![first.node.peer_address().expect("it is bound")];
+    let running =
+        run::start(&settings(store.address, seeds), DIALECT, log()).await.expect("free ports");
+    while running.node.with(|it| !it.is_ready() || it.living_boxes() < 2) {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    running
+}
+
+#[test]
+fn kept_by_two_boxes_and_lifted() {
+    local(async {
+        let store = store().await;
+        let is_limited = Rc::new(Cell::new(true));
+        let says = is_limited.clone();
+        let script = move |to: &Received| {
+            let limit = format!("Server-Limit: {RATE}\r\n");
+            let headers = if says.get() { limit.as_str() } else { "" };
+            vec![Act::Send(answer(to, "200 OK", headers, "x"))]
+        };
+        let engine = engine(Rc::new(script)).await;
+        store.configure(1);
+        store.list("e-1", &engine, "plain", None);
+        let first = node(&store).await;
+        let second = second_node(&store, &first).await;
+        let fronts = [first.front, second.front];
+        let begun = Instant::now();
+        let mut arrivals = Vec::new();
+        let mut refused = 0;
+        let mut number = 0;
+        while begun.elapsed() < WINDOW * 2 {
+            for front in fronts {
+                number += 1;
+                let before = engine.received.borrow().len();
+                let head = client_head("GET", "/safe/x", &format!("id-{number}"), "");
+                let got = ask(front, &head).await;
+                if status(&got) == "503" {
+                    assert!(got.to_ascii_lowercase().contains("retry-after: "), "{got}");
+                    refused += 1;
+                }
+                let new = engine.received.borrow().len() - before;
+                arrivals.extend(std::iter::repeat_n(begun.elapsed(), new));
+            }
+            tokio::time::sleep(EVERY).await;
+        }
+        let late = arrivals.iter().filter(|it| **it >= WINDOW).count();
+        assert!(late as f64 <= allowed(RATE), "{late} in {WINDOW:?}");
+        assert!(late as f64 >= RATE * WINDOW.as_secs_f64() * 0.8, "{late} in {WINDOW:?}");
+        assert!(refused > 0);
+        // One answer that names none lifts it, for both boxes.
+        is_limited.set(false);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for front in fronts {
+            _ = ask(front, &client_head("GET", "/safe/x", "lifts", "")).await;
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for (round, front) in fronts.into_iter().cycle().take(20).enumerate() {
+            let head = client_head("GET", "/safe/x", &format!("after-{round}"), "");
+            assert_eq!(status(&ask(front, &head).await), "200");
+        }
+    });
+}
