Engines in need count little in the split of stages, and get no orders

Cause: the box that has engines change their stage counted one that takes 0.2 requests a second like any other, and ordered it to change; orders and the question before them are requests too. Change: an engine in need counts if it takes at least half of what it could bear of requests such as those of late, and is never chosen. With two of four readers in need and generators' memory full, both were ordered to generate before, neither is now (the test failed first).

--- a/crates/hollyspoke-gateway/src/demand.rs
+++ b/crates/hollyspoke-gateway/src/demand.rs
@@ -9,7 +9,7 @@
 
 /// The time in which a request's part in the mean falls to a third. Long enough for some tens of
 /// requests, short enough to follow a load that shifts before it has passed.
-const MEMORY: Duration = Duration::from_secs(6);
+pub const MEMORY: Duration = Duration::from_secs(6);
 
 /// The shortest time that a mean is taken over.
 const LEAST_AGE: Duration = Duration::from_millis(500);
--- a/crates/hollyspoke-gateway/src/gateway/stages.rs
+++ b/crates/hollyspoke-gateway/src/gateway/stages.rs
@@ -15,6 +15,7 @@
 
 use super::peers::service_hash;
 use super::{Gateway, Settings};
+use crate::demand::MEMORY;
 use crate::directory::Known;
 use crate::effect::{Effect, LONGEST_ORDER, Note, Order};
 use crate::engine::{EngineKey, Stage};
@@ -64,12 +65,36 @@
 /// How long what runs at an engine may take to end before it changes, beside the change itself.
 const LONGEST_DRAIN: Duration = Duration::from_secs(16);
 
+/// The share of what an engine could bear that one in need must take to count as an engine.
+const LEAST_COUNTED: f64 = 0.5;
+
 /// How often one order is sent that gets no answer.
 const MOST_TRIES: u32 = 3;
 
 /// The pause after an order that was not taken.
 const REST: Duration = Duration::from_secs(4);
 
+/// The requests a second that one engine could bear.
+#[derive(Debug, Clone, Copy)]
+struct Bearing {
+    /// One that reads.
+    reader: f64,
+    /// One that generates.
+    generator: f64,
+}
+
+impl Bearing {
+    /// Gives what engines could bear of requests such as those of late.
+    fn of(demand: Demand, capacity: Capacity) -> Bearing {
+        let asked = f64::from(demand.requests) / MEMORY.as_secs_f64();
+        let borne = |by_one: f64, in_all: u32| by_one * asked / f64::from(in_all.max(1));
+        Bearing {
+            reader: borne(capacity.reading, demand.reading),
+            generator: borne(capacity.memory, demand.held),
+        }
+    }
+}
+
 /// How far an order is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
@@ -217,7 +242,7 @@
             memory: staged.memory_tokens as f64,
         };
         loop {
-            let (split, working) = self.split(&service.name);
+            let (split, working) = self.split(&service.name, demand, capacity);
             let engines = split.readers + split.generators;
             let changing = engines - working.readers - working.generators;
             let most = (f64::from(engines) * MOST_SWITCHING).max(1.0) as u32;
@@ -242,12 +267,18 @@
     }
 
     /// Gives the engines of a service by the stage that they have or will have, and those of them
-    /// that work now.
-    fn split(&self, service: &str) -> (Split, Split) {
+    /// that work now. One in need counts if it takes at least half of what it could bear.
+    fn split(&self, service: &str, demand: Demand, capacity: Capacity) -> (Split, Split) {
         let mut split = Split { readers: 0, generators: 0 };
         let mut working = split;
+        let bears = Bearing::of(demand, capacity);
         for known in self.directory.staying(service) {
             let is_reader = known.coming_stage(self.now) == Some(Stage::Prefill);
+            let usual = if is_reader { bears.reader } else { bears.generator };
+            let limit = self.intakes.of(known.engine.key);
+            if limit.is_some_and(|it| it.rate < usual * LEAST_COUNTED) {
+                continue;
+            }
             let works = u32::from(known.switching(self.now).is_none());
             if is_reader {
                 split.readers += 1;
@@ -275,7 +306,9 @@
         let readers_near =
             |it: &Known| readers_in.get(&*it.engine.data_centre).copied().unwrap_or_default();
         let open = self.directory.open(service, self.now);
+        // Orders are requests too, and one in need is of little use in another stage.
         let candidates = open.filter(|it| it.engine.stage == Some(from));
+        let candidates = candidates.filter(|it| self.intakes.of(it.engine.key).is_none());
         let chosen = candidates.min_by_key(|it| {
             let readers = readers_near(it);
             let readers = if change == Change::ToGenerating { -readers } else { readers };
--- a/tests/src/stages.rs
+++ b/tests/src/stages.rs
@@ -8,7 +8,8 @@
 use hollyspoke::time::Time;
 use hollyspoke_gateway::effect::{Effect, Order, Task};
 use hollyspoke_gateway::engine::{Engine, EngineChange, EngineKey, Stage};
-use hollyspoke_gateway::event::{CallEvent, Event, Kind, OrderAnswer};
+use hollyspoke_gateway::event::{Answer as Answered, CallEvent, Event, Kind, OrderAnswer};
+use hollyspoke_gateway::intake::Told;
 use hollyspoke_gateway::request::CallKey;
 use hollyspoke_gateway::route::{Configuration, Route, RouteKind, Service, Staged};
 
@@ -68,6 +69,10 @@
     pub written_at: Option<Time>,
     /// The requests refused.
     pub refused: usize,
+    /// The requests a second that engines in need name in their answers.
+    pub limits: BTreeMap<EngineKey, f64>,
+    /// Where each call was sent.
+    calls: BTreeMap<CallKey, EngineKey>,
     /// The objects in the store.
     objects: BTreeMap<String, Object>,
     /// The engines with stages.
@@ -135,6 +140,8 @@
             orders: Vec::new(),
             ordered_at: Vec::new(),
             seized_at: None,
+            limits: BTreeMap::new(),
+            calls: BTreeMap::new(),
             written_at: None,
             refused: 0,
             objects: BTreeMap::new(),
@@ -219,10 +226,12 @@
             let now = self.world.now;
             match effect {
                 Effect::Send(send) if send.task == Task::Read => {
+                    self.calls.insert(send.call, send.engine.key);
                     let took = Duration::from_millis(self.tokens / READ_A_MS);
                     self.due.push((now + took, Due::Read(send.call)));
                 }
                 Effect::Send(send) => {
+                    self.calls.insert(send.call, send.engine.key);
                     let begins = now + Duration::from_millis(50);
                     self.due.push((begins, Due::Begin(send.call)));
                     self.due.push((now + self.run, Due::End(send.call)));
@@ -299,9 +308,11 @@
         due.sort_by_key(|it| it.0);
         for (_, what) in due {
             let event = match what {
-                Due::Read(call) => Event::Call(call, CallEvent::Answered(read("handle"))),
-                Due::Begin(call) => Event::Call(call, CallEvent::Began(ran(200))),
-                Due::End(call) => Event::Call(call, CallEvent::Answered(ran(200))),
+                Due::Read(call) => {
+                    Event::Call(call, CallEvent::Answered(self.says(call, read("handle"))))
+                }
+                Due::Begin(call) => Event::Call(call, CallEvent::Began(self.says(call, ran(200)))),
+                Due::End(call) => Event::Call(call, CallEvent::Answered(self.says(call, ran(200)))),
                 Due::Changed(key, stage) => self.changed(key, stage),
             };
             let effects = self.world.event(event);
@@ -309,6 +320,13 @@
         }
     }
 
+    /// Adds to an answer what its engine takes.
+    fn says(&self, call: CallKey, answer: Answered) -> Answered {
+        let engine = self.calls.get(&call);
+        let rate = engine.and_then(|it| self.limits.get(it));
+        Answered { limit: rate.map_or(Told::Nothing, |&it| Told::Rate(it)), ..answer }
+    }
+
     /// Lists an engine with another stage.
     fn changed(&mut self, key: EngineKey, stage: Stage) -> Event {
         self.revision += 1;
--- a/tests/tests/gateway_stages.rs
+++ b/tests/tests/gateway_stages.rs
@@ -6,6 +6,7 @@
 use hollyspoke_gateway::effect::{Effect, Task};
 use hollyspoke_gateway::engine::{EngineKey, Stage};
 use hollyspoke_gateway::event::{Answer, CallEvent, Event, Execution};
+use hollyspoke_gateway::intake::Told;
 use hollyspoke_gateway::message::{Knowledge, Switching};
 use hollyspoke_tests::gateway::{
     World, engine, heartbeat, only_send, ran, read, request, settings,
@@ -31,6 +32,22 @@
     assert_eq!(it.refused, refused, "there is room for all");
 }
 
+/// Engines that take few requests a second count for nothing, and get no order, which is a request too.
+/// Three of four readers were ordered to generate where two of them were in need.
+#[test]
+fn engines_in_need_stay_as_they_are() {
+    let mut it = Loop::default();
+    let in_need = ["engine-11", "engine-12"].map(EngineKey::of);
+    for engine in in_need {
+        it.limits.insert(engine, 0.2);
+        it.world.event(Event::Limited(engine, Told::Rate(0.2)));
+    }
+    it.play(FULL, 3000, LONG);
+    let ordered: Vec<_> = it.orders.iter().map(|it| it.engine.key).collect();
+    assert!(!ordered.iter().any(|it| in_need.contains(it)), "{:?}", it.orders);
+    assert!(it.readers() >= 3, "one reader is left beside the two in need");
+}
+
 #[test]
 fn reading_is_scarce() {
     let mut it = Loop::new(1, 8);
