Soak: engines that name limits, boxes of two versions, datagrams not read

Two times in each run up to three engines of a service name how many requests a second they take, another figure in the middle, and none at the end, while boxes are struck; judged from what engines see, by boxes that they have told and that nothing disturbs. Logs are searched for datagrams that were not read.

--- a/tests/soak/src/cluster.rs
+++ b/tests/soak/src/cluster.rs
@@ -46,6 +46,9 @@
 /// How long an upstream that has crashed takes to be back: less than its entry takes to lapse.
 const BACK_AFTER: Duration = Duration::from_millis(2000);
 
+/// The line of a box's log that says that it could not read what another one told.
+const NOT_READ: &str = "datagram not read";
+
 /// The memory of an engine, in tokens.
 const MEMORY_TOKENS: u64 = 60_000;
 
@@ -91,6 +94,8 @@
     settings: PathBuf,
     /// The log.
     log: PathBuf,
+    /// The program that it runs when it starts.
+    program: RefCell<PathBuf>,
     /// The process, while it runs.
     child: RefCell<Option<Child>>,
     /// The way of its clients.
@@ -234,9 +239,13 @@
         folder: &Path,
         sink: Sink,
         mutant: Option<Mutant>,
+        older: Option<&Path>,
     ) -> eyre::Result<Rc<Cluster>> {
         let store = start_store(folder)?;
         let nodes = make_nodes(size, folder, store.address, mutant).await?;
+        if let Some(older) = older {
+            nodes.iter().for_each(|it| _ = it.program.replace(older.to_owned()));
+        }
         let at = |index: usize, port: u16| SocketAddr::from((ip(index), port));
         let place = |it| Place { own: at(it, PORTS.peers), announced: at(it, PORTS.announced) };
         let peering = Peering::open((0..size.boxes).map(place).collect()).await?;
@@ -300,7 +309,7 @@
             return Ok(());
         }
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&node.log)?;
-        let mut command = Command::new(program("hollyspoke-node")?);
+        let mut command = Command::new(&*node.program.borrow());
         command.env_clear().env("HOLLYSPOKE_CONFIG", &node.settings);
         command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
         *child = Some(command.spawn().wrap_err("the box does not start")?);
@@ -308,6 +317,30 @@
         Ok(())
     }
 
+    /// Has a box run the program of this version when it starts next.
+    pub fn replace(&self, index: usize) {
+        if let Ok(newer) = program("hollyspoke-node") {
+            self.nodes[index].program.replace(newer);
+        }
+    }
+
+    /// Looks in the logs of all boxes for datagrams of others that they could not read.
+    pub fn look_for_unread(&self) {
+        for (index, node) in self.nodes.iter().enumerate() {
+            let log = std::fs::read(&node.log).unwrap_or_default();
+            let lines = String::from_utf8_lossy(&log).matches(NOT_READ).count();
+            if lines > 0 {
+                self.see(What::NotRead { node: index, lines });
+            }
+        }
+    }
+
+    /// Sends a box something that is no datagram.
+    pub async fn send_noise(&self, index: usize) -> std::io::Result<usize> {
+        let socket = tokio::net::UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        socket.send_to(b"no datagram", (ip(index), PORTS.peers)).await
+    }
+
     /// Sends a box's process a signal; tells whether there was one.
     pub fn signal(&self, index: usize, signal: Signal) -> bool {
         let child = self.nodes[index].child.borrow();
@@ -563,6 +596,7 @@
             metrics: at(PORTS.metrics),
             settings,
             log: folder.join(format!("box-{index}.log")),
+            program: RefCell::new(program("hollyspoke-node")?),
             child: RefCell::new(None),
             front,
             store,
--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -66,6 +66,7 @@
         | Fault::Storm { span, .. }
         | Fault::SlowEngine { span, .. }
         | Fault::DelayOrders { span, .. }
+        | Fault::Limit { span, .. }
         | Fault::LyingEngine { span, .. }
         | Fault::HoldLinks { span }
         | Fault::Datagrams { span, .. }
@@ -77,6 +78,7 @@
         Fault::Stop { count, gap } => gap * count as u32,
         Fault::EngineCrash => LAPSES_AFTER,
         Fault::Drain => DRAINS_FOR,
+        Fault::Replace { .. } => DOWN_FOR,
         Fault::ResetLinks { .. } | Fault::MuteLinks { .. } | Fault::Configure => Duration::ZERO,
     };
     micros(span)
@@ -155,6 +157,14 @@
             tell_all(cluster, Command::DelayOrders(0));
             Ok(())
         }
+        Fault::Limit { is_plain, count, milli, span } => {
+            limit(cluster, is_plain, count, milli, span, random).await;
+            Ok(())
+        }
+        Fault::Replace { node } => {
+            cluster.replace(node);
+            stop_in_turn(cluster, &[node], Duration::ZERO).await
+        }
         Fault::LyingEngine { telling, span } => {
             let Some(upstream) = one_upstream(cluster, random) else { return Ok(()) };
             cluster.tell_upstream(&upstream, Command::Tell(telling));
@@ -265,6 +275,31 @@
     Ok(())
 }
 
+/// Has upstreams of a service name a limit, another one later, and none after a span.
+async fn limit(
+    cluster: &Cluster,
+    is_plain: bool,
+    count: usize,
+    milli: (u64, u64),
+    span: Duration,
+    random: &mut Pcg64Mcg,
+) {
+    let all = cluster.upstreams.borrow().clone();
+    let of_service: Vec<_> =
+        all.into_iter().filter(|it| it.stage.borrow().is_none() == is_plain).collect();
+    let chosen: Vec<_> = of_service.choose_multiple(random, count).cloned().collect();
+    let name = |milli| {
+        for upstream in &chosen {
+            cluster.tell_upstream(upstream, Command::Limit(milli));
+        }
+    };
+    name(milli.0);
+    tokio::time::sleep(span / 2).await;
+    name(milli.1);
+    tokio::time::sleep(span / 2).await;
+    name(0);
+}
+
 /// Cuts boxes off from the others for a span.
 async fn split(cluster: &Cluster, nodes: &[usize], direction: Direction, span: Duration) {
     disturb(cluster, nodes);
--- a/tests/soak/src/judge.rs
+++ b/tests/soak/src/judge.rs
@@ -2,6 +2,7 @@
 
 mod customers;
 mod harm;
+mod intake;
 mod records;
 
 use std::collections::BTreeMap;
@@ -56,6 +57,10 @@
     LimitedOnly,
     /// A request that crashes the upstreams that run it is held back after the third.
     HarmHeldBack,
+    /// An upstream that names a limit gets no more than that from all boxes together.
+    LimitKept,
+    /// Boxes read what other boxes tell, also those of another version.
+    Understood,
 }
 
 /// A promise that was broken.
@@ -98,6 +103,8 @@
     pub resident: u64,
     /// The most descriptors of a box: the users' machines have 4,100, and these clients are few.
     pub descriptors: u64,
+    /// Whether all boxes read the limits that upstreams name: those of an older version do not.
+    pub reads_limits: bool,
 }
 
 impl Default for Bounds {
@@ -113,6 +120,7 @@
             recover_within: 5 * SECOND,
             resident: 64 << 20,
             descriptors: 1000,
+            reads_limits: true,
         }
     }
 }
@@ -169,6 +177,8 @@
         customers::within_limit,
         customers::limited_only,
         harm::held_back,
+        intake::limit_kept,
+        understood,
     ];
     let mut findings: Vec<_> = checks.iter().flat_map(|it| it(&records, bounds)).collect();
     findings.sort_by_key(|it| (it.at, it.promise));
@@ -495,6 +505,16 @@
     findings.collect()
 }
 
+/// Checks that boxes read what other boxes tell.
+fn understood(records: &Records, _: &Bounds) -> Vec<Finding> {
+    let not_read = records.not_read.iter();
+    let findings = not_read.map(|&(at, node, lines)| {
+        let what = format!("box {node} says in {lines} lines that a datagram was not read");
+        finding(Promise::Understood, at, what)
+    });
+    findings.collect()
+}
+
 impl Records {
     /// Tells whether a run ended by its upstream's own doing.
     fn broke_off(&self, run: &records::Run) -> bool {
--- a/tests/soak/src/judge/intake.rs
+++ b/tests/soak/src/judge/intake.rs
@@ -72,8 +72,7 @@
     bounds: &Bounds,
 ) -> Option<Finding> {
     arrivals.sort_by_key(|it| it.at);
-    let gone = records.engine_ends.get(engine).copied().unwrap_or(Micros::MAX);
-    for (begun, until) in spans(named, gone) {
+    for (begun, until) in spans(named) {
         let told = told_at(&arrivals, begun, until);
         let counts = |it: &&Arrival| {
             let is_told = told.get(&it.node).is_some_and(|told| it.at >= told + COUNTS_AFTER);
@@ -95,7 +94,7 @@
 }
 
 /// Gives the spans in which an upstream names limits, one after the other without a break.
-fn spans(named: &[(Micros, u64)], gone: Micros) -> Vec<(Micros, Micros)> {
+fn spans(named: &[(Micros, u64)]) -> Vec<(Micros, Micros)> {
     let mut spans = Vec::new();
     let mut begun = None;
     for &(at, milli) in named {
@@ -108,7 +107,7 @@
             _ => {}
         }
     }
-    spans.extend(begun.map(|it| (it, gone)));
+    spans.extend(begun.map(|it| (it, Micros::MAX)));
     spans
 }
 
@@ -126,10 +125,8 @@
 
 /// Gives the highest limit that was named in the window that ends at a time.
 fn most_named(named: &[(Micros, u64)], end: Micros) -> u64 {
+    let begun = end.saturating_sub(WINDOW);
     let ends = named.iter().skip(1).map(|it| it.0).chain([Micros::MAX]);
-    let in_window = named
-        .iter()
-        .zip(ends)
-        .filter(|(it, until)| it.0 <= end && until + WINDOW.min(Micros::MAX - until) > end);
+    let in_window = named.iter().zip(ends).filter(|(it, until)| it.0 <= end && *until > begun);
     in_window.map(|(it, _)| it.1).max().unwrap_or(0)
 }
--- a/tests/soak/src/judge/records.rs
+++ b/tests/soak/src/judge/records.rs
@@ -84,6 +84,8 @@
     pub(super) runs: Vec<Run>,
     /// When upstreams turned it away.
     pub(super) turned_away: Vec<Micros>,
+    /// The upstreams that did, in the same order.
+    pub(super) turned_away_by: Vec<String>,
 }
 
 impl Attempt {
@@ -178,6 +180,10 @@
     pub(super) probes: Vec<Probe>,
     /// The orders to each engine.
     pub(super) orders: BTreeMap<String, Vec<Order>>,
+    /// The limits that upstreams named, in thousandths of a request a second, and when.
+    pub(super) limits: BTreeMap<String, Vec<(Micros, u64)>>,
+    /// Boxes that could not read what others told, and in how many lines they say so.
+    pub(super) not_read: Vec<(Micros, usize, usize)>,
     /// When upstreams' processes were gone.
     pub(super) engine_ends: BTreeMap<String, Micros>,
     /// Runs after the last client had gone.
@@ -230,6 +236,7 @@
             left: None,
             runs: Vec::new(),
             turned_away: Vec::new(),
+            turned_away_by: Vec::new(),
         };
         self.attempts.insert(attempt.id.clone(), attempt);
     }
@@ -246,7 +253,14 @@
             }
             What::Cut { attempt } => self.with(attempt, |it| it.cut = Some(at)),
             What::Left { attempt } => self.with(attempt, |it| it.left = Some(at)),
-            What::TurnedAway { attempt, .. } => self.with(attempt, |it| it.turned_away.push(at)),
+            What::TurnedAway { engine, attempt } => self.with(attempt, |it| {
+                it.turned_away.push(at);
+                it.turned_away_by.push(engine.clone());
+            }),
+            What::Limited { engine, milli } => {
+                self.limits.entry(engine.clone()).or_default().push((at, *milli));
+            }
+            What::NotRead { node, lines } => self.not_read.push((at, *node, *lines)),
             What::Began { engine, attempt, path, body, is_reading, customer, has_key } => {
                 let run = Run {
                     engine: engine.clone(),
@@ -294,6 +308,10 @@
             }
             What::KeyFound { place } => self.keys_found.push((at, place.clone())),
             What::EngineGone { engine } => {
+                // A new life under the id begins without a limit.
+                if let Some(limits) = self.limits.get_mut(engine) {
+                    limits.push((at, 0));
+                }
                 self.engine_ends.insert(engine.clone(), at);
             }
             What::Sent { .. } | What::Unreached { .. } | What::Fault { .. } => {}
--- a/tests/soak/src/main.rs
+++ b/tests/soak/src/main.rs
@@ -46,6 +46,8 @@
   --engines N      engines of the model service, a third of them readers (6)
   --plain N        upstreams of the plain service (3)
   --clients N      clients (24)
+  --older PROGRAM  a hollyspoke-node of an older version, which all boxes run until they are replaced
+                   one after the other
   --mutant NAME    commits a deliberate fault; succeeds if its promise is found broken
   --mutants        lists the deliberate faults
   --schedule       prints the faults of the seed and ends
@@ -131,17 +133,22 @@
     };
     let only_schedule = arguments.contains("--schedule");
     let shrinks = arguments.contains("--shrink");
+    let older: Option<PathBuf> = arguments.opt_value_from_str("--older")?;
     let folder: Option<PathBuf> = arguments.opt_value_from_str("--out")?;
     let folder = folder.unwrap_or_else(|| Path::new("target/soak").join(seed.to_string()));
     let rest = arguments.finish();
     if !rest.is_empty() {
         bail!("unknown arguments: {rest:?}");
     }
-    let faults = match mutant {
+    let mut faults = match mutant {
         Some(mutant) => run::faults_for(mutant),
         None => schedule::draw(seed, length),
     };
-    let plan = Plan { seed, length, size, faults, mutant, folder };
+    if older.is_some() {
+        faults.extend(schedule::replace_all(size.boxes, length));
+        faults.sort_by_key(|it| it.at);
+    }
+    let plan = Plan { seed, length, size, faults, mutant, folder, older };
     Ok(Asked { plan, only_schedule, shrinks })
 }
 
--- a/tests/soak/src/mutant.rs
+++ b/tests/soak/src/mutant.rs
@@ -51,11 +51,15 @@
     LimitsAll,
     /// Requests that crash upstreams have another body each time.
     VariesHarm,
+    /// Upstreams have a limit and don't name it.
+    HidesLimit,
+    /// Something that is no datagram of a box comes to one.
+    SendsNoise,
 }
 
 impl Mutant {
     /// All of them, with the name that the command line takes and the promise that they break.
-    pub const ALL: [(Mutant, &'static str, Promise); 21] = [
+    pub const ALL: [(Mutant, &'static str, Promise); 23] = [
         (Mutant::RunsTwice, "runs-twice", Promise::RunsOnce),
         (Mutant::SpoilsAnswer, "spoils-answer", Promise::WholeAnswer),
         (Mutant::SkipsEvent, "skips-event", Promise::EventsInOrder),
@@ -77,6 +81,8 @@
         (Mutant::LiftsLimit, "lifts-limit", Promise::WithinLimit),
         (Mutant::LimitsAll, "limits-all", Promise::LimitedOnly),
         (Mutant::VariesHarm, "varies-harm", Promise::HarmHeldBack),
+        (Mutant::HidesLimit, "hides-limit", Promise::LimitKept),
+        (Mutant::SendsNoise, "sends-noise", Promise::Understood),
     ];
 
     /// Gives its name.
--- a/tests/soak/src/observation.rs
+++ b/tests/soak/src/observation.rs
@@ -209,6 +209,20 @@
         /// The id of the try.
         attempt: String,
     },
+    /// An upstream names another limit from now on, or none.
+    Limited {
+        /// The upstream.
+        engine: String,
+        /// Thousandths of a request a second; 0 if it names none.
+        milli: u64,
+    },
+    /// A box's log says that it could not read what another box told.
+    NotRead {
+        /// The box.
+        node: usize,
+        /// How many lines say so.
+        lines: usize,
+    },
     /// An engine took an order.
     Ordered {
         /// The engine.
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -18,7 +18,7 @@
 
 use crate::client::{self, Shared};
 use crate::cluster::{Cluster, Size, Upstream, version_path};
-use crate::faults::{strike, tell_all};
+use crate::faults::{report, strike, tell_all};
 use crate::harmful;
 use crate::judge::{Bounds, Finding, judge};
 use crate::keys::{CUSTOMERS, Caller, KEY_MARK, units};
@@ -61,6 +61,8 @@
     pub mutant: Option<Mutant>,
     /// The folder of settings and logs.
     pub folder: PathBuf,
+    /// The program of an older version that all boxes run at first, if one is given.
+    pub older: Option<PathBuf>,
 }
 
 /// What a run has given.
@@ -79,7 +81,8 @@
 /// If a process does not start, or the boxes do not get ready.
 pub async fn run(plan: &Plan) -> eyre::Result<Outcome> {
     let (sink, mut seen) = mpsc::unbounded_channel();
-    let cluster = Cluster::start(plan.size, &plan.folder, sink.clone(), plan.mutant).await?;
+    let older = plan.older.as_deref();
+    let cluster = Cluster::start(plan.size, &plan.folder, sink.clone(), plan.mutant, older).await?;
     let watching = tokio::task::spawn_local(cluster.clone().watch());
     wait_until_ready(&cluster).await?;
     let shared = Rc::new(Shared {
@@ -114,6 +117,7 @@
     stop_all(&cluster).await;
     watching.abort();
     cluster.look_for_keys();
+    cluster.look_for_unread();
     while let Ok(observation) = seen.try_recv() {
         observations.push(observation);
     }
@@ -121,6 +125,7 @@
     if plan.mutant == Some(Mutant::LeastMemory) {
         bounds.resident = 1 << 20;
     }
+    bounds.reads_limits = plan.older.is_none();
     let findings = judge(&observations, &bounds);
     Ok(Outcome { observations, findings })
 }
@@ -273,6 +278,11 @@
         // Keys are taken away with every second version, and must be gone some seconds later.
         Mutant::KeepsKeys => (0..6).map(|it| at(300 + 200 * it, Fault::Configure)).collect(),
         Mutant::StaysDown => vec![at(2000, Fault::KillAll)],
+        Mutant::HidesLimit => {
+            // By then the harmful requests are held back: upstreams that crash begin without limits.
+            let span = Duration::from_secs(8);
+            vec![at(4500, Fault::Limit { is_plain: true, count: 3, milli: (500, 500), span })]
+        }
         _ => Vec::new(),
     }
 }
@@ -282,6 +292,11 @@
     tokio::time::sleep(Duration::from_secs(2)).await;
     match mutant {
         Mutant::RepeatsFreely => tell_all(&cluster, Command::Fail(100)),
+        Mutant::SendsNoise => {
+            if let Err(error) = cluster.send_noise(0).await {
+                report(&error.into());
+            }
+        }
         Mutant::EndsByItself => {
             cluster.signal(0, Signal::SIGKILL);
         }
--- a/tests/soak/src/schedule.rs
+++ b/tests/soak/src/schedule.rs
@@ -102,6 +102,23 @@
         /// For how long.
         span: Duration,
     },
+    /// Upstreams of a service name how many requests a second they take, and name another figure in
+    /// the middle of the time.
+    Limit {
+        /// Whether it is the plain service.
+        is_plain: bool,
+        /// How many of them.
+        count: usize,
+        /// Thousandths of a request a second, at first and later.
+        milli: (u64, u64),
+        /// For how long.
+        span: Duration,
+    },
+    /// A box that runs the older program is stopped, and the newer one started in its place.
+    Replace {
+        /// The box.
+        node: usize,
+    },
     /// Engines leave orders unanswered and carry them out late.
     DelayOrders {
         /// Of a hundred.
@@ -203,6 +220,7 @@
     }
     planned.extend(draw_storm(seed, end));
     planned.extend(draw_late_orders(seed, end));
+    planned.extend(draw_limits(seed, end));
     planned.sort_by_key(|it| it.at);
     planned
 }
@@ -231,6 +249,33 @@
     Some(Planned { at: latest.mul_f64(random.random()), fault })
 }
 
+/// The times in a run in which upstreams name limits.
+const LIMITS: u64 = 2;
+
+/// Draws the times in which upstreams name limits, which may overlap and end before all else does,
+/// apart from the other faults; none in a short run.
+fn draw_limits(seed: u64, end: Duration) -> Vec<Planned> {
+    let draw = |number: u64| {
+        let mut random = Pcg64Mcg::seed_from_u64(seed.rotate_left(29) ^ number);
+        let is_plain = random.random_bool(0.6);
+        let count = random.random_range(1..=3);
+        let milli = (random.random_range(300..=6000), random.random_range(300..=6000));
+        let span = Duration::from_millis(random.random_range(4500..=9000));
+        let latest = end.checked_sub(span).filter(|&it| it > WARM_UP)?;
+        let at = WARM_UP + (latest - WARM_UP).mul_f64(random.random());
+        Some(Planned { at, fault: Fault::Limit { is_plain, count, milli, span } })
+    };
+    (0..LIMITS).filter_map(draw).collect()
+}
+
+/// Gives when boxes are replaced one after the other, evenly over a run.
+pub fn replace_all(boxes: usize, length: Duration) -> Vec<Planned> {
+    let end = length.saturating_sub(COOL_DOWN);
+    let step = end.saturating_sub(WARM_UP) / u32::try_from(boxes.max(1)).unwrap_or(u32::MAX);
+    let at = |node: usize| WARM_UP + step * u32::try_from(node).unwrap_or(u32::MAX);
+    (0..boxes).map(|node| Planned { at: at(node), fault: Fault::Replace { node } }).collect()
+}
+
 /// Draws one fault.
 fn draw_fault(random: &mut Pcg64Mcg) -> Fault {
     let mut span = |least: u64, most: u64| Duration::from_millis(random.random_range(least..=most));
--- a/tests/soak/src/standin/engine.rs
+++ b/tests/soak/src/standin/engine.rs
@@ -74,6 +74,8 @@
     Slow(u32),
     /// Tells its load so.
     Tell(Telling),
+    /// Names in its answers that it takes so many thousandths of a request a second; none if 0.
+    Limit(u64),
 }
 
 /// How late an order is carried out whose answer is lost, in milliseconds, at least and at most.
@@ -116,6 +118,8 @@
     slow: Cell<u32>,
     /// How it tells its load.
     telling: Cell<Telling>,
+    /// The thousandths of a request a second that it takes; 0 if it names no limit.
+    limit: Cell<u64>,
     /// The number of the next handle or drawing.
     next: Cell<u64>,
 }
@@ -171,6 +175,7 @@
             delays: Cell::new(0),
             slow: Cell::new(1),
             telling: Cell::new(Telling::Truth),
+            limit: Cell::new(0),
             next: Cell::new(0),
         });
         write(&Greeting { listening: address.to_string() });
@@ -185,6 +190,7 @@
                     Command::DelayOrders(share) => told.delays.set(share),
                     Command::Slow(times) => told.slow.set(times.max(1)),
                     Command::Tell(telling) => told.telling.set(telling),
+                    Command::Limit(milli) => told.name_limit(milli),
                 }
             }
         });
@@ -206,6 +212,21 @@
 }
 
 impl Engine {
+    /// Names another limit from now on, or none.
+    fn name_limit(&self, milli: u64) {
+        self.limit.set(milli);
+        self.see(What::Limited { engine: self.settings.id.clone(), milli });
+    }
+
+    /// Gives the header by which an answer names the limit, if there is one.
+    fn limit_header(&self) -> String {
+        let milli = self.limit.get();
+        if milli == 0 || self.settings.mutant == Some(Mutant::HidesLimit) {
+            return String::new();
+        }
+        format!("Server-Limit: {}\r\n", milli as f64 / 1e3)
+    }
+
     /// Answers one message; tells whether the connection stays open.
     async fn answer(self: &Rc<Engine>, stream: &mut TcpStream, received: &Received) -> bool {
         let mut words = received.line.split(' ');
@@ -232,7 +253,7 @@
         let report = json!({"stage": *self.stage.borrow(), "models": [],
             "busy": self.is_switching.get(), "callSeq": self.orders.get(), "queued": 0,
             "born": self.settings.born, "active": self.active.get(), "kvUsed": 0, "kvTotal": 60000, "prefillHandles": 0});
-        platform::whole(received, &report.to_string())
+        answer(received, "200 OK", &self.limit_header(), &report.to_string())
     }
 
     /// Takes an order to change the stage.
@@ -244,7 +265,7 @@
             }
             Err(status) => status,
         };
-        platform::answer(received, status, "", "")
+        platform::answer(received, status, &self.limit_header(), "")
     }
 
     /// Takes an order without an answer, and carries it out some seconds later if it still can.
@@ -314,18 +335,18 @@
         let attempt = received.header("x-request-id").unwrap_or_default().to_owned();
         let expected = received.header("x-expect-instance");
         if expected.is_some_and(|it| it != self.settings.id) || !self.has_stage(received) {
-            return turn_away(stream, received, "421 Misdirected Request").await;
+            return self.turn_away(stream, received, "421 Misdirected Request").await;
         }
         let is_full = self.active.get() >= self.settings.slots || self.is_switching.get();
         if is_full || self.draw(&attempt) < self.refuses.get() {
             self.see(What::TurnedAway { engine: self.settings.id.clone(), attempt });
-            return turn_away(stream, received, "503 Service Unavailable").await;
+            return self.turn_away(stream, received, "503 Service Unavailable").await;
         }
         if let Some(source) = received.header("x-kv-source")
             && !fetch(source).await
         {
             self.see(What::TurnedAway { engine: self.settings.id.clone(), attempt });
-            return turn_away(stream, received, "503 Service Unavailable").await;
+            return self.turn_away(stream, received, "503 Service Unavailable").await;
         }
         self.active.set(self.active.get() + 1);
         let _run = Run(self);
@@ -397,7 +418,8 @@
         let name = format!("h{}", self.next.get());
         self.handles.borrow_mut().insert(name.clone(), Instant::now() + HANDLE_LIFE);
         let body = json!({"prefillHandle": name, "tokens": tokens, "version": 1}).to_string();
-        self.send(stream, &platform::whole(received, &body), 0).await
+        let bytes = answer(received, "200 OK", &self.limit_header(), &body);
+        self.send(stream, &bytes, 0).await
     }
 
     /// Works on a plain request.
@@ -441,7 +463,8 @@
             Telling::Full => (SLOTS, 5 * SLOTS),
         };
         let id = &self.settings.id;
-        format!("X-Server-Stamp: {id}\r\nX-Server-Load: {running},{waiting},{SLOTS}\r\n")
+        let limit = self.limit_header();
+        format!("X-Server-Stamp: {id}\r\nX-Server-Load: {running},{waiting},{SLOTS}\r\n{limit}")
     }
 
     /// Generates a stream.
@@ -485,6 +508,12 @@
         (how, 0, count)
     }
 
+    /// Says that a request was not run; tells whether the connection stays open.
+    async fn turn_away(&self, stream: &mut TcpStream, received: &Received, status: &str) -> bool {
+        let headers = format!("X-Not-Executed: 1\r\n{}", self.limit_header());
+        stream.write_all(&answer(received, status, &headers, "")).await.is_ok()
+    }
+
     /// Writes the last bytes of a run.
     async fn send(&self, stream: &mut TcpStream, bytes: &[u8], body: u64) -> (RunEnd, u64, u64) {
         match stream.write_all(bytes).await {
@@ -517,12 +546,6 @@
     .into_bytes()
 }
 
-/// Says that a request was not run; tells whether the connection stays open.
-async fn turn_away(stream: &mut TcpStream, received: &Received, status: &str) -> bool {
-    let bytes = answer(received, status, "X-Not-Executed: 1\r\n", "");
-    stream.write_all(&bytes).await.is_ok()
-}
-
 /// Takes a prompt from the engine that read it; tells whether it was there.
 async fn fetch(source: &str) -> bool {
     let Some((address, handle)) = source.split_once('/') else { return false };
--- a/tests/tests/permits.rs
+++ b/tests/tests/permits.rs
@@ -43,12 +43,6 @@
     });
 }
 
-/// Gives how long boxes are together before and after a cut, and how long they are cut off.
-fn cut_for(boxes: usize) -> (Duration, Duration) {
-    let (before, meanwhile) = if boxes <= 300 { (8, 12) } else { (5, 6) };
-    (Duration::from_secs(before), Duration::from_secs(meanwhile))
-}
-
 /// Gives how often work comes to all boxes at once.
 fn at_once(boxes: usize) -> Option<Duration> {
     Some(Duration::from_millis(if boxes <= 300 { 1300 } else { 5000 }))
@@ -114,12 +108,11 @@
         for (what, side) in cuts {
             let mut site = Site::new(boxes, rate, seed);
             let every = at_once(boxes);
-            let (before, meanwhile) = cut_for(boxes);
-            site.run(before, rate * 4.0, every);
+            site.run(Duration::from_secs(8), rate * 4.0, every);
             site.part(side);
-            site.run(meanwhile, rate * 4.0, every);
+            site.run(Duration::from_secs(12), rate * 4.0, every);
             site.part(|_| 0);
-            site.run(before, rate * 4.0, every);
+            site.run(Duration::from_secs(8), rate * 4.0, every);
             check(&site, boxes, rate, what);
         }
     });
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -376,3 +376,47 @@
     disturbed.push(at(5000, What::StoreDisturbed { span: 20 * SECOND }));
     assert_eq!(broken(&disturbed), []);
 }
+
+/// An upstream that takes two requests a second from 4 s on, and gets one every so many milliseconds
+/// until 14 s, each answered after 10 ms.
+fn pressed(every: u64) -> Vec<Observation> {
+    let limited = |milli| What::Limited { engine: "a".to_owned(), milli };
+    let mut seen = vec![running(), at(4000, limited(2000)), at(14_000, limited(0))];
+    for millis in (3000..20_000).step_by(every as usize) {
+        let run =
+            [sent(millis, Kind::Safe), began(millis, "a"), ended(millis + 10, "a", RunEnd::Whole)];
+        seen.extend(run.map(|mut it| {
+            match &mut it.what {
+                What::Sent { attempt, .. }
+                | What::Began { attempt, .. }
+                | What::RunEnded { attempt, .. } => *attempt = format!("r-{millis}"),
+                _ => {}
+            }
+            it
+        }));
+    }
+    seen
+}
+
+/// Of two a second 17 are allowed in 4 s.
+#[test]
+fn limit_of_an_upstream() {
+    assert_eq!(broken(&pressed(250)), []);
+    assert_eq!(broken(&pressed(200)), [Promise::LimitKept]);
+    // A new life of it begins without.
+    let mut reborn = pressed(200);
+    reborn.push(at(5000, What::EngineGone { engine: "a".to_owned() }));
+    assert_eq!(broken(&reborn), []);
+    // A box that stood still is excused for what it sent right after.
+    let mut paused = pressed(200);
+    for millis in (4500..14_000).step_by(2500) {
+        paused.extend([node(millis, BoxChange::Paused), node(millis + 1, BoxChange::Resumed)]);
+    }
+    assert_eq!(broken(&paused), []);
+}
+
+#[test]
+fn datagram_not_read() {
+    let seen = [running(), at(5000, What::NotRead { node: 0, lines: 2 })];
+    assert_eq!(broken(&seen), [Promise::Understood]);
+}
