A request that asked for a permit in vain is not held until its deadline

What callers saw: none yet; found by reading the mend. A request whose question for a permit got no answer, and for which no room was left meanwhile, counted as waiting for room already and was looked at again at its deadline alone, 14 s later. Cause: the time until which it waits was set by the question, and what refuses those that find no room goes by that time. Change: waiting for a permit is told apart; when it ends, the request waits for room as any other, from its arrival on. no_room_left_after_a_question failed on the code before.

Beside it: a heartbeat looks at 256 engines in need at most, in turn, so that its cost does not grow with boxes times engines.

--- a/crates/hollyspoke-gateway/src/flight.rs
+++ b/crates/hollyspoke-gateway/src/flight.rs
@@ -82,6 +82,8 @@
     pub reserved: Option<(EngineKey, Load)>,
     /// Set while the request waits for room at an engine: until when it may wait.
     pub waits_until: Option<Time>,
+    /// Whether it waits for a permit alone, and not for room.
+    pub waits_for_permit: bool,
     /// The question for a permit that it waits for.
     pub asked: Option<Asked>,
     /// The questions for permits since the last call.
--- a/crates/hollyspoke-gateway/src/gateway/limit.rs
+++ b/crates/hollyspoke-gateway/src/gateway/limit.rs
@@ -94,11 +94,4 @@
             self.tell_all(message);
         }
     }
-
-    /// Gives the limits that this box's heartbeat tells: those of the engines whose permits it issues,
-    /// so that each is told by one box, however many there are.
-    pub(super) fn limits_to_tell(&self) -> Vec<Word> {
-        let issued = self.intakes.engines().filter(|&it| self.issues(it));
-        issued.filter_map(|it| self.intakes.word(it, self.now)).collect()
-    }
 }
--- a/crates/hollyspoke-gateway/src/gateway/permits.rs
+++ b/crates/hollyspoke-gateway/src/gateway/permits.rs
@@ -1,6 +1,6 @@
 //! Permits for engines in need: asked of the box that issues them, issued, and used.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,6 +11,7 @@
 use crate::effect::NotRunReason;
 use crate::engine::{EngineKey, Stage};
 use crate::flight::{Asked, Flight};
+use crate::intake::Word;
 use crate::message::{DataCentreKey, Extension, Message};
 use crate::permit::{
     ANSWERED_WITHIN, ASKED_AGAIN_AFTER, Ask, Holder, Issuer, Outcome, PARTS, Reply, Side,
@@ -28,6 +29,10 @@
 /// The engines of a service that are looked at for the time at which a client may come back.
 const MOST_LOOKED_AT: usize = 64;
 
+/// The engines in need of which a box looks with one heartbeat whether it issues their permits. Each
+/// look goes over all boxes: what a heartbeat costs must not grow with boxes times engines.
+const MOST_LOOKED_AT_IN_TURN: usize = 256;
+
 /// The least time after which a client may come back that no engine in need could take.
 const LEAST_RETRY: Duration = Duration::from_millis(400);
 
@@ -70,6 +75,10 @@
     questions: BTreeMap<u64, Question>,
     /// The number of the last question.
     last: u64,
+    /// The engines whose permits this box issues, of those that it looked at with its last heartbeat.
+    issued: Vec<EngineKey>,
+    /// The last of the engines in need that it looked at, if there are more.
+    looked_to: Option<EngineKey>,
 }
 
 impl Permits {
@@ -204,11 +213,9 @@
     fn await_permit(&mut self, key: FlightKey, asked: Asked) {
         let Some(flight) = self.flights.get_mut(&key) else { return };
         flight.asked = Some(asked);
-        if flight.waits_until.is_none() {
-            self.waiting.push(key);
-        }
+        flight.waits_for_permit |= flight.waits_until.is_none();
         let until = flight.waits_until.map_or(asked.until, |it| it.max(asked.until));
-        flight.waits_until = Some(until);
+        self.wait_until(key, until);
         self.wake_at(key, Some(asked.until));
     }
 
@@ -340,12 +347,24 @@
         });
         self.permits.held.sweep(now);
         self.permits.questions.retain(|_, it| now.since(it.at) < FORGOTTEN_AFTER);
-        let limited: Vec<_> = self.intakes.limited().collect();
-        let issued: BTreeSet<_> = limited.into_iter().filter(|&it| self.issues(it)).collect();
-        self.permits.issuer.retain(|it| issued.contains(&it));
-        for engine in issued {
-            self.permits.issuer.begin(engine, now);
-        }
+        let intakes = &self.intakes;
+        self.permits.issuer.retain(|it| intakes.of(it).is_some());
+        let looked_at = self.intakes.limited_after(self.permits.looked_to, MOST_LOOKED_AT_IN_TURN);
+        let has_more = looked_at.len() == MOST_LOOKED_AT_IN_TURN;
+        self.permits.looked_to = looked_at.last().copied().filter(|_| has_more);
+        let (issued, others): (Vec<_>, Vec<_>) =
+            looked_at.into_iter().partition(|&it| self.issues(it));
+        others.into_iter().for_each(|it| self.permits.issuer.end(it));
+        issued.iter().for_each(|&it| self.permits.issuer.begin(it, now));
+        self.permits.issued = issued;
+    }
+
+    /// Gives the limits that this box's heartbeat tells: those of the engines whose permits it issues,
+    /// so that each is told by one box, and those that were lifted of late.
+    pub(super) fn limits_to_tell(&self) -> Vec<Word> {
+        let issued = self.permits.issued.iter().copied();
+        let lifted = self.intakes.lifted().filter(|&it| self.issues(it));
+        issued.chain(lifted).filter_map(|it| self.intakes.word(it, self.now)).collect()
     }
 
     /// Begins to issue the permits of an engine that has just named a limit, if this box issues them.
--- a/crates/hollyspoke-gateway/src/gateway/room.rs
+++ b/crates/hollyspoke-gateway/src/gateway/room.rs
@@ -42,17 +42,26 @@
             let reason = self.why_no_engine(flight);
             return self.give_up(key, reason);
         }
-        if flight.waits_until.is_some() {
+        let is_waiting = flight.waits_until.is_some_and(|it| it > self.now);
+        if is_waiting && !flight.waits_for_permit {
             return;
         }
         let until = wait_end(flight);
         if until <= self.now {
             return self.refuse_for_room(key);
         }
+        self.wait_until(key, until);
         if let Some(flight) = self.flights.get_mut(&key) {
-            flight.waits_until = Some(until);
+            flight.waits_for_permit = false;
+        }
+    }
+
+    /// Has a request wait until a time, after which it is looked at again.
+    pub(super) fn wait_until(&mut self, key: FlightKey, until: Time) {
+        let Some(flight) = self.flights.get_mut(&key) else { return };
+        if flight.waits_until.replace(until).is_none() {
+            self.waiting.push(key);
         }
-        self.waiting.push(key);
         self.wake_at(key, Some(until));
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -120,6 +120,7 @@
             read_at: self.now,
             reserved: None,
             waits_until: None,
+            waits_for_permit: false,
             asked: None,
             asks: 0,
             kept_from: Vec::new(),
@@ -230,6 +231,7 @@
         let stand = self.quarantine.stand(flight.signature);
         let Next { task, choice, .. } = next;
         flight.waits_until = None;
+        flight.waits_for_permit = false;
         flight.asked = None;
         flight.asks = 0;
         let load = load_of(flight, &task);
--- a/crates/hollyspoke-gateway/src/intake.rs
+++ b/crates/hollyspoke-gateway/src/intake.rs
@@ -10,6 +10,7 @@
 //! engine's next answer.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 use std::time::Duration;
 
 use hollyspoke::time::Time;
@@ -180,14 +181,15 @@
         Some(Word { engine, born, rate: None, age_ms: age(at) })
     }
 
-    /// Gives the engines that have a limit.
-    pub fn limited(&self) -> impl Iterator<Item = EngineKey> {
-        self.limits.keys().copied()
+    /// Gives some engines that have a limit, behind one in their order or from the first on.
+    pub fn limited_after(&self, after: Option<EngineKey>, most: usize) -> Vec<EngineKey> {
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        self.limits.range((from, Bound::Unbounded)).take(most).map(|(&it, _)| it).collect()
     }
 
-    /// Gives the engines that have a limit, or had one until of late.
-    pub fn engines(&self) -> impl Iterator<Item = EngineKey> {
-        self.limits.keys().chain(self.lifted.keys()).copied()
+    /// Gives the engines whose limit was lifted of late.
+    pub fn lifted(&self) -> impl Iterator<Item = EngineKey> {
+        self.lifted.keys().copied()
     }
 
     /// Forgets what was lifted long ago, and engines or lives of them that are not listed any more.
--- a/crates/hollyspoke-gateway/src/permit.rs
+++ b/crates/hollyspoke-gateway/src/permit.rs
@@ -179,9 +179,14 @@
         Ok(wait)
     }
 
-    /// Forgets the engines whose permits this box does not issue any more.
-    pub fn retain(&mut self, issues: impl Fn(EngineKey) -> bool) {
-        self.meters.retain(|&it, _| issues(it));
+    /// Notes that another box issues an engine's permits.
+    pub fn end(&mut self, engine: EngineKey) {
+        self.meters.remove(&engine);
+    }
+
+    /// Forgets the engines that have no limit any more.
+    pub fn retain(&mut self, is_limited: impl Fn(EngineKey) -> bool) {
+        self.meters.retain(|&it, _| is_limited(it));
     }
 }
 
--- a/tests/src/permits.rs
+++ b/tests/src/permits.rs
@@ -242,9 +242,10 @@
         if self.now >= self.members[number].down_until {
             let issues = self.issuer(number) == number;
             let issuer = &mut self.members[number].issuer;
-            issuer.retain(|_| issues);
             if issues {
                 issuer.begin(ENGINE, self.now);
+            } else {
+                issuer.end(ENGINE);
             }
         }
         self.plan(self.now + self.beat(), Due::Beat(number));
--- a/tests/tests/gateway_limits.rs
+++ b/tests/tests/gateway_limits.rs
@@ -14,13 +14,14 @@
 use hollyspoke_gateway::engine::{Engine, EngineChange, EngineKey};
 use hollyspoke_gateway::event::{Answer, CallEvent, Event};
 use hollyspoke_gateway::intake::Told;
+use hollyspoke_gateway::message::{Knowledge, Load, Message};
 use hollyspoke_gateway::prompt::PromptKey;
 use hollyspoke_gateway::request::Request;
 use hollyspoke_gateway::route::{Configuration, Route, RouteKind, Service};
 use hollyspoke_tests::fleet::Fleet;
 use hollyspoke_tests::gateway::{
-    MODEL, PLAIN, World, configuration, configuration_of, engine, only_refusal, only_send, ran,
-    read, request, route,
+    MEMORY, MODEL, PLAIN, World, configuration, configuration_of, engine, engines as listed,
+    heartbeat, only_refusal, only_send, ran, read, request, route,
 };
 
 /// The least share of the limits that is used where the work is there.
@@ -257,6 +258,71 @@
     generating
 }
 
+/// Makes a box that has heard another one, before engines that are all in need.
+fn beside_another(engines: Vec<Engine>) -> World {
+    let mut world = World::new();
+    world.event(Event::Listed(engines.clone(), 20));
+    world.event(Event::Heard(heartbeat(2, 1, Knowledge::default())));
+    for engine in engines {
+        world.event(Event::Limited(engine.key, Told::Rate(3.0)));
+    }
+    world
+}
+
+/// Gives what becomes of requests that come while the other box, which issues the permits of some
+/// engines, does not answer: each is sent or refused in time, and none is held until its deadline.
+fn ends_within(mut world: World, route: &str, span: Duration) {
+    for number in 0..20 {
+        let id = format!("request-{number}");
+        let (flight, mut effects) = world.arrive(Request { id: id.into(), ..request(route) });
+        effects.extend(world.pass(span));
+        let is_done = effects.iter().any(|it| match it {
+            Effect::Send(send) => send.flight == flight,
+            Effect::Refuse(refused, _) => *refused == flight,
+            _ => false,
+        });
+        assert!(is_done, "request {number} of {route}: {effects:?}");
+        world.event(Event::ClientLeft(flight));
+        world.event(Event::Heard(heartbeat(2, number + 2, Knowledge::default())));
+    }
+}
+
+#[test]
+fn an_issuer_that_does_not_answer() {
+    let plain = |it| engine(it, PLAIN, None);
+    ends_within(beside_another((1..=3).map(plain).collect()), "safe", Duration::from_millis(200));
+    let engines = listed().into_iter().filter(|it| it.stage.is_some()).collect();
+    ends_within(beside_another(engines), "resumed", Duration::from_millis(500));
+}
+
+/// Room that was there when a request asked for a permit may be gone when the answer does not come: it
+/// is refused as others are that find no room, and is not held until its deadline.
+#[test]
+fn no_room_left_after_a_question() {
+    let full = Load { reading: 0, calls: 4, held: u32::try_from(MEMORY).expect("it is small") };
+    let taken = [21, 22].map(|it| (engine(it, MODEL, None).key, full));
+    let mut asked = 0;
+    for other in 2..60 {
+        let mut world = World::new();
+        world.event(Event::Heard(heartbeat(other, 1, Knowledge::default())));
+        for number in [11, 12] {
+            let reader = engine(number, MODEL, None).key;
+            world.event(Event::Limited(reader, Told::Rate(3.0)));
+        }
+        let (_, effects) = world.arrive(request("resumed"));
+        if !effects.is_empty() {
+            continue;
+        }
+        asked += 1;
+        let loads = taken.to_vec();
+        let beat = Message { loads, ..heartbeat(other, 2, Knowledge::default()) };
+        world.event(Event::Heard(beat));
+        let effects = world.pass(Duration::from_millis(400));
+        only_refusal(&effects);
+    }
+    assert!(asked > 5, "{asked} boxes issue the permits of a reader");
+}
+
 /// A prompt that an engine in need keeps is no reason to wait for it: others read it.
 #[test]
 fn kept_prompts_wait_for_nobody() {
