--- a/crates/hollyspoke-gateway/src/gateway/permits.rs
+++ b/crates/hollyspoke-gateway/src/gateway/permits.rs
@@ -150,9 +150,16 @@
         if !asked.is_issued {
             self.permits.held.refuse(asked.engine, ASKED_AGAIN_AFTER, self.now);
         }
-        if let Some(flight) = self.flights.get_mut(&key) {
-            flight.asked = None;
-            flight.kept_from.push(asked.engine);
+        self.end_question(key, asked.engine);
+    }
+
+    /// Notes that a request's question for a permit of an engine brings none. It may have asked for
+    /// another one since.
+    fn end_question(&mut self, key: FlightKey, engine: EngineKey) {
+        let Some(flight) = self.flights.get_mut(&key) else { return };
+        flight.asked.take_if(|it| it.engine == engine);
+        if !flight.kept_from.contains(&engine) {
+            flight.kept_from.push(engine);
         }
     }
 
@@ -167,10 +174,8 @@
             Outcome::Issued(in_ms) => {
                 let from = self.now + millis(in_ms);
                 self.permits.held.add(engine, from);
-                self.await_permit(
-                    key,
-                    Asked { engine, until: from + ANSWERED_WITHIN, is_issued: true },
-                );
+                let until = from + ANSWERED_WITHIN;
+                self.await_permit(key, Asked { engine, until, is_issued: true });
                 Leave::Awaited
             }
             Outcome::Refused(wait_ms) => {
@@ -222,10 +227,7 @@
     /// Notes that a request can't go to an engine, and that no other can for a time.
     fn keep_away(&mut self, key: FlightKey, engine: EngineKey, wait: Duration) {
         self.permits.held.refuse(engine, wait, self.now);
-        if let Some(flight) = self.flights.get_mut(&key) {
-            flight.asked = None;
-            flight.kept_from.push(engine);
-        }
+        self.end_question(key, engine);
     }
 
     /// Gives the box that issues an engine's permits.
