--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod harmful;
 pub mod judge;
 pub mod keys;
+pub mod layout;
 pub mod malformed;
 pub mod mutant;
 pub mod observation;
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -17,11 +17,12 @@
 use tokio::time::Instant;
 
 use crate::client::{self, Shared};
-use crate::cluster::{Cluster, Size, Upstream, version_path};
+use crate::cluster::{Cluster, Size, Upstream};
 use crate::faults::{report, strike, tell_all};
 use crate::harmful;
 use crate::judge::{Bounds, Finding, judge};
 use crate::keys::{CUSTOMERS, Caller, KEY_MARK, units};
+use crate::layout::version_path;
 use crate::malformed;
 use crate::mutant::Mutant;
 use crate::observation::{BoxChange, Kind, Observation, What, digest, now};
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -1,6 +1,8 @@
 //! Several boxes' reducers in virtual time: datagrams that may be late or lost, boxes that are cut
 //! off, held up, stopped or killed, and engines that count what arrives.
 
+mod engines;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
@@ -10,11 +12,10 @@
 use hollyspoke::store::{Answer, Operation};
 use hollyspoke::time::Time;
 use hollyspoke_gateway::budget::Bound;
-use hollyspoke_gateway::effect::{Effect, Note, Send, Task};
-use hollyspoke_gateway::engine::{Engine, EngineChange, EngineKey, Stage};
-use hollyspoke_gateway::event::{Answer as Answered, CallEvent, Event, Kind, Probe};
+use hollyspoke_gateway::effect::{Effect, Note, Send};
+use hollyspoke_gateway::engine::{EngineChange, EngineKey};
+use hollyspoke_gateway::event::{CallEvent, Event, Kind, Probe};
 use hollyspoke_gateway::gateway::{CASES, Gateway, Settings};
-use hollyspoke_gateway::intake::Told;
 use hollyspoke_gateway::message::Message;
 use hollyspoke_gateway::request::{CallKey, FlightKey, Request};
 use hollyspoke_gateway::signature::Content;
@@ -22,12 +23,10 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::crashes::{BACK_AFTER, CRASHES_AFTER, Crashes, Harmful, State};
-use crate::gateway::{
-    HOST, MODEL, PLAIN, configuration, engine, ran, read, request, settings, turned_away,
-};
+use crate::crashes::{Crashes, Harmful};
+use crate::gateway::{HOST, MODEL, PLAIN, configuration, request, settings};
 use crate::needs::Needs;
-use crate::repeats::{Arrival, Asked, Records, Refused};
+use crate::repeats::{Asked, Records, Refused};
 
 /// How long a call takes to reach an engine.
 const TRANSIT: Duration = Duration::from_millis(1);
@@ -408,131 +407,6 @@
         self.step(number, Event::Arrived(FlightKey(self.next), request));
     }
 
-    /// Has a call arrive at its engine, which answers.
-    fn arrive(&mut self, number: usize, life: u64, send: &Send) {
-        let caller = Caller { number, life, call: send.call };
-        let engine = send.engine.key;
-        let State { crashes, down_until } = self.crashes.state(engine);
-        if self.now < down_until {
-            let unsent = Due::Answer(caller, engine, CallEvent::Unsent);
-            return self.plan(self.now + TRANSIT, unsent);
-        }
-        let limit = self.needs.arrive(number, engine, self.now);
-        if self.crashes.harmful.contains(&send.flight) {
-            let when_read = self.harmful.is_some_and(|it| it.when_read);
-            if when_read || send.task != Task::Read {
-                self.crashes.arrivals.push(self.now);
-                return self.plan(self.now + CRASHES_AFTER, Due::Crash(caller, engine, crashes));
-            }
-        }
-        let is_turned_away = self.random.random_bool(self.behaviour.turns_away);
-        let is_failed = self.random.random_bool(self.behaviour.fails);
-        let is_reading = send.task == Task::Read;
-        let is_free = is_reading && !is_turned_away;
-        let service = if send.engine.stage.is_some() { MODEL } else { PLAIN };
-        self.records.arrivals.push(Arrival {
-            service,
-            flight: (number, life, send.flight.0),
-            at: self.now,
-            is_free,
-        });
-        let events: &[CallEvent] = if is_turned_away {
-            &[CallEvent::Answered(turned_away())]
-        } else if is_reading {
-            &[CallEvent::Answered(read("h"))]
-        } else if is_failed {
-            &[CallEvent::Answered(ran(500))]
-        } else if send.task == Task::Plain {
-            &[CallEvent::Answered(ran(200))]
-        } else {
-            &[CallEvent::Began(ran(200)), CallEvent::Answered(ran(200))]
-        };
-        let mut at = self.now + Duration::from_millis(self.random.random_range(ANSWERS_IN_MS));
-        for event in events {
-            self.plan(at, Due::Answer(caller, engine, limited(event, limit)));
-            at = at + STREAM_LASTS;
-        }
-    }
-
-    /// Has an engine crash under a harmful request, unless it has crashed since that began.
-    fn crash_by(&mut self, caller: Caller, engine: EngineKey, before: u64) {
-        if self.crashes.state(engine).crashes == before {
-            self.crashes.caused.push(self.now);
-            self.crash(engine, Some(caller));
-        }
-    }
-
-    /// Has engines crash without a request's fault.
-    pub fn crash_all(&mut self, engines: impl IntoIterator<Item = EngineKey>) {
-        for engine in engines {
-            self.crash(engine, None);
-        }
-    }
-
-    /// Has an engine crash, under a call or not: what it has under way breaks.
-    fn crash(&mut self, engine: EngineKey, caller: Option<Caller>) {
-        self.needs.forget(engine, self.now);
-        let state = self.crashes.states.entry(engine).or_default();
-        state.crashes += 1;
-        state.down_until = self.now + BACK_AFTER;
-        self.reset(engine, caller);
-        self.plan(self.now + BACK_AFTER, Due::Back(engine));
-    }
-
-    /// Has all connections to an engine break, and that of one call more.
-    fn reset(&mut self, engine: EngineKey, caller: Option<Caller>) {
-        let mut broken: Vec<_> = caller.into_iter().collect();
-        self.due.retain(|_, due| match due {
-            Due::Answer(caller, of, ..) | Due::Crash(caller, of, _) if *of == engine => {
-                if !broken.contains(caller) {
-                    broken.push(*caller);
-                }
-                false
-            }
-            _ => true,
-        });
-        for caller in broken {
-            let answer = Due::Answer(caller, engine, CallEvent::Broken);
-            self.plan(self.now + TRANSIT, answer);
-        }
-    }
-
-    /// Has all connections to engines break that go on living.
-    pub fn reset_all(&mut self, engines: impl IntoIterator<Item = EngineKey>) {
-        for engine in engines {
-            self.reset(engine, None);
-        }
-    }
-
-    /// Has a crashed engine be back, which all boxes hear from the store.
-    fn come_back(&mut self, engine: EngineKey) {
-        self.revision += 1;
-        let Some(engine) = self.engines().into_iter().find(|it| it.key == engine) else { return };
-        let change = EngineChange::Put(engine, self.revision);
-        for number in 0..self.members.len() {
-            let at = self.now + STORE_ANSWERS_IN;
-            self.plan(at, Due::Changed(number, vec![change.clone()]));
-        }
-    }
-
-    /// Gives the engines as they are listed now.
-    pub fn engines(&self) -> Vec<Engine> {
-        let current = |it: Engine| {
-            let crashes = self.crashes.state(it.key).crashes;
-            let is_down = self.now < self.crashes.state(it.key).down_until;
-            Engine { born: Some(crashes - u64::from(is_down)), ..it }
-        };
-        engines().into_iter().map(current).collect()
-    }
-
-    /// Has a box hear whether an engine lives.
-    fn probe(&mut self, number: usize, engine: EngineKey) {
-        let State { crashes, down_until } = self.crashes.state(engine);
-        let probe = if self.now < down_until { Probe::Silent } else { Probe::Lives(Some(crashes)) };
-        let life = self.members[number].life;
-        self.plan(self.now + TRANSIT * 2, Due::Probed(number, life, engine, probe));
-    }
-
     /// Gives a box an event and carries out what it does.
     fn step(&mut self, number: usize, event: Event) {
         let member = &mut self.members[number];
@@ -626,26 +500,8 @@
     }
 }
 
-/// Adds to an event what the engine says of the requests that it takes.
-fn limited(event: &CallEvent, limit: Told) -> CallEvent {
-    let add = |answer: &Answered| Answered { limit, ..answer.clone() };
-    match event {
-        CallEvent::Began(answer) => CallEvent::Began(add(answer)),
-        CallEvent::Answered(answer) => CallEvent::Answered(add(answer)),
-        other => other.clone(),
-    }
-}
-
 /// Gives the settings of a box.
 fn settings_of(number: usize) -> Settings {
     let number = u8::try_from(number + 1).expect("at most 255 boxes");
     Settings { bound: BOUND, ..settings(number) }
 }
-
-/// Gives three plain engines, six that read prompts and twelve that generate.
-fn engines() -> Vec<Engine> {
-    let plain = (1..=3).map(|it| engine(it, PLAIN, None));
-    let readers = (11..=16).map(|it| engine(it, MODEL, Some(Stage::Prefill)));
-    let generators = (21..=32).map(|it| engine(it, MODEL, Some(Stage::Decode)));
-    plain.chain(readers).chain(generators).collect()
-}
