--- a/tests/benches/boxes.rs
+++ b/tests/benches/boxes.rs
@@ -12,7 +12,9 @@
 use hollyspoke_gateway::engine::{Engine, EngineKey, Stage};
 use hollyspoke_gateway::event::{CallEvent, Event};
 use hollyspoke_gateway::gateway::{Gateway, Settings};
-use hollyspoke_gateway::message::{DataCentreKey, Knowledge, Load, Message};
+use hollyspoke_gateway::intake::{Told, Word};
+use hollyspoke_gateway::message::{DataCentreKey, Extension, Knowledge, Load, Message};
+use hollyspoke_gateway::permit::Ask;
 use hollyspoke_gateway::request::FlightKey;
 use hollyspoke_tests::gateway::{
     MODEL, PLAIN, configuration, engine, heartbeat, only_send, ran, read, request, settings,
@@ -69,6 +71,23 @@
         }
     }
 
+    /// Has all engines name a limit.
+    fn limit_all(&mut self) {
+        for engine in engines() {
+            self.step(Event::Limited(engine.key, Told::Rate(100.0)));
+        }
+    }
+
+    /// Makes another box's question for a permit.
+    fn question(&mut self, number: usize) -> Message {
+        let engine = key((self.sequence % u64::from(ENGINES)) as u8);
+        let word = Word { engine, born: None, rate: Some(100.0), age_ms: 0 };
+        let asks = vec![Ask { number: self.sequence, word, patience_ms: 60 }];
+        let extension = Extension { asks, ..Extension::default() }.filled();
+        let loads = Vec::new();
+        Message { is_whole: false, loads, extension, ..self.message(number) }
+    }
+
     /// Serves a stream; gives how many boxes were told of it, each time counted.
     fn stream(&mut self) -> usize {
         let flight = FlightKey(self.flight);
@@ -141,6 +160,14 @@
                 site.step(Event::Heard(message))
             });
         });
+        let mut site = Site::new(boxes);
+        site.limit_all();
+        criterion.bench_function(&format!("question for a permit, {boxes} boxes"), |bench| {
+            bench.iter(|| {
+                let message = site.question(1 + site.sequence as usize % (boxes - 1));
+                site.step(Event::Heard(message))
+            });
+        });
     }
     criterion.final_summary();
 }
