Sight: what engines say of leaving and rest is read, logged and measured

The logs could not tell whether what an answer says of its engine is read, is forgotten, or is kept for some calls: no line and no metric had it.

All that an answer says is read into one typed value (statement::Statement: load, limit, leaving, rest, life), whichever call or question brought it: heads of streams before their first event, heads whose body broke, refusals, reports, surveys, orders, the freeing of a prompt. Lines `engine leaving`, `engine has left`, `engine rests`, `engine rest ended`, `engine rest not read`; gauges hollyspoke_engine_leaving and hollyspoke_engine_resting. An answer of another engine at the address (421) says nothing of this one any more, its load included. A date is read from the answer's own date; a report's `state` counts too.

--- a/crates/hollyspoke-gateway/src/directory.rs
+++ b/crates/hollyspoke-gateway/src/directory.rs
@@ -11,8 +11,8 @@
 use hollyspoke::time::Time;
 
 use crate::engine::{Engine, EngineChange, EngineKey, Stage};
-use crate::event::ToldLoad;
 use crate::health::Health;
+use crate::statement::ToldLoad;
 
 pub use index::Group;
 
--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -8,14 +8,17 @@
 use hollyspoke::store::Operation;
 
 use crate::customer::Caller;
+use crate::departure;
 use crate::engine::{Engine, EngineKey, Stage};
-use crate::event::{Kind, ToldLoad};
+use crate::event::Kind;
 use crate::intake::Change;
 use crate::message::{Demand, Load, Message};
 use crate::quarantine::About;
 use crate::ratio::Split;
 use crate::request::{CallKey, FlightKey};
+use crate::rest;
 use crate::signature::Signature;
+use crate::statement::ToldLoad;
 
 /// Where a prompt that was read lies.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -222,6 +225,31 @@
         /// How long ago it was so.
         age: Duration,
     },
+    /// An engine is about to leave.
+    Leaving {
+        /// The engine's id.
+        id: Arc<str>,
+        /// The box that told; none if the engine did itself.
+        told_by: Option<SocketAddr>,
+        /// How long ago it was known.
+        age: Duration,
+    },
+    /// An engine that was about to leave has done so.
+    HasLeft {
+        /// The engine's id.
+        id: Arc<str>,
+        /// How that is known.
+        end: departure::End,
+        /// How long ago it was known that it leaves.
+        age: Duration,
+    },
+    /// What has become of an engine's rest.
+    Rest {
+        /// The engine's id.
+        id: Arc<str>,
+        /// What has become of it.
+        change: rest::Change,
+    },
     /// A call was sent.
     Sent {
         /// The client's id of the request.
--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -8,25 +8,12 @@
 
 use crate::engine::{Engine, EngineChange, EngineKey};
 use crate::evacuation::{Change, Evacuation};
-use crate::intake::Told;
 use crate::message::Message;
 use crate::prompt::PromptKey;
 use crate::request::{CallKey, FlightKey, Request};
 use crate::route::Configuration;
 use crate::snapshot::Snapshot;
-
-/// What an engine tells of its load with an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ToldLoad {
-    /// Requests running.
-    pub running: u32,
-    /// Requests waiting.
-    pub waiting: u32,
-    /// Requests that can run at once.
-    pub slots: u32,
-    /// How long work takes there now, in percent of the usual; 100 if it does not tell.
-    pub pace: u32,
-}
+use crate::statement::Statement;
 
 /// What an answer proves about the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,10 +33,8 @@
     pub status: u16,
     /// What the answer proves.
     pub execution: Execution,
-    /// The engine's load, if it tells.
-    pub told: Option<ToldLoad>,
-    /// What it says of the requests that it takes.
-    pub limit: Told,
+    /// What the engine says of itself.
+    pub says: Statement,
     /// Where the prompt lies, for an answer to the reading of a prompt.
     pub handle: Option<String>,
 }
@@ -145,8 +130,9 @@
     Ordered(EngineKey, OrderAnswer),
     /// An engine was asked whether it lives.
     Probed(EngineKey, Probe),
-    /// An engine named a limit in its answer to an order or a question.
-    Limited(EngineKey, Told),
+    /// An engine said something of itself in its answer to an order or a question, or in the head of an
+    /// answer whose rest is yet to come, or never came.
+    Stated(EngineKey, Statement),
     /// An operator lets the held requests go whose signature begins so.
     Lift(String),
     /// The machine was suspended for a time that has been added to the clock since.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 mod start;
 mod store;
 mod survey;
+mod terms;
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
@@ -48,7 +49,6 @@
 use crate::gateway::stages::Stages;
 use crate::gateway::store::{EngineChanges, StoreState};
 use crate::gateway::survey::Survey;
-use crate::intake;
 use crate::load::Ledger;
 use crate::member::Members;
 use crate::message::{DataCentreKey, Format, Load, Standing};
@@ -57,6 +57,7 @@
 use crate::region::Regions;
 use crate::request::{CallKey, FlightKey};
 use crate::route::Configuration;
+use crate::terms::Terms;
 
 pub use cases::KIND as CASES;
 pub use quarantine::Held;
@@ -126,8 +127,8 @@
     evacuation: Evacuation,
     /// When this box last sent to cold engines.
     turns: Turns,
-    /// What engines in need take.
-    intakes: intake::Table,
+    /// What engines have said that binds whoever sends to them.
+    terms: Terms,
     /// The permits to send to them.
     permits: Permits,
     /// The work at the engines.
@@ -217,7 +218,7 @@
             directory: Directory::default(),
             evacuation: Evacuation::default(),
             turns: Turns::default(),
-            intakes: intake::Table::default(),
+            terms: Terms::default(),
             permits: Permits::default(),
             ledger: Ledger::default(),
             prompts: Prompts::default(),
@@ -276,7 +277,7 @@
             Event::Inspected(engine, count) => self.inspected(engine, count),
             Event::Ordered(engine, answer) => self.ordered(engine, answer),
             Event::Probed(engine, probe) => self.probed(engine, probe),
-            Event::Limited(engine, told) => self.named(engine, told),
+            Event::Stated(engine, says) => self.stated(engine, &says),
             Event::Lift(short) => self.lift(&short),
             Event::Suspended(span) => self.resume(span),
             Event::Stop => self.stop(),
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -270,15 +270,16 @@
     }
 
     /// Learns from an answer: load, health (an answer that comes late counts as failed), and the
-    /// rate of reading.
+    /// rate of reading. One of another engine at the same address says nothing of this one.
     fn learn(&mut self, call: &Call, answer: &Answer) {
-        if !self.is_of_this_life(call) {
+        if !self.is_of_this_life(call) || answer.execution == Execution::Moved {
             return;
         }
         self.learn_limit(call, answer);
+        self.learn_terms(call, &answer.says);
         let now = self.now;
         if let Some(known) = self.directory.get_mut(call.engine.key) {
-            known.told = answer.told.map(|it| (it, now)).or(known.told);
+            known.told = answer.says.load.map(|it| (it, now)).or(known.told);
             let is_good = answer.status < SERVER_ERROR && answer.execution == Execution::Ran;
             match self.flights.get(&call.flight) {
                 Some(flight) if is_good && call.is_slow(now, flight) => known.health.fail(now),
--- a/crates/hollyspoke-gateway/src/gateway/end.rs
+++ b/crates/hollyspoke-gateway/src/gateway/end.rs
@@ -133,7 +133,7 @@
     pub(super) fn free(&mut self, source: Option<Source>) {
         let Some(source) = source else { return };
         let is_evacuated = self.directory.get(source.engine).is_some_and(Known::is_evacuated);
-        if !is_evacuated && self.intakes.of(source.engine).is_none() {
+        if !is_evacuated && self.terms.limits.of(source.engine).is_none() {
             self.effects.push(Effect::Free(source));
         }
     }
--- a/crates/hollyspoke-gateway/src/gateway/limit.rs
+++ b/crates/hollyspoke-gateway/src/gateway/limit.rs
@@ -17,25 +17,25 @@
 const NO_SUCCESS: u16 = 300;
 
 impl Gateway {
-    /// Learns from the answer to a call. One of another engine at the same address says nothing; one
-    /// that is no success may come from a part of the engine that names no limit, and lifts none.
-    /// The end of a stream says nothing that its head has not said, long before.
+    /// Learns from the answer to a call. One that is no success may come from a part of the engine
+    /// that names no limit, and lifts none. The end of a stream says nothing that its head has not
+    /// said, long before.
     pub(super) fn learn_limit(&mut self, call: &Call, answer: &Answer) {
-        if answer.execution != Execution::Moved && !call.has_begun {
+        if !call.has_begun {
             let may_lift = answer.execution == Execution::Ran && answer.status < NO_SUCCESS;
-            self.learn_told(call.engine.key, answer.limit, call.sent, may_lift);
+            self.learn_limit_of(call.engine.key, answer.says.limit, call.sent, may_lift);
         }
     }
 
     /// Takes a limit that an engine names in its answer to an order or a question.
     pub(super) fn named(&mut self, engine: EngineKey, told: Told) {
-        self.learn_told(engine, told, Time::ZERO, false);
+        self.learn_limit_of(engine, told, Time::ZERO, false);
     }
 
     /// Learns from an answer to something that was sent at a time.
-    fn learn_told(&mut self, engine: EngineKey, told: Told, sent: Time, may_lift: bool) {
+    fn learn_limit_of(&mut self, engine: EngineKey, told: Told, sent: Time, may_lift: bool) {
         let Some(known) = self.directory.get(engine) else { return };
-        let change = self.intakes.learn(&known.engine, told, sent, may_lift, self.now);
+        let change = self.terms.limits.learn(&known.engine, told, sent, may_lift, self.now);
         if let Some(change) = change {
             self.untold.limits.push(engine);
             self.limit_changed(engine, change, None, Duration::ZERO);
@@ -53,7 +53,7 @@
     /// Takes what another box tells of one engine's limit.
     fn hear_limit(&mut self, word: &Word, sender: SocketAddr) {
         let Some(known) = self.directory.get(word.engine) else { return };
-        if let Some(change) = self.intakes.hear(word, known.engine.born, self.now) {
+        if let Some(change) = self.terms.limits.hear(word, known.engine.born, self.now) {
             let age = Duration::from_millis(u64::from(word.age_ms));
             self.limit_changed(word.engine, change, Some(sender), age);
         }
@@ -61,7 +61,7 @@
 
     /// Forgets an engine's limit, since the box that issues its permits knows that it has none.
     pub(super) fn forget_limit(&mut self, engine: EngineKey) {
-        self.intakes.forget(engine);
+        self.terms.limits.forget(engine);
         self.limit_changed(engine, Change::Lifted, None, Duration::ZERO);
     }
 
@@ -87,7 +87,7 @@
     pub(super) fn tell_limits(&mut self) {
         let changed = std::mem::take(&mut self.untold.limits);
         let limits: Vec<_> =
-            changed.into_iter().filter_map(|it| self.intakes.word(it, self.now)).collect();
+            changed.into_iter().filter_map(|it| self.terms.limits.word(it, self.now)).collect();
         if !limits.is_empty() {
             let extension = Extension { limits, ..Extension::default() }.filled();
             let message = Message { extension, ..self.message(false) };
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -168,6 +168,7 @@
         self.balance();
         self.sweep_quarantine();
         self.sweep_permits();
+        self.sweep_terms();
         let mut message = self.message(true);
         let greeted = self.members.greeting(self.now);
         if !greeted.is_empty() {
--- a/crates/hollyspoke-gateway/src/gateway/permits.rs
+++ b/crates/hollyspoke-gateway/src/gateway/permits.rs
@@ -121,7 +121,7 @@
 
     /// Gets a permit for a request that is to go to an engine, if it needs one.
     pub(super) fn seek_permit(&mut self, key: FlightKey, engine: EngineKey) -> Leave {
-        if self.intakes.of(engine).is_none() || self.permits.held.has(engine, self.now) {
+        if self.terms.limits.of(engine).is_none() || self.permits.held.has(engine, self.now) {
             return Leave::Given;
         }
         self.drop_vain_question(key);
@@ -193,7 +193,7 @@
         patience: Duration,
         issuer: SocketAddr,
     ) {
-        let Some(word) = self.intakes.word(engine, self.now) else { return };
+        let Some(word) = self.terms.limits.word(engine, self.now) else { return };
         self.permits.last += 1;
         let number = self.permits.last;
         let patience_ms = whole_millis(patience);
@@ -240,7 +240,7 @@
 
     /// Decides on a permit for an engine whose permits this box issues.
     fn issue(&mut self, engine: EngineKey, patience: Duration) -> Outcome {
-        let Some(limit) = self.intakes.of(engine) else { return Outcome::Unlimited };
+        let Some(limit) = self.terms.limits.of(engine) else { return Outcome::Unlimited };
         let side = self.side(engine);
         match self.permits.issuer.issue(engine, limit.rate, side, patience, self.now) {
             Ok(wait) => Outcome::Issued(whole_millis(wait)),
@@ -313,7 +313,7 @@
     /// Gives after which time an engine may take a request whose engines are all in need and take no
     /// more; none if one of them is not.
     pub(super) fn limited_for(&self, flight: &Flight) -> Option<Duration> {
-        if self.intakes.is_empty() {
+        if self.terms.limits.is_empty() {
             return None;
         }
         let is_able = |it: &&Known| {
@@ -324,7 +324,7 @@
         let mut least = None;
         for known in engines.take(MOST_LOOKED_AT) {
             let engine = known.engine.key;
-            let limit = self.intakes.of(engine)?;
+            let limit = self.terms.limits.of(engine)?;
             let usual = Duration::from_secs_f64(1.0 / limit.rate);
             let wait = self.permits.held.wait(engine, self.now).unwrap_or(usual);
             least = Some(least.map_or(wait, |it: Duration| it.min(wait)));
@@ -344,14 +344,15 @@
     pub(super) fn sweep_permits(&mut self) {
         let now = self.now;
         let directory = &self.directory;
-        self.intakes.sweep(now, |engine, born| {
+        self.terms.limits.sweep(now, |engine, born| {
             directory.get(engine).is_some_and(|it| born.is_none() || it.engine.born <= born)
         });
         self.permits.held.sweep(now);
         self.permits.questions.retain(|_, it| now.since(it.at) < FORGOTTEN_AFTER);
-        let intakes = &self.intakes;
+        let intakes = &self.terms.limits;
         self.permits.issuer.retain(|it| intakes.of(it).is_some());
-        let looked_at = self.intakes.limited_after(self.permits.looked_to, MOST_LOOKED_AT_IN_TURN);
+        let looked_at =
+            self.terms.limits.limited_after(self.permits.looked_to, MOST_LOOKED_AT_IN_TURN);
         let has_more = looked_at.len() == MOST_LOOKED_AT_IN_TURN;
         self.permits.looked_to = looked_at.last().copied().filter(|_| has_more);
         let (issued, others): (Vec<_>, Vec<_>) =
@@ -365,13 +366,13 @@
     /// so that each is told by one box, and those that were lifted of late.
     pub(super) fn limits_to_tell(&self) -> Vec<Word> {
         let issued = self.permits.issued.iter().copied();
-        let lifted = self.intakes.lifted().filter(|&it| self.issues(it));
-        issued.chain(lifted).filter_map(|it| self.intakes.word(it, self.now)).collect()
+        let lifted = self.terms.limits.lifted().filter(|&it| self.issues(it));
+        issued.chain(lifted).filter_map(|it| self.terms.limits.word(it, self.now)).collect()
     }
 
     /// Begins to issue the permits of an engine that has just named a limit, if this box issues them.
     pub(super) fn begin_to_issue(&mut self, engine: EngineKey) {
-        if self.intakes.of(engine).is_some() && self.issues(engine) {
+        if self.terms.limits.of(engine).is_some() && self.issues(engine) {
             self.permits.issuer.begin(engine, self.now);
         }
     }
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -105,7 +105,7 @@
         for engine in self.directory.take_ended() {
             self.confirm(Life { engine: engine.key, born: engine.born }, Proof::Proven);
             self.prompts.forget(engine.key);
-            self.intakes.forget(engine.key);
+            self.terms.limits.forget(engine.key);
             self.drop_handles(&engine);
             self.drop_move(engine.key);
         }
--- a/crates/hollyspoke-gateway/src/gateway/stages.rs
+++ b/crates/hollyspoke-gateway/src/gateway/stages.rs
@@ -275,7 +275,7 @@
         for known in self.directory.staying(service) {
             let is_reader = known.coming_stage(self.now) == Some(Stage::Prefill);
             let usual = if is_reader { bears.reader } else { bears.generator };
-            let limit = self.intakes.of(known.engine.key);
+            let limit = self.terms.limits.of(known.engine.key);
             if limit.is_some_and(|it| it.rate < usual * LEAST_COUNTED) {
                 continue;
             }
@@ -308,7 +308,7 @@
         let open = self.directory.open(service, self.now);
         // Orders are requests too, and one in need is of little use in another stage.
         let candidates = open.filter(|it| it.engine.stage == Some(from));
-        let candidates = candidates.filter(|it| self.intakes.of(it.engine.key).is_none());
+        let candidates = candidates.filter(|it| self.terms.limits.of(it.engine.key).is_none());
         let chosen = candidates.min_by_key(|it| {
             let readers = readers_near(it);
             let readers = if change == Change::ToGenerating { -readers } else { readers };
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -200,7 +200,7 @@
             regions: &self.settings.regions,
             turns: &self.turns,
             part: self.cold_part(),
-            intakes: &self.intakes,
+            terms: &self.terms,
             permits: &self.permits.held,
             asking: self.asking(flight),
             is_suspect: verdict != Verdict::Clear,
--- a/crates/hollyspoke-gateway/src/gateway/survey.rs
+++ b/crates/hollyspoke-gateway/src/gateway/survey.rs
@@ -92,7 +92,7 @@
         nodes.push(self.settings.peer);
         let own = number(&self.settings.peer);
         let engines = self.directory.all().filter(|it| !it.is_evacuated());
-        let engines = engines.filter(|it| self.intakes.of(it.engine.key).is_none());
+        let engines = engines.filter(|it| self.terms.limits.of(it.engine.key).is_none());
         let generators = engines.filter(|it| it.engine.stage == Some(Stage::Decode));
         let falls_here =
             |engine: EngineKey| rank::first(engine.0, nodes.iter().map(number)) == Some(own);
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -4,10 +4,11 @@
 //! has no I/O, no runtime, no wall clock and no threads. A driver turns sockets, timers and store
 //! answers into events and carries the effects out.
 //!
-//! Imports go one way: `route`, `engine` and `request` at the ground; `message`, `event` and
-//! `effect` above them; then one mechanism a file (`budget`, `health`, `load`, `directory`,
-//! `member`, `placement`, `demand`, `ratio`, `evacuation`, `region`, `cold`,
-//! `intake`, `permit`); `flight` follows one request; `gateway` composes all.
+//! Imports go one way: `route`, `engine` and `request` at the ground, with what engines say of
+//! themselves (`statement`; `intake`, `departure` and `rest` keep it, together `terms`); `message`,
+//! `event` and `effect` above them; then one mechanism a file (`budget`, `health`, `load`, `directory`,
+//! `member`, `placement`, `demand`, `ratio`, `evacuation`, `region`, `cold`, `permit`); `flight`
+//! follows one request; `gateway` composes all.
 
 pub mod budget;
 pub mod cadence;
@@ -15,6 +16,7 @@
 pub mod credential;
 pub mod customer;
 pub mod demand;
+pub mod departure;
 pub mod directory;
 pub mod effect;
 pub mod engine;
@@ -34,6 +36,9 @@
 pub mod ratio;
 pub mod region;
 pub mod request;
+pub mod rest;
 pub mod route;
 pub mod signature;
 pub mod snapshot;
+pub mod statement;
+pub mod terms;
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -8,11 +8,11 @@
 use crate::cold::{Part, Turns};
 use crate::directory::{Directory, Group, Known};
 use crate::engine::{Engine, EngineKey, Stage};
-use crate::intake;
 use crate::load::Ledger;
 use crate::permit::Holder;
 use crate::region::{Homes, Regions};
 use crate::route::{Service, Staged};
+use crate::terms::Terms;
 
 /// How long the load that an engine told with an answer counts.
 const TOLD_LIFE: Duration = Duration::from_millis(400);
@@ -114,8 +114,8 @@
     pub turns: &'a Turns,
     /// This box's part of what cold engines bear.
     pub part: Part,
-    /// What engines in need take.
-    pub intakes: &'a intake::Table,
+    /// What engines have said that binds whoever sends to them.
+    pub terms: &'a Terms,
     /// The permits to send to them.
     pub permits: &'a Holder,
     /// Whether the request may wait for one more.
@@ -284,7 +284,7 @@
 
     /// Tells whether a request can go to an engine only with a permit that is not there yet.
     pub fn must_ask(&self, engine: EngineKey) -> bool {
-        self.intakes.of(engine).is_some() && !self.permits.has(engine, self.now)
+        self.terms.limits.of(engine).is_some() && !self.permits.has(engine, self.now)
     }
 
     /// Tells whether the request may wait for a permit for an engine.
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/statement.rs
@@ -0,0 +1,32 @@
+//! What an engine says of itself, whichever call or question brought the answer.
+
+use crate::intake;
+use crate::rest;
+
+/// What an engine tells of its load with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ToldLoad {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+    /// How long work takes there now, in percent of the usual; 100 if it does not tell.
+    pub pace: u32,
+}
+
+/// What one answer says of its engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Statement {
+    /// The engine's load, if it tells.
+    pub load: Option<ToldLoad>,
+    /// The requests that it takes.
+    pub limit: intake::Told,
+    /// Whether it is about to leave.
+    pub is_leaving: bool,
+    /// For how long it wants nothing from the box that had asked.
+    pub rest: rest::Told,
+    /// When the life of the engine began that says so, in milliseconds of Unix time, if it tells.
+    pub born: Option<u64>,
+}
--- a/crates/hollyspoke-server/src/dialect.rs
+++ b/crates/hollyspoke-server/src/dialect.rs
@@ -10,10 +10,10 @@
 use hollyspoke_gateway::effect::{Order, Send, Source};
 use hollyspoke_gateway::engine::Engine;
 use hollyspoke_gateway::event::{Answer, OrderAnswer};
-use hollyspoke_gateway::intake::Told;
 use hollyspoke_gateway::prompt::PromptKey;
 use hollyspoke_gateway::request::Request;
 use hollyspoke_gateway::route::Configuration;
+use hollyspoke_gateway::statement::Statement;
 use http::{StatusCode, request, response};
 
 pub use hollyspoke_gateway::event::Kind;
@@ -73,6 +73,8 @@
     pub order_count: u64,
     /// When this life of it began, in milliseconds of Unix time, if it tells.
     pub born: Option<u64>,
+    /// Whether it is about to leave.
+    pub is_leaving: bool,
 }
 
 /// The functions of one platform.
@@ -84,8 +86,8 @@
     pub call_head: fn(&request::Parts, &Send) -> request::Parts,
     /// Reads the head of an engine's answer; an error if it answers another request.
     pub read_answer: fn(&response::Parts, &request::Parts) -> Result<Answer, Malformed>,
-    /// Reads what an engine's answer says of the requests that it takes.
-    pub read_limit: fn(&response::Parts) -> Told,
+    /// Reads what the head of an engine's answer says of the engine.
+    pub read_statement: fn(&response::Parts) -> Statement,
     /// Reads the handle from the answer to the reading of a prompt.
     pub read_handle: fn(&[u8]) -> Option<String>,
     /// Makes the request that frees a prompt.
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -7,6 +7,7 @@
 use hollyspoke_gateway::effect::Note;
 use hollyspoke_gateway::engine::Stage;
 use hollyspoke_gateway::intake::Change;
+use hollyspoke_gateway::rest;
 use hollyspoke_metrics::Exporter;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
@@ -55,6 +56,10 @@
     evacuated: Gauge<u64>,
     /// What engines in need take, in thousandths of a request a second.
     limits: Gauge<u64>,
+    /// Whether an engine is about to leave.
+    leaving: Gauge<u64>,
+    /// Whether an engine wants nothing from this box for a time.
+    resting: Gauge<u64>,
 }
 
 impl Metrics {
@@ -96,6 +101,11 @@
                 "hollyspoke_engine_limit_milli",
                 "thousandths of a request a second that an engine takes from all boxes; 0: no limit",
             ),
+            leaving: gauge("hollyspoke_engine_leaving", "whether an engine is about to leave"),
+            resting: gauge(
+                "hollyspoke_engine_resting",
+                "whether an engine wants nothing from this box for a time",
+            ),
             peers: count("hollyspoke_peer_changes", "boxes first heard or fallen silent"),
             exporter,
         })
@@ -145,6 +155,15 @@
                 self.evacuated.record(u64::from(!is_lifted), &[data_centre]);
             }
             Note::Limited { id, change, .. } => self.record_limit(id, change),
+            Note::Leaving { id, .. } => self.leaving.record(1, &[engine(id)]),
+            Note::HasLeft { id, .. } => self.leaving.record(0, &[engine(id)]),
+            Note::Rest { id, change: rest::Change::Begun(_) } => {
+                self.resting.record(1, &[engine(id)]);
+            }
+            Note::Rest { id, change: rest::Change::Ended(_) } => {
+                self.resting.record(0, &[engine(id)]);
+            }
+            Note::Rest { change: rest::Change::Unreadable, .. } => {}
             Note::Ordered { .. } | Note::Census { .. } | Note::CasesRead { .. } => {}
             Note::Released { .. } | Note::Suspended(_) => {}
             Note::Listed { .. } | Note::Avoided { .. } | Note::Follows(_) | Note::Stopping => {}
@@ -158,10 +177,9 @@
 
     /// Takes what an engine takes now.
     fn record_limit(&self, id: &Arc<str>, change: &Change) {
-        let engine = KeyValue::new("engine", id.clone());
         match change {
-            Change::Named(_, rate) => self.limits.record((rate * 1e3) as u64, &[engine]),
-            Change::Lifted => self.limits.record(0, &[engine]),
+            Change::Named(_, rate) => self.limits.record((rate * 1e3) as u64, &[engine(id)]),
+            Change::Lifted => self.limits.record(0, &[engine(id)]),
             Change::Unreadable => {}
         }
     }
@@ -179,6 +197,11 @@
     }
 }
 
+/// Names an engine.
+fn engine(id: &Arc<str>) -> KeyValue {
+    KeyValue::new("engine", id.clone())
+}
+
 /// Gives how a request ended in few words, since there is a series for each customer and word.
 fn outcome(how: &'static str) -> &'static str {
     match how {
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -5,6 +5,7 @@
 use hollyspoke_gateway::effect::Note;
 use hollyspoke_gateway::engine::Stage;
 use hollyspoke_gateway::intake::Change;
+use hollyspoke_gateway::{departure, rest};
 use slog::{Logger, info, o, warn};
 
 /// Writes a line.
@@ -30,6 +31,11 @@
             let log = log.new(o!("told_by" => told_by, "age_ms" => millis(age)));
             write_limit(&log, id, change);
         }
+        Note::Leaving { id, told_by, age } => warn!(log, "engine leaving"; "engine" => %id,
+            "told_by" => told_by.map(|it| it.to_string()), "age_ms" => millis(age)),
+        Note::HasLeft { id, end, age } => info!(log, "engine has left";
+            "engine" => %id, "how" => end_name(*end), "age_ms" => millis(age)),
+        Note::Rest { id, change } => write_rest(log, id, change),
         Note::Sent { request, engine, task, source, expected, tokens, held, before } => {
             info!(log, "call sent";
             "request" => %request, "engine" => %engine, "task" => task,
@@ -94,6 +100,25 @@
     }
 }
 
+/// Writes a line on an engine's rest.
+fn write_rest(log: &Logger, id: &str, change: &rest::Change) {
+    match change {
+        rest::Change::Begun(span) => warn!(log, "engine rests";
+            "engine" => id, "for_ms" => millis(span)),
+        rest::Change::Unreadable => warn!(log, "engine rest not read"; "engine" => id),
+        rest::Change::Ended(after) => info!(log, "engine rest ended";
+            "engine" => id, "after_ms" => millis(after)),
+    }
+}
+
+/// Gives how a departure ended.
+fn end_name(end: departure::End) -> &'static str {
+    match end {
+        departure::End::Gone => "gone",
+        departure::End::Reborn => "started again",
+    }
+}
+
 /// The most boxes that one line names.
 const MOST_NAMED: usize = 4;
 
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -9,11 +9,12 @@
 use hollyspoke_gateway::effect::{LONGEST_ORDER, Order, Send, Source, Task};
 use hollyspoke_gateway::engine::{Engine, EngineKey};
 use hollyspoke_gateway::event::{Answer, CallEvent, Event, OrderAnswer, Probe};
-use hollyspoke_gateway::intake::Told;
+use hollyspoke_gateway::statement::Statement;
 use http::{StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
+use crate::dialect::Report;
 use crate::handover;
 use crate::http1::{Connection, Failure, read_whole};
 use crate::node::{Node, ReceivedRequest, Upstream};
@@ -86,9 +87,15 @@
     let (head, body) = connection.send(message).await?.into_parts();
     let answer = (node.dialect.read_answer)(&head, &request.head).map_err(|_| Failure::Broken)?;
     if is_stream(send, &head) {
+        // The head may come long before the first event, or no event may follow it.
+        state(node, &send.engine, answer.says);
         return pass_on(node, send, answer, head, body).await;
     }
-    let bytes = read_whole(body, LONGEST_ANSWER).await.ok_or(Failure::Broken)?;
+    let Some(bytes) = read_whole(body, LONGEST_ANSWER).await else {
+        // The head holds whatever became of the rest.
+        state(node, &send.engine, answer.says);
+        return Err(Failure::Broken);
+    };
     let handle = match send.task {
         Task::Read => (node.dialect.read_handle)(&bytes),
         _ => None,
@@ -156,7 +163,14 @@
         return;
     };
     let Ok(request) = (node.dialect.free)(&source).body(Full::default()) else { return };
-    _ = tokio::time::timeout(FREE_TIMEOUT, connection.send(request)).await;
+    let answer = tokio::time::timeout(FREE_TIMEOUT, connection.send(request)).await;
+    // Only the engine that was meant knows the prompt: the request names no incarnation.
+    if let Ok(Ok(answer)) = answer
+        && answer.status() == StatusCode::OK
+    {
+        let says = (node.dialect.read_statement)(&answer.into_parts().0);
+        dispatch_statement(&node, source.engine, says);
+    }
 }
 
 /// Asks an engine which parts of prompts it keeps, and tells the reducer.
@@ -192,7 +206,7 @@
     match connection.send(request).await {
         Ok(response) => {
             let (head, _) = response.into_parts();
-            tell_limit(node, order.engine.key, &head);
+            read_statement(node, &order.engine, &head);
             (node.dialect.read_order)(head.status)
         }
         Err(Failure::Unsent) => OrderAnswer::Refused,
@@ -203,7 +217,7 @@
 /// Asks an engine how many orders it has taken, and tells the reducer.
 async fn inspect(node: Rc<Node>, engine: Arc<Engine>) {
     let report = ask(&node, &engine, (node.dialect.report)(&engine)).await;
-    let report = report.and_then(|it| (node.dialect.read_report)(&it));
+    let report = report.and_then(|it| read_report(&node, &engine, &it));
     node.dispatch(Event::Inspected(engine.key, report.map(|it| it.order_count)));
 }
 
@@ -220,13 +234,12 @@
     let mut connection = Connection::open(engine.address, CONNECT_TIMEOUT).await.ok()?;
     let question = (node.dialect.report)(engine).body(Full::default()).ok()?;
     let (head, body) = connection.send(question).await.ok()?.into_parts();
-    tell_limit(node, engine.key, &head);
+    read_statement(node, engine, &head);
     match head.status {
         StatusCode::MISDIRECTED_REQUEST => Some(Probe::Replaced),
         StatusCode::OK => {
             let bytes = read_whole(body, LONGEST_ANSWER).await?;
-            let born = (node.dialect.read_report)(&bytes).and_then(|it| it.born);
-            Some(Probe::Lives(born))
+            Some(Probe::Lives(read_report(node, engine, &bytes).and_then(|it| it.born)))
         }
         _ => Some(Probe::Lives(None)),
     }
@@ -247,18 +260,40 @@
     let mut connection = Connection::open(engine.address, CONNECT_TIMEOUT).await.ok()?;
     let response = connection.send(question.body(Full::default()).ok()?).await.ok()?;
     let (head, body) = response.into_parts();
-    tell_limit(node, engine.key, &head);
+    read_statement(node, engine, &head);
     if head.status != StatusCode::OK {
         return None;
     }
     read_whole(body, LONGEST_ANSWER).await
 }
 
-/// Tells the reducer of a limit that an engine names in its answer to an order or a question. One of
-/// another engine at its address says nothing of it.
-fn tell_limit(node: &Rc<Node>, engine: EngineKey, head: &response::Parts) {
-    let told = (node.dialect.read_limit)(head);
-    if told != Told::Nothing && head.status != StatusCode::MISDIRECTED_REQUEST {
-        node.dispatch(Event::Limited(engine, told));
+/// Reads an engine's report, and tells the reducer what it says beside what was asked.
+fn read_report(node: &Rc<Node>, engine: &Engine, body: &[u8]) -> Option<Report> {
+    let report = (node.dialect.read_report)(body)?;
+    let Report { born, is_leaving, .. } = report;
+    state(node, engine, Statement { born, is_leaving, ..Statement::default() });
+    Some(report)
+}
+
+/// Reads what the head of an answer to an order or a question says of its engine. One of another
+/// engine at its address says nothing of it.
+fn read_statement(node: &Rc<Node>, engine: &Engine, head: &response::Parts) {
+    if head.status != StatusCode::MISDIRECTED_REQUEST {
+        state(node, engine, (node.dialect.read_statement)(head));
+    }
+}
+
+/// Tells the reducer what an engine says of itself, in the life that was asked unless it names one.
+fn state(node: &Rc<Node>, engine: &Engine, says: Statement) {
+    let born = says.born.or(engine.born);
+    dispatch_statement(node, engine.key, Statement { born, ..says });
+}
+
+/// Tells the reducer what an engine says of itself, if that binds the boxes. Its load belongs to the
+/// calls.
+fn dispatch_statement(node: &Rc<Node>, engine: EngineKey, says: Statement) {
+    let binding = Statement { load: None, ..says };
+    if binding != (Statement { born: says.born, ..Statement::default() }) {
+        node.dispatch(Event::Stated(engine, binding));
     }
 }
--- a/tests/benches/boxes.rs
+++ b/tests/benches/boxes.rs
@@ -16,6 +16,7 @@
 use hollyspoke_gateway::message::{DataCentreKey, Extension, Knowledge, Load, Message};
 use hollyspoke_gateway::permit::Ask;
 use hollyspoke_gateway::request::FlightKey;
+use hollyspoke_gateway::statement::Statement;
 use hollyspoke_tests::gateway::{
     MODEL, PLAIN, configuration, engine, heartbeat, only_send, ran, read, request, settings,
 };
@@ -74,7 +75,10 @@
     /// Has all engines name a limit.
     fn limit_all(&mut self) {
         for engine in engines() {
-            self.step(Event::Limited(engine.key, Told::Rate(100.0)));
+            self.step(Event::Stated(
+                engine.key,
+                Statement { limit: Told::Rate(100.0), ..Statement::default() },
+            ));
         }
     }
 
--- a/tests/src/fleet/engines.rs
+++ b/tests/src/fleet/engines.rs
@@ -6,6 +6,7 @@
 use hollyspoke_gateway::engine::{Engine, EngineChange, EngineKey, Stage};
 use hollyspoke_gateway::event::{Answer, CallEvent, Probe};
 use hollyspoke_gateway::intake::Told;
+use hollyspoke_gateway::statement::Statement;
 use rand::Rng;
 
 use super::{ANSWERS_IN_MS, Caller, Due, Fleet, STORE_ANSWERS_IN, STREAM_LASTS, TRANSIT};
@@ -142,7 +143,10 @@
 
 /// Adds to an event what the engine says of the requests that it takes.
 fn limited(event: &CallEvent, limit: Told) -> CallEvent {
-    let add = |answer: &Answer| Answer { limit, ..answer.clone() };
+    let add = |answer: &Answer| {
+        let says = Statement { limit, ..answer.says };
+        Answer { says, ..answer.clone() }
+    };
     match event {
         CallEvent::Began(answer) => CallEvent::Began(add(answer)),
         CallEvent::Answered(answer) => CallEvent::Answered(add(answer)),
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -13,12 +13,12 @@
 use hollyspoke_gateway::evacuation::Evacuation;
 use hollyspoke_gateway::event::{Answer, CallEvent, Event, Execution};
 use hollyspoke_gateway::gateway::{CASES, Gateway, Settings, Sharing};
-use hollyspoke_gateway::intake::Told;
 use hollyspoke_gateway::message::{DataCentreKey, Format, Knowledge, Message, Standing, Usage};
 use hollyspoke_gateway::region::{Homes, Regions};
 use hollyspoke_gateway::request::{CallKey, FlightKey, Request};
 use hollyspoke_gateway::route::{Configuration, Limits, Route, RouteKind, Service, Split, Staged};
 use hollyspoke_gateway::signature::Content;
+use hollyspoke_gateway::statement::Statement;
 
 /// The service of plain requests.
 pub const PLAIN: &str = "orders";
@@ -165,8 +165,7 @@
 
 /// Gives an answer that proves that the request ran.
 pub fn ran(status: u16) -> Answer {
-    let limit = Told::Nothing;
-    Answer { status, execution: Execution::Ran, told: None, limit, handle: None }
+    Answer { status, execution: Execution::Ran, says: Statement::default(), handle: None }
 }
 
 /// Gives an answer that proves that the request did not run.
--- a/tests/src/stages.rs
+++ b/tests/src/stages.rs
@@ -12,6 +12,7 @@
 use hollyspoke_gateway::intake::Told;
 use hollyspoke_gateway::request::CallKey;
 use hollyspoke_gateway::route::{Configuration, Route, RouteKind, Service, Staged};
+use hollyspoke_gateway::statement::Statement;
 
 use crate::gateway::{MODEL, World, configuration, engine, ran, read, request, route};
 
@@ -324,7 +325,8 @@
     fn says(&self, call: CallKey, answer: Answered) -> Answered {
         let engine = self.calls.get(&call);
         let rate = engine.and_then(|it| self.limits.get(it));
-        Answered { limit: rate.map_or(Told::Nothing, |&it| Told::Rate(it)), ..answer }
+        let limit = rate.map_or(Told::Nothing, |&it| Told::Rate(it));
+        Answered { says: Statement { limit, ..answer.says }, ..answer }
     }
 
     /// Lists an engine with another stage.
--- a/tests/tests/gateway_limits.rs
+++ b/tests/tests/gateway_limits.rs
@@ -18,6 +18,7 @@
 use hollyspoke_gateway::prompt::PromptKey;
 use hollyspoke_gateway::request::Request;
 use hollyspoke_gateway::route::{Configuration, Route, RouteKind, Service};
+use hollyspoke_gateway::statement::Statement;
 use hollyspoke_tests::fleet::Fleet;
 use hollyspoke_tests::gateway::{
     MEMORY, MODEL, PLAIN, World, configuration, configuration_of, engine, engines as listed,
@@ -136,7 +137,12 @@
 
 /// Gives an answer of an engine that takes so many requests a second.
 fn limited(rate: f64) -> Answer {
-    Answer { limit: Told::Rate(rate), ..ran(200) }
+    Answer { says: takes(rate), ..ran(200) }
+}
+
+/// Says that an engine takes so many requests a second.
+fn takes(rate: f64) -> Statement {
+    Statement { limit: Told::Rate(rate), ..Statement::default() }
 }
 
 /// Has a plain engine of a box name a limit, by the answer to a request.
@@ -264,7 +270,7 @@
     world.event(Event::Listed(engines.clone(), 20));
     world.event(Event::Heard(heartbeat(2, 1, Knowledge::default())));
     for engine in engines {
-        world.event(Event::Limited(engine.key, Told::Rate(3.0)));
+        world.event(Event::Stated(engine.key, takes(3.0)));
     }
     world
 }
@@ -307,7 +313,7 @@
         world.event(Event::Heard(heartbeat(other, 1, Knowledge::default())));
         for number in [11, 12] {
             let reader = engine(number, MODEL, None).key;
-            world.event(Event::Limited(reader, Told::Rate(3.0)));
+            world.event(Event::Stated(reader, takes(3.0)));
         }
         let (_, effects) = world.arrive(request("resumed"));
         if !effects.is_empty() {
--- a/tests/tests/gateway_stages.rs
+++ b/tests/tests/gateway_stages.rs
@@ -8,6 +8,7 @@
 use hollyspoke_gateway::event::{Answer, CallEvent, Event, Execution};
 use hollyspoke_gateway::intake::Told;
 use hollyspoke_gateway::message::{Knowledge, Switching};
+use hollyspoke_gateway::statement::Statement;
 use hollyspoke_tests::gateway::{
     World, engine, heartbeat, only_send, ran, read, request, settings,
 };
@@ -40,7 +41,10 @@
     let in_need = ["engine-11", "engine-12"].map(EngineKey::of);
     for engine in in_need {
         it.limits.insert(engine, 0.2);
-        it.world.event(Event::Limited(engine, Told::Rate(0.2)));
+        it.world.event(Event::Stated(
+            engine,
+            Statement { limit: Told::Rate(0.2), ..Statement::default() },
+        ));
     }
     it.play(FULL, 3000, LONG);
     let ordered: Vec<_> = it.orders.iter().map(|it| it.engine.key).collect();
--- /dev/null
+++ b/tests/tests/statements.rs
@@ -0,0 +1,101 @@
+//! What the heads of engines' answers and their reports say of the engines themselves, as the adapter
+//! reads it.
+
+use std::time::Duration;
+
+use hollyspoke_gateway::intake;
+use hollyspoke_gateway::rest::Told;
+use hollyspoke_gateway::statement::{Statement, ToldLoad};
+use hollyspoke_platform::DIALECT;
+use http::{Response, StatusCode, response};
+
+/// Gives the head of an answer.
+fn head(status: u16, headers: &[(&str, &str)]) -> response::Parts {
+    let answer = Response::builder().status(StatusCode::from_u16(status).expect("a status"));
+    let answer = headers.iter().fold(answer, |it, &(name, value)| it.header(name, value));
+    answer.body(()).expect("an answer").into_parts().0
+}
+
+/// Reads what an answer says of rest.
+fn rest(status: u16, headers: &[(&str, &str)]) -> Told {
+    (DIALECT.read_statement)(&head(status, headers)).rest
+}
+
+#[test]
+fn an_answer_that_says_all() {
+    let says = (DIALECT.read_statement)(&head(
+        503,
+        &[
+            ("Server-Leaving", "1"),
+            ("Retry-After", "3"),
+            ("Server-Limit", "2.5"),
+            ("X-Server-Load", "1,2,6"),
+        ],
+    ));
+    let load = Some(ToldLoad { running: 1, waiting: 2, slots: 6, pace: 100 });
+    let rest = Told::Span(Duration::from_secs(3));
+    let limit = intake::Told::Rate(2.5);
+    assert_eq!(says, Statement { load, limit, is_leaving: true, rest, born: None });
+}
+
+#[test]
+fn an_answer_that_says_nothing() {
+    for status in [200, 421, 500, 503] {
+        let says = (DIALECT.read_statement)(&head(status, &[("Connection", "close")]));
+        assert_eq!(says, Statement::default());
+    }
+    let stays = (DIALECT.read_statement)(&head(200, &[("Server-Leaving", "0")]));
+    assert!(!stays.is_leaving);
+}
+
+/// Only an answer that turns a request away asks for rest.
+#[test]
+fn rest_by_status() {
+    let after = [("Retry-After", "1.5")];
+    for status in [429, 503] {
+        assert_eq!(rest(status, &after), Told::Span(Duration::from_millis(1500)));
+    }
+    for status in [200, 202, 301, 404, 413, 421, 500, 502] {
+        assert_eq!(rest(status, &after), Told::Nothing, "{status}");
+    }
+}
+
+#[test]
+fn rest_in_all_forms() {
+    let spans = [("0", 0.0), ("0.25", 0.25), (" 2 ", 2.0), ("1e2", 100.0), ("-0", 0.0)];
+    for (value, seconds) in spans {
+        let span = Duration::from_secs_f64(seconds);
+        assert_eq!(rest(503, &[("Retry-After", value)]), Told::Span(span), "{value:?}");
+    }
+    for value in ["1e300", "inf"] {
+        assert_eq!(rest(503, &[("Retry-After", value)]), Told::Span(Duration::MAX), "{value:?}");
+    }
+    for value in ["", "-1", "NaN", "soon", "3 s", "Thu, 99 Dec 2026 10:00:00 GMT"] {
+        assert_eq!(rest(503, &[("Retry-After", value)]), Told::Unreadable, "{value:?}");
+    }
+}
+
+/// A date is read from the answer's own: the clocks of engine and box may differ.
+#[test]
+fn rest_until_a_date() {
+    let date = ("Date", "Thu, 03 Dec 2026 10:00:00 GMT");
+    let until = |it| rest(503, &[date, ("Retry-After", it)]);
+    let span = Duration::from_secs(90);
+    assert_eq!(until("Thu, 03 Dec 2026 10:01:30 GMT"), Told::Span(span));
+    assert_eq!(until("Thu, 03 Dec 2026 09:59:00 GMT"), Told::Span(Duration::ZERO));
+    let by_clock = rest(503, &[("Retry-After", "Fri, 01 Jan 2100 00:00:00 GMT")]);
+    assert!(matches!(by_clock, Told::Span(span) if span > Duration::from_secs(1 << 30)));
+}
+
+#[test]
+fn reports() {
+    let report = |state: &str| {
+        let body = format!(r#"{{"callSeq":2,"born":17,"state":"{state}","leaves_ms":900}}"#);
+        (DIALECT.read_report)(body.as_bytes()).expect("a report")
+    };
+    assert!(!report("ready").is_leaving);
+    assert!(report("draining").is_leaving);
+    assert_eq!(report("draining").born, Some(17));
+    let older = (DIALECT.read_report)(br#"{"callSeq":2}"#).expect("a report of an older engine");
+    assert!(!older.is_leaving);
+}
