Leaving and rest that engines name are not kept: two failing tests

Six boxes in virtual time with the usual traffic. One of three plain engines says in its answers alone that it leaves: 171 requests come to it later than 2 s after their box was told (0 allowed). One turns all away for 3 s of each 6 and says for how long: 13 come from one box meanwhile (2 allowed).

The fleet of the tests has engines that say either, and judges by what they get.

--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -27,6 +27,7 @@
 use crate::gateway::{HOST, MODEL, PLAIN, configuration, request, settings};
 use crate::needs::Needs;
 use crate::repeats::{Asked, Records, Refused};
+use crate::terms::{Rests, Terms};
 
 /// How long a call takes to reach an engine.
 const TRANSIT: Duration = Duration::from_millis(1);
@@ -159,6 +160,8 @@
     pub crashes: Crashes,
     /// The engines that name limits, and what came to them.
     pub needs: Needs,
+    /// The engines that leave or rest, and what came to them.
+    pub terms: Terms,
     /// The store's revision.
     revision: u64,
     /// The source of chance.
@@ -184,6 +187,7 @@
             popular: None,
             crashes: Crashes::default(),
             needs: Needs::default(),
+            terms: Terms::default(),
             revision: 10,
             random: Pcg64Mcg::seed_from_u64(seed),
         };
@@ -367,9 +371,12 @@
         match due {
             Due::Request(number, request) => self.ask(number, request),
             Due::Datagram(number, message) => self.step(number, Event::Heard(*message)),
-            Due::Answer(Caller { life, call, .. }, _, event)
+            Due::Answer(Caller { life, call, .. }, engine, event)
                 if self.members[number].life == life =>
             {
+                if let CallEvent::Began(answer) | CallEvent::Answered(answer) = &event {
+                    self.terms.tell((number, life), engine, &answer.says, self.now);
+                }
                 self.step(number, Event::Call(call, event));
             }
             Due::Probed(_, life, engine, probe) if self.members[number].life == life => {
@@ -451,6 +458,7 @@
     fn ask_engine(&mut self, number: usize, engine: EngineKey) {
         let life = self.members[number].life;
         _ = self.needs.arrive((number, life), engine, self.now);
+        _ = self.terms.arrive((number, life), engine, self.now);
     }
 
     /// Has engines name a limit from now on, or none.
@@ -460,6 +468,26 @@
         }
     }
 
+    /// Has engines say from now on, in their answers alone, that they leave.
+    pub fn leave(&mut self, engines: impl IntoIterator<Item = EngineKey>) {
+        for engine in engines {
+            self.terms.leave(engine, self.now);
+        }
+    }
+
+    /// Has engines turn all away at times, and say for how long.
+    pub fn rest(&mut self, engines: impl IntoIterator<Item = EngineKey>, rests: Option<Rests>) {
+        for engine in engines {
+            self.terms.rest(engine, rests, self.now);
+        }
+    }
+
+    /// Gives the engines of a service.
+    pub fn engines_of(&self, service: &str) -> Vec<EngineKey> {
+        let engines = self.engines().into_iter();
+        engines.filter(|it| *it.service == *service).map(|it| it.key).collect()
+    }
+
     /// Gives the time.
     pub fn now(&self) -> Time {
         self.now
--- a/tests/src/fleet/engines.rs
+++ b/tests/src/fleet/engines.rs
@@ -5,7 +5,7 @@
 use hollyspoke_gateway::effect::{Send, Task};
 use hollyspoke_gateway::engine::{Engine, EngineChange, EngineKey, Stage};
 use hollyspoke_gateway::event::{Answer, CallEvent, Probe};
-use hollyspoke_gateway::intake::Told;
+use hollyspoke_gateway::rest;
 use hollyspoke_gateway::statement::Statement;
 use rand::Rng;
 
@@ -25,6 +25,8 @@
             return self.plan(self.now + TRANSIT, unsent);
         }
         let limit = self.needs.arrive((number, life), engine, self.now);
+        let terms = self.terms.arrive((number, life), engine, self.now);
+        let says = Statement { limit, ..terms };
         if self.crashes.harmful.contains(&send.flight) {
             let when_read = self.harmful.is_some_and(|it| it.when_read);
             if when_read || send.task != Task::Read {
@@ -32,7 +34,8 @@
                 return self.plan(self.now + CRASHES_AFTER, Due::Crash(caller, engine, crashes));
             }
         }
-        let is_turned_away = self.random.random_bool(self.behaviour.turns_away);
+        let turns_away = self.random.random_bool(self.behaviour.turns_away);
+        let is_turned_away = turns_away || says.rest != rest::Told::Nothing;
         let is_failed = self.random.random_bool(self.behaviour.fails);
         let is_reading = send.task == Task::Read;
         let is_free = is_reading && !is_turned_away;
@@ -56,7 +59,7 @@
         };
         let mut at = self.now + Duration::from_millis(self.random.random_range(ANSWERS_IN_MS));
         for event in events {
-            self.plan(at, Due::Answer(caller, engine, limited(event, limit)));
+            self.plan(at, Due::Answer(caller, engine, saying(event, says)));
             at = at + STREAM_LASTS;
         }
     }
@@ -79,6 +82,7 @@
     /// Has an engine crash, under a call or not: what it has under way breaks.
     pub(super) fn crash(&mut self, engine: EngineKey, caller: Option<Caller>) {
         self.needs.forget(engine, self.now);
+        self.terms.forget(engine);
         let state = self.crashes.states.entry(engine).or_default();
         state.crashes += 1;
         state.down_until = self.now + BACK_AFTER;
@@ -141,12 +145,9 @@
     }
 }
 
-/// Adds to an event what the engine says of the requests that it takes.
-fn limited(event: &CallEvent, limit: Told) -> CallEvent {
-    let add = |answer: &Answer| {
-        let says = Statement { limit, ..answer.says };
-        Answer { says, ..answer.clone() }
-    };
+/// Adds to an event what the engine says of itself.
+fn saying(event: &CallEvent, says: Statement) -> CallEvent {
+    let add = |answer: &Answer| Answer { says, ..answer.clone() };
     match event {
         CallEvent::Began(answer) => CallEvent::Began(add(answer)),
         CallEvent::Answered(answer) => CallEvent::Answered(add(answer)),
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod request;
 pub mod source;
 pub mod stages;
+pub mod terms;
