--- a/crates/hollyspoke-gateway/src/departure.rs
+++ b/crates/hollyspoke-gateway/src/departure.rs
@@ -14,19 +14,38 @@
 /// same life may come late, from a box that was cut off.
 const KEPT_FOR: Duration = Duration::from_secs(600);
 
+/// For how long each box that an engine has told itself repeats it to the others: some heartbeats, of
+/// which a few may be lost.
+const REPEATED_FOR: Duration = Duration::from_secs(4);
+
 /// The leaving of one engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Departure {
     /// The life of the engine that leaves; any, if it does not tell.
     pub born: Option<u64>,
-    /// Since when it is known.
-    pub since: Time,
+    /// When this box learnt it.
+    learnt: Time,
+    /// For how long it was known then.
+    age: Duration,
+    /// Whether the engine has told this box itself.
+    is_own: bool,
     /// When the engine was last listed.
     listed: Time,
     /// Whether that life has ended.
     is_over: bool,
 }
 
+/// What a box tells of an engine that leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Word {
+    /// The engine.
+    pub engine: EngineKey,
+    /// The life of the engine that leaves, if it tells.
+    pub born: Option<u64>,
+    /// For how long it is known, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// How a departure ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
@@ -43,8 +62,8 @@
     pub engine: EngineKey,
     /// How it ended.
     pub end: End,
-    /// Since when it was known.
-    pub since: Time,
+    /// For how long it was known that it leaves.
+    pub age: Duration,
 }
 
 /// All engines that leave.
@@ -55,23 +74,54 @@
 }
 
 impl Table {
-    /// Notes that a life of an engine leaves, and since when; tells whether that is news.
-    pub fn note(&mut self, engine: EngineKey, born: Option<u64>, since: Time, now: Time) -> bool {
-        let known = self.departures.get_mut(&engine);
-        match known {
-            Some(known) if known.born > born => false,
-            Some(known) if known.born == born => {
-                known.since = known.since.min(since);
+    /// Learns from an engine's own answer that a life of it leaves; tells whether that is news.
+    pub fn learn(&mut self, engine: EngineKey, born: Option<u64>, now: Time) -> bool {
+        self.note(
+            engine,
+            Departure { is_own: true, ..Departure::new(born, Duration::ZERO, now) },
+            now,
+        )
+    }
+
+    /// Takes what another box tells; tells whether that is news.
+    pub fn hear(&mut self, word: &Word, now: Time) -> bool {
+        let Word { engine, born, age_ms } = *word;
+        let age = Duration::from_millis(u64::from(age_ms));
+        self.note(engine, Departure::new(born, age, now), now)
+    }
+
+    /// Takes a departure, if it is of a later life than the one that is known.
+    fn note(&mut self, engine: EngineKey, heard: Departure, now: Time) -> bool {
+        match self.departures.get_mut(&engine) {
+            Some(known) if known.born > heard.born => false,
+            Some(known) if known.born == heard.born => {
+                known.is_own |= heard.is_own;
+                if heard.age(now) > known.age(now) {
+                    (known.learnt, known.age) = (heard.learnt, heard.age);
+                }
                 false
             }
             _ => {
-                let departure = Departure { born, since, listed: now, is_over: false };
-                self.departures.insert(engine, departure);
+                self.departures.insert(engine, heard);
                 true
             }
         }
     }
 
+    /// Gives what there is to tell of an engine that leaves.
+    pub fn word(&self, engine: EngineKey, now: Time) -> Option<Word> {
+        let departure = self.departures.get(&engine).filter(|it| !it.is_over)?;
+        let age_ms = u32::try_from(departure.age(now).as_millis()).unwrap_or(u32::MAX);
+        Some(Word { engine, born: departure.born, age_ms })
+    }
+
+    /// Tells whether an engine has told this box itself, a short time ago, that it leaves: what was told
+    /// to the others then may not have come to the box that repeats it.
+    pub fn is_fresh(&self, engine: EngineKey, now: Time) -> bool {
+        let departure = self.departures.get(&engine);
+        departure.is_some_and(|it| it.is_own && it.age(now) < REPEATED_FOR)
+    }
+
     /// Gives the leaving of an engine in the life that is listed, if it leaves.
     pub fn of(&self, engine: &Engine) -> Option<Departure> {
         let departure = self.departures.get(&engine.key)?;
@@ -109,7 +159,7 @@
             };
             if !departure.is_over {
                 departure.is_over = true;
-                ended.push(Ended { engine, end, since: departure.since });
+                ended.push(Ended { engine, end, age: departure.age(now) });
             }
         }
         self.departures.retain(|_, it| now.since(it.listed) < KEPT_FOR);
@@ -118,6 +168,16 @@
 }
 
 impl Departure {
+    /// Makes the departure of a life that another box has known for a time.
+    fn new(born: Option<u64>, age: Duration, now: Time) -> Departure {
+        Departure { born, learnt: now, age, is_own: false, listed: now, is_over: false }
+    }
+
+    /// Gives for how long it is known.
+    pub fn age(&self, now: Time) -> Duration {
+        self.age + now.since(self.learnt)
+    }
+
     /// Tells whether it is of a life that is listed, or of a later one.
     fn covers(&self, listed: Option<u64>) -> bool {
         self.born.is_none() || self.born >= listed
--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -19,6 +19,7 @@
 use crate::rest;
 use crate::signature::Signature;
 use crate::statement::ToldLoad;
+use crate::terms::Hindrance;
 
 /// Where a prompt that was read lies.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -140,6 +141,8 @@
     NoHome,
     /// All engines that could take it are in need, and take no more for now.
     Limited,
+    /// All engines that could take it are about to leave.
+    Leaving,
     /// The engines turned it away.
     TurnedAway,
     /// It would be served too late.
@@ -161,6 +164,7 @@
             NotRunReason::Evacuated => "refused: evacuated",
             NotRunReason::NoHome => "refused: no engine in its regions",
             NotRunReason::Limited => "refused: engines limited",
+            NotRunReason::Leaving => "refused: engines leaving",
             NotRunReason::TurnedAway => "refused: turned away",
             NotRunReason::Overloaded => "refused: overloaded",
             NotRunReason::TimedOut => "refused: time passed",
@@ -169,6 +173,15 @@
     }
 }
 
+/// An engine that a request could not be sent to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeptFrom {
+    /// The engine's id.
+    pub engine: Arc<str>,
+    /// Why not.
+    pub by: Hindrance,
+}
+
 /// A decision worth a line in the log.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Note {
@@ -309,8 +322,8 @@
         customer: Option<Arc<str>>,
         /// The units of the customer's limit that the request took.
         units: u64,
-        /// The engines in need that it could not be sent to.
-        kept_from: Vec<Arc<str>>,
+        /// The engines that it could not be sent to by what they have said.
+        kept_from: Vec<KeptFrom>,
         /// How.
         how: &'static str,
         /// The time since its arrival.
--- a/crates/hollyspoke-gateway/src/flight.rs
+++ b/crates/hollyspoke-gateway/src/flight.rs
@@ -15,6 +15,7 @@
 use crate::request::{CallKey, FlightKey, Request};
 use crate::route::{Route, RouteKind, Service};
 use crate::signature::Signature;
+use crate::terms::Hindrance;
 
 /// The most times that engines may turn one request away before it is given up.
 const MOST_REJECTIONS: u32 = 3;
@@ -88,8 +89,8 @@
     pub asked: Option<Asked>,
     /// The questions for permits since the last call.
     pub asks: u32,
-    /// The engines in need that it could not be sent to.
-    pub kept_from: Vec<EngineKey>,
+    /// The engines that it could not be sent to by what they have said.
+    pub kept_from: Vec<KeptFrom>,
     /// Whether the client has come back with it after a refusal.
     pub is_repeated: bool,
     /// Whether the head of an answer was given to the client.
@@ -98,6 +99,15 @@
     pub last_event: Option<u64>,
 }
 
+/// An engine that a request could not be sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KeptFrom {
+    /// The engine.
+    pub engine: EngineKey,
+    /// Why not.
+    pub by: Hindrance,
+}
+
 /// A question for a permit to go to an engine in need.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Asked {
@@ -142,6 +152,13 @@
         has_attempts && may_repeat && self.rejections <= MOST_REJECTIONS
     }
 
+    /// Notes an engine that the request could not be sent to.
+    pub fn keep_from(&mut self, kept: KeptFrom) {
+        if !self.kept_from.contains(&kept) {
+            self.kept_from.push(kept);
+        }
+    }
+
     /// Gives the request's rank, 0 for the highest: its customer's, else its route's.
     pub fn rank(&self) -> u8 {
         let customer = self.customer.as_ref();
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -94,6 +94,8 @@
     pub grace: Duration,
     /// The least time between orders of two boxes to one engine.
     pub order_pause: Duration,
+    /// How long an engine that says that it leaves goes on serving; zero if that is not counted on.
+    pub drain: Duration,
     /// A number drawn at the start of the process.
     pub incarnation: u64,
     /// When the process started, in seconds of Unix time.
@@ -296,6 +298,7 @@
         self.keep_cases();
         self.tell_words();
         self.tell_limits();
+        self.tell_departures();
         self.tell_changes();
         std::mem::take(&mut self.effects)
     }
--- a/crates/hollyspoke-gateway/src/gateway/end.rs
+++ b/crates/hollyspoke-gateway/src/gateway/end.rs
@@ -5,8 +5,7 @@
 use hollyspoke::time::Time;
 
 use super::Gateway;
-use crate::directory::Known;
-use crate::effect::{Effect, NotRunReason, Note, Refusal, Source};
+use crate::effect::{Effect, KeptFrom, NotRunReason, Note, Refusal, Source};
 use crate::request::{CallKey, FlightKey};
 
 /// When a client may come back whose request no engine could take.
@@ -128,12 +127,12 @@
         self.end(key, "broken off");
     }
 
-    /// Frees a prompt that was read, if there is one. An engine that is evacuated or in need gets
-    /// nothing and drops the prompt by itself.
+    /// Frees a prompt that was read, if there is one. An engine that takes nothing aside drops the
+    /// prompt by itself.
     pub(super) fn free(&mut self, source: Option<Source>) {
-        let Some(source) = source else { return };
-        let is_evacuated = self.directory.get(source.engine).is_some_and(Known::is_evacuated);
-        if !is_evacuated && self.terms.limits.of(source.engine).is_none() {
+        if let Some(source) = source
+            && self.takes_aside(source.engine)
+        {
             self.effects.push(Effect::Free(source));
         }
     }
@@ -147,7 +146,11 @@
         let after = self.now.since(flight.arrived);
         let customer = flight.customer.map(|it| it.name.clone());
         let (request, units) = (flight.request.id, flight.units);
-        let kept_from = flight.kept_from.iter().map(|&it| self.engine_name(it).into()).collect();
+        let kept_from = flight.kept_from.iter().map(|it| {
+            let engine = self.engine_name(it.engine).into();
+            KeptFrom { engine, by: it.by }
+        });
+        let kept_from = kept_from.collect();
         self.note(Note::Ended { request, customer, units, kept_from, how, after });
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -47,6 +47,8 @@
     pub(super) full: Vec<Full>,
     /// Engines whose limit has changed by their own word.
     pub(super) limits: Vec<EngineKey>,
+    /// Engines that have said that they leave.
+    pub(super) departures: Vec<EngineKey>,
 }
 
 /// The boxes that were first heard or fell silent since the last heartbeat.
@@ -82,6 +84,7 @@
         if let Some(extension) = &message.extension {
             // It holds also if a later datagram has overtaken it.
             self.hear_limits(message.sender, extension);
+            self.hear_departures(message.sender, extension);
             self.hear_permits(message.sender, extension);
         }
         let knows_this_one = self.members.was_greeted(message.sender, self.now);
@@ -148,6 +151,8 @@
         if message.peers.len() < MOST_NAMED {
             answer.peers = self.some_peers(MOST_NAMED_TO_NEW);
         }
+        let departures = self.all_departures();
+        answer.extension = Extension { departures, ..Extension::default() }.filled();
         self.effects.push(Effect::Tell(vec![message.sender], Box::new(answer)));
     }
 
@@ -178,7 +183,8 @@
         message.usage = self.heartbeat_usage();
         message.crashes = self.quarantine.reminder();
         let limits = self.limits_to_tell();
-        message.extension = Extension { limits, ..Extension::default() }.filled();
+        let departures = self.departures_to_tell();
+        message.extension = Extension { limits, departures, ..Extension::default() }.filled();
         // Where boxes are many, keepers of prompts are not told by themselves.
         message.kept = self.prompts.take_untold();
         // The heartbeat tells all work, so that no changes are left to tell.
--- a/crates/hollyspoke-gateway/src/gateway/permits.rs
+++ b/crates/hollyspoke-gateway/src/gateway/permits.rs
@@ -7,10 +7,11 @@
 use hollyspoke::time::Time;
 
 use super::Gateway;
+use super::terms::is_able;
 use crate::directory::Known;
 use crate::effect::NotRunReason;
-use crate::engine::{EngineKey, Stage};
-use crate::flight::{Asked, Flight};
+use crate::engine::EngineKey;
+use crate::flight::{Asked, Flight, KeptFrom};
 use crate::intake::Word;
 use crate::message::{DataCentreKey, Extension, Message};
 use crate::permit::{
@@ -18,6 +19,7 @@
 };
 use crate::placement::Asking;
 use crate::request::FlightKey;
+use crate::terms::Hindrance;
 
 /// The most questions for permits of one call. Each takes a datagram and its answer; where all
 /// engines of a service are in need, a fifth one seldom finds what four did not.
@@ -158,9 +160,7 @@
     fn end_question(&mut self, key: FlightKey, engine: EngineKey) {
         let Some(flight) = self.flights.get_mut(&key) else { return };
         flight.asked.take_if(|it| it.engine == engine);
-        if !flight.kept_from.contains(&engine) {
-            flight.kept_from.push(engine);
-        }
+        flight.keep_from(KeptFrom { engine, by: Hindrance::Limit });
     }
 
     /// Issues a permit to a request of this box.
@@ -317,8 +317,7 @@
             return None;
         }
         let is_able = |it: &&Known| {
-            let stage = it.engine.stage;
-            self.is_home(flight, it) && stage != Some(Stage::Prefill)
+            is_able(it) && self.is_home(flight, it) && !self.terms.is_leaving(&it.engine)
         };
         let engines = self.directory.open(&flight.service.name, self.now).filter(is_able);
         let mut least = None;
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -58,11 +58,10 @@
     /// leave proves nothing: it may have ended as planned.
     pub(super) fn suspect(&mut self, call: &Call) {
         let Some(known) = self.directory.get(call.engine.key) else { return };
-        if known.engine.is_draining || known.is_missing() {
+        if known.engine.is_draining || known.is_missing() || self.terms.is_leaving(&known.engine) {
             return;
         }
         let is_back = known.engine.born != call.engine.born;
-        let is_evacuated = known.is_evacuated();
         let Some(flight) = self.flights.get(&call.flight) else { return };
         let (signature, about) = (flight.signature, about(flight));
         let engine = &call.engine;
@@ -72,7 +71,7 @@
         if is_back {
             return self.confirm(Life { engine: engine.key, born: engine.born }, Proof::Proven);
         }
-        if !is_evacuated && self.probing.insert(engine.key) {
+        if self.takes_probe(engine.key) && self.probing.insert(engine.key) {
             self.effects.push(Effect::Probe(call.engine.clone()));
         }
     }
@@ -103,7 +102,10 @@
     /// nothing that was known of them holds.
     pub(super) fn take_ended(&mut self) {
         for engine in self.directory.take_ended() {
-            self.confirm(Life { engine: engine.key, born: engine.born }, Proof::Proven);
+            // One that had said that it leaves has ended as planned.
+            if !self.terms.is_leaving(&engine) {
+                self.confirm(Life { engine: engine.key, born: engine.born }, Proof::Proven);
+            }
             self.prompts.forget(engine.key);
             self.terms.limits.forget(engine.key);
             self.drop_handles(&engine);
--- a/crates/hollyspoke-gateway/src/gateway/room.rs
+++ b/crates/hollyspoke-gateway/src/gateway/room.rs
@@ -1,6 +1,8 @@
 //! Requests that wait for room in an engine's memory, and memory reserved for those whose prompt
 //! is being read.
 
+use std::time::Duration;
+
 use hollyspoke::time::Time;
 
 use super::Gateway;
@@ -115,14 +117,29 @@
     /// Tells whether an engine could take the request if it had room.
     fn can_find_room(&self, flight: &Flight) -> bool {
         let mut open = self.directory.open(&flight.service.name, self.now);
-        open.any(|it| it.engine.stage == Some(Stage::Decode) && self.is_home(flight, it))
+        let leaving_for = self.leaving_for(flight);
+        open.any(|it| {
+            let is_able = it.engine.stage == Some(Stage::Decode) && self.is_home(flight, it);
+            is_able && self.stays(it, leaving_for)
+        })
+    }
+
+    /// Tells whether an engine does not leave, or is used all the same while that is known for less than
+    /// a time.
+    fn stays(&self, known: &Known, leaving_for: Option<Duration>) -> bool {
+        let departure = self.terms.departures.of(&known.engine);
+        departure.is_none_or(|it| leaving_for.is_some_and(|most| it.age(self.now) <= most))
     }
 
     /// Tells why no engine can take a request.
     fn why_no_engine(&self, flight: &Flight) -> NotRunReason {
         let engines = || self.directory.of_service(&flight.service.name);
-        if engines().any(|it| it.is_open(self.now) && self.is_home(flight, it)) {
+        let is_open = |it: &Known| it.is_open(self.now) && self.is_home(flight, it);
+        let stays = |it: &Known| !self.terms.is_leaving(&it.engine);
+        if engines().any(|it| is_open(it) && stays(it)) {
             NotRunReason::NoEngine
+        } else if engines().any(is_open) {
+            NotRunReason::Leaving
         } else if engines().any(|it| it.is_evacuated() && self.is_home(flight, it)) {
             NotRunReason::Evacuated
         } else if engines().any(|it| it.is_open(self.now)) {
--- a/crates/hollyspoke-gateway/src/gateway/stages.rs
+++ b/crates/hollyspoke-gateway/src/gateway/stages.rs
@@ -272,7 +272,7 @@
         let mut split = Split { readers: 0, generators: 0 };
         let mut working = split;
         let bears = Bearing::of(demand, capacity);
-        for known in self.directory.staying(service) {
+        for known in self.staying(service) {
             let is_reader = known.coming_stage(self.now) == Some(Stage::Prefill);
             let usual = if is_reader { bears.reader } else { bears.generator };
             let limit = self.terms.limits.of(known.engine.key);
@@ -291,6 +291,11 @@
         (split, working)
     }
 
+    /// Goes over the engines of a service that do not leave.
+    fn staying(&self, service: &str) -> impl Iterator<Item = &Known> {
+        self.directory.staying(service).filter(|it| !self.terms.is_leaving(&it.engine))
+    }
+
     /// Chooses the engine that changes: of the data centre with the most readers to generate, of
     /// the one with the fewest to read; there the one with the least work.
     fn to_change(&self, service: &str, change: Change) -> Option<EngineKey> {
@@ -299,16 +304,16 @@
             Change::ToReading => Stage::Decode,
         };
         let mut readers_in: HashMap<&str, i64> = HashMap::new();
-        for known in self.directory.staying(service) {
+        for known in self.staying(service) {
             let is_reader = known.coming_stage(self.now) == Some(Stage::Prefill);
             *readers_in.entry(&known.engine.data_centre).or_default() += i64::from(is_reader);
         }
         let readers_near =
             |it: &Known| readers_in.get(&*it.engine.data_centre).copied().unwrap_or_default();
         let open = self.directory.open(service, self.now);
-        // Orders are requests too, and one in need is of little use in another stage.
+        // Orders are requests too, and one in need or about to leave is of little use in another stage.
         let candidates = open.filter(|it| it.engine.stage == Some(from));
-        let candidates = candidates.filter(|it| self.terms.limits.of(it.engine.key).is_none());
+        let candidates = candidates.filter(|it| self.takes_aside(it.engine.key));
         let chosen = candidates.min_by_key(|it| {
             let readers = readers_near(it);
             let readers = if change == Change::ToGenerating { -readers } else { readers };
@@ -458,8 +463,8 @@
             if step.phase != Phase::Settling || !is_settled {
                 continue;
             }
-            let known = self.directory.get(step.engine).filter(|it| !it.is_evacuated());
-            let Some(known) = known else { continue };
+            let known = self.directory.get(step.engine);
+            let Some(known) = known.filter(|_| self.takes_aside(step.engine)) else { continue };
             let engine = known.engine.clone();
             self.stages.moves[index].phase = Phase::Sent;
             self.stages.moves[index].tries += 1;
@@ -546,6 +551,13 @@
         }
     }
 
+    /// Gives up the change of an engine that was not ordered yet.
+    pub(super) fn drop_unordered(&mut self, engine: EngineKey, how: &'static str) {
+        if self.stages.of(engine).is_some_and(|it| it.phase == Phase::Settling) {
+            self.cancel_move(engine, how);
+        }
+    }
+
     /// Gives up the changes that are not ordered yet: another box decides from now on.
     fn drop_planned(&mut self) {
         let is_planned = |it: &&Move| it.phase == Phase::Settling;
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -148,6 +148,7 @@
         if let Some(until) = self.waits_for_survey(flight) {
             return self.wait_for_survey(key, until);
         }
+        self.note_kept_away(key);
         let Some(next) = self.next_permitted(key) else { return };
         let Some(flight) = self.flights.get(&key) else { return };
         let is_repeat = flight.arrivals > 0;
@@ -203,6 +204,7 @@
             terms: &self.terms,
             permits: &self.permits.held,
             asking: self.asking(flight),
+            leaving_for: self.leaving_for(flight),
             is_suspect: verdict != Verdict::Clear,
             trials: &trials,
             now: self.now,
--- a/crates/hollyspoke-gateway/src/gateway/terms.rs
+++ b/crates/hollyspoke-gateway/src/gateway/terms.rs
@@ -1,13 +1,19 @@
 //! What engines say of themselves, whichever answer brings it.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::Gateway;
+use crate::departure;
+use crate::directory::Known;
 use crate::effect::Note;
-use crate::engine::EngineKey;
-use crate::flight::Call;
+use crate::engine::{EngineKey, Stage};
+use crate::flight::{Call, Flight, KeptFrom};
+use crate::message::{Extension, Message};
+use crate::request::FlightKey;
 use crate::rest;
 use crate::statement::Statement;
+use crate::terms::{Bar, Hindrance};
 
 /// By which share of itself a rest is drawn out at most, so that boxes that were told together do not
 /// come back together.
@@ -16,6 +22,22 @@
 /// What each box adds to that.
 const SPREAD_A_BOX: Duration = Duration::from_millis(10);
 
+/// The share of its drain for which an engine that leaves is used where no other can serve.
+const USED_OF_DRAIN: f64 = 0.5;
+
+/// The engines that leave of which a box looks with one heartbeat whether it tells of them: each look
+/// goes over all boxes.
+const MOST_LOOKED_AT: usize = 256;
+
+/// The most engines that leave that one heartbeat tells, of about 25 bytes each.
+const MOST_TOLD: usize = 32;
+
+/// The most that a box that has just started is told at once.
+const MOST_TOLD_TO_NEW: usize = 128;
+
+/// The most engines that one request is noted to be kept from.
+const MOST_NOTED: usize = 8;
+
 impl Gateway {
     /// Takes what an engine says of itself in an answer that is not that to a call. What an earlier
     /// life said says nothing of this one.
@@ -40,10 +62,113 @@
 
     /// Learns whether a life of an engine is about to leave.
     fn learn_departure(&mut self, engine: EngineKey, life: Option<u64>, says: &Statement) {
-        if says.is_leaving && self.terms.departures.note(engine, life, self.now, self.now) {
-            let id = self.engine_name(engine).into();
-            self.note(Note::Leaving { id, told_by: None, age: Duration::ZERO });
+        if says.is_leaving && self.terms.departures.learn(engine, life, self.now) {
+            self.untold.departures.push(engine);
+            self.leaves(engine, None, Duration::ZERO);
+        }
+    }
+
+    /// Takes what another box tells of engines that leave.
+    pub(super) fn hear_departures(&mut self, sender: SocketAddr, told: &Extension) {
+        for word in &told.departures {
+            if self.terms.departures.hear(word, self.now) {
+                let age = Duration::from_millis(u64::from(word.age_ms));
+                self.leaves(word.engine, Some(sender), age);
+            }
+        }
+    }
+
+    /// Goes by the news that an engine leaves: it is sent nothing that is not sent yet.
+    fn leaves(&mut self, engine: EngineKey, told_by: Option<SocketAddr>, age: Duration) {
+        let id = self.engine_name(engine).into();
+        self.note(Note::Leaving { id, told_by, age });
+        self.drop_unordered(engine, "engine leaves");
+        self.may_have_room = true;
+    }
+
+    /// Tells all boxes at once of the engines that have told this one that they leave.
+    pub(super) fn tell_departures(&mut self) {
+        let told = std::mem::take(&mut self.untold.departures);
+        let departures = self.words_of(told);
+        if !departures.is_empty() {
+            let extension = Extension { departures, ..Extension::default() }.filled();
+            let message = Message { extension, ..self.message(false) };
+            self.tell_all(message);
+        }
+    }
+
+    /// Gives what this box's heartbeat tells: the engines that it would issue permits of, so that each is
+    /// told by one box, and those that have told it themselves a short time ago.
+    pub(super) fn departures_to_tell(&mut self) -> Vec<departure::Word> {
+        if self.terms.departures.is_empty() {
+            return Vec::new();
+        }
+        let mut leaving: Vec<_> = self.terms.departures.engines().collect();
+        if leaving.len() > MOST_LOOKED_AT {
+            let first = (self.draw() % leaving.len() as u64) as usize;
+            leaving.rotate_left(first);
+            leaving.truncate(MOST_LOOKED_AT);
         }
+        let now = self.now;
+        leaving.retain(|&it| self.terms.departures.is_fresh(it, now) || self.issues(it));
+        leaving.truncate(MOST_TOLD);
+        self.words_of(leaving)
+    }
+
+    /// Gives all that a box that has just started is told, as far as it goes into a datagram.
+    pub(super) fn all_departures(&self) -> Vec<departure::Word> {
+        let leaving = self.terms.departures.engines().take(MOST_TOLD_TO_NEW);
+        self.words_of(leaving.collect())
+    }
+
+    /// Gives what there is to tell of engines.
+    fn words_of(&self, engines: Vec<EngineKey>) -> Vec<departure::Word> {
+        let departures = &self.terms.departures;
+        engines.into_iter().filter_map(|it| departures.word(it, self.now)).collect()
+    }
+
+    /// Gives for how long an engine may be known to leave that is used for a request all the same; none
+    /// if another engine can serve it. An engine that leaves goes on serving for the time of its drain
+    /// from its entry on, which this box may not have seen: half of that is counted on.
+    pub(super) fn leaving_for(&self, flight: &Flight) -> Option<Duration> {
+        if self.terms.departures.is_empty() {
+            return None;
+        }
+        let is_able = |it: &&Known| is_able(it) && self.is_home(flight, it);
+        let mut open = self.directory.open(&flight.service.name, self.now).filter(is_able);
+        let is_last = open.all(|it| self.terms.is_leaving(&it.engine));
+        is_last.then(|| self.settings.drain.mul_f64(USED_OF_DRAIN))
+    }
+
+    /// Tells whether an engine may be asked whether it lives: one in need too, since nothing else tells
+    /// whether a request has crashed it.
+    pub(super) fn takes_probe(&self, engine: EngineKey) -> bool {
+        let known = self.directory.get(engine).filter(|it| !it.is_evacuated());
+        let bar = known.map(|it| self.terms.bar(&it.engine, self.now));
+        matches!(bar, Some(None | Some(Bar::Limit)))
+    }
+
+    /// Notes which engines a request is kept from by what they have said, for the log.
+    pub(super) fn note_kept_away(&mut self, key: FlightKey) {
+        let Some(flight) = self.flights.get(&key) else { return };
+        let leaving = self.terms.departures.engines();
+        let kept = leaving.map(|engine| KeptFrom { engine, by: Hindrance::Leaving });
+        let is_concerned = |it: &KeptFrom| {
+            let known = self.directory.get(it.engine);
+            let known = known.filter(|it| it.engine.service == flight.service.name);
+            known.is_some_and(|it| it.is_open(self.now) && self.is_home(flight, it))
+        };
+        let kept: Vec<_> = kept.filter(is_concerned).take(MOST_NOTED).collect();
+        if let Some(flight) = self.flights.get_mut(&key) {
+            kept.into_iter().for_each(|it| flight.keep_from(it));
+        }
+    }
+
+    /// Tells whether something that is no request may be sent to an engine: a question, an order, the
+    /// freeing of a prompt. All of it can be left out.
+    pub(super) fn takes_aside(&self, engine: EngineKey) -> bool {
+        let known = self.directory.get(engine).filter(|it| !it.is_evacuated());
+        known.is_some_and(|it| self.terms.bar(&it.engine, self.now).is_none())
     }
 
     /// Learns for how long an engine wants nothing from this box.
@@ -72,7 +197,7 @@
         let rested = self.terms.rests.sweep(now, listed);
         for ended in left {
             let id = self.engine_name(ended.engine).into();
-            self.note(Note::HasLeft { id, end: ended.end, age: now.since(ended.since) });
+            self.note(Note::HasLeft { id, end: ended.end, age: ended.age });
         }
         for ended in rested {
             let id = self.engine_name(ended.engine).into();
@@ -80,3 +205,8 @@
         }
     }
 }
+
+/// Tells whether an engine can serve a request to its end, as those that only read prompts can't.
+pub(super) fn is_able(known: &Known) -> bool {
+    known.engine.stage != Some(Stage::Prefill)
+}
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -10,10 +10,10 @@
 use crate::customer::CustomerKey;
 use crate::engine::{EngineChange, EngineKey, Stage};
 use crate::evacuation::Evacuation;
-use crate::intake;
 use crate::permit::{Ask, Reply};
 use crate::prompt::Kept;
 use crate::quarantine::Word;
+use crate::{departure, intake};
 
 /// The short name of a data centre: a hash of its name, the same on all boxes.
 #[derive(
@@ -234,6 +234,8 @@
     pub asks: Vec<Ask>,
     /// Answers to the receiver's questions for permits.
     pub replies: Vec<Reply>,
+    /// Engines that are about to leave.
+    pub departures: Vec<departure::Word>,
 }
 
 impl Extension {
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -12,7 +12,7 @@
 use crate::permit::Holder;
 use crate::region::{Homes, Regions};
 use crate::route::{Service, Staged};
-use crate::terms::Terms;
+use crate::terms::{Bar, Terms};
 
 /// How long the load that an engine told with an answer counts.
 const TOLD_LIFE: Duration = Duration::from_millis(400);
@@ -120,6 +120,9 @@
     pub permits: &'a Holder,
     /// Whether the request may wait for one more.
     pub asking: Asking,
+    /// For how long an engine may be known to leave that is used all the same, as no other can serve;
+    /// none if another can.
+    pub leaving_for: Option<Duration>,
     /// Whether engines have crashed under the request.
     pub is_suspect: bool,
     /// Engines at which a request is tried that may crash them.
@@ -208,7 +211,7 @@
 
     /// Tells whether an engine takes new requests and has room for one.
     pub fn has_room(&self, known: &Known, staged: &Staged, held: u64) -> bool {
-        known.is_open(self.now) && self.is_allowed(known) && self.has_memory(known, staged, held)
+        self.is_allowed(known) && self.has_memory(known, staged, held)
     }
 
     /// Gives the engines that may take the call and have room for it: those not tried and in good
@@ -253,8 +256,7 @@
         engines: Vec<&'a Known>,
         has_room: impl Fn(&Known) -> bool,
     ) -> Vec<&'a Known> {
-        let open = engines.into_iter().filter(|it| it.is_open(self.now));
-        let allowed = open.filter(|it| self.is_allowed(it));
+        let allowed = engines.into_iter().filter(|it| self.is_allowed(it));
         let mut all: Vec<_> = allowed.filter(|it| !it.health.is_out(self.now)).collect();
         if all.iter().any(|it| !it.health.is_suspected(self.now)) {
             all.retain(|it| !it.health.is_suspected(self.now));
@@ -268,13 +270,23 @@
         self.keep_apart(chosen)
     }
 
-    /// Tells whether the request may be sent to an engine at all: it lies in all homes, is not cold or
-    /// bears one more request, and is not in need or may have a permit for it.
+    /// Tells whether the request may be sent to an engine at all: it takes new requests by what is
+    /// listed and by its own word, lies in all homes, and is not cold or bears one more request.
     pub fn is_allowed(&self, known: &Known) -> bool {
-        let engine = known.engine.key;
-        self.is_home(&known.engine.data_centre)
+        known.is_open(self.now)
+            && self.is_home(&known.engine.data_centre)
             && !self.is_too_cold(known)
-            && (!self.must_ask(engine) || self.may_ask(engine))
+            && self.is_admitted(known)
+    }
+
+    /// Tells whether an engine's own word lets the request go there.
+    fn is_admitted(&self, known: &Known) -> bool {
+        let engine = known.engine.key;
+        match self.terms.bar(&known.engine, self.now) {
+            None => true,
+            Some(Bar::Leaving(age)) => self.leaving_for.is_some_and(|it| age <= it),
+            Some(Bar::Limit) => !self.must_ask(engine) || self.may_ask(engine),
+        }
     }
 
     /// Gives the view of a request that has not asked for a permit yet.
--- a/crates/hollyspoke-gateway/src/terms.rs
+++ b/crates/hollyspoke-gateway/src/terms.rs
@@ -1,5 +1,10 @@
 //! What engines have said of themselves that binds whoever sends to them, by life and age.
 
+use std::time::Duration;
+
+use hollyspoke::time::Time;
+
+use crate::engine::Engine;
 use crate::{departure, intake, rest};
 
 /// The terms of all engines that have set any.
@@ -12,3 +17,36 @@
     /// Those that want nothing from this box for a time.
     pub rests: rest::Table,
 }
+
+/// Why a request was kept from an engine, as the log names it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Hindrance {
+    /// The engine is about to leave.
+    Leaving,
+    /// It takes only so many requests a second.
+    Limit,
+}
+
+/// What keeps requests from an engine by its own word.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Bar {
+    /// It is about to leave, as is known for so long.
+    Leaving(Duration),
+    /// It takes only so many requests a second.
+    Limit,
+}
+
+impl Terms {
+    /// Gives what keeps requests from an engine: of several the strictest.
+    pub fn bar(&self, engine: &Engine, now: Time) -> Option<Bar> {
+        if let Some(departure) = self.departures.of(engine) {
+            return Some(Bar::Leaving(departure.age(now)));
+        }
+        self.limits.of(engine.key).map(|_| Bar::Limit)
+    }
+
+    /// Tells whether an engine is known to leave.
+    pub fn is_leaving(&self, engine: &Engine) -> bool {
+        self.departures.of(engine).is_some()
+    }
+}
--- a/crates/hollyspoke-server/src/datagram.rs
+++ b/crates/hollyspoke-server/src/datagram.rs
@@ -12,6 +12,7 @@
 
 use bincode::Options;
 use eyre::{WrapErr, ensure};
+use hollyspoke_gateway::departure;
 use hollyspoke_gateway::engine::EngineKey;
 use hollyspoke_gateway::intake::Word;
 use hollyspoke_gateway::message::{Demand, Extension, Format, Message};
@@ -45,6 +46,9 @@
     /// Answers to questions for permits.
     #[n(3)]
     replies: Option<Vec<ReplyField>>,
+    /// Engines that are about to leave.
+    #[n(4)]
+    departures: Option<Vec<DepartureField>>,
 }
 
 /// What an engine in need takes.
@@ -101,6 +105,21 @@
     is_unlimited: Option<bool>,
 }
 
+/// An engine that is about to leave.
+#[derive(Debug, Encode, Decode)]
+#[cbor(map)]
+struct DepartureField {
+    /// The engine's key.
+    #[n(0)]
+    engine: u64,
+    /// The life of the engine.
+    #[n(1)]
+    born: Option<u64>,
+    /// For how long it is known, in milliseconds.
+    #[n(2)]
+    age_ms: u32,
+}
+
 /// Gives how the first format is written.
 fn first_format() -> impl Options {
     bincode::DefaultOptions::new()
@@ -121,6 +140,7 @@
         limits: filled(extension.limits.iter().map(LimitField::of).collect()),
         asks: filled(extension.asks.iter().map(AskField::of).collect()),
         replies: filled(extension.replies.iter().map(ReplyField::of).collect()),
+        departures: filled(extension.departures.iter().map(DepartureField::of).collect()),
     };
     let mut bytes = vec![MARK, VERSION];
     minicbor::encode(&later, &mut bytes).wrap_err("a field can't be written")?;
@@ -143,6 +163,7 @@
         limits: later.limits.iter().flatten().map(LimitField::word).collect(),
         asks: later.asks.iter().flatten().map(AskField::ask).collect(),
         replies: later.replies.iter().flatten().filter_map(ReplyField::reply).collect(),
+        departures: later.departures.iter().flatten().map(DepartureField::word).collect(),
     }
     .filled();
     Ok(message)
@@ -190,6 +211,20 @@
     }
 }
 
+impl DepartureField {
+    /// Makes the field of what a box tells.
+    fn of(word: &departure::Word) -> DepartureField {
+        let &departure::Word { engine, born, age_ms } = word;
+        DepartureField { engine: engine.0, born, age_ms }
+    }
+
+    /// Gives what a box tells.
+    fn word(&self) -> departure::Word {
+        let &DepartureField { engine, born, age_ms } = self;
+        departure::Word { engine: EngineKey(engine), born, age_ms }
+    }
+}
+
 impl AskField {
     /// Makes the field of a question.
     fn of(ask: &Ask) -> AskField {
--- a/crates/hollyspoke-server/src/run.rs
+++ b/crates/hollyspoke-server/src/run.rs
@@ -101,6 +101,7 @@
         bound: settings.bound,
         grace: settings.grace,
         order_pause: settings.order_pause,
+        drain: settings.drain,
         tolerance: settings.tolerance,
         sharing: settings.sharing,
         boxes: settings.boxes,
--- a/crates/hollyspoke-server/src/settings.rs
+++ b/crates/hollyspoke-server/src/settings.rs
@@ -84,6 +84,9 @@
     pub grace_s: f64,
     /// The least time between orders of two boxes to one engine, in milliseconds.
     pub order_pause_ms: f64,
+    /// How long an engine that says that it leaves goes on serving, in milliseconds; 0 if that is not
+    /// to be counted on.
+    pub drain_ms: f64,
     /// The span over which customers' sums are bounded, in seconds.
     pub quota_window_s: f64,
     /// The share of a customer's limit by which its sum may exceed it.
@@ -114,6 +117,7 @@
             retry_window_s: 10.0,
             grace_s: 8.0,
             order_pause_ms: 3000.0,
+            drain_ms: 0.0,
             quota_window_s: 8.0,
             quota_overrun: 0.1,
             quota_slack: 0.0,
@@ -169,6 +173,8 @@
     pub grace: Duration,
     /// The least time between orders of two boxes to one engine.
     pub order_pause: Duration,
+    /// How long an engine that says that it leaves goes on serving.
+    pub drain: Duration,
     /// How exactly customers' limits are kept.
     pub tolerance: Tolerance,
     /// How boxes share customers' limits.
@@ -221,6 +227,7 @@
         let window = checker.not_negative("bounds.retry_window_s", bounds.retry_window_s);
         let grace = checker.not_negative("bounds.grace_s", bounds.grace_s);
         let order_pause = checker.not_negative("bounds.order_pause_ms", bounds.order_pause_ms);
+        let drain = checker.not_negative("bounds.drain_ms", bounds.drain_ms);
         let quota_window = checker.not_negative("bounds.quota_window_s", bounds.quota_window_s);
         let tolerance = Tolerance {
             window: Duration::from_secs_f64(quota_window),
@@ -252,6 +259,7 @@
             bound: Bound { ratio, allowance, window: Duration::from_secs_f64(window) },
             grace: Duration::from_secs_f64(grace),
             order_pause: Duration::from_secs_f64(order_pause / 1e3),
+            drain: Duration::from_secs_f64(drain / 1e3),
             tolerance,
             sharing: match bounds.quota_sharing {
                 SharingSetting::Parts => Sharing::Parts,
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -56,6 +56,7 @@
         boxes: None,
         grace: Duration::from_secs(8),
         order_pause: Duration::from_secs(3),
+        drain: Duration::from_secs(2),
         incarnation: u64::from(number),
         unix_start: 1_790_000_000,
     }
--- a/tests/src/platform.rs
+++ b/tests/src/platform.rs
@@ -513,6 +513,7 @@
         bound: BOUND,
         grace: Duration::from_secs(3),
         order_pause: Duration::from_secs(3),
+        drain: Duration::from_secs(2),
         tolerance: Tolerance { window: Duration::from_secs(8), overrun: 0.1, slack: 0.0 },
         sharing: Sharing::Totals,
         boxes: None,
--- a/tests/src/terms.rs
+++ b/tests/src/terms.rs
@@ -129,6 +129,15 @@
         self.arrivals.iter().filter(is_late).count()
     }
 
+    /// Gives how many came to engines later than a span after any box was told that they leave.
+    pub fn late_at_all(&self, span: Duration) -> usize {
+        let is_late = |it: &&Arrival| {
+            let told = self.told.iter().filter(|((_, engine), _)| *engine == it.engine);
+            told.map(|(_, &at)| at).min().is_some_and(|told| it.at > told + span)
+        };
+        self.arrivals.iter().filter(is_late).count()
+    }
+
     /// Gives the most that came from one box to an engine that had asked it for rest.
     pub fn most_while_resting(&self) -> usize {
         let counts = self.asked.iter().map(|asked| {
--- a/tests/tests/gateway_leaving.rs
+++ b/tests/tests/gateway_leaving.rs
@@ -7,10 +7,25 @@
 
 use std::time::Duration;
 
+use hollyspoke_gateway::departure::Word;
+use hollyspoke_gateway::effect::{Effect, NotRunReason, Prompt, Refusal, Send, Task};
+use hollyspoke_gateway::engine::{Engine, EngineChange, EngineKey, Stage};
+use hollyspoke_gateway::event::{Answer, CallEvent, Event, Execution};
+use hollyspoke_gateway::intake;
+use hollyspoke_gateway::message::{Extension, Format, Knowledge, Message};
+use hollyspoke_gateway::prompt::PromptKey;
+use hollyspoke_gateway::request::Request;
+use hollyspoke_gateway::statement::Statement;
 use hollyspoke_tests::fleet::Fleet;
-use hollyspoke_tests::gateway::PLAIN;
+use hollyspoke_tests::gateway::{
+    MODEL, PLAIN, World, engine, engines, heartbeat, only_refusal, only_send, ran, read, request,
+    turned_away,
+};
 use hollyspoke_tests::terms::DRAIN;
 
+/// What the news of an engine that leaves takes to come to all boxes.
+const TOLD_WITHIN: Duration = Duration::from_millis(60);
+
 #[test]
 fn engine_that_leaves_gets_nothing() {
     let mut fleet = Fleet::settled(6, 1);
@@ -19,3 +34,397 @@
     fleet.run(Duration::from_secs(15));
     assert_eq!(fleet.terms.late(DRAIN), 0, "later than {DRAIN:?}");
 }
+
+/// Where others serve, all boxes stop as soon as one of them has been told.
+#[test]
+fn all_boxes_stop_at_once() {
+    for (service, seed) in [(PLAIN, 2), (MODEL, 3)] {
+        let mut fleet = Fleet::settled(6, seed);
+        let leaving: Vec<_> = fleet.engines_of(service).into_iter().step_by(3).collect();
+        fleet.leave(leaving);
+        fleet.run(Duration::from_secs(12));
+        assert_eq!(fleet.terms.late_at_all(TOLD_WITHIN), 0, "{service}");
+    }
+}
+
+/// Engines of a service that all leave are used for a while, and never later than is allowed.
+#[test]
+fn all_engines_leave() {
+    for (service, seed) in [(PLAIN, 4), (MODEL, 5)] {
+        let mut fleet = Fleet::settled(6, seed);
+        let leaving = fleet.engines_of(service);
+        fleet.leave(leaving.clone());
+        let from = fleet.now();
+        fleet.run(DRAIN / 2);
+        let got: usize = leaving.iter().map(|it| fleet.terms.got(*it, from, fleet.now())).sum();
+        assert!(got >= 12, "{got} requests in the first second of {service}");
+        fleet.run(Duration::from_secs(10));
+        assert_eq!(fleet.terms.late(DRAIN), 0, "{service}");
+    }
+}
+
+/// Boxes that start again, one by one and all at once, hear it from others or from the next answer; the
+/// word lasts longer than the boxes that heard it first.
+#[test]
+fn boxes_started_again() {
+    let mut fleet = Fleet::settled(6, 6);
+    let leaving = fleet.engines_of(PLAIN)[0];
+    fleet.leave([leaving]);
+    fleet.run(Duration::from_secs(1));
+    let from = fleet.now();
+    for number in 0..6 {
+        fleet.restart([number]);
+        fleet.run(Duration::from_secs(2));
+    }
+    let got = fleet.terms.got(leaving, from, fleet.now());
+    assert_eq!(got, 0, "from boxes that others could tell");
+    fleet.restart(0..6);
+    fleet.run(Duration::from_secs(6));
+    assert_eq!(fleet.terms.late(TOLD_WITHIN), 0);
+}
+
+/// Boxes that are cut off from each other learn it each from an answer of their own.
+#[test]
+fn boxes_cut_off() {
+    let mut fleet = Fleet::settled(6, 7);
+    (0..6).for_each(|number| fleet.part([number], number));
+    fleet.leave([fleet.engines_of(PLAIN)[0]]);
+    fleet.run(Duration::from_secs(8));
+    fleet.part(0..6, 0);
+    fleet.run(Duration::from_secs(4));
+    assert_eq!(fleet.terms.late(TOLD_WITHIN), 0);
+}
+
+/// A datagram of four that is lost leaves nobody without the news for longer than some heartbeats.
+#[test]
+fn datagrams_lost() {
+    let mut fleet = Fleet::settled(6, 8);
+    fleet.lost = 0.25;
+    let leaving = fleet.engines_of(MODEL)[15];
+    fleet.leave([leaving]);
+    fleet.run(Duration::from_secs(4));
+    let from = fleet.now();
+    fleet.run(Duration::from_secs(10));
+    assert_eq!(fleet.terms.got(leaving, from, fleet.now()), 0);
+}
+
+/// A new life under the id is used again.
+#[test]
+fn started_again_under_its_id() {
+    let mut fleet = Fleet::settled(6, 9);
+    let leaving = fleet.engines_of(PLAIN)[0];
+    fleet.leave([leaving]);
+    fleet.run(Duration::from_secs(2));
+    fleet.crash_all([leaving]);
+    fleet.run(Duration::from_secs(6));
+    fleet.limit([leaving], Some(100.0));
+    let from = fleet.now();
+    fleet.run(Duration::from_secs(5));
+    assert!(fleet.needs.got(leaving, from, fleet.now()) > 20);
+}
+
+/// Says that an engine leaves.
+fn leaving() -> Statement {
+    Statement { is_leaving: true, ..Statement::default() }
+}
+
+/// Gives an answer whose engine leaves.
+fn ran_leaving(status: u16) -> Answer {
+    Answer { says: leaving(), ..ran(status) }
+}
+
+/// Has plain requests arrive, each answered at once; gives the engines that they were sent to.
+fn plain_go_to(world: &mut World) -> Vec<EngineKey> {
+    let sends = (0..12).filter_map(|_| {
+        let (_, effects) = world.arrive(request("safe"));
+        let send = effects.into_iter().find_map(|it| match it {
+            Effect::Send(send) => Some(send),
+            _ => None,
+        })?;
+        world.call(send.call, CallEvent::Answered(ran(200)));
+        Some(send.engine.key)
+    });
+    sends.collect()
+}
+
+/// Gives the first plain engine, born at a time.
+fn first(born: Option<u64>) -> Engine {
+    Engine { born, ..engine(1, PLAIN, None) }
+}
+
+/// Makes a box before two plain engines of which the first, born at 100, has said that it leaves.
+fn one_leaves() -> World {
+    let mut world = World::new();
+    world.event(Event::Listed(vec![first(Some(100)), engine(2, PLAIN, None)], 20));
+    world.event(Event::Stated(first(None).key, leaving()));
+    assert!(!plain_go_to(&mut world).contains(&first(None).key));
+    world
+}
+
+/// Neither an entry that calls it ready, nor a list, nor its entry's loss and return, nor an answer that
+/// was made before takes the word back.
+#[test]
+fn nothing_but_a_later_life_takes_it_back() {
+    let mut world = one_leaves();
+    let key = first(None).key;
+    let ready = || first(Some(100));
+    let put = |engine: Engine, revision| Event::Changed(vec![EngineChange::Put(engine, revision)]);
+    let events = [
+        put(ready(), 21),
+        put(first(Some(50)), 22),
+        put(first(None), 23),
+        put(ready(), 24),
+        Event::Listed(vec![ready(), engine(2, PLAIN, None)], 25),
+        Event::Changed(vec![EngineChange::Left(ready().id, 26)]),
+        put(ready(), 27),
+        Event::Stated(key, Statement { born: Some(100), ..Statement::default() }),
+        Event::Stated(key, Statement { born: Some(50), ..leaving() }),
+    ];
+    for event in events {
+        world.event(event.clone());
+        world.pass(Duration::from_millis(400));
+        assert!(!plain_go_to(&mut world).contains(&key), "after {event:?}");
+    }
+    world.event(put(first(Some(200)), 28));
+    assert!(plain_go_to(&mut world).contains(&key));
+}
+
+/// Its address may go to another engine, which does not leave.
+#[test]
+fn another_engine_at_its_address() {
+    let mut world = one_leaves();
+    let address = first(None).address;
+    let other = Engine { address, born: Some(300), ..engine(3, PLAIN, None) };
+    let gone = EngineChange::Left(first(None).id, 21);
+    world.event(Event::Changed(vec![gone, EngineChange::Put(other.clone(), 22)]));
+    assert!(plain_go_to(&mut world).contains(&other.key));
+}
+
+/// A call that goes to an earlier life brings nothing of the later one, and a 421 nothing at all.
+#[test]
+fn answers_of_others() {
+    let mut world = World::new();
+    world.event(Event::Listed(vec![first(Some(100))], 20));
+    let (_, early) = world.sent(request("safe"));
+    world.event(Event::Changed(vec![EngineChange::Put(first(Some(200)), 21)]));
+    world.call(early.call, CallEvent::Answered(ran_leaving(200)));
+    let (_, moved) = world.sent(request("safe"));
+    let answer = Answer { execution: Execution::Moved, ..ran_leaving(421) };
+    world.call(moved.call, CallEvent::Answered(answer));
+    world.event(Event::Changed(vec![EngineChange::Put(first(Some(300)), 22)]));
+    world.sent(request("safe"));
+}
+
+/// All kinds of answers tell: those of runs, failures, refusals and readings, and heads of streams.
+#[test]
+fn all_answers_tell() {
+    let kinds: [(&str, CallEvent); 6] = [
+        ("safe", CallEvent::Answered(ran_leaving(200))),
+        ("safe", CallEvent::Answered(ran_leaving(500))),
+        ("safe", CallEvent::Answered(Answer { says: leaving(), ..turned_away() })),
+        ("safe", CallEvent::Answered(ran_leaving(503))),
+        ("resumed", CallEvent::Answered(Answer { says: leaving(), ..read("h") })),
+        ("resumed", CallEvent::Answered(Answer { says: leaving(), ..turned_away() })),
+    ];
+    for (route, event) in kinds {
+        let mut world = World::new();
+        let (_, send) = world.sent(request(route));
+        let mut effects = world.call(send.call, event.clone());
+        for number in 0..8 {
+            let id = format!("request-{number}");
+            effects.extend(world.arrive(Request { id: id.into(), ..request(route) }).1);
+        }
+        assert!(!reached(&effects).contains(&send.engine.key), "{event:?}");
+    }
+    let mut world = World::new();
+    let (_, reading) = world.sent(request("resumed"));
+    let effects = world.call(reading.call, CallEvent::Answered(read("h")));
+    let generating = only_send(&effects);
+    world.call(generating.call, CallEvent::Began(ran_leaving(200)));
+    let (_, effects) = generated(&mut world, "second");
+    assert!(!reached(&effects).contains(&generating.engine.key));
+}
+
+/// Gives the engines that calls are sent to.
+fn reached(effects: &[Effect]) -> Vec<EngineKey> {
+    let sends = effects.iter().filter_map(|it| match it {
+        Effect::Send(send) => Some(send.engine.key),
+        _ => None,
+    });
+    sends.collect()
+}
+
+/// Has a stream's prompt be read; gives the reading call, and what follows.
+fn generated(world: &mut World, id: &str) -> (Send, Vec<Effect>) {
+    let (_, reading) = world.sent(Request { id: id.into(), ..request("resumed") });
+    let effects = world.call(reading.call, CallEvent::Answered(read("h")));
+    (reading, effects)
+}
+
+/// A prompt that was read for an engine that leaves meanwhile goes to another one, and what runs there
+/// goes on.
+#[test]
+fn a_prompt_goes_to_another_generator() {
+    let mut world = World::new();
+    let (flight, running) = world.streaming(request("resumed"));
+    let (_, reading) = world.sent(Request { id: "second".into(), ..request("resumed") });
+    world.event(Event::Stated(running.engine.key, leaving()));
+    let effects = world.call(reading.call, CallEvent::Answered(read("h")));
+    let generating = only_send(&effects);
+    assert_ne!(generating.engine.key, running.engine.key);
+    assert!(matches!(generating.task, Task::Generate(Prompt::Read(_))));
+    let effects = world.call(running.call, CallEvent::Answered(ran(200)));
+    assert!(effects.contains(&Effect::Finish(flight)), "{effects:?}");
+}
+
+/// A stream that breaks at an engine that leaves goes on elsewhere; a repeat goes elsewhere too.
+#[test]
+fn repeats_and_resumed_streams_go_elsewhere() {
+    let mut world = World::new();
+    let (_, running) = world.streaming(request("resumed"));
+    world.event(Event::Stated(running.engine.key, leaving()));
+    let effects = world.call(running.call, CallEvent::Broken);
+    assert!(!reached(&effects).contains(&running.engine.key), "{effects:?}");
+    let (_, send) = world.sent(request("safe"));
+    let effects = world.call(send.call, CallEvent::Answered(ran_leaving(500)));
+    assert_ne!(only_send(&effects).engine.key, send.engine.key);
+}
+
+/// The prompt that an engine keeps is taken from there by another one.
+#[test]
+fn a_kept_prompt_is_handed_over() {
+    let mut world = World::new();
+    let asked = || Request { prompt: Some(PromptKey(7)), ..request("resumed") };
+    let (_, generating) = world.streaming(asked());
+    world.call(generating.call, CallEvent::Passed(Some(1)));
+    world.call(generating.call, CallEvent::Answered(ran_leaving(200)));
+    world.event(Event::Stated(generating.engine.key, leaving()));
+    let (_, effects) = world.arrive(asked());
+    let again = only_send(&effects);
+    assert_ne!(again.engine.key, generating.engine.key);
+    assert_eq!(again.task, Task::Generate(Prompt::KeptAt(generating.engine.address)));
+}
+
+/// An engine that leaves is not asked what it keeps or whether it lives, and no prompt is freed there.
+#[test]
+fn nothing_aside() {
+    let mut world = World::new();
+    for engine in engines() {
+        world.event(Event::Stated(engine.key, leaving()));
+    }
+    let (flight, reading) = world.sent(request("once"));
+    let mut effects = world.call(reading.call, CallEvent::Answered(read("h")));
+    effects.extend(world.event(Event::ClientLeft(flight)));
+    let (_, send) = world.sent(request("unsafe"));
+    effects.extend(world.gateway.step(world.now, Event::Call(send.call, CallEvent::Broken)));
+    for _ in 0..20 {
+        world.now = world.now + Duration::from_millis(100);
+        effects.extend(world.gateway.step(world.now, Event::Tick));
+    }
+    let is_aside = |it: &&Effect| {
+        matches!(it, Effect::Free(_) | Effect::Probe(_) | Effect::Survey(_) | Effect::Inspect(_))
+    };
+    assert!(!effects.iter().any(|it| is_aside(&it)), "{effects:?}");
+}
+
+/// Where all leave, requests are served for half of the drain, and refused at once after that.
+#[test]
+fn refused_at_once_where_all_leave() {
+    for route in ["safe", "unsafe", "once", "resumed"] {
+        let mut world = World::new();
+        engines().iter().for_each(|it| {
+            world.event(Event::Stated(it.key, leaving()));
+        });
+        world.pass(DRAIN / 2 - Duration::from_millis(1));
+        let (_, effects) = world.arrive(request(route));
+        only_send(&effects);
+        world.pass(Duration::from_millis(2));
+        let (_, effects) = world.arrive(Request { id: "late".into(), ..request(route) });
+        let refusal = only_refusal(&effects);
+        let is_leaving = matches!(refusal, Refusal::NotRun(_, NotRunReason::Leaving, _));
+        assert!(is_leaving, "{route}: {refusal:?}");
+    }
+}
+
+/// An engine that is in need as well gets nothing, with a permit or without.
+#[test]
+fn leaving_and_limited() {
+    let mut world = one_leaves();
+    let limit = intake::Told::Rate(1.0);
+    world.event(Event::Stated(first(None).key, Statement { limit, ..Statement::default() }));
+    world.pass(Duration::from_secs(3));
+    assert!(!plain_go_to(&mut world).contains(&first(None).key));
+}
+
+/// Gives the datagrams that tell of an engine that leaves, and to how many boxes.
+fn told(effects: &[Effect], engine: EngineKey) -> usize {
+    let tells = effects.iter().map(|it| match it {
+        Effect::Tell(audience, message) => {
+            let words = message.extension.iter().flat_map(|it| &it.departures);
+            words.filter(|it| it.engine == engine).count() * audience.len()
+        }
+        _ => 0,
+    });
+    tells.sum()
+}
+
+/// Gives word that the first plain engine leaves in a life.
+fn word(born: u64, age_ms: u32) -> Message {
+    let departures = vec![Word { engine: first(None).key, born: Some(born), age_ms }];
+    let extension = Extension { departures, ..Extension::default() }.filled();
+    Message { extension, ..heartbeat(2, 1, Knowledge::default()) }
+}
+
+/// A box tells the others at once, repeats it with its heartbeats, and tells a box that greets it.
+#[test]
+fn told_to_the_others() {
+    let mut world = World::new();
+    world.event(Event::Heard(heartbeat(2, 1, Knowledge::default())));
+    let key = first(None).key;
+    let effects = world.gateway.step(world.now, Event::Stated(key, leaving()));
+    assert_eq!(told(&effects, key), 1);
+    world.now = world.now + Duration::from_secs(1);
+    let effects = world.gateway.step(world.now, Event::Tick);
+    assert_eq!(told(&effects, key), 1);
+    let greeting =
+        Message { format: Some(Format::Permits), ..heartbeat(3, 1, Knowledge::default()) };
+    let effects = world.gateway.step(world.now, Event::Heard(greeting));
+    assert!(told(&effects, key) >= 1, "{effects:?}");
+}
+
+/// Words count with their age: what another box has known for half of the drain is over here too; word
+/// of an earlier life is none, and word that comes before the list holds.
+#[test]
+fn words_of_others_by_age_and_life() {
+    let only = |born| {
+        let mut world = World::new();
+        world.event(Event::Listed(vec![first(Some(born))], 20));
+        world
+    };
+    let mut world = only(100);
+    world.event(Event::Heard(word(100, 500)));
+    world.sent(request("safe"));
+    let mut world = only(100);
+    world.event(Event::Heard(word(100, 1500)));
+    only_refusal(&world.arrive(request("safe")).1);
+    let mut world = only(200);
+    world.event(Event::Heard(word(100, 1500)));
+    world.sent(request("safe"));
+    let mut known = World::new();
+    known.event(Event::Heard(word(100, 5)));
+    known.event(Event::Listed(vec![first(Some(100)), engine(2, PLAIN, None)], 20));
+    assert!(!plain_go_to(&mut known).contains(&first(None).key));
+}
+
+/// Where all readers leave, those that generate read for themselves.
+#[test]
+fn readers_that_leave() {
+    let mut world = World::new();
+    let readers: Vec<_> =
+        engines().into_iter().filter(|it| it.stage == Some(Stage::Prefill)).collect();
+    readers.iter().for_each(|it| {
+        world.event(Event::Stated(it.key, leaving()));
+    });
+    let (_, send) = world.sent(request("resumed"));
+    assert_eq!(send.task, Task::Generate(Prompt::Unread));
+}
