Engines that ask a box for rest are left alone by it

Callers saw it: 99 requests were refused in five seconds while two of three engines served, 10 of 25 in one second. An engine turned all away for 3 s at a time and said so, and got up to 57 requests a second where it had got 10.

Cause: the adapter dropped Retry-After of engines, and of a refusal 200 ms as full were left; after them the engine was the best choice again, with nothing under way and a told load of `0,0,6` (`call failed how="turned away" told="0,0,6"`). A box now keeps by life until when an engine wants nothing from it, whichever answer says so, and sends neither requests nor anything aside there. Other engines take what comes, and no repeat is spent on the one that rests. Where all rest, a request waits for an end that comes within 0.22 of its target, else it is refused at once with the earliest end (`refused: engines resting`). Boxes that were told together come back apart; one request goes first, and each good answer allows one more under way.

Of several terms the strictest binds (Terms::bar).

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -143,6 +143,8 @@
     Limited,
     /// All engines that could take it are about to leave.
     Leaving,
+    /// All engines that could take it want nothing from this box for a time.
+    Resting,
     /// The engines turned it away.
     TurnedAway,
     /// It would be served too late.
@@ -165,6 +167,7 @@
             NotRunReason::NoHome => "refused: no engine in its regions",
             NotRunReason::Limited => "refused: engines limited",
             NotRunReason::Leaving => "refused: engines leaving",
+            NotRunReason::Resting => "refused: engines resting",
             NotRunReason::TurnedAway => "refused: turned away",
             NotRunReason::Overloaded => "refused: overloaded",
             NotRunReason::TimedOut => "refused: time passed",
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -316,6 +316,7 @@
             self.stages.due(),
             self.cases_due(),
             self.permits.next_start(self.now),
+            self.terms.rests.next_end(self.now),
         ];
         times.into_iter().flatten().fold(self.next_heartbeat, Time::min)
     }
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -37,6 +37,7 @@
     fn call_unsent(&mut self, key: CallKey) {
         let Some(call) = self.take_call(key) else { return };
         self.miss(&call);
+        self.judge_return(&call, false);
         self.note_failure(&call, "not reached", 0);
         self.give_repeat_back(&call);
         if call.is_run()
@@ -52,6 +53,7 @@
     fn call_began(&mut self, key: CallKey, answer: &Answer) {
         let Some(call) = self.calls.get(&key).cloned() else { return };
         self.learn(&call, answer);
+        self.terms.rests.release(call.engine.key, call.sent);
         self.finish_reading(key);
         if let Some(call) = self.calls.get_mut(&key) {
             call.has_begun = true;
@@ -207,6 +209,7 @@
     fn call_broken(&mut self, key: CallKey) {
         let Some(call) = self.take_call(key) else { return };
         self.note_failure(&call, "broken", 0);
+        self.judge_return(&call, false);
         self.fail(&call);
         self.suspect(&call);
         self.lost(&call);
@@ -239,6 +242,9 @@
     /// Takes a call out, with its work.
     pub(super) fn take_call(&mut self, key: CallKey) -> Option<Call> {
         let call = self.calls.remove(&key)?;
+        if !call.has_begun {
+            self.terms.rests.release(call.engine.key, call.sent);
+        }
         let urgency = self.end_urgency(&call);
         self.ledger.remove(call.engine.key, call.load, urgency);
         if matches!(call.task, Task::Generate(_)) {
@@ -278,9 +284,10 @@
         self.learn_limit(call, answer);
         self.learn_terms(call, &answer.says);
         let now = self.now;
+        let is_good = answer.status < SERVER_ERROR && answer.execution == Execution::Ran;
+        self.judge_return(call, is_good);
         if let Some(known) = self.directory.get_mut(call.engine.key) {
             known.told = answer.says.load.map(|it| (it, now)).or(known.told);
-            let is_good = answer.status < SERVER_ERROR && answer.execution == Execution::Ran;
             match self.flights.get(&call.flight) {
                 Some(flight) if is_good && call.is_slow(now, flight) => known.health.fail(now),
                 _ if is_good => known.health.succeed(now),
--- a/crates/hollyspoke-gateway/src/gateway/permits.rs
+++ b/crates/hollyspoke-gateway/src/gateway/permits.rs
@@ -7,9 +7,6 @@
 use hollyspoke::time::Time;
 
 use super::Gateway;
-use super::terms::is_able;
-use crate::directory::Known;
-use crate::effect::NotRunReason;
 use crate::engine::EngineKey;
 use crate::flight::{Asked, Flight, KeptFrom};
 use crate::intake::Word;
@@ -28,19 +25,10 @@
 /// The share of the target for which a request waits for permits before it is refused: as for room.
 const WAIT_SHARE: f64 = 0.22;
 
-/// The engines of a service that are looked at for the time at which a client may come back.
-const MOST_LOOKED_AT: usize = 64;
-
 /// The engines in need of which a box looks with one heartbeat whether it issues their permits. Each
 /// look goes over all boxes: what a heartbeat costs must not grow with boxes times engines.
 const MOST_LOOKED_AT_IN_TURN: usize = 256;
 
-/// The least time after which a client may come back that no engine in need could take.
-const LEAST_RETRY: Duration = Duration::from_millis(400);
-
-/// The spread of the times at which such clients come back, so that they do not come together.
-const RETRY_SPREAD: f64 = 0.5;
-
 /// How long a question is kept for its answer.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(1);
 
@@ -112,7 +100,7 @@
     }
 
     /// Gives until when a request may wait for permits.
-    fn permit_end(&self, flight: &Flight) -> Time {
+    pub(super) fn permit_end(&self, flight: &Flight) -> Time {
         let span = flight.route.target.mul_f64(WAIT_SHARE);
         if flight.source.is_some() {
             return flight.handle_end();
@@ -310,32 +298,11 @@
         }
     }
 
-    /// Gives after which time an engine may take a request whose engines are all in need and take no
-    /// more; none if one of them is not.
-    pub(super) fn limited_for(&self, flight: &Flight) -> Option<Duration> {
-        if self.terms.limits.is_empty() {
-            return None;
-        }
-        let is_able = |it: &&Known| {
-            is_able(it) && self.is_home(flight, it) && !self.terms.is_leaving(&it.engine)
-        };
-        let engines = self.directory.open(&flight.service.name, self.now).filter(is_able);
-        let mut least = None;
-        for known in engines.take(MOST_LOOKED_AT) {
-            let engine = known.engine.key;
-            let limit = self.terms.limits.of(engine)?;
-            let usual = Duration::from_secs_f64(1.0 / limit.rate);
-            let wait = self.permits.held.wait(engine, self.now).unwrap_or(usual);
-            least = Some(least.map_or(wait, |it: Duration| it.min(wait)));
-        }
-        least
-    }
-
-    /// Refuses a request whose engines are all in need and take no more.
-    pub(super) fn refuse_limited(&mut self, key: FlightKey, wait: Duration) {
-        let spread = (self.draw() % 1000) as f64 / 1000.0;
-        let retry = wait.max(LEAST_RETRY).mul_f64(1.0 + RETRY_SPREAD * spread);
-        self.give_up_until(key, NotRunReason::Limited, retry);
+    /// Gives after which time an engine in need takes one more request, if it is in need.
+    pub(super) fn permit_wait(&self, engine: EngineKey) -> Option<Duration> {
+        let limit = self.terms.limits.of(engine)?;
+        let usual = Duration::from_secs_f64(1.0 / limit.rate);
+        Some(self.permits.held.wait(engine, self.now).unwrap_or(usual))
     }
 
     /// Forgets permits and questions that are over, and goes by which engines' permits this box issues
--- a/crates/hollyspoke-gateway/src/gateway/room.rs
+++ b/crates/hollyspoke-gateway/src/gateway/room.rs
@@ -1,8 +1,6 @@
 //! Requests that wait for room in an engine's memory, and memory reserved for those whose prompt
 //! is being read.
 
-use std::time::Duration;
-
 use hollyspoke::time::Time;
 
 use super::Gateway;
@@ -37,8 +35,8 @@
     /// Has a request wait for room, or gives it up if no room can come.
     pub(super) fn wait_for_room(&mut self, key: FlightKey) {
         let Some(flight) = self.flights.get(&key) else { return };
-        if let Some(wait) = self.limited_for(flight) {
-            return self.refuse_limited(key, wait);
+        if let Some(wait) = self.kept_for(flight) {
+            return self.wait_or_refuse(key, wait);
         }
         if flight.service.staged.is_none() || !self.can_find_room(flight) {
             let reason = self.why_no_engine(flight);
@@ -91,6 +89,9 @@
 
     /// Refuses a request for which no room came in time.
     pub(super) fn refuse_for_room(&mut self, key: FlightKey) {
+        if let Some(wait) = self.flights.get(&key).and_then(|it| self.kept_for(it)) {
+            return self.refuse_kept(key, wait);
+        }
         let spread = (self.draw() % 1000) as f64 / 1000.0;
         let wait = self.runs.mean(self.now).mul_f64(0.8 + 0.5 * spread);
         self.refuse_overloaded(key, wait);
@@ -120,17 +121,10 @@
         let leaving_for = self.leaving_for(flight);
         open.any(|it| {
             let is_able = it.engine.stage == Some(Stage::Decode) && self.is_home(flight, it);
-            is_able && self.stays(it, leaving_for)
+            is_able && self.terms.stays(&it.engine, leaving_for, self.now)
         })
     }
 
-    /// Tells whether an engine does not leave, or is used all the same while that is known for less than
-    /// a time.
-    fn stays(&self, known: &Known, leaving_for: Option<Duration>) -> bool {
-        let departure = self.terms.departures.of(&known.engine);
-        departure.is_none_or(|it| leaving_for.is_some_and(|most| it.age(self.now) <= most))
-    }
-
     /// Tells why no engine can take a request.
     fn why_no_engine(&self, flight: &Flight) -> NotRunReason {
         let engines = || self.directory.of_service(&flight.service.name);
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -263,6 +263,7 @@
         let engine = choice.engine.clone();
         self.note_cold(engine.key);
         self.permits.held.take(engine.key, now);
+        self.terms.rests.send(engine.key);
         self.ledger.add(engine.key, load);
         if matches!(task, Task::Generate(_)) {
             self.runs.begin(now);
--- a/crates/hollyspoke-gateway/src/gateway/terms.rs
+++ b/crates/hollyspoke-gateway/src/gateway/terms.rs
@@ -6,14 +6,14 @@
 use super::Gateway;
 use crate::departure;
 use crate::directory::Known;
-use crate::effect::Note;
-use crate::engine::{EngineKey, Stage};
+use crate::effect::{NotRunReason, Note};
+use crate::engine::{Engine, EngineKey, Stage};
 use crate::flight::{Call, Flight, KeptFrom};
 use crate::message::{Extension, Message};
 use crate::request::FlightKey;
 use crate::rest;
 use crate::statement::Statement;
-use crate::terms::{Bar, Hindrance};
+use crate::terms::{Bar, Hindrance, Terms};
 
 /// By which share of itself a rest is drawn out at most, so that boxes that were told together do not
 /// come back together.
@@ -38,6 +38,24 @@
 /// The most engines that one request is noted to be kept from.
 const MOST_NOTED: usize = 8;
 
+/// The engines of a service that are looked at for the time at which a client may come back.
+const MOST_COMPARED: usize = 64;
+
+/// The least time after which a client may come back whose engines are all closed by their own word.
+const LEAST_RETRY: Duration = Duration::from_millis(400);
+
+/// The spread of the times at which such clients come back, so that they do not come together.
+const RETRY_SPREAD: f64 = 0.5;
+
+/// For how long a request is kept from all engines that could take it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Wait {
+    /// The time.
+    pub(super) span: Duration,
+    /// Why it can't go to the engine that takes it first.
+    by: Hindrance,
+}
+
 impl Gateway {
     /// Takes what an engine says of itself in an answer that is not that to a call. What an earlier
     /// life said says nothing of this one.
@@ -144,7 +162,7 @@
     /// whether a request has crashed it.
     pub(super) fn takes_probe(&self, engine: EngineKey) -> bool {
         let known = self.directory.get(engine).filter(|it| !it.is_evacuated());
-        let bar = known.map(|it| self.terms.bar(&it.engine, self.now));
+        let bar = known.map(|it| self.terms.bar(&it.engine, None, self.now));
         matches!(bar, Some(None | Some(Bar::Limit)))
     }
 
@@ -152,7 +170,10 @@
     pub(super) fn note_kept_away(&mut self, key: FlightKey) {
         let Some(flight) = self.flights.get(&key) else { return };
         let leaving = self.terms.departures.engines();
-        let kept = leaving.map(|engine| KeptFrom { engine, by: Hindrance::Leaving });
+        let leaving = leaving.map(|engine| KeptFrom { engine, by: Hindrance::Leaving });
+        let resting = self.terms.rests.engines(self.now);
+        let resting = resting.map(|engine| KeptFrom { engine, by: Hindrance::Rest });
+        let kept = leaving.chain(resting);
         let is_concerned = |it: &KeptFrom| {
             let known = self.directory.get(it.engine);
             let known = known.filter(|it| it.engine.service == flight.service.name);
@@ -168,7 +189,7 @@
     /// freeing of a prompt. All of it can be left out.
     pub(super) fn takes_aside(&self, engine: EngineKey) -> bool {
         let known = self.directory.get(engine).filter(|it| !it.is_evacuated());
-        known.is_some_and(|it| self.terms.bar(&it.engine, self.now).is_none())
+        known.is_some_and(|it| self.terms.bar(&it.engine, None, self.now).is_none())
     }
 
     /// Learns for how long an engine wants nothing from this box.
@@ -186,7 +207,75 @@
         if let Some(change) = self.terms.rests.learn(&known.engine, told, spread, self.now) {
             let id = known.engine.id.clone();
             self.note(Note::Rest { id, change });
+            if matches!(change, rest::Change::Begun(_)) {
+                self.drop_unordered(engine, "engine rests");
+            }
+        }
+    }
+
+    /// Goes by how an engine answered a call, if this box is coming back to it after its rest.
+    pub(super) fn judge_return(&mut self, call: &Call, is_good: bool) {
+        if !call.has_begun {
+            self.terms.rests.judge(call.engine.key, call.sent, is_good);
+        }
+    }
+
+    /// Gives for how long a request is kept from all engines that could take it, and by what; none if
+    /// one of them takes it as far as its own word goes.
+    pub(super) fn kept_for(&self, flight: &Flight) -> Option<Wait> {
+        let Terms { limits, rests, .. } = &self.terms;
+        if limits.is_empty() && rests.is_empty() {
+            return None;
         }
+        let leaving_for = self.leaving_for(flight);
+        let is_able = |it: &&Known| {
+            let stays = self.terms.stays(&it.engine, leaving_for, self.now);
+            is_able(it) && self.is_home(flight, it) && stays
+        };
+        let engines = self.directory.open(&flight.service.name, self.now).filter(is_able);
+        let mut least: Option<Wait> = None;
+        for known in engines.take(MOST_COMPARED) {
+            let wait = self.wait_for(&known.engine, leaving_for)?;
+            least = Some(least.map_or(wait, |it| if wait.span < it.span { wait } else { it }));
+        }
+        least
+    }
+
+    /// Gives for how long an engine's own word keeps requests from it, and by what.
+    fn wait_for(&self, engine: &Engine, leaving_for: Option<Duration>) -> Option<Wait> {
+        let limited = self.permit_wait(engine.key);
+        match self.terms.bar(engine, leaving_for, self.now)? {
+            Bar::Rest => {
+                // One whose rest is over may take more with the next answer.
+                let rests = self.terms.rests.wait(engine, self.now).unwrap_or_default();
+                let span = limited.map_or(rests, |it| it.max(rests));
+                Some(Wait { span, by: Hindrance::Rest })
+            }
+            Bar::Limit => Some(Wait { span: limited?, by: Hindrance::Limit }),
+            Bar::Leaving => None,
+        }
+    }
+
+    /// Has a request wait for the end of a rest that comes in time, or refuses it.
+    pub(super) fn wait_or_refuse(&mut self, key: FlightKey, wait: Wait) {
+        let Some(flight) = self.flights.get(&key) else { return };
+        let until = flight.waits_until.unwrap_or_else(|| self.permit_end(flight));
+        if wait.by == Hindrance::Rest && self.now + wait.span < until {
+            return self.wait_until(key, until);
+        }
+        self.refuse_kept(key, wait);
+    }
+
+    /// Refuses a request that all engines are closed to by their own word.
+    pub(super) fn refuse_kept(&mut self, key: FlightKey, wait: Wait) {
+        let spread = (self.draw() % 1000) as f64 / 1000.0;
+        let retry = wait.span.max(LEAST_RETRY).mul_f64(1.0 + RETRY_SPREAD * spread);
+        let reason = match wait.by {
+            Hindrance::Rest => NotRunReason::Resting,
+            Hindrance::Leaving => NotRunReason::Leaving,
+            Hindrance::Limit => NotRunReason::Limited,
+        };
+        self.give_up_until(key, reason, retry);
     }
 
     /// Notes the departures and rests that have ended.
@@ -207,6 +296,6 @@
 }
 
 /// Tells whether an engine can serve a request to its end, as those that only read prompts can't.
-pub(super) fn is_able(known: &Known) -> bool {
+fn is_able(known: &Known) -> bool {
     known.engine.stage != Some(Stage::Prefill)
 }
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -282,9 +282,9 @@
     /// Tells whether an engine's own word lets the request go there.
     fn is_admitted(&self, known: &Known) -> bool {
         let engine = known.engine.key;
-        match self.terms.bar(&known.engine, self.now) {
+        match self.terms.bar(&known.engine, self.leaving_for, self.now) {
             None => true,
-            Some(Bar::Leaving(age)) => self.leaving_for.is_some_and(|it| age <= it),
+            Some(Bar::Leaving | Bar::Rest) => false,
             Some(Bar::Limit) => !self.must_ask(engine) || self.may_ask(engine),
         }
     }
--- a/crates/hollyspoke-gateway/src/rest.rs
+++ b/crates/hollyspoke-gateway/src/rest.rs
@@ -4,8 +4,8 @@
 //! That is between the two: other boxes are told the same when they send there.
 //!
 //! What waited meanwhile must not come all at once: when the time is over one request goes first, and
-//! each good answer allows twice as many under way, up to [`MOST_AT_RETURN`]; after that the engine is
-//! used as before.
+//! each good answer allows one more under way, up to eight; after that the engine is used
+//! as before.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -172,7 +172,7 @@
     /// Goes by the answer to a call that was sent at a time.
     pub fn judge(&mut self, engine: EngineKey, sent: Time, is_good: bool) {
         let Some(rest) = self.rests.get_mut(&engine).filter(|it| sent >= it.until) else { return };
-        rest.allowed = if is_good { rest.allowed.saturating_mul(2) } else { 1 };
+        rest.allowed = if is_good { rest.allowed + 1 } else { 1 };
         if rest.allowed > MOST_AT_RETURN && rest.is_noted {
             self.rests.remove(&engine);
         }
--- a/crates/hollyspoke-gateway/src/terms.rs
+++ b/crates/hollyspoke-gateway/src/terms.rs
@@ -23,6 +23,8 @@
 pub enum Hindrance {
     /// The engine is about to leave.
     Leaving,
+    /// It wants nothing from this box for a time.
+    Rest,
     /// It takes only so many requests a second.
     Limit,
 }
@@ -30,21 +32,34 @@
 /// What keeps requests from an engine by its own word.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Bar {
-    /// It is about to leave, as is known for so long.
-    Leaving(Duration),
+    /// It is about to leave.
+    Leaving,
+    /// It wants nothing from this box for a time, or nothing more until it has answered.
+    Rest,
     /// It takes only so many requests a second.
     Limit,
 }
 
 impl Terms {
-    /// Gives what keeps requests from an engine: of several the strictest.
-    pub fn bar(&self, engine: &Engine, now: Time) -> Option<Bar> {
-        if let Some(departure) = self.departures.of(engine) {
-            return Some(Bar::Leaving(departure.age(now)));
+    /// Gives what keeps requests from an engine: of several the strictest. One that leaves is used all
+    /// the same while that is known for no longer than a time, if one is given.
+    pub fn bar(&self, engine: &Engine, leaving_for: Option<Duration>, now: Time) -> Option<Bar> {
+        if !self.stays(engine, leaving_for, now) {
+            return Some(Bar::Leaving);
+        }
+        if self.rests.is_closed(engine, now) {
+            return Some(Bar::Rest);
         }
         self.limits.of(engine.key).map(|_| Bar::Limit)
     }
 
+    /// Tells whether an engine does not leave, or is used all the same while that is known for no longer
+    /// than a time.
+    pub fn stays(&self, engine: &Engine, leaving_for: Option<Duration>, now: Time) -> bool {
+        let departure = self.departures.of(engine);
+        departure.is_none_or(|it| leaving_for.is_some_and(|most| it.age(now) <= most))
+    }
+
     /// Tells whether an engine is known to leave.
     pub fn is_leaving(&self, engine: &Engine) -> bool {
         self.departures.of(engine).is_some()
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -60,6 +60,7 @@
             "request" => %request, "customer" => customer.as_deref(), "units" => units,
             "limited" => kept_by(kept_from, Hindrance::Limit),
             "leaving" => kept_by(kept_from, Hindrance::Leaving),
+            "resting" => kept_by(kept_from, Hindrance::Rest),
             "how" => how, "after_ms" => millis(after))
         }
         Note::Peers { heard, silent, alive } => info!(log, "peers changed";
--- a/tests/src/terms.rs
+++ b/tests/src/terms.rs
@@ -66,6 +66,8 @@
     asked: Vec<Asked>,
     /// What came.
     arrivals: Vec<Arrival>,
+    /// The longest rest that engines ask for, if they know no better.
+    most_said: Option<Duration>,
 }
 
 impl Terms {
@@ -82,6 +84,11 @@
         };
     }
 
+    /// Has engines ask for no more than a span at once.
+    pub fn says_at_most(&mut self, span: Duration) {
+        self.most_said = Some(span);
+    }
+
     /// Has an engine begin a new life, which sets none.
     pub fn forget(&mut self, engine: EngineKey) {
         self.leaving.remove(&engine);
@@ -98,7 +105,8 @@
             self.arrivals.push(Arrival { sender, engine, at: now });
         }
         let is_leaving = self.leaving.contains_key(&engine);
-        let rest = self.rest_left(engine, now).map_or(Told::Nothing, Told::Span);
+        let most = self.most_said.unwrap_or(Duration::MAX);
+        let rest = self.rest_left(engine, now).map_or(Told::Nothing, |it| Told::Span(it.min(most)));
         Statement { is_leaving, rest, ..Statement::default() }
     }
 
--- a/tests/tests/gateway_rest.rs
+++ b/tests/tests/gateway_rest.rs
@@ -8,13 +8,30 @@
 
 use std::time::Duration;
 
+use hollyspoke_gateway::effect::{Effect, NotRunReason, Note, Prompt, Refusal, Send, Task};
+use hollyspoke_gateway::engine::{Engine, EngineChange, EngineKey};
+use hollyspoke_gateway::event::{Answer, CallEvent, Event, Execution};
+use hollyspoke_gateway::intake;
+use hollyspoke_gateway::prompt::PromptKey;
+use hollyspoke_gateway::request::Request;
+use hollyspoke_gateway::rest::{LONGEST, Told};
+use hollyspoke_gateway::statement::Statement;
+use hollyspoke_gateway::terms::Hindrance;
 use hollyspoke_tests::fleet::Fleet;
-use hollyspoke_tests::gateway::PLAIN;
+use hollyspoke_tests::gateway::{
+    MODEL, PLAIN, World, engine, engines, only_refusal, only_send, ran, read, request, turned_away,
+};
 use hollyspoke_tests::terms::{MOST_WHILE_RESTING, Rests};
 
 /// Three seconds of each six.
 const HALF: Rests = Rests { span: Duration::from_secs(3), every: Duration::from_secs(6) };
 
+/// The longest that a box stays away longer than it was asked for.
+const SPREAD: f64 = 1.2;
+
+/// A second.
+const SECOND: Duration = Duration::from_secs(1);
+
 #[test]
 fn resting_engine_is_left_alone() {
     let mut fleet = Fleet::settled(6, 1);
@@ -25,3 +42,407 @@
     assert!(fleet.terms.rest_count() > 0);
     assert!(most <= MOST_WHILE_RESTING, "{most} from one box while it rests");
 }
+
+/// All engines of a service rest together: what comes is refused as not run, with a time.
+#[test]
+fn all_engines_rest() {
+    for (service, seed) in [(PLAIN, 2), (MODEL, 3)] {
+        let mut fleet = Fleet::settled(6, seed);
+        let resting = fleet.engines_of(service);
+        fleet.rest(resting, Some(HALF));
+        fleet.run(Duration::from_secs(18));
+        let most = fleet.terms.most_while_resting();
+        assert!(most <= MOST_WHILE_RESTING, "{most} of {service} from one box while all rest");
+    }
+}
+
+/// Once its rest is over an engine gets its share again.
+#[test]
+fn used_again_after_its_rest() {
+    let mut fleet = Fleet::settled(6, 4);
+    let resting = fleet.engines_of(PLAIN)[0];
+    fleet.rest([resting], Some(Rests { span: SECOND * 3, every: SECOND * 600 }));
+    fleet.run(Duration::from_secs(5));
+    let from = fleet.now();
+    fleet.run(Duration::from_secs(10));
+    let got = fleet.terms.got(resting, from, fleet.now());
+    // A third of 41 a second, less what chance takes.
+    assert!(got >= 80, "{got} in 10 s");
+}
+
+/// Boxes that start again, are cut off or miss datagrams keep what each was told.
+#[test]
+fn boxes_in_trouble() {
+    let mut fleet = Fleet::settled(6, 5);
+    fleet.rest(fleet.engines_of(PLAIN), Some(HALF));
+    fleet.lost = 0.3;
+    for number in 0..6 {
+        fleet.restart([number]);
+        fleet.part([(number + 2) % 6], 1);
+        fleet.run(Duration::from_secs(2));
+        fleet.part(0..6, 0);
+        fleet.run(Duration::from_secs(1));
+    }
+    let most = fleet.terms.most_while_resting();
+    assert!(most <= MOST_WHILE_RESTING, "{most} from one box while it rests");
+}
+
+/// An engine that goes on turning away when its rest is over is asked by one request a time.
+#[test]
+fn an_engine_that_never_recovers() {
+    let mut fleet = Fleet::settled(6, 6);
+    let resting = fleet.engines_of(PLAIN)[0];
+    fleet.rest([resting], Some(Rests { span: SECOND * 600, every: SECOND * 600 }));
+    fleet.terms.says_at_most(SECOND);
+    let from = fleet.now();
+    fleet.run(Duration::from_secs(20));
+    let got = fleet.terms.got(resting, from, fleet.now());
+    // Each of six boxes asks once a second and the spread.
+    assert!((60..=130).contains(&got), "{got} in 20 s");
+}
+
+/// Says for how long an engine wants nothing.
+fn rests(span: Duration) -> Statement {
+    Statement { rest: Told::Span(span), ..Statement::default() }
+}
+
+/// Gives an answer that turns a request away and asks for rest.
+fn turned_away_for(span: Duration) -> Answer {
+    Answer { says: rests(span), ..turned_away() }
+}
+
+/// Has plain requests arrive, each answered at once; gives the engines that they were sent to.
+fn plain_go_to(world: &mut World) -> Vec<EngineKey> {
+    let sends = (0..12).filter_map(|_| {
+        let (flight, effects) = world.arrive(request("safe"));
+        let send = effects.iter().find_map(|it| match it {
+            Effect::Send(send) => Some(send.clone()),
+            _ => None,
+        });
+        let Some(send) = send else {
+            world.event(Event::ClientLeft(flight));
+            return None;
+        };
+        world.call(send.call, CallEvent::Answered(ran(200)));
+        Some(send.engine.key)
+    });
+    sends.collect()
+}
+
+/// Gives the first plain engine, born at a time.
+fn first(born: Option<u64>) -> Engine {
+    Engine { born, ..engine(1, PLAIN, None) }
+}
+
+/// Makes a box before the first plain engine alone.
+fn only_first(born: Option<u64>) -> World {
+    let mut world = World::new();
+    world.event(Event::Listed(vec![first(born)], 20));
+    world
+}
+
+/// Has the first engine ask for rest; tells whether it gets nothing then.
+fn is_left_alone(world: &mut World, says: Statement) -> bool {
+    world.event(Event::Stated(first(None).key, says));
+    !plain_go_to(world).contains(&first(None).key)
+}
+
+/// All answers tell: those to runs, to readings, to orders and questions; 429 and 503, and a 503 that
+/// does not say that nothing was run.
+#[test]
+fn all_answers_tell() {
+    let span = SECOND * 3;
+    let kinds = [
+        turned_away_for(span),
+        Answer { status: 429, ..turned_away_for(span) },
+        Answer { execution: Execution::Ran, ..turned_away_for(span) },
+    ];
+    for answer in kinds {
+        for route in ["safe", "resumed"] {
+            let mut world = World::new();
+            let (_, send) = world.sent(request(route));
+            world.call(send.call, CallEvent::Answered(answer.clone()));
+            for number in 0..8 {
+                let id = format!("request-{number}");
+                let (_, effects) = world.arrive(Request { id: id.into(), ..request(route) });
+                assert!(!sent_to(&effects, send.engine.key), "{route} {answer:?}");
+            }
+        }
+    }
+    assert!(is_left_alone(&mut only_first(None), rests(span)));
+    let (mut world, moved) =
+        (only_first(None), Answer { execution: Execution::Moved, ..turned_away_for(span) });
+    world.event(Event::Listed(vec![first(None), engine(2, PLAIN, None)], 21));
+    let (_, send) = world.sent(request("safe"));
+    world.call(send.call, CallEvent::Answered(moved));
+    let back = EngineChange::Put(Engine { born: Some(9), ..(*send.engine).clone() }, 22);
+    world.event(Event::Changed(vec![back]));
+    assert!(plain_go_to(&mut world).len() == 12);
+}
+
+/// Tells whether a call is sent to an engine.
+fn sent_to(effects: &[Effect], engine: EngineKey) -> bool {
+    effects.iter().any(|it| matches!(it, Effect::Send(send) if send.engine.key == engine))
+}
+
+/// Nothing and what can't be read change nothing; the longest that is kept is an hour.
+#[test]
+fn spans_of_all_kinds() {
+    for told in [Told::Nothing, Told::Unreadable, Told::Span(Duration::ZERO)] {
+        let says = Statement { rest: told, ..Statement::default() };
+        assert!(!is_left_alone(&mut only_first(None), says), "{told:?}");
+    }
+    let mut world = only_first(None);
+    assert!(is_left_alone(&mut world, rests(Duration::MAX)));
+    world.pass(LONGEST - SECOND);
+    assert!(plain_go_to(&mut world).is_empty());
+    world.pass(LONGEST.mul_f64(SPREAD - 1.0) + SECOND);
+    assert!(!plain_go_to(&mut world).is_empty());
+}
+
+/// A shorter word does not end a longer one: the engine may have said it before, or of another call. A
+/// longer one holds.
+#[test]
+fn the_later_end_holds() {
+    let mut world = only_first(None);
+    assert!(is_left_alone(&mut world, rests(SECOND * 3)));
+    assert!(is_left_alone(&mut world, rests(SECOND)));
+    world.pass(Duration::from_millis(2900));
+    assert!(is_left_alone(&mut world, rests(SECOND * 3)));
+    world.pass(Duration::from_millis(2900));
+    assert!(plain_go_to(&mut world).is_empty());
+    world.pass(SECOND);
+    assert!(!plain_go_to(&mut world).is_empty());
+}
+
+/// A later life has asked for nothing; an earlier one says nothing of it.
+#[test]
+fn a_later_life_ends_it() {
+    let mut world = only_first(Some(100));
+    assert!(is_left_alone(&mut world, rests(SECOND * 60)));
+    let put = |born, revision| Event::Changed(vec![EngineChange::Put(first(Some(born)), revision)]);
+    for (born, revision) in [(100, 21), (50, 22)] {
+        world.event(put(born, revision));
+        world.pass(SECOND);
+        assert!(plain_go_to(&mut world).is_empty(), "{born}");
+    }
+    world.event(put(200, 23));
+    assert!(!plain_go_to(&mut world).is_empty());
+    let early = Statement { born: Some(100), ..rests(SECOND * 60) };
+    assert!(!is_left_alone(&mut world, early));
+}
+
+/// When its rest is over one request goes first; its answer lets two go, theirs four, and theirs eight. A
+/// refusal without a time begins again with one.
+#[test]
+fn one_comes_back_first() {
+    let mut world = only_first(None);
+    assert!(is_left_alone(&mut world, rests(SECOND * 3)));
+    world.pass(Duration::from_millis(3600));
+    let mut sent = arrive_many(&mut world, 4);
+    assert_eq!(sent.len(), 1);
+    for allowed in [2, 4, 8] {
+        let mut next = Vec::new();
+        for send in sent {
+            next.extend(sends(&world.call(send.call, CallEvent::Answered(ran(200)))));
+        }
+        next.extend(arrive_many(&mut world, 12));
+        assert_eq!(next.len(), allowed);
+        sent = next;
+    }
+    world.call(sent[0].call, CallEvent::Answered(turned_away()));
+    for send in &sent[1..] {
+        world.event(Event::ClientLeft(send.flight));
+    }
+    assert!(arrive_many(&mut world, 4).len() <= 1);
+}
+
+/// Has requests arrive; gives the calls that are sent.
+fn arrive_many(world: &mut World, count: usize) -> Vec<Send> {
+    let arrived = (0..count).flat_map(|_| world.arrive(request("safe")).1);
+    sends(&arrived.collect::<Vec<_>>())
+}
+
+/// Gives the calls among effects.
+fn sends(effects: &[Effect]) -> Vec<Send> {
+    let sends = effects.iter().filter_map(|it| match it {
+        Effect::Send(send) => Some(send.clone()),
+        _ => None,
+    });
+    sends.collect()
+}
+
+/// Boxes that were told at the same moment come back at different ones.
+#[test]
+fn boxes_come_back_apart() {
+    let back = |number| {
+        let mut world = World::numbered(number);
+        world.event(Event::Configured(std::sync::Arc::new(
+            hollyspoke_tests::gateway::configuration(1),
+        )));
+        world.event(Event::Listed(vec![first(None)], 20));
+        world.event(Event::Stated(first(None).key, rests(SECOND * 3)));
+        let begun = world.now;
+        loop {
+            world.pass(Duration::from_millis(5));
+            let (flight, effects) = world.arrive(request("safe"));
+            if !sends(&effects).is_empty() {
+                return world.now.since(begun);
+            }
+            world.event(Event::ClientLeft(flight));
+        }
+    };
+    let mut times: Vec<_> = (1..=6).map(back).collect();
+    times.sort();
+    assert!(times[0] >= SECOND * 3 && times[5] <= (SECOND * 3).mul_f64(SPREAD), "{times:?}");
+    times.dedup();
+    assert!(times.len() >= 4, "{times:?}");
+}
+
+/// A rest that ends soon is waited for; else the request is refused at once, with the time of its end.
+#[test]
+fn waits_or_is_refused_with_a_true_time() {
+    let mut world = only_first(None);
+    world.event(Event::Stated(first(None).key, rests(Duration::from_millis(100))));
+    let (flight, effects) = world.arrive(request("safe"));
+    assert!(effects.is_empty(), "{effects:?}");
+    let effects = world.pass(Duration::from_millis(150));
+    assert_eq!(only_send(&effects).flight, flight);
+    let mut world = only_first(None);
+    world.event(Event::Stated(first(None).key, rests(SECOND * 5)));
+    let (_, effects) = world.arrive(request("safe"));
+    let Refusal::NotRun(_, reason, retry) = only_refusal(&effects) else { panic!("{effects:?}") };
+    assert_eq!(reason, NotRunReason::Resting);
+    assert!(retry >= SECOND * 5 && retry <= SECOND * 9, "{retry:?}");
+}
+
+/// Of two engines that rest the one that is back first counts.
+#[test]
+fn the_earliest_end_is_told() {
+    let mut world = World::new();
+    for (number, seconds) in [(1, 20), (2, 4)] {
+        let says = rests(SECOND * seconds);
+        world.event(Event::Stated(engine(number, PLAIN, None).key, says));
+    }
+    let (_, effects) = world.arrive(request("unsafe"));
+    let Refusal::NotRun(_, _, retry) = only_refusal(&effects) else { panic!("{effects:?}") };
+    assert!(retry >= SECOND * 4 && retry <= SECOND * 8, "{retry:?}");
+}
+
+/// A request that was turned away and finds nobody else gets the refusal that it has not run, and takes
+/// no repeat.
+#[test]
+fn no_repeat_for_an_engine_that_rests() {
+    let mut world = World::new();
+    world.pass(SECOND * 10);
+    let resting = engine(1, PLAIN, None).key;
+    world.event(Event::Stated(resting, rests(SECOND * 60)));
+    let (_, send) = world.sent(request("unsafe"));
+    assert_ne!(send.engine.key, resting);
+    let event = Event::Call(send.call, CallEvent::Answered(turned_away_for(SECOND * 60)));
+    let effects = world.gateway.step(world.now, event);
+    let repeats = effects.iter().filter(|it| matches!(it, Effect::Note(Note::Repeat { .. })));
+    assert_eq!(repeats.count(), 0, "{effects:?}");
+    let refusal = only_refusal(&effects);
+    assert!(matches!(refusal, Refusal::NotRun(_, NotRunReason::Resting, _)), "{refusal:?}");
+    let kept = effects.iter().find_map(|it| match it {
+        Effect::Note(Note::Ended { kept_from, .. }) => Some(kept_from.clone()),
+        _ => None,
+    });
+    let kept = kept.expect("it has ended");
+    assert!(
+        kept.iter().any(|it| it.by == Hindrance::Rest && &*it.engine == "engine-1"),
+        "{kept:?}"
+    );
+}
+
+/// A prompt that was read for an engine that rests meanwhile goes to another one; a kept one is taken
+/// from there, and what runs there goes on.
+#[test]
+fn prompts_go_elsewhere() {
+    let mut world = World::new();
+    let asked = || Request { prompt: Some(PromptKey(7)), ..request("resumed") };
+    let (flight, running) = world.streaming(asked());
+    let (_, reading) = world.sent(Request { id: "second".into(), ..request("resumed") });
+    world.event(Event::Stated(running.engine.key, rests(SECOND * 3)));
+    let effects = world.call(reading.call, CallEvent::Answered(read("h")));
+    assert_ne!(only_send(&effects).engine.key, running.engine.key);
+    let effects = world.call(running.call, CallEvent::Passed(Some(1)));
+    assert!(effects.is_empty(), "{effects:?}");
+    let effects = world.call(running.call, CallEvent::Answered(ran(200)));
+    assert!(effects.contains(&Effect::Finish(flight)), "{effects:?}");
+    let again = only_send(&world.arrive(asked()).1);
+    assert_ne!(again.engine.key, running.engine.key);
+    assert_eq!(again.task, Task::Generate(Prompt::KeptAt(running.engine.address)));
+}
+
+/// An engine that rests is not asked what it keeps or whether it lives, and no prompt is freed there.
+#[test]
+fn nothing_aside() {
+    let mut world = World::new();
+    let (flight, reading) = world.sent(request("once"));
+    let (_, send) = world.sent(request("unsafe"));
+    for engine in engines() {
+        world.event(Event::Stated(engine.key, rests(SECOND * 60)));
+    }
+    let mut effects = world.call(reading.call, CallEvent::Answered(read("h")));
+    effects.extend(world.event(Event::ClientLeft(flight)));
+    effects.extend(world.gateway.step(world.now, Event::Call(send.call, CallEvent::Broken)));
+    for _ in 0..20 {
+        world.now = world.now + Duration::from_millis(100);
+        effects.extend(world.gateway.step(world.now, Event::Tick));
+    }
+    let is_aside = |it: &&Effect| {
+        matches!(it, Effect::Free(_) | Effect::Probe(_) | Effect::Survey(_) | Effect::Inspect(_))
+    };
+    assert!(!effects.iter().any(|it| is_aside(&it)), "{effects:?}");
+}
+
+/// The strictest binds an engine that rests, is in need and leaves.
+#[test]
+fn the_strictest_binds() {
+    let mut world = only_first(Some(100));
+    let limit = intake::Told::Rate(0.5);
+    world.event(Event::Stated(first(None).key, Statement { limit, ..rests(SECOND * 3) }));
+    world.pass(SECOND * 2);
+    assert!(plain_go_to(&mut world).is_empty(), "while it rests");
+    world.pass(SECOND * 4);
+    let answer = Answer { says: Statement { limit, ..Statement::default() }, ..ran(200) };
+    let mut sent = 0;
+    for _ in 0..12 {
+        for send in arrive_many(&mut world, 1) {
+            world.call(send.call, CallEvent::Answered(answer.clone()));
+            sent += 1;
+        }
+    }
+    assert!((1..=2).contains(&sent), "{sent} at 0.5 a second");
+    let is_leaving = true;
+    world.event(Event::Stated(first(None).key, Statement { is_leaving, ..Statement::default() }));
+    world.pass(SECOND * 60);
+    assert!(plain_go_to(&mut world).is_empty(), "once it leaves");
+}
+
+/// Where all leave, one that rests as well is not used for the last of its drain. Under drawn faults six
+/// requests of one box came to an engine that had said both: the last resort passed by the rest.
+#[test]
+fn the_last_resort_rests_too() {
+    let mut world = only_first(None);
+    let is_leaving = true;
+    let says = Statement { is_leaving, ..rests(Duration::from_millis(500)) };
+    world.event(Event::Stated(first(None).key, says));
+    assert!(plain_go_to(&mut world).is_empty());
+    world.pass(Duration::from_millis(800));
+    assert!(!plain_go_to(&mut world).is_empty());
+    world.pass(Duration::from_millis(300));
+    assert!(plain_go_to(&mut world).is_empty());
+}
+
+/// The time for which a machine was suspended counts.
+#[test]
+fn suspended_meanwhile() {
+    let mut world = only_first(None);
+    assert!(is_left_alone(&mut world, rests(SECOND * 3)));
+    world.now = world.now + SECOND * 5;
+    world.event(Event::Suspended(SECOND * 5));
+    assert!(!plain_go_to(&mut world).is_empty());
+}
