Soak: upstreams that leave and that ask for rest

Two upstreams of each run that is long enough say in their answers that they leave, and in their entries 1 to 7 s later; twice up to three of a service turn all away and ask for rest, beside all other faults. Promises LeavingKept and RestKept are judged from what upstreams see: a request that its client sent more than 2 s after it was given an answer that says so (cuts excuse nothing); more than two that come while an upstream rests. A refusal counts once its box went on with the request.

An upstream that crashed while it was to retire is not retired any more under the id that its next life has.

--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -67,6 +67,7 @@
         | Fault::SlowEngine { span, .. }
         | Fault::DelayOrders { span, .. }
         | Fault::Limit { span, .. }
+        | Fault::Rest { span, .. }
         | Fault::LyingEngine { span, .. }
         | Fault::HoldLinks { span }
         | Fault::Datagrams { span, .. }
@@ -78,6 +79,7 @@
         Fault::Stop { count, gap } => gap * count as u32,
         Fault::EngineCrash => LAPSES_AFTER,
         Fault::Drain => DRAINS_FOR,
+        Fault::Leave { span, .. } => span + DRAINS_FOR,
         Fault::Replace { .. } => DOWN_FOR,
         Fault::ResetLinks { .. } | Fault::MuteLinks { .. } | Fault::Configure => Duration::ZERO,
     };
@@ -161,6 +163,15 @@
             limit(cluster, is_plain, count, milli, span, random).await;
             Ok(())
         }
+        Fault::Leave { is_plain, span } => leave(cluster, is_plain, span, random).await,
+        Fault::Rest { is_plain, count, rest, span } => {
+            let chosen = some_upstreams(cluster, is_plain, count, random);
+            let milli = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
+            chosen.iter().for_each(|it| cluster.tell_upstream(it, Command::Rest(milli)));
+            tokio::time::sleep(span).await;
+            chosen.iter().for_each(|it| cluster.tell_upstream(it, Command::Rest(0)));
+            Ok(())
+        }
         Fault::Replace { node } => {
             cluster.replace(node);
             stop_in_turn(cluster, &[node], Duration::ZERO).await
@@ -284,10 +295,7 @@
     span: Duration,
     random: &mut Pcg64Mcg,
 ) {
-    let all = cluster.upstreams.borrow().clone();
-    let of_service: Vec<_> =
-        all.into_iter().filter(|it| it.stage.borrow().is_none() == is_plain).collect();
-    let chosen: Vec<_> = of_service.choose_multiple(random, count).cloned().collect();
+    let chosen = some_upstreams(cluster, is_plain, count, random);
     let name = |milli| {
         for upstream in &chosen {
             cluster.tell_upstream(upstream, Command::Limit(milli));
@@ -300,6 +308,37 @@
     name(0);
 }
 
+/// Has an upstream say in its answers that it leaves, and in its entry after a span; another one comes
+/// first.
+async fn leave(
+    cluster: &Rc<Cluster>,
+    is_plain: bool,
+    span: Duration,
+    random: &mut Pcg64Mcg,
+) -> eyre::Result<()> {
+    let chosen = some_upstreams(cluster, is_plain, 1, random);
+    let Some(upstream) = chosen.first().filter(|it| !it.is_draining.get()) else { return Ok(()) };
+    let stage = upstream.stage.borrow().clone();
+    cluster.start_upstream(stage.as_deref()).await?;
+    cluster.tell_upstream(upstream, Command::Leave);
+    tokio::time::sleep(span).await;
+    retire(cluster, upstream).await;
+    Ok(())
+}
+
+/// Draws upstreams of a service.
+fn some_upstreams(
+    cluster: &Cluster,
+    is_plain: bool,
+    count: usize,
+    random: &mut Pcg64Mcg,
+) -> Vec<Rc<Upstream>> {
+    let all = cluster.upstreams.borrow().clone();
+    let of_service: Vec<_> =
+        all.into_iter().filter(|it| it.stage.borrow().is_none() == is_plain).collect();
+    of_service.choose_multiple(random, count).cloned().collect()
+}
+
 /// Cuts boxes off from the others for a span.
 async fn split(cluster: &Cluster, nodes: &[usize], direction: Direction, span: Duration) {
     disturb(cluster, nodes);
@@ -425,12 +464,20 @@
     let Some(upstream) = one_upstream(cluster, random) else { return Ok(()) };
     let stage = upstream.stage.borrow().clone();
     cluster.start_upstream(stage.as_deref()).await?;
+    retire(cluster, &upstream).await;
+    Ok(())
+}
+
+/// Has an upstream drain, leave and end, unless it has crashed meanwhile.
+async fn retire(cluster: &Cluster, upstream: &Rc<Upstream>) {
+    if !cluster.upstreams.borrow().iter().any(|it| Rc::ptr_eq(it, upstream)) {
+        return;
+    }
     upstream.is_draining.set(true);
-    cluster.enter(&upstream).await;
+    cluster.enter(upstream).await;
     tokio::time::sleep(DRAINS_FOR).await;
-    cluster.leave(&upstream).await;
-    cluster.kill_upstream(&upstream);
-    Ok(())
+    cluster.leave(upstream).await;
+    cluster.kill_upstream(upstream);
 }
 
 /// Tells all upstreams how to behave.
--- a/tests/soak/src/judge.rs
+++ b/tests/soak/src/judge.rs
@@ -4,6 +4,7 @@
 mod harm;
 mod intake;
 mod records;
+mod terms;
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -59,6 +60,10 @@
     HarmHeldBack,
     /// An upstream that names a limit gets no more than that from all boxes together.
     LimitKept,
+    /// An upstream that says that it leaves gets nothing more.
+    LeavingKept,
+    /// An upstream that asks a box for rest is left alone by it.
+    RestKept,
     /// Boxes read what other boxes tell, also those of another version.
     Understood,
 }
@@ -103,8 +108,8 @@
     pub resident: u64,
     /// The most descriptors of a box: the users' machines have 4,100, and these clients are few.
     pub descriptors: u64,
-    /// Whether all boxes read the limits that upstreams name: those of an older version do not.
-    pub reads_limits: bool,
+    /// Whether all boxes read what upstreams say of themselves: those of an older version do not.
+    pub reads_terms: bool,
 }
 
 impl Default for Bounds {
@@ -120,7 +125,7 @@
             recover_within: 5 * SECOND,
             resident: 64 << 20,
             descriptors: 1000,
-            reads_limits: true,
+            reads_terms: true,
         }
     }
 }
@@ -178,6 +183,8 @@
         customers::limited_only,
         harm::held_back,
         intake::limit_kept,
+        terms::leaving_kept,
+        terms::rest_kept,
         understood,
     ];
     let mut findings: Vec<_> = checks.iter().flat_map(|it| it(&records, bounds)).collect();
--- a/tests/soak/src/judge/intake.rs
+++ b/tests/soak/src/judge/intake.rs
@@ -32,7 +32,7 @@
 /// Checks that upstreams get no more than they take, from boxes that they have told and that were not
 /// disturbed.
 pub(super) fn limit_kept(records: &Records, bounds: &Bounds) -> Vec<Finding> {
-    if !bounds.reads_limits || records.limits.is_empty() {
+    if !bounds.reads_terms || records.limits.is_empty() {
         return Vec::new();
     }
     let mut arrivals: BTreeMap<&str, Vec<Arrival>> = BTreeMap::new();
--- a/tests/soak/src/judge/records.rs
+++ b/tests/soak/src/judge/records.rs
@@ -4,7 +4,9 @@
 
 use crate::keys::Caller;
 use crate::malformed::Flaw;
-use crate::observation::{BoxChange, Kind, Micros, Observation, RunEnd, What};
+use crate::observation::{BoxChange, Kind, MILLISECOND, Micros, Observation, RunEnd, What};
+
+use super::terms::{Leaving, Rest};
 
 /// The end of a run.
 #[derive(Debug, Clone, Copy)]
@@ -182,6 +184,10 @@
     pub(super) orders: BTreeMap<String, Vec<Order>>,
     /// The limits that upstreams named, in thousandths of a request a second, and when.
     pub(super) limits: BTreeMap<String, Vec<(Micros, u64)>>,
+    /// When each upstream said that it leaves, in each of its lives.
+    pub(super) leavings: BTreeMap<String, Vec<Leaving>>,
+    /// The rests that upstreams asked for.
+    pub(super) rests: Vec<Rest>,
     /// Boxes that could not read what others told, and in how many lines they say so.
     pub(super) not_read: Vec<(Micros, usize, usize)>,
     /// When upstreams' processes were gone.
@@ -260,6 +266,16 @@
             What::Limited { engine, milli } => {
                 self.limits.entry(engine.clone()).or_default().push((at, *milli));
             }
+            What::Leaving { engine } => {
+                let leaving = Leaving { since: at, until: Micros::MAX };
+                self.leavings.entry(engine.clone()).or_default().push(leaving);
+            }
+            What::AskedForRest { engine, attempt, milli } => self.rests.push(Rest {
+                engine: engine.clone(),
+                attempt: attempt.clone(),
+                at,
+                span: milli * MILLISECOND,
+            }),
             What::NotRead { node, lines } => self.not_read.push((at, *node, *lines)),
             What::Began { engine, attempt, path, body, is_reading, customer, has_key } => {
                 let run = Run {
@@ -308,10 +324,13 @@
             }
             What::KeyFound { place } => self.keys_found.push((at, place.clone())),
             What::EngineGone { engine } => {
-                // A new life under the id begins without a limit.
+                // A new life under the id begins without a limit, and does not leave.
                 if let Some(limits) = self.limits.get_mut(engine) {
                     limits.push((at, 0));
                 }
+                if let Some(last) = self.leavings.get_mut(engine).and_then(|it| it.last_mut()) {
+                    last.until = last.until.min(at);
+                }
                 self.engine_ends.insert(engine.clone(), at);
             }
             What::Sent { .. } | What::Unreached { .. } | What::Fault { .. } => {}
@@ -345,6 +364,13 @@
         is_down
     }
 
+    /// Tells whether a box was down or stood still at any time within a span.
+    pub(super) fn is_interrupted(&self, node: usize, from: Micros, until: Micros) -> bool {
+        let mut changes = self.nodes.get(&node).into_iter().flatten();
+        let is_cut = |it: BoxChange| matches!(it, BoxChange::Disturbed | BoxChange::Terminated);
+        changes.any(|&(at, change)| at >= from && at <= until && !is_cut(change))
+    }
+
     /// Tells whether the store was disturbed at any time within a span.
     pub(super) fn is_store_disturbed(&self, from: Micros, until: Micros) -> bool {
         self.store_disturbed.iter().any(|it| it.0 <= until && it.1 >= from)
--- /dev/null
+++ b/tests/soak/src/judge/terms.rs
@@ -0,0 +1,130 @@
+//! Upstreams that say that they leave, or for how long they want nothing from the box that asked.
+
+use super::records::{Attempt, Records};
+use super::{Bounds, Finding, Promise, finding};
+use crate::observation::{MILLISECOND, Micros, SECOND};
+
+/// How long after a box has passed on that an upstream leaves clients' requests may go there.
+const DRAIN: Micros = 2 * SECOND;
+
+/// How long after a box was told of a rest what it sends counts, with a margin for a loaded machine.
+const COUNTS_AFTER: Micros = 700 * MILLISECOND;
+
+/// The time within which a box that has a refusal goes on with the request. One that takes longer may
+/// have gone on without it.
+const GOES_ON_WITHIN: Micros = 300 * MILLISECOND;
+
+/// What may come from a box while an upstream rests.
+const MOST_WHILE_RESTING: usize = 2;
+
+/// A rest that an upstream asked a box for.
+#[derive(Debug, Clone)]
+pub(super) struct Rest {
+    /// The upstream.
+    pub(super) engine: String,
+    /// The try that was turned away.
+    pub(super) attempt: String,
+    /// When.
+    pub(super) at: Micros,
+    /// For how long.
+    pub(super) span: Micros,
+}
+
+/// A time in which an upstream said that it leaves, until its life ended.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Leaving {
+    /// From when on.
+    pub(super) since: Micros,
+    /// Until when.
+    pub(super) until: Micros,
+}
+
+/// Checks that upstreams that leave get nothing from boxes that have passed that on some time before,
+/// and that were neither down nor stood still since.
+pub(super) fn leaving_kept(records: &Records, bounds: &Bounds) -> Vec<Finding> {
+    if !bounds.reads_terms {
+        return Vec::new();
+    }
+    let mut findings = Vec::new();
+    for (engine, leavings) in &records.leavings {
+        for leaving in leavings {
+            findings.extend(late_arrival(records, engine, *leaving));
+        }
+    }
+    findings
+}
+
+/// Finds the first request that came to an upstream too late.
+fn late_arrival(records: &Records, engine: &str, leaving: Leaving) -> Option<Finding> {
+    let attempts = || records.attempts.values();
+    let passed_on = attempts().filter_map(|it| Some((it.node, passed_on_at(it, engine, leaving)?)));
+    let told: Vec<(usize, Micros)> = passed_on.collect();
+    let late = attempts().filter_map(|attempt| {
+        let arrived = arrivals_at(attempt, engine).find(|it| *it < leaving.until)?;
+        let of_box = told.iter().filter(|it| it.0 == attempt.node).map(|it| it.1);
+        let first =
+            of_box.filter(|it| !records.is_interrupted(attempt.node, *it, arrived)).min()?;
+        let after = attempt.sent.saturating_sub(first);
+        (after > DRAIN).then_some((arrived, after))
+    });
+    let (at, after) = late.min()?;
+    let after = after / MILLISECOND;
+    let what = format!(
+        "{engine} got a request sent {after} ms after its box had passed on that it leaves"
+    );
+    Some(finding(Promise::LeavingKept, at, what))
+}
+
+/// Gives when a client had an answer that says that its upstream leaves.
+fn passed_on_at(attempt: &Attempt, engine: &str, leaving: Leaving) -> Option<Micros> {
+    let answer = attempt.answer.as_ref()?;
+    let is_own = answer.status == 200 && answer.stamp.as_deref() == Some(engine);
+    let mut runs = attempt.runs.iter().filter(|it| it.engine == engine && !it.is_reading);
+    let says = runs.any(|it| it.began >= leaving.since && it.began < leaving.until);
+    (is_own && says).then_some(answer.at)
+}
+
+/// Gives when a try came to an upstream.
+fn arrivals_at<'a>(attempt: &'a Attempt, engine: &'a str) -> impl Iterator<Item = Micros> + 'a {
+    let runs = attempt.runs.iter().filter(move |it| it.engine == engine).map(|it| it.began);
+    let turned_away = attempt.turned_away.iter().zip(&attempt.turned_away_by);
+    runs.chain(turned_away.filter(move |(_, by)| **by == engine).map(|(&at, _)| at))
+}
+
+/// Checks that upstreams get no more than is allowed from a box that they have asked for rest, and that
+/// was not disturbed since.
+pub(super) fn rest_kept(records: &Records, bounds: &Bounds) -> Vec<Finding> {
+    if !bounds.reads_terms {
+        return Vec::new();
+    }
+    records.rests.iter().filter_map(|rest| check_rest(records, rest)).collect()
+}
+
+/// Checks one rest.
+fn check_rest(records: &Records, rest: &Rest) -> Option<Finding> {
+    let asked = records.attempts.get(&rest.attempt)?;
+    let told = goes_on_at(asked, rest.at)?;
+    let ended = records.engine_ends.get(&rest.engine).filter(|it| **it > rest.at);
+    let until = (rest.at + rest.span).min(ended.copied().unwrap_or(Micros::MAX));
+    let from = told + COUNTS_AFTER;
+    let of_box = records.attempts.values().filter(|it| it.node == asked.node);
+    let mut arrivals: Vec<_> = of_box
+        .flat_map(|it| arrivals_at(it, &rest.engine))
+        .filter(|it| *it >= from && *it < until)
+        .filter(|it| !records.is_disturbed(asked.node, rest.at, *it))
+        .collect();
+    arrivals.sort_unstable();
+    let third = *arrivals.get(MOST_WHILE_RESTING)?;
+    let (engine, span, count) = (&rest.engine, rest.span / MILLISECOND, arrivals.len());
+    let what = format!("{engine} had asked box {} for {span} ms and got {count}", asked.node);
+    Some(finding(Promise::RestKept, third, what))
+}
+
+/// Gives when a box went on with a try that was turned away, which shows that it has the refusal.
+fn goes_on_at(attempt: &Attempt, at: Micros) -> Option<Micros> {
+    let runs = attempt.runs.iter().map(|it| it.began);
+    let turned_away = attempt.turned_away.iter().copied();
+    let answered = attempt.answer.iter().map(|it| it.at);
+    let next = runs.chain(turned_away).chain(answered).filter(|it| *it > at).min()?;
+    (next < at + GOES_ON_WITHIN).then_some(next)
+}
--- a/tests/soak/src/mutant.rs
+++ b/tests/soak/src/mutant.rs
@@ -53,13 +53,17 @@
     VariesHarm,
     /// Upstreams have a limit and don't name it.
     HidesLimit,
+    /// Upstreams leave and don't say so.
+    HidesLeaving,
+    /// Upstreams want nothing for a time and don't say so.
+    HidesRest,
     /// Something that is no datagram of a box comes to one.
     SendsNoise,
 }
 
 impl Mutant {
     /// All of them, with the name that the command line takes and the promise that they break.
-    pub const ALL: [(Mutant, &'static str, Promise); 23] = [
+    pub const ALL: [(Mutant, &'static str, Promise); 25] = [
         (Mutant::RunsTwice, "runs-twice", Promise::RunsOnce),
         (Mutant::SpoilsAnswer, "spoils-answer", Promise::WholeAnswer),
         (Mutant::SkipsEvent, "skips-event", Promise::EventsInOrder),
@@ -82,6 +86,8 @@
         (Mutant::LimitsAll, "limits-all", Promise::LimitedOnly),
         (Mutant::VariesHarm, "varies-harm", Promise::HarmHeldBack),
         (Mutant::HidesLimit, "hides-limit", Promise::LimitKept),
+        (Mutant::HidesLeaving, "hides-leaving", Promise::LeavingKept),
+        (Mutant::HidesRest, "hides-rest", Promise::RestKept),
         (Mutant::SendsNoise, "sends-noise", Promise::Understood),
     ];
 
--- a/tests/soak/src/observation.rs
+++ b/tests/soak/src/observation.rs
@@ -216,6 +216,20 @@
         /// Thousandths of a request a second; 0 if it names none.
         milli: u64,
     },
+    /// An upstream says from now on that it leaves.
+    Leaving {
+        /// The upstream.
+        engine: String,
+    },
+    /// An upstream turned a request away and asked the box for rest.
+    AskedForRest {
+        /// The upstream.
+        engine: String,
+        /// The id of the try.
+        attempt: String,
+        /// For how many milliseconds.
+        milli: u64,
+    },
     /// A box's log says that it could not read what another box told.
     NotRead {
         /// The box.
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -126,7 +126,7 @@
     if plan.mutant == Some(Mutant::LeastMemory) {
         bounds.resident = 1 << 20;
     }
-    bounds.reads_limits = plan.older.is_none();
+    bounds.reads_terms = plan.older.is_none();
     let findings = judge(&observations, &bounds);
     Ok(Outcome { observations, findings })
 }
@@ -284,6 +284,14 @@
             let span = Duration::from_secs(8);
             vec![at(4500, Fault::Limit { is_plain: true, count: 3, milli: (500, 500), span })]
         }
+        Mutant::HidesLeaving => {
+            let span = Duration::from_secs(7);
+            vec![at(4500, Fault::Leave { is_plain: true, span })]
+        }
+        Mutant::HidesRest => {
+            let (rest, span) = (Duration::from_secs(3), Duration::from_secs(7));
+            vec![at(4500, Fault::Rest { is_plain: true, count: 2, rest, span })]
+        }
         _ => Vec::new(),
     }
 }
--- a/tests/soak/src/schedule.rs
+++ b/tests/soak/src/schedule.rs
@@ -114,6 +114,24 @@
         /// For how long.
         span: Duration,
     },
+    /// An upstream of a service says in its answers that it leaves, and in its entry some time later.
+    Leave {
+        /// Whether it is of the plain service.
+        is_plain: bool,
+        /// From the first to the second.
+        span: Duration,
+    },
+    /// Upstreams of a service turn all away, and ask for rest.
+    Rest {
+        /// Whether it is the plain service.
+        is_plain: bool,
+        /// How many of them.
+        count: usize,
+        /// The rest that they ask for.
+        rest: Duration,
+        /// For how long they turn all away.
+        span: Duration,
+    },
     /// A box that runs the older program is stopped, and the newer one started in its place.
     Replace {
         /// The box.
@@ -221,6 +239,8 @@
     planned.extend(draw_storm(seed, end));
     planned.extend(draw_late_orders(seed, end));
     planned.extend(draw_limits(seed, end));
+    planned.extend(draw_leaving(seed, end));
+    planned.extend(draw_rests(seed, end));
     planned.sort_by_key(|it| it.at);
     planned
 }
@@ -268,6 +288,40 @@
     (0..LIMITS).filter_map(draw).collect()
 }
 
+/// The upstreams in a run that say that they leave.
+const LEAVING: u64 = 2;
+
+/// Draws the upstreams that say that they leave, apart from the other faults; none in a short run.
+fn draw_leaving(seed: u64, end: Duration) -> Vec<Planned> {
+    let draw = |number: u64| {
+        let mut random = Pcg64Mcg::seed_from_u64(seed.rotate_left(37) ^ number);
+        let is_plain = random.random_bool(0.5);
+        let span = Duration::from_millis(random.random_range(1000..=7000));
+        let latest = end.checked_sub(span).filter(|&it| it > WARM_UP)?;
+        let at = WARM_UP + (latest - WARM_UP).mul_f64(random.random());
+        Some(Planned { at, fault: Fault::Leave { is_plain, span } })
+    };
+    (0..LEAVING).filter_map(draw).collect()
+}
+
+/// The times in a run in which upstreams rest.
+const RESTS: u64 = 2;
+
+/// Draws the times in which upstreams rest, apart from the other faults; none in a short run.
+fn draw_rests(seed: u64, end: Duration) -> Vec<Planned> {
+    let draw = |number: u64| {
+        let mut random = Pcg64Mcg::seed_from_u64(seed.rotate_left(43) ^ number);
+        let is_plain = random.random_bool(0.6);
+        let count = random.random_range(1..=3);
+        let rest = Duration::from_millis(random.random_range(800..=4000));
+        let span = Duration::from_millis(random.random_range(1500..=6000));
+        let latest = end.checked_sub(span).filter(|&it| it > WARM_UP)?;
+        let at = WARM_UP + (latest - WARM_UP).mul_f64(random.random());
+        Some(Planned { at, fault: Fault::Rest { is_plain, count, rest, span } })
+    };
+    (0..RESTS).filter_map(draw).collect()
+}
+
 /// Gives when boxes are replaced one after the other, evenly over a run.
 pub fn replace_all(boxes: usize, length: Duration) -> Vec<Planned> {
     let end = length.saturating_sub(COOL_DOWN);
--- a/tests/soak/src/standin/engine.rs
+++ b/tests/soak/src/standin/engine.rs
@@ -76,6 +76,10 @@
     Tell(Telling),
     /// Names in its answers that it takes so many thousandths of a request a second; none if 0.
     Limit(u64),
+    /// Says in its answers that it is leaving.
+    Leave,
+    /// Turns all requests away, and asks for so many milliseconds of rest; none if 0.
+    Rest(u64),
 }
 
 /// How late an order is carried out whose answer is lost, in milliseconds, at least and at most.
@@ -120,6 +124,10 @@
     telling: Cell<Telling>,
     /// The thousandths of a request a second that it takes; 0 if it names no limit.
     limit: Cell<u64>,
+    /// Whether it says that it is leaving.
+    is_leaving: Cell<bool>,
+    /// The rest that it asks for when it turns all away, in milliseconds; 0 if it does not.
+    rest: Cell<u64>,
     /// The number of the next handle or drawing.
     next: Cell<u64>,
 }
@@ -176,6 +184,8 @@
             slow: Cell::new(1),
             telling: Cell::new(Telling::Truth),
             limit: Cell::new(0),
+            is_leaving: Cell::new(false),
+            rest: Cell::new(0),
             next: Cell::new(0),
         });
         write(&Greeting { listening: address.to_string() });
@@ -191,6 +201,8 @@
                     Command::Slow(times) => told.slow.set(times.max(1)),
                     Command::Tell(telling) => told.telling.set(telling),
                     Command::Limit(milli) => told.name_limit(milli),
+                    Command::Leave => told.say_leaving(),
+                    Command::Rest(milli) => told.rest.set(milli),
                 }
             }
         });
@@ -218,13 +230,38 @@
         self.see(What::Limited { engine: self.settings.id.clone(), milli });
     }
 
-    /// Gives the header by which an answer names the limit, if there is one.
-    fn limit_header(&self) -> String {
+    /// Says in all answers from now on that it is leaving.
+    fn say_leaving(&self) {
+        self.is_leaving.set(true);
+        self.see(What::Leaving { engine: self.settings.id.clone() });
+    }
+
+    /// Gives the headers by which an answer names the limit, if there is one, and says whether the
+    /// upstream is leaving.
+    fn terms(&self) -> String {
+        let mut headers = String::new();
         let milli = self.limit.get();
-        if milli == 0 || self.settings.mutant == Some(Mutant::HidesLimit) {
+        if milli > 0 && self.settings.mutant != Some(Mutant::HidesLimit) {
+            headers.push_str(&format!("Server-Limit: {}\r\n", milli as f64 / 1e3));
+        }
+        if self.is_leaving.get() && self.settings.mutant != Some(Mutant::HidesLeaving) {
+            headers.push_str("Server-Leaving: 1\r\n");
+        }
+        headers
+    }
+
+    /// Gives the header by which a refusal asks for rest, if it does.
+    fn rest_header(&self, attempt: &str) -> String {
+        let milli = self.rest.get();
+        if milli == 0 {
             return String::new();
         }
-        format!("Server-Limit: {}\r\n", milli as f64 / 1e3)
+        let (engine, attempt) = (self.settings.id.clone(), attempt.to_owned());
+        self.see(What::AskedForRest { engine, attempt, milli });
+        if self.settings.mutant == Some(Mutant::HidesRest) {
+            return String::new();
+        }
+        format!("Retry-After: {}\r\n", milli as f64 / 1e3)
     }
 
     /// Answers one message; tells whether the connection stays open.
@@ -240,7 +277,7 @@
             ("POST", "/order") => self.order(received),
             ("GET", "/kv-list") => {
                 let list = json!({"epoch": 1, "nextToken": 0, "held": []});
-                platform::whole(received, &list.to_string())
+                answer(received, "200 OK", &self.terms(), &list.to_string())
             }
             ("DELETE", path) if path.starts_with("/kv-handle/") => self.take(received, path),
             _ => return self.run(stream, received, method, path).await,
@@ -253,7 +290,7 @@
         let report = json!({"stage": *self.stage.borrow(), "models": [],
             "busy": self.is_switching.get(), "callSeq": self.orders.get(), "queued": 0,
             "born": self.settings.born, "active": self.active.get(), "kvUsed": 0, "kvTotal": 60000, "prefillHandles": 0});
-        answer(received, "200 OK", &self.limit_header(), &report.to_string())
+        answer(received, "200 OK", &self.terms(), &report.to_string())
     }
 
     /// Takes an order to change the stage.
@@ -265,7 +302,7 @@
             }
             Err(status) => status,
         };
-        platform::answer(received, status, &self.limit_header(), "")
+        platform::answer(received, status, &self.terms(), "")
     }
 
     /// Takes an order without an answer, and carries it out some seconds later if it still can.
@@ -321,7 +358,12 @@
         let name = path.trim_start_matches("/kv-handle/");
         let until = self.handles.borrow_mut().remove(name);
         let is_there = until.is_some_and(|it| Instant::now() < it);
-        platform::answer(received, if is_there { "200 OK" } else { "404 Not Found" }, "", "")
+        platform::answer(
+            received,
+            if is_there { "200 OK" } else { "404 Not Found" },
+            &self.terms(),
+            "",
+        )
     }
 
     /// Runs a request, or turns it away; tells whether the connection stays open.
@@ -335,18 +377,19 @@
         let attempt = received.header("x-request-id").unwrap_or_default().to_owned();
         let expected = received.header("x-expect-instance");
         if expected.is_some_and(|it| it != self.settings.id) || !self.has_stage(received) {
-            return self.turn_away(stream, received, "421 Misdirected Request").await;
+            return self.turn_away(stream, received, "421 Misdirected Request", "").await;
         }
         let is_full = self.active.get() >= self.settings.slots || self.is_switching.get();
-        if is_full || self.draw(&attempt) < self.refuses.get() {
+        if is_full || self.rest.get() > 0 || self.draw(&attempt) < self.refuses.get() {
+            let rest = self.rest_header(&attempt);
             self.see(What::TurnedAway { engine: self.settings.id.clone(), attempt });
-            return self.turn_away(stream, received, "503 Service Unavailable").await;
+            return self.turn_away(stream, received, "503 Service Unavailable", &rest).await;
         }
         if let Some(source) = received.header("x-kv-source")
             && !fetch(source).await
         {
             self.see(What::TurnedAway { engine: self.settings.id.clone(), attempt });
-            return self.turn_away(stream, received, "503 Service Unavailable").await;
+            return self.turn_away(stream, received, "503 Service Unavailable", "").await;
         }
         self.active.set(self.active.get() + 1);
         let _run = Run(self);
@@ -418,7 +461,7 @@
         let name = format!("h{}", self.next.get());
         self.handles.borrow_mut().insert(name.clone(), Instant::now() + HANDLE_LIFE);
         let body = json!({"prefillHandle": name, "tokens": tokens, "version": 1}).to_string();
-        let bytes = answer(received, "200 OK", &self.limit_header(), &body);
+        let bytes = answer(received, "200 OK", &self.terms(), &body);
         self.send(stream, &bytes, 0).await
     }
 
@@ -463,8 +506,8 @@
             Telling::Full => (SLOTS, 5 * SLOTS),
         };
         let id = &self.settings.id;
-        let limit = self.limit_header();
-        format!("X-Server-Stamp: {id}\r\nX-Server-Load: {running},{waiting},{SLOTS}\r\n{limit}")
+        let terms = self.terms();
+        format!("X-Server-Stamp: {id}\r\nX-Server-Load: {running},{waiting},{SLOTS}\r\n{terms}")
     }
 
     /// Generates a stream.
@@ -509,8 +552,14 @@
     }
 
     /// Says that a request was not run; tells whether the connection stays open.
-    async fn turn_away(&self, stream: &mut TcpStream, received: &Received, status: &str) -> bool {
-        let headers = format!("X-Not-Executed: 1\r\n{}", self.limit_header());
+    async fn turn_away(
+        &self,
+        stream: &mut TcpStream,
+        received: &Received,
+        status: &str,
+        rest: &str,
+    ) -> bool {
+        let headers = format!("X-Not-Executed: 1\r\n{}{rest}", self.terms());
         stream.write_all(&answer(received, status, &headers, "")).await.is_ok()
     }
 
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -415,6 +415,91 @@
     assert_eq!(broken(&paused), []);
 }
 
+/// Gives a try of its own name, among others.
+fn named(mut it: Observation, name: &str) -> Observation {
+    match &mut it.what {
+        What::Sent { attempt, .. }
+        | What::Began { attempt, .. }
+        | What::RunEnded { attempt, .. }
+        | What::TurnedAway { attempt, .. }
+        | What::AskedForRest { attempt, .. }
+        | What::Answered { attempt, .. } => name.clone_into(attempt),
+        _ => {}
+    }
+    it
+}
+
+/// A served try of its own name, sent at a time.
+fn served(millis: u64, name: &str) -> Vec<Observation> {
+    let seen = [
+        sent(millis, Kind::Safe),
+        began(millis + 1, "a"),
+        ended(millis + 20, "a", RunEnd::Whole),
+        answered(millis + 21, 200, 7, &[]),
+    ];
+    seen.into_iter().map(|it| named(it, name)).collect()
+}
+
+/// An upstream says at 4 s that it leaves; its box passes that on at 5.021 s, and sends it one more
+/// request that its client has sent some time later.
+fn told_to_leave(later: u64) -> Vec<Observation> {
+    let mut seen = vec![running(), at(4000, What::Leaving { engine: "a".to_owned() })];
+    seen.extend(served(5000, "first"));
+    seen.extend(served(5021 + later, "second"));
+    seen
+}
+
+#[test]
+fn request_to_an_upstream_that_leaves() {
+    assert_eq!(broken(&told_to_leave(1990)), []);
+    assert_eq!(broken(&told_to_leave(2010)), [Promise::LeavingKept]);
+    // Neither a new life of it nor a box that was down since is bound; a cut excuses nothing.
+    let mut reborn = told_to_leave(2010);
+    reborn.push(at(6000, What::EngineGone { engine: "a".to_owned() }));
+    assert_eq!(broken(&reborn), []);
+    let mut restarted = told_to_leave(2010);
+    restarted.extend([node(6000, BoxChange::Killed), node(6400, BoxChange::Started)]);
+    assert_eq!(broken(&restarted), []);
+    let mut cut = told_to_leave(2010);
+    cut.push(node(6000, BoxChange::Disturbed));
+    assert_eq!(broken(&cut), [Promise::LeavingKept]);
+}
+
+/// An upstream turns a try away at 5.010 s and asks for 3 s of rest; its box goes on with the try, and
+/// sends the upstream some more, each half a second.
+fn asked_for_rest(count: u64) -> Vec<Observation> {
+    let (engine, attempt) = ("a".to_owned(), "first".to_owned());
+    let refused = [
+        sent(5000, Kind::Safe),
+        at(
+            5010,
+            What::AskedForRest { engine: engine.clone(), attempt: attempt.clone(), milli: 3000 },
+        ),
+        at(5010, What::TurnedAway { engine, attempt }),
+        answered(5020, 503, 0, &[]),
+    ];
+    let mut seen = vec![running()];
+    seen.extend(refused.into_iter().map(|it| named(it, "first")));
+    for number in 0..count {
+        seen.extend(served(5800 + 500 * number, &format!("later-{number}")));
+    }
+    seen
+}
+
+/// Two may come while an upstream rests.
+#[test]
+fn requests_to_an_upstream_that_rests() {
+    assert_eq!(broken(&asked_for_rest(2)), []);
+    assert_eq!(broken(&asked_for_rest(3)), [Promise::RestKept]);
+    let mut cut = asked_for_rest(3);
+    cut.push(node(5500, BoxChange::Disturbed));
+    assert_eq!(broken(&cut), []);
+    // A box that did not go on with the try may not have the refusal.
+    let mut lost = asked_for_rest(3);
+    lost.retain(|it| !matches!(it.what, What::Answered { status: 503, .. }));
+    assert_eq!(broken(&lost), []);
+}
+
 #[test]
 fn datagram_not_read() {
     let seen = [running(), at(5000, What::NotRead { node: 0, lines: 2 })];
