Soak: a storm ends when it was planned to

The storm, planned for 6.2 s from 9.4 s on, killed all boxes three times and waited for each to end; one of them had been started again by a planned stop meanwhile, and ended 8 s later, so that the storm's last kill came at 22.3 s and its end after the run. Not the product's.

Kills go on beside the storm now, which ends after its span.

--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -257,16 +257,21 @@
         Refusal::Fail => Command::Fail(share),
         Refusal::TurnAway => Command::Refuse(share),
     };
-    let all: Vec<_> = (0..cluster.nodes.len()).collect();
     let pause = span / (losses + 1);
     tell_all(cluster, command(share));
-    for _ in 0..losses {
-        tokio::time::sleep(pause.saturating_sub(DOWN_FOR)).await;
-        kill(cluster, &all).await?;
-    }
-    tokio::time::sleep(pause).await;
+    let killed = cluster.clone();
+    let losing = tokio::task::spawn_local(async move {
+        let all: Vec<_> = (0..killed.nodes.len()).collect();
+        for _ in 0..losses {
+            tokio::time::sleep(pause.saturating_sub(DOWN_FOR)).await;
+            kill(&killed, &all).await?;
+        }
+        eyre::Ok(())
+    });
+    // A kill may wait for a box that another fault has started again meanwhile.
+    tokio::time::sleep(span).await;
     tell_all(cluster, command(0));
-    Ok(())
+    losing.await?
 }
 
 /// Strikes the box that gives the next order, some time after it; none if no order comes soon.
