Handovers have numbered fields, and tell which engines leave

Handovers were the one thing between boxes without a version or optional fields: nothing could be added that boxes of the version before would bear. A question in the later format is sent to boxes alone that have told that they read it (2 in the entry of their heartbeats that told 1), and answered as it was asked; the first format is written and read byte by byte as recorded of.

--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -104,8 +104,8 @@
     Evacuated(Evacuation),
     /// Evacuations have changed, in this order; the revision that the changes led to.
     EvacuationChanged(Vec<Change>, u64),
-    /// Another box has handed over what it knows.
-    Fetched(Box<Snapshot>),
+    /// The box at an address has handed over what it knows.
+    Fetched(SocketAddr, Box<Snapshot>),
     /// The store answered about a kind of object.
     StoreAnswered(Kind),
     /// The store did not answer, or refused, about a kind of object.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -266,7 +266,7 @@
             Event::EvacuationChanged(changes, revision) => {
                 self.change_evacuation(changes, revision);
             }
-            Event::Fetched(snapshot) => self.take_snapshot(*snapshot),
+            Event::Fetched(provider, snapshot) => self.take_snapshot(provider, *snapshot),
             Event::StoreAnswered(kind) => self.store_answered(kind),
             Event::StoreFailed(kind) => self.store_failed(kind),
             Event::Arrived(flight, request) => self.arrive(flight, request),
--- a/crates/hollyspoke-gateway/src/gateway/handover.rs
+++ b/crates/hollyspoke-gateway/src/gateway/handover.rs
@@ -2,6 +2,8 @@
 //! that is cut off from it, gets them from another box that it still hears; else it would go on by
 //! keys and routes that are withdrawn, or never serve at all.
 
+use std::net::SocketAddr;
+
 use super::Gateway;
 use crate::effect::Effect;
 use crate::snapshot::{Listing, Question, Snapshot, Version};
@@ -21,7 +23,8 @@
         let newer = configuration.filter(|it| it.version > question.version);
         let version = newer.map(|it| Version::of(it));
         let listing = self.is_listed.then(|| self.listing(question.revision)).flatten();
-        Snapshot { version, listing, evacuation: self.evacuation.clone() }
+        let departures = self.all_departures();
+        Snapshot { version, listing, evacuation: self.evacuation.clone(), departures }
     }
 
     /// Gives the engines, as changes if they reach back to what the asking box knows; none if it
@@ -42,8 +45,9 @@
         })
     }
 
-    /// Takes what another box handed over, as far as it is newer.
-    pub(super) fn take_snapshot(&mut self, snapshot: Snapshot) {
+    /// Takes what a box handed over, as far as it is newer.
+    pub(super) fn take_snapshot(&mut self, provider: SocketAddr, snapshot: Snapshot) {
+        self.hear_departures(provider, &snapshot.departures);
         self.evacuate(snapshot.evacuation);
         if let Some(version) = snapshot.version {
             self.configure(version.configuration());
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -84,7 +84,7 @@
         if let Some(extension) = &message.extension {
             // It holds also if a later datagram has overtaken it.
             self.hear_limits(message.sender, extension);
-            self.hear_departures(message.sender, extension);
+            self.hear_departures(message.sender, &extension.departures);
             self.hear_permits(message.sender, extension);
         }
         let knows_this_one = self.members.was_greeted(message.sender, self.now);
@@ -331,7 +331,7 @@
             news: None,
             kept: Vec::new(),
             peers,
-            format: Some(Format::Permits),
+            format: Some(Format::Handovers),
             extension: None,
         }
     }
--- a/crates/hollyspoke-gateway/src/gateway/terms.rs
+++ b/crates/hollyspoke-gateway/src/gateway/terms.rs
@@ -87,8 +87,8 @@
     }
 
     /// Takes what another box tells of engines that leave.
-    pub(super) fn hear_departures(&mut self, sender: SocketAddr, told: &Extension) {
-        for word in &told.departures {
+    pub(super) fn hear_departures(&mut self, sender: SocketAddr, told: &[departure::Word]) {
+        for word in told {
             if self.terms.departures.hear(word, self.now) {
                 let age = Duration::from_millis(u64::from(word.age_ms));
                 self.leaves(word.engine, Some(sender), age);
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -156,7 +156,7 @@
     pub span_ms: u32,
 }
 
-/// What a box can read of datagrams.
+/// What a box can read of datagrams and handovers.
 ///
 /// The fields of [`Message`] up to `peers` are those of the first format, and stay as they are. Those
 /// of [`Extension`] are numbered and optional where they are written; a box that can't read them is
@@ -168,6 +168,8 @@
     First,
     /// Limits of engines, and permits, too.
     Permits,
+    /// Handovers with numbered fields, too.
+    Handovers,
 }
 
 /// One datagram. Loads are absolute, so that a lost datagram is mended by the next.
--- a/crates/hollyspoke-gateway/src/snapshot.rs
+++ b/crates/hollyspoke-gateway/src/snapshot.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::customer::{Customer, Customers};
+use crate::departure;
 use crate::engine::{Engine, EngineChange};
 use crate::evacuation::Evacuation;
 use crate::route::{Configuration, Limits, Route, Service};
@@ -86,4 +87,7 @@
     pub listing: Option<Listing>,
     /// The evacuated data centres.
     pub evacuation: Evacuation,
+    /// The engines that are about to leave; a box that reads the first format alone is not told.
+    #[serde(skip)]
+    pub departures: Vec<departure::Word>,
 }
--- a/crates/hollyspoke-server/src/datagram.rs
+++ b/crates/hollyspoke-server/src/datagram.rs
@@ -21,11 +21,14 @@
 
 /// The first byte of a datagram in a later format. The first format begins with a number in as few
 /// bytes as it needs, whose first byte is at most 254.
-const MARK: u8 = 255;
+pub(crate) const MARK: u8 = 255;
 
-/// The version that this box writes, and tells that it can read.
+/// The version that this box writes.
 const VERSION: u8 = 1;
 
+/// The version that a box tells that can read the later format of handovers too.
+const HANDOVERS: u32 = 2;
+
 /// The entry of the demand in which a box tells the version that it can read: a number drawn once,
 /// which is the hash of no service's name but by a chance of one in 2^64.
 const TOLD_IN: u64 = 0x7d5c_05bd_0f8a_2c31;
@@ -108,7 +111,7 @@
 /// An engine that is about to leave.
 #[derive(Debug, Encode, Decode)]
 #[cbor(map)]
-struct DepartureField {
+pub(crate) struct DepartureField {
     /// The engine's key.
     #[n(0)]
     engine: u64,
@@ -158,7 +161,7 @@
     ensure!(version >= VERSION, "no such version: {version}");
     let later: Later = minicbor::decode(fields).wrap_err("a field can't be read")?;
     let mut message = read_first(&later.first)?;
-    message.format = Some(Format::Permits);
+    message.format = message.format.or(Some(Format::Permits));
     message.extension = Extension {
         limits: later.limits.iter().flatten().map(LimitField::word).collect(),
         asks: later.asks.iter().flatten().map(AskField::ask).collect(),
@@ -174,7 +177,7 @@
     if !message.is_whole {
         return Ok(first_format().serialize(message)?);
     }
-    let told = Demand { reading: u32::from(VERSION), held: 0, requests: 0 };
+    let told = Demand { reading: HANDOVERS, held: 0, requests: 0 };
     let mut telling = Message { extension: None, ..message.clone() };
     telling.demand.push((TOLD_IN, told));
     Ok(first_format().serialize(&telling)?)
@@ -186,14 +189,16 @@
     let is_telling = |it: &(u64, Demand)| it.0 == TOLD_IN;
     let told = message.demand.iter().find(|it| is_telling(it)).map(|it| it.1.reading);
     message.demand.retain(|it| !is_telling(it));
-    if told.is_some_and(|it| it >= u32::from(VERSION)) {
-        message.format = Some(Format::Permits);
-    }
+    message.format = match told {
+        Some(HANDOVERS..) => Some(Format::Handovers),
+        Some(1..) => Some(Format::Permits),
+        _ => message.format,
+    };
     Ok(message)
 }
 
 /// Gives a field that is left out if it holds nothing.
-fn filled<T>(items: Vec<T>) -> Option<Vec<T>> {
+pub(crate) fn filled<T>(items: Vec<T>) -> Option<Vec<T>> {
     (!items.is_empty()).then_some(items)
 }
 
@@ -213,13 +218,13 @@
 
 impl DepartureField {
     /// Makes the field of what a box tells.
-    fn of(word: &departure::Word) -> DepartureField {
+    pub(crate) fn of(word: &departure::Word) -> DepartureField {
         let &departure::Word { engine, born, age_ms } = word;
         DepartureField { engine: engine.0, born, age_ms }
     }
 
     /// Gives what a box tells.
-    fn word(&self) -> departure::Word {
+    pub(crate) fn word(&self) -> departure::Word {
         let &DepartureField { engine, born, age_ms } = self;
         departure::Word { engine: EngineKey(engine), born, age_ms }
     }
--- a/crates/hollyspoke-server/src/handover.rs
+++ b/crates/hollyspoke-server/src/handover.rs
@@ -1,14 +1,15 @@
 //! Hands the configuration and the list of engines over to other boxes, and fetches them: one
 //! connection each, which carries one snapshot and ends.
 
+pub mod format;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bincode::Options;
 use hollyspoke_gateway::event::Event;
-use hollyspoke_gateway::snapshot::{Listing, Question, Snapshot};
+use hollyspoke_gateway::snapshot::{Listing, Snapshot};
 use slog::{info, warn};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -50,13 +51,13 @@
 
 /// Hands over what a box lacks that asks.
 async fn hand_over(node: &Node, mut stream: TcpStream) {
-    let question = match tokio::time::timeout(ASKED_WITHIN, read_question(&mut stream)).await {
-        Ok(Ok(question)) => question,
+    let asked = match tokio::time::timeout(ASKED_WITHIN, read_question(&mut stream)).await {
+        Ok(Ok(asked)) => asked,
         Ok(Err(error)) => return info!(node.log, "question not read"; "error" => %error),
         Err(_) => return info!(node.log, "no question in time"),
     };
-    let snapshot = node.with(|it| it.snapshot(question));
-    let bytes = match bincode::DefaultOptions::new().serialize(&snapshot) {
+    let snapshot = node.with(|it| it.snapshot(asked.question));
+    let bytes = match format::write_snapshot(&snapshot, asked.format) {
         Ok(bytes) => bytes,
         Err(error) => return warn!(node.log, "snapshot not written"; "error" => %error),
     };
@@ -70,17 +71,17 @@
 }
 
 /// Reads what the asking box knows.
-async fn read_question(stream: &mut TcpStream) -> eyre::Result<Question> {
+async fn read_question(stream: &mut TcpStream) -> eyre::Result<format::Asked> {
     let length = usize::from(stream.read_u16().await?);
     let mut bytes = vec![0; length];
     stream.read_exact(&mut bytes).await?;
-    Ok(bincode::DefaultOptions::new().deserialize(&bytes)?)
+    format::read_question(&bytes)
 }
 
 /// Tells another box what this one knows.
-async fn ask(node: &Node, stream: &mut TcpStream) -> eyre::Result<()> {
-    let question = node.with(|it| it.question());
-    let bytes = bincode::DefaultOptions::new().serialize(&question)?;
+async fn ask(node: &Node, provider: SocketAddr, stream: &mut TcpStream) -> eyre::Result<()> {
+    let (question, reads) = node.with(|it| (it.question(), it.format(provider)));
+    let bytes = format::write_question(&question, reads)?;
     stream.write_u16(u16::try_from(bytes.len())?).await?;
     stream.write_all(&bytes).await?;
     Ok(())
@@ -93,7 +94,7 @@
         Ok(Ok(snapshot)) => {
             let engines = engine_count(&snapshot);
             info!(node.log, "snapshot fetched"; "from" => %provider, "engines" => engines);
-            node.dispatch(Event::Fetched(Box::new(snapshot)));
+            node.dispatch(Event::Fetched(provider, Box::new(snapshot)));
         }
         Ok(Err(error)) => {
             info!(node.log, "snapshot not fetched"; "from" => %provider, "error" => %error);
@@ -116,8 +117,8 @@
     let socket = if provider.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.bind(SocketAddr::new(node.peer_address()?.ip(), 0))?;
     let mut stream = socket.connect(provider).await?;
-    ask(node, &mut stream).await?;
+    ask(node, provider, &mut stream).await?;
     let mut bytes = Vec::new();
     stream.take(LONGEST_SNAPSHOT).read_to_end(&mut bytes).await?;
-    Ok(bincode::DefaultOptions::new().deserialize(&bytes)?)
+    format::read_snapshot(&bytes)
 }
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -315,7 +315,7 @@
         news: None,
         kept: Vec::new(),
         peers: Vec::new(),
-        format: Some(Format::Permits),
+        format: Some(Format::Handovers),
         extension: None,
     }
 }
--- a/tests/src/recorded.rs
+++ b/tests/src/recorded.rs
@@ -144,6 +144,7 @@
         version: Some(version),
         listing: Some(Listing::Whole { engines: vec![listed()], revision: 99 }),
         evacuation: Evacuation { revision: 90, data_centres: BTreeSet::from([Arc::from("north")]) },
+        departures: Vec::new(),
     }
 }
 
--- a/tests/tests/formats.rs
+++ b/tests/tests/formats.rs
@@ -16,6 +16,9 @@
 use hollyspoke_gateway::permit::{Ask, Outcome, Reply};
 use hollyspoke_gateway::snapshot::{Question, Snapshot};
 use hollyspoke_server::datagram::{read, write};
+use hollyspoke_server::handover::format::{
+    Asked, read_question, read_snapshot, write_question, write_snapshot,
+};
 use hollyspoke_tests::recorded::{changes, partial, question, snapshot, whole};
 use proptest::prelude::*;
 use serde::Serialize;
@@ -24,6 +27,11 @@
 /// The first byte of a datagram in a later format.
 const MARK: u8 = 255;
 
+/// Gives a change, as a datagram in the later format tells what its sender can read.
+fn later_partial() -> Message {
+    Message { format: Some(Format::Permits), ..partial() }
+}
+
 /// Gives recorded bytes.
 fn recorded(name: &str) -> Vec<u8> {
     let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/files/formats");
@@ -78,7 +86,7 @@
 /// What the first version of the later format has written is read, and written as it was.
 #[test]
 fn first_later_datagrams_are_read() {
-    let told = Message { extension: first_extension().filled(), ..partial() };
+    let told = Message { extension: first_extension().filled(), ..later_partial() };
     assert_eq!(read(&recorded("permits")).expect("it is read"), told);
     assert_eq!(write(&told, Format::Permits).expect("it is written"), recorded("permits"));
 }
@@ -90,6 +98,36 @@
     assert_eq!(read_first::<Snapshot>(&recorded("changes")).expect("it is read"), changes());
 }
 
+/// A box that asks in the first format is answered in it, without what came later.
+#[test]
+fn old_boxes_hand_over_and_get() {
+    let asked = read_question(&recorded("question")).expect("it is read");
+    assert_eq!(asked, Asked { question: question(), format: Format::First });
+    let told = Snapshot { departures: extension().departures, ..snapshot() };
+    assert_eq!(write_snapshot(&told, asked.format).expect("it is written"), recorded("snapshot"));
+    assert_eq!(read_snapshot(&recorded("changes")).expect("it is read"), changes());
+    for format in [Format::First, Format::Permits] {
+        let bytes = write_question(&question(), format).expect("it is written");
+        assert_eq!(bytes, recorded("question"));
+    }
+}
+
+/// Boxes that read the later format hand over all; fields of a later version are passed over.
+#[test]
+fn new_boxes_hand_over_all() {
+    let bytes = write_question(&question(), Format::Handovers).expect("it is written");
+    let asked = read_question(&bytes).expect("it is read");
+    assert_eq!(asked, Asked { question: question(), format: Format::Handovers });
+    let told = Snapshot { departures: extension().departures, ..snapshot() };
+    let mut bytes = write_snapshot(&told, asked.format).expect("it is written");
+    assert_eq!(read_snapshot(&bytes).expect("it is read"), told);
+    bytes[1] = 9;
+    assert_eq!(bytes[2], 0xa2);
+    bytes[2] = 0xa3;
+    bytes.extend([0x18, 200, 0x64, b'n', b'e', b'w', b's']);
+    assert_eq!(read_snapshot(&bytes).expect("it is read"), told);
+}
+
 /// What an old box is sent has the very bytes that it writes itself, but for the entry of the demand in
 /// which this box tells what it can read; that one it keeps, for no service.
 #[test]
@@ -109,8 +147,8 @@
 
 #[test]
 fn new_boxes_tell_each_other_all() {
-    for told in [whole(), partial()] {
-        let told = Message { extension: extension().filled(), ..told };
+    for (told, format) in [(whole(), Format::Handovers), (partial(), Format::Permits)] {
+        let told = Message { extension: extension().filled(), format: Some(format), ..told };
         let bytes = write(&told, Format::Permits).expect("it is written");
         assert_eq!(bytes[0], MARK);
         assert_eq!(read(&bytes).expect("it is read"), told);
@@ -128,7 +166,7 @@
 /// A later version may add fields, and say so: the ones that are known are read.
 #[test]
 fn later_fields_are_passed_over() {
-    let told = Message { extension: extension().filled(), ..partial() };
+    let told = Message { extension: extension().filled(), ..later_partial() };
     let mut bytes = write(&told, Format::Permits).expect("it is written");
     bytes[1] = 9;
     // A map of five fields becomes one of six, with a text under number 200.
--- a/tests/tests/gateway_evacuation.rs
+++ b/tests/tests/gateway_evacuation.rs
@@ -16,7 +16,7 @@
 use hollyspoke_gateway::snapshot::Question;
 use hollyspoke_tests::gateway::{
     MODEL, PLAIN, World, configuration, engine, heartbeat, only_refusal, only_send, ran, read,
-    request, turned_away,
+    request, settings, turned_away,
 };
 use proptest::prelude::*;
 
@@ -187,7 +187,10 @@
     let mut provider = world();
     provider.event(Event::Evacuated(evacuated(20, &["north"])));
     let mut world = World::numbered(2);
-    world.event(Event::Fetched(Box::new(provider.gateway.snapshot(Question::default()))));
+    world.event(Event::Fetched(
+        settings(2).peer,
+        Box::new(provider.gateway.snapshot(Question::default())),
+    ));
     assert_eq!(plain_go_to(&mut world), BTreeSet::from(["south".to_owned()]));
 }
 
--- a/tests/tests/gateway_handover.rs
+++ b/tests/tests/gateway_handover.rs
@@ -51,7 +51,7 @@
         bincode::DefaultOptions::new().serialize(&provider.gateway.snapshot(Question::default()));
     let bytes = bytes.expect("it can be written");
     let snapshot: Snapshot = bincode::DefaultOptions::new().deserialize(&bytes).expect("whole");
-    Event::Fetched(Box::new(snapshot))
+    Event::Fetched(settings(2).peer, Box::new(snapshot))
 }
 
 /// Lets time pass while another box tells with each heartbeat what it knows; gives the boxes asked.
@@ -174,7 +174,7 @@
         panic!("changes up to 55 in {snapshot:?}");
     };
     assert_eq!(changes.len(), 4);
-    behind.event(Event::Fetched(Box::new(snapshot)));
+    behind.event(Event::Fetched(settings(2).peer, Box::new(snapshot)));
     assert_eq!(behind.gateway.engine_count(), provider.gateway.engine_count());
     assert_eq!(behind.gateway.engine_revision(), 55);
     let nothing = provider.gateway.snapshot(behind.gateway.question());
@@ -193,7 +193,7 @@
     provider.event(Event::Listed(listed, 40));
     let snapshot = provider.gateway.snapshot(behind.gateway.question());
     assert!(matches!(snapshot.listing, Some(Listing::Changes { .. })), "{snapshot:?}");
-    behind.event(Event::Fetched(Box::new(snapshot)));
+    behind.event(Event::Fetched(settings(2).peer, Box::new(snapshot)));
     let list = |world: &World| match world.gateway.snapshot(Question::default()).listing {
         Some(Listing::Whole { mut engines, revision }) => {
             engines.sort_by_key(|it| it.key);
--- a/tests/tests/gateway_leaving.rs
+++ b/tests/tests/gateway_leaving.rs
@@ -15,11 +15,12 @@
 use hollyspoke_gateway::message::{Extension, Format, Knowledge, Message};
 use hollyspoke_gateway::prompt::PromptKey;
 use hollyspoke_gateway::request::Request;
+use hollyspoke_gateway::snapshot::Question;
 use hollyspoke_gateway::statement::Statement;
 use hollyspoke_tests::fleet::Fleet;
 use hollyspoke_tests::gateway::{
     MODEL, PLAIN, World, engine, engines, heartbeat, only_refusal, only_send, ran, read, request,
-    turned_away,
+    settings, turned_away,
 };
 use hollyspoke_tests::terms::DRAIN;
 
@@ -416,6 +417,19 @@
     assert!(!plain_go_to(&mut known).contains(&first(None).key));
 }
 
+/// A box that gets its engines from another one, since the store does not answer, hears with them which
+/// leave: it sends them nothing, though it was told by no engine and no datagram.
+#[test]
+fn handed_over_to_a_box_that_starts() {
+    let mut provider = one_leaves();
+    provider.pass(Duration::from_secs(3));
+    let mut world = World::numbered(2);
+    let snapshot = provider.gateway.snapshot(Question::default());
+    world.event(Event::Fetched(settings(1).peer, Box::new(snapshot)));
+    let served = plain_go_to(&mut world);
+    assert!(!served.is_empty() && !served.contains(&first(None).key), "{served:?}");
+}
+
 /// Where all readers leave, those that generate read for themselves.
 #[test]
 fn readers_that_leave() {
