House: who lives, who is greeted and who has which duty in files of their own

It keeps who lives; member/duty.rs has the orders in which boxes follow the store, give orders and issue permits, member/ greeting.rs who is greeted, member/peer.rs what is known of one box. Moved without a change of code. Tests of peers, data centres, the census, followers and imports pass.

--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -1,5 +1,9 @@
 //! The other boxes: who lives, and which of them clients may use.
 
+mod duty;
+mod greeting;
+mod peer;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
@@ -9,16 +13,13 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::cadence::{Cadence, SMALL};
-use crate::engine::EngineKey;
 use crate::message::{DataCentreKey, Demand, Format, Knowledge, Message, Named, Standing};
 
+use peer::Peer;
+
 /// How long a silent box is still greeted.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
 
-/// The time in which a greeting arrives at a box that lives. One that greets this box later may have
-/// started after it.
-const GREETING_ARRIVES_IN: Duration = Duration::from_millis(100);
-
 /// The boxes of a data centre from which on one of them passes on what boxes of other data centres
 /// tell: below, too much is lost with it until its death is noticed.
 const LEAST_RELAYED: usize = 6;
@@ -27,109 +28,6 @@
 /// alone, in deployments of more than [`SMALL`] boxes: a few may be dead and not noticed yet.
 const LEAST_NEAR_FRONTS: usize = 8;
 
-/// The boxes of another data centre beyond which no more of it are greeted, where there are more
-/// than [`SMALL`]: one of them passes on what this box tells, and the others may be dead. With all
-/// greeted and answered, 985 boxes that start at once send each other a fifth more datagrams.
-const ENOUGH_FAR: usize = 8;
-
-/// How often boxes that have not answered are greeted.
-const GREET_EVERY: Duration = Duration::from_millis(1000);
-
-/// How often the seeds are greeted while no box was ever heard: all boxes may start at once, in any
-/// order, and until this one hears the first it takes every duty for its own.
-const SEEK_EVERY: Duration = Duration::from_millis(100);
-
-/// For how long that goes on. On the users' sites all boxes start within 0.3 s of each other.
-const SEEK_FOR: Duration = Duration::from_millis(1000);
-
-/// The time in which names of boxes gather that were never greeted. Until a box has heard most of
-/// the others it takes duties for its own that are theirs: 295 boxes that started at once and knew
-/// three others at their second heartbeat all followed the store (`docs/SCALE.md`).
-const GREET_NEW_AFTER: Duration = Duration::from_millis(50);
-
-/// One other box.
-#[derive(Debug, Clone)]
-struct Peer {
-    /// The number of its life.
-    incarnation: u64,
-    /// The highest sequence heard in this life.
-    sequence: u64,
-    /// Its number in orders that are the same on all boxes.
-    number: u64,
-    /// Where it listens for clients.
-    front: SocketAddr,
-    /// Its data centre.
-    data_centre: DataCentreKey,
-    /// Whether it takes requests.
-    standing: Standing,
-    /// What it knows of the store.
-    knowledge: Knowledge,
-    /// What clients ask of it, by service.
-    demand: Vec<(u64, Demand)>,
-    /// How often its heartbeats come.
-    cadence: Cadence,
-    /// The silence after which it is taken for dead.
-    dead_after: Duration,
-    /// When it was last heard.
-    heard: Time,
-    /// Whether its silence was noted.
-    is_silent: bool,
-    /// What it can read of datagrams.
-    format: Format,
-}
-
-impl Peer {
-    /// Makes a box that is just heard for the first time.
-    fn new(message: &Message, cadence: Cadence, own: DataCentreKey) -> Peer {
-        Peer {
-            incarnation: message.incarnation,
-            sequence: 0,
-            number: number(&message.sender),
-            front: message.front,
-            data_centre: message.data_centre,
-            standing: message.standing,
-            knowledge: message.knowledge,
-            demand: Vec::new(),
-            cadence,
-            dead_after: cadence.dead_after(message.data_centre == own),
-            heard: Time::ZERO,
-            is_silent: true,
-            format: Format::default(),
-        }
-    }
-
-    /// Takes what it tells of itself.
-    fn take(&mut self, message: &Message, own: DataCentreKey, now: Time) {
-        if message.is_whole || self.incarnation != message.incarnation {
-            self.format = message.format.unwrap_or_default();
-        }
-        self.format = self.format.max(message.format.unwrap_or_default());
-        self.incarnation = message.incarnation;
-        self.sequence = message.sequence;
-        self.front = message.front;
-        self.data_centre = message.data_centre;
-        self.standing = message.standing;
-        self.knowledge = message.knowledge;
-        self.cadence = message.cadence.unwrap_or(self.cadence);
-        self.dead_after = self.cadence.dead_after(self.data_centre == own);
-        if message.is_whole {
-            self.demand.clone_from(&message.demand);
-        }
-        self.heard = now;
-        self.is_silent = false;
-    }
-
-    /// Tells whether it was stopped in order, so that nobody waits for it.
-    fn has_stopped(&self) -> bool {
-        self.is_silent && self.standing == Standing::Stopping
-    }
-
-    /// Gives the silence after which its heartbeat is overdue.
-    fn due_after(&self, own: DataCentreKey) -> Duration {
-        self.cadence.due_after(self.data_centre == own)
-    }
-}
-
 /// How far a datagram goes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Reach {
@@ -244,52 +142,6 @@
         if self.is_large() { self.most_near } else { self.most }
     }
 
-    /// Adds boxes to greet that the settings name.
-    pub fn seek(
-        &mut self,
-        own: SocketAddr,
-        seeds: impl IntoIterator<Item = SocketAddr>,
-        now: Time,
-    ) {
-        for seed in seeds {
-            self.add_to_greet(own, seed, now);
-        }
-    }
-
-    /// Adds boxes to greet that another box names. Of many, a few of each other data centre are
-    /// enough: the rest is heard of with the heartbeats that these pass on.
-    pub fn introduce(&mut self, own: SocketAddr, named: &[Named], now: Time) {
-        for &Named { address, data_centre } in named {
-            let is_near = data_centre == self.own;
-            let is_known = self.peers.contains_key(&address);
-            if !is_known && (is_near || self.wants_far(data_centre)) {
-                self.add_to_greet(own, address, now);
-            }
-        }
-    }
-
-    /// Tells whether one more box of another data centre is to be greeted.
-    fn wants_far(&self, data_centre: DataCentreKey) -> bool {
-        let is_many = self.peers.len() + self.greeted.len() >= SMALL;
-        !is_many || self.living_in.get(&data_centre).is_none_or(|&it| it < ENOUGH_FAR)
-    }
-
-    /// Adds a box to greet.
-    fn add_to_greet(&mut self, own: SocketAddr, address: SocketAddr, now: Time) {
-        let is_known = self.peers.contains_key(&address) || self.greeted.contains_key(&address);
-        if address != own && !is_known {
-            self.greeted.insert(address, None);
-            self.fresh_since.get_or_insert(now);
-        }
-    }
-
-    /// Tells whether a box that has not been heard yet was greeted just now, so that it knows this
-    /// one.
-    pub fn was_greeted(&self, node: SocketAddr, now: Time) -> bool {
-        let greeted = self.greeted.get(&node).copied().flatten();
-        greeted.is_some_and(|it| now.since(it) < GREETING_ARRIVES_IN)
-    }
-
     /// Takes in a datagram.
     pub fn hear(&mut self, message: &Message, now: Time) -> Hearing {
         self.greeted.remove(&message.sender);
@@ -388,42 +240,6 @@
         audience
     }
 
-    /// Gives the boxes that are greeted now: those never greeted, and now and then those that are
-    /// silent or have not been heard yet.
-    pub fn greeting(&mut self, now: Time) -> Vec<SocketAddr> {
-        let mut audience = Vec::new();
-        let pause = if self.seeks(now) { SEEK_EVERY } else { GREET_EVERY };
-        let is_turn = self.last_greeting.is_none_or(|it| now.since(it) >= pause);
-        if is_turn {
-            self.last_greeting = Some(now);
-            self.first_greeting.get_or_insert(now);
-            audience.extend(self.peers.iter().filter(|(_, it)| it.is_silent).map(|(&it, _)| it));
-        }
-        for (&node, greeted) in &mut self.greeted {
-            if is_turn || greeted.is_none() {
-                audience.push(node);
-                *greeted = Some(now);
-            }
-        }
-        self.fresh_since = None;
-        audience
-    }
-
-    /// Tells whether no box was ever heard, and the seeds are still asked often: the first second
-    /// after the start.
-    pub fn seeks(&self, now: Time) -> bool {
-        let is_early = self.first_greeting.is_none_or(|it| now.since(it) < SEEK_FOR);
-        is_early && self.peers.is_empty() && !self.greeted.is_empty()
-    }
-
-    /// Gives when boxes are to be greeted before the next heartbeat: the seeds while no box was
-    /// ever heard, and those never greeted.
-    pub fn next_greeting(&self, now: Time) -> Option<Time> {
-        let fresh = self.fresh_since.map(|it| it + GREET_NEW_AFTER);
-        let last = self.last_greeting.filter(|_| self.seeks(now));
-        [fresh, last.map(|it| it + SEEK_EVERY)].into_iter().flatten().min()
-    }
-
     /// Tells whether all boxes that this one knows of were heard, and the last of them some time
     /// ago: others then have the same picture of who lives.
     pub fn is_settled(&self, now: Time, quiet_for: Duration) -> bool {
@@ -461,29 +277,6 @@
         Fronts { fronts, is_inside: has_inside }
     }
 
-    /// Tells whether this box is among those that follow the store: the first `count` of the living
-    /// boxes in an order that is the same on all boxes. Those that get no answers follow too and
-    /// are not counted; `most` bounds all together.
-    pub fn is_follower(&self, own: SocketAddr, count: usize, most: usize) -> bool {
-        let before: Vec<_> = self.before(own).collect();
-        let answered = before.iter().filter(|it| !it.knowledge.is_blind).count();
-        before.len() < most && answered < count
-    }
-
-    /// Tells whether this box comes first of the living ones that serve and have the store's
-    /// answers, in the order in which they follow it: it is the one to give orders.
-    pub fn is_first(&self, own: SocketAddr) -> bool {
-        let is_able = |it: &Peer| it.standing == Standing::Ready && !it.knowledge.is_blind;
-        !self.before(own).any(is_able)
-    }
-
-    /// Goes over the living boxes that come before this one in the order that is the same on all.
-    fn before(&self, own: SocketAddr) -> impl Iterator<Item = &Peer> {
-        let place = |number: u64| rank::place(0, number);
-        let own = place(number(&own));
-        self.peers.values().filter(move |it| !it.is_silent && place(it.number) < own)
-    }
-
     /// Gives what clients ask of a service at the living boxes beside this one.
     pub fn demand(&self, service: u64) -> Demand {
         let alive = self.peers.values().filter(|it| !it.is_silent);
@@ -507,27 +300,6 @@
         (!self.is_seeking()).then_some(most.saturating_sub(stopped).max(1))
     }
 
-    /// Chooses a living box that serves and knows the newest version of the configuration, at least
-    /// one that is given, by a number drawn from all of `u64`. One that knows of newer changes of
-    /// engines than a revision goes first, then one of the own data centre, since bytes between data
-    /// centres are dear.
-    ///
-    /// It need not be the one that knows most: if hundreds are behind, all would ask the few that
-    /// follow the store, which then have no time for the store itself.
-    pub fn provider(&self, version: u64, revision: u64, draw: u64) -> Option<SocketAddr> {
-        let newest = self.newest().version.max(version);
-        let is_able = |it: &Peer| it.standing == Standing::Ready && it.knowledge.version >= newest;
-        let able: Vec<_> =
-            self.peers.iter().filter(|(_, it)| !it.is_silent && is_able(it)).collect();
-        let is_near = |it: &Peer| it.data_centre == self.own;
-        let is_ahead = |it: &Peer| it.knowledge.revision > revision;
-        let place = |it: &Peer| (!is_ahead(it), !is_near(it));
-        let best = able.iter().map(|it| place(it.1)).min()?;
-        let best: Vec<_> = able.into_iter().filter(|it| place(it.1) == best).collect();
-        let chosen = draw.checked_rem(best.len() as u64)?;
-        best.get(chosen as usize).map(|it| *it.0)
-    }
-
     /// Tells whether a box has been heard from an IP address.
     pub fn knows_ip(&self, ip: IpAddr) -> bool {
         self.peers.keys().any(|it| it.ip() == ip)
@@ -564,47 +336,6 @@
         self.peers.get(&node).map_or(Format::First, |it| it.format)
     }
 
-    /// Gives the box that issues an engine's permits: the first for it of those that live, serve and
-    /// can, in the engine's data centre if there is one; this one too, if it serves.
-    pub fn issuer(
-        &self,
-        own: SocketAddr,
-        serves: bool,
-        engine: EngineKey,
-        data_centre: DataCentreKey,
-    ) -> SocketAddr {
-        let is_able = |it: &Peer| {
-            !it.is_silent && it.standing == Standing::Ready && it.format >= Format::Permits
-        };
-        let others = self.peers.iter().filter(|(_, it)| is_able(it));
-        let others = others.map(|(&node, it)| (node, it.number, it.data_centre));
-        let own_entry = (own, number(&own), self.own);
-        let all = others.chain(serves.then_some(own_entry));
-        let place = |it: &(SocketAddr, u64, DataCentreKey)| {
-            (it.2 != data_centre, rank::place(engine.0, it.1))
-        };
-        all.min_by_key(place).map_or(own, |it| it.0)
-    }
-
-    /// Gives how many of the first boxes for an engine are heard, this one included, of all that are
-    /// known; none if fewer are known than there are.
-    pub fn first_heard(
-        &self,
-        own: SocketAddr,
-        engine: EngineKey,
-        first: usize,
-        boxes: usize,
-    ) -> usize {
-        let others = self.peers.values().filter(|it| !it.has_stopped());
-        let others = others.map(|it| (it.number, !it.is_silent));
-        let mut all: Vec<_> = others.chain([(number(&own), true)]).collect();
-        if all.len() < boxes {
-            return 0;
-        }
-        rank::order(engine.0, &mut all, |it| it.0);
-        all.iter().take(first).filter(|it| it.1).count()
-    }
-
     /// Gives how many boxes live, this one included.
     pub fn count(&self, now: Time) -> usize {
         let (near, far) = self.least_silence();
