House: one name for what keeps requests from an engine

Hindrance had the same three cases as Bar, and rest::Table a function that nobody called. Tests of rest, leaving, imports and intake pass; decisions are as before.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -19,7 +19,7 @@
 use crate::rest;
 use crate::signature::Signature;
 use crate::statement::ToldLoad;
-use crate::terms::Hindrance;
+use crate::terms::Bar;
 
 /// Where a prompt that was read lies.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -182,7 +182,7 @@
     /// The engine's id.
     pub engine: Arc<str>,
     /// Why not.
-    pub by: Hindrance,
+    pub by: Bar,
 }
 
 /// A decision worth a line in the log.
--- a/crates/hollyspoke-gateway/src/flight.rs
+++ b/crates/hollyspoke-gateway/src/flight.rs
@@ -15,7 +15,7 @@
 use crate::request::{CallKey, FlightKey, Request};
 use crate::route::{Route, RouteKind, Service};
 use crate::signature::Signature;
-use crate::terms::Hindrance;
+use crate::terms::Bar;
 
 /// The most times that engines may turn one request away before it is given up.
 const MOST_REJECTIONS: u32 = 3;
@@ -105,7 +105,7 @@
     /// The engine.
     pub engine: EngineKey,
     /// Why not.
-    pub by: Hindrance,
+    pub by: Bar,
 }
 
 /// A question for a permit to go to an engine in need.
--- a/crates/hollyspoke-gateway/src/gateway/permits.rs
+++ b/crates/hollyspoke-gateway/src/gateway/permits.rs
@@ -16,7 +16,7 @@
 };
 use crate::placement::Asking;
 use crate::request::FlightKey;
-use crate::terms::Hindrance;
+use crate::terms::Bar;
 
 /// The most questions for permits of one call. Each takes a datagram and its answer; where all
 /// engines of a service are in need, a fifth one seldom finds what four did not.
@@ -148,7 +148,7 @@
     fn end_question(&mut self, key: FlightKey, engine: EngineKey) {
         let Some(flight) = self.flights.get_mut(&key) else { return };
         flight.asked.take_if(|it| it.engine == engine);
-        flight.keep_from(KeptFrom { engine, by: Hindrance::Limit });
+        flight.keep_from(KeptFrom { engine, by: Bar::Limit });
     }
 
     /// Issues a permit to a request of this box.
--- a/crates/hollyspoke-gateway/src/gateway/terms.rs
+++ b/crates/hollyspoke-gateway/src/gateway/terms.rs
@@ -13,7 +13,7 @@
 use crate::request::FlightKey;
 use crate::rest;
 use crate::statement::Statement;
-use crate::terms::{Bar, Hindrance, Terms};
+use crate::terms::{Bar, Terms};
 
 /// By which share of itself a rest is drawn out at most, so that boxes that were told together do not
 /// come back together.
@@ -53,7 +53,7 @@
     /// The time.
     pub(super) span: Duration,
     /// Why it can't go to the engine that takes it first.
-    by: Hindrance,
+    by: Bar,
 }
 
 impl Gateway {
@@ -170,9 +170,9 @@
     pub(super) fn note_kept_away(&mut self, key: FlightKey) {
         let Some(flight) = self.flights.get(&key) else { return };
         let leaving = self.terms.departures.engines();
-        let leaving = leaving.map(|engine| KeptFrom { engine, by: Hindrance::Leaving });
+        let leaving = leaving.map(|engine| KeptFrom { engine, by: Bar::Leaving });
         let resting = self.terms.rests.engines(self.now);
-        let resting = resting.map(|engine| KeptFrom { engine, by: Hindrance::Rest });
+        let resting = resting.map(|engine| KeptFrom { engine, by: Bar::Rest });
         let kept = leaving.chain(resting);
         let is_concerned = |it: &KeptFrom| {
             let known = self.directory.get(it.engine);
@@ -249,9 +249,9 @@
                 // One whose rest is over may take more with the next answer.
                 let rests = self.terms.rests.wait(engine, self.now).unwrap_or_default();
                 let span = limited.map_or(rests, |it| it.max(rests));
-                Some(Wait { span, by: Hindrance::Rest })
+                Some(Wait { span, by: Bar::Rest })
             }
-            Bar::Limit => Some(Wait { span: limited?, by: Hindrance::Limit }),
+            Bar::Limit => Some(Wait { span: limited?, by: Bar::Limit }),
             Bar::Leaving => None,
         }
     }
@@ -260,7 +260,7 @@
     pub(super) fn wait_or_refuse(&mut self, key: FlightKey, wait: Wait) {
         let Some(flight) = self.flights.get(&key) else { return };
         let until = flight.waits_until.unwrap_or_else(|| self.permit_end(flight));
-        if wait.by == Hindrance::Rest && self.now + wait.span < until {
+        if wait.by == Bar::Rest && self.now + wait.span < until {
             return self.wait_until(key, until);
         }
         self.refuse_kept(key, wait);
@@ -271,9 +271,9 @@
         let spread = (self.draw() % 1000) as f64 / 1000.0;
         let retry = wait.span.max(LEAST_RETRY).mul_f64(1.0 + RETRY_SPREAD * spread);
         let reason = match wait.by {
-            Hindrance::Rest => NotRunReason::Resting,
-            Hindrance::Leaving => NotRunReason::Leaving,
-            Hindrance::Limit => NotRunReason::Limited,
+            Bar::Rest => NotRunReason::Resting,
+            Bar::Leaving => NotRunReason::Leaving,
+            Bar::Limit => NotRunReason::Limited,
         };
         self.give_up_until(key, reason, retry);
     }
--- a/crates/hollyspoke-gateway/src/rest.rs
+++ b/crates/hollyspoke-gateway/src/rest.rs
@@ -130,11 +130,6 @@
         self.of(engine).is_some_and(|it| now < it.until || it.under_way >= it.allowed)
     }
 
-    /// Tells whether an engine rests.
-    pub fn rests(&self, engine: &Engine, now: Time) -> bool {
-        self.of(engine).is_some_and(|it| now < it.until)
-    }
-
     /// Gives how much longer an engine rests, if it does.
     pub fn wait(&self, engine: &Engine, now: Time) -> Option<Duration> {
         self.of(engine).map(|it| it.until.since(now)).filter(|it| !it.is_zero())
--- a/crates/hollyspoke-gateway/src/terms.rs
+++ b/crates/hollyspoke-gateway/src/terms.rs
@@ -18,17 +18,6 @@
     pub rests: rest::Table,
 }
 
-/// Why a request was kept from an engine, as the log names it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Hindrance {
-    /// The engine is about to leave.
-    Leaving,
-    /// It wants nothing from this box for a time.
-    Rest,
-    /// It takes only so many requests a second.
-    Limit,
-}
-
 /// What keeps requests from an engine by its own word.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Bar {
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -5,7 +5,7 @@
 use hollyspoke_gateway::effect::{KeptFrom, Note};
 use hollyspoke_gateway::engine::Stage;
 use hollyspoke_gateway::intake::Change;
-use hollyspoke_gateway::terms::Hindrance;
+use hollyspoke_gateway::terms::Bar;
 use hollyspoke_gateway::{departure, rest};
 use slog::{Logger, info, o, warn};
 
@@ -58,9 +58,9 @@
         Note::Ended { request, customer, units, kept_from, how, after } => {
             info!(log, "request ended";
             "request" => %request, "customer" => customer.as_deref(), "units" => units,
-            "limited" => kept_by(kept_from, Hindrance::Limit),
-            "leaving" => kept_by(kept_from, Hindrance::Leaving),
-            "resting" => kept_by(kept_from, Hindrance::Rest),
+            "limited" => kept_by(kept_from, Bar::Limit),
+            "leaving" => kept_by(kept_from, Bar::Leaving),
+            "resting" => kept_by(kept_from, Bar::Rest),
             "how" => how, "after_ms" => millis(after))
         }
         Note::Peers { heard, silent, alive } => info!(log, "peers changed";
@@ -123,7 +123,7 @@
 }
 
 /// Gives the engines that a request was kept from for a reason, if there are any.
-fn kept_by(kept_from: &[KeptFrom], by: Hindrance) -> Option<String> {
+fn kept_by(kept_from: &[KeptFrom], by: Bar) -> Option<String> {
     let engines: Vec<_> = kept_from.iter().filter(|it| it.by == by).map(|it| &*it.engine).collect();
     (!engines.is_empty()).then(|| engines.join(" "))
 }
--- a/tests/tests/gateway_rest.rs
+++ b/tests/tests/gateway_rest.rs
@@ -16,7 +16,7 @@
 use hollyspoke_gateway::request::Request;
 use hollyspoke_gateway::rest::{LONGEST, Told};
 use hollyspoke_gateway::statement::Statement;
-use hollyspoke_gateway::terms::Hindrance;
+use hollyspoke_gateway::terms::Bar;
 use hollyspoke_tests::fleet::Fleet;
 use hollyspoke_tests::gateway::{
     MODEL, PLAIN, World, engine, engines, only_refusal, only_send, ran, read, request, turned_away,
@@ -350,10 +350,7 @@
         _ => None,
     });
     let kept = kept.expect("it has ended");
-    assert!(
-        kept.iter().any(|it| it.by == Hindrance::Rest && &*it.engine == "engine-1"),
-        "{kept:?}"
-    );
+    assert!(kept.iter().any(|it| it.by == Bar::Rest && &*it.engine == "engine-1"), "{kept:?}");
 }
 
 /// A prompt that was read for an engine that rests meanwhile goes to another one; a kept one is taken
