Sight: the store's era, lists that are not taken and histories that are gone have lines

What told the incident's hypotheses apart stood nowhere: the era that the store tells was not read, a list older than what is known was dropped without a word, and a watch that gets 410 left no line. Now: `era of the store` (with the era and the revision before), a gauge, `list of engines not taken` (both revisions), `history of the store is gone`. No decision has changed.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -209,6 +209,13 @@
         /// The revision.
         revision: u64,
     },
+    /// A list of engines was not taken, since it is older than what is known.
+    ListDropped {
+        /// The list's revision.
+        revision: u64,
+        /// The revision up to which nothing is missing.
+        known: u64,
+    },
     /// An engine was added or changed.
     Engine {
         /// The engine's id.
--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -186,11 +186,15 @@
     pub(super) fn list(&mut self, engines: Vec<Engine>, revision: u64) {
         let since = self.directory.next_since();
         let missing_until = self.missing_until();
-        if let Some(changes) = self.directory.list(engines, revision, missing_until, self.now) {
-            self.note(Note::Listed { engines: self.directory.len(), revision });
-            if self.is_listed && self.store.follows {
-                self.pass_on(since, changes);
+        let known = self.directory.complete();
+        match self.directory.list(engines, revision, missing_until, self.now) {
+            Some(changes) => {
+                self.note(Note::Listed { engines: self.directory.len(), revision });
+                if self.is_listed && self.store.follows {
+                    self.pass_on(since, changes);
+                }
             }
+            None => self.note(Note::ListDropped { revision, known }),
         }
         if !self.is_listed {
             self.is_listed = true;
--- a/crates/hollyspoke-server/src/dialect.rs
+++ b/crates/hollyspoke-server/src/dialect.rs
@@ -14,7 +14,7 @@
 use hollyspoke_gateway::request::Request;
 use hollyspoke_gateway::route::Configuration;
 use hollyspoke_gateway::statement::Statement;
-use http::{StatusCode, request, response};
+use http::{HeaderMap, StatusCode, request, response};
 
 pub use hollyspoke_gateway::event::Kind;
 
@@ -108,6 +108,8 @@
     pub operation: fn(&Operation) -> (request::Builder, Bytes),
     /// Reads the store's answer to such an operation.
     pub read_stored: fn(&Operation, StatusCode, &[u8]) -> Stored,
+    /// Reads the store's era from the headers of any of its answers, if it tells.
+    pub read_era: fn(&HeaderMap) -> Option<u64>,
     /// Makes the path that lists a kind, after a name; whether the answer may be stale.
     pub list: fn(Kind, Option<&str>, bool) -> String,
     /// Makes the path that waits for changes of a kind since a revision.
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -56,6 +56,8 @@
     evacuated: Gauge<u64>,
     /// What engines in need take, in thousandths of a request a second.
     limits: Gauge<u64>,
+    /// How often the store has come back from an older copy.
+    era: Gauge<u64>,
     /// Whether an engine is about to leave.
     leaving: Gauge<u64>,
     /// Whether an engine wants nothing from this box for a time.
@@ -101,6 +103,7 @@
                 "hollyspoke_engine_limit_milli",
                 "thousandths of a request a second that an engine takes from all boxes; 0: no limit",
             ),
+            era: gauge("hollyspoke_store_era", "how often the store came back from an older copy"),
             leaving: gauge("hollyspoke_engine_leaving", "whether an engine is about to leave"),
             resting: gauge(
                 "hollyspoke_engine_resting",
@@ -166,10 +169,15 @@
             Note::Rest { change: rest::Change::Unreadable, .. } => {}
             Note::Ordered { .. } | Note::Census { .. } | Note::CasesRead { .. } => {}
             Note::Released { .. } | Note::Suspended(_) => {}
-            Note::Listed { .. } | Note::Avoided { .. } | Note::Follows(_) | Note::Stopping => {}
+            Note::Listed { .. } | Note::ListDropped { .. } | Note::Avoided { .. } | Note::Follows(_) | Note::Stopping => {}
         }
     }
 
+    /// Takes the store's era.
+    pub fn record_era(&self, era: u64) {
+        self.era.record(era, &[]);
+    }
+
     /// Writes all metrics in Prometheus' text form.
     pub fn text(&self) -> String {
         self.exporter.text()
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -18,8 +18,8 @@
 use hollyspoke_gateway::message::{Format, Message};
 use hollyspoke_gateway::request::{CallKey, FlightKey};
 use hollyspoke_gateway::signature::Content;
-use http::{request, response};
-use slog::Logger;
+use http::{HeaderMap, request, response};
+use slog::{Logger, warn};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -102,6 +102,8 @@
     waiting: RefCell<HashMap<CallKey, Waiting>>,
     /// The number of the next request.
     next_flight: Cell<u64>,
+    /// The store's era, as it last told.
+    era: Cell<Option<u64>>,
     /// Whether the store's changes are followed.
     follows: Cell<bool>,
     /// Wakes the follower of the configuration.
@@ -164,6 +166,7 @@
             calls: RefCell::default(),
             waiting: RefCell::default(),
             next_flight: Cell::new(0),
+            era: Cell::new(None),
             follows: Cell::new(false),
             configuration_wanted: Notify::new(),
             engines_wanted: Notify::new(),
@@ -293,6 +296,18 @@
         }
     }
 
+    /// Looks at the era that an answer of the store tells.
+    pub fn see_era(&self, headers: &HeaderMap) {
+        let era = (self.dialect.read_era)(headers);
+        let before = self.era.replace(era);
+        if before != era {
+            let revision = self.with(|it| it.engine_revision());
+            warn!(self.log, "era of the store"; "era" => era, "before" => before,
+                "revision_before" => revision);
+            self.metrics.record_era(era.unwrap_or(0));
+        }
+    }
+
     /// Carries out one effect.
     fn carry_out(self: &Rc<Node>, effect: Effect) {
         match effect {
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -22,6 +22,8 @@
         Note::Listed { engines, revision } => {
             info!(log, "engines listed"; "engines" => engines, "revision" => revision);
         }
+        Note::ListDropped { revision, known } => warn!(log, "list of engines not taken";
+            "revision" => revision, "known" => known),
         Note::Engine { id, address, is_draining } => info!(log, "engine";
             "engine" => %id, "address" => %address, "draining" => is_draining),
         Note::EngineLeft { id } => info!(log, "engine left"; "engine" => %id),
--- a/crates/hollyspoke-server/src/sync.rs
+++ b/crates/hollyspoke-server/src/sync.rs
@@ -243,6 +243,8 @@
     /// Has the whole list read next if the store has forgotten what came before.
     fn forget_if_gone(&mut self, failure: &Failure) {
         if *failure == Failure::Refused(StatusCode::GONE) {
+            info!(self.node.log, "history of the store is gone";
+                "kind" => format!("{:?}", self.kind), "since" => self.reached);
             self.reached = None;
         }
     }
@@ -324,6 +326,7 @@
             .map_err(|it| Failure::Malformed(it.to_string()))?;
         let response = connection.send(request).await.map_err(|_| Failure::NoAnswer)?;
         let status = response.status();
+        self.node.see_era(response.headers());
         let bytes = read_whole(response.into_body(), LONGEST_ANSWER).await;
         let bytes = bytes.ok_or(Failure::NoAnswer)?;
         if status != StatusCode::OK {
