--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -169,7 +169,11 @@
             Note::Rest { change: rest::Change::Unreadable, .. } => {}
             Note::Ordered { .. } | Note::Census { .. } | Note::CasesRead { .. } => {}
             Note::Released { .. } | Note::Suspended(_) => {}
-            Note::Listed { .. } | Note::ListDropped { .. } | Note::Avoided { .. } | Note::Follows(_) | Note::Stopping => {}
+            Note::Listed { .. }
+            | Note::ListDropped { .. }
+            | Note::Avoided { .. }
+            | Note::Follows(_)
+            | Note::Stopping => {}
         }
     }
 
--- a/tests/src/platform.rs
+++ b/tests/src/platform.rs
@@ -85,6 +85,7 @@
 }
 
 /// An object of the store.
+#[derive(Clone)]
 struct Object {
     /// Its kind.
     kind: String,
@@ -98,6 +99,14 @@
     is_gone: bool,
 }
 
+/// A copy of all that the store holds.
+pub struct Backup {
+    /// The revision.
+    revision: u64,
+    /// The objects.
+    objects: Vec<Object>,
+}
+
 /// The store.
 #[derive(Clone)]
 pub struct Store {
@@ -107,6 +116,10 @@
     pub mood: Rc<Cell<StoreMood>>,
     /// The revision.
     revision: Rc<Cell<u64>>,
+    /// How often it has come back from a copy; none if it does not tell.
+    pub era: Rc<Cell<Option<u64>>>,
+    /// The calls that came, those that were refused too.
+    pub calls: Rc<Cell<u64>>,
     /// The objects, those that are gone too.
     objects: Rc<RefCell<Vec<Object>>>,
     /// The most objects of a page.
@@ -264,6 +277,8 @@
         address,
         mood: Rc::new(Cell::new(StoreMood::Well)),
         revision: Rc::new(Cell::new(1)),
+        era: Rc::new(Cell::new(Some(1))),
+        calls: Rc::default(),
         objects: Rc::default(),
         page: Rc::new(Cell::new(500)),
         lists: Rc::default(),
@@ -285,6 +300,7 @@
 async fn serve_store(store: Store, mut stream: TcpStream) {
     let silenced = store.silenced.get();
     while let Some(received) = receive(&mut stream).await {
+        store.calls.set(store.calls.get() + 1);
         let path = received.line.split(' ').nth(1).unwrap_or_default().to_owned();
         let (status, body) = match store.mood.get() {
             StoreMood::Silent => std::future::pending().await,
@@ -305,7 +321,8 @@
             std::future::pending::<()>().await;
         }
         let body = body.to_string();
-        let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len());
+        let era = store.era.get().map(|it| format!("Store-Era: {it}\r\n")).unwrap_or_default();
+        let head = format!("HTTP/1.1 {status}\r\n{era}Content-Length: {}\r\n\r\n", body.len());
         if stream.write_all(format!("{head}{body}").as_bytes()).await.is_err() {
             return;
         }
@@ -318,6 +335,19 @@
         self.silenced.set(self.silenced.get() + 1);
     }
 
+    /// Copies all that the store holds.
+    pub fn back_up(&self) -> Backup {
+        Backup { revision: self.revision.get(), objects: self.objects.borrow().clone() }
+    }
+
+    /// Comes back from a copy: what was written since is lost, and revisions are given out again.
+    pub fn restore(&self, backup: &Backup) {
+        self.revision.set(backup.revision);
+        self.objects.borrow_mut().clone_from(&backup.objects);
+        self.era.set(self.era.get().map(|it| it + 1));
+        self.changed.notify_waiters();
+    }
+
     /// Puts an object.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         self.write(kind, name, spec, false);
@@ -404,7 +434,7 @@
         let below = path.trim_start_matches("/objects/");
         let method = received.line.split(' ').next().unwrap_or_default();
         match (method, below.split_once('/')) {
-            ("GET", None) => ("200 OK", self.answer(path).await),
+            ("GET", None) => self.answer(path).await,
             ("GET", Some((kind, name))) => self.found(kind, name),
             ("POST", None) => {
                 let body: Value = serde_json::from_slice(&received.body).unwrap_or_default();
@@ -440,20 +470,23 @@
     }
 
     /// Answers a list or a watch.
-    async fn answer(&self, path: &str) -> Value {
+    async fn answer(&self, path: &str) -> (&'static str, Value) {
         let kind = path.trim_start_matches("/objects/").split('?').next().unwrap_or_default();
         let since = path.split("watch=").nth(1).and_then(|it| it.split('&').next()?.parse().ok());
         let wait = path.split("waitMs=").nth(1).and_then(|it| it.parse().ok()).unwrap_or(0);
         let Some(since) = since else {
-            return self.page(kind, path);
+            return ("200 OK", self.page(kind, path));
         };
+        if since > self.revision.get() {
+            return ("410 Gone", Value::Null);
+        }
         let changed = self.changed.notified();
         let mut events = self.since(kind, since, true);
         if events.is_empty() {
             _ = tokio::time::timeout(Duration::from_millis(wait), changed).await;
             events = self.since(kind, since, true);
         }
-        json!({"events": events, "at": self.revision.get()})
+        ("200 OK", json!({"events": events, "at": self.revision.get()}))
     }
 
     /// Gives a page of a list, by name.
