A lease is not held on by a renewal that has not taken effect

Found by drawn faults on the lease over eras, in a part where no store came back: writes that take effect seconds late, and a box cut off. Two boxes gave orders 1.0 s apart (3 s are asked for). Cause: a holder whose renewal got no answer read its own name in the store, took the renewal for done and held on from the time at which it was sent, though the version was the one that it replaces; others had seen that version stand for the whole time and took the lease.

Now the version that a write replaces is kept with it: as long as it stands, the write has proven nothing, and is made once more. a_renewal_under_way_is_not_held failed before (held until 12 s, 9 s allowed) and passes.

--- a/crates/hollyspoke/src/lease.rs
+++ b/crates/hollyspoke/src/lease.rs
@@ -62,8 +62,17 @@
     Rest(Time),
     /// A read.
     Get(u64),
-    /// A write, and when it was sent.
-    Put(u64, Time),
+    /// A write, when it was sent, and the version that it replaces.
+    Put(u64, Unanswered),
+}
+
+/// A write whose answer never came: it may have taken effect, or may yet do so.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Unanswered {
+    /// When it was sent.
+    sent: Time,
+    /// The version that it replaces.
+    expected: u64,
 }
 
 /// What was last seen in the store.
@@ -90,8 +99,8 @@
     seen: Option<Seen>,
     /// What is under way.
     flight: Flight,
-    /// When the last write was sent whose answer never came.
-    unanswered: Option<Time>,
+    /// The last write whose answer never came.
+    unanswered: Option<Unanswered>,
     /// Whether the last write was to take the lease from another box.
     takes_over: bool,
     /// When this box took the lease over from another one.
@@ -143,7 +152,7 @@
     ) {
         match self.flight {
             Flight::Get(it) if it == number => self.read(now, answer, begin),
-            Flight::Put(it, sent) if it == number => self.written(now, sent, answer),
+            Flight::Put(it, write) if it == number => self.written(now, write, answer),
             Flight::Rest(_) | Flight::Get(_) | Flight::Put(..) => {}
         }
     }
@@ -159,9 +168,10 @@
             }
         };
         let mine = holder == self.me;
-        if mine && let Some(sent) = self.unanswered.take() {
-            // The write whose answer was lost has taken effect.
-            self.hold(now, version, sent);
+        // As long as the version stands, the write whose answer was lost has not taken effect.
+        let done = self.unanswered.take_if(|it| mine && it.expected != version);
+        if let Some(write) = done {
+            self.hold(now, version, write.sent);
         }
         let stood = match self.seen {
             Some(seen) if seen.version == version => now.since(seen.since),
@@ -182,19 +192,20 @@
             expected: version,
             value: self.me.clone(),
         };
-        self.flight = Flight::Put(begin(operation), now);
+        let write = Unanswered { sent: now, expected: version };
+        self.flight = Flight::Put(begin(operation), write);
     }
 
     /// Takes the answer to a write.
-    fn written(&mut self, now: Time, sent: Time, answer: &Answer) {
+    fn written(&mut self, now: Time, write: Unanswered, answer: &Answer) {
         match answer {
             Answer::Written { version } => {
                 self.unanswered = None;
-                self.hold(now, *version, sent);
+                self.hold(now, *version, write.sent);
                 self.flight = Flight::Rest(now + self.terms.renew);
             }
             Answer::Away => {
-                self.unanswered = Some(sent);
+                self.unanswered = Some(write);
                 self.flight = Flight::Rest(now + PAUSE);
             }
             Answer::Conflict | Answer::Found { .. } | Answer::Absent => {
