--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -158,7 +158,7 @@
                 self.evacuated.record(u64::from(!is_lifted), &[data_centre]);
             }
             Note::Limited { id, change, .. } => self.record_limit(id, change),
-            Note::StoreReturned { era, .. } => self.era.record(*era, &[]),
+            Note::StoreReturned { era, .. } => self.record_era(*era),
             Note::Leaving { id, .. } => self.leaving.record(1, &[engine(id)]),
             Note::HasLeft { id, .. } => self.leaving.record(0, &[engine(id)]),
             Note::Rest { id, change: rest::Change::Begun(_) } => {
@@ -178,6 +178,11 @@
         }
     }
 
+    /// Takes the newest era of the store.
+    pub fn record_era(&self, era: u64) {
+        self.era.record(era, &[]);
+    }
+
     /// Writes all metrics in Prometheus' text form.
     pub fn text(&self) -> String {
         self.exporter.text()
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -302,6 +302,7 @@
         }
         let era = told.unwrap_or(0);
         let newest = self.with(|it| it.store_era());
+        self.metrics.record_era(newest);
         if era < newest {
             info!(self.log, "answer of an earlier era"; "era" => era, "newest" => newest);
             return None;
