The lease and its tokens over eras of the store

A store that comes back from an older copy has lost the lease of a holder that may not know so yet: the lease was free at once for the next box, and its token, the object's version, could be lower than one that engines had seen, or the same. Now whoever learns of an era holds nothing, and has taken the lease over only once the time of every lost one is past, with the pause between holders behind it; the holder's name carries the era, so that a write that was under way counts as another box's; a token is the era above the version. While boxes of an older version live, which know no eras and whose tokens are lower, boxes of this one give no orders.

--- a/crates/hollyspoke-gateway/src/gateway/era.rs
+++ b/crates/hollyspoke-gateway/src/gateway/era.rs
@@ -1,7 +1,8 @@
 //! The store's era: how often it has come back from an older copy, which has lost the latest writes.
 //!
 //! A box learns of a new era from any answer of the store, or from another box. What it has read
-//! stays in force until it reads the store again, or is told by a box that has.
+//! stays in force until it reads the store again, or is told by a box that has; what this system
+//! itself has written there may be gone, and is read and written again.
 
 use std::net::SocketAddr;
 
@@ -32,16 +33,17 @@
             return;
         }
         self.store.era = Some(era);
+        self.stages.enter_era(self.now, era);
         let revision = self.directory.complete();
         let knew_earlier = before.is_some() || (self.is_listed && revision.era < era);
         if knew_earlier {
             self.note(Note::StoreReturned { era, revision, told_by });
-            self.read_again();
+            self.write_and_read_again();
         }
     }
 
-    /// Has what this box knows of the store read again.
-    fn read_again(&mut self) {
+    /// Has what this box knows of the store read again, and what it wrote there written again.
+    fn write_and_read_again(&mut self) {
         self.store.engines_back = Some(self.now);
         if self.store.follows {
             self.effects.extend(KINDS.map(Effect::Read));
--- a/crates/hollyspoke-gateway/src/gateway/stages.rs
+++ b/crates/hollyspoke-gateway/src/gateway/stages.rs
@@ -163,6 +163,11 @@
         }
     }
 
+    /// Notes the store's era: its lease may be lost.
+    pub(super) fn enter_era(&mut self, now: Time, era: u64) {
+        self.lease.enter_era(now, era);
+    }
+
     /// Gives when the moves are to be looked at.
     pub(super) fn due(&self) -> Option<Time> {
         self.next_look
@@ -224,9 +229,12 @@
         !self.stages.moves.is_empty()
     }
 
-    /// Tells whether this box is the one to give orders.
+    /// Tells whether this box is the one to give orders. The tokens of boxes that know no eras are
+    /// lower than those of this one, which must not go before them.
     pub(super) fn leads(&self) -> bool {
-        self.is_ready() && !self.knowledge().is_blind && self.members.is_first(self.settings.peer)
+        let keeps_tokens = self.store_era() == 0 || self.members.know_eras();
+        let is_able = self.is_ready() && !self.knowledge().is_blind && keeps_tokens;
+        is_able && self.members.is_first(self.settings.peer)
     }
 
     /// Plans the changes that a service's load asks for.
--- a/crates/hollyspoke/src/lease.rs
+++ b/crates/hollyspoke/src/lease.rs
@@ -5,11 +5,16 @@
 //! only after it has seen the same version stand for the lease's whole time by its own clock. No
 //! box's wall clock matters.
 //!
+//! A store that comes back from an older copy has lost the lease of its holder, which may not know so
+//! yet. Whoever learns of the new era holds nothing any more, and whoever takes the lease then has
+//! taken it over when the time of every lost one is over. What was written in an earlier era counts as
+//! another box's.
+//!
 //! Operations on the store go out through a closure that begins them and gives their numbers.
 
 use std::time::Duration;
 
-use crate::store::{Answer, Operation};
+use crate::store::{Answer, Operation, Revision};
 use crate::time::Time;
 
 /// How long a lease holds after its last write, where nothing else is said.
@@ -47,11 +52,12 @@
 /// A lease that this box holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Held {
-    /// The fencing token: the version of the last write.
+    /// The fencing token: the era and the version of the last write.
     pub token: u64,
     /// Until when it holds, by this box's own clock.
     pub until: Time,
-    /// When this box took it over from another one; none if nobody had it before.
+    /// When this box took it over from another one, or will have: when the time of a lost one is over;
+    /// none if nobody had it before.
     pub taken_over: Option<Time>,
 }
 
@@ -105,6 +111,8 @@
     takes_over: bool,
     /// When this box took the lease over from another one.
     taken_over: Option<Time>,
+    /// The store's era.
+    era: u64,
 }
 
 impl Lease {
@@ -121,9 +129,22 @@
             unanswered: None,
             takes_over: false,
             taken_over: None,
+            era: 0,
         }
     }
 
+    /// Notes the store's era. What was under way counts no more.
+    pub fn enter_era(&mut self, now: Time, era: u64) {
+        self.era = era;
+        // By then the time of every lease is over that was lost.
+        self.taken_over = Some(now + self.terms.ttl + self.terms.margin);
+        self.held = None;
+        self.seen = None;
+        self.unanswered = None;
+        self.takes_over = false;
+        self.flight = Flight::Rest(now);
+    }
+
     /// Gives the lease if this box holds it now, by its own clock.
     pub fn held(&self, now: Time) -> Option<Held> {
         self.held.filter(|it| now < it.until)
@@ -167,7 +188,7 @@
                 return;
             }
         };
-        let mine = holder == self.me;
+        let mine = holder == self.name_in_era();
         // As long as the version stands, the write whose answer was lost has not taken effect.
         let done = self.unanswered.take_if(|it| mine && it.expected != version);
         if let Some(write) = done {
@@ -190,7 +211,7 @@
             kind: KIND.to_owned(),
             name: self.name.clone(),
             expected: version,
-            value: self.me.clone(),
+            value: self.name_in_era(),
         };
         let write = Unanswered { sent: now, expected: version };
         self.flight = Flight::Put(begin(operation), write);
@@ -222,7 +243,14 @@
             self.taken_over = Some(now);
         }
         self.seen = Some(Seen { version, since: now });
-        self.held = Some(Held { token: version, until, taken_over: self.taken_over });
+        let token = Revision::new(self.era, version).token();
+        self.held = Some(Held { token, until, taken_over: self.taken_over });
+    }
+
+    /// Gives the holder's name that this box writes in the store's era. A write that was under way
+    /// when the store came back is known by it.
+    fn name_in_era(&self) -> String {
+        if self.era == 0 { self.me.clone() } else { format!("{}@{}", self.me, self.era) }
     }
 
     /// Makes a read.
