What the boxes have written in the store is written again after it came back

The number of boxes and the held requests may be gone with the copy, while the boxes believed them kept; a conditional write could meet a version that was given out again. With a new era both are read again before anything is written, by the boxes that follow the store at once; the others look for the held requests 1.5 to 4.5 s later.

The emulated fleet has a store that goes back, and boxes that hand over.

--- a/crates/hollyspoke-gateway/src/gateway/cases.rs
+++ b/crates/hollyspoke-gateway/src/gateway/cases.rs
@@ -53,6 +53,9 @@
 /// How long boxes that heard of a crash leave it to the one that counted it to write it.
 pub(super) const BACKUP_AFTER: Duration = Duration::from_millis(1500);
 
+/// The time over which many boxes look whether the store has the cases again that it lost.
+const REWRITE_SPREAD: Duration = Duration::from_secs(3);
+
 /// A case as the store has it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Saved {
@@ -181,6 +184,17 @@
         serde_json::to_string(&saved).unwrap_or_default()
     }
 
+    /// Notes that the store may have lost cases. The boxes that follow it write them again at once; the
+    /// others look later, one after the other, whether the store has them.
+    pub(super) fn cases_lost(&mut self) {
+        self.cases.version = None;
+        self.cases.value.clear();
+        self.cases.under_way = None;
+        let spread = REWRITE_SPREAD.mul_f64((self.draw() % 1000) as f64 / 1000.0);
+        let delay = if self.follows_store() { Duration::ZERO } else { BACKUP_AFTER + spread };
+        self.quarantine.not_saved(self.now + delay);
+    }
+
     /// Takes the store's answer to an operation on the cases; tells whether it was one.
     pub(super) fn cases_stored(&mut self, number: u64, answer: &Answer) -> bool {
         let Some((_, writes)) = self.cases.under_way.take_if(|it| it.0 == number) else {
--- a/crates/hollyspoke-gateway/src/gateway/census.rs
+++ b/crates/hollyspoke-gateway/src/gateway/census.rs
@@ -115,6 +115,12 @@
         self.census.under_way = Some((number, Some(boxes)));
     }
 
+    /// Notes that the store may have lost the number, so that it is read and written again.
+    pub(super) fn census_lost(&mut self) {
+        self.census.stored = None;
+        self.census.under_way = None;
+    }
+
     /// Takes the store's answer to an operation of the census; tells whether it was one.
     pub(super) fn census_stored(&mut self, number: u64, answer: &Answer) -> bool {
         let Some((_, written)) = self.census.under_way.take_if(|it| it.0 == number) else {
--- a/crates/hollyspoke-gateway/src/gateway/era.rs
+++ b/crates/hollyspoke-gateway/src/gateway/era.rs
@@ -45,6 +45,8 @@
     /// Has what this box knows of the store read again, and what it wrote there written again.
     fn write_and_read_again(&mut self) {
         self.store.engines_back = Some(self.now);
+        self.census_lost();
+        self.cases_lost();
         if self.store.follows {
             self.effects.extend(KINDS.map(Effect::Read));
         }
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -2,6 +2,7 @@
 //! off, held up, stopped or killed, and engines that count what arrives.
 
 mod engines;
+mod store;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -9,16 +10,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollyspoke::store::{Answer, Operation};
+use hollyspoke::store::Answer;
 use hollyspoke::time::Time;
 use hollyspoke_gateway::budget::Bound;
 use hollyspoke_gateway::effect::{Effect, Note, Send};
 use hollyspoke_gateway::engine::{EngineChange, EngineKey};
 use hollyspoke_gateway::event::{CallEvent, Event, Kind, Probe};
-use hollyspoke_gateway::gateway::{CASES, Gateway, Settings};
+use hollyspoke_gateway::gateway::{Gateway, Settings};
 use hollyspoke_gateway::message::Message;
 use hollyspoke_gateway::request::{CallKey, FlightKey, Request};
 use hollyspoke_gateway::signature::Content;
+use hollyspoke_gateway::snapshot::Snapshot;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -29,6 +31,8 @@
 use crate::repeats::{Asked, Records, Refused};
 use crate::terms::{Rests, Terms};
 
+pub use store::Store;
+
 /// How long a call takes to reach an engine.
 const TRANSIT: Duration = Duration::from_millis(1);
 
@@ -44,6 +48,9 @@
 /// How long the store takes to answer.
 const STORE_ANSWERS_IN: Duration = Duration::from_millis(4);
 
+/// How long a handover takes.
+const HANDOVER_TAKES: Duration = Duration::from_millis(10);
+
 /// How many boxes a box is told of by its settings.
 const SEEDS: usize = 3;
 
@@ -123,6 +130,10 @@
     Probed(usize, u64, EngineKey, Probe),
     /// The store answers a box's watches.
     Watched(usize, u64),
+    /// The store gives a box the list of engines.
+    Listed(usize, u64),
+    /// Another box hands a box over what it knows.
+    Fetched(usize, u64, SocketAddr, Box<Snapshot>),
     /// The store answers an operation of a box.
     Stored(usize, u64, u64, Answer),
 }
@@ -146,10 +157,8 @@
     pub delay_ms: RangeInclusive<u64>,
     /// The share of datagrams that are lost.
     pub lost: f64,
-    /// The objects in the store, each with its version.
-    objects: BTreeMap<String, (u64, String)>,
-    /// How often boxes have read the held requests in the store.
-    pub case_reads: usize,
+    /// The store.
+    pub store: Store,
     /// What was seen.
     pub records: Records,
     /// The harmful request that comes, if one does.
@@ -162,8 +171,6 @@
     pub needs: Needs,
     /// The engines that leave or rest, and what came to them.
     pub terms: Terms,
-    /// The store's revision.
-    revision: u64,
     /// The source of chance.
     random: Pcg64Mcg,
 }
@@ -180,15 +187,13 @@
             traffic: USUAL,
             delay_ms: 1..=3,
             lost: 0.0,
-            objects: BTreeMap::new(),
-            case_reads: 0,
+            store: Store::default(),
             records: Records::default(),
             harmful: None,
             popular: None,
             crashes: Crashes::default(),
             needs: Needs::default(),
             terms: Terms::default(),
-            revision: 10,
             random: Pcg64Mcg::seed_from_u64(seed),
         };
         for _ in 0..boxes {
@@ -231,7 +236,7 @@
             let seeds = (0..boxes).take(SEEDS).map(|it| settings_of(it).peer).collect();
             self.step(number, Event::Seeds(seeds));
             self.step(number, Event::Configured(Arc::new(configuration(1))));
-            self.step(number, Event::Listed(self.engines(), self.revision.into()));
+            self.step(number, Event::Listed(self.engines(), self.store.revision));
             let life = self.members[number].life;
             self.plan(self.now, Due::Watched(number, life));
         }
@@ -356,7 +361,9 @@
         let number = match &due {
             Due::Request(number, _) | Due::Datagram(number, _) => *number,
             Due::Answer(Caller { number, .. }, ..) | Due::Changed(number, _) => *number,
-            Due::Watched(number, _) | Due::Stored(number, ..) => *number,
+            Due::Watched(number, _) | Due::Listed(number, _) => *number,
+            Due::Fetched(number, ..) => *number,
+            Due::Stored(number, ..) => *number,
             Due::Probed(number, ..) => *number,
             Due::Call(number, life, send) => return self.arrive(*number, *life, send),
             Due::Crash(caller, engine, before) => {
@@ -384,16 +391,29 @@
             }
             Due::Changed(_, changes) => self.step(number, Event::Changed(changes)),
             Due::Watched(number, life) if self.members[number].life == life => {
+                self.tell_era(number);
                 self.step(number, Event::StoreAnswered(Kind::Configuration));
                 self.step(number, Event::StoreAnswered(Kind::Engines));
                 self.step(number, Event::StoreAnswered(Kind::Evacuations));
                 self.plan(self.now + WATCH_EVERY, Due::Watched(number, life));
             }
+            Due::Listed(number, life) if self.members[number].life == life => {
+                self.tell_era(number);
+                self.step(number, Event::Listed(self.engines(), self.store.revision));
+            }
+            Due::Fetched(_, life, provider, snapshot) if self.members[number].life == life => {
+                self.step(number, Event::Fetched(provider, snapshot));
+            }
             Due::Stored(number, life, operation, answer) if self.members[number].life == life => {
+                self.tell_era(number);
                 self.step(number, Event::Stored(operation, answer));
             }
             Due::Answer(..) | Due::Call(..) | Due::Watched(..) | Due::Stored(..) => {}
-            Due::Crash(..) | Due::Back(_) | Due::Probed(..) => {}
+            Due::Listed(..)
+            | Due::Fetched(..)
+            | Due::Crash(..)
+            | Due::Back(_)
+            | Due::Probed(..) => {}
         }
     }
 
@@ -428,10 +448,17 @@
                 }
                 Effect::Tell(audience, message) => self.tell(side, &audience, &message),
                 Effect::Store(operation, what) => {
-                    let answer = self.carry_out(what);
+                    let answer = self.store.carry_out(what);
                     let at = self.now + STORE_ANSWERS_IN;
                     self.plan(at, Due::Stored(number, life, operation, answer));
                 }
+                Effect::Read(kind) => {
+                    self.store.calls += 1;
+                    if kind == Kind::Engines {
+                        self.plan(self.now + STORE_ANSWERS_IN, Due::Listed(number, life));
+                    }
+                }
+                Effect::Fetch(provider) => self.hand_over(number, provider),
                 Effect::Probe(engine) => {
                     self.ask_engine(number, engine.key);
                     self.probe(number, engine.key);
@@ -493,24 +520,23 @@
         self.now
     }
 
-    /// Has the store carry out an operation.
-    fn carry_out(&mut self, operation: Operation) -> Answer {
-        if matches!(&operation, Operation::Get { kind, .. } if kind == CASES) {
-            self.case_reads += 1;
+    /// Has another box hand a box over what that lacks, unless it is down or cut off.
+    fn hand_over(&mut self, number: usize, provider: SocketAddr) {
+        let is_provider = |it: &usize| settings_of(*it).peer == provider;
+        let Some(other) = (0..self.members.len()).find(is_provider) else { return };
+        let (asking, other) = (&self.members[number], &self.members[other]);
+        let (Some(gateway), Some(knowing)) = (&asking.gateway, &other.gateway) else { return };
+        if asking.side == other.side {
+            let snapshot = Box::new(knowing.snapshot(gateway.question()));
+            let due = Due::Fetched(number, asking.life, provider, snapshot);
+            self.plan(self.now + HANDOVER_TAKES, due);
         }
-        match operation {
-            Operation::Get { kind, name } => match self.objects.get(&format!("{kind}/{name}")) {
-                Some((version, value)) => Answer::Found { version: *version, value: value.clone() },
-                None => Answer::Absent,
-            },
-            Operation::Put { kind, name, expected, value } => {
-                let object = self.objects.entry(format!("{kind}/{name}")).or_default();
-                if object.0 != expected {
-                    return Answer::Conflict;
-                }
-                *object = (expected + 1, value);
-                Answer::Written { version: expected + 1 }
-            }
+    }
+
+    /// Tells a box the store's era, as each answer does.
+    fn tell_era(&mut self, number: usize) {
+        if self.store.revision.era > 0 {
+            self.step(number, Event::StoreEra(self.store.revision.era));
         }
     }
 
--- a/tests/src/fleet/engines.rs
+++ b/tests/src/fleet/engines.rs
@@ -117,9 +117,9 @@
 
     /// Has a crashed engine be back, which all boxes hear from the store.
     pub(super) fn come_back(&mut self, engine: EngineKey) {
-        self.revision += 1;
+        self.store.revision.number += 1;
         let Some(engine) = self.engines().into_iter().find(|it| it.key == engine) else { return };
-        let change = EngineChange::Put(engine, self.revision.into());
+        let change = EngineChange::Put(engine, self.store.revision);
         for number in 0..self.members.len() {
             let at = self.now + STORE_ANSWERS_IN;
             self.plan(at, Due::Changed(number, vec![change.clone()]));
--- a/tests/tests/gateway_crashes.rs
+++ b/tests/tests/gateway_crashes.rs
@@ -200,10 +200,10 @@
 fn missing_boxes_cost_few_reads() {
     let mut fleet = Fleet::new(24, 1);
     fleet.run(Duration::from_secs(5));
-    assert_eq!(fleet.case_reads, 24);
+    assert_eq!(fleet.store.case_reads, 24);
     fleet.kill([23]);
     fleet.run(Duration::from_secs(40));
-    let reads = fleet.case_reads - 24;
+    let reads = fleet.store.case_reads - 24;
     assert!((1..=33).contains(&reads), "{reads}");
 }
 
