--- a/tests/soak/src/cluster.rs
+++ b/tests/soak/src/cluster.rs
@@ -1,6 +1,7 @@
 //! The processes of a run: boxes, upstreams and the store, each started here and ended by its id.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -127,6 +128,8 @@
     next_upstream: Cell<u64>,
     /// The version of the configuration.
     pub version: Rc<Cell<u64>>,
+    /// The upstreams whose entries were removed.
+    left: RefCell<BTreeSet<String>>,
     /// The folder of settings and logs.
     folder: PathBuf,
 }
@@ -227,8 +230,12 @@
             holder: watch::Sender::default(),
             next_upstream: Cell::new(0),
             version: Rc::default(),
+            left: RefCell::default(),
             folder: folder.to_owned(),
         });
+        if cluster.has(Mutant::HidesEra) {
+            cluster.command(&store::Command::HideEra).await;
+        }
         cluster.configure().await;
         for number in 0..size.engines {
             let stage = if number * 3 < size.engines { "prefill" } else { "decode" };
@@ -415,6 +422,7 @@
                 }
             }
         });
+        self.left.borrow_mut().remove(&id);
         let upstream = Rc::new(Upstream {
             id,
             stage: RefCell::new(stage.map(str::to_owned)),
@@ -443,10 +451,29 @@
 
     /// Removes an upstream's entry.
     pub async fn leave(&self, upstream: &Upstream) {
-        let (kind, name) = ("servers".to_owned(), upstream.id.clone());
+        self.left.borrow_mut().insert(upstream.id.clone());
+        self.remove_entry(&upstream.id).await;
+    }
+
+    /// Removes the entry of an id.
+    async fn remove_entry(&self, id: &str) {
+        let (kind, name) = ("servers".to_owned(), id.to_owned());
         self.command(&store::Command::Remove { kind, name }).await;
     }
 
+    /// Writes again what the store may have lost: the configuration, and the entries of upstreams.
+    pub async fn write_again(&self) {
+        self.put("config", "main", configuration(self.version.get(), self.mutant)).await;
+        let upstreams = self.upstreams.borrow().clone();
+        for upstream in upstreams {
+            self.enter(&upstream).await;
+        }
+        let left: Vec<_> = self.left.borrow().iter().cloned().collect();
+        for id in left {
+            self.remove_entry(&id).await;
+        }
+    }
+
     /// Kills an upstream's process.
     pub fn kill_upstream(&self, upstream: &Upstream) {
         end(&mut upstream.child.borrow_mut());
--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::cluster::{Cluster, Upstream, hold};
+use crate::comeback::come_back;
 use crate::mutant::Mutant;
 use crate::observation::{BoxChange, Micros, What};
 use crate::peering::{Direction, Disorder};
@@ -68,6 +69,7 @@
         | Fault::DelayOrders { span, .. }
         | Fault::Limit { span, .. }
         | Fault::Rest { span, .. }
+        | Fault::ComeBack { span, .. }
         | Fault::LyingEngine { span, .. }
         | Fault::HoldLinks { span }
         | Fault::Datagrams { span, .. }
@@ -164,6 +166,7 @@
             Ok(())
         }
         Fault::Leave { is_plain, span } => leave(cluster, is_plain, span, random).await,
+        Fault::ComeBack { age, span } => come_back(cluster, age, span, random).await,
         Fault::Rest { is_plain, count, rest, span } => {
             let chosen = some_upstreams(cluster, is_plain, count, random);
             let milli = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
@@ -465,7 +468,7 @@
 }
 
 /// Has an upstream drain and leave; another one comes first.
-async fn drain(cluster: &Rc<Cluster>, random: &mut Pcg64Mcg) -> eyre::Result<()> {
+pub(crate) async fn drain(cluster: &Rc<Cluster>, random: &mut Pcg64Mcg) -> eyre::Result<()> {
     let Some(upstream) = one_upstream(cluster, random) else { return Ok(()) };
     let stage = upstream.stage.borrow().clone();
     cluster.start_upstream(stage.as_deref()).await?;
@@ -480,6 +483,7 @@
     }
     upstream.is_draining.set(true);
     cluster.enter(upstream).await;
+    cluster.see(What::EntryLeaving { engine: upstream.id.clone() });
     tokio::time::sleep(DRAINS_FOR).await;
     cluster.leave(upstream).await;
     cluster.kill_upstream(upstream);
--- a/tests/soak/src/judge.rs
+++ b/tests/soak/src/judge.rs
@@ -62,6 +62,8 @@
     LimitKept,
     /// An upstream that says that it leaves gets nothing more.
     LeavingKept,
+    /// An upstream whose entry says that it leaves gets nothing more.
+    EntryKept,
     /// An upstream that asks a box for rest is left alone by it.
     RestKept,
     /// Boxes read what other boxes tell, also those of another version.
@@ -184,6 +186,7 @@
         harm::held_back,
         intake::limit_kept,
         terms::leaving_kept,
+        terms::entry_kept,
         terms::rest_kept,
         understood,
     ];
--- a/tests/soak/src/judge/records.rs
+++ b/tests/soak/src/judge/records.rs
@@ -186,6 +186,8 @@
     pub(super) limits: BTreeMap<String, Vec<(Micros, u64)>>,
     /// When each upstream said that it leaves, in each of its lives.
     pub(super) leavings: BTreeMap<String, Vec<Leaving>>,
+    /// When each upstream's entry said that it leaves, in each of its lives.
+    pub(super) entry_leavings: BTreeMap<String, Vec<Leaving>>,
     /// The rests that upstreams asked for.
     pub(super) rests: Vec<Rest>,
     /// Boxes that could not read what others told, and in how many lines they say so.
@@ -270,6 +272,10 @@
                 let leaving = Leaving { since: at, until: Micros::MAX };
                 self.leavings.entry(engine.clone()).or_default().push(leaving);
             }
+            What::EntryLeaving { engine } => {
+                let leaving = Leaving { since: at, until: Micros::MAX };
+                self.entry_leavings.entry(engine.clone()).or_default().push(leaving);
+            }
             What::AskedForRest { engine, attempt, milli } => self.rests.push(Rest {
                 engine: engine.clone(),
                 attempt: attempt.clone(),
@@ -328,8 +334,10 @@
                 if let Some(limits) = self.limits.get_mut(engine) {
                     limits.push((at, 0));
                 }
-                if let Some(last) = self.leavings.get_mut(engine).and_then(|it| it.last_mut()) {
-                    last.until = last.until.min(at);
+                for leavings in [&mut self.leavings, &mut self.entry_leavings] {
+                    if let Some(last) = leavings.get_mut(engine).and_then(|it| it.last_mut()) {
+                        last.until = last.until.min(at);
+                    }
                 }
                 self.engine_ends.insert(engine.clone(), at);
             }
--- a/tests/soak/src/judge/terms.rs
+++ b/tests/soak/src/judge/terms.rs
@@ -54,6 +54,41 @@
     findings
 }
 
+/// Checks that upstreams whose entries say that they leave get nothing some time later from boxes that
+/// were in touch with a store that was there.
+pub(super) fn entry_kept(records: &Records, bounds: &Bounds) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    for (engine, leavings) in &records.entry_leavings {
+        for leaving in leavings {
+            findings.extend(late_by_entry(records, engine, *leaving, bounds));
+        }
+    }
+    findings
+}
+
+/// Finds the first request that came to an upstream too late after its entry.
+fn late_by_entry(
+    records: &Records,
+    engine: &str,
+    leaving: Leaving,
+    bounds: &Bounds,
+) -> Option<Finding> {
+    let in_touch_since = leaving.since.saturating_sub(bounds.contact);
+    let late = records.attempts.values().filter_map(|attempt| {
+        let arrived = arrivals_at(attempt, engine).find(|it| *it < leaving.until)?;
+        let after = attempt.sent.checked_sub(leaving.since).filter(|it| *it > DRAIN)?;
+        let is_excused = records.is_disturbed(attempt.node, in_touch_since, arrived)
+            || records.is_store_disturbed(leaving.since, arrived);
+        (!is_excused).then_some((arrived, after))
+    });
+    let (at, after) = late.min()?;
+    let what = format!(
+        "{engine} got a request sent {} ms after its entry said that it leaves",
+        after / MILLISECOND
+    );
+    Some(finding(Promise::EntryKept, at, what))
+}
+
 /// Finds the first request that came to an upstream too late.
 fn late_arrival(records: &Records, engine: &str, leaving: Leaving) -> Option<Finding> {
     let attempts = || records.attempts.values();
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod client;
 pub mod cluster;
+mod comeback;
 pub mod faults;
 pub mod harmful;
 pub mod judge;
--- a/tests/soak/src/mutant.rs
+++ b/tests/soak/src/mutant.rs
@@ -55,6 +55,8 @@
     HidesLimit,
     /// Upstreams leave and don't say so.
     HidesLeaving,
+    /// The store comes back from an older copy and doesn't say so.
+    HidesEra,
     /// Upstreams want nothing for a time and don't say so.
     HidesRest,
     /// Something that is no datagram of a box comes to one.
@@ -63,7 +65,7 @@
 
 impl Mutant {
     /// All of them, with the name that the command line takes and the promise that they break.
-    pub const ALL: [(Mutant, &'static str, Promise); 25] = [
+    pub const ALL: [(Mutant, &'static str, Promise); 26] = [
         (Mutant::RunsTwice, "runs-twice", Promise::RunsOnce),
         (Mutant::SpoilsAnswer, "spoils-answer", Promise::WholeAnswer),
         (Mutant::SkipsEvent, "skips-event", Promise::EventsInOrder),
@@ -87,6 +89,7 @@
         (Mutant::VariesHarm, "varies-harm", Promise::HarmHeldBack),
         (Mutant::HidesLimit, "hides-limit", Promise::LimitKept),
         (Mutant::HidesLeaving, "hides-leaving", Promise::LeavingKept),
+        (Mutant::HidesEra, "hides-era", Promise::EntryKept),
         (Mutant::HidesRest, "hides-rest", Promise::RestKept),
         (Mutant::SendsNoise, "sends-noise", Promise::Understood),
     ];
--- a/tests/soak/src/observation.rs
+++ b/tests/soak/src/observation.rs
@@ -221,6 +221,11 @@
         /// The upstream.
         engine: String,
     },
+    /// The store has acknowledged an upstream's entry that says that it leaves.
+    EntryLeaving {
+        /// The upstream.
+        engine: String,
+    },
     /// An upstream turned a request away and asked the box for rest.
     AskedForRest {
         /// The upstream.
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -288,6 +288,10 @@
             let span = Duration::from_secs(7);
             vec![at(4500, Fault::Leave { is_plain: true, span })]
         }
+        Mutant::HidesEra => {
+            let (age, span) = (Duration::from_millis(3000), Duration::from_millis(400));
+            vec![at(4500, Fault::ComeBack { age, span })]
+        }
         Mutant::HidesRest => {
             let (rest, span) = (Duration::from_secs(3), Duration::from_secs(7));
             vec![at(4500, Fault::Rest { is_plain: true, count: 2, rest, span })]
--- a/tests/soak/src/schedule.rs
+++ b/tests/soak/src/schedule.rs
@@ -186,6 +186,13 @@
     Configure,
     /// An upstream drains, and leaves.
     Drain,
+    /// The store is away for a while and comes back from an older copy.
+    ComeBack {
+        /// How old the copy is.
+        age: Duration,
+        /// For how long the store is away.
+        span: Duration,
+    },
 }
 
 /// What upstreams do that do not serve.
@@ -241,6 +248,7 @@
     planned.extend(draw_limits(seed, end));
     planned.extend(draw_leaving(seed, end));
     planned.extend(draw_rests(seed, end));
+    planned.extend(draw_returns(seed, end));
     planned.sort_by_key(|it| it.at);
     planned
 }
@@ -322,6 +330,22 @@
     (0..RESTS).filter_map(draw).collect()
 }
 
+/// The returns of the store from an older copy in a run.
+const RETURNS: u64 = 2;
+
+/// Draws the returns of the store, which may overlap, apart from the other faults; none in a short run.
+fn draw_returns(seed: u64, end: Duration) -> Vec<Planned> {
+    let draw = |number: u64| {
+        let mut random = Pcg64Mcg::seed_from_u64(seed.rotate_left(51) ^ number);
+        let age = Duration::from_millis(random.random_range(300..=6000));
+        let span = Duration::from_millis(random.random_range(100..=2500));
+        let latest = end.checked_sub(span).filter(|&it| it > WARM_UP)?;
+        let at = WARM_UP + (latest - WARM_UP).mul_f64(random.random());
+        Some(Planned { at, fault: Fault::ComeBack { age, span } })
+    };
+    (0..RETURNS).filter_map(draw).collect()
+}
+
 /// Gives when boxes are replaced one after the other, evenly over a run.
 pub fn replace_all(boxes: usize, length: Duration) -> Vec<Planned> {
     let end = length.saturating_sub(COOL_DOWN);
--- a/tests/soak/src/standin/store.rs
+++ b/tests/soak/src/standin/store.rs
@@ -1,6 +1,11 @@
 //! The stand-in for the platform's store.
 
-use hollyspoke_tests::platform::{self, StoreMood};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hollyspoke_tests::platform::{self, Backup, Store, StoreMood};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -35,6 +40,13 @@
         /// What is written.
         spec: Value,
     },
+    /// Comes back from a copy.
+    Restore {
+        /// How old it is, in milliseconds.
+        age_ms: u64,
+    },
+    /// Tells no era any more.
+    HideEra,
     /// Removes an object.
     Remove {
         /// The kind.
@@ -51,10 +63,30 @@
     pub done: u64,
 }
 
+/// How often the store is copied.
+const BACKUP_EVERY: Duration = Duration::from_millis(250);
+
+/// How many copies are kept.
+const BACKUPS: usize = 40;
+
+/// Copies the store now and then, the newest copy first.
+async fn back_up(store: Store, backups: Rc<RefCell<VecDeque<Backup>>>) {
+    loop {
+        let mut kept = backups.borrow_mut();
+        kept.push_front(store.back_up());
+        kept.truncate(BACKUPS);
+        drop(kept);
+        tokio::time::sleep(BACKUP_EVERY).await;
+    }
+}
+
 /// Serves until standard input closes.
 pub fn serve() {
     platform::local(async {
         let store = platform::store().await;
+        store.era.set(Some(1));
+        let backups = Rc::new(RefCell::new(VecDeque::new()));
+        tokio::task::spawn_local(back_up(store.clone(), backups.clone()));
         write(&Greeting { listening: store.address.to_string() });
         let mut commands = commands::<Command>();
         let mut done = 0;
@@ -68,6 +100,14 @@
                     Mood::Lossy => StoreMood::Lossy,
                 }),
                 Command::Put { kind, name, spec } => store.put(&kind, &name, spec),
+                Command::Restore { age_ms } => {
+                    let ago = (age_ms / BACKUP_EVERY.as_millis() as u64) as usize;
+                    let backups = backups.borrow();
+                    if let Some(backup) = backups.get(ago).or(backups.back()) {
+                        store.restore(backup);
+                    }
+                }
+                Command::HideEra => store.era.set(None),
                 Command::Remove { kind, name } => store.remove(&kind, &name),
             }
             done += 1;
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -465,6 +465,30 @@
     assert_eq!(broken(&cut), [Promise::LeavingKept]);
 }
 
+/// An upstream's entry says at 4 s that it leaves; box 0 sends it one more request that its client has
+/// sent some time later.
+fn entered_to_leave(later: u64) -> Vec<Observation> {
+    let mut seen = vec![running(), at(4000, What::EntryLeaving { engine: "a".to_owned() })];
+    seen.extend(served(4000 + later, "late"));
+    seen
+}
+
+#[test]
+fn request_to_an_upstream_whose_entry_leaves() {
+    assert_eq!(broken(&entered_to_leave(1990)), []);
+    assert_eq!(broken(&entered_to_leave(2010)), [Promise::EntryKept]);
+    // Neither a new life of it, nor a box that is out of touch, nor one without a store is bound.
+    for excuse in [
+        at(6000, What::EngineGone { engine: "a".to_owned() }),
+        node(2000, BoxChange::Disturbed),
+        at(5000, What::StoreDisturbed { span: SECOND }),
+    ] {
+        let mut seen = entered_to_leave(2010);
+        seen.push(excuse);
+        assert_eq!(broken(&seen), []);
+    }
+}
+
 /// An upstream turns a try away at 5.010 s and asks for 3 s of rest; its box goes on with the try, and
 /// sends the upstream some more, each half a second.
 fn asked_for_rest(count: u64) -> Vec<Observation> {
