--- a/tests/soak/src/standin/engine.rs
+++ b/tests/soak/src/standin/engine.rs
@@ -1,5 +1,7 @@
 //! The stand-in for an engine of the model service, or for an upstream of the plain one.
 
+mod terms;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -16,6 +18,7 @@
 use crate::keys::{CUSTOMERS, KEY_MARK};
 use crate::mutant::Mutant;
 use crate::observation::{Observation, RunEnd, What, digest};
+use terms::Terms;
 
 /// How long an engine keeps a prompt that it has read for another.
 const HANDLE_LIFE: Duration = Duration::from_millis(500);
@@ -122,12 +125,8 @@
     slow: Cell<u32>,
     /// How it tells its load.
     telling: Cell<Telling>,
-    /// The thousandths of a request a second that it takes; 0 if it names no limit.
-    limit: Cell<u64>,
-    /// Whether it says that it is leaving.
-    is_leaving: Cell<bool>,
-    /// The rest that it asks for when it turns all away, in milliseconds; 0 if it does not.
-    rest: Cell<u64>,
+    /// What it says that binds whoever sends to it.
+    terms: Terms,
     /// The number of the next handle or drawing.
     next: Cell<u64>,
 }
@@ -183,9 +182,7 @@
             delays: Cell::new(0),
             slow: Cell::new(1),
             telling: Cell::new(Telling::Truth),
-            limit: Cell::new(0),
-            is_leaving: Cell::new(false),
-            rest: Cell::new(0),
+            terms: Terms::default(),
             next: Cell::new(0),
         });
         write(&Greeting { listening: address.to_string() });
@@ -202,7 +199,7 @@
                     Command::Tell(telling) => told.telling.set(telling),
                     Command::Limit(milli) => told.name_limit(milli),
                     Command::Leave => told.say_leaving(),
-                    Command::Rest(milli) => told.rest.set(milli),
+                    Command::Rest(milli) => told.terms.rest.set(milli),
                 }
             }
         });
@@ -224,46 +221,6 @@
 }
 
 impl Engine {
-    /// Names another limit from now on, or none.
-    fn name_limit(&self, milli: u64) {
-        self.limit.set(milli);
-        self.see(What::Limited { engine: self.settings.id.clone(), milli });
-    }
-
-    /// Says in all answers from now on that it is leaving.
-    fn say_leaving(&self) {
-        self.is_leaving.set(true);
-        self.see(What::Leaving { engine: self.settings.id.clone() });
-    }
-
-    /// Gives the headers by which an answer names the limit, if there is one, and says whether the
-    /// upstream is leaving.
-    fn terms(&self) -> String {
-        let mut headers = String::new();
-        let milli = self.limit.get();
-        if milli > 0 && self.settings.mutant != Some(Mutant::HidesLimit) {
-            headers.push_str(&format!("Server-Limit: {}\r\n", milli as f64 / 1e3));
-        }
-        if self.is_leaving.get() && self.settings.mutant != Some(Mutant::HidesLeaving) {
-            headers.push_str("Server-Leaving: 1\r\n");
-        }
-        headers
-    }
-
-    /// Gives the header by which a refusal asks for rest, if it does.
-    fn rest_header(&self, attempt: &str) -> String {
-        let milli = self.rest.get();
-        if milli == 0 {
-            return String::new();
-        }
-        let (engine, attempt) = (self.settings.id.clone(), attempt.to_owned());
-        self.see(What::AskedForRest { engine, attempt, milli });
-        if self.settings.mutant == Some(Mutant::HidesRest) {
-            return String::new();
-        }
-        format!("Retry-After: {}\r\n", milli as f64 / 1e3)
-    }
-
     /// Answers one message; tells whether the connection stays open.
     async fn answer(self: &Rc<Engine>, stream: &mut TcpStream, received: &Received) -> bool {
         let mut words = received.line.split(' ');
@@ -277,7 +234,7 @@
             ("POST", "/order") => self.order(received),
             ("GET", "/kv-list") => {
                 let list = json!({"epoch": 1, "nextToken": 0, "held": []});
-                answer(received, "200 OK", &self.terms(), &list.to_string())
+                answer(received, "200 OK", &self.terms_headers(), &list.to_string())
             }
             ("DELETE", path) if path.starts_with("/kv-handle/") => self.take(received, path),
             _ => return self.run(stream, received, method, path).await,
@@ -290,7 +247,7 @@
         let report = json!({"stage": *self.stage.borrow(), "models": [],
             "busy": self.is_switching.get(), "callSeq": self.orders.get(), "queued": 0,
             "born": self.settings.born, "active": self.active.get(), "kvUsed": 0, "kvTotal": 60000, "prefillHandles": 0});
-        answer(received, "200 OK", &self.terms(), &report.to_string())
+        answer(received, "200 OK", &self.terms_headers(), &report.to_string())
     }
 
     /// Takes an order to change the stage.
@@ -302,7 +259,7 @@
             }
             Err(status) => status,
         };
-        platform::answer(received, status, &self.terms(), "")
+        platform::answer(received, status, &self.terms_headers(), "")
     }
 
     /// Takes an order without an answer, and carries it out some seconds later if it still can.
@@ -361,7 +318,7 @@
         platform::answer(
             received,
             if is_there { "200 OK" } else { "404 Not Found" },
-            &self.terms(),
+            &self.terms_headers(),
             "",
         )
     }
@@ -380,7 +337,7 @@
             return self.turn_away(stream, received, "421 Misdirected Request", "").await;
         }
         let is_full = self.active.get() >= self.settings.slots || self.is_switching.get();
-        if is_full || self.rest.get() > 0 || self.draw(&attempt) < self.refuses.get() {
+        if is_full || self.terms.rest.get() > 0 || self.draw(&attempt) < self.refuses.get() {
             let rest = self.rest_header(&attempt);
             self.see(What::TurnedAway { engine: self.settings.id.clone(), attempt });
             return self.turn_away(stream, received, "503 Service Unavailable", &rest).await;
@@ -461,7 +418,7 @@
         let name = format!("h{}", self.next.get());
         self.handles.borrow_mut().insert(name.clone(), Instant::now() + HANDLE_LIFE);
         let body = json!({"prefillHandle": name, "tokens": tokens, "version": 1}).to_string();
-        let bytes = answer(received, "200 OK", &self.terms(), &body);
+        let bytes = answer(received, "200 OK", &self.terms_headers(), &body);
         self.send(stream, &bytes, 0).await
     }
 
@@ -506,7 +463,7 @@
             Telling::Full => (SLOTS, 5 * SLOTS),
         };
         let id = &self.settings.id;
-        let terms = self.terms();
+        let terms = self.terms_headers();
         format!("X-Server-Stamp: {id}\r\nX-Server-Load: {running},{waiting},{SLOTS}\r\n{terms}")
     }
 
@@ -559,7 +516,7 @@
         status: &str,
         rest: &str,
     ) -> bool {
-        let headers = format!("X-Not-Executed: 1\r\n{}{rest}", self.terms());
+        let headers = format!("X-Not-Executed: 1\r\n{}{rest}", self.terms_headers());
         stream.write_all(&answer(received, status, &headers, "")).await.is_ok()
     }
 
--- a/tests/soak/src/standin/store.rs
+++ b/tests/soak/src/standin/store.rs
@@ -72,14 +72,17 @@
 /// Copies the store now and then, the newest copy first.
 async fn back_up(store: Store, backups: Rc<RefCell<VecDeque<Backup>>>) {
     loop {
-        let mut kept = backups.borrow_mut();
-        kept.push_front(store.back_up());
-        kept.truncate(BACKUPS);
-        drop(kept);
+        keep(&mut backups.borrow_mut(), store.back_up());
         tokio::time::sleep(BACKUP_EVERY).await;
     }
 }
 
+/// Keeps a copy as the newest, and drops the oldest beyond the most.
+fn keep(backups: &mut VecDeque<Backup>, backup: Backup) {
+    backups.push_front(backup);
+    backups.truncate(BACKUPS);
+}
+
 /// Serves until standard input closes.
 pub fn serve() {
     platform::local(async {
