Interfaces of admission, reservations, appointments, paces and migration

Cause: five mechanisms for load beyond the engines' capacity are to be built side by side, and need agreed types first.

The bytes that the version before writes are recorded.

Result: tests of formats, heads and settings pass; with the switches off no decision changes.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -13,10 +13,12 @@
 use crate::engine::{Engine, EngineKey, Stage};
 use crate::event::Kind;
 use crate::message::{Demand, Load, Message};
+use crate::migration::Transfer;
 use crate::quarantine::RequestSummary;
 use crate::rate_limit::Change;
 use crate::ratio::Split;
 use crate::request::{CallKey, RequestKey};
+use crate::reservation::{Ask, Reservation};
 use crate::signature::Signature;
 use crate::statement::ReportedLoad;
 use crate::terms::Restriction;
@@ -47,7 +49,9 @@
     /// Returns the address of the engine that the prompt is imported from, if it is another engine.
     pub fn source(&self) -> Option<SocketAddr> {
         match self {
-            Task::Decode(Prompt::Prefilled(source)) => Some(source.address),
+            Task::Decode(Prompt::Prefilled(source) | Prompt::Copied(source)) => {
+                Some(source.address)
+            }
             Task::Decode(Prompt::CachedAt(address)) => Some(*address),
             _ => None,
         }
@@ -61,6 +65,8 @@
     NotPrefilled,
     /// It imports the prompt from the engine that prefilled it.
     Prefilled(Source),
+    /// It continues a stream from a copy of its memory, which was moved or backed up there.
+    Copied(Source),
     /// It has the prompt cached from an earlier run.
     Cached,
     /// It imports the prompt from another engine that has it cached, at this address.
@@ -84,6 +90,12 @@
     pub deadline: Duration,
     /// The id of the last event that the client has, if a stream is resumed.
     pub last_event: Option<u64>,
+    /// The priority that the engine is given, 0 being the highest; none to leave it to the engine.
+    pub priority: Option<u8>,
+    /// The id of the engine's reservation for the call.
+    pub reservation: Option<Arc<str>>,
+    /// The address of the engine that receives a backup of the stream as it grows.
+    pub backup: Option<SocketAddr>,
 }
 
 /// The time after which the driver gives an order up. Engines answer orders within milliseconds.
@@ -453,8 +465,14 @@
     Abort(RequestKey),
     /// Ends an answer that has begun as complete.
     Finish(RequestKey),
-    /// Frees a prefilled prompt.
+    /// Frees a prefilled prompt, or the copy of a stream's memory.
     Free(Source),
+    /// Asks an engine to reserve memory.
+    Reserve(Ask),
+    /// Drops a reservation that isn't needed.
+    DropReservation(Reservation),
+    /// Orders an engine to copy a stream's memory to another engine.
+    Transfer(Transfer),
     /// Queries which prompt prefixes an engine has cached.
     QueryCachedPrompts(Arc<Engine>),
     /// Starts (true) or stops watching the store for changes.
--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -9,8 +9,10 @@
 use crate::engine::{Engine, EngineChange, EngineKey};
 use crate::evacuation::{Change, Evacuation};
 use crate::message::Message;
+use crate::migration;
 use crate::prompt::PromptKey;
 use crate::request::{CallKey, Request, RequestKey};
+use crate::reservation;
 use crate::route::Configuration;
 use crate::snapshot::Snapshot;
 use crate::statement::Statement;
@@ -119,6 +121,10 @@
     ClientDisconnected(RequestKey),
     /// An event of a call.
     Call(CallKey, CallEvent),
+    /// An engine answered the ask of this number for a reservation, or didn't.
+    Reserved(u64, reservation::Answer),
+    /// An engine answered the transfer of the stream that runs through a call, or didn't.
+    Transferred(CallKey, migration::Answer),
     /// A datagram arrived from another box.
     Received(Message),
     /// The addresses of the boxes to contact first, from the settings.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 mod capacity;
 mod cases;
 mod census;
+mod classes;
 mod cold;
 mod customer;
 mod end;
@@ -35,6 +36,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::budget::{Bound, Budget};
+use crate::class;
 use crate::cold::SendTimes;
 use crate::customer::CustomerKey;
 use crate::demand::{Meter, Runs};
@@ -43,6 +45,7 @@
 use crate::engine::EngineKey;
 use crate::evacuation::Evacuations;
 use crate::event::{Event, Kind};
+use crate::features::Features;
 use crate::gateway::cases::Cases;
 use crate::gateway::census::Census;
 use crate::gateway::peers::{PeerChanges, Unannounced};
@@ -99,6 +102,8 @@
     /// How long an engine that reports its shutdown continues to serve; zero if that is not relied
     /// on.
     pub drain: Duration,
+    /// The mechanisms that are switched on.
+    pub features: Features,
     /// A random number drawn at the start of the process.
     pub incarnation: u64,
     /// When the process started, in seconds of Unix time.
@@ -138,6 +143,8 @@
     permits: Permits,
     /// The load of the engines.
     ledger: Ledger,
+    /// The load of traffic classes at all boxes.
+    classes: class::Table,
     /// The other boxes.
     members: Members,
     /// The prompts that engines have cached.
@@ -226,6 +233,7 @@
             terms: Terms::default(),
             permits: Permits::default(),
             ledger: Ledger::default(),
+            classes: class::Table::default(),
             prompts: Prompts::default(),
             budgets: HashMap::new(),
             deadlines: HashMap::new(),
@@ -276,6 +284,8 @@
             Event::Arrived(key, request) => self.handle_arrival(key, request),
             Event::ClientDisconnected(key) => self.handle_disconnect(key),
             Event::Call(call, event) => self.handle_call_event(call, event),
+            // No reservation is asked for and no stream is moved yet.
+            Event::Reserved(..) | Event::Transferred(..) => {}
             Event::Received(message) => self.receive(&message),
             Event::Seeds(seeds) => self.members.add_seeds(self.settings.peer, seeds, self.now),
             Event::CachedPrompts(engine, prompts) => self.apply_survey_answer(engine, prompts),
--- a/crates/hollyspoke-gateway/src/gateway/capacity.rs
+++ b/crates/hollyspoke-gateway/src/gateway/capacity.rs
@@ -4,6 +4,7 @@
 use hollyspoke::time::Time;
 
 use super::Gateway;
+use crate::class::Phase;
 use crate::directory::Record;
 use crate::effect::NotRunReason;
 use crate::engine::{EngineKey, Stage};
@@ -64,6 +65,7 @@
         if in_flight.waits_until.replace(until).is_none() {
             self.waiting.push(key);
         }
+        self.set_phase(key, Some(Phase::Waiting));
         self.wake_at(key, Some(until));
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/end.rs
+++ b/crates/hollyspoke-gateway/src/gateway/end.rs
@@ -146,6 +146,7 @@
     /// Removes a request and frees its prefilled prompt if no engine has imported it.
     pub(super) fn end(&mut self, key: RequestKey, outcome: &'static str) {
         self.unreserve(key);
+        self.set_phase(key, None);
         let Some(in_flight) = self.in_flight.remove(&key) else { return };
         self.due.remove(&(in_flight.deadline, key));
         self.free(in_flight.source);
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -97,11 +97,16 @@
         }
         if receipt == Receipt::New {
             self.ledger.forget(message.sender);
+            self.classes.forget(message.sender);
             self.peer_changes.joined.push(message.sender);
             if !knows_this_one && self.should_answer(message) {
                 self.answer_new_peer(message);
             }
         }
+        if message.is_whole {
+            let classes = message.extension.as_ref().map_or(&[][..], |it| &it.classes);
+            self.receive_classes(message.sender, classes);
+        }
         self.receive_usage(message);
         self.receive_cases(message);
         self.members.add_peers(self.settings.peer, &message.peers, self.now);
@@ -168,6 +173,7 @@
         self.next_heartbeat = self.now + self.cadence().local_interval();
         for address in self.members.sweep(self.now) {
             self.ledger.forget(address);
+            self.classes.forget(address);
             self.peer_changes.timed_out.push(address);
         }
         self.log_peer_changes();
@@ -188,7 +194,9 @@
         message.crashes = self.quarantine.reminder();
         let limits = self.limits_to_announce();
         let departures = self.departures_to_announce();
-        message.extension = Extension { limits, departures, ..Extension::default() }.non_empty();
+        let classes = self.own_classes();
+        message.extension =
+            Extension { limits, departures, classes, ..Extension::default() }.non_empty();
         // In a large deployment, cached prompts are announced only with heartbeats.
         message.cached_prompts = self.prompts.take_unannounced();
         // The heartbeat contains all work, so that no changes are left to announce.
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -6,6 +6,7 @@
 use hollyspoke::outcome::Trace;
 
 use super::Gateway;
+use crate::class::Phase;
 use crate::customer::Customer;
 use crate::effect::{Effect, LogEvent, NotRunReason, Prompt, Refusal, Send, Task};
 use crate::engine::EngineKey;
@@ -127,11 +128,13 @@
             permit_request_count: 0,
             exclusions: Vec::new(),
             is_client_retry,
+            phase: None,
             has_begun: false,
             last_event: None,
         };
         self.due.insert((in_flight.deadline, key));
         self.in_flight.insert(key, in_flight);
+        self.record_class_arrival(key);
         self.proceed(key);
     }
 
@@ -235,6 +238,7 @@
         let now = self.now;
         self.unreserve(key);
         self.reserve(key, next.decode_engine);
+        self.set_phase(key, Some(Phase::Running));
         let Some(in_flight) = self.in_flight.get_mut(&key) else { return };
         let case_state = self.quarantine.progress(in_flight.signature);
         let NextCall { task, choice, .. } = next;
@@ -291,7 +295,18 @@
             },
         );
         self.log(event);
-        let send = Send { request: key, call, engine, caller, task, deadline, last_event };
+        let send = Send {
+            request: key,
+            call,
+            engine,
+            caller,
+            task,
+            deadline,
+            last_event,
+            priority: None,
+            reservation: None,
+            backup: None,
+        };
         self.effects.push(Effect::Send(send));
     }
 
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -6,6 +6,7 @@
 use hollyspoke::outcome::Trace;
 use hollyspoke::time::Time;
 
+use crate::class::Phase;
 use crate::customer::{Caller, Customer};
 use crate::effect::{Prompt, Source, Task};
 use crate::engine::{Engine, EngineKey};
@@ -93,6 +94,8 @@
     pub exclusions: Vec<Exclusion>,
     /// Whether the client has retried the request after a refusal.
     pub is_client_retry: bool,
+    /// The phase in which the request counts towards the load of its traffic class.
+    pub phase: Option<Phase>,
     /// Whether the client has received the head of an answer.
     pub has_begun: bool,
     /// The id of the last event forwarded to the client.
@@ -165,6 +168,15 @@
         customer.and_then(|it| it.priority).unwrap_or(self.route.priority)
     }
 
+    /// Returns the capacity that the request needs: tokens of an engine's memory at a service with
+    /// stages, otherwise one call.
+    pub fn capacity_units(&self) -> u32 {
+        match self.service.staged {
+            Some(_) => u32::try_from(self.request.mean_held_tokens()).unwrap_or(u32::MAX / 4),
+            None => 1,
+        }
+    }
+
     /// Returns the regions where the request may be served, by its route and by its customer.
     pub fn allowed_regions(&self) -> [&AllowedRegions; 2] {
         let customer = self.customer.as_ref().map_or(&ALL_REGIONS, |it| &it.allowed_regions);
@@ -229,6 +241,7 @@
         Task::Plain => "plain",
         Task::Prefill => "read",
         Task::Decode(Prompt::Prefilled(_)) => "generate",
+        Task::Decode(Prompt::Copied(_)) => "generate from a copy",
         Task::Decode(Prompt::NotPrefilled) => "read and generate",
         Task::Decode(Prompt::Cached) => "generate from own memory",
         Task::Decode(Prompt::CachedAt(_)) => "generate from another's memory",
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -11,9 +11,11 @@
 //! `evacuation`, `region`, `cold`, `permit`, `quarantine`). `in_flight` tracks one request, and
 //! `gateway` combines everything.
 
+pub mod appointment;
 pub mod back_off;
 pub mod budget;
 pub mod cadence;
+pub mod class;
 pub mod cold;
 pub mod credential;
 pub mod customer;
@@ -24,20 +26,25 @@
 pub mod engine;
 pub mod evacuation;
 pub mod event;
+pub mod features;
 pub mod gateway;
 pub mod health;
 pub mod in_flight;
 pub mod load;
 pub mod member;
 pub mod message;
+pub mod migration;
+pub mod pace;
 pub mod permit;
 pub mod placement;
+pub mod pool;
 pub mod prompt;
 pub mod quarantine;
 pub mod rate_limit;
 pub mod ratio;
 pub mod region;
 pub mod request;
+pub mod reservation;
 pub mod route;
 pub mod signature;
 pub mod snapshot;
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -14,7 +14,7 @@
 use crate::permit::{Ask, Reply};
 use crate::prompt::CachedPrompt;
 use crate::quarantine::Announcement;
-use crate::{departure, rate_limit};
+use crate::{appointment, class, departure, pace, rate_limit};
 
 /// The short key of a data centre: a hash of its name, equal on all boxes.
 #[derive(
@@ -246,6 +246,12 @@
     pub replies: Vec<Reply>,
     /// Engines that are shutting down.
     pub departures: Vec<departure::Announcement>,
+    /// The load of traffic classes at the sender, in whole datagrams.
+    pub classes: Vec<class::Announcement>,
+    /// The load that the sender has told to return.
+    pub appointments: Vec<appointment::Announcement>,
+    /// The paces of engines that the sender has measured.
+    pub paces: Vec<pace::Announcement>,
 }
 
 impl Message {
--- a/crates/hollyspoke-gateway/src/route.rs
+++ b/crates/hollyspoke-gateway/src/route.rs
@@ -99,6 +99,20 @@
     pub handle_ttl: Duration,
     /// How long an idle engine takes to change its stage; `None` if it can't.
     pub switch_duration: Option<Duration>,
+    /// The optional operations that the engines support.
+    #[serde(skip)]
+    pub operations: Operations,
+}
+
+/// The optional operations that the engines of a service support.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Operations {
+    /// The longest time for which an engine reserves memory; `None` if it doesn't.
+    pub max_reservation: Option<Duration>,
+    /// Whether running streams can be moved to another engine.
+    pub can_migrate: bool,
+    /// Whether running streams can be backed up at another engine.
+    pub can_back_up: bool,
 }
 
 /// A group of engines that serve the same requests.
--- a/crates/hollyspoke-server/src/datagram.rs
+++ b/crates/hollyspoke-server/src/datagram.rs
@@ -14,11 +14,13 @@
 
 use bincode::Options;
 use eyre::{WrapErr, ensure};
-use hollyspoke_gateway::departure;
+use hollyspoke_gateway::class::{self, Class};
+use hollyspoke_gateway::customer::CustomerKey;
 use hollyspoke_gateway::engine::EngineKey;
 use hollyspoke_gateway::message::{Demand, Eras, Extension, Format, Message};
 use hollyspoke_gateway::permit::{Ask, Outcome, Reply};
 use hollyspoke_gateway::rate_limit::Announcement;
+use hollyspoke_gateway::{appointment, departure, pace};
 use minicbor::{Decode, Encode};
 
 /// The first byte of a datagram in the extended format. The first format begins with a
@@ -60,6 +62,75 @@
     /// The store's eras to which the datagram's content belongs.
     #[n(5)]
     eras: Option<ErasField>,
+    /// The load of traffic classes at the sender.
+    #[n(6)]
+    classes: Option<Vec<ClassField>>,
+    /// The load that the sender has told to return.
+    #[n(7)]
+    appointments: Option<Vec<AppointmentField>>,
+    /// The paces of engines.
+    #[n(8)]
+    paces: Option<Vec<PaceField>>,
+}
+
+/// The load of a traffic class.
+#[derive(Debug, Encode, Decode)]
+#[cbor(map)]
+struct ClassField {
+    /// The hash of the service's name.
+    #[n(0)]
+    service: u64,
+    /// The priority, 0 being the highest.
+    #[n(1)]
+    priority: u8,
+    /// The customer's key; none if requests have no customer.
+    #[n(2)]
+    customer: Option<u64>,
+    /// The units per second that arrive, in thousandths; 0 if missing.
+    #[n(3)]
+    arriving_milli_per_s: Option<u64>,
+    /// The units that wait; 0 if missing.
+    #[n(4)]
+    waiting: Option<u32>,
+    /// The units in use; 0 if missing.
+    #[n(5)]
+    running: Option<u32>,
+}
+
+/// A load that is due to return.
+#[derive(Debug, Encode, Decode)]
+#[cbor(map)]
+struct AppointmentField {
+    /// The hash of the service's name.
+    #[n(0)]
+    service: u64,
+    /// The priority, 0 being the highest.
+    #[n(1)]
+    priority: u8,
+    /// The time until the return, in milliseconds.
+    #[n(2)]
+    in_ms: u32,
+    /// The units that return.
+    #[n(3)]
+    units: u32,
+}
+
+/// The pace of an engine.
+#[derive(Debug, Encode, Decode)]
+#[cbor(map)]
+struct PaceField {
+    /// The engine's key.
+    #[n(0)]
+    engine: u64,
+    /// The start time of the engine's incarnation, in milliseconds of Unix time.
+    #[n(1)]
+    born: Option<u64>,
+    /// The time that work takes, in percent of the usual.
+    #[n(2)]
+    percent: u16,
+    /// The age of the measurement, in milliseconds.
+    #[n(3)]
+    age_ms: u32,
 }
 
 /// The eras to which a datagram's content belongs; a missing one equals `store`.
@@ -175,6 +246,11 @@
         replies: non_empty_list(extension.replies.iter().map(ReplyField::of).collect()),
         departures: non_empty_list(extension.departures.iter().map(DepartureField::of).collect()),
         eras: (message.era > 0).then(|| ErasField::of(message.eras())),
+        classes: non_empty_list(extension.classes.iter().map(ClassField::of).collect()),
+        appointments: non_empty_list(
+            extension.appointments.iter().map(AppointmentField::of).collect(),
+        ),
+        paces: non_empty_list(extension.paces.iter().map(PaceField::of).collect()),
     };
     let mut bytes = vec![EXTENDED_FORMAT_MARK, EXTENDED_FORMAT_VERSION];
     minicbor::encode(&extended, &mut bytes).wrap_err("a field can't be written")?;
@@ -204,6 +280,14 @@
             .flatten()
             .map(DepartureField::announcement)
             .collect(),
+        classes: extended.classes.iter().flatten().map(ClassField::announcement).collect(),
+        appointments: extended
+            .appointments
+            .iter()
+            .flatten()
+            .map(AppointmentField::announcement)
+            .collect(),
+        paces: extended.paces.iter().flatten().map(PaceField::announcement).collect(),
     }
     .non_empty();
     Ok(message)
@@ -255,6 +339,64 @@
     }
 }
 
+impl ClassField {
+    /// Encodes the load of a class. Zeros are left out.
+    fn of(announcement: &class::Announcement) -> ClassField {
+        let class::Announcement { class, load } = announcement;
+        let non_zero = |units: u32| (units > 0).then_some(units);
+        ClassField {
+            service: class.service,
+            priority: class.priority,
+            customer: class.customer.map(|it| it.0),
+            arriving_milli_per_s: (load.arriving_milli_per_s > 0)
+                .then_some(load.arriving_milli_per_s),
+            waiting: non_zero(load.waiting),
+            running: non_zero(load.running),
+        }
+    }
+
+    /// Decodes the load of a class.
+    fn announcement(&self) -> class::Announcement {
+        let customer = self.customer.map(CustomerKey);
+        class::Announcement {
+            class: Class { service: self.service, priority: self.priority, customer },
+            load: class::Load {
+                arriving_milli_per_s: self.arriving_milli_per_s.unwrap_or_default(),
+                waiting: self.waiting.unwrap_or_default(),
+                running: self.running.unwrap_or_default(),
+            },
+        }
+    }
+}
+
+impl AppointmentField {
+    /// Encodes a load that is due to return.
+    fn of(announcement: &appointment::Announcement) -> AppointmentField {
+        let &appointment::Announcement { service, priority, in_ms, units } = announcement;
+        AppointmentField { service, priority, in_ms, units }
+    }
+
+    /// Decodes a load that is due to return.
+    fn announcement(&self) -> appointment::Announcement {
+        let &AppointmentField { service, priority, in_ms, units } = self;
+        appointment::Announcement { service, priority, in_ms, units }
+    }
+}
+
+impl PaceField {
+    /// Encodes an engine's pace.
+    fn of(announcement: &pace::Announcement) -> PaceField {
+        let &pace::Announcement { engine, started_at: born, percent, age_ms } = announcement;
+        PaceField { engine: engine.0, born, percent, age_ms }
+    }
+
+    /// Decodes an engine's pace.
+    fn announcement(&self) -> pace::Announcement {
+        let &PaceField { engine, born, percent, age_ms } = self;
+        pace::Announcement { engine: EngineKey(engine), started_at: born, percent, age_ms }
+    }
+}
+
 impl ErasField {
     /// Encodes eras, without those that equal the store's.
     fn of(eras: Eras) -> ErasField {
--- a/crates/hollyspoke-server/src/dialect.rs
+++ b/crates/hollyspoke-server/src/dialect.rs
@@ -10,8 +10,10 @@
 use hollyspoke_gateway::effect::{Order, Send, Source};
 use hollyspoke_gateway::engine::Engine;
 use hollyspoke_gateway::event::{Answer, OrderAnswer};
+use hollyspoke_gateway::migration::{self, Transfer};
 use hollyspoke_gateway::prompt::PromptKey;
 use hollyspoke_gateway::request::Request;
+use hollyspoke_gateway::reservation::{self, Ask, Reservation};
 use hollyspoke_gateway::route::Configuration;
 use hollyspoke_gateway::statement::Statement;
 use http::{HeaderMap, StatusCode, request, response};
@@ -93,6 +95,17 @@
     pub read_handle: fn(&[u8]) -> Option<String>,
     /// Builds the request that frees a cached prompt.
     pub free_prompt: fn(&Source) -> request::Builder,
+    /// Builds the head and the body of the request that asks an engine to reserve memory.
+    pub reserve: fn(&Ask) -> (request::Builder, Bytes),
+    /// Parses the engine's answer to such a request from its status and body.
+    pub read_reservation: fn(StatusCode, &[u8]) -> reservation::Answer,
+    /// Builds the request that drops a reservation.
+    pub drop_reservation: fn(&Reservation) -> request::Builder,
+    /// Builds the head and the body of the order to copy a stream's memory to another engine, from
+    /// the head of the client's request.
+    pub transfer: fn(&Transfer, &request::Parts) -> (request::Builder, Bytes),
+    /// Parses the engine's answer to such an order from its status and body.
+    pub read_transfer: fn(StatusCode, &[u8]) -> migration::Answer,
     /// Builds the request that asks an engine which prompt prefixes it caches.
     pub query_cached_prompts: fn(&Engine) -> request::Builder,
     /// Parses the cached prefixes from the answer, the largest first.
--- a/crates/hollyspoke-server/src/handover/format.rs
+++ b/crates/hollyspoke-server/src/handover/format.rs
@@ -6,9 +6,12 @@
 //! first format. A box uses the extended format only in requests to boxes that have announced that
 //! they can read it, and is answered in the format of its request.
 
+use std::time::Duration;
+
 use bincode::Options;
 use eyre::{WrapErr, bail, ensure};
 use hollyspoke_gateway::message::Format;
+use hollyspoke_gateway::route::{Operations, Service};
 use hollyspoke_gateway::snapshot::{Snapshot, SnapshotRequest};
 use minicbor::{Decode, Encode};
 use serde::Serialize;
@@ -47,6 +50,27 @@
     /// The era of the evacuations; 0 if missing.
     #[n(3)]
     evacuation_era: Option<u64>,
+    /// The optional operations that the engines of services support.
+    #[n(4)]
+    operations: Option<Vec<OperationsField>>,
+}
+
+/// The optional operations that the engines of a service support.
+#[derive(Debug, Encode, Decode)]
+#[cbor(map)]
+struct OperationsField {
+    /// The name of the service.
+    #[n(0)]
+    service: String,
+    /// The longest time for which an engine reserves memory, in milliseconds; none if it doesn't.
+    #[n(1)]
+    max_reservation_ms: Option<u32>,
+    /// Whether running streams can be moved to another engine; no if missing.
+    #[n(2)]
+    can_migrate: Option<bool>,
+    /// Whether running streams can be backed up at another engine; no if missing.
+    #[n(3)]
+    can_back_up: Option<bool>,
 }
 
 /// A decoded request, and the format in which to answer it.
@@ -102,7 +126,9 @@
     let non_zero = |era: u64| (era > 0).then_some(era);
     let engines_era = snapshot.listing.as_ref().and_then(|it| non_zero(it.revision().era));
     let evacuation_era = non_zero(snapshot.evacuation.revision.era);
-    write_extended(&ExtendedSnapshot { first, departures, engines_era, evacuation_era })
+    let services = snapshot.configuration.iter().flat_map(|it| &it.services);
+    let operations = non_empty_list(services.filter_map(OperationsField::of).collect());
+    write_extended(&ExtendedSnapshot { first, departures, engines_era, evacuation_era, operations })
 }
 
 /// Decodes a snapshot.
@@ -119,9 +145,43 @@
     let engines_era = extended.engines_era.unwrap_or_default();
     snapshot.listing = snapshot.listing.map(|it| it.in_era(engines_era));
     snapshot.evacuation.revision.era = extended.evacuation_era.unwrap_or_default();
+    if let Some(configuration) = &mut snapshot.configuration {
+        for supported in extended.operations.iter().flatten() {
+            supported.apply(&mut configuration.services);
+        }
+    }
     Ok(snapshot)
 }
 
+impl OperationsField {
+    /// Encodes the operations of a service; none if it has no stages or its engines support none.
+    fn of(service: &Service) -> Option<OperationsField> {
+        let operations = service.staged?.operations;
+        let max_reservation = operations.max_reservation;
+        (operations != Operations::default()).then(|| OperationsField {
+            service: service.name.to_string(),
+            max_reservation_ms: max_reservation
+                .map(|it| u32::try_from(it.as_millis()).unwrap_or(u32::MAX)),
+            can_migrate: operations.can_migrate.then_some(true),
+            can_back_up: operations.can_back_up.then_some(true),
+        })
+    }
+
+    /// Sets the operations of the service that they belong to.
+    fn apply(&self, services: &mut [Service]) {
+        let max_reservation = self.max_reservation_ms;
+        let operations = Operations {
+            max_reservation: max_reservation.map(|it| Duration::from_millis(u64::from(it))),
+            can_migrate: self.can_migrate.unwrap_or_default(),
+            can_back_up: self.can_back_up.unwrap_or_default(),
+        };
+        let service = services.iter_mut().find(|it| *it.name == *self.service);
+        if let Some(staged) = service.and_then(|it| it.staged.as_mut()) {
+            staged.operations = operations;
+        }
+    }
+}
+
 /// Returns the bytes of the numbered fields; none if the bytes are in the first format.
 fn extended_fields(bytes: &[u8]) -> eyre::Result<Option<&[u8]>> {
     let Some((&EXTENDED_FORMAT_MARK, rest)) = bytes.split_first() else { return Ok(None) };
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -16,7 +16,9 @@
 use hollyspoke_gateway::event::Event;
 use hollyspoke_gateway::gateway::Gateway;
 use hollyspoke_gateway::message::{Format, Message};
+use hollyspoke_gateway::migration::Transfer;
 use hollyspoke_gateway::request::{CallKey, RequestKey};
+use hollyspoke_gateway::reservation::{Ask, Reservation};
 use hollyspoke_gateway::signature::Content;
 use http::{HeaderMap, request, response};
 use slog::{Logger, info};
@@ -123,6 +125,12 @@
     pub call: fn(Rc<Node>, Send, ReceivedRequest) -> AbortHandle,
     /// Starts freeing a cached prompt.
     pub free_prompt: fn(Rc<Node>, Source),
+    /// Starts asking an engine to reserve memory.
+    pub reserve: fn(Rc<Node>, Ask),
+    /// Starts dropping a reservation.
+    pub drop_reservation: fn(Rc<Node>, Reservation),
+    /// Starts ordering an engine to copy a stream's memory to another engine.
+    pub transfer: fn(Rc<Node>, Transfer, ReceivedRequest),
     /// Starts asking an engine which prompt prefixes it caches.
     pub query_cached_prompts: fn(Rc<Node>, Arc<Engine>),
     /// Starts asking an engine how many orders it has accepted.
@@ -325,6 +333,11 @@
             Effect::Free(source) => {
                 (self.upstream_client.free_prompt)(self.clone(), source);
             }
+            Effect::Reserve(ask) => (self.upstream_client.reserve)(self.clone(), ask),
+            Effect::DropReservation(reservation) => {
+                (self.upstream_client.drop_reservation)(self.clone(), reservation);
+            }
+            Effect::Transfer(transfer) => self.transfer(transfer),
             Effect::QueryCachedPrompts(engine) => {
                 (self.upstream_client.query_cached_prompts)(self.clone(), engine)
             }
@@ -364,14 +377,21 @@
         self.peers.send(&first, message, Format::First);
     }
 
+    /// Orders the copy of a stream's memory, unless its request has ended.
+    fn transfer(self: &Rc<Node>, transfer: Transfer) {
+        if let Some(request) = self.received_request(transfer.request) {
+            (self.upstream_client.transfer)(self.clone(), transfer, request);
+        }
+    }
+
+    /// Returns a request in flight as it was received.
+    fn received_request(&self, request_key: RequestKey) -> Option<ReceivedRequest> {
+        self.response_channels.borrow().get(&request_key).map(|it| it.request.clone())
+    }
+
     /// Starts a call to an engine, unless its request has ended.
     fn send(self: &Rc<Node>, send: Send) {
-        let response_channels = self.response_channels.borrow();
-        let Some(request) = response_channels.get(&send.request).map(|it| it.request.clone())
-        else {
-            return;
-        };
-        drop(response_channels);
+        let Some(request) = self.received_request(send.request) else { return };
         let call = send.call;
         let task = (self.upstream_client.call)(self.clone(), send, request);
         self.calls.borrow_mut().insert(call, task);
--- a/crates/hollyspoke-server/src/run.rs
+++ b/crates/hollyspoke-server/src/run.rs
@@ -106,6 +106,7 @@
         tolerance: settings.tolerance,
         sharing: settings.sharing,
         boxes: settings.boxes,
+        features: settings.features,
         incarnation: Pcg64Mcg::from_os_rng().next_u64(),
         unix_start: unix_seconds(),
     });
--- a/crates/hollyspoke-server/src/settings.rs
+++ b/crates/hollyspoke-server/src/settings.rs
@@ -9,6 +9,7 @@
 
 use hollyspoke::quota::Tolerance;
 use hollyspoke_gateway::budget::Bound;
+use hollyspoke_gateway::features::Features;
 use hollyspoke_gateway::gateway::Sharing;
 use hollyspoke_gateway::region::Regions;
 use serde::Deserialize;
@@ -30,6 +31,9 @@
     /// The limits of the box's behaviour.
     #[serde(default)]
     pub bounds: BoundsSection,
+    /// The mechanisms for overload and for uneven engines.
+    #[serde(default)]
+    pub features: Features,
 }
 
 /// The settings of this box itself.
@@ -183,6 +187,8 @@
     pub sharing: Sharing,
     /// The number of boxes that share the limits; none if unknown.
     pub boxes: Option<usize>,
+    /// The mechanisms that are switched on.
+    pub features: Features,
 }
 
 /// Collects the errors that the checks find.
@@ -268,6 +274,7 @@
                 SharingSetting::Totals => Sharing::Totals,
             },
             boxes: bounds.quota_boxes.map(NonZeroUsize::get),
+            features: file.features,
         })
     }
 }
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -9,10 +9,13 @@
 use hollyspoke_gateway::effect::{ORDER_TIMEOUT, Order, Send, Source, Task};
 use hollyspoke_gateway::engine::{Engine, EngineKey};
 use hollyspoke_gateway::event::{Answer, CallEvent, Event, OrderAnswer, Probe};
+use hollyspoke_gateway::migration::{self, Transfer};
+use hollyspoke_gateway::reservation::{self, Ask, Reservation};
 use hollyspoke_gateway::statement::Statement;
 use http::{StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use slog::debug;
 
 use crate::dialect::Report;
 use crate::handover;
@@ -30,6 +33,12 @@
 /// The timeout for freeing a prompt.
 const FREE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The timeout for an engine's answer to a request for a reservation. Engines answer at once.
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// The timeout for the copy of a stream's memory, which waits for other copies on the same links.
+const TRANSFER_TIMEOUT: Duration = Duration::from_millis(2500);
+
 /// The size limit of an answer that is buffered whole.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
@@ -42,6 +51,15 @@
     free_prompt: |node, source| {
         tokio::task::spawn_local(free_prompt(node, source));
     },
+    reserve: |node, ask| {
+        tokio::task::spawn_local(reserve(node, ask));
+    },
+    drop_reservation: |node, reservation| {
+        tokio::task::spawn_local(drop_reservation(node, reservation));
+    },
+    transfer: |node, transfer, request| {
+        tokio::task::spawn_local(self::transfer(node, transfer, request));
+    },
     query_cached_prompts: |node, engine| {
         tokio::task::spawn_local(query_cached_prompts(node, engine));
     },
@@ -178,6 +196,54 @@
     }
 }
 
+/// Asks an engine to reserve memory, and reports its answer to the reducer.
+async fn reserve(node: Rc<Node>, ask: Ask) {
+    let (head, body) = (node.dialect.reserve)(&ask);
+    let exchange = exchange_order(&node, &ask.engine, head, body);
+    let answer = match tokio::time::timeout(RESERVE_TIMEOUT, exchange).await {
+        Ok(Ok((status, body))) => (node.dialect.read_reservation)(status, &body),
+        Ok(Err(Failure::Unsent)) => reservation::Answer::NotConnected,
+        Ok(Err(Failure::Broken)) | Err(_) => reservation::Answer::Unknown,
+    };
+    node.dispatch(Event::Reserved(ask.number, answer));
+}
+
+/// Drops a reservation. It expires by itself if this fails.
+async fn drop_reservation(node: Rc<Node>, reservation: Reservation) {
+    let head = (node.dialect.drop_reservation)(&reservation);
+    let exchange = exchange_order(&node, &reservation.engine, head, Bytes::new());
+    if tokio::time::timeout(FREE_TIMEOUT, exchange).await.is_err() {
+        debug!(node.log, "reservation not dropped"; "engine" => %reservation.engine.id);
+    }
+}
+
+/// Orders an engine to copy a stream's memory, and reports its answer to the reducer.
+async fn transfer(node: Rc<Node>, transfer: Transfer, request: ReceivedRequest) {
+    let (head, body) = (node.dialect.transfer)(&transfer, &request.head);
+    let exchange = exchange_order(&node, &transfer.source, head, body);
+    let answer = match tokio::time::timeout(TRANSFER_TIMEOUT, exchange).await {
+        Ok(Ok((status, body))) => (node.dialect.read_transfer)(status, &body),
+        Ok(Err(Failure::Unsent)) => migration::Answer::NotConnected,
+        Ok(Err(Failure::Broken)) | Err(_) => migration::Answer::Unknown,
+    };
+    node.dispatch(Event::Transferred(transfer.call, answer));
+}
+
+/// Sends a request to an engine itself, and returns the status and the body of its answer.
+async fn exchange_order(
+    node: &Rc<Node>,
+    engine: &Engine,
+    head: http::request::Builder,
+    body: Bytes,
+) -> Result<(StatusCode, Bytes), Failure> {
+    let mut connection = Connection::open(engine.address, CONNECT_TIMEOUT).await?;
+    let request = head.body(Full::new(body)).map_err(|_| Failure::Unsent)?;
+    let (head, body) = connection.send(request).await?.into_parts();
+    read_statement(node, engine, &head);
+    let body = read_whole(body, MAX_ANSWER_BYTES).await.ok_or(Failure::Broken)?;
+    Ok((head.status, body))
+}
+
 /// Asks an engine which prompt prefixes it caches, and reports them to the reducer.
 async fn query_cached_prompts(node: Rc<Node>, engine: Arc<Engine>) {
     let query_request = (node.dialect.query_cached_prompts)(&engine);
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -12,11 +12,14 @@
 use hollyspoke_gateway::engine::{Engine, EngineKey, Stage};
 use hollyspoke_gateway::evacuation::Evacuation;
 use hollyspoke_gateway::event::{Answer, CallEvent, Event, Execution};
+use hollyspoke_gateway::features::Features;
 use hollyspoke_gateway::gateway::{CASES, Gateway, Settings, Sharing};
 use hollyspoke_gateway::message::{DataCentreKey, Format, Message, Readiness, StoreView, Usage};
 use hollyspoke_gateway::region::{AllowedRegions, Regions};
 use hollyspoke_gateway::request::{CallKey, Request, RequestKey};
-use hollyspoke_gateway::route::{Configuration, Limits, Route, RouteKind, Service, Split, Staged};
+use hollyspoke_gateway::route::{
+    Configuration, Limits, Operations, Route, RouteKind, Service, Split, Staged,
+};
 use hollyspoke_gateway::signature::Content;
 use hollyspoke_gateway::statement::Statement;
 
@@ -57,6 +60,7 @@
         grace: Duration::from_secs(8),
         order_pause: Duration::from_secs(3),
         drain: Duration::from_secs(2),
+        features: Features::NONE,
         incarnation: u64::from(number),
         unix_start: 1_790_000_000,
     }
@@ -103,6 +107,7 @@
         link_mbps: 350_000.0,
         handle_ttl: Duration::from_millis(500),
         switch_duration: None,
+        operations: Operations::default(),
     };
     let limits = Limits {
         head_bytes: 16_384,
--- a/tests/src/platform.rs
+++ b/tests/src/platform.rs
@@ -8,6 +8,7 @@
 
 use hollyspoke::quota::Tolerance;
 use hollyspoke_gateway::budget::Bound;
+use hollyspoke_gateway::features::Features;
 use hollyspoke_gateway::gateway::Sharing;
 use hollyspoke_gateway::region::Regions;
 use hollyspoke_platform::DIALECT;
@@ -551,6 +552,7 @@
         tolerance: Tolerance { window: Duration::from_secs(8), overrun: 0.1, slack: 0.0 },
         sharing: Sharing::Totals,
         boxes: None,
+        features: Features::NONE,
     }
 }
 
--- a/tests/src/stages.rs
+++ b/tests/src/stages.rs
@@ -11,7 +11,7 @@
 use hollyspoke_gateway::event::{Answer as Answered, CallEvent, Event, Kind, OrderAnswer};
 use hollyspoke_gateway::rate_limit::Reported;
 use hollyspoke_gateway::request::CallKey;
-use hollyspoke_gateway::route::{Configuration, Route, RouteKind, Service, Staged};
+use hollyspoke_gateway::route::{Configuration, Operations, Route, RouteKind, Service, Staged};
 use hollyspoke_gateway::statement::Statement;
 
 use crate::gateway::{MODEL, World, configuration, engine, prefilled, ran, request, route};
@@ -107,6 +107,7 @@
         link_mbps: 1_600_000.0,
         handle_ttl: Duration::from_millis(500),
         switch_duration: Some(SWITCH),
+        operations: Operations::default(),
     };
     let once = Route { max_attempts: 1, ..route("once", RouteKind::Stream, MODEL) };
     let services = vec![Service { name: MODEL.into(), staged: Some(staged), cold_rate: None }];
--- a/tests/tests/formats.rs
+++ b/tests/tests/formats.rs
@@ -2,20 +2,25 @@
 //!
 //! The first format has no version and no numbered fields, so one added field made datagrams unreadable:
 //! a customer got 70,234 units with a limit of 69,500. The first-format bytes in `files/formats` precede
-//! any added field, `permits` is the first version with numbered fields, and the other numbered ones are
-//! of the last version without eras of the store.
+//! any added field, `permits` is the first version with numbered fields, those with `eras` in their name are
+//! of the last version without the load of classes, and the other numbered ones are of the last version
+//! without eras of the store.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use bincode::Options;
 use hollyspoke::store::Revision;
-use hollyspoke_gateway::departure;
+use hollyspoke_gateway::class::{self, Class};
+use hollyspoke_gateway::customer::CustomerKey;
 use hollyspoke_gateway::engine::EngineKey;
 use hollyspoke_gateway::evacuation::Evacuation;
 use hollyspoke_gateway::message::{Eras, Extension, Format, Message};
 use hollyspoke_gateway::permit::{Ask, Outcome, Reply};
 use hollyspoke_gateway::rate_limit::Announcement;
+use hollyspoke_gateway::route::Operations;
 use hollyspoke_gateway::snapshot::{Snapshot, SnapshotRequest};
+use hollyspoke_gateway::{appointment, departure, pace};
 use hollyspoke_server::datagram::{read, write};
 use hollyspoke_server::handover::format::{
     ReceivedSnapshotRequest, read_request, read_snapshot, write_request, write_snapshot,
@@ -54,7 +59,7 @@
     bincode::DefaultOptions::new().serialize(value).expect("it can be written")
 }
 
-/// Returns all that numbered fields carry.
+/// Returns all that numbered fields carried in the version with eras.
 fn extension() -> Extension {
     let departure =
         |born| departure::Announcement { engine: EngineKey(6), started_at: born, age_ms: 1200 };
@@ -74,10 +79,30 @@
             reply(Outcome::Refused(250)),
             reply(Outcome::Unlimited),
         ],
-        departures: Vec::new(),
+        ..Extension::default()
     }
 }
 
+/// Returns all that numbered fields carry.
+fn load_extension() -> Extension {
+    let class = |customer| Class { service: u64::MAX, priority: 1, customer };
+    let load = class::Load { arriving_milli_per_s: 5_000_000_000, waiting: 7, running: 60_000 };
+    let classes = vec![
+        class::Announcement { class: class(Some(CustomerKey(9))), load },
+        class::Announcement { class: class(None), load: class::Load::default() },
+    ];
+    let appointment =
+        appointment::Announcement { service: 77, priority: 2, in_ms: 1250, units: 3400 };
+    let pace =
+        pace::Announcement { engine: EngineKey(6), started_at: Some(7), percent: 240, age_ms: 40 };
+    Extension { classes, appointments: vec![appointment], paces: vec![pace], ..extension() }
+}
+
+/// Returns the eras of a datagram whose parts are of different ones.
+fn mixed_eras() -> Eras {
+    Eras { store: 9, engines: 8, since: 7, changes: 8, evacuation: 0 }
+}
+
 #[test]
 fn first_datagram_misread() {
     for (name, sent) in [("whole", whole()), ("partial", partial())] {
@@ -122,6 +147,54 @@
     assert_eq!(write_snapshot(&sent, received_request.format).expect("it is written"), bytes);
 }
 
+/// Datagrams and handovers of boxes without the load of classes are read, and written with the same
+/// bytes.
+#[test]
+fn loadless_box_misread() {
+    for (name, sent) in [("eras-whole", whole()), ("eras-partial", partial())] {
+        let format = if sent.is_whole { Format::Eras } else { Format::Permits };
+        let extension = extension().non_empty();
+        let mut sent = Message { extension, format: Some(format), ..sent };
+        sent.set_eras(mixed_eras());
+        assert_eq!(read(&recorded(name)).expect("it is read"), sent, "{name}");
+        assert_eq!(write(&sent, Format::Eras).expect("it is written"), recorded(name), "{name}");
+    }
+    let sent = Snapshot {
+        departures: extension().departures,
+        listing: snapshot().listing.map(|it| it.in_era(3)),
+        ..snapshot()
+    };
+    let bytes = recorded("snapshot-eras");
+    assert_eq!(read_snapshot(&bytes).expect("it is read"), sent);
+    assert_eq!(write_snapshot(&sent, Format::Eras).expect("it is written"), bytes);
+}
+
+#[test]
+fn load_lost() {
+    let extension = load_extension().non_empty();
+    let sent = Message { extension, format: Some(Format::Eras), ..whole() };
+    let bytes = write(&sent, Format::Permits).expect("it is written");
+    assert_eq!(read(&bytes).expect("it is read"), sent);
+}
+
+/// The first format has no optional operations of engines: numbered fields carry them.
+#[test]
+fn operations_lost() {
+    let mut sent = snapshot();
+    let services = sent.configuration.iter_mut().flat_map(|it| &mut it.services);
+    for staged in services.filter_map(|it| it.staged.as_mut()) {
+        staged.operations = Operations {
+            max_reservation: Some(Duration::from_secs(2)),
+            can_migrate: true,
+            can_back_up: true,
+        };
+    }
+    let bytes = write_snapshot(&sent, Format::Eras).expect("it is written");
+    assert_eq!(read_snapshot(&bytes).expect("it is read"), sent);
+    let bytes = write_snapshot(&sent, Format::First).expect("it is written");
+    assert_eq!(bytes, recorded("snapshot"));
+}
+
 #[test]
 fn first_handover_misread() {
     assert_eq!(
@@ -203,8 +276,7 @@
 #[test]
 fn era_lost() {
     let all = Eras { store: 9, engines: 9, since: 9, changes: 9, evacuation: 9 };
-    let mixed = Eras { store: 9, engines: 8, since: 7, changes: 8, evacuation: 0 };
-    for eras in [all, mixed] {
+    for eras in [all, mixed_eras()] {
         let mut sent = Message { format: Some(Format::Eras), ..whole() };
         sent.set_eras(eras);
         assert_eq!(sent.eras(), eras);
--- a/tests/tests/platform_heads.rs
+++ b/tests/tests/platform_heads.rs
@@ -5,12 +5,14 @@
 
 use hollyspoke_gateway::customer::Caller;
 use hollyspoke_gateway::effect::{Prompt, Send, Task};
+use hollyspoke_gateway::migration;
 use hollyspoke_gateway::prompt::PromptKey;
 use hollyspoke_gateway::request::{CallKey, RequestKey};
-use hollyspoke_platform::engine::{call_head, read_survey};
+use hollyspoke_gateway::reservation;
+use hollyspoke_platform::engine::{call_head, read_reservation, read_survey, read_transfer};
 use hollyspoke_platform::ingress::read_request;
 use hollyspoke_tests::gateway::{MODEL, engine};
-use http::{Request, request};
+use http::{Request, StatusCode, request};
 
 /// Returns a client's head with the parts of a prompt.
 fn head(parts: &str) -> request::Parts {
@@ -28,6 +30,9 @@
         task: Task::Decode(prompt),
         deadline: Duration::from_secs(1),
         last_event: None,
+        priority: None,
+        reservation: None,
+        backup: None,
     }
 }
 
@@ -51,6 +56,57 @@
     }
 }
 
+/// Clients can't set the headers that only a box sets.
+#[test]
+fn client_header_kept() {
+    let mut client = head("a:1");
+    for name in ["x-request-priority", "x-kv-hold", "x-kv-backup"] {
+        client.headers.insert(name, "0".parse().expect("a value"));
+    }
+    let call = call_head(&client, &decode_call(Prompt::NotPrefilled));
+    assert!(!call.headers.contains_key("x-request-priority"));
+    assert!(!call.headers.contains_key("x-kv-hold"));
+    assert!(!call.headers.contains_key("x-kv-backup"));
+    let backup = SocketAddr::from(([10, 1, 64, 9], 8080));
+    let send = Send {
+        priority: Some(12),
+        reservation: Some("r-1".into()),
+        backup: Some(backup),
+        ..decode_call(Prompt::NotPrefilled)
+    };
+    let call = call_head(&client, &send);
+    assert_eq!(call.headers["x-request-priority"], "9");
+    assert_eq!(call.headers["x-kv-hold"], "r-1");
+    assert_eq!(call.headers["x-kv-backup"], "10.1.64.9:8080");
+}
+
+#[test]
+fn reservation_misread() {
+    let answer = |status, body: &[u8]| read_reservation(status, body);
+    let granted = answer(StatusCode::OK, br#"{"hold":"r-1","more":1}"#);
+    assert_eq!(granted, reservation::Answer::Granted("r-1".into()));
+    assert_eq!(answer(StatusCode::OK, b"{}"), reservation::Answer::Unknown);
+    assert_eq!(answer(StatusCode::SERVICE_UNAVAILABLE, b""), reservation::Answer::Full);
+    assert_eq!(answer(StatusCode::MISDIRECTED_REQUEST, b""), reservation::Answer::Replaced);
+    assert_eq!(answer(StatusCode::NOT_FOUND, b""), reservation::Answer::Unsupported);
+    assert_eq!(answer(StatusCode::BAD_GATEWAY, b""), reservation::Answer::Unknown);
+}
+
+#[test]
+fn transfer_misread() {
+    let answer = |status, body: &[u8]| read_transfer(status, body);
+    let copied = answer(StatusCode::OK, br#"{"prefillHandle":"c-1","made":14}"#);
+    assert_eq!(copied, migration::Answer::Copied { handle: "c-1".to_owned(), events: 14 });
+    assert_eq!(answer(StatusCode::OK, b"{}"), migration::Answer::Unknown);
+    assert_eq!(answer(StatusCode::NOT_FOUND, b""), migration::Answer::NotRunning);
+    assert_eq!(answer(StatusCode::CONFLICT, b""), migration::Answer::InProgress);
+    let refused = answer(StatusCode::SERVICE_UNAVAILABLE, br#"{"prefillHandle":"c-1"}"#);
+    assert_eq!(refused, migration::Answer::Refused { handle: Some("c-1".to_owned()) });
+    let refused = answer(StatusCode::SERVICE_UNAVAILABLE, b"");
+    assert_eq!(refused, migration::Answer::Refused { handle: None });
+    assert_eq!(answer(StatusCode::METHOD_NOT_ALLOWED, b""), migration::Answer::Unsupported);
+}
+
 #[test]
 fn cache_list_misread() {
     let body = br#"{"epoch":"e","nextToken":9,"held":[["","5c1e",200,"m"],["","91bd",5000,"m"]]}"#;
--- a/tests/tests/platform_settings.rs
+++ b/tests/tests/platform_settings.rs
@@ -2,6 +2,7 @@
 
 use std::process::{Command, Output};
 
+use hollyspoke_gateway::features::Features;
 use hollyspoke_server::settings::Settings;
 use hollyspoke_tests::process::program;
 
@@ -67,6 +68,18 @@
     assert!(set("0").is_err());
 }
 
+/// Mechanisms are switched on one by one; an unknown name is an error with its line.
+#[test]
+fn feature_misread() {
+    let set = |line: &str| Settings::parse(&format!("{FILE}\n[features]\n{line}\n"));
+    assert_eq!(Settings::parse(FILE).expect("the file is valid").features, Features::default());
+    let features = set("admission = true").expect("the file is valid").features;
+    assert_eq!(features, Features { admission: true, ..Features::default() });
+    let findings = set("admision = true").expect_err("there is no such mechanism");
+    let message = &findings[0].message;
+    assert!(message.contains("line 23") && message.contains("admission"), "{message}");
+}
+
 #[test]
 fn invalid_toml_accepted() {
     let findings = Settings::parse("[box").expect_err("it is not TOML");
