Paces of engines, learned from their answers

Engines of one service differ in speed, and some slow down for seconds. Each box measures the time per event of its own streams and per token of prompts, compares it with the other engines that it measures, and announces engines that differ. With the feature on, choices weigh memory and prefill by it and avoid engines whose pauses are too long while others have capacity. An engine that came back gets more work step by step.

--- a/crates/hollyspoke-gateway/src/directory.rs
+++ b/crates/hollyspoke-gateway/src/directory.rs
@@ -65,6 +65,8 @@
     /// The time until which its entry, which comes from an older copy of the store, may be that of
     /// an engine that has gone.
     unconfirmed_until: Option<Time>,
+    /// When its incarnation was first listed, unless the first list contained it.
+    appeared_at: Option<Time>,
 }
 
 /// How long an engine with a stage is skipped after it reported that a call was not meant for it.
@@ -95,6 +97,21 @@
         })
     }
 
+    /// Returns when the engine came back: as a new incarnation, or after it was unreachable.
+    pub fn returned_at(&self, now: Time) -> Option<Time> {
+        self.appeared_at.max(self.health.returned_at(now))
+    }
+
+    /// Returns its prefill rate in tokens per millisecond if it was measured recently.
+    fn measured_rate(&self, now: Time) -> Option<f64> {
+        self.rate.filter(|(_, at)| now.since(*at) < MEASUREMENT_TTL).map(|(rate, _)| rate)
+    }
+
+    /// Returns whether the prefill rate of the engine itself was measured recently.
+    pub fn has_measured_rate(&self, now: Time) -> bool {
+        self.measured_rate(now).is_some()
+    }
+
     /// Marks the engine's entry as missing. It may reappear until the given time.
     fn mark_missing(self, until: Time) -> Record {
         let until = self.missing_until.map_or(until, |it| it.min(until));
@@ -214,6 +231,9 @@
             let known = old.remove(&engine.key);
             self.merge(known, engine, is_copy, now);
         }
+        if is_first {
+            self.engines.values_mut().for_each(|it| it.appeared_at = None);
+        }
         for known in old.into_values() {
             match missing_until.filter(|_| !known.engine.is_draining) {
                 Some(until) => self.insert(known.mark_missing(until)),
@@ -542,9 +562,7 @@
 
     /// Returns the rate at which an engine prefills prompts, in tokens per millisecond.
     pub fn prefill_rate(&self, known: &Record, now: Time) -> f64 {
-        if let Some((rate, at)) = known.rate
-            && now.since(at) < MEASUREMENT_TTL
-        {
+        if let Some(rate) = known.measured_rate(now) {
             return rate;
         }
         let is_prefill = known.engine.stage == Some(Stage::Prefill);
@@ -638,6 +656,7 @@
             is_evacuated: false,
             cold_until,
             unconfirmed_until: None,
+            appeared_at: Some(now),
         },
     }
 }
--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -261,6 +261,15 @@
         /// How long the engine is avoided.
         duration: Duration,
     },
+    /// An engine has become slow, or is at its usual pace again.
+    Pace {
+        /// The engine's id.
+        id: Arc<str>,
+        /// Whether it is slow.
+        is_slow: bool,
+        /// The time that work takes there, in percent of the usual.
+        percent: u16,
+    },
     /// The rate limit of an engine changed.
     Limited {
         /// The engine's id.
--- a/crates/hollyspoke-gateway/src/engine.rs
+++ b/crates/hollyspoke-gateway/src/engine.rs
@@ -23,7 +23,7 @@
 }
 
 /// The part of a request that an engine serves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Stage {
     /// Prefills prompts for other engines.
     Prefill,
--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -53,6 +53,8 @@
     /// Complete events of a stream were forwarded to the client; the id of the last one, if it has
     /// one.
     Forwarded(Option<u64>),
+    /// The same, after the client had not taken earlier events for a time.
+    ForwardedLate(Option<u64>),
     /// After the request was sent, the connection closed or delivered an invalid answer.
     Broken,
 }
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 mod evacuation;
 mod handover;
 mod limit;
+mod pace;
 mod peers;
 mod permits;
 mod quarantine;
@@ -57,6 +58,7 @@
 use crate::load::Ledger;
 use crate::member::Members;
 use crate::message::{DataCentreKey, Format, Load, Readiness};
+use crate::pace::Paces;
 use crate::prompt::Prompts;
 use crate::quarantine::Quarantine;
 use crate::region::Regions;
@@ -145,6 +147,8 @@
     ledger: Ledger,
     /// The load of traffic classes at all boxes.
     classes: class::Table,
+    /// The paces of the engines.
+    paces: Paces,
     /// The other boxes.
     members: Members,
     /// The prompts that engines have cached.
@@ -233,6 +237,7 @@
             terms: Terms::default(),
             permits: Permits::default(),
             ledger: Ledger::default(),
+            paces: Paces::default(),
             classes: class::Table::default(),
             prompts: Prompts::default(),
             budgets: HashMap::new(),
--- a/crates/hollyspoke-gateway/src/gateway/cached.rs
+++ b/crates/hollyspoke-gateway/src/gateway/cached.rs
@@ -31,6 +31,7 @@
         let decode_engines = holders.iter().filter(|it| it.engine.stage != Some(Stage::Prefill));
         // A cached prompt doesn't justify waiting for a rate-limited engine: others prefill it sooner.
         let at_once = decode_engines.filter(|it| !view.needs_permit(it.engine.key));
+        let at_once = at_once.filter(|it| view.is_steady(it));
         let own =
             at_once.filter(|it| view.has_capacity(it, staged, held)).map(|it| call_to_holder(it));
         own.chain(holders.iter().filter_map(|it| call_to_importer(it, view, staged, held))).next()
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -29,7 +29,8 @@
             CallEvent::NotConnected => self.call_not_connected(key),
             CallEvent::Began(answer) => self.call_began(key, &answer),
             CallEvent::Answered(answer) => self.call_answered(key, answer),
-            CallEvent::Forwarded(id) => self.call_forwarded(key, id),
+            CallEvent::Forwarded(id) => self.call_forwarded(key, id, false),
+            CallEvent::ForwardedLate(id) => self.call_forwarded(key, id, true),
             CallEvent::Broken => self.call_broken(key),
         }
     }
@@ -81,9 +82,11 @@
         self.effects.push(effect);
     }
 
-    /// Events were forwarded to the client.
-    fn call_forwarded(&mut self, key: CallKey, id: Option<u64>) {
+    /// Events were forwarded to the client, which may have held them up.
+    fn call_forwarded(&mut self, key: CallKey, id: Option<u64>, is_held_up: bool) {
         let now = self.now;
+        self.measure_events(key, id, is_held_up);
+        let is_blamed = !is_held_up || !self.settings.features.pace;
         let Some(call) = self.calls.get_mut(&key) else { return };
         let pause = now.since(call.last_event_at);
         call.last_event_at = now;
@@ -91,7 +94,7 @@
         let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
         in_flight.last_event = id.or(in_flight.last_event);
         in_flight.silence_deadline = in_flight.gap_timeout().map(|it| now + it);
-        if in_flight.route.max_gap.is_some_and(|it| pause > it) {
+        if is_blamed && in_flight.route.max_gap.is_some_and(|it| pause > it) {
             self.record_failure(&call);
         }
     }
@@ -253,6 +256,7 @@
     /// Removes a call and the load that it added to its engine.
     pub(super) fn take_call(&mut self, key: CallKey) -> Option<Call> {
         let call = self.calls.remove(&key)?;
+        self.paces.end_stream(key);
         if !call.has_begun {
             self.terms.back_offs.release(call.engine.key, call.sent);
         }
@@ -322,6 +326,7 @@
     /// Measures the prefill rate of an engine.
     fn measure(&mut self, call: &Call, now: Time) {
         self.directory.measure(call.engine.key, call.queued_tokens, now.since(call.sent), now);
+        self.measure_prefill(call);
     }
 
     /// Records that an engine failed a call.
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -88,6 +88,7 @@
             self.receive_limits(message.sender, extension);
             self.receive_departures(message.sender, &extension.departures);
             self.receive_permits(message.sender, extension);
+            self.receive_paces(&extension.paces);
         }
         self.receive_era(message.era, message.sender);
         let knows_this_one = self.members.was_greeted(message.sender, self.now);
@@ -195,8 +196,9 @@
         let limits = self.limits_to_announce();
         let departures = self.departures_to_announce();
         let classes = self.own_classes();
+        let paces = self.paces_to_announce();
         message.extension =
-            Extension { limits, departures, classes, ..Extension::default() }.non_empty();
+            Extension { limits, departures, classes, paces, ..Extension::default() }.non_empty();
         // In a large deployment, cached prompts are announced only with heartbeats.
         message.cached_prompts = self.prompts.take_unannounced();
         // The heartbeat contains all work, so that no changes are left to announce.
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -214,6 +214,7 @@
             max_drain_age: self.max_drain_age(in_flight),
             is_suspect: verdict != Verdict::Clear,
             trials: &trials,
+            tempo: self.tempo(in_flight),
             now: self.now,
             draw,
         };
--- a/crates/hollyspoke-gateway/src/health.rs
+++ b/crates/hollyspoke-gateway/src/health.rs
@@ -37,6 +37,9 @@
     failed_connections: u32,
     /// The time until which the engine is avoided.
     avoided_until: Option<Time>,
+    /// When the engine could be used again after it was last unreachable, if an answer has come
+    /// since.
+    returned_at: Option<Time>,
     /// The boxes that recently reported that they could not reach the engine, and when.
     suspecting: Vec<(SocketAddr, Time)>,
 }
@@ -45,6 +48,7 @@
     /// Records a successful answer.
     pub fn record_success(&mut self, now: Time) {
         self.failed_connections = 0;
+        self.returned_at = self.avoided_until.map(|it| it.min(now)).or(self.returned_at);
         self.avoided_until = None;
         self.suspecting.clear();
         self.set(now, self.failure_rate(now) * (1.0 - OUTCOME_WEIGHT));
@@ -94,6 +98,11 @@
         self.avoided_until.is_some_and(|it| now < it)
     }
 
+    /// Returns when the engine could be used again after it was last unreachable, if it was.
+    pub fn returned_at(&self, now: Time) -> Option<Time> {
+        self.avoided_until.filter(|it| *it <= now).or(self.returned_at)
+    }
+
     /// Sets the failure rate.
     fn set(&mut self, now: Time, rate: f64) {
         self.rate = rate;
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -9,6 +9,7 @@
 use crate::directory::{Directory, Group, Record};
 use crate::engine::{Engine, EngineKey, Stage};
 use crate::load::Ledger;
+use crate::pace::{self, Paces};
 use crate::permit::Holder;
 use crate::region::{AllowedRegions, Regions};
 use crate::route::{Service, Staged};
@@ -91,6 +92,17 @@
     pub queued_tokens: u64,
 }
 
+/// What the choice for a request considers of the engines' paces.
+#[derive(Debug, Clone, Copy)]
+pub struct Tempo<'a> {
+    /// The paces.
+    pub paces: &'a Paces,
+    /// The longest pause between events with which an answer is on time, if there is a limit.
+    pub max_gap: Option<Duration>,
+    /// The time within which the first event counts as on time.
+    pub target: Duration,
+}
+
 /// The selection of engines for one request, with all inputs that it depends on.
 #[derive(Debug, Clone, Copy)]
 pub struct Selector<'a> {
@@ -127,6 +139,8 @@
     pub is_suspect: bool,
     /// Engines that a possibly crashing request is being tried on.
     pub trials: &'a [EngineKey],
+    /// The engines' paces; `None` if choices don't depend on them.
+    pub tempo: Option<Tempo<'a>>,
     /// The current time.
     pub now: Time,
     /// A random number, which breaks ties.
@@ -150,12 +164,13 @@
         let has_capacity = |it: &Record| self.has_memory(it, staged, tokens);
         let stage = Some(Stage::Prefill);
         let candidates = self.candidates(stage, self.data_centre, None, has_capacity);
+        let candidates = self.prefer_prompt(candidates, staged, tokens);
         let (record, _) = self.cheapest(&candidates, |it| {
             let distance =
                 OTHER_DATA_CENTRE_TRANSFER.mul_f64(self.distance(it) / OTHER_DATA_CENTRE_SHARE);
             let staleness_cost = self.staleness_cost(it);
-            (self.prefill_time(it, tokens) + distance + staleness_cost + self.failure_cost(it))
-                .as_secs_f64()
+            let prefill_time = self.prefill_time(it, tokens).div_f64(self.ramp_share(it));
+            (prefill_time + distance + staleness_cost + self.failure_cost(it)).as_secs_f64()
         })?;
         let expected = self.prefill_time(record, tokens) + self.transfer_time(staged, tokens);
         Some(Choice {
@@ -170,14 +185,17 @@
         let has_capacity = |it: &Record| self.has_memory(it, staged, held);
         let stage = Some(Stage::Decode);
         let candidates = self.candidates(stage, self.data_centre, None, has_capacity);
-        let (record, cost) = self.cheapest(&candidates, |it| {
+        let candidates = self.prefer_steady(candidates);
+        let cost = |it: &Record| {
             let load = self.ledger.at(it.engine.key);
             let interference = STREAM_INTERFERENCE_COST * load.calls.min(4);
+            let interference = interference.mul_f64(self.learned_pace(it));
             let staleness_cost = self.staleness_cost(it);
-            (self.prefill_time(it, tokens) + interference + staleness_cost + self.failure_cost(it))
-                .as_secs_f64()
-        })?;
-        let expected = Duration::from_secs_f64(cost);
+            self.prefill_time(it, tokens) + interference + staleness_cost + self.failure_cost(it)
+        };
+        let (record, _) =
+            self.cheapest(&candidates, |it| cost(it).div_f64(self.ramp_share(it)).as_secs_f64())?;
+        let expected = cost(record);
         Some(Choice {
             engine: record.engine.clone(),
             expected,
@@ -201,6 +219,7 @@
         let has_capacity = |it: &Record| is_reserved(it) || self.has_memory(it, staged, held);
         let stage = Some(Stage::Decode);
         let candidates = self.candidates(stage, source_data_centre, preferred, has_capacity);
+        let candidates = self.prefer_steady(candidates);
         let (record, _) = self.cheapest(&candidates, |it| {
             if is_reserved(it) {
                 return 0.0;
@@ -214,8 +233,10 @@
                 + distance
                 + self.staleness_share(it)
                 + it.health.failure_rate(self.now) * FAILURE_SHARE
+                + self.slowness_cost(it, staged, held)
         })?;
-        let expected = CALL_OVERHEAD + self.transfer_time(staged, held);
+        let expected =
+            CALL_OVERHEAD + self.transfer_time(staged, held) + self.first_event_time(record);
         Some(Choice { engine: record.engine.clone(), expected, queued_tokens: 0 })
     }
 
@@ -440,7 +461,66 @@
     fn prefill_time(&self, record: &Record, tokens: u64) -> Duration {
         let rate = self.directory.prefill_rate(record, self.now).max(0.1);
         let millis = (self.queued_tokens(record) + tokens) as f64 / rate;
-        CALL_OVERHEAD + Duration::from_secs_f64(millis / 1e3)
+        // A measured rate of the engine itself contains its pace.
+        let is_measured = record.has_measured_rate(self.now);
+        let pace = if is_measured { 1.0 } else { self.learned_pace(record) };
+        CALL_OVERHEAD + Duration::from_secs_f64(millis * pace / 1e3)
+    }
+
+    /// Returns how long work at an engine takes relative to the usual, as learned from answers.
+    fn learned_pace(&self, record: &Record) -> f64 {
+        self.tempo.map_or(1.0, |it| it.paces.pace(&record.engine, self.now))
+    }
+
+    /// Returns the share of the usual work that an engine gets because it has just come back.
+    fn ramp_share(&self, record: &Record) -> f64 {
+        let returned_at = self.tempo.and_then(|_| record.returned_at(self.now));
+        returned_at.map_or(1.0, |it| pace::ramp_share(it, self.now))
+    }
+
+    /// Returns the cost of the memory that is held for longer at a slow engine, and of the work
+    /// that other boxes send to one that has come back, as a share of a full engine's load.
+    fn slowness_cost(&self, record: &Record, staged: &Staged, held: u64) -> f64 {
+        let factor = self.learned_pace(record) / self.ramp_share(record);
+        if factor <= 1.0 {
+            return 0.0;
+        }
+        let total = u64::from(self.ledger.at(record.engine.key).held_tokens) + held;
+        (factor - 1.0) * total as f64 / staged.memory_tokens.max(1) as f64
+    }
+
+    /// Returns the time to the first event of a stream at a slow engine, and zero at another, whose
+    /// time is short.
+    fn first_event_time(&self, record: &Record) -> Duration {
+        let is_slow = self.learned_pace(record) > 1.0;
+        let gap = self.tempo.and_then(|it| it.paces.expected_gap(&record.engine, self.now));
+        gap.filter(|_| is_slow).unwrap_or_default()
+    }
+
+    /// Keeps the engines whose expected pauses are within the route's limit, if there are any.
+    fn prefer_steady<'a>(&self, engines: Vec<&'a Record>) -> Vec<&'a Record> {
+        prefer(engines, |it| self.is_steady(it))
+    }
+
+    /// Returns whether an engine's expected pauses between events are within the route's limit.
+    pub fn is_steady(&self, record: &Record) -> bool {
+        let Some(tempo) = self.tempo else { return true };
+        let Some(max_gap) = tempo.max_gap else { return true };
+        let gap = tempo.paces.expected_gap(&record.engine, self.now);
+        self.learned_pace(record) <= 1.0 || gap.is_none_or(|it| it <= max_gap)
+    }
+
+    /// Keeps the engines that prefill a prompt within the target, if there are any.
+    fn prefer_prompt<'a>(
+        &self,
+        engines: Vec<&'a Record>,
+        staged: &Staged,
+        tokens: u64,
+    ) -> Vec<&'a Record> {
+        let Some(tempo) = self.tempo else { return engines };
+        let transfer = self.transfer_time(staged, tokens);
+        let is_prompt = |it: &Record| self.prefill_time(it, tokens) + transfer <= tempo.target;
+        prefer(engines, |it| self.learned_pace(it) <= 1.0 || is_prompt(it))
     }
 
     /// Returns the time that the transfer of a prompt takes over an idle link.
@@ -474,3 +554,14 @@
         *record.engine.data_centre == *self.data_centre
     }
 }
+
+/// Keeps the engines that meet a condition, or all if none does.
+fn prefer<'a>(
+    mut engines: Vec<&'a Record>,
+    is_preferred: impl Fn(&Record) -> bool,
+) -> Vec<&'a Record> {
+    if engines.iter().any(|it| is_preferred(it)) {
+        engines.retain(|it| is_preferred(it));
+    }
+    engines
+}
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -55,6 +55,8 @@
     order_lease: Gauge<u64>,
     /// Whether a data centre is being evacuated.
     evacuated: Gauge<u64>,
+    /// The paces of engines, in percent of the usual.
+    engine_paces: Gauge<u64>,
     /// The limits of rate-limited engines, in thousandths of a request per second.
     engine_limits: Gauge<u64>,
     /// The number of times that the store was restored from an older copy.
@@ -107,6 +109,10 @@
                 "whether this box holds the lease for orders",
             ),
             evacuated: gauge("hollyspoke_evacuated", "whether a data centre is evacuated"),
+            engine_paces: gauge(
+                "hollyspoke_engine_pace_percent",
+                "the time that work takes at an engine, in percent of its service's usual",
+            ),
             engine_limits: gauge(
                 "hollyspoke_engine_limit_milli",
                 "thousandths of a request a second that an engine takes from all boxes; 0: no limit",
@@ -182,6 +188,9 @@
                 let data_centre = KeyValue::new("data_centre", data_centre.clone());
                 self.evacuated.record(u64::from(!is_lifted), &[data_centre]);
             }
+            LogEvent::Pace { id, percent, .. } => {
+                self.engine_paces.record(u64::from(*percent), &[engine_label(id)])
+            }
             LogEvent::Limited { id, change, .. } => self.record_limit(id, change),
             LogEvent::StoreReturned { era, .. } => self.record_era(*era),
             LogEvent::ShuttingDown { id, .. } => {
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -35,6 +35,10 @@
         LogEvent::EngineRemoved { id } => info!(log, "engine left"; "engine" => %id),
         LogEvent::Avoided { id, duration } => info!(log, "engine avoided";
             "engine" => %id, "span_ms" => millis(duration)),
+        LogEvent::Pace { id, is_slow, percent } => {
+            let message = if *is_slow { "engine slow" } else { "engine at its usual pace" };
+            info!(log, "{}", message; "engine" => %id, "pace_percent" => percent)
+        }
         LogEvent::Limited { id, change, announced_by, age } => {
             let announced_by = announced_by.map(|it| it.to_string());
             let log = log.new(o!("told_by" => announced_by, "age_ms" => millis(age)));
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -16,6 +16,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use slog::debug;
+use tokio::sync::mpsc::error::TrySendError;
 
 use crate::dialect::Report;
 use crate::handover;
@@ -168,8 +169,15 @@
     last_id: Option<u64>,
 ) -> Result<(), Failure> {
     let chunk_sender = node.chunk_sender(send.request).ok_or(Failure::Broken)?;
-    chunk_sender.send(bytes).await.map_err(|_| Failure::Broken)?;
-    node.dispatch(Event::Call(send.call, CallEvent::Forwarded(last_id)));
+    let event = match chunk_sender.try_send(bytes) {
+        Ok(()) => CallEvent::Forwarded(last_id),
+        Err(TrySendError::Full(bytes)) => {
+            chunk_sender.send(bytes).await.map_err(|_| Failure::Broken)?;
+            CallEvent::ForwardedLate(last_id)
+        }
+        Err(TrySendError::Closed(_)) => return Err(Failure::Broken),
+    };
+    node.dispatch(Event::Call(send.call, event));
     Ok(())
 }
 
