--- a/tests/tests/pace_replay.rs
+++ b/tests/tests/pace_replay.rs
@@ -1,5 +1,6 @@
 //! A load on decode engines that differ in speed, replayed in virtual time: a third always takes 2.4
-//! times as long as the others, and two in five take five times as long for some seconds.
+//! times as long as the others, and two in five take five times as long for some seconds. Several boxes
+//! share the load, so that each sees few streams of each engine.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -11,12 +12,19 @@
 use hollyspoke_gateway::event::{CallEvent, Event};
 use hollyspoke_gateway::features::Features;
 use hollyspoke_gateway::gateway::{Gateway, Settings};
+use hollyspoke_gateway::message::Message;
 use hollyspoke_gateway::request::{CallKey, Request, RequestKey};
 use hollyspoke_gateway::route::{Configuration, Operations, Route, RouteKind, Service, Staged};
 use hollyspoke_tests::gateway::{
     MODEL, configuration, engine, prefilled, ran, request, route, settings,
 };
 
+/// The number of boxes.
+const BOX_COUNT: usize = 8;
+
+/// The time that a datagram takes.
+const DATAGRAM_DELAY: Duration = Duration::from_millis(2);
+
 /// The number of decode engines.
 const DECODE_COUNT: u8 = 73;
 
@@ -51,9 +59,11 @@
 enum Next {
     /// A request arrives.
     Arrival,
-    /// A call gets its next event.
-    Call(CallKey, CallEvent),
-    /// The gateway needs a tick.
+    /// A box's call gets its next event.
+    Call(usize, CallKey, CallEvent),
+    /// A box receives a datagram.
+    Datagram(usize, Box<Message>),
+    /// The boxes need a tick.
     Tick,
 }
 
@@ -78,10 +88,10 @@
     refused: usize,
 }
 
-/// A box and the engines that answer it.
+/// The boxes and the engines that answer them.
 struct Replay {
-    /// The box.
-    gateway: Gateway,
+    /// The boxes.
+    gateways: Vec<Gateway>,
     /// Whether two in five engines slow down for some seconds.
     has_spell: bool,
     /// The current time.
@@ -91,7 +101,7 @@
     /// The number of the next entry.
     number: u64,
     /// The running streams.
-    streams: HashMap<CallKey, Stream>,
+    streams: HashMap<(usize, CallKey), Stream>,
     /// How requests ended.
     tally: Tally,
 }
@@ -113,12 +123,12 @@
 }
 
 impl Replay {
-    /// Creates a box that has listed the engines.
+    /// Creates boxes that have listed the engines.
     fn new(features: Features, has_spell: bool) -> Replay {
-        let gateway = Gateway::new(Settings { features, ..settings(1) });
+        let create = |it| Gateway::new(Settings { features, ..settings(it as u8) });
         let now = Time::from_millis(1000);
         let mut replay = Replay {
-            gateway,
+            gateways: (0..BOX_COUNT).map(create).collect(),
             has_spell,
             now,
             next: BTreeMap::new(),
@@ -128,8 +138,13 @@
         };
         let prefill = (0..PREFILL_COUNT).map(|it| engine(it, MODEL, Some(Stage::Prefill)));
         let decode = (0..DECODE_COUNT).map(|it| engine(100 + it, MODEL, Some(Stage::Decode)));
-        replay.step(Event::Configured(Arc::new(replay_configuration())));
-        replay.step(Event::Listed(prefill.chain(decode).collect(), 10.into()));
+        let engines: Vec<_> = prefill.chain(decode).collect();
+        let seeds: Vec<_> = (0..BOX_COUNT).map(|it| settings(it as u8).peer).collect();
+        for number in 0..BOX_COUNT {
+            replay.step(number, Event::Configured(Arc::new(replay_configuration())));
+            replay.step(number, Event::Listed(engines.clone(), 10.into()));
+            replay.step(number, Event::Seeds(seeds.clone()));
+        }
         replay
     }
 
@@ -152,33 +167,43 @@
         FIRST_GAP.mul_f64(self.slowness(engine) * (1.0 + beside as f64 / DOUBLING_COUNT))
     }
 
-    /// Passes an event to the box and carries its effects out.
-    fn step(&mut self, event: Event) {
-        for effect in self.gateway.step(self.now, event) {
+    /// Passes an event to a box and carries its effects out.
+    fn step(&mut self, number: usize, event: Event) {
+        for effect in self.gateways[number].step(self.now, event) {
             match effect {
-                Effect::Send(send) => self.send(&send),
+                Effect::Send(send) => self.send(number, &send),
                 Effect::Refuse(..) => self.tally.refused += 1,
+                Effect::Announce(peers, message) => {
+                    let is_named = |it: &usize| peers.contains(&settings(*it as u8).peer);
+                    for receiver in (0..BOX_COUNT).filter(is_named) {
+                        let next = Next::Datagram(receiver, message.clone());
+                        self.schedule(DATAGRAM_DELAY, next);
+                    }
+                }
                 _ => {}
             }
         }
     }
 
-    /// Carries a call out.
-    fn send(&mut self, send: &Send) {
+    /// Carries a call of a box out.
+    fn send(&mut self, number: usize, send: &Send) {
         if send.task == Task::Prefill {
             let took = Duration::from_millis(100).mul_f64(self.slowness(send.engine.key));
-            return self.schedule(took, Next::Call(send.call, CallEvent::Answered(prefilled("h"))));
+            let answer = CallEvent::Answered(prefilled("h"));
+            return self.schedule(took, Next::Call(number, send.call, answer));
         }
         let stream = Stream { engine: send.engine.key, events: 0, is_late: false };
-        self.streams.insert(send.call, stream);
-        self.schedule(self.gap(send.engine.key), Next::Call(send.call, CallEvent::Began(ran(200))));
+        self.streams.insert((number, send.call), stream);
+        let began = CallEvent::Began(ran(200));
+        self.schedule(self.gap(send.engine.key), Next::Call(number, send.call, began));
     }
 
     /// Continues a stream after an event that its box has received.
-    fn continue_stream(&mut self, call: CallKey) {
-        let Some(engine) = self.streams.get(&call).map(|it| it.engine) else { return };
+    fn continue_stream(&mut self, number: usize, call: CallKey) {
+        let key = (number, call);
+        let Some(engine) = self.streams.get(&key).map(|it| it.engine) else { return };
         let gap = self.gap(engine);
-        let Some(stream) = self.streams.get_mut(&call) else { return };
+        let Some(stream) = self.streams.get_mut(&key) else { return };
         stream.events += 1;
         stream.is_late |= gap > MAX_GAP;
         let is_last = stream.events > EVENT_COUNT;
@@ -187,12 +212,12 @@
         } else {
             CallEvent::Forwarded(Some(stream.events))
         };
-        if is_last && let Some(stream) = self.streams.remove(&call) {
+        if is_last && let Some(stream) = self.streams.remove(&key) {
             let tally = &mut self.tally;
             *(if stream.is_late { &mut tally.late } else { &mut tally.on_time }) += 1;
         }
         let after = if is_last { Duration::ZERO } else { gap };
-        self.schedule(after, Next::Call(call, event));
+        self.schedule(after, Next::Call(number, call, event));
     }
 
     /// Carries out what is due.
@@ -201,15 +226,17 @@
             Next::Arrival => {
                 self.number += 1;
                 let prompt = Request { prompt_tokens: Some(3200), ..short_request() };
-                self.step(Event::Arrived(RequestKey(self.number), prompt));
+                let number = self.number as usize % BOX_COUNT;
+                self.step(number, Event::Arrived(RequestKey(self.number), prompt));
                 self.schedule(ARRIVAL_INTERVAL, Next::Arrival);
             }
-            Next::Call(call, event) => {
-                self.step(Event::Call(call, event));
-                self.continue_stream(call);
+            Next::Call(number, call, event) => {
+                self.step(number, Event::Call(call, event));
+                self.continue_stream(number, call);
             }
+            Next::Datagram(number, message) => self.step(number, Event::Received(*message)),
             Next::Tick => {
-                self.step(Event::Tick);
+                (0..BOX_COUNT).for_each(|it| self.step(it, Event::Tick));
                 self.schedule(Duration::from_millis(20), Next::Tick);
             }
         }
