--- a/tests/tests/gateway_pace.rs
+++ b/tests/tests/gateway_pace.rs
@@ -15,6 +15,7 @@
 use hollyspoke_tests::gateway::{
     MODEL, World, configuration, engine, heartbeat, only_send, prefilled, ran, request, settings,
 };
+use proptest::prelude::*;
 
 /// The time between two events at the usual pace.
 const USUAL_GAP: Duration = Duration::from_millis(60);
@@ -343,3 +344,27 @@
     world.event(Event::Received(heartbeat(2, 9, StoreView::default())));
     assert_eq!(announced_paces(&mut world, Duration::from_secs(1)), []);
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// Whatever the paces are, all memory is used before a request waits, and every engine gets some
+    /// while it is the only one that has any left.
+    #[test]
+    fn capacity_unused(percents in prop::collection::vec(0..2000u16, 1..6), is_measured: bool) {
+        let count = percents.len();
+        let mut world = world(PACE, engines(count as u8));
+        if is_measured {
+            let sends = begin_everywhere(&mut world, count);
+            forward(&mut world, &sends, Duration::from_millis(1200), |_| USUAL_GAP);
+            finish(&mut world, sends);
+        }
+        for (number, percent) in percents.iter().enumerate() {
+            let number = number as u8;
+            world.event(Event::Received(announcement(21 + number, u64::from(number), *percent)));
+        }
+        let counts = begin_streams(&mut world, count * 10);
+        prop_assert!(counts.values().all(|&it| it == 10), "{counts:?}");
+        prop_assert_eq!(counts.len(), count);
+    }
+}
--- a/tests/tests/platform_streams.rs
+++ b/tests/tests/platform_streams.rs
@@ -9,7 +9,7 @@
     Action, Engine, LAST_CHUNK, Received, Script, Store, answer, ask, chunk, client_head, engine,
     event, handle, is_whole, local, node, read_answer, status, store, stream_head,
 };
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// A box with its engines.
@@ -188,3 +188,35 @@
         }
     });
 }
+
+/// Returns a stream of more bytes than the connections on its way hold.
+fn long_stream(to: &Received) -> Vec<Action> {
+    let text = "x".repeat(LONG_EVENT_BYTES);
+    let events = (1..=LONG_EVENT_COUNT).map(|it| chunk(&format!("id: {it}\ndata: {text}\n\n")));
+    let head = std::iter::once(stream_head(to));
+    head.chain(events).chain([LAST_CHUNK.to_vec()]).map(Action::Send).collect()
+}
+
+/// The bytes of an event of a long stream.
+const LONG_EVENT_BYTES: usize = 1 << 18;
+
+/// The number of events of a long stream.
+const LONG_EVENT_COUNT: u64 = 100;
+
+/// A client that reads nothing for a time gets all events in their order afterwards.
+#[test]
+fn slow_client_loses_events() {
+    local(async {
+        let world = world(prefills(), vec![Rc::new(long_stream)]).await;
+        let mut stream = TcpStream::connect(world.node.front).await.unwrap();
+        let head = client_head("POST", "/once/x", "id-1", "prompt");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let mut bytes = Vec::new();
+        while !bytes.ends_with(LAST_CHUNK) {
+            assert_ne!(stream.read_buf(&mut bytes).await.unwrap(), 0, "the answer is whole");
+        }
+        let received = events(&String::from_utf8_lossy(&bytes));
+        assert_eq!(received, (1..=LONG_EVENT_COUNT).collect::<Vec<_>>());
+    });
+}
