An engine that has slowed down isn't judged by its earlier prefill rate

The rate that a box measured itself counted for 8 s, also when others told meanwhile that the engine had become slow. Now a slow engine's rate is at most an idle engine's divided by its pace. Test earlier_prefill_rate_trusted.

--- a/crates/hollyspoke-gateway/src/directory.rs
+++ b/crates/hollyspoke-gateway/src/directory.rs
@@ -25,6 +25,9 @@
 /// The prefill rate that is assumed before the first measurement, in tokens per millisecond.
 const INITIAL_PREFILL_RATE_TOKENS_PER_MS: f64 = 30.0;
 
+/// The prefill rate of decode engines as a share of that of prefill engines.
+const DECODE_RATE_SHARE: f64 = 0.5;
+
 /// The weight of the newest sample in a moving average of rates.
 const SAMPLE_WEIGHT: f64 = 0.3;
 
@@ -102,16 +105,6 @@
         self.appeared_at.max(self.health.returned_at(now))
     }
 
-    /// Returns its prefill rate in tokens per millisecond if it was measured recently.
-    fn measured_rate(&self, now: Time) -> Option<f64> {
-        self.rate.filter(|(_, at)| now.since(*at) < MEASUREMENT_TTL).map(|(rate, _)| rate)
-    }
-
-    /// Returns whether the prefill rate of the engine itself was measured recently.
-    pub fn has_measured_rate(&self, now: Time) -> bool {
-        self.measured_rate(now).is_some()
-    }
-
     /// Marks the engine's entry as missing. It may reappear until the given time.
     fn mark_missing(self, until: Time) -> Record {
         let until = self.missing_until.map_or(until, |it| it.min(until));
@@ -562,7 +555,9 @@
 
     /// Returns the rate at which an engine prefills prompts, in tokens per millisecond.
     pub fn prefill_rate(&self, known: &Record, now: Time) -> f64 {
-        if let Some(rate) = known.measured_rate(now) {
+        if let Some((rate, at)) = known.rate
+            && now.since(at) < MEASUREMENT_TTL
+        {
             return rate;
         }
         let is_prefill = known.engine.stage == Some(Stage::Prefill);
@@ -570,7 +565,7 @@
         let first = if is_prefill {
             INITIAL_PREFILL_RATE_TOKENS_PER_MS
         } else {
-            INITIAL_PREFILL_RATE_TOKENS_PER_MS / 2.0
+            INITIAL_PREFILL_RATE_TOKENS_PER_MS * DECODE_RATE_SHARE
         };
         self.rates.get(&group).copied().unwrap_or(first)
     }
@@ -581,6 +576,14 @@
         self.best_rates.get(service).copied().unwrap_or(INITIAL_PREFILL_RATE_TOKENS_PER_MS)
     }
 
+    /// Returns the rate at which an engine of this stage and service prefills prompts when nothing
+    /// delays it, in tokens per millisecond.
+    pub fn idle_prefill_rate(&self, known: &Record) -> f64 {
+        let share =
+            if known.engine.stage == Some(Stage::Prefill) { 1.0 } else { DECODE_RATE_SHARE };
+        self.best_prefill_rate(&known.engine.service) * share
+    }
+
     /// Returns up to `max_count` engines from the chosen groups of a service, starting at a random
     /// position.
     pub fn sample(
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -8,7 +8,7 @@
 //! about themselves (`statement`; `rate_limit`, `departure` and `back_off` store it, and `terms`
 //! combines them). `message`, `event` and `effect` build on these. Then each mechanism has a module
 //! (`budget`, `health`, `load`, `directory`, `member`, `placement`, `demand`, `ratio`,
-//! `evacuation`, `region`, `cold`, `permit`, `quarantine`). `in_flight` tracks one request, and
+//! `evacuation`, `region`, `cold`, `permit`, `pace`, `quarantine`). `in_flight` tracks one request, and
 //! `gateway` combines everything.
 
 pub mod appointment;
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -459,12 +459,20 @@
 
     /// Returns the time until an engine would have prefilled a prompt.
     fn prefill_time(&self, record: &Record, tokens: u64) -> Duration {
-        let rate = self.directory.prefill_rate(record, self.now).max(0.1);
+        let rate = self.prefill_rate(record).max(0.1);
         let millis = (self.queued_tokens(record) + tokens) as f64 / rate;
-        // A measured rate of the engine itself contains its pace.
-        let is_measured = record.has_measured_rate(self.now);
-        let pace = if is_measured { 1.0 } else { self.learned_pace(record) };
-        CALL_OVERHEAD + Duration::from_secs_f64(millis * pace / 1e3)
+        CALL_OVERHEAD + Duration::from_secs_f64(millis / 1e3)
+    }
+
+    /// Returns the rate at which an engine prefills prompts, in tokens per millisecond. A slow
+    /// engine may have slowed down since its rate was measured.
+    fn prefill_rate(&self, record: &Record) -> f64 {
+        let rate = self.directory.prefill_rate(record, self.now);
+        let pace = self.learned_pace(record);
+        if pace <= 1.0 {
+            return rate;
+        }
+        rate.min(self.directory.idle_prefill_rate(record) / pace)
     }
 
     /// Returns how long work at an engine takes relative to the usual, as learned from answers.
--- a/tests/tests/gateway_pace.rs
+++ b/tests/tests/gateway_pace.rs
@@ -289,6 +289,21 @@
     assert!(engines.contains(&key(11)), "the queue of the other engine takes as long");
 }
 
+/// What this box measured before the engine slowed down counts no longer.
+#[test]
+fn earlier_prefill_rate_trusted() {
+    let mut world = world(PACE, engines(2));
+    let short = Request { prompt_tokens: Some(1000), ..request("once") };
+    for _ in 0..6 {
+        let (_, send) = world.first_call(short.clone());
+        world.advance(Duration::from_millis(40));
+        world.call(send.call, CallEvent::Answered(prefilled("h")));
+    }
+    world.event(Event::Received(announcement(11, 1, 500)));
+    let engines: Vec<_> = (0..4).map(|_| world.first_call(short.clone()).1.engine.key).collect();
+    assert_eq!(engines, [key(12); 4]);
+}
+
 /// A data centre with a crowd uses the engines of another before it refuses.
 #[test]
 fn crowd_refused_beside_free_engines() {
