--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -564,10 +564,7 @@
 }
 
 /// Keeps the engines that meet a condition, or all if none does.
-fn prefer<'a>(
-    mut engines: Vec<&'a Record>,
-    is_preferred: impl Fn(&Record) -> bool,
-) -> Vec<&'a Record> {
+fn prefer(mut engines: Vec<&Record>, is_preferred: impl Fn(&Record) -> bool) -> Vec<&Record> {
     if engines.iter().any(|it| is_preferred(it)) {
         engines.retain(|it| is_preferred(it));
     }
