--- a/crates/hollyspoke-gateway/src/directory.rs
+++ b/crates/hollyspoke-gateway/src/directory.rs
@@ -25,6 +25,9 @@
 /// The prefill rate that is assumed before the first measurement, in tokens per millisecond.
 const INITIAL_PREFILL_RATE_TOKENS_PER_MS: f64 = 30.0;
 
+/// The prefill rate of decode engines as a share of that of prefill engines.
+const DECODE_RATE_SHARE: f64 = 0.5;
+
 /// The weight of the newest sample in a moving average of rates.
 const SAMPLE_WEIGHT: f64 = 0.3;
 
@@ -65,6 +68,8 @@
     /// The time until which its entry, which comes from an older copy of the store, may be that of
     /// an engine that has gone.
     unconfirmed_until: Option<Time>,
+    /// When its incarnation was first listed, unless the first list contained it.
+    appeared_at: Option<Time>,
 }
 
 /// How long an engine with a stage is skipped after it reported that a call was not meant for it.
@@ -95,6 +100,11 @@
         })
     }
 
+    /// Returns when the engine came back: as a new incarnation, or after it was unreachable.
+    pub fn returned_at(&self, now: Time) -> Option<Time> {
+        self.appeared_at.max(self.health.returned_at(now))
+    }
+
     /// Marks the engine's entry as missing. It may reappear until the given time.
     fn mark_missing(self, until: Time) -> Record {
         let until = self.missing_until.map_or(until, |it| it.min(until));
@@ -214,6 +224,9 @@
             let known = old.remove(&engine.key);
             self.merge(known, engine, is_copy, now);
         }
+        if is_first {
+            self.engines.values_mut().for_each(|it| it.appeared_at = None);
+        }
         for known in old.into_values() {
             match missing_until.filter(|_| !known.engine.is_draining) {
                 Some(until) => self.insert(known.mark_missing(until)),
@@ -552,7 +565,7 @@
         let first = if is_prefill {
             INITIAL_PREFILL_RATE_TOKENS_PER_MS
         } else {
-            INITIAL_PREFILL_RATE_TOKENS_PER_MS / 2.0
+            INITIAL_PREFILL_RATE_TOKENS_PER_MS * DECODE_RATE_SHARE
         };
         self.rates.get(&group).copied().unwrap_or(first)
     }
@@ -563,6 +576,14 @@
         self.best_rates.get(service).copied().unwrap_or(INITIAL_PREFILL_RATE_TOKENS_PER_MS)
     }
 
+    /// Returns the rate at which an engine of this stage and service prefills prompts when nothing
+    /// delays it, in tokens per millisecond.
+    pub fn idle_prefill_rate(&self, known: &Record) -> f64 {
+        let share =
+            if known.engine.stage == Some(Stage::Prefill) { 1.0 } else { DECODE_RATE_SHARE };
+        self.best_prefill_rate(&known.engine.service) * share
+    }
+
     /// Returns up to `max_count` engines from the chosen groups of a service, starting at a random
     /// position.
     pub fn sample(
@@ -638,6 +659,7 @@
             is_evacuated: false,
             cold_until,
             unconfirmed_until: None,
+            appeared_at: Some(now),
         },
     }
 }
