Reservations at decode engines whose memory is short, before the prompt is prefilled

Cause: boxes that choose the same decode engine within a datagram's time, or that are cut off, had prompts prefilled that the engine then turned away.

Change: where the memory of the chosen decode engine is short, the engine is asked to reserve memory first; the decode call uses the reservation, and one that isn't used is dropped. Engines receive the priority of each staged call.

--- a/crates/hollyspoke-gateway/src/directory.rs
+++ b/crates/hollyspoke-gateway/src/directory.rs
@@ -51,6 +51,8 @@
     is_replaced: bool,
     /// The size in tokens of the request that it last rejected, and when.
     rejected: Option<(u32, Time)>,
+    /// Whether it has answered that it doesn't support reservations.
+    pub lacks_reservations: bool,
     /// The time until which its entry may reappear, if it was missing after the store had been
     /// unreachable.
     missing_until: Option<Time>,
@@ -88,6 +90,11 @@
         self.rejected = Some((smallest, now));
     }
 
+    /// Returns the time since the engine last rejected a request.
+    pub fn since_rejection(&self, now: Time) -> Option<Duration> {
+        self.rejected.map(|(_, at)| now.since(at))
+    }
+
     /// Returns whether the engine recently rejected a request that held as many tokens or fewer.
     pub fn is_full(&self, held: u64, now: Time) -> bool {
         self.rejected.is_some_and(|(smallest, at)| {
@@ -632,6 +639,7 @@
             rate: None,
             is_replaced: false,
             rejected: None,
+            lacks_reservations: false,
             missing_until: None,
             switching: None,
             misdirected_until: None,
--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -329,6 +329,28 @@
         /// The number of boxes that the fixed allowance was divided by.
         boxes: usize,
     },
+    /// An engine answered an ask for a reservation, or didn't.
+    ReservationAsked {
+        /// The client's id of the request; empty if it has ended.
+        request: Arc<str>,
+        /// The engine's id.
+        engine: Arc<str>,
+        /// The tokens to reserve.
+        tokens: u64,
+        /// The engine's answer.
+        outcome: &'static str,
+        /// The time since the ask was sent.
+        after: Duration,
+    },
+    /// A reservation was dropped or expired without being used.
+    ReservationUnused {
+        /// The engine's id.
+        engine: Arc<str>,
+        /// The reserved tokens.
+        tokens: u64,
+        /// The time for which they were reserved.
+        duration: Duration,
+    },
     /// A call failed.
     Failed {
         /// The client's id of the request.
@@ -467,7 +489,7 @@
     Finish(RequestKey),
     /// Frees a prefilled prompt, or the copy of a stream's memory.
     Free(Source),
-    /// Asks an engine to reserve memory.
+    /// Asks an engine to reserve memory. The driver reports one answer, also if none arrives.
     Reserve(Ask),
     /// Drops a reservation that isn't needed.
     DropReservation(Reservation),
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 mod permits;
 mod quarantine;
 mod relay;
+mod reservations;
 mod retries;
 mod stages;
 mod start;
@@ -50,6 +51,7 @@
 use crate::gateway::census::Census;
 use crate::gateway::peers::{PeerChanges, Unannounced};
 use crate::gateway::permits::Permits;
+use crate::gateway::reservations::Reservations;
 use crate::gateway::stages::Stages;
 use crate::gateway::store::{EngineChanges, StoreState};
 use crate::gateway::survey::Survey;
@@ -165,6 +167,8 @@
     calls: HashMap<CallKey, Call>,
     /// The requests that wait for free capacity at an engine.
     waiting: Vec<RequestKey>,
+    /// The asks for reservations at engines.
+    reservations: Reservations,
     /// Whether the current event may have freed capacity for waiting requests.
     may_have_capacity: bool,
     /// The durations for which runs at prefill and decode engines hold memory.
@@ -240,6 +244,7 @@
             in_flight: HashMap::new(),
             calls: HashMap::new(),
             waiting: Vec::new(),
+            reservations: Reservations::default(),
             may_have_capacity: false,
             runs: Runs::default(),
             meters: HashMap::new(),
@@ -284,8 +289,9 @@
             Event::Arrived(key, request) => self.handle_arrival(key, request),
             Event::ClientDisconnected(key) => self.handle_disconnect(key),
             Event::Call(call, event) => self.handle_call_event(call, event),
-            // No reservation is asked for and no stream is moved yet.
-            Event::Reserved(..) | Event::Transferred(..) => {}
+            Event::Reserved(number, answer) => self.handle_reservation(number, answer),
+            // No stream is moved yet.
+            Event::Transferred(..) => {}
             Event::Received(message) => self.receive(&message),
             Event::Seeds(seeds) => self.members.add_seeds(self.settings.peer, seeds, self.now),
             Event::CachedPrompts(engine, prompts) => self.apply_survey_answer(engine, prompts),
@@ -349,7 +355,7 @@
 
     /// Returns whether a stopped process has no work left at a time.
     pub fn is_done(&self, now: Time) -> bool {
-        self.is_closing(now) && self.in_flight.is_empty()
+        self.is_closing(now) && self.in_flight.is_empty() && !self.reservations.has_asks()
     }
 
     /// Returns the limits on client requests, once a configuration is known.
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -5,6 +5,7 @@
 use super::Gateway;
 use crate::back_off;
 use crate::effect::{Effect, LogEvent, NotRunReason, Prompt, Source, Task};
+use crate::engine::EngineKey;
 use crate::event::{Answer, CallEvent, Execution};
 use crate::in_flight::Call;
 use crate::load::Urgency;
@@ -114,11 +115,8 @@
         if answer.execution == Execution::Replaced {
             self.directory.mark_misdirected(call.engine.key, now);
             self.unannounced.replaced.push(call.engine.key);
-        } else if let Some(record) = self.directory.get_mut(call.engine.key) {
-            record.record_rejection(call.load.held_tokens, now);
-            self.unannounced
-                .rejections
-                .push(Rejection { engine: call.engine.key, held_tokens: call.load.held_tokens });
+        } else {
+            self.record_rejection(call.engine.key, call.load.held_tokens);
         }
         let backs_off = matches!(answer.statement.back_off, back_off::Reported::Duration(_));
         let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
@@ -138,6 +136,14 @@
         self.proceed(call.request);
     }
 
+    /// Records that an engine lacked free capacity for a request of a size, and announces it.
+    pub(super) fn record_rejection(&mut self, engine: EngineKey, held_tokens: u32) {
+        let now = self.now;
+        let Some(record) = self.directory.get_mut(engine) else { return };
+        record.record_rejection(held_tokens, now);
+        self.unannounced.rejections.push(Rejection { engine, held_tokens });
+    }
+
     /// A decode engine rejected the handle of a prefilled prompt. Either the engine was full, or
     /// the prompt is gone, which the rejection by a second engine shows.
     fn prefill_handle_rejected(&mut self, key: RequestKey) {
@@ -336,14 +342,19 @@
 
     /// Records that an engine could not be reached or timed out.
     pub(super) fn record_unreachable(&mut self, call: &Call) {
-        if !self.is_current_incarnation(call) {
-            return;
+        if self.is_current_incarnation(call) {
+            self.mark_unreachable(call.engine.key);
         }
+    }
+
+    /// Avoids an engine that could not be reached for a time, and announces it.
+    pub(super) fn mark_unreachable(&mut self, engine: EngineKey) {
         let now = self.now;
-        let Some(record) = self.directory.get_mut(call.engine.key) else { return };
+        let Some(record) = self.directory.get_mut(engine) else { return };
         let duration = record.health.record_unreachable(now);
-        self.unannounced.unreachable.push(call.engine.key);
-        self.log(LogEvent::Avoided { id: call.engine.id.clone(), duration });
+        let id = record.engine.id.clone();
+        self.unannounced.unreachable.push(engine);
+        self.log(LogEvent::Avoided { id, duration });
     }
 
     /// Logs a failed call.
--- a/crates/hollyspoke-gateway/src/gateway/end.rs
+++ b/crates/hollyspoke-gateway/src/gateway/end.rs
@@ -30,6 +30,9 @@
         if in_flight.deadline <= self.now {
             return self.time_out(key);
         }
+        if self.has_unanswered_ask(in_flight) {
+            return self.abandon_ask(key);
+        }
         if self.has_failed_question(in_flight) {
             return self.proceed(key);
         }
@@ -146,6 +149,7 @@
     /// Removes a request and frees its prefilled prompt if no engine has imported it.
     pub(super) fn end(&mut self, key: RequestKey, outcome: &'static str) {
         self.unreserve(key);
+        self.discard_grant(key);
         self.set_phase(key, None);
         let Some(in_flight) = self.in_flight.remove(&key) else { return };
         self.due.remove(&(in_flight.deadline, key));
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -17,6 +17,7 @@
 use crate::placement::{Choice, Selector};
 use crate::quarantine::Verdict;
 use crate::request::{CallKey, Request, RequestKey};
+use crate::reservation;
 use crate::route::{Route, Staged};
 use crate::signature::Signature;
 
@@ -122,6 +123,7 @@
             handle_rejected: false,
             prefilled_at: self.now,
             reserved: None,
+            reservation: reservation::Progress::default(),
             waits_until: None,
             waits_for_permit: false,
             permit_request: None,
@@ -140,6 +142,10 @@
 
     /// Sends the next call of a request, lets it wait for free capacity, or gives it up.
     pub(super) fn proceed(&mut self, key: RequestKey) {
+        if self.is_asking(key) {
+            return;
+        }
+        self.expire_grant(key);
         if !self.recheck_key(key) {
             return;
         }
@@ -163,8 +169,9 @@
         self.send(key, next, is_retry);
     }
 
-    /// Chooses the next call of a request and acquires a permit if the engine is rate-limited.
-    /// Returns none if the request waits or was refused.
+    /// Chooses the next call of a request, asks the decode engine to reserve memory if it is short
+    /// there, and acquires a permit if the engine is rate-limited. Returns none if the request waits
+    /// or was refused.
     fn next_permitted(&mut self, key: RequestKey) -> Option<NextCall> {
         loop {
             let draw = self.draw();
@@ -184,6 +191,10 @@
                 self.refuse_overloaded(key, wait);
                 return None;
             }
+            if let Some(ask) = self.required_reservation(in_flight, &next) {
+                self.ask_or_wait(key, ask);
+                return None;
+            }
             match self.acquire_permit(key, next.choice.engine.key) {
                 Permission::Granted => return Some(next),
                 Permission::Pending => return None,
@@ -204,6 +215,7 @@
             data_centre: &self.settings.data_centre,
             knows_remote: !self.members.is_large(),
             tried: &in_flight.tried,
+            granted: self.granted_engine(in_flight),
             allowed_regions: in_flight.allowed_regions(),
             regions: &self.settings.regions,
             cold_sends: &self.cold_sends,
@@ -236,6 +248,7 @@
         let call = CallKey(self.next_call);
         self.next_call += 1;
         let now = self.now;
+        let reservation = self.use_grant(key, &next);
         self.unreserve(key);
         self.reserve(key, next.decode_engine);
         self.set_phase(key, Some(Phase::Running));
@@ -261,6 +274,8 @@
         let last_event = in_flight.resume_point();
         let deadline = in_flight.deadline.since(now);
         let caller = in_flight.caller.clone();
+        let has_priority = self.settings.features.priorities && in_flight.service.staged.is_some();
+        let priority = has_priority.then(|| in_flight.priority());
         let event = LogEvent::Sent {
             request: in_flight.request.id.clone(),
             engine: choice.engine.id.clone(),
@@ -303,8 +318,8 @@
             task,
             deadline,
             last_event,
-            priority: None,
-            reservation: None,
+            priority,
+            reservation,
             backup: None,
         };
         self.effects.push(Effect::Send(send));
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -14,6 +14,7 @@
 use crate::quarantine::Progress;
 use crate::region::{ALL_REGIONS, AllowedRegions};
 use crate::request::{CallKey, Request, RequestKey};
+use crate::reservation;
 use crate::route::{Route, RouteKind, Service};
 use crate::signature::Signature;
 use crate::terms::Restriction;
@@ -62,7 +63,8 @@
     pub silence_deadline: Option<Time>,
     /// Whether the request has run or may have run.
     pub trace: Trace,
-    /// The engines that the request was sent to, in order.
+    /// The engines that were asked in vain to reserve memory, and those that the request was sent
+    /// to, in order.
     pub tried: Vec<EngineKey>,
     /// The number of engines that have run the request or may have.
     pub run_count: u32,
@@ -82,6 +84,8 @@
     pub prefilled_at: Time,
     /// The memory reserved in the ledger at the engine chosen for decoding.
     pub reserved: Option<(EngineKey, Load)>,
+    /// The progress of reserving memory at that engine itself.
+    pub reservation: reservation::Progress,
     /// The time until which the request may wait for free capacity; absent if it isn't waiting.
     pub waits_until: Option<Time>,
     /// Whether the request waits only for a permit, and not for free capacity.
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -106,6 +106,8 @@
     pub knows_remote: bool,
     /// Engines that the request was already sent to.
     pub tried: &'a [EngineKey],
+    /// The engine that has reserved memory for the request.
+    pub granted: Option<EngineKey>,
     /// The regions that the request may be served in: by its route, and by its customer.
     pub allowed_regions: [&'a AllowedRegions; 2],
     /// The region of each data centre.
@@ -167,9 +169,10 @@
 
     /// Selects an engine that prefills the prompt itself and then decodes.
     pub fn choose_combined(&self, staged: &Staged, tokens: u64, held: u64) -> Option<Choice> {
-        let has_capacity = |it: &Record| self.has_memory(it, staged, held);
+        let has_capacity = |it: &Record| self.is_granted(it) || self.has_memory(it, staged, held);
         let stage = Some(Stage::Decode);
-        let candidates = self.candidates(stage, self.data_centre, None, has_capacity);
+        let candidates = self.candidates(stage, self.data_centre, self.granted, has_capacity);
+        let candidates = self.prefer_granted(candidates);
         let (record, cost) = self.cheapest(&candidates, |it| {
             let load = self.ledger.at(it.engine.key);
             let interference = STREAM_INTERFERENCE_COST * load.calls.min(4);
@@ -186,7 +189,8 @@
     }
 
     /// Selects an engine that decodes a prompt prefilled in the given data centre. Prefers the
-    /// engine where memory was reserved, if it can still be used.
+    /// engine that has reserved memory itself, or the one where it was reserved in the ledger, if
+    /// it can still be used.
     pub fn choose_decode(
         &self,
         staged: &Staged,
@@ -194,9 +198,11 @@
         source_data_centre: &str,
         preferred: Option<EngineKey>,
     ) -> Option<Choice> {
+        let preferred = self.granted.or(preferred);
         let is_reserved = |it: &Record| {
             let total = u64::from(self.ledger.at(it.engine.key).held_tokens);
-            preferred == Some(it.engine.key) && total <= staged.memory_tokens
+            let fits = preferred == Some(it.engine.key) && total <= staged.memory_tokens;
+            self.is_granted(it) || fits
         };
         let has_capacity = |it: &Record| is_reserved(it) || self.has_memory(it, staged, held);
         let stage = Some(Stage::Decode);
@@ -219,6 +225,19 @@
         Some(Choice { engine: record.engine.clone(), expected, queued_tokens: 0 })
     }
 
+    /// Returns whether an engine has reserved memory for the request.
+    fn is_granted(&self, record: &Record) -> bool {
+        self.granted == Some(record.engine.key)
+    }
+
+    /// Keeps only the engine that has reserved memory for the request, if it is among the engines.
+    fn prefer_granted<'a>(&self, mut engines: Vec<&'a Record>) -> Vec<&'a Record> {
+        if engines.iter().any(|it| self.is_granted(it)) {
+            engines.retain(|it| self.is_granted(it));
+        }
+        engines
+    }
+
     /// Returns the choice of an engine that has the prompt cached.
     pub fn choose_cached(record: &Record) -> Choice {
         Choice { engine: record.engine.clone(), expected: CALL_OVERHEAD, queued_tokens: 0 }
--- a/crates/hollyspoke-gateway/src/request.rs
+++ b/crates/hollyspoke-gateway/src/request.rs
@@ -60,8 +60,17 @@
     /// its run: the prompt and half of the estimated answer. The requests at an engine are at all
     /// stages of their run, so that the average is what they hold together.
     pub fn mean_held_tokens(&self) -> u64 {
+        self.prompt_tokens_or_estimate() + self.answer_tokens() / 2
+    }
+
+    /// Returns the tokens that the request is expected to hold at the end of its run.
+    pub fn final_held_tokens(&self) -> u64 {
+        self.prompt_tokens_or_estimate() + self.answer_tokens()
+    }
+
+    /// Returns the estimated tokens of the answer.
+    fn answer_tokens(&self) -> u64 {
         let max = self.max_answer_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS);
-        let expected = self.expected_answer_tokens.map_or(max, |it| it.min(max));
-        self.prompt_tokens_or_estimate() + expected / 2
+        self.expected_answer_tokens.map_or(max, |it| it.min(max))
     }
 }
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -33,6 +33,10 @@
     call_failures: Counter<u64>,
     /// Wanted retries on another engine, by service and whether they were sent.
     retries: Counter<u64>,
+    /// Asks for reservations of engines' memory, by answer.
+    reservations: Counter<u64>,
+    /// Tokens of reservations that no call used, times the seconds that they were reserved.
+    reserved_unused: Counter<u64>,
     /// Requests that were held because engines crashed.
     held: Counter<u64>,
     /// Prompt tokens that were sent for prefill.
@@ -95,6 +99,14 @@
             calls: count("hollyspoke_calls", "calls to engines, by task"),
             call_failures: count("hollyspoke_call_failures", "failed calls, by how"),
             retries: count("hollyspoke_repeats", "repeats wanted, by service and whether sent"),
+            reservations: count(
+                "hollyspoke_reservations",
+                "asks for reservations of engines' memory, by how they ended",
+            ),
+            reserved_unused: count(
+                "hollyspoke_reserved_unused_token_s",
+                "tokens of reservations that no call used, times the seconds that they stood",
+            ),
             held: count("hollyspoke_held_requests", "requests held back since engines crashed"),
             prompt_tokens: count("hollyspoke_prompt_tokens", "tokens of prompts sent to be read"),
             engines: count("hollyspoke_engine_changes", "engines that changed or left"),
@@ -147,6 +159,13 @@
                 let service = KeyValue::new("service", service.clone());
                 self.retries.add(1, &[service, KeyValue::new("sent", *is_sent)]);
             }
+            LogEvent::ReservationAsked { outcome, .. } => {
+                self.reservations.add(1, &[KeyValue::new("how", *outcome)])
+            }
+            LogEvent::ReservationUnused { tokens, duration, .. } => {
+                let token_s = *tokens as f64 * duration.as_secs_f64();
+                self.reserved_unused.add(token_s.round() as u64, &[]);
+            }
             LogEvent::Failed { outcome, .. } => {
                 self.call_failures.add(1, &[KeyValue::new("how", *outcome)])
             }
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -59,6 +59,15 @@
                 "request" => %request, "service" => %service,
                 "left" => available, "boxes" => boxes)
         }
+        LogEvent::ReservationAsked { request, engine, tokens, outcome, after } => {
+            info!(log, "reservation asked";
+                "request" => %request, "engine" => %engine, "tokens" => tokens,
+                "how" => outcome, "after_ms" => millis(after))
+        }
+        LogEvent::ReservationUnused { engine, tokens, duration } => {
+            info!(log, "reservation unused";
+                "engine" => %engine, "tokens" => tokens, "span_ms" => millis(duration))
+        }
         LogEvent::Failed {
             request,
             signature,
