--- /dev/null
+++ b/tests/tests/platform_reservations.rs
@@ -0,0 +1,73 @@
+//! Reservations of an engine's memory through sockets.
+
+use std::rc::Rc;
+
+use hollyspoke_gateway::features::Features;
+use hollyspoke_platform::DIALECT;
+use hollyspoke_server::run;
+use hollyspoke_server::settings::Settings;
+use hollyspoke_tests::platform::{
+    Action, LAST_CHUNK, Received, Script, answer, ask, chunk, client_head, engine, event, handle,
+    local, log, settings, status, store, stream_head, whole,
+};
+
+/// Returns the script of a decode engine that answers asks with a status, and streams.
+fn reserves(reserved: &'static str) -> Script {
+    Rc::new(move |it| {
+        if it.line.starts_with("POST /hold-take ") {
+            return vec![Action::Send(answer(it, reserved, "", r#"{"hold":"r-1"}"#))];
+        }
+        if it.line.starts_with("DELETE /hold-drop/") {
+            return vec![Action::Send(whole(it, ""))];
+        }
+        let stream = [stream_head(it), chunk(&event(1)), LAST_CHUNK.to_vec()];
+        stream.into_iter().map(Action::Send).collect()
+    })
+}
+
+/// Sends a request that takes most of an engine's memory to a box whose decode engine answers asks
+/// with a status. Returns the answer's status and what the decode engine received.
+async fn decoded(reserved: &'static str) -> (String, Vec<Received>) {
+    let store = store().await;
+    store.configure(1);
+    let (_, mut spec) = store.object("config", "main").expect("it was just put");
+    spec["services"][1]["engine"]["holdMs"] = 2000.into();
+    store.put("config", "main", spec);
+    let prefill = engine(Rc::new(|it| vec![Action::Send(handle(it))])).await;
+    store.list("p-1", &prefill, "model", Some("prefill"));
+    let decode = engine(reserves(reserved)).await;
+    store.list("d-1", &decode, "model", Some("decode"));
+    let features = Features { reservations: true, ..Features::NONE };
+    let settings = Settings { features, ..settings(store.address, Vec::new()) };
+    let box_ = run::start(&settings, DIALECT, log()).await.expect("the ports are free");
+    while !box_.node.with(|it| it.is_ready()) {
+        tokio::time::sleep(std::time::Duration::from_millis(2)).await;
+    }
+    let head = client_head("POST", "/once/x", "id-1", "prompt");
+    let answered = ask(box_.front, &head.replace("300,20", "50000,20")).await;
+    let received = decode.received.borrow().clone();
+    let received = received.into_iter().filter(|it| !it.is_probe()).collect();
+    (status(&answered).to_owned(), received)
+}
+
+#[test]
+fn reservation_not_used() {
+    local(async {
+        let (status, received) = decoded("200 OK").await;
+        assert_eq!(status, "200");
+        let lines: Vec<_> = received.iter().map(|it| it.line.as_str()).collect();
+        assert_eq!(lines, ["POST /hold-take HTTP/1.1", "POST /once/x HTTP/1.1"]);
+        assert_eq!(received[0].header("x-expect-instance"), Some("d-1"));
+        assert_eq!(received[1].header("x-kv-hold"), Some("r-1"));
+    });
+}
+
+#[test]
+fn unknown_operation_repeated() {
+    local(async {
+        let (status, received) = decoded("404 Not Found").await;
+        assert_eq!(status, "200");
+        assert_eq!(received.len(), 2);
+        assert_eq!(received[1].header("x-kv-hold"), None);
+    });
+}
