--- a/crates/hollyspoke-gateway/src/demand.rs
+++ b/crates/hollyspoke-gateway/src/demand.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Returns the mean memory that a request holds, in tokens; none before the first request.
+    pub fn mean_held_tokens(&self) -> Option<f64> {
+        (self.requests > 0.0).then(|| self.held_tokens / self.requests)
+    }
+
     /// Decays the sums up to the current time.
     fn decay(&mut self, now: Time) {
         let share = (-now.since(self.updated_at).as_secs_f64() / DECAY_TIME.as_secs_f64()).exp();
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 mod limit;
 mod peers;
 mod permits;
+mod pool;
 mod quarantine;
 mod relay;
 mod retries;
@@ -50,6 +51,7 @@
 use crate::gateway::census::Census;
 use crate::gateway::peers::{PeerChanges, Unannounced};
 use crate::gateway::permits::Permits;
+use crate::gateway::pool::Pools;
 use crate::gateway::stages::Stages;
 use crate::gateway::store::{EngineChanges, StoreState};
 use crate::gateway::survey::Survey;
@@ -63,6 +65,7 @@
 use crate::request::{CallKey, RequestKey};
 use crate::route::Configuration;
 use crate::terms::Terms;
+use crate::work;
 
 pub use cases::KIND as CASES;
 pub use quarantine::HeldRequest;
@@ -145,6 +148,10 @@
     ledger: Ledger,
     /// The load of traffic classes at all boxes.
     classes: class::Table,
+    /// The capacity of each service, as computed last.
+    pools: Pools,
+    /// The time that plain calls take at engines.
+    works: work::Table,
     /// The other boxes.
     members: Members,
     /// The prompts that engines have cached.
@@ -234,6 +241,8 @@
             permits: Permits::default(),
             ledger: Ledger::default(),
             classes: class::Table::default(),
+            pools: Pools::default(),
+            works: work::Table::default(),
             prompts: Prompts::default(),
             budgets: HashMap::new(),
             deadlines: HashMap::new(),
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -50,3 +50,4 @@
 pub mod snapshot;
 pub mod statement;
 pub mod terms;
+pub mod work;
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -15,7 +15,7 @@
 use crate::terms::{Restriction, Terms};
 
 /// How long the load that an engine reported with an answer stays valid.
-const REPORTED_LOAD_TTL: Duration = Duration::from_millis(400);
+pub(crate) const REPORTED_LOAD_TTL: Duration = Duration::from_millis(400);
 
 /// The cost of another data centre, as a share of a full engine's load.
 const OTHER_DATA_CENTRE_SHARE: f64 = 0.1;
@@ -34,7 +34,7 @@
 const MAX_QUEUE_RATIO: f64 = 4.0;
 
 /// The share of an engine's memory that is allocated.
-const MEMORY_SHARE: f64 = 0.95;
+pub(crate) const MEMORY_SHARE: f64 = 0.95;
 
 /// The share of memory that is allocated where another box has just freed some. Above it, all boxes
 /// that wait for memory would claim it at once.
