Admit requests by priority and fair share while capacity is short

Over all boxes, whoever arrives when capacity becomes free got it, so that the most urgent were served the smallest share under overload. A request now takes capacity only if enough stays for the classes before it, and one without outlook is refused at once. Plain calls are bounded by the time that they take in place of a fixed queue.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -7,6 +7,7 @@
 use hollyspoke::outcome::NotRun;
 use hollyspoke::store::{Operation, Revision};
 
+use crate::admission::Decision;
 use crate::back_off;
 use crate::customer::Caller;
 use crate::departure;
@@ -404,6 +405,22 @@
         /// Whether the number was written.
         is_written: bool,
     },
+    /// A request was decided on while the capacity of its service is short.
+    Admission {
+        /// The service.
+        service: Arc<str>,
+        /// The request's priority, 0 being the highest.
+        priority: u8,
+        /// The decision.
+        decision: Decision,
+    },
+    /// The overload of a service began or ended.
+    Overload {
+        /// The service.
+        service: Arc<str>,
+        /// Whether it ended.
+        has_ended: bool,
+    },
     /// Many engines changed at once.
     ManyEngines {
         /// The number of engines added or changed.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! The reducer: dispatches each event to the part that handles it and collects the effects.
 
+mod admission;
 mod cached;
 mod call;
 mod capacity;
@@ -47,6 +48,7 @@
 use crate::evacuation::Evacuations;
 use crate::event::{Event, Kind};
 use crate::features::Features;
+use crate::gateway::admission::Admissions;
 use crate::gateway::cases::Cases;
 use crate::gateway::census::Census;
 use crate::gateway::peers::{PeerChanges, Unannounced};
@@ -148,6 +150,8 @@
     ledger: Ledger,
     /// The load of traffic classes at all boxes.
     classes: class::Table,
+    /// The state of admission while capacity is short.
+    admissions: Admissions,
     /// The capacity of each service, as computed last.
     pools: Pools,
     /// The time that plain calls take at engines.
@@ -241,6 +245,7 @@
             permits: Permits::default(),
             ledger: Ledger::default(),
             classes: class::Table::default(),
+            admissions: Admissions::default(),
             pools: Pools::default(),
             works: work::Table::default(),
             prompts: Prompts::default(),
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -11,6 +11,7 @@
 use crate::message::{Load, Rejection};
 use crate::prompt::CachedPrompt;
 use crate::request::{CallKey, RequestKey};
+use crate::work::turns;
 
 /// The status of a successful answer.
 const OK: u16 = 200;
@@ -309,6 +310,11 @@
                 _ => {}
             }
         }
+        if is_good && call.task == Task::Plain {
+            let engine = &call.engine;
+            let turns = turns(call.calls_ahead, engine.slots);
+            self.works.record(&engine.service, engine.key, now.since(call.sent), turns, now);
+        }
         let has_prefilled = match call.task {
             Task::Prefill => answer.handle.is_some(),
             Task::Decode(Prompt::NotPrefilled) => answer.status == OK,
--- a/crates/hollyspoke-gateway/src/gateway/capacity.rs
+++ b/crates/hollyspoke-gateway/src/gateway/capacity.rs
@@ -41,6 +41,9 @@
         if let Some(wait) = self.blocked_for(in_flight) {
             return self.wait_or_refuse(key, wait);
         }
+        if self.is_late_plain(in_flight) {
+            return self.refuse_late_plain(key);
+        }
         if in_flight.service.staged.is_none() || !self.may_get_capacity(in_flight) {
             let reason = self.no_engine_reason(in_flight);
             return self.give_up(key, reason);
@@ -50,7 +53,7 @@
             return;
         }
         let until = wait_end(in_flight);
-        if until <= self.now {
+        if until <= self.now || self.lacks_outlook(key) {
             return self.refuse_for_capacity(key);
         }
         self.wait_until(key, until);
@@ -70,9 +73,10 @@
     }
 
     /// Sends the waiting requests for which capacity is now free. Requests with a prefilled prompt
-    /// are first, then those that can still meet the target, by priority. Within a priority, those
-    /// whose client is retrying and won't retry again are first, each in the order of arrival. A
-    /// low priority doesn't starve: requests wait only briefly at a box, and mostly alone.
+    /// are first, then those that can still meet the target, by priority. Within a priority, the
+    /// requests of customers below their fair share are first, then those whose client is retrying
+    /// and won't retry again, each in the order of arrival. A low priority doesn't starve: requests
+    /// wait only briefly at a box, and mostly alone.
     pub(super) fn admit_waiting(&mut self) {
         if self.waiting.is_empty() {
             return;
@@ -86,6 +90,7 @@
                 in_flight.source.is_none(),
                 is_late,
                 in_flight.priority(),
+                self.is_above_share(in_flight),
                 !in_flight.is_client_retry,
                 *it,
             )
@@ -137,6 +142,17 @@
         })
     }
 
+    /// Returns whether a plain request is not sent because all engines that could take it would
+    /// answer it late.
+    fn is_late_plain(&self, in_flight: &InFlight) -> bool {
+        self.settings.features.admission
+            && in_flight.service.staged.is_none()
+            && self
+                .directory
+                .open(&in_flight.service.name, self.now)
+                .any(|it| self.is_usable(it) && self.is_allowed_at(in_flight, it))
+    }
+
     /// Returns why no engine can take a request.
     fn no_engine_reason(&self, in_flight: &InFlight) -> NotRunReason {
         let engines = || self.directory.of_service(&in_flight.service.name);
@@ -166,7 +182,7 @@
 }
 
 /// Returns the time until which a request may wait for free capacity.
-fn wait_end(in_flight: &InFlight) -> Time {
+pub(super) fn wait_end(in_flight: &InFlight) -> Time {
     if in_flight.source.is_some() {
         return in_flight.handle_end();
     }
--- a/crates/hollyspoke-gateway/src/gateway/classes.rs
+++ b/crates/hollyspoke-gateway/src/gateway/classes.rs
@@ -32,6 +32,13 @@
         let from = std::mem::replace(&mut in_flight.phase, phase);
         let (class, units) = (class_of(in_flight), in_flight.capacity_units());
         self.classes.advance(class, units, from, phase);
+        if from == phase {
+            return;
+        }
+        self.admissions.advance(in_flight, from, phase);
+        let is_running = |it: Option<Phase>| f64::from(u8::from(it == Some(Phase::Running)));
+        let change = (is_running(phase) - is_running(from)) * f64::from(units);
+        self.pools.add_held(&in_flight.service.name, change);
     }
 
     /// Returns the load of each class at this box, for a heartbeat.
@@ -43,6 +50,8 @@
     pub(super) fn receive_classes(&mut self, sender: SocketAddr, announced: &[Announcement]) {
         if self.measures_classes() {
             self.classes.receive(sender, announced);
+            // What waited at the other box may no longer be before the requests that wait here.
+            self.may_have_capacity |= self.settings.features.admission;
         }
     }
 }
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -184,6 +184,7 @@
         self.sweep_quarantine();
         self.sweep_permits();
         self.sweep_terms();
+        self.end_overloads();
         let mut message = self.message(true);
         let greeted = self.members.due_greetings(self.now);
         if !greeted.is_empty() {
--- a/crates/hollyspoke-gateway/src/gateway/pool.rs
+++ b/crates/hollyspoke-gateway/src/gateway/pool.rs
@@ -127,7 +127,7 @@
 
     /// Returns whether an engine that accepts new requests can be reached, stays, and doesn't back
     /// off from this box.
-    fn is_usable(&self, record: &Record) -> bool {
+    pub(super) fn is_usable(&self, record: &Record) -> bool {
         !record.health.is_unreachable(self.now)
             && self.terms.is_usable(&record.engine, None, self.now)
             && !self.terms.back_offs.is_closed(&record.engine, self.now)
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -117,6 +117,7 @@
             }
             self.prompts.forget(engine.key);
             self.terms.limits.forget(engine.key);
+            self.works.forget(engine.key);
             self.drop_handles(&engine);
             self.drop_change(engine.key);
         }
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -14,7 +14,7 @@
 use crate::gateway::permits::Permission;
 use crate::in_flight::{Call, InFlight, task_name};
 use crate::message::Load;
-use crate::placement::{Choice, Selector};
+use crate::placement::{Choice, PlainBound, Selector};
 use crate::quarantine::Verdict;
 use crate::request::{CallKey, Request, RequestKey};
 use crate::route::{Route, Staged};
@@ -154,6 +154,9 @@
             return self.wait_for_survey(key, until);
         }
         self.record_exclusions(key);
+        if !self.admit(key) {
+            return;
+        }
         let Some(next) = self.next_permitted(key) else { return };
         let Some(in_flight) = self.in_flight.get(&key) else { return };
         let is_retry = in_flight.arrivals > 0;
@@ -168,7 +171,8 @@
     fn next_permitted(&mut self, key: RequestKey) -> Option<NextCall> {
         loop {
             let draw = self.draw();
-            let Some(next) = self.next_call(key, draw) else {
+            let plain_bound = self.plain_bound(key);
+            let Some(next) = self.next_call(key, draw, plain_bound) else {
                 self.wait_for_capacity(key);
                 return None;
             };
@@ -193,7 +197,12 @@
     }
 
     /// Chooses the next call of a request.
-    pub(super) fn next_call(&self, key: RequestKey, draw: u64) -> Option<NextCall> {
+    pub(super) fn next_call(
+        &self,
+        key: RequestKey,
+        draw: u64,
+        plain_bound: Option<PlainBound>,
+    ) -> Option<NextCall> {
         let in_flight = self.in_flight.get(&key)?;
         let verdict = self.quarantine.verdict(in_flight.signature);
         let trials = self.trials();
@@ -212,6 +221,8 @@
             permits: &self.permits.held,
             permit_state: self.permit_state(in_flight),
             max_drain_age: self.max_drain_age(in_flight),
+            plain_bound,
+            works: &self.works,
             is_suspect: verdict != Verdict::Clear,
             trials: &trials,
             now: self.now,
@@ -272,6 +283,7 @@
             before: in_flight.call_count - 1,
         };
         let engine = choice.engine.clone();
+        let calls_ahead = self.directory.get(engine.key).map_or(0, |it| self.calls_at(it));
         self.record_cold_send(engine.key);
         self.permits.held.take(engine.key, now);
         self.terms.back_offs.record_send(engine.key);
@@ -290,6 +302,7 @@
                 sent: now,
                 load,
                 queued_tokens: choice.queued_tokens,
+                calls_ahead,
                 last_event_at: now,
                 has_begun: false,
             },
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -141,6 +141,8 @@
     pub load: Load,
     /// The prompt tokens that the engine prefills for this call, including those queued before it.
     pub queued_tokens: u64,
+    /// The calls at the engine when the call was sent.
+    pub calls_ahead: u32,
     /// When the last event of the stream arrived.
     pub last_event_at: Time,
     /// Whether the head of a stream has arrived.
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! `evacuation`, `region`, `cold`, `permit`, `quarantine`). `in_flight` tracks one request, and
 //! `gateway` combines everything.
 
+pub mod admission;
 pub mod appointment;
 pub mod back_off;
 pub mod budget;
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -13,6 +13,7 @@
 use crate::region::{AllowedRegions, Regions};
 use crate::route::{Service, Staged};
 use crate::terms::{Restriction, Terms};
+use crate::work;
 
 /// How long the load that an engine reported with an answer stays valid.
 pub(crate) const REPORTED_LOAD_TTL: Duration = Duration::from_millis(400);
@@ -80,6 +81,15 @@
     Exhausted,
 }
 
+/// The bound on the time of a plain call.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PlainBound {
+    /// The longest time until the answer.
+    pub longest: Duration,
+    /// The calls per slot that must stay possible for the classes before the call's own.
+    pub reserve_per_slot: f64,
+}
+
 /// An engine selected for a call.
 #[derive(Debug, Clone)]
 pub struct Choice {
@@ -123,6 +133,10 @@
     /// How long ago an engine may have announced its shutdown and still be used, because no other
     /// engine can serve the request. `None` if another can.
     pub max_drain_age: Option<Duration>,
+    /// The bound on the time of a plain call; none if the bound is the length of the queue.
+    pub plain_bound: Option<PlainBound>,
+    /// The time that plain calls take at engines.
+    pub works: &'a work::Table,
     /// Whether engines have crashed while they served the request.
     pub is_suspect: bool,
     /// Engines that a possibly crashing request is being tried on.
@@ -136,9 +150,11 @@
 impl Selector<'_> {
     /// Selects an engine for a plain request; `None` if all queues are too long.
     pub fn choose_plain(&self) -> Option<Choice> {
-        let candidates = self.candidates(None, self.data_centre, None, |_| true);
+        let is_in_time =
+            |it: &Record| self.plain_bound.is_none_or(|bound| self.is_within(it, bound));
+        let candidates = self.candidates(None, self.data_centre, None, is_in_time);
         let (record, cost) = self.cheapest(&candidates, |it| self.plain_cost(it))?;
-        if self.queue(record) > MAX_QUEUE_RATIO {
+        if self.plain_bound.is_none() && self.queue(record) > MAX_QUEUE_RATIO {
             return None;
         }
         let expected = Duration::from_secs_f64((cost * 0.1).clamp(0.0, 10.0));
@@ -382,6 +398,18 @@
             + record.health.failure_rate(self.now) * FAILURE_SHARE
     }
 
+    /// Returns whether an engine is expected to answer a plain call within a bound. An engine with
+    /// a free slot is as fast as it can be.
+    fn is_within(&self, record: &Record, bound: PlainBound) -> bool {
+        let turns = self.queue(record) + bound.reserve_per_slot;
+        let one = 1.0 / f64::from(record.engine.slots.max(1));
+        if turns + one <= 1.0 {
+            return true;
+        }
+        let work = self.works.at(&self.service.name, record.engine.key, self.now);
+        work.is_none_or(|it| it.mul_f64(turns + one) <= bound.longest)
+    }
+
     /// Returns how long work at an engine takes now, relative to its usual time.
     fn pace(&self, record: &Record) -> f64 {
         let reported =
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hollyspoke_gateway::admission::Decision;
 use hollyspoke_gateway::back_off;
 use hollyspoke_gateway::effect::LogEvent;
 use hollyspoke_gateway::engine::Stage;
@@ -33,6 +34,10 @@
     call_failures: Counter<u64>,
     /// Wanted retries on another engine, by service and whether they were sent.
     retries: Counter<u64>,
+    /// Requests that were decided on while capacity is short, by priority and decision.
+    admissions: Counter<u64>,
+    /// Whether a service is overloaded.
+    overloaded: Gauge<u64>,
     /// Requests that were held because engines crashed.
     held: Counter<u64>,
     /// Prompt tokens that were sent for prefill.
@@ -123,6 +128,11 @@
                 "hollyspoke_engine_resting",
                 "whether an engine wants nothing from this box for a time",
             ),
+            admissions: count(
+                "hollyspoke_admissions",
+                "requests decided on while capacity is short, by priority and decision",
+            ),
+            overloaded: gauge("hollyspoke_overloaded", "whether a service is overloaded"),
             peer_changes: count("hollyspoke_peer_changes", "boxes first heard or fallen silent"),
             exporter,
         })
@@ -182,6 +192,18 @@
                 let data_centre = KeyValue::new("data_centre", data_centre.clone());
                 self.evacuated.record(u64::from(!is_lifted), &[data_centre]);
             }
+            LogEvent::Admission { service, priority, decision } => {
+                let labels = [
+                    KeyValue::new("service", service.clone()),
+                    KeyValue::new("priority", i64::from(*priority)),
+                    KeyValue::new("decision", decision_label(*decision)),
+                ];
+                self.admissions.add(1, &labels);
+            }
+            LogEvent::Overload { service, has_ended } => {
+                let service = KeyValue::new("service", service.clone());
+                self.overloaded.record(u64::from(!has_ended), &[service]);
+            }
             LogEvent::Limited { id, change, .. } => self.record_limit(id, change),
             LogEvent::StoreReturned { era, .. } => self.record_era(*era),
             LogEvent::ShuttingDown { id, .. } => {
@@ -239,6 +261,15 @@
     }
 }
 
+/// Returns the label of a decision on admission.
+fn decision_label(decision: Decision) -> &'static str {
+    match decision {
+        Decision::Admit => "admitted",
+        Decision::Wait => "waiting",
+        Decision::Reject => "rejected",
+    }
+}
+
 /// Returns the label that names an engine.
 fn engine_label(id: &Arc<str>) -> KeyValue {
     KeyValue::new("engine", id.clone())
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -114,6 +114,10 @@
         LogEvent::OrderEnded { id, outcome } => {
             info!(log, "order ended"; "engine" => %id, "how" => outcome)
         }
+        LogEvent::Overload { service, has_ended } => info!(log, "service overloaded";
+            "service" => %service, "ended" => has_ended),
+        // Decisions are only counted: there is one for each request.
+        LogEvent::Admission { .. } => {}
         LogEvent::Stopping => info!(log, "stopping"),
     }
 }
