--- a/crates/hollyspoke-gateway/src/admission.rs
+++ b/crates/hollyspoke-gateway/src/admission.rs
@@ -17,7 +17,7 @@
 /// The part of its proportional share that a priority always gets, so that nobody starves. Since it
 /// follows the priority's own arrivals, no priority gets a larger share of its requests served by
 /// it than a more urgent one.
-const FLOOR_SHARE: f64 = 0.2;
+pub const FLOOR_SHARE: f64 = 0.2;
 
 /// A request that asks for capacity.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -54,12 +54,27 @@
     priority: u8,
     /// The load of all its customers.
     total: Flow,
-    /// The load of the customers that use less than their fair share.
+    /// The load of the customers that need no more than their fair share.
+    modest: Flow,
+    /// The load of the customers that need more, and use less than their fair share.
     below: Flow,
     /// The units that a customer may use before others of the priority have a better claim.
     fair_share: f64,
     /// The units that the priority always gets.
     floor: f64,
+    /// The share of the units in use that are still in use when other boxes hear of this moment.
+    lasting_share: f64,
+}
+
+/// How good a customer's claim to capacity is among those of its priority, the best first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Claim {
+    /// It needs no more than its fair share.
+    Modest,
+    /// It needs more, and uses less than its fair share.
+    Below,
+    /// It uses its fair share.
+    Above,
 }
 
 /// A sum of loads.
@@ -73,13 +88,22 @@
     running: f64,
 }
 
+/// The units that a class needs and uses.
+#[derive(Debug, Clone, Copy, Default)]
+struct Usage {
+    /// The units that it would use if all its requests were served.
+    needed: f64,
+    /// The units in use.
+    running: f64,
+}
+
 /// How the classes of one service compete for its capacity.
 #[derive(Debug, Clone, Default)]
 pub struct Contention {
     /// The priorities that have load, the most urgent first.
     levels: Vec<Level>,
-    /// The units that each class uses.
-    running: BTreeMap<Class, f64>,
+    /// The units that each class needs and uses.
+    classes: BTreeMap<Class, Usage>,
     /// The time until a box hears of what arrives at another one.
     horizon: Duration,
     /// The mean size of a request, in units.
@@ -94,6 +118,13 @@
         self.running += f64::from(load.running);
     }
 
+    /// Adds another flow.
+    fn include(&mut self, other: Flow) {
+        self.arriving_per_s += other.arriving_per_s;
+        self.waiting += other.waiting;
+        self.running += other.running;
+    }
+
     /// Adds or removes units in a phase.
     fn add_units(&mut self, phase: Phase, units: f64) {
         let known = match phase {
@@ -104,10 +135,30 @@
     }
 }
 
+impl Usage {
+    /// Returns the usage of a class whose requests run for `run_s` seconds on average.
+    fn of(load: Load, run_s: f64) -> Usage {
+        let running = f64::from(load.running);
+        let known = running + f64::from(load.waiting);
+        Usage { needed: known.max(load.arriving_per_s() * run_s), running }
+    }
+}
+
 impl Level {
-    /// Returns the units that the priority is short of its floor.
+    /// Returns the load with which the priority comes up to its floor.
+    fn missing_flow(&self, horizon: Duration) -> Flow {
+        let missing = self.missing();
+        let arriving_per_s = missing / horizon.as_secs_f64().max(f64::EPSILON);
+        Flow {
+            arriving_per_s: self.total.arriving_per_s.min(arriving_per_s),
+            waiting: self.total.waiting.min(missing),
+            running: 0.0,
+        }
+    }
+
+    /// Returns the units that the priority will be short of its floor unless some are admitted.
     fn missing(&self) -> f64 {
-        (self.floor - self.total.running).max(0.0)
+        (self.floor - self.total.running * self.lasting_share).max(0.0)
     }
 }
 
@@ -148,26 +199,30 @@
         horizon: Duration,
     ) -> Contention {
         let arriving_per_s: f64 = classes.values().map(|it| it.arriving_per_s()).sum();
-        let mut levels: Vec<Level> = Vec::new();
+        let run_s = run_time(pool);
+        let usages = classes.iter().map(|(&class, &load)| (class, Usage::of(load, run_s)));
+        let mut contention =
+            Contention { levels: Vec::new(), classes: usages.collect(), horizon, mean_units };
         let mut rest = usable(pool);
-        let mut by_priority: BTreeMap<u8, Vec<(Class, Load)>> = BTreeMap::new();
-        for (&class, &load) in classes {
-            by_priority.entry(class.priority).or_default().push((class, load));
-        }
-        for (priority, classes) in by_priority {
-            let mut level = Level { priority, ..Level::default() };
-            classes.iter().for_each(|(_, load)| level.total.add(*load));
-            level.fair_share = fair_share(&classes, level.total.running + rest, run_time(pool));
-            let is_below = |it: &Load| f64::from(it.running) < level.fair_share;
-            let below = classes.iter().filter(|(_, it)| is_below(it));
-            below.for_each(|(_, load)| level.below.add(*load));
+        for classes in classes.iter().collect::<Vec<_>>().chunk_by(|a, b| is_same_priority(a, b)) {
+            let mut level = Level { priority: classes[0].0.priority, ..Level::default() };
+            classes.iter().for_each(|(_, load)| level.total.add(**load));
+            let needs = classes.iter().map(|(class, _)| contention.classes[class].needed);
+            level.fair_share = fair_share(needs.collect(), level.total.running + rest);
+            for (class, load) in classes {
+                match contention.claim_at(&level, **class) {
+                    Claim::Modest => level.modest.add(**load),
+                    Claim::Below => level.below.add(**load),
+                    Claim::Above => {}
+                }
+            }
             let part = level.total.arriving_per_s / arriving_per_s.max(f64::EPSILON);
             level.floor = pool.capacity * FLOOR_SHARE * part;
+            level.lasting_share = (1.0 - horizon.as_secs_f64() / run_s.max(f64::EPSILON)).max(0.0);
             rest = (rest - level.total.waiting).max(0.0);
-            levels.push(level);
+            contention.levels.push(level);
         }
-        let running = classes.iter().map(|(&it, load)| (it, f64::from(load.running))).collect();
-        Contention { levels, running, horizon, mean_units }
+        contention
     }
 
     /// Accounts for a request of this box that has changed its phase since.
@@ -179,8 +234,8 @@
             let Some(phase) = phase else { continue };
             level.total.add_units(phase, units);
             if phase == Phase::Running {
-                let known = self.running.entry(class).or_default();
-                *known = (*known + units).max(0.0);
+                let known = self.classes.entry(class).or_default();
+                known.running = (known.running + units).max(0.0);
             }
         }
     }
@@ -208,32 +263,43 @@
         if free_per_s > 0.0 && is_in_time { Decision::Wait } else { Decision::Reject }
     }
 
-    /// Returns whether the customer of a class uses its fair share of what its priority gets, if
-    /// one more request of mean size is added.
-    pub fn is_above_share(&self, class: Class) -> bool {
-        let Some(level) = self.level(class.priority) else { return false };
-        let running = self.running.get(&class).copied().unwrap_or_default();
-        running + self.mean_units > level.fair_share
+    /// Returns how good the claim of a class is within its priority.
+    pub fn claim(&self, class: Class) -> Claim {
+        self.level(class.priority).map_or(Claim::Modest, |it| self.claim_at(it, class))
+    }
+
+    /// Returns how good the claim of a class is at the level of its priority.
+    fn claim_at(&self, level: &Level, class: Class) -> Claim {
+        let usage = self.classes.get(&class).copied().unwrap_or_default();
+        if usage.needed <= level.fair_share {
+            Claim::Modest
+        } else if usage.running + self.mean_units <= level.fair_share {
+            Claim::Below
+        } else {
+            Claim::Above
+        }
     }
 
     /// Returns the load of the classes before a request: the more urgent ones, and those of its
-    /// priority whose customers use less than their fair share while its own doesn't. A priority
-    /// below its floor is before all others, with as much as it is short of.
+    /// priority whose customers have a better claim. A priority below its floor is before all
+    /// others, with as much as it is short of.
     fn before(&self, ask: &Ask) -> Flow {
         let mut before = Flow::default();
         let own = ask.class.priority;
         let is_first = self.level(own).is_some_and(|it| self.takes_floor(it, ask));
         for level in &self.levels {
             if level.priority > own {
-                before.waiting += level.missing().min(level.total.waiting);
+                before.include(level.missing_flow(self.horizon));
             } else if level.priority == own {
-                if self.is_above_share(ask.class) {
-                    before.waiting += level.below.waiting;
-                    before.arriving_per_s += level.below.arriving_per_s;
+                let claim = self.claim_at(level, ask.class);
+                if claim > Claim::Modest {
+                    before.include(level.modest);
+                }
+                if claim > Claim::Below {
+                    before.include(level.below);
                 }
             } else if !is_first {
-                before.waiting += level.total.waiting;
-                before.arriving_per_s += level.total.arriving_per_s;
+                before.include(level.total);
             }
         }
         before
@@ -250,10 +316,12 @@
     /// Returns the units that wait with the same claim as a request.
     fn waiting_alike(&self, ask: &Ask) -> f64 {
         let Some(level) = self.level(ask.class.priority) else { return 0.0 };
-        if self.is_above_share(ask.class) {
-            (level.total.waiting - level.below.waiting).max(0.0)
-        } else {
-            level.below.waiting
+        match self.claim_at(level, ask.class) {
+            Claim::Modest => level.modest.waiting,
+            Claim::Below => level.below.waiting,
+            Claim::Above => {
+                (level.total.waiting - level.modest.waiting - level.below.waiting).max(0.0)
+            }
         }
     }
 
@@ -268,10 +336,14 @@
     if pool.released_per_s > 0.0 { pool.held / pool.released_per_s } else { 0.0 }
 }
 
+/// Returns whether two classes have the same priority.
+fn is_same_priority(a: &(&Class, &Load), b: &(&Class, &Load)) -> bool {
+    a.0.priority == b.0.priority
+}
+
 /// Returns the max-min fair share of each customer in a supply: whoever needs less gets what it
 /// needs, the others equal parts of the rest. It is infinite if the supply suffices for all.
-fn fair_share(classes: &[(Class, Load)], supply: f64, run_s: f64) -> f64 {
-    let mut needs: Vec<f64> = classes.iter().map(|(_, it)| need(*it, run_s)).collect();
+fn fair_share(mut needs: Vec<f64>, supply: f64) -> f64 {
     needs.sort_by(f64::total_cmp);
     let mut rest = supply;
     for (index, need) in needs.iter().enumerate() {
@@ -283,9 +355,3 @@
     }
     f64::INFINITY
 }
-
-/// Returns the units that a class would use if all its requests were served.
-fn need(load: Load, run_s: f64) -> f64 {
-    let known = f64::from(load.running) + f64::from(load.waiting);
-    known.max(load.arriving_per_s() * run_s)
-}
--- a/crates/hollyspoke-gateway/src/gateway/admission.rs
+++ b/crates/hollyspoke-gateway/src/gateway/admission.rs
@@ -11,7 +11,7 @@
 use super::capacity::wait_end;
 use super::classes::class_of;
 use super::peers::service_hash;
-use crate::admission::{self, Ask, Contention, Decision};
+use crate::admission::{self, Ask, Claim, Contention, Decision};
 use crate::class::Phase;
 use crate::effect::LogEvent;
 use crate::in_flight::InFlight;
@@ -132,10 +132,10 @@
         self.refuse_for_capacity(key);
     }
 
-    /// Returns whether a request's customer uses its fair share already, as far as is known.
-    pub(super) fn is_above_share(&self, in_flight: &InFlight) -> bool {
+    /// Returns how good a request's claim to capacity is within its priority, as far as is known.
+    pub(super) fn claim(&self, in_flight: &InFlight) -> Claim {
         let known = self.admissions.cached.get(&in_flight.service.name);
-        known.is_some_and(|(it, _)| it.is_above_share(class_of(in_flight)))
+        known.map_or(Claim::Modest, |(it, _)| it.claim(class_of(in_flight)))
     }
 
     /// Logs the services whose overload is over.
--- a/crates/hollyspoke-gateway/src/gateway/capacity.rs
+++ b/crates/hollyspoke-gateway/src/gateway/capacity.rs
@@ -90,7 +90,7 @@
                 in_flight.source.is_none(),
                 is_late,
                 in_flight.priority(),
-                self.is_above_share(in_flight),
+                self.claim(in_flight),
                 !in_flight.is_client_retry,
                 *it,
             )
