--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! The reducer: dispatches each event to the part that handles it and collects the effects.
 
+mod admission;
 mod cached;
 mod call;
 mod capacity;
@@ -16,6 +17,7 @@
 mod pace;
 mod peers;
 mod permits;
+mod pool;
 mod quarantine;
 mod relay;
 mod reservations;
@@ -48,10 +50,12 @@
 use crate::evacuation::Evacuations;
 use crate::event::{Event, Kind};
 use crate::features::Features;
+use crate::gateway::admission::Admissions;
 use crate::gateway::cases::Cases;
 use crate::gateway::census::Census;
 use crate::gateway::peers::{PeerChanges, Unannounced};
 use crate::gateway::permits::Permits;
+use crate::gateway::pool::Pools;
 use crate::gateway::reservations::Reservations;
 use crate::gateway::stages::Stages;
 use crate::gateway::store::{EngineChanges, StoreState};
@@ -67,6 +71,7 @@
 use crate::request::{CallKey, RequestKey};
 use crate::route::Configuration;
 use crate::terms::Terms;
+use crate::work;
 
 pub use cases::KIND as CASES;
 pub use quarantine::HeldRequest;
@@ -151,6 +156,12 @@
     classes: class::Table,
     /// The paces of the engines.
     paces: Paces,
+    /// The state of admission while capacity is short.
+    admissions: Admissions,
+    /// The capacity of each service, as computed last.
+    pools: Pools,
+    /// The time that plain calls take at engines.
+    works: work::Table,
     /// The other boxes.
     members: Members,
     /// The prompts that engines have cached.
@@ -243,6 +254,9 @@
             ledger: Ledger::default(),
             paces: Paces::default(),
             classes: class::Table::default(),
+            admissions: Admissions::default(),
+            pools: Pools::default(),
+            works: work::Table::default(),
             prompts: Prompts::default(),
             budgets: HashMap::new(),
             deadlines: HashMap::new(),
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! `evacuation`, `region`, `cold`, `permit`, `pace`, `quarantine`). `in_flight` tracks one request, and
 //! `gateway` combines everything.
 
+pub mod admission;
 pub mod appointment;
 pub mod back_off;
 pub mod budget;
@@ -50,3 +51,4 @@
 pub mod snapshot;
 pub mod statement;
 pub mod terms;
+pub mod work;
