Streams move away from engines that shut down

Cause: a stream at an engine that shuts down runs to the engine's end and is lost with it, or is prefilled again if it may be resumed.

Change: with `features.migration`, a stream that would outlive its engine is copied to another engine while it runs, then stopped and copied again, and continues there from the event after the last one forwarded. A continuation counts as the same run. Streams whose copy fails stay, or continue where their memory is. Backups (`features.backups`) are the same with a copy that grows with the stream.

Result: tests of the decisions and of each failure halfway pass; off by default.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -348,6 +348,52 @@
         /// The load of all boxes at the engine, as known to this box.
         total_load: Load,
     },
+    /// A running stream was moved to another engine.
+    Moved {
+        /// The client's id of the request.
+        request: Arc<str>,
+        /// The id of the engine at which it ran.
+        source: Arc<str>,
+        /// The id of the engine at which it continues.
+        target: Arc<str>,
+        /// Why it was moved.
+        reason: &'static str,
+        /// How long the move took.
+        duration: Duration,
+    },
+    /// A running stream was to be moved, and was not.
+    NotMoved {
+        /// The client's id of the request.
+        request: Arc<str>,
+        /// The id of the engine at which it runs.
+        source: Arc<str>,
+        /// The id of the engine at which it was to continue, if one had memory for it.
+        target: Option<Arc<str>>,
+        /// Why it was to be moved.
+        reason: &'static str,
+        /// Why it was not moved.
+        outcome: &'static str,
+    },
+    /// A stream is backed up at a second engine.
+    BackedUp {
+        /// The client's id of the request.
+        request: Arc<str>,
+        /// The id of the engine at which it runs.
+        source: Arc<str>,
+        /// The id of the engine that receives the backup.
+        target: Arc<str>,
+    },
+    /// A stream whose engine failed was to continue from its backup.
+    BackupUsed {
+        /// The client's id of the request.
+        request: Arc<str>,
+        /// The id of the engine that failed.
+        source: Arc<str>,
+        /// The id of the engine that has the backup.
+        target: Arc<str>,
+        /// Whether the stream continued, or why not.
+        outcome: &'static str,
+    },
     /// A request ended.
     Ended {
         /// The client's id of the request.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 mod evacuation;
 mod handover;
 mod limit;
+mod migration;
 mod peers;
 mod permits;
 mod quarantine;
@@ -48,6 +49,7 @@
 use crate::features::Features;
 use crate::gateway::cases::Cases;
 use crate::gateway::census::Census;
+use crate::gateway::migration::Migrations;
 use crate::gateway::peers::{PeerChanges, Unannounced};
 use crate::gateway::permits::Permits;
 use crate::gateway::stages::Stages;
@@ -167,6 +169,8 @@
     waiting: Vec<RequestKey>,
     /// Whether the current event may have freed capacity for waiting requests.
     may_have_capacity: bool,
+    /// The moves and backups of running streams.
+    migrations: Migrations,
     /// The durations for which runs at prefill and decode engines hold memory.
     runs: Runs,
     /// The demand on each service with prefill and decode engines.
@@ -241,6 +245,7 @@
             calls: HashMap::new(),
             waiting: Vec::new(),
             may_have_capacity: false,
+            migrations: Migrations::default(),
             runs: Runs::default(),
             meters: HashMap::new(),
             stages,
@@ -284,8 +289,9 @@
             Event::Arrived(key, request) => self.handle_arrival(key, request),
             Event::ClientDisconnected(key) => self.handle_disconnect(key),
             Event::Call(call, event) => self.handle_call_event(call, event),
-            // No reservation is asked for and no stream is moved yet.
-            Event::Reserved(..) | Event::Transferred(..) => {}
+            // No reservation is asked for yet.
+            Event::Reserved(..) => {}
+            Event::Transferred(call, answer) => self.handle_transfer_answer(call, &answer),
             Event::Received(message) => self.receive(&message),
             Event::Seeds(seeds) => self.members.add_seeds(self.settings.peer, seeds, self.now),
             Event::CachedPrompts(engine, prompts) => self.apply_survey_answer(engine, prompts),
@@ -308,6 +314,7 @@
             self.admit_waiting();
         }
         self.check_due_requests();
+        self.advance_migrations();
         self.send_due_heartbeat();
         self.send_greetings();
         self.sync_cases();
@@ -333,6 +340,7 @@
             self.cases_due(),
             self.permits.next_start(self.now),
             self.terms.back_offs.next_end(self.now),
+            self.next_migration_at(),
         ];
         times.into_iter().flatten().fold(self.next_heartbeat, Time::min)
     }
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -47,7 +47,14 @@
         {
             in_flight.arrivals = in_flight.arrivals.saturating_sub(1);
         }
-        self.proceed(call.request);
+        self.proceed_or_continue(call.request);
+    }
+
+    /// Sends the next call of a request: to the next engine that has a copy of its stream, if any.
+    fn proceed_or_continue(&mut self, key: RequestKey) {
+        if !self.continue_from_copy(key) {
+            self.proceed(key);
+        }
     }
 
     /// The head of a stream arrived: it is delivered to the client, or the stream resumes after the
@@ -57,13 +64,14 @@
         self.apply_answer(&call, answer);
         self.terms.back_offs.release(call.engine.key, call.sent);
         self.finish_prefill(key);
+        self.stream_continued(call.request);
         if let Some(call) = self.calls.get_mut(&key) {
             call.has_begun = true;
             call.last_event_at = self.now;
         }
         let now = self.now;
         let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
-        in_flight.run_count += 1;
+        in_flight.run_count += u32::from(!call.is_continuation());
         in_flight.trace.mark_sent();
         in_flight.source = None;
         if let Some(prompt) = in_flight.request.prompt {
@@ -84,6 +92,7 @@
     /// Events were forwarded to the client.
     fn call_forwarded(&mut self, key: CallKey, id: Option<u64>) {
         let now = self.now;
+        self.record_progress(key, id);
         let Some(call) = self.calls.get_mut(&key) else { return };
         let pause = now.since(call.last_event_at);
         call.last_event_at = now;
@@ -135,7 +144,7 @@
             Task::Decode(Prompt::Prefilled(_)) => self.prefill_handle_rejected(call.request),
             Task::Decode(_) | Task::Plain => {}
         }
-        self.proceed(call.request);
+        self.proceed_or_continue(call.request);
     }
 
     /// A decode engine rejected the handle of a prefilled prompt. Either the engine was full, or
@@ -190,11 +199,13 @@
         let signature = in_flight.signature;
         self.close_case(signature);
         if call.has_begun {
+            self.record_stream_length(call.request);
             self.effects.push(Effect::Finish(call.request));
             return self.end(call.request, "whole");
         }
+        self.drop_continuation(call.request, "failed");
         if let Some(in_flight) = self.in_flight.get_mut(&call.request) {
-            in_flight.run_count += 1;
+            in_flight.run_count += u32::from(!call.is_continuation());
         }
         if is_failure {
             self.log_failure(call, "failed", answer.status);
@@ -216,6 +227,9 @@
 
     /// A call that was sent ended without a complete answer.
     fn call_broken(&mut self, key: CallKey) {
+        if self.stream_closed(key) {
+            return;
+        }
         let Some(call) = self.take_call(key) else { return };
         self.log_failure(&call, "broken", 0);
         self.record_return_answer(&call, false);
@@ -224,13 +238,17 @@
         self.call_lost(&call);
     }
 
-    /// Continues after a call whose outcome is unknown: retries the request or gives it up.
+    /// Continues after a call whose outcome is unknown: continues the stream from a copy, retries the
+    /// request or gives it up.
     pub(super) fn call_lost(&mut self, call: &Call) {
         if !call.runs_request() {
             return self.prefill_failed(call.request);
         }
+        if self.continue_from_copy(call.request) || self.continue_from_backup(call) {
+            return;
+        }
         let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
-        if !call.has_begun {
+        if !call.has_begun && !call.is_continuation() {
             in_flight.run_count += 1;
         }
         in_flight.trace.mark_sent();
@@ -265,6 +283,7 @@
             in_flight.call = None;
             in_flight.silence_deadline = None;
         }
+        self.abandon_move(key);
         Some(call)
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/end.rs
+++ b/crates/hollyspoke-gateway/src/gateway/end.rs
@@ -60,6 +60,9 @@
     /// the call continues despite the silence.
     fn time_out_call(&mut self, key: RequestKey) {
         let Some(call_key) = self.in_flight.get(&key).and_then(|it| it.call) else { return };
+        if self.migrations.is_stopping(call_key) {
+            return self.extend_silence(key);
+        }
         if !self.can_move(call_key) {
             return;
         }
@@ -71,11 +74,20 @@
         self.call_lost(&call);
     }
 
+    /// Accepts the silence of a stream that its engine was told to stop.
+    fn extend_silence(&mut self, key: RequestKey) {
+        let Some(in_flight) = self.in_flight.get_mut(&key) else { return };
+        in_flight.silence_deadline = in_flight.gap_timeout().map(|it| self.now + it);
+        let silence_deadline = in_flight.silence_deadline;
+        self.wake_at(key, silence_deadline);
+    }
+
     /// Returns whether the request of an active call may be sent to another engine.
     fn can_move(&self, call_key: CallKey) -> bool {
         let Some(call) = self.calls.get(&call_key) else { return false };
         let Some(in_flight) = self.in_flight.get(&call.request) else { return false };
-        let run_count = in_flight.run_count + u32::from(call.runs_request() && !call.has_begun);
+        let may_begin_run = call.runs_request() && !call.has_begun && !call.is_continuation();
+        let run_count = in_flight.run_count + u32::from(may_begin_run);
         !call.runs_request() || run_count < in_flight.route.max_attempts
     }
 
@@ -146,6 +158,7 @@
     /// Removes a request and frees its prefilled prompt if no engine has imported it.
     pub(super) fn end(&mut self, key: RequestKey, outcome: &'static str) {
         self.unreserve(key);
+        self.end_migration(key);
         self.set_phase(key, None);
         let Some(in_flight) = self.in_flight.remove(&key) else { return };
         self.due.remove(&(in_flight.deadline, key));
--- a/crates/hollyspoke-gateway/src/gateway/retries.rs
+++ b/crates/hollyspoke-gateway/src/gateway/retries.rs
@@ -36,11 +36,15 @@
     /// Returns the token of a call, if it took one, because the call didn't reach an engine or
     /// doesn't count.
     pub(super) fn refund_retry(&mut self, call: &Call) {
-        if !call.is_retry {
-            return;
+        if call.is_retry {
+            self.refund_retry_of(call.request);
         }
+    }
+
+    /// Returns a token that was taken for a request.
+    pub(super) fn refund_retry_of(&mut self, key: RequestKey) {
         let share = BoxShare { bound: &self.settings.retry_bound, box_count: self.sharing_boxes() };
-        let service = self.in_flight.get(&call.request).map(|it| &it.service.name);
+        let service = self.in_flight.get(&key).map(|it| &it.service.name);
         if let Some(budget) = service.and_then(|it| self.budgets.get_mut(it)) {
             budget.refund(self.now, share);
         }
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -14,6 +14,7 @@
 use crate::gateway::permits::Permission;
 use crate::in_flight::{Call, InFlight, task_name};
 use crate::message::Load;
+use crate::migration::Progress;
 use crate::placement::{Choice, Selector};
 use crate::quarantine::Verdict;
 use crate::request::{CallKey, Request, RequestKey};
@@ -197,7 +198,29 @@
         let in_flight = self.in_flight.get(&key)?;
         let verdict = self.quarantine.verdict(in_flight.signature);
         let trials = self.trials();
-        let view = Selector {
+        let view = self.selector(in_flight, &trials, draw);
+        match in_flight.service.staged {
+            None => {
+                let choice = view.choose_plain()?;
+                Some(NextCall { task: Task::Plain, choice, decode_engine: None })
+            }
+            Some(staged) if verdict == Verdict::Trial => {
+                next_on_one_engine(in_flight, &view, &staged)
+            }
+            Some(staged) => self
+                .next_cached(in_flight, &view, &staged)
+                .or_else(|| next_staged(in_flight, &view, &staged)),
+        }
+    }
+
+    /// Returns the selection of engines for a request.
+    pub(super) fn selector<'a>(
+        &'a self,
+        in_flight: &'a InFlight,
+        trials: &'a [EngineKey],
+        draw: u64,
+    ) -> Selector<'a> {
+        Selector {
             directory: &self.directory,
             ledger: &self.ledger,
             service: &in_flight.service,
@@ -212,22 +235,10 @@
             permits: &self.permits.held,
             permit_state: self.permit_state(in_flight),
             max_drain_age: self.max_drain_age(in_flight),
-            is_suspect: verdict != Verdict::Clear,
-            trials: &trials,
+            is_suspect: self.quarantine.verdict(in_flight.signature) != Verdict::Clear,
+            trials,
             now: self.now,
             draw,
-        };
-        match in_flight.service.staged {
-            None => {
-                let choice = view.choose_plain()?;
-                Some(NextCall { task: Task::Plain, choice, decode_engine: None })
-            }
-            Some(staged) if verdict == Verdict::Trial => {
-                next_on_one_engine(in_flight, &view, &staged)
-            }
-            Some(staged) => self
-                .next_cached(in_flight, &view, &staged)
-                .or_else(|| next_staged(in_flight, &view, &staged)),
         }
     }
 
@@ -239,6 +250,7 @@
         self.unreserve(key);
         self.reserve(key, next.decode_engine);
         self.set_phase(key, Some(Phase::Running));
+        let backup = self.back_up(key, &next.task, &next.choice.engine);
         let Some(in_flight) = self.in_flight.get_mut(&key) else { return };
         let case_state = self.quarantine.progress(in_flight.signature);
         let NextCall { task, choice, .. } = next;
@@ -292,6 +304,7 @@
                 queued_tokens: choice.queued_tokens,
                 last_event_at: now,
                 has_begun: false,
+                progress: Progress::default(),
             },
         );
         self.log(event);
@@ -305,7 +318,7 @@
             last_event,
             priority: None,
             reservation: None,
-            backup: None,
+            backup,
         };
         self.effects.push(Effect::Send(send));
     }
--- a/crates/hollyspoke-gateway/src/gateway/terms.rs
+++ b/crates/hollyspoke-gateway/src/gateway/terms.rs
@@ -118,6 +118,7 @@
         let id = self.engine_name(engine).into();
         self.log(LogEvent::ShuttingDown { id, announced_by, age });
         self.drop_unordered(engine, "engine leaves");
+        self.recheck_streams();
         self.may_have_capacity = true;
     }
 
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -11,7 +11,8 @@
 use crate::effect::{Prompt, Source, Task};
 use crate::engine::{Engine, EngineKey};
 use crate::message::Load;
-use crate::quarantine::Progress;
+use crate::migration::Progress;
+use crate::quarantine;
 use crate::region::{ALL_REGIONS, AllowedRegions};
 use crate::request::{CallKey, Request, RequestKey};
 use crate::route::{Route, RouteKind, Service};
@@ -132,7 +133,7 @@
     /// The operation requested of the engine.
     pub task: Task,
     /// The state of the request's quarantine case when the call was sent.
-    pub case_state: Progress,
+    pub case_state: quarantine::Progress,
     /// Whether the call took a token from the service's retry budget.
     pub is_retry: bool,
     /// When the call was sent.
@@ -145,6 +146,8 @@
     pub last_event_at: Time,
     /// Whether the head of a stream has arrived.
     pub has_begun: bool,
+    /// The events that the call has forwarded.
+    pub progress: Progress,
 }
 
 impl InFlight {
@@ -233,6 +236,11 @@
     pub fn runs_request(&self) -> bool {
         self.task != Task::Prefill
     }
+
+    /// Returns whether the call continues a stream from a copy, which counts as the same run.
+    pub fn is_continuation(&self) -> bool {
+        matches!(self.task, Task::Decode(Prompt::Copied(_)))
+    }
 }
 
 /// Returns the name of a task as it appears in the log.
--- a/crates/hollyspoke-gateway/src/request.rs
+++ b/crates/hollyspoke-gateway/src/request.rs
@@ -60,8 +60,12 @@
     /// its run: the prompt and half of the estimated answer. The requests at an engine are at all
     /// stages of their run, so that the average is what they hold together.
     pub fn mean_held_tokens(&self) -> u64 {
+        self.prompt_tokens_or_estimate() + self.expected_answer_tokens_or_estimate() / 2
+    }
+
+    /// Returns the estimated tokens of the answer.
+    pub fn expected_answer_tokens_or_estimate(&self) -> u64 {
         let max = self.max_answer_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS);
-        let expected = self.expected_answer_tokens.map_or(max, |it| it.min(max));
-        self.prompt_tokens_or_estimate() + expected / 2
+        self.expected_answer_tokens.map_or(max, |it| it.min(max))
     }
 }
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -33,6 +33,10 @@
     call_failures: Counter<u64>,
     /// Wanted retries on another engine, by service and whether they were sent.
     retries: Counter<u64>,
+    /// Moves of running streams, by reason and outcome.
+    moves: Counter<u64>,
+    /// Backups of running streams, by use.
+    backups: Counter<u64>,
     /// Requests that were held because engines crashed.
     held: Counter<u64>,
     /// Prompt tokens that were sent for prefill.
@@ -95,6 +99,8 @@
             calls: count("hollyspoke_calls", "calls to engines, by task"),
             call_failures: count("hollyspoke_call_failures", "failed calls, by how"),
             retries: count("hollyspoke_repeats", "repeats wanted, by service and whether sent"),
+            moves: count("hollyspoke_moves", "moves of running streams, by reason and outcome"),
+            backups: count("hollyspoke_backups", "backups of running streams, by use"),
             held: count("hollyspoke_held_requests", "requests held back since engines crashed"),
             prompt_tokens: count("hollyspoke_prompt_tokens", "tokens of prompts sent to be read"),
             engines: count("hollyspoke_engine_changes", "engines that changed or left"),
@@ -147,6 +153,12 @@
                 let service = KeyValue::new("service", service.clone());
                 self.retries.add(1, &[service, KeyValue::new("sent", *is_sent)]);
             }
+            LogEvent::Moved { reason, .. } => self.record_move(reason, "moved"),
+            LogEvent::NotMoved { reason, outcome, .. } => self.record_move(reason, outcome),
+            LogEvent::BackedUp { .. } => self.backups.add(1, &[KeyValue::new("use", "made")]),
+            LogEvent::BackupUsed { outcome, .. } => {
+                self.backups.add(1, &[KeyValue::new("use", *outcome)]);
+            }
             LogEvent::Failed { outcome, .. } => {
                 self.call_failures.add(1, &[KeyValue::new("how", *outcome)])
             }
@@ -226,6 +238,11 @@
         }
     }
 
+    /// Counts a stream that was to be moved.
+    fn record_move(&self, reason: &'static str, outcome: &'static str) {
+        self.moves.add(1, &[KeyValue::new("reason", reason), KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a customer's request and its units.
     fn record_customer(&self, customer: &Arc<str>, units: u64, outcome: &'static str) {
         let customer = KeyValue::new("customer", customer.clone());
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -59,6 +59,20 @@
                 "request" => %request, "service" => %service,
                 "left" => available, "boxes" => boxes)
         }
+        LogEvent::Moved { request, source, target, reason, duration } => {
+            info!(log, "stream moved";
+            "request" => %request, "engine" => %source, "to" => %target, "why" => reason,
+            "span_ms" => millis(duration))
+        }
+        LogEvent::NotMoved { request, source, target, reason, outcome } => {
+            info!(log, "stream not moved";
+            "request" => %request, "engine" => %source, "to" => target.as_deref(),
+            "why" => reason, "how" => outcome)
+        }
+        LogEvent::BackedUp { request, source, target } => info!(log, "stream backed up";
+            "request" => %request, "engine" => %source, "at" => %target),
+        LogEvent::BackupUsed { request, source, target, outcome } => info!(log, "backup used";
+            "request" => %request, "engine" => %source, "at" => %target, "how" => outcome),
         LogEvent::Failed {
             request,
             signature,
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod gateway;
 pub mod link;
+pub mod migration;
 pub mod permits;
 pub mod platform;
 pub mod process;
