--- a/tests/tests/gateway_migration.rs
+++ b/tests/tests/gateway_migration.rs
@@ -9,7 +9,7 @@
 use hollyspoke_gateway::features::Features;
 use hollyspoke_gateway::migration::Answer;
 use hollyspoke_gateway::request::Request;
-use hollyspoke_tests::gateway::{MEMORY, only_send, ran, rejected, request};
+use hollyspoke_tests::gateway::{MEMORY, only_send, prefilled, ran, rejected, request};
 use hollyspoke_tests::migration::{
     MovingStream, cancelled, copied, copy_of, freed, leaving, moving_world, only_transfer,
     transfers, world,
@@ -42,6 +42,18 @@
     assert_eq!(stream.world.gateway.own_work(), []);
 }
 
+/// An engine mostly says that it shuts down in the head of the stream itself.
+#[test]
+fn stream_begins_at_leaving_engine() {
+    let mut world = moving_world();
+    let (_, prefill) = world.first_call(request("once"));
+    let decode = only_send(&world.call(prefill.call, CallEvent::Answered(prefilled("h"))));
+    world.event(leaving(&decode.engine));
+    let mut effects = world.call(decode.call, CallEvent::Began(ran(200)));
+    effects.extend(world.advance(Duration::from_millis(150)));
+    assert_eq!(only_transfer(&effects).source.id, decode.engine.id);
+}
+
 #[test]
 fn stream_dies_with_draining_entry() {
     let mut world = moving_world();
