--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 mod evacuation;
 mod handover;
 mod limit;
+mod migration;
 mod pace;
 mod peers;
 mod permits;
@@ -53,6 +54,7 @@
 use crate::gateway::admission::Admissions;
 use crate::gateway::cases::Cases;
 use crate::gateway::census::Census;
+use crate::gateway::migration::Migrations;
 use crate::gateway::peers::{PeerChanges, Unannounced};
 use crate::gateway::permits::Permits;
 use crate::gateway::pool::Pools;
@@ -186,6 +188,8 @@
     reservations: Reservations,
     /// Whether the current event may have freed capacity for waiting requests.
     may_have_capacity: bool,
+    /// The moves and backups of running streams.
+    migrations: Migrations,
     /// The durations for which runs at prefill and decode engines hold memory.
     runs: Runs,
     /// The demand on each service with prefill and decode engines.
@@ -265,6 +269,7 @@
             waiting: Vec::new(),
             reservations: Reservations::default(),
             may_have_capacity: false,
+            migrations: Migrations::default(),
             runs: Runs::default(),
             meters: HashMap::new(),
             stages,
@@ -309,8 +314,7 @@
             Event::ClientDisconnected(key) => self.handle_disconnect(key),
             Event::Call(call, event) => self.handle_call_event(call, event),
             Event::Reserved(number, answer) => self.handle_reservation(number, answer),
-            // No stream is moved yet.
-            Event::Transferred(..) => {}
+            Event::Transferred(call, answer) => self.handle_transfer_answer(call, &answer),
             Event::Received(message) => self.receive(&message),
             Event::Seeds(seeds) => self.members.add_seeds(self.settings.peer, seeds, self.now),
             Event::CachedPrompts(engine, prompts) => self.apply_survey_answer(engine, prompts),
@@ -333,6 +337,7 @@
             self.admit_waiting();
         }
         self.check_due_requests();
+        self.advance_migrations();
         self.send_due_heartbeat();
         self.send_greetings();
         self.sync_cases();
@@ -358,6 +363,7 @@
             self.cases_due(),
             self.permits.next_start(self.now),
             self.terms.back_offs.next_end(self.now),
+            self.next_migration_at(),
         ];
         times.into_iter().flatten().fold(self.next_heartbeat, Time::min)
     }
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -50,7 +50,14 @@
         {
             in_flight.arrivals = in_flight.arrivals.saturating_sub(1);
         }
-        self.proceed(call.request);
+        self.proceed_or_continue(call.request);
+    }
+
+    /// Sends the next call of a request: to the next engine that has a copy of its stream, if any.
+    fn proceed_or_continue(&mut self, key: RequestKey) {
+        if !self.continue_from_copy(key) {
+            self.proceed(key);
+        }
     }
 
     /// The head of a stream arrived: it is delivered to the client, or the stream resumes after the
@@ -60,13 +67,14 @@
         self.apply_answer(&call, answer);
         self.terms.back_offs.release(call.engine.key, call.sent);
         self.finish_prefill(key);
+        self.stream_continued(call.request);
         if let Some(call) = self.calls.get_mut(&key) {
             call.has_begun = true;
             call.last_event_at = self.now;
         }
         let now = self.now;
         let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
-        in_flight.run_count += 1;
+        in_flight.run_count += u32::from(!call.is_continuation());
         in_flight.trace.mark_sent();
         in_flight.source = None;
         if let Some(prompt) = in_flight.request.prompt {
@@ -89,6 +97,7 @@
         let now = self.now;
         self.measure_events(key, id, is_held_up);
         let is_blamed = !is_held_up || !self.settings.features.pace;
+        self.record_progress(key, id);
         let Some(call) = self.calls.get_mut(&key) else { return };
         let pause = now.since(call.last_event_at);
         call.last_event_at = now;
@@ -137,7 +146,7 @@
             Task::Decode(Prompt::Prefilled(_)) => self.prefill_handle_rejected(call.request),
             Task::Decode(_) | Task::Plain => {}
         }
-        self.proceed(call.request);
+        self.proceed_or_continue(call.request);
     }
 
     /// Records that an engine lacked free capacity for a request of a size, and announces it.
@@ -200,11 +209,13 @@
         let signature = in_flight.signature;
         self.close_case(signature);
         if call.has_begun {
+            self.record_stream_length(call.request);
             self.effects.push(Effect::Finish(call.request));
             return self.end(call.request, "whole");
         }
+        self.drop_continuation(call.request, "failed");
         if let Some(in_flight) = self.in_flight.get_mut(&call.request) {
-            in_flight.run_count += 1;
+            in_flight.run_count += u32::from(!call.is_continuation());
         }
         if is_failure {
             self.log_failure(call, "failed", answer.status);
@@ -226,6 +237,9 @@
 
     /// A call that was sent ended without a complete answer.
     fn call_broken(&mut self, key: CallKey) {
+        if self.stream_closed(key) {
+            return;
+        }
         let Some(call) = self.take_call(key) else { return };
         self.log_failure(&call, "broken", 0);
         self.record_return_answer(&call, false);
@@ -234,13 +248,17 @@
         self.call_lost(&call);
     }
 
-    /// Continues after a call whose outcome is unknown: retries the request or gives it up.
+    /// Continues after a call whose outcome is unknown: continues the stream from a copy, retries the
+    /// request or gives it up.
     pub(super) fn call_lost(&mut self, call: &Call) {
         if !call.runs_request() {
             return self.prefill_failed(call.request);
         }
+        if self.continue_from_copy(call.request) || self.continue_from_backup(call) {
+            return;
+        }
         let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
-        if !call.has_begun {
+        if !call.has_begun && !call.is_continuation() {
             in_flight.run_count += 1;
         }
         in_flight.trace.mark_sent();
@@ -276,6 +294,7 @@
             in_flight.call = None;
             in_flight.silence_deadline = None;
         }
+        self.abandon_move(key);
         Some(call)
     }
 
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -42,6 +42,10 @@
     admissions: Counter<u64>,
     /// Whether a service is overloaded.
     overloaded: Gauge<u64>,
+    /// Moves of running streams, by reason and outcome.
+    moves: Counter<u64>,
+    /// Backups of running streams, by use.
+    backups: Counter<u64>,
     /// Requests that were held because engines crashed.
     held: Counter<u64>,
     /// Prompt tokens that were sent for prefill.
@@ -114,6 +118,8 @@
                 "hollyspoke_reserved_unused_token_s",
                 "tokens of reservations that no call used, times the seconds that they stood",
             ),
+            moves: count("hollyspoke_moves", "moves of running streams, by reason and outcome"),
+            backups: count("hollyspoke_backups", "backups of running streams, by use"),
             held: count("hollyspoke_held_requests", "requests held back since engines crashed"),
             prompt_tokens: count("hollyspoke_prompt_tokens", "tokens of prompts sent to be read"),
             engines: count("hollyspoke_engine_changes", "engines that changed or left"),
@@ -182,6 +188,12 @@
                 let token_s = *tokens as f64 * duration.as_secs_f64();
                 self.reserved_unused.add(token_s.round() as u64, &[]);
             }
+            LogEvent::Moved { reason, .. } => self.record_move(reason, "moved"),
+            LogEvent::NotMoved { reason, outcome, .. } => self.record_move(reason, outcome),
+            LogEvent::BackedUp { .. } => self.backups.add(1, &[KeyValue::new("use", "made")]),
+            LogEvent::BackupUsed { outcome, .. } => {
+                self.backups.add(1, &[KeyValue::new("use", *outcome)]);
+            }
             LogEvent::Failed { outcome, .. } => {
                 self.call_failures.add(1, &[KeyValue::new("how", *outcome)])
             }
@@ -276,6 +288,11 @@
         }
     }
 
+    /// Counts a stream that was to be moved.
+    fn record_move(&self, reason: &'static str, outcome: &'static str) {
+        self.moves.add(1, &[KeyValue::new("reason", reason), KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a customer's request and its units.
     fn record_customer(&self, customer: &Arc<str>, units: u64, outcome: &'static str) {
         let customer = KeyValue::new("customer", customer.clone());
--- a/tests/tests/gateway_reservations.rs
+++ b/tests/tests/gateway_reservations.rs
@@ -144,11 +144,11 @@
             if message.rejections.iter().any(|it| it.engine == first.engine.key))
     };
     assert!(effects.iter().any(tells), "other boxes are told");
-    let asks = effects.iter().filter_map(|it| match it {
+    let mut asks = effects.iter().filter_map(|it| match it {
         Effect::Reserve(ask) => Some(ask.clone()),
         _ => None,
     });
-    let second = asks.last().expect("the other engine is asked");
+    let second = asks.next_back().expect("the other engine is asked");
     assert_ne!(second.engine.key, first.engine.key);
     assert_eq!(answer(&mut world, &second, Answer::Full), []);
     let effects = world.advance(Duration::from_millis(300));
