Paces: the usual time is determined four times a second at most

Each stretch of a stream compared all known engines; with 5,400 engines and 90 streams a box that is some hundred thousand comparisons a second. Announcements of others are left out before groups are compared.

--- a/crates/hollyspoke-gateway/src/pace.rs
+++ b/crates/hollyspoke-gateway/src/pace.rs
@@ -35,6 +35,10 @@
 /// slows all its calls at the same time.
 const COMPARED_TTL: Duration = Duration::from_secs(4);
 
+/// The interval at which the usual time is determined. Its cost grows with the number of engines, and
+/// that of measurements with the number of streams.
+const USUAL_INTERVAL: Duration = Duration::from_millis(250);
+
 /// The minimum number of engines that a box compares. With fewer, it can't tell which one differs.
 const MIN_COMPARED_COUNT: usize = 4;
 
@@ -220,16 +224,27 @@
         state.samples.add(unit_ms, now);
         let group = state.group.clone();
         let Some(own_ms) = state.unit_ms(estimate::TTL, now) else { return };
-        let Some(usual_ms) = self.usual_ms(&group, now) else { return };
-        self.usual.insert(group, (usual_ms, now));
+        let Some(usual_ms) = self.update_usual(group, now) else { return };
         let percent = own_ms / usual_ms * f64::from(USUAL_PERCENT);
         let percent = percent.clamp(f64::from(USUAL_PERCENT), f64::from(MAX_PERCENT)) as u16;
         self.state(engine).own = Some(Estimate { percent, at: now });
     }
 
+    /// Returns the usual time of a unit of work in a group, which is determined now and then.
+    fn update_usual(&mut self, group: Group, now: Time) -> Option<f64> {
+        let known = self.usual.get(&group).filter(|(_, at)| now.since(*at) < USUAL_INTERVAL);
+        if let Some((usual_ms, _)) = known {
+            return Some(*usual_ms);
+        }
+        let usual_ms = self.usual_ms(&group, now)?;
+        self.usual.insert(group, (usual_ms, now));
+        Some(usual_ms)
+    }
+
     /// Returns the usual time of a unit of work in a group, by the engines measured just now.
     fn usual_ms(&self, group: &Group, now: Time) -> Option<f64> {
-        let members = self.engines.values().filter(|it| it.group == *group);
+        let measured = self.engines.values().filter(|it| it.samples.is_fresh(now));
+        let members = measured.filter(|it| it.group == *group);
         let mut times: Vec<_> = members.filter_map(|it| it.unit_ms(COMPARED_TTL, now)).collect();
         if times.len() < MIN_COMPARED_COUNT {
             return None;
