--- a/crates/hollyspoke-gateway/src/pace.rs
+++ b/crates/hollyspoke-gateway/src/pace.rs
@@ -17,8 +17,7 @@
 use crate::engine::{Engine, EngineKey, Stage};
 use crate::request::CallKey;
 
-pub use estimate::Estimate;
-
+use estimate::Estimate;
 use sample::{Samples, Stretch};
 
 /// The pace from which an engine counts as slow, in percent of the usual. Below it, engines differ
--- a/crates/hollyspoke-gateway/src/pace/estimate.rs
+++ b/crates/hollyspoke-gateway/src/pace/estimate.rs
@@ -19,21 +19,21 @@
 
 /// An estimate of an engine's pace.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Estimate {
+pub(super) struct Estimate {
     /// The time that work takes, in percent of the usual.
-    pub percent: u16,
+    pub(super) percent: u16,
     /// When it was measured.
-    pub at: Time,
+    pub(super) at: Time,
 }
 
 impl Estimate {
     /// Returns whether the estimate still counts.
-    pub fn is_valid(self, now: Time) -> bool {
+    pub(super) fn is_valid(self, now: Time) -> bool {
         now.since(self.at) < TTL
     }
 
     /// Returns how long work takes, relative to the usual: 1 unless the engine is slow.
-    pub fn pace(self, now: Time) -> f64 {
+    pub(super) fn pace(self, now: Time) -> f64 {
         if self.percent < SLOW_PERCENT {
             return 1.0;
         }
