Reservations are dropped once the prefill is sent

Cause: while a reservation stands unused during the prefill, the streams that run at the engine can't grow into its memory, and are preempted.

Change: the engine reserves the prompt and the whole answer, and the reservation is dropped with the prefill, when the ledger has told the other boxes. It serves a decode call that follows at once.

--- a/crates/hollyspoke-gateway/src/gateway/reservations.rs
+++ b/crates/hollyspoke-gateway/src/gateway/reservations.rs
@@ -1,7 +1,8 @@
 //! Reservations at decode engines whose memory is short, made before the prompt is prefilled.
 //!
 //! A request waits for the engine's answer, bounded by [`ANSWER_TIMEOUT`], and meanwhile holds the
-//! memory in the ledger. A reservation belongs to its request until a call uses it or it is dropped.
+//! memory in the ledger. A reservation belongs to its request until the next call, which uses it or
+//! drops it.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -73,7 +74,7 @@
         self.memory(in_flight, engine)?.is_short().then(|| Required {
             engine: record.engine.clone(),
             tokens: in_flight.request.final_held_tokens(),
-            ttl: ttl(next.choice.expected, max),
+            ttl: ttl(max),
         })
     }
 
@@ -146,6 +147,10 @@
         };
         let in_flight = self.in_flight.get_mut(&ask.request).filter(|_| is_awaited);
         let Some(in_flight) = in_flight else { return self.drop_grant(grant) };
+        if !grant.is_usable(self.now) {
+            self.drop_grant(grant);
+            return self.end_failed_ask(ask, true);
+        }
         in_flight.reservation.pending = None;
         in_flight.reservation.grant = Some(grant);
         self.proceed(ask.request);
@@ -229,13 +234,9 @@
     }
 
     /// Takes a request's reservation for its next call, and returns the id if the engine that
-    /// reserved memory runs the call. A prefill for that engine leaves the reservation in place.
+    /// reserved memory decodes. Otherwise the reservation is dropped.
     pub(super) fn use_grant(&mut self, key: RequestKey, next: &NextCall) -> Option<Arc<str>> {
         let granted = self.in_flight.get(&key).and_then(|it| self.granted_engine(it));
-        let is_for_later = granted.is_some() && next.decode_engine == granted;
-        if is_for_later {
-            return None;
-        }
         if granted != Some(next.choice.engine.key) || next.task == Task::Prefill {
             self.discard_grant(key);
             return None;
@@ -244,16 +245,11 @@
         Some(grant.reservation.id)
     }
 
-    /// Gives up a request's reservation that can't be used any more, with the memory in the ledger
-    /// unless its prompt is prefilled for that engine.
+    /// Gives up a request's reservation that can't be used any more, with the memory in the ledger.
     pub(super) fn expire_grant(&mut self, key: RequestKey) {
         let Some(in_flight) = self.in_flight.get(&key) else { return };
-        if in_flight.reservation.grant.is_none() || self.granted_engine(in_flight).is_some() {
-            return;
-        }
-        let has_prompt = in_flight.source.is_some();
-        self.discard_grant(key);
-        if !has_prompt {
+        if in_flight.reservation.grant.is_some() && self.granted_engine(in_flight).is_none() {
+            self.discard_grant(key);
             self.unreserve(key);
         }
     }
--- a/crates/hollyspoke-gateway/src/reservation.rs
+++ b/crates/hollyspoke-gateway/src/reservation.rs
@@ -1,6 +1,10 @@
 //! Reservations of an engine's memory and of one of its slots, made before a prompt is prefilled at
 //! another engine. An engine that is full then refuses the reservation, and no prompt is prefilled
 //! in vain.
+//!
+//! A reservation is dropped when the prefill is sent, since the other boxes know of the memory by
+//! then. While a reservation stands unused, the streams that run at the engine can't grow into its
+//! memory and are preempted.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,11 +29,9 @@
 /// The time after which an ask counts as unanswered.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// The TTL of a reservation, as a multiple of the time until the prompt is expected at the engine.
-const TTL_RATIO: u32 = 3;
-
-/// The shortest TTL of a reservation. Prefills are sent anew within this time if one fails.
-const MIN_TTL: Duration = Duration::from_millis(500);
+/// The TTL of a reservation if engines allow it. A request that waits for a permit to use a prefill
+/// engine keeps its reservation for less.
+const TTL: Duration = Duration::from_millis(500);
 
 /// The end of the TTL in which a reservation isn't used any more, since it could expire while the
 /// call is on its way.
@@ -103,9 +105,9 @@
     }
 }
 
-/// Returns the TTL of a reservation for a prompt that is expected at the engine after a time.
-pub fn ttl(expected: Duration, max: Duration) -> Duration {
-    expected.saturating_mul(TTL_RATIO).max(MIN_TTL).min(max)
+/// Returns the TTL to ask for at engines that make reservations for at most `max`.
+pub fn ttl(max: Duration) -> Duration {
+    TTL.min(max)
 }
 
 /// A reservation that a request may use.
@@ -134,9 +136,9 @@
         now < self.granted_at + self.ttl
     }
 
-    /// Returns the time for which the memory was reserved up to now.
+    /// Returns the longest time for which the memory can have been reserved up to now.
     pub fn duration(&self, now: Time) -> Duration {
-        now.since(self.granted_at).min(self.ttl)
+        now.since(self.asked_at).min(self.ttl)
     }
 }
 
