--- a/crates/hollyspoke-gateway/src/admission.rs
+++ b/crates/hollyspoke-gateway/src/admission.rs
@@ -175,8 +175,9 @@
     }
     let reserve = contention.reserve(pool, ask);
     // Without anybody before it, a request may try to find capacity in pieces that are too small to
-    // count.
-    if reserve <= 0.0 || usable(pool) >= reserve + ask.units {
+    // count, unless boxes that this one doesn't hear may hold them.
+    let may_try = reserve <= 0.0 && pool.heard_share >= 1.0;
+    if may_try || usable(pool) >= reserve + ask.units {
         return Decision::Admit;
     }
     contention.outlook(pool, ask)
@@ -310,7 +311,7 @@
     fn takes_floor(&self, level: &Level, ask: &Ask) -> bool {
         let expected =
             level.total.waiting + level.total.arriving_per_s * self.horizon.as_secs_f64();
-        ask.draw * expected < level.missing()
+        ask.draw * expected.max(ask.units) < level.missing()
     }
 
     /// Returns the units that wait with the same claim as a request.
