--- a/crates/hollyspoke-gateway/src/admission.rs
+++ b/crates/hollyspoke-gateway/src/admission.rs
@@ -260,7 +260,9 @@
         let is_ahead = ask.is_waiting || ask.is_returning;
         let alike = if is_ahead { 0.0 } else { self.waiting_alike(ask) };
         let missing = before.waiting + alike + ask.units - usable(pool);
-        let is_in_time = missing <= free_per_s * ask.patience.as_secs_f64();
+        // What waits elsewhere is known up to a heartbeat late, and may have been served since.
+        let known_before = ask.patience + self.horizon;
+        let is_in_time = missing <= free_per_s * known_before.as_secs_f64();
         if free_per_s > 0.0 && is_in_time { Decision::Wait } else { Decision::Reject }
     }
 
