Let small requests use memory where none of mean size fits

Requests smaller than the mean were held back for others that couldn't use the memory left over at each engine.

--- a/crates/hollyspoke-gateway/src/gateway/admission.rs
+++ b/crates/hollyspoke-gateway/src/gateway/admission.rs
@@ -55,6 +55,7 @@
 impl Gateway {
     /// Decides whether a request may take capacity now. If not, lets it wait or refuses it, and
     /// returns `false`. A request with a prefilled prompt, or one that was sent before, always may.
+    /// A request of less than mean size may take what is left over where none of mean size fits.
     pub(super) fn admit(&mut self, key: RequestKey) -> bool {
         let Some(in_flight) = self.in_flight.get(&key) else { return false };
         let is_decided = in_flight.source.is_some()
@@ -67,12 +68,23 @@
         let service = in_flight.service.clone();
         let pool = self.pool(&service);
         if !admission::is_short(&pool) {
+            if let Some(in_flight) = self.in_flight.get_mut(&key) {
+                in_flight.uses_remainders = false;
+            }
             return true;
         }
         self.update_contention(&service);
         let Some(ask) = self.ask(key) else { return false };
         let (contention, _) = &self.admissions.cached[&service.name];
         let decision = admission::decide(&pool, contention, &ask);
+        let is_small = ask.units < self.mean_units(&service);
+        let uses_remainders = decision != Decision::Admit && is_small;
+        if let Some(in_flight) = self.in_flight.get_mut(&key) {
+            in_flight.uses_remainders = uses_remainders;
+        }
+        if uses_remainders {
+            return true;
+        }
         self.record_decision(&service, &ask, decision);
         match decision {
             Decision::Admit => return true,
@@ -98,9 +110,7 @@
         let Some(ask) = self.ask(key) else { return false };
         let (contention, _) = &self.admissions.cached[&service.name];
         let decision = contention.outlook(&pool, &ask);
-        if decision == Decision::Reject {
-            self.record_decision(&service, &ask, decision);
-        }
+        self.record_decision(&service, &ask, decision);
         decision == Decision::Reject
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -123,6 +123,7 @@
             prefilled_at: self.now,
             reserved: None,
             waits_until: None,
+            uses_remainders: false,
             waits_for_permit: false,
             permit_request: None,
             permit_request_count: 0,
@@ -222,6 +223,8 @@
             permit_state: self.permit_state(in_flight),
             max_drain_age: self.max_drain_age(in_flight),
             plain_bound,
+            remainder_below: (in_flight.uses_remainders && in_flight.call_count == 0)
+                .then(|| self.mean_units(&in_flight.service) as u64),
             works: &self.works,
             is_suspect: verdict != Verdict::Clear,
             trials: &trials,
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -84,6 +84,8 @@
     pub reserved: Option<(EngineKey, Load)>,
     /// The time until which the request may wait for free capacity; absent if it isn't waiting.
     pub waits_until: Option<Time>,
+    /// Whether the request may only take memory in pieces that are too small for others.
+    pub uses_remainders: bool,
     /// Whether the request waits only for a permit, and not for free capacity.
     pub waits_for_permit: bool,
     /// The pending permit request, if any.
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -135,6 +135,9 @@
     pub max_drain_age: Option<Duration>,
     /// The bound on the time of a plain call; none if the bound is the length of the queue.
     pub plain_bound: Option<PlainBound>,
+    /// The size of requests that must not fit at a decode engine, if the request may only take
+    /// memory that is of no use to others.
+    pub remainder_below: Option<u64>,
     /// The time that plain calls take at engines.
     pub works: &'a work::Table,
     /// Whether engines have crashed while they served the request.
@@ -494,6 +497,12 @@
         let memory = staged.memory_tokens as f64;
         let is_contested = self.ledger.is_contested(engine, self.now);
         let share = if is_contested { CONTESTED_MEMORY_SHARE } else { MEMORY_SHARE };
+        let is_decode = record.engine.stage == Some(Stage::Decode);
+        if let Some(size) = self.remainder_below.filter(|_| is_decode)
+            && (held + size) as f64 <= memory * MEMORY_SHARE
+        {
+            return false;
+        }
         held == 0 || (held + tokens) as f64 <= memory * share
     }
 
