--- a/crates/hollyspoke-gateway/src/admission.rs
+++ b/crates/hollyspoke-gateway/src/admission.rs
@@ -175,8 +175,9 @@
     }
     let reserve = contention.reserve(pool, ask);
     // Without anybody before it, a request may try to find capacity in pieces that are too small to
-    // count.
-    if reserve <= 0.0 || usable(pool) >= reserve + ask.units {
+    // count, unless boxes that this one doesn't hear may hold them.
+    let may_try = reserve <= 0.0 && pool.heard_share >= 1.0;
+    if may_try || usable(pool) >= reserve + ask.units {
         return Decision::Admit;
     }
     contention.outlook(pool, ask)
@@ -259,7 +260,9 @@
         let is_ahead = ask.is_waiting || ask.is_returning;
         let alike = if is_ahead { 0.0 } else { self.waiting_alike(ask) };
         let missing = before.waiting + alike + ask.units - usable(pool);
-        let is_in_time = missing <= free_per_s * ask.patience.as_secs_f64();
+        // What waits elsewhere is known up to a heartbeat late, and may have been served since.
+        let known_before = ask.patience + self.horizon;
+        let is_in_time = missing <= free_per_s * known_before.as_secs_f64();
         if free_per_s > 0.0 && is_in_time { Decision::Wait } else { Decision::Reject }
     }
 
@@ -310,7 +313,7 @@
     fn takes_floor(&self, level: &Level, ask: &Ask) -> bool {
         let expected =
             level.total.waiting + level.total.arriving_per_s * self.horizon.as_secs_f64();
-        ask.draw * expected < level.missing()
+        ask.draw * expected.max(ask.units) < level.missing()
     }
 
     /// Returns the units that wait with the same claim as a request.
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -126,6 +126,7 @@
             reserved: None,
             reservation: reservation::Progress::default(),
             waits_until: None,
+            uses_remainders: false,
             waits_for_permit: false,
             permit_request: None,
             permit_request_count: 0,
@@ -218,7 +219,10 @@
         let in_flight = self.in_flight.get(&key)?;
         let verdict = self.quarantine.verdict(in_flight.signature);
         let trials = self.trials();
-        let view = Selector { plain_bound, ..self.selector(in_flight, &trials, draw) };
+        let remainder_below = (in_flight.uses_remainders && in_flight.call_count == 0)
+            .then(|| self.mean_units(&in_flight.service) as u64);
+        let view =
+            Selector { plain_bound, remainder_below, ..self.selector(in_flight, &trials, draw) };
         match in_flight.service.staged {
             None => {
                 let choice = view.choose_plain()?;
@@ -257,6 +261,7 @@
             permit_state: self.permit_state(in_flight),
             max_drain_age: self.max_drain_age(in_flight),
             plain_bound: None,
+            remainder_below: None,
             works: &self.works,
             is_suspect: self.quarantine.verdict(in_flight.signature) != Verdict::Clear,
             trials,
