Soak: reservations, transfers, backups and priorities

Cause: the mechanisms for overload and for uneven engines call engines in ways that the stand-ins did not answer, and no check looked at them.

Change: stand-in engines account for memory and slots, answer reservations and transfers, keep backups, and by seed deviate from the protocol; settings switch the mechanisms on by seed, and the configuration offers what they need. Customers have ranks; crowds and slow decode engines make capacity short. Checks: a reservation serves one request, unused reservations and copies are freed, urgent customers are not refused more often; a run that goes on from a copy is the same run.

No box uses the calls yet.

--- a/tests/soak/src/client.rs
+++ b/tests/soak/src/client.rs
@@ -81,6 +81,8 @@
     pub is_running: Cell<bool>,
     /// The newest acknowledged version of the configuration.
     pub version: Rc<Cell<u64>>,
+    /// Whether the clients of a crowd send requests.
+    pub is_crowded: Rc<Cell<bool>>,
     /// Whether clients only send safe requests.
     pub only_safe: bool,
     /// The seed of the run.
@@ -157,6 +159,21 @@
     }
 }
 
+/// Runs a client of a crowd, which only sends streams, until the clients are stopped.
+pub async fn run_in_crowd(shared: Rc<Shared>, number: usize) {
+    let mut client = Client::new(shared, number);
+    while client.shared.is_running.get() {
+        if client.shared.is_crowded.get() {
+            let kinds = [Kind::Once, Kind::Resumed];
+            let kind = kinds.choose(&mut client.random).copied().unwrap_or(Kind::Once);
+            let wanted = client.wanted(kind);
+            client.serve(wanted).await;
+        }
+        let pause = client.random.random_range(PAUSE_MS.0..=PAUSE_MS.1);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
 impl Client {
     /// Creates a client without an address list.
     pub(crate) fn new(shared: Rc<Shared>, number: usize) -> Client {
@@ -181,6 +198,11 @@
         let kinds = [Kind::Safe, Kind::Safe, Kind::Unsafe, Kind::Unsafe, Kind::Once, Kind::Resumed];
         let drawn = kinds.choose(&mut self.random).copied().unwrap_or(Kind::Safe);
         let kind = if self.shared.only_safe { Kind::Safe } else { drawn };
+        self.wanted(kind)
+    }
+
+    /// Draws a request of a kind with its deadline.
+    fn wanted(&mut self, kind: Kind) -> Wanted {
         let number: u64 = self.random.random();
         let body = match kind {
             Kind::Safe | Kind::Probe => Bytes::new(),
--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -72,6 +72,9 @@
         | Fault::Rest { span, .. }
         | Fault::ComeBack { span, .. }
         | Fault::LyingEngine { span, .. }
+        | Fault::SlowDecode { span, .. }
+        | Fault::Crowd { span }
+        | Fault::Deviate { span, .. }
         | Fault::HoldLinks { span }
         | Fault::Datagrams { span, .. }
         | Fault::Split { span, .. } => span,
@@ -190,6 +193,28 @@
         Fault::Storm { refusal, share, losses, span } => {
             storm(cluster, refusal, share, losses, span).await
         }
+        Fault::SlowDecode { times, count, span } => {
+            let decodes = |it: &Rc<Upstream>| it.stage.borrow().as_deref() == Some("decode");
+            let all = cluster.upstreams.borrow().clone();
+            let engines: Vec<_> = all.into_iter().filter(decodes).collect();
+            let chosen: Vec<_> = engines.choose_multiple(random, count).collect();
+            chosen.iter().for_each(|it| cluster.tell_upstream(it, Command::Slow(times)));
+            tokio::time::sleep(span).await;
+            chosen.iter().for_each(|it| cluster.tell_upstream(it, Command::Slow(1)));
+            Ok(())
+        }
+        Fault::Crowd { span } => {
+            cluster.is_crowded.set(true);
+            tokio::time::sleep(span).await;
+            cluster.is_crowded.set(false);
+            Ok(())
+        }
+        Fault::Deviate { breach, share, span } => {
+            tell_all(cluster, Command::Deviate(breach, share));
+            tokio::time::sleep(span).await;
+            tell_all(cluster, Command::Deviate(breach, 0));
+            Ok(())
+        }
         Fault::SlowEngine { times, span } => {
             let Some(upstream) = one_upstream(cluster, random) else { return Ok(()) };
             cluster.tell_upstream(&upstream, Command::Slow(times));
--- /dev/null
+++ b/tests/soak/src/judge/leases.rs
@@ -0,0 +1,92 @@
+//! Checks of reservations and of copies of streams' memory.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::records::{Attempt, Copy, Records, Reservation};
+use super::{Bounds, Finding, Promise, finding};
+use crate::observation::{LeaseEnd, Micros};
+
+/// The minimum number of lapsed reservations or copies for a finding. Some lapse although all work,
+/// such as when the request that frees them is lost.
+const MIN_LAPSED_COUNT: usize = 3;
+
+/// Checks that no request names a reservation that another one has used or names.
+pub(super) fn used_once(records: &Records, _: &Bounds) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    for (name, reservation) in &records.reservations {
+        let attempts: BTreeSet<_> = reservation.presented.iter().map(|it| &it.1).collect();
+        let used = reservation.end.filter(|it| it.1 == LeaseEnd::Used).map(|it| it.0);
+        let after = reservation.presented.iter().find(|it| used.is_some_and(|used| it.0 > used));
+        let last = reservation.presented.last().filter(|_| attempts.len() > 1);
+        if let Some((at, attempt)) = after.or(last) {
+            let what = format!("{name} came again with {attempt}");
+            findings.push(finding(Promise::ReservedOnce, *at, what));
+        }
+    }
+    findings
+}
+
+/// Checks that boxes drop reservations that they don't use.
+pub(super) fn reservations_freed(records: &Records, bounds: &Bounds) -> Vec<Finding> {
+    let is_counted = |it: &&Reservation| {
+        let until = it.end.map_or(records.last, |end| end.0);
+        let from = it.at.saturating_sub(bounds.contact);
+        it.is_answered && !records.disruptions_within(from, until)
+    };
+    let counted: Vec<_> = records.reservations.values().filter(is_counted).collect();
+    let lapsed: Vec<_> = counted
+        .iter()
+        .filter_map(|it| it.end.filter(|end| end.1 == LeaseEnd::Lapsed))
+        .map(|it| it.0)
+        .collect();
+    too_many(&lapsed, counted.len(), Promise::ReservationsFreed, "reservations")
+}
+
+/// Checks that boxes free copies that they don't use. Backups lapse by themselves.
+pub(super) fn copies_freed(records: &Records, bounds: &Bounds) -> Vec<Finding> {
+    let is_counted = |it: &&Copy| {
+        let Some(attempt) = records.attempts.get(&it.attempt) else { return false };
+        let until = it.ends.last().map_or(records.last, |end| end.0);
+        let from = it.at.saturating_sub(bounds.contact);
+        it.is_answered && !records.is_disturbed(attempt.node, from, until)
+    };
+    let counted: Vec<_> = records.copies.values().filter(is_counted).collect();
+    let lapsed: Vec<_> = counted.iter().filter_map(|it| lapse(it)).collect();
+    too_many(&lapsed, counted.len(), Promise::CopiesFreed, "copies")
+}
+
+/// Returns when a copy lapsed that was neither used nor dropped.
+fn lapse(copy: &Copy) -> Option<Micros> {
+    let is_freed = copy.ends.iter().any(|it| it.1 != LeaseEnd::Lapsed);
+    copy.ends.first().filter(|_| !is_freed).map(|it| it.0)
+}
+
+/// Returns a finding if more than a quarter has lapsed.
+fn too_many(lapsed: &[Micros], all: usize, promise: Promise, name: &str) -> Vec<Finding> {
+    let (Some(at), true) = (lapsed.first(), lapsed.len() * 4 > all) else { return Vec::new() };
+    if lapsed.len() < MIN_LAPSED_COUNT {
+        return Vec::new();
+    }
+    let what = format!("{} of {all} {name} lapsed unused", lapsed.len());
+    vec![finding(promise, *at, what)]
+}
+
+/// Returns the runs of an attempt that are not prefills, without those that go on from a copy of an
+/// earlier one. A second run from one copy counts.
+pub(super) fn own_runs(attempt: &Attempt) -> Vec<&super::records::Run> {
+    let mut copies: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut runs = Vec::new();
+    let mut has_begun = false;
+    for run in attempt.runs.iter().filter(|it| !it.is_reading) {
+        let is_first_use = run.copy.as_deref().is_some_and(|copy| {
+            let uses = copies.entry(copy).or_default();
+            *uses += 1;
+            *uses == 1
+        });
+        if !has_begun || !is_first_use {
+            runs.push(run);
+        }
+        has_begun = true;
+    }
+    runs
+}
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -5,6 +5,7 @@
 //! engines and the plain services are stand-ins, each a process of its own. `docs/SOAK.md` lists
 //! the faults, the promises, and the mutant that shows that each check can fail.
 
+mod boundary;
 pub mod client;
 pub mod cluster;
 mod comeback;
--- a/tests/soak/src/observation.rs
+++ b/tests/soak/src/observation.rs
@@ -92,6 +92,19 @@
     Dropped,
     /// The upstream itself broke off the answer.
     Broken,
+    /// The stream was stopped to go on from a copy.
+    Moved,
+}
+
+/// How a reservation or a copy ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LeaseEnd {
+    /// A request has used it.
+    Used,
+    /// It was dropped.
+    Dropped,
+    /// Its time was over.
+    Lapsed,
 }
 
 /// A change of a box's process or connections.
@@ -184,6 +197,72 @@
         customer: Option<String>,
         /// Whether the request to the upstream contained a client's key.
         has_key: bool,
+        /// The priority that the upstream received, if any.
+        #[serde(default)]
+        priority: Option<u8>,
+        /// The copy of a stopped stream's memory from which the run goes on, if it does.
+        #[serde(default)]
+        copy: Option<String>,
+    },
+    /// An engine reserved memory and a slot.
+    Reserved {
+        /// The engine.
+        engine: String,
+        /// The name of the reservation, unique in the run.
+        name: String,
+        /// The memory, in tokens.
+        tokens: u64,
+        /// Whether the answer is sent, and in time.
+        is_answered: bool,
+    },
+    /// A request named a reservation.
+    ReservationPresented {
+        /// The engine that got the request.
+        engine: String,
+        /// The name of the reservation.
+        name: String,
+        /// The id of the attempt.
+        attempt: String,
+    },
+    /// A reservation ended.
+    ReservationEnded {
+        /// The engine.
+        engine: String,
+        /// The name of the reservation.
+        name: String,
+        /// How it ended.
+        how: LeaseEnd,
+    },
+    /// An engine answers an order to copy a stream's memory to another one.
+    Transferred {
+        /// The engine at which the stream runs.
+        engine: String,
+        /// The name of the copy.
+        name: String,
+        /// The id of the attempt.
+        attempt: String,
+        /// Whether the stream was stopped.
+        is_final: bool,
+        /// Whether the answer is sent, and in time.
+        is_answered: bool,
+    },
+    /// An engine keeps a copy of a stream's memory, or more of it.
+    Copied {
+        /// The engine.
+        engine: String,
+        /// The name of the copy; that of the attempt for a backup.
+        name: String,
+        /// The id of the attempt.
+        attempt: String,
+    },
+    /// A copy of a stream's memory ended.
+    CopyEnded {
+        /// The engine that kept it.
+        engine: String,
+        /// The name of the copy.
+        name: String,
+        /// How it ended.
+        how: LeaseEnd,
     },
     /// A client's key was found where none may be, such as a log.
     KeyFound {
--- a/tests/soak/src/schedule.rs
+++ b/tests/soak/src/schedule.rs
@@ -8,7 +8,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::peering::{Direction, Disorder};
-use crate::standin::engine::Telling;
+use crate::standin::engine::{Breach, Telling};
 use crate::standin::store::Mood;
 
 /// The time without faults at the start, in which all processes become ready.
@@ -185,6 +185,29 @@
     Configure,
     /// An upstream drains and shuts down.
     Drain,
+    /// Decode engines work so slowly that their streams pause for too long.
+    SlowDecode {
+        /// The factor on their processing time.
+        times: u32,
+        /// The number of engines.
+        count: usize,
+        /// The duration.
+        span: Duration,
+    },
+    /// More clients than the engines can serve send streams.
+    Crowd {
+        /// The duration.
+        span: Duration,
+    },
+    /// Engines deviate from the protocol of reservations and transfers.
+    Deviate {
+        /// How they deviate.
+        breach: Breach,
+        /// The percentage of calls.
+        share: u64,
+        /// The duration.
+        span: Duration,
+    },
     /// The store is unavailable and is then restored from an older copy.
     ComeBack {
         /// The age of the copy.
@@ -248,6 +271,9 @@
     planned.extend(draw_leaving(seed, end));
     planned.extend(draw_rests(seed, end));
     planned.extend(draw_returns(seed, end));
+    planned.extend(draw_crowds(seed, end));
+    planned.extend(draw_slow_decodes(seed, end));
+    planned.extend(draw_deviations(seed, end));
     planned.sort_by_key(|it| it.at);
     planned
 }
@@ -345,6 +371,55 @@
     (0..RETURNS).filter_map(draw).collect()
 }
 
+/// The number of crowds in a run.
+const CROWDS: u64 = 2;
+
+/// Draws the crowds, with a separate generator; none in a short run.
+fn draw_crowds(seed: u64, end: Duration) -> Vec<Planned> {
+    let draw = |number: u64| {
+        let mut random = Pcg64Mcg::seed_from_u64(seed.rotate_left(7) ^ number);
+        let span = Duration::from_millis(random.random_range(2000..=6000));
+        let latest = end.checked_sub(span).filter(|&it| it > WARM_UP)?;
+        let at = WARM_UP + (latest - WARM_UP).mul_f64(random.random());
+        Some(Planned { at, fault: Fault::Crowd { span } })
+    };
+    (0..CROWDS).filter_map(draw).collect()
+}
+
+/// The number of times in a run that decode engines are slow.
+const SLOW_DECODES: u64 = 3;
+
+/// Draws when decode engines are slow, with a separate generator; none in a short run.
+fn draw_slow_decodes(seed: u64, end: Duration) -> Vec<Planned> {
+    let draw = |number: u64| {
+        let mut random = Pcg64Mcg::seed_from_u64(seed.rotate_left(11) ^ number);
+        let times = random.random_range(10..=40);
+        let count = random.random_range(1..=2);
+        let span = Duration::from_millis(random.random_range(1500..=4000));
+        let latest = end.checked_sub(span).filter(|&it| it > WARM_UP)?;
+        let at = WARM_UP + (latest - WARM_UP).mul_f64(random.random());
+        Some(Planned { at, fault: Fault::SlowDecode { times, count, span } })
+    };
+    (0..SLOW_DECODES).filter_map(draw).collect()
+}
+
+/// The number of times in a run that engines deviate from the protocol.
+const DEVIATIONS: u64 = 4;
+
+/// Draws when engines deviate from the protocol, with a separate generator; none in a short run.
+fn draw_deviations(seed: u64, end: Duration) -> Vec<Planned> {
+    let draw = |number: u64| {
+        let mut random = Pcg64Mcg::seed_from_u64(seed.rotate_left(19) ^ number);
+        let breach = Breach::ALL.choose(&mut random).copied().unwrap_or(Breach::Lose);
+        let share = random.random_range(20..=100);
+        let span = Duration::from_millis(random.random_range(1000..=4000));
+        let latest = end.checked_sub(span).filter(|&it| it > WARM_UP)?;
+        let at = WARM_UP + (latest - WARM_UP).mul_f64(random.random());
+        Some(Planned { at, fault: Fault::Deviate { breach, share, span } })
+    };
+    (0..DEVIATIONS).filter_map(draw).collect()
+}
+
 /// Returns the replacements of all boxes, spread evenly over a run.
 pub fn replace_all(boxes: usize, length: Duration) -> Vec<Planned> {
     let end = length.saturating_sub(COOL_DOWN);
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -39,6 +39,13 @@
     assert!(is_good, "{text}");
 }
 
+#[test]
+fn caught_reservation() {
+    let arguments = ["--mutant", "keeps-reservations", "--seconds", "6", "--boxes", "2"];
+    let (is_good, text) = soak(&arguments, "reservation");
+    assert!(is_good, "{text}");
+}
+
 /// Gives the processes whose settings lie in a folder.
 fn processes_of(folder: &Path) -> Vec<String> {
     let settings = folder.join("box-0.toml").to_string_lossy().into_owned();
