Soak: slow engines that leave

Change: LeaveSlowly: a decode engine works 10 to 40 times as long and announces its shutdown. The stand-in's code that lets requests begin is a module of its own.

--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -27,6 +27,9 @@
 /// How long a draining upstream still serves.
 const DRAINS_FOR: Duration = Duration::from_secs(3);
 
+/// How long an engine works slowly before it announces its shutdown.
+const SLOW_BEFORE_LEAVING: Duration = Duration::from_millis(300);
+
 /// How long to wait for an order that shows which box is the lease holder.
 const HOLDS_WITHIN: Duration = Duration::from_secs(6);
 
@@ -85,7 +88,7 @@
         Fault::Stop { count, gap } => gap * count as u32,
         Fault::EngineCrash => LAPSES_AFTER,
         Fault::Drain => DRAINS_FOR,
-        Fault::Leave { span, .. } => span + DRAINS_FOR,
+        Fault::Leave { span, .. } | Fault::LeaveSlowly { span, .. } => span + DRAINS_FOR,
         Fault::Replace { .. } => DOWN_FOR,
         Fault::ResetLinks { .. } | Fault::MuteLinks { .. } | Fault::Configure => Duration::ZERO,
     };
@@ -194,15 +197,13 @@
             storm(cluster, refusal, share, losses, span).await
         }
         Fault::SlowDecode { times, count, span } => {
-            let decodes = |it: &Rc<Upstream>| it.stage.borrow().as_deref() == Some("decode");
-            let all = cluster.upstreams.borrow().clone();
-            let engines: Vec<_> = all.into_iter().filter(decodes).collect();
-            let chosen: Vec<_> = engines.choose_multiple(random, count).collect();
+            let chosen = some_decode_engines(cluster, count, random);
             chosen.iter().for_each(|it| cluster.tell_upstream(it, Command::Slow(times)));
             tokio::time::sleep(span).await;
             chosen.iter().for_each(|it| cluster.tell_upstream(it, Command::Slow(1)));
             Ok(())
         }
+        Fault::LeaveSlowly { times, span } => leave_slowly(cluster, times, span, random).await,
         Fault::Crowd { span } => {
             cluster.is_crowded.set(true);
             tokio::time::sleep(span).await;
@@ -363,6 +364,37 @@
     Ok(())
 }
 
+/// Starts another decode engine, then lets one work slowly and announce its shutdown in its answers,
+/// and in its entry after a duration.
+async fn leave_slowly(
+    cluster: &Rc<Cluster>,
+    times: u32,
+    span: Duration,
+    random: &mut Pcg64Mcg,
+) -> eyre::Result<()> {
+    let chosen = some_decode_engines(cluster, 1, random);
+    let Some(engine) = chosen.first().filter(|it| !it.is_draining.get()) else { return Ok(()) };
+    cluster.start_upstream(Some("decode")).await?;
+    cluster.tell_upstream(engine, Command::Slow(times));
+    tokio::time::sleep(SLOW_BEFORE_LEAVING).await;
+    cluster.tell_upstream(engine, Command::Leave);
+    tokio::time::sleep(span).await;
+    retire(cluster, engine).await;
+    Ok(())
+}
+
+/// Draws decode engines.
+fn some_decode_engines(
+    cluster: &Cluster,
+    count: usize,
+    random: &mut Pcg64Mcg,
+) -> Vec<Rc<Upstream>> {
+    let all = cluster.upstreams.borrow().clone();
+    let decodes = |it: &Rc<Upstream>| it.stage.borrow().as_deref() == Some("decode");
+    let engines: Vec<_> = all.into_iter().filter(decodes).collect();
+    engines.choose_multiple(random, count).cloned().collect()
+}
+
 /// Draws upstreams of a service.
 fn some_upstreams(
     cluster: &Cluster,
--- a/tests/soak/src/schedule.rs
+++ b/tests/soak/src/schedule.rs
@@ -194,6 +194,14 @@
         /// The duration.
         span: Duration,
     },
+    /// A decode engine works slowly and announces its shutdown, so that its streams do not end in
+    /// time.
+    LeaveSlowly {
+        /// The factor on its processing time.
+        times: u32,
+        /// The time between the announcement in its answers and that in its entry.
+        span: Duration,
+    },
     /// More clients than the engines can serve send streams.
     Crowd {
         /// The duration.
@@ -273,6 +281,7 @@
     planned.extend(draw_returns(seed, end));
     planned.extend(draw_crowds(seed, end));
     planned.extend(draw_slow_decodes(seed, end));
+    planned.extend(draw_slow_leaving(seed, end));
     planned.extend(draw_deviations(seed, end));
     planned.sort_by_key(|it| it.at);
     planned
@@ -403,6 +412,23 @@
     (0..SLOW_DECODES).filter_map(draw).collect()
 }
 
+/// The number of slow decode engines in a run that announce their shutdown.
+const SLOW_LEAVING: u64 = 3;
+
+/// Draws when slow decode engines announce their shutdown, with a separate generator; none in a
+/// short run.
+fn draw_slow_leaving(seed: u64, end: Duration) -> Vec<Planned> {
+    let draw = |number: u64| {
+        let mut random = Pcg64Mcg::seed_from_u64(seed.rotate_left(23) ^ number);
+        let times = random.random_range(10..=40);
+        let span = Duration::from_millis(random.random_range(500..=2000));
+        let latest = end.checked_sub(span).filter(|&it| it > WARM_UP)?;
+        let at = WARM_UP + (latest - WARM_UP).mul_f64(random.random());
+        Some(Planned { at, fault: Fault::LeaveSlowly { times, span } })
+    };
+    (0..SLOW_LEAVING).filter_map(draw).collect()
+}
+
 /// The number of times in a run that engines deviate from the protocol.
 const DEVIATIONS: u64 = 4;
 
--- a/tests/soak/src/standin/engine.rs
+++ b/tests/soak/src/standin/engine.rs
@@ -1,6 +1,7 @@
 //! The stand-in for an engine of the model service, or for an upstream of the plain service.
 
 mod breach;
+mod entry;
 mod memory;
 mod reservations;
 mod terms;
@@ -25,10 +26,11 @@
 use crate::observation::{LeaseEnd, Observation, RunEnd, What, digest};
 pub use breach::Breach;
 use breach::Breaches;
+use entry::{Run, priority};
 use memory::{Lease, Memory, Purpose};
 pub use reservations::MAX_TTL;
 use terms::Terms;
-use transfers::{COPY_PATH, Stream, call, is_copy};
+use transfers::{COPY_PATH, Stream};
 
 /// How long an engine caches a prompt that it prefilled for another one.
 const HANDLE_LIFE: Duration = Duration::from_millis(500);
@@ -163,30 +165,6 @@
     count: u64,
 }
 
-/// Counts a run as active until it is dropped.
-struct Run<'a> {
-    /// The engine.
-    engine: &'a Engine,
-    /// Its memory, in tokens.
-    tokens: u64,
-}
-
-impl Drop for Run<'_> {
-    fn drop(&mut self) {
-        self.engine.memory.borrow_mut().end(self.tokens);
-    }
-}
-
-/// How a request may begin to run.
-struct Entry {
-    /// The memory that it needs, in tokens.
-    tokens: u64,
-    /// The copy that its stream goes on from.
-    copy: Option<String>,
-    /// The valid reservation that it names.
-    reservation: Option<String>,
-}
-
 /// Returns the number of events in the answer to a request, from the digest of its body.
 pub fn event_count(body: u64) -> u64 {
     3 + body % 20
@@ -407,52 +385,6 @@
         received.header("x-expect-instance").is_some_and(|it| it != self.settings.id)
     }
 
-    /// Returns whether it accepts no work at all.
-    fn rejects_all(&self) -> bool {
-        self.is_switching.get() || self.terms.rest.get() > 0
-    }
-
-    /// Returns how a request may begin to run; `None` if it may not.
-    async fn enter(&self, received: &Received, attempt: &str) -> Option<Entry> {
-        if self.rejects_all() || self.draw(attempt) < self.refuses.get() {
-            return None;
-        }
-        let is_urgent = received.header("x-tenant") == Some(CUSTOMERS[0]);
-        if self.settings.mutant == Some(Mutant::RefusesUrgent) && is_urgent {
-            return None;
-        }
-        let tokens = self.tokens(received);
-        let source = received.header("x-kv-source");
-        let copy = source.and_then(|it| self.own_copy(it));
-        let reservation = received.header("x-kv-hold");
-        let reservation = reservation.filter(|it| self.present(it, attempt)).map(str::to_owned);
-        let is_let_in = copy.is_some() || reservation.is_some();
-        if !is_let_in && !self.memory.borrow().has_room(tokens) {
-            return None;
-        }
-        if let Some(source) = source
-            && copy.is_none()
-            && !fetch(source).await
-        {
-            return None;
-        }
-        if let (Some(source), Some(name)) = (source, &copy) {
-            self.use_copy(source, name);
-        }
-        Some(Entry { tokens, copy, reservation })
-    }
-
-    /// Returns the memory that a request needs, in tokens.
-    fn tokens(&self, received: &Received) -> u64 {
-        if self.settings.stage.is_none() {
-            return 0;
-        }
-        let counts = received.header("x-token-count").unwrap_or_default();
-        let counts = counts.split(',').filter_map(|it| it.trim().parse::<u64>().ok());
-        let is_reading = received.header("x-serving-stage") == Some("prefill");
-        counts.take(if is_reading { 1 } else { 2 }).sum()
-    }
-
     /// Runs or rejects a request; returns whether the connection stays open.
     async fn run(
         &self,
@@ -473,8 +405,7 @@
         if let Some(reservation) = &entry.reservation {
             self.end_reservation(reservation, LeaseEnd::Used);
         }
-        self.memory.borrow_mut().begin(entry.tokens);
-        let _run = Run { engine: self, tokens: entry.tokens };
+        let _run = Run::begin(self, entry.tokens);
         let is_reading = received.header("x-serving-stage") == Some("prefill");
         self.begin(&attempt, path, received, is_reading, entry.copy);
         if path.ends_with(HARMFUL) && !is_reading {
@@ -733,15 +664,3 @@
     )
     .into_bytes()
 }
-
-/// Returns the priority that a request names.
-fn priority(received: &Received) -> Option<u8> {
-    received.header("x-request-priority")?.parse().ok()
-}
-
-/// Fetches a cached prompt from its prefill engine; returns whether it was there.
-async fn fetch(source: &str) -> bool {
-    let Some((address, name)) = source.split_once('/') else { return false };
-    let Ok(address) = address.parse::<SocketAddr>() else { return false };
-    !is_copy(name) && call(address, "DELETE", &format!("/kv-handle/{name}"), "").await
-}
--- a/tests/soak/src/standin/engine/transfers.rs
+++ b/tests/soak/src/standin/engine/transfers.rs
@@ -152,7 +152,7 @@
         let copied = stream.copy.borrow().as_ref().map_or(0, |it| it.2);
         let tokens = if copied > 0 { stream.events.get() - copied } else { stream.tokens };
         let expires = breach == Some(Breach::Expire);
-        if !send_copy(target, name, attempt, stream.tokens, false, expires).await {
+        if !send_copy(target, name, attempt, stream.tokens, expires).await {
             return false;
         }
         tokio::time::sleep(Duration::from_millis(tokens / COPIED_A_MS)).await;
@@ -241,7 +241,7 @@
         let (name, tokens) = (attempt.to_owned(), stream.tokens);
         tokio::task::spawn_local(async move {
             // A target without room keeps no backup.
-            _ = send_copy(target, &name, &name, tokens, true, false).await;
+            _ = send_copy(target, &name, &name, tokens, false).await;
         });
     }
 
@@ -267,11 +267,9 @@
     name: &str,
     attempt: &str,
     tokens: u64,
-    is_backup: bool,
     expires: bool,
 ) -> bool {
-    let body = json!({"name": name, "run": attempt, "tokens": tokens, "backup": is_backup,
-        "expires": expires});
+    let body = json!({"name": name, "run": attempt, "tokens": tokens, "expires": expires});
     call(target, "POST", COPY_PATH, &body.to_string()).await
 }
 
