Soak: priorities that engines receive are in the order of ranks

Cause: stand-in engines recorded the priority of each request, and no check looked at it.

Change: PriorityInOrder with the mutant reverses-priority.

--- a/tests/soak/src/judge.rs
+++ b/tests/soak/src/judge.rs
@@ -74,6 +74,8 @@
     ReservationsFreed,
     /// Boxes free copies of streams' memory that they do not use.
     CopiesFreed,
+    /// Engines receive priorities in the order of the customers' ranks.
+    PriorityInOrder,
     /// More urgent customers are not refused more often than less urgent ones.
     UrgentFirst,
     /// Boxes can decode the messages of other boxes, also of another version.
@@ -204,6 +206,7 @@
         leases::used_once,
         leases::reservations_freed,
         leases::copies_freed,
+        ranks::priority_in_order,
         ranks::urgent_first,
         understood,
     ];
--- a/tests/soak/src/judge/ranks.rs
+++ b/tests/soak/src/judge/ranks.rs
@@ -1,4 +1,4 @@
-//! Checks that more urgent customers are not refused more often than less urgent ones.
+//! Checks that more urgent customers go before less urgent ones.
 
 use std::collections::BTreeMap;
 
@@ -42,6 +42,30 @@
     }
 }
 
+/// Checks that no upstream received a less urgent priority for a more urgent customer than any did for
+/// a less urgent one.
+pub(super) fn priority_in_order(records: &Records, _: &Bounds) -> Vec<Finding> {
+    let mut priorities: BTreeMap<u8, (u8, u8)> = BTreeMap::new();
+    let mut findings = Vec::new();
+    for attempt in records.attempts.values() {
+        for run in &attempt.runs {
+            let (Some(priority), rank) = (run.priority, rank(&attempt.caller.customer)) else {
+                continue;
+            };
+            let (least, most) = priorities.entry(rank).or_insert((priority, priority));
+            (*least, *most) = (priority.min(*least), priority.max(*most));
+            let (least, most) = (*least, *most);
+            let is_behind = priorities.range(rank + 1..).any(|it| it.1.0 < most);
+            let is_ahead = priorities.range(..rank).any(|it| it.1.1 > least);
+            if (is_behind || is_ahead) && findings.is_empty() {
+                let what = format!("{} ran for rank {rank} with priority {priority}", run.engine);
+                findings.push(finding(Promise::PriorityInOrder, run.began, what));
+            }
+        }
+    }
+    findings
+}
+
 /// Checks each pair of ranks at each service.
 pub(super) fn urgent_first(records: &Records, _: &Bounds) -> Vec<Finding> {
     let mut findings = Vec::new();
--- a/tests/soak/src/judge/records.rs
+++ b/tests/soak/src/judge/records.rs
@@ -39,6 +39,8 @@
     pub(super) customer: Option<String>,
     /// Whether the request to the upstream contained a client's key.
     pub(super) has_key: bool,
+    /// The priority that the upstream received, if any.
+    pub(super) priority: Option<u8>,
     /// The copy from which it goes on, if it does.
     pub(super) copy: Option<String>,
     /// Its end, if observed.
@@ -326,7 +328,7 @@
                 is_reading,
                 customer,
                 has_key,
-                priority: _,
+                priority,
                 copy,
             } => {
                 let run = Run {
@@ -337,6 +339,7 @@
                     is_reading: *is_reading,
                     customer: customer.clone(),
                     has_key: *has_key,
+                    priority: *priority,
                     copy: copy.clone(),
                     end: None,
                 };
--- a/tests/soak/src/mutant.rs
+++ b/tests/soak/src/mutant.rs
@@ -67,7 +67,9 @@
     KeepsReservations,
     /// Streams are copied and the copies not used.
     KeepsCopies,
-    /// Upstreams reject most requests of the most urgent customer.
+    /// Upstreams receive the reverse of the customers' ranks as priorities.
+    ReversesPriority,
+    /// Upstreams reject all requests of the most urgent customer.
     RefusesUrgent,
     /// A box receives bytes that are not a valid datagram.
     SendsNoise,
@@ -75,7 +77,7 @@
 
 impl Mutant {
     /// All mutants, with their names on the command line and the promises that they break.
-    pub const ALL: [(Mutant, &'static str, Promise); 31] = [
+    pub const ALL: [(Mutant, &'static str, Promise); 32] = [
         (Mutant::RunsTwice, "runs-twice", Promise::RunsOnce),
         (Mutant::SpoilsAnswer, "spoils-answer", Promise::WholeAnswer),
         (Mutant::SkipsEvent, "skips-event", Promise::EventsInOrder),
@@ -105,6 +107,7 @@
         (Mutant::ReusesReservation, "reuses-reservation", Promise::ReservedOnce),
         (Mutant::KeepsReservations, "keeps-reservations", Promise::ReservationsFreed),
         (Mutant::KeepsCopies, "keeps-copies", Promise::CopiesFreed),
+        (Mutant::ReversesPriority, "reverses-priority", Promise::PriorityInOrder),
         (Mutant::RefusesUrgent, "refuses-urgent", Promise::UrgentFirst),
         (Mutant::SendsNoise, "sends-noise", Promise::Understood),
     ];
--- a/tests/soak/src/standin/engine.rs
+++ b/tests/soak/src/standin/engine.rs
@@ -21,7 +21,7 @@
 use tokio::time::Instant;
 
 use super::{Greeting, commands, write};
-use crate::keys::{CUSTOMERS, KEY_MARK};
+use crate::keys::{CUSTOMERS, KEY_MARK, rank};
 use crate::mutant::Mutant;
 use crate::observation::{LeaseEnd, Observation, RunEnd, What, digest};
 pub use breach::Breach;
@@ -53,6 +53,9 @@
 /// The priority of a request that names none.
 const DEFAULT_PRIORITY: u8 = 5;
 
+/// The priority of the least urgent requests.
+const MAX_PRIORITY: u8 = 9;
+
 /// The path suffix of a request that crashes its upstream.
 pub const HARMFUL: &str = "/harmful";
 
@@ -464,7 +467,10 @@
         };
         let shows = self.settings.mutant == Some(Mutant::ShowsKey);
         let has_key = shows || received.headers.iter().any(|it| it.1.contains(KEY_MARK));
-        let priority = priority(received);
+        let priority = match (self.settings.mutant, &customer) {
+            (Some(Mutant::ReversesPriority), Some(name)) => Some(MAX_PRIORITY - rank(name)),
+            _ => priority(received),
+        };
         self.see(What::Began {
             engine,
             attempt,
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -678,3 +678,26 @@
     assert_eq!(broken(&overload("press")), [Promise::UrgentFirst]);
     assert_eq!(broken(&overload("none")), []);
 }
+
+/// Runs of two customers with the priorities that the upstream received.
+fn prioritised(press: u8, town: u8) -> Vec<Observation> {
+    let mut seen = vec![running()];
+    for (name, given) in [("press", press), ("town", town)] {
+        let mut run = named(began(5010, "a"), name);
+        if let What::Began { priority, customer, .. } = &mut run.what {
+            *priority = Some(given);
+            *customer = Some(name.to_owned());
+        }
+        let request = by(sent(5000, Kind::Once), caller(name, Some(1), 200));
+        seen.extend([named(request, name), run]);
+    }
+    seen
+}
+
+/// The upstream may get the same priority for two ranks, but not a reversed order.
+#[test]
+fn priority_out_of_order() {
+    assert_eq!(broken(&prioritised(0, 1)), []);
+    assert_eq!(broken(&prioritised(1, 1)), []);
+    assert_eq!(broken(&prioritised(2, 1)), [Promise::PriorityInOrder]);
+}
