Soak: reservations of rejected requests are judged

Change: only faults in which answers may come after the box has asked another engine are excused. Stand-ins record that a request names a reservation before they reject it.

--- a/tests/soak/src/judge/leases.rs
+++ b/tests/soak/src/judge/leases.rs
@@ -10,6 +10,11 @@
 /// such as when the request that frees them is lost.
 const MIN_LAPSED_COUNT: usize = 3;
 
+/// The faults in which an answer may come after the box has asked another engine, so that the box does
+/// not know of the reservation.
+const DELAYS: [&str; 6] =
+    ["HoldLinks", "ResetLinks", "MuteLinks", "EnginePause", "Crowd", "Deviate"];
+
 /// Checks that no request names a reservation that another one has used or names.
 pub(super) fn used_once(records: &Records, _: &Bounds) -> Vec<Finding> {
     let mut findings = Vec::new();
@@ -26,15 +31,14 @@
     findings
 }
 
-/// Checks that boxes drop reservations that they don't use. A box does not know of those whose answer
-/// comes after it has asked another engine, which happens when links or engines are slow; so only
-/// reservations made while there is no fault are counted.
+/// Checks that boxes drop reservations that they don't use, also after the engine has rejected the
+/// request. Those made while answers may be late are not counted.
 pub(super) fn reservations_freed(records: &Records, bounds: &Bounds) -> Vec<Finding> {
     let is_counted = |it: &&Reservation| {
         let until = it.end.map_or(records.last, |end| end.0);
         let from = it.at.saturating_sub(bounds.contact);
         let is_disturbed = records.disruptions_within(from, until);
-        it.is_answered && !is_disturbed && !records.has_fault(from, until)
+        it.is_answered && !is_disturbed && !records.has_fault(&DELAYS, from, until)
     };
     let counted: Vec<_> = records.reservations.values().filter(is_counted).collect();
     let lapsed: Vec<_> = counted
--- a/tests/soak/src/judge/records.rs
+++ b/tests/soak/src/judge/records.rs
@@ -205,8 +205,8 @@
     pub(super) unknown_runs: Vec<(String, Run)>,
     /// The changes of each box's process, in order.
     pub(super) nodes: BTreeMap<usize, Vec<(Micros, BoxChange)>>,
-    /// The start and end of each fault.
-    pub(super) faults: Vec<(Micros, Micros)>,
+    /// The start, end and name of each fault.
+    pub(super) faults: Vec<(Micros, Micros, String)>,
     /// The start and end of each time in which the store was disturbed.
     pub(super) store_disturbed: Vec<(Micros, Micros)>,
     /// When the store acknowledged each version.
@@ -416,7 +416,7 @@
                 }
                 self.engine_ends.insert(engine.clone(), at);
             }
-            What::Fault { span, .. } => self.faults.push((at, at + span)),
+            What::Fault { name, span } => self.faults.push((at, at + span, name.clone())),
             What::Sent { .. } | What::Unreached { .. } | What::Copied { .. } => {}
         }
     }
@@ -461,9 +461,10 @@
         self.store_disturbed.iter().any(|it| it.0 <= until && it.1 >= from)
     }
 
-    /// Returns whether there was any fault in an interval.
-    pub(super) fn has_fault(&self, from: Micros, until: Micros) -> bool {
-        self.faults.iter().any(|it| it.0 <= until && it.1 >= from)
+    /// Returns whether there was a fault of one of these names in an interval.
+    pub(super) fn has_fault(&self, names: &[&str], from: Micros, until: Micros) -> bool {
+        let mut within = self.faults.iter().filter(|it| it.0 <= until && it.1 >= from);
+        within.any(|it| names.iter().any(|name| it.2.starts_with(name)))
     }
 
     /// Returns whether any box was killed, paused or disturbed between two times.
--- a/tests/soak/src/standin/engine/entry.rs
+++ b/tests/soak/src/standin/engine/entry.rs
@@ -49,6 +49,8 @@
 
     /// Returns how a request may begin to run; `None` if it may not.
     pub(super) async fn enter(&self, received: &Received, attempt: &str) -> Option<Entry> {
+        let reservation = received.header("x-kv-hold");
+        let reservation = reservation.filter(|it| self.present(it, attempt)).map(str::to_owned);
         if self.rejects_all() || self.draw(attempt) < self.refuses.get() {
             return None;
         }
@@ -59,8 +61,6 @@
         let tokens = self.tokens(received);
         let source = received.header("x-kv-source");
         let copy = source.and_then(|it| self.own_copy(it));
-        let reservation = received.header("x-kv-hold");
-        let reservation = reservation.filter(|it| self.present(it, attempt)).map(str::to_owned);
         let is_let_in = copy.is_some() || reservation.is_some();
         if !is_let_in && !self.memory.borrow().has_room(tokens) {
             return None;
