--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -48,6 +48,9 @@
 /// The time within which the boxes must stop at the end of a run.
 const STOP_WITHIN: Duration = Duration::from_secs(10);
 
+/// The interval at which upstreams are told to fail.
+const FAILS_EVERY: Duration = Duration::from_millis(300);
+
 /// The number of clients in a crowd.
 const CROWD: usize = 40;
 
@@ -323,7 +326,11 @@
 async fn commit(cluster: Rc<Cluster>, mutant: Mutant) {
     tokio::time::sleep(Duration::from_secs(2)).await;
     match mutant {
-        Mutant::RepeatsFreely => tell_all(&cluster, Command::Fail(100)),
+        Mutant::RepeatsFreely => loop {
+            // Upstreams that have crashed and restarted don't fail.
+            tell_all(&cluster, Command::Fail(100));
+            tokio::time::sleep(FAILS_EVERY).await;
+        },
         Mutant::SendsNoise => {
             if let Err(error) = cluster.send_noise(0).await {
                 report(&error.into());
