--- a/tests/soak/src/judge/leases.rs
+++ b/tests/soak/src/judge/leases.rs
@@ -32,13 +32,15 @@
 }
 
 /// Checks that boxes drop reservations that they don't use, also after the engine has rejected the
-/// request. Those made while answers may be late are not counted.
+/// request. Those made while answers may be late are only counted if a request has named them, which
+/// shows that the box knows them.
 pub(super) fn reservations_freed(records: &Records, bounds: &Bounds) -> Vec<Finding> {
     let is_counted = |it: &&Reservation| {
         let until = it.end.map_or(records.last, |end| end.0);
         let from = it.at.saturating_sub(bounds.contact);
         let is_disturbed = records.disruptions_within(from, until);
-        it.is_answered && !is_disturbed && !records.has_fault(&DELAYS, from, until)
+        let is_known = !it.presented.is_empty() || !records.has_fault(&DELAYS, from, until);
+        it.is_answered && is_known && !is_disturbed
     };
     let counted: Vec<_> = records.reservations.values().filter(is_counted).collect();
     let lapsed: Vec<_> = counted
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -627,7 +627,11 @@
     let killed = [&lapsed[..], &[node(5500, BoxChange::Killed)]].concat();
     assert_eq!(broken(&killed), [], "a box was killed");
     let fault = at(5500, What::Fault { name: "HoldLinks".to_owned(), span: SECOND });
-    assert_eq!(broken(&[&lapsed[..], &[fault]].concat()), [], "answers may be late");
+    let late = [&lapsed[..], &[fault]].concat();
+    assert_eq!(broken(&late), [], "answers may be late");
+    let named = (0..6).map(|it| presented(5600 + it, &format!("x{it}"), &format!("r{it}")));
+    let known = [late, named.collect()].concat();
+    assert_eq!(broken(&known), [Promise::ReservationsFreed], "the box knows them");
 }
 
 /// Copies of streams that run at engine `a`, kept at engine `b`.
