Tell refused clients to return when a forecast has capacity for them

Refused clients were told a multiple of the mean run, with no account of who was told to come when, so that they met the same crowd. Boxes now keep a book of the load that is due to return, announce it to each other with their heartbeats, and tell each client the first step in which the forecast has capacity for it, or a late time that few others were told. Clients that return wait longer for capacity than new ones. Off by default; with it off, the times are as before.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -426,6 +426,24 @@
         /// Whether the stream continued, or why not.
         outcome: &'static str,
     },
+    /// A refused client was told to return.
+    ToldToReturn {
+        /// The client's id of the request.
+        request: Arc<str>,
+        /// The time told.
+        after: Duration,
+        /// Whether capacity was forecast to be free then.
+        is_promised: bool,
+    },
+    /// A request of a client that had returned after a refusal ended.
+    Returned {
+        /// The client's id of the request.
+        request: Arc<str>,
+        /// How the request ended.
+        outcome: &'static str,
+        /// The time from its arrival until capacity was found, if any was.
+        waited: Option<Duration>,
+    },
     /// A request ended.
     Ended {
         /// The client's id of the request.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! The reducer: dispatches each event to the part that handles it and collects the effects.
 
 mod admission;
+mod appointments;
 mod cached;
 mod call;
 mod capacity;
@@ -40,6 +41,7 @@
 use rand::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::appointment::Book;
 use crate::budget::{Bound, Budget};
 use crate::class;
 use crate::cold::SendTimes;
@@ -164,6 +166,8 @@
     pools: Pools,
     /// The time that plain calls take at engines.
     works: work::Table,
+    /// The load that clients were told to return with.
+    appointments: Book,
     /// The other boxes.
     members: Members,
     /// The prompts that engines have cached.
@@ -261,6 +265,7 @@
             admissions: Admissions::default(),
             pools: Pools::default(),
             works: work::Table::default(),
+            appointments: Book::default(),
             prompts: Prompts::default(),
             budgets: HashMap::new(),
             deadlines: HashMap::new(),
--- a/crates/hollyspoke-gateway/src/gateway/capacity.rs
+++ b/crates/hollyspoke-gateway/src/gateway/capacity.rs
@@ -4,6 +4,7 @@
 use hollyspoke::time::Time;
 
 use super::Gateway;
+use super::end::RETRY_AFTER;
 use crate::class::Phase;
 use crate::directory::Record;
 use crate::effect::NotRunReason;
@@ -19,6 +20,10 @@
 /// (`docs/design/shifted.md`).
 const WAIT_SHARE: f64 = 0.22;
 
+/// The same share for a client that has returned after a refusal, and that won't return once more.
+/// The rest of the target is for the prefill.
+const RETURN_WAIT_SHARE: f64 = 0.6;
+
 /// The used share of an engine's memory from which on the memory is scarce, because boxes of other
 /// data centres may soon need some of it. An engine holds eight prompts of mean length; at this
 /// share three are in use.
@@ -46,6 +51,9 @@
         }
         if in_flight.service.staged.is_none() || !self.may_get_capacity(in_flight) {
             let reason = self.no_engine_reason(in_flight);
+            if self.has_plain_engine(in_flight) {
+                return self.refuse_until_capacity(key, reason, RETRY_AFTER);
+            }
             return self.give_up(key, reason);
         }
         let is_waiting = in_flight.waits_until.is_some_and(|it| it > self.now);
@@ -145,8 +153,12 @@
     /// Returns whether a plain request is not sent because all engines that could take it would
     /// answer it late.
     fn is_late_plain(&self, in_flight: &InFlight) -> bool {
-        self.settings.features.admission
-            && in_flight.service.staged.is_none()
+        self.settings.features.admission && self.has_plain_engine(in_flight)
+    }
+
+    /// Returns whether an engine could take a plain request if fewer calls were queued there.
+    fn has_plain_engine(&self, in_flight: &InFlight) -> bool {
+        in_flight.service.staged.is_none()
             && self
                 .directory
                 .open(&in_flight.service.name, self.now)
@@ -189,5 +201,6 @@
     if in_flight.call_count > 0 {
         return in_flight.deadline;
     }
-    in_flight.arrived + in_flight.route.target_latency.mul_f64(WAIT_SHARE)
+    let share = if in_flight.is_patient { RETURN_WAIT_SHARE } else { WAIT_SHARE };
+    in_flight.arrived + in_flight.route.target_latency.mul_f64(share)
 }
--- a/crates/hollyspoke-gateway/src/gateway/end.rs
+++ b/crates/hollyspoke-gateway/src/gateway/end.rs
@@ -9,7 +9,7 @@
 use crate::request::{CallKey, RequestKey};
 
 /// When a client may retry a request that no engine could take.
-const RETRY_AFTER: Duration = Duration::from_millis(600);
+pub(super) const RETRY_AFTER: Duration = Duration::from_millis(600);
 
 impl Gateway {
     /// Checks the requests that are due: their deadline has passed, or their engine has been silent
@@ -165,6 +165,7 @@
         self.end_migration(key);
         self.set_phase(key, None);
         let Some(in_flight) = self.in_flight.remove(&key) else { return };
+        self.log_return(&in_flight, outcome);
         self.due.remove(&(in_flight.deadline, key));
         self.free(in_flight.source);
         let after = self.now.since(in_flight.arrived);
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -108,6 +108,7 @@
             let classes = message.extension.as_ref().map_or(&[][..], |it| &it.classes);
             self.receive_classes(message.sender, classes);
         }
+        self.receive_appointments(message);
         self.receive_usage(message);
         self.receive_cases(message);
         self.members.add_peers(self.settings.peer, &message.peers, self.now);
@@ -198,14 +199,19 @@
         let departures = self.departures_to_announce();
         let classes = self.own_classes();
         let paces = self.paces_to_announce();
-        message.extension =
-            Extension { limits, departures, classes, paces, ..Extension::default() }.non_empty();
+        let appointments = self.own_appointments();
+        let extension =
+            Extension { limits, departures, classes, appointments, paces, ..Extension::default() };
+        message.extension = extension.non_empty();
         // In a large deployment, cached prompts are announced only with heartbeats.
         message.cached_prompts = self.prompts.take_unannounced();
         // The heartbeat contains all work, so that no changes are left to announce.
         self.ledger.take_changed();
         self.batch_started_at = None;
         let reach = self.heartbeat_reach();
+        if reach == Reach::All {
+            self.appointments.mark_announced();
+        }
         self.send_within(&reach, message);
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -37,7 +37,7 @@
 
 /// A request whose deadline is below this share of the route's longest deadline counts as a
 /// client's retry.
-const CLIENT_RETRY_SHARE: f64 = 0.97;
+pub(super) const CLIENT_RETRY_SHARE: f64 = 0.97;
 
 /// The shortest and longest time after which a client is told to retry.
 const RETRY_AFTER_RANGE: (Duration, Duration) =
@@ -132,6 +132,8 @@
             permit_request_count: 0,
             exclusions: Vec::new(),
             is_client_retry,
+            is_patient: is_client_retry && self.forecasts_returns(),
+            started: None,
             phase: None,
             has_begun: false,
             last_event: None,
@@ -139,6 +141,7 @@
         self.due.insert((in_flight.deadline, key));
         self.in_flight.insert(key, in_flight);
         self.record_class_arrival(key);
+        self.record_return(key);
         self.proceed(key);
     }
 
@@ -281,6 +284,7 @@
         self.reserve(key, next.decode_engine);
         self.set_phase(key, Some(Phase::Running));
         let backup = self.back_up(key, &next.task, &next.choice.engine);
+        self.record_start(key);
         let Some(in_flight) = self.in_flight.get_mut(&key) else { return };
         let case_state = self.quarantine.progress(in_flight.signature);
         let NextCall { task, choice, .. } = next;
@@ -372,7 +376,7 @@
     /// Refuses a request that would be served too late.
     pub(super) fn refuse_overloaded(&mut self, key: RequestKey, wait: Duration) {
         let (min, max) = RETRY_AFTER_RANGE;
-        self.give_up_with_retry(key, NotRunReason::Overloaded, wait.clamp(min, max));
+        self.refuse_until_capacity(key, NotRunReason::Overloaded, wait.clamp(min, max));
     }
 
     /// Refuses a request before it becomes in-flight.
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -101,6 +101,10 @@
     pub exclusions: Vec<Exclusion>,
     /// Whether the client has retried the request after a refusal.
     pub is_client_retry: bool,
+    /// Whether the request waits longer for capacity than others.
+    pub is_patient: bool,
+    /// When the request was first sent to an engine.
+    pub started: Option<Time>,
     /// The phase in which the request counts towards the load of its traffic class.
     pub phase: Option<Phase>,
     /// Whether the client has received the head of an answer.
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -50,6 +50,12 @@
     held: Counter<u64>,
     /// Prompt tokens that were sent for prefill.
     prompt_tokens: Counter<u64>,
+    /// Clients told to return, by whether capacity was forecast to be free then.
+    told_to_return: Counter<u64>,
+    /// Requests of clients that had returned after a refusal, by outcome.
+    returns: Counter<u64>,
+    /// The time from a client's return until capacity was found.
+    return_wait: Histogram<f64>,
     /// The version of the configuration in force.
     configuration_version: Gauge<u64>,
     /// Changes of engines.
@@ -122,6 +128,16 @@
             backups: count("hollyspoke_backups", "backups of running streams, by use"),
             held: count("hollyspoke_held_requests", "requests held back since engines crashed"),
             prompt_tokens: count("hollyspoke_prompt_tokens", "tokens of prompts sent to be read"),
+            told_to_return: count(
+                "hollyspoke_told_to_return",
+                "refused clients told to return, by whether capacity was forecast",
+            ),
+            returns: count("hollyspoke_returns", "clients that returned, by how they fared"),
+            return_wait: exporter.seconds_histogram(
+                "hollyspoke_return_wait",
+                "from a client's return until capacity was found",
+                &HISTOGRAM_BOUNDS_S,
+            ),
             engines: count("hollyspoke_engine_changes", "engines that changed or left"),
             engines_by_stage: gauge("hollyspoke_engines", "engines by stage at the last change"),
             demand: gauge("hollyspoke_demand", "tokens a second read, and tokens held, then"),
@@ -171,6 +187,15 @@
                     self.record_customer(customer, *units, outcome);
                 }
             }
+            LogEvent::ToldToReturn { is_promised, .. } => {
+                self.told_to_return.add(1, &[KeyValue::new("promised", *is_promised)]);
+            }
+            LogEvent::Returned { outcome, waited, .. } => {
+                self.returns.add(1, &[KeyValue::new("how", outcome_label(outcome))]);
+                if let Some(waited) = waited {
+                    self.return_wait.record(waited.as_secs_f64(), &[]);
+                }
+            }
             LogEvent::Sent { task, tokens, .. } => {
                 self.calls.add(1, &[KeyValue::new("task", *task)]);
                 if matches!(*task, "read" | "read and generate") {
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -109,6 +109,12 @@
             "resting" => excluded_engines(exclusions, Restriction::BackOff),
             "how" => outcome, "after_ms" => millis(after))
         }
+        LogEvent::ToldToReturn { request, after, is_promised } => {
+            info!(log, "client told to return";
+            "request" => %request, "after_ms" => millis(after), "promised" => is_promised)
+        }
+        LogEvent::Returned { request, outcome, waited } => info!(log, "client returned";
+            "request" => %request, "how" => outcome, "waited_ms" => waited.as_ref().map(millis)),
         LogEvent::Peers { joined, timed_out, alive } => info!(log, "peers changed";
             "heard" => joined.len(), "silent" => timed_out.len(), "alive" => alive,
             "heard_first" => first_addresses(joined), "silent_first" => first_addresses(timed_out)),
