Recognise returns by the box's own book and by usual deadlines

A deadline below 0.97 of the longest ever seen on the route counted as a return. With appointments on, a return is now known by the book of the box that told the client, or by a deadline that is what is left of a usual one; off, nothing changes.

--- a/crates/hollyspoke-gateway/src/appointment.rs
+++ b/crates/hollyspoke-gateway/src/appointment.rs
@@ -119,17 +119,19 @@
         self.clients.entry(client).or_default().push((slot, units));
     }
 
-    /// Removes the load of a client that has returned before its time. A client that returns in its
-    /// step or later has left the book by itself.
-    pub fn redeem(&mut self, client: Signature, now: Time) {
-        let Some(told) = self.clients.get_mut(&client) else { return };
+    /// Records that a client has returned, and removes its load if it is before its time. A client
+    /// that returns in its step or later has left the book by itself. Returns whether this box told
+    /// it to return.
+    pub fn redeem(&mut self, client: Signature, now: Time) -> bool {
+        let Some(told) = self.clients.get_mut(&client) else { return false };
         let first = told.iter().enumerate().min_by_key(|(_, (slot, _))| *slot);
-        let Some((index, &(slot, units))) = first else { return };
+        let Some((index, &(slot, units))) = first else { return false };
         told.swap_remove(index);
         if slot.step > step_of(now) {
             subtract(&mut self.own, slot, units);
             subtract(&mut self.unannounced, slot, units);
         }
+        true
     }
 
     /// Forgets the steps that have passed.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -46,6 +46,7 @@
 use crate::class;
 use crate::cold::SendTimes;
 use crate::customer::CustomerKey;
+use crate::deadline::Frequent;
 use crate::demand::{Meter, Runs};
 use crate::directory::Directory;
 use crate::effect::{Effect, LogEvent};
@@ -182,6 +183,8 @@
     box_count_due: Time,
     /// The longest deadline that clients have specified on each route.
     deadlines: HashMap<Arc<str>, Duration>,
+    /// The deadlines that clients send most often on each route.
+    frequent_deadlines: HashMap<Arc<str>, Frequent>,
     /// The in-flight requests.
     in_flight: HashMap<RequestKey, InFlight>,
     /// The active calls.
@@ -269,6 +272,7 @@
             prompts: Prompts::default(),
             budgets: HashMap::new(),
             deadlines: HashMap::new(),
+            frequent_deadlines: HashMap::new(),
             in_flight: HashMap::new(),
             calls: HashMap::new(),
             waiting: Vec::new(),
--- a/crates/hollyspoke-gateway/src/gateway/appointments.rs
+++ b/crates/hollyspoke-gateway/src/gateway/appointments.rs
@@ -4,20 +4,20 @@
 
 use super::Gateway;
 use super::classes::class_of;
-use super::start::CLIENT_RETRY_SHARE;
 use crate::appointment::{Announcement, Appointment, Demand, Outlook, Window, next};
 use crate::class::Phase;
 use crate::effect::{LogEvent, NotRunReason};
 use crate::in_flight::InFlight;
 use crate::message::Message;
 use crate::request::RequestKey;
+use crate::route::Route;
 
 /// The share of the time that a client has left within which it returns when told to.
 const HEEDED_SHARE: f64 = 1.0 / 3.0;
 
-/// The share of its deadline that passes at least before a client returns, so that the box that it
-/// returns to sees by its deadline that it has been refused before.
-const MIN_RETURN_SHARE: f64 = 1.2 * (1.0 - CLIENT_RETRY_SHARE);
+/// The shortest time after which a client returns. Until then the other boxes mostly haven't
+/// announced what they have done with the capacity that this box sees.
+const MIN_RETURN: Duration = Duration::from_millis(250);
 
 impl Gateway {
     /// Returns whether refused clients are told to return by a forecast of the load.
@@ -89,15 +89,23 @@
     fn return_window(&self, in_flight: &InFlight, run: Duration) -> Window {
         let left = in_flight.deadline.since(self.now);
         let latest = left.mul_f64(HEEDED_SHARE).min(left.saturating_sub(run));
-        let deadline = self.deadlines.get(&in_flight.route.name).copied();
-        let deadline = deadline.unwrap_or(in_flight.route.timeout);
-        Window { earliest: deadline.mul_f64(MIN_RETURN_SHARE), latest }
+        Window { earliest: MIN_RETURN, latest }
+    }
+
+    /// Returns whether a request is one that its client sends again, by its deadline.
+    pub(super) fn is_return(&mut self, route: &Route, deadline: Duration) -> bool {
+        let frequent = self.frequent_deadlines.entry(route.name.clone()).or_default();
+        let is_return = frequent.is_remainder(deadline);
+        frequent.record(deadline);
+        is_return
     }
 
     /// Records that a request has arrived, whose client this box may have told to return.
     pub(super) fn record_return(&mut self, key: RequestKey) {
-        if let Some(in_flight) = self.in_flight.get(&key) {
-            self.appointments.redeem(in_flight.signature, self.now);
+        let Some(in_flight) = self.in_flight.get_mut(&key) else { return };
+        if self.appointments.redeem(in_flight.signature, self.now) {
+            in_flight.is_client_retry = true;
+            in_flight.is_patient = true;
         }
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -37,7 +37,7 @@
 
 /// A request whose deadline is below this share of the route's longest deadline counts as a
 /// client's retry.
-pub(super) const CLIENT_RETRY_SHARE: f64 = 0.97;
+const CLIENT_RETRY_SHARE: f64 = 0.97;
 
 /// The shortest and longest time after which a client is told to retry.
 const RETRY_AFTER_RANGE: (Duration, Duration) =
@@ -368,6 +368,9 @@
             return true;
         }
         let Some(deadline) = request.deadline else { return false };
+        if self.forecasts_returns() {
+            return self.is_return(route, deadline);
+        }
         let longest = self.deadlines.entry(route.name.clone()).or_insert(deadline);
         *longest = (*longest).max(deadline);
         deadline < longest.mul_f64(CLIENT_RETRY_SHARE)
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod cold;
 pub mod credential;
 pub mod customer;
+pub mod deadline;
 pub mod demand;
 pub mod departure;
 pub mod directory;
