Tests: names and comments in plain terms

Cause: some names of tests and comments used metaphors.

Change: 30 tests have other names, comments of the soak judge's tests are reworded; no value, check or behaviour changes, no test is removed.

--- a/tests/tests/crashes_drawn.rs
+++ b/tests/tests/crashes_drawn.rs
@@ -66,7 +66,7 @@
 
     /// Under any faults, no harmless request, popular or not, is put into quarantine.
     #[test]
-    fn harmless_requests_go_on(
+    fn harmless_requests_held(
         seed in 0..1000u64,
         harmful in harmful(),
         popular in prop::sample::select(vec!["resumed", "once", "safe"]),
--- a/tests/tests/formats.rs
+++ b/tests/tests/formats.rs
@@ -337,7 +337,7 @@
 
     /// Invalid bytes cause an error, never a panic.
     #[test]
-    fn spoilt_bytes(index in 0..400usize, byte: u8, cut in 0..400usize) {
+    fn corrupted_bytes(index in 0..400usize, byte: u8, cut in 0..400usize) {
         let sent = Message { extension: extension().non_empty(), ..whole() };
         let mut bytes = write(&sent, Format::Permits).expect("it is written");
         let index = index % bytes.len();
--- a/tests/tests/fuzz.rs
+++ b/tests/tests/fuzz.rs
@@ -157,7 +157,7 @@
 
     /// Whatever other boxes say, a box goes on, and answers what it is asked.
     #[test]
-    fn datagrams_are_borne(messages in prop::collection::vec(datagram(), 1..12)) {
+    fn datagrams_handled(messages in prop::collection::vec(datagram(), 1..12)) {
         let mut world = World::unconfigured();
         world.event(Event::Configured(Arc::new(configuration(1))));
         world.event(Event::Listed(engines(), 10.into()));
--- a/tests/tests/gossip.rs
+++ b/tests/tests/gossip.rs
@@ -30,7 +30,7 @@
 
 /// All boxes find each other, and stay known for a minute.
 #[test]
-fn nobody_falsely_dead() -> Result<(), String> {
+fn live_box_found_dead() -> Result<(), String> {
     let world = run(70, &[])?;
     assert_eq!(known(&world, 0..BOXES), (BOXES, BOXES));
     let silent: Vec<_> = world.notes.iter().filter(|it| it.1.contains("is silent")).collect();
@@ -40,7 +40,7 @@
 
 /// Five boxes die at once; all others know within a few seconds.
 #[test]
-fn dead_are_found() -> Result<(), String> {
+fn dead_box_missed() -> Result<(), String> {
     let faults: Vec<(u64, Action)> = (0..5).map(|it| (20, Action::Crash(it))).collect();
     let world = run(27, &faults)?;
     assert_eq!(known(&world, 5..BOXES), (BOXES - 5, BOXES - 5));
--- a/tests/tests/imports.rs
+++ b/tests/tests/imports.rs
@@ -60,7 +60,7 @@
 }
 
 #[test]
-fn circle_is_found() {
+fn cycle_missed() {
     let edges = [("a", "b"), ("b", "c"), ("c", "b"), ("d", "a")];
     let mut imports = Imports::new();
     for (from, to) in edges {
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn imports_go_one_way() {
+fn cyclic_imports() {
     let crates = root().join("crates");
     let mut folders: Vec<_> = std::fs::read_dir(crates)
         .expect("a folder")
--- a/tests/tests/limits_drawn.rs
+++ b/tests/tests/limits_drawn.rs
@@ -74,7 +74,7 @@
 
     /// Six boxes with up to three times the usual traffic.
     #[test]
-    fn engines_get_what_they_take(
+    fn engine_limits_exceeded(
         seed in 0..1000u64,
         first_milli_rate in 50..9000u32,
         events in prop::collection::vec((event(), 100..3000u64), 1..14),
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -46,7 +46,7 @@
     assert!(is_good, "{text}");
 }
 
-/// Gives the processes whose settings lie in a folder.
+/// Returns the processes whose settings lie in a folder.
 fn processes_of(folder: &Path) -> Vec<String> {
     let settings = folder.join("box-0.toml").to_string_lossy().into_owned();
     let processes = std::fs::read_dir("/proc").expect("the kernel lists processes");
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -1,4 +1,4 @@
-//! The soak's judge: what it finds, and what it must not find, in records made up here.
+//! The soak's judge: what it finds, and must not find, in made-up records.
 
 use hollyspoke_soak::judge::{Bounds, Finding, Promise, judge};
 use hollyspoke_soak::keys::Caller;
@@ -15,7 +15,7 @@
     Observation { at: 100 * SECOND + millis * MILLISECOND, what }
 }
 
-/// A try `r` that was sent to box 0.
+/// An attempt `r` that was sent to box 0.
 fn sent(millis: u64, kind: Kind) -> Observation {
     let (attempt, path) = ("r".to_owned(), "/x/1".to_owned());
     let body = digest(BODY);
@@ -28,7 +28,7 @@
     Caller { customer: customer.to_owned(), key, units }
 }
 
-/// The same observation of a try by another client.
+/// The same observation of another client.
 fn by(mut it: Observation, new_caller: Caller) -> Observation {
     if let What::Sent { caller, .. } = &mut it.what {
         *caller = new_caller;
@@ -70,14 +70,14 @@
     node(0, BoxChange::Started)
 }
 
-/// Gives the promises that are found broken.
+/// Returns the promises that are found broken.
 fn broken(observations: &[Observation]) -> Vec<Promise> {
     let found = judge(observations, &Bounds::default());
     found.iter().map(|it: &Finding| it.promise).collect()
 }
 
 #[test]
-fn served_request_breaks_nothing() {
+fn served_request() {
     let seen = [
         running(),
         sent(5000, Kind::Unsafe),
@@ -103,7 +103,7 @@
 }
 
 #[test]
-fn other_bytes() {
+fn altered_answer() {
     let seen = [
         running(),
         sent(5000, Kind::Safe),
@@ -128,12 +128,12 @@
 }
 
 #[test]
-fn unasked_run() {
+fn run_without_request() {
     assert_eq!(broken(&[running(), began(5000, "a")]), [Promise::AsAsked]);
 }
 
 #[test]
-fn cut_by_a_stop() {
+fn stop_cuts_request() {
     let cut = at(6100, What::Cut { attempt: "r".to_owned() });
     let mut seen = vec![
         running(),
@@ -157,7 +157,7 @@
     assert_eq!(broken(&seen), [Promise::StopCutsNothing]);
 }
 
-/// A question for a version, asked of box 0.
+/// A request to box 0 for the route of one version.
 fn probed(millis: u64, version: u64, status: u16) -> Observation {
     let sent: Micros = 100 * SECOND + millis * MILLISECOND;
     at(millis + 10, What::Probed { node: 0, version, sent, status })
@@ -183,7 +183,7 @@
 }
 
 #[test]
-fn holders_in_turn() {
+fn several_lease_holders() {
     let order = |millis: u64, holder: &str, token: u64| {
         let (engine, stage) = ("a".to_owned(), "decode".to_owned());
         at(millis, What::Ordered { engine, holder: holder.to_owned(), token, stage })
@@ -195,22 +195,22 @@
 }
 
 #[test]
-fn own_end() {
+fn unexpected_exit() {
     let killed = [running(), node(10, BoxChange::Killed), node(20, BoxChange::Ended)];
     assert_eq!(broken(&killed), []);
     assert_eq!(broken(&[running(), node(20, BoxChange::Ended)]), [Promise::StaysAlive]);
 }
 
 #[test]
-fn large_process() {
+fn memory_limit_exceeded() {
     let usage = |resident: u64| at(5, What::Usage { node: 0, resident, descriptors: 20 });
     assert_eq!(broken(&[running(), usage(20 << 20)]), []);
     assert_eq!(broken(&[running(), usage(65 << 20)]), [Promise::Bounded]);
 }
 
-/// A box must be done with a request that has a flaw, unless something disturbs the box.
+/// A box finishes with a malformed request in time, unless something disturbs the box.
 #[test]
-fn flaw_that_lasts() {
+fn malformed_request_kept() {
     let flawed = |span: Micros, is_done| {
         at(9000, What::Flawed { node: 0, flaw: Flaw::HalfHead, span, is_done })
     };
@@ -222,7 +222,7 @@
 }
 
 #[test]
-fn runs_for_nobody() {
+fn runs_after_disconnect() {
     let mut seen = vec![running()];
     for number in 0..4_u64 {
         let attempt = format!("r{number}");
@@ -261,14 +261,14 @@
 }
 
 #[test]
-fn key_that_nobody_holds() {
+fn unknown_key() {
     let made_up = by(sent(5000, Kind::Safe), caller("press", None, 200));
     assert_eq!(broken(&[running(), made_up.clone(), began(5010, "a")]), [Promise::KnownKey]);
     assert_eq!(broken(&[running(), made_up, answered(5010, 401, 0, &[])]), []);
 }
 
 #[test]
-fn key_taken_away() {
+fn removed_key() {
     let seen = |sent_at: u64| {
         let versions = [configured(0, 1), configured(100, 2), configured(20_000, 3)];
         let try_of = [sent(sent_at, Kind::Safe), began(sent_at + 10, "a")];
@@ -314,7 +314,7 @@
     assert_eq!(broken(&[running(), town, began(5010, "a")]), [Promise::RightCustomer]);
 }
 
-/// Gives tries of the limited customer, one each 100 ms, that all run.
+/// Returns attempts of the limited customer, one each 100 ms, that all run.
 fn flood(count: u64, units: u64) -> Vec<Observation> {
     let mut seen = vec![running()];
     for number in 0..count {
@@ -335,7 +335,7 @@
 }
 
 #[test]
-fn sum_over_the_limit() {
+fn customer_limit_exceeded() {
     assert_eq!(broken(&flood(200, 850)), [], "68,850 in a window where 69,500 are allowed");
     assert_eq!(broken(&flood(200, 870)), [Promise::WithinLimit]);
 }
@@ -349,7 +349,7 @@
     assert_eq!(broken(&[running(), night, refused]), []);
 }
 
-/// Tries of one harmful request, a second apart, each of which comes to another upstream.
+/// Attempts of one harmful request, a second apart, each of which another upstream receives.
 fn harmful(count: u64) -> Vec<Observation> {
     let mut seen = vec![running()];
     for number in 0..count {
@@ -369,10 +369,10 @@
     seen
 }
 
-/// Three runs crash upstreams, the fourth to seventh are within the time in which boxes come to know,
+/// Three runs crash upstreams, the fourth to seventh begin before all boxes have been informed, and
 /// three more are allowed.
 #[test]
-fn harmful_request_sent_on() {
+fn harmful_request_not_quarantined() {
     assert_eq!(broken(&harmful(10)), []);
     assert_eq!(broken(&harmful(11)), [Promise::HarmHeldBack]);
     let mut disturbed = harmful(11);
@@ -403,14 +403,14 @@
 
 /// Of two a second 17 are allowed in 4 s.
 #[test]
-fn limit_of_an_upstream() {
+fn upstream_limit_exceeded() {
     assert_eq!(broken(&pressed(250)), []);
     assert_eq!(broken(&pressed(200)), [Promise::LimitKept]);
-    // A new life of it begins without.
+    // A new incarnation starts without a limit.
     let mut reborn = pressed(200);
     reborn.push(at(5000, What::EngineGone { engine: "a".to_owned() }));
     assert_eq!(broken(&reborn), []);
-    // A box that stood still is excused for what it sent right after.
+    // A box that was paused is excused for what it sent right after.
     let mut paused = pressed(200);
     for millis in (4500..14_000).step_by(2500) {
         paused.extend([node(millis, BoxChange::Paused), node(millis + 1, BoxChange::Resumed)]);
@@ -418,7 +418,7 @@
     assert_eq!(broken(&paused), []);
 }
 
-/// Gives a try of its own name, among others.
+/// Renames the attempt of an observation.
 fn named(mut it: Observation, name: &str) -> Observation {
     match &mut it.what {
         What::Sent { attempt, .. }
@@ -432,7 +432,7 @@
     it
 }
 
-/// A served try of its own name, sent at a time.
+/// A served attempt with a name of its own, sent at a time.
 fn served(millis: u64, name: &str) -> Vec<Observation> {
     let seen = [
         sent(millis, Kind::Safe),
@@ -443,8 +443,8 @@
     seen.into_iter().map(|it| named(it, name)).collect()
 }
 
-/// An upstream says at 4 s that it leaves; its box passes that on at 5.021 s, and sends it one more
-/// request that its client has sent some time later.
+/// An upstream announces its shutdown at 4 s. Its box forwards that answer at 5.021 s, and sends the
+/// upstream one more request that its client has sent some time later.
 fn told_to_leave(later: u64) -> Vec<Observation> {
     let mut seen = vec![running(), at(4000, What::Leaving { engine: "a".to_owned() })];
     seen.extend(served(5000, "first"));
@@ -453,10 +453,10 @@
 }
 
 #[test]
-fn request_to_an_upstream_that_leaves() {
+fn request_to_leaving_upstream() {
     assert_eq!(broken(&told_to_leave(1990)), []);
     assert_eq!(broken(&told_to_leave(2010)), [Promise::LeavingKept]);
-    // Neither a new life of it nor a box that was down since is bound; a cut excuses nothing.
+    // A new incarnation, or a box that was down since, is excused; a partition is no excuse.
     let mut reborn = told_to_leave(2010);
     reborn.push(at(6000, What::EngineGone { engine: "a".to_owned() }));
     assert_eq!(broken(&reborn), []);
@@ -468,7 +468,7 @@
     assert_eq!(broken(&cut), [Promise::LeavingKept]);
 }
 
-/// An upstream's entry says at 4 s that it leaves; box 0 sends it one more request that its client has
+/// An upstream's entry is marked as draining at 4 s. Box 0 sends it one more request that its client has
 /// sent some time later.
 fn entered_to_leave(later: u64) -> Vec<Observation> {
     let mut seen = vec![running(), at(4000, What::EntryLeaving { engine: "a".to_owned() })];
@@ -477,10 +477,10 @@
 }
 
 #[test]
-fn request_to_an_upstream_whose_entry_leaves() {
+fn request_to_draining_entry() {
     assert_eq!(broken(&entered_to_leave(1990)), []);
     assert_eq!(broken(&entered_to_leave(2010)), [Promise::EntryKept]);
-    // Neither a new life of it, nor a box that is out of touch, nor one without a store is bound.
+    // A new incarnation, a box that is cut off, and a box without a store are excused.
     for excuse in [
         at(6000, What::EngineGone { engine: "a".to_owned() }),
         node(2000, BoxChange::Disturbed),
@@ -492,8 +492,8 @@
     }
 }
 
-/// An upstream turns a try away at 5.010 s and asks for 3 s of rest; its box goes on with the try, and
-/// sends the upstream some more, each half a second.
+/// An upstream rejects an attempt at 5.010 s and asks for a back-off of 3 s. Its box retries the attempt
+/// elsewhere and sends the upstream some more requests, one each half second.
 fn asked_for_rest(count: u64) -> Vec<Observation> {
     let (engine, attempt) = ("a".to_owned(), "first".to_owned());
     let refused = [
@@ -513,15 +513,15 @@
     seen
 }
 
-/// Two may come while an upstream rests.
+/// Two requests may arrive during the back-off.
 #[test]
-fn requests_to_an_upstream_that_rests() {
+fn requests_during_back_off() {
     assert_eq!(broken(&asked_for_rest(2)), []);
     assert_eq!(broken(&asked_for_rest(3)), [Promise::RestKept]);
     let mut cut = asked_for_rest(3);
     cut.push(node(5500, BoxChange::Disturbed));
     assert_eq!(broken(&cut), []);
-    // A box that did not go on with the try may not have the refusal.
+    // A box that did not retry the attempt may not have received the rejection.
     let mut lost = asked_for_rest(3);
     lost.retain(|it| !matches!(it.what, What::Answered { status: 503, .. }));
     assert_eq!(broken(&lost), []);
--- a/tests/tests/stage_ratio.rs
+++ b/tests/tests/stage_ratio.rs
@@ -20,7 +20,7 @@
 proptest! {
     /// The best split uses all engines, has both stages, and no other split is better.
     #[test]
-    fn best_is_best((demand, capacity, split) in any_case()) {
+    fn best_ratio((demand, capacity, split) in any_case()) {
         let engines = split.prefill + split.decode;
         let best = best(demand, capacity, engines).expect("there are two engines");
         prop_assert!(best.prefill > 0 && best.decode > 0);
--- a/tests/tests/suspension.rs
+++ b/tests/tests/suspension.rs
@@ -34,7 +34,7 @@
 
 /// The clock goes on by the time of a suspension, and timers ring that much sooner.
 #[test]
-fn clock_counts_on() {
+fn clock_stops() {
     let clock = Clock::default();
     let before = clock.now();
     clock.add_suspension(Duration::from_secs(5));
--- a/tests/tests/tenants.rs
+++ b/tests/tests/tenants.rs
@@ -89,7 +89,7 @@
 
 /// Names that the file does not know have one account together.
 #[test]
-fn made_up_names() -> Result<(), String> {
+fn unknown_names() -> Result<(), String> {
     let tenants = vec![("known".to_owned(), 1.0)];
     let plan = Plan { tenants, prefill_rate: 4000, memory_tokens: 1 << 30, ..Plan::default() };
     let made_up = [("a", 7), ("b", 7), ("c", 7), ("d", 7), ("known", 20)];
--- a/tests/tests/terms_drawn.rs
+++ b/tests/tests/terms_drawn.rs
@@ -80,7 +80,7 @@
 
     /// Six boxes with up to three times the usual traffic.
     #[test]
-    fn engines_terms_are_kept(
+    fn engine_terms_ignored(
         seed in 0..1000u64,
         events in prop::collection::vec((event(), 100..3000u64), 1..14),
     ) {
--- a/tests/tests/under_load.rs
+++ b/tests/tests/under_load.rs
@@ -44,7 +44,7 @@
 
 /// At twice the capacity more is answered in time than at the capacity, and nothing is wasted.
 #[test]
-fn no_collapse() -> Result<(), String> {
+fn throughput_collapses() -> Result<(), String> {
     let (full, double) = (run(1.0, Vec::new())?, run(2.0, Vec::new())?);
     assert!(double.goodput >= full.goodput, "{full:?} {double:?}");
     assert!(double.wasted < 0.01 && double.failed < 0.01, "{double:?}");
