--- a/crates/hollyspoke-gateway/src/admission.rs
+++ b/crates/hollyspoke-gateway/src/admission.rs
@@ -205,7 +205,7 @@
         let mut contention =
             Contention { levels: Vec::new(), classes: usages.collect(), horizon, mean_units };
         let mut rest = usable(pool);
-        for classes in classes.iter().collect::<Vec<_>>().chunk_by(|a, b| is_same_priority(a, b)) {
+        for classes in classes.iter().collect::<Vec<_>>().chunk_by(is_same_priority) {
             let mut level = Level { priority: classes[0].0.priority, ..Level::default() };
             classes.iter().for_each(|(_, load)| level.total.add(**load));
             let needs = classes.iter().map(|(class, _)| contention.classes[class].needed);
