--- a/crates/hollyspoke-gateway/src/class.rs
+++ b/crates/hollyspoke-gateway/src/class.rs
@@ -167,8 +167,8 @@
         }
     }
 
-    /// Returns the load of the largest classes at this box, at most [`MAX_ANNOUNCED`], and forgets
-    /// the classes without any.
+    /// Returns the load of the largest classes at this box, as many as fit into a datagram, and
+    /// forgets the classes without any.
     pub fn own(&mut self, now: Time) -> Vec<Announcement> {
         let min = (MIN_RATE * 1e3) as u64;
         self.own.retain(|_, it| {
