Paces of engines are on by default

Cause: engines of one site differ by 2.4 times, and some turn slow for seconds.

Change: the default of features.pace is true; it can be switched off.

--- a/crates/hollyspoke-gateway/src/features.rs
+++ b/crates/hollyspoke-gateway/src/features.rs
@@ -24,7 +24,7 @@
 
 impl Default for Features {
     fn default() -> Features {
-        Features::NONE
+        Features { pace: true, ..Features::NONE }
     }
 }
 
