--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -232,6 +232,11 @@
         /// The revision up to which the known state is complete.
         known: Revision,
     },
+    /// Engine changes were not forwarded to the other boxes because they were too many.
+    NotForwarded {
+        /// The number of changes.
+        changes: usize,
+    },
     /// The store was restored from an older copy and has lost its latest writes.
     StoreReturned {
         /// The new era of the store.
--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -234,12 +234,13 @@
     /// Forwards changes in datagrams that build on each other. If there are too many, the other
     /// boxes read the store themselves.
     fn forward_changes(&mut self, since: Revision, changes: Vec<EngineChange>) {
-        if changes.len() > MAX_FORWARDED_CHANGES {
-            return;
+        let count = changes.len();
+        if count > MAX_FORWARDED_CHANGES {
+            return self.log(LogEvent::NotForwarded { changes: count });
         }
         let parts = split_into_datagrams(changes);
         if parts.iter().any(|it| it.len() > MAX_CHANGES_PER_REVISION) {
-            return;
+            return self.log(LogEvent::NotForwarded { changes: count });
         }
         let mut since = since;
         for part in parts {
--- a/crates/hollyspoke-server/src/handover.rs
+++ b/crates/hollyspoke-server/src/handover.rs
@@ -10,10 +10,11 @@
 
 use hollyspoke_gateway::event::Event;
 use hollyspoke_gateway::snapshot::{Listing, Snapshot};
-use slog::{info, warn};
+use slog::{info, o, warn};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::time::Instant;
 
 use crate::node::Node;
 
@@ -95,16 +96,19 @@
 /// Fetches a snapshot from another box and dispatches it to the reducer. If that fails, the reducer
 /// asks another box at its next heartbeat.
 pub async fn fetch(node: Rc<Node>, provider: SocketAddr) {
-    match tokio::time::timeout(HANDOVER_TIMEOUT, receive_snapshot(&node, provider)).await {
+    let started = Instant::now();
+    let fetched = tokio::time::timeout(HANDOVER_TIMEOUT, receive_snapshot(&node, provider)).await;
+    let after = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let log = node.log.new(o!("from" => provider.to_string(), "after_ms" => after));
+    match fetched {
         Ok(Ok(snapshot)) => {
-            let engines = engine_count(&snapshot);
-            info!(node.log, "snapshot fetched"; "from" => %provider, "engines" => engines);
+            let is_whole = matches!(snapshot.listing, Some(Listing::Whole { .. }));
+            info!(log, "snapshot fetched";
+                "engines" => engine_count(&snapshot), "whole" => is_whole);
             node.dispatch(Event::SnapshotReceived(provider, Box::new(snapshot)));
         }
-        Ok(Err(error)) => {
-            info!(node.log, "snapshot not fetched"; "from" => %provider, "error" => %error);
-        }
-        Err(_) => info!(node.log, "snapshot not fetched in time"; "from" => %provider),
+        Ok(Err(error)) => info!(log, "snapshot not fetched"; "error" => %error),
+        Err(_) => info!(log, "snapshot not fetched in time"),
     }
 }
 
--- a/crates/hollyspoke-server/src/http1.rs
+++ b/crates/hollyspoke-server/src/http1.rs
@@ -1,9 +1,10 @@
 //! A client connection over HTTP/1.1.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -79,3 +80,22 @@
     let collected = Limited::new(body, max_bytes).collect().await;
     collected.ok().map(http_body_util::Collected::to_bytes)
 }
+
+/// Reads a whole body like [`read_whole`], and counts the bytes that have arrived in `received`,
+/// which holds their number also if the read is cancelled.
+pub async fn read_counted(
+    body: Incoming,
+    max_bytes: usize,
+    received: &Cell<usize>,
+) -> Option<Bytes> {
+    let mut body = Limited::new(body, max_bytes);
+    let mut bytes = BytesMut::new();
+    received.set(0);
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.ok()?.into_data() {
+            bytes.extend_from_slice(&data);
+            received.set(bytes.len());
+        }
+    }
+    Some(bytes.freeze())
+}
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -286,6 +286,7 @@
             LogEvent::Released { .. } | LogEvent::Suspended(_) => {}
             LogEvent::Listed { .. }
             | LogEvent::ListDropped { .. }
+            | LogEvent::NotForwarded { .. }
             | LogEvent::Avoided { .. }
             | LogEvent::WatchesStore(_)
             | LogEvent::Stopping => {}
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -25,6 +25,9 @@
         }
         LogEvent::ListDropped { revision, known } => warn!(log, "list of engines not taken";
             "era" => revision.era, "revision" => revision.number, "known" => %known),
+        LogEvent::NotForwarded { changes } => {
+            warn!(log, "engine changes not forwarded"; "changes" => changes);
+        }
         LogEvent::StoreReturned { era, revision, announced_by } => {
             warn!(log, "store came back from a copy";
             "era" => era, "era_before" => revision.era, "revision_before" => revision.number,
--- a/crates/hollyspoke-server/src/sync.rs
+++ b/crates/hollyspoke-server/src/sync.rs
@@ -2,6 +2,7 @@
 //! changes, and lists them again when changes since the last known revision are no longer
 //! available.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,9 +19,10 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use slog::{info, warn};
+use tokio::time::Instant;
 
 use crate::dialect::{Change, Item, Kind, Page};
-use crate::http1::{Connection, read_whole};
+use crate::http1::{Connection, read_counted};
 use crate::node::Node;
 
 /// The timeout for opening a connection to the store.
@@ -97,11 +99,14 @@
     oldest: Revision,
     /// The revision of the newest page.
     newest: Revision,
+    /// The size of the pages, in bytes.
+    bytes: usize,
 }
 
 impl Listing {
     /// Adds a page that was read at a revision.
-    fn add_page(&mut self, page: Page, revision: Revision) {
+    fn add_page(&mut self, page: Page, revision: Revision, bytes: usize) {
+        self.bytes += bytes;
         let is_first = self.pages == 0;
         self.oldest = if is_first { revision } else { self.oldest.min(revision) };
         self.newest = self.newest.max(revision);
@@ -153,6 +158,8 @@
     list_restarts: u32,
     /// Whether the store is unreachable, as logged.
     is_store_lost: bool,
+    /// The size of the answer's body that has arrived in the last call, in bytes.
+    received: Cell<usize>,
     /// The random number generator for pauses.
     rng: Pcg64Mcg,
 }
@@ -170,6 +177,7 @@
         failures: 0,
         list_restarts: 0,
         is_store_lost: false,
+        received: Cell::default(),
         rng,
     };
     loop {
@@ -187,12 +195,16 @@
 impl Follower {
     /// Reads the whole list and returns its revision.
     async fn list(&mut self) -> Result<Revision, Failure> {
+        let started = Instant::now();
         let mut listing = self.read_pages().await?;
         if listing.pages > 1 {
             self.catch_up(&mut listing).await?;
         }
         self.allows_stale_pages = true;
         self.record_store_regained();
+        info!(self.node.log, "list read"; "kind" => format!("{:?}", self.kind),
+            "pages" => listing.pages, "bytes" => listing.bytes, "retries" => listing.retries,
+            "after_ms" => millis(started));
         self.dispatch_list(listing.items, listing.newest);
         Ok(listing.newest)
     }
@@ -216,7 +228,7 @@
             };
             self.log_findings(&page.findings);
             next = page.next.clone();
-            listing.add_page(page, revision);
+            listing.add_page(page, revision, self.received.get());
             if listing.has_mixed_eras() {
                 return Err(Failure::OtherEra);
             }
@@ -230,7 +242,12 @@
     async fn read_page(&mut self, after: Option<&str>) -> Result<(Page, Revision), Failure> {
         let is_stale = after.is_some() && self.allows_stale_pages;
         let path = (self.node.dialect.list)(self.kind, after, is_stale);
-        let reply = self.get(&path, LIST_TIMEOUT).await?;
+        let started = Instant::now();
+        let reply = self.get(&path, LIST_TIMEOUT).await.inspect_err(|failure| {
+            info!(self.node.log, "page not read"; "kind" => format!("{:?}", self.kind),
+                "why" => format!("{failure:?}"), "first" => after.is_none(),
+                "bytes" => self.received.get(), "after_ms" => millis(started));
+        })?;
         let page = (self.node.dialect.read_page)(self.kind, &reply.bytes);
         let page = page.map_err(|it| Failure::Malformed(it.0))?;
         let revision = Revision::new(reply.era, page.number);
@@ -351,6 +368,7 @@
 
     /// Gets a path from the store within a timeout; drops the connection on failure.
     async fn get(&mut self, path: &str, timeout: Duration) -> Result<Reply, Failure> {
+        self.received.set(0);
         let answer = tokio::time::timeout(timeout, self.exchange(path)).await;
         let answer = answer.unwrap_or(Err(Failure::NoAnswer));
         if answer.is_err() {
@@ -374,7 +392,7 @@
         let response = connection.send(request).await.map_err(|_| Failure::NoAnswer)?;
         let status = response.status();
         let era = self.node.handle_store_era(response.headers()).ok_or(Failure::OtherEra)?;
-        let bytes = read_whole(response.into_body(), MAX_ANSWER_BYTES).await;
+        let bytes = read_counted(response.into_body(), MAX_ANSWER_BYTES, &self.received).await;
         let bytes = bytes.ok_or(Failure::NoAnswer)?;
         if status != StatusCode::OK {
             return Err(Failure::Refused(status));
@@ -474,3 +492,8 @@
         tokio::time::sleep(Duration::from_millis(millis)).await;
     }
 }
+
+/// Returns the time since an instant, in whole milliseconds.
+fn millis(since: Instant) -> u64 {
+    u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
