--- a/tests/src/platform.rs
+++ b/tests/src/platform.rs
@@ -17,7 +17,7 @@
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 use tokio::task::LocalSet;
 
 /// How the store behaves.
@@ -131,6 +131,11 @@
     pub leave_between_pages: Rc<RefCell<Vec<String>>>,
     /// How many of the next requests for a page after the first one are refused.
     pub refused_pages: Rc<Cell<u32>>,
+    /// The rate of the store's link, which all connections share, in bytes per second; no limit if
+    /// absent.
+    pub link_bytes_per_s: Rc<Cell<Option<u32>>>,
+    /// Held by the connection that is sending over the link.
+    link: Rc<Mutex<()>>,
     /// How often the connections that were open were stalled.
     stalled: Rc<Cell<u32>>,
     /// Wakes the watches that wait for a change.
@@ -285,6 +290,8 @@
         lists: Rc::default(),
         leave_between_pages: Rc::default(),
         refused_pages: Rc::default(),
+        link_bytes_per_s: Rc::default(),
+        link: Rc::default(),
         stalled: Rc::default(),
         changed: Rc::default(),
     };
@@ -324,13 +331,29 @@
         let body = body.to_string();
         let era = store.era.get().map(|it| format!("Store-Era: {it}\r\n")).unwrap_or_default();
         let head = format!("HTTP/1.1 {status}\r\n{era}Content-Length: {}\r\n\r\n", body.len());
-        if stream.write_all(format!("{head}{body}").as_bytes()).await.is_err() {
+        if store.send(&mut stream, format!("{head}{body}").as_bytes()).await.is_err() {
             return;
         }
     }
 }
 
+/// The part of an answer that is sent over the store's link before another connection's turn.
+const LINK_TURN_BYTES: usize = 4096;
+
 impl Store {
+    /// Sends an answer over the store's link, in turns with the other connections.
+    async fn send(&self, stream: &mut TcpStream, answer: &[u8]) -> std::io::Result<()> {
+        let Some(rate) = self.link_bytes_per_s.get() else {
+            return stream.write_all(answer).await;
+        };
+        for part in answer.chunks(LINK_TURN_BYTES) {
+            let _turn = self.link.lock().await;
+            tokio::time::sleep(Duration::from_secs_f64(part.len() as f64 / f64::from(rate))).await;
+            stream.write_all(part).await?;
+        }
+        Ok(())
+    }
+
     /// Stalls the connections that are open: they are never answered again. New ones work.
     pub fn stall_open_connections(&self) {
         self.stalled.set(self.stalled.get() + 1);
