Few boxes read their first list from the store, and hand it on; no read is given up while it comes in

Cause: each of 985 boxes asked the store for its first page of engines at once, and gave it up after 1.0 s. All that was sent was thrown away and asked again: a metastable failure, in which nobody has a list to hand over. Ruled out: the rate of calls (no 429), the boxes' own links (a page takes 60 ms of the slowest).

The mend, by design and not by a larger constant: - With over 100 boxes only the followers of the store read their first list there; their number doubles each 3 s for boxes that still have none. All others take it from any box that is ready, four at a time from each, and ask another at once if one is busy. What the store sends grows with the readers. - No read of the store and no handover is given up while parts of it arrive; the time allowed for a part doubles while the store gives no answer. - A box that misses engine changes asks 0.3 s after it learns of them, then others every 0.15 to 0.3 s, and reads the store after 2 s. It was asked with the box's own heartbeats, each 1.6 s at 200 boxes a data centre, and read the store at the eighth. - A list is caught up with by name and not by a search through all items for each change.

The virtual boxes of start_together.rs move to a module of their own, with links and a store.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -232,6 +232,11 @@
         /// The revision up to which the known state is complete.
         known: Revision,
     },
+    /// Engine changes that this box had missed have arrived.
+    CaughtUp {
+        /// The time since this box learnt of them.
+        after: Duration,
+    },
     /// Engine changes were not forwarded to the other boxes because they were too many.
     NotForwarded {
         /// The number of changes.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 mod call;
 mod capacity;
 mod cases;
+mod catch_up;
 mod census;
 mod classes;
 mod cold;
@@ -43,6 +44,7 @@
 
 use crate::appointment::Book;
 use crate::budget::{Bound, Budget};
+use crate::catch_up::CatchUp;
 use crate::class;
 use crate::cold::SendTimes;
 use crate::customer::CustomerKey;
@@ -211,6 +213,8 @@
     next_sequence: u64,
     /// The state of this box's own contact with the store.
     store: StoreState,
+    /// How this box gets what it lacks of the store's state.
+    catch_up: CatchUp,
     /// The requests under which engines have crashed.
     quarantine: Quarantine,
     /// The same cases as saved in the store.
@@ -286,6 +290,7 @@
             next_call: 0,
             next_sequence: 0,
             store: StoreState::default(),
+            catch_up: CatchUp::default(),
             quarantine: Quarantine::default(),
             cases: Cases::default(),
             probing: HashSet::new(),
@@ -316,6 +321,7 @@
                 self.apply_evacuation_changes(changes, revision);
             }
             Event::SnapshotReceived(provider, snapshot) => self.apply_snapshot(provider, *snapshot),
+            Event::SnapshotFailed(provider) => self.ask_another(provider),
             Event::StoreEra(era) => self.update_era(era, None),
             Event::StoreAnswered(kind) => self.record_store_answer(kind),
             Event::StoreFailed(kind) => self.record_store_failure(kind),
@@ -348,6 +354,7 @@
         self.check_due_requests();
         self.advance_migrations();
         self.send_due_heartbeat();
+        self.advance_catch_up();
         self.send_greetings();
         self.sync_cases();
         self.announce_cases();
@@ -373,6 +380,7 @@
             self.permits.next_start(self.now),
             self.terms.back_offs.next_end(self.now),
             self.next_migration_at(),
+            self.next_catch_up_at(),
         ];
         times.into_iter().flatten().fold(self.next_heartbeat, Time::min)
     }
--- a/crates/hollyspoke-gateway/src/gateway/era.rs
+++ b/crates/hollyspoke-gateway/src/gateway/era.rs
@@ -12,7 +12,7 @@
 use crate::event::Kind;
 
 /// The kinds of objects that the followers watch.
-const KINDS: [Kind; 3] = [Kind::Configuration, Kind::Engines, Kind::Evacuations];
+pub(super) const KINDS: [Kind; 3] = [Kind::Configuration, Kind::Engines, Kind::Evacuations];
 
 impl Gateway {
     /// Returns the newest known era of the store; 0 if none was reported.
--- a/crates/hollyspoke-gateway/src/gateway/handover.rs
+++ b/crates/hollyspoke-gateway/src/gateway/handover.rs
@@ -73,14 +73,17 @@
             }
             Some(_) | None => {}
         }
+        self.catch_up.record_answer(true, 0.0, self.now);
     }
 
-    /// Requests a snapshot from one of the boxes with the newest version and engines.
-    pub(super) fn request_snapshot(&mut self) {
+    /// Requests a snapshot from one of the boxes with the newest version and engines. Returns whether
+    /// there is one.
+    pub(super) fn request_snapshot(&mut self) -> bool {
         let draw = self.draw();
         let wanted = self.version().unwrap_or(0);
-        let known = self.directory.complete();
+        let known = self.are_engines_listed.then(|| self.directory.complete());
         let provider = self.members.choose_provider(wanted, known, draw);
         self.effects.extend(provider.map(Effect::Fetch));
+        provider.is_some()
     }
 }
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -119,6 +119,7 @@
         if let Some(update) = &message.engine_update {
             self.apply_engine_update(update);
         }
+        self.receive_store_view(message.store_view);
         for &engine in &message.replaced {
             self.directory.mark_misdirected(engine, self.now);
         }
--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -52,10 +52,6 @@
 /// the first one, the announcement of the change may still be on its way.
 const ASK_AFTER_HEARTBEATS: u32 = 2;
 
-/// Like [`ASK_AFTER_HEARTBEATS`], for reading the engines from the store in a large deployment. By
-/// then several boxes that know more have failed to hand the list over.
-const LARGE_READ_AFTER_HEARTBEATS: u32 = 8;
-
 /// Like [`ASK_AFTER_HEARTBEATS`], for asking another box for a newer configuration in a large
 /// deployment. The boxes that read it from the store have it by then.
 const LARGE_ASK_AFTER_HEARTBEATS: u32 = 1;
@@ -258,7 +254,8 @@
         let enters_era = last.era > own.era;
         // A box at another revision may know changes of the previous era that the new one has lost.
         if enters_era && self.are_engines_listed && own != update.since {
-            return self.request_snapshot();
+            self.request_snapshot();
+            return;
         }
         if !self.are_engines_listed || own < update.since {
             return;
@@ -381,7 +378,8 @@
     }
 
     /// Decides whether this box follows the store, and requests what it has lacked for several
-    /// heartbeats.
+    /// heartbeats. In a large deployment, missing engine changes aren't left to heartbeats, which
+    /// are seconds apart.
     pub(super) fn sync_with_store(&mut self) {
         let follows = self.should_follow() && self.now.since(Time::ZERO) >= FOLLOW_DECISION_DELAY;
         if follows != self.store.follows {
@@ -394,13 +392,14 @@
         let behind = self.version().unwrap_or(0) < newest.version;
         let lacked_configuration = count_consecutive(&mut self.store.configuration_lag, behind);
         let known = self.directory.complete();
-        let behind = !self.are_engines_listed || known < newest.revision;
+        let lacks_engines = !self.are_engines_listed || known < newest.revision;
+        let behind = lacks_engines && !self.members.is_large();
         let lacked_engines = count_consecutive(&mut self.store.engines_lag, behind);
         let lacks_era = self.are_engines_listed && known.era < newest.revision.era;
-        if lacked_configuration >= ASK_AFTER_HEARTBEATS {
+        if lacked_configuration >= ASK_AFTER_HEARTBEATS && self.reads_store() {
             self.effects.push(Effect::Read(Kind::Configuration));
         }
-        if lacked_engines >= self.read_after_heartbeats() && self.are_engines_listed {
+        if lacked_engines >= ASK_AFTER_HEARTBEATS && self.are_engines_listed {
             self.effects.push(Effect::Read(Kind::Engines));
         }
         // The store doesn't provide in time what is missing for this long.
@@ -425,13 +424,6 @@
         }
     }
 
-    /// Returns the consecutive heartbeats after which a box that lacks engine changes reads the
-    /// store. In a large deployment it asks another box first, which costs the store nothing: one
-    /// datagram lost at a relay can leave hundreds of boxes behind.
-    fn read_after_heartbeats(&self) -> u32 {
-        if self.members.is_large() { LARGE_READ_AFTER_HEARTBEATS } else { ASK_AFTER_HEARTBEATS }
-    }
-
     /// Returns whether another box has announced a newer configuration.
     pub(super) fn is_behind(&self) -> bool {
         self.store.newest_known_version > self.version().unwrap_or(0)
@@ -443,7 +435,7 @@
         self.store.newest_known_version = self.store.newest_known_version.max(version);
         let is_newer = version > self.version().unwrap_or(0);
         let was_asked = self.store.requested_version >= version;
-        if !is_newer || was_asked || self.store.follows {
+        if !is_newer || was_asked || self.store.follows || !self.reads_store() {
             return;
         }
         self.store.requested_version = version;
@@ -455,7 +447,22 @@
 
     /// Returns whether this box should follow the store.
     fn should_follow(&self) -> bool {
-        let count = MIN_FOLLOWERS + self.members.peak_count() / BOXES_PER_FOLLOWER;
+        self.is_among_followers(self.follower_count())
+    }
+
+    /// Returns whether this box is among those that read their first list from the store, after
+    /// their number has doubled as many times. These are the followers first.
+    pub(super) fn is_reader(&self, doublings: u32) -> bool {
+        self.is_among_followers(self.follower_count() << doublings)
+    }
+
+    /// Returns the number of boxes that follow the store.
+    fn follower_count(&self) -> usize {
+        MIN_FOLLOWERS + self.members.peak_count() / BOXES_PER_FOLLOWER
+    }
+
+    /// Returns whether this box is among the first `count` that get answers from the store.
+    fn is_among_followers(&self, count: usize) -> bool {
         self.members.is_follower(
             self.settings.peer,
             count,
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod back_off;
 pub mod budget;
 pub mod cadence;
+pub mod catch_up;
 pub mod class;
 pub mod cold;
 pub mod credential;
--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -140,6 +140,23 @@
         self.peak_count > ALL_TO_ALL_MAX_BOXES
     }
 
+    /// Returns whether there are so many boxes by the count of any box. A box that has just started
+    /// learns the count of others before it has received from as many itself.
+    pub fn expects_many(&self) -> bool {
+        self.peak_count.max(self.reported_peak_count) > ALL_TO_ALL_MAX_BOXES
+    }
+
+    /// Returns whether no other box was received from or is listed.
+    pub fn is_alone(&self) -> bool {
+        self.peers.is_empty() && self.pending_peers.is_empty()
+    }
+
+    /// Returns whether another live box is ready.
+    pub fn has_ready(&self) -> bool {
+        let is_ready = |it: &Peer| !it.has_timed_out && it.readiness == Readiness::Ready;
+        self.peers.values().any(is_ready)
+    }
+
     /// Returns the maximum number of boxes that receive what this box announces about a local
     /// engine.
     pub fn max_receivers(&self) -> usize {
--- a/crates/hollyspoke-gateway/src/member/duty.rs
+++ b/crates/hollyspoke-gateway/src/member/duty.rs
@@ -50,15 +50,15 @@
 
     /// Chooses a live, ready box with the newest version of the configuration, which is at least
     /// `version`. Boxes with engine changes newer than `revision` take precedence, then those of
-    /// the local data centre, since traffic between data centres is expensive. `draw` is a random
-    /// number from all of `u64`.
+    /// the local data centre, since traffic between data centres is expensive. If there is no
+    /// `revision`, all boxes know more. `draw` is a random number from all of `u64`.
     ///
     /// The chosen box isn't always the one that knows most. If hundreds of boxes are behind, all
     /// would ask the few that follow the store, which then have no time for the store itself.
     pub fn choose_provider(
         &self,
         version: u64,
-        revision: Revision,
+        revision: Option<Revision>,
         draw: u64,
     ) -> Option<SocketAddr> {
         let newest = self.newest_store_view().version.max(version);
@@ -67,7 +67,7 @@
         let able: Vec<_> =
             self.peers.iter().filter(|(_, it)| !it.has_timed_out && is_able(it)).collect();
         let is_local = |it: &Peer| it.data_centre == self.own;
-        let is_ahead = |it: &Peer| it.store_view.revision > revision;
+        let is_ahead = |it: &Peer| revision.is_none_or(|known| it.store_view.revision > known);
         let place = |it: &Peer| (!is_ahead(it), !is_local(it));
         let best = able.iter().map(|it| place(it.1)).min()?;
         let best: Vec<_> = able.into_iter().filter(|it| place(it.1) == best).collect();
--- a/crates/hollyspoke-server/src/handover.rs
+++ b/crates/hollyspoke-server/src/handover.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eyre::ensure;
 use hollyspoke_gateway::event::Event;
 use hollyspoke_gateway::snapshot::{Listing, Snapshot};
 use slog::{info, o, warn};
@@ -18,9 +19,13 @@
 
 use crate::node::Node;
 
-/// The timeout for a handover. A snapshot of 3,000 engines is about 300 kB, which takes a third of
-/// a second on the slowest expected links.
-const HANDOVER_TIMEOUT: Duration = Duration::from_secs(2);
+/// The timeout for each part of a handover. There is none for the whole: a snapshot of 10,000
+/// engines is about 1 MB, of which the slowest expected link carries four in 1.6 s, and of 20,000
+/// engines in twice that.
+const PART_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The size of the part of a snapshot that is sent within [`PART_TIMEOUT`].
+const PART_BYTES: usize = 64 << 10;
 
 /// The timeout for the request, which is sent as soon as the connection is open.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
@@ -37,7 +42,7 @@
     let slots = Arc::new(Semaphore::new(MAX_HANDOVER_COUNT));
     loop {
         let Ok((stream, peer)) = listener.accept().await else { continue };
-        // A box that finds no free slot asks another box at its next heartbeat.
+        // A box that finds no free slot soon asks another box.
         let Ok(slot) = slots.clone().try_acquire_owned() else { continue };
         if !node.with(|it| it.knows_box(peer.ip())) {
             warn!(node.log, "snapshot refused to a stranger"; "asker" => %peer);
@@ -63,13 +68,17 @@
         Ok(bytes) => bytes,
         Err(error) => return warn!(node.log, "snapshot not written"; "error" => %error),
     };
-    let sending = async {
-        stream.write_all(&bytes).await?;
-        stream.shutdown().await
-    };
-    if !matches!(tokio::time::timeout(HANDOVER_TIMEOUT, sending).await, Ok(Ok(()))) {
-        info!(node.log, "snapshot not taken whole"; "bytes" => bytes.len());
+    if let Err(error) = send_parts(&mut stream, &bytes).await {
+        info!(node.log, "snapshot not taken whole"; "bytes" => bytes.len(), "error" => %error);
+    }
+}
+
+/// Sends a snapshot in parts, each within [`PART_TIMEOUT`].
+async fn send_parts(stream: &mut TcpStream, bytes: &[u8]) -> eyre::Result<()> {
+    for part in bytes.chunks(PART_BYTES) {
+        tokio::time::timeout(PART_TIMEOUT, stream.write_all(part)).await??;
     }
+    Ok(stream.shutdown().await?)
 }
 
 /// Reads a request, which says what the requesting box knows.
@@ -93,22 +102,23 @@
     Ok(())
 }
 
-/// Fetches a snapshot from another box and dispatches it to the reducer. If that fails, the reducer
-/// asks another box at its next heartbeat.
+/// Fetches a snapshot from another box and dispatches the outcome to the reducer.
 pub async fn fetch(node: Rc<Node>, provider: SocketAddr) {
     let started = Instant::now();
-    let fetched = tokio::time::timeout(HANDOVER_TIMEOUT, receive_snapshot(&node, provider)).await;
+    let fetched = receive_snapshot(&node, provider).await;
     let after = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
     let log = node.log.new(o!("from" => provider.to_string(), "after_ms" => after));
     match fetched {
-        Ok(Ok(snapshot)) => {
+        Ok(snapshot) => {
             let is_whole = matches!(snapshot.listing, Some(Listing::Whole { .. }));
             info!(log, "snapshot fetched";
                 "engines" => engine_count(&snapshot), "whole" => is_whole);
             node.dispatch(Event::SnapshotReceived(provider, Box::new(snapshot)));
         }
-        Ok(Err(error)) => info!(log, "snapshot not fetched"; "error" => %error),
-        Err(_) => info!(log, "snapshot not fetched in time"),
+        Err(error) => {
+            info!(log, "snapshot not fetched"; "error" => %error);
+            node.dispatch(Event::SnapshotFailed(provider));
+        }
     }
 }
 
@@ -125,9 +135,11 @@
 async fn receive_snapshot(node: &Node, provider: SocketAddr) -> eyre::Result<Snapshot> {
     let socket = if provider.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.bind(SocketAddr::new(node.peer_address()?.ip(), 0))?;
-    let mut stream = socket.connect(provider).await?;
+    let mut stream = tokio::time::timeout(PART_TIMEOUT, socket.connect(provider)).await??;
     send_request(node, provider, &mut stream).await?;
+    let mut stream = stream.take(MAX_SNAPSHOT_BYTES);
     let mut bytes = Vec::new();
-    stream.take(MAX_SNAPSHOT_BYTES).read_to_end(&mut bytes).await?;
+    while tokio::time::timeout(PART_TIMEOUT, stream.read_buf(&mut bytes)).await?? > 0 {}
+    ensure!(!bytes.is_empty(), "the box has no free slot");
     format::read_snapshot(&bytes)
 }
--- a/crates/hollyspoke-server/src/http1.rs
+++ b/crates/hollyspoke-server/src/http1.rs
@@ -81,17 +81,18 @@
     collected.ok().map(http_body_util::Collected::to_bytes)
 }
 
-/// Reads a whole body like [`read_whole`], and counts the bytes that have arrived in `received`,
-/// which holds their number also if the read is cancelled.
-pub async fn read_counted(
+/// Reads a whole body of which each part must arrive within `part_timeout`; the whole may take any
+/// time. `received` holds the number of bytes that have arrived, also if the read fails. Returns
+/// `None` if the body exceeds `max_bytes`, stalls, or the connection breaks.
+pub async fn read_steady(
     body: Incoming,
     max_bytes: usize,
+    part_timeout: Duration,
     received: &Cell<usize>,
 ) -> Option<Bytes> {
     let mut body = Limited::new(body, max_bytes);
     let mut bytes = BytesMut::new();
-    received.set(0);
-    while let Some(frame) = body.frame().await {
+    while let Some(frame) = tokio::time::timeout(part_timeout, body.frame()).await.ok()? {
         if let Ok(data) = frame.ok()?.into_data() {
             bytes.extend_from_slice(&data);
             received.set(bytes.len());
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -60,6 +60,8 @@
     configuration_version: Gauge<u64>,
     /// Changes of engines.
     engines: Counter<u64>,
+    /// The time from learning of missed engine changes until they arrived.
+    catch_up: Histogram<f64>,
     /// Boxes that were first seen or timed out.
     peer_changes: Counter<u64>,
     /// The number of engines by stage at the last stage change.
@@ -139,6 +141,11 @@
                 &HISTOGRAM_BOUNDS_S,
             ),
             engines: count("hollyspoke_engine_changes", "engines that changed or left"),
+            catch_up: exporter.seconds_histogram(
+                "hollyspoke_engine_catch_up",
+                "from learning of missed engine changes until they arrived",
+                &HISTOGRAM_BOUNDS_S,
+            ),
             engines_by_stage: gauge("hollyspoke_engines", "engines by stage at the last change"),
             demand: gauge("hollyspoke_demand", "tokens a second read, and tokens held, then"),
             stage_changes: count("hollyspoke_stage_changes", "changes of stage decided"),
@@ -226,6 +233,7 @@
                 self.configuration_version.record(*version, &[])
             }
             LogEvent::Engine { .. } | LogEvent::EngineRemoved { .. } => self.engines.add(1, &[]),
+            LogEvent::CaughtUp { after } => self.catch_up.record(after.as_secs_f64(), &[]),
             LogEvent::ManyEngines { put, left } => self.engines.add((put + left) as u64, &[]),
             LogEvent::Peers { joined, timed_out, .. } => {
                 self.peer_changes.add(joined.len() as u64, &[KeyValue::new("alive", true)]);
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -25,6 +25,9 @@
         }
         LogEvent::ListDropped { revision, known } => warn!(log, "list of engines not taken";
             "era" => revision.era, "revision" => revision.number, "known" => %known),
+        LogEvent::CaughtUp { after } => {
+            info!(log, "missed engine changes arrived"; "after_ms" => millis(after));
+        }
         LogEvent::NotForwarded { changes } => {
             warn!(log, "engine changes not forwarded"; "changes" => changes);
         }
--- a/crates/hollyspoke-server/src/sync.rs
+++ b/crates/hollyspoke-server/src/sync.rs
@@ -1,10 +1,12 @@
 //! Keeps one kind of object in sync with the platform's store: lists all objects, then watches for
 //! changes, and lists them again when changes since the last known revision are no longer
-//! available.
+//! available. The reducer decides when the store is read at all.
 
 use std::cell::Cell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,9 +14,11 @@
 use hollyspoke_gateway::engine::EngineChange;
 use hollyspoke_gateway::evacuation::{self, Evacuation};
 use hollyspoke_gateway::event::Event;
+use hollyspoke_gateway::route::Configuration;
 use http::header::HOST;
-use http::{Request, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -22,14 +26,19 @@
 use tokio::time::Instant;
 
 use crate::dialect::{Change, Item, Kind, Page};
-use crate::http1::{Connection, read_counted};
+use crate::http1::{Connection, read_steady};
 use crate::node::Node;
 
 /// The timeout for opening a connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The timeout for reading a page or the changes since a list.
-const LIST_TIMEOUT: Duration = Duration::from_millis(1000);
+/// The timeout for the head of a page or of the changes since a list, and for each part of any
+/// answer's body. There is none for the whole: if many boxes read at once, the store's link may
+/// need longer for the pages of all than any fixed time, and what is given up is sent again.
+const PART_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// The maximum number of times that [`PART_TIMEOUT`] doubles while calls get no answer.
+const MAX_TIMEOUT_DOUBLINGS: u32 = 3;
 
 /// How long the store waits for changes before it answers that there are none. This bounds how long
 /// a silently dead connection goes unnoticed.
@@ -68,6 +77,8 @@
     /// The store was restored from an older copy in the meantime, or the answer dates from before
     /// that.
     OtherEra,
+    /// This box gets its first list from another box.
+    Unneeded,
 }
 
 impl Failure {
@@ -89,8 +100,10 @@
 /// The pages of a list that have been read so far.
 #[derive(Default)]
 struct Listing {
-    /// The objects.
-    items: Vec<Item>,
+    /// The engines and evacuated data centres by name.
+    items: BTreeMap<Arc<str>, Item>,
+    /// The versions of the configuration.
+    configurations: Vec<Arc<Configuration>>,
     /// The number of pages.
     pages: usize,
     /// The number of page reads that were retried.
@@ -111,7 +124,17 @@
         self.oldest = if is_first { revision } else { self.oldest.min(revision) };
         self.newest = self.newest.max(revision);
         self.pages += 1;
-        self.items.extend(page.items);
+        page.items.into_iter().for_each(|it| self.put(it));
+    }
+
+    /// Adds or replaces an object.
+    fn put(&mut self, item: Item) {
+        let name = match &item {
+            Item::Engine(engine) => engine.id.clone(),
+            Item::Evacuated(data_centre) => data_centre.clone(),
+            Item::Configuration(it) => return self.configurations.push(it.clone()),
+        };
+        self.items.insert(name, item);
     }
 
     /// Returns whether the pages are from different eras, so that they can't be combined.
@@ -121,19 +144,9 @@
 
     /// Applies a change to the listed objects.
     fn apply(&mut self, change: Change) {
-        let changed = match &change {
-            Change::Put(Item::Engine(it)) => it.id.clone(),
-            Change::Put(Item::Evacuated(data_centre)) => data_centre.clone(),
-            Change::Gone(name) => name.clone(),
-            Change::Put(Item::Configuration(_)) => return,
-        };
-        self.items.retain(|it| match it {
-            Item::Engine(it) => it.id != changed,
-            Item::Evacuated(data_centre) => *data_centre != changed,
-            Item::Configuration(_) => true,
-        });
-        if let Change::Put(item) = change {
-            self.items.push(item);
+        match change {
+            Change::Put(item) => self.put(item),
+            Change::Gone(name) => _ = self.items.remove(&name),
         }
     }
 }
@@ -154,6 +167,8 @@
     reached: Option<Revision>,
     /// The number of consecutive failed calls.
     failures: u32,
+    /// The number of consecutive calls that got no answer.
+    unanswered: u32,
     /// The number of times that the list was restarted since a watch last succeeded.
     list_restarts: u32,
     /// Whether the store is unreachable, as logged.
@@ -175,14 +190,17 @@
         allows_stale_pages: true,
         reached: None,
         failures: 0,
+        unanswered: 0,
         list_restarts: 0,
         is_store_lost: false,
         received: Cell::default(),
         rng,
     };
+    follower.node.wakeup(kind).notified().await;
     loop {
         match follower.sync_round().await {
             Ok(()) => follower.failures = 0,
+            Err(_) if !follower.is_wanted() => follower.node.wakeup(kind).notified().await,
             Err(failure) => {
                 follower.reset_if_outdated(&failure);
                 follower.record_store_lost(&failure);
@@ -193,6 +211,16 @@
 }
 
 impl Follower {
+    /// Returns whether this box reads the store itself.
+    fn is_wanted(&self) -> bool {
+        self.node.with(|it| it.reads_store())
+    }
+
+    /// Returns the timeout for a part of an answer.
+    fn part_timeout(&self) -> Duration {
+        PART_TIMEOUT * (1 << self.unanswered.min(MAX_TIMEOUT_DOUBLINGS))
+    }
+
     /// Reads the whole list and returns its revision.
     async fn list(&mut self) -> Result<Revision, Failure> {
         let started = Instant::now();
@@ -205,8 +233,9 @@
         info!(self.node.log, "list read"; "kind" => format!("{:?}", self.kind),
             "pages" => listing.pages, "bytes" => listing.bytes, "retries" => listing.retries,
             "after_ms" => millis(started));
-        self.dispatch_list(listing.items, listing.newest);
-        Ok(listing.newest)
+        let revision = listing.newest;
+        self.dispatch_list(listing);
+        Ok(revision)
     }
 
     /// Reads the pages of the list. Pages after the first may be stale, as their missing changes
@@ -215,6 +244,9 @@
         let mut listing = Listing::default();
         let mut next: Option<String> = None;
         loop {
+            if !self.is_wanted() {
+                return Err(Failure::Unneeded);
+            }
             let (page, revision) = match self.read_page(next.as_deref()).await {
                 Ok(read) => read,
                 Err(failure) if next.is_none() || listing.retries >= MAX_PAGE_RETRIES => {
@@ -243,7 +275,7 @@
         let is_stale = after.is_some() && self.allows_stale_pages;
         let path = (self.node.dialect.list)(self.kind, after, is_stale);
         let started = Instant::now();
-        let reply = self.get(&path, LIST_TIMEOUT).await.inspect_err(|failure| {
+        let reply = self.get(&path, self.part_timeout()).await.inspect_err(|failure| {
             info!(self.node.log, "page not read"; "kind" => format!("{:?}", self.kind),
                 "why" => format!("{failure:?}"), "first" => after.is_none(),
                 "bytes" => self.received.get(), "after_ms" => millis(started));
@@ -260,7 +292,7 @@
         let mut since = listing.oldest;
         loop {
             let path = (self.node.dialect.watch)(self.kind, since.number, CATCH_UP_WAIT);
-            let reply = self.get(&path, LIST_TIMEOUT).await.inspect_err(|failure| {
+            let reply = self.get(&path, self.part_timeout()).await.inspect_err(|failure| {
                 if *failure == Failure::Refused(StatusCode::GONE) {
                     self.allows_stale_pages = false;
                 }
@@ -292,7 +324,7 @@
             Kind::Engines => reached.max(self.node.with(|it| it.engine_revision())),
             Kind::Configuration | Kind::Evacuations => reached,
         };
-        let revision = self.read_changes(known, CATCH_UP_WAIT, LIST_TIMEOUT).await?;
+        let revision = self.read_changes(known, CATCH_UP_WAIT, self.part_timeout()).await?;
         self.record_store_regained();
         Ok(revision)
     }
@@ -366,19 +398,37 @@
         Ok(reached)
     }
 
-    /// Gets a path from the store within a timeout; drops the connection on failure.
-    async fn get(&mut self, path: &str, timeout: Duration) -> Result<Reply, Failure> {
+    /// Gets a path from the store. The head of the answer must arrive within a timeout. Drops the
+    /// connection on failure.
+    async fn get(&mut self, path: &str, head_timeout: Duration) -> Result<Reply, Failure> {
         self.received.set(0);
-        let answer = tokio::time::timeout(timeout, self.exchange(path)).await;
-        let answer = answer.unwrap_or(Err(Failure::NoAnswer));
-        if answer.is_err() {
-            self.connection = None;
-        }
+        let answer = self.exchange(path, head_timeout).await;
+        self.unanswered = match answer {
+            Err(Failure::NoAnswer) => self.unanswered.saturating_add(1),
+            _ => 0,
+        };
         answer
     }
 
-    /// Sends one request, over the open connection if there is one.
-    async fn exchange(&mut self, path: &str) -> Result<Reply, Failure> {
+    /// Sends one request, over the open connection if there is one, and reads the answer.
+    async fn exchange(&mut self, path: &str, head_timeout: Duration) -> Result<Reply, Failure> {
+        let sent = tokio::time::timeout(head_timeout, self.send(path)).await;
+        let (connection, response) = sent.unwrap_or(Err(Failure::NoAnswer))?;
+        let status = response.status();
+        let era = self.node.handle_store_era(response.headers()).ok_or(Failure::OtherEra)?;
+        let body = response.into_body();
+        let bytes = read_steady(body, MAX_ANSWER_BYTES, self.part_timeout(), &self.received).await;
+        let bytes = bytes.ok_or(Failure::NoAnswer)?;
+        if status != StatusCode::OK {
+            return Err(Failure::Refused(status));
+        }
+        self.connection = Some(connection);
+        self.node.dispatch(Event::StoreAnswered(self.kind));
+        Ok(Reply { bytes, era })
+    }
+
+    /// Sends one request and returns the head of the answer.
+    async fn send(&mut self, path: &str) -> Result<(Connection, Response<Incoming>), Failure> {
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
             None => Connection::open(self.store, CONNECT_TIMEOUT)
@@ -390,27 +440,22 @@
             .body(Full::default())
             .map_err(|it| Failure::Malformed(it.to_string()))?;
         let response = connection.send(request).await.map_err(|_| Failure::NoAnswer)?;
-        let status = response.status();
-        let era = self.node.handle_store_era(response.headers()).ok_or(Failure::OtherEra)?;
-        let bytes = read_counted(response.into_body(), MAX_ANSWER_BYTES, &self.received).await;
-        let bytes = bytes.ok_or(Failure::NoAnswer)?;
-        if status != StatusCode::OK {
-            return Err(Failure::Refused(status));
-        }
-        self.connection = Some(connection);
-        self.node.dispatch(Event::StoreAnswered(self.kind));
-        Ok(Reply { bytes, era })
+        Ok((connection, response))
     }
 
     /// Dispatches a whole list to the reducer.
-    fn dispatch_list(&self, items: Vec<Item>, revision: Revision) {
+    fn dispatch_list(&self, listing: Listing) {
+        let Listing { items, configurations, newest: revision, .. } = listing;
+        for configuration in configurations {
+            self.node.dispatch(Event::Configured(configuration));
+        }
         let mut engines = Vec::new();
         let mut evacuation = Evacuation { revision, ..Evacuation::default() };
-        for item in items {
+        for item in items.into_values() {
             match item {
-                Item::Configuration(it) => self.node.dispatch(Event::Configured(it)),
                 Item::Engine(it) => engines.push(it),
                 Item::Evacuated(it) => _ = evacuation.data_centres.insert(it),
+                Item::Configuration(_) => {}
             }
         }
         match self.kind {
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod cluster;
 pub mod crashes;
+pub mod crowd;
 pub mod faults;
 pub mod fleet;
 pub mod gateway;
