--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -163,7 +163,7 @@
         if message.peers.len() < MAX_PEERS_PER_DATAGRAM {
             answer.peers = self.sample_peers(MAX_PEERS_TO_NEW);
         }
-        let departures = self.all_departures();
+        let departures = self.departures_for_new();
         answer.extension = Extension { departures, ..self.load_extension() }.non_empty();
         self.effects.push(Effect::Announce(vec![message.sender], Box::new(answer)));
     }
--- a/crates/hollyspoke-gateway/src/gateway/terms.rs
+++ b/crates/hollyspoke-gateway/src/gateway/terms.rs
@@ -152,13 +152,18 @@
         self.departure_announcements(leaving)
     }
 
-    /// Returns all known shutdowns for a box that has just started, as far as they fit into a
-    /// datagram.
-    pub(super) fn all_departures(&self) -> Vec<departure::Announcement> {
+    /// Returns the known shutdowns for a box that has just started, as far as they fit into a
+    /// datagram. A snapshot has all of them.
+    pub(super) fn departures_for_new(&self) -> Vec<departure::Announcement> {
         let leaving = self.terms.departures.engines().take(MAX_ANNOUNCED_TO_NEW_COUNT);
         self.departure_announcements(leaving.collect())
     }
 
+    /// Returns all known shutdowns.
+    pub(super) fn all_departures(&self) -> Vec<departure::Announcement> {
+        self.departure_announcements(self.terms.departures.engines().collect())
+    }
+
     /// Returns the shutdown announcements of some engines.
     fn departure_announcements(&self, engines: Vec<EngineKey>) -> Vec<departure::Announcement> {
         let departures = &self.terms.departures;
--- a/tests/tests/gateway_leaving.rs
+++ b/tests/tests/gateway_leaving.rs
@@ -456,3 +456,21 @@
     let (_, send) = world.first_call(request("resumed"));
     assert_eq!(send.task, Task::Decode(Prompt::NotPrefilled));
 }
+
+/// A release of a large site drains hundreds of engines at once. A box that starts meanwhile has to
+/// learn of all of them.
+#[test]
+fn snapshot_omits_draining() {
+    let mut world = World::new();
+    let announcement = |number: u64| Announcement {
+        engine: EngineKey::of(&format!("engine-{number}")),
+        started_at: None,
+        age_ms: 0,
+    };
+    let departures: Vec<_> = (0..500).map(announcement).collect();
+    let extension = Extension { departures, ..Extension::default() }.non_empty();
+    let message = Message { extension, ..heartbeat(2, 1, StoreView::default()) };
+    world.event(Event::Received(message));
+    let snapshot = world.gateway.snapshot(SnapshotRequest::default());
+    assert_eq!(snapshot.departures.len(), 500);
+}
