A box reads the store once it has heard from all others, and not after a fixed time

A box now waits until all boxes that it has heard of have answered and none is new for 0.1 s, at most 0.9 s. Among hundreds, new ones are heard all the time until it knows that they are many; among few, it waits shorter than before.

--- a/crates/hollyspoke-gateway/src/catch_up.rs
+++ b/crates/hollyspoke-gateway/src/catch_up.rs
@@ -14,9 +14,15 @@
 use hollyspoke::store::Revision;
 use hollyspoke::time::Time;
 
-/// The time after its start in which a box learns whether it is one of many. Boxes that start
-/// together do so within about 0.3 s of each other.
-pub const DISCOVERY_DURATION: Duration = Duration::from_millis(300);
+/// The time after its start in which a box of many receives from most of the others, so that few
+/// take themselves for readers. Boxes that start together do so within about 0.3 s of each other.
+const DISCOVERY_DURATION: Duration = Duration::from_millis(300);
+
+/// The time after which a box stops waiting for boxes that are listed and were not received from.
+const MAX_DISCOVERY_DURATION: Duration = Duration::from_millis(900);
+
+/// The time without a new box after which a box has received from all others.
+pub const QUIET_DURATION: Duration = Duration::from_millis(100);
 
 /// The interval at which a box without a list decides again whether it reads the store.
 const DECISION_INTERVAL: Duration = Duration::from_millis(50);
@@ -51,8 +57,8 @@
     pub elapsed: Duration,
     /// Whether there are more boxes than may all read the store.
     pub are_many: bool,
-    /// Whether no other box is known or listed in the settings.
-    pub is_alone: bool,
+    /// Whether all boxes that are listed were received from, the last new one some time ago.
+    pub is_settled: bool,
     /// Whether another box is ready, and thus has a list.
     pub has_ready: bool,
 }
@@ -129,9 +135,9 @@
 
     /// Returns whether a box without a list should read the store.
     fn should_read(&self, surroundings: Surroundings, is_reader: impl Fn(u32) -> bool) -> bool {
-        let Surroundings { elapsed, are_many, is_alone, has_ready } = surroundings;
+        let Surroundings { elapsed, are_many, is_settled, has_ready } = surroundings;
         if !are_many {
-            return is_alone || has_ready || elapsed >= DISCOVERY_DURATION;
+            return is_settled || has_ready || elapsed >= MAX_DISCOVERY_DURATION;
         }
         let doublings = elapsed.as_millis() / READER_DOUBLING_INTERVAL.as_millis();
         // A box that starts later than the others asks these first.
--- a/crates/hollyspoke-gateway/src/gateway/catch_up.rs
+++ b/crates/hollyspoke-gateway/src/gateway/catch_up.rs
@@ -6,7 +6,7 @@
 
 use super::Gateway;
 use super::era::KINDS;
-use crate::catch_up::{Progress, Surroundings};
+use crate::catch_up::{Progress, QUIET_DURATION, Surroundings};
 use crate::effect::{Effect, LogEvent};
 use crate::event::Kind;
 use crate::message::StoreView;
@@ -37,7 +37,7 @@
         let surroundings = Surroundings {
             elapsed: self.now.since(Time::ZERO),
             are_many: self.members.expects_many(),
-            is_alone: self.members.is_alone(),
+            is_settled: self.members.is_settled(self.now, QUIET_DURATION),
             has_ready: self.members.has_ready(),
         };
         let mut catch_up = std::mem::take(&mut self.catch_up);
--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -146,11 +146,6 @@
         self.peak_count.max(self.reported_peak_count) > ALL_TO_ALL_MAX_BOXES
     }
 
-    /// Returns whether no other box was received from or is listed.
-    pub fn is_alone(&self) -> bool {
-        self.peers.is_empty() && self.pending_peers.is_empty()
-    }
-
     /// Returns whether another live box is ready.
     pub fn has_ready(&self) -> bool {
         let is_ready = |it: &Peer| !it.has_timed_out && it.readiness == Readiness::Ready;
