A box chooses the engines that it asks at its start without comparing all with all boxes

Cause: 0.1 s after it is ready, each box chooses its share of the engines to ask for their cached prompts, by the rank of all boxes for each engine, and writes each box's address as text for each comparison: 985 boxes x 6,667 engines. At 0.12 of a core that is 15.5 s of the 18 s that a recovery may take, during which the box does nothing else. After a first start nobody sees it, as the engines come later.

Its class: work of boxes x engines, by each box, at a moment that was measured only with few of both.

remote_engine_queried failed before and passes now.

--- a/crates/hollyspoke-gateway/src/gateway/survey.rs
+++ b/crates/hollyspoke-gateway/src/gateway/survey.rs
@@ -11,7 +11,7 @@
 
 use super::Gateway;
 use crate::effect::Effect;
-use crate::engine::{EngineKey, Stage};
+use crate::engine::{Engine, EngineKey, Stage};
 use crate::in_flight::InFlight;
 use crate::member::address_hash;
 use crate::prompt::{CachedPrompt, PromptKey};
@@ -89,16 +89,23 @@
         self.wake_waiting_requests();
     }
 
-    /// Asks the engines that are assigned to this box among the live ones that it knows.
+    /// Asks the engines that are assigned to this box among the live ones that it knows. In a large
+    /// deployment, engines are assigned to the boxes of their data centre: the choice compares each
+    /// engine with each box.
     fn ask_engines(&mut self) {
-        let mut nodes = self.members.alive();
-        nodes.push(self.settings.peer);
+        let is_large = self.members.is_large();
         let own = address_hash(&self.settings.peer);
-        let engines = self.directory.all().filter(|it| self.accepts_auxiliary(it.engine.key));
-        let decode_engines = engines.filter(|it| it.engine.stage == Some(Stage::Decode));
+        let mut hashes = self.members.alive_hashes(is_large);
+        hashes.push(own);
+        let is_in_reach = |it: &Engine| !is_large || *it.data_centre == *self.settings.data_centre;
         let is_assigned =
-            |engine: EngineKey| rank::first(engine.0, nodes.iter().map(address_hash)) == Some(own);
-        let chosen = decode_engines.filter(|it| is_assigned(it.engine.key));
+            |engine: EngineKey| rank::first(engine.0, hashes.iter().copied()) == Some(own);
+        let chosen = self.directory.all().filter(|it| {
+            it.engine.stage == Some(Stage::Decode)
+                && is_in_reach(&it.engine)
+                && self.accepts_auxiliary(it.engine.key)
+                && is_assigned(it.engine.key)
+        });
         let chosen: Vec<_> = chosen.take(MAX_ASKED_ENGINES).map(|it| it.engine.clone()).collect();
         self.effects.extend(chosen.into_iter().map(Effect::QueryCachedPrompts));
     }
--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -229,6 +229,13 @@
             .collect()
     }
 
+    /// Returns the hashes of the addresses of the live boxes, or of those of the local data centre.
+    pub fn alive_hashes(&self, is_local: bool) -> Vec<u64> {
+        let is_included =
+            |it: &&Peer| !it.has_timed_out && (!is_local || it.data_centre == self.own);
+        self.peers.values().filter(is_included).map(|it| it.address_hash).collect()
+    }
+
     /// Returns the live boxes of a data centre.
     pub fn alive_in(&self, data_centre: DataCentreKey) -> Vec<SocketAddr> {
         let alive =
--- a/tests/tests/gateway_survey.rs
+++ b/tests/tests/gateway_survey.rs
@@ -4,15 +4,18 @@
 use std::time::Duration;
 
 use hollyspoke_gateway::effect::{Effect, Prompt, Task};
-use hollyspoke_gateway::engine::{EngineKey, Stage};
+use hollyspoke_gateway::engine::{Engine, EngineKey, Stage};
 use hollyspoke_gateway::event::Event;
-use hollyspoke_gateway::message::StoreView;
+use hollyspoke_gateway::message::{DataCentreKey, Message, StoreView};
 use hollyspoke_gateway::prompt::PromptKey;
 use hollyspoke_gateway::request::Request;
 use hollyspoke_tests::gateway::{
     MODEL, World, configuration, engine, engines, heartbeat, only_send, request, settings,
 };
 
+/// The stage of the engines that cache prompts.
+const DECODE: Option<Stage> = Some(Stage::Decode);
+
 /// Returns a request that resumes after an event.
 fn resuming() -> Request {
     Request { prompt: Some(PromptKey(7)), last_event: Some(4), ..request("resumed") }
@@ -155,3 +158,18 @@
     let (_, send) = world.first_call(resuming());
     assert_eq!(send.task, Task::Prefill);
 }
+
+/// In a large deployment, a box must not compare each engine with each box of all data centres.
+#[test]
+fn remote_engine_queried() {
+    let mut world = World::new();
+    for number in 2..=120 {
+        let data_centre = DataCentreKey::of(if number % 2 == 0 { "north" } else { "south" });
+        let message = heartbeat(number, 1, StoreView::default());
+        world.event(Event::Received(Message { data_centre, ..message }));
+    }
+    let remote = |number| Engine { data_centre: "south".into(), ..engine(number, MODEL, DECODE) };
+    let listed: Vec<_> = (100..=250).map(remote).collect();
+    world.event(Event::Listed(listed, 20.into()));
+    assert_eq!(queried_within(&mut world, Duration::from_millis(200)), []);
+}
