A follower that lags behind the others does not forward what they have forwarded

Cause: each follower sends each change that is new to it to its 200 neighbours. 500 changes are 32 datagrams to 200 boxes, some 10 MB, 4 s of a link of 20 Mbit/s, in which the next 500 can't be read. So a slow link takes 125 changes a second where 1,250 come, and the follower stays behind, sending what all others have known for long.

The mend: nothing is forwarded when another box already announces a newer revision. What a box misses by that it asks for after 0.3 s. lagging_follower_forwards failed before and passes now; fleet_changes and the tests of followers, eras, relays and handovers pass.

--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -229,7 +229,14 @@
 
     /// Forwards changes in datagrams that build on each other. If there are too many, the other
     /// boxes read the store themselves.
+    ///
+    /// Nothing is forwarded if another box already knows more. In a data centre of 200 boxes, 500
+    /// changes are 10 MB to send, and a follower that is behind on a slow link would never catch up.
     fn forward_changes(&mut self, since: Revision, changes: Vec<EngineChange>) {
+        let newest = self.members.newest_store_view().revision;
+        if changes.last().is_none_or(|it| it.revision() < newest) {
+            return;
+        }
         let count = changes.len();
         if count > MAX_FORWARDED_CHANGES {
             return self.log(LogEvent::NotForwarded { changes: count });
--- a/tests/tests/gateway_followers.rs
+++ b/tests/tests/gateway_followers.rs
@@ -183,6 +183,18 @@
     }
 }
 
+/// A follower on a slow link that lags behind the others must not use the link for what they have
+/// forwarded already.
+#[test]
+fn lagging_follower_forwards() {
+    let mut follower = World::new();
+    let ahead = StoreView { revision: 100.into(), ..CURRENT_VIEW };
+    follower.event(Event::Received(heartbeat(2, 1, ahead)));
+    let now = follower.now;
+    let effects = follower.gateway.step(now, Event::Changed(forty_changes()));
+    assert_eq!(announced_updates(&effects), []);
+}
+
 /// Many engines may enter at once: boxes must not read the list for that.
 #[test]
 fn many_changes_lost() {
