Log a stream whose connection ended without a proof that it is complete

On-call could not tell a stream without framing that an engine broke off from a whole one: both ended as 'whole'. The framing of an engine's answer is now read with its head, and a stream that ends with its connection, or within an event, gets a line with its framing and the bytes of the partial event. No decision changes.

--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -28,6 +28,15 @@
     Ran,
 }
 
+/// What marks the end of an answer's body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// A length or a last chunk, without which the body is incomplete.
+    Marked,
+    /// Only the end of the connection, which may also close in the middle of the answer.
+    Close,
+}
+
 /// The head of an engine's answer, with the handle of the prompt for a prefill.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Answer {
@@ -35,6 +44,8 @@
     pub status: u16,
     /// What the answer proves about the execution of the request.
     pub execution: Execution,
+    /// What marks the end of the answer's body.
+    pub framing: Framing,
     /// What the engine reports about itself.
     pub statement: Statement,
     /// The handle of the prefilled prompt, for an answer to a prefill.
--- a/crates/hollyspoke-server/src/http1.rs
+++ b/crates/hollyspoke-server/src/http1.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use hollyspoke_gateway::event::Framing;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderValue, StatusCode, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -21,6 +24,22 @@
     Broken,
 }
 
+/// Returns the framing of an answer's body. See RFC 9112, section 6.3.
+pub fn framing(head: &response::Parts) -> Framing {
+    let has_no_body = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let is_marked = match head.headers.get_all(TRANSFER_ENCODING).iter().next_back() {
+        Some(coding) => is_chunked(coding),
+        None => head.headers.contains_key(CONTENT_LENGTH) || has_no_body,
+    };
+    if is_marked { Framing::Marked } else { Framing::Close }
+}
+
+/// Returns whether the last transfer coding is `chunked`.
+fn is_chunked(codings: &HeaderValue) -> bool {
+    let last = codings.to_str().ok().and_then(|it| it.rsplit(',').next());
+    last.is_some_and(|it| it.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// A connection that is closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -8,14 +8,14 @@
 use bytes::Bytes;
 use hollyspoke_gateway::effect::{ORDER_TIMEOUT, Order, Send, Source, Task};
 use hollyspoke_gateway::engine::{Engine, EngineKey};
-use hollyspoke_gateway::event::{Answer, CallEvent, Event, OrderAnswer, Probe};
+use hollyspoke_gateway::event::{Answer, CallEvent, Event, Framing, OrderAnswer, Probe};
 use hollyspoke_gateway::migration::{self, Transfer};
 use hollyspoke_gateway::reservation::{self, Ask, Reservation};
 use hollyspoke_gateway::statement::Statement;
 use http::{StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use slog::debug;
+use slog::{debug, info};
 use tokio::sync::mpsc::error::TrySendError;
 
 use crate::dialect::Report;
@@ -142,12 +142,22 @@
     }
     report_stream_start(node, send, &answer, &mut head);
     let remaining = splitter.take_remaining();
+    log_unmarked_end(node, send, answer.framing, remaining.len());
     if !remaining.is_empty() {
         forward(node, send, remaining, None).await?;
     }
     Ok(answer)
 }
 
+/// Logs that the connection of a stream closed normally without a proof that the stream is complete.
+fn log_unmarked_end(node: &Node, send: &Send, framing: Framing, partial_event_bytes: usize) {
+    if framing == Framing::Close || partial_event_bytes > 0 {
+        info!(node.log, "stream ended without its end marked";
+            "engine" => %send.engine.id,
+            "framing" => ?framing, "partial_event_bytes" => partial_event_bytes);
+    }
+}
+
 /// Reports to the reducer, once, that a stream has begun.
 fn report_stream_start(
     node: &Rc<Node>,
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -11,7 +11,7 @@
 use hollyspoke_gateway::effect::{Effect, Refusal, Send, Task};
 use hollyspoke_gateway::engine::{Engine, EngineKey, Stage};
 use hollyspoke_gateway::evacuation::Evacuation;
-use hollyspoke_gateway::event::{Answer, CallEvent, Event, Execution};
+use hollyspoke_gateway::event::{Answer, CallEvent, Event, Execution, Framing};
 use hollyspoke_gateway::features::Features;
 use hollyspoke_gateway::gateway::{CASES, Gateway, Settings, Sharing};
 use hollyspoke_gateway::message::{DataCentreKey, Format, Message, Readiness, StoreView, Usage};
@@ -171,7 +171,13 @@
 
 /// Returns an answer that proves that the request ran.
 pub fn ran(status: u16) -> Answer {
-    Answer { status, execution: Execution::Ran, statement: Statement::default(), handle: None }
+    Answer {
+        status,
+        execution: Execution::Ran,
+        framing: Framing::Marked,
+        statement: Statement::default(),
+        handle: None,
+    }
 }
 
 /// Returns an answer that proves that the request did not run.
