Answers that only a close delimits are passed on delimited by a close

Every answer was given a framing by the box, also where the engine's had none, so that nobody could tell a whole one from a cut one afterwards.

The class: the box vouches for an end that it did not see. Now - such an answer goes on as HTTP/1.0 without length or chunks and ends with the client's connection; the connection is reset, by SO_LINGER set before the first byte, unless the answer ends in order, so that a broken answer, a stopped box and a killed one differ from an end; - a stream that ends within an event, or without one, was broken off: it is resumed where that is allowed, and aborted otherwise; the partial event isn't delivered; - a stream that began with chunks and goes on without framing is left without its last chunk; - the close by which the final copy of a move ends a stream is not taken for the stream's end; - such an end doesn't close the case of a request that is suspected of crashing engines.

--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -6,7 +6,7 @@
 use crate::back_off;
 use crate::effect::{Effect, LogEvent, NotRunReason, Prompt, Source, Task};
 use crate::engine::EngineKey;
-use crate::event::{Answer, CallEvent, Execution};
+use crate::event::{Answer, CallEvent, Execution, Framing};
 use crate::in_flight::Call;
 use crate::load::Urgency;
 use crate::message::{Load, Rejection};
@@ -88,6 +88,9 @@
         } else {
             Effect::Deliver(call.request, key)
         };
+        if !in_flight.has_begun {
+            in_flight.framing = answer.framing;
+        }
         in_flight.has_begun = true;
         self.wake_at(call.request, silence_deadline);
         self.effects.push(effect);
@@ -113,6 +116,10 @@
 
     /// A complete answer arrived.
     fn call_answered(&mut self, key: CallKey, answer: Answer) {
+        // The final copy of a stream closes its connection, which here looks like the stream's end.
+        if answer.framing == Framing::Close && self.stream_closed(key) {
+            return;
+        }
         let Some(call) = self.take_call(key) else { return };
         self.apply_answer(&call, &answer);
         match (answer.execution, &call.task) {
@@ -207,6 +214,9 @@
         let is_failure = answer.status >= MIN_SERVER_ERROR_STATUS;
         let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
         in_flight.trace.mark_sent();
+        if call.has_begun && answer.framing == Framing::Close {
+            return self.end_unmarked_stream(call.request);
+        }
         let signature = in_flight.signature;
         self.close_case(signature);
         if call.has_begun {
@@ -237,6 +247,17 @@
         self.end(call.request, "answered");
     }
 
+    /// A stream ended with its connection, so it may be complete or not. Its client is told neither:
+    /// if the answer has a framing that marks its end, it is left without that end.
+    fn end_unmarked_stream(&mut self, key: RequestKey) {
+        let Some(in_flight) = self.in_flight.get(&key) else { return };
+        if in_flight.framing == Framing::Marked {
+            return self.abort(key);
+        }
+        self.effects.push(Effect::Finish(key));
+        self.end(key, "end not marked");
+    }
+
     /// A call that was sent ended without a complete answer.
     fn call_broken(&mut self, key: CallKey) {
         if self.stream_closed(key) {
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -10,6 +10,7 @@
 use crate::customer::Customer;
 use crate::effect::{Effect, LogEvent, NotRunReason, Prompt, Refusal, Send, Task};
 use crate::engine::EngineKey;
+use crate::event::Framing;
 use crate::gateway::customer::identify;
 use crate::gateway::permits::Permission;
 use crate::in_flight::{Call, InFlight, task_name};
@@ -136,6 +137,7 @@
             started: None,
             phase: None,
             has_begun: false,
+            framing: Framing::Marked,
             last_event: None,
         };
         self.due.insert((in_flight.deadline, key));
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -10,6 +10,7 @@
 use crate::customer::{Caller, Customer};
 use crate::effect::{Prompt, Source, Task};
 use crate::engine::{Engine, EngineKey};
+use crate::event::Framing;
 use crate::message::Load;
 use crate::migration::Progress;
 use crate::quarantine;
@@ -109,6 +110,8 @@
     pub phase: Option<Phase>,
     /// Whether the client has received the head of an answer.
     pub has_begun: bool,
+    /// What marks the end of the answer that the client gets, once it has begun.
+    pub framing: Framing,
     /// The id of the last event forwarded to the client.
     pub last_event: Option<u64>,
 }
--- a/crates/hollyspoke-server/src/answer.rs
+++ b/crates/hollyspoke-server/src/answer.rs
@@ -59,6 +59,9 @@
 pub enum AnswerBody {
     /// A complete body; none once it has been sent.
     Whole(Option<Bytes>),
+    /// A body of which only the end of its connection tells that it is complete; none once it has
+    /// been sent.
+    Unmarked(Option<Bytes>),
     /// A stream. The hook is dropped at its end, or when the client disconnects.
     Stream(Stream, Option<DropHook>),
 }
@@ -72,7 +75,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
         match self.get_mut() {
-            AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
+            AnswerBody::Whole(bytes) | AnswerBody::Unmarked(bytes) => {
+                Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it))))
+            }
             AnswerBody::Stream(stream, hook) => match stream.chunks.poll_recv(context) {
                 Poll::Ready(Some(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
                 Poll::Ready(None) if stream.is_broken.get() => {
@@ -96,7 +101,7 @@
             AnswerBody::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
             }
-            AnswerBody::Stream(..) => SizeHint::default(),
+            AnswerBody::Unmarked(_) | AnswerBody::Stream(..) => SizeHint::default(),
         }
     }
 }
--- a/crates/hollyspoke-server/src/front.rs
+++ b/crates/hollyspoke-server/src/front.rs
@@ -6,11 +6,14 @@
 
 use bytes::Bytes;
 use hollyspoke_gateway::effect::Refusal;
+use hollyspoke_gateway::event::Framing;
 use hollyspoke_gateway::route::Limits;
 use http::header::{
     AUTHORIZATION, CONNECTION, CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING, WWW_AUTHENTICATE,
 };
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, request, response};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version, request, response,
+};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -21,7 +24,9 @@
 use tokio::sync::watch;
 
 use crate::answer::AnswerBody;
-use crate::head_clock::{HeadClock, RequestGuard, TimedStream};
+use crate::client_stream::{ClientStream, CloseDelimited};
+use crate::head_clock::{HeadClock, RequestGuard};
+use crate::http1::framing;
 use crate::node::{ClientAnswer, Node, ReceivedRequest};
 
 /// The limits of clients' requests before a configuration is known.
@@ -51,6 +56,10 @@
 /// The hop-by-hop header that announces a connection's idle timeout.
 const KEEP_ALIVE: &str = "keep-alive";
 
+/// The version of answers that are delimited by the close of the connection. The HTTP library gives
+/// later versions a framing of their own.
+const CLOSE_DELIMITED_VERSION: Version = Version::HTTP_10;
+
 /// The reason why a request's body could not be read.
 enum BodyError {
     /// The body exceeds the size limit.
@@ -82,18 +91,24 @@
     _ = stream.set_nodelay(true);
     let limits = node.with(|it| it.limits()).unwrap_or(DEFAULT_LIMITS);
     let clock = HeadClock::new();
+    let close_delimited = CloseDelimited::default();
     let service = service_fn(|request| {
         let (node, guard) = (node.clone(), clock.start_request());
+        let close_delimited = close_delimited.clone();
         async move {
             let response = answer(node, request, &guard).await;
+            if response.version() == CLOSE_DELIMITED_VERSION {
+                close_delimited.set();
+            }
             Ok::<_, Infallible>(response.map(|it| guard.attach(it)))
         }
     });
+    let stream = ClientStream::new(stream, clock.clone(), close_delimited.clone());
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout + IDLE_MARGIN)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(TimedStream::new(stream, clock.clone())), service);
+        .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
@@ -133,7 +148,11 @@
     let received = receiver.await;
     let mut response = match received {
         Ok(ClientAnswer::Whole(head, body)) => {
-            Response::from_parts(client_head(head), AnswerBody::Whole(Some(body)))
+            let body = match framing(&head) {
+                Framing::Marked => AnswerBody::Whole(Some(body)),
+                Framing::Close => AnswerBody::Unmarked(Some(body)),
+            };
+            Response::from_parts(client_head(head), body)
         }
         Ok(ClientAnswer::Stream(head, stream)) => {
             Response::from_parts(client_head(head), AnswerBody::Stream(stream, Some(hook)))
@@ -178,10 +197,14 @@
     }
 }
 
-/// Returns the head of an engine's answer as it is sent to the client.
+/// Returns the head of an engine's answer as it is sent to the client. An answer that the engine
+/// delimits by the close of its connection is delimited in the same way: the box can't know more.
 fn client_head(mut head: response::Parts) -> response::Parts {
+    head.version = match framing(&head) {
+        Framing::Marked => Version::HTTP_11,
+        Framing::Close => CLOSE_DELIMITED_VERSION,
+    };
     remove_hop_headers(&mut head.headers);
-    head.version = http::Version::HTTP_11;
     head
 }
 
--- a/crates/hollyspoke-server/src/head_clock.rs
+++ b/crates/hollyspoke-server/src/head_clock.rs
@@ -5,15 +5,12 @@
 //! detects the beginning by watching the bytes that arrive.
 
 use std::cell::Cell;
-use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -47,7 +44,7 @@
     }
 
     /// Records that bytes have arrived.
-    fn record_read(&self) {
+    pub fn record_read(&self) {
         match self.state.get() {
             State::Idle => self.start_head(),
             State::ReadingHead(_) => {}
@@ -134,64 +131,3 @@
         self.body.size_hint()
     }
 }
-
-/// A client's connection that records arriving bytes in a clock.
-#[derive(Debug)]
-pub struct TimedStream {
-    /// The connection.
-    stream: TcpStream,
-    /// The connection's clock.
-    clock: Rc<HeadClock>,
-}
-
-impl TimedStream {
-    /// Wraps a connection.
-    pub fn new(stream: TcpStream, clock: Rc<HeadClock>) -> TimedStream {
-        TimedStream { stream, clock }
-    }
-}
-
-impl AsyncRead for TimedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.clock.record_read();
-        }
-        polled
-    }
-}
-
-impl AsyncWrite for TimedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        pieces: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, pieces)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
--- a/crates/hollyspoke-server/src/lib.rs
+++ b/crates/hollyspoke-server/src/lib.rs
@@ -5,6 +5,7 @@
 //! needs another dialect.
 
 pub mod answer;
+pub mod client_stream;
 pub mod datagram;
 pub mod dialect;
 pub mod directory;
--- a/crates/hollyspoke-server/src/splitter.rs
+++ b/crates/hollyspoke-server/src/splitter.rs
@@ -19,6 +19,8 @@
 pub struct Splitter {
     /// The bytes after the last complete event.
     pending: BytesMut,
+    /// Whether the start of the pending event has been forwarded.
+    is_partly_forwarded: bool,
 }
 
 impl Splitter {
@@ -26,15 +28,21 @@
     pub fn push(&mut self, bytes: &[u8]) -> Option<Events> {
         self.pending.extend_from_slice(bytes);
         let end = match complete_length(&self.pending) {
-            0 if self.pending.len() >= MAX_EVENT_BYTES => self.pending.len(),
-            0 => return None,
+            0 if self.pending.len() < MAX_EVENT_BYTES => return None,
             end => end,
         };
+        self.is_partly_forwarded = end == 0;
+        let end = if end == 0 { self.pending.len() } else { end };
         let bytes = self.pending.split_to(end).freeze();
         let last_id = last_id(&bytes);
         Some(Events { bytes, last_id })
     }
 
+    /// Returns whether the stream has stopped within an event.
+    pub fn is_within_event(&self) -> bool {
+        self.is_partly_forwarded || !self.pending.is_empty()
+    }
+
     /// Removes and returns the bytes after the last complete event.
     pub fn take_remaining(&mut self) -> Bytes {
         self.pending.split().freeze()
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -123,7 +123,8 @@
     Ok(Answer { handle, ..answer })
 }
 
-/// Forwards a stream in whole events until its end.
+/// Forwards a stream in whole events until its end. A stream that only the close of its connection
+/// delimits was broken off if that leaves it within an event, or without any.
 async fn forward_stream(
     node: &Rc<Node>,
     send: &Send,
@@ -140,9 +141,13 @@
         report_stream_start(node, send, &answer, &mut head);
         forward(node, send, events.bytes, events.last_id).await?;
     }
+    let is_broken = splitter.is_within_event() || head.is_some();
+    log_unmarked_end(node, send, answer.framing, splitter.is_within_event());
+    if answer.framing == Framing::Close && is_broken {
+        return Err(Failure::Broken);
+    }
     report_stream_start(node, send, &answer, &mut head);
     let remaining = splitter.take_remaining();
-    log_unmarked_end(node, send, answer.framing, remaining.len());
     if !remaining.is_empty() {
         forward(node, send, remaining, None).await?;
     }
@@ -150,11 +155,11 @@
 }
 
 /// Logs that the connection of a stream closed normally without a proof that the stream is complete.
-fn log_unmarked_end(node: &Node, send: &Send, framing: Framing, partial_event_bytes: usize) {
-    if framing == Framing::Close || partial_event_bytes > 0 {
+fn log_unmarked_end(node: &Node, send: &Send, framing: Framing, is_within_event: bool) {
+    if framing == Framing::Close || is_within_event {
         info!(node.log, "stream ended without its end marked";
             "engine" => %send.engine.id,
-            "framing" => ?framing, "partial_event_bytes" => partial_event_bytes);
+            "framing" => ?framing, "within_event" => is_within_event);
     }
 }
 
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -180,6 +180,11 @@
     }
 }
 
+/// Returns the same with a body that only the close of its connection delimits.
+pub fn ran_unmarked(status: u16) -> Answer {
+    Answer { framing: Framing::Close, ..ran(status) }
+}
+
 /// Returns an answer that proves that the request did not run.
 pub fn rejected() -> Answer {
     Answer { execution: Execution::Refused, ..ran(503) }
--- a/tests/tests/gateway_migration.rs
+++ b/tests/tests/gateway_migration.rs
@@ -9,7 +9,9 @@
 use hollyspoke_gateway::features::Features;
 use hollyspoke_gateway::migration::Answer;
 use hollyspoke_gateway::request::Request;
-use hollyspoke_tests::gateway::{MEMORY, only_send, prefilled, ran, rejected, request};
+use hollyspoke_tests::gateway::{
+    MEMORY, only_send, prefilled, ran, ran_unmarked, rejected, request,
+};
 use hollyspoke_tests::migration::{
     MovingStream, cancelled, copied, copy_of, freed, leaving, moving_world, only_transfer,
     transfers, world,
@@ -181,6 +183,16 @@
     assert_eq!(copy_of(&second).map(|it| &*it.handle), Some("copy"));
 }
 
+/// The final copy closes the connection of a stream, which marks the end of one without framing.
+#[test]
+fn stopped_stream_taken_for_whole() {
+    let mut stream = MovingStream::stopping("once");
+    let event = CallEvent::Answered(ran_unmarked(200));
+    assert_eq!(stream.world.call(stream.first.call, event), []);
+    let second = only_send(&stream.answer(copied()));
+    assert_ne!(second.engine.id, stream.first.engine.id);
+}
+
 #[test]
 fn final_order_lost() {
     let mut stream = MovingStream::stopping("once");
--- a/tests/tests/platform_framing.rs
+++ b/tests/tests/platform_framing.rs
@@ -3,13 +3,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hollyspoke_server::client_stream::{ClientStream, CloseDelimited};
+use hollyspoke_server::head_clock::HeadClock;
 use hollyspoke_server::run::Running;
 use hollyspoke_tests::platform::{
     Action, Engine, LAST_CHUNK, Received, Script, Store, chunk, client_head, engine, event, handle,
     local, node, status, store, stream_head,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 /// A box with its engines.
 struct World {
@@ -281,3 +283,27 @@
         });
     }
 }
+
+/// A client's connection that closes within an answer without framing is reset, also when the
+/// process of the box ends; an orderly shutdown ends the answer.
+#[test]
+fn closed_connection_looks_complete() {
+    for shuts_down in [false, true] {
+        local(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let (client, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
+            let close_delimited = CloseDelimited::default();
+            close_delimited.set();
+            let clock = HeadClock::new();
+            let mut stream = ClientStream::new(accepted.unwrap().0, clock, close_delimited);
+            stream.write_all(b"part").await.unwrap();
+            if shuts_down {
+                stream.shutdown().await.unwrap();
+            }
+            drop(stream);
+            let read = client.unwrap().read_to_end(&mut Vec::new()).await;
+            assert_eq!(read.is_ok(), shuts_down, "{read:?}");
+        });
+    }
+}
