A box notices, and logs, that it reaches no engine of a service

On-call could not see that a box had lost the path to the engines: each call failed by itself as 'not reached', and the line is the same for engines that are dead. Three engines in a row that can't be reached, or all of a smaller service, without an answer to a later attempt mean that contact is lost; an answer to a later attempt means that it is back. Two other engines are probed as soon as one can't be reached and nothing else was answered since, and two every 300 ms while contact is lost. Lines 'contact with engines lost' and 'regained', gauge hollyspoke_contact_lost. Nothing is decided by it yet.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -211,6 +211,18 @@
         /// The number of routes.
         routes: usize,
     },
+    /// The box can't reach the engines of a service, and doesn't take that for the engines' fault.
+    ContactLost {
+        /// The name of the service.
+        service: Arc<str>,
+    },
+    /// An engine of a service answers again.
+    ContactRegained {
+        /// The name of the service.
+        service: Arc<str>,
+        /// The time without contact.
+        duration: Duration,
+    },
     /// A data centre was evacuated, or its evacuation was lifted.
     Evacuated {
         /// The name of the data centre.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 mod census;
 mod classes;
 mod cold;
+mod contact;
 mod customer;
 mod end;
 mod era;
@@ -31,7 +32,7 @@
 mod survey;
 mod terms;
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -59,6 +60,7 @@
 use crate::gateway::admission::Admissions;
 use crate::gateway::cases::Cases;
 use crate::gateway::census::Census;
+use crate::gateway::contact::Contacts;
 use crate::gateway::migration::Migrations;
 use crate::gateway::peers::{PeerChanges, Unannounced};
 use crate::gateway::permits::Permits;
@@ -219,8 +221,10 @@
     quarantine: Quarantine,
     /// The same cases as saved in the store.
     cases: Cases,
-    /// The engines that are being probed.
-    probing: HashSet<EngineKey>,
+    /// The engines that are being probed, since when.
+    probing: HashMap<EngineKey, Time>,
+    /// The contact with the engines of each service.
+    contacts: Contacts,
     /// The progress of querying engines for their cached prompts.
     survey: Survey,
     /// The announcements to send to other boxes at the end of this event.
@@ -293,7 +297,8 @@
             catch_up: CatchUp::default(),
             quarantine: Quarantine::default(),
             cases: Cases::default(),
-            probing: HashSet::new(),
+            probing: HashMap::new(),
+            contacts: Contacts::default(),
             survey: Survey::default(),
             unannounced: Unannounced::default(),
             peer_changes: PeerChanges::default(),
@@ -347,6 +352,7 @@
         self.lift_expired_evacuations();
         self.handle_ended_engines();
         self.survey();
+        self.probe_lost_services();
         self.advance_stage_changes();
         if self.may_have_capacity {
             self.admit_waiting();
@@ -373,6 +379,7 @@
             self.directory.next_removal(),
             self.evacuations.next_expiry(),
             self.survey.due(),
+            self.contacts.next_probe(),
             self.members.next_greeting_at(self.now),
             batch_due,
             self.stages.next_check_at(),
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -41,6 +41,7 @@
     /// budget.
     fn call_not_connected(&mut self, key: CallKey) {
         let Some(call) = self.take_call(key) else { return };
+        self.record_unreached(&call.engine, call.sent);
         self.record_unreachable(&call);
         self.record_return_answer(&call, false);
         self.log_failure(&call, "not reached", 0);
@@ -343,6 +344,7 @@
     /// Updates the engine's reported load, its health and its prefill rate from an answer. A late
     /// answer counts as a failure. An answer of another engine at the same address is ignored.
     fn apply_answer(&mut self, call: &Call, answer: &Answer) {
+        self.record_reached(&call.engine, call.sent);
         if !self.is_current_incarnation(call) || answer.execution == Execution::Replaced {
             return;
         }
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/gateway/contact.rs
@@ -0,0 +1,107 @@
+//! The box's contact with the engines of each service.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyspoke::time::Time;
+
+use super::Gateway;
+use crate::contact::Contact;
+use crate::effect::{Effect, LogEvent};
+use crate::engine::{Engine, EngineKey};
+
+/// The interval between the probes of a service with which the box has lost contact. Clients'
+/// requests don't try its engines meanwhile.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+
+/// The number of engines probed at a time. One may have crashed.
+const PROBE_COUNT: usize = 2;
+
+/// The contact with all services.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Contacts {
+    /// The contact with each service of which an engine was ever tried.
+    services: HashMap<Arc<str>, Contact>,
+    /// The services with which contact is lost, with the time of the loss.
+    lost: HashMap<Arc<str>, Time>,
+    /// When the engines of lost services are probed next.
+    next_probe: Option<Time>,
+}
+
+impl Contacts {
+    /// Returns when engines are probed next.
+    pub(super) fn next_probe(&self) -> Option<Time> {
+        self.next_probe
+    }
+}
+
+impl Gateway {
+    /// Records that an engine answered an attempt of this box to connect.
+    pub(super) fn record_reached(&mut self, engine: &Engine, attempted_at: Time) {
+        let contact = self.contacts.services.entry(engine.service.clone()).or_default();
+        contact.record_reached(attempted_at);
+        self.update_contact(&engine.service);
+    }
+
+    /// Records that this box could not open a connection to an engine. Others are probed, as long as
+    /// it is open whose fault that is.
+    pub(super) fn record_unreached(&mut self, engine: &Engine, attempted_at: Time) {
+        let service = engine.service.clone();
+        let contact = self.contacts.services.entry(service.clone()).or_default();
+        let was_doubtful = contact.is_doubtful();
+        contact.record_unreached(engine.key, attempted_at);
+        if contact.is_doubtful() && !was_doubtful {
+            self.probe_engines(&service);
+        }
+        self.update_contact(&service);
+    }
+
+    /// Returns whether this box has lost contact with a service.
+    pub(super) fn has_lost(&self, service: &str) -> bool {
+        self.contacts.lost.contains_key(service)
+    }
+
+    /// Updates whether contact with a service is lost.
+    fn update_contact(&mut self, service: &Arc<str>) {
+        let count = self.directory.of_service(service).count();
+        let contact = self.contacts.services.get(service);
+        let is_lost = contact.is_some_and(|it| it.is_lost(count));
+        if is_lost == self.has_lost(service) {
+            return;
+        }
+        if is_lost {
+            self.contacts.lost.insert(service.clone(), self.now);
+            self.log(LogEvent::ContactLost { service: service.clone() });
+            self.contacts.next_probe.get_or_insert(self.now + PROBE_INTERVAL);
+        } else if let Some(lost_at) = self.contacts.lost.remove(service) {
+            let duration = self.now.since(lost_at);
+            self.log(LogEvent::ContactRegained { service: service.clone(), duration });
+        }
+    }
+
+    /// Probes engines of the services with which contact is lost, if that is due.
+    pub(super) fn probe_lost_services(&mut self) {
+        if self.contacts.next_probe.is_none_or(|it| it > self.now) {
+            return;
+        }
+        let lost: Vec<_> = self.contacts.lost.keys().cloned().collect();
+        self.contacts.next_probe = (!lost.is_empty()).then(|| self.now + PROBE_INTERVAL);
+        for service in lost {
+            self.probe_engines(&service);
+        }
+    }
+
+    /// Probes some engines of a service, chosen at random.
+    fn probe_engines(&mut self, service: &str) {
+        let is_probed = |it: EngineKey| !self.probing.contains_key(&it) && self.accepts_probe(it);
+        let engines = self.directory.of_service(service).map(|it| &it.engine);
+        let mut engines: Vec<_> = engines.filter(|it| is_probed(it.key)).cloned().collect();
+        for _ in 0..PROBE_COUNT.min(engines.len()) {
+            let index = (self.draw() % engines.len() as u64) as usize;
+            let engine = engines.swap_remove(index);
+            self.probing.insert(engine.key, self.now);
+            self.effects.push(Effect::Probe(engine));
+        }
+    }
+}
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hollyspoke::time::Time;
+
 use super::Gateway;
 use super::cases::BACKUP_DELAY;
 use crate::effect::{Effect, LogEvent, NotRunReason, Refusal};
@@ -53,7 +55,7 @@
 impl Gateway {
     /// Returns the Unix time in seconds.
     pub(super) fn unix_time(&self) -> u64 {
-        self.settings.unix_start + self.now.since(hollyspoke::time::Time::ZERO).as_secs()
+        self.settings.unix_start + self.now.since(Time::ZERO).as_secs()
     }
 
     /// Records that a call broke, or that its engine timed out. At an engine that is shutting down
@@ -77,14 +79,16 @@
                 Proof::Proven,
             );
         }
-        if self.accepts_probe(engine.key) && self.probing.insert(engine.key) {
+        if self.accepts_probe(engine.key) && !self.probing.contains_key(&engine.key) {
+            self.probing.insert(engine.key, self.now);
             self.effects.push(Effect::Probe(call.engine.clone()));
         }
     }
 
     /// Handles the result of an engine's liveness probe.
     pub(super) fn apply_probe(&mut self, engine: EngineKey, probe: Probe) {
-        self.probing.remove(&engine);
+        let probed_at = self.probing.remove(&engine).unwrap_or(self.now);
+        self.record_probe_contact(engine, probe, probed_at);
         let asked = Incarnation { engine, started_at: None };
         match probe {
             Probe::Alive(started_at) => {
@@ -97,6 +101,16 @@
         }
     }
 
+    /// Records what a probe shows about the contact with the engine's service.
+    fn record_probe_contact(&mut self, engine: EngineKey, probe: Probe, probed_at: Time) {
+        let Some(record) = self.directory.get(engine) else { return };
+        let engine = record.engine.clone();
+        match probe {
+            Probe::Alive(_) | Probe::Replaced => self.record_reached(&engine, probed_at),
+            Probe::NoAnswer => self.record_unreached(&engine, probed_at),
+        }
+    }
+
     /// Records how certain it is that an engine has crashed.
     fn confirm(&mut self, ended: Incarnation, proof: Proof) {
         let unix = self.unix_time();
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod catch_up;
 pub mod class;
 pub mod cold;
+pub mod contact;
 pub mod credential;
 pub mod customer;
 pub mod deadline;
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -82,6 +82,8 @@
     engine_limits: Gauge<u64>,
     /// The number of times that the store was restored from an older copy.
     store_era: Gauge<u64>,
+    /// Whether the box has lost contact with the engines of a service.
+    lost_contact: Gauge<u64>,
     /// Whether an engine is shutting down.
     engines_leaving: Gauge<u64>,
     /// Whether an engine backs off from this box.
@@ -167,6 +169,10 @@
                 "hollyspoke_store_era",
                 "how often the store came back from an older copy",
             ),
+            lost_contact: gauge(
+                "hollyspoke_contact_lost",
+                "1 while this box reaches no engine of a service",
+            ),
             engines_leaving: gauge(
                 "hollyspoke_engine_leaving",
                 "whether an engine is about to leave",
@@ -277,6 +283,8 @@
                 let service = KeyValue::new("service", service.clone());
                 self.overloaded.record(u64::from(!has_ended), &[service]);
             }
+            LogEvent::ContactLost { service } => self.record_contact(service, true),
+            LogEvent::ContactRegained { service, .. } => self.record_contact(service, false),
             LogEvent::Limited { id, change, .. } => self.record_limit(id, change),
             LogEvent::StoreReturned { era, .. } => self.record_era(*era),
             LogEvent::ShuttingDown { id, .. } => {
@@ -301,6 +309,12 @@
         }
     }
 
+    /// Records whether contact with a service is lost.
+    fn record_contact(&self, service: &Arc<str>, is_lost: bool) {
+        let service = KeyValue::new("service", service.clone());
+        self.lost_contact.record(u64::from(is_lost), &[service]);
+    }
+
     /// Records the newest era of the store.
     pub fn record_era(&self, store_era: u64) {
         self.store_era.record(store_era, &[]);
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -15,6 +15,13 @@
         LogEvent::Configured { version, routes } => {
             info!(log, "configuration in force"; "version" => version, "routes" => routes);
         }
+        LogEvent::ContactLost { service } => {
+            warn!(log, "contact with engines lost"; "service" => %service);
+        }
+        LogEvent::ContactRegained { service, duration } => {
+            warn!(log, "contact with engines regained";
+            "service" => %service, "span_ms" => millis(duration));
+        }
         LogEvent::Evacuated { data_centre, is_lifted } => {
             let message = if *is_lifted { "evacuation lifted" } else { "evacuated" };
             warn!(log, "{}", message; "data_centre" => %data_centre);
