--- a/crates/hollyspoke-gateway/src/contact.rs
+++ b/crates/hollyspoke-gateway/src/contact.rs
@@ -1,25 +1,33 @@
 //! Whether a box reaches the engines of a service.
 //!
 //! A connection that can't be opened is the fault of the engine or of the box's own network. The
-//! answer of any other engine to a later request shows that it is the engine's. Several engines in
-//! a row without such an answer show that it is the box's: it has lost contact with the service.
-//! Streams that go on show nothing, since open connections may outlive the path for new ones.
+//! answer of any other engine to a later attempt shows that it is the engine's. Several engines
+//! that can't be reached, and none that answers for a time, show that it is the box's: it has lost
+//! contact with the service. Streams that go on show nothing, since open connections may outlive
+//! the path for new ones.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use hollyspoke::time::Time;
 
 use crate::engine::EngineKey;
 
-/// The number of different engines that must be unreachable in a row, unless the service has fewer.
+/// The number of different engines that must be unreachable, unless the service has fewer.
 const MIN_UNREACHED_COUNT: usize = 3;
 
+/// The time without an answer after which contact is lost. Engines answer probes within
+/// milliseconds.
+const MIN_DOUBT_DURATION: Duration = Duration::from_millis(200);
+
 /// A box's contact with the engines of one service.
 #[derive(Debug, Clone, Default)]
 pub struct Contact {
     /// The engines that could not be reached, with the time of the last attempt. Cleared by an
     /// answer to a later attempt at any engine.
     unreached: BTreeMap<EngineKey, Time>,
+    /// The time of the first attempt since which no engine has answered one.
+    doubtful_since: Option<Time>,
     /// The time of the newest attempt that was answered.
     reached_at: Option<Time>,
 }
@@ -29,18 +37,22 @@
     pub fn record_reached(&mut self, attempted_at: Time) {
         self.reached_at = self.reached_at.max(Some(attempted_at));
         self.unreached.retain(|_, it| *it > attempted_at);
+        self.doubtful_since = self.doubtful_since.map(|it| it.max(attempted_at));
+        self.end_doubt();
     }
 
     /// Records that no connection to an engine could be opened.
     pub fn record_unreached(&mut self, engine: EngineKey, attempted_at: Time) {
         if self.reached_at.is_none_or(|it| it < attempted_at) {
             self.unreached.insert(engine, attempted_at);
+            self.doubtful_since.get_or_insert(attempted_at);
         }
     }
 
-    /// Forgets an engine that no longer exists.
-    pub fn forget(&mut self, engine: EngineKey) {
-        self.unreached.remove(&engine);
+    /// Forgets the engines that no longer exist.
+    pub fn retain(&mut self, exists: impl Fn(EngineKey) -> bool) {
+        self.unreached.retain(|&it, _| exists(it));
+        self.end_doubt();
     }
 
     /// Returns whether an engine could not be reached and none has answered a later attempt, so that
@@ -49,13 +61,17 @@
         !self.unreached.is_empty()
     }
 
-    /// Returns whether an engine has answered an attempt at this time or later.
-    pub fn has_reached_since(&self, time: Time) -> bool {
-        self.reached_at.is_some_and(|it| it >= time)
+    /// Returns whether the box has lost contact with the service, given its number of engines.
+    pub fn is_lost(&self, engine_count: usize, now: Time) -> bool {
+        let needed = MIN_UNREACHED_COUNT.min(engine_count).max(1);
+        let is_long = self.doubtful_since.is_some_and(|it| now.since(it) >= MIN_DOUBT_DURATION);
+        is_long && self.unreached.len() >= needed
     }
 
-    /// Returns whether the box has lost contact with the service, given its number of engines.
-    pub fn is_lost(&self, engine_count: usize) -> bool {
-        self.is_doubtful() && self.unreached.len() >= MIN_UNREACHED_COUNT.min(engine_count)
+    /// Ends the doubt if no unreachable engine is left.
+    fn end_doubt(&mut self) {
+        if self.unreached.is_empty() {
+            self.doubtful_since = None;
+        }
     }
 }
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -352,7 +352,7 @@
         self.lift_expired_evacuations();
         self.handle_ended_engines();
         self.survey();
-        self.probe_lost_services();
+        self.probe_doubtful_services();
         self.advance_stage_changes();
         if self.may_have_capacity {
             self.admit_waiting();
--- a/crates/hollyspoke-gateway/src/gateway/contact.rs
+++ b/crates/hollyspoke-gateway/src/gateway/contact.rs
@@ -11,12 +11,16 @@
 use crate::effect::{Effect, LogEvent};
 use crate::engine::{Engine, EngineKey};
 
+/// The interval between the probes of a service while it is open whether the box or its engines are
+/// at fault.
+const DOUBT_PROBE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The interval between the probes of a service with which the box has lost contact. Clients'
 /// requests don't try its engines meanwhile.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
-/// The number of engines probed at a time. One may have crashed.
-const PROBE_COUNT: usize = 2;
+/// The number of engines probed at a time. Some may have crashed.
+const PROBE_COUNT: usize = 3;
 
 /// The contact with all services.
 #[derive(Debug, Clone, Default)]
@@ -25,7 +29,7 @@
     services: HashMap<Arc<str>, Contact>,
     /// The services with which contact is lost, with the time of the loss.
     lost: HashMap<Arc<str>, Time>,
-    /// When the engines of lost services are probed next.
+    /// When the engines of doubtful and lost services are probed next.
     next_probe: Option<Time>,
 }
 
@@ -53,6 +57,7 @@
         contact.record_unreached(engine.key, attempted_at);
         if contact.is_doubtful() && !was_doubtful {
             self.probe_engines(&service);
+            self.probe_again_in(DOUBT_PROBE_INTERVAL);
         }
         self.update_contact(&service);
     }
@@ -66,32 +71,45 @@
     fn update_contact(&mut self, service: &Arc<str>) {
         let count = self.directory.of_service(service).count();
         let contact = self.contacts.services.get(service);
-        let is_lost = contact.is_some_and(|it| it.is_lost(count));
+        let is_lost = contact.is_some_and(|it| it.is_lost(count, self.now));
         if is_lost == self.has_lost(service) {
             return;
         }
         if is_lost {
             self.contacts.lost.insert(service.clone(), self.now);
             self.log(LogEvent::ContactLost { service: service.clone() });
-            self.contacts.next_probe.get_or_insert(self.now + PROBE_INTERVAL);
         } else if let Some(lost_at) = self.contacts.lost.remove(service) {
             let duration = self.now.since(lost_at);
             self.log(LogEvent::ContactRegained { service: service.clone(), duration });
         }
     }
 
-    /// Probes engines of the services with which contact is lost, if that is due.
-    pub(super) fn probe_lost_services(&mut self) {
+    /// Probes engines of the services with which contact is doubtful or lost, if that is due.
+    pub(super) fn probe_doubtful_services(&mut self) {
         if self.contacts.next_probe.is_none_or(|it| it > self.now) {
             return;
         }
-        let lost: Vec<_> = self.contacts.lost.keys().cloned().collect();
-        self.contacts.next_probe = (!lost.is_empty()).then(|| self.now + PROBE_INTERVAL);
-        for service in lost {
-            self.probe_engines(&service);
+        self.contacts.next_probe = None;
+        for contact in self.contacts.services.values_mut() {
+            contact.retain(|it| self.directory.get(it).is_some());
+        }
+        let services: Vec<_> = self.contacts.services.keys().cloned().collect();
+        for service in services {
+            self.update_contact(&service);
+            if self.contacts.services[&service].is_doubtful() {
+                self.probe_engines(&service);
+                let is_lost = self.has_lost(&service);
+                self.probe_again_in(if is_lost { PROBE_INTERVAL } else { DOUBT_PROBE_INTERVAL });
+            }
         }
     }
 
+    /// Schedules the next probes, unless they are due earlier.
+    fn probe_again_in(&mut self, interval: Duration) {
+        let due = self.now + interval;
+        self.contacts.next_probe = Some(self.contacts.next_probe.map_or(due, |it| it.min(due)));
+    }
+
     /// Probes some engines of a service, chosen at random.
     fn probe_engines(&mut self, service: &str) {
         let is_probed = |it: EngineKey| !self.probing.contains_key(&it) && self.accepts_probe(it);
