--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -28,7 +28,7 @@
 use crate::crashes::{Crashes, Harmful};
 use crate::gateway::{HOST, MODEL, PLAIN, configuration, request, settings};
 use crate::rate_limits::RateLimits;
-use crate::repeats::{ClientRequest, Records, RefusedRetry};
+use crate::repeats::{ClientRequest, Records, RefusedRetry, Taken};
 use crate::statements::{BackOffs, Statements};
 
 pub use store::Store;
@@ -78,6 +78,20 @@
     pub streams: f64,
 }
 
+/// A box's path to the engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Path {
+    /// Connections open.
+    Open,
+    /// Nothing passes: connections hang, also those that are open.
+    Silent,
+    /// New connections are refused; those that are open live on.
+    Refused,
+}
+
+/// The time after which a box gives up a connection that hangs.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// The traffic at the users' site of six boxes.
 pub const USUAL: Traffic = Traffic { plain: 40.9, streams: 18.2 };
 
@@ -96,6 +110,8 @@
     paused_until: Time,
     /// The time until which its calls are delayed on their way to engines.
     calls_delayed_until: Time,
+    /// Its path to the engines.
+    path: Path,
 }
 
 /// A call and the box that sent it.
@@ -204,6 +220,7 @@
                 side: 0,
                 paused_until: Time::ZERO,
                 calls_delayed_until: Time::ZERO,
+                path: Path::Open,
             });
         }
         fleet.start(0..boxes);
@@ -256,6 +273,21 @@
         }
     }
 
+    /// Changes the path of boxes to all engines.
+    pub fn set_path(&mut self, members: impl IntoIterator<Item = usize> + Clone, path: Path) {
+        for number in members.clone() {
+            self.members[number].path = path;
+        }
+        if path == Path::Silent {
+            let is_cut =
+                |it: &Caller| members.clone().into_iter().any(|member| member == it.number);
+            self.scheduled.retain(|_, due| match due {
+                Scheduled::Answer(caller, ..) => !is_cut(caller),
+                _ => true,
+            });
+        }
+    }
+
     /// Pauses a box: it handles events only after the pause.
     pub fn pause(&mut self, number: usize, duration: Duration) {
         self.members[number].paused_until = self.now + duration;
@@ -452,6 +484,12 @@
         let is_plain = ["/safe/", "/unsafe/"].iter().any(|it| request.path.starts_with(it));
         let service = if is_plain { PLAIN } else { MODEL };
         self.records.requests.push(ClientRequest { service, at: self.now });
+        self.records.taken.push(Taken {
+            number,
+            request: RequestKey(self.next),
+            at: self.now,
+            is_served: false,
+        });
         self.step(number, Event::Arrived(RequestKey(self.next), request));
     }
 
@@ -497,10 +535,13 @@
                 }
                 Effect::Order(order) => self.query_engine(number, order.engine.key),
                 Effect::Free(source) => self.query_engine(number, source.engine),
+                Effect::Deliver(request, _) => self.records.record_end(number, request, true),
                 Effect::Refuse(request, refusal) => {
+                    self.records.record_end(number, request, false);
                     self.crashes.record_refusal(request, refusal, self.now);
                 }
                 Effect::Abort(request) => self.crashes.record_abort(request, self.now),
+                Effect::Log(LogEvent::ContactLost { .. }) => self.records.contact_losses += 1,
                 Effect::Log(LogEvent::Retry { service, is_sent: false, .. }) => {
                     let service = if *service == *PLAIN { PLAIN } else { MODEL };
                     self.records.refused.push(RefusedRetry { service, at: self.now });
--- a/tests/src/fleet/engines.rs
+++ b/tests/src/fleet/engines.rs
@@ -9,7 +9,10 @@
 use hollyspoke_gateway::statement::Statement;
 use rand::Rng;
 
-use super::{ANSWER_DELAY_MS, Caller, Fleet, STORE_DELAY, STREAM_DURATION, Scheduled, TRANSIT};
+use super::{
+    ANSWER_DELAY_MS, CONNECT_TIMEOUT, Caller, Fleet, Path, STORE_DELAY, STREAM_DURATION, Scheduled,
+    TRANSIT,
+};
 use crate::crashes::{CRASH_DELAY, RESTART_DELAY, State};
 use crate::gateway::{MODEL, PLAIN, engine, prefilled, ran, rejected};
 use crate::repeats::Arrival;
@@ -19,6 +22,10 @@
     pub(super) fn arrive(&mut self, number: usize, start_count: u64, send: &Send) {
         let caller = Caller { number, start_count, call: send.call };
         let engine = send.engine.key;
+        if let Some(delay) = self.connect_failure(number) {
+            let unsent = Scheduled::Answer(caller, engine, CallEvent::NotConnected);
+            return self.schedule(self.now + delay, unsent);
+        }
         let State { crashes, down_until } = self.crashes.state(engine);
         if self.now < down_until {
             let unsent = Scheduled::Answer(caller, engine, CallEvent::NotConnected);
@@ -143,14 +150,24 @@
     /// Schedules the result of a box's probe of an engine.
     pub(super) fn probe(&mut self, number: usize, engine: EngineKey) {
         let State { crashes, down_until } = self.crashes.state(engine);
-        let probe =
-            if self.now < down_until { Probe::NoAnswer } else { Probe::Alive(Some(crashes)) };
+        let failure = self.connect_failure(number);
+        let is_answered = failure.is_none() && self.now >= down_until;
+        let probe = if is_answered { Probe::Alive(Some(crashes)) } else { Probe::NoAnswer };
         let start_count = self.members[number].start_count;
         self.schedule(
-            self.now + TRANSIT * 2,
+            self.now + failure.unwrap_or(TRANSIT * 2),
             Scheduled::Probed(number, start_count, engine, probe),
         );
     }
+
+    /// Returns after what time a box's connection to any engine fails; none if it opens.
+    fn connect_failure(&self, number: usize) -> Option<Duration> {
+        match self.members[number].path {
+            Path::Open => None,
+            Path::Silent => Some(CONNECT_TIMEOUT),
+            Path::Refused => Some(TRANSIT),
+        }
+    }
 }
 
 /// Adds an engine's statement to an event that carries an answer.
--- a/tests/src/repeats.rs
+++ b/tests/src/repeats.rs
@@ -2,10 +2,12 @@
 //! boxes together.
 
 use std::collections::BTreeSet;
+use std::ops::Range;
 use std::time::Duration;
 
 use hollyspoke::time::Time;
 use hollyspoke_gateway::budget::Bound;
+use hollyspoke_gateway::request::RequestKey;
 
 /// A request that a client has sent.
 #[derive(Debug, Clone, Copy)]
@@ -39,6 +41,19 @@
     pub at: Time,
 }
 
+/// A request at the box that received it from its client.
+#[derive(Debug, Clone, Copy)]
+pub struct Taken {
+    /// The number of the box.
+    pub number: usize,
+    /// The request.
+    pub request: RequestKey,
+    /// The time at which it arrived.
+    pub at: Time,
+    /// Whether its client has got an engine's answer.
+    pub is_served: bool,
+}
+
 /// The requests, calls and refused retries of a run.
 #[derive(Debug, Clone, Default)]
 pub struct Records {
@@ -48,9 +63,31 @@
     pub arrivals: Vec<Arrival>,
     /// The refused retries.
     pub refused: Vec<RefusedRetry>,
+    /// The requests at the boxes that received them.
+    pub taken: Vec<Taken>,
+    /// How often a box has lost contact with a service.
+    pub contact_losses: usize,
 }
 
 impl Records {
+    /// Records that a box delivers an answer to a client, or refuses its request.
+    pub fn record_end(&mut self, number: usize, request: RequestKey, is_served: bool) {
+        let is_it = |it: &&mut Taken| it.number == number && it.request == request;
+        if let Some(taken) = self.taken.iter_mut().rev().find(is_it) {
+            taken.is_served = is_served;
+        }
+    }
+
+    /// Returns the number of requests that some boxes received in a period, and the share of them
+    /// that was served.
+    pub fn served(&self, boxes: &[usize], period: Range<Time>) -> (usize, f64) {
+        let taken = self.taken.iter();
+        let taken: Vec<_> =
+            taken.filter(|it| boxes.contains(&it.number) && period.contains(&it.at)).collect();
+        let served = taken.iter().filter(|it| it.is_served).count();
+        (taken.len(), served as f64 / taken.len().max(1) as f64)
+    }
+
     /// Returns the maximum number of retries in any window, divided by the number allowed there.
     pub fn bound_used(&self, service: &str, bound: &Bound) -> f64 {
         let repeats = self.repeats(service);
