Tests that a handover or datagram that ends early is not read; a refused drop of a reservation is logged

The class of answers whose end was not seen, looked for in what boxes read: handovers and datagrams that are cut at any byte are refused in all formats (cut_message_accepted). The call that drops a reservation took every answer, and every broken connection, for success; only a time-out was logged.

--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -244,7 +244,9 @@
 async fn drop_reservation(node: Rc<Node>, reservation: Reservation) {
     let head = (node.dialect.drop_reservation)(&reservation);
     let exchange = exchange_order(&node, &reservation.engine, head, Bytes::new());
-    if tokio::time::timeout(FREE_TIMEOUT, exchange).await.is_err() {
+    let answer = tokio::time::timeout(FREE_TIMEOUT, exchange).await;
+    let is_dropped = matches!(answer, Ok(Ok((status, _))) if status.is_success());
+    if !is_dropped {
         debug!(node.log, "reservation not dropped"; "engine" => %reservation.engine.id);
     }
 }
--- a/tests/tests/formats.rs
+++ b/tests/tests/formats.rs
@@ -185,6 +185,22 @@
     assert_eq!(write(&sent, Format::Permits).expect("it is written"), recorded("loads-whole"));
 }
 
+/// A handover or a datagram that ends early, wherever, is not read as a shorter one.
+#[test]
+fn cut_message_accepted() {
+    for format in [Format::First, Format::Handovers, Format::Eras] {
+        for snapshot in [snapshot(), changes()] {
+            let bytes = write_snapshot(&snapshot, format).expect("it is written");
+            let accepted = (0..bytes.len()).find(|it| read_snapshot(&bytes[..*it]).is_ok());
+            assert_eq!(accepted, None, "{format:?}, of {}", bytes.len());
+        }
+        let sent = Message { extension: proxy_extension().non_empty(), ..whole() };
+        let bytes = write(&sent, format).expect("it is written");
+        let accepted = (0..bytes.len()).find(|it| read(&bytes[..*it]).is_ok());
+        assert_eq!(accepted, None, "{format:?}, of {}", bytes.len());
+    }
+}
+
 #[test]
 fn proxy_lost() {
     let extension = proxy_extension().non_empty();
