--- a/tests/soak/src/layout.rs
+++ b/tests/soak/src/layout.rs
@@ -19,6 +19,7 @@
     directory: 8143,
     peers: 7380,
     announced: 7381,
+    proxies: 7382,
     metrics: 9464,
 };
 
@@ -90,6 +91,8 @@
     pub(crate) peers: u16,
     /// The port that other boxes are told to use.
     pub(crate) announced: u16,
+    /// For requests that other boxes pass on.
+    pub(crate) proxies: u16,
     /// For metrics.
     pub(crate) metrics: u16,
 }
@@ -157,7 +160,7 @@
         (
             "listen",
             json!({"front": at(PORTS.front), "ready": at(PORTS.ready), "peer_port": PORTS.peers,
-                "peer_announced_port": PORTS.announced, "directory": at(PORTS.directory), "metrics": at(PORTS.metrics)}),
+                "proxy_port": PORTS.proxies, "peer_announced_port": PORTS.announced, "directory": at(PORTS.directory), "metrics": at(PORTS.metrics)}),
         ),
         ("store", json!({"address": store.to_string()})),
         (
