A box that was cut off does not report afterwards what it found out meanwhile

What a box finds out about engines while none answers is withheld, and dropped once it is cut off from all services. Findings made after that were withheld too, and told when an engine answered again: 17 reports of unreachable engines after a cut of three boxes in virtual time, so that the others avoided sound engines for 1.5 s. Findings are dropped for as long as the box is cut off: 0 reports (lost_path_reported_as_unreachable_engines failed before). A request that another box has is not passed on again by whatever else wakes it.

--- a/crates/hollyspoke-gateway/src/gateway/contact.rs
+++ b/crates/hollyspoke-gateway/src/gateway/contact.rs
@@ -168,6 +168,9 @@
     /// Acts on a finding about an engine, unless this box may be at fault itself. Then it is withheld
     /// until an engine of any service answers, and dropped if the box is cut off from all.
     pub(super) fn report_finding(&mut self, engine: EngineKey, finding: Finding) {
+        if self.is_cut_off() {
+            return;
+        }
         let Some(record) = self.directory.get(engine) else { return };
         let contact = self.contacts.services.get(&record.engine.service);
         match contact.and_then(Contact::doubtful_since) {
--- a/crates/hollyspoke-gateway/src/gateway/proxy.rs
+++ b/crates/hollyspoke-gateway/src/gateway/proxy.rs
@@ -31,9 +31,12 @@
     }
 
     /// Passes a request on to another box if this one has lost contact with its service. Returns
-    /// whether it did. A request that may have run is not passed on: the other box would not know.
+    /// whether another box has it. A request that may have run is not passed on: the other box would not know.
     pub(super) fn pass_on(&mut self, key: RequestKey) -> bool {
         let Some(in_flight) = self.in_flight.get(&key) else { return false };
+        if in_flight.proxy.call.is_some() {
+            return true;
+        }
         let service = in_flight.service.name.clone();
         let may_have_run =
             in_flight.trace.is_sent() || in_flight.call_count > in_flight.unsent_count;
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -535,6 +535,7 @@
                     );
                 }
                 Effect::Announce(audience, message) => {
+                    self.records.unreachable_reports += message.unreachable.len();
                     self.send_datagrams(side, &audience, &message)
                 }
                 Effect::Store(operation, what) => {
--- a/tests/src/repeats.rs
+++ b/tests/src/repeats.rs
@@ -65,6 +65,8 @@
     pub refused: Vec<RefusedRetry>,
     /// The requests at the boxes that received them.
     pub taken: Vec<Taken>,
+    /// The number of times that a box told others of an engine that it could not reach.
+    pub unreachable_reports: usize,
     /// The number of requests that boxes passed on.
     pub passed_on: usize,
     /// How often a box has lost contact with a service.
--- a/tests/tests/gateway_contact.rs
+++ b/tests/tests/gateway_contact.rs
@@ -130,6 +130,18 @@
     }
 }
 
+/// Boxes that lose the path and have it back tell nobody that engines are unreachable.
+#[test]
+fn lost_path_reported_as_unreachable_engines() {
+    for path in [Path::Silent, Path::Refused] {
+        let mut fleet = Fleet::settled(BOX_COUNT, 1);
+        cut(&mut fleet, 3, path);
+        fleet.set_path(0..3, Path::Open);
+        fleet.run(Duration::from_secs(3));
+        assert_eq!(fleet.records.unreachable_reports, 0, "{path:?}");
+    }
+}
+
 /// Crashed engines are no lost path: no box loses contact while others of the service answer.
 #[test]
 fn crashes_taken_for_lost_path() {
