Test of customers' keys between boxes; one function for the data centres of a region

A request that another box serves carries the digest of its key and not the key: the other box knows the customer by it, and the engine gets neither. The data centres of a region were collected in two places.

--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -425,11 +425,7 @@
     pub fn fronts(&self, region: Option<&str>) -> Vec<SocketAddr> {
         let own_region = self.settings.regions.of(&self.settings.data_centre);
         let region = region.or(own_region.map(|it| &**it));
-        let data_centres: BTreeSet<_> = region
-            .into_iter()
-            .flat_map(|it| self.settings.regions.data_centres(it))
-            .map(|it| DataCentreKey::of(it))
-            .collect();
+        let data_centres = self.data_centres(region);
         let is_inside = data_centres.is_empty() || data_centres.contains(&self.data_centre());
         let others = self.members.fronts(&data_centres);
         let is_needed = !self.is_cut_off() || others.fronts.is_empty();
@@ -440,6 +436,12 @@
         own.into_iter().chain(others.fronts).collect()
     }
 
+    /// Returns the data centres of a region; none without a region.
+    fn data_centres(&self, region: Option<&str>) -> BTreeSet<DataCentreKey> {
+        let data_centres = region.into_iter().flat_map(|it| self.settings.regions.data_centres(it));
+        data_centres.map(|it| DataCentreKey::of(it)).collect()
+    }
+
     /// Returns the configuration version in force.
     pub fn version(&self) -> Option<u64> {
         self.configuration.as_ref().map(|it| it.version)
--- a/crates/hollyspoke-gateway/src/gateway/proxy.rs
+++ b/crates/hollyspoke-gateway/src/gateway/proxy.rs
@@ -151,7 +151,6 @@
     /// restricted to some regions must not pass through a box of another region.
     pub(super) fn own_region(&self) -> BTreeSet<DataCentreKey> {
         let region = self.settings.regions.of(&self.settings.data_centre);
-        let data_centres = region.into_iter().flat_map(|it| self.settings.regions.data_centres(it));
-        data_centres.map(|it| DataCentreKey::of(it)).collect()
+        self.data_centres(region.map(|it| &**it))
     }
 }
--- a/tests/tests/platform_proxy.rs
+++ b/tests/tests/platform_proxy.rs
@@ -12,6 +12,7 @@
     Action, Engine, LAST_CHUNK, Script, Store, ask, chunk, client_head, engine, event, handle,
     local, log, settings, status, store, stream_head, whole,
 };
+use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -46,14 +47,28 @@
     run::start(&settings, DIALECT, log()).await.expect("the ports are free")
 }
 
+/// The key of the customer `press`.
+const KEY: &str = "asnmgkcuyj8pjbvk9m68";
+
+/// Returns the head of a request with a customer's key.
+fn head_with_key(method: &str, path: &str) -> String {
+    let key = format!("Authorization: Bearer {KEY}\r\nContent-Length");
+    client_head(method, path, "id-1", "").replace("Content-Length", &key)
+}
+
+/// Starts the boxes without customers.
+async fn world(script: Script) -> World {
+    world_of(script, Value::Null).await
+}
+
 /// Starts the boxes with an engine of the plain service and one that decodes. In the list of the
 /// first box, the engines have addresses that refuse connections.
-async fn world(script: Script) -> World {
+async fn world_of(script: Script, customers: Value) -> World {
     let (far, near) = (store().await, store().await);
     let engine = engine(script).await;
     let dead = Engine { address: dead_address().await, ..engine.clone() };
     for (store, engine) in [(&far, &dead), (&near, &engine)] {
-        store.configure(1);
+        store.configure_customers(1, customers.clone());
         store.list("e-1", engine, "plain", None);
         store.list("d-1", engine, "model", Some("decode"));
     }
@@ -75,7 +90,7 @@
 /// Sends requests to the box without a path until it has noticed for both services.
 async fn lose_contact(world: &World) {
     for (method, path) in [("GET", "/safe/probe"), ("POST", "/once/probe")] {
-        let head = client_head(method, path, "probe", "");
+        let head = head_with_key(method, path);
         while status(&ask(world.cut.front, &head).await) == "503" {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
@@ -119,6 +134,25 @@
     });
 }
 
+/// A customer's request is known at the other box by the digest of its key.
+#[test]
+fn customer_unknown_to_other_box() {
+    let customers = json!([{"name": "press", "apiKeys": [KEY], "priority": 1,
+        "unit": "token_stream", "plainTokens": 200, "ratePerS": 90000, "burstSize": 90000}]);
+    local(async {
+        let world = world_of(answers(Vec::new), customers).await;
+        let answer = ask(world.cut.front, &head_with_key("GET", "/safe/x")).await;
+        assert_eq!(status(&answer), "200");
+        let received = world.engine.received.borrow();
+        let run = received.iter().find(|it| !it.is_probe()).expect("it ran");
+        assert_eq!(run.header("authorization"), None);
+        let has_digest = |it: &(String, String)| it.0.contains("digest");
+        assert!(!run.headers.iter().any(has_digest), "{:?}", run.headers);
+        let unknown = head_with_key("GET", "/safe/x").replace(KEY, "another");
+        assert_eq!(status(&ask(world.cut.front, &unknown).await), "401");
+    });
+}
+
 /// A box that reaches no engine is not named to clients while another one does.
 #[test]
 fn clients_sent_to_box_without_path() {
