Test of announced failures: an engine is announced once another one answers

failure_not_announced asked for the announcement in the step in which an engine isn't reached, also from a box that has reached none: that is what three boxes without a path did, so that the others avoided sound engines (lost_path_reported_as_unreachable_engines). It now asks for the announcement in the step in which another engine answers, and for none before.

--- a/tests/tests/gateway_reach.rs
+++ b/tests/tests/gateway_reach.rs
@@ -61,14 +61,24 @@
     world.first_call(request("safe"));
 }
 
+/// An engine that can't be reached is announced as soon as another one answers. Until then, the box
+/// itself may have lost the path to all.
 #[test]
 fn failure_not_announced() {
     let mut world = World::new();
     world.event(Event::Received(heartbeat(2, 1, StoreView::default())));
     let (_, send) = world.first_call(request("safe"));
-    let effects = world.gateway.step(world.now, Event::Call(send.call, CallEvent::NotConnected));
     let key = send.engine.key;
     let is_announced =
         |it: &Effect| matches!(it, Effect::Announce(_, message) if message.unreachable == [key]);
+    let effects = world.gateway.step(world.now, Event::Call(send.call, CallEvent::NotConnected));
+    assert!(!effects.iter().any(is_announced), "{effects:?}");
+    let second = effects.iter().find_map(|it| match it {
+        Effect::Send(send) => Some(send.clone()),
+        _ => None,
+    });
+    let second = second.expect("another engine is tried");
+    let effects =
+        world.gateway.step(world.now, Event::Call(second.call, CallEvent::Answered(ran(200))));
     assert!(effects.iter().any(is_announced), "{effects:?}");
 }
