No circles between the files of the two matters

The test of imports found two: proxy and event of the gateway, front, proxy and upstream of the server. What an answer's framing is, what is read of any answer's head, and what concerns one connection only have files below those that use them. No logic changes.

--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -8,6 +8,7 @@
 
 use crate::engine::{Engine, EngineChange, EngineKey};
 use crate::evacuation::{Change, Evacuation};
+use crate::framing::Framing;
 use crate::message::Message;
 use crate::migration;
 use crate::prompt::PromptKey;
@@ -29,15 +30,6 @@
     Ran,
 }
 
-/// What marks the end of an answer's body.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Framing {
-    /// A length or a last chunk, without which the body is incomplete.
-    Marked,
-    /// Only the end of the connection, which may also close in the middle of the answer.
-    Close,
-}
-
 /// The head of an engine's answer, with the handle of the prompt for a prefill.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Answer {
--- a/crates/hollyspoke-gateway/src/gateway/proxy.rs
+++ b/crates/hollyspoke-gateway/src/gateway/proxy.rs
@@ -7,7 +7,7 @@
 use super::peers::service_hash;
 use crate::customer::Caller;
 use crate::effect::{Effect, LogEvent, NotRunReason};
-use crate::event::Framing;
+use crate::framing::Framing;
 use crate::message::DataCentreKey;
 use crate::proxy::{Announcement, Call, Event};
 use crate::request::{CallKey, Request, RequestKey};
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -10,7 +10,7 @@
 use crate::customer::Customer;
 use crate::effect::{Effect, LogEvent, NotRunReason, Prompt, Refusal, Send, Task};
 use crate::engine::EngineKey;
-use crate::event::Framing;
+use crate::framing::Framing;
 use crate::gateway::customer::identify;
 use crate::gateway::end::RETRY_AFTER;
 use crate::gateway::permits::Permission;
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -10,7 +10,7 @@
 use crate::customer::{Caller, Customer};
 use crate::effect::{Prompt, Source, Task};
 use crate::engine::{Engine, EngineKey};
-use crate::event::Framing;
+use crate::framing::Framing;
 use crate::message::Load;
 use crate::migration::Progress;
 use crate::proxy;
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod evacuation;
 pub mod event;
 pub mod features;
+pub mod framing;
 pub mod gateway;
 pub mod health;
 pub mod in_flight;
--- a/crates/hollyspoke-gateway/src/proxy.rs
+++ b/crates/hollyspoke-gateway/src/proxy.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::credential::KeyDigest;
-use crate::event::Framing;
+use crate::framing::Framing;
 use crate::request::{CallKey, RequestKey};
 
 /// A request to send to another box.
--- a/crates/hollyspoke-server/src/front.rs
+++ b/crates/hollyspoke-server/src/front.rs
@@ -6,14 +6,10 @@
 
 use bytes::Bytes;
 use hollyspoke_gateway::effect::Refusal;
-use hollyspoke_gateway::event::Framing;
+use hollyspoke_gateway::framing::Framing;
 use hollyspoke_gateway::route::Limits;
-use http::header::{
-    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING, WWW_AUTHENTICATE,
-};
-use http::{
-    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version, request, response,
-};
+use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, RETRY_AFTER, WWW_AUTHENTICATE};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Version, request, response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -26,7 +22,7 @@
 use crate::answer::AnswerBody;
 use crate::client_stream::{ClientStream, CloseDelimited};
 use crate::head_clock::{HeadClock, RequestGuard};
-use crate::http1::framing;
+use crate::http1::{framing, remove_hop_headers};
 use crate::node::{ClientAnswer, Node, Origin, ReceivedRequest};
 use crate::proxy;
 
@@ -44,19 +40,6 @@
 /// Added to the idle timeout of a connection, since clients measure it from their own side.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
-/// Hop-by-hop headers, which concern a single connection only.
-const HOP_HEADERS: [HeaderName; 6] = [
-    CONNECTION,
-    TRANSFER_ENCODING,
-    http::header::TE,
-    http::header::TRAILER,
-    http::header::UPGRADE,
-    http::header::PROXY_AUTHORIZATION,
-];
-
-/// The hop-by-hop header that announces a connection's idle timeout.
-const KEEP_ALIVE: &str = "keep-alive";
-
 /// The version of answers that are delimited by the close of the connection. The HTTP library gives
 /// later versions a framing of their own.
 const CLOSE_DELIMITED_VERSION: Version = Version::HTTP_10;
@@ -236,24 +219,6 @@
     head
 }
 
-/// Removes hop-by-hop headers, and those that the `connection` header names.
-pub fn remove_hop_headers(headers: &mut HeaderMap) {
-    let named_headers: Vec<String> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|it| it.to_str().ok())
-        .flat_map(|it| it.split(','))
-        .map(|it| it.trim().to_owned())
-        .collect();
-    for name in named_headers {
-        headers.remove(name.as_str());
-    }
-    for name in &HOP_HEADERS {
-        headers.remove(name);
-    }
-    headers.remove(KEEP_ALIVE);
-}
-
 /// Returns the answer to a request that the gateway itself rejects.
 fn refusal_response(refusal: Refusal) -> Response<AnswerBody> {
     match refusal {
--- a/crates/hollyspoke-server/src/http1.rs
+++ b/crates/hollyspoke-server/src/http1.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use hollyspoke_gateway::event::Framing;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderValue, StatusCode, response};
+use hollyspoke_gateway::framing::Framing;
+use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -15,6 +15,25 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
+/// The size limit of an answer that is buffered whole.
+pub const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// The media type of an event stream.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Hop-by-hop headers, which concern a single connection only.
+const HOP_HEADERS: [HeaderName; 6] = [
+    CONNECTION,
+    TRANSFER_ENCODING,
+    http::header::TE,
+    http::header::TRAILER,
+    http::header::UPGRADE,
+    http::header::PROXY_AUTHORIZATION,
+];
+
+/// The hop-by-hop header that announces a connection's idle timeout.
+const KEEP_ALIVE: &str = "keep-alive";
+
 /// The reason why a request got no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
@@ -24,6 +43,31 @@
     Broken,
 }
 
+/// Returns whether an answer carries events.
+pub fn is_event_stream(head: &response::Parts) -> bool {
+    let media_type = head.headers.get(CONTENT_TYPE);
+    let is_events = media_type.is_some_and(|it| it.as_bytes().starts_with(EVENT_STREAM.as_bytes()));
+    head.status == StatusCode::OK && is_events
+}
+
+/// Removes hop-by-hop headers, and those that the `connection` header names.
+pub fn remove_hop_headers(headers: &mut HeaderMap) {
+    let named_headers: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|it| it.to_str().ok())
+        .flat_map(|it| it.split(','))
+        .map(|it| it.trim().to_owned())
+        .collect();
+    for name in named_headers {
+        headers.remove(name.as_str());
+    }
+    for name in &HOP_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove(KEEP_ALIVE);
+}
+
 /// Returns the framing of an answer's body. See RFC 9112, section 6.3.
 pub fn framing(head: &response::Parts) -> Framing {
     let has_no_body = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
--- a/crates/hollyspoke-server/src/proxy.rs
+++ b/crates/hollyspoke-server/src/proxy.rs
@@ -12,11 +12,11 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
-use crate::front::remove_hop_headers;
-use crate::http1::{Connection, Failure, framing, read_whole};
+use crate::http1::{
+    Connection, Failure, MAX_ANSWER_BYTES, framing, is_event_stream, read_whole, remove_hop_headers,
+};
 use crate::node::{Node, ReceivedRequest};
 use crate::splitter::Splitter;
-use crate::upstream::{MAX_ANSWER_BYTES, is_event_stream};
 
 /// The timeout for opening a connection to another box.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use hollyspoke_gateway::effect::{ORDER_TIMEOUT, Order, Send, Source, Task};
 use hollyspoke_gateway::engine::{Engine, EngineKey};
-use hollyspoke_gateway::event::{Answer, CallEvent, Event, Framing, OrderAnswer, Probe};
+use hollyspoke_gateway::event::{Answer, CallEvent, Event, OrderAnswer, Probe};
+use hollyspoke_gateway::framing::Framing;
 use hollyspoke_gateway::migration::{self, Transfer};
 use hollyspoke_gateway::reservation::{self, Ask, Reservation};
 use hollyspoke_gateway::statement::Statement;
@@ -20,7 +21,7 @@
 
 use crate::dialect::Report;
 use crate::handover;
-use crate::http1::{Connection, Failure, read_whole};
+use crate::http1::{Connection, Failure, MAX_ANSWER_BYTES, is_event_stream, read_whole};
 use crate::node::{Node, ReceivedRequest, UpstreamClient};
 use crate::objects;
 use crate::proxy;
@@ -41,12 +42,6 @@
 /// The timeout for the copy of a stream's memory, which waits for other copies on the same links.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(2500);
 
-/// The size limit of an answer that is buffered whole.
-pub const MAX_ANSWER_BYTES: usize = 8 << 20;
-
-/// The media type of an event stream.
-const EVENT_STREAM: &str = "text/event-stream";
-
 /// The upstream client that makes real calls, as local tasks.
 pub const UPSTREAM_CLIENT: UpstreamClient = UpstreamClient {
     call: |node, send, request| tokio::task::spawn_local(call(node, send, request)).abort_handle(),
@@ -205,13 +200,6 @@
     is_event_stream(head) && send.task != Task::Prefill
 }
 
-/// Returns whether an answer carries events.
-pub fn is_event_stream(head: &response::Parts) -> bool {
-    let media_type = head.headers.get(http::header::CONTENT_TYPE);
-    let is_events = media_type.is_some_and(|it| it.as_bytes().starts_with(EVENT_STREAM.as_bytes()));
-    head.status == StatusCode::OK && is_events
-}
-
 /// Frees a cached prompt that no decode engine will fetch. It expires by itself if this fails.
 async fn free_prompt(node: Rc<Node>, source: Source) {
     let Ok(mut connection) = Connection::open(source.address, CONNECT_TIMEOUT).await else {
--- a/tests/src/fleet/proxies.rs
+++ b/tests/src/fleet/proxies.rs
@@ -2,7 +2,8 @@
 
 use std::collections::HashMap;
 
-use hollyspoke_gateway::event::{Event, Framing};
+use hollyspoke_gateway::event::Event;
+use hollyspoke_gateway::framing::Framing;
 use hollyspoke_gateway::proxy;
 use hollyspoke_gateway::request::{CallKey, Request, RequestKey};
 
