An engine that resets a connection was reached: its crash counts also where no other engine answers

The engines' probes were reset, the box took that for a lost path and dropped what it knew of the crashes. A connection that opens and breaks shows that the path is there; only one that does not open leaves it open. A probe says which it was, and a broken call counts as contact.

--- a/crates/hollyspoke-gateway/src/contact.rs
+++ b/crates/hollyspoke-gateway/src/contact.rs
@@ -1,9 +1,9 @@
 //! Whether a box reaches the engines of a service.
 //!
-//! A connection that can't be opened is the fault of the engine or of the box's own network. The
-//! answer of any other engine to a later attempt shows that it is the engine's. Several engines
-//! that can't be reached, and none that answers for a time, show that it is the box's: it has lost
-//! contact with the service. Streams that go on show nothing, since open connections may outlive
+//! A connection that can't be opened is the fault of the engine or of the box's own network. A later
+//! attempt that opens one to any other engine shows that it is the engine's. Several engines that
+//! can't be reached, and none that can for a time, show that it is the box's: it has lost contact
+//! with the service. Streams that go on show nothing, since open connections may outlive
 //! the path for new ones.
 
 use std::collections::BTreeMap;
@@ -33,7 +33,7 @@
 }
 
 impl Contact {
-    /// Records that an engine answered an attempt to connect.
+    /// Records that an attempt to connect to an engine opened a connection.
     pub fn record_reached(&mut self, attempted_at: Time) {
         self.reached_at = self.reached_at.max(Some(attempted_at));
         self.unreached.retain(|_, it| *it > attempted_at);
--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -96,8 +96,10 @@
     Alive(Option<u64>),
     /// Another incarnation has its address.
     Replaced,
-    /// The engine accepts no connection or doesn't answer.
+    /// The connection opened, but the engine doesn't answer.
     NoAnswer,
+    /// The connection could not be opened.
+    NotConnected,
 }
 
 /// An input of a gateway.
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -270,6 +270,7 @@
             return;
         }
         let Some(call) = self.take_call(key) else { return };
+        self.record_reached(&call.engine, call.sent);
         self.log_failure(&call, "broken", 0);
         self.record_return_answer(&call, false);
         self.record_failure(&call);
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -98,7 +98,9 @@
                 self.confirm(asked, Proof::Proven);
             }
             Probe::Replaced => self.confirm(asked, Proof::Proven),
-            Probe::NoAnswer => self.report_finding(engine, Finding::Crashed),
+            Probe::NoAnswer | Probe::NotConnected => {
+                self.report_finding(engine, Finding::Crashed);
+            }
         }
     }
 
@@ -107,8 +109,10 @@
         let Some(record) = self.directory.get(engine) else { return };
         let engine = record.engine.clone();
         match probe {
-            Probe::Alive(_) | Probe::Replaced => self.record_reached(&engine, probed_at),
-            Probe::NoAnswer => self.record_unreached(&engine, probed_at),
+            Probe::Alive(_) | Probe::Replaced | Probe::NoAnswer => {
+                self.record_reached(&engine, probed_at);
+            }
+            Probe::NotConnected => self.record_unreached(&engine, probed_at),
         }
     }
 
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -317,14 +317,20 @@
 /// Asks an engine whether it is alive, and reports the answer to the reducer.
 async fn probe(node: Rc<Node>, engine: Arc<Engine>) {
     let answer = tokio::time::timeout(QUERY_TIMEOUT, exchange_probe(&node, &engine)).await;
-    let probe = answer.ok().flatten().unwrap_or(Probe::NoAnswer);
+    let probe = answer.unwrap_or(Probe::NoAnswer);
     node.dispatch(Event::Probed(engine.key, probe));
 }
 
-/// Sends the probe; none if no answer arrived. Any answer shows that a process is alive at the
-/// address.
-async fn exchange_probe(node: &Rc<Node>, engine: &Engine) -> Option<Probe> {
-    let mut connection = Connection::open(engine.address, CONNECT_TIMEOUT).await.ok()?;
+/// Sends the probe. Any answer shows that a process is alive at the address.
+async fn exchange_probe(node: &Rc<Node>, engine: &Engine) -> Probe {
+    match Connection::open(engine.address, CONNECT_TIMEOUT).await {
+        Ok(connection) => read_probe(node, engine, connection).await.unwrap_or(Probe::NoAnswer),
+        Err(_) => Probe::NotConnected,
+    }
+}
+
+/// Sends the probe over an open connection; none if no answer arrives.
+async fn read_probe(node: &Rc<Node>, engine: &Engine, mut connection: Connection) -> Option<Probe> {
     let query_request = (node.dialect.report)(engine).body(Full::default()).ok()?;
     let (head, body) = connection.send(query_request).await.ok()?.into_parts();
     read_statement(node, engine, &head);
--- a/tests/src/fleet/engines.rs
+++ b/tests/src/fleet/engines.rs
@@ -152,7 +152,7 @@
         let State { crashes, down_until } = self.crashes.state(engine);
         let failure = self.connect_failure(number);
         let is_answered = failure.is_none() && self.now >= down_until;
-        let probe = if is_answered { Probe::Alive(Some(crashes)) } else { Probe::NoAnswer };
+        let probe = if is_answered { Probe::Alive(Some(crashes)) } else { Probe::NotConnected };
         let start_count = self.members[number].start_count;
         self.schedule(
             self.now + failure.unwrap_or(TRANSIT * 2),
