--- a/tests/tests/platform_proxy.rs
+++ b/tests/tests/platform_proxy.rs
@@ -28,8 +28,10 @@
     _stores: [Store; 2],
 }
 
-/// The port of all boxes for other boxes.
-const PEER_PORT: u16 = 20_900;
+/// Returns the port of all boxes for other boxes, which is likely free.
+fn peer_port() -> u16 {
+    20_000 + (std::process::id() % 20_000) as u16
+}
 
 /// The number of worlds that were started.
 static WORLD_COUNT: AtomicU8 = AtomicU8::new(1);
@@ -43,7 +45,7 @@
 /// Starts a box that other boxes know by an IP address.
 async fn start(ip: [u8; 4], store: &Store, seeds: Vec<SocketAddr>) -> Running {
     let mut settings = settings(store.address, seeds);
-    settings.peer = SocketAddr::from((ip, PEER_PORT));
+    settings.peer = SocketAddr::from((ip, peer_port()));
     run::start(&settings, DIALECT, log()).await.expect("the ports are free")
 }
 
@@ -76,7 +78,7 @@
     let number = WORLD_COUNT.fetch_add(1, Ordering::Relaxed);
     let (cut_ip, sound_ip) = ([127, 0, 1, number], [127, 0, 2, number]);
     let cut = start(cut_ip, &far, Vec::new()).await;
-    let seeds = vec![SocketAddr::from((cut_ip, PEER_PORT))];
+    let seeds = vec![SocketAddr::from((cut_ip, peer_port()))];
     let sound = start(sound_ip, &near, seeds).await;
     let is_ready = |it: &Running| it.node.with(|it| it.is_ready() && it.alive_box_count() == 2);
     while !is_ready(&cut) || !is_ready(&sound) {
