Engines that limit their rate are not probed for contact

Only engines that state no terms are probed for contact now. Where a service has none, contact isn't judged: clients' requests try its engines, with their permits. The drawn test passes with the saved case, before it failed; gateway_contact, gateway_limits and platform_proxy pass.

--- a/crates/hollyspoke-gateway/src/gateway/contact.rs
+++ b/crates/hollyspoke-gateway/src/gateway/contact.rs
@@ -1,6 +1,6 @@
 //! The box's contact with the engines of each service.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -130,8 +130,17 @@
             return;
         }
         self.contacts.next_probe = None;
-        for contact in self.contacts.services.values_mut() {
-            contact.retain(|it| self.directory.get(it).is_some());
+        let services: Vec<_> = self.contacts.services.keys().cloned().collect();
+        let accepts = |it: &Arc<str>| {
+            self.directory.of_service(it).any(|it| self.accepts_auxiliary(it.engine.key))
+        };
+        let accepting: BTreeSet<_> = services.into_iter().filter(accepts).collect();
+        for (service, contact) in &mut self.contacts.services {
+            // Where no engine may be probed, clients' requests have to try them again.
+            let engines = self.directory.of_service(service).map(|it| it.engine.key);
+            let is_probed = accepting.contains(service);
+            let known: BTreeSet<_> = engines.filter(|_| is_probed).collect();
+            contact.retain(|it| known.contains(&it));
         }
         let services: Vec<_> = self.contacts.services.keys().cloned().collect();
         for service in services {
@@ -210,11 +219,12 @@
         self.contacts.next_probe = Some(self.contacts.next_probe.map_or(due, |it| it.min(due)));
     }
 
-    /// Probes some engines of a service, chosen at random.
+    /// Probes some engines of a service, chosen at random, that state no terms against calls.
     fn probe_engines(&mut self, service: &str) {
-        let is_probed = |it: EngineKey| !self.probing.contains_key(&it) && self.accepts_probe(it);
         let engines = self.directory.of_service(service).map(|it| &it.engine);
-        let mut engines: Vec<_> = engines.filter(|it| is_probed(it.key)).cloned().collect();
+        let accepting = engines.filter(|it| self.accepts_auxiliary(it.key));
+        let mut engines: Vec<_> =
+            accepting.filter(|it| !self.probing.contains_key(&it.key)).cloned().collect();
         for _ in 0..PROBE_COUNT.min(engines.len()) {
             let index = (self.draw() % engines.len() as u64) as usize;
             let engine = engines.swap_remove(index);
--- a/crates/hollyspoke-server/src/http1.rs
+++ b/crates/hollyspoke-server/src/http1.rs
@@ -1,4 +1,4 @@
-//! A client connection over HTTP/1.1.
+//! Connections to servers over HTTP/1.1, and what is common to the heads of all answers.
 
 use std::cell::Cell;
 use std::net::{IpAddr, SocketAddr};
