A successor of an owner cancels no stream before its front has said that it does not hold it

What callers saw: after the owner of a shard was killed, a stream of a sound engine was cancelled, and the answer was decoded a second time; a request that may not be repeated failed.

Cause: the successor cancels streams that its ledger lacks after STRAY_GRACE (2 s). It learns of them from the fronts' declarations, and asks a front only once two renewals (1 s apart) differ from the ledger, since it counts as settled after 0.6 s. If the first renewal or the declaration is lost, sent before the successor knows that it owns the shard, or late because the front was paused, the declaration arrives after 2 s.

Now a stream that the ledger lacks is cancelled after STRAY_GRACE only if its front has declared its grants since or its grant was released; else after GRANT_TTL, as the owner before would have. Its front is asked at each report of the engine, and at the first renewal that differs. The memory counts as used meanwhile, since engines report it.

No message is new; builds before answer the same question.

--- a/crates/hollyspoke/src/pool.rs
+++ b/crates/hollyspoke/src/pool.rs
@@ -36,7 +36,9 @@
 /// How often each engine is polled for its report.
 pub const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How long a stream that is not in the ledger may stay on an engine before it is cancelled.
+/// How long a stream that is not in the ledger may stay on an engine before it is cancelled, if its
+/// front has declared that it does not hold it. A front that has not declared its grants is asked
+/// to, and has [`GRANT_TTL`].
 pub const STRAY_GRACE: Duration = Duration::from_secs(2);
 
 /// How long a fenced attempt is remembered, so that late messages can't revive it.
@@ -74,6 +76,8 @@
     last_contact: Time,
     /// Consecutive renewals whose number of grants differed from the ledger's.
     mismatches: u8,
+    /// When it last declared its grants to this ledger.
+    declared_at: Option<Time>,
 }
 
 /// The ledger of one shard.
@@ -197,7 +201,7 @@
         // One mismatch may be caused by a message in transit; a second one in a row is not. A new
         // owner asks for the full list at once, since it has yet to rebuild its ledger.
         front.mismatches += 1;
-        let must_ask = front.mismatches > 1 || !settled;
+        let must_ask = front.mismatches > 1 || !settled || front.declared_at.is_none();
         if must_ask {
             front.mismatches = 0;
             cx.send(from, Message::DeclareWanted(self.shard));
@@ -206,7 +210,7 @@
 
     /// Reconciles the ledger with the full list of a front's grants.
     pub fn declare(&mut self, cx: &mut Context<'_>, from: Incarnation, held: Vec<Grant>) {
-        self.record_contact(cx.now, from);
+        self.record_contact(cx.now, from).declared_at = Some(cx.now);
         let named: BTreeSet<Ticket> = held.iter().map(|it| it.ticket).collect();
         let gone: Vec<Ticket> = self
             .grants
@@ -442,7 +446,8 @@
 
     /// Records that a front is alive.
     fn record_contact(&mut self, now: Time, front: Incarnation) -> &mut Front {
-        let front = self.fronts.entry(front).or_insert(Front { last_contact: now, mismatches: 0 });
+        let unknown = Front { last_contact: now, mismatches: 0, declared_at: None };
+        let front = self.fronts.entry(front).or_insert(unknown);
         front.last_contact = now;
         front
     }
--- a/crates/hollyspoke/src/pool/feedback.rs
+++ b/crates/hollyspoke/src/pool/feedback.rs
@@ -1,13 +1,15 @@
 //! Feedback to the ledger from the reports of engines and the outcomes of attempts.
 
+use std::collections::BTreeSet;
+
 use crate::context::Context;
 use crate::effect::Effect;
 use crate::event::Report;
 use crate::health;
-use crate::key::Ticket;
-use crate::message::{End, Stage};
+use crate::key::{Incarnation, Ticket};
+use crate::message::{End, Message, Stage};
 use crate::pool::{
-    Engine, FULL_BACKOFF, HeldGrant, LENGTH_WEIGHT, Pool, SETTLE_TIMEOUT, STRAY_GRACE,
+    Engine, FULL_BACKOFF, GRANT_TTL, HeldGrant, LENGTH_WEIGHT, Pool, SETTLE_TIMEOUT, STRAY_GRACE,
 };
 use crate::site::UpstreamId;
 use crate::time::Time;
@@ -57,7 +59,8 @@
         self.answer_share += LENGTH_WEIGHT * (share.min(1.0) - self.answer_share);
     }
 
-    /// Cancels the streams on an engine that have not been in the ledger for [`STRAY_GRACE`].
+    /// Cancels the streams on an engine that are not in the ledger once it is known that their
+    /// fronts do not hold them, or no longer may. Fronts that have not said are asked.
     pub(super) fn cancel_strays(
         &mut self,
         cx: &mut Context<'_>,
@@ -65,19 +68,34 @@
         streams: &[Ticket],
     ) {
         let now = cx.now;
+        let mut undeclared = BTreeSet::new();
         for &ticket in streams {
             if self.grants.contains_key(&ticket) {
                 self.strays.remove(&(engine, ticket));
                 continue;
             }
-            let since = *self.strays.entry((engine, ticket)).or_insert(now);
-            let waited = now.since(since) >= STRAY_GRACE;
-            if !waited || now.since(self.since) < STRAY_GRACE {
+            let first_seen = *self.strays.entry((engine, ticket)).or_insert(now);
+            let has_declared = self.has_declared_since(ticket.front, first_seen);
+            let is_given_up = has_declared || self.fenced.contains_key(&ticket);
+            if !is_given_up {
+                undeclared.insert(ticket.front);
+            }
+            let grace = if is_given_up { STRAY_GRACE } else { GRANT_TTL };
+            if now.since(first_seen) < grace || now.since(self.since) < grace {
                 continue;
             }
             let Some(row) = self.engines.get(&engine) else { return };
             cx.effect(Effect::Cancel { ticket, address: row.address.clone() });
         }
+        for front in undeclared.into_iter().filter(|it| cx.members.is_alive(*it)) {
+            cx.send(front, Message::DeclareWanted(self.shard));
+        }
+    }
+
+    /// Returns whether a front has declared its grants to this ledger after a time.
+    fn has_declared_since(&self, front: Incarnation, time: Time) -> bool {
+        let declared_at = self.fronts.get(&front).and_then(|it| it.declared_at);
+        declared_at.is_some_and(|it| it > time)
     }
 
     /// Records a transfer that did not finish; returns whether its link explains the failure, so
