Tests print the logs of a site's boxes

The entry owner_death_cuts_answer could not be traced, since the log of a test's boxes was kept nowhere: a pause, a silent front or a cancelled stream each leave a line.

--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -276,6 +276,13 @@
         bail!("no box owns the shard of the engines")
     }
 
+    /// Freezes boxes for a duration.
+    pub async fn pause(&self, boxes: &[usize], duration: Duration) {
+        boxes.iter().for_each(|&it| self.boxes[it].freeze());
+        tokio::time::sleep(duration).await;
+        boxes.iter().for_each(|&it| self.boxes[it].resume());
+    }
+
     /// Reads the ledgers of all engines that answer.
     pub async fn engines(&self) -> Vec<engine::Ledger> {
         let mut ledgers = Vec::new();
@@ -317,6 +324,17 @@
     }
 }
 
+impl Drop for Cluster {
+    /// Prints the logs of the boxes, which the test harness shows if the test has failed.
+    fn drop(&mut self) {
+        for member in &self.boxes {
+            for line in member.process.lines() {
+                println!("{}: {line}", member.name);
+            }
+        }
+    }
+}
+
 /// Waits until a condition is met.
 pub async fn until(
     limit: Duration,
