A pause of a box stops no stream whose grant nobody can have revoked

What callers saw: after a pause of 2 s of the box that serves them, every running answer was cancelled at its sound engine and decoded again; one that may not be repeated, or had used its attempts, was failed with its stream whole.

Cause: PAUSE_THRESHOLD stood alone. fence_all stopped each attempt with a grant, though the owner takes a grant back only after GRANT_TTL (4 s) without a message of its front.

With processes, the owner killed and the others stopped for 2.3 s: decoded twice, with the log line "this box was paused for 2323 ms".

Now a box that was paused asks for how long the owner has not heard of it. Up to GRANT_TTL less one renewal nothing is stopped. After that, running streams are declared to the owner, which answers Fenced where it has revoked the grant, and go on meanwhile: the engine holds their memory until it is cancelled there, so it is not given to two. Attempts before their stream, which would begin to use memory, are stopped as before. If the engine breaks off a stream in doubt, the engine is not blamed, since the owner may have cancelled it.

The time of a pause counted against others elsewhere too: the silence of engines (TOKEN_TIMEOUT, prefill, transfer, calls), of members, of fronts at the owner, claims at the store, and the box's own contact. From 0.2 s on such a gap extends these timeouts; callers' deadlines, epochs and leases stay as they are.

--- a/crates/hollyspoke-spec/src/grants.rs
+++ b/crates/hollyspoke-spec/src/grants.rs
@@ -210,7 +210,8 @@
         steps.add(format!("box {front} sees that it stood still"), |it| {
             it.stale[front] = false;
             let engine = match it.phase[front] {
-                Phase::Granted(engine) | Phase::Streaming(engine) => Some(engine),
+                Phase::Granted(engine) => Some(engine),
+                Phase::Streaming(engine) => return declare_stream(it, ticket, engine),
                 Phase::Asking => None,
                 Phase::Idle | Phase::Answered | Phase::Gone => return,
             };
@@ -260,6 +261,18 @@
     }
 }
 
+/// Declares a front's stream to the owner, which adopts it or answers that it is revoked.
+fn declare_stream(state: &mut State, ticket: Ticket, engine: usize) {
+    if !state.is_running(state.owner) {
+        return;
+    }
+    if state.fenced.contains(&ticket) {
+        state.messages.insert(Message::Fenced(ticket));
+    } else {
+        state.ledger[ticket.0] = Some((ticket.1, engine));
+    }
+}
+
 /// Adds a crash, a pause and a resumption of a box.
 fn fault_steps(state: &State, number: BoxId, steps: &mut Steps<'_, State>) {
     if state.alive[number] && state.crashes > 0 {
@@ -403,8 +416,12 @@
         }
         Message::Fenced(ticket) => {
             let front = ticket.0;
-            let granted = matches!(state.phase[front], Phase::Granted(_) | Phase::Streaming(_));
-            if granted && state.ticket(front) == ticket && mutant != Some(Mutant::SkipFence) {
+            let (Phase::Granted(engine) | Phase::Streaming(engine)) = state.phase[front] else {
+                return;
+            };
+            if state.ticket(front) == ticket && mutant != Some(Mutant::SkipFence) {
+                state.messages.insert(Message::Cancel(ticket, engine));
+                state.release(ticket);
                 state.next_attempt(front);
             }
         }
--- a/crates/hollyspoke/src/call.rs
+++ b/crates/hollyspoke/src/call.rs
@@ -104,7 +104,7 @@
             Some(Kind::Plain { timeout, .. }) => *timeout,
             Some(Kind::Engines { .. }) | None => TIMEOUT_GRACE,
         };
-        if cx.now.since(request.since) > timeout + TIMEOUT_GRACE {
+        if request.waited(cx.now) > timeout + TIMEOUT_GRACE {
             let mut trace = Trace::clean();
             trace.mark_sent();
             self.call_failed(cx, id, "the upstream did not answer in time", trace);
--- a/crates/hollyspoke/src/claim.rs
+++ b/crates/hollyspoke/src/claim.rs
@@ -173,6 +173,13 @@
         }
     }
 
+    /// Extends the timeouts of waiting requests by a time in which this box itself was paused.
+    pub fn extend_timeouts(&mut self, pause: Duration) {
+        for waiting in self.shards.values_mut().flat_map(|it| &mut it.waiting) {
+            waiting.since = waiting.since + pause;
+        }
+    }
+
     /// Handles an answer of the store; returns the requests whose claims are settled.
     pub fn answer(
         &mut self,
--- a/crates/hollyspoke/src/config.rs
+++ b/crates/hollyspoke/src/config.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Extends the timeout of the box's contact by a time in which this box itself was paused.
+    pub fn extend_timeouts(&mut self, pause: Duration) {
+        self.last_contact = self.last_contact + pause;
+    }
+
     /// Returns whether the store answered the last operation.
     pub fn store_reachable(&self) -> bool {
         self.store_reachable
--- a/crates/hollyspoke/src/front.rs
+++ b/crates/hollyspoke/src/front.rs
@@ -316,6 +316,15 @@
         }
     }
 
+    /// Extends the timeouts of engines, upstreams and claims by a time in which this box itself was
+    /// paused. Callers' deadlines stay as they are.
+    pub(crate) fn extend_timeouts(&mut self, pause: Duration) {
+        self.claims.extend_timeouts(pause);
+        for request in self.requests.values_mut() {
+            request.extend_timeouts(pause);
+        }
+    }
+
     /// Completes a request with an answer.
     pub(crate) fn complete(&mut self, cx: &mut Context<'_>, id: Id, ended: Ended) {
         self.record(cx, id, "done");
@@ -370,6 +379,7 @@
         let ticket = Ticket { front: cx.me, number: self.last_ticket };
         if let Some(request) = self.requests.get_mut(id) {
             request.ticket = Some(ticket);
+            request.is_grant_doubtful = false;
             request.attempts += 1;
         }
         self.tickets.insert(ticket, id);
@@ -412,7 +422,9 @@
             arrived: now,
             phase: Phase::Claim,
             since: now,
+            paused: Duration::ZERO,
             ticket: None,
+            is_grant_doubtful: false,
             attempts: 0,
             trace: Trace::clean(),
             tokens: Vec::new(),
--- a/crates/hollyspoke/src/generate.rs
+++ b/crates/hollyspoke/src/generate.rs
@@ -1,7 +1,7 @@
 //! The front's handling of a generation request: ask, prefill, transfer, decode, and recovery when
 //! one of them fails.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +14,7 @@
 use crate::layout::ShardId;
 use crate::message::{Ask, End, Grant, Message, Stage};
 use crate::outcome::{ProblemKind, Refusal, Trace};
+use crate::pool::GRANT_TTL;
 use crate::rank;
 use crate::request::{Id, Phase, Request};
 use crate::retry;
@@ -225,6 +226,10 @@
             Phase::Prefill(grant) => grant.prefill,
             Phase::Transfer { grant, .. } | Phase::Decode { grant, .. } => grant.decode,
         };
+        if request.is_grant_doubtful {
+            self.fail_attempt(cx, id, End::Cancelled, None, detail);
+            return;
+        }
         self.fail_attempt(cx, id, End::Failed(failed_engine), Some(failed_engine), detail);
     }
 
@@ -259,17 +264,34 @@
         }
     }
 
-    /// Stops every granted attempt after a pause in which the owner may have revoked the grants.
-    pub fn fence_all(&mut self, cx: &mut Context<'_>) {
-        let granted: Vec<Id> = self
-            .requests
-            .iter()
-            .filter(|(_, request)| request.grant().is_some())
-            .map(|(id, _)| id)
-            .collect();
-        for id in granted {
+    /// Continues after a pause. Where an owner may have revoked grants meanwhile, it is asked about
+    /// those of running streams, whose engines hold their memory until it is revoked. Attempts that
+    /// do not stream yet are stopped, since the memory that they would begin to use may be granted
+    /// to others.
+    pub fn recover_from_pause(&mut self, cx: &mut Context<'_>) {
+        let mut doubtful_shards = BTreeSet::new();
+        let mut stopped = Vec::new();
+        for (id, request) in &mut self.requests {
+            let Some(shard) = request.grant().map(|it| it.shard) else { continue };
+            if !may_be_revoked(cx, &self.renewals, shard) {
+                continue;
+            }
+            if let Phase::Decode { .. } = request.phase {
+                request.is_grant_doubtful = true;
+                doubtful_shards.insert(shard);
+            } else {
+                stopped.push(id);
+            }
+        }
+        for id in stopped {
             self.fail_attempt(cx, id, End::Cancelled, None, "the box was paused for too long");
         }
+        for shard in doubtful_shards {
+            let Some(owner) = cx.owner(shard) else { continue };
+            self.declare(cx, owner, shard);
+        }
+        // Owners hear from this box before its silence can cost more grants.
+        self.renewals.clear();
         // An ask that was answered during the pause has a grant in transit that may have been
         // revoked. A new ticket invalidates that grant.
         let asking: Vec<Id> = self
@@ -335,7 +357,7 @@
     pub(crate) fn check_due(&mut self, cx: &mut Context<'_>, id: Id) {
         let Some(request) = self.requests.get(id) else { return };
         let now = cx.now;
-        let spent = now.since(request.since);
+        let spent = request.waited(now);
         match &request.phase {
             Phase::Claim => {}
             Phase::Ask { shard, owner, sent } => {
@@ -423,6 +445,17 @@
     }
 }
 
+/// Returns whether a shard's owner may have revoked this box's grants for its silence. One renewal
+/// may have been lost.
+fn may_be_revoked(
+    cx: &Context<'_>,
+    renewals: &BTreeMap<ShardId, (Incarnation, Time)>,
+    shard: ShardId,
+) -> bool {
+    let Some(&(owner, renewed_at)) = renewals.get(&shard) else { return true };
+    cx.owner(shard) != Some(owner) || cx.now.since(renewed_at) + RENEW_INTERVAL >= GRANT_TTL
+}
+
 /// Reports the stage of an attempt to the owner.
 fn report_progress(cx: &mut Context<'_>, grant: &Grant) {
     let Some(owner) = cx.owner(grant.shard) else { return };
--- a/crates/hollyspoke/src/member.rs
+++ b/crates/hollyspoke/src/member.rs
@@ -202,10 +202,10 @@
         true
     }
 
-    /// Restarts the timeout of every live member, after this box itself was paused.
-    pub fn restart_timeouts(&mut self, now: Time) {
+    /// Extends the timeout of every live member by a time in which this box itself was paused.
+    pub fn extend_timeouts(&mut self, pause: Duration) {
         for member in self.members.values_mut().filter(|it| !it.dead) {
-            member.last_advance = now;
+            member.last_advance = member.last_advance + pause;
         }
     }
 
--- a/crates/hollyspoke/src/node.rs
+++ b/crates/hollyspoke/src/node.rs
@@ -32,9 +32,14 @@
 use crate::store;
 use crate::time::Time;
 
-/// The gap between two events above which the box assumes that its process was paused.
+/// The gap between two events above which the box assumes that its process was paused, and that
+/// other boxes may have taken over what it owned.
 pub const PAUSE_THRESHOLD: Duration = Duration::from_secs(2);
 
+/// The gap between two events above which its time does not count against others: several ticks,
+/// which a driver that runs does not miss.
+pub const STALL_THRESHOLD: Duration = Duration::from_millis(200);
+
 /// The settings with which a box starts.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -137,6 +142,9 @@
     pub fn step(&mut self, now: Time, event: Event) -> Vec<Effect> {
         let gap = now.since(self.now);
         self.now = self.now.max(now);
+        if self.started && gap > STALL_THRESHOLD {
+            self.extend_timeouts(gap);
+        }
         if self.started && gap > PAUSE_THRESHOLD {
             self.recover_from_pause(gap);
         }
@@ -373,16 +381,24 @@
         }
     }
 
+    /// Extends the timeouts of boxes, engines and the store by a time in which this box handled no
+    /// events: what they sent meanwhile is still to be read.
+    fn extend_timeouts(&mut self, gap: Duration) {
+        self.members.extend_timeouts(gap);
+        self.config.extend_timeouts(gap);
+        self.front.extend_timeouts(gap);
+        self.pools.values_mut().for_each(|it| it.extend_timeouts(gap));
+    }
+
     /// Recovers after this box was paused: other boxes may have taken over its shards and revoked
     /// its grants.
     fn recover_from_pause(&mut self, gap: Duration) {
         let millis = gap.as_millis();
         self.out.effects.push(Effect::Note(format!("this box was paused for {millis} ms")));
-        self.members.restart_timeouts(self.now);
         // Another box may have owned the shards in the meantime, so the ledgers are rebuilt.
         self.pools.clear();
         self.owners_version = None;
-        self.with_front(Front::fence_all);
+        self.with_front(Front::recover_from_pause);
     }
 
     /// Returns why this box accepts no new requests, or `None` if it accepts them.
--- a/crates/hollyspoke/src/pool.rs
+++ b/crates/hollyspoke/src/pool.rs
@@ -444,6 +444,16 @@
         }
     }
 
+    /// Extends the timeouts of fronts and streams by a time in which this box itself was paused.
+    pub fn extend_timeouts(&mut self, pause: Duration) {
+        for front in self.fronts.values_mut() {
+            front.last_contact = front.last_contact + pause;
+        }
+        for first_seen in self.strays.values_mut() {
+            *first_seen = *first_seen + pause;
+        }
+    }
+
     /// Records that a front is alive.
     fn record_contact(&mut self, now: Time, front: Incarnation) -> &mut Front {
         let unknown = Front { last_contact: now, mismatches: 0, declared_at: None };
--- a/crates/hollyspoke/src/request.rs
+++ b/crates/hollyspoke/src/request.rs
@@ -37,8 +37,13 @@
     pub phase: Phase,
     /// When the request entered the phase.
     pub since: Time,
+    /// How long this box was paused during the phase.
+    pub paused: Duration,
     /// The current attempt.
     pub ticket: Option<Ticket>,
+    /// Whether the attempt's grant may have been revoked during a pause of this box. An engine that
+    /// then breaks off its stream has not failed.
+    pub is_grant_doubtful: bool,
     /// The number of attempts so far.
     pub attempts: u32,
     /// Whether any part of the request may have reached an upstream.
@@ -56,6 +61,21 @@
     pub fn enter(&mut self, now: Time, phase: Phase) {
         self.phase = phase;
         self.since = now;
+        self.paused = Duration::ZERO;
+    }
+
+    /// Returns for how long others have had time to act in the phase: pauses of this box do not
+    /// count.
+    pub fn waited(&self, now: Time) -> Duration {
+        now.since(self.since).saturating_sub(self.paused)
+    }
+
+    /// Extends the timeouts of the phase by a time in which this box itself was paused.
+    pub fn extend_timeouts(&mut self, pause: Duration) {
+        self.paused += pause;
+        if let Phase::Decode { last, .. } = &mut self.phase {
+            *last = *last + pause;
+        }
     }
 
     /// Returns the grant under which the request runs, if it has one.
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod recorded;
 pub mod repeats;
 pub mod request;
+pub mod single_box;
 pub mod source;
 pub mod stages;
 pub mod statements;
--- a/tests/tests/pause.rs
+++ b/tests/tests/pause.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hollyspoke_standin::answer;
+use hollyspoke_standin::engine::Ledger;
 use hollyspoke_tests::cluster::{Cluster, Plan, SOON};
 use hollyspoke_tests::request::{CallerRequest, read_stream};
 
@@ -57,3 +58,31 @@
     cluster.wait_memory_free(SOON).await?;
     Ok(())
 }
+
+/// The owner is killed and the remaining boxes are frozen, for less time than the front's grant is
+/// kept: the front must finish the answer without a second decode.
+#[tokio::test]
+async fn pause_after_owner_death_cuts_answer() -> eyre::Result<()> {
+    for pause in [1200, 2300].map(Duration::from_millis) {
+        let mut cluster =
+            Cluster::start(Plan { boxes: 3, token_ms: 20, ..Plan::default() }).await?;
+        let owner = cluster.owner().await?;
+        let remaining = [(owner + 1) % 3, (owner + 2) % 3];
+        let address = cluster.boxes[remaining[0]].address().to_owned();
+        let caller = tokio::spawn(async move {
+            let response = CallerRequest::generate("long", 300, true).begin(&address).await?;
+            eyre::Ok(read_stream(response).await)
+        });
+        let decodes = |it: &[Ledger]| it[1..].iter().any(|e| e.decodes > 0);
+        cluster.wait_engines("no decode begins", decodes).await?;
+        cluster.boxes[owner].process.kill();
+        cluster.pause(&remaining, pause).await;
+        let (text, ended) = caller.await??;
+        assert!(ended, "{text}");
+        assert_eq!(text, answer::whole("long", 300));
+        let decodes: u64 = cluster.engines().await.iter().map(|it| it.decodes).sum();
+        assert_eq!(decodes, 1, "the stream was decoded again after a pause of {pause:?}");
+        cluster.wait_memory_free(SOON).await?;
+    }
+    Ok(())
+}
