A box waits for a port in use, and starts also where most ports are

What operators saw: a box that binds port 0 for other boxes ended with `cannot bind 127.0.0.1:0 for other boxes: Address already in use`, once, beside builds and plays.

Cause: bind_peers took a UDP port that the system assigned and then needed the same port for TCP, eight times. Ports of TCP are taken by connections too, those in TIME_WAIT included: with a share p of them in use it fails in p^8 of all starts. A port of the settings had one attempt: a box whose port the process before, or an outgoing connection, still held ended.

Now the listener is bound first, where ports are crowded, and the datagrams' socket at its port. Any socket whose port is in use is tried again for 5 s, which a log line tells; the error then names the address, what it is for, and the attempts. Another error ends the start at once, as before.

--- a/crates/hollyspoke-server/src/run.rs
+++ b/crates/hollyspoke-server/src/run.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use eyre::WrapErr;
 use hollyspoke_gateway::event::Event;
 use hollyspoke_gateway::gateway::{self, Gateway};
+use hollyspoke_socket::bind;
 use rand::RngCore;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -30,9 +30,6 @@
 /// The part of the grace period that is left unused.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
-/// The maximum number of attempts to bind both sockets to a port that the operating system assigns.
-const MAX_BIND_ATTEMPTS: u32 = 8;
-
 /// How often a stopping box checks whether it is done.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -84,21 +81,19 @@
 ///
 /// If an address can't be bound.
 pub async fn start(settings: &Settings, dialect: Dialect, log: Logger) -> eyre::Result<Running> {
-    let bind = async |address| {
-        TcpListener::bind(address).await.wrap_err_with(|| format!("cannot bind {address}"))
-    };
-    let front = bind(settings.front).await?;
-    let ready = bind(settings.ready).await?;
-    let directory = bind(settings.directory).await?;
+    let front = bind::listener(settings.front, "clients", &log).await?;
+    let ready = bind::listener(settings.ready, "readiness checks", &log).await?;
+    let directory = bind::listener(settings.directory, "clients' questions", &log).await?;
     let metrics = match settings.metrics {
-        Some(address) => Some(bind(address).await?),
+        Some(address) => Some(bind::listener(address, "metrics", &log).await?),
         None => None,
     };
     let proxy = match settings.proxy {
-        Some(address) => Some(bind(address).await?),
+        Some(address) => Some(bind::listener(address, "other boxes' requests", &log).await?),
         None => None,
     };
-    let (peers, handovers) = bind_peers(settings.peer, &log).await?;
+    let bind_datagrams = async |address| Peers::bind(address, log.clone()).await;
+    let (handovers, peers) = bind::pair(settings.peer, "other boxes", &log, bind_datagrams).await?;
     let (close, closing) = watch::channel(false);
     let gateway = Gateway::new(gateway::Settings {
         data_centre: settings.data_centre.as_str().into(),
@@ -157,22 +152,6 @@
     Ok(running)
 }
 
-/// Binds the two sockets for other boxes, for datagrams and for handovers, to the same port. If the
-/// operating system assigns the port, it may be in use for one of them; then another port is tried.
-async fn bind_peers(address: SocketAddr, log: &Logger) -> eyre::Result<(Peers, TcpListener)> {
-    let bind_error = || format!("cannot bind {address} for other boxes");
-    let mut attempts_left = if address.port() == 0 { MAX_BIND_ATTEMPTS } else { 1 };
-    loop {
-        attempts_left -= 1;
-        let peers = Peers::bind(address, log.clone()).await.wrap_err_with(bind_error)?;
-        match TcpListener::bind(peers.address()?).await {
-            Ok(listener) => return Ok((peers, listener)),
-            Err(error) if attempts_left == 0 => return Err(error).wrap_err_with(bind_error),
-            Err(_) => {}
-        }
-    }
-}
-
 impl Running {
     /// Completes a planned stop: requests in flight are answered, and clients are directed to other
     /// boxes.
--- /dev/null
+++ b/crates/hollyspoke-socket/src/lib.rs
@@ -0,0 +1,3 @@
+//! Sockets of both daemons where ports or descriptors are short.
+
+pub mod bind;
