An error of accept neither spins nor ends a listener

What callers saw: a box without a free descriptor used a whole core (1.000 s of 1 s in the test on the code before), and each such second is missing for the requests that it has. Nothing in the log told why. In hollyspoked it was worse: one error of accept ended the listener for other boxes, so the box could not be reached by them for the rest of its life.

Cause: front, handover and directory went straight on after an error of accept, and EMFILE stays until a descriptor is free. Inbox::serve returned the error, and its task ended without a line.

Now all listeners of both daemons accept through one acceptor.

--- a/crates/hollyspoke-daemon/src/connection.rs
+++ b/crates/hollyspoke-daemon/src/connection.rs
@@ -7,12 +7,13 @@
 use axum::Router;
 use axum::body::Body;
 use axum::http::{Request, StatusCode};
+use hollyspoke_socket::accept::Acceptor;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tower::ServiceExt;
 
@@ -28,19 +29,13 @@
 const MAX_HEADERS_COUNT: usize = 100;
 
 /// Accepts connections until the stop signal is set.
-pub async fn accept(listener: TcpListener, router: Router, mut stopping: watch::Receiver<bool>) {
+pub async fn accept(mut acceptor: Acceptor, router: Router, mut stopping: watch::Receiver<bool>) {
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (socket, _) = tokio::select! {
+            accepted = acceptor.accept() => accepted,
             _ = stopping.wait_for(|it| *it) => return,
         };
-        match accepted {
-            Ok((socket, _)) => {
-                tokio::spawn(serve(socket, router.clone(), stopping.clone()));
-            }
-            // Too many open files, or the connection was reset: retries after a short delay.
-            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
-        }
+        tokio::spawn(serve(socket, router.clone(), stopping.clone()));
     }
 }
 
--- a/crates/hollyspoke-daemon/src/run.rs
+++ b/crates/hollyspoke-daemon/src/run.rs
@@ -3,17 +3,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use eyre::WrapErr;
 use hollyspoke::event::Event;
 use hollyspoke::key::Incarnation;
 use hollyspoke::node::{self, Node};
 use hollyspoke::time::Time;
+use hollyspoke_socket::accept::Acceptor;
+use hollyspoke_socket::bind;
 use hollyspoke_wire::http::Client;
 use hollyspoke_wire::peer::Inbox;
 use hollyspoke_wire::platform::Platform;
 use rand::Rng;
 use slog::{Logger, info};
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
@@ -75,8 +75,8 @@
 ///
 /// When an address can't be listened on or the metrics can't be set up.
 pub async fn start(settings: Settings, log: Logger) -> eyre::Result<Running> {
-    let callers = listen(settings.listen, "callers").await?;
-    let peers = listen(settings.listen_peers, "other boxes").await?;
+    let callers = bind::listener(settings.listen, "callers", &log).await?;
+    let peers = bind::listener(settings.listen_peers, "other boxes", &log).await?;
     let callers_address = callers.local_addr()?;
     let peers_address = peers.local_addr()?;
     let mut random = rand::rng();
@@ -111,13 +111,13 @@
         log: log.clone(),
     };
     let router = Callers::new(inputs.clone(), settings.body_limit).router();
+    let callers = Acceptor::new(callers, log.clone());
+    let peers = Acceptor::new(peers, log.clone());
     let shell = Shell::new(node, inputs.clone(), site, entry, Metrics::new()?, log);
     let inbox = Inbox::new(entry_receiver, received_sender);
     let tasks = vec![
         tokio::spawn(async move {
-            // The task ends with the box. If it fails earlier, other boxes can't reach this one,
-            // which their member lists show.
-            let _ = inbox.serve(peers).await;
+            inbox.serve(peers).await;
         }),
         tokio::spawn(shell::forward_received(received, inputs.clone())),
         tokio::spawn(store::poll_boxes(platform, inputs.clone())),
@@ -126,9 +126,3 @@
     let shell = tokio::spawn(shell.run(receiver));
     Ok(Running { callers: callers_address, peers: peers_address, inputs, shell, stopping, tasks })
 }
-
-/// Listens on an address; an error names the clients that it is for.
-async fn listen(address: SocketAddr, clients: &str) -> eyre::Result<TcpListener> {
-    let listening = TcpListener::bind(address).await;
-    listening.wrap_err_with(|| format!("can't listen for {clients} on {address}"))
-}
--- a/crates/hollyspoke-server/src/directory.rs
+++ b/crates/hollyspoke-server/src/directory.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use hollyspoke_gateway::event::Event;
 use hollyspoke_gateway::gateway::HeldRequest;
+use hollyspoke_socket::accept::Acceptor;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -73,10 +74,10 @@
 
 /// Accepts connections until the process ends.
 pub async fn listen(node: Rc<Node>, listener: TcpListener, audience: Audience) {
+    let mut acceptor = Acceptor::new(listener, node.log.clone());
     loop {
-        if let Ok((stream, _)) = listener.accept().await {
-            tokio::task::spawn_local(serve(node.clone(), stream, audience));
-        }
+        let (stream, _) = acceptor.accept().await;
+        tokio::task::spawn_local(serve(node.clone(), stream, audience));
     }
 }
 
--- a/crates/hollyspoke-server/src/front.rs
+++ b/crates/hollyspoke-server/src/front.rs
@@ -8,6 +8,7 @@
 use hollyspoke_gateway::effect::Refusal;
 use hollyspoke_gateway::framing::Framing;
 use hollyspoke_gateway::route::Limits;
+use hollyspoke_socket::accept::Acceptor;
 use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Version, request, response};
 use http_body_util::{BodyExt, Limited};
@@ -71,12 +72,12 @@
     closing: watch::Receiver<bool>,
 ) {
     let mut closed = closing.clone();
+    let mut acceptor = Acceptor::new(listener, node.log.clone());
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (stream, address) = tokio::select! {
+            accepted = acceptor.accept() => accepted,
             _ = closed.wait_for(|it| *it) => return,
         };
-        let Ok((stream, address)) = accepted else { continue };
         if audience == Audience::Peers && !node.with(|it| it.knows_box(address.ip())) {
             warn!(node.log, "request refused to a stranger"; "asker" => %address);
             continue;
--- a/crates/hollyspoke-server/src/handover.rs
+++ b/crates/hollyspoke-server/src/handover.rs
@@ -11,6 +11,7 @@
 use eyre::ensure;
 use hollyspoke_gateway::event::Event;
 use hollyspoke_gateway::snapshot::{Listing, Snapshot};
+use hollyspoke_socket::accept::Acceptor;
 use slog::{info, o, warn};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -41,8 +42,9 @@
 /// Serves snapshots to boxes that request them, until the process ends.
 pub async fn listen(node: Rc<Node>, listener: TcpListener) {
     let slots = Arc::new(Semaphore::new(MAX_HANDOVER_COUNT));
+    let mut acceptor = Acceptor::new(listener, node.log.clone());
     loop {
-        let Ok((stream, peer)) = listener.accept().await else { continue };
+        let (stream, peer) = acceptor.accept().await;
         // A box that finds no free slot soon asks another box.
         let Ok(slot) = slots.clone().try_acquire_owned() else { continue };
         if !node.with(|it| it.knows_box(peer.ip())) {
--- a/crates/hollyspoke-wire/src/peer.rs
+++ b/crates/hollyspoke-wire/src/peer.rs
@@ -6,12 +6,12 @@
 use hollyspoke::key::Incarnation;
 use hollyspoke::member::Entry;
 use hollyspoke::message::Message;
+use hollyspoke_socket::accept::Acceptor;
 use tarpc::serde_transport::tcp;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tarpc::{client, context};
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
 /// The timeout of a call to another box.
@@ -104,14 +104,10 @@
         Inbox { entry, received }
     }
 
-    /// Serves incoming connections on a socket until the task is dropped.
-    ///
-    /// # Errors
-    ///
-    /// If the socket can't accept connections.
-    pub async fn serve(self, listener: TcpListener) -> std::io::Result<()> {
+    /// Serves incoming connections until the task is dropped.
+    pub async fn serve(self, mut acceptor: Acceptor) {
         loop {
-            let (socket, _) = listener.accept().await?;
+            let (socket, _) = acceptor.accept().await;
             if socket.set_nodelay(true).is_err() {
                 // The connection was closed already.
                 continue;
