A box without a descriptor or port says so, and blames no engine for it

What callers and operators saw: a box with no descriptor left took its engines for unreachable. It avoided them, told the other boxes, lost contact with the service, tried to pass its requests on, and refused clients also after it had descriptors again. Nothing named the shortage.

Cause: Connection::open mapped each error to Failure::Unsent, "not connected": EMFILE, ENFILE, ENOBUFS, ENOMEM, and EADDRNOTAVAIL and EADDRINUSE where no local port is left, are the box's own.

Now these errors are a failure of their own. The call's engine is not blamed and contact stays; the request is refused at once, as not run and with Retry-After, since another engine or box would need the same resource (a stream that has begun is broken off, its client may resume elsewhere). Probes, reservations and requests passed on take no such error for an answer. Line `connection not opened` with what is lacking, outcome `refused: box exhausted`, metric hollyspoke_socket_shortages.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -170,6 +170,8 @@
     TimedOut,
     /// It is still being determined whether engines crash under the request.
     UnderSuspicion,
+    /// This box lacked a descriptor, a port or memory for a connection.
+    Exhausted,
 }
 
 impl NotRunReason {
@@ -189,6 +191,7 @@
             NotRunReason::Overloaded => "refused: overloaded",
             NotRunReason::TimedOut => "refused: time passed",
             NotRunReason::UnderSuspicion => "refused: under suspicion",
+            NotRunReason::Exhausted => "refused: box exhausted",
         }
     }
 }
--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -50,6 +50,8 @@
 pub enum CallEvent {
     /// The connection could not be opened; nothing was sent.
     NotConnected,
+    /// This box lacked a descriptor, a port or memory for a connection; nothing was sent.
+    Exhausted,
     /// The head of a stream arrived.
     Began(Answer),
     /// A complete answer arrived, or a stream ended completely.
@@ -100,6 +102,8 @@
     NoAnswer,
     /// The connection could not be opened.
     NotConnected,
+    /// This box lacked a descriptor, a port or memory for a connection, so the probe shows nothing.
+    Exhausted,
 }
 
 /// An input of a gateway.
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -31,6 +31,7 @@
     pub(super) fn handle_call_event(&mut self, key: CallKey, event: CallEvent) {
         match event {
             CallEvent::NotConnected => self.call_not_connected(key),
+            CallEvent::Exhausted => self.call_exhausted(key),
             CallEvent::Began(answer) => self.call_began(key, &answer),
             CallEvent::Answered(answer) => self.call_answered(key, answer),
             CallEvent::Forwarded(id) => self.call_forwarded(key, id, false),
@@ -47,16 +48,30 @@
         self.record_unreachable(&call);
         self.record_return_answer(&call, false);
         self.log_failure(&call, "not reached", 0);
-        self.refund_retry(&call);
+        self.refund_unsent(&call);
+        if let Some(in_flight) = self.in_flight.get_mut(&call.request) {
+            in_flight.unsent_count += 1;
+        }
+        self.proceed_or_continue(call.request);
+    }
+
+    /// This box could not open a connection for lack of its own resources. The engine is not to
+    /// blame, and any other one would need the same resources.
+    fn call_exhausted(&mut self, key: CallKey) {
+        let Some(call) = self.take_call(key) else { return };
+        self.log_failure(&call, "box exhausted", 0);
+        self.refund_unsent(&call);
+        self.give_up(call.request, NotRunReason::Exhausted);
+    }
+
+    /// Refunds what a call was charged that was never sent.
+    fn refund_unsent(&mut self, call: &Call) {
+        self.refund_retry(call);
         if call.runs_request()
             && let Some(in_flight) = self.in_flight.get_mut(&call.request)
         {
             in_flight.arrivals = in_flight.arrivals.saturating_sub(1);
         }
-        if let Some(in_flight) = self.in_flight.get_mut(&call.request) {
-            in_flight.unsent_count += 1;
-        }
-        self.proceed_or_continue(call.request);
     }
 
     /// Sends the next call of a request: to the next engine that has a copy of its stream, if any.
--- a/crates/hollyspoke-gateway/src/gateway/proxy.rs
+++ b/crates/hollyspoke-gateway/src/gateway/proxy.rs
@@ -86,6 +86,7 @@
                 in_flight.proxy.unreached.push(to);
                 self.proceed(key);
             }
+            Event::Exhausted => self.give_up(key, NotRunReason::Exhausted),
             Event::Answered => {
                 let has_begun = in_flight.has_begun;
                 let effect =
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -89,6 +89,9 @@
     /// Handles the result of an engine's liveness probe.
     pub(super) fn apply_probe(&mut self, engine: EngineKey, probe: Probe) {
         let probed_at = self.probing.remove(&engine).unwrap_or(self.now);
+        if probe == Probe::Exhausted {
+            return;
+        }
         self.record_probe_contact(engine, probe, probed_at);
         let asked = Incarnation { engine, started_at: None };
         match probe {
@@ -101,6 +104,7 @@
             Probe::NoAnswer | Probe::NotConnected => {
                 self.report_finding(engine, Finding::Crashed);
             }
+            Probe::Exhausted => {}
         }
     }
 
@@ -113,6 +117,7 @@
                 self.record_reached(&engine, probed_at);
             }
             Probe::NotConnected => self.record_unreached(&engine, probed_at),
+            Probe::Exhausted => {}
         }
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/reservations.rs
+++ b/crates/hollyspoke-gateway/src/gateway/reservations.rs
@@ -194,7 +194,7 @@
                 self.unannounced.replaced.push(engine);
             }
             Answer::NotConnected => self.mark_unreachable(engine),
-            Answer::Granted(_) | Answer::Unknown => {}
+            Answer::Granted(_) | Answer::Exhausted | Answer::Unknown => {}
         }
     }
 
--- a/crates/hollyspoke-gateway/src/proxy.rs
+++ b/crates/hollyspoke-gateway/src/proxy.rs
@@ -31,6 +31,8 @@
 pub enum Event {
     /// The connection could not be opened; nothing was sent.
     NotConnected,
+    /// This box lacked a descriptor, a port or memory for a connection; nothing was sent.
+    Exhausted,
     /// The head of a stream arrived.
     Began(Framing),
     /// The answer ended, or a whole one arrived.
--- a/crates/hollyspoke-gateway/src/reservation.rs
+++ b/crates/hollyspoke-gateway/src/reservation.rs
@@ -74,6 +74,8 @@
     Replaced,
     /// The connection could not be opened; no reservation was made.
     NotConnected,
+    /// This box lacked a descriptor, a port or memory for a connection; no reservation was made.
+    Exhausted,
     /// No answer arrived. The reservation may exist until its TTL ends.
     Unknown,
 }
@@ -183,6 +185,7 @@
             Answer::Unsupported => "unsupported",
             Answer::Replaced => "replaced",
             Answer::NotConnected => "not reached",
+            Answer::Exhausted => "box exhausted",
             Answer::Unknown => "unknown",
         }
     }
--- a/crates/hollyspoke-server/src/http1.rs
+++ b/crates/hollyspoke-server/src/http1.rs
@@ -6,6 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use hollyspoke_gateway::framing::Framing;
+use hollyspoke_socket::shortage::Shortage;
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -39,6 +40,8 @@
 pub enum Failure {
     /// No byte of the request was sent.
     Unsent,
+    /// No byte of the request was sent, since this box lacks a resource for the connection.
+    Exhausted(Shortage),
     /// The request was sent, or may have been.
     Broken,
 }
@@ -104,26 +107,23 @@
     ///
     /// # Errors
     ///
-    /// [`Failure::Unsent`] if the connection does not open within the timeout.
+    /// [`Failure::Unsent`] if the connection does not open within the timeout, and
+    /// [`Failure::Exhausted`] if this box is the reason.
     pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Connection, Failure> {
-        let connected = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
-        let Ok(Ok(stream)) = connected else { return Err(Failure::Unsent) };
-        Connection::start(stream).await
+        Connection::start(within(timeout, TcpStream::connect(address)).await?).await
     }
 
     /// Opens a connection to another box, from the address by which that box knows this one.
     ///
     /// # Errors
     ///
-    /// [`Failure::Unsent`] if the connection does not open within the timeout.
+    /// As [`Connection::open`].
     pub async fn open_from(
         ip: IpAddr,
         address: SocketAddr,
         timeout: Duration,
     ) -> Result<Connection, Failure> {
-        let connected = tokio::time::timeout(timeout, connect_from(ip, address)).await;
-        let Ok(Ok(stream)) = connected else { return Err(Failure::Unsent) };
-        Connection::start(stream).await
+        Connection::start(within(timeout, connect_from(ip, address)).await?).await
     }
 
     /// Starts the HTTP client on an open connection.
@@ -158,6 +158,15 @@
     }
 }
 
+/// Waits for a connection to open.
+async fn within(
+    timeout: Duration,
+    connecting: impl Future<Output = std::io::Result<TcpStream>>,
+) -> Result<TcpStream, Failure> {
+    let connected = tokio::time::timeout(timeout, connecting).await.map_err(|_| Failure::Unsent)?;
+    connected.map_err(|error| Shortage::of(&error).map_or(Failure::Unsent, Failure::Exhausted))
+}
+
 /// Connects a socket that is bound to an IP address.
 pub async fn connect_from(ip: IpAddr, address: SocketAddr) -> std::io::Result<TcpStream> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -10,6 +10,7 @@
 use hollyspoke_gateway::engine::Stage;
 use hollyspoke_gateway::rate_limit::Change;
 use hollyspoke_metrics::Exporter;
+use hollyspoke_socket::shortage::Shortage;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
@@ -32,6 +33,8 @@
     calls: Counter<u64>,
     /// Failed calls, by kind of failure.
     call_failures: Counter<u64>,
+    /// Connections that this box could not open, by the resource that it lacked.
+    socket_shortages: Counter<u64>,
     /// Wanted retries on another engine, by service and whether they were sent.
     retries: Counter<u64>,
     /// Asks for reservations of engines' memory, by answer.
@@ -121,6 +124,10 @@
             ),
             calls: count("hollyspoke_calls", "calls to engines, by task"),
             call_failures: count("hollyspoke_call_failures", "failed calls, by how"),
+            socket_shortages: count(
+                "hollyspoke_socket_shortages",
+                "connections that this box could not open, by the resource that it lacked",
+            ),
             retries: count("hollyspoke_repeats", "repeats wanted, by service and whether sent"),
             reservations: count(
                 "hollyspoke_reservations",
@@ -327,6 +334,11 @@
         self.store_era.record(store_era, &[]);
     }
 
+    /// Counts a connection that this box could not open for lack of a resource.
+    pub fn count_shortage(&self, shortage: Shortage) {
+        self.socket_shortages.add(1, &[KeyValue::new("resource", shortage.name())]);
+    }
+
     /// Returns all metrics in Prometheus' text format.
     pub fn text(&self) -> String {
         self.exporter.prometheus_text()
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -23,13 +23,14 @@
 use hollyspoke_gateway::reservation::{Ask, Reservation};
 use hollyspoke_gateway::signature::Content;
 use http::{HeaderMap, request, response};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 use crate::answer::{DropHook, Stream};
 use crate::dialect::{Dialect, Kind};
+use crate::http1::{Connection, Failure};
 use crate::metrics::Metrics;
 use crate::notes;
 use crate::peers::Peers;
@@ -116,6 +117,8 @@
     calls: RefCell<HashMap<CallKey, AbortHandle>>,
     /// Engines' answers that wait for the reducer's decision.
     pending_answers: RefCell<HashMap<CallKey, PendingAnswer>>,
+    /// The number of connections that could not be opened for lack of a resource of this box.
+    shortage_count: Cell<u64>,
     /// The key of the next request.
     next_request_key: Cell<u64>,
     /// Whether changes in the store are watched.
@@ -187,6 +190,7 @@
             response_channels: RefCell::default(),
             calls: RefCell::default(),
             pending_answers: RefCell::default(),
+            shortage_count: Cell::new(0),
             next_request_key: Cell::new(0),
             watches_store: Cell::new(false),
             configuration_wakeup: Notify::new(),
@@ -197,6 +201,49 @@
         }))
     }
 
+    /// Opens a connection to an engine or the store. If this box lacks a resource for it, that is
+    /// logged and counted.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::open`].
+    pub async fn connect(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Connection, Failure> {
+        let opened = Connection::open(address, timeout).await;
+        opened.inspect_err(|failure| self.record_shortage(*failure))
+    }
+
+    /// Opens a connection to another box. If this box lacks a resource for it, that is logged and
+    /// counted.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::open`], and [`Failure::Unsent`] if this box does not know its own address.
+    pub async fn connect_peer(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Connection, Failure> {
+        let ip = self.peer_address().map_err(|_| Failure::Unsent)?.ip();
+        let opened = Connection::open_from(ip, address, timeout).await;
+        opened.inspect_err(|failure| self.record_shortage(*failure))
+    }
+
+    /// Counts a connection that this box could not open for lack of a resource, and logs the first,
+    /// the second, the fourth and so on.
+    fn record_shortage(&self, failure: Failure) {
+        let Failure::Exhausted(shortage) = failure else { return };
+        self.metrics.count_shortage(shortage);
+        let count = self.shortage_count.get() + 1;
+        self.shortage_count.set(count);
+        if count.is_power_of_two() {
+            warn!(self.log, "connection not opened"; "lacks" => shortage.name(), "failures" => count);
+        }
+    }
+
     /// Returns the reducer's time.
     pub fn now(&self) -> Time {
         self.clock.now()
--- a/crates/hollyspoke-server/src/objects.rs
+++ b/crates/hollyspoke-server/src/objects.rs
@@ -8,7 +8,7 @@
 use http::header::HOST;
 use http_body_util::Full;
 
-use crate::http1::{Connection, read_whole};
+use crate::http1::read_whole;
 use crate::node::Node;
 
 /// The timeout of an operation, including the connection. The store answers within milliseconds, and
@@ -27,7 +27,7 @@
 
 /// Sends the operation to the store. Returns `None` if no answer arrives.
 async fn exchange(node: &Rc<Node>, operation: &Operation) -> Option<Answer> {
-    let mut connection = Connection::open(node.store, OPERATION_TIMEOUT).await.ok()?;
+    let mut connection = node.connect(node.store, OPERATION_TIMEOUT).await.ok()?;
     let (head, body) = (node.dialect.operation)(operation);
     let request = head.header(HOST, node.store.to_string()).body(Full::new(body)).ok()?;
     let response = connection.send(request).await.ok()?;
--- a/crates/hollyspoke-server/src/proxy.rs
+++ b/crates/hollyspoke-server/src/proxy.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 
 use crate::http1::{
-    Connection, Failure, MAX_ANSWER_BYTES, framing, is_event_stream, read_whole, remove_hop_headers,
+    Failure, MAX_ANSWER_BYTES, framing, is_event_stream, read_whole, remove_hop_headers,
 };
 use crate::node::{Node, ReceivedRequest};
 use crate::splitter::Splitter;
@@ -29,6 +29,7 @@
     let event = match exchange(&node, &call, &request).await {
         Ok(()) => proxy::Event::Answered,
         Err(Failure::Unsent) => proxy::Event::NotConnected,
+        Err(Failure::Exhausted(_)) => proxy::Event::Exhausted,
         Err(Failure::Broken) => proxy::Event::Broken,
     };
     node.remove_call(call.call);
@@ -38,8 +39,7 @@
 
 /// Makes a call up to the end of its answer. A stream is forwarded as it arrives.
 async fn exchange(node: &Rc<Node>, call: &Call, request: &ReceivedRequest) -> Result<(), Failure> {
-    let ip = node.peer_address().map_err(|_| Failure::Unsent)?.ip();
-    let mut connection = Connection::open_from(ip, call.to, CONNECT_TIMEOUT).await?;
+    let mut connection = node.connect_peer(call.to, CONNECT_TIMEOUT).await?;
     let head = request_head(node, call, &request.head);
     let message = http::Request::from_parts(head, Full::new(request.body.clone()));
     let (head, body) = connection.send(message).await?.into_parts();
--- a/crates/hollyspoke-server/src/sync.rs
+++ b/crates/hollyspoke-server/src/sync.rs
@@ -441,7 +441,9 @@
     async fn send(&mut self, path: &str) -> Result<(Connection, Response<Incoming>), Failure> {
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
-            None => Connection::open(self.store, CONNECT_TIMEOUT)
+            None => self
+                .node
+                .connect(self.store, CONNECT_TIMEOUT)
                 .await
                 .map_err(|_| Failure::NoAnswer)?,
         };
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -86,6 +86,7 @@
     let event = match exchange(&node, &send, &request).await {
         Ok(answer) => CallEvent::Answered(answer),
         Err(Failure::Unsent) => CallEvent::NotConnected,
+        Err(Failure::Exhausted(_)) => CallEvent::Exhausted,
         Err(Failure::Broken) => CallEvent::Broken,
     };
     node.remove_call(call);
@@ -99,7 +100,7 @@
     send: &Send,
     request: &ReceivedRequest,
 ) -> Result<Answer, Failure> {
-    let mut connection = Connection::open(send.engine.address, CONNECT_TIMEOUT).await?;
+    let mut connection = node.connect(send.engine.address, CONNECT_TIMEOUT).await?;
     let head = (node.dialect.call_head)(&request.head, send);
     let message = http::Request::from_parts(head, Full::new(request.body.clone()));
     let (head, body) = connection.send(message).await?.into_parts();
@@ -202,7 +203,7 @@
 
 /// Frees a cached prompt that no decode engine will fetch. It expires by itself if this fails.
 async fn free_prompt(node: Rc<Node>, source: Source) {
-    let Ok(mut connection) = Connection::open(source.address, CONNECT_TIMEOUT).await else {
+    let Ok(mut connection) = node.connect(source.address, CONNECT_TIMEOUT).await else {
         return;
     };
     let Ok(request) = (node.dialect.free_prompt)(&source).body(Full::default()) else { return };
@@ -223,6 +224,7 @@
     let answer = match tokio::time::timeout(RESERVE_TIMEOUT, exchange).await {
         Ok(Ok((status, body))) => (node.dialect.read_reservation)(status, &body),
         Ok(Err(Failure::Unsent)) => reservation::Answer::NotConnected,
+        Ok(Err(Failure::Exhausted(_))) => reservation::Answer::Exhausted,
         Ok(Err(Failure::Broken)) | Err(_) => reservation::Answer::Unknown,
     };
     node.dispatch(Event::Reserved(ask.number, answer));
@@ -245,7 +247,7 @@
     let exchange = exchange_order(&node, &transfer.source, head, body);
     let answer = match tokio::time::timeout(TRANSFER_TIMEOUT, exchange).await {
         Ok(Ok((status, body))) => (node.dialect.read_transfer)(status, &body),
-        Ok(Err(Failure::Unsent)) => migration::Answer::NotConnected,
+        Ok(Err(Failure::Unsent | Failure::Exhausted(_))) => migration::Answer::NotConnected,
         Ok(Err(Failure::Broken)) | Err(_) => migration::Answer::Unknown,
     };
     node.dispatch(Event::Transferred(transfer.call, answer));
@@ -258,7 +260,7 @@
     head: http::request::Builder,
     body: Bytes,
 ) -> Result<(StatusCode, Bytes), Failure> {
-    let mut connection = Connection::open(engine.address, CONNECT_TIMEOUT).await?;
+    let mut connection = node.connect(engine.address, CONNECT_TIMEOUT).await?;
     let request = head.body(Full::new(body)).map_err(|_| Failure::Unsent)?;
     let (head, body) = connection.send(request).await?.into_parts();
     read_statement(node, engine, &head);
@@ -286,7 +288,7 @@
 /// Sends an order. The outcome is unknown unless the engine answered or was never reached.
 async fn send_order(node: &Rc<Node>, order: &Order) -> OrderAnswer {
     let started_at = node.now();
-    let Ok(mut connection) = Connection::open(order.engine.address, CONNECT_TIMEOUT).await else {
+    let Ok(mut connection) = node.connect(order.engine.address, CONNECT_TIMEOUT).await else {
         return OrderAnswer::Refused;
     };
     // After a suspension of the machine, the order could be sent when the lease has expired.
@@ -302,7 +304,7 @@
             read_statement(node, &order.engine, &head);
             (node.dialect.read_order_answer)(head.status)
         }
-        Err(Failure::Unsent) => OrderAnswer::Refused,
+        Err(Failure::Unsent | Failure::Exhausted(_)) => OrderAnswer::Refused,
         Err(Failure::Broken) => OrderAnswer::Unknown,
     }
 }
@@ -323,9 +325,10 @@
 
 /// Sends the probe. Any answer shows that a process is alive at the address.
 async fn exchange_probe(node: &Rc<Node>, engine: &Engine) -> Probe {
-    match Connection::open(engine.address, CONNECT_TIMEOUT).await {
+    match node.connect(engine.address, CONNECT_TIMEOUT).await {
         Ok(connection) => read_probe(node, engine, connection).await.unwrap_or(Probe::NoAnswer),
-        Err(_) => Probe::NotConnected,
+        Err(Failure::Exhausted(_)) => Probe::Exhausted,
+        Err(Failure::Unsent | Failure::Broken) => Probe::NotConnected,
     }
 }
 
@@ -361,7 +364,7 @@
     engine: &Engine,
     query_request: http::request::Builder,
 ) -> Option<Bytes> {
-    let mut connection = Connection::open(engine.address, CONNECT_TIMEOUT).await.ok()?;
+    let mut connection = node.connect(engine.address, CONNECT_TIMEOUT).await.ok()?;
     let response = connection.send(query_request.body(Full::default()).ok()?).await.ok()?;
     let (head, body) = response.into_parts();
     read_statement(node, engine, &head);
--- a/tests/tests/descriptors.rs
+++ b/tests/tests/descriptors.rs
@@ -66,6 +66,44 @@
     read_answer(stream).await
 }
 
+/// A request that the box has no descriptor to send is refused as not run, and its engines are in
+/// use again as soon as there is one.
+#[test]
+fn own_shortage_blamed_on_engines() {
+    alone(async {
+        let store = store().await;
+        store.configure(1);
+        let engines = [engine(answers()).await, engine(answers()).await, engine(answers()).await];
+        for (number, it) in engines.iter().enumerate() {
+            store.list(&format!("e-{number}"), it, "plain", None);
+        }
+        let node = node(&store).await;
+        while node.node.with(|it| it.engine_count()) < engines.len() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let mut client = TcpStream::connect(node.front).await.expect("the front listens");
+        let answer = ask_over(&mut client, "POST", "/unsafe/x", "id-0").await;
+        assert_eq!(status(&answer), "200");
+        let exhausted = Exhausted::begin();
+        for number in 1..6 {
+            let id = format!("id-{number}");
+            let answer = ask_over(&mut client, "POST", "/unsafe/x", &id).await;
+            assert_eq!(status(&answer), "503", "{answer}");
+            assert!(answer.to_ascii_lowercase().contains("retry-after"), "{answer}");
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let metrics = node.node.metrics.text();
+        drop(exhausted);
+        assert!(
+            metrics.contains("hollyspoke_socket_shortages_total{resource=\"descriptors\""),
+            "{metrics}"
+        );
+        assert!(!metrics.contains("hollyspoke_contact_lost{service=\"plain\"} 1"), "{metrics}");
+        let answer = ask_over(&mut client, "POST", "/unsafe/x", "id-6").await;
+        assert_eq!(status(&answer), "200", "the engines are avoided for the box's own shortage");
+    });
+}
+
 /// Connections that can't be accepted cost no processor time, and are accepted later.
 #[test]
 fn failing_accept_spins() {
