A gateway that was paused does not count that time against engines and other boxes

What callers saw: a box of the users' platform that stood still for 1.5 s, as a frozen or starved process does, gave its streams up at sound engines: their silence timeouts had passed, and the first event after the pause checked them all before the events that waited in the sockets were read. The engines were avoided and suspected of a crash, other boxes told so, and the streams begun again or broken off. Other boxes whose heartbeats waited unread counted as dead.

Now the driver, which knows when the next tick was due, tells the reducer of a pause of more than 0.2 s before anything else (Event::Paused, line `process was paused`). By that time the reducer extends the silence of calls, the timeouts of other boxes and the doubt about contact, and leaves it out where it measures how long engines take. Deadlines of requests, leases, and what engines have asked for stay as they are. A suspension of the machine, which the steady clock does not count, is treated the same way.

--- a/crates/hollyspoke-gateway/src/contact.rs
+++ b/crates/hollyspoke-gateway/src/contact.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Extends a doubt by a time in which this box itself was paused.
+    pub fn extend_doubt(&mut self, pause: Duration) {
+        self.doubtful_since = self.doubtful_since.map(|it| it + pause);
+    }
+
     /// Forgets the engines that no longer exist.
     pub fn retain(&mut self, exists: impl Fn(EngineKey) -> bool) {
         self.unreached.retain(|&it, _| exists(it));
--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -526,6 +526,8 @@
     },
     /// The machine was suspended or paused for a time that its steady clock doesn't count.
     Suspended(Duration),
+    /// The process was paused for a time that its steady clock counts.
+    Paused(Duration),
     /// The number of boxes was read from the store or written to it.
     Census {
         /// The number of boxes; 0 if the store has none.
--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -162,6 +162,8 @@
     Release(String),
     /// The machine was suspended for a time that has since been added to the clock.
     Suspended(Duration),
+    /// The process handled no events for a time, though a tick was due.
+    Paused(Duration),
     /// The process was told to stop.
     Stop,
     /// Time has passed.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 mod limit;
 mod migration;
 mod pace;
+mod pause;
 mod peers;
 mod permits;
 mod pool;
@@ -352,6 +353,7 @@
             Event::Statement(engine, statement) => self.handle_statement(engine, &statement),
             Event::Release(short) => self.release_held(&short),
             Event::Suspended(duration) => self.resume(duration),
+            Event::Paused(duration) => self.recover_from_pause(duration),
             Event::Stop => self.stop(),
             Event::Tick => {}
         }
@@ -531,6 +533,7 @@
     /// Resumes after the machine was suspended: state that was read before may be out of date.
     fn resume(&mut self, duration: Duration) {
         self.log(LogEvent::Suspended(duration));
+        self.extend_timeouts(duration);
         self.effects.push(Effect::Read(Kind::Configuration));
         self.effects.push(Effect::Read(Kind::Engines));
         self.effects.push(Effect::Read(Kind::Evacuations));
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -388,7 +388,7 @@
         if is_good && call.task == Task::Plain {
             let engine = &call.engine;
             let turns = turns(call.calls_ahead, engine.slots);
-            self.works.record(&engine.service, engine.key, now.since(call.sent), turns, now);
+            self.works.record(&engine.service, engine.key, call.waited(now), turns, now);
         }
         let has_prefilled = match call.task {
             Task::Prefill => answer.handle.is_some(),
@@ -402,7 +402,7 @@
 
     /// Measures the prefill rate of an engine.
     fn measure(&mut self, call: &Call, now: Time) {
-        self.directory.measure(call.engine.key, call.queued_tokens, now.since(call.sent), now);
+        self.directory.measure(call.engine.key, call.queued_tokens, call.waited(now), now);
         self.measure_prefill(call);
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/contact.rs
+++ b/crates/hollyspoke-gateway/src/gateway/contact.rs
@@ -60,6 +60,11 @@
 }
 
 impl Contacts {
+    /// Extends the doubts by a time in which this box itself was paused.
+    pub(super) fn extend_doubts(&mut self, pause: Duration) {
+        self.services.values_mut().for_each(|it| it.extend_doubt(pause));
+    }
+
     /// Returns when engines are probed next.
     pub(super) fn next_probe(&self) -> Option<Time> {
         self.next_probe
--- a/crates/hollyspoke-gateway/src/gateway/pace.rs
+++ b/crates/hollyspoke-gateway/src/gateway/pace.rs
@@ -32,7 +32,7 @@
     /// Measures the time that a prefill engine took for a prompt.
     pub(super) fn measure_prefill(&mut self, call: &Call) {
         if call.task == Task::Prefill && self.is_measured(call) {
-            let took = self.now.since(call.sent);
+            let took = call.waited(self.now);
             self.paces.record_prefill(&call.engine, call.queued_tokens, took, self.now);
         }
     }
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -359,6 +359,7 @@
                 queued_tokens: choice.queued_tokens,
                 calls_ahead,
                 last_event_at: now,
+                paused: Duration::ZERO,
                 has_begun: false,
                 progress: Progress::default(),
             },
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -164,6 +164,8 @@
     pub calls_ahead: u32,
     /// When the last event of the stream arrived.
     pub last_event_at: Time,
+    /// How long this box was paused during the call.
+    pub paused: Duration,
     /// Whether the head of a stream has arrived.
     pub has_begun: bool,
     /// The events that the call has forwarded.
@@ -248,10 +250,15 @@
                 let longest = in_flight.route.max_gap;
                 longest.is_some_and(|it| now.since(self.last_event_at) > it)
             }
-            Task::Plain | Task::Decode(_) => now.since(self.sent) > in_flight.route.target_latency,
+            Task::Plain | Task::Decode(_) => self.waited(now) > in_flight.route.target_latency,
         }
     }
 
+    /// Returns how long the engine has had for the call: pauses of this box do not count.
+    pub fn waited(&self, now: Time) -> Duration {
+        now.since(self.sent).saturating_sub(self.paused)
+    }
+
     /// Returns whether the engine may run the request through this call; a prefill doesn't run it.
     pub fn runs_request(&self) -> bool {
         self.task != Task::Prefill
--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -183,6 +183,13 @@
         Receipt::New
     }
 
+    /// Extends the timeout of every live box by a time in which this box itself was paused.
+    pub fn extend_timeouts(&mut self, pause: Duration) {
+        for peer in self.peers.values_mut().filter(|it| !it.has_timed_out) {
+            peer.last_received = peer.last_received + pause;
+        }
+    }
+
     /// Marks boxes that have timed out and returns them. Forgets those that timed out long ago.
     pub fn sweep(&mut self, now: Time) -> Vec<SocketAddr> {
         self.forget(now);
--- a/crates/hollyspoke-gateway/src/pace.rs
+++ b/crates/hollyspoke-gateway/src/pace.rs
@@ -141,6 +141,11 @@
         self.stretches.insert(call, Stretch::ignored(last_id, now));
     }
 
+    /// Measures nothing of what has gathered while this box itself was paused.
+    pub fn ignore_current(&mut self, now: Time) {
+        self.stretches.values_mut().for_each(|it| it.ignore(now));
+    }
+
     /// Forgets a stream that has ended.
     pub fn end_stream(&mut self, call: CallKey) {
         self.stretches.remove(&call);
--- a/crates/hollyspoke-gateway/src/pace/sample.rs
+++ b/crates/hollyspoke-gateway/src/pace/sample.rs
@@ -81,6 +81,11 @@
         Stretch { is_ignored: true, ..Stretch::new(last_id, now) }
     }
 
+    /// Begins anew without measuring.
+    pub(super) fn ignore(&mut self, now: Time) {
+        *self = Stretch::ignored(self.last_id, now);
+    }
+
     /// Adds events up to the id given. Returns the time per event in milliseconds, and begins anew,
     /// if the stretch is long enough.
     pub(super) fn advance(&mut self, last_id: Option<u64>, now: Time) -> Option<f64> {
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -313,7 +313,7 @@
             LogEvent::BackOff { change: back_off::Change::Unreadable, .. } => {}
             LogEvent::PassedOn { .. } => self.passed_on.add(1, &[]),
             LogEvent::Ordered { .. } | LogEvent::Census { .. } | LogEvent::CasesRead { .. } => {}
-            LogEvent::Released { .. } | LogEvent::Suspended(_) => {}
+            LogEvent::Released { .. } | LogEvent::Suspended(_) | LogEvent::Paused(_) => {}
             LogEvent::Listed { .. }
             | LogEvent::ListDropped { .. }
             | LogEvent::NotForwarded { .. }
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -35,6 +35,9 @@
 use crate::notes;
 use crate::peers::Peers;
 
+/// How late a tick may be before the process is taken to have been paused.
+const PAUSE_THRESHOLD: Duration = Duration::from_millis(200);
+
 /// The maximum number of stream chunks that are buffered for a client that reads slowly.
 const MAX_QUEUED_CHUNK_COUNT: usize = 16;
 
@@ -266,12 +269,24 @@
         read(&self.gateway.borrow())
     }
 
-    /// Passes an event to the reducer and applies the effects. Checks for a suspension first.
+    /// Passes an event to the reducer and applies the effects. Checks for a suspension and a pause
+    /// first.
     pub fn dispatch(self: &Rc<Node>, event: Event) {
         self.detect_suspension();
+        self.detect_pause();
         self.step(event);
     }
 
+    /// Reports a pause of the process since the last event to the reducer, if a tick is overdue.
+    fn detect_pause(self: &Rc<Node>) {
+        let now = Instant::now();
+        let overdue = now.saturating_duration_since(self.next_tick.get());
+        if overdue > PAUSE_THRESHOLD {
+            self.next_tick.set(now);
+            self.step(Event::Paused(overdue));
+        }
+    }
+
     /// Reports a suspension of the machine since the last event to the reducer.
     pub fn detect_suspension(self: &Rc<Node>) {
         if let Some(duration) = self.clock.take_suspension() {
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -147,6 +147,9 @@
         LogEvent::Suspended(duration) => {
             warn!(log, "machine was suspended"; "span_ms" => millis(duration))
         }
+        LogEvent::Paused(duration) => {
+            warn!(log, "process was paused"; "span_ms" => millis(duration))
+        }
         LogEvent::Census { boxes, is_written } => info!(log, "boxes in the store";
             "boxes" => boxes, "written" => is_written),
         LogEvent::ManyEngines { put, left } => info!(log, "engines changed";
