hollyspoked blames no engine, upstream or other box for its own shortage of descriptors

By reading, a box that could open no connection to others also took them for dead, and would have become the owner of all shards.

Cause: the client made "no connection" of each error of connecting, and the queue of each other box reported it unreachable after any.

Now the error of a shortage is told apart in both. Calls are refused as not run; requests for tokens begin again without blaming the engine; messages to other boxes are dropped, which the protocol allows for, with a line.

--- a/crates/hollyspoke-daemon/src/peers.rs
+++ b/crates/hollyspoke-daemon/src/peers.rs
@@ -6,7 +6,9 @@
 use hollyspoke::key::Incarnation;
 use hollyspoke::member::Entry;
 use hollyspoke::message::Message;
+use hollyspoke_socket::shortage::Shortage;
 use hollyspoke_wire::peer::Connection;
+use slog::{Logger, warn};
 use tokio::sync::mpsc;
 
 use crate::input::InputSender;
@@ -33,14 +35,16 @@
     own_incarnation: Incarnation,
     /// The event queue of the reducer, for answers and failures.
     inputs: InputSender,
+    /// The log.
+    log: Logger,
     /// The queue of each address. It closes when its delivery task ends.
     queues: HashMap<String, mpsc::Sender<Outgoing>>,
 }
 
 impl Peers {
     /// Creates the set without connections.
-    pub fn new(own_incarnation: Incarnation, inputs: InputSender) -> Peers {
-        Peers { own_incarnation, inputs, queues: HashMap::new() }
+    pub fn new(own_incarnation: Incarnation, inputs: InputSender, log: Logger) -> Peers {
+        Peers { own_incarnation, inputs, log, queues: HashMap::new() }
     }
 
     /// Queues a message, or drops it when the queue is full.
@@ -57,9 +61,10 @@
     fn enqueue(&mut self, address: String, outgoing: Outgoing) {
         self.queues.retain(|_, queue| !queue.is_closed());
         let (own_incarnation, inputs) = (self.own_incarnation, self.inputs.clone());
+        let log = self.log.clone();
         let queue = self.queues.entry(address).or_insert_with_key(|address| {
             let (queue, receiver) = mpsc::channel(MAX_QUEUED_COUNT);
-            tokio::spawn(deliver_queue(own_incarnation, inputs, address.clone(), receiver));
+            tokio::spawn(deliver_queue(own_incarnation, inputs, log, address.clone(), receiver));
             queue
         });
         // A full queue drops the item: the other box is too slow or unreachable.
@@ -67,28 +72,38 @@
     }
 }
 
-/// Delivers the queue of one address. Drops all queued items when the box is unreachable.
+/// Delivers the queue of one address. Drops all queued items when the box is unreachable, or when
+/// this box lacks a resource for a connection, which does not make the other one unreachable.
 async fn deliver_queue(
     own_incarnation: Incarnation,
     inputs: InputSender,
+    log: Logger,
     address: String,
     mut receiver: mpsc::Receiver<Outgoing>,
 ) {
     let mut connection: Option<Connection> = None;
     let mut batch = Vec::new();
     while receiver.recv_many(&mut batch, MAX_BATCH_COUNT).await > 0 {
-        if connection.is_none() {
-            connection = Connection::open(&address).await.ok();
-        }
-        let Some(established) = &connection else {
-            batch.extend(std::iter::from_fn(|| receiver.try_recv().ok()));
-            report_unreachable(&inputs, &batch);
-            batch.clear();
-            continue;
+        let opened = match connection.take() {
+            Some(established) => Ok(established),
+            None => Connection::open(&address).await,
         };
-        if !deliver(own_incarnation, &inputs, established, &batch).await {
-            connection = None;
-            report_unreachable(&inputs, &batch);
+        match opened {
+            Ok(established) => {
+                if deliver(own_incarnation, &inputs, &established, &batch).await {
+                    connection = Some(established);
+                } else {
+                    report_unreachable(&inputs, &batch);
+                }
+            }
+            Err(error) => {
+                batch.extend(std::iter::from_fn(|| receiver.try_recv().ok()));
+                match Shortage::of(&error) {
+                    Some(shortage) => warn!(log, "connection not opened";
+                        "to" => &address, "lacks" => shortage.name(), "dropped" => batch.len()),
+                    None => report_unreachable(&inputs, &batch),
+                }
+            }
         }
         batch.clear();
     }
--- a/crates/hollyspoke-daemon/src/shell.rs
+++ b/crates/hollyspoke-daemon/src/shell.rs
@@ -67,7 +67,7 @@
         metrics: Metrics,
         log: Logger,
     ) -> Shell {
-        let peers = Peers::new(node.incarnation(), inputs.clone());
+        let peers = Peers::new(node.incarnation(), inputs.clone(), log.clone());
         Shell {
             node,
             clock: Clock::default(),
@@ -124,7 +124,13 @@
             self.callers.remove(&call);
         }
         if let Event::Upstream { ticket, reply } = &event
-            && matches!(reply, Reply::Finished { .. } | Reply::Answered(_) | Reply::Failed { .. })
+            && matches!(
+                reply,
+                Reply::Finished { .. }
+                    | Reply::Answered(_)
+                    | Reply::Failed { .. }
+                    | Reply::Exhausted { .. }
+            )
         {
             self.attempts.remove(ticket);
         }
--- a/crates/hollyspoke-daemon/src/upstream.rs
+++ b/crates/hollyspoke-daemon/src/upstream.rs
@@ -212,6 +212,9 @@
     if error.status() == Some(engine::STATUS_FULL) {
         return Reply::Full;
     }
+    if matches!(error, CallError::Exhausted(_)) {
+        return Reply::Exhausted { detail: error.to_string() };
+    }
     let mut trace = Trace::clean();
     if error.may_have_arrived() {
         trace.mark_sent();
--- a/crates/hollyspoke-wire/src/http.rs
+++ b/crates/hollyspoke-wire/src/http.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hollyspoke_socket::shortage::Shortage;
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -33,6 +34,8 @@
 pub enum CallError {
     /// No connection could be opened, so nothing was sent.
     Connect(String),
+    /// This process lacks a resource for a connection, so nothing was sent.
+    Exhausted(Shortage),
     /// The call failed after some of it may have been sent.
     Sent(String),
     /// The response had an error status.
@@ -47,14 +50,14 @@
 impl CallError {
     /// Returns whether any part of the call may have reached the other side.
     pub fn may_have_arrived(&self) -> bool {
-        !matches!(self, CallError::Connect(_))
+        !matches!(self, CallError::Connect(_) | CallError::Exhausted(_))
     }
 
     /// Returns the status of the response, if there was one.
     pub fn status(&self) -> Option<u16> {
         match self {
             CallError::Status { status, .. } => Some(*status),
-            CallError::Connect(_) | CallError::Sent(_) => None,
+            CallError::Connect(_) | CallError::Exhausted(_) | CallError::Sent(_) => None,
         }
     }
 }
@@ -63,6 +66,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             CallError::Connect(reason) => write!(f, "no connection: {reason}"),
+            CallError::Exhausted(shortage) => write!(f, "no connection: {shortage}"),
             CallError::Sent(reason) => write!(f, "no answer: {reason}"),
             CallError::Status { status, body } => write!(f, "status {status}: {body}"),
         }
@@ -192,8 +196,26 @@
     Ok(Bytes::from(bytes))
 }
 
+/// Returns what this process lacked for a connection, if that is the cause of an error.
+fn shortage(error: &hyper_util::client::legacy::Error) -> Option<Shortage> {
+    if !error.is_connect() {
+        return None;
+    }
+    let mut cause = std::error::Error::source(error);
+    while let Some(error) = cause {
+        if let Some(error) = error.downcast_ref::<std::io::Error>() {
+            return Shortage::of(error);
+        }
+        cause = error.source();
+    }
+    None
+}
+
 /// Distinguishes calls that were never sent from those that may have arrived.
 fn call_error(error: hyper_util::client::legacy::Error) -> CallError {
+    if let Some(shortage) = shortage(&error) {
+        return CallError::Exhausted(shortage);
+    }
     let reason = match std::error::Error::source(&error) {
         Some(source) => format!("{error}: {source}"),
         None => error.to_string(),
--- a/crates/hollyspoke/src/event.rs
+++ b/crates/hollyspoke/src/event.rs
@@ -159,6 +159,11 @@
         /// Whether anything of the call may have reached the upstream.
         trace: Trace,
     },
+    /// This box lacked a descriptor, a port or memory for the call; nothing was sent.
+    Exhausted {
+        /// A description for people.
+        detail: String,
+    },
 }
 
 /// An engine's report about itself.
--- a/crates/hollyspoke/src/front.rs
+++ b/crates/hollyspoke/src/front.rs
@@ -14,6 +14,7 @@
 use crate::home::{Home, Verdict};
 use crate::key::{Key, Ticket};
 use crate::layout::ShardId;
+use crate::message::End;
 use crate::outcome::{Problem, ProblemKind, Refusal, Trace};
 use crate::plain::Plain;
 use crate::quota::{Limit, Quota, Tolerance, Visibility};
@@ -31,6 +32,9 @@
 /// The retry delay given to a caller while the store does not answer.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// The retry delay given to a caller by a box that lacks descriptors, ports or memory.
+const EXHAUSTED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The problem detail for a tenant that is over its limit.
 const OVER_LIMIT_DETAIL: &str = "the tenant is over its limit of requests a second";
 
@@ -268,7 +272,7 @@
         let not_run = request.trace.not_run().is_some() || request.arrival.repeatable;
         let key = request.key;
         self.record(cx, id, "cancelled");
-        self.stop_attempt(cx, id, crate::message::End::Cancelled);
+        self.stop_attempt(cx, id, End::Cancelled);
         self.requests.remove(id);
         if not_run {
             self.home.forget(key, id);
@@ -290,6 +294,24 @@
             Reply::Full => self.retry_import(cx, id),
             Reply::Answered(answer) => self.answered(cx, id, answer),
             Reply::Failed { detail, trace } => self.failed(cx, id, &detail, trace),
+            Reply::Exhausted { detail } => self.exhausted(cx, id, &detail),
+        }
+    }
+
+    /// Handles a call that this box could not make for lack of its own resources. No engine and no
+    /// upstream is blamed.
+    fn exhausted(&mut self, cx: &mut Context<'_>, id: Id, detail: &str) {
+        let Some(request) = self.requests.get(id) else { return };
+        match request.phase {
+            Phase::Claim | Phase::Ask { .. } => {}
+            Phase::Call { .. } => {
+                self.stop_attempt(cx, id, End::Cancelled);
+                let after = Some(EXHAUSTED_RETRY_AFTER);
+                self.give_up(cx, id, Refusal::Unavailable, detail, after);
+            }
+            Phase::Prefill(_) | Phase::Transfer { .. } | Phase::Decode { .. } => {
+                self.fail_attempt(cx, id, End::Cancelled, None, detail);
+            }
         }
     }
 
--- a/crates/hollyspoke/src/generate.rs
+++ b/crates/hollyspoke/src/generate.rs
@@ -234,7 +234,7 @@
     }
 
     /// Ends a failed attempt and retries if allowed.
-    fn fail_attempt(
+    pub(crate) fn fail_attempt(
         &mut self,
         cx: &mut Context<'_>,
         id: Id,
--- a/tests/src/single_box.rs
+++ b/tests/src/single_box.rs
@@ -53,14 +53,19 @@
         effects
     }
 
+    /// Delivers a request for tokens.
+    pub fn generate(&mut self, call: CallId) -> Vec<Effect> {
+        let arrival = Box::new(generate(call.0, 100, 10, 10));
+        self.step(Duration::ZERO, Event::Arrive { call, arrival })
+    }
+
     /// Begins a stream that has no tokens yet, and returns its ticket.
     ///
     /// # Panics
     ///
     /// If the box starts no prefill.
     pub fn begin_stream(&mut self) -> Ticket {
-        let arrival = Box::new(generate(1, 100, 10, 10));
-        let effects = self.step(Duration::ZERO, Event::Arrive { call: CallId(1), arrival });
+        let effects = self.generate(CallId(u64::MAX));
         let begun = effects.iter().find_map(|it| match it {
             Effect::Prefill { ticket, .. } => Some(*ticket),
             _ => None,
--- a/tests/tests/descriptors.rs
+++ b/tests/tests/descriptors.rs
@@ -6,8 +6,12 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use hollyspoke::key::Incarnation;
+use hollyspoke::message::Message;
+use hollyspoke_daemon::input::InputSender;
+use hollyspoke_daemon::peers::Peers;
 use hollyspoke_tests::platform::{
-    Action, Script, ask, client_head, engine, local, node, read_answer, status, store, whole,
+    Action, Script, ask, client_head, engine, local, log, node, read_answer, status, store, whole,
 };
 use nix::sys::resource::{Resource, UsageWho, getrlimit, getrusage, setrlimit};
 use nix::sys::time::TimeValLike;
@@ -130,3 +134,25 @@
         assert_eq!(status(&ask(node.front, &head).await), "200");
     });
 }
+
+/// A box that can't open a connection to another one for lack of a descriptor does not take it for
+/// unreachable.
+#[test]
+fn own_shortage_blamed_on_box() {
+    alone(async {
+        let (inputs, mut received) = InputSender::new();
+        let other = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = other.local_addr().expect("it is bound").to_string();
+        let mut peers = Peers::new(Incarnation(1), inputs, log());
+        let exhausted = Exhausted::begin();
+        peers.send(Incarnation(2), address.clone(), Message::SiteWanted);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        drop(exhausted);
+        assert!(received.try_recv().is_err(), "the other box counts as unreachable");
+        peers.send(Incarnation(2), address, Message::SiteWanted);
+        tokio::time::timeout(Duration::from_secs(1), other.accept())
+            .await
+            .expect("the next message opens a connection")
+            .expect("it is accepted");
+    });
+}
