Soak: boxes stand still for up to 3.5 s too

The soak paused boxes for 1.5 s at most, less than what a gateway needs to give up streams and other boxes.

--- a/tests/soak/src/schedule.rs
+++ b/tests/soak/src/schedule.rs
@@ -479,6 +479,7 @@
         Fault::Kill { count: 1 },
         Fault::StrikeHolder { blow, after },
         Fault::Pause { count, span: short },
+        Fault::Pause { count, span: long },
         Fault::Stop { count, gap },
         Fault::Store { mood, span: long },
         Fault::CutFromStore { count, span: long },
