A box drops the reservation of a call that its engine turned away

What callers saw: with `[features] reservations`, memory stayed reserved for half a second at engines that turn requests away, for requests that had gone; others that could have had it were refused.

Cause: a call takes the reservation that it names out of the request's state, since the engine serves it once. An engine that turns the request away has not served it.

--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -153,6 +153,9 @@
     /// An engine rejected the request and stated that it has not run it.
     fn engine_rejected(&mut self, call: &Call, answer: &Answer) {
         self.log_failure(call, "turned away", answer.status);
+        if answer.execution == Execution::Refused {
+            self.drop_unused_reservation(call);
+        }
         let now = self.now;
         if answer.execution == Execution::Replaced {
             self.directory.mark_misdirected(call.engine.key, now);
--- a/crates/hollyspoke-gateway/src/gateway/reservations.rs
+++ b/crates/hollyspoke-gateway/src/gateway/reservations.rs
@@ -15,7 +15,7 @@
 use crate::class::Phase;
 use crate::effect::{Effect, LogEvent, Task};
 use crate::engine::{Engine, EngineKey};
-use crate::in_flight::InFlight;
+use crate::in_flight::{Call, InFlight};
 use crate::request::RequestKey;
 use crate::reservation::{
     ANSWER_TIMEOUT, Answer, Ask, Grant, MAX_ASK_COUNT, Memory, Pending, Reservation, ttl,
@@ -285,6 +285,16 @@
         }
     }
 
+    /// Drops the reservation of a call that its engine rejected. The request did not run, so the
+    /// engine keeps the reservation until its TTL ends.
+    pub(super) fn drop_unused_reservation(&mut self, call: &Call) {
+        let Some(id) = call.reservation.clone() else { return };
+        if self.has_incarnation(&call.engine) && self.accepts_auxiliary(call.engine.key) {
+            let reservation = Reservation { engine: call.engine.clone(), id };
+            self.effects.push(Effect::DropReservation(reservation));
+        }
+    }
+
     /// Logs how an engine answered an ask.
     fn log_ask(&mut self, ask: &Ask, outcome: &'static str, sent: Time) {
         let request = self.in_flight.get(&ask.request).map(|it| it.request.id.clone());
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -355,6 +355,7 @@
                 case_state,
                 is_retry,
                 sent: now,
+                reservation: reservation.clone(),
                 load,
                 queued_tokens: choice.queued_tokens,
                 calls_ahead,
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -156,6 +156,8 @@
     pub is_retry: bool,
     /// When the call was sent.
     pub sent: Time,
+    /// The reservation that the call names, if any.
+    pub reservation: Option<Arc<str>>,
     /// The load that the call adds to the engine.
     pub load: Load,
     /// The prompt tokens that the engine prefills for this call, including those queued before it.
