Without a local port for one engine another engine is tried

Callers would have been refused although other engines could be reached: a local port is used up for one address and port at a time, unlike descriptors and memory.

A call that finds no port goes to another engine, at no charge. The engine is avoided at this box for a time, as one that is not reached, but no other box is told and contact stays.

--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -50,7 +50,9 @@
 pub enum CallEvent {
     /// The connection could not be opened; nothing was sent.
     NotConnected,
-    /// This box lacked a descriptor, a port or memory for a connection; nothing was sent.
+    /// This box had no local port for the engine's address; nothing was sent.
+    NoPort,
+    /// This box lacked a descriptor or memory for a connection; nothing was sent.
     Exhausted,
     /// The head of a stream arrived.
     Began(Answer),
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -31,6 +31,7 @@
     pub(super) fn handle_call_event(&mut self, key: CallKey, event: CallEvent) {
         match event {
             CallEvent::NotConnected => self.call_not_connected(key),
+            CallEvent::NoPort => self.call_without_port(key),
             CallEvent::Exhausted => self.call_exhausted(key),
             CallEvent::Began(answer) => self.call_began(key, &answer),
             CallEvent::Answered(answer) => self.call_answered(key, answer),
@@ -55,8 +56,24 @@
         self.proceed_or_continue(call.request);
     }
 
-    /// This box could not open a connection for lack of its own resources. The engine is not to
-    /// blame, and any other one would need the same resources.
+    /// This box had no local port for an engine's address. Ports for other addresses may be free, so
+    /// another engine is tried. This one is avoided here for a time, and no other box is told.
+    fn call_without_port(&mut self, key: CallKey) {
+        let Some(call) = self.take_call(key) else { return };
+        self.log_failure(&call, "no port", 0);
+        self.refund_unsent(&call);
+        let now = self.now;
+        if let Some(record) = self.directory.get_mut(call.engine.key) {
+            record.health.record_unreachable(now);
+        }
+        if let Some(in_flight) = self.in_flight.get_mut(&call.request) {
+            in_flight.unsent_count += 1;
+        }
+        self.proceed_or_continue(call.request);
+    }
+
+    /// This box could not open a connection for lack of descriptors or memory. The engine is not to
+    /// blame, and any other one would need the same.
     fn call_exhausted(&mut self, key: CallKey) {
         let Some(call) = self.take_call(key) else { return };
         self.log_failure(&call, "box exhausted", 0);
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -89,9 +89,6 @@
     /// Handles the result of an engine's liveness probe.
     pub(super) fn apply_probe(&mut self, engine: EngineKey, probe: Probe) {
         let probed_at = self.probing.remove(&engine).unwrap_or(self.now);
-        if probe == Probe::Exhausted {
-            return;
-        }
         self.record_probe_contact(engine, probe, probed_at);
         let asked = Incarnation { engine, started_at: None };
         match probe {
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -13,6 +13,7 @@
 use hollyspoke_gateway::migration::{self, Transfer};
 use hollyspoke_gateway::reservation::{self, Ask, Reservation};
 use hollyspoke_gateway::statement::Statement;
+use hollyspoke_socket::shortage::Shortage;
 use http::{StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -86,6 +87,7 @@
     let event = match exchange(&node, &send, &request).await {
         Ok(answer) => CallEvent::Answered(answer),
         Err(Failure::Unsent) => CallEvent::NotConnected,
+        Err(Failure::Exhausted(Shortage::Ports)) => CallEvent::NoPort,
         Err(Failure::Exhausted(_)) => CallEvent::Exhausted,
         Err(Failure::Broken) => CallEvent::Broken,
     };
