Logs name the software version of engines, and the stream that a client resumes

The logs of the incident with mixed versions can't tell its hypotheses apart: neither the version of an engine stands in them, nor which call continues a stream after which event, nor what a client says of the stream that it takes up. The platform reports a version in each engine's entry, which was parsed and dropped, and clients name the attempt that began a stream in Resumes, which nothing read.

Engines now carry the version of their software (not yet between boxes), and the lines `engine`, `call sent` and the new `client resumes a stream` tell it. No decision is changed.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -24,6 +24,7 @@
 use crate::signature::Signature;
 use crate::statement::ReportedLoad;
 use crate::terms::Restriction;
+use crate::version::SoftwareVersion;
 
 /// The location of a prefilled prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -282,6 +283,8 @@
         address: SocketAddr,
         /// Whether the engine is draining.
         is_draining: bool,
+        /// The version of its software, if known.
+        version: Option<SoftwareVersion>,
     },
     /// An engine was removed.
     EngineRemoved {
@@ -358,6 +361,19 @@
         held: u64,
         /// The number of earlier calls for the request.
         before: u32,
+        /// The version of the engine's software, if known.
+        version: Option<SoftwareVersion>,
+        /// The id of the event after which the stream is resumed, if it is.
+        after_event: Option<u64>,
+    },
+    /// A client resumes a stream.
+    ClientResumes {
+        /// The client's id of the request.
+        request: Arc<str>,
+        /// The id of the attempt that brought the stream's first event, if the client names one.
+        resumed_id: Option<Arc<str>>,
+        /// The id of the last event that the client has.
+        last_event: u64,
     },
     /// A request that had reached an engine was to be sent to another one.
     Retry {
--- a/crates/hollyspoke-gateway/src/engine.rs
+++ b/crates/hollyspoke-gateway/src/engine.rs
@@ -11,6 +11,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::version::SoftwareVersion;
+
 /// A hash of an engine's id, which is the same on all boxes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EngineKey(pub u64);
@@ -55,6 +57,9 @@
     /// The remaining time for which it is cold after its start, in milliseconds, as of the write of
     /// its entry.
     pub cold_left_ms: u32,
+    /// The version of its software; none if a box passed the entry on without it.
+    #[serde(skip)]
+    pub version: Option<SoftwareVersion>,
 }
 
 /// A change of the list of engines, with the store's revision.
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -103,6 +103,7 @@
             return;
         };
         let is_client_retry = self.is_client_retry(&route, &request);
+        self.log_client_resume(&request);
         if !is_elsewhere {
             self.earn_retries(&service);
             self.record_demand(&service, &request);
@@ -336,6 +337,8 @@
             tokens: in_flight.request.prompt_tokens_or_estimate(),
             held: in_flight.request.mean_held_tokens(),
             before: in_flight.call_count - 1,
+            version: choice.engine.version.clone(),
+            after_event: last_event,
         };
         let engine = choice.engine.clone();
         let calls_ahead = self.directory.get(engine.key).map_or(0, |it| self.calls_at(it));
@@ -398,6 +401,13 @@
         deadline < longest.mul_f64(CLIENT_RETRY_SHARE)
     }
 
+    /// Logs that a client resumes a stream.
+    fn log_client_resume(&mut self, request: &Request) {
+        let Some(last_event) = request.last_event else { return };
+        let (id, resumed_id) = (request.id.clone(), request.resumed_id.clone());
+        self.log(LogEvent::ClientResumes { request: id, resumed_id, last_event });
+    }
+
     /// Refuses a request that would be served too late.
     pub(super) fn refuse_overloaded(&mut self, key: RequestKey, wait: Duration) {
         let (min, max) = RETRY_AFTER_RANGE;
--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -323,7 +323,8 @@
         let is_taken = self.directory.apply_change(engine.clone(), revision, self.now);
         (is_taken && is_relevant).then(|| {
             let (id, address) = (engine.id.clone(), engine.address);
-            LogEvent::Engine { id, address, is_draining: engine.is_draining }
+            let (is_draining, version) = (engine.is_draining, engine.version.clone());
+            LogEvent::Engine { id, address, is_draining, version }
         })
     }
 
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -56,4 +56,5 @@
 pub mod snapshot;
 pub mod statement;
 pub mod terms;
+pub mod version;
 pub mod work;
--- a/crates/hollyspoke-gateway/src/request.rs
+++ b/crates/hollyspoke-gateway/src/request.rs
@@ -36,6 +36,9 @@
     pub prompt: Option<PromptKey>,
     /// The id of the last event that the client has, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// The id of the client's attempt that brought the first event of the stream that it resumes, if
+    /// it names exactly one.
+    pub resumed_id: Option<Arc<str>>,
     /// The digest of the client's API key, if it sends one.
     pub credential: Option<KeyDigest>,
     /// The size of the body.
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -314,6 +314,7 @@
             LogEvent::PassedOn { .. } => self.passed_on.add(1, &[]),
             LogEvent::Ordered { .. } | LogEvent::Census { .. } | LogEvent::CasesRead { .. } => {}
             LogEvent::Released { .. } | LogEvent::Suspended(_) | LogEvent::Paused(_) => {}
+            LogEvent::ClientResumes { .. } => {}
             LogEvent::Listed { .. }
             | LogEvent::ListDropped { .. }
             | LogEvent::NotForwarded { .. }
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -6,6 +6,7 @@
 use hollyspoke_gateway::engine::Stage;
 use hollyspoke_gateway::rate_limit::Change;
 use hollyspoke_gateway::terms::Restriction;
+use hollyspoke_gateway::version::SoftwareVersion;
 use hollyspoke_gateway::{back_off, departure};
 use slog::{Logger, info, o, warn};
 
@@ -46,8 +47,9 @@
             "era" => era, "era_before" => revision.era, "revision_before" => revision.number,
             "told_by" => announced_by.map(|it| it.to_string()))
         }
-        LogEvent::Engine { id, address, is_draining } => info!(log, "engine";
-            "engine" => %id, "address" => %address, "draining" => is_draining),
+        LogEvent::Engine { id, address, is_draining, version } => info!(log, "engine";
+            "engine" => %id, "address" => %address, "draining" => is_draining,
+            "version" => name_of(version.as_ref())),
         LogEvent::EngineRemoved { id } => info!(log, "engine left"; "engine" => %id),
         LogEvent::Avoided { id, duration } => info!(log, "engine avoided";
             "engine" => %id, "span_ms" => millis(duration)),
@@ -67,11 +69,27 @@
         LogEvent::ShutDown { id, end, age } => info!(log, "engine has left";
             "engine" => %id, "how" => end_name(*end), "age_ms" => millis(age)),
         LogEvent::BackOff { id, change } => write_back_off(log, id, change),
-        LogEvent::Sent { request, engine, task, source, expected, tokens, held, before } => {
+        LogEvent::Sent {
+            request,
+            engine,
+            task,
+            source,
+            expected,
+            tokens,
+            held,
+            before,
+            version,
+            after_event,
+        } => {
             info!(log, "call sent";
             "request" => %request, "engine" => %engine, "task" => task,
             "source" => source.map(|it| it.to_string()),
-            "expected_ms" => millis(expected), "tokens" => tokens, "held" => held, "before" => before)
+            "expected_ms" => millis(expected), "tokens" => tokens, "held" => held, "before" => before,
+            "version" => name_of(version.as_ref()), "after_event" => after_event)
+        }
+        LogEvent::ClientResumes { request, resumed_id, last_event } => {
+            info!(log, "client resumes a stream"; "request" => %request,
+                "resumes" => resumed_id.as_deref(), "after_event" => last_event)
         }
         LogEvent::Retry { request, service, is_sent, available, boxes } => {
             let message = if *is_sent { "repeat sent" } else { "repeat not allowed" };
@@ -219,6 +237,11 @@
     first.join(" ")
 }
 
+/// Returns the log's name of a software version; none if it isn't known.
+fn name_of(version: Option<&SoftwareVersion>) -> Option<&str> {
+    version.map(SoftwareVersion::name)
+}
+
 /// Returns the log's name of a stage.
 fn stage_name(stage: Stage) -> &'static str {
     match stage {
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -23,6 +23,7 @@
 };
 use hollyspoke_gateway::signature::Content;
 use hollyspoke_gateway::statement::Statement;
+use hollyspoke_gateway::version::SoftwareVersion;
 
 /// The service of plain requests.
 pub const PLAIN: &str = "orders";
@@ -138,6 +139,7 @@
         slots: 6,
         is_draining: false,
         cold_left_ms: 0,
+        version: Some(SoftwareVersion::new("v1")),
     }
 }
 
@@ -165,6 +167,7 @@
         expected_answer_tokens: Some(800),
         prompt: None,
         last_event: None,
+        resumed_id: None,
         credential: None,
         body_bytes: 5000,
         content: Content::of("POST", HOST, &format!("/{route}/x"), b""),
--- a/tests/src/platform.rs
+++ b/tests/src/platform.rs
@@ -434,8 +434,20 @@
 
     /// Adds an engine to the store's list.
     pub fn list(&self, id: &str, engine: &Engine, service: &str, stage: Option<&str>) {
+        self.list_version(id, engine, service, stage, "v1");
+    }
+
+    /// Adds an engine with a software version to the store's list.
+    pub fn list_version(
+        &self,
+        id: &str,
+        engine: &Engine,
+        service: &str,
+        stage: Option<&str>,
+        version: &str,
+    ) {
         let spec = json!({"service": service, "address": engine.address.to_string(),
-            "zone": "north", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
+            "zone": "north", "version": version, "slots": 8, "state": "ready", "coldLeftMs": 0,
             "callSeq": 0, "stage": stage});
         self.put("servers", id, spec);
     }
--- a/tests/src/recorded.rs
+++ b/tests/src/recorded.rs
@@ -45,6 +45,7 @@
         started_at: Some(1_790_000_000_123),
         is_draining: true,
         cold_left_ms: 2500,
+        version: None,
         ..engine(21, MODEL, stage)
     }
 }
