--- a/crates/hollyspoke-gateway/src/directory.rs
+++ b/crates/hollyspoke-gateway/src/directory.rs
@@ -15,6 +15,7 @@
 use crate::engine::{Engine, EngineChange, EngineKey, Stage};
 use crate::health::Health;
 use crate::statement::ReportedLoad;
+use crate::version::VersionKey;
 
 pub use index::Group;
 
@@ -496,6 +497,12 @@
         self.index.of_service(service).filter_map(|it| self.engines.get(&it))
     }
 
+    /// Iterates over the versions of each service's engines, some of them more than once; none for
+    /// engines whose version isn't known.
+    pub fn versions(&self) -> impl Iterator<Item = (&Arc<str>, Option<VersionKey>)> {
+        self.index.versions()
+    }
+
     /// Iterates over the engines of a service that accept new requests.
     pub fn open(&self, service: &str, now: Time) -> impl Iterator<Item = &Record> {
         self.of_service(service).filter(move |it| it.is_open(now))
--- a/crates/hollyspoke-gateway/src/directory/index.rs
+++ b/crates/hollyspoke-gateway/src/directory/index.rs
@@ -9,14 +9,17 @@
 
 use super::Record;
 use crate::engine::{Engine, EngineKey, Stage};
+use crate::version::{SoftwareVersion, VersionKey};
 
-/// The engines of one service that have the same data centre and stage.
+/// The engines of one service that have the same data centre, stage and version.
 #[derive(Debug, Clone)]
 pub struct Group {
     /// The data centre of the engines.
     pub data_centre: Arc<str>,
     /// The stage, for services with stages.
     pub stage: Option<Stage>,
+    /// The version of their software, if known.
+    pub version: Option<VersionKey>,
     /// The keys of the engines, sorted.
     keys: Vec<EngineKey>,
 }
@@ -36,7 +39,8 @@
 impl Group {
     /// Returns whether an engine belongs to this group.
     fn matches(&self, engine: &Engine) -> bool {
-        self.stage == engine.stage && self.data_centre == engine.data_centre
+        let is_same_version = self.version == version_key(engine);
+        is_same_version && self.stage == engine.stage && self.data_centre == engine.data_centre
     }
 
     /// Adds an engine to the group.
@@ -61,7 +65,12 @@
         let groups = self.services.entry(engine.service.clone()).or_default();
         let place = groups.iter().position(|it| it.matches(engine)).unwrap_or_else(|| {
             let (data_centre, stage) = (engine.data_centre.clone(), engine.stage);
-            groups.push(Group { data_centre, stage, keys: Vec::new() });
+            groups.push(Group {
+                data_centre,
+                stage,
+                version: version_key(engine),
+                keys: Vec::new(),
+            });
             groups.len() - 1
         });
         groups[place].add(engine.key);
@@ -132,8 +141,21 @@
         self.groups(service).iter().filter(|it| is_chosen(it)).map(|it| it.keys.len()).sum()
     }
 
+    /// Iterates over the versions of each service's engines, some of them more than once.
+    pub(super) fn versions(&self) -> impl Iterator<Item = (&Arc<str>, Option<VersionKey>)> {
+        self.services.iter().flat_map(|(service, groups)| {
+            let groups = groups.iter().filter(|it| !it.keys.is_empty());
+            groups.map(move |it| (service, it.version))
+        })
+    }
+
     /// Returns the groups of a service.
     fn groups(&self, service: &str) -> &[Group] {
         self.services.get(service).map(Vec::as_slice).unwrap_or_default()
     }
 }
+
+/// Returns the key of an engine's version, if known.
+fn version_key(engine: &Engine) -> Option<VersionKey> {
+    engine.version.as_ref().map(SoftwareVersion::key)
+}
--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -15,6 +15,7 @@
 use crate::event::Kind;
 use crate::message::{Demand, Load, Message};
 use crate::migration::Transfer;
+use crate::origin::Notice;
 use crate::proxy;
 use crate::quarantine::RequestSummary;
 use crate::rate_limit::Change;
@@ -24,7 +25,7 @@
 use crate::signature::Signature;
 use crate::statement::ReportedLoad;
 use crate::terms::Restriction;
-use crate::version::SoftwareVersion;
+use crate::version::{SoftwareVersion, VersionKey};
 
 /// The location of a prefilled prompt.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -173,6 +174,10 @@
     UnderSuspicion,
     /// This box lacked a descriptor, a port or memory for a connection.
     Exhausted,
+    /// It isn't known which software version began the stream.
+    VersionUnknown,
+    /// No engine of the software version that began the stream is left.
+    NoEngineOfVersion,
 }
 
 impl NotRunReason {
@@ -193,8 +198,15 @@
             NotRunReason::TimedOut => "refused: time passed",
             NotRunReason::UnderSuspicion => "refused: under suspicion",
             NotRunReason::Exhausted => "refused: box exhausted",
+            NotRunReason::VersionUnknown => "refused: version unknown",
+            NotRunReason::NoEngineOfVersion => "refused: no engine of its version",
         }
     }
+
+    /// Returns whether the request may be served if the client retries it later.
+    pub fn may_pass(self) -> bool {
+        !matches!(self, NotRunReason::VersionUnknown | NotRunReason::NoEngineOfVersion)
+    }
 }
 
 /// An engine that a request couldn't be sent to, with the reason.
@@ -375,6 +387,33 @@
         /// The id of the last event that the client has.
         last_event: u64,
     },
+    /// The software version that began a resumed stream was found, or not.
+    OriginSought {
+        /// The client's id of the request.
+        request: Arc<str>,
+        /// The version; none if it stays unknown.
+        version: Option<VersionKey>,
+        /// The name of the version, if an engine has it.
+        name: Option<Arc<str>>,
+        /// What it is known from, or why not.
+        source: &'static str,
+        /// How long the search took; for a version in this box's own table, how long it has been known.
+        after: Duration,
+    },
+    /// The engine of a call turned out to have another version than its stream, or an unknown one.
+    OtherVersion {
+        /// The client's id of the request.
+        request: Arc<str>,
+        /// The engine's id.
+        engine: Arc<str>,
+    },
+    /// The register of versions was read from the store or written to it.
+    VersionRegister {
+        /// The number of services that have only one version.
+        services: usize,
+        /// Whether it was written.
+        is_written: bool,
+    },
     /// A request that had reached an engine was to be sent to another one.
     Retry {
         /// The client's id of the request.
@@ -656,6 +695,8 @@
     Fetch(SocketAddr),
     /// Sends a datagram to boxes.
     Announce(Vec<SocketAddr>, Box<Message>),
+    /// Sends a datagram about streams' versions to boxes.
+    Notify(Vec<SocketAddr>, Notice),
     /// Writes an entry to the log.
     Log(LogEvent),
 }
--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -11,6 +11,7 @@
 use crate::framing::Framing;
 use crate::message::Message;
 use crate::migration;
+use crate::origin::Notice;
 use crate::prompt::PromptKey;
 use crate::proxy;
 use crate::request::{CallKey, Request, RequestKey};
@@ -145,6 +146,8 @@
     Transferred(CallKey, migration::Answer),
     /// A datagram arrived from another box.
     Received(Message),
+    /// A datagram about streams' versions arrived from another box.
+    Notified(Notice),
     /// The addresses of the boxes to contact first, from the settings.
     Seeds(Vec<SocketAddr>),
     /// An engine reported which prompt prefixes it has cached.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 mod handover;
 mod limit;
 mod migration;
+mod origins;
 mod pace;
 mod pause;
 mod peers;
@@ -33,6 +34,7 @@
 mod store;
 mod survey;
 mod terms;
+mod versions;
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::{IpAddr, SocketAddr};
@@ -64,6 +66,7 @@
 use crate::gateway::census::Census;
 use crate::gateway::contact::Contacts;
 use crate::gateway::migration::Migrations;
+use crate::gateway::origins::Origins;
 use crate::gateway::peers::{PeerChanges, Unannounced};
 use crate::gateway::permits::Permits;
 use crate::gateway::pool::Pools;
@@ -71,6 +74,7 @@
 use crate::gateway::stages::Stages;
 use crate::gateway::store::{EngineChanges, StoreState};
 use crate::gateway::survey::Survey;
+use crate::gateway::versions::Register;
 use crate::in_flight::{Call, InFlight};
 use crate::load::Ledger;
 use crate::member::Members;
@@ -82,10 +86,12 @@
 use crate::request::{CallKey, RequestKey};
 use crate::route::Configuration;
 use crate::terms::Terms;
+use crate::version::Timeline;
 use crate::work;
 
 pub use cases::KIND as CASES;
 pub use quarantine::HeldRequest;
+pub use versions::KIND as VERSIONS;
 
 /// How boxes share customers' limits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -207,6 +213,12 @@
     may_have_capacity: bool,
     /// The moves and backups of running streams.
     migrations: Migrations,
+    /// What is known of streams' software versions.
+    origins: Origins,
+    /// The software versions that have served.
+    timeline: Timeline,
+    /// The same as saved in the store.
+    register: Register,
     /// The durations for which runs at prefill and decode engines hold memory.
     runs: Runs,
     /// The demand on each service with prefill and decode engines.
@@ -294,6 +306,9 @@
             reservations: Reservations::default(),
             may_have_capacity: false,
             migrations: Migrations::default(),
+            origins: Origins::default(),
+            timeline: Timeline::default(),
+            register: Register::default(),
             runs: Runs::default(),
             meters: HashMap::new(),
             stages,
@@ -323,7 +338,7 @@
     /// Handles an event and returns the resulting effects.
     pub fn step(&mut self, now: Time, event: Event) -> Vec<Effect> {
         self.now = self.now.max(now);
-        self.may_have_capacity = !matches!(event, Event::Received(_));
+        self.may_have_capacity = !matches!(event, Event::Received(_) | Event::Notified(_));
         match event {
             Event::Configured(configuration) => self.configure(configuration),
             Event::Listed(engines, revision) => self.apply_engine_list(engines, revision),
@@ -344,6 +359,7 @@
             Event::Reserved(number, answer) => self.handle_reservation(number, answer),
             Event::Transferred(call, answer) => self.handle_transfer_answer(call, &answer),
             Event::Received(message) => self.receive(&message),
+            Event::Notified(notice) => self.receive_notice(&notice),
             Event::Seeds(seeds) => self.members.add_seeds(self.settings.peer, seeds, self.now),
             Event::CachedPrompts(engine, prompts) => self.apply_survey_answer(engine, prompts),
             Event::Stored(number, answer) => self.apply_store_answer(number, &answer),
@@ -367,6 +383,7 @@
             self.admit_waiting();
         }
         self.check_due_requests();
+        self.advance_inquiries();
         self.advance_migrations();
         self.send_due_heartbeat();
         self.advance_catch_up();
@@ -397,6 +414,7 @@
             self.terms.back_offs.next_end(self.now),
             self.next_migration_at(),
             self.next_catch_up_at(),
+            self.origins.next_due(),
         ];
         times.into_iter().flatten().fold(self.next_heartbeat, Time::min)
     }
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -104,6 +104,9 @@
     fn call_began(&mut self, key: CallKey, answer: &Answer) {
         let Some(call) = self.calls.get(&key).cloned() else { return };
         self.apply_answer(&call, answer);
+        if !self.fits_origin(&call) {
+            return self.drop_other_version(key);
+        }
         self.terms.back_offs.release(call.engine.key, call.sent);
         self.finish_prefill(key);
         self.stream_continued(call.request);
@@ -134,9 +137,20 @@
         self.effects.push(effect);
     }
 
+    /// Drops a call whose events don't fit those that the client has, and continues the stream elsewhere.
+    fn drop_other_version(&mut self, key: CallKey) {
+        let Some(call) = self.take_call(key) else { return };
+        self.effects.push(Effect::Cancel(key));
+        let request = self.in_flight.get(&call.request).map(|it| it.request.id.clone());
+        let engine = call.engine.id.clone();
+        self.log(LogEvent::OtherVersion { request: request.unwrap_or_default(), engine });
+        self.call_lost(&call);
+    }
+
     /// Events were forwarded to the client, which may have held them up.
     fn call_forwarded(&mut self, key: CallKey, id: Option<u64>, is_held_up: bool) {
         let now = self.now;
+        self.bind_origin(key);
         self.measure_events(key, id, is_held_up);
         let is_blamed = !is_held_up || !self.settings.features.pace;
         self.record_progress(key, id);
--- a/crates/hollyspoke-gateway/src/gateway/capacity.rs
+++ b/crates/hollyspoke-gateway/src/gateway/capacity.rs
@@ -12,7 +12,9 @@
 use crate::in_flight::InFlight;
 use crate::load::Urgency;
 use crate::message::Load;
+use crate::origin::Origin;
 use crate::request::RequestKey;
+use crate::version::SoftwareVersion;
 
 /// The share of the target for which a request waits before it is refused. Requests that wait
 /// longer start late and hold memory that others need in time; a shorter wait leaves capacity
@@ -179,6 +181,10 @@
             NotRunReason::ShuttingDown
         } else if engines().any(|it| it.is_evacuated() && self.is_allowed_at(in_flight, it)) {
             NotRunReason::Evacuated
+        } else if in_flight.origin != Origin::Open
+            && engines().any(|it| self.is_region_allowed_at(in_flight, it))
+        {
+            NotRunReason::NoEngineOfVersion
         } else if engines().any(|it| it.is_open(self.now)) {
             NotRunReason::NoEngineInRegion
         } else {
@@ -186,8 +192,15 @@
         }
     }
 
-    /// Returns whether a request may be served in the data centre of an engine.
+    /// Returns whether a request may be served in the data centre of an engine, and its stream at the
+    /// engine's version.
     pub(super) fn is_allowed_at(&self, in_flight: &InFlight, record: &Record) -> bool {
+        let version = record.engine.version.as_ref().map(SoftwareVersion::key);
+        in_flight.origin.allows(version) && self.is_region_allowed_at(in_flight, record)
+    }
+
+    /// Returns whether a request may be served in the data centre of an engine.
+    fn is_region_allowed_at(&self, in_flight: &InFlight, record: &Record) -> bool {
         let regions = &self.settings.regions;
         in_flight
             .allowed_regions()
--- a/crates/hollyspoke-gateway/src/gateway/era.rs
+++ b/crates/hollyspoke-gateway/src/gateway/era.rs
@@ -47,6 +47,7 @@
     fn resync_with_store(&mut self) {
         self.store.engines_back = Some(self.now);
         self.invalidate_census();
+        self.invalidate_register();
         self.invalidate_cases();
         if self.store.follows {
             self.effects.extend(KINDS.map(Effect::Read));
--- a/crates/hollyspoke-gateway/src/gateway/migration.rs
+++ b/crates/hollyspoke-gateway/src/gateway/migration.rs
@@ -20,6 +20,7 @@
 use crate::load::Urgency;
 use crate::message::Load;
 use crate::migration::{self, Answer, Copy, EventSize, Link, Reason, Transfer};
+use crate::origin::Origin;
 use crate::placement::{PermitState, Selector};
 use crate::quarantine::Verdict;
 use crate::request::{CallKey, RequestKey};
@@ -334,14 +335,14 @@
         let refused_by = self.migrations.failed.get(&call.request).map(|it| &it.refused_by);
         let mut excluded = refused_by.cloned().unwrap_or_default();
         excluded.push(call.engine.key);
-        self.copy_target(in_flight, &call.engine.data_centre, &excluded, draw)
+        self.copy_target(in_flight, &call.engine, &excluded, draw)
     }
 
-    /// Chooses an engine that has memory for a copy made in the given data centre.
+    /// Chooses an engine of the same version that has memory for a copy of another one's.
     fn copy_target(
         &self,
         in_flight: &InFlight,
-        data_centre: &str,
+        source: &Engine,
         excluded: &[EngineKey],
         draw: u64,
     ) -> Option<Arc<Engine>> {
@@ -349,12 +350,13 @@
         let trials = self.trials();
         let view = Selector {
             tried: excluded,
+            origin: Origin::of(source.version.as_ref()),
             permit_state: PermitState::Exhausted,
             max_drain_age: None,
             ..self.selector(in_flight, &trials, draw)
         };
         let held = in_flight.request.mean_held_tokens();
-        let choice = view.choose_decode(&staged, held, data_centre, None)?;
+        let choice = view.choose_decode(&staged, held, &source.data_centre, None)?;
         let is_excluded = excluded.contains(&choice.engine.key);
         let is_limited = self.terms.limits.of(choice.engine.key).is_some();
         (!is_excluded && !is_limited).then_some(choice.engine)
@@ -398,8 +400,8 @@
         let Some(call) = self.calls.get(&key) else { return };
         let Some(in_flight) = self.in_flight.get(&call.request) else { return };
         let remaining = self.remaining_time(call, in_flight);
-        let target = self.migrations.moves.get(&key).map(|it| it.target.clone());
-        if !target.is_some_and(|it| self.may_continue_at(&it)) {
+        let moved = self.migrations.moves.get(&key).cloned();
+        if !moved.is_some_and(|it| self.may_continue_at(&it.target, &it.source)) {
             return self.cancel_move(key, "target leaving");
         }
         if !migration::outlives_engine(remaining, Duration::ZERO) {
@@ -552,13 +554,15 @@
         });
     }
 
-    /// Returns whether a stream may continue at an engine: it accepts requests, or has been shutting
-    /// down only for a short time.
-    fn may_continue_at(&self, engine: &Engine) -> bool {
+    /// Returns whether a stream may continue at an engine from the memory of another one: it has the
+    /// same version and accepts requests, or has been shutting down only for a short time.
+    fn may_continue_at(&self, engine: &Engine, source: &Engine) -> bool {
         let max_drain_age = self.settings.drain.mul_f64(RETURN_SHARE);
         let is_early = self.leaving_age(engine).is_none_or(|it| it <= max_drain_age);
         let record = self.directory.get(engine.key);
-        let is_listed = record.is_some_and(|it| it.engine.is_same_incarnation(engine));
+        let is_same_version = |it: &Engine| it.version.is_some() && it.version == source.version;
+        let is_listed = record
+            .is_some_and(|it| it.engine.is_same_incarnation(engine) && is_same_version(&it.engine));
         let has_permit = match self.terms.restriction(engine, Some(max_drain_age), self.now) {
             None => true,
             Some(Restriction::RateLimit) => self.permits.held.has(engine.key, self.now),
--- a/crates/hollyspoke-gateway/src/gateway/migration/backup.rs
+++ b/crates/hollyspoke-gateway/src/gateway/migration/backup.rs
@@ -70,7 +70,7 @@
         if !is_stream || !matches!(task, Task::Decode(_)) {
             return None;
         }
-        let target = self.copy_target(in_flight, &engine.data_centre, &[engine.key], draw)?;
+        let target = self.copy_target(in_flight, engine, &[engine.key], draw)?;
         let tokens = in_flight.request.mean_held_tokens();
         let case = BackupCase {
             is_idempotent: in_flight.route.is_idempotent(),
--- a/crates/hollyspoke-gateway/src/gateway/migration/continuation.rs
+++ b/crates/hollyspoke-gateway/src/gateway/migration/continuation.rs
@@ -74,7 +74,8 @@
         loop {
             let Some(next) = self.migrations.continuations.get_mut(&key) else { return false };
             let Some(engine) = next.destinations.pop_front() else { break };
-            if !self.may_continue_at(&engine) {
+            let source = next.previous.clone();
+            if !self.may_continue_at(&engine, &source) {
                 continue;
             }
             if !self.take_continuation_token(key) {
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/gateway/origins.rs
@@ -0,0 +1,411 @@
+//! Keeps each stream at the software version that began it.
+//!
+//! The version is bound by the first event that is forwarded. A client that takes a stream up
+//! elsewhere names the attempt that began it: this box looks into its own table, asks the stream's
+//! holders, and else relies on it that only one version can have begun the stream. A stream whose
+//! version stays unknown goes on nowhere.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hollyspoke::time::Time;
+
+use super::Gateway;
+use super::peers::service_hash;
+use crate::effect::{Effect, LogEvent, NotRunReason};
+use crate::in_flight::{Call, InFlight};
+use crate::origin::{Announcement, Ask, Knowledge, Notice, Origin, Reply, StreamKey, Table};
+use crate::request::{CallKey, Request, RequestKey};
+use crate::route::{Route, RouteKind};
+use crate::version::{Verdict, VersionKey};
+
+/// The number of holders that are told of a stream in a deployment where all boxes exchange
+/// everything.
+const HOLDER_COUNT: usize = 3;
+
+/// The number of holders in a large deployment, where each copy costs control traffic.
+const LARGE_HOLDER_COUNT: usize = 2;
+
+/// The boxes that are asked for a stream, in multiples of its holders. Boxes that have just started
+/// or ended make two boxes disagree about the holders.
+const ASKED_PER_HOLDER: usize = 2;
+
+/// How long a request waits for answers. A box that is gone doesn't answer, and the client's own
+/// patience for the next event is some multiples of this.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The interval at which unanswered boxes are asked again.
+const RESEND_INTERVAL: Duration = Duration::from_millis(80);
+
+/// The time without a new box after which a box knows whom to ask.
+const QUIET_DURATION: Duration = Duration::from_millis(100);
+
+/// How long a client may come back with a stream, in multiples of the longest time that one attempt
+/// may take: a first attempt and a second one.
+const ATTEMPT_COUNT: u32 = 2;
+
+/// The question for the version of a stream that a client resumes.
+#[derive(Debug, Clone)]
+struct Inquiry {
+    /// The stream.
+    stream: StreamKey,
+    /// The hash of the service's name.
+    service: u64,
+    /// How long ago the stream may have begun.
+    window: Duration,
+    /// When the inquiry began.
+    began: Time,
+    /// When the boxes that have not answered are asked again.
+    resend_at: Time,
+    /// The boxes that were asked.
+    asked: BTreeSet<SocketAddr>,
+    /// What they have answered.
+    answers: BTreeMap<SocketAddr, Knowledge>,
+}
+
+/// The result of an inquiry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Finding {
+    /// The origin.
+    origin: Origin,
+    /// What it is known from, for the log.
+    source: &'static str,
+}
+
+/// What this box knows of streams' versions.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Origins {
+    /// The streams that this box began, and those that it holds for others.
+    table: Table,
+    /// The inquiries of requests.
+    inquiries: BTreeMap<RequestKey, Inquiry>,
+}
+
+impl Origins {
+    /// Returns when the next inquiry needs a tick.
+    pub(super) fn next_due(&self) -> Option<Time> {
+        self.inquiries.values().map(|it| it.resend_at.min(it.until())).min()
+    }
+}
+
+impl Inquiry {
+    /// Returns the end of the wait for answers.
+    fn until(&self) -> Time {
+        self.began + ANSWER_TIMEOUT
+    }
+
+    /// Returns what the answers show. Boxes that know the stream go before those that know which
+    /// versions have served; of the latter, one that has seen several is enough.
+    fn finding(&self, own: Verdict) -> Finding {
+        let began = self.answers.values().filter_map(|it| match it {
+            Knowledge::Began(version) => Some(*version),
+            _ => None,
+        });
+        if let Some(finding) = agreed(began, "box") {
+            return finding;
+        }
+        let has_several = self.answers.values().any(|it| *it == Knowledge::Several);
+        if has_several || own == Verdict::Several {
+            return Finding { origin: Origin::Unknown, source: "several versions" };
+        }
+        let only = self.answers.values().filter_map(|it| match it {
+            Knowledge::Only(version) => Some(*version),
+            _ => None,
+        });
+        let own = match own {
+            Verdict::Only(version) => Some(version),
+            Verdict::Several | Verdict::Unaware => None,
+        };
+        agreed(only.chain(own), "only version")
+            .unwrap_or(Finding { origin: Origin::Unknown, source: "nobody knows" })
+    }
+}
+
+/// Returns the version that all sources name; none if there is no source.
+fn agreed(mut versions: impl Iterator<Item = VersionKey>, source: &'static str) -> Option<Finding> {
+    let first = versions.next()?;
+    let origin =
+        if versions.all(|it| it == first) { Origin::Version(first) } else { Origin::Unknown };
+    Some(Finding { origin, source })
+}
+
+/// Returns the origin of a request when it arrives. A client that resumes a stream has its last
+/// event.
+pub(super) fn initial(route: &Route, request: &Request) -> Origin {
+    let resumes = route.kind == RouteKind::Stream && request.last_event.is_some();
+    if resumes { Origin::Sought } else { Origin::Open }
+}
+
+/// Returns the key of a request's stream: by the attempt that began it, or by its own id.
+fn stream_key(in_flight: &InFlight) -> StreamKey {
+    let request = &in_flight.request;
+    let resumed_id = request.resumed_id.as_ref().filter(|_| request.last_event.is_some());
+    let customer = in_flight.customer.as_ref().map(|it| &*it.name);
+    StreamKey::of(&in_flight.service.name, customer, resumed_id.unwrap_or(&request.id))
+}
+
+/// Returns how long ago a client may have begun a stream that it resumes, or for how long it may
+/// come back with one.
+fn window(in_flight: &InFlight) -> Duration {
+    let timeout = in_flight.route.timeout;
+    let longest = in_flight.request.deadline.map_or(timeout, |it| it.max(timeout));
+    longest * ATTEMPT_COUNT
+}
+
+impl Gateway {
+    /// Starts to look for the version of the stream that a request resumes, unless it is known or
+    /// already sought.
+    fn seek_origin(&mut self, key: RequestKey) {
+        let Some(in_flight) = self.in_flight.get(&key) else { return };
+        if in_flight.origin != Origin::Sought || self.origins.inquiries.contains_key(&key) {
+            return;
+        }
+        let stream = stream_key(in_flight);
+        // A stream that the client doesn't name is in no table.
+        let is_named = in_flight.request.resumed_id.is_some();
+        let found = self.origins.table.find(stream, self.now).filter(|_| is_named);
+        if let Some(found) = found {
+            let origin = found.version.map_or(Origin::Unknown, Origin::Version);
+            return self.set_origin(key, Finding { origin, source: "own table" }, found.age);
+        }
+        let inquiry = Inquiry {
+            stream,
+            service: service_hash(&in_flight.service.name),
+            window: window(in_flight),
+            began: self.now,
+            resend_at: self.now,
+            asked: BTreeSet::new(),
+            answers: BTreeMap::new(),
+        };
+        if self.timeline.verdict(inquiry.service, inquiry.window, self.now) == Verdict::Unaware {
+            self.read_register();
+        }
+        self.origins.inquiries.insert(key, inquiry);
+        self.conclude_inquiry(key);
+    }
+
+    /// Returns whether a request may be sent, as far as the origin of its stream is known. One whose
+    /// stream can't go on is given up; one whose version is sought waits.
+    pub(super) fn may_continue(&mut self, key: RequestKey) -> bool {
+        self.seek_origin(key);
+        match self.in_flight.get(&key).map(|it| it.origin) {
+            Some(Origin::Open | Origin::Version(_)) => true,
+            Some(Origin::Unknown) => {
+                self.give_up(key, NotRunReason::VersionUnknown);
+                false
+            }
+            Some(Origin::Sought) | None => false,
+        }
+    }
+
+    /// Asks again for the versions that are still sought, and ends the inquiries that are over.
+    pub(super) fn advance_inquiries(&mut self) {
+        let is_due = |it: &Inquiry| it.resend_at.min(it.until()) <= self.now;
+        let due = self.origins.inquiries.iter().filter(|(_, it)| is_due(it)).map(|it| *it.0);
+        for key in due.collect::<Vec<_>>() {
+            self.advance_inquiry(key);
+        }
+    }
+
+    /// Ends an inquiry if it can be, and sends its request.
+    fn advance_inquiry(&mut self, key: RequestKey) {
+        if self.conclude_inquiry(key) {
+            self.proceed(key);
+        }
+    }
+
+    /// Ends an inquiry if enough is known or its time is over, and else asks the boxes that have not
+    /// answered if that is due. Returns whether it has ended with a finding.
+    fn conclude_inquiry(&mut self, key: RequestKey) -> bool {
+        let is_sought = self.in_flight.get(&key).is_some_and(|it| it.origin == Origin::Sought);
+        if !is_sought {
+            self.origins.inquiries.remove(&key);
+            return false;
+        }
+        let Some(inquiry) = self.origins.inquiries.get(&key) else { return false };
+        if inquiry.resend_at <= self.now && self.now < inquiry.until() {
+            self.ask_holders(key);
+        }
+        let Some(inquiry) = self.origins.inquiries.get(&key) else { return false };
+        if !self.is_concluded(inquiry) {
+            return false;
+        }
+        let own = self.timeline.verdict(inquiry.service, inquiry.window, self.now);
+        let (finding, after) = (inquiry.finding(own), self.now.since(inquiry.began));
+        self.origins.inquiries.remove(&key);
+        self.set_origin(key, finding, after);
+        true
+    }
+
+    /// Returns whether an inquiry has no more answers to wait for.
+    fn is_concluded(&self, inquiry: &Inquiry) -> bool {
+        let is_known = inquiry.answers.values().any(|it| matches!(it, Knowledge::Began(_)));
+        if is_known || inquiry.until() <= self.now {
+            return true;
+        }
+        let is_settled =
+            !self.is_starting_up() || self.members.is_settled(self.now, QUIET_DURATION);
+        let have_answered = inquiry.asked.iter().all(|it| inquiry.answers.contains_key(it));
+        is_settled && have_answered && !self.is_register_awaited()
+    }
+
+    /// Sets the origin of a stream that a client resumes.
+    fn set_origin(&mut self, key: RequestKey, finding: Finding, after: Duration) {
+        let Some(in_flight) = self.in_flight.get_mut(&key) else { return };
+        in_flight.origin = finding.origin;
+        let version = match finding.origin {
+            Origin::Version(version) => Some(version),
+            _ => None,
+        };
+        let request = in_flight.request.id.clone();
+        let (service, source) = (in_flight.service.name.clone(), finding.source);
+        let name = version.and_then(|it| self.version_name(&service, it));
+        self.log(LogEvent::OriginSought { request, version, name, source, after });
+    }
+
+    /// Asks the holders of a stream that have not answered.
+    fn ask_holders(&mut self, key: RequestKey) {
+        let Some(inquiry) = self.origins.inquiries.get(&key) else { return };
+        let mut holders = self.holders(inquiry.stream, ASKED_PER_HOLDER);
+        let Some(inquiry) = self.origins.inquiries.get_mut(&key) else { return };
+        inquiry.resend_at = self.now + RESEND_INTERVAL;
+        holders.retain(|it| !inquiry.answers.contains_key(it));
+        inquiry.asked.extend(&holders);
+        let window_ms = millis(inquiry.window);
+        let ask = Ask { stream: inquiry.stream, service: inquiry.service, window_ms };
+        let notice = Notice { asks: vec![ask], ..self.notice() };
+        self.notify(holders, notice);
+    }
+
+    /// Returns the holders of a stream, or a multiple of their number: the first boxes of its first
+    /// data centres.
+    fn holders(&self, stream: StreamKey, multiple: usize) -> Vec<SocketAddr> {
+        let count = if self.members.is_large() { LARGE_HOLDER_COUNT } else { HOLDER_COUNT };
+        self.members.holders(stream, &self.own_region(), count, count * multiple)
+    }
+
+    /// Returns a notice of this box without content.
+    fn notice(&self) -> Notice {
+        Notice::new(self.settings.peer)
+    }
+
+    /// Sends a notice to boxes, if there are any.
+    fn notify(&mut self, recipients: Vec<SocketAddr>, notice: Notice) {
+        if !recipients.is_empty() {
+            self.effects.push(Effect::Notify(recipients, notice));
+        }
+    }
+
+    /// Handles a notice of another box.
+    pub(super) fn receive_notice(&mut self, notice: &Notice) {
+        for announcement in &notice.announcements {
+            let ttl = Duration::from_millis(u64::from(announcement.ttl_ms));
+            let &Announcement { stream, version, .. } = announcement;
+            self.origins.table.record(stream, version, self.now, self.now + ttl);
+        }
+        let replies: Vec<_> = notice.asks.iter().map(|it| self.reply_to(it)).collect();
+        if !replies.is_empty() {
+            let reply = Notice { replies, ..self.notice() };
+            self.notify(vec![notice.sender], reply);
+        }
+        for reply in &notice.replies {
+            self.receive_reply(notice.sender, reply);
+        }
+    }
+
+    /// Answers the question for a stream's version.
+    fn reply_to(&self, ask: &Ask) -> Reply {
+        let found = self.origins.table.find(ask.stream, self.now);
+        let knowledge = match found.map(|it| it.version) {
+            Some(Some(version)) => Knowledge::Began(version),
+            Some(None) => Knowledge::Several,
+            None => {
+                let window = Duration::from_millis(u64::from(ask.window_ms));
+                match self.timeline.verdict(ask.service, window, self.now) {
+                    Verdict::Only(version) => Knowledge::Only(version),
+                    Verdict::Several => Knowledge::Several,
+                    Verdict::Unaware => Knowledge::Unaware,
+                }
+            }
+        };
+        Reply { stream: ask.stream, knowledge }
+    }
+
+    /// Handles an answer to an inquiry.
+    fn receive_reply(&mut self, sender: SocketAddr, reply: &Reply) {
+        let mut concerned = Vec::new();
+        for (&key, inquiry) in &mut self.origins.inquiries {
+            if inquiry.stream == reply.stream && inquiry.asked.contains(&sender) {
+                inquiry.answers.insert(sender, reply.knowledge);
+                concerned.push(key);
+            }
+        }
+        for key in concerned {
+            self.advance_inquiry(key);
+        }
+    }
+
+    /// Ends the inquiries that waited for the store only.
+    pub(super) fn advance_all_inquiries(&mut self) {
+        for key in self.origins.inquiries.keys().copied().collect::<Vec<_>>() {
+            self.advance_inquiry(key);
+        }
+    }
+
+    /// Binds a stream to the version whose event is forwarded as the first one of an attempt, and
+    /// announces it if the client may come back with the stream.
+    pub(super) fn bind_origin(&mut self, key: CallKey) {
+        let Some(call) = self.calls.get(&key) else { return };
+        let Some(in_flight) = self.in_flight.get(&call.request) else { return };
+        if in_flight.is_origin_bound {
+            return;
+        }
+        let (request, written) = (call.request, self.version_of(call));
+        let stream = stream_key(in_flight);
+        let is_resumable = in_flight.route.kind == RouteKind::Stream && in_flight.route.resumable;
+        let until = in_flight.arrived + window(in_flight);
+        let Some(in_flight) = self.in_flight.get_mut(&request) else { return };
+        in_flight.is_origin_bound = true;
+        if in_flight.origin == Origin::Open {
+            in_flight.origin = written;
+        }
+        if let (true, Origin::Version(version)) = (is_resumable, in_flight.origin) {
+            self.announce_origin(stream, version, until);
+        }
+    }
+
+    /// Records which version began a stream, and announces it to the stream's holders.
+    fn announce_origin(&mut self, stream: StreamKey, version: VersionKey, until: Time) {
+        self.origins.table.record(stream, version, self.now, until);
+        let ttl_ms = millis(until.since(self.now));
+        let announcements = vec![Announcement { stream, version, ttl_ms }];
+        let holders = self.holders(stream, 1);
+        let notice = Notice { announcements, ..self.notice() };
+        self.notify(holders, notice);
+    }
+
+    /// Returns the version that writes the events of a call. It isn't known if the engine has
+    /// restarted since the call was sent: either incarnation may have received it.
+    fn version_of(&self, call: &Call) -> Origin {
+        let record = self.directory.get(call.engine.key);
+        let is_other = record.is_some_and(|it| {
+            !it.engine.is_same_incarnation(&call.engine) || it.engine.version != call.engine.version
+        });
+        if is_other { Origin::Unknown } else { Origin::of(call.engine.version.as_ref()) }
+    }
+
+    /// Returns whether the events of a call may follow those that the client has.
+    pub(super) fn fits_origin(&self, call: &Call) -> bool {
+        let Some(in_flight) = self.in_flight.get(&call.request) else { return false };
+        match in_flight.origin {
+            Origin::Open => true,
+            origin => self.version_of(call) == origin,
+        }
+    }
+}
+
+/// Returns a duration in milliseconds as it is announced.
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -184,6 +184,9 @@
         self.log_engine_change_counts();
         self.sync_with_store();
         self.update_census();
+        self.observe_versions();
+        self.complete_versions();
+        self.sync_register();
         self.balance_stages();
         self.sweep_quarantine();
         self.sweep_permits();
@@ -370,14 +373,14 @@
             cached_prompts: Vec::new(),
             peers,
             era: self.store_era(),
-            format: Some(Format::Eras),
+            format: Some(Format::Origins),
             extension: None,
         }
     }
 
     /// Returns whether this box has just started, possibly together with all others. The peers that
     /// it knows may be new to them.
-    fn is_starting_up(&self) -> bool {
+    pub(super) fn is_starting_up(&self) -> bool {
         self.now.since(Time::ZERO) < STARTUP_DURATION
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/stages/orders.rs
+++ b/crates/hollyspoke-gateway/src/gateway/stages/orders.rs
@@ -63,7 +63,10 @@
 
     /// Handles the store's answer to an operation.
     pub(in crate::gateway) fn apply_store_answer(&mut self, number: u64, answer: &Answer) {
-        if self.apply_census_answer(number, answer) || self.apply_cases_answer(number, answer) {
+        let is_applied = self.apply_census_answer(number, answer)
+            || self.apply_cases_answer(number, answer)
+            || self.apply_register_answer(number, answer);
+        if is_applied {
             return;
         }
         let (next, started) = (self.stages.last_operation + 1, &mut None);
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -13,6 +13,7 @@
 use crate::framing::Framing;
 use crate::gateway::customer::identify;
 use crate::gateway::end::RETRY_AFTER;
+use crate::gateway::origins;
 use crate::gateway::permits::Permission;
 use crate::in_flight::{Call, InFlight, task_name};
 use crate::message::Load;
@@ -108,6 +109,7 @@
             self.earn_retries(&service);
             self.record_demand(&service, &request);
         }
+        let origin = origins::initial(&route, &request);
         let in_flight = InFlight {
             deadline: self.now + timeout,
             signature: Signature::of(
@@ -152,6 +154,8 @@
             has_begun: false,
             framing: Framing::Marked,
             last_event: None,
+            origin,
+            is_origin_bound: false,
         };
         self.due.insert((in_flight.deadline, key));
         self.in_flight.insert(key, in_flight);
@@ -168,6 +172,9 @@
         if self.is_asking(key) || self.pass_on(key) {
             return;
         }
+        if !self.may_continue(key) {
+            return;
+        }
         self.expire_grant(key);
         if !self.recheck_key(key) {
             return;
@@ -272,6 +279,7 @@
             data_centre: &self.settings.data_centre,
             knows_remote: !self.members.is_large(),
             tried: &in_flight.tried,
+            origin: in_flight.origin,
             granted: self.granted_engine(in_flight),
             allowed_regions: in_flight.allowed_regions(),
             regions: &self.settings.regions,
--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -213,6 +213,7 @@
             self.are_engines_listed = true;
             self.schedule_heartbeat();
         }
+        self.observe_versions();
     }
 
     /// Applies changes that this box read from the store. A follower forwards them. A box that
@@ -321,6 +322,7 @@
         let old = self.directory.get(engine.key).map(|it| it.engine.is_draining);
         let is_relevant = old != Some(engine.is_draining);
         let is_taken = self.directory.apply_change(engine.clone(), revision, self.now);
+        self.observe_version(&engine.service, engine.version.as_ref());
         (is_taken && is_relevant).then(|| {
             let (id, address) = (engine.id.clone(), engine.address);
             let (is_draining, version) = (engine.is_draining, engine.version.clone());
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -13,6 +13,7 @@
 use crate::framing::Framing;
 use crate::message::Load;
 use crate::migration::Progress;
+use crate::origin::Origin;
 use crate::proxy;
 use crate::quarantine;
 use crate::region::{ALL_REGIONS, AllowedRegions};
@@ -119,6 +120,10 @@
     pub framing: Framing,
     /// The id of the last event forwarded to the client.
     pub last_event: Option<u64>,
+    /// Which software version the stream's events must come from.
+    pub origin: Origin,
+    /// Whether an event has been forwarded, which binds the stream to its version.
+    pub is_origin_bound: bool,
 }
 
 /// An engine that a request couldn't be sent to, with the reason.
--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -14,6 +14,7 @@
 
 use crate::cadence::{ALL_TO_ALL_MAX_BOXES, Cadence};
 use crate::message::{DataCentreKey, Demand, Format, Message, PeerAddress, Readiness, StoreView};
+use crate::origin::StreamKey;
 
 use peer::Peer;
 
@@ -332,6 +333,36 @@
         }
     }
 
+    /// Returns the first `count` live boxes that hold a stream's version. They are chosen in turn
+    /// from the stream's first `spread` data centres, so that boxes that differ in one box differ
+    /// only in its data centre. Only boxes inside of the given data centres are chosen, where there
+    /// are enough; an empty set stands for all.
+    pub fn holders(
+        &self,
+        stream: StreamKey,
+        inside: &BTreeSet<DataCentreKey>,
+        spread: usize,
+        count: usize,
+    ) -> Vec<SocketAddr> {
+        let is_able = |it: &Peer| !it.has_timed_out && it.format >= Format::Origins;
+        let able: Vec<_> = self.peers.iter().filter(|it| is_able(it.1)).collect();
+        let is_inside = |it: &Peer| inside.is_empty() || inside.contains(&it.data_centre);
+        let has_enough = able.iter().filter(|it| is_inside(it.1)).count() >= spread;
+        let mut data_centres: BTreeMap<DataCentreKey, Vec<(SocketAddr, u64)>> = BTreeMap::new();
+        for (address, peer) in able.into_iter().filter(|it| !has_enough || is_inside(it.1)) {
+            data_centres.entry(peer.data_centre).or_default().push((*address, peer.address_hash));
+        }
+        let mut data_centres: Vec<_> = data_centres.into_iter().collect();
+        rank::order(stream.0, &mut data_centres, |it| u64::from(it.0.0));
+        data_centres.truncate(spread);
+        for (_, boxes) in &mut data_centres {
+            rank::order(stream.0, boxes, |it| it.1);
+        }
+        let largest = data_centres.iter().map(|it| it.1.len()).max().unwrap_or(0);
+        let turns = (0..largest).flat_map(|turn| data_centres.iter().map(move |it| (turn, it)));
+        turns.filter_map(|(turn, (_, boxes))| Some(boxes.get(turn)?.0)).take(count).collect()
+    }
+
     /// Returns the demand for a service at the live boxes other than this one.
     pub fn demand(&self, service: u64) -> Demand {
         let alive = self.peers.values().filter(|it| !it.has_timed_out);
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -175,6 +175,8 @@
     Handovers,
     /// Also eras of the store.
     Eras,
+    /// Also notices of streams' versions.
+    Origins,
 }
 
 /// One datagram. Loads are absolute, so that the next datagram makes up for a lost one.
@@ -259,7 +261,19 @@
 impl Message {
     /// Returns whether there are fields that a box of the first format can't read.
     pub fn is_extended(&self) -> bool {
-        self.extension.is_some() || self.era > 0
+        let has_versions = |it: &EngineChange| match it {
+            EngineChange::Put(engine, _) => engine.version.is_some(),
+            EngineChange::Left(..) => false,
+        };
+        let update = self.engine_update.as_ref();
+        let names_versions = update.is_some_and(|it| it.changes.iter().any(has_versions));
+        let is_extended = self.extension.is_some() || self.era > 0;
+        is_extended || names_versions || self.announces_notices()
+    }
+
+    /// Returns whether the datagram announces that its sender reads notices of streams' versions.
+    pub fn announces_notices(&self) -> bool {
+        self.is_whole && self.format >= Some(Format::Origins)
     }
 
     /// Returns the eras of the revisions in the datagram.
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -9,11 +9,13 @@
 use crate::directory::{Directory, Group, Record};
 use crate::engine::{Engine, EngineKey, Stage};
 use crate::load::Ledger;
+use crate::origin::Origin;
 use crate::pace::{self, Paces};
 use crate::permit::Holder;
 use crate::region::{AllowedRegions, Regions};
 use crate::route::{Service, Staged};
 use crate::terms::{Restriction, Terms};
+use crate::version::{SoftwareVersion, VersionKey};
 use crate::work;
 
 /// How long the load that an engine reported with an answer stays valid.
@@ -128,6 +130,8 @@
     pub knows_remote: bool,
     /// Engines that the request was already sent to.
     pub tried: &'a [EngineKey],
+    /// Which software version the answer's events must come from.
+    pub origin: Origin,
     /// The engine that has reserved memory for the request.
     pub granted: Option<EngineKey>,
     /// The regions that the request may be served in: by its route, and by its customer.
@@ -300,7 +304,11 @@
     ) -> Vec<&Record> {
         let is_of_stage = |it: &Group| stage.is_none() || it.stage.is_none() || it.stage == stage;
         // Only few of many engines may be in the allowed regions: a sample of all would miss them.
-        let is_usable = |it: &Group| is_of_stage(it) && self.is_region_allowed(&it.data_centre);
+        // The same holds for the engines of a version.
+        let is_usable = |it: &Group| {
+            let is_allowed = self.is_region_allowed(&it.data_centre);
+            is_of_stage(it) && is_allowed && self.fits_origin(it.stage, it.version)
+        };
         let name = &self.service.name;
         let count = self.directory.count(name, is_usable);
         if count <= MAX_COMPARED_COUNT {
@@ -341,11 +349,12 @@
     }
 
     /// Returns whether the request may be sent to an engine at all: the engine accepts new requests
-    /// by its entry and its own announcements, lies in an allowed region, and is not cold or can
-    /// handle one more request.
+    /// by its entry and its own announcements, lies in an allowed region, has the version that the
+    /// stream needs, and is not cold or can handle one more request.
     pub fn is_allowed(&self, record: &Record) -> bool {
         record.is_open(self.now)
             && self.is_region_allowed(&record.engine.data_centre)
+            && self.has_origin(record)
             && !self.is_too_cold(record)
             && self.is_admitted(record)
     }
@@ -388,6 +397,18 @@
         self.allowed_regions.iter().all(|it| it.includes_data_centre(data_centre, self.regions))
     }
 
+    /// Returns whether an engine has the version that the stream needs.
+    fn has_origin(&self, record: &Record) -> bool {
+        let version = record.engine.version.as_ref().map(SoftwareVersion::key);
+        self.fits_origin(record.engine.stage, version)
+    }
+
+    /// Returns whether engines of a stage and a version may serve the stream. A prefill writes no
+    /// events, and any decode engine can import it.
+    fn fits_origin(&self, stage: Option<Stage>, version: Option<VersionKey>) -> bool {
+        stage == Some(Stage::Prefill) || self.origin.allows(version)
+    }
+
     /// Returns whether an engine is cold and can't accept another request of this box now.
     fn is_too_cold(&self, record: &Record) -> bool {
         let rate = self.service.cold_rate.filter(|_| record.is_cold(self.now));
--- a/crates/hollyspoke-gateway/src/version.rs
+++ b/crates/hollyspoke-gateway/src/version.rs
@@ -3,11 +3,15 @@
 //! Engines of several versions may serve one service side by side. What two versions write doesn't
 //! fit together, so that a stream continues only at engines of the version that began it.
 
+mod timeline;
+
 use std::fmt;
 use std::sync::Arc;
 
 use xxhash_rust::xxh3::xxh3_64;
 
+pub use timeline::{Timeline, Verdict};
+
 /// The version of an engine's software. Engines that name none form a version of their own.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SoftwareVersion(Arc<str>);
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/version/timeline.rs
@@ -0,0 +1,89 @@
+//! Which software versions have served each service, and since when that is known.
+//!
+//! If only one version can have served while a stream can have begun, that version began it. What is
+//! listed now doesn't show this: a version may have left moments ago.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use hollyspoke::time::Time;
+
+use super::VersionKey;
+
+/// The longest time between two observations of a version that serves.
+const MAX_OBSERVATION_GAP: Duration = Duration::from_secs(2);
+
+/// How long versions that no longer serve are remembered. Must exceed the time for which a client
+/// may come back with a stream.
+const RETENTION: Duration = Duration::from_secs(600);
+
+/// What is known of the versions that have served a service for a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Only this one.
+    Only(VersionKey),
+    /// Several, or one that isn't known.
+    Several,
+    /// It isn't known for all of the time.
+    Unaware,
+}
+
+/// The versions that serve a service, or have served it.
+#[derive(Debug, Clone, Default)]
+struct History {
+    /// The versions, each with the time when it was last observed; none stands for a version that
+    /// isn't known.
+    seen: Vec<(Option<VersionKey>, Time)>,
+    /// The only version in a time before the timeline begins, if known, and how long that was.
+    earlier: Option<(VersionKey, Duration)>,
+}
+
+/// The versions of all services over time.
+#[derive(Debug, Clone, Default)]
+pub struct Timeline {
+    /// The time since which all versions are observed.
+    since: Option<Time>,
+    /// The history of each service, by the hash of its name.
+    services: HashMap<u64, History>,
+}
+
+impl Timeline {
+    /// Records that all versions are observed from now on.
+    pub fn begin(&mut self, now: Time) {
+        self.since.get_or_insert(now);
+    }
+
+    /// Records that an engine of a version serves.
+    pub fn observe(&mut self, service: u64, version: Option<VersionKey>, now: Time) {
+        let history = self.services.entry(service).or_default();
+        history.seen.retain(|it| now.since(it.1) < RETENTION);
+        match history.seen.iter_mut().find(|it| it.0 == version) {
+            Some(seen) => seen.1 = now,
+            None => history.seen.push((version, now)),
+        }
+    }
+
+    /// Records that only one version has served a service for a time that ends now.
+    pub fn extend(&mut self, service: u64, version: VersionKey, duration: Duration, now: Time) {
+        let Some(since) = self.since else { return };
+        let earlier = duration.saturating_sub(now.since(since));
+        self.services.entry(service).or_default().earlier = Some((version, earlier));
+    }
+
+    /// Returns which versions have served a service for a time that ends now.
+    pub fn verdict(&self, service: u64, duration: Duration, now: Time) -> Verdict {
+        let (Some(since), Some(history)) = (self.since, self.services.get(&service)) else {
+            return Verdict::Unaware;
+        };
+        let is_recent = |at: Time| now.since(at) <= duration + MAX_OBSERVATION_GAP;
+        let mut recent = history.seen.iter().filter(|it| is_recent(it.1));
+        let Some((first, _)) = recent.next() else { return Verdict::Unaware };
+        let Some(version) = first.filter(|_| recent.next().is_none()) else {
+            return Verdict::Several;
+        };
+        let observed = now.since(since);
+        let earlier =
+            history.earlier.filter(|it| it.0 == version).map_or(Duration::ZERO, |it| it.1);
+        if observed + earlier >= duration { Verdict::Only(version) } else { Verdict::Unaware }
+    }
+}
--- a/crates/hollyspoke-server/src/datagram.rs
+++ b/crates/hollyspoke-server/src/datagram.rs
@@ -16,13 +16,15 @@
 use eyre::{WrapErr, ensure};
 use hollyspoke_gateway::class::{self, Class};
 use hollyspoke_gateway::customer::CustomerKey;
-use hollyspoke_gateway::engine::EngineKey;
+use hollyspoke_gateway::engine::{Engine, EngineChange, EngineKey};
 use hollyspoke_gateway::message::{Demand, Eras, Extension, Format, Message};
 use hollyspoke_gateway::permit::{Ask, Outcome, Reply};
 use hollyspoke_gateway::rate_limit::Announcement;
 use hollyspoke_gateway::{appointment, departure, pace, proxy};
 use minicbor::{Decode, Encode};
 
+use crate::software::VersionsField;
+
 /// The first byte of a datagram in the extended format. The first format begins with a
 /// variable-length integer, whose first byte is at most 254.
 pub(crate) const EXTENDED_FORMAT_MARK: u8 = 255;
@@ -74,6 +76,12 @@
     /// Whether and for which services the sender accepts requests of other boxes.
     #[n(9)]
     proxy: Option<ProxyField>,
+    /// The versions of the engines added or changed by the engine update, in its order.
+    #[n(10)]
+    versions: Option<VersionsField>,
+    /// Whether the sender reads notices of streams' versions, in whole datagrams; no if missing.
+    #[n(11)]
+    reads_notices: Option<bool>,
 }
 
 /// Whether and for which services a box accepts requests of other boxes.
@@ -270,6 +278,8 @@
         ),
         paces: non_empty_list(extension.paces.iter().map(PaceField::of).collect()),
         proxy: ProxyField::of(&extension.proxy),
+        versions: message.engine_update.as_ref().and_then(|it| VersionsField::of(put(&it.changes))),
+        reads_notices: message.announces_notices().then_some(true),
     };
     let mut bytes = vec![EXTENDED_FORMAT_MARK, EXTENDED_FORMAT_VERSION];
     minicbor::encode(&extended, &mut bytes).wrap_err("a field can't be written")?;
@@ -288,7 +298,13 @@
     let extended: ExtendedDatagram = minicbor::decode(fields).wrap_err("a field can't be read")?;
     let mut message = read_first(&extended.first)?;
     message.format = message.format.or(Some(Format::Permits));
+    if extended.reads_notices.unwrap_or_default() {
+        message.format = Some(Format::Origins);
+    }
     message.set_eras(extended.eras.as_ref().map(ErasField::eras).unwrap_or_default());
+    if let (Some(versions), Some(update)) = (&extended.versions, &mut message.engine_update) {
+        versions.apply(put_mut(&mut update.changes));
+    }
     message.extension = Extension {
         limits: extended.limits.iter().flatten().map(LimitField::announcement).collect(),
         asks: extended.asks.iter().flatten().map(AskField::ask).collect(),
@@ -313,6 +329,22 @@
     Ok(message)
 }
 
+/// Iterates over the engines that changes add or change.
+pub(crate) fn put(changes: &[EngineChange]) -> impl Iterator<Item = &Engine> {
+    changes.iter().filter_map(|it| match it {
+        EngineChange::Put(engine, _) => Some(engine),
+        EngineChange::Left(..) => None,
+    })
+}
+
+/// Iterates over the same engines for modification.
+pub(crate) fn put_mut(changes: &mut [EngineChange]) -> impl Iterator<Item = &mut Engine> {
+    changes.iter_mut().filter_map(|it| match it {
+        EngineChange::Put(engine, _) => Some(engine),
+        EngineChange::Left(..) => None,
+    })
+}
+
 /// Encodes the first format. A whole datagram also announces the version that this box can read.
 fn write_first(message: &Message) -> eyre::Result<Vec<u8>> {
     if !message.is_whole {
--- a/crates/hollyspoke-server/src/front.rs
+++ b/crates/hollyspoke-server/src/front.rs
@@ -223,6 +223,9 @@
 /// Returns the answer to a request that the gateway itself rejects.
 fn refusal_response(refusal: Refusal) -> Response<AnswerBody> {
     match refusal {
+        Refusal::NotRun(_, reason, _) if !reason.may_pass() => {
+            status(StatusCode::SERVICE_UNAVAILABLE)
+        }
         Refusal::NotRun(_, _, retry) => retry_status(StatusCode::SERVICE_UNAVAILABLE, retry),
         Refusal::OverLimit(_, retry) => retry_status(StatusCode::TOO_MANY_REQUESTS, retry),
         Refusal::UnknownKey => {
--- a/crates/hollyspoke-server/src/handover/format.rs
+++ b/crates/hollyspoke-server/src/handover/format.rs
@@ -10,14 +10,16 @@
 
 use bincode::Options;
 use eyre::{WrapErr, bail, ensure};
+use hollyspoke_gateway::engine::Engine;
 use hollyspoke_gateway::message::Format;
 use hollyspoke_gateway::route::{Operations, Service};
-use hollyspoke_gateway::snapshot::{Snapshot, SnapshotRequest};
+use hollyspoke_gateway::snapshot::{Listing, Snapshot, SnapshotRequest};
 use minicbor::{Decode, Encode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::datagram::{DepartureField, EXTENDED_FORMAT_MARK, non_empty_list};
+use crate::datagram::{DepartureField, EXTENDED_FORMAT_MARK, non_empty_list, put, put_mut};
+use crate::software::VersionsField;
 
 /// The version of the extended format that this box writes.
 const EXTENDED_FORMAT_VERSION: u8 = 1;
@@ -53,6 +55,9 @@
     /// The optional operations that the engines of services support.
     #[n(4)]
     operations: Option<Vec<OperationsField>>,
+    /// The versions of the engines that the listing adds, in its order.
+    #[n(5)]
+    versions: Option<VersionsField>,
 }
 
 /// The optional operations that the engines of a service support.
@@ -128,7 +133,15 @@
     let evacuation_era = non_zero(snapshot.evacuation.revision.era);
     let services = snapshot.configuration.iter().flat_map(|it| &it.services);
     let operations = non_empty_list(services.filter_map(OperationsField::of).collect());
-    write_extended(&ExtendedSnapshot { first, departures, engines_era, evacuation_era, operations })
+    let versions = snapshot.listing.as_ref().and_then(|it| VersionsField::of(engines(it)));
+    write_extended(&ExtendedSnapshot {
+        first,
+        departures,
+        engines_era,
+        evacuation_era,
+        operations,
+        versions,
+    })
 }
 
 /// Decodes a snapshot.
@@ -144,6 +157,9 @@
         extended.departures.iter().flatten().map(DepartureField::announcement).collect();
     let engines_era = extended.engines_era.unwrap_or_default();
     snapshot.listing = snapshot.listing.map(|it| it.in_era(engines_era));
+    if let (Some(versions), Some(listing)) = (&extended.versions, &mut snapshot.listing) {
+        versions.apply(engines_mut(listing));
+    }
     snapshot.evacuation.revision.era = extended.evacuation_era.unwrap_or_default();
     if let Some(configuration) = &mut snapshot.configuration {
         for supported in extended.operations.iter().flatten() {
@@ -153,6 +169,22 @@
     Ok(snapshot)
 }
 
+/// Iterates over the engines that a listing adds or changes.
+fn engines(listing: &Listing) -> Box<dyn Iterator<Item = &Engine> + '_> {
+    match listing {
+        Listing::Whole { engines, .. } => Box::new(engines.iter()),
+        Listing::Changes { changes, .. } => Box::new(put(changes)),
+    }
+}
+
+/// Iterates over the same engines for modification.
+fn engines_mut(listing: &mut Listing) -> Box<dyn Iterator<Item = &mut Engine> + '_> {
+    match listing {
+        Listing::Whole { engines, .. } => Box::new(engines.iter_mut()),
+        Listing::Changes { changes, .. } => Box::new(put_mut(changes)),
+    }
+}
+
 impl OperationsField {
     /// Encodes the operations of a service; none if it has no stages or its engines support none.
     fn of(service: &Service) -> Option<OperationsField> {
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -87,6 +87,8 @@
     store_era: Gauge<u64>,
     /// Requests that were passed on to another box.
     passed_on: Counter<u64>,
+    /// Streams that clients resume, by what their software version is known from.
+    resumed: Counter<u64>,
     /// Whether the box has lost contact with the engines of a service.
     lost_contact: Gauge<u64>,
     /// Whether an engine is shutting down.
@@ -178,6 +180,10 @@
                 "hollyspoke_store_era",
                 "how often the store came back from an older copy",
             ),
+            resumed: count(
+                "hollyspoke_streams_resumed",
+                "Streams that clients resume, by what their software version is known from",
+            ),
             passed_on: count(
                 "hollyspoke_requests_passed_on",
                 "requests that were passed on to another box",
@@ -314,7 +320,13 @@
             LogEvent::PassedOn { .. } => self.passed_on.add(1, &[]),
             LogEvent::Ordered { .. } | LogEvent::Census { .. } | LogEvent::CasesRead { .. } => {}
             LogEvent::Released { .. } | LogEvent::Suspended(_) | LogEvent::Paused(_) => {}
-            LogEvent::ClientResumes { .. } => {}
+            LogEvent::ClientResumes { .. } | LogEvent::VersionRegister { .. } => {}
+            LogEvent::OriginSought { source, .. } => {
+                self.resumed.add(1, &[KeyValue::new("from", *source)]);
+            }
+            LogEvent::OtherVersion { .. } => {
+                self.resumed.add(1, &[KeyValue::new("from", "other version")]);
+            }
             LogEvent::Listed { .. }
             | LogEvent::ListDropped { .. }
             | LogEvent::NotForwarded { .. }
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -351,6 +351,11 @@
         self.pending_answers.borrow_mut().remove(&call);
     }
 
+    /// Returns whether a call has neither ended nor been cancelled.
+    pub fn has_call(&self, call: CallKey) -> bool {
+        self.calls.borrow().contains_key(&call)
+    }
+
     /// Forgets a call whose task has ended.
     pub fn remove_call(&self, call: CallKey) {
         self.calls.borrow_mut().remove(&call);
@@ -441,6 +446,7 @@
             Effect::Read(kind) => self.wakeup(kind).notify_one(),
             Effect::Fetch(provider) => (self.upstream_client.fetch)(self.clone(), provider),
             Effect::Announce(nodes, message) => self.announce(nodes, &message),
+            Effect::Notify(nodes, notice) => self.peers.notify(&nodes, &notice),
             Effect::Log(note) => {
                 self.metrics.record(&note);
                 notes::write(&self.log, &note);
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -91,6 +91,18 @@
             info!(log, "client resumes a stream"; "request" => %request,
                 "resumes" => resumed_id.as_deref(), "after_event" => last_event)
         }
+        LogEvent::OriginSought { request, version: key, name, source, after } => {
+            let version = name.as_ref().map(|it| it.to_string());
+            let version = version.or_else(|| key.map(|it| it.to_string()));
+            info!(log, "version of a stream sought"; "request" => %request, "version" => version,
+                "from" => source, "after_ms" => millis(after))
+        }
+        LogEvent::OtherVersion { request, engine } => {
+            warn!(log, "engine of another version"; "request" => %request, "engine" => %engine)
+        }
+        LogEvent::VersionRegister { services, is_written } => {
+            info!(log, "versions in the store"; "services" => services, "written" => is_written)
+        }
         LogEvent::Retry { request, service, is_sent, available, boxes } => {
             let message = if *is_sent { "repeat sent" } else { "repeat not allowed" };
             info!(log, "{}", message;
--- a/crates/hollyspoke-server/src/peers.rs
+++ b/crates/hollyspoke-server/src/peers.rs
@@ -6,15 +6,26 @@
 use std::rc::Rc;
 
 use hollyspoke_gateway::message::{Format, Message};
+use hollyspoke_gateway::origin::Notice;
 use slog::{Logger, warn};
 use tokio::net::UdpSocket;
 
 use crate::datagram;
+use crate::notice;
 
 /// The maximum size of a datagram in bytes, as UDP allows over IPv4. The accounts of 520 customers,
 /// the design limit, take 10 KB.
 const MAX_DATAGRAM_BYTES: usize = 65_507;
 
+/// A datagram of any kind.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Datagram {
+    /// A heartbeat or an announcement.
+    Message(Box<Message>),
+    /// A notice of streams' versions.
+    Notice(Notice),
+}
+
 /// The UDP socket for messages between boxes.
 #[derive(Debug, Clone)]
 pub struct Peers {
@@ -58,8 +69,21 @@
             Ok(bytes) => bytes,
             Err(error) => return self.log_failure("datagram not written", &error),
         };
+        self.send_bytes(nodes, &bytes);
+    }
+
+    /// Sends a notice of streams' versions to boxes that can read it.
+    pub fn notify(&self, nodes: &[SocketAddr], notice: &Notice) {
+        match notice::write(notice) {
+            Ok(bytes) => self.send_bytes(nodes, &bytes),
+            Err(error) => self.log_failure("notice not written", &error),
+        }
+    }
+
+    /// Sends the bytes of a datagram to boxes.
+    fn send_bytes(&self, nodes: &[SocketAddr], bytes: &[u8]) {
         for &node in nodes {
-            if let Err(error) = self.socket.try_send_to(&bytes, node) {
+            if let Err(error) = self.socket.try_send_to(bytes, node) {
                 self.log_failure("datagram not sent", &error);
             }
         }
@@ -75,8 +99,8 @@
         }
     }
 
-    /// Calls a function with each received message until the process ends.
-    pub async fn listen(self, on_message: impl Fn(Message)) {
+    /// Calls a function with each received datagram until the process ends.
+    pub async fn listen(self, on_datagram: impl Fn(Datagram)) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
             let length = match self.socket.recv_from(&mut buffer).await {
@@ -86,10 +110,18 @@
                     continue;
                 }
             };
-            match datagram::read(&buffer[..length]) {
-                Ok(message) => on_message(message),
+            match read(&buffer[..length]) {
+                Ok(datagram) => on_datagram(datagram),
                 Err(error) => self.log_failure("datagram not read", &error),
             }
         }
     }
 }
+
+/// Decodes a datagram.
+fn read(bytes: &[u8]) -> eyre::Result<Datagram> {
+    if let Some(notice) = notice::read(bytes)? {
+        return Ok(Datagram::Notice(notice));
+    }
+    Ok(Datagram::Message(Box::new(datagram::read(bytes)?)))
+}
--- a/crates/hollyspoke-server/src/run.rs
+++ b/crates/hollyspoke-server/src/run.rs
@@ -19,7 +19,7 @@
 use crate::dialect::{Dialect, Kind};
 use crate::directory::Audience;
 use crate::node::Node;
-use crate::peers::Peers;
+use crate::peers::{Datagram, Peers};
 use crate::settings::Settings;
 use crate::upstream::UPSTREAM_CLIENT;
 use crate::{directory, front, handover, sync};
@@ -126,8 +126,11 @@
     info!(node.log, "started"; "front" => %running.front, "store" => %settings.store);
     node.dispatch(Event::Seeds(settings.seeds.clone()));
     let receiver = node.clone();
-    let on_message = move |message| receiver.dispatch(Event::Received(message));
-    tokio::task::spawn_local(peers.listen(on_message));
+    let on_datagram = move |datagram| match datagram {
+        Datagram::Message(message) => receiver.dispatch(Event::Received(*message)),
+        Datagram::Notice(notice) => receiver.dispatch(Event::Notified(notice)),
+    };
+    tokio::task::spawn_local(peers.listen(on_datagram));
     tokio::task::spawn_local(handover::listen(node.clone(), handovers));
     tokio::task::spawn_local(tick(node.clone()));
     for kind in [Kind::Configuration, Kind::Engines, Kind::Evacuations] {
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -140,7 +140,7 @@
         let frame = frame.map_err(|_| Failure::Broken)?;
         let Ok(bytes) = frame.into_data() else { continue };
         let Some(events) = splitter.push(&bytes) else { continue };
-        report_stream_start(node, send, &answer, &mut head);
+        report_stream_start(node, send, &answer, &mut head)?;
         forward(node, send, events.bytes, events.last_id).await?;
     }
     let is_broken = splitter.is_within_event() || head.is_some();
@@ -148,7 +148,7 @@
     if answer.framing == Framing::Close && is_broken {
         return Err(Failure::Broken);
     }
-    report_stream_start(node, send, &answer, &mut head);
+    report_stream_start(node, send, &answer, &mut head)?;
     let remaining = splitter.take_remaining();
     if !remaining.is_empty() {
         forward(node, send, remaining, None).await?;
@@ -165,17 +165,19 @@
     }
 }
 
-/// Reports to the reducer, once, that a stream has begun.
+/// Reports to the reducer, once, that a stream has begun. Fails if the reducer drops the call, so that
+/// none of its events is forwarded.
 fn report_stream_start(
     node: &Rc<Node>,
     send: &Send,
     answer: &Answer,
     head: &mut Option<response::Parts>,
-) {
+) -> Result<(), Failure> {
     if let Some(head) = head.take() {
         node.hold_answer(send.call, head, None);
         node.dispatch(Event::Call(send.call, CallEvent::Began(answer.clone())));
     }
+    if node.has_call(send.call) { Ok(()) } else { Err(Failure::Broken) }
 }
 
 /// Forwards events to the client.
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -4,6 +4,7 @@
 mod engines;
 mod proxies;
 mod store;
+mod streams;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -19,6 +20,7 @@
 use hollyspoke_gateway::event::{CallEvent, Event, Kind, Probe};
 use hollyspoke_gateway::gateway::{Gateway, Settings};
 use hollyspoke_gateway::message::Message;
+use hollyspoke_gateway::origin::Notice;
 use hollyspoke_gateway::proxy;
 use hollyspoke_gateway::request::{CallKey, Request, RequestKey};
 use hollyspoke_gateway::signature::Content;
@@ -34,8 +36,10 @@
 use crate::statements::{BackOffs, Statements};
 
 use proxies::{Outcome, Proxied, Proxies};
+use streams::Streams;
 
 pub use store::Store;
+pub use streams::StreamCounts;
 
 /// The time from a box to an engine.
 const TRANSIT: Duration = Duration::from_millis(1);
@@ -136,6 +140,8 @@
     Request(usize, Request),
     /// A datagram arrives at a box.
     Datagram(usize, Box<Message>),
+    /// A notice of streams' versions arrives at a box.
+    Notice(usize, Notice),
     /// A call arrives at its engine.
     Call(usize, u64, Box<Send>),
     /// A box receives an event of one of its calls, from an engine.
@@ -200,6 +206,8 @@
     pub statements: Statements,
     /// The requests that boxes pass on to each other.
     proxies: Proxies,
+    /// The streams that clients take up again.
+    streams: Streams,
     /// The random number generator.
     random: Pcg64Mcg,
 }
@@ -207,6 +215,13 @@
 impl Fleet {
     /// Creates boxes that have just started, with the traffic at the users' site of six boxes.
     pub fn new(boxes: usize, seed: u64) -> Fleet {
+        let mut fleet = Fleet::unstarted(boxes, seed);
+        fleet.start(0..boxes);
+        fleet
+    }
+
+    /// Creates boxes that are down.
+    fn unstarted(boxes: usize, seed: u64) -> Fleet {
         let mut fleet = Fleet {
             members: Vec::new(),
             now: Time::from_millis(1000),
@@ -224,6 +239,7 @@
             rate_limits: RateLimits::default(),
             statements: Statements::default(),
             proxies: Proxies::default(),
+            streams: Streams::default(),
             random: Pcg64Mcg::seed_from_u64(seed),
         };
         for _ in 0..boxes {
@@ -237,7 +253,6 @@
                 path: Path::Open,
             });
         }
-        fleet.start(0..boxes);
         fleet
     }
 
@@ -254,6 +269,7 @@
         for number in members {
             self.members[number].gateway = None;
             self.break_proxied(number);
+            self.break_streams(number);
         }
     }
 
@@ -262,8 +278,10 @@
         for number in members {
             let incarnation = self.random.random();
             let boxes = self.members.len();
+            let data_centre = self.data_centre_of(number).into();
             let member = &mut self.members[number];
-            member.gateway = Some(Gateway::new(Settings { incarnation, ..settings_of(number) }));
+            member.gateway =
+                Some(Gateway::new(Settings { incarnation, data_centre, ..settings_of(number) }));
             member.started_at = self.now;
             member.start_count += 1;
             let seeds = (0..boxes).take(SEED_COUNT).map(|it| settings_of(it).peer).collect();
@@ -408,6 +426,7 @@
     fn handle(&mut self, due: Scheduled) {
         let number = match &due {
             Scheduled::Request(number, _) | Scheduled::Datagram(number, _) => *number,
+            Scheduled::Notice(number, _) => *number,
             Scheduled::Answer(Caller { number, .. }, ..) | Scheduled::Changed(number, _) => *number,
             Scheduled::Watched(number, _) | Scheduled::Listed(number, _) => *number,
             Scheduled::Fetched(number, ..) => *number,
@@ -432,9 +451,13 @@
         match due {
             Scheduled::Request(number, request) => self.send_request(number, request),
             Scheduled::Datagram(number, message) => self.step(number, Event::Received(*message)),
+            Scheduled::Notice(number, notice) => self.step(number, Event::Notified(notice)),
             Scheduled::Answer(Caller { start_count, call, .. }, engine, event)
                 if self.members[number].start_count == start_count =>
             {
+                if let CallEvent::Forwarded(Some(id)) = event {
+                    self.record_event(Caller { number, start_count, call }, engine, id);
+                }
                 if let CallEvent::Began(answer) | CallEvent::Answered(answer) = &event {
                     self.statements.record_answer(
                         (number, start_count),
@@ -516,6 +539,7 @@
         });
         let key = RequestKey(self.next);
         self.proxies.requests.insert((number, key), request.clone());
+        self.record_stream(number, key, &request);
         self.step(number, Event::Arrived(key, request));
     }
 
@@ -538,6 +562,7 @@
                     self.records.unreachable_reports += message.unreachable.len();
                     self.send_datagrams(side, &audience, &message)
                 }
+                Effect::Notify(audience, notice) => self.send_notices(side, &audience, &notice),
                 Effect::Store(operation, what) => {
                     let answer = self.store.carry_out(what);
                     let at = self.now + STORE_DELAY;
@@ -563,21 +588,27 @@
                 Effect::Order(order) => self.query_engine(number, order.engine.key),
                 Effect::Free(source) => self.query_engine(number, source.engine),
                 Effect::Proxy(call) => self.pass_on(number, call),
-                Effect::Cancel(call) => self.cancel_proxied(number, call),
+                Effect::Cancel(call) => {
+                    self.drop_stream_call(number, call);
+                    self.cancel_proxied(number, call);
+                }
                 Effect::Deliver(request, _) => {
                     self.records.record_end(number, request, true);
                     self.report_proxied(number, request, Outcome::Delivered);
                 }
                 Effect::Finish(request) => {
+                    self.end_stream(number, request);
                     self.report_proxied(number, request, Outcome::Finished);
                 }
                 Effect::Refuse(request, refusal) => {
                     self.report_proxied(number, request, Outcome::Refused);
+                    self.end_stream(number, request);
                     self.records.record_end(number, request, false);
                     self.crashes.record_refusal(request, refusal, self.now);
                 }
                 Effect::Abort(request) => {
                     self.report_proxied(number, request, Outcome::Aborted);
+                    self.break_stream(number, request);
                     self.crashes.record_abort(request, self.now);
                 }
                 Effect::Log(LogEvent::ContactLost { .. }) => self.records.contact_losses += 1,
@@ -658,6 +689,21 @@
 
     /// Sends a datagram to boxes; it is lost unless they are on the sender's side.
     fn send_datagrams(&mut self, side: usize, audience: &[SocketAddr], message: &Message) {
+        for (number, at) in self.arrivals(side, audience) {
+            self.schedule(at, Scheduled::Datagram(number, Box::new(message.clone())));
+        }
+    }
+
+    /// Sends a notice of streams' versions to boxes, as [`Fleet::send_datagrams`] does.
+    fn send_notices(&mut self, side: usize, audience: &[SocketAddr], notice: &Notice) {
+        for (number, at) in self.arrivals(side, audience) {
+            self.schedule(at, Scheduled::Notice(number, notice.clone()));
+        }
+    }
+
+    /// Returns the boxes at which a datagram arrives, and when.
+    fn arrivals(&mut self, side: usize, audience: &[SocketAddr]) -> Vec<(usize, Time)> {
+        let mut arrivals = Vec::new();
         for &address in audience {
             let is_receiver = |it: &usize| settings_of(*it).peer == address;
             let Some(number) = (0..self.members.len()).find(is_receiver) else { continue };
@@ -666,8 +712,9 @@
                 continue;
             }
             let delay = Duration::from_millis(self.random.random_range(self.delay_ms.clone()));
-            self.schedule(self.now + delay, Scheduled::Datagram(number, Box::new(message.clone())));
+            arrivals.push((number, self.now + delay));
         }
+        arrivals
     }
 }
 
--- a/tests/src/fleet/engines.rs
+++ b/tests/src/fleet/engines.rs
@@ -66,6 +66,9 @@
             &[CallEvent::Began(ran(200)), CallEvent::Answered(ran(200))]
         };
         let mut at = self.now + Duration::from_millis(self.random.random_range(ANSWER_DELAY_MS));
+        if events.len() > 1 && self.schedule_events(caller, send, at) {
+            return;
+        }
         for event in events {
             self.schedule(at, Scheduled::Answer(caller, engine, with_statement(event, statement)));
             at = at + STREAM_DURATION;
@@ -142,7 +145,8 @@
         let current = |it: Engine| {
             let crashes = self.crashes.state(it.key).crashes;
             let is_down = self.now < self.crashes.state(it.key).down_until;
-            Engine { started_at: Some(crashes - u64::from(is_down)), ..it }
+            let version = self.software_version(it.key);
+            Engine { started_at: Some(crashes - u64::from(is_down)), version, ..it }
         };
         engines().into_iter().map(current).collect()
     }
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hollyspoke::quota::Tolerance;
-use hollyspoke::store::Operation;
+use hollyspoke::store::{Answer as Answered, Operation};
 use hollyspoke::time::Time;
 use hollyspoke_gateway::budget::Bound;
 use hollyspoke_gateway::effect::{Effect, Refusal, Send, Task};
@@ -14,7 +14,7 @@
 use hollyspoke_gateway::event::{Answer, CallEvent, Event, Execution};
 use hollyspoke_gateway::features::Features;
 use hollyspoke_gateway::framing::Framing;
-use hollyspoke_gateway::gateway::{CASES, Gateway, Settings, Sharing};
+use hollyspoke_gateway::gateway::{CASES, Gateway, Settings, Sharing, VERSIONS};
 use hollyspoke_gateway::message::{DataCentreKey, Format, Message, Readiness, StoreView, Usage};
 use hollyspoke_gateway::region::{AllowedRegions, Regions};
 use hollyspoke_gateway::request::{CallKey, Request, RequestKey};
@@ -34,6 +34,9 @@
 /// The host of all routes.
 pub const HOST: &str = "host.example";
 
+/// The register of versions where all engines have always had version `v1`.
+const ONLY_VERSIONS: &str = r#"{"era":0,"services":{"model":{"version":"v1","since":0},"orders":{"version":"v1","since":0}}}"#;
+
 /// The memory of an engine with stages, in tokens.
 pub const MEMORY: u64 = 60_000;
 
@@ -228,17 +231,24 @@
     }
 
     /// Passes an event to the gateway and returns the effects, without log entries and without work
-    /// that is independent of requests: announcements, probes, the store's quarantine cases and
-    /// watches, and queries for cached prompts.
+    /// that is independent of requests: announcements, probes, the store's quarantine cases, versions
+    /// and watches, and queries for cached prompts. The store tells that all engines have had one
+    /// version so far.
     pub fn event(&mut self, event: Event) -> Vec<Effect> {
         let mut effects = self.gateway.step(self.now, event);
+        if let Some(number) = register_read(&effects) {
+            let value = ONLY_VERSIONS.to_owned();
+            let answer = Event::Stored(number, Answered::Found { version: 1, value });
+            effects.extend(self.gateway.step(self.now, answer));
+        }
         effects.retain(|it| {
             let is_log = matches!(it, Effect::Log(_));
             let is_background = match it {
                 Effect::Store(_, Operation::Get { kind, .. } | Operation::Put { kind, .. }) => {
-                    kind == CASES
+                    kind == CASES || kind == VERSIONS
                 }
                 Effect::Announce(..)
+                | Effect::Notify(..)
                 | Effect::WatchStore(_)
                 | Effect::QueryCachedPrompts(_)
                 | Effect::Probe(_) => true,
@@ -291,6 +301,14 @@
     }
 }
 
+/// Returns the number of the operation by which the gateway reads the register of versions.
+fn register_read(effects: &[Effect]) -> Option<u64> {
+    effects.iter().find_map(|it| match it {
+        Effect::Store(number, Operation::Get { kind, .. }) if kind == VERSIONS => Some(*number),
+        _ => None,
+    })
+}
+
 /// Returns the only call among effects.
 pub fn only_send(effects: &[Effect]) -> Send {
     let sends: Vec<_> = effects
--- /dev/null
+++ b/tests/tests/gateway_origins.rs
@@ -0,0 +1,214 @@
+//! Streams that clients take up again, in virtual time: they go on, and only at the version of the
+//! engines' software that began them.
+
+use std::time::Duration;
+
+use hollyspoke_tests::fleet::Fleet;
+use proptest::prelude::*;
+
+/// The number of boxes.
+const BOXES: usize = 9;
+
+/// A second.
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Creates boxes before engines of two versions, six of each.
+fn two_versions(seed: u64) -> Fleet {
+    let mut fleet = Fleet::resuming(BOXES, seed);
+    let engines = fleet.decode_engines();
+    fleet.release(engines.into_iter().take(6), "v2");
+    fleet.run(SECOND * 5);
+    fleet
+}
+
+/// Checks both rules.
+fn check(fleet: &Fleet) {
+    let counts = fleet.stream_counts();
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+    assert!(counts.goes_on(), "{counts:?}");
+}
+
+/// Checks both rules where enough streams were taken up for their share to count.
+fn check_taken_up(fleet: &Fleet) {
+    check(fleet);
+    let counts = fleet.stream_counts();
+    assert!(counts.taken_up >= 12, "{counts:?}");
+}
+
+#[test]
+fn killed_box_loses_streams() {
+    let mut fleet = two_versions(1);
+    for number in (0..BOXES).cycle().take(60) {
+        fleet.kill([number]);
+        fleet.run(SECOND / 2);
+        fleet.start([number]);
+        fleet.run(SECOND / 2);
+    }
+    check_taken_up(&fleet);
+}
+
+#[test]
+fn killed_majority_loses_streams() {
+    let mut fleet = two_versions(2);
+    for _ in 0..12 {
+        fleet.kill(0..6);
+        fleet.run(SECOND);
+        fleet.start(0..6);
+        fleet.run(SECOND * 6);
+    }
+    check_taken_up(&fleet);
+}
+
+/// A data centre is lost while engines of both versions crash.
+#[test]
+fn lost_data_centre_loses_streams() {
+    let mut fleet = two_versions(3);
+    for _ in 0..12 {
+        let engines = fleet.decode_engines();
+        fleet.crash_all(engines.into_iter().skip(4).take(5));
+        fleet.kill((0..BOXES).step_by(3));
+        fleet.run(SECOND * 2);
+        fleet.start((0..BOXES).step_by(3));
+        fleet.run(SECOND * 5);
+    }
+    check_taken_up(&fleet);
+}
+
+#[test]
+fn lost_datagrams_lose_streams() {
+    let mut fleet = two_versions(4);
+    fleet.lost = 0.05;
+    for number in (0..BOXES).cycle().take(60) {
+        fleet.kill([number]);
+        fleet.run(SECOND / 2);
+        fleet.start([number]);
+        fleet.run(SECOND / 2);
+    }
+    check_taken_up(&fleet);
+}
+
+/// Boxes that have all just started know nothing of the streams before.
+#[test]
+fn restarted_boxes_mix_versions() {
+    let mut fleet = two_versions(5);
+    for _ in 0..10 {
+        fleet.restart(0..BOXES);
+        fleet.run(SECOND * 3);
+    }
+    check(&fleet);
+}
+
+/// The last engines of a version leave while all boxes are down, so that nobody lists the version.
+#[test]
+fn vanished_version_forgotten() {
+    let mut fleet = two_versions(6);
+    for round in 0..6 {
+        let version = if round % 2 == 0 { "v1" } else { "v2" };
+        fleet.kill(0..BOXES);
+        let engines = fleet.decode_engines();
+        fleet.release(engines.iter().copied(), version);
+        fleet.start(0..BOXES);
+        fleet.run(SECOND * 4);
+        fleet.release(engines.into_iter().skip(6), "v3");
+        fleet.run(SECOND * 4);
+    }
+    check(&fleet);
+}
+
+/// Releases follow each other and go back, while boxes and engines fail.
+#[test]
+fn release_mixes_versions() {
+    let mut fleet = two_versions(7);
+    for round in 0..10 {
+        let version = ["v2", "v3", "v1"][round % 3];
+        for (number, engine) in fleet.decode_engines().into_iter().enumerate() {
+            fleet.release([engine], version);
+            if number % 4 == 0 {
+                fleet.restart([(number + round) % BOXES]);
+            }
+            fleet.run(SECOND / 2);
+        }
+    }
+    check(&fleet);
+}
+
+/// What happens in a drawn run.
+#[derive(Debug, Clone)]
+enum Step {
+    /// Boxes are killed and started again after a time in milliseconds.
+    Kill(Vec<usize>, u64),
+    /// Engines crash.
+    Crash(Vec<usize>),
+    /// Engines are replaced by ones of a version.
+    Release(Vec<usize>, &'static str),
+    /// The connections of engines break.
+    Reset(Vec<usize>),
+    /// A share of datagrams is lost from now on, in percent.
+    Lose(u32),
+    /// A box is cut off from the others for a time in milliseconds.
+    Cut(usize, u64),
+    /// Nothing happens for a time in milliseconds.
+    Run(u64),
+}
+
+/// Draws some engines.
+fn engines() -> impl Strategy<Value = Vec<usize>> {
+    prop::collection::vec(0..12_usize, 1..8)
+}
+
+/// Draws a step.
+fn step() -> impl Strategy<Value = Step> {
+    let version = prop::sample::select(vec!["v1", "v2", "v3", ""]);
+    prop_oneof![
+        (prop::collection::vec(0..BOXES, 1..=BOXES), 0..2000_u64)
+            .prop_map(|(boxes, pause)| Step::Kill(boxes, pause)),
+        engines().prop_map(Step::Crash),
+        (engines(), version).prop_map(|(engines, version)| Step::Release(engines, version)),
+        engines().prop_map(Step::Reset),
+        (0..=10_u32).prop_map(Step::Lose),
+        (0..BOXES, 100..4000_u64).prop_map(|(number, pause)| Step::Cut(number, pause)),
+        (100..6000_u64).prop_map(Step::Run),
+    ]
+}
+
+/// Plays a step.
+fn play(fleet: &mut Fleet, step: Step) {
+    let all = fleet.decode_engines();
+    let chosen = |places: Vec<usize>| places.into_iter().map(|it| all[it]).collect::<Vec<_>>();
+    match step {
+        Step::Kill(boxes, pause) => {
+            fleet.kill(boxes.clone());
+            fleet.run(Duration::from_millis(pause));
+            fleet.start(boxes);
+        }
+        Step::Crash(engines) => fleet.crash_all(chosen(engines)),
+        Step::Release(engines, version) => fleet.release(chosen(engines), version),
+        Step::Reset(engines) => fleet.reset_all(chosen(engines)),
+        Step::Lose(percent) => fleet.lost = f64::from(percent) / 100.0,
+        Step::Cut(number, pause) => {
+            fleet.partition([number], 1);
+            fleet.run(Duration::from_millis(pause));
+            fleet.partition([number], 0);
+        }
+        Step::Run(pause) => fleet.run(Duration::from_millis(pause)),
+    }
+    fleet.run(Duration::from_millis(200));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 8, ..ProptestConfig::default() })]
+
+    /// Whatever happens, no stream holds events of two versions.
+    #[test]
+    fn drawn_faults_mix_versions(
+        seed: u64,
+        steps in prop::collection::vec(step(), 4..20),
+    ) {
+        let mut fleet = two_versions(seed);
+        for step in steps {
+            play(&mut fleet, step);
+        }
+        let counts = fleet.stream_counts();
+        prop_assert_eq!(counts.mixed, 0, "{:?}", counts);
+    }
+}
--- a/tests/tests/platform_peers.rs
+++ b/tests/tests/platform_peers.rs
@@ -8,7 +8,7 @@
 use hollyspoke::quota::Account;
 use hollyspoke_gateway::customer::CustomerKey;
 use hollyspoke_gateway::message::{Format, Message, StoreView, Usage};
-use hollyspoke_server::peers::Peers;
+use hollyspoke_server::peers::{Datagram, Peers};
 use hollyspoke_tests::gateway::heartbeat;
 use slog::{Discard, Logger, o};
 use tokio::net::UdpSocket;
@@ -41,7 +41,11 @@
     let receiver = bind().await;
     let address = receiver.address().expect("it is bound");
     let sink = found.clone();
-    let listening = receiver.listen(move |message| sink.borrow_mut().push(message));
+    let listening = receiver.listen(move |datagram| {
+        if let Datagram::Message(message) = datagram {
+            sink.borrow_mut().push(*message);
+        }
+    });
     send(address).await;
     _ = tokio::time::timeout(Duration::from_millis(500), listening).await;
     found.take()
