Where the store counts few boxes, a box reads its lists at once

Cause: since first lists are read by few boxes a box that hears nobody yet waits until no new box was heard for 100 ms, because it can't tell whether it is one of seven or of 985. What the largest deployment needs was paid by the smallest.

Where the object is absent, as at the first start of a site, or counts more, all is as before. A caller that is turned away before there is a configuration may return after 0.2 to 0.5 s in place of 0.5 s, by how long the box has run.

The check of the census counts its first look apart: one, and the two other operations as before.

--- a/crates/hollyspoke-gateway/src/catch_up.rs
+++ b/crates/hollyspoke-gateway/src/catch_up.rs
@@ -57,6 +57,9 @@
     pub elapsed: Duration,
     /// Whether there are more boxes than may all read the store.
     pub are_many: bool,
+    /// Whether the store tells that there are not. It counts boxes that this one has not received
+    /// from yet.
+    pub are_few: bool,
     /// Whether all boxes that are listed were received from, the last new one some time ago.
     pub is_settled: bool,
     /// Whether another box is ready, and thus has a list.
@@ -116,6 +119,11 @@
         now >= self.next_decision
     }
 
+    /// Lets a box without a list decide at once, because it has learnt more.
+    pub fn decide_now(&mut self) {
+        self.next_decision = Time::ZERO;
+    }
+
     /// Decides whether a box without a list reads the store. Returns whether it begins to.
     pub fn decide(&mut self, surroundings: Surroundings, now: Time) -> bool {
         self.next_decision = now + DECISION_INTERVAL;
@@ -132,9 +140,10 @@
 
     /// Returns whether a box without a list should read the store.
     fn should_read(&self, surroundings: Surroundings) -> bool {
-        let Surroundings { elapsed, are_many, is_settled, has_ready, is_reader } = surroundings;
+        let Surroundings { elapsed, are_many, are_few, is_settled, has_ready, is_reader } =
+            surroundings;
         if !are_many {
-            return is_settled || has_ready || elapsed >= MAX_DISCOVERY_DURATION;
+            return are_few || is_settled || has_ready || elapsed >= MAX_DISCOVERY_DURATION;
         }
         // A box that starts later than the others asks these first.
         let may_begin = !has_ready || elapsed >= READER_DOUBLING_INTERVAL;
--- a/crates/hollyspoke-gateway/src/gateway/catch_up.rs
+++ b/crates/hollyspoke-gateway/src/gateway/catch_up.rs
@@ -34,9 +34,11 @@
     fn decide_first_read(&mut self) {
         let elapsed = self.now.since(Time::ZERO);
         let are_many = self.members.expects_many();
+        self.peek_census();
         let surroundings = Surroundings {
             elapsed,
             are_many,
+            are_few: self.has_few_boxes(),
             is_settled: self.members.is_settled(self.now, QUIET_DURATION),
             has_ready: self.members.has_ready(),
             is_reader: are_many && self.is_reader(reader_doublings(elapsed)),
--- a/crates/hollyspoke-gateway/src/gateway/census.rs
+++ b/crates/hollyspoke-gateway/src/gateway/census.rs
@@ -2,8 +2,9 @@
 //!
 //! Boxes learn from each other's datagrams how many share the limits for all together. Boxes that
 //! start at the same moment in a part that is cut off receive only from that part; the number in
-//! the store counts the others too. Each box that follows the store reads it once after its start
-//! and includes it in its heartbeats. Boxes that serve have their configuration from the store, or
+//! the store counts the others too. Each box reads it at its start: where there are few, it need not
+//! find out who else reads the lists. Each box that follows the store reads it once more and
+//! includes it in its heartbeats. Boxes that serve have their configuration from the store, or
 //! from a box that has read it. The first box writes the number when it has changed.
 
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use hollyspoke::time::Time;
 
 use super::Gateway;
+use crate::cadence::ALL_TO_ALL_MAX_BOXES;
 use crate::effect::LogEvent;
 
 /// The kind of the object in the store.
@@ -41,6 +43,18 @@
     boxes: usize,
 }
 
+/// The first look at the number of boxes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Peeked {
+    /// The box has not looked yet.
+    #[default]
+    NotYet,
+    /// The store is asked, by this operation.
+    UnderWay(u64),
+    /// The number of boxes; 0 if the store doesn't tell.
+    Boxes(usize),
+}
+
 /// The state of the census at this box.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Census {
@@ -49,6 +63,8 @@
     /// Whether this box has counted as many boxes itself. From then on it uses its own count, which
     /// leaves out boxes that were shut down since.
     is_confirmed: bool,
+    /// The number of boxes that the store told at the start, which may be out of date.
+    peeked: Peeked,
     /// The number of the operation under way, and the number of boxes that it writes if it is a
     /// write.
     under_way: Option<(u64, Option<usize>)>,
@@ -73,6 +89,34 @@
         self.members.peak_serving().max(self.census.boxes())
     }
 
+    /// Asks the store for the number of boxes, once.
+    pub(super) fn peek_census(&mut self) {
+        if self.census.peeked != Peeked::NotYet {
+            return;
+        }
+        let operation = Operation::Peek { kind: KIND.to_owned(), name: NAME.to_owned() };
+        self.census.peeked = Peeked::UnderWay(self.start_operation(operation));
+    }
+
+    /// Returns whether the store tells that all boxes may read the lists.
+    pub(super) fn has_few_boxes(&self) -> bool {
+        matches!(self.census.peeked, Peeked::Boxes(1..=ALL_TO_ALL_MAX_BOXES))
+    }
+
+    /// Handles the answer to the first look. Returns whether the operation was that.
+    fn apply_peeked(&mut self, number: u64, answer: &Answer) -> bool {
+        if self.census.peeked != Peeked::UnderWay(number) {
+            return false;
+        }
+        let boxes = match answer {
+            Answer::Found { value, .. } => value.parse().unwrap_or(0),
+            _ => 0,
+        };
+        self.census.peeked = Peeked::Boxes(boxes);
+        self.catch_up.decide_now();
+        true
+    }
+
     /// Reads or writes the number if that is due.
     pub(super) fn update_census(&mut self) {
         let counted = self.members.peak_serving().unwrap_or(0);
@@ -127,6 +171,9 @@
     /// Handles the store's answer to an operation of the census. Returns whether the operation was
     /// one.
     pub(super) fn apply_census_answer(&mut self, number: u64, answer: &Answer) -> bool {
+        if self.apply_peeked(number, answer) {
+            return true;
+        }
         let Some((_, written)) = self.census.under_way.take_if(|it| it.0 == number) else {
             return false;
         };
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hollyspoke::outcome::Trace;
+use hollyspoke::time::Time;
 
 use super::Gateway;
 use crate::class::Phase;
@@ -26,8 +27,13 @@
 use crate::route::{Route, Staged};
 use crate::signature::Signature;
 
-/// When a client may retry a request that arrived before any configuration was known.
-const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(500);
+/// The shortest and longest time after which a client may retry a request that arrived before any
+/// configuration was known. A box has one soon after its start, unless the store is away.
+const NO_CONFIGURATION_RETRY_RANGE: (Duration, Duration) =
+    (Duration::from_millis(200), Duration::from_millis(500));
+
+/// When a client may retry a request whose service is not configured.
+const NO_SERVICE_RETRY: Duration = Duration::from_millis(500);
 
 /// When a client may retry a request refused by a box that is about to stop.
 const STOPPING_RETRY: Duration = Duration::from_millis(50);
@@ -68,8 +74,9 @@
         let is_loaded = self.knows_cases() && self.knows_evacuation();
         let configuration = self.configuration.clone().filter(|_| is_loaded);
         let Some(configuration) = configuration else {
-            let reason = NotRunReason::NoConfiguration;
-            return self.refuse_on_arrival(key, &request, reason, NO_CONFIGURATION_RETRY);
+            let (min, max) = NO_CONFIGURATION_RETRY_RANGE;
+            let retry = self.now.since(Time::ZERO).clamp(min, max);
+            return self.refuse_on_arrival(key, &request, NotRunReason::NoConfiguration, retry);
         };
         if self.is_closing(self.now) {
             return self.refuse_on_arrival(key, &request, NotRunReason::Stopping, STOPPING_RETRY);
@@ -90,12 +97,7 @@
         }
         let draw = self.draw();
         let Some(service) = configuration.service(route.service(draw)).cloned() else {
-            return self.refuse_on_arrival(
-                key,
-                &request,
-                NotRunReason::NoEngine,
-                NO_CONFIGURATION_RETRY,
-            );
+            return self.refuse_on_arrival(key, &request, NotRunReason::NoEngine, NO_SERVICE_RETRY);
         };
         // A request that another box serves counts there and not here.
         let is_elsewhere = self.is_proxied_elsewhere(&service.name, &request);
--- a/crates/hollyspoke-model/src/store.rs
+++ b/crates/hollyspoke-model/src/store.rs
@@ -45,7 +45,7 @@
     /// Handles an operation, subject to the current faults.
     pub fn handle(&mut self, operation: Operation) -> Outcome {
         match &operation {
-            Operation::Get { .. } => self.reads += 1,
+            Operation::Get { .. } | Operation::Peek { .. } => self.reads += 1,
             Operation::Put { .. } => self.writes += 1,
         }
         if self.faults.down {
@@ -65,10 +65,14 @@
     /// Applies an operation, regardless of faults.
     pub fn apply(&mut self, operation: Operation) -> Answer {
         match operation {
-            Operation::Get { kind, name } => match self.objects.get(&(kind, name)) {
-                Some((version, value)) => Answer::Found { version: *version, value: value.clone() },
-                None => Answer::Absent,
-            },
+            Operation::Get { kind, name } | Operation::Peek { kind, name } => {
+                match self.objects.get(&(kind, name)) {
+                    Some((version, value)) => {
+                        Answer::Found { version: *version, value: value.clone() }
+                    }
+                    None => Answer::Absent,
+                }
+            }
             Operation::Put { kind, name, expected, value } => {
                 let key = (kind, name);
                 let found = self.objects.get(&key).map_or(0, |it| it.0);
--- a/crates/hollyspoke-wire/src/platform.rs
+++ b/crates/hollyspoke-wire/src/platform.rs
@@ -158,11 +158,13 @@
     /// Executes an operation of the reducer.
     pub async fn execute(&self, operation: Operation) -> Answer {
         match operation {
-            Operation::Get { kind, name } => match self.get(&kind, &name).await {
-                Ok(Some(Object { version, value })) => Answer::Found { version, value },
-                Ok(None) => Answer::Absent,
-                Err(_) => Answer::Away,
-            },
+            Operation::Get { kind, name } | Operation::Peek { kind, name } => {
+                match self.get(&kind, &name).await {
+                    Ok(Some(Object { version, value })) => Answer::Found { version, value },
+                    Ok(None) => Answer::Absent,
+                    Err(_) => Answer::Away,
+                }
+            }
             Operation::Put { kind, name, expected, value } => {
                 match self.put(&kind, &name, &Put { expected, value }).await {
                     Ok(Written { version }) => Answer::Written { version },
--- a/crates/hollyspoke/src/store.rs
+++ b/crates/hollyspoke/src/store.rs
@@ -75,6 +75,13 @@
         /// The object's name.
         name: String,
     },
+    /// Reads an object in a version that may be out of date, which costs the store less.
+    Peek {
+        /// The object's kind.
+        kind: String,
+        /// The object's name.
+        name: String,
+    },
     /// Writes an object if its version is the expected one; zero expects that it does not exist.
     Put {
         /// The object's kind.
--- a/tests/src/crowd.rs
+++ b/tests/src/crowd.rs
@@ -358,7 +358,7 @@
                     }
                 }
             }
-            Effect::Store(operation, Operation::Get { .. }) => {
+            Effect::Store(operation, Operation::Get { .. } | Operation::Peek { .. }) => {
                 self.plan(self.now + STORE_DELAY, number, Due::Stored(operation));
             }
             Effect::Read(Kind::Engines) => self.read_engines(number),
--- a/tests/src/fleet/store.rs
+++ b/tests/src/fleet/store.rs
@@ -47,10 +47,14 @@
             self.case_reads += 1;
         }
         match operation {
-            Operation::Get { kind, name } => match self.objects.get(&format!("{kind}/{name}")) {
-                Some((version, value)) => Answer::Found { version: *version, value: value.clone() },
-                None => Answer::Absent,
-            },
+            Operation::Get { kind, name } | Operation::Peek { kind, name } => {
+                match self.objects.get(&format!("{kind}/{name}")) {
+                    Some((version, value)) => {
+                        Answer::Found { version: *version, value: value.clone() }
+                    }
+                    None => Answer::Absent,
+                }
+            }
             Operation::Put { kind, name, expected, value } => {
                 let object = self.objects.entry(format!("{kind}/{name}")).or_default();
                 if object.0 != expected {
--- a/tests/src/stages.rs
+++ b/tests/src/stages.rs
@@ -283,10 +283,12 @@
             return Answer::Away;
         }
         match operation {
-            Operation::Get { name, .. } => match self.objects.get(&name) {
-                Some(it) => Answer::Found { version: it.version, value: it.value.clone() },
-                None => Answer::Absent,
-            },
+            Operation::Get { name, .. } | Operation::Peek { name, .. } => {
+                match self.objects.get(&name) {
+                    Some(it) => Answer::Found { version: it.version, value: it.value.clone() },
+                    None => Answer::Absent,
+                }
+            }
             Operation::Put { name, expected, value, .. } => {
                 let current = self.objects.get(&name).map_or(0, |it| it.version);
                 if current != expected {
--- a/tests/tests/gateway_census.rs
+++ b/tests/tests/gateway_census.rs
@@ -79,8 +79,8 @@
     fn apply(&mut self, operation: &Operation) -> Answer {
         let (version, value) = self.object.clone();
         match operation {
-            Operation::Get { .. } if version == 0 => Answer::Absent,
-            Operation::Get { .. } => Answer::Found { version, value },
+            Operation::Get { .. } | Operation::Peek { .. } if version == 0 => Answer::Absent,
+            Operation::Get { .. } | Operation::Peek { .. } => Answer::Found { version, value },
             Operation::Put { expected, .. } if *expected != version => Answer::Conflict,
             Operation::Put { value, .. } => {
                 self.object = (version + 1, value.clone());
@@ -105,13 +105,16 @@
     }
 }
 
-/// Without changes the number is read once and written once, since calls to the store have a cost.
+/// Without changes the number is looked at once at the start, read once and written once, since calls
+/// to the store have a cost.
 #[test]
 fn repeated_store_writes() {
     let mut site = writing_simulation();
     site.pass(Duration::from_secs(90));
     assert_eq!(site.object, (1, "3".to_owned()));
-    assert_eq!(site.operations.len(), 2, "{:?}", site.operations);
+    let is_look = |it: &&Operation| matches!(it, Operation::Peek { .. });
+    let (looks, others): (Vec<_>, Vec<_>) = site.operations.iter().partition(is_look);
+    assert_eq!((looks.len(), others.len()), (1, 2), "{:?}", site.operations);
 }
 
 /// Returns a site of three boxes whose own box is the first and has written the number.
--- a/tests/tests/lease_eras.rs
+++ b/tests/tests/lease_eras.rs
@@ -57,7 +57,7 @@
     fn execute(&mut self, operation: &Operation) -> Answer {
         let version = self.lease.as_ref().map_or(0, |it| it.0);
         match operation {
-            Operation::Get { .. } => match &self.lease {
+            Operation::Get { .. } | Operation::Peek { .. } => match &self.lease {
                 Some((version, value)) => Answer::Found { version: *version, value: value.clone() },
                 None => Answer::Absent,
             },
--- a/tests/tests/replay.rs
+++ b/tests/tests/replay.rs
@@ -193,7 +193,8 @@
 
 /// Returns whether an operation reads or writes claims.
 fn is_claim(operation: &Operation) -> bool {
-    let (Operation::Get { kind, .. } | Operation::Put { kind, .. }) = operation;
+    let (Operation::Get { kind, .. } | Operation::Peek { kind, .. } | Operation::Put { kind, .. }) =
+        operation;
     kind == "claims"
 }
 
