The register of versions is written under a kind of its own, and a first start is known as one

Cause: the platform refuses (403) writes to the kind that the register had, which no line of the log said; and a box that has run for less than twice a route's timeout can't tell which versions have served.

The register has another kind, store operations that are not carried out are logged, and the settings tell a box whether the whole system starts for the first time: then no version can have served before. A box that has seen one version since then tells that to the register as 'always'. A client that names no attempt is in no box's table, so nobody is asked where this box's own observation is enough.

The world of several boxes in virtual time gives each start its own time of day and the evacuations, as the platform does: only_version_forgotten failed without (0 of the streams taken up went on).

--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -136,6 +136,8 @@
     pub incarnation: u64,
     /// When the process started, in seconds of Unix time.
     pub unix_start: u64,
+    /// Whether no box of this system has ever run before.
+    pub is_first_start: bool,
 }
 
 /// The share of the grace period after which a stopping box accepts no new requests.
--- a/crates/hollyspoke-gateway/src/gateway/origins.rs
+++ b/crates/hollyspoke-gateway/src/gateway/origins.rs
@@ -178,7 +178,11 @@
             asked: BTreeSet::new(),
             answers: BTreeMap::new(),
         };
-        if self.timeline.verdict(inquiry.service, inquiry.window, self.now) == Verdict::Unaware {
+        let own = self.timeline.verdict(inquiry.service, inquiry.window, self.now);
+        if own != Verdict::Unaware && !is_named {
+            return self.set_origin(key, inquiry.finding(own), Duration::ZERO);
+        }
+        if own == Verdict::Unaware {
             self.read_register();
         }
         self.origins.inquiries.insert(key, inquiry);
--- a/crates/hollyspoke-gateway/src/gateway/versions.rs
+++ b/crates/hollyspoke-gateway/src/gateway/versions.rs
@@ -17,13 +17,13 @@
 use super::peers::service_hash;
 use crate::effect::{Effect, LogEvent};
 use crate::event::Kind;
-use crate::version::{SoftwareVersion, VersionKey};
+use crate::version::{SoftwareVersion, Verdict, VersionKey};
 
 /// The kind of the register in the store.
-pub const KIND: &str = "versions";
+pub const KIND: &str = "software";
 
 /// The name of the register in the store.
-const NAME: &str = "services";
+const NAME: &str = "versions";
 
 /// The time after start before a box writes the register, as for the number of boxes.
 const WRITE_DELAY: Duration = Duration::from_secs(3);
@@ -34,6 +34,9 @@
 /// The difference between the clocks of two boxes that is allowed for.
 const CLOCK_MARGIN: Duration = Duration::from_secs(5);
 
+/// A time in which clients come back with their streams or not at all.
+const LONG_TIME: Duration = Duration::from_secs(1800);
+
 /// The interval per box at which a box reads the list of engines while it knows some of them without
 /// their versions, from boxes that don't pass them on.
 const LIST_INTERVAL_PER_BOX: Duration = Duration::from_millis(200);
@@ -89,7 +92,7 @@
         if !self.are_engines_listed {
             return;
         }
-        self.timeline.begin(self.now);
+        self.timeline.begin(self.settings.is_first_start, self.now);
         for (service, version) in self.directory.versions() {
             self.timeline.observe(service_hash(service), version, self.now);
         }
@@ -154,7 +157,7 @@
 
     /// Returns the content that the register should have.
     fn current_content(&self, stored: &Content) -> Content {
-        let (era, since, adds) = (self.store_era(), self.unix_time(), self.is_leader());
+        let (era, adds) = (self.store_era(), self.is_leader());
         let mut services =
             if stored.era == era { stored.services.clone() } else { BTreeMap::new() };
         for (service, versions) in self.named_versions() {
@@ -163,6 +166,7 @@
             match only {
                 Some(version) if known.as_ref() == Some(&version) => {}
                 Some(version) if adds => {
+                    let since = self.only_since(&service);
                     services.insert(service, OnlyVersion { version, since });
                 }
                 _ => {
@@ -173,6 +177,14 @@
         Content { era, services }
     }
 
+    /// Returns since when a service has had only one version, in seconds of Unix time: always, if no
+    /// box has run before this one and it has observed no other.
+    fn only_since(&self, service: &str) -> u64 {
+        let verdict = self.timeline.verdict(service_hash(service), LONG_TIME, self.now);
+        let is_always = self.settings.is_first_start && matches!(verdict, Verdict::Only(_));
+        if is_always { 0 } else { self.unix_time() }
+    }
+
     /// Returns the names of the versions of each service's engines; none for an unknown one.
     fn named_versions(&self) -> BTreeMap<Arc<str>, BTreeSet<Option<Arc<str>>>> {
         let mut services: BTreeMap<Arc<str>, BTreeSet<Option<Arc<str>>>> = BTreeMap::new();
--- a/crates/hollyspoke-gateway/src/version/timeline.rs
+++ b/crates/hollyspoke-gateway/src/version/timeline.rs
@@ -15,7 +15,7 @@
 
 /// How long versions that no longer serve are remembered. Must exceed the time for which a client
 /// may come back with a stream.
-const RETENTION: Duration = Duration::from_secs(600);
+const RETENTION: Duration = Duration::from_secs(3600);
 
 /// What is known of the versions that have served a service for a time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,14 +43,17 @@
 pub struct Timeline {
     /// The time since which all versions are observed.
     since: Option<Time>,
+    /// Whether nothing has served before.
+    is_complete: bool,
     /// The history of each service, by the hash of its name.
     services: HashMap<u64, History>,
 }
 
 impl Timeline {
-    /// Records that all versions are observed from now on.
-    pub fn begin(&mut self, now: Time) {
+    /// Records that all versions are observed from now on, and whether none has served before.
+    pub fn begin(&mut self, is_complete: bool, now: Time) {
         self.since.get_or_insert(now);
+        self.is_complete = is_complete;
     }
 
     /// Records that an engine of a version serves.
@@ -75,6 +78,9 @@
         let (Some(since), Some(history)) = (self.since, self.services.get(&service)) else {
             return Verdict::Unaware;
         };
+        if duration + MAX_OBSERVATION_GAP > RETENTION {
+            return Verdict::Unaware;
+        }
         let is_recent = |at: Time| now.since(at) <= duration + MAX_OBSERVATION_GAP;
         let mut recent = history.seen.iter().filter(|it| is_recent(it.1));
         let Some((first, _)) = recent.next() else { return Verdict::Unaware };
@@ -84,6 +90,10 @@
         let observed = now.since(since);
         let earlier =
             history.earlier.filter(|it| it.0 == version).map_or(Duration::ZERO, |it| it.1);
-        if observed + earlier >= duration { Verdict::Only(version) } else { Verdict::Unaware }
+        if self.is_complete || observed + earlier >= duration {
+            Verdict::Only(version)
+        } else {
+            Verdict::Unaware
+        }
     }
 }
--- a/crates/hollyspoke-server/src/objects.rs
+++ b/crates/hollyspoke-server/src/objects.rs
@@ -7,6 +7,7 @@
 use hollyspoke_gateway::event::Event;
 use http::header::HOST;
 use http_body_util::Full;
+use slog::info;
 
 use crate::http1::read_whole;
 use crate::node::Node;
@@ -25,6 +26,16 @@
     node.dispatch(Event::Stored(number, answer));
 }
 
+/// Returns the log's name of an operation.
+fn name(operation: &Operation) -> String {
+    match operation {
+        Operation::Get { kind, name } | Operation::Peek { kind, name } => {
+            format!("read {kind}/{name}")
+        }
+        Operation::Put { kind, name, .. } => format!("write {kind}/{name}"),
+    }
+}
+
 /// Sends the operation to the store. Returns `None` if no answer arrives.
 async fn exchange(node: &Rc<Node>, operation: &Operation) -> Option<Answer> {
     let mut connection = node.connect(node.store, OPERATION_TIMEOUT).await.ok()?;
@@ -34,5 +45,10 @@
     let status = response.status();
     node.handle_store_era(response.headers())?;
     let bytes = read_whole(response.into_body(), MAX_ANSWER_BYTES).await?;
-    Some((node.dialect.read_operation_answer)(operation, status, &bytes))
+    let answer = (node.dialect.read_operation_answer)(operation, status, &bytes);
+    if matches!(answer, Answer::Away | Answer::Conflict) {
+        info!(node.log, "store operation not carried out";
+            "operation" => name(operation), "status" => status.as_u16());
+    }
+    Some(answer)
 }
--- a/crates/hollyspoke-server/src/run.rs
+++ b/crates/hollyspoke-server/src/run.rs
@@ -111,6 +111,7 @@
         features: settings.features,
         incarnation: Pcg64Mcg::from_os_rng().next_u64(),
         unix_start: unix_seconds(),
+        is_first_start: settings.is_first_start,
     });
     let node = Node::new(gateway, dialect, log, peers.clone(), settings.store, UPSTREAM_CLIENT)?;
     let running = Running {
--- a/crates/hollyspoke-server/src/settings.rs
+++ b/crates/hollyspoke-server/src/settings.rs
@@ -46,6 +46,9 @@
     /// The addresses of some other boxes; only their IP addresses are used.
     #[serde(default)]
     pub seeds: Vec<String>,
+    /// Whether the whole system starts for the first time, so that no box has ever run before.
+    #[serde(default)]
+    pub first_start: bool,
 }
 
 /// The addresses at which the box listens.
@@ -177,6 +180,8 @@
     pub announced_peer: Option<SocketAddr>,
     /// The addresses at which some other boxes listen for boxes.
     pub seeds: Vec<SocketAddr>,
+    /// Whether no box has ever run before.
+    pub is_first_start: bool,
     /// The store's address.
     pub store: SocketAddr,
     /// The limit of how often requests may be sent to a second engine.
@@ -270,6 +275,7 @@
             proxy: file.listen.proxy_port.map(|it| SocketAddr::new(front.ip(), it)),
             announced_peer: announced_port.map(|it| SocketAddr::new(front.ip(), it)),
             seeds: seeds.into_iter().map(|it| SocketAddr::new(it.ip(), seed_port)).collect(),
+            is_first_start: file.node.first_start,
             store,
             bound: Bound { ratio, allowance, window: Duration::from_secs_f64(window) },
             grace: Duration::from_secs_f64(grace),
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -279,15 +279,22 @@
             let incarnation = self.random.random();
             let boxes = self.members.len();
             let data_centre = self.data_centre_of(number).into();
+            let since_origin = self.now.since(Time::ZERO).as_secs();
+            let unix_start = settings_of(number).unix_start + since_origin;
             let member = &mut self.members[number];
-            member.gateway =
-                Some(Gateway::new(Settings { incarnation, data_centre, ..settings_of(number) }));
+            member.gateway = Some(Gateway::new(Settings {
+                incarnation,
+                data_centre,
+                unix_start,
+                ..settings_of(number)
+            }));
             member.started_at = self.now;
             member.start_count += 1;
             let seeds = (0..boxes).take(SEED_COUNT).map(|it| settings_of(it).peer).collect();
             self.step(number, Event::Seeds(seeds));
             self.step(number, Event::Configured(Arc::new(configuration(1))));
             self.step(number, Event::Listed(self.engines(), self.store.revision));
+            self.step(number, Event::Evacuated(self.evacuation()));
             let start_count = self.members[number].start_count;
             self.schedule(self.now, Scheduled::Watched(number, start_count));
         }
--- a/tests/src/fleet/streams.rs
+++ b/tests/src/fleet/streams.rs
@@ -7,6 +7,7 @@
 use hollyspoke::time::Time;
 use hollyspoke_gateway::effect::{Send, Task};
 use hollyspoke_gateway::engine::EngineKey;
+use hollyspoke_gateway::evacuation::Evacuation;
 use hollyspoke_gateway::event::CallEvent;
 use hollyspoke_gateway::request::{CallKey, Request, RequestKey};
 use hollyspoke_gateway::version::SoftwareVersion;
@@ -86,6 +87,9 @@
     pub went_on: f64,
     /// The share of streams that began.
     pub begun: f64,
+    /// The share of all attempts to take a stream up that went on, also at boxes that have just
+    /// started.
+    pub all_went_on: f64,
 }
 
 impl StreamCounts {
@@ -133,18 +137,30 @@
         if self.streams.is_enabled { ["north", "south", "west"][number % 3] } else { "north" }
     }
 
+    /// Returns the evacuated data centres as the store lists them to boxes that start: none, and
+    /// nothing where no streams are taken up.
+    pub(super) fn evacuation(&self) -> Evacuation {
+        if !self.streams.is_enabled {
+            return Evacuation::default();
+        }
+        Evacuation { revision: self.store.revision, ..Evacuation::default() }
+    }
+
     /// Returns what became of the streams.
     pub fn stream_counts(&self) -> StreamCounts {
         let streams = &self.streams.streams;
         let resumptions = streams.iter().flat_map(|it| &it.resumptions).filter(|it| it.counts);
         let (taken_up, went_on) =
             resumptions.fold((0, 0), |(all, on), it| (all + 1, on + usize::from(it.went_on)));
+        let all: Vec<_> = streams.iter().flat_map(|it| &it.resumptions).collect();
+        let all_on = all.iter().filter(|it| it.went_on).count();
         let begun = streams.iter().filter(|it| it.begun_as.is_some()).count();
         StreamCounts {
             mixed: streams.iter().filter(|it| it.versions.len() > 1).count(),
             taken_up,
             went_on: went_on as f64 / taken_up.max(1) as f64,
             begun: begun as f64 / streams.len().max(1) as f64,
+            all_went_on: all_on as f64 / all.len().max(1) as f64,
         }
     }
 
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -69,6 +69,7 @@
         features: Features::NONE,
         incarnation: u64::from(number),
         unix_start: 1_790_000_000,
+        is_first_start: false,
     }
 }
 
--- a/tests/src/platform.rs
+++ b/tests/src/platform.rs
@@ -472,7 +472,7 @@
 
     /// Answers a request for a list, a watch or one object.
     async fn respond(&self, received: &Received, path: &str) -> (&'static str, Value) {
-        let object_path = path.trim_start_matches("/objects/");
+        let object_path = path.trim_start_matches("/objects/").trim_end_matches("?stale=1");
         let method = received.line.split(' ').next().unwrap_or_default();
         match (method, object_path.split_once('/')) {
             ("GET", None) => self.list_or_watch(path).await,
@@ -584,6 +584,7 @@
         proxy: Some(free),
         announced_peer: None,
         seeds,
+        is_first_start: false,
         store,
         bound: BOUND,
         grace: Duration::from_secs(3),
--- a/tests/tests/gateway_origins.rs
+++ b/tests/tests/gateway_origins.rs
@@ -98,6 +98,21 @@
     check(&fleet);
 }
 
+/// Where only one version has ever served, boxes that have all just started go on with the streams
+/// that they lost: the store tells them.
+#[test]
+fn only_version_forgotten() {
+    let mut fleet = Fleet::resuming(BOXES, 8);
+    fleet.run(SECOND * 40);
+    for _ in 0..10 {
+        fleet.restart(0..BOXES);
+        fleet.run(SECOND * 3);
+    }
+    check(&fleet);
+    let counts = fleet.stream_counts();
+    assert!(counts.all_went_on >= counts.begun / 2.0, "{counts:?}");
+}
+
 /// The last engines of a version leave while all boxes are down, so that nobody lists the version.
 #[test]
 fn vanished_version_forgotten() {
