Tests of versions: the parts, the ways on which a stream changes its engine, and the soak

The soak's engines have two software versions by their ids, name theirs in each event, and refuse nothing; clients name the attempt that began a stream when they take it up, and a new promise (OneSoftware) is broken by a stream with events of two versions. With an older build beside it the promise is not checked: that build mixes versions.

--- a/tests/soak/src/client.rs
+++ b/tests/soak/src/client.rs
@@ -1,7 +1,8 @@
 //! Clients that follow the documented rules: they cache and use the address list, reuse
 //! connections, send a deadline, retry only when and as allowed, and resume streams.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -130,6 +131,17 @@
     pub(crate) caller: Caller,
     /// When the client gives up.
     pub(crate) deadline: Instant,
+    /// What the client has received of a stream.
+    pub(crate) received: Rc<RefCell<ReceivedStream>>,
+}
+
+/// What a client has received of a stream over all attempts.
+#[derive(Debug, Default)]
+pub(crate) struct ReceivedStream {
+    /// The id of the attempt that brought the first event.
+    begun_as: Option<String>,
+    /// The software versions of the engines that wrote the events.
+    versions: BTreeSet<String>,
 }
 
 /// The outcome of an attempt.
@@ -211,7 +223,8 @@
         let span = if kind.is_stream() { STREAM_DEADLINE } else { PLAIN_DEADLINE };
         let path = format!("/{}/{number:08x}", kind.route());
         let caller = self.caller(kind, &body);
-        Wanted { kind, path, body, after: 0, caller, deadline: Instant::now() + span }
+        let deadline = Instant::now() + span;
+        Wanted { kind, path, body, after: 0, caller, deadline, received: Rc::default() }
     }
 
     /// Draws the key of a request: mostly one that is known in both the newest version and the one
@@ -328,12 +341,16 @@
         let mut bytes = Vec::new();
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else {
+                self.record_stream(wanted, id, &bytes);
                 return Outcome::Cut(events(&bytes).last().copied().unwrap_or(0));
             };
             bytes.extend(frame.into_data().unwrap_or_default());
         }
         let status = head.status.as_u16();
         let is_stream = wanted.kind.is_stream() && head.status == StatusCode::OK;
+        if is_stream {
+            self.record_stream(wanted, id, &bytes);
+        }
         let events = if is_stream { events(&bytes) } else { Vec::new() };
         let is_own = if is_stream {
             events.iter().all(|it| contains(&bytes, &format!("data: {}\n", event_text(id, *it))))
@@ -353,6 +370,19 @@
         Outcome::Failed(is_promise.then_some(pause))
     }
 
+    /// Records which attempt began a stream, and which software versions wrote its events.
+    fn record_stream(&self, wanted: &Wanted, id: &str, bytes: &[u8]) {
+        if events(bytes).is_empty() {
+            return;
+        }
+        let mut received = wanted.received.borrow_mut();
+        received.begun_as.get_or_insert_with(|| id.to_owned());
+        received.versions.extend(software_versions(bytes));
+        if received.versions.len() > 1 {
+            self.see(What::Mixed { attempt: id.to_owned() });
+        }
+    }
+
     /// Chooses the box of the open connection, or one of the address list.
     async fn choose(&mut self) -> Option<usize> {
         if self.boxes.0.is_empty() || self.boxes.1 <= Instant::now() {
@@ -441,6 +471,9 @@
     }
     if wanted.after > 0 {
         builder = builder.header("Last-Event-Id", wanted.after.to_string());
+        if let Some(begun_as) = &wanted.received.borrow().begun_as {
+            builder = builder.header("Resumes", begun_as);
+        }
     }
     // All parts are created above and valid.
     builder.body(Full::new(wanted.body.clone())).unwrap_or_default()
@@ -458,6 +491,13 @@
     whole.lines().filter_map(|it| it.strip_prefix("id: ")?.parse().ok()).collect()
 }
 
+/// Returns the software versions in the whole events of a stream.
+fn software_versions(bytes: &[u8]) -> BTreeSet<String> {
+    let text = String::from_utf8_lossy(bytes);
+    let whole = text.rfind("\n\n").map_or("", |end| &text[..end]);
+    whole.lines().filter_map(|it| it.strip_prefix(": ")).map(str::to_owned).collect()
+}
+
 /// Returns whether bytes contain a text.
 fn contains(bytes: &[u8], text: &str) -> bool {
     String::from_utf8_lossy(bytes).contains(text)
--- a/tests/soak/src/cluster.rs
+++ b/tests/soak/src/cluster.rs
@@ -452,8 +452,10 @@
         let stage = upstream.stage.borrow().clone();
         let service = if stage.is_some() { "model" } else { "plain" };
         let state = if upstream.is_draining.get() { "draining" } else { "ready" };
+        let own = engine::software_version(&upstream.id);
+        let version = if self.has(Mutant::HidesSoftware) { "v1" } else { own };
         let spec = json!({"service": service, "address": upstream.proxy.address.to_string(),
-            "zone": upstream.data_centre, "version": "v1", "slots": engine::SLOTS, "state": state,
+            "zone": upstream.data_centre, "version": version, "slots": engine::SLOTS, "state": state,
             "coldLeftMs": 0, "callSeq": 0, "stage": stage, "born": upstream.born});
         self.put("servers", &upstream.id, spec).await;
     }
--- a/tests/soak/src/harmful.rs
+++ b/tests/soak/src/harmful.rs
@@ -48,7 +48,15 @@
                 units: units(kind, PROMPT_TOKENS),
             };
             let deadline = Instant::now() + PLAIN_DEADLINE;
-            let wanted = Wanted { kind, path, body: Bytes::from(body), after: 0, caller, deadline };
+            let wanted = Wanted {
+                kind,
+                path,
+                body: Bytes::from(body),
+                after: 0,
+                caller,
+                deadline,
+                received: Rc::default(),
+            };
             client.forget_connection();
             client.attempt(&wanted, None).await;
         }
--- a/tests/soak/src/judge.rs
+++ b/tests/soak/src/judge.rs
@@ -80,6 +80,8 @@
     UrgentFirst,
     /// Boxes can decode the messages of other boxes, also of another version.
     Understood,
+    /// The events of a stream come from engines of one software version.
+    OneSoftware,
 }
 
 /// A broken promise.
@@ -126,6 +128,8 @@
     /// Whether all boxes understand upstreams' limits, shutdowns and back-off; an older version
     /// does not.
     pub reads_terms: bool,
+    /// Whether all boxes know engines' software versions; an older version does not.
+    pub reads_software: bool,
 }
 
 impl Default for Bounds {
@@ -142,6 +146,7 @@
             resident: 64 << 20,
             descriptors: 1000,
             reads_terms: true,
+            reads_software: true,
         }
     }
 }
@@ -210,6 +215,7 @@
         ranks::priority_in_order,
         ranks::urgent_first,
         understood,
+        one_software,
     ];
     let mut findings: Vec<_> = checks.iter().flat_map(|it| it(&records, bounds)).collect();
     findings.sort_by_key(|it| (it.at, it.promise));
@@ -547,6 +553,16 @@
     findings.collect()
 }
 
+/// Checks that no client has received events of two software versions for one stream.
+fn one_software(records: &Records, bounds: &Bounds) -> Vec<Finding> {
+    let mixed = records.mixed.iter().filter(|_| bounds.reads_software);
+    let findings = mixed.map(|(at, attempt)| {
+        let what = format!("{attempt}: events of two software versions");
+        finding(Promise::OneSoftware, *at, what)
+    });
+    findings.collect()
+}
+
 impl Records {
     /// Returns whether the upstream itself ended a run.
     fn broke_off(&self, run: &records::Run) -> bool {
--- a/tests/soak/src/judge/records.rs
+++ b/tests/soak/src/judge/records.rs
@@ -227,6 +227,8 @@
     pub(super) entry_leavings: BTreeMap<String, Vec<Leaving>>,
     /// The back-offs that upstreams asked for.
     pub(super) rests: Vec<Rest>,
+    /// The attempts that brought a stream's events from a second software version, and when.
+    pub(super) mixed: Vec<(Micros, String)>,
     /// Boxes that could not decode datagrams of others, and the number of log lines that say so.
     pub(super) not_read: Vec<(Micros, usize, usize)>,
     /// When upstreams' processes ended.
@@ -296,6 +298,7 @@
                 let answer = Answer { at, status, stamp, body, events, is_own };
                 self.with(attempt, |it| it.answer = Some(answer));
             }
+            What::Mixed { attempt } => self.mixed.push((at, attempt.clone())),
             What::Cut { attempt } => self.with(attempt, |it| it.cut = Some(at)),
             What::Left { attempt } => self.with(attempt, |it| it.left = Some(at)),
             What::TurnedAway { engine, attempt } => self.with(attempt, |it| {
--- a/tests/soak/src/mutant.rs
+++ b/tests/soak/src/mutant.rs
@@ -73,11 +73,13 @@
     RefusesUrgent,
     /// A box receives bytes that are not a valid datagram.
     SendsNoise,
+    /// The entries of all engines name the same software version.
+    HidesSoftware,
 }
 
 impl Mutant {
     /// All mutants, with their names on the command line and the promises that they break.
-    pub const ALL: [(Mutant, &'static str, Promise); 32] = [
+    pub const ALL: [(Mutant, &'static str, Promise); 33] = [
         (Mutant::RunsTwice, "runs-twice", Promise::RunsOnce),
         (Mutant::SpoilsAnswer, "spoils-answer", Promise::WholeAnswer),
         (Mutant::SkipsEvent, "skips-event", Promise::EventsInOrder),
@@ -110,6 +112,7 @@
         (Mutant::ReversesPriority, "reverses-priority", Promise::PriorityInOrder),
         (Mutant::RefusesUrgent, "refuses-urgent", Promise::UrgentFirst),
         (Mutant::SendsNoise, "sends-noise", Promise::Understood),
+        (Mutant::HidesSoftware, "hides-software", Promise::OneSoftware),
     ];
 
     /// Returns its name on the command line.
--- a/tests/soak/src/observation.rs
+++ b/tests/soak/src/observation.rs
@@ -161,6 +161,11 @@
         /// Whether all parts of it name this attempt.
         is_own: bool,
     },
+    /// A client has received events of two software versions for one stream.
+    Mixed {
+        /// The id of the attempt that brought the second version.
+        attempt: String,
+    },
     /// A connection ended before the whole answer.
     Cut {
         /// The id of the attempt.
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -144,6 +144,7 @@
         bounds.resident = 1 << 20;
     }
     bounds.reads_terms = plan.older.is_none();
+    bounds.reads_software = plan.older.is_none();
     let findings = judge(&observations, &bounds);
     Ok(Outcome { observations, findings })
 }
@@ -315,7 +316,7 @@
             let (rest, span) = (Duration::from_secs(3), Duration::from_secs(7));
             vec![at(4500, Fault::Rest { is_plain: true, count: 2, rest, span })]
         }
-        Mutant::RepeatsEvent => {
+        Mutant::RepeatsEvent | Mutant::HidesSoftware => {
             vec![at(2500, Fault::LoseAnswers { share: 40, span: Duration::from_secs(6) })]
         }
         _ => Vec::new(),
--- a/tests/soak/src/standin/engine.rs
+++ b/tests/soak/src/standin/engine.rs
@@ -173,6 +173,11 @@
     3 + body % 20
 }
 
+/// Returns the software version of an engine.
+pub fn software_version(id: &str) -> &'static str {
+    ["v1", "v2"][(digest(id.as_bytes()) % 2) as usize]
+}
+
 /// Returns the text of an event.
 pub fn event_text(attempt: &str, number: u64) -> String {
     format!("{attempt} {number}")
@@ -611,7 +616,9 @@
                 continue;
             }
             running.events.set(number);
-            let event = format!("id: {number}\ndata: {}\n\n", event_text(attempt, number));
+            let (version, text) =
+                (software_version(&self.settings.id), event_text(attempt, number));
+            let event = format!("id: {number}\n: {version}\ndata: {text}\n\n");
             if stream.write_all(&platform::chunk(&event)).await.is_err() {
                 return (RunEnd::Dropped, 0, number - 1);
             }
--- a/tests/tests/formats.rs
+++ b/tests/tests/formats.rs
@@ -14,13 +14,14 @@
 use hollyspoke::store::Revision;
 use hollyspoke_gateway::class::{self, Class};
 use hollyspoke_gateway::customer::CustomerKey;
-use hollyspoke_gateway::engine::EngineKey;
+use hollyspoke_gateway::engine::{Engine, EngineChange, EngineKey};
 use hollyspoke_gateway::evacuation::Evacuation;
 use hollyspoke_gateway::message::{Eras, Extension, Format, Message};
 use hollyspoke_gateway::permit::{Ask, Outcome, Reply};
 use hollyspoke_gateway::rate_limit::Announcement;
 use hollyspoke_gateway::route::Operations;
-use hollyspoke_gateway::snapshot::{Snapshot, SnapshotRequest};
+use hollyspoke_gateway::snapshot::{Listing, Snapshot, SnapshotRequest};
+use hollyspoke_gateway::version::SoftwareVersion;
 use hollyspoke_gateway::{appointment, departure, pace, proxy};
 use hollyspoke_server::datagram::{read, write};
 use hollyspoke_server::handover::format::{
@@ -185,6 +186,44 @@
     assert_eq!(write(&sent, Format::Permits).expect("it is written"), recorded("loads-whole"));
 }
 
+/// Datagrams and handovers of boxes that pass no versions of engines on are read, and written with the
+/// same bytes.
+#[test]
+fn versionless_box_misread() {
+    let extension = proxy_extension().non_empty();
+    let sent = Message { extension, format: Some(Format::Eras), ..whole() };
+    assert_eq!(read(&recorded("proxy-whole")).expect("it is read"), sent);
+    assert_eq!(write(&sent, Format::Permits).expect("it is written"), recorded("proxy-whole"));
+    let bytes = recorded("snapshot-operations");
+    assert_eq!(read_snapshot(&bytes).expect("it is read"), with_operations(snapshot()));
+    let written = write_snapshot(&with_operations(snapshot()), Format::Eras);
+    assert_eq!(written.expect("it is written"), bytes);
+}
+
+/// Returns a change or a listing whose engines have versions, one of them unnamed.
+fn with_versions<'a>(engines: impl Iterator<Item = &'a mut Engine>) {
+    for (engine, name) in engines.zip(["v1.2", "", "v1.2"]) {
+        engine.version = Some(SoftwareVersion::new(name));
+    }
+}
+
+#[test]
+fn versions_lost() {
+    let mut sent = Message { format: Some(Format::Origins), ..whole() };
+    let update = sent.engine_update.as_mut().expect("there is one");
+    with_versions(update.changes.iter_mut().filter_map(|it| match it {
+        EngineChange::Put(engine, _) => Some(engine),
+        EngineChange::Left(..) => None,
+    }));
+    let bytes = write(&sent, Format::Permits).expect("it is written");
+    assert_eq!(read(&bytes).expect("it is read"), sent);
+    let mut sent = snapshot();
+    let Some(Listing::Whole { engines, .. }) = &mut sent.listing else { panic!("{sent:?}") };
+    with_versions(engines.iter_mut());
+    let bytes = write_snapshot(&sent, Format::Eras).expect("it is written");
+    assert_eq!(read_snapshot(&bytes).expect("it is read"), sent);
+}
+
 /// A handover or a datagram that ends early, wherever, is not read as a shorter one.
 #[test]
 fn cut_message_accepted() {
@@ -209,11 +248,9 @@
     assert_eq!(read(&bytes).expect("it is read"), sent);
 }
 
-/// The first format has no optional operations of engines: numbered fields carry them.
-#[test]
-fn operations_lost() {
-    let mut sent = snapshot();
-    let services = sent.configuration.iter_mut().flat_map(|it| &mut it.services);
+/// Returns a snapshot whose engines support all optional operations.
+fn with_operations(mut snapshot: Snapshot) -> Snapshot {
+    let services = snapshot.configuration.iter_mut().flat_map(|it| &mut it.services);
     for staged in services.filter_map(|it| it.staged.as_mut()) {
         staged.operations = Operations {
             max_reservation: Some(Duration::from_secs(2)),
@@ -221,6 +258,13 @@
             can_back_up: true,
         };
     }
+    snapshot
+}
+
+/// The first format has no optional operations of engines: numbered fields carry them.
+#[test]
+fn operations_lost() {
+    let sent = with_operations(snapshot());
     let bytes = write_snapshot(&sent, Format::Eras).expect("it is written");
     assert_eq!(read_snapshot(&bytes).expect("it is read"), sent);
     let bytes = write_snapshot(&sent, Format::First).expect("it is written");
--- /dev/null
+++ b/tests/tests/gateway_versions.rs
@@ -0,0 +1,218 @@
+//! The ways on which a stream changes its engine, at one box before engines of two software versions.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hollyspoke_gateway::effect::{Effect, NotRunReason, Refusal, Send, Task};
+use hollyspoke_gateway::engine::{Engine, EngineChange, Stage};
+use hollyspoke_gateway::event::{CallEvent, Event};
+use hollyspoke_gateway::features::Features;
+use hollyspoke_gateway::request::{Request, RequestKey};
+use hollyspoke_gateway::version::SoftwareVersion;
+use hollyspoke_tests::gateway::{
+    MODEL, World, engine, only_refusal, only_send, prefilled, ran, request,
+};
+use hollyspoke_tests::migration::{self, leaving, transfers};
+
+/// Returns an engine of a version.
+fn versioned(number: u8, stage: Stage, version: &str) -> Engine {
+    let version = Some(SoftwareVersion::new(version));
+    Engine { version, ..engine(number, MODEL, Some(stage)) }
+}
+
+/// Lists engines: prefill engines of the first version, decode engines of the given ones.
+fn list(world: &mut World, versions: &[&str]) {
+    let prefill = [11, 12].map(|it| versioned(it, Stage::Prefill, "v1"));
+    let decode = (21..).zip(versions).map(|(number, it)| versioned(number, Stage::Decode, it));
+    world.event(Event::Listed(prefill.into_iter().chain(decode).collect(), 20.into()));
+}
+
+/// Returns a box before decode engines of the given versions.
+fn world(versions: &[&str]) -> World {
+    let mut world = World::new();
+    list(&mut world, versions);
+    world
+}
+
+/// Begins a stream up to an event.
+fn begin(world: &mut World, route: &str) -> (RequestKey, Send) {
+    let (key, decode) = world.begin_stream(request(route));
+    world.call(decode.call, CallEvent::Forwarded(Some(1)));
+    (key, decode)
+}
+
+/// An engine that gave the head and no event binds nobody.
+#[test]
+fn head_binds_version() {
+    let mut world = world(&["v1", "v2"]);
+    let (_, first) = world.begin_stream(request("resumed"));
+    let second = only_send(&world.call(first.call, CallEvent::Broken));
+    assert_ne!(second.engine.version, first.engine.version);
+}
+
+#[test]
+fn broken_stream_changes_version() {
+    let mut world = world(&["v1", "v1", "v2", "v2"]);
+    for _ in 0..12 {
+        let (_, first) = begin(&mut world, "resumed");
+        let second = only_send(&world.call(first.call, CallEvent::Broken));
+        assert_eq!(second.engine.version, first.engine.version);
+        assert_ne!(second.engine.key, first.engine.key);
+        world.call(second.call, CallEvent::Began(ran(200)));
+        world.call(second.call, CallEvent::Answered(ran(200)));
+        world.advance(Duration::from_secs(20));
+        list(&mut world, &["v1", "v1", "v2", "v2"]);
+    }
+}
+
+/// Where no engine of the version is left, the answer is broken off at once.
+#[test]
+fn last_engine_of_version_replaced() {
+    let mut world = world(&["v1", "v2"]);
+    let (key, first) = begin(&mut world, "resumed");
+    world.event(Event::Changed(vec![EngineChange::Left(first.engine.id.clone(), 21.into())]));
+    let effects = world.call(first.call, CallEvent::Broken);
+    assert!(effects.contains(&Effect::Abort(key)), "{effects:?}");
+}
+
+/// An engine that has restarted with another version since it was called writes no event that the
+/// client gets.
+#[test]
+fn restarted_engine_continues() {
+    let mut world = world(&["v1", "v1"]);
+    let (_, first) = begin(&mut world, "resumed");
+    let second = only_send(&world.call(first.call, CallEvent::Broken));
+    let version = Some(SoftwareVersion::new("v2"));
+    let restarted = Engine { started_at: Some(9), version, ..(*second.engine).clone() };
+    world.event(Event::Changed(vec![EngineChange::Put(restarted, 21.into())]));
+    let effects = world.call(second.call, CallEvent::Began(ran(200)));
+    assert!(effects.contains(&Effect::Cancel(second.call)), "{effects:?}");
+    assert!(!effects.iter().any(|it| matches!(it, Effect::Resume(..))), "{effects:?}");
+}
+
+/// If the engine may have restarted before the first event, nobody knows which version began the
+/// stream, so that it goes on nowhere.
+#[test]
+fn restarted_engine_begins() {
+    let mut world = world(&["v1", "v1"]);
+    let (key, first) = world.begin_stream(request("resumed"));
+    let restarted = Engine { started_at: Some(9), ..(*first.engine).clone() };
+    world.event(Event::Changed(vec![EngineChange::Put(restarted, 21.into())]));
+    world.call(first.call, CallEvent::Forwarded(Some(1)));
+    let effects = world.call(first.call, CallEvent::Broken);
+    assert!(effects.contains(&Effect::Abort(key)), "{effects:?}");
+}
+
+/// Returns the version of the engine at an address in a world before `v1`, `v2` and `v2`.
+fn version_at(address: SocketAddr) -> &'static str {
+    if address == versioned(21, Stage::Decode, "v1").address { "v1" } else { "v2" }
+}
+
+#[test]
+fn moved_stream_changes_version() {
+    let mut moves = 0;
+    for fillers in 0..5 {
+        let mut world = migration::world(Features { migration: true, ..Features::NONE });
+        list(&mut world, &["v1", "v2", "v2"]);
+        for _ in 0..fillers {
+            world.begin_stream(request("once"));
+        }
+        let (_, decode) = world.begin_stream(request("once"));
+        world.event(leaving(&decode.engine));
+        for transfer in transfers(&world.advance(Duration::from_millis(150))) {
+            assert_eq!(version_at(transfer.source.address), "v2");
+            assert_eq!(version_at(transfer.target), "v2");
+            moves += 1;
+        }
+    }
+    assert!(moves > 0, "no stream was moved");
+}
+
+#[test]
+fn backup_changes_version() {
+    let mut world = migration::world(Features { backups: true, ..Features::NONE });
+    list(&mut world, &["v1", "v2", "v2"]);
+    let mut backups = 0;
+    for _ in 0..6 {
+        let (_, decode) = begin(&mut world, "once");
+        let version = decode.engine.version.as_ref().map(SoftwareVersion::name);
+        assert!(decode.backup.is_none() || version == Some("v2"), "{decode:?}");
+        backups += u32::from(decode.backup.is_some());
+    }
+    assert!(backups > 0);
+}
+
+/// A prompt is prefilled at any version: pools that are split by version refuse no new stream.
+#[test]
+fn split_pools_refuse_streams() {
+    let mut world = world(&["v2", "v2"]);
+    let (_, prefill) = world.first_call(request("resumed"));
+    assert_eq!(prefill.task, Task::Prefill);
+    let decode = only_send(&world.call(prefill.call, CallEvent::Answered(prefilled("h"))));
+    assert_ne!(decode.engine.version, prefill.engine.version);
+}
+
+/// Returns the request of a client that takes a stream up.
+fn resuming(resumed_id: Option<&str>) -> Request {
+    let resumed_id = resumed_id.map(Into::into);
+    Request { id: "second".into(), last_event: Some(1), resumed_id, ..request("resumed") }
+}
+
+/// The box that began a stream knows it without asking anybody.
+#[test]
+fn own_stream_forgotten() {
+    let mut world = world(&["v1", "v1", "v2", "v2"]);
+    let (key, first) = begin(&mut world, "resumed");
+    world.event(Event::ClientDisconnected(key));
+    for _ in 0..6 {
+        let (key, effects) = world.arrive(resuming(Some("request-resumed")));
+        let prefill = only_send(&effects);
+        let decode = only_send(&world.call(prefill.call, CallEvent::Answered(prefilled("h"))));
+        assert_eq!(decode.engine.version, first.engine.version);
+        world.event(Event::ClientDisconnected(key));
+    }
+}
+
+/// A stream that nobody knows is refused at once where two versions serve, and so is one that the
+/// client doesn't name, or names by an id of another customer.
+#[test]
+fn unknown_stream_continues() {
+    let mut world = world(&["v1", "v2"]);
+    begin(&mut world, "resumed");
+    for resumed_id in [None, Some("unknown")] {
+        let (_, effects) = world.arrive(resuming(resumed_id));
+        let Refusal::NotRun(_, reason, _) = only_refusal(&effects) else { panic!("{effects:?}") };
+        assert_eq!(reason, NotRunReason::VersionUnknown);
+    }
+}
+
+/// Engines whose version isn't known, from a box that doesn't pass it on, begin streams, and continue
+/// none.
+#[test]
+fn unknown_version_continues() {
+    let mut world = World::new();
+    let decode = [21, 22].map(|it| versioned(it, Stage::Decode, "v1"));
+    let decode = decode.map(|it| Engine { version: None, ..it });
+    let prefill = versioned(11, Stage::Prefill, "v1");
+    world.event(Event::Listed([prefill].into_iter().chain(decode).collect(), 20.into()));
+    let (key, first) = begin(&mut world, "resumed");
+    let effects = world.call(first.call, CallEvent::Broken);
+    assert!(effects.contains(&Effect::Abort(key)), "{effects:?}");
+}
+
+/// Engines that name no version form a version of their own.
+#[test]
+fn unnamed_version_mixed() {
+    let mut world = world(&["", "", "v1"]);
+    for _ in 0..8 {
+        let (key, first) = begin(&mut world, "resumed");
+        let effects = world.call(first.call, CallEvent::Broken);
+        let next = effects.iter().find_map(|it| match it {
+            Effect::Send(send) => Some(send.engine.version.clone()),
+            _ => None,
+        });
+        assert!(next.is_none_or(|it| it == first.engine.version), "{effects:?}");
+        world.event(Event::ClientDisconnected(key));
+        world.advance(Duration::from_secs(20));
+    }
+}
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -46,6 +46,13 @@
     assert!(is_good, "{text}");
 }
 
+#[test]
+fn caught_software() {
+    let arguments = ["--mutant", "hides-software", "--seconds", "9", "--boxes", "2"];
+    let (is_good, text) = soak(&arguments, "software");
+    assert!(is_good, "{text}");
+}
+
 /// Returns the processes whose settings lie in a folder.
 fn processes_of(folder: &Path) -> Vec<String> {
     let settings = folder.join("box-0.toml").to_string_lossy().into_owned();
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -722,3 +722,14 @@
     assert_eq!(broken(&prioritised(1, 1)), []);
     assert_eq!(broken(&prioritised(2, 1)), [Promise::PriorityInOrder]);
 }
+
+/// A client that has events of two software versions for one stream shows that versions were mixed,
+/// unless boxes run that don't know them.
+#[test]
+fn mixed_software_missed() {
+    let mixed = at(300, What::Mixed { attempt: "r".to_owned() });
+    let seen = [sent(0, Kind::Resumed), mixed];
+    assert_eq!(broken(&seen), [Promise::OneSoftware]);
+    let bounds = Bounds { reads_software: false, ..Bounds::default() };
+    assert_eq!(judge(&seen, &bounds), []);
+}
