--- a/tests/tests/gateway_versions.rs
+++ b/tests/tests/gateway_versions.rs
@@ -118,8 +118,9 @@
             world.begin_stream(request("once"));
         }
         let (_, decode) = world.begin_stream(request("once"));
-        world.event(leaving(&decode.engine));
-        for transfer in transfers(&world.advance(Duration::from_millis(150))) {
+        let mut effects = world.event(leaving(&decode.engine));
+        effects.extend(world.advance(Duration::from_millis(150)));
+        for transfer in transfers(&effects) {
             assert_eq!(version_at(transfer.source.address), "v2");
             assert_eq!(version_at(transfer.target), "v2");
             moves += 1;
