--- a/crates/hollyspoke-gateway/src/engine.rs
+++ b/crates/hollyspoke-gateway/src/engine.rs
@@ -78,6 +78,11 @@
         self.key == other.key && self.started_at == other.started_at
     }
 
+    /// Returns whether an engine is known to have the same version of its software.
+    pub fn has_same_version(&self, other: &Engine) -> bool {
+        self.version.is_some() && self.version == other.version
+    }
+
     /// Returns whether an entry belongs to a later incarnation of the engine.
     pub fn is_superseded_by(&self, newer: &Engine) -> bool {
         matches!((self.started_at, newer.started_at), (Some(own), Some(newer)) if own < newer)
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -604,12 +604,12 @@
                     self.report_proxied(number, request, Outcome::Delivered);
                 }
                 Effect::Finish(request) => {
-                    self.end_stream(number, request);
+                    self.end_stream(number, request, true);
                     self.report_proxied(number, request, Outcome::Finished);
                 }
                 Effect::Refuse(request, refusal) => {
                     self.report_proxied(number, request, Outcome::Refused);
-                    self.end_stream(number, request);
+                    self.end_stream(number, request, false);
                     self.records.record_end(number, request, false);
                     self.crashes.record_refusal(request, refusal, self.now);
                 }
--- a/tests/src/fleet/streams.rs
+++ b/tests/src/fleet/streams.rs
@@ -273,9 +273,13 @@
         self.schedule(self.now + delay, Scheduled::Request(at, request));
     }
 
-    /// Records that a request has ended whole or was refused.
-    pub(super) fn end_stream(&mut self, number: usize, key: RequestKey) {
-        self.streams.requests.remove(&(number, key));
+    /// Records that a request has ended whole or was refused. A stream of which only the end was
+    /// missing goes on without an event.
+    pub(super) fn end_stream(&mut self, number: usize, key: RequestKey, is_whole: bool) {
+        let Some(place) = self.streams.requests.remove(&(number, key)) else { return };
+        if let Some(resumption) = self.streams.streams[place].resumptions.last_mut() {
+            resumption.went_on |= is_whole;
+        }
     }
 }
 
