A box that hears neither the others nor the store takes no version for the only one

Read in the code, not seen in a play: a box that is cut off keeps its list, so that it would take the version of before for the only one after a release has begun, and go on there with streams that others began at the new one. It now counts as not knowing, and refuses what nobody can tell it (isolated_box_guesses failed before).

--- a/crates/hollyspoke-gateway/src/gateway/origins.rs
+++ b/crates/hollyspoke-gateway/src/gateway/origins.rs
@@ -178,7 +178,7 @@
             asked: BTreeSet::new(),
             answers: BTreeMap::new(),
         };
-        let own = self.timeline.verdict(inquiry.service, inquiry.window, self.now);
+        let own = self.served_versions(inquiry.service, inquiry.window);
         if own != Verdict::Unaware && !is_named {
             return self.set_origin(key, inquiry.finding(own), Duration::ZERO);
         }
@@ -235,7 +235,7 @@
         if !self.is_concluded(inquiry) {
             return false;
         }
-        let own = self.timeline.verdict(inquiry.service, inquiry.window, self.now);
+        let own = self.served_versions(inquiry.service, inquiry.window);
         let (finding, after) = (inquiry.finding(own), self.now.since(inquiry.began));
         self.origins.inquiries.remove(&key);
         self.set_origin(key, finding, after);
@@ -326,7 +326,7 @@
             Some(None) => Knowledge::Several,
             None => {
                 let window = Duration::from_millis(u64::from(ask.window_ms));
-                match self.timeline.verdict(ask.service, window, self.now) {
+                match self.served_versions(ask.service, window) {
                     Verdict::Only(version) => Knowledge::Only(version),
                     Verdict::Several => Knowledge::Several,
                     Verdict::Unaware => Knowledge::Unaware,
--- a/crates/hollyspoke-gateway/src/gateway/versions.rs
+++ b/crates/hollyspoke-gateway/src/gateway/versions.rs
@@ -104,6 +104,23 @@
         self.timeline.observe(service_hash(service), version, self.now);
     }
 
+    /// Returns which versions have served a service for a time that ends now. Without word of other
+    /// boxes or the store, this box may have missed one.
+    pub(super) fn served_versions(&self, service: u64, duration: Duration) -> Verdict {
+        match self.timeline.verdict(service, duration, self.now) {
+            Verdict::Only(_) if !self.is_informed() => Verdict::Unaware,
+            verdict => verdict,
+        }
+    }
+
+    /// Returns whether this box learns of new engines: it is the only box, receives from others, or
+    /// follows a store that answers.
+    fn is_informed(&self) -> bool {
+        let is_alone = self.members.peak_count() == 1;
+        let follows = self.follows_store() && !self.store_view().has_lost_store;
+        is_alone || follows || !self.members.alive().is_empty()
+    }
+
     /// Returns the name of a version, if an engine of a service has it.
     pub(super) fn version_name(&self, service: &str, version: VersionKey) -> Option<Arc<str>> {
         let mut versions =
--- a/tests/tests/gateway_versions.rs
+++ b/tests/tests/gateway_versions.rs
@@ -7,10 +7,11 @@
 use hollyspoke_gateway::engine::{Engine, EngineChange, Stage};
 use hollyspoke_gateway::event::{CallEvent, Event};
 use hollyspoke_gateway::features::Features;
+use hollyspoke_gateway::message::StoreView;
 use hollyspoke_gateway::request::{Request, RequestKey};
 use hollyspoke_gateway::version::SoftwareVersion;
 use hollyspoke_tests::gateway::{
-    MODEL, World, engine, only_refusal, only_send, prefilled, ran, request,
+    MODEL, World, engine, heartbeat, only_refusal, only_send, prefilled, ran, request,
 };
 use hollyspoke_tests::migration::{self, leaving, transfers};
 
@@ -187,6 +188,22 @@
     }
 }
 
+/// A box that hears neither the others nor the store may have missed a new version: what it lists is
+/// not taken for all that serves.
+#[test]
+fn isolated_box_guesses() {
+    let mut world = world(&["v1", "v1"]);
+    world.event(Event::Received(heartbeat(2, 1, StoreView::default())));
+    let (key, effects) = world.arrive(resuming(None));
+    assert_eq!(only_send(&effects).task, Task::Prefill);
+    world.event(Event::ClientDisconnected(key));
+    world.advance(Duration::from_secs(5));
+    let (_, mut effects) = world.arrive(resuming(None));
+    effects.extend(world.advance(Duration::from_millis(400)));
+    let Refusal::NotRun(_, reason, _) = only_refusal(&effects) else { panic!("{effects:?}") };
+    assert_eq!(reason, NotRunReason::VersionUnknown);
+}
+
 /// Engines whose version isn't known, from a box that doesn't pass it on, begin streams, and continue
 /// none.
 #[test]
