Logs tell what probes of engines found, how long a failed call was silent, and how a request's last call failed

What callers saw: answers that broke off (LOST). The logs could not tell a call that the box ended by its timer from one whose engine was gone: no line said what a probe of the engine had found, how long the call had been silent, or, with the end of a request, whether its engine or the box had ended the last call. Now 'call failed' has silent_ms and begun, 'engine probed' says what was found and after how long (also a metric, hollyspoke_probes), and 'request ended' has last_failure: 'broken' is the engine's doing, 'silent' the box's. No decision is changed.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -12,7 +12,7 @@
 use crate::customer::Caller;
 use crate::departure;
 use crate::engine::{Engine, EngineKey, Stage};
-use crate::event::Kind;
+use crate::event::{Kind, Probe};
 use crate::message::{Demand, Load, Message};
 use crate::migration::Transfer;
 use crate::origin::Notice;
@@ -467,6 +467,19 @@
         reported_load: Option<ReportedLoad>,
         /// The load of all boxes at the engine, as known to this box.
         total_load: Load,
+        /// The time since the call was sent, or since its last event.
+        silent_for: Duration,
+        /// Whether a stream had begun.
+        has_begun: bool,
+    },
+    /// A probe of an engine ended.
+    Probed {
+        /// The engine's id.
+        id: Arc<str>,
+        /// What it showed.
+        probe: Probe,
+        /// How long it took.
+        after: Duration,
     },
     /// A running stream was moved to another engine.
     Moved {
@@ -544,6 +557,8 @@
         exclusions: Vec<Exclusion>,
         /// How the request ended.
         outcome: &'static str,
+        /// How its last failed call failed, if one did.
+        last_failure: Option<&'static str>,
         /// The time since its arrival.
         after: Duration,
     },
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -469,7 +469,8 @@
 
     /// Logs a failed call.
     pub(super) fn log_failure(&mut self, call: &Call, outcome: &'static str, status: u16) {
-        let Some(in_flight) = self.in_flight.get(&call.request) else { return };
+        let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
+        in_flight.last_failure = Some(outcome);
         let request = in_flight.request.id.clone();
         let (signature, path) = (in_flight.signature, in_flight.request.path.as_str().into());
         let engine = call.engine.id.clone();
@@ -485,6 +486,8 @@
             status,
             reported_load,
             total_load,
+            silent_for: call.silent_for(self.now),
+            has_begun: call.has_begun,
         });
     }
 }
--- a/crates/hollyspoke-gateway/src/gateway/end.rs
+++ b/crates/hollyspoke-gateway/src/gateway/end.rs
@@ -176,7 +176,16 @@
             Exclusion { engine, reason: it.reason }
         });
         let exclusions = exclusions.collect();
-        self.log(LogEvent::Ended { request, customer, units, exclusions, outcome, after });
+        let last_failure = in_flight.last_failure;
+        self.log(LogEvent::Ended {
+            request,
+            customer,
+            units,
+            exclusions,
+            outcome,
+            last_failure,
+            after,
+        });
     }
 
     /// Drops the active call. If the engine could run the request through it, the request may have
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -89,6 +89,8 @@
     /// Handles the result of an engine's liveness probe.
     pub(super) fn apply_probe(&mut self, engine: EngineKey, probe: Probe) {
         let probed_at = self.probing.remove(&engine).unwrap_or(self.now);
+        let (id, after) = (self.engine_name(engine).into(), self.now.since(probed_at));
+        self.log(LogEvent::Probed { id, probe, after });
         self.record_probe_contact(engine, probe, probed_at);
         let asked = Incarnation { engine, started_at: None };
         match probe {
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -153,6 +153,7 @@
             is_patient: is_client_retry && self.forecasts_returns(),
             started: None,
             phase: None,
+            last_failure: None,
             has_begun: false,
             framing: Framing::Marked,
             last_event: None,
@@ -450,6 +451,7 @@
             units: 0,
             exclusions: Vec::new(),
             outcome,
+            last_failure: None,
             after: Duration::ZERO,
         });
     }
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -114,6 +114,8 @@
     pub started: Option<Time>,
     /// The phase in which the request counts towards the load of its traffic class.
     pub phase: Option<Phase>,
+    /// How the last failed call failed.
+    pub last_failure: Option<&'static str>,
     /// Whether the client has received the head of an answer.
     pub has_begun: bool,
     /// What marks the end of the answer that the client gets, once it has begun.
@@ -266,6 +268,11 @@
         now.since(self.sent).saturating_sub(self.paused)
     }
 
+    /// Returns how long nothing has come through the call.
+    pub fn silent_for(&self, now: Time) -> Duration {
+        if self.has_begun { now.since(self.last_event_at) } else { self.waited(now) }
+    }
+
     /// Returns whether the engine may run the request through this call; a prefill doesn't run it.
     pub fn runs_request(&self) -> bool {
         self.task != Task::Prefill
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -14,6 +14,8 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
+use crate::notes::probe_name;
+
 /// The bucket bounds of histograms, in seconds.
 const HISTOGRAM_BOUNDS_S: [f64; 12] =
     [0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.9, 1.5, 3.0, 6.0, 10.0, 15.0];
@@ -91,6 +93,8 @@
     resumed: Counter<u64>,
     /// Whether the box has lost contact with the engines of a service.
     lost_contact: Gauge<u64>,
+    /// Probes of engines, by what they found.
+    probes: Counter<u64>,
     /// Whether an engine is shutting down.
     engines_leaving: Gauge<u64>,
     /// Whether an engine backs off from this box.
@@ -192,6 +196,7 @@
                 "hollyspoke_contact_lost",
                 "1 while this box reaches no engine of a service",
             ),
+            probes: count("hollyspoke_probes", "probes of engines, by what they found"),
             engines_leaving: gauge(
                 "hollyspoke_engine_leaving",
                 "whether an engine is about to leave",
@@ -317,6 +322,9 @@
                 self.engines_backing_off.record(0, &[engine_label(id)]);
             }
             LogEvent::BackOff { change: back_off::Change::Unreadable, .. } => {}
+            LogEvent::Probed { probe, .. } => {
+                self.probes.add(1, &[KeyValue::new("found", probe_name(*probe))]);
+            }
             LogEvent::PassedOn { .. } => self.passed_on.add(1, &[]),
             LogEvent::Ordered { .. } | LogEvent::Census { .. } | LogEvent::CasesRead { .. } => {}
             LogEvent::Released { .. } | LogEvent::Suspended(_) | LogEvent::Paused(_) => {}
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -4,6 +4,7 @@
 
 use hollyspoke_gateway::effect::{Exclusion, LogEvent};
 use hollyspoke_gateway::engine::Stage;
+use hollyspoke_gateway::event::Probe;
 use hollyspoke_gateway::rate_limit::Change;
 use hollyspoke_gateway::terms::Restriction;
 use hollyspoke_gateway::version::SoftwareVersion;
@@ -141,19 +142,24 @@
             status,
             reported_load,
             total_load,
+            silent_for,
+            has_begun,
         } => {
             info!(log, "call failed";
             "request" => %request, "signature" => signature.short(), "path" => %path, "engine" => %engine, "how" => outcome, "status" => status,
             "told" => reported_load.map(|it| format!("{},{},{}", it.running, it.waiting, it.slots)),
-            "held" => total_load.held_tokens, "calls" => total_load.calls)
+            "held" => total_load.held_tokens, "calls" => total_load.calls,
+            "silent_ms" => millis(silent_for), "begun" => has_begun)
         }
-        LogEvent::Ended { request, customer, units, exclusions, outcome, after } => {
+        LogEvent::Probed { id, probe, after } => info!(log, "engine probed";
+            "engine" => %id, "found" => probe_name(*probe), "after_ms" => millis(after)),
+        LogEvent::Ended { request, customer, units, exclusions, outcome, last_failure, after } => {
             info!(log, "request ended";
             "request" => %request, "customer" => customer.as_deref(), "units" => units,
             "limited" => excluded_engines(exclusions, Restriction::RateLimit),
             "leaving" => excluded_engines(exclusions, Restriction::ShuttingDown),
             "resting" => excluded_engines(exclusions, Restriction::BackOff),
-            "how" => outcome, "after_ms" => millis(after))
+            "how" => outcome, "last_failure" => last_failure, "after_ms" => millis(after))
         }
         LogEvent::ToldToReturn { request, after, is_promised } => {
             info!(log, "client told to return";
@@ -254,6 +260,17 @@
     version.map(SoftwareVersion::name)
 }
 
+/// Returns the log's name of what a probe found.
+pub fn probe_name(probe: Probe) -> &'static str {
+    match probe {
+        Probe::Alive(_) => "alive",
+        Probe::Replaced => "another engine",
+        Probe::NoAnswer => "no answer",
+        Probe::NotConnected => "no connection",
+        Probe::Exhausted => "box exhausted",
+    }
+}
+
 /// Returns the log's name of a stage.
 fn stage_name(stage: Stage) -> &'static str {
     match stage {
