Tests that fail: answers of engines that stand still and go on

A stand-in for engines that stand still for a time and go on where they stopped; connections to them open meanwhile. One box, four engines of each kind, 12 requests a row, all engines silent. On this code: 36 calls for 12 streams silent for 1.2 s within the answer or before its first event, where 24 are made without silence; 12 of 12 streams cut where the retry budget allows no repeat; 12 of 12 requests failed whose prefill was silent for 2.2 s, and 9 of 12 idempotent plain calls. A stream that may not be resumed is whole in the same silence: a request that may be repeated is worse off than one that may not. Half of the engines silent: nothing is lost where the budget doesn't bind.

--- a/tests/src/platform.rs
+++ b/tests/src/platform.rs
@@ -17,7 +17,7 @@
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Mutex, Notify};
+use tokio::sync::{Mutex, Notify, watch};
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
@@ -84,6 +84,26 @@
     pub received: Rc<RefCell<Vec<Received>>>,
     /// The number of requests whose connection was closed before their script ended.
     pub dropped: Rc<Cell<u32>>,
+    /// Whether it stands still: connections to it open, and it sends nothing.
+    pub still: watch::Sender<bool>,
+}
+
+impl Engine {
+    /// Lets the engine stand still for a time. It then goes on where it stopped.
+    pub fn stand_still(&self, duration: Duration) {
+        self.still.send_replace(true);
+        let still = self.still.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(duration).await;
+            still.send_replace(false);
+        });
+    }
+
+    /// Waits until the engine does not stand still.
+    async fn go_on(&self) {
+        // The sender is a field of this engine, so that the wait can't fail.
+        _ = self.still.subscribe().wait_for(|it| !*it).await;
+    }
 }
 
 /// An object of the store, also after its removal.
@@ -192,7 +212,8 @@
 /// Starts an engine that answers by a script.
 pub async fn engine(script: Script) -> Engine {
     let (listener, address) = listener().await;
-    let engine = Engine { address, received: Rc::default(), dropped: Rc::default() };
+    let still = watch::Sender::new(false);
+    let engine = Engine { address, received: Rc::default(), dropped: Rc::default(), still };
     let copy = engine.clone();
     tokio::task::spawn_local(async move {
         while let Ok((stream, _)) = listener.accept().await {
@@ -205,8 +226,10 @@
 /// Serves one connection of an engine.
 async fn serve_engine(engine: Engine, mut stream: TcpStream, script: Script) {
     while let Some(received) = receive(&mut stream).await {
+        engine.go_on().await;
         engine.received.borrow_mut().push(received.clone());
         for action in script(&received) {
+            engine.go_on().await;
             match action {
                 Action::Send(bytes) => {
                     if stream.write_all(&bytes).await.is_err() {
@@ -567,7 +590,7 @@
 
 /// The bound on retries. With this allowance, a box that has just started may send its first retry
 /// within 0.03 ms, since a test's first request may need one.
-const BOUND: Bound = Bound { ratio: 0.2, allowance: 1e6, window: Duration::from_secs(10) };
+pub const BOUND: Bound = Bound { ratio: 0.2, allowance: 1e6, window: Duration::from_secs(10) };
 
 /// Returns the settings of a box that listens on free ports.
 pub fn settings(store: SocketAddr, seeds: Vec<SocketAddr>) -> Settings {
