--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -23,6 +23,7 @@
 use crate::request::{CallKey, RequestKey};
 use crate::reservation::{Ask, Reservation};
 use crate::signature::Signature;
+use crate::silence::Standing;
 use crate::statement::ReportedLoad;
 use crate::terms::Restriction;
 use crate::version::{SoftwareVersion, VersionKey};
@@ -472,6 +473,37 @@
         /// Whether a stream had begun.
         has_begun: bool,
     },
+    /// A call is silent, and its request is sent to another engine, too.
+    Silent {
+        /// The client's id of the request.
+        request: Arc<str>,
+        /// The engine's id.
+        engine: Arc<str>,
+        /// How long it has been silent.
+        silent_for: Duration,
+        /// Whether a stream had begun.
+        has_begun: bool,
+        /// What is known of the engine.
+        standing: Standing,
+    },
+    /// A silent call goes on.
+    Recalled {
+        /// The client's id of the request.
+        request: Arc<str>,
+        /// The engine's id.
+        engine: Arc<str>,
+        /// How long it was silent.
+        silent_for: Duration,
+        /// The number of calls that were to replace it and are dropped.
+        dropped: usize,
+    },
+    /// Something came from an engine that was known to be silent.
+    WentOn {
+        /// The engine's id.
+        id: Arc<str>,
+        /// Whether it was avoided for that.
+        was_avoided: bool,
+    },
     /// A probe of an engine ended.
     Probed {
         /// The engine's id.
--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -64,6 +64,8 @@
     Forwarded(Option<u64>),
     /// The same, after the client had not taken earlier events for a time.
     ForwardedLate(Option<u64>),
+    /// The client takes no events for now; those that have arrived wait for it.
+    HeldUp,
     /// After the request was sent, the connection closed or delivered an invalid answer.
     Broken,
 }
@@ -101,8 +103,10 @@
     Alive(Option<u64>),
     /// Another incarnation has its address.
     Replaced,
-    /// The connection opened, but the engine doesn't answer.
+    /// The connection opened and stays open, but the engine doesn't answer.
     NoAnswer,
+    /// The connection opened and broke.
+    Broken,
     /// The connection could not be opened.
     NotConnected,
     /// This box lacked a descriptor, a port or memory for a connection, so the probe shows nothing.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -29,6 +29,7 @@
 mod relay;
 mod reservations;
 mod retries;
+mod silence;
 mod stages;
 mod start;
 mod store;
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -29,6 +29,10 @@
 impl Gateway {
     /// Handles an event of a call. Events of calls that were dropped before are ignored.
     pub(super) fn handle_call_event(&mut self, key: CallKey, event: CallEvent) {
+        self.hear_call(key, &event);
+        if self.is_kept(key) && !self.handle_kept_event(key, &event) {
+            return;
+        }
         match event {
             CallEvent::NotConnected => self.call_not_connected(key),
             CallEvent::NoPort => self.call_without_port(key),
@@ -37,6 +41,7 @@
             CallEvent::Answered(answer) => self.call_answered(key, answer),
             CallEvent::Forwarded(id) => self.call_forwarded(key, id, false),
             CallEvent::ForwardedLate(id) => self.call_forwarded(key, id, true),
+            CallEvent::HeldUp => self.call_held_up(key),
             CallEvent::Broken => self.call_broken(key),
         }
     }
@@ -110,20 +115,24 @@
         self.terms.back_offs.release(call.engine.key, call.sent);
         self.finish_prefill(key);
         self.stream_continued(call.request);
+        self.count_run(key);
+        self.cancel_kept(call.request);
+        let now = self.now;
+        let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
+        let timeouts = in_flight.gap_timeouts();
         if let Some(call) = self.calls.get_mut(&key) {
             call.has_begun = true;
-            call.last_event_at = self.now;
+            call.last_event_at = now;
+            call.timeouts = timeouts;
         }
-        let now = self.now;
-        let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
-        in_flight.run_count += u32::from(!call.is_continuation());
+        in_flight.heard_since = None;
         in_flight.trace.mark_sent();
         in_flight.source = None;
         if let Some(prompt) = in_flight.request.prompt {
             self.prompts.observe(CachedPrompt { prompt, engine: call.engine.key }, now);
         }
-        in_flight.silence_deadline = in_flight.gap_timeout().map(|it| now + it);
-        let silence_deadline = in_flight.silence_deadline;
+        in_flight.silence_check_at = timeouts.map(|it| now + it.min());
+        let check_at = in_flight.silence_check_at;
         let effect = if in_flight.has_begun {
             Effect::Resume(call.request, key)
         } else {
@@ -133,7 +142,7 @@
             in_flight.framing = answer.framing;
         }
         in_flight.has_begun = true;
-        self.wake_at(call.request, silence_deadline);
+        self.wake_at(call.request, check_at);
         self.effects.push(effect);
     }
 
@@ -151,21 +160,58 @@
     fn call_forwarded(&mut self, key: CallKey, id: Option<u64>, is_held_up: bool) {
         let now = self.now;
         self.bind_origin(key);
-        self.measure_events(key, id, is_held_up);
-        let is_blamed = !is_held_up || !self.settings.features.pace;
+        let stood_still = self.calls.get(&key).is_some_and(|it| self.has_stood_still(it));
+        self.measure_events(key, id, is_held_up || stood_still);
+        let is_blamed = !stood_still && (!is_held_up || !self.settings.features.pace);
         self.record_progress(key, id);
         let Some(call) = self.calls.get_mut(&key) else { return };
         let pause = now.since(call.last_event_at);
         call.last_event_at = now;
+        call.is_held_up = false;
         let call = call.clone();
         let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
         in_flight.last_event = id.or(in_flight.last_event);
-        in_flight.silence_deadline = in_flight.gap_timeout().map(|it| now + it);
+        in_flight.silence_check_at = call.timeouts.map(|it| now + it.min());
+        let check_at = in_flight.silence_check_at.filter(|_| is_held_up);
+        self.wake_at(call.request, check_at);
+        let Some(in_flight) = self.in_flight.get(&call.request) else { return };
         if is_blamed && in_flight.route.max_gap.is_some_and(|it| pause > it) {
             self.record_failure(&call);
         }
     }
 
+    /// The client takes no events for now, so that the silence of the call is not the engine's.
+    fn call_held_up(&mut self, key: CallKey) {
+        let now = self.now;
+        if let Some(call) = self.calls.get_mut(&key) {
+            call.is_held_up = true;
+            call.last_event_at = now;
+        }
+    }
+
+    /// Records that an engine has spoken, if an event of a call shows it.
+    fn hear_call(&mut self, key: CallKey, event: &CallEvent) {
+        let is_heard = match event {
+            CallEvent::Began(answer) | CallEvent::Answered(answer) => {
+                answer.execution != Execution::Replaced
+            }
+            CallEvent::Forwarded(_) | CallEvent::ForwardedLate(_) | CallEvent::HeldUp => true,
+            CallEvent::NotConnected
+            | CallEvent::NoPort
+            | CallEvent::Exhausted
+            | CallEvent::Broken => false,
+        };
+        if is_heard && let Some(call) = self.calls.get(&key) {
+            self.hear(&call.engine.clone());
+        }
+    }
+
+    /// Returns whether a call is kept beside the one that is to replace it.
+    fn is_kept(&self, key: CallKey) -> bool {
+        let request = self.calls.get(&key).and_then(|it| self.in_flight.get(&it.request));
+        request.is_some_and(|it| it.kept.contains(&key))
+    }
+
     /// A complete answer arrived.
     fn call_answered(&mut self, key: CallKey, answer: Answer) {
         // The final copy of a stream closes its connection, which here looks like the stream's end.
@@ -280,8 +326,10 @@
             return self.end(call.request, "whole");
         }
         self.drop_continuation(call.request, "failed");
-        if let Some(in_flight) = self.in_flight.get_mut(&call.request) {
-            in_flight.run_count += u32::from(!call.is_continuation());
+        if call.may_begin_run()
+            && let Some(in_flight) = self.in_flight.get_mut(&call.request)
+        {
+            in_flight.run_count += 1;
         }
         if is_failure {
             self.log_failure(call, "failed", answer.status);
@@ -290,6 +338,9 @@
                 self.release_backup(call.request);
                 return self.proceed(call.request);
             }
+            if self.return_to_kept(call.request) {
+                return;
+            }
         }
         let Some(in_flight) = self.in_flight.get(&call.request) else { return };
         if in_flight.has_begun {
@@ -337,7 +388,7 @@
             return;
         }
         let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
-        if !call.has_begun && !call.is_continuation() {
+        if call.may_begin_run() {
             in_flight.run_count += 1;
         }
         in_flight.trace.mark_sent();
@@ -370,8 +421,11 @@
             self.runs.end(self.now);
         }
         if let Some(in_flight) = self.in_flight.get_mut(&call.request) {
-            in_flight.call = None;
-            in_flight.silence_deadline = None;
+            in_flight.kept.retain(|it| *it != key);
+            if in_flight.call == Some(key) {
+                in_flight.call = None;
+                in_flight.silence_check_at = None;
+            }
         }
         self.abandon_move(key);
         Some(call)
@@ -398,7 +452,7 @@
 
     /// Updates the engine's reported load, its health and its prefill rate from an answer. A late
     /// answer counts as a failure. An answer of another engine at the same address is ignored.
-    fn apply_answer(&mut self, call: &Call, answer: &Answer) {
+    pub(super) fn apply_answer(&mut self, call: &Call, answer: &Answer) {
         self.record_reached(&call.engine, call.sent);
         if !self.is_current_incarnation(call) || answer.execution == Execution::Replaced {
             return;
@@ -407,19 +461,20 @@
         self.learn_terms(call, &answer.statement);
         let now = self.now;
         let is_good = answer.status < MIN_SERVER_ERROR_STATUS && answer.execution == Execution::Ran;
+        let stood_still = self.has_stood_still(call);
         self.record_return_answer(call, is_good);
         if let Some(record) = self.directory.get_mut(call.engine.key) {
             record.reported_load =
                 answer.statement.load.map(|it| (it, now)).or(record.reported_load);
             match self.in_flight.get(&call.request) {
-                Some(in_flight) if is_good && call.is_slow(now, in_flight) => {
+                Some(in_flight) if is_good && !stood_still && call.is_slow(now, in_flight) => {
                     record.health.record_failure(now)
                 }
                 _ if is_good => record.health.record_success(now),
                 _ => {}
             }
         }
-        if is_good && call.task == Task::Plain {
+        if is_good && !stood_still && call.task == Task::Plain {
             let engine = &call.engine;
             let turns = turns(call.calls_ahead, engine.slots);
             self.works.record(&engine.service, engine.key, call.waited(now), turns, now);
@@ -429,7 +484,7 @@
             Task::Decode(Prompt::NotPrefilled) => answer.status == OK,
             _ => false,
         };
-        if has_prefilled && call.engine.stage.is_some() {
+        if has_prefilled && !stood_still && call.engine.stage.is_some() {
             self.measure(call, now);
         }
     }
@@ -441,7 +496,7 @@
     }
 
     /// Records that an engine failed a call.
-    fn record_failure(&mut self, call: &Call) {
+    pub(super) fn record_failure(&mut self, call: &Call) {
         let now = self.now;
         if self.is_current_incarnation(call)
             && let Some(record) = self.directory.get_mut(call.engine.key)
--- a/crates/hollyspoke-gateway/src/gateway/contact.rs
+++ b/crates/hollyspoke-gateway/src/gateway/contact.rs
@@ -198,6 +198,11 @@
         }
     }
 
+    /// Drops the withheld findings about an engine from which something has come.
+    pub(super) fn drop_findings(&mut self, engine: EngineKey) {
+        self.contacts.withheld.retain(|it| it.engine != engine);
+    }
+
     /// Acts on the withheld findings since which an engine has answered.
     fn release_findings(&mut self) {
         let reached_at = self.contacts.reached_at;
@@ -225,7 +230,7 @@
     }
 
     /// Probes some engines of a service, chosen at random, that state no terms against calls.
-    fn probe_engines(&mut self, service: &str) {
+    pub(super) fn probe_engines(&mut self, service: &str) {
         let engines = self.directory.of_service(service).map(|it| &it.engine);
         let accepting = engines.filter(|it| self.accepts_auxiliary(it.key));
         let mut engines: Vec<_> =
--- a/crates/hollyspoke-gateway/src/gateway/end.rs
+++ b/crates/hollyspoke-gateway/src/gateway/end.rs
@@ -12,8 +12,7 @@
 pub(super) const RETRY_AFTER: Duration = Duration::from_millis(600);
 
 impl Gateway {
-    /// Checks the requests that are due: their deadline has passed, or their engine has been silent
-    /// too long.
+    /// Checks the requests that are due: their deadline has passed, or their engine is silent.
     pub(super) fn check_due_requests(&mut self) {
         while let Some(&(due, key)) = self.due.first() {
             if due > self.now {
@@ -39,12 +38,12 @@
         if in_flight.waits_until.is_some_and(|it| it <= self.now) {
             return self.refuse_for_capacity(key);
         }
-        let Some(silence_deadline) = in_flight.silence_deadline else { return };
-        if silence_deadline > self.now {
-            self.due.insert((silence_deadline, key));
+        let Some(check_at) = in_flight.silence_check_at else { return };
+        if check_at > self.now {
+            self.due.insert((check_at, key));
             return;
         }
-        self.time_out_call(key);
+        self.check_silence(key);
     }
 
     /// Schedules a check of a request at a time.
@@ -59,44 +58,17 @@
         self.give_up(key, NotRunReason::TimedOut);
     }
 
-    /// Drops a call whose engine is silent, if the request may be sent to another engine. Otherwise
-    /// the call continues despite the silence.
-    fn time_out_call(&mut self, key: RequestKey) {
-        let Some(call_key) = self.in_flight.get(&key).and_then(|it| it.call) else { return };
-        if self.migrations.is_stopping(call_key) {
-            return self.extend_silence(key);
-        }
-        if !self.can_move(call_key) {
-            return;
-        }
-        let Some(call) = self.take_call(call_key) else { return };
-        self.effects.push(Effect::Cancel(call_key));
-        self.log_failure(&call, "silent", 0);
-        self.record_unreachable(&call);
-        self.suspect(&call);
-        self.call_lost(&call);
-    }
-
-    /// Accepts the silence of a stream that its engine was told to stop.
-    fn extend_silence(&mut self, key: RequestKey) {
-        let Some(in_flight) = self.in_flight.get_mut(&key) else { return };
-        in_flight.silence_deadline = in_flight.gap_timeout().map(|it| self.now + it);
-        let silence_deadline = in_flight.silence_deadline;
-        self.wake_at(key, silence_deadline);
-    }
-
     /// Returns whether the request of an active call may be sent to another engine.
-    fn can_move(&self, call_key: CallKey) -> bool {
+    pub(super) fn can_move(&self, call_key: CallKey) -> bool {
         let Some(call) = self.calls.get(&call_key) else { return false };
         let Some(in_flight) = self.in_flight.get(&call.request) else { return false };
-        let may_begin_run = call.runs_request() && !call.has_begun && !call.is_continuation();
-        let run_count = in_flight.run_count + u32::from(may_begin_run);
+        let run_count = in_flight.run_count + u32::from(call.may_begin_run());
         !call.runs_request() || run_count < in_flight.route.max_attempts
     }
 
     /// Ends a request whose client has disconnected.
     pub(super) fn handle_disconnect(&mut self, key: RequestKey) {
-        self.drop_call(key);
+        self.drop_calls(key);
         if self.in_flight.get(&key).is_some_and(|it| !it.trace.is_sent()) {
             self.refund_units(key);
         }
@@ -108,14 +80,18 @@
         self.give_up_with_retry(key, reason, RETRY_AFTER);
     }
 
-    /// Gives a request up. If it has not run, the client may retry after `retry`.
+    /// Gives a request up, unless a silent call is kept that may still answer it. If it has not run,
+    /// the client may retry after `retry`.
     pub(super) fn give_up_with_retry(
         &mut self,
         key: RequestKey,
         reason: NotRunReason,
         retry: Duration,
     ) {
-        self.drop_call(key);
+        if reason != NotRunReason::TimedOut && self.return_to_kept(key) {
+            return;
+        }
+        self.drop_calls(key);
         let Some(in_flight) = self.in_flight.get(&key) else { return };
         if in_flight.has_begun {
             return self.abort(key);
@@ -141,9 +117,13 @@
         self.end(key, outcome);
     }
 
-    /// Aborts an answer that has begun, so that the client sees that it is incomplete.
+    /// Aborts an answer that has begun, so that the client sees that it is incomplete, unless a silent
+    /// call is kept that may still complete it.
     pub(super) fn abort(&mut self, key: RequestKey) {
-        self.drop_call(key);
+        if self.return_to_kept(key) {
+            return;
+        }
+        self.drop_calls(key);
         self.effects.push(Effect::Abort(key));
         self.end(key, "broken off");
     }
@@ -160,6 +140,7 @@
 
     /// Removes a request and frees its prefilled prompt if no engine has imported it.
     pub(super) fn end(&mut self, key: RequestKey, outcome: &'static str) {
+        self.cancel_kept(key);
         self.unreserve(key);
         self.discard_grant(key);
         self.end_migration(key);
@@ -188,17 +169,12 @@
         });
     }
 
-    /// Drops the active call. If the engine could run the request through it, the request may have
-    /// run.
-    fn drop_call(&mut self, key: RequestKey) {
+    /// Drops all calls of a request.
+    fn drop_calls(&mut self, key: RequestKey) {
         self.drop_proxied(key);
-        let Some(call_key) = self.in_flight.get(&key).and_then(|it| it.call) else { return };
-        let Some(call) = self.take_call(call_key) else { return };
-        self.effects.push(Effect::Cancel(call_key));
-        if call.runs_request()
-            && let Some(in_flight) = self.in_flight.get_mut(&key)
-        {
-            in_flight.trace.mark_sent();
+        self.cancel_kept(key);
+        if let Some(call) = self.in_flight.get(&key).and_then(|it| it.call) {
+            self.cancel(call);
         }
     }
 }
--- a/crates/hollyspoke-gateway/src/gateway/migration.rs
+++ b/crates/hollyspoke-gateway/src/gateway/migration.rs
@@ -242,7 +242,8 @@
     /// Returns why a stream has to move, and how long it still runs.
     fn reason_to_move(&self, key: CallKey, call: &Call) -> Option<(Reason, Duration)> {
         let is_stream = call.has_begun && matches!(call.task, Task::Decode(_));
-        if !is_stream || self.migrations.moves.contains_key(&key) {
+        let is_active = self.in_flight.get(&call.request).is_some_and(|it| it.call == Some(key));
+        if !is_stream || !is_active || self.migrations.moves.contains_key(&key) {
             return None;
         }
         let left = self.time_left(&call.engine)?;
--- a/crates/hollyspoke-gateway/src/gateway/pause.rs
+++ b/crates/hollyspoke-gateway/src/gateway/pause.rs
@@ -20,7 +20,7 @@
         self.contacts.extend_doubts(pause);
         self.paces.ignore_current(self.now);
         for in_flight in self.in_flight.values_mut() {
-            in_flight.silence_deadline = in_flight.silence_deadline.map(|it| it + pause);
+            in_flight.silence_check_at = in_flight.silence_check_at.map(|it| it + pause);
         }
         for call in self.calls.values_mut() {
             call.paused += pause;
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -45,6 +45,8 @@
     pub(super) replaced: Vec<EngineKey>,
     /// Engines that could not be reached, or that timed out.
     pub(super) unreachable: Vec<EngineKey>,
+    /// Engines that were announced as unreachable, and from which something has come since.
+    pub(super) reached: Vec<EngineKey>,
     /// Engines that had no free capacity.
     pub(super) rejections: Vec<Rejection>,
     /// Engines that have changed their limit themselves.
@@ -131,6 +133,11 @@
                 record.health.suspect(message.sender, self.now);
             }
         }
+        for &engine in message.extension.iter().flat_map(|it| &it.reached) {
+            if let Some(record) = self.directory.get_mut(engine) {
+                record.health.withdraw_suspicion(message.sender);
+            }
+        }
         for rejection in &message.rejections {
             if let Some(record) = self.directory.get_mut(rejection.engine) {
                 record.record_rejection(rejection.held_tokens, self.now);
@@ -302,6 +309,8 @@
         message.replaced = unannounced.replaced;
         message.unreachable = unannounced.unreachable;
         message.rejections = unannounced.rejections;
+        let reached = unannounced.reached;
+        message.extension = Extension { reached, ..Extension::default() }.non_empty();
         message.usage = self.changed_usage();
         self.send_to_concerned(message);
     }
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -80,9 +80,14 @@
                 Proof::Proven,
             );
         }
+        self.probe(&call.engine);
+    }
+
+    /// Probes an engine, unless it is being probed or accepts no probes for now.
+    pub(super) fn probe(&mut self, engine: &Arc<Engine>) {
         if self.accepts_probe(engine.key) && !self.probing.contains_key(&engine.key) {
             self.probing.insert(engine.key, self.now);
-            self.effects.push(Effect::Probe(call.engine.clone()));
+            self.effects.push(Effect::Probe(engine.clone()));
         }
     }
 
@@ -95,16 +100,22 @@
         let asked = Incarnation { engine, started_at: None };
         match probe {
             Probe::Alive(started_at) => {
+                self.hear_probed(engine, started_at);
                 self.quarantine.clear(Incarnation { engine, started_at }, self.now);
                 // The remaining unconfirmed crashes belong to an earlier incarnation.
                 self.confirm(asked, Proof::Proven);
             }
             Probe::Replaced => self.confirm(asked, Proof::Proven),
-            Probe::NoAnswer | Probe::NotConnected => {
+            // A process that accepts connections has not crashed.
+            Probe::NoAnswer => self.record_unanswered(engine),
+            Probe::Broken => self.report_finding(engine, Finding::Crashed),
+            Probe::NotConnected => {
+                self.record_silent_unreached(engine);
                 self.report_finding(engine, Finding::Crashed);
             }
             Probe::Exhausted => {}
         }
+        self.recheck_silent(engine);
     }
 
     /// Records what a probe shows about the contact with the engine's service.
@@ -112,7 +123,7 @@
         let Some(record) = self.directory.get(engine) else { return };
         let engine = record.engine.clone();
         match probe {
-            Probe::Alive(_) | Probe::Replaced | Probe::NoAnswer => {
+            Probe::Alive(_) | Probe::Replaced | Probe::NoAnswer | Probe::Broken => {
                 self.record_reached(&engine, probed_at);
             }
             Probe::NotConnected => self.record_unreached(&engine, probed_at),
--- a/crates/hollyspoke-gateway/src/gateway/relay.rs
+++ b/crates/hollyspoke-gateway/src/gateway/relay.rs
@@ -43,7 +43,9 @@
         let loads = message.loads.iter().map(|it| it.0);
         let caching = message.cached_prompts.iter().map(|it| it.engine);
         let rejecting = message.rejections.iter().map(|it| it.engine);
-        let unreachable = message.unreachable.iter().copied();
+        let extension = message.extension.iter();
+        let reached = extension.flat_map(|it| it.reached.iter().copied());
+        let unreachable = message.unreachable.iter().copied().chain(reached);
         let replaced = message.replaced.iter().copied();
         let engines = loads.chain(caching).chain(rejecting).chain(unreachable).chain(replaced);
         Reach::DataCentres(self.data_centres_of(engines))
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -128,7 +128,9 @@
             route,
             service,
             call: None,
-            silence_deadline: None,
+            kept: Vec::new(),
+            silence_check_at: None,
+            heard_since: None,
             trace: Trace::clean(),
             proxy: proxy::Progress::default(),
             tried: Vec::new(),
@@ -282,6 +284,7 @@
             data_centre: &self.settings.data_centre,
             knows_remote: !self.members.is_large(),
             tried: &in_flight.tried,
+            heard_since: in_flight.heard_since,
             origin: in_flight.origin,
             granted: self.granted_engine(in_flight),
             allowed_regions: in_flight.allowed_regions(),
@@ -329,10 +332,10 @@
         if task != Task::Prefill {
             in_flight.arrivals += 1;
         }
-        in_flight.silence_deadline =
-            in_flight.silence_timeout(&task, choice.expected).map(|it| now + it);
-        if let Some(silence_deadline) = in_flight.silence_deadline {
-            self.due.insert((silence_deadline, key));
+        let timeouts = in_flight.start_timeouts(&task, choice.expected);
+        in_flight.silence_check_at = timeouts.map(|it| now + it.min());
+        if let Some(check_at) = in_flight.silence_check_at {
+            self.due.insert((check_at, key));
         }
         let last_event = in_flight.resume_point();
         let deadline = in_flight.deadline.since(now);
@@ -375,6 +378,9 @@
                 calls_ahead,
                 last_event_at: now,
                 paused: Duration::ZERO,
+                timeouts,
+                is_held_up: false,
+                is_counted: false,
                 has_begun: false,
                 progress: Progress::default(),
             },
--- a/crates/hollyspoke-gateway/src/health.rs
+++ b/crates/hollyspoke-gateway/src/health.rs
@@ -5,6 +5,8 @@
 
 use hollyspoke::time::Time;
 
+use crate::silence::Standing;
+
 /// The weight of the newest outcome in the failure rate.
 const OUTCOME_WEIGHT: f64 = 0.2;
 
@@ -20,6 +22,10 @@
 /// How long another box's report that it could not reach an engine stays valid.
 const SUSPICION_TTL: Duration = Duration::from_millis(1500);
 
+/// How long an engine that left a probe unanswered is taken to stand still. Calls to it that are
+/// silent then lead to another probe.
+const STILL_TTL: Duration = Duration::from_millis(1500);
+
 /// The minimum number of other boxes that must report so: a single one may itself be cut off.
 const MIN_SUSPECTING_COUNT: usize = 2;
 
@@ -42,6 +48,23 @@
     returned_at: Option<Time>,
     /// The boxes that recently reported that they could not reach the engine, and when.
     suspecting: Vec<(SocketAddr, Time)>,
+    /// When anything last came from the engine.
+    heard_at: Option<Time>,
+    /// When the engine last left a probe unanswered, if nothing has come from it since.
+    unanswered_at: Option<Time>,
+    /// When a connection to the engine could last not be opened.
+    unreachable_at: Option<Time>,
+    /// Whether the engine is avoided because calls to it are silent.
+    is_blamed_for_silence: bool,
+    /// When the engine went on after it had been silent.
+    went_on_at: Option<Time>,
+}
+
+/// The end of an engine's silence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SilenceEnd {
+    /// Whether the engine was avoided for it.
+    pub was_avoided: bool,
 }
 
 impl Health {
@@ -66,9 +89,69 @@
         let interval = interval.min(MAX_AVOIDANCE);
         self.failed_connections += 1;
         self.avoided_until = Some(now + interval);
+        self.unreachable_at = Some(now);
         interval
     }
 
+    /// Records that the engine is avoided because calls to it are silent and no connection to it
+    /// opens.
+    pub fn blame_for_silence(&mut self) {
+        self.is_blamed_for_silence = true;
+    }
+
+    /// Records that a connection to the engine opened, and that a probe through it was not answered.
+    pub fn record_unanswered(&mut self, now: Time) {
+        self.unanswered_at = Some(now);
+    }
+
+    /// Records that something came from the engine. Returns the end of its silence, if it was known
+    /// to be silent.
+    pub fn record_heard(&mut self, now: Time) -> Option<SilenceEnd> {
+        self.heard_at = Some(now);
+        let was_still = self.unanswered_at.take().is_some();
+        let was_avoided = std::mem::take(&mut self.is_blamed_for_silence);
+        if was_avoided {
+            self.failed_connections = 0;
+            self.avoided_until = None;
+            self.unreachable_at = None;
+        }
+        if !was_still && !was_avoided {
+            return None;
+        }
+        self.went_on_at = Some(now);
+        Some(SilenceEnd { was_avoided })
+    }
+
+    /// Returns what is known of the engine since a time.
+    pub fn standing(&self, since: Time) -> Standing {
+        let since = Some(since);
+        if self.unreachable_at >= since {
+            Standing::Unreachable
+        } else if self.unanswered_at >= since {
+            Standing::Still
+        } else if self.heard_at >= since {
+            Standing::Responsive
+        } else {
+            Standing::Unknown
+        }
+    }
+
+    /// Returns whether the engine recently left a probe unanswered, and nothing has come from it
+    /// since.
+    pub fn is_still(&self, now: Time) -> bool {
+        self.unanswered_at.is_some_and(|it| now.since(it) < STILL_TTL)
+    }
+
+    /// Returns whether anything has come from the engine since a time.
+    pub fn was_heard_after(&self, time: Time) -> bool {
+        self.heard_at > Some(time)
+    }
+
+    /// Returns when the engine last went on after it had been silent.
+    pub fn went_on_at(&self) -> Option<Time> {
+        self.went_on_at
+    }
+
     /// Records that another box could not reach the engine.
     pub fn suspect(&mut self, node: SocketAddr, now: Time) {
         let is_other = |it: &(SocketAddr, Time)| it.0 != node;
@@ -76,6 +159,11 @@
         self.suspecting.push((node, now));
     }
 
+    /// Withdraws another box's report that it could not reach the engine.
+    pub fn withdraw_suspicion(&mut self, node: SocketAddr) {
+        self.suspecting.retain(|it| it.0 != node);
+    }
+
     /// Returns whether several other boxes recently could not reach the engine.
     pub fn is_suspected(&self, now: Time) -> bool {
         let fresh = self.suspecting.iter().filter(|it| now.since(it.1) < SUSPICION_TTL);
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -21,21 +21,32 @@
 use crate::reservation;
 use crate::route::{Route, RouteKind, Service};
 use crate::signature::Signature;
+use crate::silence::Timeouts;
 use crate::terms::Restriction;
 
 /// The number of rejections by engines after which a request is given up.
 const MAX_REJECTIONS: u32 = 3;
 
-/// The share of an idempotent request's timeout after which a silent call counts as failed.
+/// The share of an idempotent request's timeout after which a silent call may be replaced.
 const SILENCE_TIMEOUT_SHARE: f64 = 0.5;
 
 /// The share of a handle's TTL during which the prefilled prompt is expected to exist.
 const HANDLE_TTL_SHARE: f64 = 0.7;
 
-/// The silence after which a stream counts as broken, in multiples of the longest allowed gap.
+/// The silence after which the call of a stream may be replaced, in multiples of the longest allowed
+/// gap.
 const SILENCE_GAP_COUNT: u32 = 4;
 
-/// The shortest silence after which a stream counts as broken.
+/// The shortest time that the client of a stream waits for its next event.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+
+/// The same in multiples of the longest allowed gap.
+const PATIENCE_GAP_COUNT: u32 = 8;
+
+/// The same in multiples of the route's target.
+const PATIENCE_TARGET_COUNT: u32 = 4;
+
+/// The shortest silence after which the call of a stream may be replaced.
 const MIN_SILENCE: Duration = Duration::from_millis(1000);
 
 /// An in-flight request.
@@ -63,8 +74,12 @@
     pub deadline: Time,
     /// The active call, if any.
     pub call: Option<CallKey>,
-    /// The time at which a silent active call counts as failed, if it may be retried.
-    pub silence_deadline: Option<Time>,
+    /// The silent calls that are kept beside the one that is to replace them, the newest last.
+    pub kept: Vec<CallKey>,
+    /// The time at which the active call is checked for silence, if it may be replaced.
+    pub silence_check_at: Option<Time>,
+    /// If set, the request is only sent to engines from which something has come since.
+    pub heard_since: Option<Time>,
     /// Whether the request has run or may have run.
     pub trace: Trace,
     /// Its progress at other boxes.
@@ -175,6 +190,12 @@
     pub last_event_at: Time,
     /// How long this box was paused during the call.
     pub paused: Duration,
+    /// The silences that the call is given, if it may be replaced at all.
+    pub timeouts: Option<Timeouts>,
+    /// Whether the client holds up the events of the stream.
+    pub is_held_up: bool,
+    /// Whether the run that the engine may have begun is counted.
+    pub is_counted: bool,
     /// Whether the head of a stream has arrived.
     pub has_begun: bool,
     /// The events that the call has forwarded.
@@ -222,8 +243,15 @@
         self.last_event.or(self.request.last_event)
     }
 
-    /// Returns the silence after which a call counts as failed, if the request may be retried then.
-    pub fn silence_timeout(&self, task: &Task, expected: Duration) -> Option<Duration> {
+    /// Returns the silences that a call is given before its answer begins, if the request may be sent
+    /// again.
+    pub fn start_timeouts(&self, task: &Task, expected: Duration) -> Option<Timeouts> {
+        let timeout = self.start_timeout(task, expected)?;
+        Some(Timeouts::new(timeout, self.patience(), self.route.target_latency))
+    }
+
+    /// Returns the silence after which a call may be replaced whose answer has not begun.
+    fn start_timeout(&self, task: &Task, expected: Duration) -> Option<Duration> {
         match task {
             Task::Prefill => Some((expected * 3).max(self.route.target_latency)),
             _ if !self.route.is_idempotent() => None,
@@ -238,13 +266,23 @@
         self.prefilled_at + ttl.mul_f64(HANDLE_TTL_SHARE)
     }
 
-    /// Returns the silence between events after which a stream counts as broken.
-    pub fn gap_timeout(&self) -> Option<Duration> {
+    /// Returns the silences that the call of a stream is given between events.
+    pub fn gap_timeouts(&self) -> Option<Timeouts> {
         if !self.route.is_idempotent() || self.route.kind != RouteKind::Stream {
             return None;
         }
         let gap = self.route.max_gap.unwrap_or(MIN_SILENCE);
-        Some((gap * SILENCE_GAP_COUNT).max(MIN_SILENCE))
+        let timeout = (gap * SILENCE_GAP_COUNT).max(MIN_SILENCE);
+        Some(Timeouts::new(timeout, self.patience(), self.route.target_latency))
+    }
+
+    /// Returns how long the client waits for the next event or for the answer before it leaves.
+    fn patience(&self) -> Duration {
+        if self.route.kind != RouteKind::Stream {
+            return self.deadline.since(self.arrived);
+        }
+        let gaps = self.route.max_gap.map_or(Duration::ZERO, |it| it * PATIENCE_GAP_COUNT);
+        (self.route.target_latency * PATIENCE_TARGET_COUNT).max(gaps).max(MIN_PATIENCE)
     }
 }
 
@@ -278,6 +316,11 @@
         self.task != Task::Prefill
     }
 
+    /// Returns whether the engine may begin a run through the call that isn't counted yet.
+    pub fn may_begin_run(&self) -> bool {
+        self.runs_request() && !self.is_counted && !self.is_continuation()
+    }
+
     /// Returns whether the call continues a stream from a copy, which counts as the same run.
     pub fn is_continuation(&self) -> bool {
         matches!(self.task, Task::Decode(Prompt::Copied(_)))
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod reservation;
 pub mod route;
 pub mod signature;
+pub mod silence;
 pub mod snapshot;
 pub mod statement;
 pub mod terms;
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -256,6 +256,8 @@
     pub paces: Vec<pace::Announcement>,
     /// Whether and for which services the sender accepts requests of other boxes, in whole datagrams.
     pub proxy: proxy::Announcement,
+    /// Engines that the sender announced as unreachable, and from which something has come since.
+    pub reached: Vec<EngineKey>,
 }
 
 impl Message {
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -130,6 +130,8 @@
     pub knows_remote: bool,
     /// Engines that the request was already sent to.
     pub tried: &'a [EngineKey],
+    /// If set, only engines from which something has come since are selected.
+    pub heard_since: Option<Time>,
     /// Which software version the answer's events must come from.
     pub origin: Origin,
     /// The engine that has reserved memory for the request.
@@ -339,6 +341,12 @@
         if all.iter().any(|it| !it.health.is_suspected(self.now)) {
             all.retain(|it| !it.health.is_suspected(self.now));
         }
+        if let Some(since) = self.heard_since {
+            all.retain(|it| it.health.was_heard_after(since));
+        }
+        if all.iter().any(|it| !it.health.is_still(self.now)) {
+            all.retain(|it| !it.health.is_still(self.now));
+        }
         all.retain(|it| has_capacity(it));
         let is_new = |it: &&Record| !self.tried.contains(&it.engine.key);
         let new: Vec<_> = all.iter().copied().filter(is_new).collect();
--- a/crates/hollyspoke-server/src/datagram.rs
+++ b/crates/hollyspoke-server/src/datagram.rs
@@ -82,6 +82,9 @@
     /// Whether the sender reads notices of streams' versions, in whole datagrams; no if missing.
     #[n(11)]
     reads_notices: Option<bool>,
+    /// Engines that the sender announced as unreachable, and from which something has come since.
+    #[n(12)]
+    reached: Option<Vec<u64>>,
 }
 
 /// Whether and for which services a box accepts requests of other boxes.
@@ -280,6 +283,7 @@
         proxy: ProxyField::of(&extension.proxy),
         versions: message.engine_update.as_ref().and_then(|it| VersionsField::of(put(&it.changes))),
         reads_notices: message.announces_notices().then_some(true),
+        reached: non_empty_list(extension.reached.iter().map(|it| it.0).collect()),
     };
     let mut bytes = vec![EXTENDED_FORMAT_MARK, EXTENDED_FORMAT_VERSION];
     minicbor::encode(&extended, &mut bytes).wrap_err("a field can't be written")?;
@@ -323,6 +327,7 @@
             .map(AppointmentField::announcement)
             .collect(),
         paces: extended.paces.iter().flatten().map(PaceField::announcement).collect(),
+        reached: extended.reached.iter().flatten().map(|&it| EngineKey(it)).collect(),
         proxy: extended.proxy.map(ProxyField::announcement).unwrap_or_default(),
     }
     .non_empty();
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -14,7 +14,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
-use crate::notes::probe_name;
+use crate::notes::{probe_name, standing_name};
 
 /// The bucket bounds of histograms, in seconds.
 const HISTOGRAM_BOUNDS_S: [f64; 12] =
@@ -95,6 +95,10 @@
     lost_contact: Gauge<u64>,
     /// Probes of engines, by what they found.
     probes: Counter<u64>,
+    /// Silent calls whose request was sent to another engine, too.
+    silent_calls: Counter<u64>,
+    /// Silent calls that went on.
+    recalled_calls: Counter<u64>,
     /// Whether an engine is shutting down.
     engines_leaving: Gauge<u64>,
     /// Whether an engine backs off from this box.
@@ -197,6 +201,14 @@
                 "1 while this box reaches no engine of a service",
             ),
             probes: count("hollyspoke_probes", "probes of engines, by what they found"),
+            silent_calls: count(
+                "hollyspoke_silent_calls",
+                "silent calls whose request was sent to another engine too, by what the engine is",
+            ),
+            recalled_calls: count(
+                "hollyspoke_silent_calls_gone_on",
+                "silent calls that went on before another one had replaced them",
+            ),
             engines_leaving: gauge(
                 "hollyspoke_engine_leaving",
                 "whether an engine is about to leave",
@@ -322,6 +334,12 @@
                 self.engines_backing_off.record(0, &[engine_label(id)]);
             }
             LogEvent::BackOff { change: back_off::Change::Unreadable, .. } => {}
+            LogEvent::Silent { standing, .. } => {
+                let standing = KeyValue::new("engine_is", standing_name(*standing));
+                self.silent_calls.add(1, &[standing]);
+            }
+            LogEvent::Recalled { .. } => self.recalled_calls.add(1, &[]),
+            LogEvent::WentOn { .. } => {}
             LogEvent::Probed { probe, .. } => {
                 self.probes.add(1, &[KeyValue::new("found", probe_name(*probe))]);
             }
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -6,6 +6,7 @@
 use hollyspoke_gateway::engine::Stage;
 use hollyspoke_gateway::event::Probe;
 use hollyspoke_gateway::rate_limit::Change;
+use hollyspoke_gateway::silence::Standing;
 use hollyspoke_gateway::terms::Restriction;
 use hollyspoke_gateway::version::SoftwareVersion;
 use hollyspoke_gateway::{back_off, departure};
@@ -151,6 +152,18 @@
             "held" => total_load.held_tokens, "calls" => total_load.calls,
             "silent_ms" => millis(silent_for), "begun" => has_begun)
         }
+        LogEvent::Silent { request, engine, silent_for, has_begun, standing } => {
+            info!(log, "call silent";
+                "request" => %request, "engine" => %engine, "silent_ms" => millis(silent_for),
+                "begun" => has_begun, "engine_is" => standing_name(*standing))
+        }
+        LogEvent::Recalled { request, engine, silent_for, dropped } => {
+            info!(log, "silent call goes on";
+                "request" => %request, "engine" => %engine, "silent_ms" => millis(silent_for),
+                "dropped" => dropped)
+        }
+        LogEvent::WentOn { id, was_avoided } => info!(log, "silent engine goes on";
+            "engine" => %id, "avoided" => was_avoided),
         LogEvent::Probed { id, probe, after } => info!(log, "engine probed";
             "engine" => %id, "found" => probe_name(*probe), "after_ms" => millis(after)),
         LogEvent::Ended { request, customer, units, exclusions, outcome, last_failure, after } => {
@@ -260,12 +273,23 @@
     version.map(SoftwareVersion::name)
 }
 
+/// Returns the log's name of what is known of an engine.
+pub fn standing_name(standing: Standing) -> &'static str {
+    match standing {
+        Standing::Unknown => "unknown",
+        Standing::Responsive => "responsive",
+        Standing::Still => "still",
+        Standing::Unreachable => "unreachable",
+    }
+}
+
 /// Returns the log's name of what a probe found.
 pub fn probe_name(probe: Probe) -> &'static str {
     match probe {
         Probe::Alive(_) => "alive",
         Probe::Replaced => "another engine",
         Probe::NoAnswer => "no answer",
+        Probe::Broken => "broken",
         Probe::NotConnected => "no connection",
         Probe::Exhausted => "box exhausted",
     }
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -191,6 +191,7 @@
     let event = match chunk_sender.try_send(bytes) {
         Ok(()) => CallEvent::Forwarded(last_id),
         Err(TrySendError::Full(bytes)) => {
+            node.dispatch(Event::Call(send.call, CallEvent::HeldUp));
             chunk_sender.send(bytes).await.map_err(|_| Failure::Broken)?;
             CallEvent::ForwardedLate(last_id)
         }
@@ -330,13 +331,13 @@
 /// Sends the probe. Any answer shows that a process is alive at the address.
 async fn exchange_probe(node: &Rc<Node>, engine: &Engine) -> Probe {
     match node.connect(engine.address, CONNECT_TIMEOUT).await {
-        Ok(connection) => read_probe(node, engine, connection).await.unwrap_or(Probe::NoAnswer),
+        Ok(connection) => read_probe(node, engine, connection).await.unwrap_or(Probe::Broken),
         Err(Failure::Exhausted(_)) => Probe::Exhausted,
         Err(Failure::Unsent | Failure::Broken) => Probe::NotConnected,
     }
 }
 
-/// Sends the probe over an open connection; none if no answer arrives.
+/// Sends the probe over an open connection; none if that breaks.
 async fn read_probe(node: &Rc<Node>, engine: &Engine, mut connection: Connection) -> Option<Probe> {
     let query_request = (node.dialect.report)(engine).body(Full::default()).ok()?;
     let (head, body) = connection.send(query_request).await.ok()?.into_parts();
--- /dev/null
+++ b/tests/tests/gateway_silence.rs
@@ -0,0 +1,321 @@
+//! Silent engines: what is sent beside a silent call, and what a wrong verdict sets off.
+
+use std::time::Duration;
+
+use hollyspoke_gateway::budget::Bound;
+use hollyspoke_gateway::effect::{Effect, Send, Task};
+use hollyspoke_gateway::engine::EngineKey;
+use hollyspoke_gateway::event::{CallEvent, Event, Probe};
+use hollyspoke_gateway::gateway::{Gateway, Settings};
+use hollyspoke_gateway::message::{Message, StoreView};
+use hollyspoke_gateway::request::{Request, RequestKey};
+use hollyspoke_gateway::signature::Content;
+use hollyspoke_tests::gateway::{
+    HOST, World, configuration, engines, heartbeat, only_send, prefilled, ran, rejected, request,
+    settings,
+};
+
+/// The time by which a silent call to an engine that can't be reached is sent again.
+const TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// A time just before the client of a silent stream leaves.
+const PATIENCE: Duration = Duration::from_millis(3500);
+
+/// Returns the effects that concern requests, of which probes are answered by `probe`.
+fn wait(world: &mut World, duration: Duration, probe: fn(EngineKey) -> Probe) -> Vec<Effect> {
+    let end = world.now + duration;
+    let mut effects = Vec::new();
+    while world.now < end {
+        effects.extend(world.advance(Duration::from_millis(50).min(end.since(world.now))));
+        for engine in std::mem::take(&mut world.probed) {
+            effects.extend(world.event(Event::Probed(engine, probe(engine))));
+        }
+    }
+    effects
+}
+
+/// Begins a stream that has brought an event.
+fn begin(world: &mut World) -> (RequestKey, Send) {
+    let (key, call) = world.begin_stream(request("resumed"));
+    world.call(call.call, CallEvent::Forwarded(Some(1)));
+    (key, call)
+}
+
+/// Returns a box without retry budget.
+fn box_without_budget() -> World {
+    let retry_bound = Bound { ratio: 0.0, allowance: 0.0, window: Duration::from_secs(10) };
+    let mut world = World::of(Gateway::new(Settings { retry_bound, ..settings(1) }));
+    world.event(Event::Configured(std::sync::Arc::new(configuration(1))));
+    world.event(Event::Listed(engines(), 10.into()));
+    world
+}
+
+/// Returns a probe's answer of engines that stand still.
+fn still(_: EngineKey) -> Probe {
+    Probe::NoAnswer
+}
+
+/// Returns the result of a probe of engines that can't be reached.
+fn unreachable(_: EngineKey) -> Probe {
+    Probe::NotConnected
+}
+
+/// Returns a probe's answer of engines that serve.
+fn alive(_: EngineKey) -> Probe {
+    Probe::Alive(None)
+}
+
+/// Returns whether a call is cancelled.
+fn is_cancelled(effects: &[Effect], call: &Send) -> bool {
+    effects.contains(&Effect::Cancel(call.call))
+}
+
+#[test]
+fn unreachable_engine_kept() {
+    let mut world = World::new();
+    let (key, first) = begin(&mut world);
+    let effects = wait(&mut world, TIMEOUT + Duration::from_millis(10), unreachable);
+    let second = only_send(&effects);
+    assert_eq!(second.last_event, Some(1));
+    assert!(!is_cancelled(&effects, &first));
+    let effects = world.call(second.call, CallEvent::Began(ran(200)));
+    assert_eq!(effects, [Effect::Cancel(first.call), Effect::Resume(key, second.call)]);
+}
+
+#[test]
+fn still_engines_replaced() {
+    let mut world = World::new();
+    let (key, call) = begin(&mut world);
+    assert_eq!(wait(&mut world, PATIENCE, still), []);
+    assert_eq!(world.call(call.call, CallEvent::Forwarded(Some(2))), []);
+    assert_eq!(world.call(call.call, CallEvent::Answered(ran(200))), [Effect::Finish(key)]);
+}
+
+/// An engine that stands still beside another one that speaks is replaced before its client leaves.
+#[test]
+fn still_engine_awaited() {
+    let mut world = World::new();
+    let (_, first) = begin(&mut world);
+    let (_, other) = begin(&mut world);
+    assert_ne!(first.engine.key, other.engine.key);
+    let mut sends = Vec::new();
+    for id in 2..30 {
+        let effects = wait(&mut world, Duration::from_millis(100), still);
+        sends.extend(effects.into_iter().filter(|it| matches!(it, Effect::Send(_))));
+        world.call(other.call, CallEvent::Forwarded(Some(id)));
+    }
+    assert_eq!(only_send(&sends).engine.key, other.engine.key);
+}
+
+#[test]
+fn successor_outlives_return() {
+    let mut world = World::new();
+    let (_, first) = begin(&mut world);
+    let second = only_send(&wait(&mut world, TIMEOUT * 2, unreachable));
+    let effects = world.call(first.call, CallEvent::Forwarded(Some(2)));
+    assert_eq!(effects, [Effect::Cancel(second.call)]);
+    assert_eq!(world.call(second.call, CallEvent::Began(ran(200))), []);
+}
+
+#[test]
+fn failed_successor_ends_answer() {
+    for failure in [CallEvent::Broken, CallEvent::Answered(ran(500)), CallEvent::NotConnected] {
+        let mut world = World::new();
+        let (key, first) = begin(&mut world);
+        let second = only_send(&wait(&mut world, TIMEOUT * 2, unreachable));
+        let effects = world.call(second.call, failure);
+        assert!(!effects.contains(&Effect::Abort(key)) && !is_cancelled(&effects, &first));
+        world.call(first.call, CallEvent::Forwarded(Some(2)));
+        let effects = world.call(first.call, CallEvent::Answered(ran(200)));
+        assert!(effects.contains(&Effect::Finish(key)), "{effects:?}");
+    }
+}
+
+#[test]
+fn spent_budget_ends_answer() {
+    let mut world = box_without_budget();
+    let (key, call) = begin(&mut world);
+    assert_eq!(wait(&mut world, PATIENCE, unreachable), []);
+    assert_eq!(world.call(call.call, CallEvent::Answered(ran(200))), [Effect::Finish(key)]);
+}
+
+/// The silent call breaks while another one has been sent.
+#[test]
+fn broken_call_ends_successor() {
+    let mut world = World::new();
+    let (key, first) = begin(&mut world);
+    let second = only_send(&wait(&mut world, TIMEOUT * 2, unreachable));
+    assert_eq!(world.call(first.call, CallEvent::Broken), []);
+    let effects = world.call(second.call, CallEvent::Began(ran(200)));
+    assert_eq!(effects, [Effect::Resume(key, second.call)]);
+}
+
+#[test]
+fn client_leaves_kept_call() {
+    let mut world = World::new();
+    let (key, first) = begin(&mut world);
+    let second = only_send(&wait(&mut world, TIMEOUT * 2, unreachable));
+    let effects = world.event(Event::ClientDisconnected(key));
+    assert!(is_cancelled(&effects, &first) && is_cancelled(&effects, &second));
+    assert!(world.gateway.own_work().is_empty());
+}
+
+/// After its deadline a request keeps no call.
+#[test]
+fn expired_request_kept() {
+    let mut world = World::new();
+    let (key, first) = begin(&mut world);
+    let second = only_send(&wait(&mut world, TIMEOUT * 2, unreachable));
+    let effects = world.advance(Duration::from_secs(14));
+    assert!(effects.contains(&Effect::Abort(key)));
+    assert!(is_cancelled(&effects, &first) && is_cancelled(&effects, &second));
+    assert_eq!(world.gateway.in_flight_count(), 0);
+}
+
+/// A prefill that was only silent is not thrown away, and its request runs once.
+#[test]
+fn silent_prefill_dropped() {
+    let mut world = World::new();
+    let (_, prefill) = world.first_call(request("once"));
+    assert_eq!(prefill.task, Task::Prefill);
+    assert_eq!(wait(&mut world, Duration::from_millis(2500), still), []);
+    let decode = only_send(&world.call(prefill.call, CallEvent::Answered(prefilled("h"))));
+    assert!(matches!(decode.task, Task::Decode(_)));
+}
+
+/// A request that may run once runs at the engine that replaced its silent prefill, and nowhere else.
+#[test]
+fn late_prefill_runs_request_twice() {
+    let mut world = World::new();
+    let (_, prefill) = world.first_call(request("once"));
+    let second = only_send(&wait(&mut world, Duration::from_secs(3), unreachable));
+    assert!(matches!(second.task, Task::Decode(_)));
+    let effects = world.call(prefill.call, CallEvent::Answered(prefilled("h")));
+    assert!(!effects.iter().any(|it| matches!(it, Effect::Send(_) | Effect::Cancel(_))));
+    assert!(effects.iter().any(|it| matches!(it, Effect::Free(_))), "{effects:?}");
+}
+
+/// Rejections of a call that was silent leave its successor alone.
+#[test]
+fn late_rejection_ends_request() {
+    let mut world = World::new();
+    let (key, first) = world.first_call(request("safe"));
+    let second = only_send(&wait(&mut world, Duration::from_secs(8), alive));
+    assert_eq!(world.call(first.call, CallEvent::Answered(rejected())), []);
+    let effects = world.call(second.call, CallEvent::Answered(ran(200)));
+    assert_eq!(effects, [Effect::Deliver(key, second.call)]);
+}
+
+/// An engine is avoided for its silence until something comes from it.
+#[test]
+fn avoidance_outlives_silence() {
+    let mut world = World::new();
+    let (_, first) = begin(&mut world);
+    let second = only_send(&wait(&mut world, TIMEOUT * 2, unreachable));
+    world.call(second.call, CallEvent::Began(ran(200)));
+    let (_, decode) = begin(&mut world);
+    assert_eq!(decode.engine.key, second.engine.key, "the silent engine is avoided");
+    let mut world = World::new();
+    let (_, first_again) = begin(&mut world);
+    assert_eq!(first_again.engine.key, first.engine.key);
+    wait(&mut world, TIMEOUT * 2, unreachable);
+    world.call(first_again.call, CallEvent::Forwarded(Some(2)));
+    let chosen: Vec<_> = (0..4).map(|_| begin(&mut world).1.engine.key).collect();
+    assert!(chosen.contains(&first.engine.key), "it is avoided although it has gone on");
+}
+
+/// Other boxes hear that an engine goes on which they were told is unreachable.
+#[test]
+fn announcement_outlives_silence() {
+    let mut world = World::new();
+    world.event(Event::Received(heartbeat(2, 1, StoreView::default())));
+    let (_, call) = begin(&mut world);
+    let silent = call.engine.key;
+    let mut told = Vec::new();
+    while told.is_empty() {
+        world.now = world.now + Duration::from_millis(50);
+        let mut effects = world.gateway.step(world.now, Event::Tick);
+        for engine in effects.iter().filter_map(probed_engine).collect::<Vec<_>>() {
+            let probe = if engine == silent { Probe::NotConnected } else { Probe::Alive(None) };
+            effects.extend(world.gateway.step(world.now, Event::Probed(engine, probe)));
+        }
+        told = announced(&effects, |it| it.unreachable.clone());
+    }
+    assert_eq!(told, [silent]);
+    let event = Event::Call(call.call, CallEvent::Forwarded(Some(2)));
+    let effects = world.gateway.step(world.now, event);
+    let reached = |it: &Message| it.extension.iter().flat_map(|it| it.reached.clone()).collect();
+    assert_eq!(announced(&effects, reached), [silent]);
+}
+
+/// Returns the engine of a probe.
+fn probed_engine(effect: &Effect) -> Option<EngineKey> {
+    match effect {
+        Effect::Probe(engine) => Some(engine.key),
+        _ => None,
+    }
+}
+
+/// Returns the engines that datagrams announce.
+fn announced(effects: &[Effect], engines: impl Fn(&Message) -> Vec<EngineKey>) -> Vec<EngineKey> {
+    let messages = effects.iter().filter_map(|it| match it {
+        Effect::Announce(_, message) => Some(message),
+        _ => None,
+    });
+    messages.flat_map(|it| engines(it)).collect()
+}
+
+/// A request whose engines stand still again and again has crashed none of them.
+#[test]
+fn silence_counted_as_crash() {
+    let mut world = World::new();
+    for _ in 0..5 {
+        let (key, call) = begin(&mut world);
+        wait(&mut world, PATIENCE, still);
+        world.call(call.call, CallEvent::Forwarded(Some(2)));
+        world.event(Event::ClientDisconnected(key));
+    }
+    assert!(world.gateway.held().is_empty());
+    let (_, effects) = world.arrive(request("resumed"));
+    only_send(&effects);
+}
+
+/// Engines that all stand still are not avoided: a new request is sent and not refused.
+#[test]
+fn shared_silence_refuses_requests() {
+    let mut world = World::new();
+    begin(&mut world);
+    begin(&mut world);
+    wait(&mut world, TIMEOUT * 2, still);
+    let content = Content::of("POST", HOST, "/resumed/x", b"other");
+    let (_, effects) = world.arrive(Request { content, ..request("resumed") });
+    only_send(&effects);
+}
+
+/// The silence of a client that reads nothing is not its engine's.
+#[test]
+fn held_up_stream_begun_again() {
+    let mut world = World::new();
+    let (_, call) = begin(&mut world);
+    world.call(call.call, CallEvent::HeldUp);
+    assert_eq!(wait(&mut world, Duration::from_secs(8), alive), []);
+    assert_eq!(world.call(call.call, CallEvent::ForwardedLate(Some(2))), []);
+    let effects = wait(&mut world, TIMEOUT * 2, alive);
+    only_send(&effects);
+}
+
+/// Many streams that fall silent together cost one probe an engine at a time.
+#[test]
+fn silent_streams_probed_each() {
+    let mut world = World::new();
+    let small = Request { prompt_tokens: Some(100), ..request("resumed") };
+    for number in 0..100u32 {
+        let content = Content::of("POST", HOST, "/resumed/x", &number.to_be_bytes());
+        let (_, call) = world.begin_stream(Request { content, ..small.clone() });
+        world.call(call.call, CallEvent::Forwarded(Some(1)));
+    }
+    world.probed.clear();
+    let effects = world.advance(Duration::from_millis(1000));
+    assert_eq!(effects, []);
+    assert!(world.probed.len() <= 2, "{}", world.probed.len());
+}
