The end of an engine's silence is announced at once, and each silent call adds to its avoidance

A replaced call at an engine that answers others counts as a failure of that engine, which decays, and is not avoided.

The announcement that an engine goes on waited for the next datagram, since it did not count as urgent. The test of it had hung: it never answered the probes that the gateway sends while it is open whose fault an engine's silence is, and had no end. Both are mended; with the old condition it fails (no box is told).

The new test of dead engines fails without the first change.

--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -67,7 +67,10 @@
 impl Unannounced {
     /// Returns whether there is nothing urgent to announce.
     fn is_empty(&self) -> bool {
-        self.replaced.is_empty() && self.unreachable.is_empty() && self.rejections.is_empty()
+        self.replaced.is_empty()
+            && self.unreachable.is_empty()
+            && self.reached.is_empty()
+            && self.rejections.is_empty()
     }
 }
 
--- a/crates/hollyspoke-gateway/src/gateway/silence.rs
+++ b/crates/hollyspoke-gateway/src/gateway/silence.rs
@@ -92,8 +92,13 @@
             return self.check_silence_in(key, RETRY_INTERVAL);
         }
         self.log_silent(&call, standing);
-        if standing == Standing::Unreachable {
-            self.suspect(&call);
+        match standing {
+            Standing::Unreachable => {
+                self.blame_for_silence(call.engine.key);
+                self.suspect(&call);
+            }
+            Standing::Responsive | Standing::Unknown => self.record_failure(&call),
+            Standing::Still => {}
         }
         self.keep(call_key);
         if let Some(in_flight) = self.in_flight.get_mut(&key) {
@@ -298,9 +303,14 @@
 
     /// Records that no connection to an engine opens. If calls to it are silent, it is avoided.
     pub(super) fn record_silent_unreached(&mut self, engine: EngineKey) {
-        if self.silent_requests(engine).is_empty() {
-            return;
+        if !self.silent_requests(engine).is_empty() {
+            self.blame_for_silence(engine);
         }
+    }
+
+    /// Avoids an engine that can't be reached and whose calls are silent, until something comes from
+    /// it.
+    fn blame_for_silence(&mut self, engine: EngineKey) {
         self.mark_unreachable(engine);
         if let Some(record) = self.directory.get_mut(engine) {
             record.health.blame_for_silence();
--- a/tests/tests/gateway_silence.rs
+++ b/tests/tests/gateway_silence.rs
@@ -8,7 +8,7 @@
 use hollyspoke_gateway::event::{CallEvent, Event, Probe};
 use hollyspoke_gateway::gateway::{Gateway, Settings};
 use hollyspoke_gateway::message::{Message, StoreView};
-use hollyspoke_gateway::request::{Request, RequestKey};
+use hollyspoke_gateway::request::{CallKey, Request, RequestKey};
 use hollyspoke_gateway::signature::Content;
 use hollyspoke_tests::gateway::{
     HOST, World, configuration, engines, heartbeat, only_send, prefilled, ran, rejected, request,
@@ -224,6 +224,33 @@
     assert!(chosen.contains(&first.engine.key), "it is avoided although it has gone on");
 }
 
+/// Each silent call adds to the time for which an engine is avoided that can't be reached.
+#[test]
+fn dead_engine_tried_again() {
+    let mut world = World::new();
+    let begun: Vec<_> = (0..6).map(|_| begin(&mut world).1).collect();
+    let dead = begun[0].engine.key;
+    let end = world.now + TIMEOUT * 2;
+    while world.now < end {
+        let mut effects = world.advance(Duration::from_millis(50));
+        for engine in std::mem::take(&mut world.probed) {
+            let probe = if engine == dead { Probe::NotConnected } else { Probe::Alive(None) };
+            effects.extend(world.event(Event::Probed(engine, probe)));
+        }
+        let running = begun.iter().filter(|it| it.engine.key != dead).map(|it| it.call);
+        for call in running.chain(sent(&effects)) {
+            world.call(call, CallEvent::Began(ran(200)));
+        }
+    }
+    assert!((0..4).all(|_| begin(&mut world).1.engine.key != dead));
+}
+
+/// Returns the calls that are sent.
+fn sent(effects: &[Effect]) -> Vec<CallKey> {
+    let call = |it: &Effect| if let Effect::Send(send) = it { Some(send.call) } else { None };
+    effects.iter().filter_map(call).collect()
+}
+
 /// Other boxes hear that an engine goes on which they were told is unreachable.
 #[test]
 fn announcement_outlives_silence() {
@@ -232,10 +259,14 @@
     let (_, call) = begin(&mut world);
     let silent = call.engine.key;
     let mut told = Vec::new();
-    while told.is_empty() {
+    let end = world.now + TIMEOUT;
+    while told.is_empty() && world.now < end {
         world.now = world.now + Duration::from_millis(50);
         let mut effects = world.gateway.step(world.now, Event::Tick);
-        for engine in effects.iter().filter_map(probed_engine).collect::<Vec<_>>() {
+        let mut answered = 0;
+        while let Some(effect) = effects.get(answered) {
+            answered += 1;
+            let Some(engine) = probed_engine(effect) else { continue };
             let probe = if engine == silent { Probe::NotConnected } else { Probe::Alive(None) };
             effects.extend(world.gateway.step(world.now, Event::Probed(engine, probe)));
         }
