A move whose stream is kept is abandoned once

Found by the drawn test of moves in a run of the whole suite (its case is saved): a move of a silent stream was abandoned when the stream was kept, and again when its successor replaced it. The second time forgot the move whose answer was still to come, so that the copy named in it was never freed, and returned its token of the retry budget twice. Failed on the case before; passes now, 4,000 drawn cases besides it.

--- a/crates/hollyspoke-gateway/src/gateway/migration.rs
+++ b/crates/hollyspoke-gateway/src/gateway/migration.rs
@@ -503,7 +503,8 @@
 
     /// Ends the move of a stream that has ended.
     pub(super) fn abandon_move(&mut self, key: CallKey) {
-        let Some(moved) = self.migrations.moves.get_mut(&key) else { return };
+        let moved = self.migrations.moves.get_mut(&key);
+        let Some(moved) = moved.filter(|it| it.phase != Phase::Abandoned) else { return };
         let awaits_answer = matches!(moved.phase, Phase::Copying | Phase::Stopping);
         moved.phase = Phase::Abandoned;
         let moved = moved.clone();
