Tests that fail: the daemon's answers whose engines stand still and go on

Engines of the model can stand still for a time (`Action::StillEngine`) and go on with what they hold. After 3.5 s of all engines, 6 of 6 streams that may not be repeated have ended, and 6 that may be are prefilled again (12 prefills), with one engine ejected. After 3.5 s of half of them 3 of 6 have ended; after 2.5 s within a transfer one of 6 requests has failed. With processes, all engines frozen for 3.5 s: the stream that may not be repeated ends 3 s after its last token.

The tests of an engine that stays silent and of one that dies pass; they hold the time in which such an engine is left.

--- a/crates/hollyspoke-model/src/engine.rs
+++ b/crates/hollyspoke-model/src/engine.rs
@@ -57,6 +57,8 @@
     pub slow: f64,
     /// Whether the engine is dead.
     pub dead: bool,
+    /// Until when the engine stands still: it takes connections, and does nothing else.
+    pub still_until: Time,
     /// The streams and their state.
     pub held: BTreeMap<Ticket, Reservation>,
     /// The queued prompts.
@@ -81,6 +83,7 @@
             token_time: engine.token_time,
             slow: 1.0,
             dead: false,
+            still_until: Time::ZERO,
             held: BTreeMap::new(),
             waiting: Vec::new(),
             computing: None,
--- a/crates/hollyspoke-model/src/world.rs
+++ b/crates/hollyspoke-model/src/world.rs
@@ -245,6 +245,15 @@
         match due {
             Due::Tick(number, generation) => self.tick(number, generation),
             Due::Event(number, generation, event) => self.deliver(number, generation, *event),
+            Due::Prefilled(engine) if self.moving_at(engine) > self.now => {
+                self.schedule(self.moving_at(engine), Due::Prefilled(engine));
+            }
+            Due::Transferred(transfer) if self.moving_at(transfer.to) > self.now => {
+                self.schedule(self.moving_at(transfer.to), Due::Transferred(transfer));
+            }
+            Due::Token(stream) if self.moving_at(stream.engine) > self.now => {
+                self.schedule(self.moving_at(stream.engine), Due::Token(stream));
+            }
             Due::Prefilled(engine) => self.finish_prefill(engine),
             Due::Transferred(transfer) => self.finish_transfer(transfer),
             Due::Token(stream) => self.emit_token(stream),
@@ -330,7 +339,8 @@
             Effect::Cancel { ticket, address } => {
                 self.dropped.insert(ticket);
                 if let Some(&engine) = self.addresses.get(&address) {
-                    self.schedule(self.now + CALL_DELAY, Due::Cancelled(engine, ticket));
+                    let at = self.moving_at(engine) + CALL_DELAY;
+                    self.schedule(at, Due::Cancelled(engine, ticket));
                 }
             }
             Effect::Drop(ticket) => {
@@ -524,6 +534,11 @@
         self.schedule(self.now + offset, Due::Tick(number, generation));
     }
 
+    /// Returns when an engine does its next work: now, unless it stands still.
+    fn moving_at(&self, id: UpstreamId) -> Time {
+        self.engines.get(&id).map_or(self.now, |it| it.still_until.max(self.now))
+    }
+
     /// Returns the engine at an address, unless it is dead.
     fn engine_at(&mut self, address: &str) -> Option<(UpstreamId, &mut Engine)> {
         let id = *self.addresses.get(address)?;
--- a/crates/hollyspoke-model/src/world/action.rs
+++ b/crates/hollyspoke-model/src/world/action.rs
@@ -37,6 +37,8 @@
     ReviveEngine(UpstreamId),
     /// An engine becomes slower by a factor.
     SlowEngine(UpstreamId, f64),
+    /// An engine stands still for a duration, and goes on with what it holds.
+    StillEngine(UpstreamId, Duration),
     /// Every link's rate becomes this share of its configured rate.
     SlowLinks(f64),
     /// Engines start or stop answering polls.
@@ -102,6 +104,12 @@
                     engine.slow = slow;
                 }
             }
+            Action::StillEngine(id, time) => {
+                let until = self.now + time;
+                if let Some(engine) = self.engines.get_mut(&id) {
+                    engine.still_until = until;
+                }
+            }
             Action::SlowLinks(share) => self.link_share = share,
             Action::AnswerPolls(reports) => self.answers_polls = reports,
             Action::ServiceFaults(refused, lost) => self.service_faults = (refused, lost),
--- a/crates/hollyspoke-model/src/world/upstream.rs
+++ b/crates/hollyspoke-model/src/world/upstream.rs
@@ -13,6 +13,9 @@
 
 use crate::world::{CALL_DELAY, Due, Stream, Transfer, World};
 
+/// The timeout of a poll.
+const POLL_TIMEOUT: Duration = Duration::from_millis(800);
+
 impl World {
     /// Sends a prompt to an engine.
     pub(super) fn prefill(
@@ -23,7 +26,7 @@
         work: &Generate,
         class: u8,
     ) {
-        let now = self.now;
+        let now = self.addresses.get(address).map_or(self.now, |it| self.moving_at(*it));
         let request = work.prompt.split(':').next().and_then(|it| it.parse().ok()).unwrap_or(0);
         let found = self.engine_at(address);
         let Some((id, engine)) = found else {
@@ -67,11 +70,8 @@
             return;
         };
         if !engine.reserve(ticket, u64::from(tokens)) {
-            self.schedule_event(
-                CALL_DELAY * 2,
-                front,
-                Event::Upstream { ticket, reply: Reply::Full },
-            );
+            let after = engine.still_until.since(now) + CALL_DELAY * 2;
+            self.schedule_event(after, front, Event::Upstream { ticket, reply: Reply::Full });
             return;
         }
         let to_centre = engine.data_centre;
@@ -92,7 +92,9 @@
         let begin = self.links.get(&link).copied().unwrap_or(Time::ZERO).max(now);
         let end = begin + seconds(bytes as f64 / rate);
         self.links.insert(link, end);
-        self.schedule(end + CALL_DELAY, Due::Transferred(Transfer { front, ticket, to, held }));
+        let source = self.addresses.get(from).map_or(now, |it| self.moving_at(*it));
+        let done_at = end.max(self.moving_at(to)).max(source) + CALL_DELAY;
+        self.schedule(done_at, Due::Transferred(Transfer { front, ticket, to, held }));
     }
 
     /// Finishes a transfer.
@@ -171,12 +173,13 @@
 
     /// Answers a box's poll of an engine.
     pub(super) fn poll(&mut self, front: (usize, u64), engine: UpstreamId) {
-        let report =
-            self.engines.get(&engine).filter(|it| !it.dead && self.answers_polls).map(|it| {
-                let streams = it.held.keys().copied().collect();
-                Report { used_tokens: it.used(), streams, leaving: false, state: None }
-            });
-        let after = if report.is_some() { CALL_DELAY * 2 } else { Duration::from_millis(800) };
+        let wait = self.moving_at(engine).since(self.now) + CALL_DELAY * 2;
+        let answers = self.answers_polls && wait < POLL_TIMEOUT;
+        let report = self.engines.get(&engine).filter(|it| !it.dead && answers).map(|it| {
+            let streams = it.held.keys().copied().collect();
+            Report { used_tokens: it.used(), streams, leaving: false, state: None }
+        });
+        let after = if report.is_some() { wait } else { POLL_TIMEOUT };
         self.schedule_event(after, front, Event::Polled { engine, report });
     }
 
--- /dev/null
+++ b/tests/tests/silent_engines.rs
@@ -0,0 +1,224 @@
+//! Engines that stand still for some seconds and go on with what they hold.
+
+use std::time::Duration;
+
+use hollyspoke::event::CallId;
+use hollyspoke::generate::TOKEN_TIMEOUT;
+use hollyspoke::site::UpstreamId;
+use hollyspoke::time::Time;
+use hollyspoke_model::load::Plan;
+use hollyspoke_model::world::{Action, Sending, World, generate};
+use hollyspoke_standin::answer;
+use hollyspoke_tests::cluster::{self, Cluster, SOON};
+use hollyspoke_tests::request::{CallerRequest, read_stream};
+use hollyspoke_wire::caller::ONCE;
+use nix::sys::signal::Signal;
+
+/// When the requests are sent.
+const SENT_AT: Time = Time::from_millis(3000);
+
+/// The number of requests.
+const REQUEST_COUNT: u64 = 6;
+
+/// A prompt whose prefill and transfer take some time.
+const PROMPT_TOKENS: u32 = 400;
+
+/// The answer's length, in tokens. It takes longer than the engines stand still.
+const LENGTH: u32 = 250;
+
+/// The time for all answers, with those that are begun again.
+const RUN: Duration = Duration::from_secs(40);
+
+/// The engines of the plan.
+const PREFILLS: [&str; 2] = ["prefill-0", "prefill-1"];
+
+/// The engines of the plan that stream.
+const DECODES: [&str; 2] = ["decode-0", "decode-1"];
+
+/// The outcome of all requests.
+#[derive(Debug, PartialEq, Eq)]
+struct Outcome {
+    /// The number of complete answers.
+    complete: usize,
+    /// The number of prefills that engines were sent.
+    prefills: u32,
+    /// The notes of boxes that an engine is out of service.
+    ejections: usize,
+}
+
+/// The outcome that a silence should have: as if there had been none.
+const UNHARMED: Outcome =
+    Outcome { complete: REQUEST_COUNT as usize, prefills: REQUEST_COUNT as u32, ejections: 0 };
+
+/// Starts a world of three boxes with requests at each of them.
+fn begin(plan: &Plan, repeatable: bool, seed: u64) -> World {
+    let mut world = World::new(plan.site(), 3, seed);
+    for number in 0..REQUEST_COUNT {
+        let mut arrival = generate(number, PROMPT_TOKENS, LENGTH, LENGTH);
+        arrival.repeatable = repeatable;
+        let at = number as usize % 3;
+        let sending = Sending { call: CallId(number), request: number, at, arrival };
+        let sent_at = SENT_AT + Duration::from_millis(10 * number);
+        world.schedule_action(sent_at, Action::Send(Box::new(sending)));
+    }
+    world
+}
+
+/// Lets engines stand still for some milliseconds, and returns the outcome.
+fn play(mut world: World, engines: &[&str], at: Time, millis: u64) -> Outcome {
+    stand_still(&mut world, engines, at, millis);
+    outcome(&mut world)
+}
+
+/// Lets engines stand still for some milliseconds.
+fn stand_still(world: &mut World, engines: &[&str], at: Time, millis: u64) {
+    for name in engines {
+        let action = Action::StillEngine(UpstreamId::of(name), Duration::from_millis(millis));
+        world.schedule_action(at, action);
+    }
+}
+
+/// Returns all engines of the plan.
+fn all() -> Vec<&'static str> {
+    [PREFILLS, DECODES].concat()
+}
+
+/// Returns a moment at which all requests stream.
+fn in_streams(seed: u64) -> Time {
+    SENT_AT + Duration::from_millis(1000 + 130 * seed)
+}
+
+/// Runs to the end, and returns the outcome.
+fn outcome(world: &mut World) -> Outcome {
+    world.run(SENT_AT + RUN).expect("no guarantee is violated");
+    Outcome {
+        complete: world.records.iter().filter(|it| it.outcome == "done").count(),
+        prefills: world.ledger.prefills.values().sum(),
+        ejections: world.notes.iter().filter(|it| it.1.contains("out of service")).count(),
+    }
+}
+
+/// Returns a plan with room for all streams at any of its engines.
+fn plan() -> Plan {
+    Plan { services: 0, memory_tokens: 40_000, ..Plan::default() }
+}
+
+/// A silence of all engines within the answers begins none again, and blames no engine.
+#[test]
+fn pool_silence_begins_streams_again() {
+    for millis in [300, 2900, 3500, 4000] {
+        for seed in 0..5 {
+            let outcome = play(begin(&plan(), true, seed), &all(), in_streams(seed), millis);
+            assert_eq!(outcome, UNHARMED, "{millis} ms, seed {seed}");
+        }
+    }
+}
+
+/// A silence of all engines ends no answer that may not be begun again.
+#[test]
+fn pool_silence_ends_streams() {
+    for millis in [300, 2900, 3500, 4000] {
+        for seed in 0..5 {
+            let outcome = play(begin(&plan(), false, seed), &all(), in_streams(seed), millis);
+            assert_eq!(outcome, UNHARMED, "{millis} ms, seed {seed}");
+        }
+    }
+}
+
+/// A silence of all engines before the first token fails no request that has been granted engines.
+#[test]
+fn pool_silence_fails_starts() {
+    // Prefills end some 55 ms after they began, and transfers some 25 ms later.
+    for after in [20, 60, 80, 110] {
+        for (repeatable, millis) in [(true, 300), (true, 2500), (true, 3500), (false, 3500)] {
+            for seed in 0..5 {
+                let at = SENT_AT + Duration::from_millis(after);
+                let mut world = begin(&plan(), repeatable, seed);
+                stand_still(&mut world, &all(), at, millis);
+                let outcome = outcome(&mut world);
+                let failed = world.records.iter().filter(|it| it.outcome == "failed").count();
+                let played = format!("{millis} ms, {after} ms after the start, seed {seed}");
+                assert_eq!((failed, outcome.ejections), (0, 0), "{played}: {outcome:?}");
+            }
+        }
+    }
+}
+
+/// A silence of half of the engines ends no answer, whether or not it may be repeated.
+#[test]
+fn half_silence_ends_streams() {
+    let halves = [vec!["prefill-0", "decode-0"], vec!["decode-0"], vec!["decode-1", "prefill-0"]];
+    for engines in halves {
+        for (repeatable, millis) in [(true, 2900), (true, 3500), (false, 3500), (false, 4000)] {
+            for seed in 0..5 {
+                let world = begin(&plan(), repeatable, seed);
+                let outcome = play(world, &engines, in_streams(seed), millis);
+                let played = format!("{engines:?}, {millis} ms, repeatable {repeatable}");
+                assert_eq!(outcome.complete, UNHARMED.complete, "{played}: {outcome:?}");
+            }
+        }
+    }
+}
+
+/// An engine that stays silent is replaced as soon as before: after [`TOKEN_TIMEOUT`].
+#[test]
+fn dark_engine_keeps_streams() {
+    let engine_time = Plan::default().token_time * LENGTH;
+    for seed in 0..5 {
+        let mut world = begin(&plan(), true, seed);
+        stand_still(&mut world, &["decode-0"], in_streams(seed), RUN.as_millis() as u64);
+        let outcome = outcome(&mut world);
+        assert_eq!(outcome.complete, UNHARMED.complete, "seed {seed}: {outcome:?}");
+        let longest = world.records.iter().map(|it| it.total).max().expect("there are answers");
+        let limit = engine_time + TOKEN_TIMEOUT + Duration::from_millis(800);
+        assert!(longest < limit, "an answer took {longest:?}, seed {seed}");
+    }
+}
+
+/// An engine whose connections break is left at once.
+#[test]
+fn dead_engine_keeps_streams() {
+    let engine_time = Plan::default().token_time * LENGTH;
+    for seed in 0..5 {
+        let mut world = begin(&plan(), true, seed);
+        world.schedule_action(in_streams(seed), Action::KillEngine(UpstreamId::of("decode-0")));
+        let outcome = outcome(&mut world);
+        assert_eq!(outcome.complete, UNHARMED.complete, "seed {seed}: {outcome:?}");
+        let longest = world.records.iter().map(|it| it.total).max().expect("there are answers");
+        assert!(longest < engine_time + Duration::from_millis(800), "an answer took {longest:?}");
+    }
+}
+
+/// All engine processes are frozen for 3.5 s: each answer is completed by the attempt that began it.
+#[tokio::test]
+async fn frozen_engines_end_streams() -> eyre::Result<()> {
+    let plan = cluster::Plan { boxes: 3, token_ms: 20, ..cluster::Plan::default() };
+    let cluster = Cluster::start(plan).await?;
+    let callers = [true, false].map(|once| {
+        let address = cluster.boxes[usize::from(once)].address().to_owned();
+        let prompt = format!("frozen {once}");
+        tokio::spawn(async move {
+            let mut request = CallerRequest::generate(&prompt, 150, true);
+            if once {
+                request = request.header(ONCE, "true");
+            }
+            let (text, ended) = read_stream(request.begin(&address).await?).await;
+            eyre::Ok((text == answer::whole(&prompt, 150), ended))
+        })
+    });
+    let streams = "the streams do not begin";
+    cluster.wait_engines(streams, |it| it.iter().map(|e| e.decodes).sum::<u64>() == 2).await?;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let engines = || cluster.prefills.iter().chain(&cluster.decodes);
+    engines().for_each(|it| it.signal(Signal::SIGSTOP));
+    tokio::time::sleep(Duration::from_millis(3500)).await;
+    engines().for_each(|it| it.signal(Signal::SIGCONT));
+    for caller in callers {
+        assert_eq!(caller.await??, (true, true), "an answer was ended");
+    }
+    let ledgers = cluster.engines().await;
+    let begun: u64 = ledgers.iter().map(|it| it.decodes).sum();
+    assert_eq!(begun, 2, "an answer was begun again");
+    cluster.wait_memory_free(SOON).await?;
+    Ok(())
+}
