The daemon's silent attempts are kept until another one has replaced them

Callers of hollyspoked saw answers end, or wait for a second prefill, while their engines only stood still. The front ended an attempt by its own timer (2 s of a transfer, 3 s between tokens) before it asked for another one, so that a request that may not be repeated, or whose target had passed, failed; and the owner counted each of these ends against its engine, also where all engines were silent.

A silent attempt now goes on beside another one (`silence.rs`): the first that brings what comes next is kept, and the other one is cancelled. Where nothing may replace it, it goes on alone for up to 20 s of silence. Its engine is blamed once another one has spoken in its place. The owner gives a request that is sent again engines that answered their last poll, and holds it while all engines of a role are silent, for at most 8 polls, unless the engine has failed requests.

The drawn promises have engines that stand still, one or all, as two more faults.

--- a/crates/hollyspoke/src/front.rs
+++ b/crates/hollyspoke/src/front.rs
@@ -68,6 +68,8 @@
     quota: Quota<TenantId>,
     /// The retry budget.
     pub(crate) budget: Budget,
+    /// The number of replacements of silent attempts that are asked for, as of the last tick.
+    pub(crate) sought: usize,
     /// The plain upstreams.
     pub(crate) plain: Plain,
     /// The owner to which each shard's last renewal was sent, and when.
@@ -86,6 +88,7 @@
             claims: Claims::default(),
             quota: Quota::new(Tolerance::NONE),
             budget: Budget::default(),
+            sought: 0,
             plain: Plain::default(),
             renewals: BTreeMap::new(),
         }
@@ -273,6 +276,7 @@
         let key = request.key;
         self.record(cx, id, "cancelled");
         self.stop_attempt(cx, id, End::Cancelled);
+        self.stop_kept(cx, id, End::Cancelled);
         self.requests.remove(id);
         if not_run {
             self.home.forget(key, id);
@@ -286,6 +290,9 @@
     /// Handles a reply of an engine or upstream; late replies to older attempts are dropped.
     pub fn handle_reply(&mut self, cx: &mut Context<'_>, ticket: Ticket, reply: Reply) {
         let Some(&id) = self.tickets.get(&ticket) else { return };
+        if !self.select_attempt(cx, id, ticket, &reply) {
+            return;
+        }
         match reply {
             Reply::Prefilled => self.prefilled(cx, id),
             Reply::Imported => self.imported(cx, id),
@@ -332,6 +339,7 @@
         let settled = self.claims.tick(cx);
         self.settle_claims(cx, settled);
         self.renew(cx);
+        self.count_sought();
         let ids: Vec<Id> = self.requests.keys().collect();
         for id in ids {
             self.check_due(cx, id);
@@ -446,6 +454,8 @@
             since: now,
             paused: Duration::ZERO,
             ticket: None,
+            kept: None,
+            replace_after: None,
             is_grant_doubtful: false,
             attempts: 0,
             trace: Trace::clean(),
--- a/crates/hollyspoke/src/generate.rs
+++ b/crates/hollyspoke/src/generate.rs
@@ -24,16 +24,17 @@
 /// How long to wait for an owner's response before the ask is sent again.
 pub const ASK_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
-/// How long a prefill may take before its engine is considered failed.
+/// How long a prefill may take before another attempt is made beside it.
 pub const PREFILL_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// How long a transfer may take before the decode engine is considered failed.
+/// How long a transfer may take before another attempt is made beside it.
 pub const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// How long a stream may pause between tokens before the decode engine is considered failed.
+/// How long a stream may pause between tokens before another attempt is made beside it.
 pub const TOKEN_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// How long a partly delivered answer may wait for new engines after its own have failed.
+/// How long a partly delivered answer, or a request beside its silent attempt, may wait for new
+/// engines.
 pub const RESUME_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// How long to wait before an import is retried on a decode engine that was full.
@@ -63,7 +64,7 @@
             cx.send(from, Message::Release { shard: grant.shard, ticket, end });
             return;
         };
-        if !matches!(request.phase, Phase::Ask { .. }) {
+        if request.ticket != Some(ticket) || !matches!(request.phase, Phase::Ask { .. }) {
             // A repeated grant: the first one is in use.
             return;
         }
@@ -99,7 +100,7 @@
     ) {
         let Some(&id) = self.tickets.get(&ticket) else { return };
         let Some(request) = self.requests.get(id) else { return };
-        if !matches!(request.phase, Phase::Ask { .. }) {
+        if request.ticket != Some(ticket) || !matches!(request.phase, Phase::Ask { .. }) {
             return;
         }
         self.tickets.remove(&ticket);
@@ -108,6 +109,9 @@
             self.ask(cx, id);
             return;
         }
+        if self.return_to_kept(cx, id, retry_after) {
+            return;
+        }
         let detail = match refusal {
             Refusal::TooLate => "the first token would come after it is due",
             Refusal::Invalid => "no engine of the service can hold this request",
@@ -188,6 +192,8 @@
             self.failed(cx, id, "the engine left out a token", Trace::clean());
             return;
         }
+        self.replace_kept(cx, id);
+        let Some(request) = self.requests.get_mut(id) else { return };
         let arrived = request.arrived;
         request.timing.first_token.get_or_insert(cx.now.since(arrived));
         request.tokens.push(text.clone());
@@ -206,6 +212,8 @@
         let tokens = request.tokens.clone();
         let count = tokens.len() as u32;
         let prompt_tokens = work.prompt_tokens;
+        self.replace_kept(cx, id);
+        let Some(request) = self.requests.get(id) else { return };
         if let Some(call) = request.caller {
             let reason = reason.clone();
             cx.reply(call, CallerReply::Finished { reason, prompt_tokens, tokens: count });
@@ -217,15 +225,11 @@
     /// Handles the failure of an attempt: retries if allowed, else fails the request.
     pub(crate) fn failed(&mut self, cx: &mut Context<'_>, id: Id, detail: &str, trace: Trace) {
         let Some(request) = self.requests.get(id) else { return };
-        let failed_engine = match &request.phase {
-            Phase::Claim | Phase::Ask { .. } => return,
-            Phase::Call { .. } => {
-                self.call_failed(cx, id, detail, trace);
-                return;
-            }
-            Phase::Prefill(grant) => grant.prefill,
-            Phase::Transfer { grant, .. } | Phase::Decode { grant, .. } => grant.decode,
-        };
+        if let Phase::Call { .. } = request.phase {
+            self.call_failed(cx, id, detail, trace);
+            return;
+        }
+        let Some(failed_engine) = request.phase.awaited_engine() else { return };
         if request.is_grant_doubtful {
             self.fail_attempt(cx, id, End::Cancelled, None, detail);
             return;
@@ -253,13 +257,18 @@
             self.ask(cx, id);
             return;
         }
-        self.fail(cx, id, ProblemKind::Failed, detail);
+        if !self.return_to_kept(cx, id, Duration::ZERO) {
+            self.fail(cx, id, ProblemKind::Failed, detail);
+        }
     }
 
     /// Handles the owner's notice that a grant was revoked.
     pub fn fenced(&mut self, cx: &mut Context<'_>, ticket: Ticket) {
         let Some(&id) = self.tickets.get(&ticket) else { return };
-        if self.requests.get(id).is_some_and(|it| it.grant().is_some()) {
+        let Some(request) = self.requests.get(id) else { return };
+        if request.ticket != Some(ticket) {
+            self.stop_kept(cx, id, End::Cancelled);
+        } else if request.grant().is_some() {
             self.fail_attempt(cx, id, End::Cancelled, None, "the grant was taken back");
         }
     }
@@ -271,7 +280,19 @@
     pub fn recover_from_pause(&mut self, cx: &mut Context<'_>) {
         let mut doubtful_shards = BTreeSet::new();
         let mut stopped = Vec::new();
+        let mut stopped_kept = Vec::new();
         for (id, request) in &mut self.requests {
+            if let Some(kept) = &mut request.kept
+                && let Some(shard) = kept.phase.grant().map(|it| it.shard)
+                && may_be_revoked(cx, &self.renewals, shard)
+            {
+                if let Phase::Decode { .. } = kept.phase {
+                    kept.is_grant_doubtful = true;
+                    doubtful_shards.insert(shard);
+                } else {
+                    stopped_kept.push(id);
+                }
+            }
             let Some(shard) = request.grant().map(|it| it.shard) else { continue };
             if !may_be_revoked(cx, &self.renewals, shard) {
                 continue;
@@ -283,6 +304,9 @@
                 stopped.push(id);
             }
         }
+        for id in stopped_kept {
+            self.stop_kept(cx, id, End::Cancelled);
+        }
         for id in stopped {
             self.fail_attempt(cx, id, End::Cancelled, None, "the box was paused for too long");
         }
@@ -365,18 +389,20 @@
                 self.check_ask(cx, id, shard, owner, sent);
             }
             Phase::Prefill(_) if spent > PREFILL_TIMEOUT => {
-                self.failed(cx, id, "the prefill took too long", Trace::clean());
+                self.fall_silent(cx, id, spent, "the prefill took too long");
             }
-            Phase::Transfer { grant, .. } if spent > TRANSFER_TIMEOUT => {
+            Phase::Transfer { grant, retry_at: Some(_) } if spent > TRANSFER_TIMEOUT => {
                 let decode = grant.decode;
-                let waits_for_capacity =
-                    matches!(&request.phase, Phase::Transfer { retry_at: Some(_), .. });
-                let end = if waits_for_capacity { End::Full(decode) } else { End::Failed(decode) };
-                self.fail_attempt(cx, id, end, Some(decode), "the transfer took too long");
+                let detail = "the transfer took too long";
+                self.fail_attempt(cx, id, End::Full(decode), Some(decode), detail);
+            }
+            Phase::Transfer { .. } if spent > TRANSFER_TIMEOUT => {
+                self.fall_silent(cx, id, spent, "the transfer took too long");
             }
             Phase::Transfer { retry_at: Some(at), .. } if *at <= now => self.import(cx, id),
             Phase::Decode { last, .. } if now.since(*last) > TOKEN_TIMEOUT => {
-                self.failed(cx, id, "the stream fell silent", Trace::clean());
+                let silence = now.since(*last);
+                self.fall_silent(cx, id, silence, "the stream fell silent");
             }
             Phase::Prefill(_) | Phase::Transfer { .. } | Phase::Decode { .. } => {}
             Phase::Call { .. } => self.check_call(cx, id),
@@ -394,7 +420,7 @@
     ) {
         let Some(request) = self.requests.get_mut(id) else { return };
         let late = cx.now.since(request.arrived) > first_token_target(cx, request.service);
-        if late && request.tokens.is_empty() {
+        if late && !is_resumed(request) {
             self.stop_attempt(cx, id, End::Cancelled);
             let detail = "the first token would come after it is due";
             let after = Some(Duration::from_millis(500));
@@ -418,7 +444,7 @@
     /// Sends a renewal to the owner of each shard when it is due or the owner has changed.
     pub(crate) fn renew(&mut self, cx: &mut Context<'_>) {
         let mut held: BTreeMap<ShardId, u32> = BTreeMap::new();
-        for grant in self.requests.values().filter_map(Request::grant) {
+        for grant in self.requests.values().flat_map(Request::grants) {
             *held.entry(grant.shard).or_default() += 1;
         }
         for shard in cx.shards() {
@@ -439,7 +465,7 @@
 
     /// Sends the list of the grants held in a shard to its owner.
     pub fn declare(&mut self, cx: &mut Context<'_>, to: Incarnation, shard: ShardId) {
-        let held = self.requests.values().filter_map(Request::grant);
+        let held = self.requests.values().flat_map(Request::grants);
         let held: Vec<Grant> = held.filter(|it| it.shard == shard).cloned().collect();
         cx.send(to, Message::Declare { shard, held });
     }
@@ -472,9 +498,9 @@
     };
     let target = first_token_target(cx, request.service);
     let spent = cx.now.since(request.arrived);
-    // A partly delivered answer is served before all others and is not refused as late.
+    let due_in = if is_resumed(request) { RESUME_TIMEOUT } else { target.saturating_sub(spent) };
+    // A partly delivered answer is served before all others.
     let has_begun = !request.tokens.is_empty();
-    let due_in = if has_begun { RESUME_TIMEOUT } else { target.saturating_sub(spent) };
     let class = if has_begun { 0 } else { request.arrival.class.saturating_add(1) };
     Ask {
         shard,
@@ -503,6 +529,12 @@
     sampled.map(|(_, digest)| *digest as u32).collect()
 }
 
+/// Returns whether a request has begun at engines, which it may be late to replace, but not too
+/// late.
+fn is_resumed(request: &Request) -> bool {
+    !request.tokens.is_empty() || request.kept.is_some()
+}
+
 /// Returns a service's target for the first token, or the timeout of a plain service.
 fn first_token_target(cx: &Context<'_>, service: ServiceId) -> Duration {
     match cx.site.service(service).map(|it| &it.kind) {
--- a/crates/hollyspoke/src/health.rs
+++ b/crates/hollyspoke/src/health.rs
@@ -54,6 +54,11 @@
         true
     }
 
+    /// Returns whether the last request there failed.
+    pub fn has_failures(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Returns whether the upstream is ejected.
     pub fn is_out(&self, now: Time) -> bool {
         self.out_until.is_some_and(|until| now < until)
--- a/crates/hollyspoke/src/lib.rs
+++ b/crates/hollyspoke/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod rank;
 pub mod request;
 pub mod retry;
+pub mod silence;
 pub mod site;
 pub mod status;
 pub mod store;
--- a/crates/hollyspoke/src/pool/admission.rs
+++ b/crates/hollyspoke/src/pool/admission.rs
@@ -11,7 +11,7 @@
 use crate::key::{Incarnation, Ticket};
 use crate::message::{Ask, Message};
 use crate::outcome::Refusal;
-use crate::site::{DataCentreId, ServiceId, Site, TenantId, UpstreamId};
+use crate::site::{DataCentreId, Role, ServiceId, Site, TenantId, UpstreamId};
 use crate::time::{Time, seconds};
 
 use super::{Engine, Pool};
@@ -32,6 +32,10 @@
 /// The time added to a prefill and a transfer for the calls between them.
 pub const CALL_OVERHEAD: Duration = Duration::from_millis(10);
 
+/// The number of polls in a row that may fail at all engines of a role before replacements of
+/// silent attempts are granted there all the same, since it may be the polls that fail.
+const MAX_SHARED_POLLS: u32 = 8;
+
 /// The granularity at which ready times of placements are compared, in microseconds.
 const READY_STEP_US: u64 = 2000;
 
@@ -204,7 +208,7 @@
     for waiting in order {
         // Smaller requests may overtake one that does not fit now. That request can't starve: it is
         // refused soon if it never fits.
-        let Some(placement) = place(now, site, pool, waiting) else { continue };
+        let Some(placement) = choose(now, site, pool, waiting) else { continue };
         let start = placement.prefill_end - placement.prefill_time;
         if start > ahead {
             return None;
@@ -273,13 +277,48 @@
     }
 }
 
-/// Chooses the prefill and decode engines whose prefill result is ready first.
-fn place(now: Time, site: &Site, pool: &Pool, waiting: &Waiting) -> Option<Placement> {
+/// Chooses engines for a request. One that is sent again gets engines that answered their last
+/// poll, if any of them can take it.
+fn choose(now: Time, site: &Site, pool: &Pool, waiting: &Waiting) -> Option<Placement> {
+    if waiting.ask.avoid.is_none() {
+        return place(now, site, pool, waiting, |_| true);
+    }
+    let answering = place(now, site, pool, waiting, |it| it.failed_polls == 0);
+    if answering.is_some() || shares_silence(pool, waiting) {
+        return answering;
+    }
+    place(now, site, pool, waiting, |_| true)
+}
+
+/// Returns whether the engine that a request avoids has only fallen silent, together with all
+/// engines of a role: a replacement would wait for an engine that is as silent.
+fn shares_silence(pool: &Pool, waiting: &Waiting) -> bool {
+    let silent = waiting.ask.avoid.and_then(|it| pool.engines().get(&it));
+    if silent.is_none_or(|it| it.health.has_failures()) {
+        return false;
+    }
+    let is_silent = |it: &Engine| (1..MAX_SHARED_POLLS).contains(&it.failed_polls);
+    let all_silent = |has_role: fn(Role) -> bool| {
+        pool.engines().values().filter(|it| has_role(it.role) && !it.leaving).all(is_silent)
+    };
+    all_silent(Role::prefills) || all_silent(Role::decodes)
+}
+
+/// Chooses the prefill and decode engines, of those that are accepted, whose prefill result is
+/// ready first.
+fn place(
+    now: Time,
+    site: &Site,
+    pool: &Pool,
+    waiting: &Waiting,
+    accepts: impl Fn(&Engine) -> bool,
+) -> Option<Placement> {
     let kv_bytes = kv_bytes(site, waiting);
-    let decodes = decode_candidates(now, pool, waiting);
+    let decodes = decode_candidates(now, pool, waiting, &accepts);
     let mut best: Option<(Rank, Placement)> = None;
     for (&id, engine) in pool.engines() {
-        if !engine.role.prefills() || !engine.is_usable(now) || is_avoided(pool, waiting, id) {
+        let usable = engine.is_usable(now) && accepts(engine);
+        if !engine.role.prefills() || !usable || is_avoided(pool, waiting, id) {
             continue;
         }
         let prefill_time = prefill_time(engine, &waiting.ask);
@@ -316,14 +355,15 @@
     now: Time,
     pool: &Pool,
     waiting: &Waiting,
+    accepts: impl Fn(&Engine) -> bool,
 ) -> BTreeMap<DataCentreId, (u64, UpstreamId)> {
     let need = u64::from(waiting.tokens());
     let mut best: BTreeMap<DataCentreId, (u64, UpstreamId)> = BTreeMap::new();
     for (&id, engine) in pool.engines() {
         let free = engine.free_tokens(now);
         let fits = free >= need && engine.full_until <= now;
-        let avoided = is_avoided(pool, waiting, id);
-        if !engine.role.decodes() || !engine.is_usable(now) || !fits || avoided {
+        let usable = engine.is_usable(now) && accepts(engine);
+        if !engine.role.decodes() || !usable || !fits || is_avoided(pool, waiting, id) {
             continue;
         }
         let entry = best.entry(engine.data_centre).or_insert((free, id));
--- a/crates/hollyspoke/src/request.rs
+++ b/crates/hollyspoke/src/request.rs
@@ -41,6 +41,11 @@
     pub paused: Duration,
     /// The current attempt.
     pub ticket: Option<Ticket>,
+    /// A silent attempt that goes on beside the current one, until one of them has brought what
+    /// comes next.
+    pub kept: Option<Kept>,
+    /// Until when no replacement of a silent attempt is sought, since the last one was refused.
+    pub replace_after: Option<Time>,
     /// Whether the attempt's grant may have been revoked during a pause of this box. An engine that
     /// then breaks off its stream has not failed.
     pub is_grant_doubtful: bool,
@@ -73,22 +78,60 @@
     /// Extends the timeouts of the phase by a time in which this box itself was paused.
     pub fn extend_timeouts(&mut self, pause: Duration) {
         self.paused += pause;
-        if let Phase::Decode { last, .. } = &mut self.phase {
-            *last = *last + pause;
+        self.phase.extend_silence(pause);
+        if let Some(kept) = &mut self.kept {
+            kept.paused += pause;
+            kept.phase.extend_silence(pause);
         }
     }
 
-    /// Returns the grant under which the request runs, if it has one.
+    /// Returns the grant of the current attempt, if it has one.
     pub fn grant(&self) -> Option<&Grant> {
-        match &self.phase {
-            Phase::Prefill(grant) | Phase::Transfer { grant, .. } | Phase::Decode { grant, .. } => {
-                Some(grant)
-            }
-            Phase::Claim | Phase::Ask { .. } | Phase::Call { .. } => None,
-        }
+        self.phase.grant()
+    }
+
+    /// Returns the grants of all attempts that go on.
+    pub fn grants(&self) -> impl Iterator<Item = &Grant> {
+        self.grant().into_iter().chain(self.kept.iter().filter_map(|it| it.phase.grant()))
+    }
+
+    /// Sets the current attempt aside; the request has no current attempt then.
+    pub fn set_aside(&mut self, now: Time) {
+        let Some(ticket) = self.ticket.take() else { return };
+        let phase = std::mem::replace(&mut self.phase, Phase::Claim);
+        let (since, paused) = (self.since, self.paused);
+        let is_grant_doubtful = self.is_grant_doubtful;
+        self.enter(now, Phase::Claim);
+        self.is_grant_doubtful = false;
+        self.kept = Some(Kept { ticket, phase, since, paused, is_grant_doubtful });
+    }
+
+    /// Makes the attempt that was set aside the current one, in place of one that has ended.
+    pub fn take_back(&mut self) {
+        let Some(kept) = self.kept.take() else { return };
+        self.ticket = Some(kept.ticket);
+        self.phase = kept.phase;
+        self.since = kept.since;
+        self.paused = kept.paused;
+        self.is_grant_doubtful = kept.is_grant_doubtful;
     }
 }
 
+/// A silent attempt that goes on beside the current one.
+#[derive(Debug, Clone)]
+pub struct Kept {
+    /// Its ticket.
+    pub ticket: Ticket,
+    /// The phase that it is in, which has a grant.
+    pub phase: Phase,
+    /// When it entered the phase.
+    pub since: Time,
+    /// How long this box was paused during the phase.
+    pub paused: Duration,
+    /// Whether its grant may have been revoked during a pause of this box.
+    pub is_grant_doubtful: bool,
+}
+
 /// The phase of a request.
 #[derive(Debug, Clone)]
 pub enum Phase {
@@ -126,6 +169,34 @@
     },
 }
 
+impl Phase {
+    /// Returns the grant under which an attempt in this phase runs, if it has one.
+    pub fn grant(&self) -> Option<&Grant> {
+        match self {
+            Phase::Prefill(grant) | Phase::Transfer { grant, .. } | Phase::Decode { grant, .. } => {
+                Some(grant)
+            }
+            Phase::Claim | Phase::Ask { .. } | Phase::Call { .. } => None,
+        }
+    }
+
+    /// Returns the engine whose work an attempt in this phase waits for.
+    pub fn awaited_engine(&self) -> Option<UpstreamId> {
+        match self {
+            Phase::Prefill(grant) => Some(grant.prefill),
+            Phase::Transfer { grant, .. } | Phase::Decode { grant, .. } => Some(grant.decode),
+            Phase::Claim | Phase::Ask { .. } | Phase::Call { .. } => None,
+        }
+    }
+
+    /// Extends the time that a stream may be silent.
+    fn extend_silence(&mut self, pause: Duration) {
+        if let Phase::Decode { last, .. } = self {
+            *last = *last + pause;
+        }
+    }
+}
+
 /// Times and counts of a request for its record.
 #[derive(Debug, Clone, Default)]
 pub struct Timing {
--- a/tests/src/single_box.rs
+++ b/tests/src/single_box.rs
@@ -77,6 +77,11 @@
         ticket
     }
 
+    /// Delivers a reply to an attempt.
+    pub fn reply(&mut self, ticket: Ticket, reply: Reply) -> Vec<Effect> {
+        self.step(Duration::ZERO, Event::Upstream { ticket, reply })
+    }
+
     /// Answers the poll of an idle engine.
     fn poll(&mut self, engine: UpstreamId) -> Vec<Effect> {
         let report = Report { used_tokens: 0, streams: Vec::new(), leaving: false, state: None };
--- a/tests/tests/promises.rs
+++ b/tests/tests/promises.rs
@@ -63,6 +63,10 @@
     Engine(usize, u64),
     /// An engine is slower by a factor for some milliseconds.
     Slow(usize, f64, u64),
+    /// An engine stands still for some milliseconds.
+    Still(usize, u64),
+    /// All engines stand still for some milliseconds.
+    AllStill(u64),
     /// Engines answer no polls for some milliseconds.
     Reports(u64),
     /// Plain services refuse some calls and run others without answering, for some milliseconds.
@@ -130,6 +134,9 @@
             by,
             duration_ms
         )),
+        (0usize..4, duration_ms.clone())
+            .prop_map(|(it, duration_ms)| Fault::Still(it, duration_ms)),
+        duration_ms.clone().prop_map(Fault::AllStill),
         duration_ms.clone().prop_map(Fault::Reports),
         (0.0..0.6, 0.0..0.6, duration_ms.clone()).prop_map(|(a, b, duration_ms)| Fault::Services(
             a,
@@ -194,6 +201,13 @@
             (at, Action::SlowEngine(engine(it), by)),
             (at + duration_ms, Action::SlowEngine(engine(it), 1.0)),
         ],
+        Fault::Still(it, duration_ms) => {
+            vec![(at, Action::StillEngine(engine(it), Duration::from_millis(duration_ms)))]
+        }
+        Fault::AllStill(duration_ms) => {
+            let still = Duration::from_millis(duration_ms);
+            (0..4).map(|it| (at, Action::StillEngine(engine(it), still))).collect()
+        }
         Fault::Reports(duration_ms) => {
             vec![(at, Action::AnswerPolls(false)), (at + duration_ms, Action::AnswerPolls(true))]
         }
--- a/tests/tests/silent_engines.rs
+++ b/tests/tests/silent_engines.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-use hollyspoke::event::CallId;
+use hollyspoke::effect::{CallerReply, Effect};
+use hollyspoke::event::{CallId, Event, Reply};
 use hollyspoke::generate::TOKEN_TIMEOUT;
+use hollyspoke::key::Ticket;
+use hollyspoke::outcome::Trace;
 use hollyspoke::site::UpstreamId;
 use hollyspoke::time::Time;
 use hollyspoke_model::load::Plan;
@@ -11,8 +14,11 @@
 use hollyspoke_standin::answer;
 use hollyspoke_tests::cluster::{self, Cluster, SOON};
 use hollyspoke_tests::request::{CallerRequest, read_stream};
+use hollyspoke_tests::single_box::SingleBox;
 use hollyspoke_wire::caller::ONCE;
 use nix::sys::signal::Signal;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 
 /// When the requests are sent.
 const SENT_AT: Time = Time::from_millis(3000);
@@ -175,6 +181,21 @@
     }
 }
 
+/// An engine that is silent for good from a transfer on is replaced, though the first token is late.
+#[test]
+fn dark_engine_fails_starts() {
+    for after in [20, 60, 80, 110] {
+        for seed in 0..5 {
+            let mut world = begin(&plan(), true, seed);
+            let at = SENT_AT + Duration::from_millis(after);
+            stand_still(&mut world, &["decode-0"], at, RUN.as_millis() as u64);
+            let outcome = outcome(&mut world);
+            let played = format!("{after} ms after the start, seed {seed}");
+            assert_eq!(outcome.complete, UNHARMED.complete, "{played}: {outcome:?}");
+        }
+    }
+}
+
 /// An engine whose connections break is left at once.
 #[test]
 fn dead_engine_keeps_streams() {
@@ -189,6 +210,138 @@
     }
 }
 
+/// Silences of any engines at any moment, beside a new configuration or the planned stop of a box,
+/// fail no request and leave no memory held.
+#[test]
+fn drawn_silences_fail_requests() {
+    for seed in 0..200 {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut world = begin(&plan(), seed % 2 == 0, seed);
+        for name in all() {
+            let at = SENT_AT + Duration::from_millis(random.random_range(0..3500));
+            stand_still(&mut world, &[name], at, random.random_range(300..4000));
+        }
+        let planned_at = SENT_AT + Duration::from_millis(random.random_range(0..5000));
+        let planned = if random.random() { Action::Apply } else { Action::Leave(0) };
+        world.schedule_action(planned_at, planned);
+        let outcome = outcome(&mut world);
+        let failed: Vec<_> = world.records.iter().filter(|it| it.outcome != "done").collect();
+        assert!(failed.is_empty(), "seed {seed}: {outcome:?} {failed:#?}");
+        assert!(world.held().is_empty(), "seed {seed}: {:?}", world.held());
+    }
+}
+
+/// Streams whose silent engine nothing can replace for lack of memory go on.
+#[test]
+fn full_pool_ends_silent_streams() {
+    // Three streams fill one engine.
+    let plan = Plan { services: 0, memory_tokens: 2000, ..Plan::default() };
+    for seed in 0..5 {
+        let outcome = play(begin(&plan, true, seed), &["decode-0"], in_streams(seed), 3500);
+        assert_eq!(outcome.complete, UNHARMED.complete, "seed {seed}: {outcome:?}");
+    }
+}
+
+/// Returns a box with a stream that has brought one token and then fell silent, and the tickets of
+/// its attempt and of the one that was begun beside it.
+fn silent_stream() -> (SingleBox, Ticket, Ticket) {
+    let mut single = SingleBox::start();
+    let first = single.begin_stream();
+    single.reply(first, token(0));
+    let effects = single.run(TOKEN_TIMEOUT + Duration::from_millis(100));
+    let second = effects.iter().find_map(|it| match it {
+        Effect::Prefill { ticket, .. } => Some(*ticket),
+        _ => None,
+    });
+    (single, first, second.expect("another attempt is begun"))
+}
+
+/// Returns a token.
+fn token(seq: u32) -> Reply {
+    Reply::Token { seq, text: format!("t{seq}").into() }
+}
+
+/// Returns whether an attempt is stopped.
+fn stops(effects: &[Effect], attempt: Ticket) -> bool {
+    effects.iter().any(|it| matches!(it, Effect::Cancel { ticket, .. } if *ticket == attempt))
+}
+
+/// Returns the caller's tokens.
+fn delivered(effects: &[Effect]) -> Vec<String> {
+    let tokens = effects.iter().filter_map(|it| match it {
+        Effect::Reply { reply: CallerReply::Token(text), .. } => Some(text.to_string()),
+        _ => None,
+    });
+    tokens.collect()
+}
+
+/// Returns the outcomes of the requests that ended.
+fn outcomes(effects: &[Effect]) -> Vec<String> {
+    let outcomes = effects.iter().filter_map(|it| match it {
+        Effect::Record(record) => Some(record.outcome.clone()),
+        _ => None,
+    });
+    outcomes.collect()
+}
+
+/// A silent stream that goes on is kept, whatever the other attempt has reached before a token.
+#[test]
+fn resumed_stream_dropped() {
+    for reached in [vec![], vec![Reply::Prefilled], vec![Reply::Prefilled, Reply::Imported]] {
+        let (mut single, first, second) = silent_stream();
+        for reply in reached {
+            let effects = single.reply(second, reply);
+            assert!(!stops(&effects, first), "the stream is stopped before it is replaced");
+        }
+        let effects = single.reply(first, token(1));
+        assert!(stops(&effects, second) && !stops(&effects, first), "{effects:#?}");
+        assert_eq!(delivered(&effects), ["t1"]);
+        assert!(delivered(&single.reply(second, token(1))).is_empty());
+        assert_eq!(delivered(&single.reply(first, token(2))), ["t2"]);
+        let effects = single.reply(first, Reply::Finished { reason: "stop".into() });
+        assert_eq!(outcomes(&effects), ["done"]);
+    }
+}
+
+/// The token that comes next is delivered once, when it comes from both attempts.
+#[test]
+fn token_delivered_twice() {
+    let (mut single, first, second) = silent_stream();
+    single.reply(second, Reply::Prefilled);
+    single.reply(second, Reply::Imported);
+    let effects = single.reply(second, token(1));
+    assert!(stops(&effects, first) && !stops(&effects, second), "{effects:#?}");
+    assert_eq!(delivered(&effects), ["t1"]);
+    assert!(delivered(&single.reply(first, token(1))).is_empty());
+    assert_eq!(delivered(&single.reply(second, token(2))), ["t2"]);
+}
+
+/// A silent engine that breaks off its stream leaves the other attempt, and one that breaks off the
+/// other attempt leaves the stream.
+#[test]
+fn broken_attempt_ends_both() {
+    let broken = || Reply::Failed { detail: "it broke".to_owned(), trace: Trace::clean() };
+    let (mut single, first, second) = silent_stream();
+    let effects = single.reply(first, broken());
+    assert!(outcomes(&effects).is_empty() && !stops(&effects, second), "{effects:#?}");
+    single.reply(second, Reply::Prefilled);
+    single.reply(second, Reply::Imported);
+    assert_eq!(delivered(&single.reply(second, token(1))), ["t1"]);
+
+    let (mut single, first, second) = silent_stream();
+    let effects = single.reply(second, broken());
+    assert!(outcomes(&effects).is_empty() && !stops(&effects, first), "{effects:#?}");
+    assert_eq!(delivered(&single.reply(first, token(1))), ["t1"]);
+}
+
+/// A caller that leaves a silent stream leaves both attempts.
+#[test]
+fn left_stream_runs_on() {
+    let (mut single, first, second) = silent_stream();
+    let effects = single.step(Duration::ZERO, Event::Gone(CallId(u64::MAX)));
+    assert!(stops(&effects, first) && stops(&effects, second), "{effects:#?}");
+}
+
 /// All engine processes are frozen for 3.5 s: each answer is completed by the attempt that began it.
 #[tokio::test]
 async fn frozen_engines_end_streams() -> eyre::Result<()> {
