Complete answers count for the decode engine that made them

A decode engine was taken out of service by its third failure ever: only prefills ended a series of failures, so that what should be failures in a row (`EJECTION_FAILURES`) were all of them since the owner's start. Seen with four silences of 6 s of one engine, 20 s apart, with complete answers between them: 8 of 8 answers complete and the engine ejected once; none now. An answer that ends well now counts as a prefill does, which also ends what failed polls say of the engine.

--- a/crates/hollyspoke/src/pool.rs
+++ b/crates/hollyspoke/src/pool.rs
@@ -283,6 +283,11 @@
         }
         if let Some(held) = self.grants.remove(&ticket) {
             self.update_answer_share(&held, end);
+            if let (End::Done { .. }, Some(engine)) =
+                (end, self.engines.get_mut(&held.grant.decode))
+            {
+                engine.succeed(cx.now);
+            }
             self.release_resources(cx.now, &held);
         }
         // A late duplicate of the ask must not be granted.
--- a/tests/tests/silent_engines.rs
+++ b/tests/tests/silent_engines.rs
@@ -242,6 +242,28 @@
     }
 }
 
+/// Silences of an engine that lie far apart, with complete answers between them, do not eject it.
+#[test]
+fn recovered_engine_ejected() {
+    let mut world = World::new(plan().site(), 3, 1);
+    for round in 0..4 {
+        let begins_at = SENT_AT + Duration::from_secs(20) * round;
+        for (part, after) in [0, 10].map(Duration::from_secs).into_iter().enumerate() {
+            let number = u64::from(round) * 2 + part as u64;
+            let arrival = generate(number, PROMPT_TOKENS, LENGTH, LENGTH);
+            let sending = Sending { call: CallId(number), request: number, at: 0, arrival };
+            world.schedule_action(begins_at + after, Action::Send(Box::new(sending)));
+        }
+        world.run(begins_at + Duration::from_secs(1)).expect("no guarantee is violated");
+        let (engine, ..) = *world.held().first().expect("a stream runs");
+        let still = Action::StillEngine(engine, Duration::from_secs(6));
+        world.schedule_action(world.now(), still);
+        world.run(begins_at + Duration::from_secs(19)).expect("no guarantee is violated");
+    }
+    let outcome = outcome(&mut world);
+    assert_eq!((outcome.complete, outcome.ejections), (8, 0), "{outcome:?}");
+}
+
 /// Returns a box with a stream that has brought one token and then fell silent, and the tickets of
 /// its attempt and of the one that was begun beside it.
 fn silent_stream() -> (SingleBox, Ticket, Ticket) {
