An engine that was silent is in service again once it answers a poll

An engine whose silent attempts had been replaced stayed out of service for the 2 s and more of an ejection, and got a tenth of its memory after it, though it had gone on.

An ejection that came while the engine's polls failed ends with the next poll that it answers, without a slow start. One that came while polls were answered, as that of an engine that refuses connections or fails requests, runs its time.

--- a/crates/hollyspoke/src/health.rs
+++ b/crates/hollyspoke/src/health.rs
@@ -54,6 +54,12 @@
         true
     }
 
+    /// Ends the current ejection, whose cause has gone, without a slow start.
+    pub fn readmit(&mut self) {
+        self.failures = 0;
+        self.out_until = None;
+    }
+
     /// Returns whether the last request there failed.
     pub fn has_failures(&self) -> bool {
         self.failures > 0
--- a/crates/hollyspoke/src/pool.rs
+++ b/crates/hollyspoke/src/pool.rs
@@ -142,6 +142,7 @@
                     slowness: known.slowness,
                     reported: known.reported,
                     health: known.health,
+                    is_out_for_silence: known.is_out_for_silence,
                     prefixes: known.prefixes,
                     failed_polls: known.failed_polls,
                     is_unresponsive: known.is_unresponsive,
--- a/crates/hollyspoke/src/pool/engine.rs
+++ b/crates/hollyspoke/src/pool/engine.rs
@@ -37,6 +37,8 @@
     pub full_until: Time,
     /// Failures and ejections.
     pub health: Health,
+    /// Whether the last ejection came while polls failed, so that an answered poll ends it.
+    pub is_out_for_silence: bool,
     /// When each prefix was last computed here; a hint that expires.
     pub prefixes: BTreeMap<u32, Time>,
     /// Consecutive failed polls without a successful request in between.
@@ -62,6 +64,7 @@
             reported: None,
             full_until: Time::ZERO,
             health: Health::default(),
+            is_out_for_silence: false,
             prefixes: BTreeMap::new(),
             failed_polls: 0,
             is_unresponsive: false,
--- a/crates/hollyspoke/src/pool/feedback.rs
+++ b/crates/hollyspoke/src/pool/feedback.rs
@@ -30,6 +30,9 @@
         }
         engine.failed_polls = 0;
         engine.is_unresponsive = false;
+        if std::mem::take(&mut engine.is_out_for_silence) {
+            engine.health.readmit();
+        }
         engine.leaving = leaving || report.leaving;
         engine.reported = Some(report.used_tokens);
         self.cancel_strays(cx, id, &report.streams);
@@ -133,6 +136,7 @@
                 });
                 let Some(engine) = self.engines.get_mut(&id) else { return };
                 if engine.health.fail(now, health::may_eject(out, all)) {
+                    engine.is_out_for_silence = engine.failed_polls > 0;
                     cx.note(format!("engine at {} is out of service", engine.address));
                 }
             }
--- a/tests/tests/silent_engines.rs
+++ b/tests/tests/silent_engines.rs
@@ -7,6 +7,7 @@
 use hollyspoke::generate::TOKEN_TIMEOUT;
 use hollyspoke::key::Ticket;
 use hollyspoke::outcome::Trace;
+use hollyspoke::pool::POLL_INTERVAL;
 use hollyspoke::site::UpstreamId;
 use hollyspoke::time::Time;
 use hollyspoke_model::load::Plan;
@@ -35,6 +36,9 @@
 /// The time for all answers, with those that are begun again.
 const RUN: Duration = Duration::from_secs(40);
 
+/// The time of a poll's answer, with the ticks around it.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+
 /// The engines of the plan.
 const PREFILLS: [&str; 2] = ["prefill-0", "prefill-1"];
 
@@ -264,6 +268,25 @@
     assert_eq!((outcome.complete, outcome.ejections), (8, 0), "{outcome:?}");
 }
 
+/// An engine that is out of service for its silence is back once it answers a poll.
+#[test]
+fn speaking_engine_stays_out() {
+    for millis in [3500, 4000, 6000] {
+        for seed in 0..5 {
+            let mut world = begin(&plan(), true, seed);
+            let at = in_streams(seed);
+            stand_still(&mut world, &["decode-0"], at, millis);
+            let speaks_at = at + Duration::from_millis(millis);
+            world.run(speaks_at + POLL_INTERVAL + ANSWER_TIME).expect("no guarantee is violated");
+            let owner =
+                world.owner().and_then(|it| world.node(it)).expect("a box owns the engines");
+            let pool = &owner.status().pools[0];
+            let states: Vec<&str> = pool.engines.iter().map(|it| it.state.as_str()).collect();
+            assert_eq!(states, ["live"; 4], "{millis} ms, seed {seed}");
+        }
+    }
+}
+
 /// Returns a box with a stream that has brought one token and then fell silent, and the tickets of
 /// its attempt and of the one that was begun beside it.
 fn silent_stream() -> (SingleBox, Ticket, Ticket) {
