A test of the command line's caller while engines are frozen

The caller has no timer for an answer: it neither left nor sent the request again in 3.5 s in which all engines were frozen (one decode, the whole answer).

--- a/tests/tests/silent_engines.rs
+++ b/tests/tests/silent_engines.rs
@@ -10,9 +10,11 @@
 use hollyspoke::pool::POLL_INTERVAL;
 use hollyspoke::site::UpstreamId;
 use hollyspoke::time::Time;
+use hollyspoke_cli::caller::{self, Call};
 use hollyspoke_model::load::Plan;
 use hollyspoke_model::world::{Action, Sending, World, generate};
 use hollyspoke_standin::answer;
+use hollyspoke_standin::engine::Ledger;
 use hollyspoke_tests::cluster::{self, Cluster, SOON};
 use hollyspoke_tests::request::{CallerRequest, read_stream};
 use hollyspoke_tests::single_box::SingleBox;
@@ -387,6 +389,14 @@
     assert!(stops(&effects, first) && stops(&effects, second), "{effects:#?}");
 }
 
+/// Freezes the processes of all engines for 3.5 s.
+async fn freeze_engines(cluster: &Cluster) {
+    let engines = || cluster.prefills.iter().chain(&cluster.decodes);
+    engines().for_each(|it| it.signal(Signal::SIGSTOP));
+    tokio::time::sleep(Duration::from_millis(3500)).await;
+    engines().for_each(|it| it.signal(Signal::SIGCONT));
+}
+
 /// All engine processes are frozen for 3.5 s: each answer is completed by the attempt that began it.
 #[tokio::test]
 async fn frozen_engines_end_streams() -> eyre::Result<()> {
@@ -407,10 +417,7 @@
     let streams = "the streams do not begin";
     cluster.wait_engines(streams, |it| it.iter().map(|e| e.decodes).sum::<u64>() == 2).await?;
     tokio::time::sleep(Duration::from_millis(300)).await;
-    let engines = || cluster.prefills.iter().chain(&cluster.decodes);
-    engines().for_each(|it| it.signal(Signal::SIGSTOP));
-    tokio::time::sleep(Duration::from_millis(3500)).await;
-    engines().for_each(|it| it.signal(Signal::SIGCONT));
+    freeze_engines(&cluster).await;
     for caller in callers {
         assert_eq!(caller.await??, (true, true), "an answer was ended");
     }
@@ -420,3 +427,31 @@
     cluster.wait_memory_free(SOON).await?;
     Ok(())
 }
+
+/// The caller of the command line neither leaves nor sends a request again while engines are frozen.
+#[tokio::test]
+async fn frozen_engines_repeat_call() -> eyre::Result<()> {
+    let plan = cluster::Plan { boxes: 3, token_ms: 20, ..cluster::Plan::default() };
+    let cluster = Cluster::start(plan).await?;
+    let mut caller = cluster.caller("frozen");
+    let request = CallerRequest::generate("frozen", 150, true);
+    let call = Call {
+        method: request.method,
+        path: request.path,
+        headers: Vec::new(),
+        body: request.body.into(),
+        once: false,
+    };
+    let answer = tokio::spawn(async move {
+        match caller.send(&call).await {
+            caller::Outcome::Answer(response) => Ok(read_stream(response).await),
+            other => Err(eyre::eyre!("no answer: {other:?}")),
+        }
+    });
+    let begun = |it: &[Ledger]| it.iter().map(|it| it.decodes).sum::<u64>();
+    cluster.wait_engines("the stream does not begin", |it| begun(it) == 1).await?;
+    freeze_engines(&cluster).await;
+    assert_eq!(answer.await??, (answer::whole("frozen", 150), true));
+    assert_eq!(begun(&cluster.engines().await), 1, "the answer was begun again");
+    Ok(())
+}
