--- a/tests/src/single_box.rs
+++ b/tests/src/single_box.rs
@@ -8,7 +8,7 @@
 use hollyspoke::event::{CallId, Event, Reply, Report};
 use hollyspoke::key::Ticket;
 use hollyspoke::node::Node;
-use hollyspoke::site::UpstreamId;
+use hollyspoke::site::{Site, UpstreamId};
 use hollyspoke::time::Time;
 use hollyspoke_model::load::{Plan, settings};
 use hollyspoke_model::world::{TICK_INTERVAL, generate};
@@ -23,10 +23,15 @@
 }
 
 impl SingleBox {
-    /// Starts the box, and waits until it grants engines.
+    /// Starts the box with the default site, and waits until it grants engines.
     pub fn start() -> SingleBox {
+        SingleBox::start_with(Plan::default().site())
+    }
+
+    /// Starts the box with a site, and waits until it grants engines.
+    pub fn start_with(site: Site) -> SingleBox {
         let mut single = SingleBox { node: Node::new(Time::ZERO, settings(0)), now: Time::ZERO };
-        let site = Versioned { version: 1, site: Plan::default().site() };
+        let site = Versioned { version: 1, site };
         single.step(Duration::ZERO, Event::Site(Arc::new(site)));
         single.run(Duration::from_secs(1));
         single
--- a/tests/tests/silent_engines.rs
+++ b/tests/tests/silent_engines.rs
@@ -6,13 +6,15 @@
 use hollyspoke::event::{CallId, Event, Reply};
 use hollyspoke::generate::TOKEN_TIMEOUT;
 use hollyspoke::key::Ticket;
+use hollyspoke::layout::ShardId;
+use hollyspoke::message::{Grant, Message, Stage};
 use hollyspoke::outcome::Trace;
 use hollyspoke::pool::POLL_INTERVAL;
-use hollyspoke::site::UpstreamId;
+use hollyspoke::site::{ServiceId, UpstreamId};
 use hollyspoke::time::Time;
 use hollyspoke_cli::caller::{self, Call};
 use hollyspoke_model::load::Plan;
-use hollyspoke_model::world::{Action, Sending, World, generate};
+use hollyspoke_model::world::{Action, Sending, TICK_INTERVAL, World, generate};
 use hollyspoke_standin::answer;
 use hollyspoke_standin::engine::Ledger;
 use hollyspoke_tests::cluster::{self, Cluster, SOON};
@@ -296,11 +298,17 @@
     let first = single.begin_stream();
     single.reply(first, token(0));
     let effects = single.run(TOKEN_TIMEOUT + Duration::from_millis(100));
-    let second = effects.iter().find_map(|it| match it {
+    let &[second] = &begun(&effects)[..] else { panic!("no other attempt is begun") };
+    (single, first, second)
+}
+
+/// Returns the attempts that are begun.
+fn begun(effects: &[Effect]) -> Vec<Ticket> {
+    let begun = effects.iter().filter_map(|it| match it {
         Effect::Prefill { ticket, .. } => Some(*ticket),
         _ => None,
     });
-    (single, first, second.expect("another attempt is begun"))
+    begun.collect()
 }
 
 /// Returns a token.
@@ -381,6 +389,58 @@
     assert_eq!(delivered(&single.reply(first, token(1))), ["t1"]);
 }
 
+/// A late copy of the silent attempt's grant begins nothing while another attempt waits for engines.
+#[test]
+fn repeated_grant_begins_attempt() {
+    let mut single = SingleBox::start();
+    let first = single.begin_stream();
+    single.reply(first, token(0));
+    single.run(TOKEN_TIMEOUT - Duration::from_millis(100));
+    for name in all() {
+        let engine = UpstreamId::of(name);
+        single.step(Duration::ZERO, Event::Polled { engine, report: None });
+    }
+    for _ in 0..4 {
+        let effects = single.step(TICK_INTERVAL, Event::Tick);
+        assert_eq!(begun(&effects), [], "a replacement is granted while all engines are silent");
+    }
+    let service = ServiceId::of("llm");
+    let grant = Grant {
+        shard: ShardId { service, part: 0 },
+        ticket: first,
+        prefill: UpstreamId::of("prefill-0"),
+        decode: UpstreamId::of("decode-0"),
+        tokens: 110,
+        max_tokens: 10,
+        stage: Stage::Prefill,
+    };
+    let message = Box::new(Message::Granted(grant));
+    let effects = single.step(Duration::ZERO, Event::Peer { from: first.front, message });
+    assert_eq!(begun(&effects), [], "the first attempt is begun again");
+    assert_eq!(delivered(&single.reply(first, token(1))), ["t1"]);
+}
+
+/// An engine whose streams stall is not ejected if it is the one that completes them.
+#[test]
+fn only_engine_ejected() {
+    let mut site = Plan { prefills: 1, ..Plan::default() }.site();
+    for engine in site.engines.iter_mut().filter(|it| it.name == "decode-1") {
+        engine.leaving = true;
+    }
+    let mut single = SingleBox::start_with(site);
+    for round in 0..4 {
+        let first = single.begin_stream();
+        single.reply(first, token(0));
+        let effects = single.run(TOKEN_TIMEOUT + Duration::from_millis(100));
+        let &[second] = &begun(&effects)[..] else { panic!("no replacement in round {round}") };
+        single.reply(second, Reply::Prefilled);
+        single.reply(second, Reply::Imported);
+        let effects = single.reply(second, token(1));
+        assert!(stops(&effects, first), "round {round}: {effects:#?}");
+        single.step(Duration::ZERO, Event::Gone(CallId(u64::MAX)));
+    }
+}
+
 /// A caller that leaves a silent stream leaves both attempts.
 #[test]
 fn left_stream_runs_on() {
@@ -448,10 +508,10 @@
             other => Err(eyre::eyre!("no answer: {other:?}")),
         }
     });
-    let begun = |it: &[Ledger]| it.iter().map(|it| it.decodes).sum::<u64>();
-    cluster.wait_engines("the stream does not begin", |it| begun(it) == 1).await?;
+    let decodes = |it: &[Ledger]| it.iter().map(|it| it.decodes).sum::<u64>();
+    cluster.wait_engines("the stream does not begin", |it| decodes(it) == 1).await?;
     freeze_engines(&cluster).await;
     assert_eq!(answer.await??, (answer::whole("frozen", 150), true));
-    assert_eq!(begun(&cluster.engines().await), 1, "the answer was begun again");
+    assert_eq!(decodes(&cluster.engines().await), 1, "the answer was begun again");
     Ok(())
 }
