--- a/crates/hollyspoke/src/health.rs
+++ b/crates/hollyspoke/src/health.rs
@@ -54,6 +54,17 @@
         true
     }
 
+    /// Ends the current ejection, whose cause has gone, without a slow start.
+    pub fn readmit(&mut self) {
+        self.failures = 0;
+        self.out_until = None;
+    }
+
+    /// Returns whether the last request there failed.
+    pub fn has_failures(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Returns whether the upstream is ejected.
     pub fn is_out(&self, now: Time) -> bool {
         self.out_until.is_some_and(|until| now < until)
--- a/crates/hollyspoke/src/pool.rs
+++ b/crates/hollyspoke/src/pool.rs
@@ -142,6 +142,7 @@
                     slowness: known.slowness,
                     reported: known.reported,
                     health: known.health,
+                    is_out_for_silence: known.is_out_for_silence,
                     prefixes: known.prefixes,
                     failed_polls: known.failed_polls,
                     is_unresponsive: known.is_unresponsive,
@@ -283,6 +284,11 @@
         }
         if let Some(held) = self.grants.remove(&ticket) {
             self.update_answer_share(&held, end);
+            if let (End::Done { .. }, Some(engine)) =
+                (end, self.engines.get_mut(&held.grant.decode))
+            {
+                engine.succeed(cx.now);
+            }
             self.release_resources(cx.now, &held);
         }
         // A late duplicate of the ask must not be granted.
--- a/tests/src/single_box.rs
+++ b/tests/src/single_box.rs
@@ -8,7 +8,7 @@
 use hollyspoke::event::{CallId, Event, Reply, Report};
 use hollyspoke::key::Ticket;
 use hollyspoke::node::Node;
-use hollyspoke::site::UpstreamId;
+use hollyspoke::site::{Site, UpstreamId};
 use hollyspoke::time::Time;
 use hollyspoke_model::load::{Plan, settings};
 use hollyspoke_model::world::{TICK_INTERVAL, generate};
@@ -23,10 +23,15 @@
 }
 
 impl SingleBox {
-    /// Starts the box, and waits until it grants engines.
+    /// Starts the box with the default site, and waits until it grants engines.
     pub fn start() -> SingleBox {
+        SingleBox::start_with(Plan::default().site())
+    }
+
+    /// Starts the box with a site, and waits until it grants engines.
+    pub fn start_with(site: Site) -> SingleBox {
         let mut single = SingleBox { node: Node::new(Time::ZERO, settings(0)), now: Time::ZERO };
-        let site = Versioned { version: 1, site: Plan::default().site() };
+        let site = Versioned { version: 1, site };
         single.step(Duration::ZERO, Event::Site(Arc::new(site)));
         single.run(Duration::from_secs(1));
         single
@@ -77,6 +82,11 @@
         ticket
     }
 
+    /// Delivers a reply to an attempt.
+    pub fn reply(&mut self, ticket: Ticket, reply: Reply) -> Vec<Effect> {
+        self.step(Duration::ZERO, Event::Upstream { ticket, reply })
+    }
+
     /// Answers the poll of an idle engine.
     fn poll(&mut self, engine: UpstreamId) -> Vec<Effect> {
         let report = Report { used_tokens: 0, streams: Vec::new(), leaving: false, state: None };
