Tests that fail: streams that clients take up later than their attempts last

A client comes back 60 s after its attempt, at a box that knows the stream or at another one. On this code: 0 of 19 streams taken up 30 to 60 s later go on after their boxes were killed; 10 streams hold events of two versions after releases of all engines, their clients back 40 to 90 s later; one box sends such a stream to the version that serves now 60 s and an hour later, refuses it where both serve, and takes 2 s that a client has left for the time since it began the stream: the first version is gone for 10 s.

--- a/tests/src/fleet/streams.rs
+++ b/tests/src/fleet/streams.rs
@@ -1,6 +1,7 @@
 //! Streams whose clients take them up again at another box, at engines of several software versions.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,8 +21,8 @@
 /// The number of events of a stream.
 const EVENT_COUNT: u64 = 6;
 
-/// The time after which a client takes a broken stream up, in milliseconds.
-const RETURN_DELAY_MS: std::ops::RangeInclusive<u64> = 5..=300;
+/// The usual time after which a client takes a broken stream up, in milliseconds.
+const RETURN_DELAY_MS: RangeInclusive<u64> = 5..=300;
 
 /// The maximum number of attempts for a stream.
 const MAX_ATTEMPT_COUNT: usize = 3;
@@ -62,7 +63,7 @@
 }
 
 /// All streams, and the versions of the engines.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Streams {
     /// Whether engines send events and clients come back.
     is_enabled: bool,
@@ -74,6 +75,21 @@
     calls: HashMap<(usize, u64, CallKey), RequestKey>,
     /// The versions of engines, if not the usual one.
     versions: BTreeMap<EngineKey, Arc<str>>,
+    /// The time after which a client takes a broken stream up, in milliseconds.
+    return_delay_ms: RangeInclusive<u64>,
+}
+
+impl Default for Streams {
+    fn default() -> Streams {
+        Streams {
+            is_enabled: false,
+            streams: Vec::new(),
+            requests: HashMap::new(),
+            calls: HashMap::new(),
+            versions: BTreeMap::new(),
+            return_delay_ms: RETURN_DELAY_MS,
+        }
+    }
 }
 
 /// What became of the streams.
@@ -110,6 +126,11 @@
         fleet
     }
 
+    /// Sets the time after which clients take broken streams up, in seconds.
+    pub fn return_after(&mut self, seconds: RangeInclusive<u64>) {
+        self.streams.return_delay_ms = seconds.start() * 1000..=seconds.end() * 1000;
+    }
+
     /// Replaces engines by ones of another version, under the same ids.
     pub fn release(&mut self, engines: impl IntoIterator<Item = EngineKey>, version: &str) {
         for engine in engines {
@@ -267,7 +288,8 @@
             resumed_id: stream.begun_as.clone(),
             ..stream.request.clone()
         };
-        let delay = Duration::from_millis(self.random.random_range(RETURN_DELAY_MS));
+        let delay =
+            Duration::from_millis(self.random.random_range(self.streams.return_delay_ms.clone()));
         let numbers: Vec<_> = (0..self.members.len()).collect();
         let Some(&at) = numbers.choose(&mut self.random) else { return };
         self.schedule(self.now + delay, Scheduled::Request(at, request));
--- a/tests/tests/gateway_origins.rs
+++ b/tests/tests/gateway_origins.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hollyspoke_tests::fleet::Fleet;
+use hollyspoke_tests::gateway::MODEL;
 use proptest::prelude::*;
 
 /// The number of boxes.
@@ -87,6 +88,35 @@
     check_taken_up(&fleet);
 }
 
+/// Clients come back later than their attempts last, and their boxes were killed.
+#[test]
+fn late_clients_lose_streams() {
+    let mut fleet = two_versions(9);
+    fleet.return_after(30..=60);
+    for _ in 0..12 {
+        fleet.restart((0..BOXES).step_by(3));
+        fleet.run(SECOND * 8);
+    }
+    fleet.run(SECOND * 60);
+    check_taken_up(&fleet);
+}
+
+/// Clients come back when the version that began their streams has left.
+#[test]
+fn late_clients_mix_versions() {
+    let mut fleet = Fleet::resuming(BOXES, 10);
+    fleet.return_after(40..=90);
+    for version in ["v2", "v3"] {
+        fleet.restart(0..3);
+        fleet.run(SECOND);
+        let engines = fleet.engines_of(MODEL);
+        fleet.release(engines, version);
+        fleet.run(SECOND * 100);
+    }
+    let counts = fleet.stream_counts();
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
+
 /// Boxes that have all just started know nothing of the streams before.
 #[test]
 fn restarted_boxes_mix_versions() {
--- a/tests/tests/gateway_versions.rs
+++ b/tests/tests/gateway_versions.rs
@@ -1,6 +1,7 @@
 //! The ways on which a stream changes its engine, at one box before engines of two software versions.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hollyspoke_gateway::effect::{Effect, NotRunReason, Refusal, Send, Task};
@@ -9,9 +10,11 @@
 use hollyspoke_gateway::features::Features;
 use hollyspoke_gateway::message::StoreView;
 use hollyspoke_gateway::request::{Request, RequestKey};
+use hollyspoke_gateway::route::{Route, RouteKind};
 use hollyspoke_gateway::version::SoftwareVersion;
 use hollyspoke_tests::gateway::{
-    MODEL, World, engine, heartbeat, only_refusal, only_send, prefilled, ran, request,
+    MODEL, World, configuration_of, engine, heartbeat, only_refusal, only_send, prefilled, ran,
+    request, route,
 };
 use hollyspoke_tests::migration::{self, leaving, transfers};
 
@@ -28,6 +31,13 @@
     world.event(Event::Listed(prefill.into_iter().chain(decode).collect(), 20.into()));
 }
 
+/// Replaces all engines by ones of a version.
+fn release(world: &mut World, version: &str) {
+    let prefill = [11, 12].map(|it| versioned(it, Stage::Prefill, version));
+    let decode = [21, 22].map(|it| versioned(it, Stage::Decode, version));
+    world.event(Event::Listed(prefill.into_iter().chain(decode).collect(), 21.into()));
+}
+
 /// Returns a box before decode engines of the given versions.
 fn world(versions: &[&str]) -> World {
     let mut world = World::new();
@@ -175,6 +185,69 @@
     }
 }
 
+/// How long after its attempt has ended a client takes its stream up.
+const LATE: Duration = Duration::from_secs(60);
+
+/// Begins a stream whose client leaves.
+fn begin_and_leave(world: &mut World) -> Send {
+    let (key, first) = begin(world, "resumed");
+    world.event(Event::ClientDisconnected(key));
+    first
+}
+
+/// Checks that a stream that a client takes up reaches no engine.
+fn check_refused(world: &mut World, request: Request) {
+    let (_, mut effects) = world.arrive(request);
+    effects.extend(world.advance(Duration::from_secs(1)));
+    assert!(!effects.iter().any(|it| matches!(it, Effect::Send(_))), "{effects:?}");
+    assert!(matches!(only_refusal(&effects), Refusal::NotRun(..)), "{effects:?}");
+}
+
+/// A client may come back later than its attempts last: its stream still goes on.
+#[test]
+fn late_client_refused() {
+    let mut world = world(&["v1", "v1", "v2", "v2"]);
+    let first = begin_and_leave(&mut world);
+    world.advance(LATE);
+    let (_, effects) = world.arrive(resuming(Some("request-resumed")));
+    let prefill = only_send(&effects);
+    let decode = only_send(&world.call(prefill.call, CallEvent::Answered(prefilled("h"))));
+    assert_eq!(decode.engine.version, first.engine.version);
+}
+
+/// The version that began a stream has left before its client comes back.
+#[test]
+fn late_client_mixes_versions() {
+    let mut world = world(&["v1", "v1"]);
+    begin_and_leave(&mut world);
+    release(&mut world, "v2");
+    world.advance(LATE);
+    check_refused(&mut world, resuming(Some("request-resumed")));
+}
+
+/// What a client has left, or a route allows now, is not how long ago a stream may have begun.
+#[test]
+fn short_deadline_mixes_versions() {
+    let mut world = world(&["v1", "v1"]);
+    let timeout = Duration::from_secs(3);
+    let resumed = Route { resumable: true, timeout, ..route("resumed", RouteKind::Stream, MODEL) };
+    world.event(Event::Configured(Arc::new(configuration_of(2, vec![resumed]))));
+    release(&mut world, "v2");
+    world.advance(Duration::from_secs(10));
+    let request = Request { deadline: Some(Duration::from_secs(2)), ..resuming(Some("unknown")) };
+    check_refused(&mut world, request);
+}
+
+/// A stream that all boxes have forgotten is refused, not mixed.
+#[test]
+fn forgotten_stream_mixes_versions() {
+    let mut world = world(&["v1", "v1"]);
+    begin_and_leave(&mut world);
+    release(&mut world, "v2");
+    world.advance(Duration::from_secs(3600));
+    check_refused(&mut world, resuming(Some("request-resumed")));
+}
+
 /// A stream that nobody knows is refused at once where two versions serve, and so is one that the
 /// client doesn't name, or names by an id of another customer.
 #[test]
