A stream goes on or is refused whenever its client comes back

What callers saw, with two boxes, at a box that knew the stream and at another one: a client that takes its stream up later than twice the time that an attempt may take gets events of another version if the one that began it has left (mixed 5 and 7 of 12), and is refused as unknown where both versions serve (12 of 12).

The cause: "how long a client may come back" was taken as two attempts of the longest deadline or time-out of the request that takes the stream up. No page says that a client doesn't come back later, and that request tells nothing of the first one: 2 s left at a route that now allows 3 s stand for a stream that may have begun at any time before.

Now: gateway_origins 13, gateway_versions 17, origins 13, platform_versions 5 pass.

--- a/crates/hollyspoke-gateway/src/gateway/origins.rs
+++ b/crates/hollyspoke-gateway/src/gateway/origins.rs
@@ -18,7 +18,7 @@
 use crate::origin::{Announcement, Ask, Knowledge, Notice, Origin, Reply, StreamKey, Table};
 use crate::request::{CallKey, Request, RequestKey};
 use crate::route::{Route, RouteKind};
-use crate::version::{Verdict, VersionKey};
+use crate::version::{REACH, Verdict, VersionKey};
 
 /// The number of holders that are told of a stream in a deployment where all boxes exchange
 /// everything.
@@ -41,9 +41,10 @@
 /// The time without a new box after which a box knows whom to ask.
 const QUIET_DURATION: Duration = Duration::from_millis(100);
 
-/// How long a client may come back with a stream, in multiples of the longest time that one attempt
-/// may take: a first attempt and a second one.
-const ATTEMPT_COUNT: u32 = 2;
+/// How long after an attempt its client is expected to come back with the stream: a caller that has
+/// lost its network, or waits for an upstream to be repaired. Later ones may be refused, since
+/// nobody knows the stream any more.
+const RETURN_PERIOD: Duration = Duration::from_secs(600);
 
 /// The question for the version of a stream that a client resumes.
 #[derive(Debug, Clone)]
@@ -52,8 +53,6 @@
     stream: StreamKey,
     /// The hash of the service's name.
     service: u64,
-    /// How long ago the stream may have begun.
-    window: Duration,
     /// When the inquiry began.
     began: Time,
     /// When the boxes that have not answered are asked again.
@@ -145,14 +144,6 @@
     StreamKey::of(&in_flight.service.name, customer, resumed_id.unwrap_or(&request.id))
 }
 
-/// Returns how long ago a client may have begun a stream that it resumes, or for how long it may
-/// come back with one.
-fn window(in_flight: &InFlight) -> Duration {
-    let timeout = in_flight.route.timeout;
-    let longest = in_flight.request.deadline.map_or(timeout, |it| it.max(timeout));
-    longest * ATTEMPT_COUNT
-}
-
 impl Gateway {
     /// Starts to look for the version of the stream that a request resumes, unless it is known or
     /// already sought.
@@ -172,18 +163,17 @@
         let inquiry = Inquiry {
             stream,
             service: service_hash(&in_flight.service.name),
-            window: window(in_flight),
             began: self.now,
             resend_at: self.now,
             asked: BTreeSet::new(),
             answers: BTreeMap::new(),
         };
-        let own = self.served_versions(inquiry.service, inquiry.window);
+        let own = self.served_versions(inquiry.service, REACH);
         if own != Verdict::Unaware && !is_named {
             return self.set_origin(key, inquiry.finding(own), Duration::ZERO);
         }
         if own == Verdict::Unaware {
-            self.read_register();
+            self.look_up_register();
         }
         self.origins.inquiries.insert(key, inquiry);
         self.conclude_inquiry(key);
@@ -235,7 +225,7 @@
         if !self.is_concluded(inquiry) {
             return false;
         }
-        let own = self.served_versions(inquiry.service, inquiry.window);
+        let own = self.served_versions(inquiry.service, REACH);
         let (finding, after) = (inquiry.finding(own), self.now.since(inquiry.began));
         self.origins.inquiries.remove(&key);
         self.set_origin(key, finding, after);
@@ -276,7 +266,7 @@
         inquiry.resend_at = self.now + RESEND_INTERVAL;
         holders.retain(|it| !inquiry.answers.contains_key(it));
         inquiry.asked.extend(&holders);
-        let window_ms = millis(inquiry.window);
+        let window_ms = millis(REACH);
         let ask = Ask { stream: inquiry.stream, service: inquiry.service, window_ms };
         let notice = Notice { asks: vec![ask], ..self.notice() };
         self.notify(holders, notice);
@@ -368,7 +358,7 @@
         let (request, written) = (call.request, self.version_of(call));
         let stream = stream_key(in_flight);
         let is_resumable = in_flight.route.kind == RouteKind::Stream && in_flight.route.resumable;
-        let until = in_flight.arrived + window(in_flight);
+        let until = in_flight.deadline + RETURN_PERIOD;
         let Some(in_flight) = self.in_flight.get_mut(&request) else { return };
         in_flight.is_origin_bound = true;
         if in_flight.origin == Origin::Open {
--- a/crates/hollyspoke-gateway/src/gateway/versions.rs
+++ b/crates/hollyspoke-gateway/src/gateway/versions.rs
@@ -17,7 +17,7 @@
 use super::peers::service_hash;
 use crate::effect::{Effect, LogEvent};
 use crate::event::Kind;
-use crate::version::{SoftwareVersion, Verdict, VersionKey};
+use crate::version::{REACH, SoftwareVersion, Verdict, VersionKey};
 
 /// The kind of the register in the store.
 pub const KIND: &str = "software";
@@ -34,15 +34,18 @@
 /// The difference between the clocks of two boxes that is allowed for.
 const CLOCK_MARGIN: Duration = Duration::from_secs(5);
 
-/// A time in which clients come back with their streams or not at all.
-const LONG_TIME: Duration = Duration::from_secs(1800);
-
 /// The interval per box at which a box reads the list of engines while it knows some of them without
-/// their versions, from boxes that don't pass them on.
-const LIST_INTERVAL_PER_BOX: Duration = Duration::from_millis(200);
+/// their versions, from boxes that don't pass them on, and the register while streams come that it
+/// can't place.
+const READ_INTERVAL_PER_BOX: Duration = Duration::from_millis(200);
 
 /// The least of these intervals.
-const MIN_LIST_INTERVAL: Duration = Duration::from_secs(2);
+const MIN_READ_INTERVAL: Duration = Duration::from_secs(2);
+
+/// How long ago the streams of boxes that write no register have usually begun. Such boxes tell nobody
+/// which version began a stream either, so that it can go on at other boxes only as begun by the only
+/// version of that time.
+const USUAL_STREAM_AGE: Duration = Duration::from_secs(30);
 
 /// The only version of a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -80,8 +83,10 @@
     under_way: Option<(u64, Option<Content>)>,
     /// The time when the next operation may start.
     paused_until: Time,
-    /// When the list of engines is read again for their versions.
+    /// When the list of engines may be read again for their versions.
     next_list_at: Time,
+    /// When the register may be read again for a stream that can't be placed.
+    next_lookup_at: Time,
     /// Whether a service had several versions at the last check.
     had_several: bool,
 }
@@ -134,12 +139,26 @@
         if is_complete || self.now < self.register.next_list_at {
             return;
         }
-        let boxes = u32::try_from(self.members.peak_count()).unwrap_or(u32::MAX);
-        let interval = LIST_INTERVAL_PER_BOX.saturating_mul(boxes).max(MIN_LIST_INTERVAL);
-        self.register.next_list_at = self.now + interval.mul_f64(0.5 + self.draw_share());
+        self.register.next_list_at = self.next_read();
         self.effects.push(Effect::Read(Kind::Engines));
     }
 
+    /// Draws when this box may read something again that all boxes read.
+    fn next_read(&mut self) -> Time {
+        let boxes = u32::try_from(self.members.peak_count()).unwrap_or(u32::MAX);
+        let interval = READ_INTERVAL_PER_BOX.saturating_mul(boxes).max(MIN_READ_INTERVAL);
+        self.now + interval.mul_f64(0.5 + self.draw_share())
+    }
+
+    /// Reads the register for a stream that can't be placed, unless it was read for another one
+    /// shortly before. What it told then still holds: this box has observed the versions since.
+    pub(super) fn look_up_register(&mut self) {
+        if self.now >= self.register.next_lookup_at {
+            self.register.next_lookup_at = self.next_read();
+            self.read_register();
+        }
+    }
+
     /// Reads or writes the register if that is due.
     pub(super) fn sync_register(&mut self) {
         let may_begin = self.register.under_way.is_none() && self.now >= self.register.paused_until;
@@ -158,7 +177,7 @@
             self.register.stored = self.register.stored.take().filter(|_| !may_be_changed);
         }
         let Some(stored) = self.register.stored.clone() else { return self.read_register() };
-        let content = self.current_content(&stored.content);
+        let content = self.current_content(&stored);
         if content != stored.content {
             self.write_register(stored.version, content);
         }
@@ -173,8 +192,10 @@
     }
 
     /// Returns the content that the register should have.
-    fn current_content(&self, stored: &Content) -> Content {
+    fn current_content(&self, stored: &Stored) -> Content {
         let (era, adds) = (self.store_era(), self.is_leader());
+        let is_first = stored.version == 0 && era == 0;
+        let stored = &stored.content;
         let mut services =
             if stored.era == era { stored.services.clone() } else { BTreeMap::new() };
         for (service, versions) in self.named_versions() {
@@ -183,7 +204,7 @@
             match only {
                 Some(version) if known.as_ref() == Some(&version) => {}
                 Some(version) if adds => {
-                    let since = self.only_since(&service);
+                    let since = self.only_since(&service, is_first);
                     services.insert(service, OnlyVersion { version, since });
                 }
                 _ => {
@@ -194,12 +215,12 @@
         Content { era, services }
     }
 
-    /// Returns since when a service has had only one version, in seconds of Unix time: always, if no
-    /// box has run before this one and it has observed no other.
-    fn only_since(&self, service: &str) -> u64 {
-        let verdict = self.timeline.verdict(service_hash(service), LONG_TIME, self.now);
-        let is_always = self.settings.is_first_start && matches!(verdict, Verdict::Only(_));
-        if is_always { 0 } else { self.unix_time() }
+    /// Returns since when a service is known to have had only one version, in seconds of Unix time.
+    /// Where boxes wrote no register before, streams are taken to be of the usual age.
+    fn only_since(&self, service: &str, is_first: bool) -> u64 {
+        let known = self.timeline.only_for(service_hash(service), self.now);
+        let assumed = if is_first { REACH - USUAL_STREAM_AGE } else { Duration::ZERO };
+        self.unix_time().saturating_sub(known.max(assumed).as_secs())
     }
 
     /// Returns the names of the versions of each service's engines; none for an unknown one.
@@ -262,6 +283,9 @@
             // It is read again: another box has written it, or this write may have taken effect.
             _ => None,
         };
+        if self.register.stored.is_none() {
+            self.register.next_lookup_at = self.register.paused_until;
+        }
         if let Some(stored) = self.register.stored.clone() {
             let services = stored.content.services.len();
             self.log(LogEvent::VersionRegister { services, is_written });
--- a/crates/hollyspoke-gateway/src/origin/table.rs
+++ b/crates/hollyspoke-gateway/src/origin/table.rs
@@ -8,7 +8,7 @@
 use super::StreamKey;
 use crate::version::VersionKey;
 
-/// The maximum number of streams. At 48 bytes each, they take 6 MB.
+/// The maximum number of streams. They take 8 MB.
 const MAX_STREAM_COUNT: usize = 65_536;
 
 /// The version of a stream.
--- a/crates/hollyspoke-gateway/src/version.rs
+++ b/crates/hollyspoke-gateway/src/version.rs
@@ -10,7 +10,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-pub use timeline::{Timeline, Verdict};
+pub use timeline::{REACH, Timeline, Verdict};
 
 /// The version of an engine's software. Engines that name none form a version of their own.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/hollyspoke-gateway/src/version/timeline.rs
+++ b/crates/hollyspoke-gateway/src/version/timeline.rs
@@ -13,9 +13,12 @@
 /// The longest time between two observations of a version that serves.
 const MAX_OBSERVATION_GAP: Duration = Duration::from_secs(2);
 
-/// How long versions that no longer serve are remembered. Must exceed the time for which a client
-/// may come back with a stream.
-const RETENTION: Duration = Duration::from_secs(3600);
+/// How long ago a client may have begun a stream that it resumes and nobody knows. A device that
+/// sleeps overnight resumes the next day what it was receiving.
+pub const REACH: Duration = Duration::from_secs(24 * 3600);
+
+/// How long versions that no longer serve are remembered.
+const RETENTION: Duration = REACH.saturating_add(Duration::from_secs(3600));
 
 /// What is known of the versions that have served a service for a time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,6 +41,13 @@
     earlier: Option<(VersionKey, Duration)>,
 }
 
+impl History {
+    /// Returns how long before the timeline begins a version is known to have been the only one.
+    fn earlier_duration(&self, version: VersionKey) -> Duration {
+        self.earlier.filter(|it| it.0 == version).map_or(Duration::ZERO, |it| it.1)
+    }
+}
+
 /// The versions of all services over time.
 #[derive(Debug, Clone, Default)]
 pub struct Timeline {
@@ -73,6 +83,19 @@
         self.services.entry(service).or_default().earlier = Some((version, earlier));
     }
 
+    /// Returns for how long a service is known to have had only one version, up to now; the longest
+    /// time if always, none if it has had several.
+    pub fn only_for(&self, service: u64, now: Time) -> Duration {
+        let (Some(since), Some(history)) = (self.since, self.services.get(&service)) else {
+            return Duration::ZERO;
+        };
+        let &[(Some(version), _)] = &history.seen[..] else { return Duration::ZERO };
+        if self.is_complete {
+            return Duration::MAX;
+        }
+        now.since(since) + history.earlier_duration(version)
+    }
+
     /// Returns which versions have served a service for a time that ends now.
     pub fn verdict(&self, service: u64, duration: Duration, now: Time) -> Verdict {
         let (Some(since), Some(history)) = (self.since, self.services.get(&service)) else {
@@ -87,10 +110,8 @@
         let Some(version) = first.filter(|_| recent.next().is_none()) else {
             return Verdict::Several;
         };
-        let observed = now.since(since);
-        let earlier =
-            history.earlier.filter(|it| it.0 == version).map_or(Duration::ZERO, |it| it.1);
-        if self.is_complete || observed + earlier >= duration {
+        let known = now.since(since) + history.earlier_duration(version);
+        if self.is_complete || known >= duration {
             Verdict::Only(version)
         } else {
             Verdict::Unaware
--- a/tests/tests/gateway_origins.rs
+++ b/tests/tests/gateway_origins.rs
@@ -143,6 +143,24 @@
     assert!(counts.all_went_on >= counts.begun / 2.0, "{counts:?}");
 }
 
+/// A store that comes back from a copy takes back what boxes wrote, not what they know.
+#[test]
+fn restored_store_forgets_versions() {
+    let mut fleet = Fleet::resuming(BOXES, 11);
+    fleet.run(SECOND * 40);
+    let copy = fleet.store.clone();
+    fleet.run(SECOND * 2);
+    fleet.store.restore(&copy);
+    fleet.run(SECOND * 6);
+    for _ in 0..10 {
+        fleet.restart(0..BOXES);
+        fleet.run(SECOND * 2);
+    }
+    check(&fleet);
+    let counts = fleet.stream_counts();
+    assert!(counts.all_went_on >= counts.begun / 2.0, "{counts:?}");
+}
+
 /// The last engines of a version leave while all boxes are down, so that nobody lists the version.
 #[test]
 fn vanished_version_forgotten() {
@@ -256,4 +274,20 @@
         let counts = fleet.stream_counts();
         prop_assert_eq!(counts.mixed, 0, "{:?}", counts);
     }
+
+    /// The same where clients come back later than their attempts last.
+    #[test]
+    fn drawn_returns_mix_versions(
+        seed: u64,
+        steps in prop::collection::vec(step(), 4..20),
+    ) {
+        let mut fleet = two_versions(seed);
+        fleet.return_after(1..=60);
+        for step in steps {
+            play(&mut fleet, step);
+        }
+        fleet.run(SECOND * 30);
+        let counts = fleet.stream_counts();
+        prop_assert_eq!(counts.mixed, 0, "{:?}", counts);
+    }
 }
