Test of streams that boxes without engines pass on: they go on at their version

Two boxes over sockets, the second one with dead addresses of all engines, two versions. 12 streams each: begun at either box and taken up at the other one or the same, all 12 go on at the version that began them; one that nobody knows is refused. No fault was found and no code is changed.

--- a/tests/tests/platform_versions.rs
+++ b/tests/tests/platform_versions.rs
@@ -10,11 +10,11 @@
 use hollyspoke_platform::DIALECT;
 use hollyspoke_server::run::{self, Running};
 use hollyspoke_tests::platform::{
-    Action, LAST_CHUNK, Received, Script, Store, ask, chunk, client_head, engine, handle, is_whole,
-    local, log, settings, status, store, stream_head, whole,
+    Action, Engine, LAST_CHUNK, Received, Script, Store, ask, chunk, client_head, engine, handle,
+    is_whole, local, log, settings, status, store, stream_head, whole,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 /// The number of streams in each test.
 const STREAM_COUNT: usize = 12;
@@ -29,8 +29,8 @@
 struct World {
     /// The boxes.
     boxes: [Running; 2],
-    /// The store.
-    store: Store,
+    /// Their stores, which may be the same.
+    stores: [Store; 2],
 }
 
 /// What happens to a stream after its first event at the first engine.
@@ -64,6 +64,9 @@
         if it.is_probe() {
             return vec![Action::Send(whole(it, "{}"))];
         }
+        if it.line.contains("probe") {
+            return vec![Action::Send(stream_head(it)), Action::Send(LAST_CHUNK.to_vec())];
+        }
         stream(it, version, interruption)
     })
 }
@@ -94,30 +97,62 @@
     run::start(&settings, DIALECT, log()).await.expect("the ports are free")
 }
 
-/// Starts two boxes, and two decode engines of each version.
-async fn world(interruption: Interruption) -> World {
-    let store = store().await;
-    store.configure(1);
+/// Lists two decode engines of each version in the stores, at the same or at other addresses.
+async fn list_engines(stores: [&Store; 2], interruption: Interruption) {
     for version in VERSIONS {
         for number in 0..2 {
             let decode = engine(script(version, interruption)).await;
             let id = format!("{version}-{number}");
-            store.list_version(&id, &decode, "model", Some("decode"), version);
+            stores[0].list_version(&id, &decode, "model", Some("decode"), version);
+            let dead = Engine { address: dead_address().await, ..decode };
+            stores[1].list_version(&id, &dead, "model", Some("decode"), version);
         }
     }
+}
+
+/// Returns an address that refuses connections.
+async fn dead_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Starts two boxes, and two decode engines of each version.
+async fn world(interruption: Interruption) -> World {
+    let (near, unused) = (store().await, store().await);
+    near.configure(1);
+    list_engines([&near, &unused], interruption).await;
+    start_boxes([&near, &near]).await
+}
+
+/// Starts the same where the second box reaches no engine, so that it passes its requests on.
+async fn proxying_world() -> World {
+    let (near, far) = (store().await, store().await);
+    near.configure(1);
+    far.configure(1);
+    list_engines([&near, &far], Interruption::Silence).await;
+    let world = start_boxes([&near, &far]).await;
+    let head = client_head("POST", "/resumed/probe", "probe", "prompt");
+    while status(&ask(world.boxes[1].front, &head).await) == "503" {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    world
+}
+
+/// Starts two boxes, each with its store.
+async fn start_boxes(stores: [&Store; 2]) -> World {
     // Boxes know each other by their IP addresses, of which each test has its own.
     let number = WORLD_COUNT.fetch_add(1, Ordering::Relaxed);
     let (first_ip, second_ip) = ([127, 0, 3, number], [127, 0, 4, number]);
-    let first = start(first_ip, &store, Vec::new()).await;
+    let first = start(first_ip, stores[0], Vec::new()).await;
     let seeds = vec![SocketAddr::from((first_ip, peer_port()))];
-    let second = start(second_ip, &store, seeds).await;
+    let second = start(second_ip, stores[1], seeds).await;
     let is_ready = |it: &Running| {
         it.node.with(|it| it.is_ready() && it.alive_box_count() == 2 && it.engine_count() == 4)
     };
     while !is_ready(&first) || !is_ready(&second) {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    World { boxes: [first, second], store }
+    World { boxes: [first, second], stores: stores.map(Store::clone) }
 }
 
 /// Returns the versions in the events of an answer.
@@ -151,11 +186,11 @@
     Begun { answer: String::from_utf8_lossy(&bytes).into_owned(), _connection: stream }
 }
 
-/// Begins streams at the first box.
-async fn begin_all(world: &World) -> Vec<Begun> {
+/// Begins streams at a box.
+async fn begin_all(world: &World, at: usize) -> Vec<Begun> {
     let mut begun = Vec::new();
     for number in 0..STREAM_COUNT {
-        begun.push(begin(world.boxes[0].front, &format!("first-{number}")).await);
+        begun.push(begin(world.boxes[at].front, &format!("first-{number}")).await);
     }
     begun
 }
@@ -167,10 +202,10 @@
     client_head("POST", "/resumed/x", id, "prompt").replace("Content-Length", &headers)
 }
 
-/// Begins streams at the first box and resumes them at another one. Returns the answers of both
+/// Begins streams at a box and resumes them at the same or another one. Returns the answers of both
 /// attempts.
-async fn resume_all(world: &World, at: usize) -> Vec<(String, String)> {
-    let begun = begin_all(world).await;
+async fn resume_all(world: &World, from: usize, at: usize) -> Vec<(String, String)> {
+    let begun = begin_all(world, from).await;
     let mut answers = Vec::new();
     for (number, begun) in begun.iter().enumerate() {
         let head = resuming_head(&format!("second-{number}"), &[&format!("first-{number}")]);
@@ -205,7 +240,7 @@
 fn same_box_mixes_versions() {
     local(async {
         let world = world(Interruption::Silence).await;
-        check_all_resumed(&resume_all(&world, 0).await);
+        check_all_resumed(&resume_all(&world, 0, 0).await);
     });
 }
 
@@ -213,7 +248,29 @@
 fn other_box_mixes_versions() {
     local(async {
         let world = world(Interruption::Silence).await;
-        check_all_resumed(&resume_all(&world, 1).await);
+        check_all_resumed(&resume_all(&world, 0, 1).await);
+    });
+}
+
+/// A box that reaches no engine passes on what clients take up there, wherever it began.
+#[test]
+fn passing_on_mixes_versions() {
+    for (from, at) in [(0, 1), (1, 0), (1, 1)] {
+        local(async move {
+            let world = proxying_world().await;
+            check_all_resumed(&resume_all(&world, from, at).await);
+        });
+    }
+}
+
+/// A box that reaches no engine passes on a stream that nobody knows, and its refusal.
+#[test]
+fn passing_on_unknown_stream_resumed() {
+    local(async {
+        let world = proxying_world().await;
+        let _known = begin(world.boxes[1].front, "known").await;
+        let answer = ask(world.boxes[1].front, &resuming_head("id", &["unknown"])).await;
+        assert_eq!(status(&answer), "503");
     });
 }
 
@@ -222,9 +279,9 @@
 fn vanished_version_replaced() {
     local(async {
         let world = world(Interruption::Silence).await;
-        let begun = begin_all(&world).await;
+        let begun = begin_all(&world, 0).await;
         for number in 0..2 {
-            world.store.remove("servers", &format!("v1-{number}"));
+            world.stores[0].remove("servers", &format!("v1-{number}"));
         }
         while world.boxes.iter().any(|it| it.node.with(|it| it.engine_count() > 2)) {
             tokio::time::sleep(Duration::from_millis(5)).await;
