An engine that has told a later start than its entry shows continues no stream

What callers would see: a stream that holds events of two versions, its second engine back under its id with another version and its new entry not read yet. The cause: the start that an engine tells (`born`, in the answer to a probe or a report) went to the quarantine of requests alone; the list went on to name the version.

An engine that has told a later start has no known version until its new entry is read: streams don't go on there, and one that it begins goes on nowhere. Tests, failed before: told_restart_continues, told_restart_begins; sound_engine_distrusted holds the other side.

That is a small part of the fault.

--- a/crates/hollyspoke-gateway/src/directory.rs
+++ b/crates/hollyspoke-gateway/src/directory.rs
@@ -15,7 +15,7 @@
 use crate::engine::{Engine, EngineChange, EngineKey, Stage};
 use crate::health::Health;
 use crate::statement::ReportedLoad;
-use crate::version::VersionKey;
+use crate::version::{SoftwareVersion, VersionKey};
 
 pub use index::Group;
 
@@ -73,6 +73,8 @@
     unconfirmed_until: Option<Time>,
     /// When its incarnation was first listed, unless the first list contained it.
     appeared_at: Option<Time>,
+    /// Whether it has told a later start than its entry shows. Its version isn't known then.
+    has_restarted: bool,
 }
 
 /// How long an engine with a stage is skipped after it reported that a call was not meant for it.
@@ -113,6 +115,17 @@
         self.appeared_at.max(self.health.returned_at(now))
     }
 
+    /// Returns the key of the version of the software that runs now; none if it isn't known.
+    pub fn version(&self) -> Option<VersionKey> {
+        let version = self.engine.version.as_ref().filter(|_| !self.has_restarted);
+        version.map(SoftwareVersion::key)
+    }
+
+    /// Returns whether the engine has told a later start than its entry shows.
+    pub fn has_restarted(&self) -> bool {
+        self.has_restarted
+    }
+
     /// Marks the engine's entry as missing. It may reappear until the given time.
     fn mark_missing(self, until: Time) -> Record {
         let until = self.missing_until.map_or(until, |it| it.min(until));
@@ -447,6 +460,12 @@
         self.next_removal
     }
 
+    /// Records the start that an engine has told. It may be back before its new entry is read.
+    pub fn record_start(&mut self, engine: EngineKey, started_at: u64) {
+        let Some(known) = self.engines.get_mut(&engine) else { return };
+        known.has_restarted |= known.engine.started_at.is_some_and(|it| it < started_at);
+    }
+
     /// Records that an engine reported that a call was not meant for it: its address belongs to
     /// another incarnation, or it has another stage than its entry shows.
     pub fn mark_misdirected(&mut self, engine: EngineKey, now: Time) {
@@ -675,6 +694,7 @@
             cold_until,
             unconfirmed_until: None,
             appeared_at: Some(now),
+            has_restarted: false,
         },
     }
 }
--- a/crates/hollyspoke-gateway/src/gateway/capacity.rs
+++ b/crates/hollyspoke-gateway/src/gateway/capacity.rs
@@ -14,7 +14,6 @@
 use crate::message::Load;
 use crate::origin::Origin;
 use crate::request::RequestKey;
-use crate::version::SoftwareVersion;
 
 /// The share of the target for which a request waits before it is refused. Requests that wait
 /// longer start late and hold memory that others need in time; a shorter wait leaves capacity
@@ -195,8 +194,7 @@
     /// Returns whether a request may be served in the data centre of an engine, and its stream at the
     /// engine's version.
     pub(super) fn is_allowed_at(&self, in_flight: &InFlight, record: &Record) -> bool {
-        let version = record.engine.version.as_ref().map(SoftwareVersion::key);
-        in_flight.origin.allows(version) && self.is_region_allowed_at(in_flight, record)
+        in_flight.origin.allows(record.version()) && self.is_region_allowed_at(in_flight, record)
     }
 
     /// Returns whether a request may be served in the data centre of an engine.
--- a/crates/hollyspoke-gateway/src/gateway/origins.rs
+++ b/crates/hollyspoke-gateway/src/gateway/origins.rs
@@ -380,11 +380,14 @@
     }
 
     /// Returns the version that writes the events of a call. It isn't known if the engine has
-    /// restarted since the call was sent: either incarnation may have received it.
+    /// restarted since the call was sent, or before its new entry was read: either incarnation may
+    /// have received it.
     fn version_of(&self, call: &Call) -> Origin {
         let record = self.directory.get(call.engine.key);
         let is_other = record.is_some_and(|it| {
-            !it.engine.is_same_incarnation(&call.engine) || it.engine.version != call.engine.version
+            !it.engine.is_same_incarnation(&call.engine)
+                || it.engine.version != call.engine.version
+                || it.has_restarted()
         });
         if is_other { Origin::Unknown } else { Origin::of(call.engine.version.as_ref()) }
     }
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -100,6 +100,7 @@
         let asked = Incarnation { engine, started_at: None };
         match probe {
             Probe::Alive(started_at) => {
+                self.learn_start(engine, started_at);
                 self.hear_probed(engine, started_at);
                 self.quarantine.clear(Incarnation { engine, started_at }, self.now);
                 // The remaining unconfirmed crashes belong to an earlier incarnation.
--- a/crates/hollyspoke-gateway/src/gateway/terms.rs
+++ b/crates/hollyspoke-gateway/src/gateway/terms.rs
@@ -66,12 +66,20 @@
         if statement.born.is_some() && listed.is_some_and(|it| statement.born < it) {
             return;
         }
+        self.learn_start(engine, statement.born);
         self.learn_reported_limit(engine, statement.limit);
         let incarnation = statement.born.or(listed.flatten());
         self.learn_departure(engine, incarnation, statement);
         self.learn_back_off(engine, statement.back_off);
     }
 
+    /// Records the start that an engine reports, if any.
+    pub(super) fn learn_start(&mut self, engine: EngineKey, started_at: Option<u64>) {
+        if let Some(started_at) = started_at {
+            self.directory.record_start(engine, started_at);
+        }
+    }
+
     /// Applies what an engine reports in its answer to a call.
     pub(super) fn learn_terms(&mut self, call: &Call, statement: &Statement) {
         self.learn_departure(call.engine.key, call.engine.started_at, statement);
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -15,7 +15,7 @@
 use crate::region::{AllowedRegions, Regions};
 use crate::route::{Service, Staged};
 use crate::terms::{Restriction, Terms};
-use crate::version::{SoftwareVersion, VersionKey};
+use crate::version::VersionKey;
 use crate::work;
 
 /// How long the load that an engine reported with an answer stays valid.
@@ -407,8 +407,7 @@
 
     /// Returns whether an engine has the version that the stream needs.
     fn has_origin(&self, record: &Record) -> bool {
-        let version = record.engine.version.as_ref().map(SoftwareVersion::key);
-        self.fits_origin(record.engine.stage, version)
+        self.fits_origin(record.engine.stage, record.version())
     }
 
     /// Returns whether engines of a stage and a version may serve the stream. A prefill writes no
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -190,6 +190,8 @@
     pub delay_ms: RangeInclusive<u64>,
     /// The share of datagrams that are lost.
     pub lost: f64,
+    /// The time after which boxes read the entry of an engine that is back.
+    pub listing_delay: Duration,
     /// The store.
     pub store: Store,
     /// The requests, the calls at engines, and the refused retries.
@@ -231,6 +233,7 @@
             traffic: USUAL,
             delay_ms: 1..=3,
             lost: 0.0,
+            listing_delay: STORE_DELAY,
             store: Store::default(),
             records: Records::default(),
             harmful: None,
--- a/tests/src/fleet/engines.rs
+++ b/tests/src/fleet/engines.rs
@@ -10,8 +10,7 @@
 use rand::Rng;
 
 use super::{
-    ANSWER_DELAY_MS, CONNECT_TIMEOUT, Caller, Fleet, Path, STORE_DELAY, STREAM_DURATION, Scheduled,
-    TRANSIT,
+    ANSWER_DELAY_MS, CONNECT_TIMEOUT, Caller, Fleet, Path, STREAM_DURATION, Scheduled, TRANSIT,
 };
 use crate::crashes::{CRASH_DELAY, RESTART_DELAY, State};
 use crate::gateway::{MODEL, PLAIN, engine, prefilled, ran, rejected};
@@ -135,7 +134,7 @@
         let Some(engine) = self.engines().into_iter().find(|it| it.key == engine) else { return };
         let change = EngineChange::Put(engine, self.store.revision);
         for number in 0..self.members.len() {
-            let at = self.now + STORE_DELAY;
+            let at = self.now + self.listing_delay;
             self.schedule(at, Scheduled::Changed(number, vec![change.clone()]));
         }
     }
--- a/tests/tests/gateway_origins.rs
+++ b/tests/tests/gateway_origins.rs
@@ -195,6 +195,24 @@
     check(&fleet);
 }
 
+/// Engines are back under their ids with another version seconds before boxes read their entries.
+#[test]
+fn unlisted_release_mixes_versions() {
+    let mut fleet = two_versions(12);
+    fleet.traffic.streams = 60.0;
+    fleet.listing_delay = SECOND * 2;
+    for round in 0..12 {
+        let version = ["v1", "v2"][round % 2];
+        let engines = fleet.decode_engines();
+        fleet.release(engines.iter().copied().skip(round % 6).step_by(3), version);
+        for _ in 0..12 {
+            fleet.run(SECOND / 2);
+            fleet.reset_all(engines.iter().copied());
+        }
+    }
+    check(&fleet);
+}
+
 /// What happens in a drawn run.
 #[derive(Debug, Clone)]
 enum Step {
--- a/tests/tests/gateway_versions.rs
+++ b/tests/tests/gateway_versions.rs
@@ -6,7 +6,7 @@
 
 use hollyspoke_gateway::effect::{Effect, NotRunReason, Refusal, Send, Task};
 use hollyspoke_gateway::engine::{Engine, EngineChange, Stage};
-use hollyspoke_gateway::event::{CallEvent, Event};
+use hollyspoke_gateway::event::{CallEvent, Event, Probe};
 use hollyspoke_gateway::features::Features;
 use hollyspoke_gateway::message::StoreView;
 use hollyspoke_gateway::request::{Request, RequestKey};
@@ -185,6 +185,60 @@
     }
 }
 
+/// Returns a box before two decode engines whose starts are listed, and two streams, one at each.
+fn streams_at_two_engines() -> (World, [(RequestKey, Send); 2]) {
+    let mut world = World::new();
+    let started_at = Some(LISTED_START);
+    let prefill = [11, 12].map(|it| versioned(it, Stage::Prefill, "v1"));
+    let decode = [21, 22].map(|it| Engine { started_at, ..versioned(it, Stage::Decode, "v1") });
+    world.event(Event::Listed(prefill.into_iter().chain(decode).collect(), 20.into()));
+    let streams = [begin(&mut world, "resumed"), begin(&mut world, "resumed")];
+    assert_ne!(streams[0].1.engine.key, streams[1].1.engine.key);
+    (world, streams)
+}
+
+/// The start of engines as it is listed.
+const LISTED_START: u64 = 5;
+
+/// Lets the connection of a stream break at each engine, the first stream's last, and the engine of
+/// the second one answer a probe between. Returns whether the first stream goes on at that engine.
+fn goes_on_after(probe: Probe) -> bool {
+    let (mut world, [(_, first), (second_key, second)]) = streams_at_two_engines();
+    world.call(second.call, CallEvent::Broken);
+    world.event(Event::ClientDisconnected(second_key));
+    world.event(Event::Probed(second.engine.key, probe));
+    let effects = world.call(first.call, CallEvent::Broken);
+    effects.iter().any(|it| matches!(it, Effect::Send(it) if it.engine.key == second.engine.key))
+}
+
+/// An engine that has told a later start than its entry shows may have another version.
+#[test]
+fn told_restart_continues() {
+    assert!(!goes_on_after(Probe::Alive(Some(LISTED_START + 1))));
+}
+
+/// A connection that was reset at a sound engine keeps no stream from it.
+#[test]
+fn sound_engine_distrusted() {
+    for told in [Some(LISTED_START), Some(LISTED_START - 1), None] {
+        assert!(goes_on_after(Probe::Alive(told)), "{told:?}");
+    }
+}
+
+/// A stream that an engine begins after it has told a later start than its entry shows goes on
+/// nowhere.
+#[test]
+fn told_restart_begins() {
+    let (mut world, [_, (_, second)]) = streams_at_two_engines();
+    world.event(Event::Probed(second.engine.key, Probe::Alive(Some(LISTED_START + 1))));
+    let (key, third) = (0..4)
+        .map(|_| begin(&mut world, "resumed"))
+        .find(|(_, it)| it.engine.key == second.engine.key)
+        .expect("it is used for new streams");
+    let effects = world.call(third.call, CallEvent::Broken);
+    assert!(effects.contains(&Effect::Abort(key)), "{effects:?}");
+}
+
 /// How long after its attempt has ended a client takes its stream up.
 const LATE: Duration = Duration::from_secs(60);
 
