Boxes that are cut off together take no version for the only one

What callers would see: several boxes cut off together from the store and all others, while clients and engines reach them. A client takes up a stream that a new version began elsewhere; nobody in the group knows it, and the list of before names one version. The cause: a box that heard any other one took itself for informed.

A box is informed now if it follows a store that answers, hears such a follower among the first in their order (those after them follow only because these get no answers, and may not have noticed theirs yet), or misses no box that it knew: while the store answers nobody, nobody learns of a new version either. The test isolated_boxes_guess failed before; store_outage_refuses_streams and box_without_store_refuses_streams hold the other side, isolated_box_guesses holds on.

What remains: the time until the first of them have noticed, 2.5 s for a silent store and 0.7 s for one that fails, and a heartbeat. Refusing whenever an asked box doesn't answer would close it, and refuse streams after every loss of many boxes.

--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -467,7 +467,7 @@
     }
 
     /// Returns the number of boxes that follow the store.
-    fn follower_count(&self) -> usize {
+    pub(super) fn follower_count(&self) -> usize {
         MIN_FOLLOWERS + self.members.peak_count() / BOXES_PER_FOLLOWER
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/versions.rs
+++ b/crates/hollyspoke-gateway/src/gateway/versions.rs
@@ -118,12 +118,14 @@
         }
     }
 
-    /// Returns whether this box learns of new engines: it is the only box, receives from others, or
-    /// follows a store that answers.
+    /// Returns whether this box learns of new engines: it or a box that it hears follows a store that
+    /// answers, or no box is missing that could have learnt of them.
     fn is_informed(&self) -> bool {
-        let is_alone = self.members.peak_count() == 1;
         let follows = self.follows_store() && !self.store_view().has_lost_store;
-        is_alone || follows || !self.members.alive().is_empty()
+        let count = self.follower_count();
+        follows
+            || self.members.are_all_alive()
+            || self.members.has_informed_follower(self.settings.peer, count)
     }
 
     /// Returns the name of a version, if an engine of a service has it.
--- a/crates/hollyspoke-gateway/src/member/duty.rs
+++ b/crates/hollyspoke-gateway/src/member/duty.rs
@@ -29,6 +29,23 @@
         before.len() < max_count && answered < count
     }
 
+    /// Returns whether another one of the first `count` live boxes, in the order of the followers, gets
+    /// answers from the store. Those after them follow it, if they do, since these get none, and
+    /// haven't noticed yet if they get none either.
+    pub fn has_informed_follower(&self, own: SocketAddr, count: usize) -> bool {
+        let others = self.peers.values().filter(|it| !it.has_timed_out);
+        let others = others.map(|it| (it.address_hash, !it.store_view.has_lost_store));
+        let mut all: Vec<_> = others.chain([(address_hash(&own), false)]).collect();
+        rank::order(0, &mut all, |it| it.0);
+        all.iter().take(count).any(|it| it.1)
+    }
+
+    /// Returns whether all boxes that this one has known are alive.
+    pub fn are_all_alive(&self) -> bool {
+        let alive = self.peers.values().filter(|it| !it.has_timed_out).count();
+        1 + alive >= self.peak_count
+    }
+
     /// Returns whether this box is the first of the live ones that are ready, reach engines and get
     /// answers from the store, in the order of the followers. The first one sends orders.
     pub fn is_first(&self, own: SocketAddr) -> bool {
--- a/tests/tests/gateway_versions.rs
+++ b/tests/tests/gateway_versions.rs
@@ -331,6 +331,47 @@
     assert_eq!(reason, NotRunReason::VersionUnknown);
 }
 
+/// Returns a box that has heard others, and then for seconds only some of them, of which none has
+/// answers of the store.
+fn world_without_store(heard: &[u8], others: &[u8]) -> World {
+    let mut world = world(&["v1", "v1"]);
+    let lost = StoreView { has_lost_store: true, ..StoreView::default() };
+    for &number in others {
+        world.event(Event::Received(heartbeat(number, 1, StoreView::default())));
+    }
+    for sequence in 1..=6 {
+        for &number in heard {
+            world.event(Event::Received(heartbeat(number, sequence, lost)));
+        }
+        world.advance(Duration::from_secs(1));
+    }
+    world
+}
+
+/// Boxes that are cut off together hear each other, but neither the store nor anyone who does.
+#[test]
+fn isolated_boxes_guess() {
+    let mut world = world_without_store(&[2, 3], &[4, 5]);
+    check_refused(&mut world, resuming(None));
+}
+
+/// While the store answers nobody, nobody learns of a new version either.
+#[test]
+fn store_outage_refuses_streams() {
+    let mut world = world_without_store(&[2, 3, 4], &[]);
+    let (_, effects) = world.arrive(resuming(None));
+    assert_eq!(only_send(&effects).task, Task::Prefill);
+}
+
+/// A box without answers of the store hears of a new version from one that has them.
+#[test]
+fn box_without_store_refuses_streams() {
+    let mut world = world_without_store(&[2, 3], &[4, 5]);
+    world.event(Event::Received(heartbeat(4, 2, StoreView::default())));
+    let (_, effects) = world.arrive(resuming(None));
+    assert_eq!(only_send(&effects).task, Task::Prefill);
+}
+
 /// Engines whose version isn't known, from a box that doesn't pass it on, begin streams, and continue
 /// none.
 #[test]
