--- a/tests/tests/gateway_origins.rs
+++ b/tests/tests/gateway_origins.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hollyspoke_tests::fleet::Fleet;
+use hollyspoke_tests::gateway::MODEL;
 use proptest::prelude::*;
 
 /// The number of boxes.
@@ -87,6 +88,35 @@
     check_taken_up(&fleet);
 }
 
+/// Clients come back later than their attempts last, and their boxes were killed.
+#[test]
+fn late_clients_lose_streams() {
+    let mut fleet = two_versions(9);
+    fleet.return_after(30..=60);
+    for _ in 0..12 {
+        fleet.restart((0..BOXES).step_by(3));
+        fleet.run(SECOND * 8);
+    }
+    fleet.run(SECOND * 60);
+    check_taken_up(&fleet);
+}
+
+/// Clients come back when the version that began their streams has left.
+#[test]
+fn late_clients_mix_versions() {
+    let mut fleet = Fleet::resuming(BOXES, 10);
+    fleet.return_after(40..=90);
+    for version in ["v2", "v3"] {
+        fleet.restart(0..3);
+        fleet.run(SECOND);
+        let engines = fleet.engines_of(MODEL);
+        fleet.release(engines, version);
+        fleet.run(SECOND * 100);
+    }
+    let counts = fleet.stream_counts();
+    assert_eq!(counts.mixed, 0, "{counts:?}");
+}
+
 /// Boxes that have all just started know nothing of the streams before.
 #[test]
 fn restarted_boxes_mix_versions() {
@@ -113,6 +143,24 @@
     assert!(counts.all_went_on >= counts.begun / 2.0, "{counts:?}");
 }
 
+/// A store that comes back from a copy takes back what boxes wrote, not what they know.
+#[test]
+fn restored_store_forgets_versions() {
+    let mut fleet = Fleet::resuming(BOXES, 11);
+    fleet.run(SECOND * 40);
+    let copy = fleet.store.clone();
+    fleet.run(SECOND * 2);
+    fleet.store.restore(&copy);
+    fleet.run(SECOND * 6);
+    for _ in 0..10 {
+        fleet.restart(0..BOXES);
+        fleet.run(SECOND * 2);
+    }
+    check(&fleet);
+    let counts = fleet.stream_counts();
+    assert!(counts.all_went_on >= counts.begun / 2.0, "{counts:?}");
+}
+
 /// The last engines of a version leave while all boxes are down, so that nobody lists the version.
 #[test]
 fn vanished_version_forgotten() {
@@ -147,6 +195,24 @@
     check(&fleet);
 }
 
+/// Engines are back under their ids with another version seconds before boxes read their entries.
+#[test]
+fn unlisted_release_mixes_versions() {
+    let mut fleet = two_versions(12);
+    fleet.traffic.streams = 60.0;
+    fleet.listing_delay = SECOND * 2;
+    for round in 0..12 {
+        let version = ["v1", "v2"][round % 2];
+        let engines = fleet.decode_engines();
+        fleet.release(engines.iter().copied().skip(round % 6).step_by(3), version);
+        for _ in 0..12 {
+            fleet.run(SECOND / 2);
+            fleet.reset_all(engines.iter().copied());
+        }
+    }
+    check(&fleet);
+}
+
 /// What happens in a drawn run.
 #[derive(Debug, Clone)]
 enum Step {
@@ -226,4 +292,20 @@
         let counts = fleet.stream_counts();
         prop_assert_eq!(counts.mixed, 0, "{:?}", counts);
     }
+
+    /// The same where clients come back later than their attempts last.
+    #[test]
+    fn drawn_returns_mix_versions(
+        seed: u64,
+        steps in prop::collection::vec(step(), 4..20),
+    ) {
+        let mut fleet = two_versions(seed);
+        fleet.return_after(1..=60);
+        for step in steps {
+            play(&mut fleet, step);
+        }
+        fleet.run(SECOND * 30);
+        let counts = fleet.stream_counts();
+        prop_assert_eq!(counts.mixed, 0, "{:?}", counts);
+    }
 }
--- a/tests/tests/gateway_versions.rs
+++ b/tests/tests/gateway_versions.rs
@@ -1,17 +1,20 @@
 //! The ways on which a stream changes its engine, at one box before engines of two software versions.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hollyspoke_gateway::effect::{Effect, NotRunReason, Refusal, Send, Task};
 use hollyspoke_gateway::engine::{Engine, EngineChange, Stage};
-use hollyspoke_gateway::event::{CallEvent, Event};
+use hollyspoke_gateway::event::{CallEvent, Event, Probe};
 use hollyspoke_gateway::features::Features;
 use hollyspoke_gateway::message::StoreView;
 use hollyspoke_gateway::request::{Request, RequestKey};
+use hollyspoke_gateway::route::{Route, RouteKind};
 use hollyspoke_gateway::version::SoftwareVersion;
 use hollyspoke_tests::gateway::{
-    MODEL, World, engine, heartbeat, only_refusal, only_send, prefilled, ran, request,
+    MODEL, World, configuration_of, engine, heartbeat, only_refusal, only_send, prefilled, ran,
+    request, route,
 };
 use hollyspoke_tests::migration::{self, leaving, transfers};
 
@@ -28,6 +31,13 @@
     world.event(Event::Listed(prefill.into_iter().chain(decode).collect(), 20.into()));
 }
 
+/// Replaces all engines by ones of a version.
+fn release(world: &mut World, version: &str) {
+    let prefill = [11, 12].map(|it| versioned(it, Stage::Prefill, version));
+    let decode = [21, 22].map(|it| versioned(it, Stage::Decode, version));
+    world.event(Event::Listed(prefill.into_iter().chain(decode).collect(), 21.into()));
+}
+
 /// Returns a box before decode engines of the given versions.
 fn world(versions: &[&str]) -> World {
     let mut world = World::new();
@@ -175,6 +185,123 @@
     }
 }
 
+/// Returns a box before two decode engines whose starts are listed, and two streams, one at each.
+fn streams_at_two_engines() -> (World, [(RequestKey, Send); 2]) {
+    let mut world = World::new();
+    let started_at = Some(LISTED_START);
+    let prefill = [11, 12].map(|it| versioned(it, Stage::Prefill, "v1"));
+    let decode = [21, 22].map(|it| Engine { started_at, ..versioned(it, Stage::Decode, "v1") });
+    world.event(Event::Listed(prefill.into_iter().chain(decode).collect(), 20.into()));
+    let streams = [begin(&mut world, "resumed"), begin(&mut world, "resumed")];
+    assert_ne!(streams[0].1.engine.key, streams[1].1.engine.key);
+    (world, streams)
+}
+
+/// The start of engines as it is listed.
+const LISTED_START: u64 = 5;
+
+/// Lets the connection of a stream break at each engine, the first stream's last, and the engine of
+/// the second one answer a probe between. Returns whether the first stream goes on at that engine.
+fn goes_on_after(probe: Probe) -> bool {
+    let (mut world, [(_, first), (second_key, second)]) = streams_at_two_engines();
+    world.call(second.call, CallEvent::Broken);
+    world.event(Event::ClientDisconnected(second_key));
+    world.event(Event::Probed(second.engine.key, probe));
+    let effects = world.call(first.call, CallEvent::Broken);
+    effects.iter().any(|it| matches!(it, Effect::Send(it) if it.engine.key == second.engine.key))
+}
+
+/// An engine that has told a later start than its entry shows may have another version.
+#[test]
+fn told_restart_continues() {
+    assert!(!goes_on_after(Probe::Alive(Some(LISTED_START + 1))));
+}
+
+/// A connection that was reset at a sound engine keeps no stream from it.
+#[test]
+fn sound_engine_distrusted() {
+    for told in [Some(LISTED_START), Some(LISTED_START - 1), None] {
+        assert!(goes_on_after(Probe::Alive(told)), "{told:?}");
+    }
+}
+
+/// A stream that an engine begins after it has told a later start than its entry shows goes on
+/// nowhere.
+#[test]
+fn told_restart_begins() {
+    let (mut world, [_, (_, second)]) = streams_at_two_engines();
+    world.event(Event::Probed(second.engine.key, Probe::Alive(Some(LISTED_START + 1))));
+    let (key, third) = (0..4)
+        .map(|_| begin(&mut world, "resumed"))
+        .find(|(_, it)| it.engine.key == second.engine.key)
+        .expect("it is used for new streams");
+    let effects = world.call(third.call, CallEvent::Broken);
+    assert!(effects.contains(&Effect::Abort(key)), "{effects:?}");
+}
+
+/// How long after its attempt has ended a client takes its stream up.
+const LATE: Duration = Duration::from_secs(60);
+
+/// Begins a stream whose client leaves.
+fn begin_and_leave(world: &mut World) -> Send {
+    let (key, first) = begin(world, "resumed");
+    world.event(Event::ClientDisconnected(key));
+    first
+}
+
+/// Checks that a stream that a client takes up reaches no engine.
+fn check_refused(world: &mut World, request: Request) {
+    let (_, mut effects) = world.arrive(request);
+    effects.extend(world.advance(Duration::from_secs(1)));
+    assert!(!effects.iter().any(|it| matches!(it, Effect::Send(_))), "{effects:?}");
+    assert!(matches!(only_refusal(&effects), Refusal::NotRun(..)), "{effects:?}");
+}
+
+/// A client may come back later than its attempts last: its stream still goes on.
+#[test]
+fn late_client_refused() {
+    let mut world = world(&["v1", "v1", "v2", "v2"]);
+    let first = begin_and_leave(&mut world);
+    world.advance(LATE);
+    let (_, effects) = world.arrive(resuming(Some("request-resumed")));
+    let prefill = only_send(&effects);
+    let decode = only_send(&world.call(prefill.call, CallEvent::Answered(prefilled("h"))));
+    assert_eq!(decode.engine.version, first.engine.version);
+}
+
+/// The version that began a stream has left before its client comes back.
+#[test]
+fn late_client_mixes_versions() {
+    let mut world = world(&["v1", "v1"]);
+    begin_and_leave(&mut world);
+    release(&mut world, "v2");
+    world.advance(LATE);
+    check_refused(&mut world, resuming(Some("request-resumed")));
+}
+
+/// What a client has left, or a route allows now, is not how long ago a stream may have begun.
+#[test]
+fn short_deadline_mixes_versions() {
+    let mut world = world(&["v1", "v1"]);
+    let timeout = Duration::from_secs(3);
+    let resumed = Route { resumable: true, timeout, ..route("resumed", RouteKind::Stream, MODEL) };
+    world.event(Event::Configured(Arc::new(configuration_of(2, vec![resumed]))));
+    release(&mut world, "v2");
+    world.advance(Duration::from_secs(10));
+    let request = Request { deadline: Some(Duration::from_secs(2)), ..resuming(Some("unknown")) };
+    check_refused(&mut world, request);
+}
+
+/// A stream that all boxes have forgotten is refused, not mixed.
+#[test]
+fn forgotten_stream_mixes_versions() {
+    let mut world = world(&["v1", "v1"]);
+    begin_and_leave(&mut world);
+    release(&mut world, "v2");
+    world.advance(Duration::from_secs(3600));
+    check_refused(&mut world, resuming(Some("request-resumed")));
+}
+
 /// A stream that nobody knows is refused at once where two versions serve, and so is one that the
 /// client doesn't name, or names by an id of another customer.
 #[test]
@@ -204,6 +331,47 @@
     assert_eq!(reason, NotRunReason::VersionUnknown);
 }
 
+/// Returns a box that has heard others, and then for seconds only some of them, of which none has
+/// answers of the store.
+fn world_without_store(heard: &[u8], others: &[u8]) -> World {
+    let mut world = world(&["v1", "v1"]);
+    let lost = StoreView { has_lost_store: true, ..StoreView::default() };
+    for &number in others {
+        world.event(Event::Received(heartbeat(number, 1, StoreView::default())));
+    }
+    for sequence in 1..=6 {
+        for &number in heard {
+            world.event(Event::Received(heartbeat(number, sequence, lost)));
+        }
+        world.advance(Duration::from_secs(1));
+    }
+    world
+}
+
+/// Boxes that are cut off together hear each other, but neither the store nor anyone who does.
+#[test]
+fn isolated_boxes_guess() {
+    let mut world = world_without_store(&[2, 3], &[4, 5]);
+    check_refused(&mut world, resuming(None));
+}
+
+/// While the store answers nobody, nobody learns of a new version either.
+#[test]
+fn store_outage_refuses_streams() {
+    let mut world = world_without_store(&[2, 3, 4], &[]);
+    let (_, effects) = world.arrive(resuming(None));
+    assert_eq!(only_send(&effects).task, Task::Prefill);
+}
+
+/// A box without answers of the store hears of a new version from one that has them.
+#[test]
+fn box_without_store_refuses_streams() {
+    let mut world = world_without_store(&[2, 3], &[4, 5]);
+    world.event(Event::Received(heartbeat(4, 2, StoreView::default())));
+    let (_, effects) = world.arrive(resuming(None));
+    assert_eq!(only_send(&effects).task, Task::Prefill);
+}
+
 /// Engines whose version isn't known, from a box that doesn't pass it on, begin streams, and continue
 /// none.
 #[test]
