A silent engine is probed once a silence, and 64 of them at a time

Read in review of the fix: a probe that showed nothing about a silent call (another engine at the address, a broken connection, a later incarnation) led to the next one at once, until the call's timeout. Such engines now count as unreachable, as do calls to an incarnation that has ended, a probe is sent once a silence, and one for which the box itself lacked a socket leads to none before 0.5 s.

Tests: at most one probe each 250 ms whatever a probe shows, and 64 at once of 200 silent engines.

--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -86,7 +86,11 @@
     /// Probes an engine, unless it is being probed or accepts no probes for now.
     pub(super) fn probe(&mut self, engine: &Arc<Engine>) {
         if self.accepts_probe(engine.key) && !self.probing.contains_key(&engine.key) {
-            self.probing.insert(engine.key, self.now);
+            let now = self.now;
+            self.probing.insert(engine.key, now);
+            if let Some(record) = self.directory.get_mut(engine.key) {
+                record.health.record_probed(now);
+            }
             self.effects.push(Effect::Probe(engine.clone()));
         }
     }
@@ -106,15 +110,18 @@
                 // The remaining unconfirmed crashes belong to an earlier incarnation.
                 self.confirm(asked, Proof::Proven);
             }
-            Probe::Replaced => self.confirm(asked, Proof::Proven),
+            Probe::Replaced => {
+                self.record_silent_unreached(engine);
+                self.confirm(asked, Proof::Proven);
+            }
             // A process that accepts connections has not crashed.
             Probe::NoAnswer => self.record_unanswered(engine),
-            Probe::Broken => self.report_finding(engine, Finding::Crashed),
-            Probe::NotConnected => {
+            Probe::Broken | Probe::NotConnected => {
                 self.record_silent_unreached(engine);
                 self.report_finding(engine, Finding::Crashed);
             }
-            Probe::Exhausted => {}
+            // This shows nothing about the engine.
+            Probe::Exhausted => return,
         }
         self.recheck_silent(engine);
     }
--- a/crates/hollyspoke-gateway/src/gateway/silence.rs
+++ b/crates/hollyspoke-gateway/src/gateway/silence.rs
@@ -1,7 +1,10 @@
 //! Calls that are silent: they are kept until another one has replaced them, or until they go on.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use hollyspoke::time::Time;
+
 use super::Gateway;
 use crate::class::Phase;
 use crate::effect::{Effect, LogEvent, Source, Task};
@@ -23,6 +26,13 @@
 /// check could otherwise be due at once and come too early again.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 
+/// The largest number of engines that are probed at a time. Where more are silent at once, the
+/// others wait for their turn, so that the probes of a whole service's silence stay bounded.
+const MAX_PROBE_COUNT: usize = 64;
+
+/// The time after which a silent engine is considered again that could not be probed yet.
+const PROBE_TURN: Duration = Duration::from_millis(100);
+
 /// The time within which a probe is certain to end.
 const MAX_PROBE_DURATION: Duration = Duration::from_millis(500);
 
@@ -40,23 +50,36 @@
         }
         let (engine, silent_for) = (call.engine.clone(), self.silence(call));
         let standing = self.standing(call, timeouts);
-        let probed_at = self.probing.get(&engine.key).copied();
-        let probe_end = probed_at.map(|it| it + MAX_PROBE_DURATION).filter(|it| *it > self.now);
         if standing == Standing::Unknown
-            && let Some(end) = probe_end
+            && let Some(counted) = silent_for.checked_sub(timeouts.min())
+            && let Some(wait) = self.await_probe(&engine, self.now - counted)
         {
-            return self.check_silence_in(key, end.since(self.now));
+            return self.check_silence_in(key, wait);
         }
         match timeouts.next_step(silent_for, standing) {
             Step::Wait(duration) => self.check_silence_in(key, duration),
-            Step::Probe(duration) => {
-                self.probe(&engine);
-                self.check_silence_in(key, duration);
-            }
             Step::Replace => self.replace(key, call_key, standing),
         }
     }
 
+    /// Probes a silent engine, once since a time. Returns how long to wait for what that shows; none
+    /// if nothing more is to be expected.
+    fn await_probe(&mut self, engine: &Arc<Engine>, since: Time) -> Option<Duration> {
+        if let Some(&sent) = self.probing.get(&engine.key) {
+            let end = sent + MAX_PROBE_DURATION;
+            return (end > self.now).then(|| end.since(self.now));
+        }
+        let record = self.directory.get(engine.key)?;
+        if record.health.was_probed_after(since) || !self.accepts_probe(engine.key) {
+            return None;
+        }
+        if self.probing.len() >= MAX_PROBE_COUNT {
+            return Some(PROBE_TURN);
+        }
+        self.probe(engine);
+        Some(MAX_PROBE_DURATION)
+    }
+
     /// Schedules the next check of a request's active call.
     fn check_silence_in(&mut self, key: RequestKey, duration: Duration) {
         let at = Some(self.now + duration.max(MIN_CHECK_INTERVAL));
@@ -76,10 +99,10 @@
 
     /// Returns what is known of a call's engine since the call fell silent.
     fn standing(&self, call: &Call, timeouts: Timeouts) -> Standing {
-        let record = self.directory.get(call.engine.key);
-        let Some(record) = record.filter(|_| self.is_current_incarnation(call)) else {
-            return Standing::Unknown;
-        };
+        if !self.is_current_incarnation(call) {
+            return Standing::Unreachable;
+        }
+        let Some(record) = self.directory.get(call.engine.key) else { return Standing::Unknown };
         record.health.standing(self.now - self.silence(call) + timeouts.min())
     }
 
@@ -87,8 +110,11 @@
     fn replace(&mut self, key: RequestKey, call_key: CallKey, standing: Standing) {
         let Some(call) = self.calls.get(&call_key).cloned() else { return };
         if standing == Standing::Still && !self.has_heard_other(key, &call) {
-            // Engines that are as silent are no better.
-            self.probe_engines(&call.engine.service);
+            // Engines that are as silent are no better. Some are probed at a time, however many calls
+            // wait.
+            if self.probing.is_empty() {
+                self.probe_engines(&call.engine.service);
+            }
             return self.check_silence_in(key, RETRY_INTERVAL);
         }
         self.log_silent(&call, standing);
--- a/crates/hollyspoke-gateway/src/health.rs
+++ b/crates/hollyspoke-gateway/src/health.rs
@@ -52,6 +52,8 @@
     heard_at: Option<Time>,
     /// When the engine last left a probe unanswered, if nothing has come from it since.
     unanswered_at: Option<Time>,
+    /// When the engine was last probed.
+    probed_at: Option<Time>,
     /// When a connection to the engine could last not be opened.
     unreachable_at: Option<Time>,
     /// Whether the engine is avoided because calls to it are silent.
@@ -99,6 +101,16 @@
         self.is_blamed_for_silence = true;
     }
 
+    /// Records that the engine is probed.
+    pub fn record_probed(&mut self, now: Time) {
+        self.probed_at = Some(now);
+    }
+
+    /// Returns whether the engine was probed since a time.
+    pub fn was_probed_after(&self, time: Time) -> bool {
+        self.probed_at >= Some(time)
+    }
+
     /// Records that a connection to the engine opened, and that a probe through it was not answered.
     pub fn record_unanswered(&mut self, now: Time) {
         self.unanswered_at = Some(now);
--- a/crates/hollyspoke-gateway/src/silence.rs
+++ b/crates/hollyspoke-gateway/src/silence.rs
@@ -30,8 +30,6 @@
 pub enum Step {
     /// It is checked again after a time.
     Wait(Duration),
-    /// The engine is probed, and the call is checked again after a time at the latest.
-    Probe(Duration),
     /// The request is sent to another engine as well.
     Replace,
 }
@@ -60,14 +58,7 @@
     /// Returns what is done about a call that has been silent for a time.
     pub fn next_step(&self, silent_for: Duration, standing: Standing) -> Step {
         let timeout = if standing == Standing::Still { self.still } else { self.usual };
-        if silent_for < self.min() {
-            Step::Wait(self.min() - silent_for)
-        } else if silent_for >= timeout {
-            Step::Replace
-        } else if standing == Standing::Unknown {
-            Step::Probe(timeout - silent_for)
-        } else {
-            Step::Wait(timeout - silent_for)
-        }
+        let end = if silent_for < self.min() { self.min() } else { timeout };
+        if silent_for < end { Step::Wait(end - silent_for) } else { Step::Replace }
     }
 }
--- a/tests/tests/gateway_silence.rs
+++ b/tests/tests/gateway_silence.rs
@@ -1,18 +1,19 @@
 //! Silent engines: what is sent beside a silent call, and what a wrong verdict sets off.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use hollyspoke_gateway::budget::Bound;
 use hollyspoke_gateway::effect::{Effect, Send, Task};
-use hollyspoke_gateway::engine::EngineKey;
+use hollyspoke_gateway::engine::{EngineKey, Stage};
 use hollyspoke_gateway::event::{CallEvent, Event, Probe};
 use hollyspoke_gateway::gateway::{Gateway, Settings};
 use hollyspoke_gateway::message::{Message, StoreView};
 use hollyspoke_gateway::request::{CallKey, Request, RequestKey};
 use hollyspoke_gateway::signature::Content;
 use hollyspoke_tests::gateway::{
-    HOST, World, configuration, engines, heartbeat, only_send, prefilled, ran, rejected, request,
-    settings,
+    HOST, MODEL, World, configuration, engine, engines, heartbeat, only_send, prefilled, ran,
+    rejected, request, settings,
 };
 
 /// The time by which a silent call to an engine that can't be reached is sent again.
@@ -21,6 +22,9 @@
 /// A time just before the client of a silent stream leaves.
 const PATIENCE: Duration = Duration::from_millis(3500);
 
+/// The time between two checks of a call that can't be replaced.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Returns the effects that concern requests, of which probes are answered by `probe`.
 fn wait(world: &mut World, duration: Duration, probe: fn(EngineKey) -> Probe) -> Vec<Effect> {
     let end = world.now + duration;
@@ -350,3 +354,51 @@
     assert_eq!(effects, []);
     assert!(world.probed.len() <= 2, "{}", world.probed.len());
 }
+
+/// A probe that shows nothing new about a silent call is not repeated at once.
+#[test]
+fn probes_repeated_without_pause() {
+    let shown = [
+        Probe::Replaced,
+        Probe::Broken,
+        Probe::Exhausted,
+        Probe::NoAnswer,
+        Probe::Alive(Some(7)),
+        Probe::NotConnected,
+    ];
+    for probe in shown {
+        let mut world = World::new();
+        let (_, call) = begin(&mut world);
+        world.probed.clear();
+        let mut count = 0;
+        let end = world.now + PATIENCE;
+        while world.now < end {
+            world.advance(Duration::from_millis(5));
+            for engine in std::mem::take(&mut world.probed) {
+                count += u128::from(engine == call.engine.key);
+                world.event(Event::Probed(engine, probe));
+            }
+        }
+        let max = PATIENCE.as_millis() / CHECK_INTERVAL.as_millis();
+        assert!(count <= max, "{count} probes in {PATIENCE:?} after {probe:?}");
+    }
+}
+
+/// Where many engines are silent at once, a box probes them in turn.
+#[test]
+fn all_engines_probed_at_once() {
+    let mut world = World::new();
+    let decode = |it| engine(it, MODEL, Some(Stage::Decode));
+    let many = engines().into_iter().chain((30..250).map(decode));
+    world.event(Event::Listed(many.collect(), 11.into()));
+    let mut engines = BTreeSet::new();
+    for number in 0..440u32 {
+        let content = Content::of("POST", HOST, "/resumed/x", &number.to_be_bytes());
+        let small = Request { prompt_tokens: Some(100), ..request("resumed") };
+        let (_, call) = world.begin_stream(Request { content, ..small });
+        engines.insert(call.engine.key);
+    }
+    world.probed.clear();
+    world.advance(Duration::from_millis(900));
+    assert!(engines.len() > 64 && world.probed.len() <= 64, "{}", world.probed.len());
+}
