--- a/tests/tests/formats.rs
+++ b/tests/tests/formats.rs
@@ -347,6 +347,18 @@
     }
 }
 
+/// Engines that go on are told in a field that boxes without it skip.
+#[test]
+fn reached_engines_lost() {
+    let reached = vec![EngineKey(6), EngineKey(u64::MAX)];
+    let extension = Extension { reached, ..proxy_extension() }.non_empty();
+    let sent = Message { extension, format: Some(Format::Eras), ..whole() };
+    let bytes = write(&sent, Format::Permits).expect("it is written");
+    assert_eq!(read(&bytes).expect("it is read"), sent);
+    let first = write(&sent, Format::First).expect("it is written");
+    assert_eq!(read(&first).expect("it is read").extension, None);
+}
+
 /// Revision numbers are in the first format and their eras in numbered fields, also if engines,
 /// evacuations and changes are of different eras.
 #[test]
