A key that has gone ends no request whose engine is only silent

Cause: to replace a silent prefill the request takes its next step, which checks its key again; the key had gone with a version meanwhile, and the refusal did not look at the kept call. The same for a request held back. Now both return to the kept call; the request is refused with its next step, once the engine has answered, as without a silence.

--- a/crates/hollyspoke-gateway/src/gateway/customer.rs
+++ b/crates/hollyspoke-gateway/src/gateway/customer.rs
@@ -159,6 +159,9 @@
             self.give_up(key, NotRunReason::Rejected);
             return false;
         }
+        if self.return_to_kept(key) {
+            return false;
+        }
         self.refund_units(key);
         self.effects.push(Effect::Refuse(key, Refusal::UnknownKey));
         self.end(key, "unknown key");
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -239,6 +239,9 @@
         let Some(proof) = in_flight.trace.not_run().filter(|_| !in_flight.has_begun) else {
             return self.give_up(key, NotRunReason::UnderSuspicion);
         };
+        if self.return_to_kept(key) {
+            return;
+        }
         self.refund_units(key);
         self.effects.push(Effect::Refuse(key, Refusal::Quarantined(proof)));
         self.end(key, "held back");
