Soak: upstreams stand still together and go on, and no request may end for it

The soak paused boxes, and with `EnginePause` one upstream at a time, 0.2 to 1.5 s; answers that a box ended because its engine was silent broke no promise.

`StandStill` pauses one upstream of a service, half of them or all at the same moment, for 0.3 to 4 s drawn around the boxes' timers, three times in a run, with new versions, planned stops and kills in the same seconds.

--- a/tests/soak/src/client.rs
+++ b/tests/soak/src/client.rs
@@ -21,7 +21,7 @@
 use tokio::time::Instant;
 
 use crate::keys::{ANSWER_TOKENS, CUSTOMERS, Caller, units};
-use crate::observation::{Kind, Observation, What, digest};
+use crate::observation::{Kind, Micros, Observation, What, digest, now};
 use crate::standin::engine::event_text;
 
 /// The host name of all routes.
@@ -286,6 +286,7 @@
             body: digest(&wanted.body),
             after: wanted.after,
             caller: wanted.caller.clone(),
+            deadline: at(wanted.deadline),
         });
         let until =
             leaves_after.map_or(wanted.deadline, |it| wanted.deadline.min(Instant::now() + it));
@@ -416,6 +417,12 @@
     }
 }
 
+/// Returns a time in the machine's clock.
+pub(crate) fn at(time: Instant) -> Micros {
+    let left = time.saturating_duration_since(Instant::now());
+    now() + u64::try_from(left.as_micros()).unwrap_or(0)
+}
+
 /// Requests the address list from a box.
 async fn ask(directory: SocketAddr) -> Option<Resolved> {
     let path = format!("/resolve?name={HOST_NAME}&region=r&zone=north");
--- a/tests/soak/src/observation.rs
+++ b/tests/soak/src/observation.rs
@@ -145,6 +145,8 @@
         after: u64,
         /// The customer and key that sent it.
         caller: Caller,
+        /// When the client gives up.
+        deadline: Micros,
     },
     /// A client received a whole answer.
     Answered {
@@ -181,6 +183,13 @@
         /// The upstream.
         engine: String,
     },
+    /// An upstream's process that was paused has been resumed.
+    StoodStill {
+        /// The upstream.
+        engine: String,
+        /// When it was paused.
+        since: Micros,
+    },
     /// A client disconnected on purpose.
     Left {
         /// The id of the attempt.
--- a/tests/soak/src/schedule.rs
+++ b/tests/soak/src/schedule.rs
@@ -76,6 +76,15 @@
         /// The duration.
         span: Duration,
     },
+    /// Upstreams of a service are paused with SIGSTOP at the same moment.
+    StandStill {
+        /// Whether it is the plain service.
+        is_plain: bool,
+        /// How many of its upstreams.
+        share: Share,
+        /// The duration.
+        span: Duration,
+    },
     /// Upstreams lose some of their answers.
     LoseAnswers {
         /// The percentage of answers.
@@ -225,6 +234,17 @@
     },
 }
 
+/// A share of the upstreams of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Share {
+    /// One of them.
+    One,
+    /// Half of them, rounded up.
+    Half,
+    /// All of them.
+    All,
+}
+
 /// How upstreams fail to serve requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
@@ -283,6 +303,8 @@
     planned.extend(draw_slow_decodes(seed, end));
     planned.extend(draw_slow_leaving(seed, end));
     planned.extend(draw_deviations(seed, end));
+    let stand_stills = draw_stand_stills(seed, end, &planned);
+    planned.extend(stand_stills);
     planned.sort_by_key(|it| it.at);
     planned
 }
@@ -446,6 +468,87 @@
     (0..DEVIATIONS).filter_map(draw).collect()
 }
 
+/// The number of times in a run that upstreams of a service stand still together.
+const STAND_STILLS: u64 = 3;
+
+/// The durations around which upstreams stand still, in milliseconds: those of the boxes' timers.
+const STAND_STILL_MS: [u64; 8] = [300, 500, 1000, 1200, 1500, 2000, 3000, 4000];
+
+/// The durations that are longer than the boxes' timers for streams, in milliseconds.
+const LONG_STAND_STILL_MS: [u64; 5] = [1200, 1500, 2000, 3000, 4000];
+
+/// The range of a duration's deviation from a timer, in percent of it.
+const STAND_STILL_PERCENT: (u64, u64) = (85, 115);
+
+/// How long before upstreams stand still boxes may already be affected by another fault.
+const BEFORE_STAND_STILL: Duration = Duration::from_millis(500);
+
+/// The number of times among which the calmest is chosen.
+const CALM_TIMES: usize = 16;
+
+/// Draws when upstreams stand still, and what affects the boxes in the same seconds, with a separate
+/// generator; none in a short run. The first time is long, concerns several upstreams, and overlaps
+/// few of the other faults that end requests.
+fn draw_stand_stills(seed: u64, end: Duration, others: &[Planned]) -> Vec<Planned> {
+    let draw = |number: u64| {
+        let mut random = Pcg64Mcg::seed_from_u64(seed.rotate_left(3) ^ number);
+        let is_calm = number == 0;
+        let is_plain = random.random_bool(0.3);
+        let shares = [Share::One, Share::Half, Share::All, Share::All];
+        let shares = if is_calm { &shares[1..] } else { &shares[..] };
+        let share = shares.choose(&mut random).copied().unwrap_or(Share::All);
+        let timers = if is_calm { &LONG_STAND_STILL_MS[..] } else { &STAND_STILL_MS[..] };
+        let timer = timers.choose(&mut random).copied().unwrap_or(1500);
+        let percent = random.random_range(STAND_STILL_PERCENT.0..=STAND_STILL_PERCENT.1);
+        let span = Duration::from_millis(timer * percent / 100);
+        let latest = end.checked_sub(span).filter(|&it| it > WARM_UP)?;
+        let count = if is_calm { CALM_TIMES } else { 1 };
+        let times: Vec<_> =
+            (0..count).map(|_| WARM_UP + (latest - WARM_UP).mul_f64(random.random())).collect();
+        let at = times.into_iter().min_by_key(|&it| endings_within(others, it, it + span))?;
+        let mut planned = vec![Planned { at, fault: Fault::StandStill { is_plain, share, span } }];
+        planned.extend(draw_around(&mut random, at, span));
+        Some(planned)
+    };
+    (0..STAND_STILLS).filter_map(draw).flatten().collect()
+}
+
+/// Draws what affects boxes while upstreams stand still.
+fn draw_around(random: &mut Pcg64Mcg, at: Duration, span: Duration) -> Vec<Planned> {
+    let gap = Duration::from_millis(random.random_range(200..=1200));
+    let count = random.random_range(1..=3);
+    let faults = [
+        (0.5, Fault::Configure),
+        (0.5, Fault::Stop { count, gap }),
+        (0.25, Fault::Kill { count: 1 }),
+    ];
+    let planned = faults.into_iter().filter_map(|(probability, fault)| {
+        let is_drawn = random.random_bool(probability);
+        let offset = (span + BEFORE_STAND_STILL).mul_f64(random.random());
+        is_drawn.then(|| Planned { at: at + offset - BEFORE_STAND_STILL, fault })
+    });
+    planned.collect()
+}
+
+/// Counts the faults in an interval that end requests at many boxes or upstreams.
+fn endings_within(planned: &[Planned], from: Duration, until: Duration) -> usize {
+    let ends = planned.iter().filter(|it| {
+        let span = match it.fault {
+            Fault::Storm { span, .. }
+            | Fault::LoseAnswers { span, .. }
+            | Fault::HoldLinks { span }
+            | Fault::Rest { span, .. } => span,
+            Fault::ResetLinks { .. }
+            | Fault::MuteLinks { .. }
+            | Fault::EngineCrash
+            | Fault::KillAll => Duration::ZERO,
+            _ => return false,
+        };
+        it.at <= until && it.at + span + BEFORE_STAND_STILL >= from
+    });
+    ends.count()
+}
+
 /// Returns the replacements of all boxes, spread evenly over a run.
 pub fn replace_all(boxes: usize, length: Duration) -> Vec<Planned> {
     let end = length.saturating_sub(COOL_DOWN);
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -53,6 +53,13 @@
     assert!(is_good, "{text}");
 }
 
+#[test]
+fn caught_silence() {
+    let arguments = ["--mutant", "ends-silent", "--seconds", "9", "--boxes", "2"];
+    let (is_good, text) = soak(&arguments, "silence");
+    assert!(is_good, "{text}");
+}
+
 /// Returns the processes whose settings lie in a folder.
 fn processes_of(folder: &Path) -> Vec<String> {
     let settings = folder.join("box-0.toml").to_string_lossy().into_owned();
@@ -92,6 +99,17 @@
     wait_until(false);
 }
 
+/// In each run that is long enough, upstreams stand still together at least twice, with other faults
+/// around.
+#[test]
+fn planned_silence() {
+    for seed in 1..40 {
+        let (_, text) = soak(&["--seed", &seed.to_string(), "--schedule"], "schedule");
+        let count = text.lines().filter(|it| it.contains("StandStill")).count();
+        assert!(count >= 2, "seed {seed}: {text}");
+    }
+}
+
 /// A seed gives the same schedule each time.
 #[test]
 fn same_schedule() {
