Tests that fail: timers that take a short silence of an engine, the store or a box for its end

Seen in these tests: with a silence of 3 s of the other box, Cancel and Refuse for a request, Cancel and Abort for a stream; with a store silent for 2.4, 3 and 3.7 s, 6 of 6 engines removed (none expected), and 6 of 6 at a box that learns of it from four others without answers; a source silent 1.2 s longer than its order's timeout: the copy freed; four asks for a reservation of two engines and no prefill; an engine that answers asks after 0.2 s: 2 asks, 1 reservation dropped; after 0.9 s: 503 although it was only silent.

gone_engine_kept holds before and after: an engine whose entry goes while the store answers within its usual times is removed at once.

--- a/tests/tests/gateway_reservations.rs
+++ b/tests/tests/gateway_reservations.rs
@@ -221,6 +221,20 @@
     assert_eq!(effects.len(), 1, "the request still waits for the other engine");
 }
 
+/// Engines that don't answer have not said that they are full.
+#[test]
+fn silent_engines_taken_for_full() {
+    let mut world = world(ON, SHORT);
+    let (_, first) = first_ask(&mut world);
+    let mut effects = Vec::new();
+    for _ in 0..200 {
+        effects.extend(world.advance(Duration::from_millis(5)));
+    }
+    let asked: Vec<_> = effects.iter().filter(|it| matches!(it, Effect::Reserve(_))).collect();
+    assert_eq!(asked.len(), 1, "the other engine is asked after {}: {asked:?}", first.engine.id);
+    assert_eq!(only_send(&effects).task, Task::Prefill);
+}
+
 #[test]
 fn client_left_before_answer() {
     let mut world = world(ON, SHORT);
--- /dev/null
+++ b/tests/tests/gateway_timers.rs
@@ -0,0 +1,143 @@
+//! Timers that run out while a sound engine, the store or another box is only silent.
+
+use std::time::Duration;
+
+use hollyspoke::store::Revision;
+use hollyspoke_gateway::effect::{Effect, LogEvent};
+use hollyspoke_gateway::engine::EngineChange;
+use hollyspoke_gateway::event::{Event, Kind, Probe};
+use hollyspoke_gateway::framing::Framing;
+use hollyspoke_gateway::message::{EngineUpdate, Extension, Message, StoreView};
+use hollyspoke_gateway::migration::Answer;
+use hollyspoke_gateway::proxy;
+use hollyspoke_gateway::request::CallKey;
+use hollyspoke_tests::gateway::{World, engines, heartbeat, only_send, request};
+use hollyspoke_tests::migration::{MovingStream, cancelled, copy_of, freed};
+
+/// A silence after which a box counts as dead.
+const BOX_SILENCE: Duration = Duration::from_secs(3);
+
+/// The time after which a watch that the store doesn't answer fails.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(2300);
+
+/// Returns a heartbeat of a box that serves requests of other boxes.
+fn serving_heartbeat(number: u8, sequence: u64) -> Message {
+    let proxy = proxy::Announcement { port: Some(9000), ..proxy::Announcement::default() };
+    let extension = Extension { proxy, ..Extension::default() }.non_empty();
+    Message { extension, ..heartbeat(number, sequence, StoreView::default()) }
+}
+
+/// Returns a box that reaches no engine, beside one that does.
+fn cut_off_world() -> World {
+    let mut world = World::new();
+    for engine in engines() {
+        world.event(Event::Probed(engine.key, Probe::NotConnected));
+    }
+    world.advance(Duration::from_millis(400));
+    world.event(Event::Received(serving_heartbeat(2, 1)));
+    world
+}
+
+/// Returns the only call to another box among effects.
+fn only_proxied(effects: &[Effect]) -> CallKey {
+    match effects {
+        [Effect::Proxy(call)] => call.call,
+        _ => panic!("not one call to a box: {effects:?}"),
+    }
+}
+
+/// Returns whether effects end an answer or a request.
+fn ends_any(effects: &[Effect]) -> bool {
+    let ends =
+        |it: &Effect| matches!(it, Effect::Cancel(_) | Effect::Abort(_) | Effect::Refuse(..));
+    effects.iter().any(ends)
+}
+
+/// A box that is paused, or whose datagrams are lost, goes on with the answers that it forwards.
+#[test]
+fn answer_of_silent_box_ended() {
+    for route in ["safe", "unsafe", "once", "resumed"] {
+        let mut world = cut_off_world();
+        let (key, effects) = world.arrive(request(route));
+        let call = only_proxied(&effects);
+        let is_stream = matches!(route, "once" | "resumed");
+        if is_stream {
+            world.event(Event::Proxied(call, proxy::Event::Began(Framing::Marked)));
+        }
+        let effects = world.advance(BOX_SILENCE);
+        assert!(!ends_any(&effects), "{route}: {effects:?}");
+        let effects = world.event(Event::Proxied(call, proxy::Event::Answered));
+        let answered = if is_stream { Effect::Finish(key) } else { Effect::Deliver(key, call) };
+        assert!(effects.contains(&answered), "{route}: {effects:?}");
+    }
+}
+
+/// Lets the store be silent for a time in which a follower's watch fails.
+fn silence_store(world: &mut World, silence: Duration) {
+    world.event(Event::StoreAnswered(Kind::Engines));
+    world.advance(WATCH_TIMEOUT.min(silence));
+    if silence > WATCH_TIMEOUT {
+        world.event(Event::StoreFailed(Kind::Engines));
+        world.advance(silence - WATCH_TIMEOUT);
+    }
+    world.event(Event::StoreAnswered(Kind::Engines));
+}
+
+/// Returns the ids of the engines that are removed at once when all entries have lapsed.
+fn removed(world: &mut World, event: Event) -> usize {
+    let effects = world.gateway.step(world.now, event);
+    let is_removal = |it: &&Effect| matches!(it, Effect::Log(LogEvent::EngineRemoved { .. }));
+    let logged = effects.iter().filter(is_removal).count();
+    logged.max(engines().len().saturating_sub(world.gateway.engine_count()))
+}
+
+/// Engines can't renew their entries while the store is silent, and register again soon after.
+#[test]
+fn entries_lapsed_in_silence_removed() {
+    for silence_ms in [2400, 3000, 3700] {
+        let mut world = World::new();
+        silence_store(&mut world, Duration::from_millis(silence_ms));
+        let lapsed = Event::Listed(Vec::new(), 20.into());
+        assert_eq!(removed(&mut world, lapsed), 0, "silent for {silence_ms} ms");
+    }
+}
+
+/// An engine whose entry goes while the store answers as usual is gone.
+#[test]
+fn gone_engine_kept() {
+    for silence_ms in [300, 1800, 2200] {
+        let mut world = World::new();
+        silence_store(&mut world, Duration::from_millis(silence_ms));
+        let lapsed = Event::Listed(Vec::new(), 20.into());
+        assert_eq!(removed(&mut world, lapsed), engines().len(), "{silence_ms} ms");
+    }
+}
+
+/// A box that doesn't follow the store learns of lapsed entries from boxes that do.
+#[test]
+fn forwarded_lapse_removed() {
+    let mut world = World::new();
+    let view = |has_lost_store| StoreView { has_lost_store, ..StoreView::default() };
+    for number in 2..=5 {
+        world.event(Event::Received(heartbeat(number, 1, view(true))));
+    }
+    world.advance(Duration::from_millis(300));
+    let lapsed = engines().into_iter().map(|it| EngineChange::Left(it.id, 11.into()));
+    let update = EngineUpdate { since: Revision::from(10), changes: lapsed.collect() };
+    let message = Message { engine_update: Some(Box::new(update)), ..heartbeat(2, 2, view(false)) };
+    assert_eq!(removed(&mut world, Event::Received(message)), 0);
+}
+
+/// A source that is silent when it is told to stop a stream carries the order out later.
+#[test]
+fn stream_stopped_late_cut() {
+    for silence_ms in [1200, 1700, 3000] {
+        let mut stream = MovingStream::stopping("once");
+        assert_eq!(stream.answer(Answer::Unknown), []);
+        let effects = stream.world.advance(Duration::from_millis(silence_ms));
+        assert_eq!(freed(&effects), [], "silent for {silence_ms} ms more");
+        let effects = stream.close();
+        assert_eq!(cancelled(&effects), [stream.first.call]);
+        assert!(copy_of(&only_send(&effects)).is_some());
+    }
+}
--- a/tests/tests/platform_reservations.rs
+++ b/tests/tests/platform_reservations.rs
@@ -36,6 +36,15 @@
 /// with a status. Returns the answer's status and the requests that the decode engine received, of
 /// which there are `count`.
 async fn decoded(reserved: &'static str, count: usize) -> (String, Vec<Received>) {
+    decoded_after(Duration::ZERO, reserved, count).await
+}
+
+/// Does the same with a decode engine that stands still for a time before it answers.
+async fn decoded_after(
+    silence: Duration,
+    reserved: &'static str,
+    count: usize,
+) -> (String, Vec<Received>) {
     let store = store().await;
     store.configure(1);
     let (_, mut spec) = store.object("config", "main").expect("it was just put");
@@ -51,6 +60,7 @@
     while !box_.node.with(|it| it.is_ready()) {
         tokio::time::sleep(STEP).await;
     }
+    decode.stand_still(silence);
     let head = client_head("POST", "/once/x", "id-1", "prompt");
     let answered = ask(box_.front, &head.replace("300,20", "50000,20")).await;
     // The drop of a reservation has a connection of its own.
@@ -91,3 +101,23 @@
         assert_eq!(received[1].header("x-kv-hold"), None);
     });
 }
+
+/// Returns how many of some requests begin with a text.
+fn count(received: &[Received], start: &str) -> usize {
+    received.iter().filter(|it| it.line.starts_with(start)).count()
+}
+
+/// An engine that answers late has set memory aside, which is dropped.
+#[test]
+fn late_reservation_unused() {
+    local(async {
+        for (silence_ms, asks) in [(200, 2), (400, 2), (900, 2)] {
+            let silence = Duration::from_millis(silence_ms);
+            let (status, received) = decoded_after(silence, "200 OK", 2 * asks + 1).await;
+            let asked = count(&received, "POST /hold-take ");
+            let dropped = count(&received, "DELETE /hold-drop/");
+            let case = format!("silent for {silence_ms} ms: {asked} asks, {dropped} drops");
+            assert_eq!((&*status, asked, dropped), ("200", asks, asks), "{case}");
+        }
+    });
+}
