Asks for a reservation that silent engines don't answer don't count as refusals

Callers saw 503, "overloaded", while engines with free memory only stood still, and engines set memory aside for nobody.

An ask without an answer counted like one that was refused for lack of memory. After four of them the request waited for capacity, at a moment when its time to wait was over. The driver also gave an ask up after 150 ms, before the reducer's own 250 ms, and closed its connection: an engine that went on answered nobody, and kept the reservation until its TTL ended.

After two asks without an answer, a request now does without a reservation: silence shows nothing about memory.

--- a/crates/hollyspoke-gateway/src/gateway/reservations.rs
+++ b/crates/hollyspoke-gateway/src/gateway/reservations.rs
@@ -73,7 +73,7 @@
             return None;
         }
         let has_asked_enough = in_flight.reservation.failed_count >= MAX_ASK_COUNT;
-        if has_asked_enough && in_flight.call_count > 0 {
+        if in_flight.reservation.meets_silence() || has_asked_enough && in_flight.call_count > 0 {
             return None;
         }
         let record = self.directory.get(engine).filter(|it| !it.lacks_reservations)?;
@@ -168,9 +168,19 @@
     /// request.
     fn handle_failed_ask(&mut self, ask: &Ask, answer: &Answer) {
         self.record_failed_ask(ask, answer);
+        if *answer == Answer::Unknown {
+            self.count_unanswered_ask(ask);
+        }
         self.end_failed_ask(ask, *answer != Answer::Unsupported);
     }
 
+    /// Counts an ask that was not answered.
+    fn count_unanswered_ask(&mut self, ask: &Ask) {
+        if let Some(in_flight) = self.in_flight.get_mut(&ask.request) {
+            in_flight.reservation.unanswered_count += 1;
+        }
+    }
+
     /// Records what an answer without a reservation shows about the engine.
     fn record_failed_ask(&mut self, ask: &Ask, answer: &Answer) {
         let engine = ask.engine.key;
@@ -226,6 +236,7 @@
         let pending = self.in_flight.get(&key).and_then(|it| it.reservation.pending);
         let asked = pending.and_then(|it| self.reservations.asks.get(&it.number));
         let Some(Asked { ask, .. }) = asked.cloned() else { return };
+        self.count_unanswered_ask(&ask);
         self.end_failed_ask(&ask, true);
     }
 
--- a/crates/hollyspoke-gateway/src/reservation.rs
+++ b/crates/hollyspoke-gateway/src/reservation.rs
@@ -26,8 +26,13 @@
 /// which a request may wait for capacity.
 pub const MAX_ASK_COUNT: u32 = 4;
 
-/// The time after which an ask counts as unanswered.
-pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+/// The number of asks without an answer after which a request does without a reservation. Silence
+/// doesn't show that memory is short, and an engine that is silent may go on at any time.
+const MAX_UNANSWERED_COUNT: u32 = 2;
+
+/// The time for which a request waits for the answer to an ask. Engines answer at once. An answer
+/// that comes later still shows what there is to drop.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// The TTL of a reservation if engines allow it. A request that waits for a permit to use a prefill
 /// engine keeps its reservation for less.
@@ -162,6 +167,8 @@
     pub grant: Option<Grant>,
     /// The number of asks that failed.
     pub failed_count: u32,
+    /// The number of those that were not answered.
+    pub unanswered_count: u32,
 }
 
 impl Progress {
@@ -170,6 +177,11 @@
         self.pending.is_none() && self.failed_count < MAX_ASK_COUNT
     }
 
+    /// Returns whether the engines asked so far are silent.
+    pub fn meets_silence(&self) -> bool {
+        self.unanswered_count >= MAX_UNANSWERED_COUNT
+    }
+
     /// Returns whether the request waits for the answer to the ask of a number.
     pub fn awaits(&self, number: u64) -> bool {
         self.pending.is_some_and(|it| it.number == number)
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -37,8 +37,10 @@
 /// The timeout for freeing a prompt.
 const FREE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The timeout for an engine's answer to a request for a reservation. Engines answer at once.
-const RESERVE_TIMEOUT: Duration = Duration::from_millis(150);
+/// The timeout for an engine's answer to a request for a reservation. The reducer sends the request
+/// on earlier; an engine that was silent for less than this sets memory aside nevertheless, which
+/// only its answer allows to drop.
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// The timeout for the copy of a stream's memory, which waits for other copies on the same links.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(2500);
