Engines whose entries lapse in a silence of the store have time to register again

What is at stake: engines can't renew their entries while the store is silent, and entries lapse after some seconds. A follower that then reads the list took all engines for ended, at once: no new request was sent to any until it had registered again, and what was known of them was forgotten.

The time in which entries may be missing was granted after an outage of 1.5 s, counted from the first call that failed. A follower's watch fails only 2.3 s after the last answer, so that a silence of up to 3.8 s counted as none.

A follower whose call fails now counts a silence from the last answer, if that is longer ago than a watch may take (2.3 s). Calls that fail sooner count as before. The verdict ends by itself: it grants a missing entry 2 s.

--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -40,6 +40,11 @@
 /// The minimum duration of an outage after which entries may have expired that are not renewed.
 const MIN_OUTAGE: Duration = Duration::from_millis(1500);
 
+/// The time without an answer after which a follower whose call then fails counts as having met an
+/// outage. It is the longest time that a watch takes: when one fails, the store may have been silent
+/// since the one before.
+const MIN_SILENCE: Duration = Duration::from_millis(2300);
+
 /// The time after the store's return within which all live engines have registered again.
 const RETURN_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -99,6 +104,15 @@
             self.failing_since.is_some_and(|it| now.since(it.max(since)) >= FAILURE_DURATION);
         is_failing || now.since(last) >= ANSWER_TIMEOUT
     }
+
+    /// Returns whether calls fail and the store may have been away for so long that entries have
+    /// expired. `since` is when this box began to follow the store, if it does.
+    fn is_in_outage(&self, now: Time, since: Option<Time>) -> bool {
+        let Some(failing_since) = self.failing_since else { return false };
+        let silent_since = since.map(|it| self.last_answer.map_or(it, |last| last.max(it)));
+        let is_silent = silent_since.is_some_and(|it| now.since(it) >= MIN_SILENCE);
+        is_silent || now.since(failing_since) >= MIN_OUTAGE
+    }
 }
 
 /// The engine changes since the last heartbeat, for the log.
@@ -169,6 +183,11 @@
         }
     }
 
+    /// Returns when this box began to follow the store, if it does.
+    fn follows_since(&self) -> Option<Time> {
+        self.follows.then_some(self.since)
+    }
+
     /// Returns whether this box follows the store but gets no answers.
     fn has_lost_store(&self, now: Time) -> bool {
         let contacts = [self.configuration, self.engines, self.evacuations];
@@ -339,11 +358,11 @@
 
     /// Records that the store answered.
     pub(super) fn record_store_answer(&mut self, kind: Kind) {
-        let now = self.now;
+        let (now, follows_since) = (self.now, self.store.follows_since());
         let contact = self.store.contact(kind);
+        let was_away = contact.is_in_outage(now, follows_since);
         contact.last_answer = Some(now);
-        let failing_since = contact.failing_since.take();
-        let was_away = failing_since.is_some_and(|it| now.since(it) >= MIN_OUTAGE);
+        contact.failing_since = None;
         if kind == Kind::Engines && was_away {
             self.store.engines_back = Some(now);
         }
@@ -358,8 +377,7 @@
     /// store is unreachable, and live engines register soon after its return. None if there was no
     /// outage.
     pub(super) fn missing_until(&self) -> Option<Time> {
-        let is_away = |it: Time| self.now.since(it) >= MIN_OUTAGE;
-        if self.store.engines.failing_since.is_some_and(is_away) {
+        if self.store.engines.is_in_outage(self.now, self.store.follows_since()) {
             return Some(self.now + RETURN_TIMEOUT);
         }
         let end = self.store.engines_back? + RETURN_TIMEOUT;
