An answer that another box forwards outlasts that box's silence

Callers of a box that is cut off from all engines saw their answers end 1.3 s after the last heartbeat of the box that served them: streams broke off, and requests failed, although that box was only paused, or only its datagrams were lost, and its connection went on.

A box that timed out was taken for lost, and its calls were cancelled. The connections tell more: they close if the process ends.

When a box has timed out that serves requests of this one, this one now opens a connection to it, once a heartbeat. A silent one is waited for, as far as the client and its deadline wait.

Dark boxes and boxes that are heard again have tests of their own.

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -736,6 +736,9 @@
     Order(Order),
     /// Probes whether an engine is alive.
     Probe(Arc<Engine>),
+    /// Probes whether a connection opens to the address at which another box accepts requests of
+    /// boxes.
+    ProbeBox(SocketAddr),
     /// Reads all objects of a kind from the store, once.
     Read(Kind),
     /// Requests a snapshot of the state of another box.
--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -164,6 +164,8 @@
     Ordered(EngineKey, OrderAnswer),
     /// An engine was probed.
     Probed(EngineKey, Probe),
+    /// No connection opened to another box that was probed.
+    BoxNotReached(SocketAddr),
     /// An engine reported its terms in the answer to an order or a query, or in the head of an
     /// answer whose body is not received yet, or never will be.
     Statement(EngineKey, Statement),
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -369,6 +369,7 @@
             Event::OrderCount(engine, count) => self.apply_order_count(engine, count),
             Event::Ordered(engine, answer) => self.apply_order_answer(engine, answer),
             Event::Probed(engine, probe) => self.apply_probe(engine, probe),
+            Event::BoxNotReached(to) => self.lose_proxy(to),
             Event::Statement(engine, statement) => self.handle_statement(engine, &statement),
             Event::Release(short) => self.release_held(&short),
             Event::Suspended(duration) => self.resume(duration),
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -188,9 +188,9 @@
         for address in self.members.sweep(self.now) {
             self.ledger.forget(address);
             self.classes.forget(address);
-            self.lose_proxy(address.ip());
             self.peer_changes.timed_out.push(address);
         }
+        self.probe_silent_boxes();
         self.log_peer_changes();
         self.log_engine_change_counts();
         self.sync_with_store();
--- a/crates/hollyspoke-gateway/src/gateway/proxy.rs
+++ b/crates/hollyspoke-gateway/src/gateway/proxy.rs
@@ -1,7 +1,7 @@
 //! Passes requests on to another box while this one has no contact with the engines.
 
 use std::collections::BTreeSet;
-use std::net::IpAddr;
+use std::net::SocketAddr;
 
 use super::Gateway;
 use super::peers::service_hash;
@@ -119,9 +119,21 @@
         self.effects.push(Effect::Cancel(call));
     }
 
-    /// Handles the loss of a box: the requests that it was serving may have run.
-    pub(super) fn lose_proxy(&mut self, ip: IpAddr) {
-        let lost = self.proxied.iter().filter(|(_, (_, to))| to.ip() == ip);
+    /// Probes the boxes that have timed out while they serve requests. One that is paused, or whose
+    /// datagrams are lost, goes on with its answers.
+    pub(super) fn probe_silent_boxes(&mut self) {
+        let serving: BTreeSet<_> = self.proxied.values().map(|(_, to)| *to).collect();
+        let silent = serving.into_iter().filter(|it| !self.members.is_alive_at(*it));
+        self.effects.extend(silent.map(Effect::ProbeBox));
+    }
+
+    /// Handles the loss of a box, unless it has been heard again: the requests that it was serving
+    /// may have run.
+    pub(super) fn lose_proxy(&mut self, proxy: SocketAddr) {
+        if self.members.is_alive_at(proxy) {
+            return;
+        }
+        let lost = self.proxied.iter().filter(|(_, (_, to))| *to == proxy);
         let lost: Vec<_> = lost.map(|(&call, _)| call).collect();
         for call in lost {
             self.effects.push(Effect::Cancel(call));
--- a/crates/hollyspoke-gateway/src/member.rs
+++ b/crates/hollyspoke-gateway/src/member.rs
@@ -391,6 +391,12 @@
         self.peers.keys().any(|it| it.ip() == ip)
     }
 
+    /// Returns whether the box that accepts requests of boxes at an address is alive.
+    pub fn is_alive_at(&self, proxy: SocketAddr) -> bool {
+        let address = |it: &Peer| Some(SocketAddr::new(it.front.ip(), it.proxy.port?));
+        self.peers.values().any(|it| !it.has_timed_out && address(it) == Some(proxy))
+    }
+
     /// Returns whether no box was ever received from although some are listed.
     fn has_received_nothing(&self) -> bool {
         self.peers.is_empty() && !self.pending_peers.is_empty()
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -159,6 +159,8 @@
     pub query_order_count: fn(Rc<Node>, Arc<Engine>),
     /// Starts asking an engine whether it is alive.
     pub probe: fn(Rc<Node>, Arc<Engine>),
+    /// Starts finding out whether a connection opens to another box.
+    pub probe_box: fn(Rc<Node>, SocketAddr),
     /// Starts sending an order to an engine.
     pub order: fn(Rc<Node>, Order),
     /// Starts fetching a snapshot from another box.
@@ -433,6 +435,7 @@
                 (self.upstream_client.query_order_count)(self.clone(), engine)
             }
             Effect::Probe(engine) => (self.upstream_client.probe)(self.clone(), engine),
+            Effect::ProbeBox(to) => (self.upstream_client.probe_box)(self.clone(), to),
             Effect::Order(order) => (self.upstream_client.order)(self.clone(), order),
             Effect::Store(number, operation) => {
                 (self.upstream_client.store)(self.clone(), number, operation);
--- a/crates/hollyspoke-server/src/proxy.rs
+++ b/crates/hollyspoke-server/src/proxy.rs
@@ -1,5 +1,6 @@
 //! Sends requests to another box, which serves them on behalf of this one.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -37,6 +38,13 @@
     node.drop_answer(call.call);
 }
 
+/// Opens a connection to another box, and reports to the reducer if none opens.
+pub async fn probe(node: Rc<Node>, to: SocketAddr) {
+    if let Err(Failure::Unsent | Failure::Broken) = node.connect_peer(to, CONNECT_TIMEOUT).await {
+        node.dispatch(Event::BoxNotReached(to));
+    }
+}
+
 /// Makes a call up to the end of its answer. A stream is forwarded as it arrives.
 async fn exchange(node: &Rc<Node>, call: &Call, request: &ReceivedRequest) -> Result<(), Failure> {
     let mut connection = node.connect_peer(call.to, CONNECT_TIMEOUT).await?;
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -72,6 +72,9 @@
     probe: |node, engine| {
         tokio::task::spawn_local(probe(node, engine));
     },
+    probe_box: |node, to| {
+        tokio::task::spawn_local(proxy::probe(node, to));
+    },
     order: |node, it| {
         tokio::task::spawn_local(order(node, it));
     },
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -167,6 +167,8 @@
     /// A box receives an event of a request that it passed on; the flag says whether the other box
     /// has refused it.
     Proxied(Proxied, proxy::Event, bool),
+    /// A box learns that no connection opens to another one.
+    BoxNotReached(usize, u64, SocketAddr),
     /// The client of a request at a box disconnects.
     Disconnected(usize, RequestKey),
 }
@@ -446,6 +448,7 @@
             Scheduled::Proxied(proxied, event, refused) => {
                 return self.deliver_proxied(*proxied, *event, *refused);
             }
+            Scheduled::BoxNotReached(number, ..) => *number,
             Scheduled::Call(number, start_count, send) => {
                 return self.arrive(*number, *start_count, send);
             }
@@ -483,6 +486,11 @@
             {
                 self.step(number, Event::Probed(engine, probe));
             }
+            Scheduled::BoxNotReached(_, start_count, to)
+                if self.members[number].start_count == start_count =>
+            {
+                self.step(number, Event::BoxNotReached(to));
+            }
             Scheduled::PassedOn(_, key, request) => {
                 self.step(number, Event::Arrived(key, request));
             }
@@ -522,6 +530,7 @@
             | Scheduled::Fetched(..)
             | Scheduled::Crash(..)
             | Scheduled::Back(_)
+            | Scheduled::BoxNotReached(..)
             | Scheduled::Proxied(..)
             | Scheduled::Probed(..) => {}
         }
@@ -598,6 +607,7 @@
                 Effect::Order(order) => self.query_engine(number, order.engine.key),
                 Effect::Free(source) => self.query_engine(number, source.engine),
                 Effect::Proxy(call) => self.pass_on(number, call),
+                Effect::ProbeBox(to) => self.probe_box(number, to),
                 Effect::Cancel(call) => {
                     self.drop_stream_call(number, call);
                     self.cancel_proxied(number, call);
--- a/tests/src/fleet/proxies.rs
+++ b/tests/src/fleet/proxies.rs
@@ -1,6 +1,7 @@
 //! Requests that boxes of a fleet pass on to each other.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use hollyspoke_gateway::event::Event;
 use hollyspoke_gateway::framing::Framing;
@@ -57,6 +58,17 @@
         self.schedule(self.now + TRANSIT, Scheduled::PassedOn(target, key, request));
     }
 
+    /// Probes whether a connection opens from a box to another one. A paused box accepts some.
+    pub(super) fn probe_box(&mut self, number: usize, to: SocketAddr) {
+        let is_target = |it: &usize| settings_of(*it).proxy == Some(to);
+        let target = (0..self.members.len()).find(is_target).expect("the box exists");
+        let (from, to_member) = (&self.members[number], &self.members[target]);
+        if to_member.gateway.is_none() || from.side != to_member.side {
+            let event = Scheduled::BoxNotReached(number, from.start_count, to);
+            self.schedule(self.now + CONNECT_TIMEOUT, event);
+        }
+    }
+
     /// Reports the start or the end of a request at a box to the box that passed it on, if one did.
     pub(super) fn report_proxied(&mut self, number: usize, key: RequestKey, outcome: Outcome) {
         let Some(&proxied) = self.proxies.calls.get(&(number, key)) else { return };
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -262,7 +262,8 @@
                 | Effect::Notify(..)
                 | Effect::WatchStore(_)
                 | Effect::QueryCachedPrompts(_)
-                | Effect::Probe(_) => true,
+                | Effect::Probe(_)
+                | Effect::ProbeBox(_) => true,
                 _ => false,
             };
             !is_log && !is_background
--- a/tests/tests/gateway_timers.rs
+++ b/tests/tests/gateway_timers.rs
@@ -1,16 +1,17 @@
 //! Timers that run out while a sound engine, the store or another box is only silent.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollyspoke_gateway::effect::{Effect, LogEvent};
+use hollyspoke_gateway::effect::{Effect, LogEvent, Refusal};
 use hollyspoke_gateway::engine::EngineChange;
 use hollyspoke_gateway::event::{Event, Kind, Probe};
 use hollyspoke_gateway::framing::Framing;
 use hollyspoke_gateway::message::{Extension, Message, StoreView};
 use hollyspoke_gateway::migration::Answer;
 use hollyspoke_gateway::proxy;
-use hollyspoke_gateway::request::CallKey;
+use hollyspoke_gateway::request::{CallKey, RequestKey};
 use hollyspoke_tests::gateway::{World, configuration, engines, heartbeat, only_send, request};
 use hollyspoke_tests::migration::{MovingStream, cancelled, copy_of, freed};
 
@@ -72,6 +73,42 @@
     }
 }
 
+/// Passes a request on to a box that then is silent, and returns it with the box that is probed.
+fn silent_proxy(world: &mut World, route: &str) -> (RequestKey, SocketAddr) {
+    let (key, _) = world.arrive(request(route));
+    let start = world.now;
+    while world.now.since(start) < BOX_SILENCE {
+        world.now = world.gateway.next_due().max(world.now + Duration::from_millis(1));
+        for effect in world.gateway.step(world.now, Event::Tick) {
+            if let Effect::ProbeBox(to) = effect {
+                return (key, to);
+            }
+        }
+    }
+    panic!("the silent box is not probed");
+}
+
+/// A box to which no connection opens doesn't go on.
+#[test]
+fn answer_of_dark_box_awaited() {
+    for route in ["safe", "unsafe"] {
+        let mut world = cut_off_world();
+        let (key, to) = silent_proxy(&mut world, route);
+        let effects = world.event(Event::BoxNotReached(to));
+        assert!(effects.contains(&Effect::Refuse(key, Refusal::Failed)), "{route}: {effects:?}");
+    }
+}
+
+/// A box that is heard again while it is probed keeps its requests.
+#[test]
+fn answer_of_returned_box_ended() {
+    let mut world = cut_off_world();
+    let (_, to) = silent_proxy(&mut world, "once");
+    world.event(Event::Received(serving_heartbeat(2, 2)));
+    let effects = world.event(Event::BoxNotReached(to));
+    assert!(!ends_any(&effects), "{effects:?}");
+}
+
 /// Lets the store be silent for a time in which a follower's watch fails.
 fn silence_store(world: &mut World, silence: Duration) {
     world.event(Event::StoreAnswered(Kind::Engines));
