A move that was told to stop keeps its copy while the source is silent

What is at stake: a stream whose engine shuts down is copied, and the engine told to stop it. If that engine stands still, the order's answer is given up after 2.5 s and the stream watched for 1 s more; then the move was cancelled and its copy freed. An engine that went on later carried the order out and closed the stream, which nothing could continue any more.

A watch that ends while the stream has brought no event since it began is now extended, by 1 s each time. It ends as before once an event arrives and the stream is not closed. From the first extension on, the silence of the stream counts again, so that a dark source is left as soon as before.

--- a/crates/hollyspoke-gateway/src/gateway/migration.rs
+++ b/crates/hollyspoke-gateway/src/gateway/migration.rs
@@ -38,7 +38,7 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// How long a stream is watched after the answer to its final copy was lost. If the source had
-/// stopped it, the stream closes within this time.
+/// stopped it, the stream closes within this time, unless the source is silent.
 const WATCH_DURATION: Duration = Duration::from_secs(1);
 
 /// The pause after a move that failed before the next one of the same stream.
@@ -128,11 +128,15 @@
 /// The wait for the end of the source's connection.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Closing {
+    /// When the wait began, or was last extended.
+    since: Time,
     /// The end of the wait.
     until: Time,
     /// Whether the source has certainly stopped the stream, so that it continues elsewhere in any
     /// case. Otherwise it stays if it is still open at the end of the wait.
     is_stopped: bool,
+    /// Whether the wait was extended because the source is silent.
+    is_extended: bool,
     /// The engines at which the stream can continue, the best first.
     destinations: Vec<Arc<Engine>>,
 }
@@ -147,10 +151,14 @@
         ends.min()
     }
 
-    /// Returns whether the stream of a call has been told to stop, so that its silence means nothing.
+    /// Returns whether the stream of a call has been told to stop, so that its silence means nothing
+    /// for now.
     pub(super) fn is_stopping(&self, call: CallKey) -> bool {
-        let moved = self.moves.get(&call);
-        moved.is_some_and(|it| matches!(it.phase, Phase::Stopping | Phase::Closing(_)))
+        self.moves.get(&call).is_some_and(|it| match &it.phase {
+            Phase::Stopping => true,
+            Phase::Closing(closing) => !closing.is_extended,
+            Phase::Copying | Phase::Abandoned => false,
+        })
     }
 
     /// Returns whether another move of a stream may be started.
@@ -420,8 +428,10 @@
         let (source, target) = (moved.source.clone(), moved.target.clone());
         let has_closed = moved.has_closed;
         let wait = |duration, is_stopped, destinations| Closing {
+            since: self.now,
             until: self.now + duration,
             is_stopped,
+            is_extended: false,
             destinations,
         };
         let closing = match answer {
@@ -469,12 +479,27 @@
         for (key, closing) in over {
             if closing.is_stopped {
                 self.continue_stream(key, closing.destinations);
+            } else if self.is_silent_since(key, closing.since) {
+                self.extend_watch(key, closing);
             } else {
                 self.cancel_move(key, "no answer");
             }
         }
     }
 
+    /// Returns whether a call has brought no event since a time.
+    fn is_silent_since(&self, key: CallKey, since: Time) -> bool {
+        self.calls.get(&key).is_some_and(|it| it.last_event_at < since)
+    }
+
+    /// Watches a stream for longer whose source is silent: the source may carry the order to stop it
+    /// out once it goes on, and the stream then needs the copy.
+    fn extend_watch(&mut self, key: CallKey, closing: Closing) {
+        let Some(moved) = self.migrations.moves.get_mut(&key) else { return };
+        let (since, until) = (self.now, self.now + WATCH_DURATION);
+        moved.phase = Phase::Closing(Closing { since, until, is_extended: true, ..closing });
+    }
+
     /// Handles that the connection of a call closed without the end of its stream. Returns whether a
     /// move has stopped the stream, so that this is expected.
     pub(super) fn stream_closed(&mut self, key: CallKey) -> bool {
--- a/tests/tests/gateway_timers.rs
+++ b/tests/tests/gateway_timers.rs
@@ -6,13 +6,15 @@
 
 use hollyspoke_gateway::effect::{Effect, LogEvent, Refusal};
 use hollyspoke_gateway::engine::EngineChange;
-use hollyspoke_gateway::event::{Event, Kind, Probe};
+use hollyspoke_gateway::event::{CallEvent, Event, Kind, Probe};
 use hollyspoke_gateway::framing::Framing;
 use hollyspoke_gateway::message::{Extension, Message, StoreView};
 use hollyspoke_gateway::migration::Answer;
 use hollyspoke_gateway::proxy;
 use hollyspoke_gateway::request::{CallKey, RequestKey};
-use hollyspoke_tests::gateway::{World, configuration, engines, heartbeat, only_send, request};
+use hollyspoke_tests::gateway::{
+    World, configuration, engines, heartbeat, only_send, ran, request,
+};
 use hollyspoke_tests::migration::{MovingStream, cancelled, copy_of, freed};
 
 /// A silence after which a box counts as dead.
@@ -21,6 +23,9 @@
 /// The time after which a watch that the store doesn't answer fails.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(2300);
 
+/// The time after which the answer to an order to copy a stream is given up.
+const TRANSFER_TIMEOUT: Duration = Duration::from_millis(2500);
+
 /// Returns a heartbeat of a box that serves requests of other boxes.
 fn serving_heartbeat(number: u8, sequence: u64) -> Message {
     let proxy = proxy::Announcement { port: Some(9000), ..proxy::Announcement::default() };
@@ -179,6 +184,7 @@
 fn stream_stopped_late_cut() {
     for silence_ms in [1200, 1700, 3000] {
         let mut stream = MovingStream::stopping("once");
+        assert_eq!(stream.world.advance(TRANSFER_TIMEOUT), []);
         assert_eq!(stream.answer(Answer::Unknown), []);
         let effects = stream.world.advance(Duration::from_millis(silence_ms));
         assert_eq!(freed(&effects), [], "silent for {silence_ms} ms more");
@@ -187,3 +193,17 @@
         assert!(copy_of(&only_send(&effects)).is_some());
     }
 }
+
+/// A source that goes on with the stream after its silence keeps it, and the copy is freed.
+#[test]
+fn stream_never_stopped_moved() {
+    let mut stream = MovingStream::stopping("once");
+    assert_eq!(stream.world.advance(TRANSFER_TIMEOUT), []);
+    assert_eq!(stream.answer(Answer::Unknown), []);
+    assert_eq!(freed(&stream.world.advance(Duration::from_millis(1500))), []);
+    stream.world.call(stream.first.call, CallEvent::Forwarded(Some(5)));
+    let effects = stream.world.advance(Duration::from_millis(1100));
+    assert_eq!((freed(&effects).len(), cancelled(&effects)), (1, Vec::new()));
+    let effects = stream.world.call(stream.first.call, CallEvent::Answered(ran(200)));
+    assert!(effects.contains(&Effect::Finish(stream.request)));
+}
