A test that fails: a request held back since entries of its engines lapsed

An engine that stands still for longer than its entry lives is taken for crashed when the entry lapses, and that proof stays when the engine comes back in the same incarnation.

A request whose engines did start again stays held (request_released_by_restarts).

--- a/tests/tests/gateway_timers.rs
+++ b/tests/tests/gateway_timers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hollyspoke_gateway::effect::{Effect, LogEvent, Refusal};
-use hollyspoke_gateway::engine::EngineChange;
+use hollyspoke_gateway::engine::{Engine, EngineChange};
 use hollyspoke_gateway::event::{CallEvent, Event, Kind, Probe};
 use hollyspoke_gateway::framing::Framing;
 use hollyspoke_gateway::message::{Extension, Message, StoreView};
@@ -13,7 +13,7 @@
 use hollyspoke_gateway::proxy;
 use hollyspoke_gateway::request::{CallKey, RequestKey};
 use hollyspoke_tests::gateway::{
-    World, configuration, engines, heartbeat, only_send, ran, request,
+    PLAIN, World, configuration, engine, engines, heartbeat, only_send, ran, request,
 };
 use hollyspoke_tests::migration::{MovingStream, cancelled, copy_of, freed};
 
@@ -207,3 +207,69 @@
     let effects = stream.world.call(stream.first.call, CallEvent::Answered(ran(200)));
     assert!(effects.contains(&Effect::Finish(stream.request)));
 }
+
+/// Returns three plain engines that report when they started.
+fn plain_engines() -> Vec<Engine> {
+    let engines = (1..=3).map(|it| engine(it, PLAIN, None));
+    engines.map(|it| Engine { started_at: Some(5), ..it }).collect()
+}
+
+/// Lets a call of a request break at an engine that stands still until its entry has lapsed.
+fn lapse_during_call(world: &mut World, revision: u64) {
+    let (key, send) = world.first_call(request("safe"));
+    world.call(send.call, CallEvent::Broken);
+    world.event(Event::ClientDisconnected(key));
+    world.event(Event::Probed(send.engine.key, Probe::NoAnswer));
+    world.advance(Duration::from_millis(3600));
+    let lapsed = EngineChange::Left(send.engine.id.clone(), revision.into());
+    world.event(Event::Changed(vec![lapsed]));
+}
+
+/// Answers the probes of engines that a box sends within two heartbeats.
+fn answer_probes(world: &mut World, started_at: Option<u64>) {
+    let end = world.now + Duration::from_millis(750);
+    while world.now < end {
+        world.now = world.gateway.next_due().max(world.now + Duration::from_millis(1)).min(end);
+        for effect in world.gateway.step(world.now, Event::Tick) {
+            if let Effect::Probe(engine) = effect {
+                world.event(Event::Probed(engine.key, Probe::Alive(started_at)));
+            }
+        }
+    }
+}
+
+/// Engines that come back as they were have not crashed.
+#[test]
+fn request_held_for_lapsed_entries() {
+    for is_listed in [false, true] {
+        let mut world = World::unconfigured();
+        world.event(Event::Configured(Arc::new(configuration(1))));
+        world.event(Event::Listed(plain_engines(), 10.into()));
+        (11..=13).for_each(|it| lapse_during_call(&mut world, it));
+        assert_eq!(world.gateway.held().len(), 1);
+        let back = plain_engines();
+        world.event(match is_listed {
+            true => Event::Listed(back, 14.into()),
+            false => Event::Changed(
+                back.into_iter().map(|it| EngineChange::Put(it, 14.into())).collect(),
+            ),
+        });
+        answer_probes(&mut world, Some(5));
+        assert_eq!(world.gateway.held(), [], "by a list: {is_listed}");
+        world.first_call(request("safe"));
+    }
+}
+
+/// Engines that have started again since had crashed.
+#[test]
+fn request_released_by_restarts() {
+    let mut world = World::unconfigured();
+    world.event(Event::Configured(Arc::new(configuration(1))));
+    world.event(Event::Listed(plain_engines(), 10.into()));
+    (11..=13).for_each(|it| lapse_during_call(&mut world, it));
+    let restarted = plain_engines().into_iter().map(|it| Engine { started_at: Some(6), ..it });
+    let put = restarted.map(|it| EngineChange::Put(it, 14.into())).collect();
+    world.event(Event::Changed(put));
+    answer_probes(&mut world, Some(6));
+    assert_eq!(world.gateway.held().len(), 1);
+}
