Engines that come back in the same incarnation refute their crashes

An entry that goes without an announcement proved a crash, and nothing refuted a proof. But an engine that is silent for some seconds loses its entry too, and registers again with the start time that it had.

With its heartbeat, a box now probes the engines that are listed again, and take requests, with the start time at which they count as crashed. Only the engine's own answer with that start time refutes the crash, not its entry, which may be late; the case then begins its next epoch, which the other boxes and the store take over. An engine that started again, or reports no start, refutes nothing.

--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -317,9 +317,25 @@
         }
     }
 
-    /// Proves crashes from the directory, and drops what has expired.
+    /// Probes the engines that are listed again as they were when they counted as crashed: the entry
+    /// of an engine that is silent for some seconds lapses, and the engine comes back.
+    fn probe_returned_engines(&mut self) {
+        for (engine, started_at) in self.quarantine.proven() {
+            let Some(record) = self.directory.get(engine) else { continue };
+            let is_back = record.engine.started_at == Some(started_at) && record.is_open(self.now);
+            let engine = record.engine.clone();
+            if is_back && self.accepts_probe(engine.key) && !self.probing.contains_key(&engine.key)
+            {
+                self.probing.insert(engine.key, self.now);
+                self.effects.push(Effect::Probe(engine));
+            }
+        }
+    }
+
+    /// Proves crashes from the directory or has them refuted, and drops what has expired.
     pub(super) fn sweep_quarantine(&mut self) {
         self.prove_from_directory();
+        self.probe_returned_engines();
         let unix = self.unix_time();
         self.quarantine.sweep(self.now, unix);
     }
--- a/crates/hollyspoke-gateway/src/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/quarantine.rs
@@ -16,7 +16,7 @@
 
 use hollyspoke::time::Time;
 
-use crate::engine::Engine;
+use crate::engine::{Engine, EngineKey};
 use crate::signature::Signature;
 
 pub use case::{
@@ -90,7 +90,8 @@
         true
     }
 
-    /// Records that a probed incarnation of an engine is still running: only the connection broke.
+    /// Records that a probed incarnation of an engine is still running: only the connection broke,
+    /// or its entry was gone for a time.
     pub fn clear(&mut self, running: Incarnation, now: Time) {
         let changed_keys =
             self.cases.iter_mut().filter_map(|(&key, it)| it.clear(running).then_some(key));
@@ -181,6 +182,13 @@
         self.cases.retain(|_, it| !it.is_over(now, unix));
     }
 
+    /// Returns the engine incarnations, with known start times, whose crashes are proven.
+    pub fn proven(&self) -> BTreeSet<(EngineKey, u64)> {
+        let crashes = self.cases.values().flat_map(Case::crashes);
+        let proven = crashes.filter(|it| it.proof == Proof::Proven);
+        proven.filter_map(|it| Some((it.engine, it.born?))).collect()
+    }
+
     /// Returns the engine incarnations whose crashes are likely but not proven, with the time of
     /// the last change of their cases.
     pub fn unproven(&self) -> Vec<(Incarnation, Time)> {
--- a/crates/hollyspoke-gateway/src/quarantine/case.rs
+++ b/crates/hollyspoke-gateway/src/quarantine/case.rs
@@ -250,10 +250,13 @@
         true
     }
 
-    /// Drops the unproven crashes of a running incarnation. Returns whether other boxes may know of
-    /// one.
+    /// Drops the crashes of a running incarnation; those that are proven only if it is certainly the
+    /// same: its entry was gone for a time. Returns whether other boxes may know of one.
     pub(super) fn clear(&mut self, running: Incarnation) -> bool {
-        let is_refuted = |it: &Crash| it.matches(running) && it.proof != Proof::Proven;
+        let is_refuted = |it: &Crash| {
+            let is_same = it.born.is_some() && it.born == running.started_at;
+            it.matches(running) && (it.proof != Proof::Proven || is_same)
+        };
         let strongest = self.crashes().filter(|it| is_refuted(it)).map(|it| it.proof).max();
         let left = self.crashes.map(|it| it.filter(|it| !is_refuted(it)));
         match strongest {
