A test that fails: an engine that stood still is announced as slow

The silence of an engine counts as the time that its events take. With four streams there, most of its samples are such silences, and the other boxes are told. If the streams end soon after, nothing newer is measured: the engine gets less work for up to 8 s although it works at its usual pace.

Seen in the test: 950 % after a silence of 1.02 s, 0.1 s after the engine went on.

--- a/tests/tests/gateway_pace.rs
+++ b/tests/tests/gateway_pace.rs
@@ -198,6 +198,31 @@
     assert!(counts.values().all(|&it| it == 5), "{counts:?}");
 }
 
+/// Lets an engine stand still while the others go on, and forwards the events of all streams after
+/// it for a time. Returns the paces announced since, and the streams.
+fn stand_still(world: &mut World, silence: Duration, after: Duration) -> Vec<Announcement> {
+    let sends = begin_everywhere(world, 6);
+    forward(world, &sends, Duration::from_secs(3), |_| USUAL_GAP);
+    let others: Vec<_> = sends.iter().filter(|it| it.engine.key != key(21)).cloned().collect();
+    forward(world, &others, silence, |_| USUAL_GAP);
+    world.event(Event::Received(heartbeat(2, 1, StoreView::default())));
+    let mut announced = forward(world, &sends, after, |_| USUAL_GAP);
+    finish(world, sends);
+    announced.extend(advance_to(world, world.now + Duration::from_secs(1)));
+    announced
+}
+
+/// An engine that stood still works at its usual pace once it goes on.
+#[test]
+fn silent_engine_announced_as_slow() {
+    for silence_ms in [1020, 1200, 1980] {
+        let mut world = world(PACE, engines(6));
+        let silence = Duration::from_millis(silence_ms);
+        let announced = stand_still(&mut world, silence, USUAL_GAP);
+        assert_eq!(announced, [], "silent for {silence_ms} ms");
+    }
+}
+
 /// A client that reads slowly leaves the health of its engine as it is.
 #[test]
 fn slow_client_blamed_on_engine() {
