The event after a standstill says nothing of an engine's pace

An engine that stood still was taken for slow, at up to ten times the usual time, and announced so to the other boxes. It got less work than the others until newer samples came, at the latest after 8 s.

The first event after a pause of 1 s or more now begins a new measurement, as it does for events that the client has held up. The pause still counts as late in the engine's health, as before. A slow engine pauses for some hundred milliseconds between two events and is measured as before.

--- a/crates/hollyspoke-gateway/src/gateway/pace.rs
+++ b/crates/hollyspoke-gateway/src/gateway/pace.rs
@@ -1,5 +1,7 @@
 //! The paces of engines: what this box measures in its calls, and what boxes tell each other.
 
+use std::time::Duration;
+
 use super::Gateway;
 use crate::effect::{LogEvent, Task};
 use crate::in_flight::{Call, InFlight};
@@ -7,6 +9,10 @@
 use crate::placement::Tempo;
 use crate::request::CallKey;
 
+/// The pause between two events of a stream from which on its engine stood still. A slow engine
+/// takes several times as long as others, whose events are some tens of milliseconds apart.
+const MIN_STANDSTILL: Duration = Duration::from_secs(1);
+
 impl Gateway {
     /// Returns what the choice for a request considers of the engines' paces, if that is switched
     /// on.
@@ -18,11 +24,12 @@
         })
     }
 
-    /// Measures the time between the events of a stream. Those that the client has held up say
-    /// nothing about the engine.
+    /// Measures the time between the events of a stream. Those that the client has held up, and the
+    /// first one after a standstill, say nothing about the engine's pace.
     pub(super) fn measure_events(&mut self, key: CallKey, id: Option<u64>, is_held_up: bool) {
         let Some(call) = self.calls.get(&key).filter(|it| self.is_measured(it)) else { return };
-        if is_held_up {
+        let stood_still = self.now.since(call.last_event_at) >= MIN_STANDSTILL;
+        if is_held_up || stood_still {
             self.paces.record_hold_up(key, id, self.now);
         } else {
             self.paces.record_events(key, &call.engine, id, self.now);
