A test that fails: an engine is avoided after one standstill of its streams

Each stream whose event comes late counts as a failure of its engine. An engine with four streams that stands still once has four failures at the moment at which it goes on, and gets no new streams while others have room.

Seen in the test: 0 of 4 new streams after 1, 1.2 and 2 s of silence, 2 without one. An engine that stands still for 1.1 s again and again is left (engine_kept_after_standstills, holds before).

--- a/tests/tests/gateway_timers.rs
+++ b/tests/tests/gateway_timers.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollyspoke_gateway::effect::{Effect, LogEvent, Refusal};
+use hollyspoke_gateway::effect::{Effect, LogEvent, Refusal, Send};
 use hollyspoke_gateway::engine::{Engine, EngineChange};
 use hollyspoke_gateway::event::{CallEvent, Event, Kind, Probe};
 use hollyspoke_gateway::framing::Framing;
@@ -273,3 +273,55 @@
     answer_probes(&mut world, Some(6));
     assert_eq!(world.gateway.held().len(), 1);
 }
+
+/// Forwards an event of each stream ten times a second for a time.
+fn forward(world: &mut World, sends: &[Send], duration: Duration) {
+    let end = world.now + duration;
+    while world.now < end {
+        world.advance(Duration::from_millis(100));
+        for send in sends {
+            world.call(send.call, CallEvent::Forwarded(None));
+        }
+    }
+}
+
+/// Begins streams, and returns their calls.
+fn begin_streams(world: &mut World, count: usize) -> Vec<Send> {
+    (0..count).map(|_| world.begin_stream(request("once")).1).collect()
+}
+
+/// One standstill is one failure, however many streams it delays.
+#[test]
+fn engine_avoided_after_standstill() {
+    for silence_ms in [1000, 1200, 2000] {
+        let mut world = World::new();
+        let sends = begin_streams(&mut world, 8);
+        let first = sends[0].engine.key;
+        let others: Vec<_> = sends.iter().filter(|it| it.engine.key != first).cloned().collect();
+        assert_eq!(others.len(), 4);
+        forward(&mut world, &sends, Duration::from_secs(1));
+        forward(&mut world, &others, Duration::from_millis(silence_ms));
+        forward(&mut world, &sends, Duration::from_millis(100));
+        for send in sends {
+            world.call(send.call, CallEvent::Answered(ran(200)));
+        }
+        let next = begin_streams(&mut world, 4);
+        let count = next.iter().filter(|it| it.engine.key == first).count();
+        assert_eq!(count, 2, "silent for {silence_ms} ms");
+    }
+}
+
+/// An engine that stands still again and again is left.
+#[test]
+fn engine_kept_after_standstills() {
+    let mut world = World::new();
+    let sends = begin_streams(&mut world, 8);
+    let first = sends[0].engine.key;
+    let others: Vec<_> = sends.iter().filter(|it| it.engine.key != first).cloned().collect();
+    for _ in 0..5 {
+        forward(&mut world, &others, Duration::from_millis(1100));
+        forward(&mut world, &sends, Duration::from_millis(100));
+    }
+    let next = begin_streams(&mut world, 2);
+    assert!(next.iter().all(|it| it.engine.key != first));
+}
