A single standstill of an engine doesn't count against it after its next event

An engine that stood still once was avoided for some seconds after it had gone on: each of its streams counted the same silence as a failure, and four of them are enough to find an engine poor.

A pause of 1 s or more now counts only if the engine had stood still within the 4 s before (the time in which its failure rate decays by half), and once for all streams that it delays. Shorter pauses, by which slow engines are told, count as before, one for each late event. An engine that stands still again and again is left, and one that is silent is treated as before until its next byte.

The test failed before: 0 of 4 new streams after 1, 1.2 and 2 s of silence; now 2, as without it.

--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -165,8 +165,7 @@
         let is_blamed = !stood_still && (!is_held_up || !self.settings.features.pace);
         self.record_progress(key, id);
         let Some(call) = self.calls.get_mut(&key) else { return };
-        let pause = now.since(call.last_event_at);
-        call.last_event_at = now;
+        let before = std::mem::replace(&mut call.last_event_at, now);
         call.is_held_up = false;
         let call = call.clone();
         let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
@@ -175,8 +174,8 @@
         let check_at = in_flight.silence_check_at.filter(|_| is_held_up);
         self.wake_at(call.request, check_at);
         let Some(in_flight) = self.in_flight.get(&call.request) else { return };
-        if is_blamed && in_flight.route.max_gap.is_some_and(|it| pause > it) {
-            self.record_failure(&call);
+        if is_blamed && in_flight.route.max_gap.is_some_and(|it| now.since(before) > it) {
+            self.record_pause(&call, before);
         }
     }
 
@@ -505,6 +504,16 @@
         }
     }
 
+    /// Records that an event of a stream came too late after the one before.
+    fn record_pause(&mut self, call: &Call, before: Time) {
+        let now = self.now;
+        if self.is_current_incarnation(call)
+            && let Some(record) = self.directory.get_mut(call.engine.key)
+        {
+            record.health.record_pause(before, now);
+        }
+    }
+
     /// Records that an engine could not be reached or timed out.
     pub(super) fn record_unreachable(&mut self, call: &Call) {
         if self.is_current_incarnation(call) {
--- a/crates/hollyspoke-gateway/src/gateway/pace.rs
+++ b/crates/hollyspoke-gateway/src/gateway/pace.rs
@@ -1,18 +1,13 @@
 //! The paces of engines: what this box measures in its calls, and what boxes tell each other.
 
-use std::time::Duration;
-
 use super::Gateway;
 use crate::effect::{LogEvent, Task};
+use crate::health::MIN_STANDSTILL;
 use crate::in_flight::{Call, InFlight};
 use crate::pace::Announcement;
 use crate::placement::Tempo;
 use crate::request::CallKey;
 
-/// The pause between two events of a stream from which on its engine stood still. A slow engine
-/// takes several times as long as others, whose events are some tens of milliseconds apart.
-const MIN_STANDSTILL: Duration = Duration::from_secs(1);
-
 impl Gateway {
     /// Returns what the choice for a request considers of the engines' paces, if that is switched
     /// on.
--- a/crates/hollyspoke-gateway/src/health.rs
+++ b/crates/hollyspoke-gateway/src/health.rs
@@ -29,6 +29,10 @@
 /// The minimum number of other boxes that must report so: a single one may itself be cut off.
 const MIN_SUSPECTING_COUNT: usize = 2;
 
+/// The pause between two events of a stream from which on its engine stood still, and all its
+/// streams with it. Slow engines pause for some hundred milliseconds.
+pub(crate) const MIN_STANDSTILL: Duration = Duration::from_secs(1);
+
 /// The failure rate above which an engine is avoided while others are better.
 const POOR_FAILURE_RATIO: f64 = 0.35;
 
@@ -46,6 +50,8 @@
     /// When the engine could be used again after it was last unreachable, if an answer has come
     /// since.
     returned_at: Option<Time>,
+    /// When the last standstill ended that was recorded.
+    stood_still_until: Option<Time>,
     /// The boxes that recently reported that they could not reach the engine, and when.
     suspecting: Vec<(SocketAddr, Time)>,
     /// When anything last came from the engine.
@@ -84,6 +90,21 @@
         self.set(now, self.failure_rate(now) * (1.0 - OUTCOME_WEIGHT) + OUTCOME_WEIGHT);
     }
 
+    /// Records that an event of a stream came too late after the one before. A single standstill is
+    /// over with that event. One that follows another within the time in which the failure rate decays
+    /// by half is a failure, but one for all streams that it delays.
+    pub fn record_pause(&mut self, began: Time, now: Time) {
+        if now.since(began) < MIN_STANDSTILL {
+            return self.record_failure(now);
+        }
+        let last = self.stood_still_until.replace(now);
+        let is_new = last.is_none_or(|it| began >= it);
+        let is_repeated = last.is_some_and(|it| began.since(it) < HALF_LIFE);
+        if is_new && is_repeated {
+            self.record_failure(now);
+        }
+    }
+
     /// Records a connection that could not be opened, or an engine that timed out. Returns how long
     /// the engine is avoided.
     pub fn record_unreachable(&mut self, now: Time) -> Duration {
--- a/tests/tests/gateway_timers.rs
+++ b/tests/tests/gateway_timers.rs
@@ -290,7 +290,7 @@
     (0..count).map(|_| world.begin_stream(request("once")).1).collect()
 }
 
-/// One standstill is one failure, however many streams it delays.
+/// A standstill is over with the next event, however many streams it has delayed.
 #[test]
 fn engine_avoided_after_standstill() {
     for silence_ms in [1000, 1200, 2000] {
