In a large deployment, one box probes an engine that came back

Otherwise each box that knows of a case would probe the engines whose crashes it may refute, at the same heartbeat; three hundred boxes know of the same cases. The case that one box refutes begins its next epoch at all of them.

Tests: gateway_timers (12) and gateway_crashes (10) pass.

--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hollyspoke::rank;
 use hollyspoke::time::Time;
 
 use super::Gateway;
@@ -17,6 +18,7 @@
 use crate::engine::{Engine, EngineKey};
 use crate::event::Probe;
 use crate::in_flight::{Call, InFlight};
+use crate::member::address_hash;
 use crate::message::Message;
 use crate::quarantine::{HOLD_DURATION, Incarnation, Proof, RequestSummary, Verdict};
 use crate::request::RequestKey;
@@ -318,11 +320,24 @@
     }
 
     /// Probes the engines that are listed again as they were when they counted as crashed: the entry
-    /// of an engine that is silent for some seconds lapses, and the engine comes back.
+    /// of an engine that is silent for some seconds lapses, and the engine comes back. In a large
+    /// deployment, one box probes each engine.
     fn probe_returned_engines(&mut self) {
-        for (engine, started_at) in self.quarantine.proven() {
+        let proven = self.quarantine.proven();
+        if proven.is_empty() {
+            return;
+        }
+        let own = address_hash(&self.settings.peer);
+        let others = self.members.is_large().then(|| self.members.alive_hashes(false));
+        let others = others.unwrap_or_default();
+        let is_assigned = |engine: EngineKey| {
+            rank::first(engine.0, others.iter().copied().chain([own])) == Some(own)
+        };
+        for (engine, started_at) in proven {
             let Some(record) = self.directory.get(engine) else { continue };
-            let is_back = record.engine.started_at == Some(started_at) && record.is_open(self.now);
+            let is_back = record.engine.started_at == Some(started_at)
+                && record.is_open(self.now)
+                && is_assigned(engine);
             let engine = record.engine.clone();
             if is_back && self.accepts_probe(engine.key) && !self.probing.contains_key(&engine.key)
             {
