A test over sockets of entries that lapse while the store is silent

The reducer's test leaves the order of events to itself. Here a box follows a store that stops answering for 3.2 s, and comes back without the entry of the only engine: requests are served for 1.6 s, and refused once the time to register is over.

--- a/tests/tests/platform_store.rs
+++ b/tests/tests/platform_store.rs
@@ -1,7 +1,7 @@
 //! A box and the platform's store: unavailable, silent, without its history, and changing.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hollyspoke_platform::DIALECT;
 use hollyspoke_server::run;
@@ -117,6 +117,28 @@
     });
 }
 
+/// Engines whose entries have lapsed while the store was silent register again soon after.
+#[test]
+fn lapsed_entry_refuses_requests() {
+    local(async {
+        let (store, _engine) = store_with_engine().await;
+        let node = node(&store).await;
+        // The box follows the store by then, and its open watch is still answered.
+        tokio::time::sleep(Duration::from_millis(1200)).await;
+        store.behaviour.set(StoreBehaviour::Unresponsive);
+        tokio::time::sleep(Duration::from_millis(3200)).await;
+        store.remove("servers", "e-1");
+        store.behaviour.set(StoreBehaviour::Available);
+        let returned = Instant::now();
+        while returned.elapsed() < Duration::from_millis(1600) {
+            let answer = ask(node.front, &client_head("GET", "/safe/x", "id-1", "")).await;
+            assert_eq!(status(&answer), "200", "{:?} after the return", returned.elapsed());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        ask_until(node.front, |it| status(it) == "503").await;
+    });
+}
+
 /// If the removal of an engine between two pages is missed, the box uses the engine for good.
 #[test]
 fn removal_between_pages_missed() {
