--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -338,11 +338,8 @@
             let is_back = record.engine.started_at == Some(started_at)
                 && record.is_open(self.now)
                 && is_assigned(engine);
-            let engine = record.engine.clone();
-            if is_back && self.accepts_probe(engine.key) && !self.probing.contains_key(&engine.key)
-            {
-                self.probing.insert(engine.key, self.now);
-                self.effects.push(Effect::Probe(engine));
+            if is_back {
+                self.probe(&record.engine.clone());
             }
         }
     }
