--- a/crates/hollyspoke-gateway/src/gateway/pace.rs
+++ b/crates/hollyspoke-gateway/src/gateway/pace.rs
@@ -2,6 +2,7 @@
 
 use super::Gateway;
 use crate::effect::{LogEvent, Task};
+use crate::health::MIN_STANDSTILL;
 use crate::in_flight::{Call, InFlight};
 use crate::pace::Announcement;
 use crate::placement::Tempo;
@@ -18,11 +19,12 @@
         })
     }
 
-    /// Measures the time between the events of a stream. Those that the client has held up say
-    /// nothing about the engine.
+    /// Measures the time between the events of a stream. Those that the client has held up, and the
+    /// first one after a standstill, say nothing about the engine's pace.
     pub(super) fn measure_events(&mut self, key: CallKey, id: Option<u64>, is_held_up: bool) {
         let Some(call) = self.calls.get(&key).filter(|it| self.is_measured(it)) else { return };
-        if is_held_up {
+        let stood_still = self.now.since(call.last_event_at) >= MIN_STANDSTILL;
+        if is_held_up || stood_still {
             self.paces.record_hold_up(key, id, self.now);
         } else {
             self.paces.record_events(key, &call.engine, id, self.now);
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hollyspoke::rank;
 use hollyspoke::time::Time;
 
 use super::Gateway;
@@ -17,6 +18,7 @@
 use crate::engine::{Engine, EngineKey};
 use crate::event::Probe;
 use crate::in_flight::{Call, InFlight};
+use crate::member::address_hash;
 use crate::message::Message;
 use crate::quarantine::{HOLD_DURATION, Incarnation, Proof, RequestSummary, Verdict};
 use crate::request::RequestKey;
@@ -320,9 +322,35 @@
         }
     }
 
-    /// Proves crashes from the directory, and drops what has expired.
+    /// Probes the engines that are listed again as they were when they counted as crashed: the entry
+    /// of an engine that is silent for some seconds lapses, and the engine comes back. In a large
+    /// deployment, one box probes each engine.
+    fn probe_returned_engines(&mut self) {
+        let proven = self.quarantine.proven();
+        if proven.is_empty() {
+            return;
+        }
+        let own = address_hash(&self.settings.peer);
+        let others = self.members.is_large().then(|| self.members.alive_hashes(false));
+        let others = others.unwrap_or_default();
+        let is_assigned = |engine: EngineKey| {
+            rank::first(engine.0, others.iter().copied().chain([own])) == Some(own)
+        };
+        for (engine, started_at) in proven {
+            let Some(record) = self.directory.get(engine) else { continue };
+            let is_back = record.engine.started_at == Some(started_at)
+                && record.is_open(self.now)
+                && is_assigned(engine);
+            if is_back {
+                self.probe(&record.engine.clone());
+            }
+        }
+    }
+
+    /// Proves crashes from the directory or has them refuted, and drops what has expired.
     pub(super) fn sweep_quarantine(&mut self) {
         self.prove_from_directory();
+        self.probe_returned_engines();
         let unix = self.unix_time();
         self.quarantine.sweep(self.now, unix);
     }
