--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -21,10 +21,10 @@
 
 /// Statuses that promise a client that its request has not run. An engine's answer with one of them
 /// is not forwarded unless it proves that.
-const NOT_RUN_STATUSES: [u16; 3] = [408, 429, 503];
+pub(super) const NOT_RUN_STATUSES: [u16; 3] = [408, 429, 503];
 
 /// The lowest status that reports a failure of the engine itself.
-const MIN_SERVER_ERROR_STATUS: u16 = 500;
+pub(super) const MIN_SERVER_ERROR_STATUS: u16 = 500;
 
 impl Gateway {
     /// Handles an event of a call. Events of calls that were dropped before are ignored.
@@ -69,7 +69,7 @@
         self.refund_unsent(&call);
         let now = self.now;
         if let Some(record) = self.directory.get_mut(call.engine.key) {
-            record.health.record_unreachable(now);
+            record.health.avoid(now);
         }
         if let Some(in_flight) = self.in_flight.get_mut(&call.request) {
             in_flight.unsent_count += 1;
@@ -87,7 +87,7 @@
     }
 
     /// Refunds what a call was charged that was never sent.
-    fn refund_unsent(&mut self, call: &Call) {
+    pub(super) fn refund_unsent(&mut self, call: &Call) {
         self.refund_retry(call);
         if call.runs_request()
             && let Some(in_flight) = self.in_flight.get_mut(&call.request)
@@ -194,8 +194,10 @@
             CallEvent::Began(answer) | CallEvent::Answered(answer) => {
                 answer.execution != Execution::Replaced
             }
-            CallEvent::Forwarded(_) | CallEvent::ForwardedLate(_) | CallEvent::HeldUp => true,
-            CallEvent::NotConnected
+            CallEvent::Forwarded(_) | CallEvent::HeldUp => true,
+            // These events had come before.
+            CallEvent::ForwardedLate(_)
+            | CallEvent::NotConnected
             | CallEvent::NoPort
             | CallEvent::Exhausted
             | CallEvent::Broken => false,
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -104,7 +104,11 @@
         self.log(LogEvent::Probed { id, probe, after });
         self.record_probe_contact(engine, probe, probed_at);
         let asked = Incarnation { engine, started_at: None };
+        // What has come from the engine since the probe was sent says more than its failure.
+        let is_heard =
+            self.directory.get(engine).is_some_and(|it| it.health.was_heard_after(probed_at));
         match probe {
+            Probe::NoAnswer | Probe::Broken | Probe::NotConnected if is_heard => {}
             Probe::Alive(started_at) => {
                 self.learn_start(engine, started_at);
                 self.hear_probed(engine, started_at);
--- a/crates/hollyspoke-gateway/src/gateway/silence.rs
+++ b/crates/hollyspoke-gateway/src/gateway/silence.rs
@@ -6,19 +6,18 @@
 use hollyspoke::time::Time;
 
 use super::Gateway;
+use super::call::{MIN_SERVER_ERROR_STATUS, NOT_RUN_STATUSES};
 use crate::class::Phase;
 use crate::effect::{Effect, LogEvent, Source, Task};
-use crate::engine::{Engine, EngineKey};
+use crate::engine::{Engine, EngineKey, Stage};
 use crate::event::{Answer, CallEvent, Execution};
+use crate::framing::Framing;
 use crate::health::SilenceEnd;
 use crate::in_flight::Call;
 use crate::quarantine::Incarnation;
 use crate::request::{CallKey, RequestKey};
 use crate::silence::{Standing, Step, Timeouts};
 
-/// The lowest status that reports a failure of the engine itself.
-const MIN_SERVER_ERROR_STATUS: u16 = 500;
-
 /// The time after which a silent call is checked again that could not be replaced.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -117,14 +116,8 @@
             }
             return self.check_silence_in(key, RETRY_INTERVAL);
         }
-        self.log_silent(&call, standing);
-        match standing {
-            Standing::Unreachable => {
-                self.blame_for_silence(call.engine.key);
-                self.suspect(&call);
-            }
-            Standing::Responsive | Standing::Unknown => self.record_failure(&call),
-            Standing::Still => {}
+        if call.found_silent != Some(standing) {
+            self.blame(call_key, &call, standing);
         }
         self.keep(call_key);
         if let Some(in_flight) = self.in_flight.get_mut(&key) {
@@ -137,6 +130,24 @@
         }
     }
 
+    /// Records what the silence of a call says of its engine, once for each thing that is found.
+    fn blame(&mut self, call_key: CallKey, call: &Call, standing: Standing) {
+        if let Some(call) = self.calls.get_mut(&call_key) {
+            call.found_silent = Some(standing);
+        }
+        self.log_silent(call, standing);
+        match standing {
+            Standing::Unreachable => {
+                if self.is_current_incarnation(call) {
+                    self.blame_for_silence(call.engine.key);
+                }
+                self.suspect(call);
+            }
+            Standing::Responsive | Standing::Unknown => self.record_failure(call),
+            Standing::Still => {}
+        }
+    }
+
     /// Returns whether another engine that could take a silent call's request has been heard since.
     fn has_heard_other(&self, key: RequestKey, call: &Call) -> bool {
         let Some(in_flight) = self.in_flight.get(&key) else { return false };
@@ -144,6 +155,7 @@
         let mut open = self.directory.open(&call.engine.service, self.now);
         open.any(|it| {
             it.engine.key != call.engine.key
+                && it.engine.stage != Some(Stage::Prefill)
                 && it.health.was_heard_after(since)
                 && self.is_allowed_at(in_flight, it)
         })
@@ -159,6 +171,7 @@
             in_flight.trace.mark_sent();
             in_flight.source = None;
         } else {
+            // A second call in place of a prefill counts as a retry.
             in_flight.arrivals += 1;
         }
         in_flight.prefill_failed = true;
@@ -183,24 +196,24 @@
     pub(super) fn handle_kept_event(&mut self, key: CallKey, event: &CallEvent) -> bool {
         let Some(call) = self.calls.get(&key) else { return false };
         let Some(in_flight) = self.in_flight.get(&call.request) else { return false };
-        let is_replaced = in_flight.call.is_some();
         let goes_on = match event {
             // A second call may have run the request by then.
             CallEvent::Answered(answer) if call.task == Task::Prefill => {
-                !is_replaced && answer.handle.is_some()
+                in_flight.call.is_none() && answer.handle.is_some()
             }
-            CallEvent::Answered(answer) => has_run(answer),
-            CallEvent::Began(_) | CallEvent::Forwarded(_) | CallEvent::ForwardedLate(_) => true,
-            CallEvent::HeldUp => false,
+            CallEvent::Answered(answer) if call.has_begun => answer.framing == Framing::Marked,
+            CallEvent::Answered(answer) => !in_flight.has_begun && is_final(answer),
+            CallEvent::Began(_) => self.fits_origin(call),
+            CallEvent::Forwarded(_) | CallEvent::ForwardedLate(_) | CallEvent::HeldUp => true,
             CallEvent::NotConnected
             | CallEvent::NoPort
             | CallEvent::Exhausted
             | CallEvent::Broken => false,
         };
-        match (goes_on, event) {
-            (true, _) => self.recall(key),
-            (false, CallEvent::HeldUp) => {}
-            (false, _) => self.drop_kept(key, event),
+        if goes_on {
+            self.recall(key);
+        } else {
+            self.drop_kept(key, event);
         }
         goes_on
     }
@@ -220,13 +233,20 @@
             self.drop_continuation(call.request, "not needed");
         }
         self.reactivate(call.request, key);
+        self.check_silence_in(call.request, RETRY_INTERVAL);
     }
 
     /// Returns to the call that was kept last, if there is one, because nothing can replace it for
     /// now.
     pub(super) fn return_to_kept(&mut self, key: RequestKey) -> bool {
         let Some(in_flight) = self.in_flight.get_mut(&key) else { return false };
+        let may_run_again = in_flight.may_run_again();
         let Some(call) = in_flight.kept.pop() else { return false };
+        if !may_run_again && self.calls.get(&call).is_some_and(|it| !it.runs_request()) {
+            // Nothing could use its prompt.
+            self.cancel(call);
+            return self.return_to_kept(key);
+        }
         self.reactivate(key, call);
         self.check_silence_in(key, RETRY_INTERVAL);
         true
@@ -234,6 +254,7 @@
 
     /// Makes a call active again. Its request waits for nothing else.
     fn reactivate(&mut self, key: RequestKey, call: CallKey) {
+        let is_prefill = self.calls.get(&call).is_some_and(|it| !it.runs_request());
         self.discard_grant(key);
         self.unreserve(key);
         self.waiting.retain(|it| *it != key);
@@ -245,6 +266,10 @@
         in_flight.reservation.pending = None;
         in_flight.heard_since = None;
         in_flight.call = Some(call);
+        if is_prefill {
+            in_flight.arrivals = in_flight.arrivals.saturating_sub(1);
+            in_flight.prefill_failed = false;
+        }
     }
 
     /// Drops the kept calls of a request that another call has replaced, or that has ended.
@@ -267,21 +292,48 @@
         }
     }
 
-    /// Drops a kept call that has failed, while its request goes on with another.
+    /// Drops a kept call that has failed, while its request goes on with another or waits for one.
     fn drop_kept(&mut self, key: CallKey, event: &CallEvent) {
         let Some(call) = self.take_call(key) else { return };
         match event {
-            CallEvent::Broken => {
-                self.log_failure(&call, "broken", 0);
-                self.record_failure(&call);
-                self.suspect(&call);
+            CallEvent::Began(_) => {
+                self.effects.push(Effect::Cancel(key));
+                self.log_failure(&call, "other version", 0);
             }
             CallEvent::Answered(answer) => {
                 self.log_failure(&call, "replaced", answer.status);
                 self.apply_answer(&call, answer);
                 self.free_unused(&call, answer);
+                if answer.execution != Execution::Ran {
+                    self.discount_run(&call);
+                }
+            }
+            CallEvent::NotConnected | CallEvent::NoPort | CallEvent::Exhausted => {
+                self.log_failure(&call, "not reached", 0);
+                self.discount_run(&call);
+                self.refund_unsent(&call);
+            }
+            _ => {
+                self.log_failure(&call, "broken", 0);
+                self.record_failure(&call);
+                self.suspect(&call);
             }
-            _ => self.log_failure(&call, "not reached", 0),
+        }
+        let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
+        if in_flight.kept.is_empty() {
+            in_flight.heard_since = None;
+            if in_flight.call.is_none() {
+                self.proceed(call.request);
+            }
+        }
+    }
+
+    /// Takes back the run that was counted for a call which has not run its request.
+    fn discount_run(&mut self, call: &Call) {
+        if call.is_counted
+            && let Some(in_flight) = self.in_flight.get_mut(&call.request)
+        {
+            in_flight.run_count -= 1;
         }
     }
 
@@ -398,7 +450,10 @@
     }
 }
 
-/// Returns whether an answer shows that its engine has run the request to a good end.
-fn has_run(answer: &Answer) -> bool {
-    answer.execution == Execution::Ran && answer.status < MIN_SERVER_ERROR_STATUS
+/// Returns whether an answer that is no stream may be delivered although another call might bring a
+/// better one.
+fn is_final(answer: &Answer) -> bool {
+    answer.execution == Execution::Ran
+        && answer.status < MIN_SERVER_ERROR_STATUS
+        && !NOT_RUN_STATUSES.contains(&answer.status)
 }
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -379,6 +379,7 @@
                 last_event_at: now,
                 paused: Duration::ZERO,
                 timeouts,
+                found_silent: None,
                 is_held_up: false,
                 is_counted: false,
                 has_begun: false,
--- a/crates/hollyspoke-gateway/src/health.rs
+++ b/crates/hollyspoke-gateway/src/health.rs
@@ -108,11 +108,16 @@
     /// Records a connection that could not be opened, or an engine that timed out. Returns how long
     /// the engine is avoided.
     pub fn record_unreachable(&mut self, now: Time) -> Duration {
+        self.unreachable_at = Some(now);
+        self.avoid(now)
+    }
+
+    /// Avoids the engine for a time, which it returns: longer with each time in a row.
+    pub fn avoid(&mut self, now: Time) -> Duration {
         let interval = MIN_AVOIDANCE * 2u32.pow(self.failed_connections.min(4));
         let interval = interval.min(MAX_AVOIDANCE);
         self.failed_connections += 1;
         self.avoided_until = Some(now + interval);
-        self.unreachable_at = Some(now);
         interval
     }
 
@@ -141,12 +146,12 @@
     /// to be silent.
     pub fn record_heard(&mut self, now: Time) -> Option<SilenceEnd> {
         self.heard_at = Some(now);
+        self.unreachable_at = None;
         let was_still = self.unanswered_at.take().is_some();
         let was_avoided = std::mem::take(&mut self.is_blamed_for_silence);
         if was_avoided {
             self.failed_connections = 0;
             self.avoided_until = None;
-            self.unreachable_at = None;
         }
         if !was_still && !was_avoided {
             return None;
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -21,7 +21,7 @@
 use crate::reservation;
 use crate::route::{Route, RouteKind, Service};
 use crate::signature::Signature;
-use crate::silence::Timeouts;
+use crate::silence::{Standing, Timeouts};
 use crate::terms::Restriction;
 
 /// The number of rejections by engines after which a request is given up.
@@ -192,6 +192,8 @@
     pub paused: Duration,
     /// The silences that the call is given, if it may be replaced at all.
     pub timeouts: Option<Timeouts>,
+    /// What was known of the engine when the call was last found to be silent.
+    pub found_silent: Option<Standing>,
     /// Whether the client holds up the events of the stream.
     pub is_held_up: bool,
     /// Whether the run that the engine may have begun is counted.
--- a/tests/tests/gateway_silence.rs
+++ b/tests/tests/gateway_silence.rs
@@ -13,7 +13,7 @@
 use hollyspoke_gateway::signature::Content;
 use hollyspoke_tests::gateway::{
     HOST, MODEL, World, configuration, engine, engines, heartbeat, only_send, prefilled, ran,
-    rejected, request, settings,
+    ran_unmarked, rejected, request, settings,
 };
 
 /// The time by which a silent call to an engine that can't be reached is sent again.
@@ -402,3 +402,40 @@
     world.advance(Duration::from_millis(900));
     assert!(engines.len() > 64 && world.probed.len() <= 64, "{}", world.probed.len());
 }
+
+/// A prefill that went on is used without a token of the retry budget.
+#[test]
+fn spent_budget_wastes_prefill() {
+    let mut world = box_without_budget();
+    let (_, prefill) = world.first_call(request("resumed"));
+    assert_eq!(wait(&mut world, PATIENCE, unreachable), []);
+    let decode = only_send(&world.call(prefill.call, CallEvent::Answered(prefilled("h"))));
+    assert!(matches!(decode.task, Task::Decode(_)));
+}
+
+/// An answer of the silent engine that can't be used leaves its successor alone.
+#[test]
+fn unusable_answer_ends_successor() {
+    let mut world = World::new();
+    let (key, first) = world.first_call(request("safe"));
+    let second = only_send(&wait(&mut world, Duration::from_secs(8), alive));
+    assert_eq!(world.call(first.call, CallEvent::Answered(ran(429))), []);
+    let effects = world.call(second.call, CallEvent::Answered(ran(200)));
+    assert_eq!(effects, [Effect::Deliver(key, second.call)]);
+    let mut world = World::new();
+    let (key, first) = begin(&mut world);
+    let second = only_send(&wait(&mut world, TIMEOUT * 2, unreachable));
+    assert_eq!(world.call(first.call, CallEvent::Answered(ran_unmarked(200))), []);
+    let effects = world.call(second.call, CallEvent::Began(ran(200)));
+    assert_eq!(effects, [Effect::Resume(key, second.call)]);
+}
+
+/// A silent call that can't be replaced counts once against its engine.
+#[test]
+fn silence_counted_again() {
+    let mut world = box_without_budget();
+    let (_, call) = begin(&mut world);
+    wait(&mut world, PATIENCE, alive);
+    let chosen: Vec<_> = (0..8).map(|_| begin(&mut world).1.engine.key).collect();
+    assert!(chosen.contains(&call.engine.key), "one silence makes the engine a poor one");
+}
