Silent calls search among all engines once, and a pause shifts their probes

The time in which the box itself was paused no longer makes a probe count as unanswered, and a request that returns to its kept call records no appointment for a client that is told nothing. No test fails without these; the tests of silence, pauses, appointments and promises pass.

--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -244,6 +244,9 @@
     cases: Cases,
     /// The engines that are being probed, since when.
     probing: HashMap<EngineKey, Time>,
+    /// The time since which a search has found no engine of a service that was heard. It holds until
+    /// one of them is, so that thousands of silent calls don't search among all engines again.
+    unheard_since: HashMap<Arc<str>, Time>,
     /// The contact with the engines of each service.
     contacts: Contacts,
     /// The progress of querying engines for their cached prompts.
@@ -323,6 +326,7 @@
             quarantine: Quarantine::default(),
             cases: Cases::default(),
             probing: HashMap::new(),
+            unheard_since: HashMap::new(),
             contacts: Contacts::default(),
             survey: Survey::default(),
             unannounced: Unannounced::default(),
--- a/crates/hollyspoke-gateway/src/gateway/appointments.rs
+++ b/crates/hollyspoke-gateway/src/gateway/appointments.rs
@@ -33,6 +33,9 @@
         reason: NotRunReason,
         otherwise: Duration,
     ) {
+        if self.return_to_kept(key) {
+            return;
+        }
         let after = self.appoint(key).map_or(otherwise, |it| it.after);
         self.give_up_with_retry(key, reason, after);
     }
--- a/crates/hollyspoke-gateway/src/gateway/pause.rs
+++ b/crates/hollyspoke-gateway/src/gateway/pause.rs
@@ -19,6 +19,7 @@
         self.members.extend_timeouts(pause);
         self.contacts.extend_doubts(pause);
         self.paces.ignore_current(self.now);
+        self.probing.values_mut().for_each(|it| *it = *it + pause);
         for in_flight in self.in_flight.values_mut() {
             in_flight.silence_check_at = in_flight.silence_check_at.map(|it| it + pause);
         }
--- a/crates/hollyspoke-gateway/src/gateway/silence.rs
+++ b/crates/hollyspoke-gateway/src/gateway/silence.rs
@@ -149,16 +149,24 @@
     }
 
     /// Returns whether another engine that could take a silent call's request has been heard since.
-    fn has_heard_other(&self, key: RequestKey, call: &Call) -> bool {
+    fn has_heard_other(&mut self, key: RequestKey, call: &Call) -> bool {
         let Some(in_flight) = self.in_flight.get(&key) else { return false };
         let since = self.now - call.silent_for(self.now);
-        let mut open = self.directory.open(&call.engine.service, self.now);
-        open.any(|it| {
-            it.engine.key != call.engine.key
-                && it.engine.stage != Some(Stage::Prefill)
-                && it.health.was_heard_after(since)
-                && self.is_allowed_at(in_flight, it)
-        })
+        let service = &call.engine.service;
+        if self.unheard_since.get(service).is_some_and(|it| *it <= since) {
+            return false;
+        }
+        let heard = self.directory.open(service, self.now).filter(|it| {
+            let is_other = it.engine.key != call.engine.key;
+            is_other && it.engine.stage != Some(Stage::Prefill) && it.health.was_heard_after(since)
+        });
+        let mut heard = heard.peekable();
+        if heard.peek().is_some() {
+            return heard.any(|it| self.is_allowed_at(in_flight, it));
+        }
+        drop(heard);
+        self.unheard_since.insert(service.clone(), since);
+        false
     }
 
     /// Keeps an active call beside the one that is to replace it.
@@ -347,6 +355,7 @@
     /// Records that something has come from an engine. What its silence has set off ends.
     pub(super) fn hear(&mut self, engine: &Engine) {
         let now = self.now;
+        self.unheard_since.remove(&engine.service);
         let Some(record) = self.directory.get_mut(engine.key) else { return };
         if !record.engine.is_same_incarnation(engine) {
             return;
