Failed calls name the shared parts of their prompts in the log

What requests under which engines end have in common could not be seen: lines named path and signature, and the parts of a prompt before the last one were passed on unread. They are read now, without their token counts, each once and in lower case, and the first eight of them stand in the line of a failed call as parts. Nothing is decided on them yet.

Test: shared_parts_misread (several headers, names twice, names that are no hexadecimal number).

--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -458,6 +458,8 @@
         signature: Signature,
         /// The path of the request.
         path: Arc<str>,
+        /// The names of the parts of the prompt that other requests may share.
+        shared_parts: Arc<[Arc<str>]>,
         /// The engine's id.
         engine: Arc<str>,
         /// How the call failed.
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -539,6 +539,7 @@
         in_flight.last_failure = Some(outcome);
         let request = in_flight.request.id.clone();
         let (signature, path) = (in_flight.signature, in_flight.request.path.as_str().into());
+        let shared_parts = in_flight.request.shared_parts.clone();
         let engine = call.engine.id.clone();
         let reported_load =
             self.directory.get(call.engine.key).and_then(|it| it.reported_load).map(|it| it.0);
@@ -547,6 +548,7 @@
             request,
             signature,
             path,
+            shared_parts,
             engine,
             outcome,
             status,
--- a/crates/hollyspoke-gateway/src/request.rs
+++ b/crates/hollyspoke-gateway/src/request.rs
@@ -34,6 +34,8 @@
     pub expected_answer_tokens: Option<u64>,
     /// The key of the prompt prefix, if the client specifies one.
     pub prompt: Option<PromptKey>,
+    /// The names of the parts of the prompt that other requests may share, each of them once.
+    pub shared_parts: Arc<[Arc<str>]>,
     /// The id of the last event that the client has, if it resumes a stream.
     pub last_event: Option<u64>,
     /// The id of the client's attempt that brought the first event of the stream that it resumes, if
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -1,6 +1,7 @@
 //! Writes the reducer's decisions to the log, one structured line each.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use hollyspoke_gateway::effect::{Exclusion, LogEvent};
 use hollyspoke_gateway::engine::Stage;
@@ -138,6 +139,7 @@
             request,
             signature,
             path,
+            shared_parts,
             engine,
             outcome,
             status,
@@ -147,7 +149,9 @@
             has_begun,
         } => {
             info!(log, "call failed";
-            "request" => %request, "signature" => signature.short(), "path" => %path, "engine" => %engine, "how" => outcome, "status" => status,
+            "request" => %request, "signature" => signature.short(), "path" => %path,
+            "parts" => part_list(shared_parts),
+            "engine" => %engine, "how" => outcome, "status" => status,
             "told" => reported_load.map(|it| format!("{},{},{}", it.running, it.waiting, it.slots)),
             "held" => total_load.held_tokens, "calls" => total_load.calls,
             "silent_ms" => millis(silent_for), "begun" => has_begun)
@@ -268,6 +272,16 @@
     first.join(" ")
 }
 
+/// The maximum number of prompt parts that a log line names.
+const MAX_NAMED_PART_COUNT: usize = 8;
+
+/// Returns the names of a prompt's shared parts, the first ones if there are many; none if there are
+/// no shared parts.
+fn part_list(parts: &[Arc<str>]) -> Option<String> {
+    let names: Vec<_> = parts.iter().take(MAX_NAMED_PART_COUNT).map(|it| &**it).collect();
+    (!names.is_empty()).then(|| names.join(" "))
+}
+
 /// Returns the log's name of a software version; none if it isn't known.
 fn name_of(version: Option<&SoftwareVersion>) -> Option<&str> {
     version.map(SoftwareVersion::name)
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -172,6 +172,7 @@
         max_answer_tokens: Some(1000),
         expected_answer_tokens: Some(800),
         prompt: None,
+        shared_parts: [].into(),
         last_event: None,
         resumed_id: None,
         credential: None,
--- a/tests/tests/platform_heads.rs
+++ b/tests/tests/platform_heads.rs
@@ -42,6 +42,25 @@
     assert_eq!(read.prompt, Some(PromptKey::of("e4402b7d")));
 }
 
+/// Returns the names of the shared parts that are read from a list of parts.
+fn shared_parts(parts: &str) -> Vec<String> {
+    read_request(&head(parts), 10).shared_parts.iter().map(|it| it.to_string()).collect()
+}
+
+#[test]
+fn shared_parts_misread() {
+    assert_eq!(shared_parts("5c1e07a2:800,91bd3f06:410, e4402b7d:250"), ["5c1e07a2", "91bd3f06"]);
+    assert_eq!(shared_parts("e4402b7d:250"), [""; 0]);
+    assert_eq!(shared_parts(""), [""; 0]);
+    assert_eq!(shared_parts("a:1,A:2 , a,b"), ["a"]);
+    assert_eq!(shared_parts("a:1,b:1,a:1"), ["a", "b"]);
+    assert_eq!(shared_parts(",:7,not hex:x,\u{e9}:1,b"), ["not hex"; 0]);
+    assert_eq!(shared_parts(",:7,not hex:x,b"), ["not hex"]);
+    let mut client = head("a:1,b:1");
+    client.headers.append("x-prompt-prefix", "c:1,d:1".parse().expect("a value"));
+    assert_eq!(*read_request(&client, 10).shared_parts, ["a".into(), "b".into(), "c".into()]);
+}
+
 #[test]
 fn wrong_cache_source() {
     let cached_at = SocketAddr::from(([10, 1, 64, 9], 8080));
