--- a/tests/src/crashes.rs
+++ b/tests/src/crashes.rs
@@ -28,6 +28,21 @@
     pub crashes_on_prefill: bool,
 }
 
+/// Requests that share parts of their prompts and nothing else, sent to any box.
+#[derive(Debug, Clone, Copy)]
+pub struct Sharing {
+    /// Their route.
+    pub route: &'static str,
+    /// The interval at which they are sent.
+    pub every: Duration,
+    /// The parts that they share.
+    pub parts: &'static [&'static str],
+    /// The number of documents of which each has one more as a part; 0 if they have no other part.
+    pub document_count: u32,
+    /// Whether they crash the engines that run them.
+    pub is_harmful: bool,
+}
+
 /// The state of one engine.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct State {
@@ -44,6 +59,8 @@
     pub states: BTreeMap<EngineKey, State>,
     /// The requests that are harmful.
     pub harmful: BTreeSet<RequestKey>,
+    /// The harmless requests that share parts of their prompts.
+    pub sharing: BTreeSet<RequestKey>,
     /// When engines crashed because of a harmful request.
     pub harmful_crashes: Vec<Time>,
     /// When harmful requests arrived at engines.
@@ -92,7 +109,13 @@
     /// Returns how many harmful requests arrived at engines later than a delay after the third
     /// crash; `None` if there were fewer crashes.
     pub fn late_arrivals(&self, delay: Duration) -> Option<usize> {
-        let third = *self.harmful_crashes.get(MAX_CRASHES - 1)?;
-        Some(self.arrivals.iter().filter(|&&it| it > third + delay).count())
+        self.arrivals_after(MAX_CRASHES, delay)
+    }
+
+    /// Returns how many harmful requests arrived at engines later than a delay after a number of
+    /// crashes; `None` if there were fewer crashes.
+    pub fn arrivals_after(&self, crashes: usize, delay: Duration) -> Option<usize> {
+        let last = *self.harmful_crashes.get(crashes - 1)?;
+        Some(self.arrivals.iter().filter(|&&it| it > last + delay).count())
     }
 }
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -29,7 +29,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::crashes::{Crashes, Harmful};
+use crate::crashes::{Crashes, Harmful, Sharing};
 use crate::gateway::{HOST, MODEL, PLAIN, configuration, request, settings};
 use crate::rate_limits::RateLimits;
 use crate::repeats::{ClientRequest, Records, RefusedRetry, Taken};
@@ -202,6 +202,8 @@
     pub harmful: Option<Harmful>,
     /// A request that clients send often, if there is one: its route and its interval.
     pub popular: Option<(&'static str, Duration)>,
+    /// The requests that share parts of their prompts.
+    pub sharing: Vec<Sharing>,
     /// The engines that crash, and what was recorded about crashes.
     pub crashes: Crashes,
     /// The engines that state rate limits, and what arrived at them.
@@ -240,6 +242,7 @@
             records: Records::default(),
             harmful: None,
             popular: None,
+            sharing: Vec::new(),
             crashes: Crashes::default(),
             rate_limits: RateLimits::default(),
             statements: Statements::default(),
@@ -356,6 +359,7 @@
         self.draw_requests(MODEL, self.traffic.streams, end);
         self.draw_harmful(end);
         self.draw_popular(end);
+        self.draw_sharing(end);
         loop {
             let first = self.scheduled.keys().next().map(|it| it.0);
             let tick = self.next_tick();
@@ -417,6 +421,34 @@
         }
     }
 
+    /// Schedules the requests that share parts of their prompts until a time, at random boxes.
+    fn draw_sharing(&mut self, end: Time) {
+        for sharing in self.sharing.clone() {
+            let mut at = self.now + sharing.every;
+            while at < end {
+                let request = self.sharing_request(&sharing);
+                let number = self.random.random_range(0..self.members.len());
+                self.schedule(at, Scheduled::Request(number, request));
+                at = at + sharing.every;
+            }
+        }
+    }
+
+    /// Returns a request with shared parts whose content no other request has.
+    fn sharing_request(&mut self, sharing: &Sharing) -> Request {
+        let id = format!("sharing-{}", self.next);
+        let name = if sharing.is_harmful { HARMFUL } else { "harmless" };
+        let path = format!("/{}/{name}", sharing.route);
+        let content = Content::of("POST", HOST, &path, id.as_bytes());
+        let shared = sharing.parts.iter().map(|it| Arc::from(*it));
+        let document = (sharing.document_count > 0)
+            .then(|| self.random.random_range(0..sharing.document_count));
+        let document = document.map(|it| format!("document-{it}").into());
+        let shared_parts = shared.chain(document).collect();
+        let id = id.as_str().into();
+        Request { id, path, content, shared_parts, ..request(sharing.route) }
+    }
+
     /// Schedules an entry.
     fn schedule(&mut self, at: Time, due: Scheduled) {
         self.next += 1;
@@ -546,6 +578,8 @@
         self.next += 1;
         if request.path.ends_with(HARMFUL) {
             self.crashes.harmful.insert(RequestKey(self.next));
+        } else if !request.shared_parts.is_empty() {
+            self.crashes.sharing.insert(RequestKey(self.next));
         }
         let is_plain = ["/safe/", "/unsafe/"].iter().any(|it| request.path.starts_with(it));
         let service = if is_plain { PLAIN } else { MODEL };
--- a/tests/src/fleet/engines.rs
+++ b/tests/src/fleet/engines.rs
@@ -40,6 +40,10 @@
                 return self
                     .schedule(self.now + CRASH_DELAY, Scheduled::Crash(caller, engine, crashes));
             }
+            if self.harmful.is_none() {
+                // Reaching an engine counts for a harmful part, also to be prefilled.
+                self.crashes.arrivals.push(self.now);
+            }
         }
         let reject_share = self.random.random_bool(self.behaviour.reject_share);
         let is_rejected = reject_share || statement.back_off != back_off::Reported::Nothing;
--- a/tests/src/repeats.rs
+++ b/tests/src/repeats.rs
@@ -92,6 +92,15 @@
         (taken.len(), served as f64 / taken.len().max(1) as f64)
     }
 
+    /// Returns the number of some requests that were received in a period, and the share of them that
+    /// was served.
+    pub fn served_of(&self, requests: &BTreeSet<RequestKey>, period: Range<Time>) -> (usize, f64) {
+        let is_it = |it: &&Taken| requests.contains(&it.request) && period.contains(&it.at);
+        let taken: Vec<_> = self.taken.iter().filter(is_it).collect();
+        let served = taken.iter().filter(|it| it.is_served).count();
+        (taken.len(), served as f64 / taken.len().max(1) as f64)
+    }
+
     /// Returns the maximum number of retries in any window, divided by the number allowed there.
     pub fn bound_used(&self, service: &str, bound: &Bound) -> f64 {
         let repeats = self.repeats(service);
