--- a/crates/hollyspoke-gateway/src/directory.rs
+++ b/crates/hollyspoke-gateway/src/directory.rs
@@ -522,6 +522,16 @@
         self.index.versions()
     }
 
+    /// Iterates over the versions of a service's engines of some stages, some of them more than once;
+    /// none for engines whose version isn't known.
+    pub fn versions_of(
+        &self,
+        service: &str,
+        is_chosen: impl Fn(Option<Stage>) -> bool,
+    ) -> impl Iterator<Item = Option<VersionKey>> {
+        self.index.versions_of(service, is_chosen)
+    }
+
     /// Iterates over the engines of a service that accept new requests.
     pub fn open(&self, service: &str, now: Time) -> impl Iterator<Item = &Record> {
         self.of_service(service).filter(move |it| it.is_open(now))
--- a/crates/hollyspoke-gateway/src/directory/index.rs
+++ b/crates/hollyspoke-gateway/src/directory/index.rs
@@ -149,6 +149,16 @@
         })
     }
 
+    /// Iterates over the versions of a service's engines of some stages, some of them more than once.
+    pub(super) fn versions_of(
+        &self,
+        service: &str,
+        is_chosen: impl Fn(Option<Stage>) -> bool,
+    ) -> impl Iterator<Item = Option<VersionKey>> {
+        let groups = self.groups(service).iter().filter(|it| !it.keys.is_empty());
+        groups.filter(move |it| is_chosen(it.stage)).map(|it| it.version)
+    }
+
     /// Returns the groups of a service.
     fn groups(&self, service: &str) -> &[Group] {
         self.services.get(service).map(Vec::as_slice).unwrap_or_default()
--- a/crates/hollyspoke-gateway/src/effect.rs
+++ b/crates/hollyspoke-gateway/src/effect.rs
@@ -605,10 +605,12 @@
         /// The number of boxes that are alive now.
         alive: usize,
     },
-    /// A request was quarantined because engines crashed under it.
+    /// A request, or a part of prompts, was quarantined because engines crashed under it.
     Quarantined {
-        /// The signature of the request.
+        /// The signature of the request or part.
         signature: Signature,
+        /// The name of the part; none if the request as such is quarantined.
+        part: Option<Arc<str>>,
         /// Details of the request, if this box has seen it.
         about: Option<RequestSummary>,
         /// The engines that crashed.
@@ -616,9 +618,9 @@
         /// The end of the quarantine, in seconds of Unix time.
         until: u64,
     },
-    /// A request is no longer suspected or quarantined.
+    /// A request or a part of prompts is no longer suspected or quarantined.
     Released {
-        /// The signature of the request.
+        /// The signature of the request or part.
         signature: Signature,
         /// Why it was released.
         outcome: &'static str,
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 mod migration;
 mod origins;
 mod pace;
+mod parts;
 mod pause;
 mod peers;
 mod permits;
@@ -82,7 +83,7 @@
 use crate::message::{DataCentreKey, Format, Load, Readiness};
 use crate::pace::Paces;
 use crate::prompt::Prompts;
-use crate::quarantine::Quarantine;
+use crate::quarantine::{MAX_CRASHES, Parts, Quarantine};
 use crate::region::Regions;
 use crate::request::{CallKey, RequestKey};
 use crate::route::Configuration;
@@ -239,7 +240,9 @@
     /// How this box gets what it lacks of the store's state.
     catch_up: CatchUp,
     /// The requests under which engines have crashed.
-    quarantine: Quarantine,
+    quarantine: Quarantine<MAX_CRASHES>,
+    /// The parts of prompts under which engines have crashed.
+    parts: Parts,
     /// The same cases as saved in the store.
     cases: Cases,
     /// The engines that are being probed, since when.
@@ -324,6 +327,7 @@
             store: StoreState::default(),
             catch_up: CatchUp::default(),
             quarantine: Quarantine::default(),
+            parts: Parts::default(),
             cases: Cases::default(),
             probing: HashMap::new(),
             unheard_since: HashMap::new(),
@@ -423,6 +427,7 @@
             self.next_migration_at(),
             self.next_catch_up_at(),
             self.origins.next_due(),
+            self.parts.next_correction(),
         ];
         times.into_iter().flatten().fold(self.next_heartbeat, Time::min)
     }
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -121,7 +121,7 @@
         let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
         let timeouts = in_flight.gap_timeouts();
         if let Some(call) = self.calls.get_mut(&key) {
-            call.has_begun = true;
+            call.begun_at = Some(now);
             call.last_event_at = now;
             call.timeouts = timeouts;
         }
@@ -316,12 +316,15 @@
         let is_failure = answer.status >= MIN_SERVER_ERROR_STATUS;
         let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
         in_flight.trace.mark_sent();
-        if call.has_begun && answer.framing == Framing::Close {
+        if call.has_begun() && answer.framing == Framing::Close {
             return self.end_unmarked_stream(call.request);
         }
         let signature = in_flight.signature;
         self.close_case(signature);
-        if call.has_begun {
+        if answer.status == OK {
+            self.clear_parts(call);
+        }
+        if call.has_begun() {
             self.record_stream_length(call.request);
             self.effects.push(Effect::Finish(call.request));
             return self.end(call.request, "whole");
@@ -413,7 +416,7 @@
     pub(super) fn take_call(&mut self, key: CallKey) -> Option<Call> {
         let call = self.calls.remove(&key)?;
         self.paces.end_stream(key);
-        if !call.has_begun {
+        if !call.has_begun() {
             self.terms.back_offs.release(call.engine.key, call.sent);
         }
         let urgency = self.end_urgency(&call);
@@ -555,7 +558,7 @@
             reported_load,
             total_load,
             silent_for: call.silent_for(self.now),
-            has_begun: call.has_begun,
+            has_begun: call.has_begun(),
         });
     }
 }
--- a/crates/hollyspoke-gateway/src/gateway/cases.rs
+++ b/crates/hollyspoke-gateway/src/gateway/cases.rs
@@ -1,4 +1,4 @@
-//! Stores the cases of requests that crash their engines in the platform's store.
+//! Stores the cases of requests and parts of prompts that crash engines in the platform's store.
 //!
 //! Announcements between boxes are lost if all boxes stop, and do not reach boxes that are
 //! partitioned off, but the limit on repeats applies throughout. A box reads the cases when it
@@ -16,7 +16,10 @@
 
 use super::Gateway;
 use crate::effect::LogEvent;
-use crate::quarantine::{Announcement, Crashes, MAX_CRASHES, RequestSummary};
+use crate::quarantine::{
+    Announcement, Case, Crash, Crashes, MAX_CRASHES, MAX_PART_CRASHES, NamedAnnouncement,
+    RequestSummary,
+};
 use crate::signature::Signature;
 
 /// Kind of the stored object.
@@ -28,6 +31,12 @@
 /// Maximum number of cases in the store, about 300 bytes each.
 const MAX_STORED_CASES: usize = 256;
 
+/// Maximum number of them that are about parts of prompts.
+const MAX_STORED_PARTS: usize = 64;
+
+/// Minimum number of crashes with which the case of a part is stored while no box is missing.
+const MIN_STORED_PART_CRASHES: usize = 2;
+
 /// How long a starting box waits for the cases before it serves without them.
 const FIRST_READ_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -67,13 +76,25 @@
     /// Epoch of the case.
     epoch: u32,
     /// The crashes, by slot.
-    crashes: Crashes,
+    crashes: Crashes<MAX_CRASHES>,
     /// When the last crash was counted, in seconds of Unix time.
     at: u64,
     /// The customer that sent the request, if known.
     customer: Option<Arc<str>>,
     /// Its path, if the writing box knows it.
     path: Option<Arc<str>>,
+    /// What else there is if the case is about a part of prompts; boxes of earlier versions ignore it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    part: Option<StoredPart>,
+}
+
+/// The additional fields of the case of a part.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct StoredPart {
+    /// The name of the part, if the writing box knows it.
+    name: Option<Arc<str>>,
+    /// The crashes in the slots that a request's case doesn't have.
+    more_crashes: Vec<Option<Crash>>,
 }
 
 /// State of this box's reads and writes of the cases.
@@ -96,6 +117,14 @@
     value: String,
 }
 
+impl StoredCase {
+    /// Returns the summary for operators, if the writing box knew it.
+    fn about(&self) -> Option<RequestSummary> {
+        let path = self.path.clone()?;
+        Some(RequestSummary { customer: self.customer.clone(), path })
+    }
+}
+
 impl Gateway {
     /// Returns whether this box has read the cases, or may serve without them by now.
     pub(super) fn knows_cases(&self) -> bool {
@@ -109,9 +138,7 @@
             return;
         }
         let needs_read = self.needs_read();
-        let is_empty = self.quarantine.is_empty();
-        let is_wanted =
-            !is_empty && self.quarantine.has_unsaved(self.min_stored_crashes(), self.now);
+        let is_wanted = self.has_unsaved_cases();
         match self.cases.version {
             _ if !self.cases.is_read || needs_read => self.read_cases(),
             None if is_wanted => self.read_cases(),
@@ -120,6 +147,15 @@
         }
     }
 
+    /// Returns whether the store lacks a case that is due.
+    fn has_unsaved_cases(&self) -> bool {
+        let parts = &self.parts.cases;
+        let lacks_request = !self.quarantine.is_empty()
+            && self.quarantine.has_unsaved(self.min_stored_crashes(), self.now);
+        lacks_request
+            || !parts.is_empty() && parts.has_unsaved(self.min_stored_part_crashes(), self.now)
+    }
+
     /// Returns whether the cases must be read again. The result is computed at intervals: counting
     /// the live boxes for each datagram took 60% of the CPU time of 985 boxes.
     fn needs_read(&mut self) -> bool {
@@ -133,7 +169,8 @@
 
     /// Returns when the next operation is due, if one waits for the end of the pause.
     pub(super) fn cases_due(&self) -> Option<Time> {
-        let is_wanted = !self.cases.is_read || !self.quarantine.is_empty();
+        let has_cases = !self.quarantine.is_empty() || !self.parts.cases.is_empty();
+        let is_wanted = !self.cases.is_read || has_cases;
         let is_idle = self.cases.pending.is_none();
         (is_wanted && is_idle && self.cases.next_operation_at > self.now)
             .then_some(self.cases.next_operation_at)
@@ -161,6 +198,12 @@
         if self.has_missing_boxes() { 1 } else { MAX_CRASHES - 1 }
     }
 
+    /// The same for the case of a part. Requests with a harmful part may be rare, and each crash that
+    /// is forgotten costs one more.
+    fn min_stored_part_crashes(&self) -> usize {
+        if self.has_missing_boxes() { 1 } else { MIN_STORED_PART_CRASHES }
+    }
+
     /// Starts to read the cases.
     fn read_cases(&mut self) {
         let operation = Operation::Get { kind: KIND.to_owned(), name: NAME.to_owned() };
@@ -172,6 +215,7 @@
     fn write_cases(&mut self, expected: u64) {
         let value = self.cases_text();
         self.quarantine.mark_saved();
+        self.parts.cases.mark_saved();
         if value == self.cases.value {
             return;
         }
@@ -183,11 +227,14 @@
 
     /// Returns the cases as JSON text.
     fn cases_text(&self) -> String {
-        let stored = self.quarantine.to_save(self.min_stored_crashes(), MAX_STORED_CASES);
-        let stored: Vec<_> = stored
+        let parts = self.parts.cases.to_save(self.min_stored_part_crashes(), MAX_STORED_PARTS);
+        let requests = self
+            .quarantine
+            .to_save(self.min_stored_crashes(), MAX_STORED_CASES - parts.len())
             .into_iter()
-            .map(|(announcement, about)| to_stored(&announcement, about))
-            .collect();
+            .map(|(announcement, case)| stored_request(&announcement, case));
+        let parts = parts.into_iter().map(|(announcement, case)| stored_part(&announcement, case));
+        let stored: Vec<_> = requests.chain(parts).collect();
         // Serialising plain data does not fail.
         serde_json::to_string(&stored).unwrap_or_default()
     }
@@ -201,7 +248,13 @@
         self.cases.pending = None;
         let spread = REWRITE_SPREAD.mul_f64((self.draw() % 1000) as f64 / 1000.0);
         let delay = if self.follows_store() { Duration::ZERO } else { BACKUP_DELAY + spread };
-        self.quarantine.mark_unsaved(self.now + delay);
+        self.mark_cases_unsaved(self.now + delay);
+    }
+
+    /// Records that the store may lack all cases, which this box saves at a time.
+    fn mark_cases_unsaved(&mut self, due_at: Time) {
+        self.quarantine.mark_unsaved(due_at);
+        self.parts.cases.mark_unsaved(due_at);
     }
 
     /// Handles the store's answer to an operation. Returns whether the operation belonged to the
@@ -219,7 +272,7 @@
             _ => {
                 self.cases.version = None;
                 self.cases.value.clear();
-                self.quarantine.mark_unsaved(self.now);
+                self.mark_cases_unsaved(self.now);
             }
         }
         true
@@ -235,29 +288,76 @@
         let stored: Vec<StoredCase> = serde_json::from_str(value).unwrap_or_default();
         for case in &stored {
             let Some(signature) = Signature::parse(&case.signature) else { continue };
-            let announcement =
-                Announcement { signature, epoch: case.epoch, crashes: case.crashes, at: case.at };
-            let is_held = self.quarantine.receive(&announcement, self.now, None);
-            if let Some(path) = case.path.clone() {
-                let about = RequestSummary { customer: case.customer.clone(), path };
-                self.quarantine.record_seen(signature, self.now, || about);
-            }
-            if is_held {
-                self.log_held(&[signature]);
+            match &case.part {
+                None => self.apply_request_case(signature, case),
+                Some(part) => self.apply_part_case(signature, case, part),
             }
         }
         self.log(LogEvent::CasesRead { cases: stored.len() });
     }
+
+    /// Merges the stored case of a request.
+    fn apply_request_case(&mut self, signature: Signature, case: &StoredCase) {
+        let announcement =
+            Announcement { signature, epoch: case.epoch, crashes: case.crashes, at: case.at };
+        let is_held = self.quarantine.receive(&announcement, self.now, None);
+        if let Some(about) = case.about() {
+            self.quarantine.record_seen(signature, self.now, || about);
+        }
+        if is_held {
+            self.log_held(&[signature]);
+        }
+    }
+
+    /// Merges the stored case of a part.
+    fn apply_part_case(&mut self, signature: Signature, case: &StoredCase, part: &StoredPart) {
+        let mut crashes = [None; MAX_PART_CRASHES];
+        let stored = case.crashes.iter().chain(&part.more_crashes);
+        for (slot, crash) in crashes.iter_mut().zip(stored) {
+            *slot = *crash;
+        }
+        let announcement = NamedAnnouncement {
+            case: Announcement { signature, epoch: case.epoch, crashes, at: case.at },
+            name: part.name.clone(),
+        };
+        self.receive_parts(&[announcement], None);
+        if let Some(about) = case.about() {
+            self.parts.cases.record_seen(signature, self.now, || about);
+        }
+    }
 }
 
-/// Converts a case to its stored form.
-fn to_stored(announcement: &Announcement, about: Option<RequestSummary>) -> StoredCase {
+/// Converts the case of a request to its stored form.
+fn stored_request(
+    announcement: &Announcement<MAX_CRASHES>,
+    case: &Case<MAX_CRASHES>,
+) -> StoredCase {
     StoredCase {
         signature: announcement.signature.text(),
         epoch: announcement.epoch,
         crashes: announcement.crashes,
         at: announcement.at,
-        customer: about.as_ref().and_then(|it| it.customer.clone()),
-        path: about.map(|it| it.path),
+        customer: case.about.as_ref().and_then(|it| it.customer.clone()),
+        path: case.about.as_ref().map(|it| it.path.clone()),
+        part: None,
+    }
+}
+
+/// Converts the case of a part to its stored form.
+fn stored_part(
+    announcement: &Announcement<MAX_PART_CRASHES>,
+    case: &Case<MAX_PART_CRASHES>,
+) -> StoredCase {
+    let (first, more) = announcement.crashes.split_at(MAX_CRASHES);
+    let mut crashes = [None; MAX_CRASHES];
+    crashes.copy_from_slice(first);
+    StoredCase {
+        signature: announcement.signature.text(),
+        epoch: announcement.epoch,
+        crashes,
+        at: announcement.at,
+        customer: case.about.as_ref().and_then(|it| it.customer.clone()),
+        path: case.about.as_ref().map(|it| it.path.clone()),
+        part: Some(StoredPart { name: case.name.clone(), more_crashes: more.to_vec() }),
     }
 }
--- a/crates/hollyspoke-gateway/src/gateway/limit.rs
+++ b/crates/hollyspoke-gateway/src/gateway/limit.rs
@@ -21,7 +21,7 @@
     /// component that never reports a limit, so it does not lift one. The end of a stream is
     /// ignored, since its head has reported the limit long before.
     pub(super) fn learn_limit(&mut self, call: &Call, answer: &Answer) {
-        if !call.has_begun {
+        if !call.has_begun() {
             let may_lift =
                 answer.execution == Execution::Ran && answer.status < MIN_UNSUCCESSFUL_STATUS;
             self.apply_limit_report(call.engine.key, answer.statement.limit, call.sent, may_lift);
--- a/crates/hollyspoke-gateway/src/gateway/migration.rs
+++ b/crates/hollyspoke-gateway/src/gateway/migration.rs
@@ -249,7 +249,7 @@
 
     /// Returns why a stream has to move, and how long it still runs.
     fn reason_to_move(&self, key: CallKey, call: &Call) -> Option<(Reason, Duration)> {
-        let is_stream = call.has_begun && matches!(call.task, Task::Decode(_));
+        let is_stream = call.has_begun() && matches!(call.task, Task::Decode(_));
         let is_active = self.in_flight.get(&call.request).is_some_and(|it| it.call == Some(key));
         if !is_stream || !is_active || self.migrations.moves.contains_key(&key) {
             return None;
@@ -270,7 +270,7 @@
             && !self.migrations.unsupported.contains(&incarnation);
         is_supported
             && self.migrations.may_try(call.request, self.now)
-            && self.quarantine.verdict(in_flight.signature) == Verdict::Clear
+            && self.verdict(in_flight) == Verdict::Clear
             && self.accepts_transfers(&call.engine)
     }
 
@@ -356,13 +356,13 @@
         draw: u64,
     ) -> Option<Arc<Engine>> {
         let staged = in_flight.service.staged?;
-        let trials = self.trials();
+        let separation = self.separation(in_flight);
         let view = Selector {
             tried: excluded,
             origin: Origin::of(source.version.as_ref()),
             permit_state: PermitState::Exhausted,
             max_drain_age: None,
-            ..self.selector(in_flight, &trials, draw)
+            ..self.selector(in_flight, &separation, draw)
         };
         let held = in_flight.request.mean_held_tokens();
         let choice = view.choose_decode(&staged, held, &source.data_centre, None)?;
--- a/crates/hollyspoke-gateway/src/gateway/migration/backup.rs
+++ b/crates/hollyspoke-gateway/src/gateway/migration/backup.rs
@@ -101,10 +101,10 @@
         let Some(backup) = self.migrations.backups.get(&key).cloned() else { return false };
         self.release_backup(key);
         let Some(in_flight) = self.in_flight.get(&key) else { return false };
-        let verdict = self.quarantine.verdict(in_flight.signature);
+        let verdict = self.verdict(in_flight);
         let may_run = matches!(verdict, Verdict::Clear | Verdict::Suspect);
         // Without a forwarded event, nothing shows that the engine had begun to copy.
-        if !may_run || !call.has_begun || !call.progress.has_events() {
+        if !may_run || !call.has_begun() || !call.progress.has_events() {
             return false;
         }
         let copy = Source {
--- /dev/null
+++ b/crates/hollyspoke-gateway/src/gateway/parts.rs
@@ -0,0 +1,217 @@
+//! Applies the cases of prompts' parts to requests: what a broken call makes suspect, what a complete
+//! answer clears, and at which software versions a request may run.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyspoke::time::Time;
+
+use super::Gateway;
+use super::quarantine::summary;
+use crate::effect::LogEvent;
+use crate::engine::Stage;
+use crate::in_flight::{Call, InFlight};
+use crate::message::{Extension, Message};
+use crate::quarantine::{Case, HOLD_DURATION, NamedAnnouncement, Verdict};
+use crate::request::{Request, RequestKey};
+use crate::signature::Signature;
+use crate::version::{SoftwareVersion, VersionKey};
+
+/// How long after the head of its answer a call may be the one that crashes its engine. A harmful
+/// part crashes an engine as it begins to write.
+const ONSET_DURATION: Duration = Duration::from_secs(1);
+
+/// The maximum number of parts of one prompt that are suspected or cleared, so that one request does
+/// not displace the cases of others.
+const MAX_TRACKED_PARTS: usize = 64;
+
+/// Period over which the boxes of a large deployment spread their corrections. Most of them are
+/// needless after the first.
+const CORRECTION_SPREAD: Duration = Duration::from_millis(300);
+
+impl Gateway {
+    /// Returns what may be done with a request, by its own case and by those of its prompt's parts.
+    pub(super) fn verdict(&self, in_flight: &InFlight) -> Verdict {
+        let own = self.quarantine.verdict(in_flight.signature);
+        own.max(self.parts_verdict(in_flight))
+    }
+
+    /// Returns what the parts of a prompt allow at the versions where they aren't held. If they are
+    /// held at all versions, returns the least strict verdict.
+    fn parts_verdict(&self, in_flight: &InFlight) -> Verdict {
+        let verdicts = self.version_verdicts(in_flight);
+        let verdicts = verdicts.iter().map(|it| it.1);
+        let open = verdicts.clone().filter(|it| *it < Verdict::Unconfirmed).max();
+        open.or(verdicts.min()).unwrap_or(Verdict::Clear)
+    }
+
+    /// Returns the versions at which a part of a request's prompt is held.
+    pub(super) fn held_versions(&self, in_flight: &InFlight) -> Vec<Option<VersionKey>> {
+        let verdicts = self.version_verdicts(in_flight).into_iter();
+        verdicts.filter(|it| it.1 >= Verdict::Unconfirmed).map(|it| it.0).collect()
+    }
+
+    /// Returns what the parts of a prompt allow at each version that may write the answer; empty if
+    /// no part has a case. Nothing is known of the engines whose version isn't: the strictest verdict
+    /// applies there.
+    fn version_verdicts(&self, in_flight: &InFlight) -> Vec<(Option<VersionKey>, Verdict)> {
+        if in_flight.parts.is_empty() || self.parts.cases.is_empty() {
+            return Vec::new();
+        }
+        let writes = |stage: Option<Stage>| stage != Some(Stage::Prefill);
+        let versions: BTreeSet<_> =
+            self.directory.versions_of(&in_flight.service.name, writes).collect();
+        let verdict_at = |version: Option<VersionKey>| {
+            let parts = in_flight.parts.iter().map(|it| it.at_version(version));
+            parts.map(|it| self.parts.verdict(it)).max().unwrap_or(Verdict::Clear)
+        };
+        let strictest = versions.iter().map(|it| verdict_at(*it)).max().unwrap_or(Verdict::Clear);
+        let verdict =
+            |it: Option<VersionKey>| if it.is_some() { verdict_at(it) } else { strictest };
+        let verdicts: Vec<_> = versions.into_iter().map(|it| (it, verdict(it))).collect();
+        let mut fitting = verdicts.clone();
+        fitting.retain(|it| in_flight.origin.allows(it.0));
+        if fitting.is_empty() { verdicts } else { fitting }
+    }
+
+    /// Returns whether a call of another request may crash its engine by a part that is also in a
+    /// request's prompt, and that is held after one more crash.
+    pub(super) fn is_trial_of_shared_part(
+        &self,
+        in_flight: &InFlight,
+        call: &Call,
+        other: &InFlight,
+    ) -> bool {
+        let version = version_key(call.engine.version.as_ref());
+        let is_shared = |it: &&Signature| in_flight.parts.contains(it);
+        let mut shared = other.parts.iter().filter(is_shared);
+        self.may_crash_engine(call)
+            && !self.parts.cases.is_empty()
+            && shared.any(|it| self.parts.verdict(it.at_version(version)) == Verdict::Trial)
+    }
+
+    /// Makes the parts of a broken call's prompt suspect. Returns whether the break counts for any.
+    pub(super) fn suspect_parts(&mut self, call: &Call) -> bool {
+        let Some(in_flight) = self.in_flight.get(&call.request) else { return false };
+        if in_flight.parts.is_empty() || !self.may_crash_engine(call) {
+            return false;
+        }
+        let (about, names) = (summary(in_flight), in_flight.request.shared_parts.clone());
+        let version = version_key(call.engine.version.as_ref());
+        let parts = in_flight.parts.iter().map(|it| it.at_version(version));
+        let mut parts: Vec<_> = parts.zip(names.iter()).collect();
+        parts.sort_by_key(|it| self.parts.verdict(it.0) == Verdict::Clear);
+        parts.truncate(MAX_TRACKED_PARTS);
+        let mut counts = false;
+        for (part, name) in parts {
+            let before = call.part_states.iter().find(|it| it.0 == part);
+            let before = before.map(|it| it.1).unwrap_or_default();
+            let about = (name, about.clone());
+            counts |= self.parts.suspect(part, before, &call.engine, about, self.now);
+        }
+        counts
+    }
+
+    /// Returns whether a call is in the time in which a harmful part of its prompt crashes its engine.
+    fn may_crash_engine(&self, call: &Call) -> bool {
+        call.begun_at.is_none_or(|it| self.now.since(it) < ONSET_DURATION)
+    }
+
+    /// Clears the parts of the prompt of a call whose answer is complete.
+    pub(super) fn clear_parts(&mut self, call: &Call) {
+        let Some(in_flight) = self.in_flight.get(&call.request) else { return };
+        let version = version_key(call.engine.version.as_ref());
+        let parts = in_flight.parts.iter().take(MAX_TRACKED_PARTS);
+        let parts: Vec<_> = parts.map(|it| it.at_version(version)).collect();
+        for signature in parts {
+            if self.parts.clear(signature, self.now) {
+                self.log(LogEvent::Released { signature, outcome: "answered" });
+            }
+        }
+    }
+
+    /// Records that a request has arrived whose prompt has parts with a case.
+    pub(super) fn record_parts_seen(&mut self, key: RequestKey) {
+        let Some(in_flight) = self.in_flight.get(&key) else { return };
+        let versions = self.version_verdicts(in_flight);
+        let about = summary(in_flight);
+        for (part, name) in in_flight.parts.iter().zip(&*in_flight.request.shared_parts) {
+            for (version, _) in &versions {
+                let part = part.at_version(*version);
+                self.parts.cases.record_seen(part, self.now, || about.clone());
+                self.parts.cases.record_name(part, name);
+            }
+        }
+    }
+
+    /// Handles the cases of parts that another box announces or that the store has.
+    pub(super) fn receive_parts(
+        &mut self,
+        announcements: &[NamedAnnouncement],
+        save_due_at: Option<Time>,
+    ) {
+        for announcement in announcements {
+            let correct_at = self.now + self.correction_delay();
+            if self.parts.receive(announcement, self.now, save_due_at, correct_at) {
+                self.hold_parts(&[announcement.case.signature]);
+            }
+        }
+    }
+
+    /// Returns when this box corrects others that suspect a part which it has cleared.
+    fn correction_delay(&mut self) -> Duration {
+        if self.members.is_large() {
+            CORRECTION_SPREAD.mul_f64(self.draw_share())
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    /// Logs parts that are held back from now on. Their crashes don't count for others any more.
+    pub(super) fn hold_parts(&mut self, signatures: &[Signature]) {
+        for &signature in signatures {
+            let Some(case) = self.parts.cases.case(signature) else { continue };
+            let crashes: Vec<_> = case.crashes().copied().collect();
+            let engines: Vec<_> = crashes.iter().map(|it| self.engine_name(it.engine)).collect();
+            let event = LogEvent::Quarantined {
+                signature,
+                part: Some(part_name(signature, case)),
+                about: case.about.clone(),
+                engines: engines.join(" "),
+                until: case.at + HOLD_DURATION.as_secs(),
+            };
+            self.log(event);
+            self.parts.cases.drop_explained(&crashes);
+            self.quarantine.drop_explained(&crashes);
+        }
+    }
+
+    /// Announces all changed cases of parts to all boxes.
+    pub(super) fn announce_parts(&mut self) {
+        self.parts.correct(self.now);
+        while self.parts.cases.has_unannounced() {
+            let parts = self.parts.take_unannounced();
+            if !parts.is_empty() {
+                let extension = Extension { parts, ..Extension::default() }.non_empty();
+                let message = Message { extension, ..self.message(false) };
+                self.send_to_all(message);
+            }
+        }
+    }
+}
+
+/// Returns the name of a held part, or its displayed signature if no name is known.
+pub(super) fn part_name<const N: usize>(signature: Signature, case: &Case<N>) -> Arc<str> {
+    case.name.clone().unwrap_or_else(|| signature.short().into())
+}
+
+/// Returns the signatures of the parts of a prompt that other requests to a service may share.
+pub(super) fn part_signatures(service: &str, request: &Request) -> Box<[Signature]> {
+    request.shared_parts.iter().map(|it| Signature::of_part(service, it)).collect()
+}
+
+/// Returns the key of a version, if known.
+fn version_key(version: Option<&SoftwareVersion>) -> Option<VersionKey> {
+    version.map(SoftwareVersion::key)
+}
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -216,7 +216,8 @@
         let limits = self.limits_to_announce();
         let departures = self.departures_to_announce();
         let paces = self.paces_to_announce();
-        let extension = Extension { limits, departures, paces, ..self.load_extension() };
+        let parts = self.parts.reminder();
+        let extension = Extension { limits, departures, paces, parts, ..self.load_extension() };
         message.extension = extension.non_empty();
         // In a large deployment, cached prompts are announced only with heartbeats.
         message.cached_prompts = self.prompts.take_unannounced();
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -14,13 +14,15 @@
 use super::Gateway;
 use super::cases::BACKUP_DELAY;
 use super::contact::Finding;
+use super::parts::part_name;
 use crate::effect::{Effect, LogEvent, NotRunReason, Refusal};
 use crate::engine::{Engine, EngineKey};
 use crate::event::Probe;
 use crate::in_flight::{Call, InFlight};
 use crate::member::address_hash;
 use crate::message::Message;
-use crate::quarantine::{HOLD_DURATION, Incarnation, Proof, RequestSummary, Verdict};
+use crate::placement::Separation;
+use crate::quarantine::{Case, HOLD_DURATION, Incarnation, Proof, RequestSummary, Verdict};
 use crate::request::RequestKey;
 use crate::signature::Signature;
 
@@ -36,11 +38,13 @@
 /// than the entry of an engine that has just registered takes to reach all boxes.
 const UNLISTED_PROOF_DELAY: Duration = Duration::from_secs(4);
 
-/// A held request, as shown to operators.
+/// A held request or part of prompts, as shown to operators.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HeldRequest {
     /// The displayed prefix of its signature.
     pub short: String,
+    /// The name of the part; none if the request as such is held.
+    pub part: Option<Arc<str>>,
     /// The customer that sent it, if known.
     pub customer: Option<Arc<str>>,
     /// Its path, if this box knows it.
@@ -73,7 +77,8 @@
         let Some(in_flight) = self.in_flight.get(&call.request) else { return };
         let (signature, about) = (in_flight.signature, summary(in_flight));
         let engine = &call.engine;
-        if !self.quarantine.suspect(signature, call.case_state, engine, about, self.now) {
+        let counts = self.quarantine.suspect(signature, call.case_state, engine, about, self.now);
+        if !self.suspect_parts(call) && !counts {
             return;
         }
         if is_back {
@@ -112,7 +117,7 @@
             Probe::Alive(started_at) => {
                 self.learn_start(engine, started_at);
                 self.hear_probed(engine, started_at);
-                self.quarantine.clear(Incarnation { engine, started_at }, self.now);
+                self.clear_crashes(Incarnation { engine, started_at });
                 // The remaining unconfirmed crashes belong to an earlier incarnation.
                 self.confirm(asked, Proof::Proven);
             }
@@ -148,10 +153,18 @@
     /// Records how certain it is that an engine has crashed.
     pub(super) fn confirm(&mut self, ended: Incarnation, proof: Proof) {
         let unix = self.unix_time();
+        let held_parts = self.parts.cases.confirm(ended, proof, self.now, unix);
+        self.hold_parts(&held_parts);
         let held = self.quarantine.confirm(ended, proof, self.now, unix);
         self.log_held(&held);
     }
 
+    /// Records that an incarnation of an engine is still running.
+    pub(super) fn clear_crashes(&mut self, running: Incarnation) {
+        self.quarantine.clear(running, self.now);
+        self.parts.cases.clear(running, self.now);
+    }
+
     /// Handles engines that ended without announcing it: every call that broke there is attributed
     /// to a crash, and whatever was known of the engine is dropped.
     pub(super) fn handle_ended_engines(&mut self) {
@@ -187,27 +200,40 @@
         }
     }
 
-    /// Releases the held requests whose signature starts with `short`.
+    /// Releases the held requests and parts whose signature starts with `short`.
     pub(super) fn release_held(&mut self, short: &str) {
         for signature in self.quarantine.find_held(short) {
             self.quarantine.close_case(signature, self.now);
             self.log(LogEvent::Released { signature, outcome: "lifted" });
         }
+        for signature in self.parts.cases.find_held(short) {
+            self.parts.cases.close_case(signature, self.now);
+            self.log(LogEvent::Released { signature, outcome: "lifted" });
+        }
     }
 
-    /// Returns the held requests.
+    /// Returns the held requests and parts.
     pub fn held(&self) -> Vec<HeldRequest> {
-        let held = self.quarantine.held();
-        held.map(|(signature, case)| HeldRequest {
+        let requests = self.quarantine.held().map(|(signature, it)| self.held_entry(signature, it));
+        let parts = self.parts.cases.held().map(|(signature, it)| HeldRequest {
+            part: Some(part_name(signature, it)),
+            ..self.held_entry(signature, it)
+        });
+        requests.chain(parts).collect()
+    }
+
+    /// Returns a held request as shown to operators.
+    fn held_entry<const N: usize>(&self, signature: Signature, case: &Case<N>) -> HeldRequest {
+        HeldRequest {
             short: signature.short(),
+            part: None,
             customer: case.about.as_ref().and_then(|it| it.customer.clone()),
             path: case.about.as_ref().map(|it| it.path.clone()),
             engines: case.crashes().map(|it| self.engine_name(it.engine)).collect(),
             is_proven: case.crashes().all(|it| it.proof == Proof::Proven),
             since: case.at,
             until: case.at + HOLD_DURATION.as_secs(),
-        })
-        .collect()
+        }
     }
 
     /// Returns an engine's id, or its key in hexadecimal if it is no longer listed.
@@ -219,16 +245,16 @@
     /// Returns whether a request may be sent now. If not, it waits or is refused.
     pub(super) fn may_run(&mut self, key: RequestKey) -> bool {
         let Some(in_flight) = self.in_flight.get(&key) else { return false };
-        let signature = in_flight.signature;
-        let verdict = self.quarantine.verdict(signature);
+        let verdict = self.verdict(in_flight);
         if verdict == Verdict::Clear {
             return true;
         }
-        let about = summary(in_flight);
+        let (signature, about) = (in_flight.signature, summary(in_flight));
         self.quarantine.record_seen(signature, self.now, || about);
+        self.record_parts_seen(key);
         match verdict {
             Verdict::Clear | Verdict::Suspect => return true,
-            Verdict::Trial if !self.has_running_trial(key, signature) => return true,
+            Verdict::Trial if !self.has_running_trial(key) => return true,
             Verdict::Trial => self.wait_for_trial(key),
             Verdict::Unconfirmed => {
                 self.give_up_with_retry(key, NotRunReason::UnderSuspicion, UNCONFIRMED_RETRY_DELAY)
@@ -253,10 +279,17 @@
         self.end(key, "held back");
     }
 
-    /// Returns whether another try of the same request is running.
-    fn has_running_trial(&self, key: RequestKey, signature: Signature) -> bool {
-        let of = |it: &Call| self.in_flight.get(&it.request).map(|it| it.signature);
-        self.calls.values().any(|it| it.request != key && of(it) == Some(signature))
+    /// Returns whether another try of the same request is running, or a request with the same
+    /// suspected part that may crash its engine yet.
+    fn has_running_trial(&self, key: RequestKey) -> bool {
+        let Some(in_flight) = self.in_flight.get(&key) else { return false };
+        let others = self.calls.values().filter(|it| it.request != key);
+        let mut others = others.filter_map(|it| Some((it, self.in_flight.get(&it.request)?)));
+        let is_request_tried = self.quarantine.verdict(in_flight.signature) == Verdict::Trial;
+        others.any(|(call, other)| {
+            is_request_tried && other.signature == in_flight.signature
+                || self.is_trial_of_shared_part(in_flight, call, other)
+        })
     }
 
     /// Lets a request wait until the running try of the same request has ended.
@@ -271,21 +304,24 @@
         self.wake_at(key, Some(until));
     }
 
-    /// Returns the engines that run requests for which one more crash means a hold.
-    pub(super) fn trials(&self) -> Vec<EngineKey> {
-        self.calls
-            .values()
-            .filter(|it| it.case_state.is_next_to_last())
-            .map(|it| it.engine.key)
-            .collect()
+    /// Returns what keeps a request and others apart that may crash their engines.
+    pub(super) fn separation(&self, in_flight: &InFlight) -> Separation {
+        let trials = self.calls.values().filter(|it| it.is_trial()).map(|it| it.engine.key);
+        Separation {
+            is_suspect: self.verdict(in_flight) != Verdict::Clear,
+            trials: trials.collect(),
+            held_versions: self.held_versions(in_flight),
+        }
     }
 
     /// Handles the cases that another box announces.
     pub(super) fn receive_cases(&mut self, message: &Message) {
-        if message.crashes.is_empty() {
+        let parts = message.extension.as_ref().map_or(&[][..], |it| &it.parts);
+        if message.crashes.is_empty() && parts.is_empty() {
             return;
         }
         let save_due_at = self.follows_store().then(|| self.now + BACKUP_DELAY);
+        self.receive_parts(parts, save_due_at);
         for announcement in &message.crashes {
             if self.quarantine.receive(announcement, self.now, save_due_at) {
                 self.log_held(&[announcement.signature]);
@@ -303,16 +339,18 @@
                 self.send_to_all(message);
             }
         }
+        self.announce_parts();
     }
 
     /// Marks crashes as proven whose engine is listed with a later incarnation, or no longer
     /// listed. A box that has started since then receives no change event that would show it.
     fn prove_from_directory(&mut self) {
-        if self.quarantine.is_empty() || !self.are_engines_listed || self.missing_until().is_some()
-        {
+        let is_empty = self.quarantine.is_empty() && self.parts.cases.is_empty();
+        if is_empty || !self.are_engines_listed || self.missing_until().is_some() {
             return;
         }
-        for (incarnation, since) in self.quarantine.unproven() {
+        let unproven = [self.quarantine.unproven(), self.parts.cases.unproven()].concat();
+        for (incarnation, since) in unproven {
             let is_gone = match self.directory.get(incarnation.engine) {
                 Some(record) => {
                     incarnation.started_at.is_some()
@@ -330,7 +368,8 @@
     /// of an engine that is silent for some seconds lapses, and the engine comes back. In a large
     /// deployment, one box probes each engine.
     fn probe_returned_engines(&mut self) {
-        let proven = self.quarantine.proven();
+        let mut proven = self.quarantine.proven();
+        proven.append(&mut self.parts.cases.proven());
         if proven.is_empty() {
             return;
         }
@@ -357,6 +396,7 @@
         self.probe_returned_engines();
         let unix = self.unix_time();
         self.quarantine.sweep(self.now, unix);
+        self.parts.sweep(self.now, unix);
     }
 
     /// Logs requests that are held back from now on.
@@ -365,7 +405,8 @@
             let Some(case) = self.quarantine.case(signature) else { continue };
             let engines: Vec<_> = case.crashes().map(|it| self.engine_name(it.engine)).collect();
             let (about, until) = (case.about.clone(), case.at + HOLD_DURATION.as_secs());
-            self.log(LogEvent::Quarantined { signature, about, engines: engines.join(" "), until });
+            let engines = engines.join(" ");
+            self.log(LogEvent::Quarantined { signature, part: None, about, engines, until });
         }
     }
 
@@ -378,7 +419,7 @@
 }
 
 /// Returns the summary of a request for operators.
-fn summary(in_flight: &InFlight) -> RequestSummary {
+pub(super) fn summary(in_flight: &InFlight) -> RequestSummary {
     RequestSummary {
         customer: in_flight.customer.as_ref().map(|it| it.name.clone()),
         path: in_flight.request.path.as_str().into(),
--- a/crates/hollyspoke-gateway/src/gateway/silence.rs
+++ b/crates/hollyspoke-gateway/src/gateway/silence.rs
@@ -209,7 +209,7 @@
             CallEvent::Answered(answer) if call.task == Task::Prefill => {
                 in_flight.call.is_none() && answer.handle.is_some()
             }
-            CallEvent::Answered(answer) if call.has_begun => answer.framing == Framing::Marked,
+            CallEvent::Answered(answer) if call.has_begun() => answer.framing == Framing::Marked,
             CallEvent::Answered(answer) => !in_flight.has_begun && is_final(answer),
             CallEvent::Began(_) => self.fits_origin(call),
             CallEvent::Forwarded(_) | CallEvent::ForwardedLate(_) | CallEvent::HeldUp => true,
@@ -363,7 +363,7 @@
         let Some(SilenceEnd { was_avoided }) = record.health.record_heard(now) else { return };
         if was_avoided {
             let running = Incarnation { engine: engine.key, started_at: engine.started_at };
-            self.quarantine.clear(running, now);
+            self.clear_crashes(running);
             self.drop_findings(engine.key);
             self.unannounced.reached.push(engine.key);
         }
@@ -444,7 +444,7 @@
             request,
             engine: call.engine.id.clone(),
             silent_for: call.silent_for(self.now),
-            has_begun: call.has_begun,
+            has_begun: call.has_begun(),
             standing,
         });
     }
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -15,17 +15,19 @@
 use crate::gateway::customer::identify;
 use crate::gateway::end::RETRY_AFTER;
 use crate::gateway::origins;
+use crate::gateway::parts::part_signatures;
 use crate::gateway::permits::Permission;
 use crate::in_flight::{Call, InFlight, task_name};
 use crate::message::Load;
 use crate::migration::Progress;
-use crate::placement::{Choice, PlainBound, Selector};
+use crate::placement::{Choice, PlainBound, Selector, Separation};
 use crate::proxy;
 use crate::quarantine::Verdict;
 use crate::request::{CallKey, Request, RequestKey};
 use crate::reservation;
 use crate::route::{Route, Staged};
 use crate::signature::Signature;
+use crate::version::SoftwareVersion;
 
 /// The shortest and longest time after which a client may retry a request that arrived before any
 /// configuration was known. A box has one soon after its start, unless the store is away.
@@ -119,6 +121,7 @@
                 identity.customer.as_ref().map(|it| &*it.name),
                 request.credential,
             ),
+            parts: part_signatures(&service.name, &request),
             customer: identity.customer,
             caller: identity.caller,
             units,
@@ -250,12 +253,15 @@
         plain_bound: Option<PlainBound>,
     ) -> Option<NextCall> {
         let in_flight = self.in_flight.get(&key)?;
-        let verdict = self.quarantine.verdict(in_flight.signature);
-        let trials = self.trials();
+        let verdict = self.verdict(in_flight);
+        let separation = self.separation(in_flight);
         let remainder_below = (in_flight.uses_remainders && in_flight.call_count == 0)
             .then(|| self.mean_units(&in_flight.service) as u64);
-        let view =
-            Selector { plain_bound, remainder_below, ..self.selector(in_flight, &trials, draw) };
+        let view = Selector {
+            plain_bound,
+            remainder_below,
+            ..self.selector(in_flight, &separation, draw)
+        };
         match in_flight.service.staged {
             None => {
                 let choice = view.choose_plain()?;
@@ -274,7 +280,7 @@
     pub(super) fn selector<'a>(
         &'a self,
         in_flight: &'a InFlight,
-        trials: &'a [EngineKey],
+        separation: &'a Separation,
         draw: u64,
     ) -> Selector<'a> {
         Selector {
@@ -298,8 +304,7 @@
             plain_bound: None,
             remainder_below: None,
             works: &self.works,
-            is_suspect: self.quarantine.verdict(in_flight.signature) != Verdict::Clear,
-            trials,
+            separation,
             tempo: self.tempo(in_flight),
             now: self.now,
             draw,
@@ -321,6 +326,9 @@
         let Some(in_flight) = self.in_flight.get_mut(&key) else { return };
         let case_state = self.quarantine.progress(in_flight.signature);
         let NextCall { task, choice, .. } = next;
+        let part_states = self
+            .parts
+            .progress(&in_flight.parts, choice.engine.version.as_ref().map(SoftwareVersion::key));
         in_flight.waits_until = None;
         in_flight.waits_for_permit = false;
         in_flight.permit_request = None;
@@ -370,6 +378,7 @@
                 engine: engine.clone(),
                 task: task.clone(),
                 case_state,
+                part_states,
                 is_retry,
                 sent: now,
                 reservation: reservation.clone(),
@@ -382,7 +391,7 @@
                 found_silent: None,
                 is_held_up: false,
                 is_counted: false,
-                has_begun: false,
+                begun_at: None,
                 progress: Progress::default(),
             },
         );
--- a/crates/hollyspoke-gateway/src/gateway/terms.rs
+++ b/crates/hollyspoke-gateway/src/gateway/terms.rs
@@ -83,7 +83,7 @@
     /// Applies what an engine reports in its answer to a call.
     pub(super) fn learn_terms(&mut self, call: &Call, statement: &Statement) {
         self.learn_departure(call.engine.key, call.engine.started_at, statement);
-        if !call.has_begun {
+        if !call.has_begun() {
             self.learn_back_off(call.engine.key, statement.back_off);
         }
     }
@@ -251,7 +251,7 @@
 
     /// Records the answer to a call, if this box is resuming use of the engine after a back-off.
     pub(super) fn record_return_answer(&mut self, call: &Call, is_good: bool) {
-        if !call.has_begun {
+        if !call.has_begun() {
             self.terms.back_offs.record_answer(call.engine.key, call.sent, is_good);
         }
     }
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -56,6 +56,9 @@
     pub request: Request,
     /// The signature, equal for requests with the same content from the same customer.
     pub signature: Signature,
+    /// The signatures of the parts of its prompt that other requests may share, in the order of their
+    /// names.
+    pub parts: Box<[Signature]>,
     /// The route that was in force when the request arrived.
     pub route: Arc<Route>,
     /// The service that the request is routed to.
@@ -174,6 +177,8 @@
     pub task: Task,
     /// The state of the request's quarantine case when the call was sent.
     pub case_state: quarantine::Progress,
+    /// The same of the cases of the prompt's parts, for those that have one.
+    pub part_states: Vec<(Signature, quarantine::Progress)>,
     /// Whether the call took a token from the service's retry budget.
     pub is_retry: bool,
     /// When the call was sent.
@@ -198,8 +203,8 @@
     pub is_held_up: bool,
     /// Whether the run that the engine may have begun is counted.
     pub is_counted: bool,
-    /// Whether the head of a stream has arrived.
-    pub has_begun: bool,
+    /// When the head of a stream arrived; none before.
+    pub begun_at: Option<Time>,
     /// The events that the call has forwarded.
     pub progress: Progress,
 }
@@ -289,13 +294,24 @@
 }
 
 impl Call {
+    /// Returns whether the head of a stream has arrived.
+    pub fn has_begun(&self) -> bool {
+        self.begun_at.is_some()
+    }
+
+    /// Returns whether one more crash holds the request or a part of its prompt back.
+    pub fn is_trial(&self) -> bool {
+        let mut parts = self.part_states.iter();
+        self.case_state.is_next_to_last || parts.any(|(_, it)| it.is_next_to_last)
+    }
+
     /// Returns whether an answer that begins now is late because the engine is slow. A plain answer
     /// is late after the route's target. A stream is late after the target, or when a gap is longer
     /// than allowed.
     pub fn is_slow(&self, now: Time, in_flight: &InFlight) -> bool {
         match self.task {
             Task::Prefill => false,
-            _ if self.has_begun => {
+            _ if self.has_begun() => {
                 let longest = in_flight.route.max_gap;
                 longest.is_some_and(|it| now.since(self.last_event_at) > it)
             }
@@ -310,7 +326,7 @@
 
     /// Returns how long nothing has come through the call.
     pub fn silent_for(&self, now: Time) -> Duration {
-        if self.has_begun { now.since(self.last_event_at) } else { self.waited(now) }
+        if self.has_begun() { now.since(self.last_event_at) } else { self.waited(now) }
     }
 
     /// Returns whether the engine may run the request through this call; a prefill doesn't run it.
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -13,7 +13,7 @@
 use crate::evacuation::Evacuation;
 use crate::permit::{Ask, Reply};
 use crate::prompt::CachedPrompt;
-use crate::quarantine::Announcement;
+use crate::quarantine::{Announcement, MAX_CRASHES, NamedAnnouncement};
 use crate::{appointment, class, departure, pace, proxy, rate_limit};
 
 /// The short key of a data centre: a hash of its name, equal on all boxes.
@@ -217,7 +217,7 @@
     /// Engines that the sender has just failed to reach, or that timed out.
     pub unreachable: Vec<EngineKey>,
     /// Requests that have crashed engines.
-    pub crashes: Vec<Announcement>,
+    pub crashes: Vec<Announcement<MAX_CRASHES>>,
     /// Engines that had no free capacity for a request of the sender's.
     pub rejections: Vec<Rejection>,
     /// Engine changes that the sender has just read from the store.
@@ -261,6 +261,8 @@
     /// The time left in which engines may register again whose entries have expired, in
     /// milliseconds, if the store has just been away for the sender.
     pub registration_ms: Option<u32>,
+    /// Parts of prompts that have crashed engines.
+    pub parts: Vec<NamedAnnouncement>,
 }
 
 impl Message {
--- a/crates/hollyspoke-gateway/src/placement.rs
+++ b/crates/hollyspoke-gateway/src/placement.rs
@@ -115,6 +115,18 @@
     pub target: Duration,
 }
 
+/// What keeps requests that may crash their engines apart from others.
+#[derive(Debug, Clone, Default)]
+pub struct Separation {
+    /// Whether engines have crashed while they served the request, or another one with a part of its
+    /// prompt.
+    pub is_suspect: bool,
+    /// Engines that a possibly crashing request is being tried on.
+    pub trials: Vec<EngineKey>,
+    /// The software versions whose engines a part of the request's prompt crashes.
+    pub held_versions: Vec<Option<VersionKey>>,
+}
+
 /// The selection of engines for one request, with all inputs that it depends on.
 #[derive(Debug, Clone, Copy)]
 pub struct Selector<'a> {
@@ -160,10 +172,8 @@
     pub remainder_below: Option<u64>,
     /// The time that plain calls take at engines.
     pub works: &'a work::Table,
-    /// Whether engines have crashed while they served the request.
-    pub is_suspect: bool,
-    /// Engines that a possibly crashing request is being tried on.
-    pub trials: &'a [EngineKey],
+    /// What keeps requests that may crash their engines apart from others.
+    pub separation: &'a Separation,
     /// The engines' paces; `None` if choices don't depend on them.
     pub tempo: Option<Tempo<'a>>,
     /// The current time.
@@ -410,10 +420,11 @@
         self.fits_origin(record.engine.stage, record.version())
     }
 
-    /// Returns whether engines of a stage and a version may serve the stream. A prefill writes no
+    /// Returns whether engines of a stage and a version may serve the request. A prefill writes no
     /// events, and any decode engine can import it.
     fn fits_origin(&self, stage: Option<Stage>, version: Option<VersionKey>) -> bool {
-        stage == Some(Stage::Prefill) || self.origin.allows(version)
+        stage == Some(Stage::Prefill)
+            || self.origin.allows(version) && !self.separation.held_versions.contains(&version)
     }
 
     /// Returns whether an engine is cold and can't accept another request of this box now.
@@ -428,11 +439,11 @@
     /// are other engines. For a suspect request, keeps only the engines with the fewest calls, so
     /// that a crash affects as few others as possible.
     fn separate_suspects<'a>(&self, mut engines: Vec<&'a Record>) -> Vec<&'a Record> {
-        let is_tried = |it: &&Record| self.trials.contains(&it.engine.key);
+        let is_tried = |it: &&Record| self.separation.trials.contains(&it.engine.key);
         if engines.iter().any(|it| !is_tried(it)) {
             engines.retain(|it| !is_tried(it));
         }
-        if self.is_suspect {
+        if self.separation.is_suspect {
             let calls = |it: &&Record| self.ledger.at(it.engine.key).calls;
             let fewest = engines.iter().map(calls).min();
             engines.retain(|it| Some(calls(it)) == fewest);
--- a/crates/hollyspoke-gateway/src/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/quarantine.rs
@@ -10,9 +10,12 @@
 //! is closed, and the higher epoch wins. Within one epoch, crashes are merged slot by slot, so that
 //! boxes that see the same engine crash count it once.
 
+mod answered;
 mod case;
+mod parts;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
 
 use hollyspoke::time::Time;
 
@@ -20,9 +23,10 @@
 use crate::signature::Signature;
 
 pub use case::{
-    Announcement, Case, Crash, Crashes, HOLD_DURATION, Incarnation, MAX_CRASHES, Progress, Proof,
-    RequestSummary, Verdict,
+    Announcement, Case, Crash, Crashes, HOLD_DURATION, Incarnation, MAX_CRASHES, MAX_PART_CRASHES,
+    Progress, Proof, RequestSummary, Verdict,
 };
+pub use parts::{NamedAnnouncement, Parts};
 
 /// Maximum number of cases at one box, about 300 bytes each.
 const MAX_CASES: usize = 2048;
@@ -30,11 +34,14 @@
 /// Maximum number of cases announced with each heartbeat.
 pub const MAX_ANNOUNCED: usize = 24;
 
-/// All cases known to one box.
+/// Maximum length of the name of a part, in bytes. It is only displayed.
+const MAX_NAME_BYTES: usize = 32;
+
+/// All cases known to one box, of requests or parts that are held back after N crashes.
 #[derive(Debug, Clone, Default)]
-pub struct Quarantine {
-    /// The cases by request.
-    cases: HashMap<Signature, Case>,
+pub struct Quarantine<const N: usize> {
+    /// The cases by signature.
+    cases: HashMap<Signature, Case<N>>,
     /// The cases that are not announced to the other boxes yet. Kept separately because it is
     /// checked after each event.
     unannounced: BTreeSet<Signature>,
@@ -42,7 +49,7 @@
     save_due_at: Option<Time>,
 }
 
-impl Quarantine {
+impl<const N: usize> Quarantine<N> {
     /// Returns what may be done with a request.
     pub fn verdict(&self, signature: Signature) -> Verdict {
         self.cases.get(&signature).map_or(Verdict::Clear, Case::verdict)
@@ -50,19 +57,17 @@
 
     /// Returns the current progress of a request's case.
     pub fn progress(&self, signature: Signature) -> Progress {
-        self.cases
-            .get(&signature)
-            .map_or(Progress::default(), |it| Progress { epoch: it.epoch, crashes: it.count() })
+        self.cases.get(&signature).map_or(Progress::default(), Case::progress)
     }
 
     /// Returns a request's case, if there is one.
-    pub fn case(&self, signature: Signature) -> Option<&Case> {
+    pub fn case(&self, signature: Signature) -> Option<&Case<N>> {
         self.cases.get(&signature)
     }
 
     /// Iterates over the cases of held requests, in a fixed order.
-    pub fn held(&self) -> impl Iterator<Item = (Signature, &Case)> {
-        let held = self.cases.iter().filter(|(_, it)| it.count() == MAX_CRASHES);
+    pub fn held(&self) -> impl Iterator<Item = (Signature, &Case<N>)> {
+        let held = self.cases.iter().filter(|(_, it)| it.count() == N);
         let held: BTreeMap<_, _> = held.map(|(&signature, it)| (signature, it)).collect();
         held.into_iter()
     }
@@ -123,6 +128,13 @@
         held
     }
 
+    /// Drops the crashes that a case explains which has reached its limit, from all cases below it.
+    pub fn drop_explained(&mut self, explained: &[Crash]) {
+        for case in self.cases.values_mut().filter(|it| it.count() < N) {
+            case.drop_explained(explained);
+        }
+    }
+
     /// Marks cases as changed, to be announced and stored.
     fn mark_changed(&mut self, signatures: Vec<Signature>, now: Time) {
         for signature in signatures {
@@ -139,7 +151,7 @@
         let Some(case) = self.cases.get_mut(&signature).filter(|it| it.count() > 0) else {
             return false;
         };
-        case.end(Crashes::default());
+        case.end([None; N]);
         self.mark_changed(vec![signature], now);
         true
     }
@@ -154,7 +166,7 @@
     /// `save_due_at` unless another one has. Returns whether the request is held back from now on.
     pub fn receive(
         &mut self,
-        announcement: &Announcement,
+        announcement: &Announcement<N>,
         now: Time,
         save_due_at: Option<Time>,
     ) -> bool {
@@ -201,7 +213,7 @@
     }
 
     /// Removes and returns the next announcements for the other boxes, at most [`MAX_ANNOUNCED`].
-    pub fn take_unannounced(&mut self) -> Vec<Announcement> {
+    pub fn take_unannounced(&mut self) -> Vec<Announcement<N>> {
         let mut announcements = Vec::new();
         while announcements.len() < MAX_ANNOUNCED
             && let Some(signature) = self.unannounced.pop_first()
@@ -219,11 +231,11 @@
     /// Returns the announcements that each heartbeat repeats for boxes that missed them: requests
     /// that are held back or one crash short of it. If there are many, those with the latest
     /// crashes.
-    pub fn reminder(&self) -> Vec<Announcement> {
+    pub fn reminder(&self) -> Vec<Announcement<N>> {
         let mut announcements: Vec<_> = self
             .cases
             .iter()
-            .filter(|(_, it)| it.count() + 1 >= MAX_CRASHES)
+            .filter(|(_, it)| it.count() + 1 >= N)
             .map(|(&signature, it)| it.announcement(signature))
             .collect();
         announcements.sort_by_key(|it| (std::cmp::Reverse(it.at), it.signature));
@@ -237,17 +249,17 @@
         if self.save_due_at.is_none_or(|it| it > now) {
             return false;
         }
-        let is_due = |it: &Case| it.save_due_at.is_some_and(|it| it <= now);
+        let is_due = |it: &Case<N>| it.save_due_at.is_some_and(|it| it <= now);
         self.cases.values().any(|it| is_due(it) && (it.count() >= min || it.epoch > 0))
     }
 
     /// Returns the latest cases with at least `min` crashes for the store, at most `max`.
-    pub fn to_save(&self, min: usize, max: usize) -> Vec<(Announcement, Option<RequestSummary>)> {
+    pub fn to_save(&self, min: usize, max: usize) -> Vec<(Announcement<N>, &Case<N>)> {
         let mut cases: Vec<_> = self
             .cases
             .iter()
             .filter(|(_, it)| it.count() >= min)
-            .map(|(&signature, it)| (it.announcement(signature), it.about.clone()))
+            .map(|(&signature, it)| (it.announcement(signature), it))
             .collect();
         cases.sort_by_key(|(it, _)| (std::cmp::Reverse(it.at), it.signature));
         cases.truncate(max);
@@ -283,6 +295,13 @@
         }
     }
 
+    /// Records the name of the part that a case is about.
+    pub fn record_name(&mut self, signature: Signature, name: &Arc<str>) {
+        if let Some(case) = self.cases.get_mut(&signature) {
+            case.name.get_or_insert_with(|| beginning(name));
+        }
+    }
+
     /// Returns the number of cases.
     pub fn len(&self) -> usize {
         self.cases.len()
@@ -306,3 +325,12 @@
         }
     }
 }
+
+/// Returns the beginning of a part's name that is kept.
+fn beginning(name: &Arc<str>) -> Arc<str> {
+    if name.len() <= MAX_NAME_BYTES {
+        return name.clone();
+    }
+    let end = (0..=MAX_NAME_BYTES).rev().find(|it| name.is_char_boundary(*it));
+    name[..end.unwrap_or_default()].into()
+}
--- a/crates/hollyspoke-gateway/src/quarantine/case.rs
+++ b/crates/hollyspoke-gateway/src/quarantine/case.rs
@@ -13,6 +13,12 @@
 /// few repeats beyond them.
 pub const MAX_CRASHES: usize = 3;
 
+/// Number of successive crashes after which a part of prompts is held back. Five are allowed. Some
+/// are not counted, because a call that was sent before the last one was known breaks too, or because
+/// the box that counted them is gone. Holding a harmless part back affects more requests than one, so
+/// that more crashes are required than for a request.
+pub const MAX_PART_CRASHES: usize = 4;
+
 /// How long an unproven crash counts. A crashed engine is back, or its entry expires, within
 /// seconds; a connection that was merely cut causes neither.
 const PROOF_TIMEOUT: Duration = Duration::from_secs(10);
@@ -71,8 +77,8 @@
     }
 }
 
-/// The crashes of one request, by slot.
-pub type Crashes = [Option<Crash>; MAX_CRASHES];
+/// The crashes of one request or part, by slot.
+pub type Crashes<const N: usize> = [Option<Crash>; N];
 
 /// Progress of a case when a call was sent.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -81,17 +87,12 @@
     pub(super) epoch: u32,
     /// Number of crashes counted.
     pub(super) crashes: usize,
+    /// Whether one more crash would hold the request back.
+    pub is_next_to_last: bool,
 }
 
-impl Progress {
-    /// Returns whether one more crash would hold the request back.
-    pub fn is_next_to_last(self) -> bool {
-        self.crashes + 1 == MAX_CRASHES
-    }
-}
-
-/// What may be done with a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// What may be done with a request, from the least to the most strict.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Verdict {
     /// No crash is counted.
     Clear,
@@ -116,28 +117,31 @@
 
 /// A case as boxes announce it to each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Announcement {
-    /// Signature of the request.
+#[serde(bound(serialize = "Crashes<N>: Serialize", deserialize = "Crashes<N>: Deserialize<'de>"))]
+pub struct Announcement<const N: usize> {
+    /// Signature of the request or part.
     pub signature: Signature,
     /// Epoch of the case.
     pub epoch: u32,
     /// The crashes, by slot.
-    pub crashes: Crashes,
+    pub crashes: Crashes<N>,
     /// When the last crash was counted, in seconds of Unix time.
     pub at: u64,
 }
 
-/// The crashes attributed to one request.
+/// The crashes attributed to one request or part of prompts, up to the number that holds it back.
 #[derive(Debug, Clone)]
-pub struct Case {
+pub struct Case<const N: usize> {
     /// Epoch of the case, which increases when the case is closed.
     pub(super) epoch: u32,
     /// The crashes, by slot.
-    pub(super) crashes: Crashes,
+    pub(super) crashes: Crashes<N>,
     /// When the last crash was counted, in seconds of Unix time.
     pub at: u64,
-    /// The summary for operators, if this box has received the request.
+    /// The summary for operators, if this box has received the request, or one with the part.
     pub about: Option<RequestSummary>,
+    /// The name of the part, if the case is about one and the name is known.
+    pub name: Option<Arc<str>>,
     /// Whether the hold has been reported.
     pub(super) is_held: bool,
     /// When the case last changed at this box.
@@ -150,14 +154,15 @@
     pub(super) corrected_at: Option<Time>,
 }
 
-impl Case {
+impl<const N: usize> Case<N> {
     /// Creates a case without a crash.
-    pub(super) fn new(now: Time) -> Case {
+    pub(super) fn new(now: Time) -> Case<N> {
         Case {
             epoch: 0,
-            crashes: Crashes::default(),
+            crashes: [None; N],
             at: 0,
             about: None,
+            name: None,
             is_held: false,
             changed: now,
             seen: now,
@@ -176,6 +181,12 @@
         self.crashes.iter().flatten()
     }
 
+    /// Returns the progress of the case.
+    pub(super) fn progress(&self) -> Progress {
+        let crashes = self.count();
+        Progress { epoch: self.epoch, crashes, is_next_to_last: crashes + 1 == N }
+    }
+
     /// Returns whether all crashes are proven.
     pub(super) fn is_proven(&self) -> bool {
         self.crashes().all(|it| it.proof == Proof::Proven)
@@ -183,7 +194,7 @@
 
     /// Updates whether the request is held back. Returns whether that has just begun.
     pub(super) fn update_held(&mut self) -> bool {
-        let is_held = self.count() == MAX_CRASHES;
+        let is_held = self.count() == N;
         let was_held = std::mem::replace(&mut self.is_held, is_held);
         is_held && !was_held
     }
@@ -192,35 +203,35 @@
     pub(super) fn verdict(&self) -> Verdict {
         match self.count() {
             0 => Verdict::Clear,
-            MAX_CRASHES if self.is_proven() => Verdict::Held,
-            MAX_CRASHES => Verdict::Unconfirmed,
-            it if it + 1 == MAX_CRASHES => Verdict::Trial,
+            it if it == N && self.is_proven() => Verdict::Held,
+            it if it == N => Verdict::Unconfirmed,
+            it if it + 1 == N => Verdict::Trial,
             _ => Verdict::Suspect,
         }
     }
 
     /// Returns the announcement for other boxes, without crashes for which only a connection broke.
-    pub(super) fn announcement(&self, signature: Signature) -> Announcement {
+    pub(super) fn announcement(&self, signature: Signature) -> Announcement<N> {
         let is_announced = |it: &Crash| it.proof >= Proof::Likely;
         let crashes = self.crashes.map(|it| it.filter(is_announced));
         Announcement { signature, epoch: self.epoch, crashes, at: self.at }
     }
 
     /// Closes the case; the crashes that are `left` start the next epoch.
-    pub(super) fn end(&mut self, left: Crashes) {
+    pub(super) fn end(&mut self, left: Crashes<N>) {
         self.epoch += 1;
         self.crashes = left;
     }
 
     /// Merges an announcement of the case. Returns whether that changed it.
-    pub(super) fn merge(&mut self, announcement: &Announcement) -> bool {
+    pub(super) fn merge(&mut self, announcement: &Announcement<N>) -> bool {
         if announcement.epoch < self.epoch {
             return false;
         }
         let before = (self.epoch, self.crashes);
         if announcement.epoch > self.epoch {
             (self.epoch, self.at) = (announcement.epoch, 0);
-            self.crashes = Crashes::default();
+            self.crashes = [None; N];
         }
         for (own, announced) in self.crashes.iter_mut().zip(announcement.crashes) {
             *own = better_known(*own, announced);
@@ -234,7 +245,7 @@
         let unchanged_for = now.since(self.changed);
         match self.count() {
             0 => unchanged_for >= ENDED_RETENTION,
-            MAX_CRASHES => unix.saturating_sub(self.at) >= HOLD_DURATION.as_secs(),
+            it if it == N => unix.saturating_sub(self.at) >= HOLD_DURATION.as_secs(),
             _ => unchanged_for >= SUSPECT_RETENTION,
         }
     }
@@ -271,6 +282,20 @@
         }
     }
 
+    /// Drops crashes that are explained by the case of another request or part, which has reached its
+    /// limit. Returns whether there were any. All boxes do the same, and don't announce it.
+    pub(super) fn drop_explained(&mut self, explained: &[Crash]) -> bool {
+        let is_explained = |it: &Crash| {
+            explained.iter().any(|other| (other.engine, other.born) == (it.engine, it.born))
+        };
+        let left = self.crashes.map(|it| it.filter(|it| !is_explained(it)));
+        let has_any = left != self.crashes;
+        if has_any {
+            self.end(left);
+        }
+        has_any
+    }
+
     /// Raises the proof that an incarnation has ended. Returns whether that changed a crash.
     pub(super) fn confirm(&mut self, ended: Incarnation, proof: Proof) -> bool {
         let mut has_changed = false;
--- a/crates/hollyspoke-server/src/datagram.rs
+++ b/crates/hollyspoke-server/src/datagram.rs
@@ -23,6 +23,7 @@
 use hollyspoke_gateway::{appointment, departure, pace, proxy};
 use minicbor::{Decode, Encode};
 
+use crate::part_field::PartField;
 use crate::software::VersionsField;
 
 /// The first byte of a datagram in the extended format. The first format begins with a
@@ -88,6 +89,9 @@
     /// The time left in which engines may register again, in milliseconds; none if missing.
     #[n(13)]
     registration_ms: Option<u32>,
+    /// Parts of prompts that have crashed engines.
+    #[n(14)]
+    parts: Option<Vec<PartField>>,
 }
 
 /// Whether and for which services a box accepts requests of other boxes.
@@ -288,6 +292,7 @@
         reads_notices: message.announces_notices().then_some(true),
         reached: non_empty_list(extension.reached.iter().map(|it| it.0).collect()),
         registration_ms: extension.registration_ms,
+        parts: non_empty_list(extension.parts.iter().map(PartField::of).collect()),
     };
     let mut bytes = vec![EXTENDED_FORMAT_MARK, EXTENDED_FORMAT_VERSION];
     minicbor::encode(&extended, &mut bytes).wrap_err("a field can't be written")?;
@@ -334,6 +339,7 @@
         reached: extended.reached.iter().flatten().map(|&it| EngineKey(it)).collect(),
         proxy: extended.proxy.map(ProxyField::announcement).unwrap_or_default(),
         registration_ms: extended.registration_ms,
+        parts: extended.parts.iter().flatten().filter_map(PartField::announcement).collect(),
     }
     .non_empty();
     Ok(message)
--- a/crates/hollyspoke-server/src/directory.rs
+++ b/crates/hollyspoke-server/src/directory.rs
@@ -53,14 +53,17 @@
     Operators,
 }
 
-/// A held request, as operators see it.
+/// A held request or part of prompts, as operators see it.
 #[derive(Debug, Serialize)]
 struct HeldEntry {
-    /// The request's signature as the log shows it.
+    /// The signature of the request or part as the log shows it.
     signature: String,
-    /// The customer that sent the request; none if unknown.
+    /// The name of the part of prompts that is held; absent if the request as such is.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    part: Option<Arc<str>>,
+    /// The customer that sent the request, or one with the part; none if unknown.
     customer: Option<Arc<str>>,
-    /// The request's path; none if unknown to this box.
+    /// That request's path; none if unknown to this box.
     path: Option<Arc<str>>,
     /// The engines that crashed while they handled the request.
     engines: Vec<String>,
@@ -146,6 +149,7 @@
 fn held_entry(held: HeldRequest) -> HeldEntry {
     HeldEntry {
         signature: held.short,
+        part: held.part,
         customer: held.customer,
         path: held.path,
         engines: held.engines,
--- a/crates/hollyspoke-server/src/lib.rs
+++ b/crates/hollyspoke-server/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod notes;
 pub mod notice;
 pub mod objects;
+mod part_field;
 pub mod peers;
 pub mod proxy;
 pub mod run;
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -53,6 +53,8 @@
     backups: Counter<u64>,
     /// Requests that were held because engines crashed.
     held: Counter<u64>,
+    /// Parts of prompts that were held because engines crashed.
+    held_parts: Counter<u64>,
     /// Prompt tokens that were sent for prefill.
     prompt_tokens: Counter<u64>,
     /// Clients told to return, by whether capacity was forecast to be free then.
@@ -150,6 +152,10 @@
             moves: count("hollyspoke_moves", "moves of running streams, by reason and outcome"),
             backups: count("hollyspoke_backups", "backups of running streams, by use"),
             held: count("hollyspoke_held_requests", "requests held back since engines crashed"),
+            held_parts: count(
+                "hollyspoke_held_parts",
+                "prompt parts held back since engines crashed",
+            ),
             prompt_tokens: count("hollyspoke_prompt_tokens", "tokens of prompts sent to be read"),
             told_to_return: count(
                 "hollyspoke_told_to_return",
@@ -299,7 +305,8 @@
                 self.orders.add(1, &[KeyValue::new("how", *outcome)])
             }
             LogEvent::Lease(token) => self.order_lease.record(u64::from(token.is_some()), &[]),
-            LogEvent::Quarantined { .. } => self.held.add(1, &[]),
+            LogEvent::Quarantined { part: None, .. } => self.held.add(1, &[]),
+            LogEvent::Quarantined { .. } => self.held_parts.add(1, &[]),
             LogEvent::Evacuated { data_centre, is_lifted } => {
                 let data_centre = KeyValue::new("data_centre", data_centre.clone());
                 self.evacuated.record(u64::from(!is_lifted), &[data_centre]);
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -187,9 +187,10 @@
         LogEvent::Peers { joined, timed_out, alive } => info!(log, "peers changed";
             "heard" => joined.len(), "silent" => timed_out.len(), "alive" => alive,
             "heard_first" => first_addresses(joined), "silent_first" => first_addresses(timed_out)),
-        LogEvent::Quarantined { signature, about, engines, until } => {
-            warn!(log, "request held back";
-            "signature" => signature.short(),
+        LogEvent::Quarantined { signature, part, about, engines, until } => {
+            let what = if part.is_some() { "prompt part held back" } else { "request held back" };
+            warn!(log, "{}", what;
+            "signature" => signature.short(), "part" => part.as_deref(),
             "path" => about.as_ref().map(|it| it.path.to_string()),
             "customer" => about.as_ref().and_then(|it| it.customer.as_deref()),
             "engines" => engines, "until" => until)
--- a/tests/tests/quarantine.rs
+++ b/tests/tests/quarantine.rs
@@ -5,12 +5,18 @@
 use hollyspoke::time::Time;
 use hollyspoke_gateway::engine::{Engine, EngineKey};
 use hollyspoke_gateway::quarantine::{
-    Announcement, Crash, Incarnation, MAX_ANNOUNCED, Proof, Quarantine, RequestSummary, Verdict,
+    self, Crash, Incarnation, MAX_ANNOUNCED, MAX_CRASHES, Proof, RequestSummary, Verdict,
 };
 use hollyspoke_gateway::signature::{Content, Signature};
 use hollyspoke_tests::gateway::{PLAIN, engine};
 use proptest::prelude::*;
 
+/// The cases of requests.
+type Quarantine = quarantine::Quarantine<MAX_CRASHES>;
+
+/// An announced case of a request.
+type Announcement = quarantine::Announcement<MAX_CRASHES>;
+
 /// A Unix time in seconds.
 const UNIX_TIME_S: u64 = 1_790_000_000;
 
