Tests of harmful parts across restarts, cuts, a restored store, versions and ordinary crashes

Ten more tests in virtual time. Held: boxes restarted one by one or all at once, all killed after two to four crashes, cut off from each other, halves, datagrams lost, the store back from a copy, one request each 5 and 10 s, two harmful parts at once, an operator's release. Not held: the shared, the often and the rarely used parts under 88 crashes one after the other, racks and all engines at once, and under connections that break to engines that live on. A part that crashes engines of a new version goes on at the old one.

--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -6,7 +6,7 @@
 mod store;
 mod streams;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::sync::Arc;
@@ -204,6 +204,8 @@
     pub popular: Option<(&'static str, Duration)>,
     /// The requests that share parts of their prompts.
     pub sharing: Vec<Sharing>,
+    /// The software version whose engines no request crashes, if there is one.
+    pub sound_version: Option<&'static str>,
     /// The engines that crash, and what was recorded about crashes.
     pub crashes: Crashes,
     /// The engines that state rate limits, and what arrived at them.
@@ -243,6 +245,7 @@
             harmful: None,
             popular: None,
             sharing: Vec::new(),
+            sound_version: None,
             crashes: Crashes::default(),
             rate_limits: RateLimits::default(),
             statements: Statements::default(),
@@ -713,6 +716,28 @@
         engines.filter(|it| *it.service == *service).map(|it| it.key).collect()
     }
 
+    /// Returns the number of boxes.
+    pub fn box_count(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Returns the names of the parts of prompts that any box holds.
+    pub fn held_parts(&self) -> BTreeSet<Arc<str>> {
+        let gateways = self.members.iter().filter_map(|it| it.gateway.as_ref());
+        gateways.flat_map(|it| it.held()).filter_map(|it| it.part).collect()
+    }
+
+    /// Releases what boxes hold whose signature starts with `short`, at one box.
+    pub fn release_held(&mut self, number: usize, short: &str) {
+        self.step(number, Event::Release(short.to_owned()));
+    }
+
+    /// Returns the signatures of what a box holds, as operators see them.
+    pub fn held_at(&self, number: usize) -> Vec<String> {
+        let gateway = self.members[number].gateway.as_ref();
+        gateway.map_or(Vec::new(), |it| it.held().into_iter().map(|it| it.short).collect())
+    }
+
     /// Returns the current time.
     pub fn now(&self) -> Time {
         self.now
--- a/tests/src/fleet/engines.rs
+++ b/tests/src/fleet/engines.rs
@@ -33,7 +33,8 @@
         let limit = self.rate_limits.arrive((number, start_count), engine, self.now);
         let stated = self.statements.arrive((number, start_count), engine, self.now);
         let statement = Statement { limit, ..stated };
-        if self.crashes.harmful.contains(&send.request) {
+        let is_sound = self.sound_version.is_some_and(|it| self.has_version(engine, it));
+        if self.crashes.harmful.contains(&send.request) && !is_sound {
             let crashes_on_prefill = self.harmful.is_some_and(|it| it.crashes_on_prefill);
             if crashes_on_prefill || send.task != Task::Prefill {
                 self.crashes.arrivals.push(self.now);
--- a/tests/src/fleet/streams.rs
+++ b/tests/src/fleet/streams.rs
@@ -145,6 +145,11 @@
         Some(SoftwareVersion::new(version.unwrap_or_else(|| "v1".into())))
     }
 
+    /// Returns whether an engine has a version.
+    pub(super) fn has_version(&self, engine: EngineKey, version: &str) -> bool {
+        self.software_version(engine).is_some_and(|it| it.name() == version)
+    }
+
     /// Returns the decode engines.
     pub fn decode_engines(&self) -> Vec<EngineKey> {
         let staged = self.engines().into_iter().filter(|it| *it.service == *MODEL);
--- a/tests/tests/gateway_parts.rs
+++ b/tests/tests/gateway_parts.rs
@@ -1,5 +1,6 @@
 //! Parts of prompts that crash the engines that write on them, whatever else the request contains.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use hollyspoke::time::Time;
@@ -72,7 +73,7 @@
 }
 
 /// Runs a scenario with several kinds of harmful requests and seeds.
-fn check(name: &str, scenario: impl Fn(&mut Fleet)) {
+fn check(name: &str, seeds: RangeInclusive<u64>, scenario: impl Fn(&mut Fleet)) {
     let kinds = [
         ("often", DEADLY),
         ("each second", Sharing { every: Duration::from_secs(1), ..DEADLY }),
@@ -82,7 +83,7 @@
     let mut violated = Vec::new();
     for (kind, deadly) in kinds {
         for boxes in [2, 6] {
-            for seed in 1..=2 {
+            for seed in seeds.clone() {
                 let mut fleet = troubled(boxes, deadly, seed);
                 scenario(&mut fleet);
                 let name = format!("{name}, {kind}, {boxes} boxes, seed {seed}");
@@ -97,5 +98,194 @@
 /// again by its whole content only.
 #[test]
 fn harmful_part_repeated() {
-    check("undisturbed", |fleet| fleet.run(TROUBLE_DURATION));
+    check("undisturbed", 1..=2, |fleet| fleet.run(TROUBLE_DURATION));
+}
+
+/// Boxes that were restarted had to learn of a part from the others or from the store.
+#[test]
+fn part_forgotten_on_restart() {
+    check("one after the other", 3..=3, |fleet| {
+        for number in 0..12 {
+            fleet.run(Duration::from_millis(1700));
+            fleet.restart([number % fleet.box_count()]);
+        }
+    });
+    check("all at once", 4..=4, |fleet| {
+        for pause in [900, 1300, 2000, 4000, 6000] {
+            fleet.run(Duration::from_millis(pause));
+            fleet.restart(0..fleet.box_count());
+        }
+        fleet.run(Duration::from_secs(5));
+    });
+}
+
+/// All boxes were killed between the second and the fourth crash, and started later.
+#[test]
+fn part_forgotten_by_all() {
+    for seed in 1..=2 {
+        for crashes in 2..=4 {
+            let mut fleet = troubled(6, DEADLY, seed);
+            while fleet.crashes.harmful_crashes.len() < crashes {
+                fleet.run(DEADLY.every + Duration::from_millis(70));
+            }
+            fleet.kill(0..6);
+            fleet.run(Duration::from_millis(500));
+            fleet.start(0..6);
+            fleet.run(TROUBLE_DURATION);
+            let found = violations(&fleet, &format!("killed after {crashes}, seed {seed}"));
+            assert_eq!(found, None);
+        }
+    }
+}
+
+/// Boxes that receive no announcements have to learn of a crash from the store, and those that miss
+/// single datagrams from later ones.
+#[test]
+fn part_unknown_without_datagrams() {
+    check("all cut off from each other", 5..=5, |fleet| {
+        for number in 0..fleet.box_count() {
+            fleet.partition([number], number);
+        }
+        fleet.run(TROUBLE_DURATION);
+    });
+    check("halves", 6..=6, |fleet| {
+        fleet.partition(0..fleet.box_count() / 2, 1);
+        fleet.run(TROUBLE_DURATION);
+    });
+    check("lost datagrams", 7..=7, |fleet| {
+        fleet.lost = 0.6;
+        fleet.run(TROUBLE_DURATION);
+    });
+}
+
+/// The store went back to a copy from before the trouble, and all boxes were restarted later.
+#[test]
+fn part_lost_with_store() {
+    for seed in 1..=3 {
+        let mut fleet = Fleet::new(6, seed);
+        fleet.sharing = vec![HARMLESS];
+        fleet.run(Duration::from_secs(12));
+        let copy = fleet.store.clone();
+        fleet.sharing.push(DEADLY);
+        fleet.run(Duration::from_secs(8));
+        fleet.store.restore(&copy);
+        fleet.run(Duration::from_secs(8));
+        fleet.restart(0..6);
+        fleet.run(TROUBLE_DURATION);
+        assert_eq!(violations(&fleet, &format!("restored, seed {seed}")), None);
+    }
+}
+
+/// Requests with the part were rare, and each crash that was forgotten cost one more.
+#[test]
+fn rare_harmful_part() {
+    for every in [5, 10] {
+        let rare = Sharing { every: Duration::from_secs(every), ..DEADLY };
+        let mut fleet = troubled(6, rare, 1);
+        fleet.run(Duration::from_secs(every * 10));
+        assert_eq!(violations(&fleet, &format!("each {every} s")), None);
+    }
+}
+
+/// Two parts were harmful at the same time, and each prompt had another document besides.
+#[test]
+fn two_harmful_parts() {
+    for seed in 1..=3 {
+        let harmless = Sharing { document_count: 40, ..HARMLESS };
+        let first = Sharing { document_count: 40, ..DEADLY };
+        let second = Sharing { parts: &["system", "lethal"], ..first };
+        let mut fleet = troubled(6, first, seed);
+        fleet.sharing.extend([harmless, second]);
+        fleet.run(TROUBLE_DURATION / 2);
+        let arrivals = fleet.crashes.arrivals.len();
+        fleet.run(TROUBLE_DURATION / 2);
+        assert_eq!(fleet.crashes.arrivals.len(), arrivals, "seed {seed}");
+        assert_eq!(fleet.crashes.wrongly_quarantined(), 0, "seed {seed}");
+        let held = fleet.held_parts();
+        assert!(held.iter().map(|it| &**it).eq(["deadly", "lethal"]), "{held:?}, seed {seed}");
+    }
+}
+
+/// Returns boxes whose requests share one popular part, another of a few and one of many documents.
+fn popular(boxes: usize, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(boxes, seed);
+    let rarely = Sharing { document_count: 500, ..HARMLESS };
+    let often = Sharing { document_count: 8, route: "once", parts: &["system"], ..HARMLESS };
+    fleet.sharing = vec![rarely, often];
+    fleet.run(Duration::from_secs(8));
+    fleet
+}
+
+/// Engines crashed without a cause in the prompts: one by one, a rack, all at once, again and again.
+#[test]
+fn harmless_part_held() {
+    for seed in 1..=3 {
+        let mut fleet = popular(6, seed);
+        let engines = fleet.decode_engines();
+        for round in 0..88 {
+            fleet.run(Duration::from_millis(500));
+            fleet.crash_all([engines[round % engines.len()]]);
+            if round % 22 == 21 {
+                fleet.crash_all(engines[..engines.len() / 3].iter().copied());
+            }
+        }
+        fleet.crash_all(engines.iter().copied());
+        fleet.run(Duration::from_secs(4));
+        fleet.crash_all(engines.iter().copied());
+        fleet.run(Duration::from_secs(4));
+        assert_eq!(fleet.held_parts().len(), 0, "{:?}, seed {seed}", fleet.held_parts());
+        assert_eq!(fleet.crashes.wrongly_quarantined(), 0, "seed {seed}");
+    }
+}
+
+/// Connections broke to engines that lived on.
+#[test]
+fn part_blamed_for_connections() {
+    let mut fleet = popular(6, 1);
+    let engines = fleet.decode_engines();
+    for _ in 0..100 {
+        fleet.run(Duration::from_millis(100));
+        fleet.reset_all(engines.iter().copied());
+    }
+    assert_eq!(fleet.held_parts().len(), 0, "{:?}", fleet.held_parts());
+    assert_eq!(fleet.crashes.wrongly_quarantined(), 0);
+}
+
+/// A part that crashes engines of a new version only: requests with it run at the old one.
+#[test]
+fn part_held_at_sound_version() {
+    let mut fleet = troubled(6, DEADLY, 1);
+    fleet.sound_version = Some("v1");
+    fleet.run(Duration::from_secs(4));
+    let engines = fleet.decode_engines();
+    fleet.release(engines[..6].iter().copied(), "v2");
+    fleet.run(Duration::from_secs(12));
+    let crashes = fleet.crashes.harmful_crashes.len();
+    assert!((1..=MAX_CRASHES).contains(&crashes), "{crashes}");
+    assert!(!fleet.held_parts().is_empty());
+    let harmful = fleet.crashes.harmful.clone();
+    let later = fleet.now();
+    fleet.run(Duration::from_secs(5));
+    let added = fleet.crashes.harmful.difference(&harmful).copied().collect();
+    let (sent, served) = fleet.records.served_of(&added, later..fleet.now());
+    assert!(sent >= 18 && served > 0.9, "{served} of {sent}");
+}
+
+/// An operator releases a part; four more crashes hold it again.
+#[test]
+fn released_part_kept() {
+    let mut fleet = troubled(6, DEADLY, 1);
+    fleet.run(Duration::from_secs(10));
+    let held = fleet.held_at(3);
+    assert_eq!(held.len(), 1, "{held:?}");
+    fleet.sharing.pop();
+    fleet.release_held(3, &held[0]);
+    fleet.run(Duration::from_secs(1));
+    assert_eq!(fleet.held_parts().len(), 0);
+    fleet.sharing.push(DEADLY);
+    let before = fleet.crashes.harmful_crashes.len();
+    fleet.run(Duration::from_secs(10));
+    let crashes = fleet.crashes.harmful_crashes.len() - before;
+    assert!((1..=MAX_CRASHES).contains(&crashes), "{crashes}");
+    assert_eq!(fleet.held_parts().len(), 1);
 }
