A test of shared parts that every harmful request has and harmless ones rarely

The shared parts are at each crash, and no answer on them is complete between two crashes: only what boxes remember of earlier answers, and tell those that had none, keeps them from being held.

--- a/tests/tests/gateway_parts.rs
+++ b/tests/tests/gateway_parts.rs
@@ -289,3 +289,24 @@
     assert!((1..=MAX_CRASHES).contains(&crashes), "{crashes}");
     assert_eq!(fleet.held_parts().len(), 1);
 }
+
+/// Each harmful request had the shared parts too, and harmless ones were rarer: no answer on the shared
+/// parts was complete between two crashes, and some boxes had never completed one.
+#[test]
+fn shared_part_held() {
+    for boxes in [2, 6] {
+        for seed in 1..=6 {
+            let mut fleet = Fleet::new(boxes, seed);
+            fleet.sharing = vec![Sharing { every: Duration::from_secs(2), ..HARMLESS }];
+            fleet.run(Duration::from_secs(16));
+            fleet.sharing.push(DEADLY);
+            fleet.run(Duration::from_secs(8));
+            let held = fleet.held_parts();
+            assert!(
+                held.iter().map(|it| &**it).eq(["deadly"]),
+                "{held:?}, {boxes} boxes, seed {seed}"
+            );
+            assert_eq!(fleet.crashes.wrongly_quarantined(), 0, "{boxes} boxes, seed {seed}");
+        }
+    }
+}
