Crashes under a part count together over all software versions

Cause: a part had a case at each version, so that each of them cost four crashes, although the promise is one for the part.

A part has one case now, which names the versions whose engines crashed. Complete answers still clear it by version: it goes on where it is cleared, and a case is closed once all versions that crashed are cleared. Engines of a version that a held part has not crashed yet, such as a repaired one, are tried one at a time: an answer clears the part there, a crash adds the version to the case.

--- a/crates/hollyspoke-gateway/src/gateway/cases.rs
+++ b/crates/hollyspoke-gateway/src/gateway/cases.rs
@@ -21,6 +21,7 @@
     RequestSummary,
 };
 use crate::signature::Signature;
+use crate::version::VersionKey;
 
 /// Kind of the stored object.
 pub const KIND: &str = "quarantine";
@@ -95,6 +96,8 @@
     name: Option<Arc<str>>,
     /// The crashes in the slots that a request's case doesn't have.
     more_crashes: Vec<Option<Crash>>,
+    /// The software versions of the engines that crashed.
+    versions: Vec<u64>,
 }
 
 /// State of this box's reads and writes of the cases.
@@ -319,6 +322,7 @@
         let announcement = NamedAnnouncement {
             case: Announcement { signature, epoch: case.epoch, crashes, at: case.at },
             name: part.name.clone(),
+            versions: part.versions.iter().map(|it| VersionKey(*it)).collect(),
         };
         self.receive_parts(&[announcement], None);
         if let Some(about) = case.about() {
@@ -358,6 +362,10 @@
         at: announcement.at,
         customer: case.about.as_ref().and_then(|it| it.customer.clone()),
         path: case.about.as_ref().map(|it| it.path.clone()),
-        part: Some(StoredPart { name: case.name.clone(), more_crashes: more.to_vec() }),
+        part: Some(StoredPart {
+            name: case.name.clone(),
+            more_crashes: more.to_vec(),
+            versions: case.versions.iter().map(|it| it.0).collect(),
+        }),
     }
 }
--- a/crates/hollyspoke-gateway/src/gateway/parts.rs
+++ b/crates/hollyspoke-gateway/src/gateway/parts.rs
@@ -63,8 +63,8 @@
         let versions: BTreeSet<_> =
             self.directory.versions_of(&in_flight.service.name, writes).collect();
         let verdict_at = |version: Option<VersionKey>| {
-            let parts = in_flight.parts.iter().map(|it| it.at_version(version));
-            parts.map(|it| self.parts.verdict(it)).max().unwrap_or(Verdict::Clear)
+            let parts = in_flight.parts.iter().map(|it| self.parts.verdict(*it, version));
+            parts.max().unwrap_or(Verdict::Clear)
         };
         let strictest = versions.iter().map(|it| verdict_at(*it)).max().unwrap_or(Verdict::Clear);
         let verdict =
@@ -88,7 +88,7 @@
         let mut shared = other.parts.iter().filter(is_shared);
         self.may_crash_engine(call)
             && !self.parts.cases.is_empty()
-            && shared.any(|it| self.parts.verdict(it.at_version(version)) == Verdict::Trial)
+            && shared.any(|it| self.parts.verdict(*it, version) == Verdict::Trial)
     }
 
     /// Makes the parts of a broken call's prompt suspect. Returns whether the break counts for any.
@@ -98,10 +98,8 @@
             return false;
         }
         let (about, names) = (summary(in_flight), in_flight.request.shared_parts.clone());
-        let version = version_key(call.engine.version.as_ref());
-        let parts = in_flight.parts.iter().map(|it| it.at_version(version));
-        let mut parts: Vec<_> = parts.zip(names.iter()).collect();
-        parts.sort_by_key(|it| self.parts.verdict(it.0) == Verdict::Clear);
+        let mut parts: Vec<_> = in_flight.parts.iter().copied().zip(names.iter()).collect();
+        parts.sort_by_key(|it| self.parts.cases.verdict(it.0) == Verdict::Clear);
         parts.truncate(MAX_TRACKED_PARTS);
         let mut counts = false;
         for (part, name) in parts {
@@ -122,10 +120,9 @@
     pub(super) fn clear_parts(&mut self, call: &Call) {
         let Some(in_flight) = self.in_flight.get(&call.request) else { return };
         let version = version_key(call.engine.version.as_ref());
-        let parts = in_flight.parts.iter().take(MAX_TRACKED_PARTS);
-        let parts: Vec<_> = parts.map(|it| it.at_version(version)).collect();
+        let parts: Vec<_> = in_flight.parts.iter().take(MAX_TRACKED_PARTS).copied().collect();
         for signature in parts {
-            if self.parts.clear(signature, self.now) {
+            if self.parts.clear(signature, version, self.now) {
                 self.log(LogEvent::Released { signature, outcome: "answered" });
             }
         }
@@ -134,14 +131,10 @@
     /// Records that a request has arrived whose prompt has parts with a case.
     pub(super) fn record_parts_seen(&mut self, key: RequestKey) {
         let Some(in_flight) = self.in_flight.get(&key) else { return };
-        let versions = self.version_verdicts(in_flight);
         let about = summary(in_flight);
         for (part, name) in in_flight.parts.iter().zip(&*in_flight.request.shared_parts) {
-            for (version, _) in &versions {
-                let part = part.at_version(*version);
-                self.parts.cases.record_seen(part, self.now, || about.clone());
-                self.parts.cases.record_name(part, name);
-            }
+            self.parts.cases.record_seen(*part, self.now, || about.clone());
+            self.parts.cases.record_name(*part, name);
         }
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -27,7 +27,6 @@
 use crate::reservation;
 use crate::route::{Route, Staged};
 use crate::signature::Signature;
-use crate::version::SoftwareVersion;
 
 /// The shortest and longest time after which a client may retry a request that arrived before any
 /// configuration was known. A box has one soon after its start, unless the store is away.
@@ -326,9 +325,7 @@
         let Some(in_flight) = self.in_flight.get_mut(&key) else { return };
         let case_state = self.quarantine.progress(in_flight.signature);
         let NextCall { task, choice, .. } = next;
-        let part_states = self
-            .parts
-            .progress(&in_flight.parts, choice.engine.version.as_ref().map(SoftwareVersion::key));
+        let part_states = self.parts.progress(&in_flight.parts);
         in_flight.waits_until = None;
         in_flight.waits_for_permit = false;
         in_flight.permit_request = None;
--- a/crates/hollyspoke-gateway/src/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/quarantine.rs
@@ -21,6 +21,7 @@
 
 use crate::engine::{Engine, EngineKey};
 use crate::signature::Signature;
+use crate::version::VersionKey;
 
 pub use case::{
     Announcement, Case, Crash, Crashes, HOLD_DURATION, Incarnation, MAX_CRASHES, MAX_PART_CRASHES,
@@ -37,6 +38,9 @@
 /// Maximum length of the name of a part, in bytes. It is only displayed.
 const MAX_NAME_BYTES: usize = 32;
 
+/// Maximum number of software versions of a case.
+const MAX_VERSIONS: usize = 16;
+
 /// All cases known to one box, of requests or parts that are held back after N crashes.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine<const N: usize> {
@@ -302,6 +306,17 @@
         }
     }
 
+    /// Records versions of engines that crashed under a part. Returns whether any was not known.
+    fn record_versions(&mut self, signature: Signature, versions: &[VersionKey]) -> bool {
+        let Some(case) = self.cases.get_mut(&signature) else { return false };
+        let before = case.versions.len();
+        case.versions.extend(versions);
+        while case.versions.len() > MAX_VERSIONS {
+            case.versions.pop_last();
+        }
+        case.versions.len() > before
+    }
+
     /// Returns the number of cases.
     pub fn len(&self) -> usize {
         self.cases.len()
--- a/crates/hollyspoke-gateway/src/quarantine/case.rs
+++ b/crates/hollyspoke-gateway/src/quarantine/case.rs
@@ -1,5 +1,6 @@
 //! The engine crashes attributed to one request, as known to one box.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 
 use crate::engine::{Engine, EngineKey};
 use crate::signature::Signature;
+use crate::version::VersionKey;
 
 /// Number of successive crashes after which a request is held back. Three crashes are allowed, and
 /// few repeats beyond them.
@@ -142,6 +144,8 @@
     pub about: Option<RequestSummary>,
     /// The name of the part, if the case is about one and the name is known.
     pub name: Option<Arc<str>>,
+    /// The software versions of the engines that crashed under the part, as far as they are known.
+    pub versions: BTreeSet<VersionKey>,
     /// Whether the hold has been reported.
     pub(super) is_held: bool,
     /// When the case last changed at this box.
@@ -163,6 +167,7 @@
             at: 0,
             about: None,
             name: None,
+            versions: BTreeSet::new(),
             is_held: false,
             changed: now,
             seen: now,
@@ -221,6 +226,9 @@
     pub(super) fn end(&mut self, left: Crashes<N>) {
         self.epoch += 1;
         self.crashes = left;
+        if self.count() == 0 {
+            self.versions.clear();
+        }
     }
 
     /// Merges an announcement of the case. Returns whether that changed it.
@@ -232,6 +240,7 @@
         if announcement.epoch > self.epoch {
             (self.epoch, self.at) = (announcement.epoch, 0);
             self.crashes = [None; N];
+            self.versions.clear();
         }
         for (own, announced) in self.crashes.iter_mut().zip(announcement.crashes) {
             *own = better_known(*own, announced);
--- a/crates/hollyspoke-gateway/src/quarantine/parts.rs
+++ b/crates/hollyspoke-gateway/src/quarantine/parts.rs
@@ -5,8 +5,9 @@
 //! follows: no engine completes an answer on a harmful part. A complete answer therefore clears its
 //! parts at engines of the same software version, whatever crashes there are before or after it.
 //!
-//! Parts that were not cleared have cases as requests do. A box that has cleared a part corrects the
-//! boxes that suspect it.
+//! Parts that were not cleared have cases as requests do. Crashes of engines of all versions count
+//! together, since a part that crashes one version mostly crashes the others. A box that has cleared
+//! a part corrects the boxes that suspect it.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -18,7 +19,7 @@
 use super::case::{Announcement, MAX_PART_CRASHES, Progress, RequestSummary, Verdict};
 use crate::engine::Engine;
 use crate::signature::Signature;
-use crate::version::VersionKey;
+use crate::version::{SoftwareVersion, VersionKey};
 
 /// A part's case as boxes announce it to each other.
 #[derive(Debug, Clone, PartialEq)]
@@ -27,41 +28,46 @@
     pub case: Announcement<MAX_PART_CRASHES>,
     /// The name of the part, for operators.
     pub name: Option<Arc<str>>,
+    /// The software versions of the engines that crashed.
+    pub versions: Vec<VersionKey>,
 }
 
 /// The cases of parts and the parts that are cleared, as known to one box.
 #[derive(Debug, Clone, Default)]
 pub struct Parts {
-    /// The cases, by the signature of a part at a software version.
+    /// The cases, by the signature of the part.
     pub cases: Quarantine<MAX_PART_CRASHES>,
-    /// The parts that complete answers have cleared.
+    /// The parts that complete answers have cleared, by their signature at a software version.
     answered: Answered,
     /// When to correct other boxes that suspect a cleared part.
     corrections: BTreeMap<Signature, Time>,
 }
 
 impl Parts {
-    /// Returns what may be done with requests that have a part.
-    pub fn verdict(&self, part: Signature) -> Verdict {
-        let verdict = self.cases.verdict(part);
-        if verdict != Verdict::Clear && self.answered.contains(part) {
+    /// Returns what may be done with requests that have a part, at engines of a version. Where a held
+    /// part has crashed no engine of a version, it is tried.
+    pub fn verdict(&self, part: Signature, version: Option<VersionKey>) -> Verdict {
+        let Some(case) = self.cases.case(part) else { return Verdict::Clear };
+        if self.answered.contains(part.at_version(version)) {
             return Verdict::Clear;
         }
-        verdict
+        let verdict = case.verdict();
+        match version {
+            Some(version)
+                if verdict >= Verdict::Unconfirmed && !case.versions.contains(&version) =>
+            {
+                Verdict::Trial
+            }
+            _ => verdict,
+        }
     }
 
-    /// Returns the progress of the cases of a prompt's parts at engines of a version, for those that
-    /// have one.
-    pub fn progress(
-        &self,
-        parts: &[Signature],
-        version: Option<VersionKey>,
-    ) -> Vec<(Signature, Progress)> {
+    /// Returns the progress of the cases of a prompt's parts, for those that have one.
+    pub fn progress(&self, parts: &[Signature]) -> Vec<(Signature, Progress)> {
         if self.cases.is_empty() {
             return Vec::new();
         }
-        let parts = parts.iter().map(|it| it.at_version(version));
-        let states = parts.map(|it| (it, self.cases.progress(it)));
+        let states = parts.iter().map(|it| (*it, self.cases.progress(*it)));
         states.filter(|it| it.1 != Progress::default()).collect()
     }
 
@@ -76,19 +82,36 @@
         about: (&Arc<str>, RequestSummary),
         now: Time,
     ) -> bool {
-        if self.answered.contains(part) {
+        let version = engine.version.as_ref().map(SoftwareVersion::key);
+        if self.answered.contains(part.at_version(version)) {
             return false;
         }
         let (name, about) = about;
+        let was_held = self.cases.verdict(part) >= Verdict::Unconfirmed;
         let counts = self.cases.suspect(part, progress, engine, about, now);
         self.cases.record_name(part, name);
+        let is_new_version = self.cases.record_versions(part, version.as_slice());
+        if was_held && is_new_version {
+            self.cases.mark_changed(vec![part], now);
+        }
         counts
     }
 
-    /// Records a complete answer on a part. Returns whether that closes a case.
-    pub fn clear(&mut self, part: Signature, now: Time) -> bool {
-        self.answered.record(part, now);
-        self.cases.close_case(part, now)
+    /// Records a complete answer on a part at a version. Returns whether that closes a case: one of
+    /// engines of other versions goes on.
+    pub fn clear(&mut self, part: Signature, version: Option<VersionKey>, now: Time) -> bool {
+        self.answered.record(part.at_version(version), now);
+        self.is_refuted(part) && self.cases.close_case(part, now)
+    }
+
+    /// Returns whether a part is cleared at all versions whose engines crashed.
+    fn is_refuted(&self, part: Signature) -> bool {
+        let Some(case) = self.cases.case(part) else { return false };
+        let is_cleared = |it| self.answered.contains(part.at_version(it));
+        if case.versions.is_empty() {
+            return is_cleared(None);
+        }
+        case.versions.iter().all(|it| is_cleared(Some(*it)))
     }
 
     /// Merges a case received from another box or read from the store, which this box saves at
@@ -106,13 +129,14 @@
         if let Some(name) = &announcement.name {
             self.cases.record_name(part, name);
         }
-        if !self.answered.contains(part) {
-            return is_held;
+        if self.cases.progress(part).epoch == announcement.case.epoch {
+            self.cases.record_versions(part, &announcement.versions);
         }
-        if self.cases.verdict(part) != Verdict::Clear {
+        if self.cases.verdict(part) != Verdict::Clear && self.is_refuted(part) {
             self.corrections.entry(part).or_insert(correct_at);
+            return false;
         }
-        false
+        is_held
     }
 
     /// Removes and returns the next announcements for the other boxes.
@@ -126,10 +150,12 @@
         self.cases.reminder().into_iter().map(|it| self.named(it)).collect()
     }
 
-    /// Adds the name of the part to an announcement.
+    /// Adds the name of the part and the versions to an announcement.
     fn named(&self, case: Announcement<MAX_PART_CRASHES>) -> NamedAnnouncement {
-        let name = self.cases.case(case.signature).and_then(|it| it.name.clone());
-        NamedAnnouncement { case, name }
+        let known = self.cases.case(case.signature);
+        let name = known.and_then(|it| it.name.clone());
+        let versions = known.map_or(Vec::new(), |it| it.versions.iter().copied().collect());
+        NamedAnnouncement { case, name, versions }
     }
 
     /// Closes the cases of cleared parts that are due to be corrected, unless another box has done so.
--- a/crates/hollyspoke-server/src/part_field.rs
+++ b/crates/hollyspoke-server/src/part_field.rs
@@ -5,8 +5,11 @@
     Announcement, Crash, Crashes, MAX_PART_CRASHES, NamedAnnouncement, Proof,
 };
 use hollyspoke_gateway::signature::Signature;
+use hollyspoke_gateway::version::VersionKey;
 use minicbor::{Decode, Encode};
 
+use crate::datagram::non_empty_list;
+
 /// The case of a part.
 #[derive(Debug, Encode, Decode)]
 #[cbor(map)]
@@ -26,6 +29,9 @@
     /// The name of the part, if known.
     #[n(4)]
     name: Option<String>,
+    /// The hashes of the names of the software versions that crashed; none if missing.
+    #[n(5)]
+    versions: Option<Vec<u64>>,
 }
 
 /// A crash of an engine.
@@ -57,9 +63,10 @@
         PartField {
             signature: signature.bytes(),
             epoch: (epoch > 0).then_some(epoch),
-            crashes: (!crashes.is_empty()).then_some(crashes),
+            crashes: non_empty_list(crashes),
             at: (at > 0).then_some(at),
             name,
+            versions: non_empty_list(announcement.versions.iter().map(|it| it.0).collect()),
         }
     }
 
@@ -75,7 +82,8 @@
             crashes,
             at: self.at.unwrap_or_default(),
         };
-        Some(NamedAnnouncement { case, name: self.name.as_deref().map(Into::into) })
+        let versions = self.versions.iter().flatten().map(|it| VersionKey(*it)).collect();
+        Some(NamedAnnouncement { case, name: self.name.as_deref().map(Into::into), versions })
     }
 }
 
--- a/tests/tests/gateway_parts.rs
+++ b/tests/tests/gateway_parts.rs
@@ -271,6 +271,45 @@
     assert!(sent >= 18 && served > 0.9, "{served} of {sent}");
 }
 
+/// Three versions served, and each of them could crash as many engines as one alone.
+#[test]
+fn crashes_counted_by_version() {
+    for every in [250, 2000] {
+        for seed in 1..=2 {
+            let deadly = Sharing { every: Duration::from_millis(every), ..DEADLY };
+            let mut fleet = Fleet::new(6, seed);
+            fleet.sharing = vec![HARMLESS];
+            let engines = fleet.decode_engines();
+            fleet.run(Duration::from_secs(2));
+            fleet.release(engines[..4].iter().copied(), "v2");
+            fleet.release(engines[4..8].iter().copied(), "v3");
+            fleet.run(Duration::from_secs(12));
+            fleet.sharing.push(deadly);
+            fleet.run(TROUBLE_DURATION + deadly.every * 5);
+            assert_eq!(violations(&fleet, &format!("each {every} ms, seed {seed}")), None);
+        }
+    }
+}
+
+/// Engines of a new version no longer crash: the part is tried there, and held no more.
+#[test]
+fn part_held_at_repaired_version() {
+    let mut fleet = troubled(6, DEADLY, 1);
+    fleet.sound_version = Some("v2");
+    fleet.run(Duration::from_secs(8));
+    let engines = fleet.decode_engines();
+    fleet.release(engines[..6].iter().copied(), "v2");
+    fleet.run(Duration::from_secs(8));
+    let crashes = fleet.crashes.harmful_crashes.len();
+    assert!(crashes <= MAX_CRASHES, "{crashes}");
+    let (harmful, later) = (fleet.crashes.harmful.clone(), fleet.now());
+    fleet.run(Duration::from_secs(5));
+    let added = fleet.crashes.harmful.difference(&harmful).copied().collect();
+    let (sent, served) = fleet.records.served_of(&added, later..fleet.now());
+    assert!(sent >= 18 && served > 0.9, "{served} of {sent}");
+    assert_eq!(fleet.crashes.harmful_crashes.len(), crashes);
+}
+
 /// An operator releases a part; four more crashes hold it again.
 #[test]
 fn released_part_kept() {
