--- a/tests/tests/gateway_silence.rs
+++ b/tests/tests/gateway_silence.rs
@@ -22,6 +22,19 @@
 /// A time just before the client of a silent stream leaves.
 const PATIENCE: Duration = Duration::from_millis(3500);
 
+/// The time by which the engine of a silent call is probed: 0.5 s before the timeout.
+const FIRST_PROBE: Duration = Duration::from_millis(700);
+
+/// The time from which on another engine is sought for a call whose engine stands still: the
+/// client's patience of four targets, less the target that its successor needs.
+const STILL_TIMEOUT: Duration = Duration::from_millis(2700);
+
+/// The number of probes of an engine for one silence.
+const PROBES_OF_SILENCE: u128 = 1;
+
+/// The number of probes of an engine for the suspicion that a call has crashed it.
+const PROBES_OF_SUSPICION: u128 = 1;
+
 /// The time between two checks of a call that can't be replaced.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -358,15 +371,17 @@
 /// A probe that shows nothing new about a silent call is not repeated at once.
 #[test]
 fn probes_repeated_without_pause() {
+    let suspected = PROBES_OF_SILENCE + PROBES_OF_SUSPICION;
+    let sought = rounds(PATIENCE - STILL_TIMEOUT, CHECK_INTERVAL);
     let shown = [
-        Probe::Replaced,
-        Probe::Broken,
-        Probe::Exhausted,
-        Probe::NoAnswer,
-        Probe::Alive(Some(7)),
-        Probe::NotConnected,
+        (Probe::Exhausted, PROBES_OF_SILENCE),
+        (Probe::Alive(Some(7)), PROBES_OF_SILENCE),
+        (Probe::Replaced, suspected),
+        (Probe::Broken, suspected),
+        (Probe::NoAnswer, PROBES_OF_SILENCE + sought),
+        (Probe::NotConnected, rounds(PATIENCE - FIRST_PROBE, CHECK_INTERVAL)),
     ];
-    for probe in shown {
+    for (probe, max) in shown {
         let mut world = World::new();
         let (_, call) = begin(&mut world);
         world.probed.clear();
@@ -379,11 +394,15 @@
                 world.event(Event::Probed(engine, probe));
             }
         }
-        let max = PATIENCE.as_millis() / CHECK_INTERVAL.as_millis();
-        assert!(count <= max, "{count} probes in {PATIENCE:?} after {probe:?}");
+        assert!(count <= max, "{count} probes in {PATIENCE:?} after {probe:?}; {max} at most");
     }
 }
 
+/// Returns how many times something happens in a time that happens at its start and in intervals.
+fn rounds(duration: Duration, interval: Duration) -> u128 {
+    duration.as_millis().div_ceil(interval.as_millis())
+}
+
 /// Where many engines are silent at once, a box probes them in turn.
 #[test]
 fn all_engines_probed_at_once() {
