A probe that engines leave unanswered begins no search for others at once

Callers saw no wrong answer: where all engines of a service stand still, a box probed them for another one that speaks as soon as a probe had ended, not each 0.25 s as stated. Cause: what a probe shows has the silent calls of its engine checked at once; a probe without an answer, while the call's longer timeout is over, sends the next probes in that check.

An unanswered probe shows nothing to act on before the time at which its calls are checked anyway: 0.5 s after the probe was sent, when it has ended in any case, or 0.25 s after a search. So it leads to no check of its own any more.

Real probes end after 0.4 s, so the difference there is read and not measured: a search each 0.5 s in place of each 0.4 s.

--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -121,7 +121,8 @@
                 self.confirm(asked, Proof::Proven);
             }
             // A process that accepts connections has not crashed.
-            Probe::NoAnswer => self.record_unanswered(engine),
+            // The calls that wait for this are checked by the time at which the probe ends.
+            Probe::NoAnswer => return self.record_unanswered(engine),
             Probe::Broken | Probe::NotConnected => {
                 self.record_silent_unreached(engine);
                 self.report_finding(engine, Finding::Crashed);
