One condition says whether a call may begin a run that is not counted

Callers see no difference. Counting a run (gateway/silence.rs) and asking whether a call may begin one (in_flight.rs) held the same condition twice, so that a change of one could have counted a run that the other takes for begun, or twice. The count now asks `Call::may_begin_run`.

Run: gateway_silence, gateway_promises, gateway_repeats, gateway_migration, moves_drawn and unanswered pass as before.

--- a/crates/hollyspoke-gateway/src/gateway/silence.rs
+++ b/crates/hollyspoke-gateway/src/gateway/silence.rs
@@ -191,7 +191,7 @@
     /// Counts the run that an engine may have begun through a call, once.
     pub(super) fn count_run(&mut self, call_key: CallKey) {
         let Some(call) = self.calls.get_mut(&call_key) else { return };
-        if !call.is_counted && call.runs_request() && !call.is_continuation() {
+        if call.may_begin_run() {
             call.is_counted = true;
             if let Some(in_flight) = self.in_flight.get_mut(&call.request) {
                 in_flight.run_count += 1;
