--- a/tests/tests/gateway_silence.rs
+++ b/tests/tests/gateway_silence.rs
@@ -22,6 +22,19 @@
 /// A time just before the client of a silent stream leaves.
 const PATIENCE: Duration = Duration::from_millis(3500);
 
+/// The time by which the engine of a silent call is probed: 0.5 s before the timeout.
+const FIRST_PROBE: Duration = Duration::from_millis(700);
+
+/// The time from which on another engine is sought for a call whose engine stands still: the
+/// client's patience of four targets, less the target that its successor needs.
+const STILL_TIMEOUT: Duration = Duration::from_millis(2700);
+
+/// The number of probes of an engine for one silence.
+const PROBES_OF_SILENCE: u128 = 1;
+
+/// The number of probes of an engine for the suspicion that a call has crashed it.
+const PROBES_OF_SUSPICION: u128 = 1;
+
 /// The time between two checks of a call that can't be replaced.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -358,15 +371,17 @@
 /// A probe that shows nothing new about a silent call is not repeated at once.
 #[test]
 fn probes_repeated_without_pause() {
+    let suspected = PROBES_OF_SILENCE + PROBES_OF_SUSPICION;
+    let sought = rounds(PATIENCE - STILL_TIMEOUT, CHECK_INTERVAL);
     let shown = [
-        Probe::Replaced,
-        Probe::Broken,
-        Probe::Exhausted,
-        Probe::NoAnswer,
-        Probe::Alive(Some(7)),
-        Probe::NotConnected,
+        (Probe::Exhausted, PROBES_OF_SILENCE),
+        (Probe::Alive(Some(7)), PROBES_OF_SILENCE),
+        (Probe::Replaced, suspected),
+        (Probe::Broken, suspected),
+        (Probe::NoAnswer, PROBES_OF_SILENCE + sought),
+        (Probe::NotConnected, rounds(PATIENCE - FIRST_PROBE, CHECK_INTERVAL)),
     ];
-    for probe in shown {
+    for (probe, max) in shown {
         let mut world = World::new();
         let (_, call) = begin(&mut world);
         world.probed.clear();
@@ -379,11 +394,15 @@
                 world.event(Event::Probed(engine, probe));
             }
         }
-        let max = PATIENCE.as_millis() / CHECK_INTERVAL.as_millis();
-        assert!(count <= max, "{count} probes in {PATIENCE:?} after {probe:?}");
+        assert!(count <= max, "{count} probes in {PATIENCE:?} after {probe:?}; {max} at most");
     }
 }
 
+/// Returns how many times something happens in a time that happens at its start and in intervals.
+fn rounds(duration: Duration, interval: Duration) -> u128 {
+    duration.as_millis().div_ceil(interval.as_millis())
+}
+
 /// Where many engines are silent at once, a box probes them in turn.
 #[test]
 fn all_engines_probed_at_once() {
@@ -430,12 +449,50 @@
     assert_eq!(effects, [Effect::Resume(key, second.call)]);
 }
 
-/// A silent call that can't be replaced counts once against its engine.
+/// A silent call that can't be replaced counts once against its engine: new streams come back to it
+/// as soon as after a call that it failed when the silent one had lasted for its timeout.
 #[test]
 fn silence_counted_again() {
     let mut world = box_without_budget();
     let (_, call) = begin(&mut world);
     wait(&mut world, PATIENCE, alive);
-    let chosen: Vec<_> = (0..8).map(|_| begin(&mut world).1.engine.key).collect();
-    assert!(chosen.contains(&call.engine.key), "one silence makes the engine a poor one");
+    let after_silence = streams_until(&mut world, call.engine.key);
+    let mut world = box_without_budget();
+    let (_, call) = begin(&mut world);
+    speak(&mut world, &call, TIMEOUT);
+    let failing = decode_at(&mut world, call.engine.key);
+    world.call(failing.call, CallEvent::Answered(ran(500)));
+    speak(&mut world, &call, PATIENCE - TIMEOUT);
+    let after_failure = streams_until(&mut world, call.engine.key);
+    assert!(after_silence <= after_failure, "{after_silence} and {after_failure} streams");
+}
+
+/// Sends streams until the decode call of one, which is not answered, goes to an engine; the clients
+/// of the others leave.
+fn decode_at(world: &mut World, engine: EngineKey) -> Send {
+    let mut others = Vec::new();
+    loop {
+        let (key, prefill) = world.first_call(request("resumed"));
+        let decode = only_send(&world.call(prefill.call, CallEvent::Answered(prefilled("h"))));
+        if decode.engine.key == engine {
+            others.into_iter().for_each(|it| drop(world.event(Event::ClientDisconnected(it))));
+            return decode;
+        }
+        others.push(key);
+        assert!(others.len() < 4, "no stream goes there");
+    }
+}
+
+/// Lets time pass in which a stream goes on.
+fn speak(world: &mut World, call: &Send, duration: Duration) {
+    let end = world.now + duration;
+    while world.now < end {
+        world.advance(Duration::from_millis(100).min(end.since(world.now)));
+        world.call(call.call, CallEvent::Forwarded(Some(2)));
+    }
+}
+
+/// Begins streams until one is sent to an engine, and returns how many went elsewhere before.
+fn streams_until(world: &mut World, engine: EngineKey) -> usize {
+    (0..8).position(|_| begin(world).1.engine.key == engine).expect("one gets there")
 }
