The soak plays a part of prompts that crashes engines, and judges it

The soak's harmful requests repeated one body, and its prompts had one part each, so that a part that many requests share and that crashes engines could not be seen. Streams of which no two are alike now carry such a part, at any box, and all other streams share the parts before it. The promise PartHeldBack: no more than three runs later than the contact time after the fifth crash, with the excuses of HarmHeldBack, and no stream without the part refused with 400. Both promises are one check over what causes the crashes. SilenceCutsNothing leaves the new requests out like the other harmful ones.

Tests: harmful_part_not_quarantined, harmless_stream_quarantined (records for both verdicts), caught_part.

--- a/tests/soak/src/client.rs
+++ b/tests/soak/src/client.rs
@@ -57,6 +57,12 @@
 /// How many versions a removed key is older than the newest version.
 const OLD_KEY: u64 = 4;
 
+/// The prompt parts at the start of streams: all have the first one, every second has both.
+const SHARED_PARTS: [&str; 2] = ["5a1", "5a2"];
+
+/// The number of tokens of a prompt part that is not the last.
+const PART_TOKENS: u64 = 50;
+
 /// The channel for observations.
 pub type Sink = mpsc::UnboundedSender<Observation>;
 
@@ -125,6 +131,8 @@
     pub(crate) path: String,
     /// The body.
     pub(crate) body: Bytes,
+    /// The ids of the parts of its prompt but for the last, which is its own.
+    pub(crate) shared_parts: Vec<String>,
     /// The number of events received so far.
     pub(crate) after: u64,
     /// The customer and key that send it.
@@ -214,7 +222,7 @@
     }
 
     /// Draws a request of a kind with its deadline.
-    fn wanted(&mut self, kind: Kind) -> Wanted {
+    pub(crate) fn wanted(&mut self, kind: Kind) -> Wanted {
         let number: u64 = self.random.random();
         let body = match kind {
             Kind::Safe | Kind::Probe => Bytes::new(),
@@ -224,7 +232,10 @@
         let path = format!("/{}/{number:08x}", kind.route());
         let caller = self.caller(kind, &body);
         let deadline = Instant::now() + span;
-        Wanted { kind, path, body, after: 0, caller, deadline, received: Rc::default() }
+        let count = if number.is_multiple_of(2) { 1 } else { SHARED_PARTS.len() };
+        let shared_parts = SHARED_PARTS[..count].iter().map(|&it| it.to_owned()).collect();
+        let received = Rc::default();
+        Wanted { kind, path, body, shared_parts, after: 0, caller, deadline, received }
     }
 
     /// Draws the key of a request: mostly one that is known in both the newest version and the one
@@ -474,7 +485,7 @@
         builder = builder
             .header("X-Model", "m")
             .header("X-Token-Count", format!("{tokens},{ANSWER_TOKENS}"))
-            .header("X-Prompt-Prefix", format!("{:x}:{tokens}", digest(&wanted.body)));
+            .header("X-Prompt-Prefix", prompt_parts(wanted));
     }
     if wanted.after > 0 {
         builder = builder.header("Last-Event-Id", wanted.after.to_string());
@@ -486,6 +497,13 @@
     builder.body(Full::new(wanted.body.clone())).unwrap_or_default()
 }
 
+/// Returns the parts of a prompt with their numbers of tokens.
+fn prompt_parts(wanted: &Wanted) -> String {
+    let shared = wanted.shared_parts.iter().map(|it| format!("{it}:{PART_TOKENS},"));
+    let own = prompt_tokens(&wanted.body) - PART_TOKENS * wanted.shared_parts.len() as u64;
+    format!("{}{:x}:{own}", shared.collect::<String>(), digest(&wanted.body))
+}
+
 /// Returns the number of tokens of a prompt.
 fn prompt_tokens(body: &Bytes) -> u64 {
     200 + digest(body) % 3000
--- a/tests/soak/src/judge.rs
+++ b/tests/soak/src/judge.rs
@@ -61,6 +61,9 @@
     LimitedOnly,
     /// A request that crashes its upstreams is quarantined after the third crash.
     HarmHeldBack,
+    /// A part of prompts that crashes upstreams is quarantined after the fifth crash, and no request
+    /// without it is.
+    PartHeldBack,
     /// An upstream that announces a rate limit receives no more than that from all boxes together.
     LimitKept,
     /// An upstream that announces its shutdown receives no more requests.
@@ -210,6 +213,7 @@
         customers::within_limit,
         customers::limited_only,
         harm::held_back,
+        harm::others_accepted,
         intake::limit_kept,
         terms::leaving_kept,
         terms::entry_kept,
--- a/tests/soak/src/judge/silence.rs
+++ b/tests/soak/src/judge/silence.rs
@@ -1,10 +1,10 @@
 //! Checks that boxes do not end requests because their upstreams are silent.
 
+use super::harm::Cause;
 use super::records::{Attempt, End, READS_WITHIN, Records, Run};
 use super::{Bounds, Finding, Promise, finding};
 use crate::layout::{GAP_TARGET_MS, TARGET_LATENCY_MS};
 use crate::observation::{BoxChange, Kind, MILLISECOND, Micros, RunEnd, SECOND};
-use crate::standin::engine::HARMFUL;
 
 /// The minimum time for which a client waits for the next byte.
 const MIN_PATIENCE: Micros = 2 * SECOND;
@@ -27,7 +27,7 @@
 /// Boxes that do not reach the store or each other are not excused.
 pub(super) fn cuts_nothing(records: &Records, bounds: &Bounds) -> Vec<Finding> {
     let attempts = records.attempts.values().filter(|_| bounds.keeps_silent);
-    let attempts = attempts.filter(|it| it.kind != Kind::Probe && !it.path.ends_with(HARMFUL));
+    let attempts = attempts.filter(|it| it.kind != Kind::Probe && Cause::of(&it.path).is_none());
     attempts.filter_map(|it| check(records, it, bounds)).collect()
 }
 
--- a/tests/soak/src/mutant.rs
+++ b/tests/soak/src/mutant.rs
@@ -51,6 +51,8 @@
     LimitsAll,
     /// Requests that crash upstreams have another body each time.
     VariesHarm,
+    /// The part of prompts that crashes upstreams has another name in each request.
+    RenamesPart,
     /// Upstreams have a limit and don't announce it.
     HidesLimit,
     /// Upstreams shut down and don't announce it.
@@ -81,7 +83,7 @@
 
 impl Mutant {
     /// All mutants, with their names on the command line and the promises that they break.
-    pub const ALL: [(Mutant, &'static str, Promise); 34] = [
+    pub const ALL: [(Mutant, &'static str, Promise); 35] = [
         (Mutant::RunsTwice, "runs-twice", Promise::RunsOnce),
         (Mutant::SpoilsAnswer, "spoils-answer", Promise::WholeAnswer),
         (Mutant::SkipsEvent, "skips-event", Promise::EventsInOrder),
@@ -103,6 +105,7 @@
         (Mutant::LiftsLimit, "lifts-limit", Promise::WithinLimit),
         (Mutant::LimitsAll, "limits-all", Promise::LimitedOnly),
         (Mutant::VariesHarm, "varies-harm", Promise::HarmHeldBack),
+        (Mutant::RenamesPart, "renames-part", Promise::PartHeldBack),
         (Mutant::HidesLimit, "hides-limit", Promise::LimitKept),
         (Mutant::HidesLeaving, "hides-leaving", Promise::LeavingKept),
         (Mutant::HidesEra, "hides-era", Promise::EntryKept),
--- a/tests/soak/src/run.rs
+++ b/tests/soak/src/run.rs
@@ -117,6 +117,7 @@
     let probing = tokio::task::spawn_local(probe(cluster.clone(), shared.clone()));
     let sampling = tokio::task::spawn_local(sample(cluster.clone()));
     let harming = tokio::task::spawn_local(harmful::run(shared.clone(), plan.mutant));
+    let harming_parts = tokio::task::spawn_local(harmful::run_parts(shared.clone(), plan.mutant));
     let malformed = tokio::task::spawn_local(malformed::run(cluster.clone(), plan.seed));
     tokio::task::spawn_local(strike(cluster.clone(), plan.seed, plan.faults.clone()));
     if let Some(mutant) = plan.mutant {
@@ -128,6 +129,7 @@
     probing.abort();
     malformed.abort();
     harming.abort();
+    harming_parts.abort();
     collect(&mut seen, &mut observations, DRAINED_AFTER, &cluster).await;
     check_active_runs(&cluster).await;
     check_metrics(&cluster).await;
--- a/tests/soak/src/standin/engine.rs
+++ b/tests/soak/src/standin/engine.rs
@@ -59,6 +59,12 @@
 /// The path suffix of a request that crashes its upstream.
 pub const HARMFUL: &str = "/harmful";
 
+/// What is in the path of each request with a harmful part in its prompt.
+pub const WITH_HARMFUL_PART: &str = "/harmful-part/";
+
+/// The prefix of the ids of prompt parts that crash the engines that decode on them.
+pub const HARMFUL_PART: &str = "bad";
+
 /// How long a harmful request runs before the crash.
 pub const CRASHES_AFTER: Duration = Duration::from_millis(60);
 
@@ -416,7 +422,8 @@
         let _run = Run::begin(self, entry.tokens);
         let is_reading = received.header("x-serving-stage") == Some("prefill");
         self.begin(&attempt, path, received, is_reading, entry.copy);
-        if path.ends_with(HARMFUL) && !is_reading {
+        let is_harmful = path.ends_with(HARMFUL) || has_harmful_part(received);
+        if is_harmful && !is_reading {
             tokio::time::sleep(CRASHES_AFTER).await;
             std::process::exit(1);
         }
@@ -668,6 +675,12 @@
     }
 }
 
+/// Returns whether a prompt has a harmful part; its last part never is one.
+fn has_harmful_part(received: &Received) -> bool {
+    let parts = received.header("x-prompt-prefix").unwrap_or_default();
+    parts.rsplit(',').skip(1).any(|it| it.starts_with(HARMFUL_PART))
+}
+
 /// Creates an answer that repeats the request's id, with the given headers.
 fn answer(to: &Received, status: &str, headers: &str, body: &str) -> Vec<u8> {
     let id = to.header("x-request-id").unwrap_or_default();
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -46,6 +46,13 @@
     assert!(is_good, "{text}");
 }
 
+#[test]
+fn caught_part() {
+    let arguments = ["--mutant", "renames-part", "--seconds", "13", "--boxes", "2"];
+    let (is_good, text) = soak(&arguments, "part");
+    assert!(is_good, "{text}");
+}
+
 #[test]
 fn caught_software() {
     let arguments = ["--mutant", "hides-software", "--seconds", "9", "--boxes", "2"];
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -351,8 +351,8 @@
     assert_eq!(broken(&[running(), night, refused]), []);
 }
 
-/// Attempts of one harmful request, a second apart, each of which another upstream receives.
-fn harmful(count: u64) -> Vec<Observation> {
+/// Attempts with harmful paths, a second apart, each of which another upstream receives.
+fn harmful(count: u64, new_path: impl Fn(u64) -> String) -> Vec<Observation> {
     let mut seen = vec![running()];
     for number in 0..count {
         let millis = 5000 + 1000 * number;
@@ -361,7 +361,7 @@
             match &mut it.what {
                 What::Sent { attempt, path, .. } | What::Began { attempt, path, .. } => {
                     *attempt = format!("r-{number}");
-                    "/safe/harmful".clone_into(path);
+                    *path = new_path(number);
                 }
                 _ => {}
             }
@@ -375,13 +375,37 @@
 /// three more are allowed.
 #[test]
 fn harmful_request_not_quarantined() {
-    assert_eq!(broken(&harmful(10)), []);
-    assert_eq!(broken(&harmful(11)), [Promise::HarmHeldBack]);
-    let mut disturbed = harmful(11);
+    let same = |count| harmful(count, |_| "/safe/harmful".to_owned());
+    assert_eq!(broken(&same(10)), []);
+    assert_eq!(broken(&same(11)), [Promise::HarmHeldBack]);
+    let mut disturbed = same(11);
     disturbed.push(at(5000, What::StoreDisturbed { span: 20 * SECOND }));
     assert_eq!(broken(&disturbed), []);
 }
 
+/// Requests that share only a part of their prompts may crash five upstreams.
+#[test]
+fn harmful_part_not_quarantined() {
+    let varied = |count| harmful(count, |it| format!("/once/harmful-part/{it}"));
+    assert_eq!(broken(&varied(12)), []);
+    assert_eq!(broken(&varied(13)), [Promise::PartHeldBack]);
+    let mut disturbed = varied(13);
+    disturbed.push(at(5000, What::StoreDisturbed { span: 20 * SECOND }));
+    assert_eq!(broken(&disturbed), []);
+}
+
+/// A quarantine of a part of prompts refuses no stream without it.
+#[test]
+fn harmless_stream_quarantined() {
+    let refused = [running(), sent(5000, Kind::Once), answered(5010, 400, 0, &[])];
+    assert_eq!(broken(&refused), [Promise::PartHeldBack]);
+    let mut held = refused.clone();
+    if let What::Sent { path, .. } = &mut held[1].what {
+        "/once/harmful-part/1".clone_into(path);
+    }
+    assert_eq!(broken(&held), []);
+}
+
 /// An upstream that takes two requests a second from 4 s on, and gets one every so many milliseconds
 /// until 14 s, each answered after 10 ms.
 fn pressed(every: u64) -> Vec<Observation> {
