Tests of announced and stored parts: recorded bytes, size, and earlier versions

Recorded bytes of a datagram with two parts are read and written (parts-whole). The stored list with a held part is read by a reader that has only the fields of requests, as earlier versions do, with three crashes.

--- a/tests/tests/formats.rs
+++ b/tests/tests/formats.rs
@@ -4,8 +4,8 @@
 //! a customer got 70,234 units with a limit of 69,500. The first-format bytes in `files/formats` precede
 //! any added field, `permits` is the first version with numbered fields, those with `eras` in their name are
 //! of the last version without the load of classes, `loads-whole` of the last one in which boxes
-//! accept no requests of others, and the other numbered ones are of the last version
-//! without eras of the store.
+//! accept no requests of others, `parts-whole` of the first one that announces parts of prompts, and
+//! the other numbered ones are of the last version without eras of the store.
 
 use std::path::PathBuf;
 use std::time::Duration;
@@ -18,8 +18,12 @@
 use hollyspoke_gateway::evacuation::Evacuation;
 use hollyspoke_gateway::message::{Eras, Extension, Format, Message};
 use hollyspoke_gateway::permit::{Ask, Outcome, Reply};
+use hollyspoke_gateway::quarantine::{
+    self, Crash, MAX_ANNOUNCED, MAX_PART_CRASHES, NamedAnnouncement, Proof,
+};
 use hollyspoke_gateway::rate_limit::Announcement;
 use hollyspoke_gateway::route::Operations;
+use hollyspoke_gateway::signature::Signature;
 use hollyspoke_gateway::snapshot::{Listing, Snapshot, SnapshotRequest};
 use hollyspoke_gateway::version::SoftwareVersion;
 use hollyspoke_gateway::{appointment, departure, pace, proxy};
@@ -186,6 +190,55 @@
     assert_eq!(write(&sent, Format::Permits).expect("it is written"), recorded("loads-whole"));
 }
 
+/// The bytes that a box may spend for control in a second at the size to design for.
+const CONTROL_BYTES_PER_S: usize = 8 << 10;
+
+/// Returns the announced case of a prompt's part with a number of crashes.
+fn part(number: u64, crash_count: usize) -> NamedAnnouncement {
+    let name = format!("{:08x}", 0x91bd_3f06 + number);
+    let crash = |slot: usize| Crash {
+        engine: EngineKey::of(&format!("engine-{slot}")),
+        born: Some(1_790_000_000_123 + slot as u64),
+        proof: if slot == 0 { Proof::Proven } else { Proof::Likely },
+    };
+    let slots: Vec<_> = (0..crash_count).map(|it| Some(crash(it))).collect();
+    let mut crashes = [None; MAX_PART_CRASHES];
+    crashes[..crash_count].copy_from_slice(&slots);
+    let signature = Signature::of_part("model", &name);
+    NamedAnnouncement {
+        case: quarantine::Announcement { signature, epoch: 1, crashes, at: 1_790_000_100 },
+        name: Some(name.into()),
+        versions: vec![SoftwareVersion::new("v1").key()],
+    }
+}
+
+/// Datagrams with parts of prompts are read, and written with the same bytes.
+#[test]
+fn announced_part_misread() {
+    let extension = Extension { parts: vec![part(0, 4), part(1, 0)], ..proxy_extension() };
+    let sent = Message { extension: extension.non_empty(), format: Some(Format::Eras), ..whole() };
+    assert_eq!(read(&recorded("parts-whole")).expect("it is read"), sent);
+    assert_eq!(write(&sent, Format::Permits).expect("it is written"), recorded("parts-whole"));
+    let unnamed = NamedAnnouncement { name: None, versions: Vec::new(), ..part(2, 1) };
+    let extension = Extension { parts: vec![unnamed], ..Extension::default() }.non_empty();
+    let sent = Message { extension, ..numbered_partial() };
+    let read_back = read(&write(&sent, Format::Permits).expect("it is written"));
+    assert_eq!(read_back.expect("it is read"), sent);
+}
+
+/// The parts that one datagram announces take at most a quarter of what a box may spend in a second.
+#[test]
+fn announced_part_too_large() {
+    let size = |count: u64| {
+        let parts = (0..count).map(|it| part(it, 1)).collect();
+        let extension = Extension { parts, ..Extension::default() }.non_empty();
+        let message = Message { extension, ..numbered_partial() };
+        write(&message, Format::Permits).expect("it is written").len()
+    };
+    let added = size(MAX_ANNOUNCED as u64) - size(0);
+    assert!(added <= CONTROL_BYTES_PER_S / 4, "{added}");
+}
+
 /// Datagrams and handovers of boxes that pass no versions of engines on are read, and written with the
 /// same bytes.
 #[test]
--- a/tests/tests/gateway_parts.rs
+++ b/tests/tests/gateway_parts.rs
@@ -4,8 +4,13 @@
 use std::time::Duration;
 
 use hollyspoke::time::Time;
+use hollyspoke_gateway::gateway::CASES;
+use hollyspoke_gateway::quarantine::Crash;
+use hollyspoke_gateway::signature::Signature;
 use hollyspoke_tests::crashes::Sharing;
 use hollyspoke_tests::fleet::Fleet;
+use hollyspoke_tests::gateway::MODEL;
+use serde::Deserialize;
 
 /// The number of crashes after which a part counts as harmful.
 const MAX_CRASHES: usize = 5;
@@ -176,6 +181,28 @@
     }
 }
 
+/// A case as boxes store it that know of requests only.
+#[derive(Debug, Deserialize)]
+struct RequestCase {
+    /// The signature.
+    signature: String,
+    /// The crashes, by slot.
+    crashes: [Option<Crash>; 3],
+}
+
+/// Boxes that know of requests only read the stored cases too; to them, that of a part is one of a
+/// request that never comes.
+#[test]
+fn stored_part_misread() {
+    let mut fleet = troubled(6, DEADLY, 1);
+    fleet.run(Duration::from_secs(10));
+    let stored = fleet.store.value(CASES, "requests").expect("the part is held");
+    let cases: Vec<RequestCase> = serde_json::from_str(stored).expect("the list is read");
+    let signature = Signature::of_part(MODEL, "deadly").text();
+    let part = cases.iter().find(|it| it.signature == signature).expect("it is listed");
+    assert_eq!(part.crashes.iter().flatten().count(), 3);
+}
+
 /// Requests with the part were rare, and each crash that was forgotten cost one more.
 #[test]
 fn rare_harmful_part() {
