Soak: reservations that lapse without faults are found beside many that are dropped

What was seen: the soak's mutant that keeps reservations was sometimes not found (caught_reservation).

Cause: the judge compares what lapsed with all reservations, and allows a quarter. A box with such a fault in one of its paths would be missed in the same way.

Change: where no fault strikes from 3 s before a reservation until its end, no request is lost that would free it. Three such reservations that lapse are now a finding, whatever was dropped beside them. The quarter stays as it was, so that nothing that was found before is missed now.

--- a/tests/soak/src/judge/leases.rs
+++ b/tests/soak/src/judge/leases.rs
@@ -47,10 +47,20 @@
     let counted: Vec<_> = records.reservations.values().filter(is_counted).collect();
     let lapsed: Vec<_> = counted
         .iter()
-        .filter_map(|it| it.end.filter(|end| end.1 == LeaseEnd::Lapsed))
-        .map(|it| it.0)
+        .filter_map(|it| Some((it.at, it.end.filter(|end| end.1 == LeaseEnd::Lapsed)?.0)))
         .collect();
-    too_many(&lapsed, counted.len(), Promise::ReservationsFreed, "reservations")
+    let (promise, name) = (Promise::ReservationsFreed, "reservations");
+    let ends: Vec<_> = lapsed.iter().map(|it| it.1).collect();
+    let findings = too_many(&ends, counted.len(), promise, name);
+    if !findings.is_empty() {
+        return findings;
+    }
+    // Without faults no request is lost, so that any share is too much: a box that drops many
+    // reservations may keep others.
+    let is_quiet =
+        |it: &&(Micros, Micros)| records.is_quiet(it.0.saturating_sub(bounds.contact), it.1);
+    let quiet: Vec<_> = lapsed.iter().filter(is_quiet).map(|it| it.1).collect();
+    too_many(&quiet, quiet.len(), promise, "reservations without faults")
 }
 
 /// Checks that boxes free copies that they don't use. Backups lapse by themselves.
--- a/tests/soak/src/judge/records.rs
+++ b/tests/soak/src/judge/records.rs
@@ -490,6 +490,11 @@
         within.any(|it| names.iter().any(|name| it.2.starts_with(name)))
     }
 
+    /// Returns whether there was no fault at all in an interval.
+    pub(super) fn is_quiet(&self, from: Micros, until: Micros) -> bool {
+        !self.faults.iter().any(|it| it.0 <= until && it.1 >= from)
+    }
+
     /// Returns whether an upstream's process was paused at any time in an interval.
     pub(super) fn stood_still(&self, engine: &str, from: Micros, until: Micros) -> bool {
         let mut stills = self.stand_stills.get(engine).into_iter().flatten();
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -650,6 +650,16 @@
     assert_eq!(broken(&rejected), [], "it came again after it had been rejected");
 }
 
+/// Returns whether an observation is of one of these reservations.
+fn is_of(observation: &Observation, names: &[&str]) -> bool {
+    match &observation.what {
+        What::Reserved { name, .. } | What::ReservationEnded { name, .. } => {
+            names.contains(&name.as_str())
+        }
+        _ => false,
+    }
+}
+
 /// Reservations of which each lapses, or is dropped.
 fn reservations(is_answered: bool, how: LeaseEnd) -> Vec<Observation> {
     let mut seen = vec![running()];
@@ -677,6 +687,24 @@
     assert_eq!(broken(&known), [Promise::ReservationsFreed], "the box knows them");
 }
 
+/// Reservations that are dropped, many for each one that lapses.
+#[test]
+fn busy_reservations_hide_lapses() {
+    let mut seen = reservations(true, LeaseEnd::Lapsed);
+    for number in 0..60_u64 {
+        let name = format!("y{number}");
+        seen.push(reserved(5000 + number * 20, &name, true));
+        seen.push(reservation_ended(5010 + number * 20, &name, LeaseEnd::Dropped));
+    }
+    assert_eq!(broken(&seen), [Promise::ReservationsFreed]);
+    let fault = at(5500, What::Fault { name: "LoseAnswers".to_owned(), span: SECOND });
+    let lossy = [&seen[..], &[fault]].concat();
+    assert_eq!(broken(&lossy), [], "requests that drop them may be lost");
+    let some: Vec<_> =
+        seen.into_iter().filter(|it| !is_of(it, &["x2", "x3", "x4", "x5"])).collect();
+    assert_eq!(broken(&some), [], "two of them");
+}
+
 /// Copies of streams that run at engine `a`, kept at engine `b`.
 fn copies(is_answered: bool, how: LeaseEnd) -> Vec<Observation> {
     let mut seen = vec![running(), sent(4990, Kind::Once)];
