Engines that get a stream are asked for their start, so that an unlisted restart mixes no versions

Cause: a box takes an engine for the incarnation of its entry until a report tells a later start. Answers to streams tell none, and the box asked only engines at which a call of its own had broken, and went on with the stream without waiting. So a stream was begun or continued at the new version as one of the old.

Change: with each call that writes a stream the box probes the engine, unless it has told the listed start within the last second (engines need longer to end and be back) or a probe is under way. The answer comes before the first event. A later start makes the version unknown, as it did before: such a call continues nothing, and a stream that it begins goes on nowhere.

Ruled out by reading, not by a run: to count versions as unknown after a break until a probe has shown the same start stops the streams at sound engines whose connection was reset (sound_engine_distrusted), and a box that had no call there at the crash hears of no break.

Open: a probe that is answered after the first event is too late for that stream; engines that name a limit, ask for rest or leave are not asked, nor in a large deployment those of a service with only one version, where the probes would be almost as many as the streams.

--- a/crates/hollyspoke-gateway/src/directory.rs
+++ b/crates/hollyspoke-gateway/src/directory.rs
@@ -75,6 +75,8 @@
     appeared_at: Option<Time>,
     /// Whether it has told a later start than its entry shows. Its version isn't known then.
     has_restarted: bool,
+    /// When the newest probe was sent that it answered with the start that its entry shows.
+    confirmed_at: Option<Time>,
 }
 
 /// How long an engine with a stage is skipped after it reported that a call was not meant for it.
@@ -126,6 +128,11 @@
         self.has_restarted
     }
 
+    /// Returns whether the engine has shown since a time that it is the incarnation of its entry.
+    pub fn was_confirmed_after(&self, time: Time) -> bool {
+        self.confirmed_at >= Some(time)
+    }
+
     /// Marks the engine's entry as missing. It may reappear until the given time.
     fn mark_missing(self, until: Time) -> Record {
         let until = self.missing_until.map_or(until, |it| it.min(until));
@@ -466,6 +473,14 @@
         known.has_restarted |= known.engine.started_at.is_some_and(|it| it < started_at);
     }
 
+    /// Records the start that an engine has told in answer to a probe, and when that was sent.
+    pub fn record_confirmed(&mut self, engine: EngineKey, started_at: Option<u64>, asked_at: Time) {
+        let Some(known) = self.engines.get_mut(&engine) else { return };
+        if started_at.is_some() && known.engine.started_at == started_at {
+            known.confirmed_at = known.confirmed_at.max(Some(asked_at));
+        }
+    }
+
     /// Records that an engine reported that a call was not meant for it: its address belongs to
     /// another incarnation, or it has another stage than its entry shows.
     pub fn mark_misdirected(&mut self, engine: EngineKey, now: Time) {
@@ -705,6 +720,7 @@
             unconfirmed_until: None,
             appeared_at: Some(now),
             has_restarted: false,
+            confirmed_at: None,
         },
     }
 }
--- a/crates/hollyspoke-gateway/src/gateway/origins.rs
+++ b/crates/hollyspoke-gateway/src/gateway/origins.rs
@@ -7,13 +7,16 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hollyspoke::time::Time;
 
 use super::Gateway;
 use super::peers::service_hash;
-use crate::effect::{Effect, LogEvent, NotRunReason};
+use super::silence::MAX_PROBE_COUNT;
+use crate::effect::{Effect, LogEvent, NotRunReason, Task};
+use crate::engine::Engine;
 use crate::in_flight::{Call, InFlight};
 use crate::origin::{Announcement, Ask, Knowledge, Notice, Origin, Reply, StreamKey, Table};
 use crate::request::{CallKey, Request, RequestKey};
@@ -41,6 +44,10 @@
 /// The time without a new box after which a box knows whom to ask.
 const QUIET_DURATION: Duration = Duration::from_millis(100);
 
+/// The shortest time in which an engine ends and is back: engines load their weights. Engines that
+/// were the incarnation of their entry less than this ago still are.
+const MIN_RESTART_DURATION: Duration = Duration::from_secs(1);
+
 /// How long after an attempt its client is expected to come back with the stream: a caller that has
 /// lost its network, or waits for an upstream to be repaired. Later ones may be refused, since
 /// nobody knows the stream any more.
@@ -392,6 +399,38 @@
         if is_other { Origin::Unknown } else { Origin::of(call.engine.version.as_ref()) }
     }
 
+    /// Probes the engine of a call that writes a stream, unless it has shown of late that it is the
+    /// incarnation of its entry: it may be back with another version before its new entry is read,
+    /// and answers to streams don't tell. The probe is usually answered before the first event.
+    pub(super) fn confirm_incarnation(
+        &mut self,
+        key: RequestKey,
+        task: &Task,
+        engine: &Arc<Engine>,
+    ) {
+        let is_stream = match task {
+            Task::Prefill => false,
+            Task::Decode(_) => true,
+            Task::Plain => {
+                self.in_flight.get(&key).is_some_and(|it| it.route.kind == RouteKind::Stream)
+            }
+        };
+        let Some(record) = self.directory.get(engine.key).filter(|_| is_stream) else { return };
+        let is_known = engine.started_at.is_none()
+            || record.has_restarted()
+            || record.was_confirmed_after(self.now - MIN_RESTART_DURATION);
+        let may_probe = self.probing.len() < MAX_PROBE_COUNT && self.accepts_auxiliary(engine.key);
+        if is_known || !may_probe {
+            return;
+        }
+        // A box of a large deployment would send almost as many probes as streams.
+        let service = service_hash(&engine.service);
+        let is_only = || matches!(self.served_versions(service, REACH), Verdict::Only(_));
+        if !self.members.is_large() || !is_only() {
+            self.probe(engine);
+        }
+    }
+
     /// Returns whether the events of a call may follow those that the client has.
     pub(super) fn fits_origin(&self, call: &Call) -> bool {
         let Some(in_flight) = self.in_flight.get(&call.request) else { return false };
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -116,6 +116,7 @@
             Probe::NoAnswer | Probe::Broken | Probe::NotConnected if is_heard => {}
             Probe::Alive(started_at) => {
                 self.learn_start(engine, started_at);
+                self.directory.record_confirmed(engine, started_at, probed_at);
                 self.hear_probed(engine, started_at);
                 self.clear_crashes(Incarnation { engine, started_at });
                 // The remaining unconfirmed crashes belong to an earlier incarnation.
--- a/crates/hollyspoke-gateway/src/gateway/silence.rs
+++ b/crates/hollyspoke-gateway/src/gateway/silence.rs
@@ -27,7 +27,7 @@
 
 /// The largest number of engines that are probed at a time. Where more are silent at once, the
 /// others wait for their turn, so that the probes of a whole service's silence stay bounded.
-const MAX_PROBE_COUNT: usize = 64;
+pub(super) const MAX_PROBE_COUNT: usize = 64;
 
 /// The time after which a silent engine is considered again that could not be probed yet.
 const PROBE_TURN: Duration = Duration::from_millis(100);
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -393,6 +393,7 @@
             },
         );
         self.log(event);
+        self.confirm_incarnation(key, &task, &engine);
         let send = Send {
             request: key,
             call,
--- a/tests/tests/gateway_versions.rs
+++ b/tests/tests/gateway_versions.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use hollyspoke_gateway::effect::{Effect, NotRunReason, Refusal, Send, Task};
-use hollyspoke_gateway::engine::{Engine, EngineChange, Stage};
+use hollyspoke_gateway::engine::{Engine, EngineChange, EngineKey, Stage};
 use hollyspoke_gateway::event::{CallEvent, Event, Probe};
 use hollyspoke_gateway::features::Features;
 use hollyspoke_gateway::message::StoreView;
@@ -239,6 +239,39 @@
     assert!(effects.contains(&Effect::Abort(key)), "{effects:?}");
 }
 
+/// Lets a client send a stream and leave. Returns the engine that decodes it, and those probed for it.
+fn stream_and_probes(world: &mut World) -> (EngineKey, Vec<EngineKey>) {
+    let known = world.probed.len();
+    let (key, decode) = begin(world, "resumed");
+    world.event(Event::ClientDisconnected(key));
+    (decode.engine.key, world.probed.split_off(known))
+}
+
+/// Returns a box before one decode engine whose start is listed.
+fn world_with_start() -> World {
+    let mut world = World::new();
+    let started_at = Some(LISTED_START);
+    let decode = Engine { started_at, ..versioned(21, Stage::Decode, "v1") };
+    let prefill = versioned(11, Stage::Prefill, "v1");
+    world.event(Event::Listed(vec![prefill, decode], 20.into()));
+    world
+}
+
+/// An engine that gets streams is asked for its start, but not for each stream.
+#[test]
+fn stream_asks_for_start() {
+    let mut world = world_with_start();
+    let (engine, asked) = stream_and_probes(&mut world);
+    assert_eq!(asked, [engine]);
+    world.event(Event::Probed(engine, Probe::Alive(Some(LISTED_START))));
+    for _ in 0..5 {
+        world.advance(Duration::from_millis(100));
+        assert_eq!(stream_and_probes(&mut world), (engine, Vec::new()));
+    }
+    world.advance(Duration::from_secs(1));
+    assert_eq!(stream_and_probes(&mut world), (engine, vec![engine]));
+}
+
 /// How long after its attempt has ended a client takes its stream up.
 const LATE: Duration = Duration::from_secs(60);
 
