Parts: what a review by one who had not seen the fix showed

They clear their parts now once something comes from the same incarnation of the engine 0.1 s or more later (part_without_marked_answers_held). - Of two parts that always come together, a box held the first that it heard of and dropped the other's crashes, so that the harmful one crashed four engines more. The version is added once the engine's crash is confirmed (broken_trial_counted_as_crash). - Read, without a test: dropping explained crashes no longer raises the epoch, since boxes that knew fewer of them would differ in it; a full set of versions stands for all; a correction looks again whether the part is cleared; an answer without an event to a client that resumes clears nothing; a version at which a part is tried doesn't throttle requests at one where it is cleared; the search for a running trial no longer compares all parts with all parts.

--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -69,6 +69,7 @@
 use crate::gateway::contact::Contacts;
 use crate::gateway::migration::Migrations;
 use crate::gateway::origins::Origins;
+use crate::gateway::parts::UnmarkedEnd;
 use crate::gateway::peers::{PeerChanges, Unannounced};
 use crate::gateway::permits::Permits;
 use crate::gateway::pool::Pools;
@@ -243,6 +244,8 @@
     quarantine: Quarantine<MAX_CRASHES>,
     /// The parts of prompts under which engines have crashed.
     parts: Parts,
+    /// The streams without a marked end whose engines are awaited to speak again.
+    unmarked_ends: Vec<UnmarkedEnd>,
     /// The same cases as saved in the store.
     cases: Cases,
     /// The engines that are being probed, since when.
@@ -328,6 +331,7 @@
             catch_up: CatchUp::default(),
             quarantine: Quarantine::default(),
             parts: Parts::default(),
+            unmarked_ends: Vec::new(),
             cases: Cases::default(),
             probing: HashMap::new(),
             unheard_since: HashMap::new(),
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -317,6 +317,7 @@
         let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
         in_flight.trace.mark_sent();
         if call.has_begun() && answer.framing == Framing::Close {
+            self.await_survival(call);
             return self.end_unmarked_stream(call.request);
         }
         let signature = in_flight.signature;
--- a/crates/hollyspoke-gateway/src/gateway/parts.rs
+++ b/crates/hollyspoke-gateway/src/gateway/parts.rs
@@ -10,7 +10,7 @@
 use super::Gateway;
 use super::quarantine::summary;
 use crate::effect::LogEvent;
-use crate::engine::Stage;
+use crate::engine::{Engine, Stage};
 use crate::in_flight::{Call, InFlight};
 use crate::message::{Extension, Message};
 use crate::quarantine::{Case, HOLD_DURATION, NamedAnnouncement, Verdict};
@@ -30,6 +30,27 @@
 /// needless after the first.
 const CORRECTION_SPREAD: Duration = Duration::from_millis(300);
 
+/// How long after the end of a stream something must come from its engine to show that it has not
+/// crashed then: longer than what it had sent before takes to be read.
+const SURVIVAL_DELAY: Duration = Duration::from_millis(100);
+
+/// How long an engine is awaited to speak.
+const SURVIVAL_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The maximum number of streams whose engines are awaited to speak again.
+const MAX_UNMARKED_ENDS: usize = 256;
+
+/// The end of a stream without a mark, which is complete unless its engine has crashed.
+#[derive(Debug, Clone)]
+pub(super) struct UnmarkedEnd {
+    /// The engine.
+    engine: Arc<Engine>,
+    /// The parts of the prompt.
+    parts: Vec<Signature>,
+    /// When the stream ended.
+    ended_at: Time,
+}
+
 impl Gateway {
     /// Returns what may be done with a request, by its own case and by those of its prompt's parts.
     pub(super) fn verdict(&self, in_flight: &InFlight) -> Verdict {
@@ -37,19 +58,27 @@
         own.max(self.parts_verdict(in_flight))
     }
 
-    /// Returns what the parts of a prompt allow at the versions where they aren't held. If they are
-    /// held at all versions, returns the least strict verdict.
+    /// Returns what the parts of a prompt allow at the version where they allow the most.
     fn parts_verdict(&self, in_flight: &InFlight) -> Verdict {
         let verdicts = self.version_verdicts(in_flight);
-        let verdicts = verdicts.iter().map(|it| it.1);
-        let open = verdicts.clone().filter(|it| *it < Verdict::Unconfirmed).max();
-        open.or(verdicts.min()).unwrap_or(Verdict::Clear)
+        verdicts.iter().map(|it| it.1).min().unwrap_or(Verdict::Clear)
     }
 
-    /// Returns the versions at which a part of a request's prompt is held.
+    /// Returns the versions at which a part of a request's prompt is held, unless it is at all.
     pub(super) fn held_versions(&self, in_flight: &InFlight) -> Vec<Option<VersionKey>> {
+        let best = self.parts_verdict(in_flight);
         let verdicts = self.version_verdicts(in_flight).into_iter();
-        verdicts.filter(|it| it.1 >= Verdict::Unconfirmed).map(|it| it.0).collect()
+        let held = verdicts.filter(|it| it.1 > best && it.1 >= Verdict::Unconfirmed);
+        held.map(|it| it.0).collect()
+    }
+
+    /// Returns the parts of a prompt that are tried by one request at a time.
+    pub(super) fn tried_parts(&self, in_flight: &InFlight) -> Vec<Signature> {
+        let versions = self.version_verdicts(in_flight);
+        let is_tried = |part: &Signature| {
+            versions.iter().any(|it| self.parts.verdict(*part, it.0) == Verdict::Trial)
+        };
+        in_flight.parts.iter().copied().filter(is_tried).collect()
     }
 
     /// Returns what the parts of a prompt allow at each version that may write the answer; empty if
@@ -75,22 +104,6 @@
         if fitting.is_empty() { verdicts } else { fitting }
     }
 
-    /// Returns whether a call of another request may crash its engine by a part that is also in a
-    /// request's prompt, and that is held after one more crash.
-    pub(super) fn is_trial_of_shared_part(
-        &self,
-        in_flight: &InFlight,
-        call: &Call,
-        other: &InFlight,
-    ) -> bool {
-        let version = version_key(call.engine.version.as_ref());
-        let is_shared = |it: &&Signature| in_flight.parts.contains(it);
-        let mut shared = other.parts.iter().filter(is_shared);
-        self.may_crash_engine(call)
-            && !self.parts.cases.is_empty()
-            && shared.any(|it| self.parts.verdict(*it, version) == Verdict::Trial)
-    }
-
     /// Makes the parts of a broken call's prompt suspect. Returns whether the break counts for any.
     pub(super) fn suspect_parts(&mut self, call: &Call) -> bool {
         let Some(in_flight) = self.in_flight.get(&call.request) else { return false };
@@ -98,7 +111,9 @@
             return false;
         }
         let (about, names) = (summary(in_flight), in_flight.request.shared_parts.clone());
-        let mut parts: Vec<_> = in_flight.parts.iter().copied().zip(names.iter()).collect();
+        let version = version_key(call.engine.version.as_ref());
+        let parts = in_flight.parts.iter().copied().zip(names.iter());
+        let mut parts: Vec<_> = parts.filter(|it| !self.parts.is_cleared(it.0, version)).collect();
         parts.sort_by_key(|it| self.parts.cases.verdict(it.0) == Verdict::Clear);
         parts.truncate(MAX_TRACKED_PARTS);
         let mut counts = false;
@@ -112,16 +127,66 @@
     }
 
     /// Returns whether a call is in the time in which a harmful part of its prompt crashes its engine.
-    fn may_crash_engine(&self, call: &Call) -> bool {
+    pub(super) fn may_crash_engine(&self, call: &Call) -> bool {
         call.begun_at.is_none_or(|it| self.now.since(it) < ONSET_DURATION)
     }
 
-    /// Clears the parts of the prompt of a call whose answer is complete.
+    /// Clears the parts of the prompt of a call whose answer is complete. The answer to a client that
+    /// resumes a stream may be complete without an event.
     pub(super) fn clear_parts(&mut self, call: &Call) {
         let Some(in_flight) = self.in_flight.get(&call.request) else { return };
-        let version = version_key(call.engine.version.as_ref());
-        let parts: Vec<_> = in_flight.parts.iter().take(MAX_TRACKED_PARTS).copied().collect();
-        for signature in parts {
+        if in_flight.request.last_event.is_some() && !call.progress.has_events() {
+            return;
+        }
+        let parts = self.parts_to_clear(in_flight);
+        self.clear_all(&parts, &call.engine);
+    }
+
+    /// Records that a stream has ended without a mark. Its parts are cleared once something comes from
+    /// its engine, which has not crashed then.
+    pub(super) fn await_survival(&mut self, call: &Call) {
+        let Some(in_flight) = self.in_flight.get(&call.request) else { return };
+        let parts = self.parts_to_clear(in_flight);
+        if parts.is_empty() || self.unmarked_ends.len() >= MAX_UNMARKED_ENDS {
+            return;
+        }
+        let (engine, ended_at) = (call.engine.clone(), self.now);
+        self.unmarked_ends.push(UnmarkedEnd { engine, parts, ended_at });
+    }
+
+    /// Clears the parts of streams that ended at an engine before something came from it.
+    pub(super) fn clear_survived(&mut self, engine: &Engine) {
+        if self.unmarked_ends.is_empty() {
+            return;
+        }
+        let now = self.now;
+        let has_survived = |it: &mut UnmarkedEnd| {
+            it.engine.is_same_incarnation(engine) && now.since(it.ended_at) >= SURVIVAL_DELAY
+        };
+        let survived: Vec<_> = self.unmarked_ends.extract_if(.., has_survived).collect();
+        for end in survived {
+            self.clear_all(&end.parts, &end.engine);
+        }
+    }
+
+    /// Drops streams that ended without a mark, and whose engines have not spoken since.
+    pub(super) fn sweep_unmarked_ends(&mut self) {
+        let now = self.now;
+        self.unmarked_ends.retain(|it| now.since(it.ended_at) < SURVIVAL_TIMEOUT);
+    }
+
+    /// Returns the parts of a prompt that an answer clears: the first ones, and those with a case.
+    fn parts_to_clear(&self, in_flight: &InFlight) -> Vec<Signature> {
+        let has_case = |it: &Signature| self.parts.cases.case(*it).is_some();
+        let parts = in_flight.parts.iter().enumerate();
+        let cleared = parts.filter(|(place, it)| *place < MAX_TRACKED_PARTS || has_case(it));
+        cleared.map(|it| *it.1).collect()
+    }
+
+    /// Clears parts at the version of an engine.
+    fn clear_all(&mut self, parts: &[Signature], engine: &Engine) {
+        let version = version_key(engine.version.as_ref());
+        for &signature in parts {
             if self.parts.clear(signature, version, self.now) {
                 self.log(LogEvent::Released { signature, outcome: "answered" });
             }
@@ -144,12 +209,14 @@
         announcements: &[NamedAnnouncement],
         save_due_at: Option<Time>,
     ) {
+        let mut held = Vec::new();
         for announcement in announcements {
             let correct_at = self.now + self.correction_delay();
             if self.parts.receive(announcement, self.now, save_due_at, correct_at) {
-                self.hold_parts(&[announcement.case.signature]);
+                held.push(announcement.case.signature);
             }
         }
+        self.hold_parts(&held);
     }
 
     /// Returns when this box corrects others that suspect a part which it has cleared.
@@ -161,7 +228,8 @@
         }
     }
 
-    /// Logs parts that are held back from now on. Their crashes don't count for others any more.
+    /// Logs parts that are held back from now on. The crashes of their cases don't count for others
+    /// any more, unless those are held as well: nothing tells apart parts that always come together.
     pub(super) fn hold_parts(&mut self, signatures: &[Signature]) {
         for &signature in signatures {
             let Some(case) = self.parts.cases.case(signature) else { continue };
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -155,7 +155,7 @@
     /// Records how certain it is that an engine has crashed.
     pub(super) fn confirm(&mut self, ended: Incarnation, proof: Proof) {
         let unix = self.unix_time();
-        let held_parts = self.parts.cases.confirm(ended, proof, self.now, unix);
+        let held_parts = self.parts.confirm(ended, proof, self.now, unix);
         self.hold_parts(&held_parts);
         let held = self.quarantine.confirm(ended, proof, self.now, unix);
         self.log_held(&held);
@@ -164,7 +164,7 @@
     /// Records that an incarnation of an engine is still running.
     pub(super) fn clear_crashes(&mut self, running: Incarnation) {
         self.quarantine.clear(running, self.now);
-        self.parts.cases.clear(running, self.now);
+        self.parts.refute(running, self.now);
     }
 
     /// Handles engines that ended without announcing it: every call that broke there is attributed
@@ -285,12 +285,14 @@
     /// suspected part that may crash its engine yet.
     fn has_running_trial(&self, key: RequestKey) -> bool {
         let Some(in_flight) = self.in_flight.get(&key) else { return false };
+        let is_request_tried = self.quarantine.verdict(in_flight.signature) == Verdict::Trial;
+        let tried_parts = self.tried_parts(in_flight);
         let others = self.calls.values().filter(|it| it.request != key);
         let mut others = others.filter_map(|it| Some((it, self.in_flight.get(&it.request)?)));
-        let is_request_tried = self.quarantine.verdict(in_flight.signature) == Verdict::Trial;
         others.any(|(call, other)| {
             is_request_tried && other.signature == in_flight.signature
-                || self.is_trial_of_shared_part(in_flight, call, other)
+                || self.may_crash_engine(call)
+                    && tried_parts.iter().any(|it| other.parts.contains(it))
         })
     }
 
@@ -399,6 +401,7 @@
         let unix = self.unix_time();
         self.quarantine.sweep(self.now, unix);
         self.parts.sweep(self.now, unix);
+        self.sweep_unmarked_ends();
     }
 
     /// Logs requests that are held back from now on.
--- a/crates/hollyspoke-gateway/src/gateway/silence.rs
+++ b/crates/hollyspoke-gateway/src/gateway/silence.rs
@@ -356,6 +356,7 @@
     pub(super) fn hear(&mut self, engine: &Engine) {
         let now = self.now;
         self.unheard_since.remove(&engine.service);
+        self.clear_survived(engine);
         let Some(record) = self.directory.get_mut(engine.key) else { return };
         if !record.engine.is_same_incarnation(engine) {
             return;
--- a/crates/hollyspoke-gateway/src/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/quarantine.rs
@@ -38,9 +38,6 @@
 /// Maximum length of the name of a part, in bytes. It is only displayed.
 const MAX_NAME_BYTES: usize = 32;
 
-/// Maximum number of software versions of a case.
-const MAX_VERSIONS: usize = 16;
-
 /// All cases known to one box, of requests or parts that are held back after N crashes.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine<const N: usize> {
@@ -310,10 +307,9 @@
     fn record_versions(&mut self, signature: Signature, versions: &[VersionKey]) -> bool {
         let Some(case) = self.cases.get_mut(&signature) else { return false };
         let before = case.versions.len();
-        case.versions.extend(versions);
-        while case.versions.len() > MAX_VERSIONS {
-            case.versions.pop_last();
-        }
+        let room = case::MAX_VERSIONS.saturating_sub(before);
+        let new: Vec<_> = versions.iter().filter(|it| !case.versions.contains(it)).collect();
+        case.versions.extend(new.into_iter().take(room));
         case.versions.len() > before
     }
 
--- a/crates/hollyspoke-gateway/src/quarantine/case.rs
+++ b/crates/hollyspoke-gateway/src/quarantine/case.rs
@@ -21,9 +21,12 @@
 /// that more crashes are required than for a request.
 pub const MAX_PART_CRASHES: usize = 4;
 
+/// Maximum number of software versions of a case.
+pub(super) const MAX_VERSIONS: usize = 16;
+
 /// How long an unproven crash counts. A crashed engine is back, or its entry expires, within
 /// seconds; a connection that was merely cut causes neither.
-const PROOF_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const PROOF_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Minimum interval between two corrections of announcements of an earlier epoch.
 const MIN_CORRECTION_INTERVAL: Duration = Duration::from_millis(200);
@@ -69,13 +72,21 @@
     pub started_at: Option<u64>,
 }
 
+impl Incarnation {
+    /// Returns whether this may be the same incarnation as another one. An unknown start time matches
+    /// any.
+    pub(super) fn may_be(self, other: Incarnation) -> bool {
+        let is_same = self.started_at.is_none()
+            || other.started_at.is_none()
+            || self.started_at == other.started_at;
+        self.engine == other.engine && is_same
+    }
+}
+
 impl Crash {
     /// Returns whether this crash may have ended `incarnation`. An unknown start time matches any.
     fn matches(&self, incarnation: Incarnation) -> bool {
-        let is_same = self.born.is_none()
-            || incarnation.started_at.is_none()
-            || self.born == incarnation.started_at;
-        self.engine == incarnation.engine && is_same
+        Incarnation { engine: self.engine, started_at: self.born }.may_be(incarnation)
     }
 }
 
@@ -292,17 +303,18 @@
     }
 
     /// Drops crashes that are explained by the case of another request or part, which has reached its
-    /// limit. Returns whether there were any. All boxes do the same, and don't announce it.
-    pub(super) fn drop_explained(&mut self, explained: &[Crash]) -> bool {
+    /// limit. All boxes do the same, so that the epoch stays.
+    pub(super) fn drop_explained(&mut self, explained: &[Crash]) {
         let is_explained = |it: &Crash| {
             explained.iter().any(|other| (other.engine, other.born) == (it.engine, it.born))
         };
-        let left = self.crashes.map(|it| it.filter(|it| !is_explained(it)));
-        let has_any = left != self.crashes;
-        if has_any {
-            self.end(left);
-        }
-        has_any
+        self.crashes = self.crashes.map(|it| it.filter(|it| !is_explained(it)));
+    }
+
+    /// Returns whether engines of a version have crashed. If there are too many versions to tell, they
+    /// have.
+    pub(super) fn has_crashed(&self, version: VersionKey) -> bool {
+        self.versions.contains(&version) || self.versions.len() >= MAX_VERSIONS
     }
 
     /// Raises the proof that an incarnation has ended. Returns whether that changed a crash.
--- a/crates/hollyspoke-gateway/src/quarantine/parts.rs
+++ b/crates/hollyspoke-gateway/src/quarantine/parts.rs
@@ -16,7 +16,10 @@
 
 use super::Quarantine;
 use super::answered::Answered;
-use super::case::{Announcement, MAX_PART_CRASHES, Progress, RequestSummary, Verdict};
+use super::case::{
+    Announcement, Incarnation, MAX_PART_CRASHES, PROOF_TIMEOUT, Progress, Proof, RequestSummary,
+    Verdict,
+};
 use crate::engine::Engine;
 use crate::signature::Signature;
 use crate::version::{SoftwareVersion, VersionKey};
@@ -41,6 +44,21 @@
     answered: Answered,
     /// When to correct other boxes that suspect a cleared part.
     corrections: BTreeMap<Signature, Time>,
+    /// The versions whose engines may have crashed.
+    unconfirmed: Vec<UnconfirmedVersion>,
+}
+
+/// A version of which an engine may have crashed under a part.
+#[derive(Debug, Clone)]
+struct UnconfirmedVersion {
+    /// The part.
+    part: Signature,
+    /// The version.
+    version: VersionKey,
+    /// The incarnation of the engine.
+    incarnation: Incarnation,
+    /// When the call broke.
+    since: Time,
 }
 
 impl Parts {
@@ -48,7 +66,7 @@
     /// part has crashed no engine of a version, it is tried.
     pub fn verdict(&self, part: Signature, version: Option<VersionKey>) -> Verdict {
         let Some(case) = self.cases.case(part) else { return Verdict::Clear };
-        if self.answered.contains(part.at_version(version)) {
+        if self.is_cleared(part, version) {
             return Verdict::Clear;
         }
         let verdict = case.verdict();
@@ -62,6 +80,11 @@
         }
     }
 
+    /// Returns whether a part needs no case at a version, since an answer has cleared it.
+    pub fn is_cleared(&self, part: Signature, version: Option<VersionKey>) -> bool {
+        self.answered.contains(part.at_version(version))
+    }
+
     /// Returns the progress of the cases of a prompt's parts, for those that have one.
     pub fn progress(&self, parts: &[Signature]) -> Vec<(Signature, Progress)> {
         if self.cases.is_empty() {
@@ -83,18 +106,44 @@
         now: Time,
     ) -> bool {
         let version = engine.version.as_ref().map(SoftwareVersion::key);
-        if self.answered.contains(part.at_version(version)) {
+        if self.is_cleared(part, version) {
             return false;
         }
         let (name, about) = about;
-        let was_held = self.cases.verdict(part) >= Verdict::Unconfirmed;
         let counts = self.cases.suspect(part, progress, engine, about, now);
         self.cases.record_name(part, name);
-        let is_new_version = self.cases.record_versions(part, version.as_slice());
-        if was_held && is_new_version {
-            self.cases.mark_changed(vec![part], now);
+        let Some(version) = version else { return counts };
+        let case = self.cases.case(part);
+        let is_trial = case.is_some_and(|it| it.is_held && !it.has_crashed(version));
+        if counts || is_trial {
+            let incarnation = Incarnation { engine: engine.key, started_at: engine.started_at };
+            self.unconfirmed.push(UnconfirmedVersion { part, version, incarnation, since: now });
         }
-        counts
+        counts || is_trial
+    }
+
+    /// Records that an incarnation of an engine has ended. Returns the parts that are held back from
+    /// now on.
+    pub fn confirm(
+        &mut self,
+        ended: Incarnation,
+        proof: Proof,
+        now: Time,
+        unix: u64,
+    ) -> Vec<Signature> {
+        let is_ended = |it: &mut UnconfirmedVersion| it.incarnation.may_be(ended);
+        for confirmed in self.unconfirmed.extract_if(.., is_ended) {
+            if self.cases.record_versions(confirmed.part, &[confirmed.version]) {
+                self.cases.mark_changed(vec![confirmed.part], now);
+            }
+        }
+        self.cases.confirm(ended, proof, now, unix)
+    }
+
+    /// Records that an incarnation of an engine is still running.
+    pub fn refute(&mut self, running: Incarnation, now: Time) {
+        self.unconfirmed.retain(|it| !it.incarnation.may_be(running));
+        self.cases.clear(running, now);
     }
 
     /// Records a complete answer on a part at a version. Returns whether that closes a case: one of
@@ -107,7 +156,7 @@
     /// Returns whether a part is cleared at all versions whose engines crashed.
     fn is_refuted(&self, part: Signature) -> bool {
         let Some(case) = self.cases.case(part) else { return false };
-        let is_cleared = |it| self.answered.contains(part.at_version(it));
+        let is_cleared = |it| self.is_cleared(part, it);
         if case.versions.is_empty() {
             return is_cleared(None);
         }
@@ -162,7 +211,9 @@
     pub fn correct(&mut self, now: Time) {
         while let Some((&part, _)) = self.corrections.iter().find(|(_, due)| **due <= now) {
             self.corrections.remove(&part);
-            self.cases.close_case(part, now);
+            if self.is_refuted(part) {
+                self.cases.close_case(part, now);
+            }
         }
     }
 
@@ -174,6 +225,7 @@
     /// Drops what has expired, at a Unix time in seconds.
     pub fn sweep(&mut self, now: Time, unix: u64) {
         self.cases.sweep(now, unix);
+        self.unconfirmed.retain(|it| now.since(it.since) < PROOF_TIMEOUT);
         self.answered.sweep(now);
     }
 }
--- a/crates/hollyspoke-server/src/part_field.rs
+++ b/crates/hollyspoke-server/src/part_field.rs
@@ -8,8 +8,6 @@
 use hollyspoke_gateway::version::VersionKey;
 use minicbor::{Decode, Encode};
 
-use crate::datagram::non_empty_list;
-
 /// The case of a part.
 #[derive(Debug, Encode, Decode)]
 #[cbor(map)]
@@ -59,14 +57,15 @@
         let slots = crashes.iter().enumerate();
         let crashes: Vec<_> =
             slots.filter_map(|(slot, it)| CrashField::of(slot, it.as_ref()?)).collect();
+        let versions: Vec<_> = announcement.versions.iter().map(|it| it.0).collect();
         let name = announcement.name.as_ref().map(|it| it.to_string());
         PartField {
             signature: signature.bytes(),
             epoch: (epoch > 0).then_some(epoch),
-            crashes: non_empty_list(crashes),
+            crashes: Some(crashes).filter(|it| !it.is_empty()),
             at: (at > 0).then_some(at),
             name,
-            versions: non_empty_list(announcement.versions.iter().map(|it| it.0).collect()),
+            versions: Some(versions).filter(|it| !it.is_empty()),
         }
     }
 
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -204,6 +204,8 @@
     pub popular: Option<(&'static str, Duration)>,
     /// The requests that share parts of their prompts.
     pub sharing: Vec<Sharing>,
+    /// Whether only the close of its connection ends a stream.
+    pub is_unmarked: bool,
     /// The software version whose engines no request crashes, if there is one.
     pub sound_version: Option<&'static str>,
     /// The engines that crash, and what was recorded about crashes.
@@ -245,6 +247,7 @@
             harmful: None,
             popular: None,
             sharing: Vec::new(),
+            is_unmarked: false,
             sound_version: None,
             crashes: Crashes::default(),
             rate_limits: RateLimits::default(),
--- a/tests/src/fleet/engines.rs
+++ b/tests/src/fleet/engines.rs
@@ -13,7 +13,7 @@
     ANSWER_DELAY_MS, CONNECT_TIMEOUT, Caller, Fleet, Path, STREAM_DURATION, Scheduled, TRANSIT,
 };
 use crate::crashes::{CRASH_DELAY, RESTART_DELAY, State};
-use crate::gateway::{MODEL, PLAIN, engine, prefilled, ran, rejected};
+use crate::gateway::{MODEL, PLAIN, engine, prefilled, ran, ran_unmarked, rejected};
 use crate::repeats::Arrival;
 
 impl Fleet {
@@ -66,6 +66,8 @@
             &[CallEvent::Answered(ran(500))]
         } else if send.task == Task::Plain {
             &[CallEvent::Answered(ran(200))]
+        } else if self.is_unmarked {
+            &[CallEvent::Began(ran_unmarked(200)), CallEvent::Answered(ran_unmarked(200))]
         } else {
             &[CallEvent::Began(ran(200)), CallEvent::Answered(ran(200))]
         };
--- a/tests/tests/gateway_parts.rs
+++ b/tests/tests/gateway_parts.rs
@@ -376,3 +376,75 @@
         }
     }
 }
+
+/// Only the close of a connection ended streams, so that no answer was known to be complete: one crash
+/// each 20 s held a popular part after the fourth.
+#[test]
+fn part_without_marked_answers_held() {
+    let mut fleet = Fleet::new(6, 1);
+    fleet.is_unmarked = true;
+    fleet.sharing = vec![HARMLESS];
+    fleet.run(Duration::from_secs(8));
+    let engines = fleet.decode_engines();
+    for &engine in engines.iter().take(6) {
+        fleet.crash_all([engine]);
+        fleet.run(Duration::from_secs(8));
+        assert_eq!(fleet.held_parts().len(), 0, "{:?}", fleet.held_parts());
+    }
+    fleet.sharing.push(DEADLY);
+    fleet.run(TROUBLE_DURATION);
+    assert_eq!(violations(&fleet, "unmarked"), None);
+}
+
+/// A part came after 64 popular ones.
+#[test]
+fn last_of_many_parts_overlooked() {
+    let mut names: Vec<&'static str> = (0..64).map(|it| &*format!("{it:x}").leak()).collect();
+    names.push("deadly");
+    let parts: &'static [&'static str] = names.leak();
+    let mut fleet = Fleet::new(6, 1);
+    fleet.sharing = vec![Sharing { parts: &parts[..64], ..HARMLESS }];
+    fleet.run(Duration::from_secs(12));
+    fleet.sharing.push(Sharing { parts, ..DEADLY });
+    fleet.run(TROUBLE_DURATION);
+    assert_eq!(violations(&fleet, "65th part"), None);
+}
+
+/// Two new parts always came together, and the first one that a box heard of was held in place of the
+/// harmful one.
+#[test]
+fn companion_held_alone() {
+    for name in ["novel", "a", "b", "c"] {
+        let parts: &'static [&'static str] = vec!["system", name, "deadly"].leak();
+        let mut fleet = troubled(6, Sharing { parts, ..DEADLY }, 1);
+        fleet.run(Duration::from_secs(6));
+        fleet.sharing = vec![HARMLESS, DEADLY];
+        fleet.run(Duration::from_secs(10));
+        let crashes = fleet.crashes.harmful_crashes.len();
+        assert!(crashes <= MAX_CRASHES, "{crashes} crashes beside {name}");
+    }
+}
+
+/// Connections to repaired engines broke while the part was tried there.
+#[test]
+fn broken_trial_counted_as_crash() {
+    let mut fleet = troubled(6, DEADLY, 1);
+    fleet.sound_version = Some("v2");
+    fleet.run(Duration::from_secs(8));
+    fleet.sharing.pop();
+    let engines = fleet.decode_engines();
+    fleet.release(engines[..6].iter().copied(), "v2");
+    fleet.run(Duration::from_secs(8));
+    fleet.sharing.push(Sharing { every: Duration::from_millis(500), ..DEADLY });
+    for _ in 0..60 {
+        fleet.run(Duration::from_millis(10));
+        fleet.reset_all(engines[..6].iter().copied());
+    }
+    fleet.sharing = vec![HARMLESS, DEADLY];
+    fleet.run(Duration::from_secs(5));
+    let (harmful, later) = (fleet.crashes.harmful.clone(), fleet.now());
+    fleet.run(Duration::from_secs(10));
+    let added = fleet.crashes.harmful.difference(&harmful).copied().collect();
+    let (sent, served) = fleet.records.served_of(&added, later..fleet.now());
+    assert!(served > 0.9, "{served} of {sent}");
+}
