Soak: the mutant's reservations outlast the engines' crashes

Cause: the soak's requests with a harmful prompt part crash engines from 2.2 s to 3.3 s of each run, until the part is held. The mutant made its 30 reservations from 2.0 s to 3.5 s, and an engine that crashes takes its reservations with it: they never lapse, and engines that are down make none.

Change: the mutant makes 30 reservations that engines have granted, one each 200 ms, so that most of them fall after the crashes.

--- a/tests/soak/src/boundary.rs
+++ b/tests/soak/src/boundary.rs
@@ -18,10 +18,14 @@
 /// The number of reservations that no request uses.
 const RESERVATIONS: usize = 30;
 
+/// The pause between two of them: they are spread over more time than the engines need to recover
+/// from harmful requests, as an engine that crashes takes its reservations with it.
+const RESERVATION_PAUSE: Duration = Duration::from_millis(200);
+
 /// The number of streams that are copied for nothing.
 const COPIES: usize = 30;
 
-/// The pause between two calls.
+/// The pause between two copies.
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// The memory of a reservation, in tokens.
@@ -42,10 +46,16 @@
 
 /// Makes reservations that no request uses.
 pub(crate) async fn keep_reservations(cluster: &Cluster) {
-    for engine in decode_engines(cluster).iter().cycle().take(RESERVATIONS) {
-        // The judge looks at what the engine has seen.
-        _ = reserve(engine).await;
-        tokio::time::sleep(PAUSE).await;
+    let mut kept = 0;
+    for number in 0_usize.. {
+        let engines = decode_engines(cluster);
+        if let Some(engine) = engines.get(number % engines.len().max(1)) {
+            kept += usize::from(reserve(engine).await.is_some());
+        }
+        if kept == RESERVATIONS {
+            break;
+        }
+        tokio::time::sleep(RESERVATION_PAUSE).await;
     }
 }
 
