Soak: a back-off that was asked of an ended process binds nobody

At 10.6 s it answered requests with 503 and a time that box 5 had sent by 9.3 s at the latest; box 5 was killed at 9.6 s and started again at 10.0 s, so that no process was left to read the answers. The judge took the box for told, as another upstream, which stood still just as long, read requests of the same attempts within 0.3 s. It excuses a restart after the answer, not one between the request and the answer.

Change: a back-off doesn't count if the box's process was replaced after it had got the request and before the upstream's answer. The rule excuses a restart of the box as well. The bound of two requests, and all else, stay.

--- a/tests/soak/src/judge/records.rs
+++ b/tests/soak/src/judge/records.rs
@@ -479,6 +479,14 @@
         changes.any(|&(at, change)| at >= from && at <= until && !is_cut(change))
     }
 
+    /// Returns whether a box's process has ended or was started in an interval.
+    pub(super) fn is_replaced(&self, node: usize, from: Micros, until: Micros) -> bool {
+        let mut changes = self.nodes.get(&node).into_iter().flatten();
+        let is_end =
+            |it: BoxChange| matches!(it, BoxChange::Killed | BoxChange::Ended | BoxChange::Started);
+        changes.any(|&(at, change)| at >= from && at <= until && is_end(change))
+    }
+
     /// Returns whether the store was disturbed at any time in an interval.
     pub(super) fn is_store_disturbed(&self, from: Micros, until: Micros) -> bool {
         self.store_disturbed.iter().any(|it| it.0 <= until && it.1 >= from)
--- a/tests/soak/src/judge/terms.rs
+++ b/tests/soak/src/judge/terms.rs
@@ -137,9 +137,13 @@
     records.rests.iter().filter_map(|rest| check_rest(records, rest)).collect()
 }
 
-/// Checks one back-off.
+/// Checks one back-off. An upstream that stood still may answer requests of a process that has ended;
+/// the box's next process doesn't learn of it.
 fn check_rest(records: &Records, rest: &Rest) -> Option<Finding> {
     let asked = records.attempts.get(&rest.attempt)?;
+    if records.is_replaced(asked.node, asked.sent, rest.at) {
+        return None;
+    }
     let continued = continued_at(asked, rest.at)?;
     let last_end = records.engine_ends.get(&rest.engine).and_then(|it| it.last());
     let ended = last_end.filter(|it| **it > rest.at);
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -539,6 +539,19 @@
     seen
 }
 
+/// The box's process was replaced before the upstream answered it.
+#[test]
+fn back_off_of_ended_process() {
+    let mut seen = asked_for_rest(3);
+    seen.insert(2, node(5001, BoxChange::Killed));
+    seen.insert(3, node(5005, BoxChange::Started));
+    assert_eq!(broken(&seen), []);
+    let mut seen = asked_for_rest(3);
+    seen.insert(1, node(4990, BoxChange::Killed));
+    seen.insert(2, node(4995, BoxChange::Started));
+    assert_eq!(broken(&seen), [Promise::RestKept], "the process that sent the request was told");
+}
+
 /// Two requests may arrive during the back-off.
 #[test]
 fn requests_during_back_off() {
