Soak: crashes under a part count once the last older box is replaced

Cause: the promise is one of boxes that know parts.

Change: in such runs the five crashes are counted from the end of the last replacement. Without older boxes nothing changes. That no sound stream is refused is checked all the time, as before.

--- a/tests/soak/src/judge/records.rs
+++ b/tests/soak/src/judge/records.rs
@@ -503,6 +503,12 @@
         !self.faults.iter().any(|it| it.0 <= until && it.1 >= from)
     }
 
+    /// Returns when the last box of an older version was replaced; zero if there was none.
+    pub(super) fn last_replaced(&self) -> Micros {
+        let replaced = self.faults.iter().filter(|it| it.2.starts_with("Replace"));
+        replaced.map(|it| it.1).max().unwrap_or_default()
+    }
+
     /// Returns whether an upstream's process was paused at any time in an interval.
     pub(super) fn stood_still(&self, engine: &str, from: Micros, until: Micros) -> bool {
         let mut stills = self.stand_stills.get(engine).into_iter().flatten();
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -394,6 +394,18 @@
     assert_eq!(broken(&disturbed), []);
 }
 
+/// Crashes under a part count once the last box of an older version has been replaced.
+#[test]
+fn harmful_part_beside_older_box() {
+    let mut seen = harmful(13, |it| format!("/once/harmful-part/{it}"));
+    let replace =
+        |millis| at(millis, What::Fault { name: "Replace { node: 0 }".to_owned(), span: 0 });
+    seen.push(replace(4000));
+    assert_eq!(broken(&seen), [Promise::PartHeldBack]);
+    seen.push(replace(60_000));
+    assert_eq!(broken(&seen), []);
+}
+
 /// A quarantine of a part of prompts refuses no stream without it.
 #[test]
 fn harmless_stream_quarantined() {
