Beside an older box no crash counts under a part of prompts

Cause: who is blamed rests on all boxes telling what they saw. Older boxes go on sending requests with the harmful part, so that engines crash on and on, and they tell neither these crashes nor the complete answers that clear what harmless requests share.

Change: whole datagrams announce the support of parts (field 15), and a break makes no part suspect while a live box that accepts requests says in its own that it doesn't. A box of which no whole datagram was read counts as one that does, so that restarts delay nothing. What is held already stays held.

--- a/crates/hollyspoke-gateway/src/gateway/parts.rs
+++ b/crates/hollyspoke-gateway/src/gateway/parts.rs
@@ -104,8 +104,13 @@
         if fitting.is_empty() { verdicts } else { fitting }
     }
 
-    /// Makes the parts of a broken call's prompt suspect. Returns whether the break counts for any.
+    /// Makes the parts of a broken call's prompt suspect. Returns whether the break counts for any. None
+    /// does beside a box of an older version: requests that it sends crash engines again and again, and
+    /// it reports neither these crashes nor answers, so that harmless parts would be suspected.
     pub(super) fn suspect_parts(&mut self, call: &Call) -> bool {
+        if self.members.has_box_without_parts() {
+            return false;
+        }
         let Some(in_flight) = self.in_flight.get(&call.request) else { return false };
         if in_flight.parts.is_empty() || !self.may_crash_engine(call) {
             return false;
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -389,7 +389,7 @@
             cached_prompts: Vec::new(),
             peers,
             era: self.store_era(),
-            format: Some(Format::Origins),
+            format: Some(Format::Parts),
             extension: None,
         }
     }
--- a/crates/hollyspoke-gateway/src/member/duty.rs
+++ b/crates/hollyspoke-gateway/src/member/duty.rs
@@ -61,6 +61,13 @@
         self.peers.values().all(|it| it.has_timed_out || it.format >= Format::Eras)
     }
 
+    /// Returns whether a live box that accepts requests doesn't support cases of prompts' parts. One that
+    /// has just been heard of is assumed to.
+    pub fn has_box_without_parts(&self) -> bool {
+        let accepts = |it: &Peer| !it.has_timed_out && it.readiness != Readiness::Stopping;
+        self.peers.values().any(|it| accepts(it) && it.supports_parts == Some(false))
+    }
+
     /// Returns the live boxes before this one in the order that is equal on all boxes.
     fn alive_before(&self, own: SocketAddr) -> impl Iterator<Item = &Peer> {
         let place = |number: u64| rank::sort_key(0, number);
--- a/crates/hollyspoke-gateway/src/member/peer.rs
+++ b/crates/hollyspoke-gateway/src/member/peer.rs
@@ -39,6 +39,8 @@
     pub(super) has_timed_out: bool,
     /// The format that it supports.
     pub(super) format: Format,
+    /// Whether it supports cases of prompts' parts, by the last whole datagram; none before the first.
+    pub(super) supports_parts: Option<bool>,
     /// Whether and for which services it accepts requests of other boxes.
     pub(super) proxy: proxy::Announcement,
 }
@@ -60,6 +62,7 @@
             last_received: Time::ZERO,
             has_timed_out: true,
             format: Format::default(),
+            supports_parts: None,
             proxy: proxy::Announcement::default(),
         }
     }
@@ -79,6 +82,7 @@
         self.cadence = message.cadence.unwrap_or(self.cadence);
         self.dead_after = self.cadence.dead_after(self.data_centre == own);
         if message.is_whole {
+            self.supports_parts = Some(message.announces_parts());
             self.demand.clone_from(&message.demand);
             let extension = message.extension.as_ref();
             self.proxy = extension.map_or_else(Default::default, |it| it.proxy.clone());
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -177,6 +177,8 @@
     Eras,
     /// Also notices of streams' versions.
     Origins,
+    /// Also parts of prompts that crash engines.
+    Parts,
 }
 
 /// One datagram. Loads are absolute, so that the next datagram makes up for a lost one.
@@ -283,6 +285,11 @@
         self.is_whole && self.format >= Some(Format::Origins)
     }
 
+    /// Returns whether the datagram announces that its sender supports cases of prompts' parts.
+    pub fn announces_parts(&self) -> bool {
+        self.is_whole && self.format >= Some(Format::Parts)
+    }
+
     /// Returns the eras of the revisions in the datagram.
     pub fn eras(&self) -> Eras {
         let update = self.engine_update.as_ref();
--- a/crates/hollyspoke-server/src/datagram.rs
+++ b/crates/hollyspoke-server/src/datagram.rs
@@ -92,6 +92,9 @@
     /// Parts of prompts that have crashed engines.
     #[n(14)]
     parts: Option<Vec<PartField>>,
+    /// Whether the sender supports cases of prompts' parts, in whole datagrams; no if missing.
+    #[n(15)]
+    supports_parts: Option<bool>,
 }
 
 /// Whether and for which services a box accepts requests of other boxes.
@@ -293,6 +296,7 @@
         reached: non_empty_list(extension.reached.iter().map(|it| it.0).collect()),
         registration_ms: extension.registration_ms,
         parts: non_empty_list(extension.parts.iter().map(PartField::of).collect()),
+        supports_parts: message.announces_parts().then_some(true),
     };
     let mut bytes = vec![EXTENDED_FORMAT_MARK, EXTENDED_FORMAT_VERSION];
     minicbor::encode(&extended, &mut bytes).wrap_err("a field can't be written")?;
@@ -314,6 +318,9 @@
     if extended.reads_notices.unwrap_or_default() {
         message.format = Some(Format::Origins);
     }
+    if extended.supports_parts.unwrap_or_default() {
+        message.format = Some(Format::Parts);
+    }
     message.set_eras(extended.eras.as_ref().map(ErasField::eras).unwrap_or_default());
     if let (Some(versions), Some(update)) = (&extended.versions, &mut message.engine_update) {
         versions.apply(put_mut(&mut update.changes));
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -2,6 +2,7 @@
 //! that are partitioned, paused, stopped or killed, and engines that count what arrives.
 
 mod engines;
+mod older;
 mod proxies;
 mod store;
 mod streams;
@@ -208,6 +209,8 @@
     pub is_unmarked: bool,
     /// The software version whose engines no request crashes, if there is one.
     pub sound_version: Option<&'static str>,
+    /// The boxes of an older version, which know no parts of prompts.
+    pub older: BTreeSet<usize>,
     /// The engines that crash, and what was recorded about crashes.
     pub crashes: Crashes,
     /// The engines that state rate limits, and what arrived at them.
@@ -249,6 +252,7 @@
             sharing: Vec::new(),
             is_unmarked: false,
             sound_version: None,
+            older: BTreeSet::new(),
             crashes: Crashes::default(),
             rate_limits: RateLimits::default(),
             statements: Statements::default(),
@@ -609,6 +613,8 @@
         let local = Time::ZERO + self.now.since(member.started_at);
         let (start_count, side) = (member.start_count, member.side);
         let calls_leave = self.now.max(member.calls_delayed_until);
+        let is_older = self.older.contains(&number);
+        let event = if is_older { older::received(event) } else { event };
         for effect in gateway.step(local, event) {
             match effect {
                 Effect::Send(send) => {
@@ -619,6 +625,7 @@
                 }
                 Effect::Announce(audience, message) => {
                     self.records.unreachable_reports += message.unreachable.len();
+                    let message = if is_older { older::without_parts(&message) } else { *message };
                     self.send_datagrams(side, &audience, &message)
                 }
                 Effect::Notify(audience, notice) => self.send_notices(side, &audience, &notice),
--- a/tests/tests/formats.rs
+++ b/tests/tests/formats.rs
@@ -4,8 +4,9 @@
 //! a customer got 70,234 units with a limit of 69,500. The first-format bytes in `files/formats` precede
 //! any added field, `permits` is the first version with numbered fields, those with `eras` in their name are
 //! of the last version without the load of classes, `loads-whole` of the last one in which boxes
-//! accept no requests of others, `parts-whole` of the first one that announces parts of prompts, and
-//! the other numbered ones are of the last version without eras of the store.
+//! accept no requests of others, `parts-whole` of the first one that announces parts of prompts,
+//! `parts-supported` of the first one that announces its support for them, and the other numbered ones
+//! are of the last version without eras of the store.
 
 use std::path::PathBuf;
 use std::time::Duration;
@@ -226,6 +227,18 @@
     assert_eq!(read_back.expect("it is read"), sent);
 }
 
+/// Whole datagrams that announce support for parts of prompts are read, and written with the same bytes.
+/// Without the announcement, the sender is an older box.
+#[test]
+fn older_box_misread() {
+    let sent = Message { format: Some(Format::Parts), ..whole() };
+    assert_eq!(read(&recorded("parts-supported")).expect("it is read"), sent);
+    assert_eq!(write(&sent, Format::Permits).expect("it is written"), recorded("parts-supported"));
+    let older = Message { format: Some(Format::Origins), ..sent };
+    let read_back = read(&write(&older, Format::Permits).expect("it is written"));
+    assert_eq!(read_back.expect("it is read"), older);
+}
+
 /// The parts that one datagram announces take at most a quarter of what a box may spend in a second.
 #[test]
 fn announced_part_too_large() {
--- a/tests/tests/gateway_parts.rs
+++ b/tests/tests/gateway_parts.rs
@@ -425,6 +425,46 @@
     }
 }
 
+/// Requests crashed engines by their own content, and boxes that had just started knew of no answer on
+/// the parts that others share with them.
+#[test]
+fn restart_forgets_answers() {
+    let every = Duration::from_millis(500);
+    let own = Sharing { parts: &["system", "folder"], every, ..DEADLY };
+    let mut fleet = troubled(6, own, 1);
+    fleet.run(Duration::from_secs(4));
+    fleet.restart(0..6);
+    fleet.run(Duration::from_secs(8));
+    assert!(fleet.held_parts().is_empty(), "{:?}", fleet.held_parts());
+    for number in 0..6 {
+        fleet.restart([number]);
+        fleet.run(Duration::from_secs(2));
+    }
+    assert!(fleet.held_parts().is_empty(), "{:?}", fleet.held_parts());
+}
+
+/// Boxes of an older version sent harmful requests on and on, and reported neither crashes nor answers:
+/// boxes that replaced some of them held back what harmless requests share.
+#[test]
+fn older_boxes_hide_answers() {
+    for seed in 1..=3 {
+        let mut fleet = troubled(6, DEADLY, seed);
+        fleet.older = (0..6).collect();
+        fleet.restart(0..6);
+        fleet.run(Duration::from_secs(4));
+        for number in 0..6 {
+            fleet.older.remove(&number);
+            fleet.restart([number]);
+            fleet.run(Duration::from_secs(3));
+        }
+        let held = fleet.held_parts();
+        assert!(held.iter().all(|it| **it == *"deadly"), "seed {seed}: {held:?}");
+        fleet.run(Duration::from_secs(10));
+        let held = fleet.held_parts();
+        assert!(held.len() == 1 && held.contains("deadly"), "seed {seed}: {held:?}");
+    }
+}
+
 /// Connections to repaired engines broke while the part was tried there.
 #[test]
 fn broken_trial_counted_as_crash() {
