The start and the progress of moves in files of their own

Checked: apart from imports, module lines, visibility and blank lines, the sorted lines before and after are the same but for two more `impl Gateway` blocks. clippy and doc pass; gateway_backups, gateway_leaving, gateway_migration, gateway_silence, imports, migration, moves_drawn and platform_migration pass.

--- a/crates/hollyspoke-gateway/src/gateway/migration.rs
+++ b/crates/hollyspoke-gateway/src/gateway/migration.rs
@@ -6,6 +6,8 @@
 
 mod backup;
 mod continuation;
+mod progress;
+mod start;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -14,33 +16,23 @@
 use hollyspoke::time::Time;
 
 use super::Gateway;
-use crate::effect::{Effect, LogEvent, Source, Task};
+use crate::effect::LogEvent;
 use crate::engine::{Engine, EngineKey};
 use crate::in_flight::{Call, InFlight};
-use crate::load::Urgency;
-use crate::message::Load;
-use crate::migration::{self, Answer, Copy, EventSize, Link, Reason, Transfer};
+use crate::migration::{Copy, EventSize, Link, Reason};
 use crate::origin::Origin;
 use crate::placement::{PermitState, Selector};
-use crate::quarantine::Verdict;
 use crate::request::{CallKey, RequestKey};
 use crate::terms::Restriction;
 
 use backup::Backup;
 use continuation::Continuation;
+use progress::{Move, Phase};
 
 /// How often the running streams are checked. A stream loses at most this much of the time that its
 /// engine has left.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// How long the events that a source sent before it stopped a stream may take to arrive. What is
-/// still missing then is sent again by the target.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
-
-/// How long a stream is watched after the answer to its final copy was lost. If the source had
-/// stopped it, the stream closes within this time, unless the source is silent.
-const WATCH_DURATION: Duration = Duration::from_secs(1);
-
 /// The pause after a move that failed before the next one of the same stream.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -87,60 +79,6 @@
     refused_by: Vec<EngineKey>,
 }
 
-/// The move of a stream.
-#[derive(Debug, Clone)]
-struct Move {
-    /// The request whose stream is moved.
-    request: RequestKey,
-    /// Why it is moved.
-    reason: Reason,
-    /// The engine at which it runs.
-    source: Arc<Engine>,
-    /// The engine at which it is to continue.
-    target: Arc<Engine>,
-    /// The copy, for the bound on links.
-    copy: Copy,
-    /// The load reserved at the target.
-    load: Load,
-    /// The source's handle for the copy, once known.
-    handle: Option<String>,
-    /// When the move began.
-    began: Time,
-    /// Whether the source's connection closed without the end of the stream.
-    has_closed: bool,
-    /// The progress.
-    phase: Phase,
-}
-
-/// The progress of a move.
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum Phase {
-    /// The memory is copied while the stream runs.
-    Copying,
-    /// The source has been told to stop the stream and to copy the rest.
-    Stopping,
-    /// The stream continues once the source's connection has closed.
-    Closing(Closing),
-    /// The stream has ended; the answer to the transfer shows what has to be freed.
-    Abandoned,
-}
-
-/// The wait for the end of the source's connection.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Closing {
-    /// When the wait began, or was last extended.
-    since: Time,
-    /// The end of the wait.
-    until: Time,
-    /// Whether the source has certainly stopped the stream, so that it continues elsewhere in any
-    /// case. Otherwise it stays if it is still open at the end of the wait.
-    is_stopped: bool,
-    /// Whether the wait was extended because the source is silent.
-    is_extended: bool,
-    /// The engines at which the stream can continue, the best first.
-    destinations: Vec<Arc<Engine>>,
-}
-
 impl Migrations {
     /// Returns when the next wait for a closing connection ends.
     fn next_closing(&self) -> Option<Time> {
@@ -234,46 +172,6 @@
             .retain(|_, it| it.phase != Phase::Abandoned || now.since(it.began) < ABANDONED_TTL);
     }
 
-    /// Starts moves of streams that would outlive their engines, the longest first.
-    fn start_moves(&mut self) {
-        let due = self.calls.iter().filter_map(|(&key, call)| {
-            let (reason, remaining) = self.reason_to_move(key, call)?;
-            Some((remaining, key, reason))
-        });
-        let mut due: Vec<_> = due.collect();
-        due.sort_by_key(|&(remaining, key, _)| (std::cmp::Reverse(remaining), key));
-        for (_, key, reason) in due {
-            self.start_move(key, reason);
-        }
-    }
-
-    /// Returns why a stream has to move, and how long it still runs.
-    fn reason_to_move(&self, key: CallKey, call: &Call) -> Option<(Reason, Duration)> {
-        let is_stream = call.has_begun() && matches!(call.task, Task::Decode(_));
-        let is_active = self.in_flight.get(&call.request).is_some_and(|it| it.call == Some(key));
-        if !is_stream || !is_active || self.migrations.moves.contains_key(&key) {
-            return None;
-        }
-        let left = self.time_left(&call.engine)?;
-        let in_flight = self.in_flight.get(&call.request)?;
-        if !self.is_movable(call, in_flight) {
-            return None;
-        }
-        let remaining = self.remaining_time(call, in_flight);
-        migration::outlives_engine(remaining, left).then_some((Reason::Leaving, remaining))
-    }
-
-    /// Returns whether a stream may be moved at all.
-    fn is_movable(&self, call: &Call, in_flight: &InFlight) -> bool {
-        let incarnation = (call.engine.key, call.engine.started_at);
-        let is_supported = in_flight.service.staged.is_some_and(|it| it.operations.can_migrate)
-            && !self.migrations.unsupported.contains(&incarnation);
-        is_supported
-            && self.migrations.may_try(call.request, self.now)
-            && self.verdict(in_flight) == Verdict::Clear
-            && self.accepts_transfers(&call.engine)
-    }
-
     /// Returns how long a stream is expected to run on.
     fn remaining_time(&self, call: &Call, in_flight: &InFlight) -> Duration {
         let tokens = in_flight.request.expected_answer_tokens_or_estimate();
@@ -282,12 +180,6 @@
         remaining.min(in_flight.deadline.since(self.now))
     }
 
-    /// Returns how long an engine that is shutting down is certain to serve.
-    fn time_left(&self, engine: &Engine) -> Option<Duration> {
-        let known = self.leaving_age(engine)?;
-        Some(self.settings.drain.saturating_sub(known))
-    }
-
     /// Returns how long it has been known that an engine is shutting down.
     fn leaving_age(&self, engine: &Engine) -> Option<Duration> {
         let announced = self.terms.departures.of(engine).map(|it| it.age(self.now));
@@ -303,50 +195,6 @@
         !is_evacuated && restriction.is_none()
     }
 
-    /// Starts the move of a stream, if an engine has memory for it and the links have capacity.
-    fn start_move(&mut self, key: CallKey, reason: Reason) {
-        let draw = self.draw();
-        let Some(call) = self.calls.get(&key).cloned() else { return };
-        let Some(in_flight) = self.in_flight.get(&call.request) else { return };
-        let request = call.request;
-        let Some(target) = self.move_target(&call, in_flight, draw) else {
-            return self.record_failed_move(request, &call.engine, None, reason, "no memory");
-        };
-        let Some(copy) = copy_between(in_flight, &call.engine, &target) else { return };
-        let held_tokens = in_flight.capacity_units();
-        let in_progress: Vec<_> = self.migrations.moves.values().map(|it| it.copy).collect();
-        if !migration::may_copy(&in_progress, copy) {
-            return;
-        }
-        if !self.take_retry(request) {
-            return self.record_failed_move(request, &call.engine, Some(&target), reason, "budget");
-        }
-        let load = Load { prefill_tokens: 0, calls: 1, held_tokens };
-        self.ledger.add(target.key, load);
-        let moved = Move {
-            request,
-            reason,
-            source: call.engine,
-            target,
-            copy,
-            load,
-            handle: None,
-            began: self.now,
-            has_closed: false,
-            phase: Phase::Copying,
-        };
-        self.order_transfer(key, &moved, false);
-        self.migrations.moves.insert(key, moved);
-    }
-
-    /// Chooses the engine at which a stream is to continue.
-    fn move_target(&self, call: &Call, in_flight: &InFlight, draw: u64) -> Option<Arc<Engine>> {
-        let refused_by = self.migrations.failed.get(&call.request).map(|it| &it.refused_by);
-        let mut excluded = refused_by.cloned().unwrap_or_default();
-        excluded.push(call.engine.key);
-        self.copy_target(in_flight, &call.engine, &excluded, draw)
-    }
-
     /// Chooses an engine of the same version that has memory for a copy of another one's.
     fn copy_target(
         &self,
@@ -371,193 +219,6 @@
         (!is_excluded && !is_limited).then_some(choice.engine)
     }
 
-    /// Orders the source of a move to copy the stream's memory.
-    fn order_transfer(&mut self, call: CallKey, moved: &Move, is_final: bool) {
-        self.effects.push(Effect::Transfer(Transfer {
-            request: moved.request,
-            call,
-            source: moved.source.clone(),
-            target: moved.target.address,
-            is_final,
-        }));
-    }
-
-    /// Handles the answer to a transfer.
-    pub(super) fn handle_transfer_answer(&mut self, key: CallKey, answer: &Answer) {
-        let Some(moved) = self.migrations.moves.get_mut(&key) else { return };
-        if let Answer::Copied { handle, .. } | Answer::Refused { handle: Some(handle) } = answer {
-            moved.handle = Some(handle.clone());
-        }
-        match moved.phase {
-            Phase::Copying => self.first_copy_ended(key, answer),
-            Phase::Stopping => self.final_copy_ended(key, answer),
-            Phase::Closing(_) => {}
-            Phase::Abandoned => {
-                if let Some(moved) = self.migrations.moves.remove(&key) {
-                    self.free_copy(&moved);
-                }
-            }
-        }
-    }
-
-    /// Handles the end of the copy that was made while the stream ran: the source is told to stop
-    /// it.
-    fn first_copy_ended(&mut self, key: CallKey, answer: &Answer) {
-        if !matches!(answer, Answer::Copied { .. }) {
-            return self.transfer_failed(key, answer);
-        }
-        let Some(call) = self.calls.get(&key) else { return };
-        let Some(in_flight) = self.in_flight.get(&call.request) else { return };
-        let remaining = self.remaining_time(call, in_flight);
-        let moved = self.migrations.moves.get(&key).cloned();
-        if !moved.is_some_and(|it| self.may_continue_at(&it.target, &it.source)) {
-            return self.cancel_move(key, "target leaving");
-        }
-        if !migration::outlives_engine(remaining, Duration::ZERO) {
-            return self.cancel_move(key, "nearly complete");
-        }
-        let Some(moved) = self.migrations.moves.get_mut(&key) else { return };
-        moved.phase = Phase::Stopping;
-        let moved = moved.clone();
-        self.order_transfer(key, &moved, true);
-    }
-
-    /// Handles the end of the copy for which the source was told to stop the stream.
-    fn final_copy_ended(&mut self, key: CallKey, answer: &Answer) {
-        let Some(moved) = self.migrations.moves.get(&key) else { return };
-        let (source, target) = (moved.source.clone(), moved.target.clone());
-        let has_closed = moved.has_closed;
-        let wait = |duration, is_stopped, destinations| Closing {
-            since: self.now,
-            until: self.now + duration,
-            is_stopped,
-            is_extended: false,
-            destinations,
-        };
-        let closing = match answer {
-            Answer::Copied { .. } => wait(CLOSE_TIMEOUT, true, vec![target, source]),
-            Answer::Refused { handle: Some(_) } => wait(CLOSE_TIMEOUT, true, vec![source, target]),
-            Answer::Unknown => wait(WATCH_DURATION, false, vec![target, source]),
-            // The stream wasn't stopped by this order: if it closed, its source has failed.
-            _ if has_closed => wait(CLOSE_TIMEOUT, false, vec![target]),
-            _ => return self.transfer_failed(key, answer),
-        };
-        if has_closed {
-            return self.continue_stream(key, closing.destinations);
-        }
-        if let Some(moved) = self.migrations.moves.get_mut(&key) {
-            moved.phase = Phase::Closing(closing);
-        }
-    }
-
-    /// Handles a transfer that failed without stopping the stream.
-    fn transfer_failed(&mut self, key: CallKey, answer: &Answer) {
-        let Some(moved) = self.migrations.moves.get(&key) else { return };
-        let (request, target) = (moved.request, moved.target.key);
-        let incarnation = (moved.source.key, moved.source.started_at);
-        match answer {
-            Answer::Refused { .. } => {
-                let failed = self.migrations.failed.entry(request).or_default();
-                failed.refused_by.push(target);
-            }
-            Answer::Unsupported => {
-                self.migrations.unsupported.insert(incarnation);
-            }
-            _ => {}
-        }
-        self.cancel_move(key, outcome_name(answer));
-    }
-
-    /// Ends the waits for closing connections that are over.
-    fn end_closings(&mut self) {
-        let now = self.now;
-        let over = self.migrations.moves.iter().filter_map(|(&key, moved)| match &moved.phase {
-            Phase::Closing(closing) if closing.until <= now => Some((key, closing.clone())),
-            _ => None,
-        });
-        let over: Vec<_> = over.collect();
-        for (key, closing) in over {
-            if closing.is_stopped {
-                self.continue_stream(key, closing.destinations);
-            } else if self.is_silent_since(key, closing.since) {
-                self.extend_watch(key, closing);
-            } else {
-                self.cancel_move(key, "no answer");
-            }
-        }
-    }
-
-    /// Returns whether a call has brought no event since a time.
-    fn is_silent_since(&self, key: CallKey, since: Time) -> bool {
-        self.calls.get(&key).is_some_and(|it| it.last_event_at < since)
-    }
-
-    /// Watches a stream for longer whose source is silent: the source may carry the order to stop it
-    /// out once it goes on, and the stream then needs the copy.
-    fn extend_watch(&mut self, key: CallKey, closing: Closing) {
-        let Some(moved) = self.migrations.moves.get_mut(&key) else { return };
-        let (since, until) = (self.now, self.now + WATCH_DURATION);
-        moved.phase = Phase::Closing(Closing { since, until, is_extended: true, ..closing });
-    }
-
-    /// Handles that the connection of a call closed without the end of its stream. Returns whether a
-    /// move has stopped the stream, so that this is expected.
-    pub(super) fn stream_closed(&mut self, key: CallKey) -> bool {
-        let Some(moved) = self.migrations.moves.get_mut(&key) else { return false };
-        moved.has_closed = true;
-        match &moved.phase {
-            Phase::Copying | Phase::Abandoned => false,
-            Phase::Stopping => true,
-            Phase::Closing(closing) => {
-                let destinations = closing.destinations.clone();
-                self.continue_stream(key, destinations);
-                true
-            }
-        }
-    }
-
-    /// Ends a move whose stream goes on at its source.
-    fn cancel_move(&mut self, key: CallKey, outcome: &'static str) {
-        let Some(moved) = self.migrations.moves.remove(&key) else { return };
-        self.release_target(&moved);
-        self.refund_retry_of(moved.request);
-        self.free_copy(&moved);
-        let target = Some(&*moved.target);
-        self.record_failed_move(moved.request, &moved.source, target, moved.reason, outcome);
-    }
-
-    /// Ends the move of a stream that has ended.
-    pub(super) fn abandon_move(&mut self, key: CallKey) {
-        let moved = self.migrations.moves.get_mut(&key);
-        let Some(moved) = moved.filter(|it| it.phase != Phase::Abandoned) else { return };
-        let awaits_answer = matches!(moved.phase, Phase::Copying | Phase::Stopping);
-        moved.phase = Phase::Abandoned;
-        let moved = moved.clone();
-        self.release_target(&moved);
-        self.refund_retry_of(moved.request);
-        let target = Some(&*moved.target);
-        self.record_failed_move(moved.request, &moved.source, target, moved.reason, "ended");
-        if !awaits_answer {
-            self.migrations.moves.remove(&key);
-            self.free_copy(&moved);
-        }
-    }
-
-    /// Releases the load that a move has reserved at its target.
-    fn release_target(&mut self, moved: &Move) {
-        self.ledger.remove(moved.target.key, moved.load, Urgency::Now);
-    }
-
-    /// Frees the copy of a move that isn't used, at the target if the source has failed.
-    fn free_copy(&mut self, moved: &Move) {
-        let Some(handle) = moved.handle.clone() else { return };
-        let engine = if moved.has_closed { &moved.target } else { &moved.source };
-        if self.accepts_transfers(engine) {
-            let source = Source { engine: engine.key, address: engine.address, handle };
-            self.effects.push(Effect::Free(source));
-        }
-    }
-
     /// Records and logs that a stream was not moved.
     fn record_failed_move(
         &mut self,
@@ -613,16 +274,3 @@
     let duration = link.copy_duration(in_flight.request.mean_held_tokens(), is_same_data_centre);
     Some(Copy { source: source.key, target: target.key, duration })
 }
-
-/// Returns the name of an answer because of which a stream stays.
-fn outcome_name(answer: &Answer) -> &'static str {
-    match answer {
-        Answer::Copied { .. } => "copied",
-        Answer::NotRunning => "not running",
-        Answer::InProgress => "copy in progress",
-        Answer::Refused { .. } => "no memory",
-        Answer::Unsupported => "not supported",
-        Answer::NotConnected => "not reached",
-        Answer::Unknown => "no answer",
-    }
-}
