Soak: a silent prefill is replaced only by a prompt read elsewhere to the end

What was seen: SilenceCutsNothing excused a request whose silent prefill was dropped as soon as any other run of that request had begun, whatever it brought. A prefill that was read to its end elsewhere excused a silent decode run as well, and so did one that was read after the request had ended. The rule is stricter: silence from an engine gives no reason to end an answer, and a call may be dropped only when another one has really replaced it.

Open: a run whose upstream crashes has no recorded end, so that what it brought is not known. Such a run replaces nothing, prefills now included.

--- a/tests/soak/src/judge/silence.rs
+++ b/tests/soak/src/judge/silence.rs
@@ -44,7 +44,7 @@
     let (run, still) = attempt.runs.iter().find_map(|run| {
         let still = silence_of(records, run)?;
         let is_ended = is_ended_in(run.end?, still, ended);
-        let is_replaced = attempt.runs.iter().any(|it| replaces(it, run, still.0, attempt));
+        let is_replaced = attempt.runs.iter().any(|it| replaces(it, run, still.0, attempt, ended));
         let is_early = ended + MARGIN < heard_until(attempt, run, still) + patience();
         (is_ended && !is_replaced && is_early).then_some((run, still))
     })?;
@@ -112,18 +112,17 @@
     ended >= from && (is_dropped || is_outlasted)
 }
 
-/// Returns whether a run has brought something that may replace another one, which was silent from
-/// a time on.
-fn replaces(run: &Run, silent: &Run, from: Micros, attempt: &Attempt) -> bool {
+/// Returns whether a run had replaced another one, which was silent from a time on, when the attempt
+/// was ended: by an event, by a whole answer or, for a prefill, by reading the prompt to its end.
+fn replaces(run: &Run, silent: &Run, from: Micros, attempt: &Attempt, ended: Micros) -> bool {
     let since = from.min(silent.began);
-    let is_other = !std::ptr::eq(run, silent);
-    let is_later = run.end.is_none_or(|it| it.at > since);
-    let has_read = silent.is_reading && !run.is_reading;
-    let has_spoken = run.end.is_some_and(|it| match it.how {
-        RunEnd::Whole => true,
-        RunEnd::Dropped | RunEnd::Broken | RunEnd::Moved => it.last_event > attempt.after,
-    });
-    is_other && is_later && (has_read || has_spoken)
+    let Some(end) = run.end.filter(|it| !std::ptr::eq(run, silent) && it.at > since) else {
+        return false;
+    };
+    match end.how {
+        RunEnd::Whole => end.at <= ended + MARGIN && (silent.is_reading || !run.is_reading),
+        RunEnd::Dropped | RunEnd::Broken | RunEnd::Moved => end.last_event > attempt.after,
+    }
 }
 
 /// Returns until when the client has surely heard from its stream.
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -900,6 +900,43 @@
     assert_eq!(with(0), [Promise::SilenceCutsNothing]);
 }
 
+/// A prefill at an upstream.
+fn reading(millis: u64, engine: &str) -> Observation {
+    let mut it = began(millis, engine);
+    if let What::Began { is_reading, .. } = &mut it.what {
+        *is_reading = true;
+    }
+    it
+}
+
+/// A silent prefill may be ended when its prompt has been read elsewhere to the end, or an event has
+/// come, and not as soon as another run begins.
+#[test]
+fn silent_prefill_replaced() {
+    let with = |first: Observation, others: [Observation; 2]| {
+        let mut seen = dropped_in_silence(Kind::Resumed, 5950, 7200);
+        seen[2] = first;
+        seen.extend(others);
+        broken(&seen)
+    };
+    let prefill = |others| with(reading(5950, "a"), others);
+    let mut spoken = ended(7190, "b", RunEnd::Broken);
+    if let What::RunEnded { last_event, .. } = &mut spoken.what {
+        *last_event = 1;
+    }
+    assert_eq!(prefill([began(7000, "b"), spoken]), []);
+    assert_eq!(prefill([reading(7000, "b"), ended(7100, "b", RunEnd::Whole)]), []);
+    let begun = [began(7000, "b"), ended(7190, "b", RunEnd::Dropped)];
+    assert_eq!(prefill(begun), [Promise::SilenceCutsNothing], "no event came");
+    let unfinished = [reading(7000, "b"), ended(7205, "b", RunEnd::Dropped)];
+    assert_eq!(prefill(unfinished), [Promise::SilenceCutsNothing], "not read to the end");
+    let late = [reading(7000, "b"), ended(7600, "b", RunEnd::Whole)];
+    assert_eq!(prefill(late), [Promise::SilenceCutsNothing], "read after the request had ended");
+    let read = [reading(7000, "b"), ended(7100, "b", RunEnd::Whole)];
+    let decode = with(began(5950, "a"), read);
+    assert_eq!(decode, [Promise::SilenceCutsNothing], "a prefill brings no event");
+}
+
 /// A run for a client that has left may end when its upstream goes on.
 #[test]
 fn runs_after_disconnect_in_silence() {
