Soak: a rest that an upstream asks of a closed connection binds no box

Cause: the judge takes a box's next step with the rejected request, within 0.3 s, as the sign that it has received the rejection. An upstream that stands still reads requests when it goes on whose connections were closed meanwhile, and turns them away: no box hears of that.

--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -553,6 +553,27 @@
     assert_eq!(broken(&lost), []);
 }
 
+/// The rejection that asks for a back-off, which is observed later than the request for it, does not
+/// show that its box has received it; nor does an attempt that had ended.
+#[test]
+fn back_off_not_received() {
+    let (engine, attempt) = ("a".to_owned(), "first".to_owned());
+    let mut seen = asked_for_rest(3);
+    seen.retain(|it| !matches!(it.what, What::TurnedAway { .. }));
+    seen.push(at(5011, What::TurnedAway { engine, attempt: attempt.clone() }));
+    assert_eq!(broken(&seen), [Promise::RestKept]);
+    let mut left = seen.clone();
+    left.push(at(5005, What::Left { attempt: attempt.clone() }));
+    assert_eq!(broken(&left), [], "its client had left");
+    let mut cut = seen.clone();
+    cut.push(at(5005, What::Cut { attempt }));
+    assert_eq!(broken(&cut), [], "its connection had ended");
+    cut.extend([node(5004, BoxChange::Killed), node(5008, BoxChange::Started)]);
+    assert_eq!(broken(&cut), [], "the process that sent it had been killed");
+    seen.retain(|it| !matches!(it.what, What::Answered { status: 503, .. }));
+    assert_eq!(broken(&seen), [], "its box did not continue");
+}
+
 #[test]
 fn datagram_not_read() {
     let seen = [running(), at(5000, What::NotRead { node: 0, lines: 2 })];
