Soak: a rest ends with the incarnation that asked for it

What was seen: reading `RestKept`, which let a rest last until the last end of its upstream's processes, not until the first one after the request for it. Where an upstream crashes, comes back under its id and crashes again, requests to the second incarnation counted, which had asked for nothing. Those to the asking one count as before.

--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -574,6 +574,22 @@
     assert_eq!(broken(&seen), [], "its box did not continue");
 }
 
+/// Requests to the next incarnation of an upstream don't count, those to the one that asked do.
+#[test]
+fn back_off_of_earlier_incarnation() {
+    let gone = |millis| at(millis, What::EngineGone { engine: "a".to_owned() });
+    let with = |ends: &[u64]| {
+        let mut seen = asked_for_rest(4);
+        seen.extend(ends.iter().map(|&it| gone(it)));
+        broken(&seen)
+    };
+    assert_eq!(with(&[6000]), []);
+    assert_eq!(with(&[6000, 9000]), [], "one request before its end");
+    assert_eq!(with(&[6500, 9000]), [], "two requests before its end");
+    assert_eq!(with(&[7000, 9000]), [Promise::RestKept], "three requests before its end");
+    assert_eq!(with(&[1000]), [Promise::RestKept], "it had begun after that");
+}
+
 #[test]
 fn datagram_not_read() {
     let seen = [running(), at(5000, What::NotRead { node: 0, lines: 2 })];
