Soak: WithinLimit counts requests when they run, after a standstill too

No trace shows that the case occurs, and the change let a customer's usage that arrives at once pass for one spread over the standstill. The check is as it was before.

--- a/tests/soak/src/judge/customers.rs
+++ b/tests/soak/src/judge/customers.rs
@@ -93,7 +93,7 @@
     let mut runs: Vec<(Micros, u64)> = limited
         .filter_map(|it| {
             let run = it.runs.iter().find(|it| !it.is_reading)?;
-            Some((records.arrived(&run.engine, it.sent, run.began), it.caller.units))
+            Some((run.began, it.caller.units))
         })
         .collect();
     runs.sort_unstable();
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -340,6 +340,14 @@
 fn customer_limit_exceeded() {
     assert_eq!(broken(&flood(200, 850)), [], "68,850 in a window where 69,500 are allowed");
     assert_eq!(broken(&flood(200, 870)), [Promise::WithinLimit]);
+    // Requests that waited at an upstream that stood still count when they run.
+    let mut waited = flood(200, 850);
+    let (from, until) = (106 * SECOND, 109 * SECOND);
+    for it in waited.iter_mut().filter(|it| matches!(it.what, What::Began { .. })) {
+        it.at = if it.at >= from { it.at.max(until + 5 * MILLISECOND) } else { it.at };
+    }
+    waited.push(stood_still(9000));
+    assert_eq!(broken(&waited), [Promise::WithinLimit]);
 }
 
 #[test]
