Soak: RestKept counts requests when upstreams read them, after a standstill too

No trace shows that the case is needed. It excused requests sent before a box was asked to rest and read while the upstream rests, and it accused boxes wrongly: a request whose client sends it during the rest, which the box holds until the rest is over and which the upstream reads after that, counted as sent during the rest. The check is as it was before; both halves of the new test fail without the change.

--- a/tests/soak/src/judge/records.rs
+++ b/tests/soak/src/judge/records.rs
@@ -509,14 +509,6 @@
         within.map(|it| it.1).max().unwrap_or(from)
     }
 
-    /// Returns when a request that was sent at one time and seen by its upstream at another one may
-    /// have arrived there: a process that is paused sees it when it is resumed.
-    pub(super) fn arrived(&self, engine: &str, sent: Micros, seen: Micros) -> Micros {
-        let mut stills = self.stand_stills.get(engine).into_iter().flatten();
-        let waited = stills.find(|it| it.1 <= seen && seen <= it.1 + READS_WITHIN);
-        waited.map_or(seen, |it| sent.max(it.0).min(seen))
-    }
-
     /// Returns whether any box was killed, paused or disturbed between two times.
     pub(super) fn disruptions_within(&self, after: Micros, until: Micros) -> bool {
         let mut changes = self.nodes.values().flatten();
--- a/tests/soak/src/judge/terms.rs
+++ b/tests/soak/src/judge/terms.rs
@@ -148,10 +148,7 @@
     let from = continued + COUNTS_AFTER;
     let of_box = records.attempts.values().filter(|it| it.node == asked.node);
     let mut arrivals: Vec<_> = of_box
-        .flat_map(|it| {
-            let arrivals = arrivals_at(it, &rest.engine);
-            arrivals.map(|at| records.arrived(&rest.engine, it.sent, at))
-        })
+        .flat_map(|it| arrivals_at(it, &rest.engine))
         .filter(|it| *it >= from && *it < until)
         .filter(|it| !records.is_disturbed(asked.node, rest.at, *it))
         .collect();
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -608,6 +608,23 @@
     assert_eq!(with(&[1000]), [Promise::RestKept], "it had begun after that");
 }
 
+/// Requests that wait at an upstream that stands still count when it reads them.
+#[test]
+fn back_off_before_standing_still() {
+    let with = |sent_at: u64, until: u64| {
+        let mut seen = asked_for_rest(0);
+        let since = 105_100 * MILLISECOND;
+        seen.push(at(until, What::StoodStill { engine: "a".to_owned(), since }));
+        for number in 0..3 {
+            let run = [sent(sent_at, Kind::Safe), began(until + 5, "a")];
+            seen.extend(run.map(|it| named(it, &format!("waited-{number}"))));
+        }
+        broken(&seen)
+    };
+    assert_eq!(with(5050, 7500), [Promise::RestKept], "read while it rests");
+    assert_eq!(with(7000, 8100), [], "read after its rest");
+}
+
 #[test]
 fn datagram_not_read() {
     let seen = [running(), at(5000, What::NotRead { node: 0, lines: 2 })];
