--- a/tests/soak/src/judge/leases.rs
+++ b/tests/soak/src/judge/leases.rs
@@ -39,9 +39,7 @@
         let Some((until, _)) = it.end else { return false };
         let from = it.at.saturating_sub(bounds.contact);
         let is_disturbed = records.disruptions_within(from, until);
-        let is_late = records.has_fault(&DELAYS, from, until)
-            || records.stood_still(&it.engine, it.at, until);
-        let is_known = !it.presented.is_empty() || !is_late;
+        let is_known = !it.presented.is_empty() || !records.has_fault(&DELAYS, from, until);
         it.is_answered && is_known && !is_disturbed
     };
     let counted: Vec<_> = records.reservations.values().filter(is_counted).collect();
--- a/tests/soak/src/judge/records.rs
+++ b/tests/soak/src/judge/records.rs
@@ -55,8 +55,6 @@
 /// A reservation at an engine.
 #[derive(Debug, Clone)]
 pub(super) struct Reservation {
-    /// The engine.
-    pub(super) engine: String,
     /// When it was made.
     pub(super) at: Micros,
     /// Whether its answer was sent, and in time.
@@ -370,9 +368,9 @@
                 let end = End { at, how: *how, body: *body, last_event: *last_event };
                 self.with(attempt, |it| end_run(&mut it.runs, engine, end));
             }
-            What::Reserved { engine, name, is_answered, .. } => {
-                let (engine, is_answered, presented) = (engine.clone(), *is_answered, Vec::new());
-                let reservation = Reservation { engine, at, is_answered, presented, end: None };
+            What::Reserved { name, is_answered, .. } => {
+                let (is_answered, presented) = (*is_answered, Vec::new());
+                let reservation = Reservation { at, is_answered, presented, end: None };
                 self.reservations.insert(name.clone(), reservation);
             }
             What::ReservationPresented { name, attempt, .. } => {
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -751,6 +751,8 @@
     assert_eq!(broken(&reservations(false, LeaseEnd::Lapsed)), [], "their answers were lost");
     let killed = [&lapsed[..], &[node(5500, BoxChange::Killed)]].concat();
     assert_eq!(broken(&killed), [], "a box was killed");
+    let still = [&lapsed[..], &[stood_still(7500)]].concat();
+    assert_eq!(broken(&still), [Promise::ReservationsFreed], "the engine stood still");
     let fault = at(5500, What::Fault { name: "HoldLinks".to_owned(), span: SECOND });
     let late = [&lapsed[..], &[fault]].concat();
     assert_eq!(broken(&late), [], "answers may be late");
