Soak: CopiesFreed counts copies at engines that stood still

No trace shows that standstills alone make a quarter of the copies lapse. The check is as it was before, and no check but SilenceCutsNothing asks now whether an upstream stood still.

--- a/tests/soak/src/judge/leases.rs
+++ b/tests/soak/src/judge/leases.rs
@@ -67,8 +67,7 @@
         let Some(attempt) = records.attempts.get(&it.attempt) else { return false };
         let Some(&(until, _)) = it.ends.last() else { return false };
         let from = it.at.saturating_sub(bounds.contact);
-        let is_late = it.engines.iter().any(|engine| records.stood_still(engine, it.at, until));
-        it.is_answered && !is_late && !records.is_disturbed(attempt.node, from, until)
+        it.is_answered && !records.is_disturbed(attempt.node, from, until)
     };
     let counted: Vec<_> = records.copies.values().filter(is_counted).collect();
     let lapsed: Vec<_> = counted.iter().filter_map(|it| lapse(it)).collect();
--- a/tests/soak/src/judge/records.rs
+++ b/tests/soak/src/judge/records.rs
@@ -1,6 +1,6 @@
 //! The observations, grouped by subject for the checks.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::keys::Caller;
 use crate::malformed::Flaw;
@@ -72,8 +72,6 @@
     pub(super) at: Micros,
     /// The id of the attempt.
     pub(super) attempt: String,
-    /// The engines that sent or kept it.
-    pub(super) engines: BTreeSet<String>,
     /// Whether all answers about it were sent, and in time.
     pub(super) is_answered: bool,
     /// When and how it ended at each engine that kept it.
@@ -383,16 +381,14 @@
                     reservation.end = Some((at, *how));
                 }
             }
-            What::Transferred { engine, name, attempt, is_answered, .. } => {
-                let (attempt, engines, ends) = (attempt.clone(), BTreeSet::new(), Vec::new());
-                let new = Copy { at, attempt, engines, is_answered: true, ends };
+            What::Transferred { name, attempt, is_answered, .. } => {
+                let attempt = attempt.clone();
+                let new = Copy { at, attempt, is_answered: true, ends: Vec::new() };
                 let copy = self.copies.entry(name.clone()).or_insert(new);
-                copy.engines.insert(engine.clone());
                 copy.is_answered &= is_answered;
             }
-            What::CopyEnded { engine, name, how } => {
+            What::CopyEnded { name, how, .. } => {
                 if let Some(copy) = self.copies.get_mut(name) {
-                    copy.engines.insert(engine.clone());
                     copy.ends.push((at, *how));
                 }
             }
@@ -493,12 +489,6 @@
         !self.faults.iter().any(|it| it.0 <= until && it.1 >= from)
     }
 
-    /// Returns whether an upstream's process was paused at any time in an interval.
-    pub(super) fn stood_still(&self, engine: &str, from: Micros, until: Micros) -> bool {
-        let mut stills = self.stand_stills.get(engine).into_iter().flatten();
-        stills.any(|it| it.0 <= until && it.1 + READS_WITHIN >= from)
-    }
-
     /// Returns whether any box was killed, paused or disturbed between two times.
     pub(super) fn disruptions_within(&self, after: Micros, until: Micros) -> bool {
         let mut changes = self.nodes.values().flatten();
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -799,6 +799,8 @@
     assert_eq!(broken(&lapsed), [Promise::CopiesFreed]);
     assert_eq!(broken(&copies(true, LeaseEnd::Used)), []);
     assert_eq!(broken(&copies(false, LeaseEnd::Lapsed)), [], "their answers were lost");
+    let still = [&lapsed[..], &[stood_still(7500)]].concat();
+    assert_eq!(broken(&still), [Promise::CopiesFreed], "the engine stood still");
     let paused = [node(5600, BoxChange::Paused), node(5900, BoxChange::Resumed)];
     assert_eq!(broken(&[&lapsed[..], &paused].concat()), [], "the box was paused");
 }
