--- a/tests/soak/src/judge/records.rs
+++ b/tests/soak/src/judge/records.rs
@@ -1,6 +1,6 @@
 //! The observations, grouped by subject for the checks.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::keys::Caller;
 use crate::malformed::Flaw;
@@ -55,8 +55,6 @@
 /// A reservation at an engine.
 #[derive(Debug, Clone)]
 pub(super) struct Reservation {
-    /// The engine.
-    pub(super) engine: String,
     /// When it was made.
     pub(super) at: Micros,
     /// Whether its answer was sent, and in time.
@@ -74,8 +72,6 @@
     pub(super) at: Micros,
     /// The id of the attempt.
     pub(super) attempt: String,
-    /// The engines that sent or kept it.
-    pub(super) engines: BTreeSet<String>,
     /// Whether all answers about it were sent, and in time.
     pub(super) is_answered: bool,
     /// When and how it ended at each engine that kept it.
@@ -370,9 +366,9 @@
                 let end = End { at, how: *how, body: *body, last_event: *last_event };
                 self.with(attempt, |it| end_run(&mut it.runs, engine, end));
             }
-            What::Reserved { engine, name, is_answered, .. } => {
-                let (engine, is_answered, presented) = (engine.clone(), *is_answered, Vec::new());
-                let reservation = Reservation { engine, at, is_answered, presented, end: None };
+            What::Reserved { name, is_answered, .. } => {
+                let (is_answered, presented) = (*is_answered, Vec::new());
+                let reservation = Reservation { at, is_answered, presented, end: None };
                 self.reservations.insert(name.clone(), reservation);
             }
             What::ReservationPresented { name, attempt, .. } => {
@@ -385,16 +381,14 @@
                     reservation.end = Some((at, *how));
                 }
             }
-            What::Transferred { engine, name, attempt, is_answered, .. } => {
-                let (attempt, engines, ends) = (attempt.clone(), BTreeSet::new(), Vec::new());
-                let new = Copy { at, attempt, engines, is_answered: true, ends };
+            What::Transferred { name, attempt, is_answered, .. } => {
+                let attempt = attempt.clone();
+                let new = Copy { at, attempt, is_answered: true, ends: Vec::new() };
                 let copy = self.copies.entry(name.clone()).or_insert(new);
-                copy.engines.insert(engine.clone());
                 copy.is_answered &= is_answered;
             }
-            What::CopyEnded { engine, name, how } => {
+            What::CopyEnded { name, how, .. } => {
                 if let Some(copy) = self.copies.get_mut(name) {
-                    copy.engines.insert(engine.clone());
                     copy.ends.push((at, *how));
                 }
             }
@@ -509,28 +503,6 @@
         replaced.map(|it| it.1).max().unwrap_or_default()
     }
 
-    /// Returns whether an upstream's process was paused at any time in an interval.
-    pub(super) fn stood_still(&self, engine: &str, from: Micros, until: Micros) -> bool {
-        let mut stills = self.stand_stills.get(engine).into_iter().flatten();
-        stills.any(|it| it.0 <= until && it.1 + READS_WITHIN >= from)
-    }
-
-    /// Returns when an upstream's process was last resumed, if it was paused in an interval, or the
-    /// start of the interval.
-    pub(super) fn resumed_after(&self, engine: &str, from: Micros, until: Micros) -> Micros {
-        let stills = self.stand_stills.get(engine).into_iter().flatten();
-        let within = stills.filter(|it| it.0 <= until && it.1 >= from);
-        within.map(|it| it.1).max().unwrap_or(from)
-    }
-
-    /// Returns when a request that was sent at one time and seen by its upstream at another one may
-    /// have arrived there: a process that is paused sees it when it is resumed.
-    pub(super) fn arrived(&self, engine: &str, sent: Micros, seen: Micros) -> Micros {
-        let mut stills = self.stand_stills.get(engine).into_iter().flatten();
-        let waited = stills.find(|it| it.1 <= seen && seen <= it.1 + READS_WITHIN);
-        waited.map_or(seen, |it| sent.max(it.0).min(seen))
-    }
-
     /// Returns whether any box was killed, paused or disturbed between two times.
     pub(super) fn disruptions_within(&self, after: Micros, until: Micros) -> bool {
         let mut changes = self.nodes.values().flatten();
--- a/tests/soak/src/judge/terms.rs
+++ b/tests/soak/src/judge/terms.rs
@@ -144,17 +144,15 @@
     if records.is_replaced(asked.node, asked.sent, rest.at) {
         return None;
     }
-    let continued = continued_at(asked, rest.at)?;
-    let last_end = records.engine_ends.get(&rest.engine).and_then(|it| it.last());
-    let ended = last_end.filter(|it| **it > rest.at);
+    let continued = continued_at(asked, rest)?;
+    // A later incarnation under the id has asked for nothing.
+    let mut ends = records.engine_ends.get(&rest.engine).into_iter().flatten();
+    let ended = ends.find(|it| **it > rest.at);
     let until = (rest.at + rest.span).min(ended.copied().unwrap_or(Micros::MAX));
     let from = continued + COUNTS_AFTER;
     let of_box = records.attempts.values().filter(|it| it.node == asked.node);
     let mut arrivals: Vec<_> = of_box
-        .flat_map(|it| {
-            let arrivals = arrivals_at(it, &rest.engine);
-            arrivals.map(|at| records.arrived(&rest.engine, it.sent, at))
-        })
+        .flat_map(|it| arrivals_at(it, &rest.engine))
         .filter(|it| *it >= from && *it < until)
         .filter(|it| !records.is_disturbed(asked.node, rest.at, *it))
         .collect();
@@ -165,12 +163,17 @@
     Some(finding(Promise::RestKept, third, what))
 }
 
-/// Returns when a box continued with a rejected attempt, which shows that it received the
-/// rejection.
-fn continued_at(attempt: &Attempt, at: Micros) -> Option<Micros> {
+/// Returns when a box continued with a rejected attempt, which shows that it received the rejection.
+/// An attempt that had ended before does not: its upstream answered a closed connection.
+fn continued_at(attempt: &Attempt, rest: &Rest) -> Option<Micros> {
+    let answered = attempt.answer.as_ref().map(|it| it.at);
+    let has_ended = [answered, attempt.cut, attempt.left].iter().flatten().any(|it| *it < rest.at);
+    let by_engine = attempt.rejections.iter().zip(&attempt.rejected_by);
+    // The rejection itself is observed right after the request to back off.
+    let own = by_engine.filter(|(at, by)| **at >= rest.at && **by == rest.engine).map(|it| *it.0);
+    let rejected = own.min().unwrap_or(rest.at);
     let runs = attempt.runs.iter().map(|it| it.began);
     let rejections = attempt.rejections.iter().copied();
-    let answered = attempt.answer.iter().map(|it| it.at);
-    let next = runs.chain(rejections).chain(answered).filter(|it| *it > at).min()?;
-    (next < at + CONTINUES_WITHIN).then_some(next)
+    let next = runs.chain(rejections).chain(answered).filter(|it| *it > rejected).min()?;
+    (!has_ended && next < rejected + CONTINUES_WITHIN).then_some(next)
 }
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -340,6 +340,14 @@
 fn customer_limit_exceeded() {
     assert_eq!(broken(&flood(200, 850)), [], "68,850 in a window where 69,500 are allowed");
     assert_eq!(broken(&flood(200, 870)), [Promise::WithinLimit]);
+    // Requests that waited at an upstream that stood still count when they run.
+    let mut waited = flood(200, 850);
+    let (from, until) = (106 * SECOND, 109 * SECOND);
+    for it in waited.iter_mut().filter(|it| matches!(it.what, What::Began { .. })) {
+        it.at = if it.at >= from { it.at.max(until + 5 * MILLISECOND) } else { it.at };
+    }
+    waited.push(stood_still(9000));
+    assert_eq!(broken(&waited), [Promise::WithinLimit]);
 }
 
 #[test]
@@ -448,6 +456,16 @@
     let mut reborn = pressed(200);
     reborn.push(at(5000, What::EngineGone { engine: "a".to_owned() }));
     assert_eq!(broken(&reborn), []);
+    // Requests that waited at an upstream that stood still count when it reads them.
+    let mut waited = pressed(250);
+    for it in &mut waited {
+        let is_run = matches!(it.what, What::Began { .. } | What::RunEnded { .. });
+        if is_run && it.at >= 106 * SECOND && it.at < 108 * SECOND {
+            it.at = 108 * SECOND + 5 * MILLISECOND;
+        }
+    }
+    waited.push(stood_still(8000));
+    assert_eq!(broken(&waited), [Promise::LimitKept]);
     // A box that was paused is excused for what it sent right after.
     let mut paused = pressed(200);
     for millis in (4500..14_000).step_by(2500) {
@@ -578,6 +596,60 @@
     assert_eq!(broken(&lost), []);
 }
 
+/// The rejection that asks for a back-off, which is observed later than the request for it, does not
+/// show that its box has received it; nor does an attempt that had ended.
+#[test]
+fn back_off_not_received() {
+    let (engine, attempt) = ("a".to_owned(), "first".to_owned());
+    let mut seen = asked_for_rest(3);
+    seen.retain(|it| !matches!(it.what, What::TurnedAway { .. }));
+    seen.push(at(5011, What::TurnedAway { engine, attempt: attempt.clone() }));
+    assert_eq!(broken(&seen), [Promise::RestKept]);
+    let mut left = seen.clone();
+    left.push(at(5005, What::Left { attempt: attempt.clone() }));
+    assert_eq!(broken(&left), [], "its client had left");
+    let mut cut = seen.clone();
+    cut.push(at(5005, What::Cut { attempt }));
+    assert_eq!(broken(&cut), [], "its connection had ended");
+    cut.extend([node(5004, BoxChange::Killed), node(5008, BoxChange::Started)]);
+    assert_eq!(broken(&cut), [], "the process that sent it had been killed");
+    seen.retain(|it| !matches!(it.what, What::Answered { status: 503, .. }));
+    assert_eq!(broken(&seen), [], "its box did not continue");
+}
+
+/// Requests to the next incarnation of an upstream don't count, those to the one that asked do.
+#[test]
+fn back_off_of_earlier_incarnation() {
+    let gone = |millis| at(millis, What::EngineGone { engine: "a".to_owned() });
+    let with = |ends: &[u64]| {
+        let mut seen = asked_for_rest(4);
+        seen.extend(ends.iter().map(|&it| gone(it)));
+        broken(&seen)
+    };
+    assert_eq!(with(&[6000]), []);
+    assert_eq!(with(&[6000, 9000]), [], "one request before its end");
+    assert_eq!(with(&[6500, 9000]), [], "two requests before its end");
+    assert_eq!(with(&[7000, 9000]), [Promise::RestKept], "three requests before its end");
+    assert_eq!(with(&[1000]), [Promise::RestKept], "it had begun after that");
+}
+
+/// Requests that wait at an upstream that stands still count when it reads them.
+#[test]
+fn back_off_before_standing_still() {
+    let with = |sent_at: u64, until: u64| {
+        let mut seen = asked_for_rest(0);
+        let since = 105_100 * MILLISECOND;
+        seen.push(at(until, What::StoodStill { engine: "a".to_owned(), since }));
+        for number in 0..3 {
+            let run = [sent(sent_at, Kind::Safe), began(until + 5, "a")];
+            seen.extend(run.map(|it| named(it, &format!("waited-{number}"))));
+        }
+        broken(&seen)
+    };
+    assert_eq!(with(5050, 7500), [Promise::RestKept], "read while it rests");
+    assert_eq!(with(7000, 8100), [], "read after its rest");
+}
+
 #[test]
 fn datagram_not_read() {
     let seen = [running(), at(5000, What::NotRead { node: 0, lines: 2 })];
@@ -704,6 +776,8 @@
     assert_eq!(broken(&reservations(false, LeaseEnd::Lapsed)), [], "their answers were lost");
     let killed = [&lapsed[..], &[node(5500, BoxChange::Killed)]].concat();
     assert_eq!(broken(&killed), [], "a box was killed");
+    let still = [&lapsed[..], &[stood_still(7500)]].concat();
+    assert_eq!(broken(&still), [Promise::ReservationsFreed], "the engine stood still");
     let fault = at(5500, What::Fault { name: "HoldLinks".to_owned(), span: SECOND });
     let late = [&lapsed[..], &[fault]].concat();
     assert_eq!(broken(&late), [], "answers may be late");
@@ -750,6 +824,8 @@
     assert_eq!(broken(&lapsed), [Promise::CopiesFreed]);
     assert_eq!(broken(&copies(true, LeaseEnd::Used)), []);
     assert_eq!(broken(&copies(false, LeaseEnd::Lapsed)), [], "their answers were lost");
+    let still = [&lapsed[..], &[stood_still(7500)]].concat();
+    assert_eq!(broken(&still), [Promise::CopiesFreed], "the engine stood still");
     let paused = [node(5600, BoxChange::Paused), node(5900, BoxChange::Resumed)];
     assert_eq!(broken(&[&lapsed[..], &paused].concat()), [], "the box was paused");
 }
@@ -925,7 +1001,44 @@
     assert_eq!(with(0), [Promise::SilenceCutsNothing]);
 }
 
-/// A run for a client that has left may end when its upstream goes on.
+/// A prefill at an upstream.
+fn reading(millis: u64, engine: &str) -> Observation {
+    let mut it = began(millis, engine);
+    if let What::Began { is_reading, .. } = &mut it.what {
+        *is_reading = true;
+    }
+    it
+}
+
+/// A silent prefill may be ended when its prompt has been read elsewhere to the end, or an event has
+/// come, and not as soon as another run begins.
+#[test]
+fn silent_prefill_replaced() {
+    let with = |first: Observation, others: [Observation; 2]| {
+        let mut seen = dropped_in_silence(Kind::Resumed, 5950, 7200);
+        seen[2] = first;
+        seen.extend(others);
+        broken(&seen)
+    };
+    let prefill = |others| with(reading(5950, "a"), others);
+    let mut spoken = ended(7190, "b", RunEnd::Broken);
+    if let What::RunEnded { last_event, .. } = &mut spoken.what {
+        *last_event = 1;
+    }
+    assert_eq!(prefill([began(7000, "b"), spoken]), []);
+    assert_eq!(prefill([reading(7000, "b"), ended(7100, "b", RunEnd::Whole)]), []);
+    let begun = [began(7000, "b"), ended(7190, "b", RunEnd::Dropped)];
+    assert_eq!(prefill(begun), [Promise::SilenceCutsNothing], "no event came");
+    let unfinished = [reading(7000, "b"), ended(7205, "b", RunEnd::Dropped)];
+    assert_eq!(prefill(unfinished), [Promise::SilenceCutsNothing], "not read to the end");
+    let late = [reading(7000, "b"), ended(7600, "b", RunEnd::Whole)];
+    assert_eq!(prefill(late), [Promise::SilenceCutsNothing], "read after the request had ended");
+    let read = [reading(7000, "b"), ended(7100, "b", RunEnd::Whole)];
+    let decode = with(began(5950, "a"), read);
+    assert_eq!(decode, [Promise::SilenceCutsNothing], "a prefill brings no event");
+}
+
+/// A run for a client that has left counts although its upstream stood still meanwhile.
 #[test]
 fn runs_after_disconnect_in_silence() {
     let seen = |resumed: bool| {
@@ -940,6 +1053,6 @@
         seen.extend(resumed.then(|| stood_still(8000)));
         broken(&seen)
     };
-    assert_eq!(seen(true), []);
+    assert_eq!(seen(true), [Promise::MemoryFreed]);
     assert_eq!(seen(false), [Promise::MemoryFreed]);
 }
