Trials of a held part at a new software version keep other requests away

Seen by reading: Call::is_trial looked at the progress of the cases when a call was sent, and meant the crash before the last. A part that is held already and is tried at a version that it has not crashed yet has all its crashes, so that such a call was no trial, and the other requests of the same box went to the engine that it was about to crash.

A call is a trial now if the verdict of its request, or of a part of its prompt at the version of the call's engine, is a trial when it is sent. What the verdict leaves out, parts that are cleared at that version, no longer keeps requests away either.

Test: trial_at_new_version_joined, one box, three new versions, 150 streams a second.

--- a/crates/hollyspoke-gateway/src/gateway/parts.rs
+++ b/crates/hollyspoke-gateway/src/gateway/parts.rs
@@ -81,6 +81,12 @@
         in_flight.parts.iter().copied().filter(is_tried).collect()
     }
 
+    /// Returns whether a part of a prompt is tried at the version of an engine.
+    pub(super) fn tries_part(&self, in_flight: &InFlight, engine: &Engine) -> bool {
+        let version = version_key(engine.version.as_ref());
+        in_flight.parts.iter().any(|it| self.parts.verdict(*it, version) == Verdict::Trial)
+    }
+
     /// Returns what the parts of a prompt allow at each version that may write the answer; empty if
     /// no part has a case. Nothing is known of the engines whose version isn't: the strictest verdict
     /// applies there.
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -296,6 +296,14 @@
         })
     }
 
+    /// Returns whether a request may run at an engine only as a trial, by its own case or by that of a
+    /// part of its prompt.
+    pub(super) fn is_trial(&self, key: RequestKey, engine: &Engine) -> bool {
+        let Some(in_flight) = self.in_flight.get(&key) else { return false };
+        self.quarantine.verdict(in_flight.signature) == Verdict::Trial
+            || self.tries_part(in_flight, engine)
+    }
+
     /// Lets a request wait until the running try of the same request has ended.
     fn wait_for_trial(&mut self, key: RequestKey) {
         let Some(in_flight) = self.in_flight.get_mut(&key) else { return };
@@ -310,7 +318,7 @@
 
     /// Returns what keeps a request and others apart that may crash their engines.
     pub(super) fn separation(&self, in_flight: &InFlight) -> Separation {
-        let trials = self.calls.values().filter(|it| it.is_trial()).map(|it| it.engine.key);
+        let trials = self.calls.values().filter(|it| it.is_trial).map(|it| it.engine.key);
         Separation {
             is_suspect: self.verdict(in_flight) != Verdict::Clear,
             trials: trials.collect(),
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -320,6 +320,7 @@
         self.unreserve(key);
         self.reserve(key, next.decode_engine);
         self.set_phase(key, Some(Phase::Running));
+        let is_trial = self.is_trial(key, &next.choice.engine);
         let backup = self.back_up(key, &next.task, &next.choice.engine);
         self.record_start(key);
         let Some(in_flight) = self.in_flight.get_mut(&key) else { return };
@@ -376,6 +377,7 @@
                 task: task.clone(),
                 case_state,
                 part_states,
+                is_trial,
                 is_retry,
                 sent: now,
                 reservation: reservation.clone(),
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -179,6 +179,9 @@
     pub case_state: quarantine::Progress,
     /// The same of the cases of the prompt's parts, for those that have one.
     pub part_states: Vec<(Signature, quarantine::Progress)>,
+    /// Whether the engine was likely to crash when the call was sent: one more crash would hold the
+    /// request or a part of its prompt back, or a held part is tried at the engine's version.
+    pub is_trial: bool,
     /// Whether the call took a token from the service's retry budget.
     pub is_retry: bool,
     /// When the call was sent.
@@ -299,12 +302,6 @@
         self.begun_at.is_some()
     }
 
-    /// Returns whether one more crash holds the request or a part of its prompt back.
-    pub fn is_trial(&self) -> bool {
-        let mut parts = self.part_states.iter();
-        self.case_state.is_next_to_last || parts.any(|(_, it)| it.is_next_to_last)
-    }
-
     /// Returns whether an answer that begins now is late because the engine is slow. A plain answer
     /// is late after the route's target. A stream is late after the target, or when a gap is longer
     /// than allowed.
--- a/crates/hollyspoke-gateway/src/quarantine/case.rs
+++ b/crates/hollyspoke-gateway/src/quarantine/case.rs
@@ -100,8 +100,6 @@
     pub(super) epoch: u32,
     /// Number of crashes counted.
     pub(super) crashes: usize,
-    /// Whether one more crash would hold the request back.
-    pub is_next_to_last: bool,
 }
 
 /// What may be done with a request, from the least to the most strict.
@@ -199,8 +197,7 @@
 
     /// Returns the progress of the case.
     pub(super) fn progress(&self) -> Progress {
-        let crashes = self.count();
-        Progress { epoch: self.epoch, crashes, is_next_to_last: crashes + 1 == N }
+        Progress { epoch: self.epoch, crashes: self.count() }
     }
 
     /// Returns whether all crashes are proven.
--- a/tests/src/crashes.rs
+++ b/tests/src/crashes.rs
@@ -65,6 +65,8 @@
     pub harmful_crashes: Vec<Time>,
     /// When harmful requests arrived at engines.
     pub arrivals: Vec<Time>,
+    /// When a box's other calls arrived at an engine that one of its harmful requests was crashing.
+    pub joined: Vec<Time>,
     /// When boxes refused harmful requests, and how.
     pub answers: Vec<(Time, Refusal)>,
     /// When boxes refused other requests, and how.
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -47,7 +47,7 @@
 /// The time that an engine takes to answer, in milliseconds.
 const ANSWER_DELAY_MS: RangeInclusive<u64> = 2..=40;
 
-/// The duration of a stream.
+/// The usual duration of a stream.
 const STREAM_DURATION: Duration = Duration::from_millis(300);
 
 /// The interval at which the store answers the watches of a box.
@@ -206,6 +206,8 @@
     pub sharing: Vec<Sharing>,
     /// Whether only the close of its connection ends a stream.
     pub is_unmarked: bool,
+    /// The duration of a stream.
+    pub stream_duration: Duration,
     /// The software version whose engines no request crashes, if there is one.
     pub sound_version: Option<&'static str>,
     /// The engines that crash, and what was recorded about crashes.
@@ -248,6 +250,7 @@
             popular: None,
             sharing: Vec::new(),
             is_unmarked: false,
+            stream_duration: STREAM_DURATION,
             sound_version: None,
             crashes: Crashes::default(),
             rate_limits: RateLimits::default(),
--- a/tests/src/fleet/engines.rs
+++ b/tests/src/fleet/engines.rs
@@ -9,9 +9,7 @@
 use hollyspoke_gateway::statement::Statement;
 use rand::Rng;
 
-use super::{
-    ANSWER_DELAY_MS, CONNECT_TIMEOUT, Caller, Fleet, Path, STREAM_DURATION, Scheduled, TRANSIT,
-};
+use super::{ANSWER_DELAY_MS, CONNECT_TIMEOUT, Caller, Fleet, Path, Scheduled, TRANSIT};
 use crate::crashes::{CRASH_DELAY, RESTART_DELAY, State};
 use crate::gateway::{MODEL, PLAIN, engine, prefilled, ran, ran_unmarked, rejected};
 use crate::repeats::Arrival;
@@ -30,6 +28,13 @@
             let unsent = Scheduled::Answer(caller, engine, CallEvent::NotConnected);
             return self.schedule(self.now + TRANSIT, unsent);
         }
+        let is_tried = self.scheduled.values().any(|it| {
+            let Scheduled::Crash(caller, of, _) = it else { return false };
+            (caller.number, *of) == (number, engine)
+        });
+        if is_tried {
+            self.crashes.joined.push(self.now);
+        }
         let limit = self.rate_limits.arrive((number, start_count), engine, self.now);
         let stated = self.statements.arrive((number, start_count), engine, self.now);
         let statement = Statement { limit, ..stated };
@@ -77,7 +82,7 @@
         }
         for event in events {
             self.schedule(at, Scheduled::Answer(caller, engine, with_statement(event, statement)));
-            at = at + STREAM_DURATION;
+            at = at + self.stream_duration;
         }
     }
 
--- a/tests/src/fleet/streams.rs
+++ b/tests/src/fleet/streams.rs
@@ -15,7 +15,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
-use super::{Caller, Fleet, STREAM_DURATION, Scheduled};
+use super::{Caller, Fleet, Scheduled};
 use crate::gateway::{MODEL, ran};
 
 /// The number of events of a stream.
@@ -239,7 +239,7 @@
         let engine = send.engine.key;
         self.schedule(began, Scheduled::Answer(caller, engine, CallEvent::Began(ran(200))));
         let after = send.last_event.unwrap_or(0);
-        let pause = STREAM_DURATION / EVENT_COUNT as u32;
+        let pause = self.stream_duration / EVENT_COUNT as u32;
         let mut at = began;
         for id in after + 1..=EVENT_COUNT {
             let event = CallEvent::Forwarded(Some(id));
--- a/tests/tests/gateway_parts.rs
+++ b/tests/tests/gateway_parts.rs
@@ -448,3 +448,23 @@
     let (sent, served) = fleet.records.served_of(&added, later..fleet.now());
     assert!(served > 0.9, "{served} of {sent}");
 }
+
+/// Requests of the same box ran at the engine of a new version on which a held part was tried.
+#[test]
+fn trial_at_new_version_joined() {
+    let mut joined = Vec::new();
+    for seed in 1..=6 {
+        let mut fleet = troubled(1, DEADLY, seed);
+        fleet.run(Duration::from_secs(8));
+        fleet.traffic.streams = 150.0;
+        fleet.crashes.joined.clear();
+        let engines = fleet.decode_engines();
+        for (number, version) in ["v2", "v3", "v4"].into_iter().enumerate() {
+            let released = engines.iter().skip(number * 4).take(4);
+            fleet.release(released.copied(), version);
+            fleet.run(Duration::from_secs(5));
+        }
+        joined.push(fleet.crashes.joined.len());
+    }
+    assert!(joined.iter().all(|it| *it == 0), "{joined:?}");
+}
