A held part's next trial at a new version awaits the outcome of the last one

Cause: the version is added to the case once the crash is confirmed, 2 ms after the connection broke; in between the part was still tried there, and the request that broke, or one that waited for it, was sent to the next engine of the version.

While the outcome of a trial is not known, the part counts as unconfirmed at that version.

--- a/crates/hollyspoke-gateway/src/quarantine/parts.rs
+++ b/crates/hollyspoke-gateway/src/quarantine/parts.rs
@@ -63,7 +63,8 @@
 
 impl Parts {
     /// Returns what may be done with requests that have a part, at engines of a version. Where a held
-    /// part has crashed no engine of a version, it is tried.
+    /// part has crashed no engine of a version, it is tried, unless the outcome of the last trial is not
+    /// known yet.
     pub fn verdict(&self, part: Signature, version: Option<VersionKey>) -> Verdict {
         let Some(case) = self.cases.case(part) else { return Verdict::Clear };
         if self.is_cleared(part, version) {
@@ -74,7 +75,9 @@
             Some(version)
                 if verdict >= Verdict::Unconfirmed && !case.versions.contains(&version) =>
             {
-                Verdict::Trial
+                let is_open = |it: &UnconfirmedVersion| (it.part, it.version) == (part, version);
+                let is_unconfirmed = self.unconfirmed.iter().any(is_open);
+                if is_unconfirmed { Verdict::Unconfirmed } else { Verdict::Trial }
             }
             _ => verdict,
         }
--- a/tests/tests/gateway_parts.rs
+++ b/tests/tests/gateway_parts.rs
@@ -468,3 +468,22 @@
     }
     assert!(joined.iter().all(|it| *it == 0), "{joined:?}");
 }
+
+/// A trial of a held part at a new version broke, and the next one began before its crash was confirmed.
+#[test]
+fn trial_at_new_version_repeated() {
+    let mut added = Vec::new();
+    for seed in 1..=6 {
+        let mut fleet = troubled(1, DEADLY, seed);
+        fleet.run(Duration::from_secs(8));
+        let engines = fleet.decode_engines();
+        for (number, version) in ["v2", "v3", "v4"].into_iter().enumerate() {
+            let crashes = fleet.crashes.harmful_crashes.len();
+            let released = engines.iter().skip(number * 4).take(4);
+            fleet.release(released.copied(), version);
+            fleet.run(Duration::from_secs(5));
+            added.push(fleet.crashes.harmful_crashes.len() - crashes);
+        }
+    }
+    assert!(added.iter().all(|it| *it == 1), "{added:?}");
+}
