A new part that many requests share is cleared while the first answer on it is written

What was seen: a sound first part that is new comes with a harmful one. Crashes count for both, and a complete answer alone cleared the sound one. Until the first answer ended, its requests waited as trials for 0.6 s and were refused as overloaded, or the part was held.

A wake-up at the end of the onset alone would let one request of each box go a second. What shows that the engine is sound is an event that comes a second or more after the first one: the calls that have been writing for so long are no suspects already. It clears the parts with a case at the engine's version, unless the box or the client has held events up.

A part that crashes some engines within a second and leaves others writing for longer is now cleared by the latter.

--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -167,6 +167,7 @@
         let Some(call) = self.calls.get_mut(&key) else { return };
         let before = std::mem::replace(&mut call.last_event_at, now);
         call.is_held_up = false;
+        call.first_event_at.get_or_insert(now);
         let call = call.clone();
         let Some(in_flight) = self.in_flight.get_mut(&call.request) else { return };
         in_flight.last_event = id.or(in_flight.last_event);
@@ -177,6 +178,9 @@
         if is_blamed && in_flight.route.max_gap.is_some_and(|it| now.since(before) > it) {
             self.record_pause(&call, before);
         }
+        if !is_held_up && !stood_still {
+            self.clear_outlived_parts(&call);
+        }
     }
 
     /// The client takes no events for now, so that the silence of the call is not the engine's.
--- a/crates/hollyspoke-gateway/src/gateway/parts.rs
+++ b/crates/hollyspoke-gateway/src/gateway/parts.rs
@@ -148,6 +148,26 @@
         self.clear_all(&parts, &call.engine);
     }
 
+    /// Clears the suspected parts of the prompt of a call that is writing for longer than a harmful part
+    /// lets its engine live. Waiting for the end of a long answer would hold up the other requests with
+    /// a popular part.
+    pub(super) fn clear_outlived_parts(&mut self, call: &Call) {
+        if self.parts.cases.is_empty() {
+            return;
+        }
+        let Some(in_flight) = self.in_flight.get(&call.request) else { return };
+        let is_outlived = |it| self.now.since(it) >= ONSET_DURATION + call.paused;
+        if !call.first_event_at.is_some_and(is_outlived) {
+            return;
+        }
+        let version = version_key(call.engine.version.as_ref());
+        let is_suspected = |it: &Signature| {
+            self.parts.cases.case(*it).is_some() && !self.parts.is_cleared(*it, version)
+        };
+        let parts: Vec<_> = in_flight.parts.iter().copied().filter(is_suspected).collect();
+        self.clear_all(&parts, &call.engine);
+    }
+
     /// Records that a stream has ended without a mark. Its parts are cleared once something comes from
     /// its engine, which has not crashed then.
     pub(super) fn await_survival(&mut self, call: &Call) {
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -391,6 +391,7 @@
                 is_held_up: false,
                 is_counted: false,
                 begun_at: None,
+                first_event_at: None,
                 progress: Progress::default(),
             },
         );
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -208,6 +208,8 @@
     pub is_counted: bool,
     /// When the head of a stream arrived; none before.
     pub begun_at: Option<Time>,
+    /// When the first event was forwarded.
+    pub first_event_at: Option<Time>,
     /// The events that the call has forwarded.
     pub progress: Progress,
 }
--- a/crates/hollyspoke-gateway/src/quarantine/parts.rs
+++ b/crates/hollyspoke-gateway/src/quarantine/parts.rs
@@ -149,8 +149,8 @@
         self.cases.clear(running, now);
     }
 
-    /// Records a complete answer on a part at a version. Returns whether that closes a case: one of
-    /// engines of other versions goes on.
+    /// Records an answer on a part at a version that is complete, or that its engine has been writing for
+    /// long enough. Returns whether that closes a case: one of engines of other versions goes on.
     pub fn clear(&mut self, part: Signature, version: Option<VersionKey>, now: Time) -> bool {
         self.answered.record(part.at_version(version), now);
         self.is_refuted(part) && self.cases.close_case(part, now)
--- a/tests/tests/gateway_parts.rs
+++ b/tests/tests/gateway_parts.rs
@@ -487,3 +487,43 @@
     }
     assert!(added.iter().all(|it| *it == 1), "{added:?}");
 }
+
+/// A sound part was new and popular when a harmful one came with it: it was suspected until the first
+/// long answer on it ended, and most requests with it were refused.
+#[test]
+fn new_popular_part_held() {
+    for seed in 1..=3 {
+        let mut fleet = Fleet::resuming(6, seed);
+        fleet.stream_duration = Duration::from_secs(15);
+        fleet.traffic.streams = 0.1;
+        let every = Duration::from_millis(300);
+        fleet.sharing = vec![Sharing { every: every * 2, ..HARMLESS }];
+        fleet.run(Duration::from_secs(12));
+        fleet.sharing = vec![
+            Sharing { every, parts: &["novel"], ..HARMLESS },
+            Sharing { parts: &["novel", "deadly"], ..DEADLY },
+        ];
+        fleet.run(Duration::from_secs(14));
+        assert_eq!(violations(&fleet, &format!("15 s, seed {seed}")), None);
+    }
+}
+
+/// The same with shorter answers and more requests: they waited for trials, and were refused as the
+/// engines were not known to be sound in time.
+#[test]
+fn new_popular_part_refused() {
+    for seed in 1..=3 {
+        let mut fleet = Fleet::resuming(6, seed);
+        fleet.stream_duration = Duration::from_secs(3);
+        fleet.traffic.streams = 0.1;
+        fleet.run(Duration::from_secs(5));
+        let later = fleet.now();
+        fleet.sharing = vec![
+            Sharing { parts: &["novel"], ..HARMLESS },
+            Sharing { parts: &["novel", "deadly"], ..DEADLY },
+        ];
+        fleet.run(Duration::from_secs(4));
+        let (sent, served) = fleet.records.served_of(&fleet.crashes.sharing, later..fleet.now());
+        assert!(served > 0.9, "{served:.2} of {sent}, seed {seed}");
+    }
+}
