--- a/tests/tests/gateway_parts.rs
+++ b/tests/tests/gateway_parts.rs
@@ -488,3 +488,82 @@
     let (sent, served) = fleet.records.served_of(&added, later..fleet.now());
     assert!(served > 0.9, "{served} of {sent}");
 }
+
+/// Requests of the same box ran at the engine of a new version on which a held part was tried.
+#[test]
+fn trial_at_new_version_joined() {
+    let mut joined = Vec::new();
+    for seed in 1..=6 {
+        let mut fleet = troubled(1, DEADLY, seed);
+        fleet.run(Duration::from_secs(8));
+        fleet.traffic.streams = 150.0;
+        fleet.crashes.joined.clear();
+        let engines = fleet.decode_engines();
+        for (number, version) in ["v2", "v3", "v4"].into_iter().enumerate() {
+            let released = engines.iter().skip(number * 4).take(4);
+            fleet.release(released.copied(), version);
+            fleet.run(Duration::from_secs(5));
+        }
+        joined.push(fleet.crashes.joined.len());
+    }
+    assert!(joined.iter().all(|it| *it == 0), "{joined:?}");
+}
+
+/// A trial of a held part at a new version broke, and the next one began before its crash was confirmed.
+#[test]
+fn trial_at_new_version_repeated() {
+    let mut added = Vec::new();
+    for seed in 1..=6 {
+        let mut fleet = troubled(1, DEADLY, seed);
+        fleet.run(Duration::from_secs(8));
+        let engines = fleet.decode_engines();
+        for (number, version) in ["v2", "v3", "v4"].into_iter().enumerate() {
+            let crashes = fleet.crashes.harmful_crashes.len();
+            let released = engines.iter().skip(number * 4).take(4);
+            fleet.release(released.copied(), version);
+            fleet.run(Duration::from_secs(5));
+            added.push(fleet.crashes.harmful_crashes.len() - crashes);
+        }
+    }
+    assert!(added.iter().all(|it| *it == 1), "{added:?}");
+}
+
+/// A sound part was new and popular when a harmful one came with it: it was suspected until the first
+/// long answer on it ended, and most requests with it were refused.
+#[test]
+fn new_popular_part_held() {
+    for seed in 1..=3 {
+        let mut fleet = Fleet::resuming(6, seed);
+        fleet.stream_duration = Duration::from_secs(15);
+        fleet.traffic.streams = 0.1;
+        let every = Duration::from_millis(300);
+        fleet.sharing = vec![Sharing { every: every * 2, ..HARMLESS }];
+        fleet.run(Duration::from_secs(12));
+        fleet.sharing = vec![
+            Sharing { every, parts: &["novel"], ..HARMLESS },
+            Sharing { parts: &["novel", "deadly"], ..DEADLY },
+        ];
+        fleet.run(Duration::from_secs(14));
+        assert_eq!(violations(&fleet, &format!("15 s, seed {seed}")), None);
+    }
+}
+
+/// The same with shorter answers and more requests: they waited for trials, and were refused as the
+/// engines were not known to be sound in time.
+#[test]
+fn new_popular_part_refused() {
+    for seed in 1..=3 {
+        let mut fleet = Fleet::resuming(6, seed);
+        fleet.stream_duration = Duration::from_secs(3);
+        fleet.traffic.streams = 0.1;
+        fleet.run(Duration::from_secs(5));
+        let later = fleet.now();
+        fleet.sharing = vec![
+            Sharing { parts: &["novel"], ..HARMLESS },
+            Sharing { parts: &["novel", "deadly"], ..DEADLY },
+        ];
+        fleet.run(Duration::from_secs(4));
+        let (sent, served) = fleet.records.served_of(&fleet.crashes.sharing, later..fleet.now());
+        assert!(served > 0.9, "{served:.2} of {sent}, seed {seed}");
+    }
+}
