Soak: a back-off that is answered on a lost connection binds no box

Three requests of box 0 waited there, sent at 10.0 s, 10.1 s and 12.0 s. At 12.4 s links were muted. The upstream turned the three away at 13.716 s; box 0's log has them silent until 13.8 s and 13.9 s, and no 503 from that upstream. It repeated one elsewhere 78 ms after the answer, which the judge took for a sign that it had read it.

--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -582,6 +582,18 @@
     assert_eq!(broken(&seen), [Promise::RestKept], "the process that sent the request was told");
 }
 
+/// The box's links were muted before the upstream answered it, or the box was paused.
+#[test]
+fn back_off_on_lost_connection() {
+    let with = |change| {
+        let mut seen = asked_for_rest(3);
+        seen.insert(2, node(5001, change));
+        broken(&seen)
+    };
+    assert_eq!(with(BoxChange::Disturbed), []);
+    assert_eq!(with(BoxChange::Resumed), [Promise::RestKept], "it reads the answer");
+}
+
 /// Two requests may arrive during the back-off.
 #[test]
 fn requests_during_back_off() {
