--- a/review/standin/model.py
+++ b/review/standin/model.py
@@ -38,8 +38,8 @@
 class Model:
     """What the engines do. `arrived` is told of each call; `crashes` says whether a run crashes."""
 
-    def __init__(self, pieces, piece_ms, arrived=None, crashes=None):
-        self.pieces, self.piece_ms = pieces, piece_ms
+    def __init__(self, pieces, piece_ms, arrived=None, crashes=None, has_length=False):
+        self.pieces, self.piece_ms, self.has_length = pieces, piece_ms, has_length
         self.arrived = arrived or (lambda engine, call: None)
         self.crashes = crashes or (lambda engine, call: False)
 
@@ -66,22 +66,30 @@
             return engine.drop(call)
         if self.crashes(engine, call):
             return engine.drop(call)
+        first = int(call.headers.get("Last-Event-Id") or 0)
+        # Each event tells which version wrote it. No two runs write the same text.
+        events = [
+            f"id: {number}\ndata: {engine.version} {'x' * random.randint(40, 120)}\n\n".encode()
+            for number in range(first + 1, self.pieces + 1)
+        ]
         call.send_response_only(200)
         for name, value in [*headers, ("Content-Type", "text/event-stream")]:
             call.send_header(name, value)
-        call.send_header("Transfer-Encoding", "chunked")
+        if self.has_length:
+            call.send_header("Content-Length", str(sum(map(len, events))))
+        else:
+            call.send_header("Transfer-Encoding", "chunked")
         call.end_headers()
-        first = int(call.headers.get("Last-Event-Id") or 0)
-        for number in range(first + 1, self.pieces + 1):
+        for event in events:
             time.sleep(self.piece_ms / 1e3)
             if not engine.lives(life):
                 return engine.drop(call)
-            # The event tells which version wrote it.
-            event = f"id: {number}\ndata: {engine.version}\n\n".encode()
-            call.wfile.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            chunk = f"{len(event):x}\r\n".encode() + event + b"\r\n"
+            call.wfile.write(event if self.has_length else chunk)
+            call.wfile.flush()
+        if not self.has_length:
+            call.wfile.write(b"0\r\n\r\n")
             call.wfile.flush()
-        call.wfile.write(b"0\r\n\r\n")
-        call.wfile.flush()
 
 
 class Prompt:
@@ -154,5 +162,6 @@
         *events, rest = buffer.split(b"\n\n")
         for event in events:
             number = event.rpartition(b"id: ")[2].split(b"\n")[0]
-            self.events.append((int(number), event.rpartition(b"data: ")[2].decode()))
+            version = event.rpartition(b"data: ")[2].split()[0].decode()
+            self.events.append((int(number), version))
         return rest
