--- a/review/standin/model.py
+++ b/review/standin/model.py
@@ -23,16 +23,21 @@
 }
 
 
-def services():
+def services(*names):
     """Returns the services of the configuration."""
-    common = {"name": SERVICE, "healthPath": "/health", "maxConnections": 620, "slots": 128}
-    return [{**common, "engine": ENGINE}]
+    common = {"healthPath": "/health", "maxConnections": 620, "slots": 128, "engine": ENGINE}
+    return [{"name": name, **common} for name in names or [SERVICE]]
 
 
-def routes():
-    """Returns the routes of the configuration: one with streams that may be resumed."""
+def stream_route(name, service):
+    """Returns a route with streams that may be resumed."""
     more = {"gapTargetMs": GAP_TARGET_MS, "sessionAffinity": True, "resumable": True}
-    return [route(PATH, "stream", SERVICE, DEADLINE_MS, 2, 900, **more)]
+    return route(name, "stream", service, DEADLINE_MS, 2, 900, **more)
+
+
+def routes():
+    """Returns the routes of the configuration."""
+    return [stream_route(PATH, SERVICE)]
 
 
 class Model:
@@ -104,12 +109,14 @@
 class Attempt:
     """One client attempt of a stream."""
 
-    def __init__(self, record, box, prompt, kind="", after=None, resumes=None, left_ms=DEADLINE_MS):
+    def __init__(
+        self, record, box, prompt, kind="", after=None, resumes=None, left_ms=DEADLINE_MS, path=PATH
+    ):
         self.record, self.box, self.kind = record, box, kind
         self.id = f"{random.getrandbits(64):016x}"
         self.status, self.events, self.is_whole = None, [], False
         lines = [
-            f"POST /{PATH}/2f HTTP/1.1",
+            f"POST /{path}/2f HTTP/1.1",
             f"Host: {HOST_NAME}",
             f"X-Request-Id: {self.id}",
             f"X-Deadline-Ms: {int(left_ms)}",
