--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,9 +1,9 @@
-"""Another writer's entry lies among those of the engines, and every process is killed.
+"""Sessions send requests on two routes, and a configuration moves one of the routes.
 
-Counts the requests that are served before the fault, and from recoveryS after the machines are back.
+Counts the requests that engines of a service run which no configuration lets go to it, and those that
+the old service runs later than configApplyMs after the acknowledgement of the move.
 """
 
-import http.client
 import os
 import random
 import sys
@@ -14,96 +14,92 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standin"))
 
-from world import FRONT, HOST_NAME, World, route, run  # noqa: E402
+from model import Attempt, Model, Prompt, services, stream_route  # noqa: E402
+from world import World, run  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE") != "0"
-RECOVERY_S = 12.0
-BEFORE_S, AFTER_S, DOWN_S = 5.0, 10.0, 1.0
-REQUESTS_PER_S = 20.0
-
-# An entry with its fields missing, below the store's value_bytes of 1,048,576. Its writer has named it
-# with spaces.
-NAME = "backup of i-3f9a01c2d4"
-SPEC = {"note": "x" * 1_000_000}
+CONFIG_APPLY_S = 2.0
+FIRST, SECOND = "prensa-llm", "archivo-llm"
+SESSIONS, TURNS, PAUSE_S = 12, 3, 1.0
 
 
 def main():
     world = World(8, HERE / "record.txt")
     record, lock = world.record, threading.Lock()
+    ran, paths, sent_at, whole = [], {}, {}, []
+
+    def arrived(engine, call):
+        if call.headers.get("X-Serving-Stage") != "prefill" and engine.stage == "decode":
+            request = call.headers["X-Request-Id"]
+            record.write(f"{engine.service} runs {request} of {call.path}")
+            with lock:
+                ran.append((engine.service, request))
+
+    model = Model(30, 14, arrived)
+    for service in (FIRST, SECOND):
+        for _ in range(2):
+            world.engine(service, model.serve, stage="prefill", slots=128)
+        for _ in range(3):
+            world.engine(service, model.serve, stage="decode", slots=128)
+    both = services(FIRST, SECOND)
+    world.configure([stream_route("bylaw-proof", FIRST), stream_route("cite-lookup", SECOND)], both)
+
+    def ask(path, prompt):
+        attempt = Attempt(record, random.choice(world.boxes), prompt, path, path=path)
+        paths[attempt.id], sent_at[attempt.id] = path, time.monotonic()
+        attempt.run()
+        if attempt.is_whole:
+            with lock:
+                whole.append(attempt.id)
+
+    def session(turns):
+        """Sends the turns of a session, whose prompts end in the session's part."""
+        prompt = Prompt()
+        for _ in range(turns):
+            for path in ("bylaw-proof", "cite-lookup"):
+                ask(path, prompt if TROUBLE else Prompt())
+                time.sleep(PAUSE_S)
 
-    def serve(engine, call):
-        call.body()
-        record.write(f"engine {engine.id} runs {call.headers['X-Request-Id']}")
-        time.sleep(0.06)
-        call.answer(200, b"x" * 800, engine.mark(call, [engine.stamp()]))
-
-    for _ in range(3):
-        world.engine("mostrador", serve, slots=6)
-    world.configure([route("pickup-slip", "safe", "mostrador")])
-
-    def ask(results):
-        """Sends a request, once more at another box if it fails, as the site's clients do."""
-        request = f"{random.getrandbits(64):016x}"
-        outcome = None
-        for box in random.sample(world.boxes, 2):
-            connection = http.client.HTTPConnection(box.ip, FRONT, timeout=1.5)
-            try:
-                headers = {"Host": HOST_NAME, "X-Request-Id": request, "X-Deadline-Ms": "1500"}
-                connection.request("GET", "/pickup-slip/1", headers=headers)
-                answer = connection.getresponse()
-                is_signed = answer.headers["X-Server-Stamp"] is not None
-                body = answer.read()
-                outcome = answer.status
-                if outcome == 200 and is_signed and len(body) == 800:
-                    break
-            except OSError as error:
-                outcome = type(error).__name__
-            finally:
-                connection.close()
-            request = f"{random.getrandbits(64):016x}"
-        record.write(f"client gets {outcome} for {request}")
-        with lock:
-            results.append(outcome == 200)
-
-    def traffic(duration):
-        """Sends requests for some time and returns which were served."""
-        results, threads, until = [], [], time.monotonic() + duration
+    def moved_session():
+        """Goes on with a session on the route that is moved meanwhile."""
+        prompt, until = Prompt(), moved_at + CONFIG_APPLY_S + 6
         while time.monotonic() < until:
-            threads.append(threading.Thread(target=ask, args=(results,)))
-            threads[-1].start()
-            time.sleep(1 / REQUESTS_PER_S)
+            ask("bylaw-proof", prompt if TROUBLE else Prompt())
+            time.sleep(PAUSE_S)
+
+    def all_of(work, *arguments):
+        threads = [threading.Thread(target=work, args=arguments) for _ in range(SESSIONS)]
         for thread in threads:
-            thread.join()
-        return results
+            thread.start()
+            time.sleep(0.05)
+        return threads
 
     try:
         world.start()
-        before = traffic(BEFORE_S)
-        if TROUBLE:
-            record.write(f"another writer puts servers/{NAME}")
-            world.store.put("servers", NAME, SPEC)
-        time.sleep(2)
-        before += traffic(2)
-        record.write("every process is killed")
-        for box in world.boxes:
-            box.kill()
-        time.sleep(DOWN_S)
-        for box in world.boxes:
-            box.start(first=False)
-        record.write("every process is started again")
-        time.sleep(RECOVERY_S)
-        after = traffic(AFTER_S)
-        ready = sum(it.is_ready() for it in world.boxes)
-        running = sum(it.is_running() for it in world.boxes)
+        for thread in all_of(session, TURNS):
+            thread.join()
+        moved_at = time.monotonic() + 4
+        threads = all_of(moved_session)
+        time.sleep(max(0, moved_at - time.monotonic()))
+        world.configure([stream_route(it, SECOND) for it in ("bylaw-proof", "cite-lookup")], both)
+        moved_at = time.monotonic()
+        record.write(f"the configuration that moves bylaw-proof to {SECOND} is acknowledged")
+        for thread in threads:
+            thread.join()
+        astray = [it for service, it in ran if service == FIRST and paths[it] == "cite-lookup"]
+        lookups = [it for it, path in paths.items() if path == "cite-lookup"]
+        late = [it for it, at in sent_at.items() if at > moved_at + CONFIG_APPLY_S]
+        old = [it for service, it in ran if service == FIRST and it in late]
         text = (
-            f"{sum(before)} of {len(before)} requests were served before the fault, {sum(after)} of "
-            f"{len(after)} later than {RECOVERY_S} s after it; {running} boxes run, {ready} are ready"
+            f"{FIRST} ran {len(set(astray))} of {len(lookups)} requests of cite-lookup, which never went "
+            f"there; it ran {len(set(old))} of {len(late)} requests that were sent later than "
+            f"{CONFIG_APPLY_S} s after bylaw-proof was moved; {len(whole)} of {len(paths)} whole answers"
         )
         record.write(text)
         print(text)
-        if sum(before) < len(before) / 4:
+        if len(whole) < len(paths) / 2 or len(late) < 20:
             return 2
-        return 1 if sum(after) < len(after) / 4 else 0
+        return 1 if astray or old else 0
     finally:
         world.end()
 
