Tests that fail: bytes of no run within a stream reach its client

An engine's stand-in sends bytes that are no event before the first event, between events, behind the last one, as a second answer, with an empty or unreadable id, with an id that was there, without an empty line and without end; with chunks, with a length and until its connection closes; on a route that may be resumed and on one that may not.

--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod faults;
 pub mod fleet;
 pub mod framing;
+pub mod garbage;
 pub mod gateway;
 pub mod link;
 pub mod migration;
