Log: a stream that holds bytes of no run says so, with its flaw

The logs could not tell the hypotheses on the incident apart: an event that is passed on was neither logged nor counted by what it was.

A reader of event streams checks lines (a field or a comment), events (an id that is a number and rises, data) and the end; the box logs the first flaw of a stream and forwards as before. Numbered are the answers of stream routes, after the event that the client has; plain services may send events with any id, or none.

--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -82,6 +82,7 @@
 use crate::load::Ledger;
 use crate::member::Members;
 use crate::message::{DataCentreKey, Format, Load, Readiness};
+use crate::numbering::Numbering;
 use crate::pace::Paces;
 use crate::prompt::Prompts;
 use crate::quarantine::{MAX_CRASHES, Parts, Quarantine};
@@ -441,6 +442,11 @@
         self.readiness() == Readiness::Ready
     }
 
+    /// Returns how the events of a request's answer are numbered that the client does not have yet.
+    pub fn numbering(&self, request: RequestKey) -> Numbering {
+        self.in_flight.get(&request).map_or(Numbering::Free, InFlight::numbering)
+    }
+
     /// Returns whether the process was told to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopped_at.is_some()
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -13,6 +13,7 @@
 use crate::framing::Framing;
 use crate::message::Load;
 use crate::migration::Progress;
+use crate::numbering::Numbering;
 use crate::origin::Origin;
 use crate::proxy;
 use crate::quarantine;
@@ -255,6 +256,14 @@
         self.last_event.or(self.request.last_event)
     }
 
+    /// Returns how the events that the client does not have yet are numbered.
+    pub fn numbering(&self) -> Numbering {
+        match self.route.kind {
+            RouteKind::Stream => Numbering::Rising { after: self.resume_point() },
+            RouteKind::Safe | RouteKind::Unsafe => Numbering::Free,
+        }
+    }
+
     /// Returns the silences that a call is given before its answer begins, if the request may be sent
     /// again.
     pub fn start_timeouts(&self, task: &Task, expected: Duration) -> Option<Timeouts> {
--- a/crates/hollyspoke-gateway/src/lib.rs
+++ b/crates/hollyspoke-gateway/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod member;
 pub mod message;
 pub mod migration;
+pub mod numbering;
 pub mod origin;
 pub mod pace;
 pub mod permit;
--- a/crates/hollyspoke-server/src/lib.rs
+++ b/crates/hollyspoke-server/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod datagram;
 pub mod dialect;
 pub mod directory;
+pub mod event_reader;
+pub mod event_stream;
 pub mod front;
 pub mod handover;
 pub mod head_clock;
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -11,16 +11,18 @@
 use hollyspoke_gateway::event::{Answer, CallEvent, Event, OrderAnswer, Probe};
 use hollyspoke_gateway::framing::Framing;
 use hollyspoke_gateway::migration::{self, Transfer};
+use hollyspoke_gateway::numbering::Numbering;
 use hollyspoke_gateway::reservation::{self, Ask, Reservation};
 use hollyspoke_gateway::statement::Statement;
 use hollyspoke_socket::shortage::Shortage;
 use http::{StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use slog::{debug, info};
+use slog::{debug, info, warn};
 use tokio::sync::mpsc::error::TrySendError;
 
 use crate::dialect::Report;
+use crate::event_reader::Reader;
 use crate::handover;
 use crate::http1::{Connection, Failure, MAX_ANSWER_BYTES, is_event_stream, read_whole};
 use crate::node::{Node, ReceivedRequest, UpstreamClient};
@@ -140,10 +142,12 @@
     mut body: Incoming,
 ) -> Result<Answer, Failure> {
     let mut splitter = Splitter::default();
+    let mut watch = Watch::new(node.with(|it| it.numbering(send.request)));
     let mut head = Some(head);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Failure::Broken)?;
         let Ok(bytes) = frame.into_data() else { continue };
+        watch.push(node, send, &bytes);
         let Some(events) = splitter.push(&bytes) else { continue };
         report_stream_start(node, send, &answer, &mut head)?;
         forward(node, send, events.bytes, events.last_id).await?;
@@ -161,6 +165,34 @@
     Ok(answer)
 }
 
+/// Looks for the first flaw of a stream.
+struct Watch {
+    /// The reader of the stream's events.
+    reader: Reader,
+    /// Whether the flaw has been logged.
+    is_logged: bool,
+}
+
+impl Watch {
+    /// Creates the watch of a stream.
+    fn new(numbering: Numbering) -> Watch {
+        Watch { reader: Reader::new(numbering), is_logged: false }
+    }
+
+    /// Reads bytes of the stream, and logs the first flaw.
+    fn push(&mut self, node: &Node, send: &Send, bytes: &[u8]) {
+        self.reader.push(bytes);
+        while let Ok(Some(_)) = self.reader.take() {}
+        if let Err(flaw) = self.reader.take()
+            && !self.is_logged
+        {
+            self.is_logged = true;
+            warn!(node.log, "stream holds bytes of no run";
+                "engine" => %send.engine.id, "flaw" => %flaw);
+        }
+    }
+}
+
 /// Logs that the connection of a stream closed normally without a proof that the stream is complete.
 fn log_unmarked_end(node: &Node, send: &Send, framing: Framing, is_within_event: bool) {
     if framing == Framing::Close || is_within_event {
