Only events of a run are forwarded: garbage breaks a stream off before it

What callers saw: pieces of streams that no run had made (ORDER), answers with foreign bytes that looked whole, events twice.

Cause: what proves itself at the head of an answer (id, signature) was trusted for every byte behind it. The splitter took any bytes up to an empty line for an event; an event without a readable id was passed on, no id was compared with the last one, and what was left at a regular end was passed on, also within an event.

Now a stream is read as its events: each line is a field or a comment, events of stream routes have a number that rises and data, nothing follows the mark of the end, and a stream that ends in order does not end within an event. The bytes before the first flaw are forwarded, nothing behind it. The call then failed as "garbled": the request goes on at another engine after the last good event where its route may, and is left without its end otherwise. The engine's failure counts in its health; it is no crash of the request or of a part of its prompt, since the engine lives. Bytes that break the coding, a malformed head and the answer to another request count the same; they were taken for crashes before. Comments are passed on and are no progress; events of plain services need no id. A proxied stream is read again by the box that has the client, since the other box may be of an earlier version.

--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -66,8 +66,11 @@
     ForwardedLate(Option<u64>),
     /// The client takes no events for now; those that have arrived wait for it.
     HeldUp,
-    /// After the request was sent, the connection closed or delivered an invalid answer.
+    /// After the request was sent, the connection closed before the end of the answer.
     Broken,
+    /// After the request was sent, bytes arrived that are no part of an answer to it. The events
+    /// before them were forwarded.
+    Garbled,
 }
 
 /// A kind of object in the platform's store.
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -43,6 +43,7 @@
             CallEvent::ForwardedLate(id) => self.call_forwarded(key, id, true),
             CallEvent::HeldUp => self.call_held_up(key),
             CallEvent::Broken => self.call_broken(key),
+            CallEvent::Garbled => self.call_garbled(key),
         }
     }
 
@@ -204,7 +205,8 @@
             | CallEvent::NotConnected
             | CallEvent::NoPort
             | CallEvent::Exhausted
-            | CallEvent::Broken => false,
+            | CallEvent::Broken
+            | CallEvent::Garbled => false,
         };
         if is_heard && let Some(call) = self.calls.get(&key) {
             self.hear(&call.engine.clone());
@@ -387,6 +389,20 @@
         self.call_lost(&call);
     }
 
+    /// An engine sent bytes that are no part of an answer. It has failed the call, but it lives: this
+    /// is no crash that the request or a part of its prompt could have caused.
+    fn call_garbled(&mut self, key: CallKey) {
+        if self.stream_closed(key) {
+            return;
+        }
+        let Some(call) = self.take_call(key) else { return };
+        self.record_reached(&call.engine, call.sent);
+        self.log_failure(&call, "garbled", 0);
+        self.record_return_answer(&call, false);
+        self.record_failure(&call);
+        self.call_lost(&call);
+    }
+
     /// Continues after a call whose outcome is unknown: continues the stream from a copy, retries the
     /// request or gives it up.
     pub(super) fn call_lost(&mut self, call: &Call) {
--- a/crates/hollyspoke-gateway/src/gateway/silence.rs
+++ b/crates/hollyspoke-gateway/src/gateway/silence.rs
@@ -216,7 +216,8 @@
             CallEvent::NotConnected
             | CallEvent::NoPort
             | CallEvent::Exhausted
-            | CallEvent::Broken => false,
+            | CallEvent::Broken
+            | CallEvent::Garbled => false,
         };
         if goes_on {
             self.recall(key);
@@ -321,6 +322,10 @@
                 self.discount_run(&call);
                 self.refund_unsent(&call);
             }
+            CallEvent::Garbled => {
+                self.log_failure(&call, "garbled", 0);
+                self.record_failure(&call);
+            }
             _ => {
                 self.log_failure(&call, "broken", 0);
                 self.record_failure(&call);
--- a/crates/hollyspoke-server/src/event_reader.rs
+++ b/crates/hollyspoke-server/src/event_reader.rs
@@ -3,7 +3,8 @@
 use bytes::{Buf, Bytes, BytesMut};
 use hollyspoke_gateway::numbering::Numbering;
 
-use crate::event_stream::{Block, Flaw, Kind, MAX_EVENT_BYTES, Position, check_start};
+use crate::event_stream::{Block, Kind, MAX_EVENT_BYTES, Position, check_start};
+use crate::flaw::Flaw;
 
 /// Complete events in the order of arrival.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/hollyspoke-server/src/event_stream.rs
+++ b/crates/hollyspoke-server/src/event_stream.rs
@@ -1,10 +1,10 @@
 //! Which bytes can be part of an event stream. The format is that of the HTML standard, section
 //! "Server-sent events"; the events of a generated answer are numbered besides.
 
-use std::fmt;
-
 use hollyspoke_gateway::numbering::Numbering;
 
+use crate::flaw::Flaw;
+
 /// The maximum size of one event in bytes.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -14,42 +14,6 @@
 /// The data of an event without an id that marks the end of a stream.
 const END_MARKER: &[u8] = b"[DONE]";
 
-/// Why bytes can't be part of a stream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Flaw {
-    /// A line is neither a field nor a comment.
-    NoField,
-    /// An event has no id.
-    NoId,
-    /// The id of an event is no number.
-    UnreadableId,
-    /// The id of an event is not greater than the one before.
-    IdNotRising,
-    /// An event has no data.
-    NoData,
-    /// An event follows the one that marks the end.
-    AfterEnd,
-    /// An event is larger than [`MAX_EVENT_BYTES`].
-    TooLarge,
-    /// The stream ends in order, but within an event.
-    PartialEvent,
-}
-
-impl fmt::Display for Flaw {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Flaw::NoField => "a line is no field",
-            Flaw::NoId => "an event has no id",
-            Flaw::UnreadableId => "an id is no number",
-            Flaw::IdNotRising => "an id does not rise",
-            Flaw::NoData => "an event has no data",
-            Flaw::AfterEnd => "an event follows the end",
-            Flaw::TooLarge => "an event is too large",
-            Flaw::PartialEvent => "the stream ends within an event",
-        })
-    }
-}
-
 /// What a block of lines is, of which an empty line marks the end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
--- /dev/null
+++ b/crates/hollyspoke-server/src/flaw.rs
@@ -0,0 +1,48 @@
+//! What shows that bytes are no part of an answer to a request.
+
+use std::fmt;
+
+/// The first thing that is wrong with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Flaw {
+    /// The head is malformed or too large.
+    Head,
+    /// The head names another request.
+    OtherRequest,
+    /// The transfer coding of the body is malformed.
+    Coding,
+    /// A body or an event is larger than any answer.
+    TooLarge,
+    /// A line of an event stream is neither a field nor a comment.
+    NoField,
+    /// An event has no id.
+    NoId,
+    /// The id of an event is no number.
+    UnreadableId,
+    /// The id of an event is not greater than the one before.
+    IdNotRising,
+    /// An event has no data.
+    NoData,
+    /// An event follows the one that marks the end.
+    AfterEnd,
+    /// A stream ends in order, but within an event.
+    PartialEvent,
+}
+
+impl fmt::Display for Flaw {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Flaw::Head => "the head is malformed",
+            Flaw::OtherRequest => "the head names another request",
+            Flaw::Coding => "the transfer coding is malformed",
+            Flaw::TooLarge => "the answer is too large",
+            Flaw::NoField => "a line is no field",
+            Flaw::NoId => "an event has no id",
+            Flaw::UnreadableId => "an id is no number",
+            Flaw::IdNotRising => "an id does not rise",
+            Flaw::NoData => "an event has no data",
+            Flaw::AfterEnd => "an event follows the end",
+            Flaw::PartialEvent => "the stream ends within an event",
+        })
+    }
+}
--- a/crates/hollyspoke-server/src/http1.rs
+++ b/crates/hollyspoke-server/src/http1.rs
@@ -1,6 +1,7 @@
 //! Connections to servers over HTTP/1.1, and what is common to the heads of all answers.
 
 use std::cell::Cell;
+use std::io::{self, ErrorKind};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -9,13 +10,15 @@
 use hollyspoke_socket::shortage::Shortage;
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
+use crate::flaw::Flaw;
+
 /// The size limit of an answer that is buffered whole.
 pub const MAX_ANSWER_BYTES: usize = 8 << 20;
 
@@ -44,6 +47,31 @@
     Exhausted(Shortage),
     /// The request was sent, or may have been.
     Broken,
+    /// The request was sent, and the bytes that came back are no part of an answer to it.
+    Garbled(Flaw),
+}
+
+impl From<Flaw> for Failure {
+    fn from(flaw: Flaw) -> Failure {
+        Failure::Garbled(flaw)
+    }
+}
+
+impl From<hyper::Error> for Failure {
+    /// Tells bytes that break the protocol from a connection that breaks.
+    fn from(error: hyper::Error) -> Failure {
+        if error.is_parse() {
+            return Failure::Garbled(Flaw::Head);
+        }
+        let source =
+            std::error::Error::source(&error).and_then(|it| it.downcast_ref::<io::Error>());
+        match source.map(io::Error::kind) {
+            Some(ErrorKind::InvalidInput | ErrorKind::InvalidData) => {
+                Failure::Garbled(Flaw::Coding)
+            }
+            _ => Failure::Broken,
+        }
+    }
 }
 
 /// Returns whether an answer carries events.
@@ -152,7 +180,7 @@
             Ok(response) => Ok(response),
             Err(mut error) => Err(match error.take_message() {
                 Some(_) => Failure::Unsent,
-                None => Failure::Broken,
+                None => Failure::from(error.into_error()),
             }),
         }
     }
@@ -174,10 +202,19 @@
     socket.connect(address).await
 }
 
-/// Reads a whole body. Returns `None` if it exceeds `max_bytes` or the connection breaks.
-pub async fn read_whole(body: Incoming, max_bytes: usize) -> Option<Bytes> {
-    let collected = Limited::new(body, max_bytes).collect().await;
-    collected.ok().map(http_body_util::Collected::to_bytes)
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// If it exceeds `max_bytes`, breaks its coding or the connection breaks.
+pub async fn read_whole(body: Incoming, max_bytes: usize) -> Result<Bytes, Failure> {
+    match Limited::new(body, max_bytes).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Failure::Garbled(Flaw::TooLarge)),
+        Err(error) => {
+            Err(error.downcast::<hyper::Error>().map_or(Failure::Broken, |it| (*it).into()))
+        }
+    }
 }
 
 /// Reads a whole body of which each part must arrive within `part_timeout`; the whole may take any
--- a/crates/hollyspoke-server/src/proxy.rs
+++ b/crates/hollyspoke-server/src/proxy.rs
@@ -12,12 +12,13 @@
 use http::{HeaderMap, HeaderName, HeaderValue, request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use slog::warn;
 
+use crate::event_reader::Reader;
 use crate::http1::{
     Failure, MAX_ANSWER_BYTES, framing, is_event_stream, read_whole, remove_hop_headers,
 };
 use crate::node::{Node, ReceivedRequest};
-use crate::splitter::Splitter;
 
 /// The timeout for opening a connection to another box.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -32,6 +33,10 @@
         Err(Failure::Unsent) => proxy::Event::NotConnected,
         Err(Failure::Exhausted(_)) => proxy::Event::Exhausted,
         Err(Failure::Broken) => proxy::Event::Broken,
+        Err(Failure::Garbled(flaw)) => {
+            warn!(node.log, "box sent bytes of no run"; "box" => %call.to, "flaw" => %flaw);
+            proxy::Event::Broken
+        }
     };
     node.remove_call(call.call);
     node.dispatch(Event::Proxied(call.call, event));
@@ -54,12 +59,13 @@
     if is_event_stream(&head) {
         return forward_stream(node, call, head, body).await;
     }
-    let bytes = read_whole(body, MAX_ANSWER_BYTES).await.ok_or(Failure::Broken)?;
+    let bytes = read_whole(body, MAX_ANSWER_BYTES).await?;
     node.hold_answer(call.call, head, Some(bytes));
     Ok(())
 }
 
-/// Forwards a stream in whole events until its end.
+/// Forwards the events of a stream until its end, or until bytes that no run can have sent: the other
+/// box may run an earlier version, which passes them on.
 async fn forward_stream(
     node: &Rc<Node>,
     call: &Call,
@@ -67,19 +73,18 @@
     mut body: Incoming,
 ) -> Result<(), Failure> {
     let framing = framing(&head);
+    let mut reader = Reader::new(node.with(|it| it.numbering(call.request)));
     node.hold_answer(call.call, head, None);
     node.dispatch(Event::Proxied(call.call, proxy::Event::Began(framing)));
-    let mut splitter = Splitter::default();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Failure::Broken)?;
-        let Ok(bytes) = frame.into_data() else { continue };
-        if let Some(events) = splitter.push(&bytes) {
+        let Ok(bytes) = frame?.into_data() else { continue };
+        reader.push(&bytes);
+        while let Some(events) = reader.take()? {
             forward(node, call, events.bytes).await?;
         }
     }
-    let remaining = splitter.take_remaining();
-    if !remaining.is_empty() {
-        forward(node, call, remaining).await?;
+    if let Some(events) = reader.finish()? {
+        forward(node, call, events.bytes).await?;
     }
     Ok(())
 }
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -11,7 +11,6 @@
 use hollyspoke_gateway::event::{Answer, CallEvent, Event, OrderAnswer, Probe};
 use hollyspoke_gateway::framing::Framing;
 use hollyspoke_gateway::migration::{self, Transfer};
-use hollyspoke_gateway::numbering::Numbering;
 use hollyspoke_gateway::reservation::{self, Ask, Reservation};
 use hollyspoke_gateway::statement::Statement;
 use hollyspoke_socket::shortage::Shortage;
@@ -22,13 +21,13 @@
 use tokio::sync::mpsc::error::TrySendError;
 
 use crate::dialect::Report;
-use crate::event_reader::Reader;
+use crate::event_reader::{Events, Reader};
+use crate::flaw::Flaw;
 use crate::handover;
 use crate::http1::{Connection, Failure, MAX_ANSWER_BYTES, is_event_stream, read_whole};
 use crate::node::{Node, ReceivedRequest, UpstreamClient};
 use crate::objects;
 use crate::proxy;
-use crate::splitter::Splitter;
 
 /// The timeout for opening a connection to an engine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -97,6 +96,11 @@
         Err(Failure::Exhausted(Shortage::Ports)) => CallEvent::NoPort,
         Err(Failure::Exhausted(_)) => CallEvent::Exhausted,
         Err(Failure::Broken) => CallEvent::Broken,
+        Err(Failure::Garbled(flaw)) => {
+            warn!(node.log, "engine sent bytes of no run";
+                "engine" => %send.engine.id, "flaw" => %flaw);
+            CallEvent::Garbled
+        }
     };
     node.remove_call(call);
     node.dispatch(Event::Call(call, event));
@@ -113,16 +117,20 @@
     let head = (node.dialect.call_head)(&request.head, send);
     let message = http::Request::from_parts(head, Full::new(request.body.clone()));
     let (head, body) = connection.send(message).await?.into_parts();
-    let answer = (node.dialect.read_answer)(&head, &request.head).map_err(|_| Failure::Broken)?;
+    let answer = (node.dialect.read_answer)(&head, &request.head)
+        .map_err(|_| Failure::Garbled(Flaw::OtherRequest))?;
     if is_stream(send, &head) {
         // The head may arrive long before the first event, or no event may follow it.
         dispatch_own_statement(node, &send.engine, answer.statement);
         return forward_stream(node, send, answer, head, body).await;
     }
-    let Some(bytes) = read_whole(body, MAX_ANSWER_BYTES).await else {
-        // The head is valid even if the body is not.
-        dispatch_own_statement(node, &send.engine, answer.statement);
-        return Err(Failure::Broken);
+    let bytes = match read_whole(body, MAX_ANSWER_BYTES).await {
+        Ok(bytes) => bytes,
+        Err(failure) => {
+            // The head is valid even if the body is not.
+            dispatch_own_statement(node, &send.engine, answer.statement);
+            return Err(failure);
+        }
     };
     let handle = match send.task {
         Task::Prefill => (node.dialect.read_handle)(&bytes),
@@ -132,8 +140,9 @@
     Ok(Answer { handle, ..answer })
 }
 
-/// Forwards a stream in whole events until its end. A stream that only the close of its connection
-/// delimits was broken off if that leaves it within an event, or without any.
+/// Forwards the events of a stream until its end, or until bytes that no run can have sent. A stream
+/// that only the close of its connection delimits was broken off if that leaves it within an event, or
+/// without any.
 async fn forward_stream(
     node: &Rc<Node>,
     send: &Send,
@@ -141,58 +150,29 @@
     head: response::Parts,
     mut body: Incoming,
 ) -> Result<Answer, Failure> {
-    let mut splitter = Splitter::default();
-    let mut watch = Watch::new(node.with(|it| it.numbering(send.request)));
+    let mut reader = Reader::new(node.with(|it| it.numbering(send.request)));
     let mut head = Some(head);
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Failure::Broken)?;
-        let Ok(bytes) = frame.into_data() else { continue };
-        watch.push(node, send, &bytes);
-        let Some(events) = splitter.push(&bytes) else { continue };
-        report_stream_start(node, send, &answer, &mut head)?;
-        forward(node, send, events.bytes, events.last_id).await?;
+        let Ok(bytes) = frame?.into_data() else { continue };
+        reader.push(&bytes);
+        while let Some(events) = reader.take()? {
+            report_stream_start(node, send, &answer, &mut head)?;
+            forward(node, send, events).await?;
+        }
     }
-    let is_broken = splitter.is_within_event() || head.is_some();
-    log_unmarked_end(node, send, answer.framing, splitter.is_within_event());
+    let is_broken = reader.is_within_event() || head.is_some();
+    log_unmarked_end(node, send, answer.framing, reader.is_within_event());
     if answer.framing == Framing::Close && is_broken {
         return Err(Failure::Broken);
     }
+    let remaining = reader.finish()?;
     report_stream_start(node, send, &answer, &mut head)?;
-    let remaining = splitter.take_remaining();
-    if !remaining.is_empty() {
-        forward(node, send, remaining, None).await?;
+    if let Some(events) = remaining {
+        forward(node, send, events).await?;
     }
     Ok(answer)
 }
 
-/// Looks for the first flaw of a stream.
-struct Watch {
-    /// The reader of the stream's events.
-    reader: Reader,
-    /// Whether the flaw has been logged.
-    is_logged: bool,
-}
-
-impl Watch {
-    /// Creates the watch of a stream.
-    fn new(numbering: Numbering) -> Watch {
-        Watch { reader: Reader::new(numbering), is_logged: false }
-    }
-
-    /// Reads bytes of the stream, and logs the first flaw.
-    fn push(&mut self, node: &Node, send: &Send, bytes: &[u8]) {
-        self.reader.push(bytes);
-        while let Ok(Some(_)) = self.reader.take() {}
-        if let Err(flaw) = self.reader.take()
-            && !self.is_logged
-        {
-            self.is_logged = true;
-            warn!(node.log, "stream holds bytes of no run";
-                "engine" => %send.engine.id, "flaw" => %flaw);
-        }
-    }
-}
-
 /// Logs that the connection of a stream closed normally without a proof that the stream is complete.
 fn log_unmarked_end(node: &Node, send: &Send, framing: Framing, is_within_event: bool) {
     if framing == Framing::Close || is_within_event {
@@ -217,13 +197,9 @@
     if node.has_call(send.call) { Ok(()) } else { Err(Failure::Broken) }
 }
 
-/// Forwards events to the client.
-async fn forward(
-    node: &Rc<Node>,
-    send: &Send,
-    bytes: Bytes,
-    last_id: Option<u64>,
-) -> Result<(), Failure> {
+/// Forwards events to the client. Comments alone are no progress of the stream.
+async fn forward(node: &Rc<Node>, send: &Send, events: Events) -> Result<(), Failure> {
+    let Events { bytes, last_id, has_event } = events;
     let chunk_sender = node.chunk_sender(send.request).ok_or(Failure::Broken)?;
     let event = match chunk_sender.try_send(bytes) {
         Ok(()) => CallEvent::Forwarded(last_id),
@@ -234,7 +210,9 @@
         }
         Err(TrySendError::Closed(_)) => return Err(Failure::Broken),
     };
-    node.dispatch(Event::Call(send.call, event));
+    if has_event {
+        node.dispatch(Event::Call(send.call, event));
+    }
     Ok(())
 }
 
@@ -267,7 +245,7 @@
         Ok(Ok((status, body))) => (node.dialect.read_reservation)(status, &body),
         Ok(Err(Failure::Unsent)) => reservation::Answer::NotConnected,
         Ok(Err(Failure::Exhausted(_))) => reservation::Answer::Exhausted,
-        Ok(Err(Failure::Broken)) | Err(_) => reservation::Answer::Unknown,
+        Ok(Err(Failure::Broken | Failure::Garbled(_))) | Err(_) => reservation::Answer::Unknown,
     };
     node.dispatch(Event::Reserved(ask.number, answer));
 }
@@ -290,7 +268,7 @@
     let answer = match tokio::time::timeout(TRANSFER_TIMEOUT, exchange).await {
         Ok(Ok((status, body))) => (node.dialect.read_transfer)(status, &body),
         Ok(Err(Failure::Unsent | Failure::Exhausted(_))) => migration::Answer::NotConnected,
-        Ok(Err(Failure::Broken)) | Err(_) => migration::Answer::Unknown,
+        Ok(Err(Failure::Broken | Failure::Garbled(_))) | Err(_) => migration::Answer::Unknown,
     };
     node.dispatch(Event::Transferred(transfer.call, answer));
 }
@@ -306,7 +284,7 @@
     let request = head.body(Full::new(body)).map_err(|_| Failure::Unsent)?;
     let (head, body) = connection.send(request).await?.into_parts();
     read_statement(node, engine, &head);
-    let body = read_whole(body, MAX_ANSWER_BYTES).await.ok_or(Failure::Broken)?;
+    let body = read_whole(body, MAX_ANSWER_BYTES).await?;
     Ok((head.status, body))
 }
 
@@ -347,7 +325,7 @@
             (node.dialect.read_order_answer)(head.status)
         }
         Err(Failure::Unsent | Failure::Exhausted(_)) => OrderAnswer::Refused,
-        Err(Failure::Broken) => OrderAnswer::Unknown,
+        Err(Failure::Broken | Failure::Garbled(_)) => OrderAnswer::Unknown,
     }
 }
 
@@ -370,7 +348,7 @@
     match node.connect(engine.address, CONNECT_TIMEOUT).await {
         Ok(connection) => read_probe(node, engine, connection).await.unwrap_or(Probe::Broken),
         Err(Failure::Exhausted(_)) => Probe::Exhausted,
-        Err(Failure::Unsent | Failure::Broken) => Probe::NotConnected,
+        Err(Failure::Unsent | Failure::Broken | Failure::Garbled(_)) => Probe::NotConnected,
     }
 }
 
@@ -382,7 +360,7 @@
     match head.status {
         StatusCode::MISDIRECTED_REQUEST => Some(Probe::Replaced),
         StatusCode::OK => {
-            let bytes = read_whole(body, MAX_ANSWER_BYTES).await?;
+            let bytes = read_whole(body, MAX_ANSWER_BYTES).await.ok()?;
             Some(Probe::Alive(read_report(node, engine, &bytes).and_then(|it| it.born)))
         }
         _ => Some(Probe::Alive(None)),
@@ -413,7 +391,7 @@
     if head.status != StatusCode::OK {
         return None;
     }
-    read_whole(body, MAX_ANSWER_BYTES).await
+    read_whole(body, MAX_ANSWER_BYTES).await.ok()
 }
 
 /// Parses an engine's report, and dispatches the state that it contains besides the queried value.
