The last events before a break reach the client

What callers saw: a stream that broke off right behind some events lacked them, or had neither events nor a head, though the box had read them.

Cause: the connection drops what it has not written when a body fails, and the body failed in the same poll in which it handed out its last chunks.

Evidence: garbage_with_events_in_one_read failed: events 1 and 2 and the garbage came in one read, and the client's connection closed without a byte.

A body that was broken off now fails one poll later, so that the connection writes first. A client that does not read still loses what its connection cannot take.

--- a/crates/hollyspoke-server/src/answer.rs
+++ b/crates/hollyspoke-server/src/answer.rs
@@ -28,6 +28,33 @@
     pub chunks: mpsc::Receiver<Bytes>,
     /// Set if the stream ends before it is complete.
     pub is_broken: Rc<Cell<bool>>,
+    /// Whether the connection was given the time to write the last chunks, which it drops when the
+    /// body fails.
+    is_flushed: bool,
+}
+
+impl Stream {
+    /// Creates a stream from the receiver of its chunks.
+    pub fn new(chunks: mpsc::Receiver<Bytes>, is_broken: Rc<Cell<bool>>) -> Stream {
+        Stream { chunks, is_broken, is_flushed: false }
+    }
+
+    /// Polls the next chunk; none at the end.
+    fn poll_chunk(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, StreamAborted>>> {
+        match self.chunks.poll_recv(context) {
+            Poll::Ready(None) if !self.is_broken.get() => Poll::Ready(None),
+            Poll::Ready(None) if self.is_flushed => Poll::Ready(Some(Err(StreamAborted))),
+            Poll::Ready(None) => {
+                self.is_flushed = true;
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            polled => polled.map(|it| it.map(Ok)),
+        }
+    }
 }
 
 /// Calls a function when it is dropped.
@@ -78,17 +105,13 @@
             AnswerBody::Whole(bytes) | AnswerBody::Unmarked(bytes) => {
                 Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it))))
             }
-            AnswerBody::Stream(stream, hook) => match stream.chunks.poll_recv(context) {
-                Poll::Ready(Some(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
-                Poll::Ready(None) if stream.is_broken.get() => {
-                    Poll::Ready(Some(Err(StreamAborted)))
-                }
-                Poll::Ready(None) => {
+            AnswerBody::Stream(stream, hook) => {
+                let polled = stream.poll_chunk(context);
+                if matches!(polled, Poll::Ready(None)) {
                     hook.take();
-                    Poll::Ready(None)
                 }
-                Poll::Pending => Poll::Pending,
-            },
+                polled.map(|it| it.map(|it| it.map(Frame::data)))
+            }
         }
     }
 
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -518,7 +518,7 @@
                 let (chunks, receiver) = mpsc::channel(MAX_QUEUED_CHUNK_COUNT);
                 channel.chunks = Some(chunks);
                 let is_broken = channel.is_broken.clone();
-                ClientAnswer::Stream(pending.head, Stream { chunks: receiver, is_broken })
+                ClientAnswer::Stream(pending.head, Stream::new(receiver, is_broken))
             }
         };
         // Sending fails if the client has disconnected, which its drop hook reports.
--- a/tests/tests/platform_proxy.rs
+++ b/tests/tests/platform_proxy.rs
@@ -8,6 +8,7 @@
 use hollyspoke_platform::DIALECT;
 use hollyspoke_server::run::{self, Running};
 use hollyspoke_tests::framing::{PARTIAL_EVENT, see, unmarked_stream};
+use hollyspoke_tests::garbage::decoded_body;
 use hollyspoke_tests::platform::{
     Action, Engine, LAST_CHUNK, Script, Store, ask, chunk, client_head, engine, event, handle,
     local, log, settings, status, store, stream_head, whole,
@@ -212,6 +213,22 @@
     }
 }
 
+/// Bytes of no run end a stream visibly, also for the client of the box that passed it on.
+#[test]
+fn garbage_passed_on() {
+    local(async {
+        let garbage = || {
+            let parts = [chunk("gar bage\n\n"), chunk(&event(2)), LAST_CHUNK.to_vec()];
+            let wait = Action::Wait(Duration::from_millis(10));
+            [wait].into_iter().chain(parts.map(Action::Send)).collect()
+        };
+        let world = world(answers(garbage)).await;
+        let seen = see(world.cut.front, "POST", "/once/x").await;
+        assert_eq!(decoded_body(&seen), event(1), "{seen:?}");
+        assert!(seen.is_broken_off(), "{seen:?}");
+    });
+}
+
 /// Only boxes may have requests passed on.
 #[test]
 fn stranger_served_as_box() {
