A test: garbage in the coding or in place of a head is no crash

Engines that break the coding of a stream, or answer with bytes that are no head, in half of the calls of twelve equal requests: each is served whole.

--- a/tests/tests/platform_garbage.rs
+++ b/tests/tests/platform_garbage.rs
@@ -252,6 +252,32 @@
     });
 }
 
+/// Garbage that breaks the coding, or stands in place of a head, is no crash that the request causes,
+/// however often it comes.
+#[test]
+fn garbage_taken_for_crash() {
+    local(async {
+        let count = Rc::new(std::cell::Cell::new(0));
+        let script: Script = Rc::new(move |it| {
+            if it.is_probe() {
+                return vec![Action::Send(whole(it, "{}"))];
+            }
+            count.set(count.get() + 1);
+            let garbage = b"gar bage\r\n\r\n".to_vec();
+            match count.get() % 4 {
+                0 => [stream_head(it), chunk(&event(1)), garbage].map(Action::Send).into(),
+                2 => vec![Action::Send(garbage), Action::Close],
+                _ => sound(Coding::Chunks)(it),
+            }
+        });
+        let world = world(script).await;
+        for number in 0..12 {
+            let seen = see(world.node.front, "POST", "/resumed/x").await;
+            check_whole(&seen, &format!("stream {number}"));
+        }
+    });
+}
+
 /// Garbage from one engine in a few streams neither takes it out of service nor refuses a request.
 #[test]
 fn spoilt_streams_empty_pool() {
