In hollyspoked, tokens that no run can have made are no progress

What callers would see: an answer that never ends, or one that hangs while its engine repeats a token. No report; found while looking for the class of the garbage within streams in the product's own daemon.

Cause: a token with the next number was delivered however many had been requested, and one that the caller had counted as a sign of life, so that the stream was never silent. An attempt that had been set aside went on with such a token, too.

Evidence: both tests of garbage_tokens failed: an eleventh token of ten was delivered, and no other engine was asked within the token timeout.

A token beyond the requested number now fails the attempt, which goes on elsewhere behind what was delivered; one that was delivered changes nothing. Both tests pass, and silent_engines, paused_streams, promises, exhausted_box, unanswered, tenants, kill and whole_path.

--- a/crates/hollyspoke/src/generate.rs
+++ b/crates/hollyspoke/src/generate.rs
@@ -179,12 +179,14 @@
         cx.effect(Effect::Decode { ticket, address, work, from_seq });
     }
 
-    /// Delivers a token to the caller if it is the next one in sequence.
+    /// Delivers a token to the caller if it is the next one in sequence. One that was delivered
+    /// before is no progress.
     pub(crate) fn token(&mut self, cx: &mut Context<'_>, id: Id, seq: u32, text: Arc<str>) {
         let Some(request) = self.requests.get_mut(id) else { return };
         let next = request.tokens.len() as u32;
+        let Work::Generate(work) = &request.arrival.work else { return };
+        let max_tokens = work.max_tokens;
         let Phase::Decode { last, .. } = &mut request.phase else { return };
-        *last = cx.now;
         if seq < next {
             return;
         }
@@ -192,6 +194,11 @@
             self.failed(cx, id, "the engine left out a token", Trace::clean());
             return;
         }
+        if seq >= max_tokens {
+            self.failed(cx, id, "the engine exceeded the requested tokens", Trace::clean());
+            return;
+        }
+        *last = cx.now;
         self.replace_kept(cx, id);
         let Some(request) = self.requests.get_mut(id) else { return };
         let arrived = request.arrived;
--- a/crates/hollyspoke/src/silence.rs
+++ b/crates/hollyspoke/src/silence.rs
@@ -161,7 +161,7 @@
     match reply {
         Reply::Prefilled | Reply::Full => Some(Stage::Transfer),
         Reply::Imported | Reply::Finished { .. } => Some(Stage::Decode),
-        Reply::Token { seq, .. } => (*seq <= next_token).then_some(Stage::Decode),
+        Reply::Token { seq, .. } => (*seq == next_token).then_some(Stage::Decode),
         Reply::Answered(_) | Reply::Failed { .. } | Reply::Exhausted { .. } => None,
     }
 }
--- a/tests/src/single_box.rs
+++ b/tests/src/single_box.rs
@@ -13,6 +13,9 @@
 use hollyspoke_model::load::{Plan, settings};
 use hollyspoke_model::world::{TICK_INTERVAL, generate};
 
+/// The tokens requested of each stream.
+pub const MAX_TOKENS: u32 = 10;
+
 /// A box that is front and owner.
 #[derive(Debug)]
 pub struct SingleBox {
@@ -60,7 +63,7 @@
 
     /// Delivers a request for tokens.
     pub fn generate(&mut self, call: CallId) -> Vec<Effect> {
-        let arrival = Box::new(generate(call.0, 100, 10, 10));
+        let arrival = Box::new(generate(call.0, 100, MAX_TOKENS, MAX_TOKENS));
         self.step(Duration::ZERO, Event::Arrive { call, arrival })
     }
 
