A broken stream is a reset connection for clients of HTTP/1.0

What callers would see: a stream that was broken off, complete by all that an HTTP/1.0 client can know. No report; found while looking at what each framing tells a client of a stream's end.

Cause: the library gives such a client no chunks but the close of its connection. Only answers that engines delimit by a close reset that connection when they break off.

A stream to a client that knows no chunks is now delimited as such an answer is: reset unless it ends in order.

--- a/crates/hollyspoke-server/src/front.rs
+++ b/crates/hollyspoke-server/src/front.rs
@@ -102,8 +102,9 @@
         let (node, guard) = (node.clone(), clock.start_request());
         let close_delimited = close_delimited.clone();
         async move {
+            let version = request.version();
             let response = answer(node, request, audience, &guard).await;
-            if response.version() == CLOSE_DELIMITED_VERSION {
+            if is_close_delimited(version, &response) {
                 close_delimited.set();
             }
             Ok::<_, Infallible>(response.map(|it| guard.attach(it)))
@@ -134,6 +135,13 @@
     }
 }
 
+/// Returns whether the close of the connection delimits an answer to a request of an HTTP version.
+fn is_close_delimited(request_version: Version, response: &Response<AnswerBody>) -> bool {
+    let knows_chunks = request_version > Version::HTTP_10;
+    let is_stream = matches!(response.body(), AnswerBody::Stream(..));
+    response.version() == CLOSE_DELIMITED_VERSION || is_stream && !knows_chunks
+}
+
 /// Answers one request.
 async fn answer(
     node: Rc<Node>,
--- a/tests/src/framing.rs
+++ b/tests/src/framing.rs
@@ -61,7 +61,15 @@
 ///
 /// If the answer doesn't end in time.
 pub async fn see(front: SocketAddr, method: &str, path: &str) -> Seen {
-    let head = client_head(method, path, "id-1", "prompt");
+    see_answer(front, &client_head(method, path, "id-1", "prompt")).await
+}
+
+/// Sends the bytes of a request as [`see`] does.
+///
+/// # Panics
+///
+/// If the answer doesn't end in time.
+pub async fn see_answer(front: SocketAddr, head: &str) -> Seen {
     let mut stream = TcpStream::connect(front).await.unwrap();
     stream.write_all(head.as_bytes()).await.unwrap();
     let mut bytes = Vec::new();
--- a/tests/tests/platform_framing.rs
+++ b/tests/tests/platform_framing.rs
@@ -6,10 +6,10 @@
 use hollyspoke_server::client_stream::{ClientStream, CloseDelimited};
 use hollyspoke_server::head_clock::HeadClock;
 use hollyspoke_server::run::Running;
-use hollyspoke_tests::framing::{PARTIAL_EVENT, see, unmarked_body, unmarked_stream};
+use hollyspoke_tests::framing::{PARTIAL_EVENT, see, see_answer, unmarked_body, unmarked_stream};
 use hollyspoke_tests::platform::{
-    Action, Engine, LAST_CHUNK, Script, Store, chunk, engine, event, handle, local, node, status,
-    store, stream_head,
+    Action, Engine, LAST_CHUNK, Script, Store, chunk, client_head, engine, event, handle, local,
+    node, status, store, stream_head,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -79,6 +79,28 @@
     }
 }
 
+/// A client of HTTP/1.0 knows no chunks: it gets a stream until its connection ends, and can tell
+/// whether that was the end of the answer.
+#[test]
+fn broken_stream_looks_complete_to_old_client() {
+    let head = client_head("POST", "/once/x", "id-1", "prompt").replace("HTTP/1.1", "HTTP/1.0");
+    for (event_count, is_whole) in [(3, true), (1, false)] {
+        local(async {
+            let script: Script = Rc::new(move |it| {
+                let events = (1..=event_count).map(|it| chunk(&event(it)));
+                let parts = std::iter::once(stream_head(it)).chain(events).map(Action::Send);
+                let wait = Action::Wait(Duration::from_millis(10));
+                let end = if is_whole { Action::Send(LAST_CHUNK.to_vec()) } else { Action::Reset };
+                parts.chain([wait, end]).collect()
+            });
+            let world = world("model", vec![script]).await;
+            let seen = see_answer(world.node.front, &head).await;
+            assert_eq!(seen.events(), (1..=event_count).collect::<Vec<_>>());
+            assert_eq!(seen.ends_by_close(), is_whole, "{seen:?}");
+        });
+    }
+}
+
 /// A stream without framing whose connection was reset is known to be incomplete.
 #[test]
 fn reset_stream_looks_complete() {
