Bytes without end from an engine end its call in time

Callers saw: a request whose engine sent an endless head, informational answers, chunk size or trailer was held until its deadline (504), also on a route that may be tried again when the engine's reports were as endless: the engine passed for one that stands still. Fast informational answers and chunk sizes were read at the full speed of the link meanwhile.

Cause: bytes that are neither a complete head nor a part of a body were bounded by nothing but the silence of the call, and by the size of one head. A whole answer in small chunks kept one read buffer for each chunk.

Fix: a connection's meter counts such bytes since the last progress. The call ends as garbled: a failure of the engine, no crash of the request. read_whole copies the parts and refuses an announced length over its limit before it reads.

The stand-in's engine also counts a connection as dropped when a write to it fails, as the field's comment says, and counts the bytes it has sent.

--- a/crates/hollyspoke-server/src/flaw.rs
+++ b/crates/hollyspoke-server/src/flaw.rs
@@ -1,5 +1,6 @@
 //! What shows that bytes are no part of an answer to a request.
 
+use std::error::Error;
 use std::fmt;
 
 /// The first thing that is wrong with an answer.
@@ -11,6 +12,8 @@
     OtherRequest,
     /// The transfer coding of the body is malformed.
     Coding,
+    /// A head, informational answers or the transfer coding do not end.
+    Endless,
     /// A body or an event is larger than any answer.
     TooLarge,
     /// A line of an event stream is neither a field nor a comment.
@@ -29,12 +32,15 @@
     PartialEvent,
 }
 
+impl Error for Flaw {}
+
 impl fmt::Display for Flaw {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Flaw::Head => "the head is malformed",
             Flaw::OtherRequest => "the head names another request",
             Flaw::Coding => "the transfer coding is malformed",
+            Flaw::Endless => "the head or the coding does not end",
             Flaw::TooLarge => "the answer is too large",
             Flaw::NoField => "a line is no field",
             Flaw::NoId => "an event has no id",
--- a/crates/hollyspoke-server/src/http1.rs
+++ b/crates/hollyspoke-server/src/http1.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::io::{self, ErrorKind};
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -10,14 +11,15 @@
 use hollyspoke_socket::shortage::Shortage;
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, response};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
 use crate::flaw::Flaw;
+use crate::meter::{Meter, MeteredBody, MeteredStream};
 
 /// The size limit of an answer that is buffered whole.
 pub const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -65,6 +67,10 @@
         }
         let source =
             std::error::Error::source(&error).and_then(|it| it.downcast_ref::<io::Error>());
+        let flaw = source.and_then(io::Error::get_ref).and_then(|it| it.downcast_ref::<Flaw>());
+        if let Some(flaw) = flaw {
+            return Failure::Garbled(*flaw);
+        }
         match source.map(io::Error::kind) {
             Some(ErrorKind::InvalidInput | ErrorKind::InvalidData) => {
                 Failure::Garbled(Flaw::Coding)
@@ -122,6 +128,8 @@
     sender: SendRequest<Full<Bytes>>,
     /// The task that reads from and writes to the socket.
     task: AbortHandle,
+    /// Meters what arrives.
+    meter: Rc<Meter>,
 }
 
 impl Drop for Connection {
@@ -158,13 +166,15 @@
     async fn start(stream: TcpStream) -> Result<Connection, Failure> {
         // If this fails, small requests are delayed but the connection still works.
         _ = stream.set_nodelay(true);
+        let meter = Rc::new(Meter::default());
+        let stream = MeteredStream::new(stream, meter.clone());
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| Failure::Unsent)?;
         let task = tokio::task::spawn_local(async move {
             // `send` and the body of the answer return the error.
             _ = connection.await;
         });
-        Ok(Connection { sender, task: task.abort_handle() })
+        Ok(Connection { sender, task: task.abort_handle(), meter })
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -175,9 +185,10 @@
     pub async fn send(
         &mut self,
         request: http::Request<Full<Bytes>>,
-    ) -> Result<http::Response<Incoming>, Failure> {
+    ) -> Result<http::Response<MeteredBody>, Failure> {
+        self.meter.advance();
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => Ok(response.map(|it| MeteredBody::new(it, self.meter.clone()))),
             Err(mut error) => Err(match error.take_message() {
                 Some(_) => Failure::Unsent,
                 None => Failure::from(error.into_error()),
@@ -207,21 +218,27 @@
 /// # Errors
 ///
 /// If it exceeds `max_bytes`, breaks its coding or the connection breaks.
-pub async fn read_whole(body: Incoming, max_bytes: usize) -> Result<Bytes, Failure> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Failure::Garbled(Flaw::TooLarge)),
-        Err(error) => {
-            Err(error.downcast::<hyper::Error>().map_or(Failure::Broken, |it| (*it).into()))
+pub async fn read_whole(mut body: MeteredBody, max_bytes: usize) -> Result<Bytes, Failure> {
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(Failure::Garbled(Flaw::TooLarge));
+    }
+    // The parts are copied, since a small one may keep a large buffer alive.
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else { continue };
+        if bytes.len() + data.len() > max_bytes {
+            return Err(Failure::Garbled(Flaw::TooLarge));
         }
+        bytes.extend_from_slice(&data);
     }
+    Ok(bytes.freeze())
 }
 
 /// Reads a whole body of which each part must arrive within `part_timeout`; the whole may take any
 /// time. `received` holds the number of bytes that have arrived, also if the read fails. Returns
 /// `None` if the body exceeds `max_bytes`, stalls, or the connection breaks.
 pub async fn read_steady(
-    body: Incoming,
+    body: MeteredBody,
     max_bytes: usize,
     part_timeout: Duration,
     received: &Cell<usize>,
--- a/crates/hollyspoke-server/src/lib.rs
+++ b/crates/hollyspoke-server/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod handover;
 pub mod head_clock;
 pub mod http1;
+pub mod meter;
 pub mod metrics;
 pub mod node;
 pub mod notes;
--- a/crates/hollyspoke-server/src/proxy.rs
+++ b/crates/hollyspoke-server/src/proxy.rs
@@ -11,13 +11,13 @@
 use http::header::AUTHORIZATION;
 use http::{HeaderMap, HeaderName, HeaderValue, request, response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use slog::warn;
 
 use crate::event_reader::Reader;
 use crate::http1::{
     Failure, MAX_ANSWER_BYTES, framing, is_event_stream, read_whole, remove_hop_headers,
 };
+use crate::meter::MeteredBody;
 use crate::node::{Node, ReceivedRequest};
 
 /// The timeout for opening a connection to another box.
@@ -70,7 +70,7 @@
     node: &Rc<Node>,
     call: &Call,
     head: response::Parts,
-    mut body: Incoming,
+    mut body: MeteredBody,
 ) -> Result<(), Failure> {
     let framing = framing(&head);
     let mut reader = Reader::new(node.with(|it| it.numbering(call.request)));
--- a/crates/hollyspoke-server/src/sync.rs
+++ b/crates/hollyspoke-server/src/sync.rs
@@ -18,7 +18,6 @@
 use http::header::HOST;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -27,6 +26,7 @@
 
 use crate::dialect::{Change, Item, Kind, Page};
 use crate::http1::{Connection, read_steady};
+use crate::meter::MeteredBody;
 use crate::node::Node;
 
 /// The timeout for opening a connection to the store.
@@ -438,7 +438,7 @@
     }
 
     /// Sends one request and returns the head of the answer.
-    async fn send(&mut self, path: &str) -> Result<(Connection, Response<Incoming>), Failure> {
+    async fn send(&mut self, path: &str) -> Result<(Connection, Response<MeteredBody>), Failure> {
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
             None => self
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -16,7 +16,6 @@
 use hollyspoke_socket::shortage::Shortage;
 use http::{StatusCode, response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use slog::{debug, info, warn};
 use tokio::sync::mpsc::error::TrySendError;
 
@@ -25,6 +24,7 @@
 use crate::flaw::Flaw;
 use crate::handover;
 use crate::http1::{Connection, Failure, MAX_ANSWER_BYTES, is_event_stream, read_whole};
+use crate::meter::MeteredBody;
 use crate::node::{Node, ReceivedRequest, UpstreamClient};
 use crate::objects;
 use crate::proxy;
@@ -148,7 +148,7 @@
     send: &Send,
     answer: Answer,
     head: response::Parts,
-    mut body: Incoming,
+    mut body: MeteredBody,
 ) -> Result<Answer, Failure> {
     let mut reader = Reader::new(node.with(|it| it.numbering(send.request)));
     let mut head = Some(head);
--- a/tests/src/platform.rs
+++ b/tests/src/platform.rs
@@ -84,6 +84,8 @@
     pub received: Rc<RefCell<Vec<Received>>>,
     /// The number of requests whose connection was closed before their script ended.
     pub dropped: Rc<Cell<u32>>,
+    /// The number of bytes that it has sent.
+    pub sent: Rc<Cell<usize>>,
     /// Whether it stands still: connections to it open, and it sends nothing.
     pub still: watch::Sender<bool>,
 }
@@ -213,7 +215,13 @@
 pub async fn engine(script: Script) -> Engine {
     let (listener, address) = listener().await;
     let still = watch::Sender::new(false);
-    let engine = Engine { address, received: Rc::default(), dropped: Rc::default(), still };
+    let engine = Engine {
+        address,
+        received: Rc::default(),
+        dropped: Rc::default(),
+        sent: Rc::default(),
+        still,
+    };
     let copy = engine.clone();
     tokio::task::spawn_local(async move {
         while let Ok((stream, _)) = listener.accept().await {
@@ -233,8 +241,10 @@
             match action {
                 Action::Send(bytes) => {
                     if stream.write_all(&bytes).await.is_err() {
+                        engine.dropped.set(engine.dropped.get() + 1);
                         return;
                     }
+                    engine.sent.set(engine.sent.get() + bytes.len());
                 }
                 Action::Wait(duration) => {
                     let mut byte = [0];
