--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -12,6 +12,7 @@
 use crate::in_flight::Call;
 use crate::load::Urgency;
 use crate::message::{Load, Rejection};
+use crate::numbering::Numbering;
 use crate::prompt::CachedPrompt;
 use crate::request::{CallKey, RequestKey};
 use crate::work::turns;
@@ -42,8 +43,8 @@
             CallEvent::Forwarded(id) => self.call_forwarded(key, id, false),
             CallEvent::ForwardedLate(id) => self.call_forwarded(key, id, true),
             CallEvent::HeldUp => self.call_held_up(key),
-            CallEvent::Broken => self.call_broken(key),
-            CallEvent::Garbled => self.call_garbled(key),
+            CallEvent::Broken => self.call_broken(key, "broken"),
+            CallEvent::Garbled => self.call_broken(key, "garbled"),
         }
     }
 
@@ -375,34 +376,21 @@
         self.end(key, "end not marked");
     }
 
-    /// A call that was sent ended without a complete answer.
-    fn call_broken(&mut self, key: CallKey) {
+    /// A call that was sent ended without a complete answer. Its engine may have crashed, which a probe
+    /// shows, also behind bytes that are no part of an answer.
+    fn call_broken(&mut self, key: CallKey, outcome: &'static str) {
         if self.stream_closed(key) {
             return;
         }
         let Some(call) = self.take_call(key) else { return };
         self.record_reached(&call.engine, call.sent);
-        self.log_failure(&call, "broken", 0);
+        self.log_failure(&call, outcome, 0);
         self.record_return_answer(&call, false);
         self.record_failure(&call);
         self.suspect(&call);
         self.call_lost(&call);
     }
 
-    /// An engine sent bytes that are no part of an answer. It has failed the call, but it lives: this
-    /// is no crash that the request or a part of its prompt could have caused.
-    fn call_garbled(&mut self, key: CallKey) {
-        if self.stream_closed(key) {
-            return;
-        }
-        let Some(call) = self.take_call(key) else { return };
-        self.record_reached(&call.engine, call.sent);
-        self.log_failure(&call, "garbled", 0);
-        self.record_return_answer(&call, false);
-        self.record_failure(&call);
-        self.call_lost(&call);
-    }
-
     /// Continues after a call whose outcome is unknown: continues the stream from a copy, retries the
     /// request or gives it up.
     pub(super) fn call_lost(&mut self, call: &Call) {
@@ -425,10 +413,13 @@
         self.give_up(call.request, NotRunReason::Rejected);
     }
 
-    /// Returns whether a request may be sent to another engine.
+    /// Returns whether a request may be sent to another engine. An answer whose events have no numbers
+    /// can't be continued, since nothing tells which of them the client has.
     fn can_retry(&self, key: RequestKey) -> bool {
         let Some(in_flight) = self.in_flight.get(&key) else { return false };
-        in_flight.route.is_idempotent()
+        let is_lost = in_flight.has_begun && in_flight.numbering() == Numbering::Free;
+        !is_lost
+            && in_flight.route.is_idempotent()
             && in_flight.may_run_again()
             && self.now < in_flight.deadline
     }
--- a/crates/hollyspoke-gateway/src/gateway/silence.rs
+++ b/crates/hollyspoke-gateway/src/gateway/silence.rs
@@ -322,12 +322,9 @@
                 self.discount_run(&call);
                 self.refund_unsent(&call);
             }
-            CallEvent::Garbled => {
-                self.log_failure(&call, "garbled", 0);
-                self.record_failure(&call);
-            }
             _ => {
-                self.log_failure(&call, "broken", 0);
+                let is_garbled = *event == CallEvent::Garbled;
+                self.log_failure(&call, if is_garbled { "garbled" } else { "broken" }, 0);
                 self.record_failure(&call);
                 self.suspect(&call);
             }
--- a/crates/hollyspoke-server/src/event_reader.rs
+++ b/crates/hollyspoke-server/src/event_reader.rs
@@ -6,12 +6,18 @@
 use crate::event_stream::{Block, Kind, MAX_EVENT_BYTES, Position, check_start};
 use crate::flaw::Flaw;
 
+/// The ends of lines after which an event is complete.
+const EMPTY_LINES: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+
+/// The length in bytes of the longest of them.
+const MAX_EMPTY_LINE_BYTES: usize = 3;
+
 /// Complete events in the order of arrival.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Events {
     /// The bytes of the events and of the comments among them, unchanged.
     pub bytes: Bytes,
-    /// The id of the last event, if it is a number.
+    /// The id of the last event, if events are numbered.
     pub last_id: Option<u64>,
     /// Whether there is an event, and not only comments.
     pub has_event: bool,
@@ -20,8 +26,9 @@
 /// Reads the events of one answer.
 #[derive(Debug)]
 pub struct Reader {
-    /// The position after the last complete event.
-    position: Position,
+    /// The position after the last complete event; none if events have no numbers, so that any bytes
+    /// can be part of them.
+    position: Option<Position>,
     /// The complete events that have not been taken.
     complete: BytesMut,
     /// The id of the last of them.
@@ -30,10 +37,12 @@
     has_event: bool,
     /// Whether events have been taken.
     has_begun: bool,
-    /// The bytes after the last complete event.
+    /// The bytes after the last complete event; of events without numbers, the last bytes.
     pending: BytesMut,
     /// The start of the incomplete line within them.
     line_start: usize,
+    /// The end of the bytes that were searched for the end of that line.
+    searched: usize,
     /// The complete lines among them.
     block: Block,
     /// The flaw behind the complete events.
@@ -43,22 +52,30 @@
 impl Reader {
     /// Creates the reader of an answer's events.
     pub fn new(numbering: Numbering) -> Reader {
+        let position = match numbering {
+            Numbering::Rising { after } => Some(Position::new(after)),
+            Numbering::Free => None,
+        };
         Reader {
-            position: Position::new(numbering),
+            position,
             complete: BytesMut::new(),
             last_id: None,
             has_event: false,
             has_begun: false,
             pending: BytesMut::new(),
             line_start: 0,
+            searched: 0,
             block: Block::default(),
             flaw: None,
         }
     }
 
-    /// Appends bytes that have arrived. What follows a flaw is dropped.
+    /// Appends bytes that have arrived. What follows a flaw or the mark of the end is dropped.
     pub fn push(&mut self, bytes: &[u8]) {
-        if self.flaw.is_none() {
+        if self.position.is_none() {
+            return self.pass(bytes);
+        }
+        if self.flaw.is_none() && !self.has_ended() {
             self.pending.extend_from_slice(bytes);
             self.flaw = self.read_lines().err();
         }
@@ -81,18 +98,25 @@
     ///
     /// # Errors
     ///
-    /// If the stream ends within an event.
+    /// If the stream ends within a numbered event.
     pub fn finish(&mut self) -> Result<Option<Events>, Flaw> {
-        if self.is_within_event() {
+        if self.position.is_some() && self.is_within_event() {
             return Err(Flaw::PartialEvent);
         }
         let has_remaining = !self.complete.is_empty();
         Ok(has_remaining.then(|| self.take_complete()))
     }
 
+    /// Returns whether an event has marked the end of the stream.
+    pub fn has_ended(&self) -> bool {
+        self.position.as_ref().is_some_and(Position::has_ended)
+    }
+
     /// Returns whether the last event is incomplete.
     pub fn is_within_event(&self) -> bool {
-        !self.pending.is_empty()
+        let is_complete =
+            self.position.is_none() && EMPTY_LINES.iter().any(|it| self.pending.ends_with(it));
+        !self.pending.is_empty() && !is_complete
     }
 
     /// Takes the complete events.
@@ -105,20 +129,34 @@
         }
     }
 
+    /// Passes on bytes of events without numbers.
+    fn pass(&mut self, bytes: &[u8]) {
+        self.complete.extend_from_slice(bytes);
+        self.has_event |= !bytes.is_empty();
+        self.pending.extend_from_slice(&bytes[bytes.len().saturating_sub(MAX_EMPTY_LINE_BYTES)..]);
+        let excess = self.pending.len().saturating_sub(MAX_EMPTY_LINE_BYTES);
+        self.pending.advance(excess);
+    }
+
     /// Reads the lines that are complete.
     fn read_lines(&mut self) -> Result<(), Flaw> {
-        while let Some(length) = self.pending[self.line_start..].iter().position(|it| *it == b'\n')
-        {
-            let line_end = self.line_start + length;
+        while let Some(length) = self.pending[self.searched..].iter().position(|it| *it == b'\n') {
+            let line_end = self.searched + length;
             let line = &self.pending[self.line_start..line_end];
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             if line.is_empty() {
                 self.end_block(line_end + 1)?;
+                if self.has_ended() {
+                    self.pending.clear();
+                    return Ok(());
+                }
             } else {
                 self.block.add(line)?;
                 self.line_start = line_end + 1;
             }
+            self.searched = self.line_start;
         }
+        self.searched = self.pending.len();
         check_start(&self.pending[self.line_start..])?;
         let is_too_large = self.pending.len() + self.complete.len() > MAX_EVENT_BYTES;
         if is_too_large && !self.has_event { Err(Flaw::TooLarge) } else { Ok(()) }
@@ -128,8 +166,8 @@
     /// dropped.
     fn end_block(&mut self, end: usize) -> Result<(), Flaw> {
         let block = std::mem::take(&mut self.block);
-        if !block.is_empty() {
-            if let Kind::Event(id) = self.position.advance(&block)? {
+        if let Some(position) = self.position.as_mut().filter(|_| !block.is_empty()) {
+            if let Kind::Event(id) = position.advance(&block)? {
                 self.has_event = true;
                 self.last_id = id.or(self.last_id);
             }
--- a/crates/hollyspoke-server/src/event_stream.rs
+++ b/crates/hollyspoke-server/src/event_stream.rs
@@ -1,8 +1,6 @@
 //! Which bytes can be part of an event stream. The format is that of the HTML standard, section
 //! "Server-sent events"; the events of a generated answer are numbered besides.
 
-use hollyspoke_gateway::numbering::Numbering;
-
 use crate::flaw::Flaw;
 
 /// The maximum size of one event in bytes.
@@ -17,7 +15,7 @@
 /// What a block of lines is, of which an empty line marks the end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
-    /// An event, with its id if that is a number.
+    /// An event, with its id; the one that marks the end has none.
     Event(Option<u64>),
     /// Comments or a reconnection time, which are no part of the generated answer.
     Comment,
@@ -87,19 +85,24 @@
     }
 }
 
-/// The position within a stream.
+/// The position within a stream of numbered events.
 #[derive(Debug, Clone)]
 pub struct Position {
-    /// How the events that follow are numbered.
-    numbering: Numbering,
+    /// The id of the last event.
+    after: Option<u64>,
     /// Whether the end was marked.
     has_ended: bool,
 }
 
 impl Position {
-    /// Returns the start of a stream.
-    pub fn new(numbering: Numbering) -> Position {
-        Position { numbering, has_ended: false }
+    /// Returns the position after the event with an id; none at the start.
+    pub fn new(after: Option<u64>) -> Position {
+        Position { after, has_ended: false }
+    }
+
+    /// Returns whether an event has marked the end.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended
     }
 
     /// Advances past a complete block.
@@ -111,12 +114,6 @@
         if block.is_comment() {
             return Ok(Kind::Comment);
         }
-        let Numbering::Rising { after } = &mut self.numbering else {
-            return Ok(Kind::Event(block.id.flatten()));
-        };
-        if self.has_ended {
-            return Err(Flaw::AfterEnd);
-        }
         if block.is_end() {
             self.has_ended = true;
             return Ok(Kind::Event(None));
@@ -125,10 +122,10 @@
         if block.data_count == 0 {
             return Err(Flaw::NoData);
         }
-        if Some(id) <= *after {
+        if Some(id) <= self.after {
             return Err(Flaw::IdNotRising);
         }
-        *after = Some(id);
+        self.after = Some(id);
         Ok(Kind::Event(Some(id)))
     }
 }
--- a/crates/hollyspoke-server/src/flaw.rs
+++ b/crates/hollyspoke-server/src/flaw.rs
@@ -10,6 +10,8 @@
     Head,
     /// The head names another request.
     OtherRequest,
+    /// The answer to a request for a stream is no event stream.
+    NoEventStream,
     /// The transfer coding of the body is malformed.
     Coding,
     /// A head, informational answers or the transfer coding do not end.
@@ -26,8 +28,6 @@
     IdNotRising,
     /// An event has no data.
     NoData,
-    /// An event follows the one that marks the end.
-    AfterEnd,
     /// A stream ends in order, but within an event.
     PartialEvent,
 }
@@ -39,6 +39,7 @@
         f.write_str(match self {
             Flaw::Head => "the head is malformed",
             Flaw::OtherRequest => "the head names another request",
+            Flaw::NoEventStream => "the answer is no event stream",
             Flaw::Coding => "the transfer coding is malformed",
             Flaw::Endless => "the head or the coding does not end",
             Flaw::TooLarge => "the answer is too large",
@@ -47,7 +48,6 @@
             Flaw::UnreadableId => "an id is no number",
             Flaw::IdNotRising => "an id does not rise",
             Flaw::NoData => "an event has no data",
-            Flaw::AfterEnd => "an event follows the end",
             Flaw::PartialEvent => "the stream ends within an event",
         })
     }
--- a/crates/hollyspoke-server/src/http1.rs
+++ b/crates/hollyspoke-server/src/http1.rs
@@ -82,8 +82,9 @@
 
 /// Returns whether an answer carries events.
 pub fn is_event_stream(head: &response::Parts) -> bool {
-    let media_type = head.headers.get(CONTENT_TYPE);
-    let is_events = media_type.is_some_and(|it| it.as_bytes().starts_with(EVENT_STREAM.as_bytes()));
+    let media_type = head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+    let media_type = media_type.and_then(|it| it.get(..EVENT_STREAM.len()));
+    let is_events = media_type.is_some_and(|it| it.eq_ignore_ascii_case(EVENT_STREAM.as_bytes()));
     head.status == StatusCode::OK && is_events
 }
 
--- a/crates/hollyspoke-server/src/proxy.rs
+++ b/crates/hollyspoke-server/src/proxy.rs
@@ -9,7 +9,7 @@
 use hollyspoke_gateway::event::Event;
 use hollyspoke_gateway::proxy::{self, Call};
 use http::header::AUTHORIZATION;
-use http::{HeaderMap, HeaderName, HeaderValue, request, response};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, request, response};
 use http_body_util::{BodyExt, Full};
 use slog::warn;
 
@@ -56,7 +56,7 @@
     let head = request_head(node, call, &request.head);
     let message = http::Request::from_parts(head, Full::new(request.body.clone()));
     let (head, body) = connection.send(message).await?.into_parts();
-    if is_event_stream(&head) {
+    if request.head.method != Method::HEAD && is_event_stream(&head) {
         return forward_stream(node, call, head, body).await;
     }
     let bytes = read_whole(body, MAX_ANSWER_BYTES).await?;
@@ -82,6 +82,9 @@
         while let Some(events) = reader.take()? {
             forward(node, call, events.bytes).await?;
         }
+        if reader.has_ended() {
+            return Ok(());
+        }
     }
     if let Some(events) = reader.finish()? {
         forward(node, call, events.bytes).await?;
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -11,10 +11,11 @@
 use hollyspoke_gateway::event::{Answer, CallEvent, Event, OrderAnswer, Probe};
 use hollyspoke_gateway::framing::Framing;
 use hollyspoke_gateway::migration::{self, Transfer};
+use hollyspoke_gateway::numbering::Numbering;
 use hollyspoke_gateway::reservation::{self, Ask, Reservation};
 use hollyspoke_gateway::statement::Statement;
 use hollyspoke_socket::shortage::Shortage;
-use http::{StatusCode, response};
+use http::{Method, StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use slog::{debug, info, warn};
 use tokio::sync::mpsc::error::TrySendError;
@@ -119,11 +120,16 @@
     let (head, body) = connection.send(message).await?.into_parts();
     let answer = (node.dialect.read_answer)(&head, &request.head)
         .map_err(|_| Failure::Garbled(Flaw::OtherRequest))?;
-    if is_stream(send, &head) {
+    let has_body = request.head.method != Method::HEAD;
+    if has_body && is_stream(send, &head) {
         // The head may arrive long before the first event, or no event may follow it.
         dispatch_own_statement(node, &send.engine, answer.statement);
         return forward_stream(node, send, answer, head, body).await;
     }
+    if has_body && answer.status == StatusCode::OK && expects_stream(node, send) {
+        dispatch_own_statement(node, &send.engine, answer.statement);
+        return Err(Failure::Garbled(Flaw::NoEventStream));
+    }
     let bytes = match read_whole(body, MAX_ANSWER_BYTES).await {
         Ok(bytes) => bytes,
         Err(failure) => {
@@ -159,6 +165,9 @@
             report_stream_start(node, send, &answer, &mut head)?;
             forward(node, send, events).await?;
         }
+        if reader.has_ended() {
+            return Ok(answer);
+        }
     }
     let is_broken = reader.is_within_event() || head.is_some();
     log_unmarked_end(node, send, answer.framing, reader.is_within_event());
@@ -197,12 +206,14 @@
     if node.has_call(send.call) { Ok(()) } else { Err(Failure::Broken) }
 }
 
-/// Forwards events to the client. Comments alone are no progress of the stream.
+/// Forwards events to the client. Comments alone are no progress of the stream, and are dropped while
+/// the client takes no events.
 async fn forward(node: &Rc<Node>, send: &Send, events: Events) -> Result<(), Failure> {
     let Events { bytes, last_id, has_event } = events;
     let chunk_sender = node.chunk_sender(send.request).ok_or(Failure::Broken)?;
     let event = match chunk_sender.try_send(bytes) {
         Ok(()) => CallEvent::Forwarded(last_id),
+        Err(TrySendError::Full(_)) if !has_event => return Ok(()),
         Err(TrySendError::Full(bytes)) => {
             node.dispatch(Event::Call(send.call, CallEvent::HeldUp));
             chunk_sender.send(bytes).await.map_err(|_| Failure::Broken)?;
@@ -221,6 +232,12 @@
     is_event_stream(head) && send.task != Task::Prefill
 }
 
+/// Returns whether only a stream can be the answer to a call.
+fn expects_stream(node: &Node, send: &Send) -> bool {
+    let numbering = node.with(|it| it.numbering(send.request));
+    send.task != Task::Prefill && numbering != Numbering::Free
+}
+
 /// Frees a cached prompt that no decode engine will fetch. It expires by itself if this fails.
 async fn free_prompt(node: Rc<Node>, source: Source) {
     let Ok(mut connection) = node.connect(source.address, CONNECT_TIMEOUT).await else {
@@ -346,24 +363,42 @@
 /// Sends the probe. Any answer shows that a process is alive at the address.
 async fn exchange_probe(node: &Rc<Node>, engine: &Engine) -> Probe {
     match node.connect(engine.address, CONNECT_TIMEOUT).await {
-        Ok(connection) => read_probe(node, engine, connection).await.unwrap_or(Probe::Broken),
+        Ok(connection) => read_probe(node, engine, connection).await,
         Err(Failure::Exhausted(_)) => Probe::Exhausted,
         Err(Failure::Unsent | Failure::Broken | Failure::Garbled(_)) => Probe::NotConnected,
     }
 }
 
-/// Sends the probe over an open connection; none if that breaks.
-async fn read_probe(node: &Rc<Node>, engine: &Engine, mut connection: Connection) -> Option<Probe> {
-    let query_request = (node.dialect.report)(engine).body(Full::default()).ok()?;
-    let (head, body) = connection.send(query_request).await.ok()?.into_parts();
+/// Sends the probe over an open connection. Bytes that are no answer come from a live process, too.
+async fn read_probe(node: &Rc<Node>, engine: &Engine, connection: Connection) -> Probe {
+    match exchange_report(node, engine, connection).await {
+        Ok(probe) => probe,
+        Err(Failure::Garbled(flaw)) => {
+            info!(node.log, "probe answered by bytes of no report";
+                "engine" => %engine.id, "flaw" => %flaw);
+            Probe::Alive(None)
+        }
+        Err(_) => Probe::Broken,
+    }
+}
+
+/// Asks for the engine's report over an open connection.
+async fn exchange_report(
+    node: &Rc<Node>,
+    engine: &Engine,
+    mut connection: Connection,
+) -> Result<Probe, Failure> {
+    let query_request = (node.dialect.report)(engine).body(Full::default());
+    let query_request = query_request.map_err(|_| Failure::Unsent)?;
+    let (head, body) = connection.send(query_request).await?.into_parts();
     read_statement(node, engine, &head);
     match head.status {
-        StatusCode::MISDIRECTED_REQUEST => Some(Probe::Replaced),
+        StatusCode::MISDIRECTED_REQUEST => Ok(Probe::Replaced),
         StatusCode::OK => {
-            let bytes = read_whole(body, MAX_ANSWER_BYTES).await.ok()?;
-            Some(Probe::Alive(read_report(node, engine, &bytes).and_then(|it| it.born)))
+            let bytes = read_whole(body, MAX_ANSWER_BYTES).await?;
+            Ok(Probe::Alive(read_report(node, engine, &bytes).and_then(|it| it.born)))
         }
-        _ => Some(Probe::Alive(None)),
+        _ => Ok(Probe::Alive(None)),
     }
 }
 
