A run that has been written for a second is no crash of its request

Cause: any break of a call counted as a crash of its request, and only a whole answer ended the case, which a stream that breaks can't have. Parts of prompts count breaks within the first second of an answer only, and an event a second after the first one clears them.

An event that comes a second or more after the first one of a call, and that neither waited for the client nor follows a standstill of the engine, ends the request's case as a whole answer does, and what breaks the call later counts for nothing. A request that crashes its engines as they begin to run it never gets there: it is held back after three crashes as before, also if the engines write events for less than a second, fall silent or are read late (three tests of gateway_onset, which passed before, too). It is evidence from the engine, not the clock, so that a box that was paused counts the crash. Boxes of the build before read the end of a case as they do after a whole answer; they go on counting breaks of long streams, which is stricter.

--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -180,7 +180,7 @@
             self.record_pause(&call, before);
         }
         if !is_held_up && !stood_still {
-            self.clear_outlived_parts(&call);
+            self.record_outlived(key);
         }
     }
 
--- a/crates/hollyspoke-gateway/src/gateway/parts.rs
+++ b/crates/hollyspoke-gateway/src/gateway/parts.rs
@@ -19,8 +19,8 @@
 use crate::version::{SoftwareVersion, VersionKey};
 
 /// How long after the head of its answer a call may be the one that crashes its engine. A harmful
-/// part crashes an engine as it begins to write.
-const ONSET_DURATION: Duration = Duration::from_secs(1);
+/// request or part crashes an engine as it begins to write.
+pub(super) const ONSET_DURATION: Duration = Duration::from_secs(1);
 
 /// The maximum number of parts of one prompt that are suspected or cleared, so that one request does
 /// not displace the cases of others.
@@ -161,10 +161,6 @@
             return;
         }
         let Some(in_flight) = self.in_flight.get(&call.request) else { return };
-        let is_outlived = |it| self.now.since(it) >= ONSET_DURATION + call.paused;
-        if !call.first_event_at.is_some_and(is_outlived) {
-            return;
-        }
         let version = version_key(call.engine.version.as_ref());
         let is_suspected = |it: &Signature| {
             self.parts.cases.case(*it).is_some() && !self.parts.is_cleared(*it, version)
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -14,7 +14,7 @@
 use super::Gateway;
 use super::cases::BACKUP_DELAY;
 use super::contact::Finding;
-use super::parts::part_name;
+use super::parts::{ONSET_DURATION, part_name};
 use crate::effect::{Effect, LogEvent, NotRunReason, Refusal};
 use crate::engine::{Engine, EngineKey};
 use crate::event::Probe;
@@ -23,7 +23,7 @@
 use crate::message::Message;
 use crate::placement::Separation;
 use crate::quarantine::{Case, HOLD_DURATION, Incarnation, Proof, RequestSummary, Verdict};
-use crate::request::RequestKey;
+use crate::request::{CallKey, RequestKey};
 use crate::signature::Signature;
 
 /// Retry delay for a request that is held back until the crashes of its engines are confirmed:
@@ -77,7 +77,8 @@
         let Some(in_flight) = self.in_flight.get(&call.request) else { return };
         let (signature, about) = (in_flight.signature, summary(in_flight));
         let engine = &call.engine;
-        let counts = self.quarantine.suspect(signature, call.case_state, engine, about, self.now);
+        let counts = !call.has_outlived_onset
+            && self.quarantine.suspect(signature, call.case_state, engine, about, self.now);
         if !self.suspect_parts(call) && !counts {
             return;
         }
@@ -195,13 +196,34 @@
         }
     }
 
-    /// Records that a request was answered completely.
+    /// Records that a request was answered completely, or for long enough.
     pub(super) fn close_case(&mut self, signature: Signature) {
         if self.quarantine.close_case(signature, self.now) {
             self.log(LogEvent::Released { signature, outcome: "answered" });
         }
     }
 
+    /// Records that an event has come from the engine of a call. If it has been writing for longer than
+    /// a harmful request lets an engine live, neither the request nor its prompt is harmful there, as
+    /// if the answer were complete.
+    pub(super) fn record_outlived(&mut self, key: CallKey) {
+        let Some(call) = self.calls.get_mut(&key) else { return };
+        let is_outlived = |it| self.now.since(it) >= ONSET_DURATION + call.paused;
+        if !call.first_event_at.is_some_and(is_outlived) {
+            return;
+        }
+        call.has_outlived_onset = true;
+        if self.quarantine.is_empty() && self.parts.cases.is_empty() {
+            return;
+        }
+        let call = call.clone();
+        self.clear_outlived_parts(&call);
+        let signature = self.in_flight.get(&call.request).map(|it| it.signature);
+        if let Some(signature) = signature {
+            self.close_case(signature);
+        }
+    }
+
     /// Releases the held requests and parts whose signature starts with `short`.
     pub(super) fn release_held(&mut self, short: &str) {
         for signature in self.quarantine.find_held(short) {
@@ -290,7 +312,7 @@
         let others = self.calls.values().filter(|it| it.request != key);
         let mut others = others.filter_map(|it| Some((it, self.in_flight.get(&it.request)?)));
         others.any(|(call, other)| {
-            is_request_tried && other.signature == in_flight.signature
+            is_request_tried && !call.has_outlived_onset && other.signature == in_flight.signature
                 || self.may_crash_engine(call)
                     && tried_parts.iter().any(|it| other.parts.contains(it))
         })
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -392,6 +392,7 @@
                 is_counted: false,
                 begun_at: None,
                 first_event_at: None,
+                has_outlived_onset: false,
                 progress: Progress::default(),
             },
         );
--- a/crates/hollyspoke-gateway/src/in_flight.rs
+++ b/crates/hollyspoke-gateway/src/in_flight.rs
@@ -211,6 +211,8 @@
     pub begun_at: Option<Time>,
     /// When the first event was forwarded.
     pub first_event_at: Option<Time>,
+    /// Whether the engine has written events for longer than a harmful request lets it live.
+    pub has_outlived_onset: bool,
     /// The events that the call has forwarded.
     pub progress: Progress,
 }
