Clients' bodies take a bounded part of a box's memory

Callers saw: 30 clients that send bodies of 4 MB to one box take it over its memory, and it ends with all that it serves.

Cause: each body was bounded, the sum over all connections was not. A body was held twice for a moment when its parts were joined.

An announced length is taken before a byte of the body is read, one that isn't announced as it arrives; a body that finds no room is refused with 503 and Retry-After, which is true, since its request has not reached the reducer.

--- a/crates/hollyspoke-server/src/front.rs
+++ b/crates/hollyspoke-server/src/front.rs
@@ -11,7 +11,7 @@
 use hollyspoke_socket::accept::Acceptor;
 use http::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Version, request, response};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -21,6 +21,7 @@
 use tokio::sync::watch;
 
 use crate::answer::AnswerBody;
+use crate::body_memory::{Buffer, Exhausted};
 use crate::client_stream::{ClientStream, CloseDelimited};
 use crate::head_clock::{HeadClock, RequestGuard};
 use crate::http1::{framing, remove_hop_headers};
@@ -38,6 +39,9 @@
 /// The minimum buffer size that the HTTP library accepts for a connection.
 const MIN_BUFFER_BYTES: usize = 8192;
 
+/// The time after which a client may send a body again for which there was no memory.
+const BODY_RETRY: Duration = Duration::from_secs(1);
+
 /// Added to the idle timeout of a connection, since clients measure it from their own side.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
@@ -53,6 +57,14 @@
     TooSlow,
     /// The body is malformed, or the client has disconnected.
     Malformed,
+    /// The box has no memory for the body, beside those that it holds.
+    NoMemory,
+}
+
+impl From<Exhausted> for BodyError {
+    fn from(_: Exhausted) -> BodyError {
+        BodyError::NoMemory
+    }
 }
 
 /// Who connects to a listener.
@@ -148,11 +160,15 @@
         Audience::Clients => Origin::Client,
         Audience::Peers => Origin::Peer(proxy::take_credential(&mut head.headers)),
     };
-    let body = match read_body(&head, body, &limits).await {
+    let body = match read_body(&node, &head, body, &limits).await {
         Ok(body) => body,
         Err(BodyError::TooLarge) => return closing_status(StatusCode::PAYLOAD_TOO_LARGE),
         Err(BodyError::TooSlow) => return closing_status(StatusCode::REQUEST_TIMEOUT),
         Err(BodyError::Malformed) => return closing_status(StatusCode::BAD_REQUEST),
+        Err(BodyError::NoMemory) => {
+            warn!(node.log, "request refused: no memory for its body");
+            return closing(retry_status(StatusCode::SERVICE_UNAVAILABLE, BODY_RETRY));
+        }
     };
     guard.finish_body();
     let (hook, receiver) =
@@ -189,6 +205,7 @@
 
 /// Reads a request's whole body.
 async fn read_body(
+    node: &Node,
     head: &request::Parts,
     body: Incoming,
     limits: &Limits,
@@ -198,15 +215,25 @@
     if content_length.is_some_and(|it: usize| it > limits.body_bytes) {
         return Err(BodyError::TooLarge);
     }
-    let collected = Limited::new(body, limits.body_bytes).collect();
-    match tokio::time::timeout(limits.idle_timeout, collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(BodyError::TooLarge)
+    let buffer = node.body_memory.reserve(content_length.unwrap_or(0))?;
+    let collected = collect(body, limits.body_bytes, buffer);
+    tokio::time::timeout(limits.idle_timeout, collected).await.unwrap_or(Err(BodyError::TooSlow))
+}
+
+/// Collects the parts of a body.
+async fn collect(
+    mut body: Incoming,
+    max_bytes: usize,
+    mut buffer: Buffer,
+) -> Result<Bytes, BodyError> {
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| BodyError::Malformed)?.into_data() else { continue };
+        if buffer.len() + data.len() > max_bytes {
+            return Err(BodyError::TooLarge);
         }
-        Ok(Err(_)) => Err(BodyError::Malformed),
-        Err(_) => Err(BodyError::TooSlow),
+        buffer.push(&data)?;
     }
+    Ok(buffer.freeze())
 }
 
 /// Returns the head of an engine's answer as it is sent to the client. An answer that the engine
@@ -268,7 +295,11 @@
 
 /// Returns an answer with a status and no body, after which the connection is closed.
 fn closing_status(code: StatusCode) -> Response<AnswerBody> {
-    let mut response = status(code);
+    closing(status(code))
+}
+
+/// Lets the connection be closed after an answer.
+fn closing(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
--- a/crates/hollyspoke-server/src/lib.rs
+++ b/crates/hollyspoke-server/src/lib.rs
@@ -5,6 +5,7 @@
 //! needs another dialect.
 
 pub mod answer;
+pub mod body_memory;
 pub mod client_stream;
 pub mod datagram;
 pub mod dialect;
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -29,6 +29,7 @@
 use tokio::time::Instant;
 
 use crate::answer::{DropHook, Stream};
+use crate::body_memory;
 use crate::dialect::{Dialect, Kind};
 use crate::http1::{Connection, Failure};
 use crate::metrics::Metrics;
@@ -120,6 +121,8 @@
     calls: RefCell<HashMap<CallKey, AbortHandle>>,
     /// Engines' answers that wait for the reducer's decision.
     pending_answers: RefCell<HashMap<CallKey, PendingAnswer>>,
+    /// The memory for the bodies of clients' requests.
+    pub body_memory: body_memory::Memory,
     /// The number of connections that could not be opened for lack of a resource of this box.
     shortage_count: Cell<u64>,
     /// The key of the next request.
@@ -195,6 +198,7 @@
             response_channels: RefCell::default(),
             calls: RefCell::default(),
             pending_answers: RefCell::default(),
+            body_memory: body_memory::Memory::default(),
             shortage_count: Cell::new(0),
             next_request_key: Cell::new(0),
             watches_store: Cell::new(false),
