A box out of step takes no version for the only one

Callers saw: while engines of a new version joined, a box that was cut off went on with streams that others had begun at the new version, at engines of the old one (ORDER).

Cause: when nobody answered a question for a stream's version within 300 ms, the box's own 'only one version has served' decided, and that believed the store followed and all boxes alive until their timeouts (up to 2.5 s) said otherwise. Answers of boxes that were cut off along with it did the same.

Now the box's own view counts only if all boxes that it asked have answered and no heartbeat is overdue, or if it follows the store and a read sent at most 160 ms ago was answered. If the holders don't decide, three followers are asked as well, which say 'only' after such a read alone. Nobody in step answers: refused as not run. Datagrams stay as they are.

The fleet of the tests can withhold the store along with the other boxes (isolate), let engines join under new ids, and break clients' connections.

Not shown: what it costs at size (CAPACITY, arithmetic).

--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 mod end;
 mod era;
 mod evacuation;
+mod freshness;
 mod handover;
 mod limit;
 mod migration;
@@ -67,6 +68,7 @@
 use crate::gateway::cases::Cases;
 use crate::gateway::census::Census;
 use crate::gateway::contact::Contacts;
+use crate::gateway::freshness::Freshness;
 use crate::gateway::migration::Migrations;
 use crate::gateway::origins::Origins;
 use crate::gateway::parts::UnmarkedEnd;
@@ -225,6 +227,8 @@
     timeline: Timeline,
     /// The same as saved in the store.
     register: Register,
+    /// Whether this box is in step with the store.
+    freshness: Freshness,
     /// The durations for which runs at prefill and decode engines hold memory.
     runs: Runs,
     /// The demand on each service with prefill and decode engines.
@@ -322,6 +326,7 @@
             origins: Origins::default(),
             timeline: Timeline::default(),
             register: Register::default(),
+            freshness: Freshness::default(),
             runs: Runs::default(),
             meters: HashMap::new(),
             stages,
--- a/crates/hollyspoke-gateway/src/gateway/origins.rs
+++ b/crates/hollyspoke-gateway/src/gateway/origins.rs
@@ -2,8 +2,8 @@
 //!
 //! The version is bound by the first event that is forwarded. A client that takes a stream up
 //! elsewhere names the attempt that began it: this box looks into its own table, asks the stream's
-//! holders, and else relies on it that only one version can have begun the stream. A stream whose
-//! version stays unknown goes on nowhere.
+//! holders, and else relies on it that only one version can have begun the stream, if this box or a
+//! follower is in step. A stream whose version stays unknown goes on nowhere.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -64,6 +64,9 @@
     began: Time,
     /// When the boxes that have not answered are asked again.
     resend_at: Time,
+    /// How often boxes were asked. From the second time on, followers are asked too; at once if the
+    /// client doesn't name the stream, which then counts as the first time.
+    rounds: u32,
     /// The boxes that were asked.
     asked: BTreeSet<SocketAddr>,
     /// What they have answered.
@@ -79,6 +82,9 @@
     source: &'static str,
 }
 
+/// The finding if nobody knows the stream's version.
+const UNKNOWN: Finding = Finding { origin: Origin::Unknown, source: "nobody knows" };
+
 /// What this box knows of streams' versions.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Origins {
@@ -101,6 +107,11 @@
         self.began + ANSWER_TIMEOUT
     }
 
+    /// Returns whether all boxes that were asked have answered.
+    fn is_answered(&self) -> bool {
+        self.asked.iter().all(|it| self.answers.contains_key(it))
+    }
+
     /// Returns what the answers show. Boxes that know the stream go before those that know which
     /// versions have served; of the latter, one that has seen several is enough.
     fn finding(&self, own: Verdict) -> Finding {
@@ -123,8 +134,7 @@
             Verdict::Only(version) => Some(version),
             Verdict::Several | Verdict::Unaware => None,
         };
-        agreed(only.chain(own), "only version")
-            .unwrap_or(Finding { origin: Origin::Unknown, source: "nobody knows" })
+        agreed(only.chain(own), "only version").unwrap_or(UNKNOWN)
     }
 }
 
@@ -172,14 +182,16 @@
             service: service_hash(&in_flight.service.name),
             began: self.now,
             resend_at: self.now,
+            rounds: u32::from(!is_named),
             asked: BTreeSet::new(),
             answers: BTreeMap::new(),
         };
-        let own = self.served_versions(inquiry.service, REACH);
-        if own != Verdict::Unaware && !is_named {
+        let own = self.own_verdict(&inquiry);
+        let is_alone = self.informants(&inquiry).is_empty();
+        if !is_named && (own == Verdict::Several || own != Verdict::Unaware && is_alone) {
             return self.set_origin(key, inquiry.finding(own), Duration::ZERO);
         }
-        if own == Verdict::Unaware {
+        if self.served_versions(inquiry.service, REACH) == Verdict::Unaware {
             self.look_up_register();
         }
         self.origins.inquiries.insert(key, inquiry);
@@ -225,14 +237,15 @@
             return false;
         }
         let Some(inquiry) = self.origins.inquiries.get(&key) else { return false };
-        if inquiry.resend_at <= self.now && self.now < inquiry.until() {
-            self.ask_holders(key);
+        let is_due = inquiry.resend_at <= self.now || self.is_undecided(inquiry);
+        if is_due && self.now < inquiry.until() {
+            self.ask_informants(key);
         }
         let Some(inquiry) = self.origins.inquiries.get(&key) else { return false };
         if !self.is_concluded(inquiry) {
             return false;
         }
-        let own = self.served_versions(inquiry.service, REACH);
+        let own = self.own_verdict(inquiry);
         let (finding, after) = (inquiry.finding(own), self.now.since(inquiry.began));
         self.origins.inquiries.remove(&key);
         self.set_origin(key, finding, after);
@@ -247,8 +260,37 @@
         }
         let is_settled =
             !self.is_starting_up() || self.members.is_settled(self.now, QUIET_DURATION);
-        let have_answered = inquiry.asked.iter().all(|it| inquiry.answers.contains_key(it));
-        is_settled && have_answered && !self.is_register_awaited()
+        // A follower that doesn't know yet whether it is in step may know when it is asked again.
+        let has_source = !inquiry.asked.is_empty() || self.follows_store();
+        let may_learn = || has_source && inquiry.finding(self.own_verdict(inquiry)) == UNKNOWN;
+        is_settled && inquiry.is_answered() && !self.is_register_awaited() && !may_learn()
+    }
+
+    /// Returns whether the holders of a stream have all answered, and none of them decides.
+    fn is_undecided(&self, inquiry: &Inquiry) -> bool {
+        inquiry.rounds == 1
+            && inquiry.is_answered()
+            && inquiry.finding(self.own_verdict(inquiry)) == UNKNOWN
+    }
+
+    /// Returns which versions have served by what this box has observed. One that has served alone
+    /// counts only if no other can have joined unnoticed.
+    fn own_verdict(&self, inquiry: &Inquiry) -> Verdict {
+        let has_answered = |it: &SocketAddr| inquiry.answers.contains_key(it);
+        match self.served_versions(inquiry.service, REACH) {
+            Verdict::Only(_) if !self.is_in_step(&inquiry.asked, has_answered) => Verdict::Unaware,
+            verdict => verdict,
+        }
+    }
+
+    /// Returns the boxes that are asked for a stream: its holders, which may know which version began
+    /// it, and then followers, which know whether a new version has joined.
+    fn informants(&self, inquiry: &Inquiry) -> BTreeSet<SocketAddr> {
+        let mut informants = BTreeSet::from_iter(self.holders(inquiry.stream, ASKED_PER_HOLDER));
+        if inquiry.rounds > 0 {
+            informants.extend(self.asked_followers(inquiry.stream));
+        }
+        informants
     }
 
     /// Sets the origin of a stream that a client resumes.
@@ -265,18 +307,23 @@
         self.log(LogEvent::OriginSought { request, version, name, source, after });
     }
 
-    /// Asks the holders of a stream that have not answered.
-    fn ask_holders(&mut self, key: RequestKey) {
+    /// Asks the boxes that may know a stream, also those whose answers may have changed.
+    fn ask_informants(&mut self, key: RequestKey) {
         let Some(inquiry) = self.origins.inquiries.get(&key) else { return };
-        let mut holders = self.holders(inquiry.stream, ASKED_PER_HOLDER);
+        let mut informants = self.informants(inquiry);
+        if inquiry.rounds > 0 {
+            self.read_confirmation();
+        }
         let Some(inquiry) = self.origins.inquiries.get_mut(&key) else { return };
         inquiry.resend_at = self.now + RESEND_INTERVAL;
-        holders.retain(|it| !inquiry.answers.contains_key(it));
-        inquiry.asked.extend(&holders);
+        inquiry.rounds += 1;
+        let is_final = |it| matches!(it, Knowledge::Began(_) | Knowledge::Several);
+        informants.retain(|it| !inquiry.answers.get(it).copied().is_some_and(is_final));
+        inquiry.asked.extend(&informants);
         let window_ms = millis(REACH);
         let ask = Ask { stream: inquiry.stream, service: inquiry.service, window_ms };
         let notice = Notice { asks: vec![ask], ..self.notice() };
-        self.notify(holders, notice);
+        self.notify(informants.into_iter().collect(), notice);
     }
 
     /// Returns the holders of a stream, or a multiple of their number: the first boxes of its first
@@ -306,6 +353,9 @@
             self.origins.table.record(stream, version, self.now, self.now + ttl);
         }
         let replies: Vec<_> = notice.asks.iter().map(|it| self.reply_to(it)).collect();
+        if replies.iter().any(|it| it.knowledge == Knowledge::Unaware) {
+            self.read_confirmation();
+        }
         if !replies.is_empty() {
             let reply = Notice { replies, ..self.notice() };
             self.notify(vec![notice.sender], reply);
@@ -324,9 +374,9 @@
             None => {
                 let window = Duration::from_millis(u64::from(ask.window_ms));
                 match self.served_versions(ask.service, window) {
-                    Verdict::Only(version) => Knowledge::Only(version),
+                    Verdict::Only(version) if self.has_just_confirmed() => Knowledge::Only(version),
                     Verdict::Several => Knowledge::Several,
-                    Verdict::Unaware => Knowledge::Unaware,
+                    Verdict::Only(_) | Verdict::Unaware => Knowledge::Unaware,
                 }
             }
         };
--- a/crates/hollyspoke-gateway/src/gateway/stages/orders.rs
+++ b/crates/hollyspoke-gateway/src/gateway/stages/orders.rs
@@ -65,7 +65,8 @@
     pub(in crate::gateway) fn apply_store_answer(&mut self, number: u64, answer: &Answer) {
         let is_applied = self.apply_census_answer(number, answer)
             || self.apply_cases_answer(number, answer)
-            || self.apply_register_answer(number, answer);
+            || self.apply_register_answer(number, answer)
+            || self.apply_confirmation(number, answer);
         if is_applied {
             return;
         }
--- a/crates/hollyspoke-gateway/src/gateway/versions.rs
+++ b/crates/hollyspoke-gateway/src/gateway/versions.rs
@@ -23,7 +23,7 @@
 pub const KIND: &str = "software";
 
 /// The name of the register in the store.
-const NAME: &str = "versions";
+pub(super) const NAME: &str = "versions";
 
 /// The time after start before a box writes the register, as for the number of boxes.
 const WRITE_DELAY: Duration = Duration::from_secs(3);
--- a/crates/hollyspoke-gateway/src/member/duty.rs
+++ b/crates/hollyspoke-gateway/src/member/duty.rs
@@ -5,6 +5,7 @@
 
 use hollyspoke::rank;
 use hollyspoke::store::Revision;
+use hollyspoke::time::Time;
 
 use super::peer::Peer;
 use super::{Members, address_hash};
@@ -40,6 +41,28 @@
         all.iter().take(count).any(|it| it.1)
     }
 
+    /// Returns the live boxes other than this one that follow the store with answers, of `count`
+    /// followers, and read notices.
+    pub fn followers(&self, count: usize) -> Vec<SocketAddr> {
+        let able = |it: &Peer| {
+            !it.has_timed_out && !it.store_view.has_lost_store && it.format >= Format::Origins
+        };
+        let mut all: Vec<_> = self.peers.iter().filter(|it| able(it.1)).collect();
+        rank::order(0, &mut all, |it| it.1.address_hash);
+        all.into_iter().map(|it| *it.0).take(count).collect()
+    }
+
+    /// Returns whether another box, alive or not, reads notices of streams' versions.
+    pub fn has_notice_reader(&self) -> bool {
+        self.peers.values().any(|it| it.format >= Format::Origins)
+    }
+
+    /// Returns whether no heartbeat of a box that this one has known is overdue. Where heartbeats are
+    /// rare, this shows too little.
+    pub fn are_all_on_time(&self, now: Time) -> bool {
+        !self.is_large() && 1 + self.on_time_count(now) >= self.peak_count()
+    }
+
     /// Returns whether all boxes that this one has known are alive.
     pub fn are_all_alive(&self) -> bool {
         let alive = self.peers.values().filter(|it| !it.has_timed_out).count();
--- a/tests/src/fleet.rs
+++ b/tests/src/fleet.rs
@@ -54,6 +54,9 @@
 /// The interval at which the store answers the watches of a box.
 const WATCH_INTERVAL: Duration = Duration::from_millis(500);
 
+/// The time after which a box gives up an operation that the store doesn't answer.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1200);
+
 /// The time that the store takes to answer.
 const STORE_DELAY: Duration = Duration::from_millis(4);
 
@@ -115,6 +118,10 @@
     start_count: u64,
     /// The side of a partition: boxes exchange datagrams only with those of the same side.
     side: usize,
+    /// Whether a partition withholds the store's changes and answers.
+    lacks_store: bool,
+    /// Whether the store's next answer lists the engines.
+    lists_anew: bool,
     /// The end of a pause, in which the box handles nothing.
     paused_until: Time,
     /// The time until which its calls are delayed on their way to engines.
@@ -269,6 +276,8 @@
                 started_at: Time::ZERO,
                 start_count: 0,
                 side: 0,
+                lacks_store: false,
+                lists_anew: false,
                 paused_until: Time::ZERO,
                 calls_delayed_until: Time::ZERO,
                 path: Path::Open,
@@ -334,6 +343,23 @@
         }
     }
 
+    /// Cuts boxes off from all others and, together with them, from the store. Each is alone on its
+    /// side if `is_each`.
+    pub fn isolate(&mut self, members: impl IntoIterator<Item = usize>, is_each: bool) {
+        for number in members {
+            self.members[number].side = if is_each { number + 2 } else { 1 };
+            self.members[number].lacks_store = true;
+        }
+    }
+
+    /// Ends the partitions of boxes. The store's next answer lists the engines.
+    pub fn heal(&mut self, members: impl IntoIterator<Item = usize>) {
+        for number in members {
+            self.members[number].side = 0;
+            self.members[number].lacks_store = false;
+        }
+    }
+
     /// Changes the path of boxes to all engines.
     pub fn set_path(&mut self, members: impl IntoIterator<Item = usize> + Clone, path: Path) {
         for number in members.clone() {
@@ -506,6 +532,9 @@
         if paused_until > self.now {
             return self.schedule(paused_until, due);
         }
+        if self.members[number].lacks_store && self.is_withheld(&due) {
+            return;
+        }
         match due {
             Scheduled::Request(number, request) => self.send_request(number, request),
             Scheduled::Datagram(number, message) => self.step(number, Event::Received(*message)),
@@ -545,6 +574,9 @@
                 if self.members[number].start_count == start_count =>
             {
                 self.report_era(number);
+                if std::mem::take(&mut self.members[number].lists_anew) {
+                    self.step(number, Event::Listed(self.engines(), self.store.revision));
+                }
                 self.step(number, Event::StoreAnswered(Kind::Configuration));
                 self.step(number, Event::StoreAnswered(Kind::Engines));
                 self.step(number, Event::StoreAnswered(Kind::Evacuations));
@@ -581,6 +613,27 @@
         }
     }
 
+    /// Returns whether a partition from the store withholds what is due at a box. Operations time out,
+    /// and watches are sent again.
+    fn is_withheld(&mut self, due: &Scheduled) -> bool {
+        match due {
+            Scheduled::Changed(number, _) => self.members[*number].lists_anew = true,
+            Scheduled::Listed(..) => {}
+            Scheduled::Watched(number, start_count) => {
+                let next = Scheduled::Watched(*number, *start_count);
+                self.schedule(self.now + WATCH_INTERVAL, next);
+            }
+            Scheduled::Stored(number, start_count, operation, answer)
+                if *answer != Answer::Away =>
+            {
+                let away = Scheduled::Stored(*number, *start_count, *operation, Answer::Away);
+                self.schedule(self.now + STORE_TIMEOUT, away);
+            }
+            _ => return false,
+        }
+        true
+    }
+
     /// Sends a client's request to a box, or to another one if that box is down.
     fn send_request(&mut self, number: usize, request: Request) {
         let up = |it: &usize| self.members[*it].gateway.is_some();
@@ -633,13 +686,17 @@
                 }
                 Effect::Notify(audience, notice) => self.send_notices(side, &audience, &notice),
                 Effect::Store(operation, what) => {
-                    let answer = self.store.carry_out(what);
-                    let at = self.now + STORE_DELAY;
+                    let (answer, delay) = if self.members[number].lacks_store {
+                        (Answer::Away, STORE_TIMEOUT)
+                    } else {
+                        (self.store.carry_out(what), STORE_DELAY)
+                    };
+                    let at = self.now + delay;
                     self.schedule(at, Scheduled::Stored(number, start_count, operation, answer));
                 }
                 Effect::Read(kind) => {
                     self.store.calls += 1;
-                    if kind == Kind::Engines {
+                    if kind == Kind::Engines && !self.members[number].lacks_store {
                         self.schedule(
                             self.now + STORE_DELAY,
                             Scheduled::Listed(number, start_count),
--- a/tests/src/fleet/engines.rs
+++ b/tests/src/fleet/engines.rs
@@ -159,7 +159,7 @@
             let version = self.software_version(it.key);
             Engine { started_at: Some(crashes - u64::from(is_down)), version, ..it }
         };
-        engines().into_iter().map(current).collect()
+        engines().into_iter().chain(self.streams.joined.clone()).map(current).collect()
     }
 
     /// Schedules the result of a box's probe of an engine.
--- a/tests/src/fleet/streams.rs
+++ b/tests/src/fleet/streams.rs
@@ -7,7 +7,7 @@
 
 use hollyspoke::time::Time;
 use hollyspoke_gateway::effect::{Send, Task};
-use hollyspoke_gateway::engine::EngineKey;
+use hollyspoke_gateway::engine::{Engine, EngineKey, Stage};
 use hollyspoke_gateway::evacuation::Evacuation;
 use hollyspoke_gateway::event::CallEvent;
 use hollyspoke_gateway::request::{CallKey, Request, RequestKey};
@@ -16,7 +16,7 @@
 use rand::seq::IndexedRandom;
 
 use super::{Caller, Fleet, Scheduled};
-use crate::gateway::{MODEL, ran};
+use crate::gateway::{MODEL, engine, ran};
 
 /// The number of events of a stream.
 const EVENT_COUNT: u64 = 6;
@@ -36,6 +36,9 @@
 /// The number of resumed streams from which their share counts.
 const MIN_TAKEN_UP_COUNT: usize = 12;
 
+/// The number of the first engine that joins beside the first ones.
+const FIRST_JOINED: u8 = 41;
+
 /// One attempt to take a stream up.
 #[derive(Debug, Clone, Copy)]
 struct Resumption {
@@ -75,6 +78,8 @@
     calls: BTreeMap<(usize, u64, CallKey), RequestKey>,
     /// The versions of engines, if not the usual one.
     versions: BTreeMap<EngineKey, Arc<str>>,
+    /// The engines that have joined beside the first ones, with their versions.
+    pub(super) joined: Vec<Engine>,
     /// The time after which a client takes a broken stream up, in milliseconds.
     return_delay_ms: RangeInclusive<u64>,
 }
@@ -87,6 +92,7 @@
             requests: BTreeMap::new(),
             calls: BTreeMap::new(),
             versions: BTreeMap::new(),
+            joined: Vec::new(),
             return_delay_ms: RETURN_DELAY_MS,
         }
     }
@@ -128,7 +134,12 @@
 
     /// Sets the time after which clients take broken streams up, in seconds.
     pub fn return_after(&mut self, seconds: RangeInclusive<u64>) {
-        self.streams.return_delay_ms = seconds.start() * 1000..=seconds.end() * 1000;
+        self.return_after_ms(seconds.start() * 1000..=seconds.end() * 1000);
+    }
+
+    /// Sets the time after which clients take broken streams up, in milliseconds.
+    pub fn return_after_ms(&mut self, milliseconds: RangeInclusive<u64>) {
+        self.streams.return_delay_ms = milliseconds;
     }
 
     /// Replaces engines by ones of another version, under the same ids.
@@ -139,6 +150,20 @@
         }
     }
 
+    /// Adds decode engines of a version, under new ids beside the others.
+    pub fn join(&mut self, count: u8, version: &str) -> Vec<EngineKey> {
+        let first = FIRST_JOINED + self.streams.joined.len() as u8;
+        let engines = (first..first + count).map(|it| engine(it, MODEL, Some(Stage::Decode)));
+        let engines: Vec<_> = engines.collect();
+        let keys: Vec<_> = engines.iter().map(|it| it.key).collect();
+        self.streams.joined.extend(engines);
+        for &key in &keys {
+            self.streams.versions.insert(key, version.into());
+            self.recover(key);
+        }
+        keys
+    }
+
     /// Returns the version of an engine's software.
     pub(super) fn software_version(&self, engine: EngineKey) -> Option<SoftwareVersion> {
         let version = self.streams.versions.get(&engine).cloned();
@@ -153,8 +178,7 @@
     /// Returns the decode engines.
     pub fn decode_engines(&self) -> Vec<EngineKey> {
         let staged = self.engines().into_iter().filter(|it| *it.service == *MODEL);
-        let decode =
-            staged.filter(|it| it.stage == Some(hollyspoke_gateway::engine::Stage::Decode));
+        let decode = staged.filter(|it| it.stage == Some(Stage::Decode));
         decode.map(|it| it.key).collect()
     }
 
@@ -190,6 +214,12 @@
         }
     }
 
+    /// Returns the number of streams that hold events of a version.
+    pub fn streams_of(&self, version: &str) -> usize {
+        let streams = self.streams.streams.iter();
+        streams.filter(|it| it.versions.iter().any(|it| **it == *version)).count()
+    }
+
     /// Records the first attempt of a stream.
     pub(super) fn record_stream(&mut self, number: usize, key: RequestKey, request: &Request) {
         if !self.streams.is_enabled || !request.path.starts_with("/resumed/") {
@@ -279,6 +309,15 @@
         }
     }
 
+    /// Breaks the connections of clients with streams at boxes. They come back at any box.
+    pub fn drop_clients(&mut self, numbers: &[usize]) {
+        let streams = self.streams.requests.keys().filter(|it| numbers.contains(&it.0)).copied();
+        for (number, key) in streams.collect::<Vec<_>>() {
+            self.break_stream(number, key);
+            self.schedule(self.now, Scheduled::Disconnected(number, key));
+        }
+    }
+
     /// Lets the client of a stream that has been broken off come back at any box.
     pub(super) fn break_stream(&mut self, number: usize, key: RequestKey) {
         let Some(place) = self.streams.requests.remove(&(number, key)) else { return };
