An odd name among the objects of the store stops no list

After a restart no box was ever ready again, and a running one found no engines once it had to list again.

Cause: the name after which the next page begins went into the query as it was. A space, a quote or a line break is no URI, `&` and `#` cut the name short, `%` and `+` are read as something else, an empty name reads the first page again, and a long one is refused. Where all names of a page were no text, the list ended there as if it were whole.

Fix: names are escaped in queries and paths (percent-encoding, which was in the lock file). A list goes on after a name that can be asked for: the name itself, or, if that is empty, has control characters or more than 2,048 bytes, the first one behind the names that are alike up to there. What it may leave out are names that can't be asked for either, and it logs that. The approximate name serves where no name of a page is text. A page that leads back to itself fails the list, which is paused before it is tried again.

The stand-in's store now decodes queries and paths as an HTTP server does, refuses request lines of more than 8,000 bytes, and takes an empty `after` as none.

--- a/crates/hollyspoke-server/src/lib.rs
+++ b/crates/hollyspoke-server/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod answer;
 pub mod client_stream;
+pub mod cursor;
 pub mod datagram;
 pub mod dialect;
 pub mod directory;
--- a/crates/hollyspoke-server/src/sync.rs
+++ b/crates/hollyspoke-server/src/sync.rs
@@ -25,6 +25,7 @@
 use slog::{info, warn};
 use tokio::time::Instant;
 
+use crate::cursor;
 use crate::dialect::{Change, Item, Kind, Page};
 use crate::http1::{Connection, read_steady};
 use crate::node::Node;
@@ -263,7 +264,15 @@
                 }
             };
             self.log_findings(&page.findings);
-            next = page.next.clone();
+            let last = next;
+            next = page.next.as_deref().map(cursor::after);
+            if next != page.next {
+                warn!(self.node.log, "names may be left out of a list";
+                    "kind" => format!("{:?}", self.kind), "after" => next.as_deref());
+            }
+            if next.is_some() && next == last {
+                return Err(Failure::Malformed("a page leads back to itself".to_owned()));
+            }
             listing.add_page(page, revision, self.received.get());
             if listing.has_mixed_eras() {
                 return Err(Failure::OtherEra);
--- a/tests/src/platform.rs
+++ b/tests/src/platform.rs
@@ -14,6 +14,7 @@
 use hollyspoke_platform::DIALECT;
 use hollyspoke_server::run::{self, Running};
 use hollyspoke_server::settings::Settings;
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -146,6 +147,8 @@
     objects: Rc<RefCell<Vec<Object>>>,
     /// The maximum number of objects in a page.
     pub page_size: Rc<Cell<usize>>,
+    /// Texts that stand in for others in all answers, for objects that [`Value`] can't represent.
+    pub replacements: Rc<RefCell<Vec<(String, String)>>>,
     /// How often the first page of the list of engines was read.
     pub lists: Rc<Cell<usize>>,
     /// Engines that are removed right after the first page was returned.
@@ -311,6 +314,7 @@
         calls: Rc::default(),
         objects: Rc::default(),
         page_size: Rc::new(Cell::new(500)),
+        replacements: Rc::default(),
         lists: Rc::default(),
         leave_between_pages: Rc::default(),
         refused_pages: Rc::default(),
@@ -337,6 +341,7 @@
         let (status, body) = match store.behaviour.get() {
             StoreBehaviour::Unresponsive => std::future::pending().await,
             StoreBehaviour::Unavailable => ("503 Service Unavailable", Value::Null),
+            _ if received.line.len() > MAX_REQUEST_LINE_BYTES => ("414 URI Too Long", Value::Null),
             _ if path.contains("after=") && store.refused_pages.get() > 0 => {
                 store.refused_pages.set(store.refused_pages.get() - 1);
                 ("429 Too Many Requests", Value::Null)
@@ -352,7 +357,7 @@
         if store.stalled.get() != stalled {
             std::future::pending::<()>().await;
         }
-        let body = body.to_string();
+        let body = store.replace(body.to_string());
         let era = store.era.get().map(|it| format!("Store-Era: {it}\r\n")).unwrap_or_default();
         let head = format!("HTTP/1.1 {status}\r\n{era}Content-Length: {}\r\n\r\n", body.len());
         if store.send(&mut stream, format!("{head}{body}").as_bytes()).await.is_err() {
@@ -361,6 +366,14 @@
     }
 }
 
+/// Decodes a segment of a path.
+fn decoded(segment: &str) -> String {
+    percent_decode_str(segment).decode_utf8_lossy().into_owned()
+}
+
+/// The longest request line that the store accepts, in bytes.
+const MAX_REQUEST_LINE_BYTES: usize = 8000;
+
 /// The part of an answer that is sent over the store's link before another connection's turn.
 const LINK_TURN_BYTES: usize = 4096;
 
@@ -381,6 +394,12 @@
         Ok(())
     }
 
+    /// Replaces the placeholders in an answer.
+    fn replace(&self, body: String) -> String {
+        let replacements = self.replacements.borrow();
+        replacements.iter().fold(body, |body, (placeholder, text)| body.replace(placeholder, text))
+    }
+
     /// Stalls the connections that are open: they are never answered again. New ones work.
     pub fn stall_open_connections(&self) {
         self.stalled.set(self.stalled.get() + 1);
@@ -499,7 +518,7 @@
         let method = received.line.split(' ').next().unwrap_or_default();
         match (method, object_path.split_once('/')) {
             ("GET", None) => self.list_or_watch(path).await,
-            ("GET", Some((kind, name))) => self.found(kind, name),
+            ("GET", Some((kind, name))) => self.found(kind, &decoded(name)),
             ("POST", None) => {
                 let body: Value = serde_json::from_slice(&received.body).unwrap_or_default();
                 let name = body["metadata"]["name"].as_str().unwrap_or_default().to_owned();
@@ -510,6 +529,7 @@
                 self.found(object_path, &name)
             }
             ("PUT", Some((kind, name))) => {
+                let name = &decoded(name);
                 let body: Value = serde_json::from_slice(&received.body).unwrap_or_default();
                 let current = self.object(kind, name).map(|it| it.0);
                 if current.is_none() || current != body["metadata"]["revision"].as_u64() {
@@ -555,7 +575,10 @@
 
     /// Returns a page of a list, sorted by name.
     fn page(&self, kind: &str, path: &str) -> Value {
-        let after = path.split("after=").nth(1).and_then(|it| it.split('&').next());
+        let query = path.split_once('?').map_or("", |it| it.1);
+        let mut pairs = form_urlencoded::parse(query.as_bytes());
+        let after = pairs.find(|it| it.0 == "after").map(|it| it.1).filter(|it| !it.is_empty());
+        let after = after.as_deref();
         let name = |it: &Value| it["metadata"]["name"].as_str().unwrap_or_default().to_owned();
         let mut items = self.since(kind, 0, false);
         items.sort_by_key(name);
