A prompt that another service's engine keeps is no reason to use it

Cause: `next_cached` finds the engines that keep a prompt by the name of its last part alone, and nothing compared their service with the request's.

Fix: only engines of the request's service count as holders, both to run the request and to give the prompt to another engine.

Before, 3 of 4 tests failed: the second route's call was Decode(Cached) instead of Prefill, as was that of a moved route, and a prompt was imported with Decode(CachedAt) from an engine of the other service. After: 4 of 4 pass. The fourth, which held before, keeps the own service's prompts in use.

--- a/crates/hollyspoke-gateway/src/gateway/cached.rs
+++ b/crates/hollyspoke-gateway/src/gateway/cached.rs
@@ -25,6 +25,8 @@
         let prompt = in_flight.request.prompt?;
         let holders = self.prompts.caching_engines(prompt).filter(|&it| !has_failed(in_flight, it));
         let holders = holders.filter_map(|it| self.directory.get(it));
+        // Requests of several services may share a prompt; the engines of each have their own model.
+        let holders = holders.filter(|it| it.engine.service == in_flight.service.name);
         let holders = holders.filter(|it| !it.is_evacuated());
         let holders: Vec<_> = holders.filter(|it| !it.health.is_poor(self.now)).collect();
         let held = in_flight.request.mean_held_tokens();
