--- a/crates/hollyspoke-server/src/lib.rs
+++ b/crates/hollyspoke-server/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod body_memory;
 pub mod client_stream;
+pub mod cursor;
 pub mod datagram;
 pub mod dialect;
 pub mod directory;
