Soak: engines send bytes of no run, and clients get none of them

The judge has a promise more: each byte of a stream, also of one that is cut, is of the event due, which names the attempt and its number. The other promises are as they were. Not judged: that a stream goes on at a sound engine, and what a client got before it left.

The mutant sends another run's text in an event that is due. The record foreign_bytes_missed has both verdicts, foreign_bytes_overlooked the kinds.

--- a/tests/soak/src/client.rs
+++ b/tests/soak/src/client.rs
@@ -22,7 +22,8 @@
 
 use crate::keys::{ANSWER_TOKENS, CUSTOMERS, Caller, units};
 use crate::observation::{Kind, Micros, Observation, What, digest, now};
-use crate::standin::engine::event_text;
+use crate::own_run::foreign_bytes;
+use crate::standin::engine::{event_count, event_text};
 
 /// The host name of all routes.
 pub const HOST_NAME: &str = "host.example";
@@ -353,6 +354,9 @@
         let mut bytes = Vec::new();
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else {
+                if wanted.kind.is_stream() && head.status == StatusCode::OK {
+                    self.record_foreign(wanted, id, &bytes, false);
+                }
                 self.record_stream(wanted, id, &bytes);
                 return Outcome::Cut(events(&bytes).last().copied().unwrap_or(0));
             };
@@ -361,6 +365,7 @@
         let status = head.status.as_u16();
         let is_stream = wanted.kind.is_stream() && head.status == StatusCode::OK;
         if is_stream {
+            self.record_foreign(wanted, id, &bytes, true);
             self.record_stream(wanted, id, &bytes);
         }
         let events = if is_stream { events(&bytes) } else { Vec::new() };
@@ -382,6 +387,14 @@
         Outcome::Failed(is_promise.then_some(pause))
     }
 
+    /// Records bytes of a stream that are not the events due of its run.
+    fn record_foreign(&self, wanted: &Wanted, id: &str, bytes: &[u8], is_complete: bool) {
+        let due = wanted.after + 1..=event_count(digest(&wanted.body));
+        if let Some(excerpt) = foreign_bytes(bytes, id, due, is_complete) {
+            self.see(What::Foreign { attempt: id.to_owned(), excerpt });
+        }
+    }
+
     /// Records which attempt began a stream, and which software versions wrote its events.
     fn record_stream(&self, wanted: &Wanted, id: &str, bytes: &[u8]) {
         if events(bytes).is_empty() {
--- a/tests/soak/src/faults.rs
+++ b/tests/soak/src/faults.rs
@@ -82,6 +82,7 @@
         | Fault::SlowDecode { span, .. }
         | Fault::Crowd { span }
         | Fault::Deviate { span, .. }
+        | Fault::Garble { span, .. }
         | Fault::HoldLinks { span }
         | Fault::Datagrams { span, .. }
         | Fault::Split { span, .. } => span,
@@ -222,6 +223,13 @@
             cluster.is_crowded.set(false);
             Ok(())
         }
+        Fault::Garble { garbage, share, count, span } => {
+            let chosen = some_decode_engines(cluster, count, random);
+            chosen.iter().for_each(|it| cluster.tell_upstream(it, Command::Spoil(garbage, share)));
+            tokio::time::sleep(span).await;
+            chosen.iter().for_each(|it| cluster.tell_upstream(it, Command::Spoil(garbage, 0)));
+            Ok(())
+        }
         Fault::Deviate { breach, share, span } => {
             tell_all(cluster, Command::Deviate(breach, share));
             tokio::time::sleep(span).await;
--- a/tests/soak/src/judge.rs
+++ b/tests/soak/src/judge.rs
@@ -88,6 +88,8 @@
     OneSoftware,
     /// A box ends no request because its upstream is silent.
     SilenceCutsNothing,
+    /// A client receives no other bytes than the events of its stream's own run, in order.
+    OwnRun,
 }
 
 /// A broken promise.
@@ -227,6 +229,7 @@
         understood,
         one_software,
         silence::cuts_nothing,
+        own_run,
     ];
     let mut findings: Vec<_> = checks.iter().flat_map(|it| it(&records, bounds)).collect();
     findings.sort_by_key(|it| (it.at, it.promise));
@@ -574,6 +577,14 @@
     findings.collect()
 }
 
+/// Checks that clients received only the events of their streams' own runs.
+fn own_run(records: &Records, _: &Bounds) -> Vec<Finding> {
+    let findings = records.foreign.iter().map(|(at, attempt, excerpt)| {
+        finding(Promise::OwnRun, *at, format!("{attempt}: {excerpt:?} is not of its run"))
+    });
+    findings.collect()
+}
+
 impl Records {
     /// Returns whether the upstream itself ended a run.
     fn broke_off(&self, run: &records::Run) -> bool {
--- a/tests/soak/src/judge/records.rs
+++ b/tests/soak/src/judge/records.rs
@@ -236,6 +236,8 @@
     pub(super) rests: Vec<Rest>,
     /// The attempts that brought a stream's events from a second software version, and when.
     pub(super) mixed: Vec<(Micros, String)>,
+    /// The attempts with bytes that are not of their run, and the first of these bytes.
+    pub(super) foreign: Vec<(Micros, String, String)>,
     /// Boxes that could not decode datagrams of others, and the number of log lines that say so.
     pub(super) not_read: Vec<(Micros, usize, usize)>,
     /// When upstreams' processes ended, in order.
@@ -310,6 +312,9 @@
                 self.with(attempt, |it| it.answer = Some(answer));
             }
             What::Mixed { attempt } => self.mixed.push((at, attempt.clone())),
+            What::Foreign { attempt, excerpt } => {
+                self.foreign.push((at, attempt.clone(), excerpt.clone()));
+            }
             What::Cut { attempt } => self.with(attempt, |it| it.cut = Some(at)),
             What::Left { attempt } => self.with(attempt, |it| it.left = Some(at)),
             What::TurnedAway { engine, attempt } => self.with(attempt, |it| {
--- a/tests/soak/src/lib.rs
+++ b/tests/soak/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod malformed;
 pub mod mutant;
 pub mod observation;
+pub mod own_run;
 pub mod peering;
 pub mod proxy;
 pub mod report;
--- a/tests/soak/src/mutant.rs
+++ b/tests/soak/src/mutant.rs
@@ -79,11 +79,13 @@
     HidesSoftware,
     /// Calls to upstreams that stand still are ended after a second.
     EndsSilent,
+    /// Engines send text of another run in an event that is due, which no box can tell.
+    DisguisesGarbage,
 }
 
 impl Mutant {
     /// All mutants, with their names on the command line and the promises that they break.
-    pub const ALL: [(Mutant, &'static str, Promise); 35] = [
+    pub const ALL: [(Mutant, &'static str, Promise); 36] = [
         (Mutant::RunsTwice, "runs-twice", Promise::RunsOnce),
         (Mutant::SpoilsAnswer, "spoils-answer", Promise::WholeAnswer),
         (Mutant::SkipsEvent, "skips-event", Promise::EventsInOrder),
@@ -119,6 +121,7 @@
         (Mutant::SendsNoise, "sends-noise", Promise::Understood),
         (Mutant::HidesSoftware, "hides-software", Promise::OneSoftware),
         (Mutant::EndsSilent, "ends-silent", Promise::SilenceCutsNothing),
+        (Mutant::DisguisesGarbage, "disguises-garbage", Promise::OwnRun),
     ];
 
     /// Returns its name on the command line.
--- a/tests/soak/src/observation.rs
+++ b/tests/soak/src/observation.rs
@@ -168,6 +168,13 @@
         /// The id of the attempt that brought the second version.
         attempt: String,
     },
+    /// A client received bytes of a stream that are not the events due of its run.
+    Foreign {
+        /// The id of the attempt.
+        attempt: String,
+        /// The first of these bytes.
+        excerpt: String,
+    },
     /// A connection ended before the whole answer.
     Cut {
         /// The id of the attempt.
--- a/tests/soak/src/schedule.rs
+++ b/tests/soak/src/schedule.rs
@@ -8,7 +8,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::peering::{Direction, Disorder};
-use crate::standin::engine::{Breach, Telling};
+use crate::standin::engine::{Breach, Garbage, Telling};
 use crate::standin::store::Mood;
 
 /// The time without faults at the start, in which all processes become ready.
@@ -225,6 +225,17 @@
         /// The duration.
         span: Duration,
     },
+    /// Engines send bytes within streams that are not part of their runs.
+    Garble {
+        /// The kind of bytes.
+        garbage: Garbage,
+        /// The percentage of streams.
+        share: u64,
+        /// The number of engines.
+        count: usize,
+        /// The duration.
+        span: Duration,
+    },
     /// The store is unavailable and is then restored from an older copy.
     ComeBack {
         /// The age of the copy.
@@ -303,6 +314,7 @@
     planned.extend(draw_slow_decodes(seed, end));
     planned.extend(draw_slow_leaving(seed, end));
     planned.extend(draw_deviations(seed, end));
+    planned.extend(draw_garbage(seed, end));
     let stand_stills = draw_stand_stills(seed, end, &planned);
     planned.extend(stand_stills);
     planned.sort_by_key(|it| it.at);
@@ -468,6 +480,25 @@
     (0..DEVIATIONS).filter_map(draw).collect()
 }
 
+/// The number of times in a run that engines send garbage.
+const GARBLES: u64 = 4;
+
+/// Draws when engines send bytes that are not part of their runs, with a separate generator; none in
+/// a short run.
+fn draw_garbage(seed: u64, end: Duration) -> Vec<Planned> {
+    let draw = |number: u64| {
+        let mut random = Pcg64Mcg::seed_from_u64(seed.rotate_left(59) ^ number);
+        let garbage = Garbage::ALL.choose(&mut random).copied().unwrap_or(Garbage::Between);
+        let share = random.random_range(20..=100);
+        let count = random.random_range(1..=3);
+        let span = Duration::from_millis(random.random_range(1000..=4000));
+        let latest = end.checked_sub(span).filter(|&it| it > WARM_UP)?;
+        let at = WARM_UP + (latest - WARM_UP).mul_f64(random.random());
+        Some(Planned { at, fault: Fault::Garble { garbage, share, count, span } })
+    };
+    (0..GARBLES).filter_map(draw).collect()
+}
+
 /// The number of times in a run that upstreams of a service stand still together.
 const STAND_STILLS: u64 = 3;
 
--- a/tests/soak/src/standin/engine.rs
+++ b/tests/soak/src/standin/engine.rs
@@ -2,6 +2,7 @@
 
 mod breach;
 mod entry;
+mod garbage;
 mod memory;
 mod reservations;
 mod terms;
@@ -27,6 +28,8 @@
 pub use breach::Breach;
 use breach::Breaches;
 use entry::{Run, priority};
+pub use garbage::Garbage;
+use garbage::Spoiling;
 use memory::{Lease, Memory, Purpose};
 pub use reservations::MAX_TTL;
 use terms::Terms;
@@ -50,6 +53,9 @@
 /// How long an engine with [`Mutant::WorksOn`] works on after its connection has closed.
 const WORKS_ON_FOR: Duration = Duration::from_secs(3);
 
+/// The run that [`Mutant::DisguisesGarbage`] names in an event.
+const OTHER_RUN: &str = "other-run";
+
 /// The priority of a request that names none.
 const DEFAULT_PRIORITY: u8 = 5;
 
@@ -114,6 +120,8 @@
     Rest(u64),
     /// Deviates from the protocol of reservations and transfers in this percentage of calls.
     Deviate(Breach, u64),
+    /// Sends bytes of no run in this percentage of streams.
+    Spoil(Garbage, u64),
 }
 
 /// The range of the delay of an order whose answer is lost, in milliseconds.
@@ -144,6 +152,8 @@
     sent_copies: RefCell<HashMap<String, SocketAddr>>,
     /// How it deviates from the protocol.
     breaches: Breaches,
+    /// The bytes of no run that it sends.
+    spoiling: Spoiling,
     /// The number of accepted orders.
     orders: Cell<u64>,
     /// Whether it is switching its stage.
@@ -179,9 +189,17 @@
     3 + body % 20
 }
 
+/// The software versions of engines.
+pub const SOFTWARE_VERSIONS: [&str; 2] = ["v1", "v2"];
+
 /// Returns the software version of an engine.
 pub fn software_version(id: &str) -> &'static str {
-    ["v1", "v2"][(digest(id.as_bytes()) % 2) as usize]
+    SOFTWARE_VERSIONS[(digest(id.as_bytes()) % 2) as usize]
+}
+
+/// Returns an event of a run at an engine of this software version.
+pub fn event(attempt: &str, number: u64, version: &str) -> String {
+    format!("id: {number}\n: {version}\ndata: {}\n\n", event_text(attempt, number))
 }
 
 /// Returns the text of an event.
@@ -207,6 +225,7 @@
             streams: RefCell::default(),
             sent_copies: RefCell::default(),
             breaches: Breaches::default(),
+            spoiling: Spoiling::default(),
             orders: Cell::new(0),
             is_switching: Cell::new(false),
             loses: Cell::new(0),
@@ -235,6 +254,7 @@
                     Command::Leave => told.say_leaving(),
                     Command::Rest(milli) => told.terms.rest.set(milli),
                     Command::Deviate(breach, share) => told.deviate(breach, share),
+                    Command::Spoil(garbage, share) => told.spoil(garbage, share),
                 }
             }
         });
@@ -435,7 +455,11 @@
         } else if self.settings.stage.is_some() {
             let running = Rc::new(Stream::new(entry.tokens, priority(received)));
             self.streams.borrow_mut().insert(attempt.clone(), running.clone());
-            let (how, body, last_event) = self.generate(stream, received, &attempt, &running).await;
+            let (mut how, body, last_event) =
+                self.generate(stream, received, &attempt, &running).await;
+            if running.is_spoilt.get() && how != RunEnd::Moved {
+                how = RunEnd::Broken;
+            }
             running.end.set(Some(how));
             self.forget(&attempt, &running);
             (how, body, last_event)
@@ -605,6 +629,7 @@
         let repeats = self.settings.mutant == Some(Mutant::RepeatsEvent) && after > 0;
         let first = if repeats { after } else { after + 1 };
         running.events.set(after);
+        let spoilt = self.draw_garbage(after, count);
         for number in first..=count {
             let is_open = tokio::select! {
                 is_open = self.wait(stream, EVENT_EVERY * self.slow.get()) => is_open,
@@ -619,13 +644,16 @@
             if breaks_at == Some(number) {
                 return (RunEnd::Broken, 0, number - 1);
             }
+            if !self.send_garbage(stream, running, spoilt, attempt, number).await {
+                return (RunEnd::Dropped, 0, number - 1);
+            }
             if self.settings.mutant == Some(Mutant::SkipsEvent) && number == after + 2 {
                 continue;
             }
             running.events.set(number);
-            let (version, text) =
-                (software_version(&self.settings.id), event_text(attempt, number));
-            let event = format!("id: {number}\n: {version}\ndata: {text}\n\n");
+            let disguises = self.settings.mutant == Some(Mutant::DisguisesGarbage);
+            let run = if disguises && number == after + 2 { OTHER_RUN } else { attempt };
+            let event = event(run, number, software_version(&self.settings.id));
             if stream.write_all(&platform::chunk(&event)).await.is_err() {
                 return (RunEnd::Dropped, 0, number - 1);
             }
@@ -634,8 +662,11 @@
         if running.is_stopped.get() {
             return (RunEnd::Moved, 0, count);
         }
+        if !self.send_garbage(stream, running, spoilt, attempt, count + 1).await {
+            return (RunEnd::Dropped, 0, count);
+        }
         let (how, ..) = self.send(stream, platform::LAST_CHUNK, 0).await;
-        if how == RunEnd::Whole {
+        if how == RunEnd::Whole && !running.is_spoilt.get() {
             self.free_backup(attempt, backup);
         }
         (how, 0, count)
--- a/tests/soak/src/standin/engine/transfers.rs
+++ b/tests/soak/src/standin/engine/transfers.rs
@@ -45,6 +45,8 @@
     pub(super) events: Cell<u64>,
     /// Whether it was told to stop.
     pub(super) is_stopped: Cell<bool>,
+    /// Whether its caller was sent bytes that are not part of it.
+    pub(super) is_spoilt: Cell<bool>,
     /// Wakes it when it was told to stop.
     pub(super) stop: Notify,
     /// How it ended.
--- a/tests/tests/soak.rs
+++ b/tests/tests/soak.rs
@@ -67,6 +67,13 @@
     assert!(is_good, "{text}");
 }
 
+#[test]
+fn caught_garbage() {
+    let arguments = ["--mutant", "disguises-garbage", "--seconds", "5", "--boxes", "2"];
+    let (is_good, text) = soak(&arguments, "garbage");
+    assert!(is_good, "{text}");
+}
+
 /// Returns the processes whose settings lie in a folder.
 fn processes_of(folder: &Path) -> Vec<String> {
     let settings = folder.join("box-0.toml").to_string_lossy().into_owned();
--- a/tests/tests/soak_judge.rs
+++ b/tests/tests/soak_judge.rs
@@ -6,6 +6,8 @@
 use hollyspoke_soak::observation::{
     BoxChange, Kind, LeaseEnd, MILLISECOND, Micros, Observation, RunEnd, SECOND, What, digest,
 };
+use hollyspoke_soak::own_run::foreign_bytes;
+use hollyspoke_soak::standin::engine::event;
 
 /// The body of all requests.
 const BODY: &[u8] = b"body";
@@ -890,6 +892,54 @@
     assert_eq!(broken(&prioritised(2, 1)), [Promise::PriorityInOrder]);
 }
 
+/// A client that got bytes of no run shows it, whether or not its answer looks complete.
+#[test]
+fn foreign_bytes_missed() {
+    let all: Vec<u64> = (1..=3 + digest(BODY) % 20).collect();
+    let answered = answered(400, 200, 0, &all);
+    let seen = [sent(0, Kind::Resumed), answered.clone()];
+    assert_eq!(broken(&seen), []);
+    let (attempt, excerpt) = ("r".to_owned(), "gar bage".to_owned());
+    let foreign = at(300, What::Foreign { attempt, excerpt });
+    let seen = [sent(0, Kind::Resumed), foreign.clone(), answered];
+    assert_eq!(broken(&seen), [Promise::OwnRun]);
+    assert_eq!(broken(&[sent(0, Kind::Once), foreign, cut(400)]), [Promise::OwnRun]);
+}
+
+/// Returns whether bytes are other than the events 3 to 5 of the attempt `r`.
+fn has_foreign(bytes: &str, is_complete: bool) -> bool {
+    foreign_bytes(bytes.as_bytes(), "r", 3..=5, is_complete).is_some()
+}
+
+#[test]
+fn foreign_bytes_overlooked() {
+    let [third, fourth, fifth] = [3, 4, 5].map(|it| event("r", it, "v2"));
+    let whole = format!("{third}{fourth}{fifth}");
+    assert!(!has_foreign(&whole, true));
+    assert!(!has_foreign("", false));
+    for length in 0..whole.len() {
+        assert!(!has_foreign(&whole[..length], false), "{length}");
+    }
+    let spoilt = [
+        format!("gar bage\n\n{whole}"),
+        format!("{third}gar bage\n\n{fourth}{fifth}"),
+        format!("{whole}gar bage"),
+        format!("{whole}HTTP/1.1 200 OK\r\n\r\n{third}"),
+        format!("{third}id:\n: v2\ndata: r 4\n\n"),
+        format!("{third}{third}"),
+        format!("{third}{fifth}"),
+        format!("{third}{}", event("other", 4, "v2")),
+        format!("{third}gar bage"),
+        event("r", 2, "v2"),
+        format!("{whole}{}", event("r", 6, "v2")),
+    ];
+    for bytes in spoilt {
+        assert!(has_foreign(&bytes, false), "{bytes:?}");
+        assert!(has_foreign(&bytes, true), "{bytes:?}");
+    }
+    assert!(has_foreign(&whole[..whole.len() - 1], true));
+}
+
 /// A client that has events of two software versions for one stream shows that versions were mixed,
 /// unless boxes run that don't know them.
 #[test]
