A stream doesn't rely on a probe that began before it

What callers saw: a stream that broke went on, in the same answer, at an engine that was back under its id with another software version, before its new entry had been read: events of two versions (ORDER).

Cause: a stream asks its engine for its start, and only one probe at a time is sent to an engine. A probe that was under way already may have met the engine while it was down; its end, "not connected", says nothing of the incarnation that the stream meets.

Now the engine is probed again at once if a stream was sent while a probe was under way that has not shown which incarnation it is. `earlier_probe_trusted` failed before (no second probe).

--- a/crates/hollyspoke-gateway/src/gateway/origins.rs
+++ b/crates/hollyspoke-gateway/src/gateway/origins.rs
@@ -16,7 +16,8 @@
 use super::peers::service_hash;
 use super::silence::MAX_PROBE_COUNT;
 use crate::effect::{Effect, LogEvent, NotRunReason, Task};
-use crate::engine::Engine;
+use crate::engine::{Engine, EngineKey};
+use crate::event::Probe;
 use crate::in_flight::{Call, InFlight};
 use crate::origin::{Announcement, Ask, Knowledge, Notice, Origin, Reply, StreamKey, Table};
 use crate::request::{CallKey, Request, RequestKey};
@@ -92,6 +93,9 @@
     table: Table,
     /// The inquiries of requests.
     inquiries: BTreeMap<RequestKey, Inquiry>,
+    /// The engines that a stream was sent to while a probe was under way, which may have arrived before
+    /// the engine was back.
+    sent_unprobed: BTreeSet<EngineKey>,
 }
 
 impl Origins {
@@ -477,10 +481,25 @@
         let service = service_hash(&engine.service);
         let is_only = || matches!(self.served_versions(service, REACH), Verdict::Only(_));
         if !self.members.is_large() || !is_only() {
+            if self.probing.contains_key(&engine.key) {
+                self.origins.sent_unprobed.insert(engine.key);
+            }
             self.probe(engine);
         }
     }
 
+    /// Probes an engine again if a stream was sent to it while the last probe was under way, and that
+    /// has not shown which incarnation it is.
+    pub(super) fn repeat_probe(&mut self, engine: EngineKey, last: Probe) {
+        let is_wanted = self.origins.sent_unprobed.remove(&engine);
+        let is_shown = matches!(last, Probe::Alive(_) | Probe::Replaced);
+        let Some(record) = self.directory.get(engine) else { return };
+        if is_wanted && !is_shown {
+            let engine = record.engine.clone();
+            self.probe(&engine);
+        }
+    }
+
     /// Returns whether the events of a call may follow those that the client has.
     pub(super) fn fits_origin(&self, call: &Call) -> bool {
         let Some(in_flight) = self.in_flight.get(&call.request) else { return false };
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -105,6 +105,12 @@
 
     /// Handles the result of an engine's liveness probe.
     pub(super) fn apply_probe(&mut self, engine: EngineKey, probe: Probe) {
+        self.record_probe(engine, probe);
+        self.repeat_probe(engine, probe);
+    }
+
+    /// Records what a probe has shown of an engine.
+    fn record_probe(&mut self, engine: EngineKey, probe: Probe) {
         let probed_at = self.probing.remove(&engine).unwrap_or(self.now);
         let (id, after) = (self.engine_name(engine).into(), self.now.since(probed_at));
         self.log(LogEvent::Probed { id, probe, after });
--- a/tests/tests/gateway_versions.rs
+++ b/tests/tests/gateway_versions.rs
@@ -272,6 +272,21 @@
     assert_eq!(stream_and_probes(&mut world), (engine, vec![engine]));
 }
 
+/// A probe that began before a stream was sent may have met the engine while it was down, and the stream
+/// meets it when it is back with another version.
+#[test]
+fn earlier_probe_trusted() {
+    let mut world = world_with_start();
+    let (engine, asked) = stream_and_probes(&mut world);
+    assert_eq!(asked, [engine]);
+    assert_eq!(stream_and_probes(&mut world), (engine, Vec::new()));
+    let known = world.probed.len();
+    world.event(Event::Probed(engine, Probe::NotConnected));
+    assert_eq!(world.probed[known..], [engine]);
+    world.event(Event::Probed(engine, Probe::NotConnected));
+    assert_eq!(world.probed[known..], [engine]);
+}
+
 /// How long after its attempt has ended a client takes its stream up.
 const LATE: Duration = Duration::from_secs(60);
 
