The store keeps which version began each stream while several serve

Cause: the version of a stream was kept in the memory of its box and of three holders, and nowhere else. The logs said "several versions" for each refusal.

Now the box that forwards a stream's first event tells the keeper of the stream's shard, which writes what is new to the store once a second; a box reads a shard's two objects for a stream that no box knows. Entries are what boxes have seen, so that they can't mix versions; what is missing is refused as before. Boxes of the build before ignore the new field of notices and are no keepers. Objects of the store may have 1 MiB, as the platform allows.

--- a/crates/hollyspoke-gateway/src/effect/log.rs
+++ b/crates/hollyspoke-gateway/src/effect/log.rs
@@ -226,6 +226,15 @@
         /// Whether it was written.
         is_written: bool,
     },
+    /// The versions of a shard's streams were read from the store.
+    ArchiveRead {
+        /// The number of the shard.
+        shard: u64,
+        /// The number of its streams.
+        streams: usize,
+        /// Whether a read has failed, so that it is repeated.
+        has_failed: bool,
+    },
     /// A request that had reached an engine was to be sent to another one.
     Retry {
         /// The client's id of the request.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod appointments;
+mod archive;
 mod cached;
 mod call;
 mod capacity;
@@ -65,6 +66,7 @@
 use crate::event::{Event, Kind};
 use crate::features::Features;
 use crate::gateway::admission::Admissions;
+use crate::gateway::archive::Archive;
 use crate::gateway::cases::Cases;
 use crate::gateway::census::Census;
 use crate::gateway::contact::Contacts;
@@ -95,6 +97,7 @@
 use crate::version::Timeline;
 use crate::work;
 
+pub use crate::origin::archive::KIND as STREAMS;
 pub use cases::KIND as CASES;
 pub use quarantine::HeldRequest;
 pub use versions::KIND as VERSIONS;
@@ -223,6 +226,8 @@
     migrations: Migrations,
     /// What is known of streams' software versions.
     origins: Origins,
+    /// What is kept of streams' versions in the store.
+    archive: Archive,
     /// The software versions that have served.
     timeline: Timeline,
     /// The same as saved in the store.
@@ -324,6 +329,7 @@
             may_have_capacity: false,
             migrations: Migrations::default(),
             origins: Origins::default(),
+            archive: Archive::default(),
             timeline: Timeline::default(),
             register: Register::default(),
             freshness: Freshness::default(),
@@ -411,6 +417,7 @@
         self.advance_catch_up();
         self.send_greetings();
         self.sync_cases();
+        self.sync_archive();
         self.announce_cases();
         self.announce_limits();
         self.announce_departures();
@@ -436,7 +443,8 @@
             self.terms.back_offs.next_end(self.now),
             self.next_migration_at(),
             self.next_catch_up_at(),
-            self.origins.next_due(),
+            self.next_inquiry_due(),
+            self.archive.next_due(),
             self.parts.next_correction(),
         ];
         times.into_iter().flatten().fold(self.next_heartbeat, Time::min)
--- a/crates/hollyspoke-gateway/src/gateway/era.rs
+++ b/crates/hollyspoke-gateway/src/gateway/era.rs
@@ -49,6 +49,7 @@
         self.invalidate_census();
         self.invalidate_register();
         self.invalidate_cases();
+        self.archive.invalidate();
         if self.store.follows {
             self.effects.extend(KINDS.map(Effect::Read));
         }
--- a/crates/hollyspoke-gateway/src/gateway/origins.rs
+++ b/crates/hollyspoke-gateway/src/gateway/origins.rs
@@ -19,6 +19,7 @@
 use crate::engine::{Engine, EngineKey};
 use crate::event::Probe;
 use crate::in_flight::{Call, InFlight};
+use crate::origin::archive::Record;
 use crate::origin::{Announcement, Ask, Knowledge, Notice, Origin, Reply, StreamKey, Table};
 use crate::request::{CallKey, Request, RequestKey};
 use crate::route::{Route, RouteKind};
@@ -39,6 +40,10 @@
 /// patience for the next event is some multiples of this.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// How long a request waits for the archive, which is read only if no box knows the stream: its client
+/// would be refused otherwise.
+const ARCHIVE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The interval at which unanswered boxes are asked again.
 const RESEND_INTERVAL: Duration = Duration::from_millis(80);
 
@@ -59,6 +64,8 @@
 struct Inquiry {
     /// The stream.
     stream: StreamKey,
+    /// Whether the client names the stream. One that it doesn't name is in no table.
+    is_named: bool,
     /// The hash of the service's name.
     service: u64,
     /// When the inquiry began.
@@ -72,6 +79,9 @@
     asked: BTreeSet<SocketAddr>,
     /// What they have answered.
     answers: BTreeMap<SocketAddr, Knowledge>,
+    /// Whether it goes on for the archive alone. The answers are too old by then to show that only one
+    /// version can have begun the stream.
+    is_overdue: bool,
 }
 
 /// The result of an inquiry.
@@ -83,6 +93,13 @@
     source: &'static str,
 }
 
+impl Finding {
+    /// Returns whether the version is known.
+    fn is_decided(self) -> bool {
+        matches!(self.origin, Origin::Version(_))
+    }
+}
+
 /// The finding if nobody knows the stream's version.
 const UNKNOWN: Finding = Finding { origin: Origin::Unknown, source: "nobody knows" };
 
@@ -98,27 +115,16 @@
     sent_unprobed: BTreeSet<EngineKey>,
 }
 
-impl Origins {
-    /// Returns when the next inquiry needs a tick.
-    pub(super) fn next_due(&self) -> Option<Time> {
-        self.inquiries.values().map(|it| it.resend_at.min(it.until())).min()
-    }
-}
-
 impl Inquiry {
-    /// Returns the end of the wait for answers.
-    fn until(&self) -> Time {
-        self.began + ANSWER_TIMEOUT
-    }
-
     /// Returns whether all boxes that were asked have answered.
     fn is_answered(&self) -> bool {
         self.asked.iter().all(|it| self.answers.contains_key(it))
     }
 
-    /// Returns what the answers show. Boxes that know the stream go before those that know which
-    /// versions have served; of the latter, one that has seen several is enough.
-    fn finding(&self, own: Verdict) -> Finding {
+    /// Returns what the answers show. Boxes that know the stream go before the archive, and that goes
+    /// before boxes that know which versions have served; of the latter, one that has seen several is
+    /// enough.
+    fn finding(&self, own: Verdict, archived: Option<Record>) -> Finding {
         let began = self.answers.values().filter_map(|it| match it {
             Knowledge::Began(version) => Some(*version),
             _ => None,
@@ -126,6 +132,13 @@
         if let Some(finding) = agreed(began, "box") {
             return finding;
         }
+        if let Some(record) = archived {
+            let origin = record.version.map_or(Origin::Unknown, Origin::Version);
+            return Finding { origin, source: "store" };
+        }
+        if self.is_overdue {
+            return UNKNOWN;
+        }
         let has_several = self.answers.values().any(|it| *it == Knowledge::Several);
         if has_several || own == Verdict::Several {
             return Finding { origin: Origin::Unknown, source: "several versions" };
@@ -174,7 +187,6 @@
             return;
         }
         let stream = stream_key(in_flight);
-        // A stream that the client doesn't name is in no table.
         let is_named = in_flight.request.resumed_id.is_some();
         let found = self.origins.table.find(stream, self.now).filter(|_| is_named);
         if let Some(found) = found {
@@ -183,17 +195,19 @@
         }
         let inquiry = Inquiry {
             stream,
+            is_named,
             service: service_hash(&in_flight.service.name),
             began: self.now,
             resend_at: self.now,
             rounds: u32::from(!is_named),
             asked: BTreeSet::new(),
             answers: BTreeMap::new(),
+            is_overdue: false,
         };
         let own = self.own_verdict(&inquiry);
         let is_alone = self.informants(&inquiry).is_empty();
         if !is_named && (own == Verdict::Several || own != Verdict::Unaware && is_alone) {
-            return self.set_origin(key, inquiry.finding(own), Duration::ZERO);
+            return self.set_origin(key, inquiry.finding(own, None), Duration::ZERO);
         }
         if self.served_versions(inquiry.service, REACH) == Verdict::Unaware {
             self.look_up_register();
@@ -216,9 +230,25 @@
         }
     }
 
+    /// Returns when the next inquiry needs a tick.
+    pub(super) fn next_inquiry_due(&self) -> Option<Time> {
+        self.origins.inquiries.values().map(|it| self.inquiry_due(it)).min()
+    }
+
+    /// Returns when an inquiry needs a tick.
+    fn inquiry_due(&self, inquiry: &Inquiry) -> Time {
+        inquiry.resend_at.min(self.inquiry_end(inquiry))
+    }
+
+    /// Returns the end of the wait for answers.
+    fn inquiry_end(&self, inquiry: &Inquiry) -> Time {
+        let awaits_archive = inquiry.is_named && self.is_archive_awaited(inquiry.stream);
+        inquiry.began + if awaits_archive { ARCHIVE_TIMEOUT } else { ANSWER_TIMEOUT }
+    }
+
     /// Asks again for the versions that are still sought, and ends the inquiries that are over.
     pub(super) fn advance_inquiries(&mut self) {
-        let is_due = |it: &Inquiry| it.resend_at.min(it.until()) <= self.now;
+        let is_due = |it: &Inquiry| self.inquiry_due(it) <= self.now;
         let due = self.origins.inquiries.iter().filter(|(_, it)| is_due(it)).map(|it| *it.0);
         for key in due.collect::<Vec<_>>() {
             self.advance_inquiry(key);
@@ -242,15 +272,19 @@
         }
         let Some(inquiry) = self.origins.inquiries.get(&key) else { return false };
         let is_due = inquiry.resend_at <= self.now || self.is_undecided(inquiry);
-        if is_due && self.now < inquiry.until() {
+        if is_due && self.now < self.inquiry_end(inquiry) {
             self.ask_informants(key);
         }
+        self.look_up_undecided(key);
         let Some(inquiry) = self.origins.inquiries.get(&key) else { return false };
         if !self.is_concluded(inquiry) {
+            let is_overdue = self.now >= inquiry.began + ANSWER_TIMEOUT;
+            if let Some(inquiry) = self.origins.inquiries.get_mut(&key) {
+                inquiry.is_overdue = is_overdue;
+            }
             return false;
         }
-        let own = self.own_verdict(inquiry);
-        let (finding, after) = (inquiry.finding(own), self.now.since(inquiry.began));
+        let (finding, after) = (self.finding(inquiry), self.now.since(inquiry.began));
         self.origins.inquiries.remove(&key);
         self.set_origin(key, finding, after);
         true
@@ -258,23 +292,43 @@
 
     /// Returns whether an inquiry has no more answers to wait for.
     fn is_concluded(&self, inquiry: &Inquiry) -> bool {
-        let is_known = inquiry.answers.values().any(|it| matches!(it, Knowledge::Began(_)));
-        if is_known || inquiry.until() <= self.now {
+        let is_known = inquiry.answers.values().any(|it| matches!(it, Knowledge::Began(_)))
+            || self.archived(inquiry.stream).is_some();
+        let is_late = inquiry.began + ANSWER_TIMEOUT <= self.now;
+        let is_decided = is_late && self.finding(inquiry).is_decided();
+        if is_known || is_decided || self.inquiry_end(inquiry) <= self.now {
             return true;
         }
         let is_settled =
             !self.is_starting_up() || self.members.is_settled(self.now, QUIET_DURATION);
         // A follower that doesn't know yet whether it is in step may know when it is asked again.
         let has_source = !inquiry.asked.is_empty() || self.follows_store();
-        let may_learn = || has_source && inquiry.finding(self.own_verdict(inquiry)) == UNKNOWN;
-        is_settled && inquiry.is_answered() && !self.is_register_awaited() && !may_learn()
+        let may_learn = || has_source && self.finding(inquiry) == UNKNOWN;
+        let is_awaited = || {
+            self.is_register_awaited()
+                || !self.finding(inquiry).is_decided() && self.is_archive_awaited(inquiry.stream)
+        };
+        is_settled && inquiry.is_answered() && !is_awaited() && !may_learn()
+    }
+
+    /// Returns what an inquiry has shown.
+    fn finding(&self, inquiry: &Inquiry) -> Finding {
+        inquiry.finding(self.own_verdict(inquiry), self.archived(inquiry.stream))
+    }
+
+    /// Looks a stream up in the archive if the boxes that were asked don't decide, or don't answer.
+    fn look_up_undecided(&mut self, key: RequestKey) {
+        let Some(inquiry) = self.origins.inquiries.get(&key) else { return };
+        let has_waited = self.now.since(inquiry.began) >= RESEND_INTERVAL;
+        let is_open = (inquiry.is_answered() || has_waited) && !self.finding(inquiry).is_decided();
+        if is_open && inquiry.is_named {
+            self.look_up_archive(inquiry.stream);
+        }
     }
 
     /// Returns whether the holders of a stream have all answered, and none of them decides.
     fn is_undecided(&self, inquiry: &Inquiry) -> bool {
-        inquiry.rounds == 1
-            && inquiry.is_answered()
-            && inquiry.finding(self.own_verdict(inquiry)) == UNKNOWN
+        inquiry.rounds == 1 && inquiry.is_answered() && self.finding(inquiry) == UNKNOWN
     }
 
     /// Returns which versions have served by what this box has observed. One that has served alone
@@ -338,12 +392,12 @@
     }
 
     /// Returns a notice of this box without content.
-    fn notice(&self) -> Notice {
+    pub(super) fn notice(&self) -> Notice {
         Notice::new(self.settings.peer)
     }
 
     /// Sends a notice to boxes, if there are any.
-    fn notify(&mut self, recipients: Vec<SocketAddr>, notice: Notice) {
+    pub(super) fn notify(&mut self, recipients: Vec<SocketAddr>, notice: Notice) {
         if !recipients.is_empty() {
             self.effects.push(Effect::Notify(recipients, notice));
         }
@@ -352,9 +406,10 @@
     /// Handles a notice of another box.
     pub(super) fn receive_notice(&mut self, notice: &Notice) {
         for announcement in &notice.announcements {
-            let ttl = Duration::from_millis(u64::from(announcement.ttl_ms));
-            let &Announcement { stream, version, .. } = announcement;
-            self.origins.table.record(stream, version, self.now, self.now + ttl);
+            self.record_origin(announcement);
+        }
+        for record in &notice.records {
+            self.keep_stream(record);
         }
         let replies: Vec<_> = notice.asks.iter().map(|it| self.reply_to(it)).collect();
         if replies.iter().any(|it| it.knowledge == Knowledge::Unaware) {
@@ -417,29 +472,48 @@
             return;
         }
         let (request, written) = (call.request, self.version_of(call));
-        let stream = stream_key(in_flight);
-        let is_resumable = in_flight.route.kind == RouteKind::Stream && in_flight.route.resumable;
-        let until = in_flight.deadline + RETURN_PERIOD;
+        let service = service_hash(&in_flight.service.name);
         let Some(in_flight) = self.in_flight.get_mut(&request) else { return };
         in_flight.is_origin_bound = true;
         if in_flight.origin == Origin::Open {
             in_flight.origin = written;
         }
-        if let (true, Origin::Version(version)) = (is_resumable, in_flight.origin) {
-            self.announce_origin(stream, version, until);
+        let Origin::Version(version) = in_flight.origin else { return };
+        let Some(in_flight) = self.in_flight.get(&request) else { return };
+        if let Some(announcement) = self.announcement(in_flight, version) {
+            self.announce_origin(announcement);
+            self.archive_stream(service, announcement);
         }
     }
 
-    /// Records which version began a stream, and announces it to the stream's holders.
-    fn announce_origin(&mut self, stream: StreamKey, version: VersionKey, until: Time) {
-        self.origins.table.record(stream, version, self.now, until);
+    /// Returns the announcement of a stream that a version has begun; none if its client may not
+    /// resume it.
+    pub(super) fn announcement(
+        &self,
+        in_flight: &InFlight,
+        version: VersionKey,
+    ) -> Option<Announcement> {
+        let is_resumable = in_flight.route.kind == RouteKind::Stream && in_flight.route.resumable;
+        let until = in_flight.deadline + RETURN_PERIOD;
         let ttl_ms = millis(until.since(self.now));
-        let announcements = vec![Announcement { stream, version, ttl_ms }];
-        let holders = self.holders(stream, 1);
-        let notice = Notice { announcements, ..self.notice() };
+        is_resumable.then(|| Announcement { stream: stream_key(in_flight), version, ttl_ms })
+    }
+
+    /// Records which version began a stream, and announces it to the stream's holders.
+    fn announce_origin(&mut self, announcement: Announcement) {
+        self.record_origin(&announcement);
+        let holders = self.holders(announcement.stream, 1);
+        let notice = Notice { announcements: vec![announcement], ..self.notice() };
         self.notify(holders, notice);
     }
 
+    /// Records which version began a stream.
+    fn record_origin(&mut self, announcement: &Announcement) {
+        let &Announcement { stream, version, ttl_ms } = announcement;
+        let until = self.now + Duration::from_millis(u64::from(ttl_ms));
+        self.origins.table.record(stream, version, self.now, until);
+    }
+
     /// Returns the version that writes the events of a call. It isn't known if the engine has
     /// restarted since the call was sent, or before its new entry was read: either incarnation may
     /// have received it.
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -198,6 +198,7 @@
         self.observe_versions();
         self.complete_versions();
         self.sync_register();
+        self.archive_running_streams();
         self.balance_stages();
         self.sweep_quarantine();
         self.sweep_permits();
@@ -389,7 +390,7 @@
             cached_prompts: Vec::new(),
             peers,
             era: self.store_era(),
-            format: Some(Format::Parts),
+            format: Some(Format::Records),
             extension: None,
         }
     }
--- a/crates/hollyspoke-gateway/src/gateway/stages/orders.rs
+++ b/crates/hollyspoke-gateway/src/gateway/stages/orders.rs
@@ -66,7 +66,8 @@
         let is_applied = self.apply_census_answer(number, answer)
             || self.apply_cases_answer(number, answer)
             || self.apply_register_answer(number, answer)
-            || self.apply_confirmation(number, answer);
+            || self.apply_confirmation(number, answer)
+            || self.apply_archive_answer(number, answer);
         if is_applied {
             return;
         }
--- a/crates/hollyspoke-gateway/src/gateway/versions.rs
+++ b/crates/hollyspoke-gateway/src/gateway/versions.rs
@@ -146,7 +146,7 @@
     }
 
     /// Draws when this box may read something again that all boxes read.
-    fn next_read(&mut self) -> Time {
+    pub(super) fn next_read(&mut self) -> Time {
         let boxes = u32::try_from(self.members.peak_count()).unwrap_or(u32::MAX);
         let interval = READ_INTERVAL_PER_BOX.saturating_mul(boxes).max(MIN_READ_INTERVAL);
         self.now + interval.mul_f64(0.5 + self.draw_share())
--- a/crates/hollyspoke-gateway/src/member/duty.rs
+++ b/crates/hollyspoke-gateway/src/member/duty.rs
@@ -11,6 +11,7 @@
 use super::{Members, address_hash};
 use crate::engine::EngineKey;
 use crate::message::{DataCentreKey, Format, Readiness};
+use crate::origin::archive::Shard;
 
 impl Members {
     /// Returns whether this box follows the store: whether it is among the first `count` live boxes
@@ -52,6 +53,18 @@
         all.into_iter().map(|it| *it.0).take(count).collect()
     }
 
+    /// Returns the box that keeps a shard of the streams in the store: the first one in the shard's
+    /// order that is alive and gets answers from the store. This box takes part.
+    pub fn keeper(&self, own: SocketAddr, shard: Shard) -> SocketAddr {
+        let is_able = |it: &Peer| {
+            !it.has_timed_out && !it.store_view.has_lost_store && it.format >= Format::Records
+        };
+        let others = self.peers.iter().filter(|it| is_able(it.1));
+        let others = others.map(|(&node, it)| (node, it.address_hash));
+        let all = others.chain([(own, address_hash(&own))]);
+        all.min_by_key(|it| rank::sort_key(shard.number(), it.1)).map_or(own, |it| it.0)
+    }
+
     /// Returns whether another box, alive or not, reads notices of streams' versions.
     pub fn has_notice_reader(&self) -> bool {
         self.peers.values().any(|it| it.format >= Format::Origins)
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -179,6 +179,8 @@
     Origins,
     /// Also parts of prompts that crash engines.
     Parts,
+    /// Also notices of streams that the receiver is to keep in the store.
+    Records,
 }
 
 /// One datagram. Loads are absolute, so that the next datagram makes up for a lost one.
@@ -290,6 +292,11 @@
         self.is_whole && self.format >= Some(Format::Parts)
     }
 
+    /// Returns whether the datagram announces that its sender keeps streams in the store.
+    pub fn announces_records(&self) -> bool {
+        self.is_whole && self.format >= Some(Format::Records)
+    }
+
     /// Returns the eras of the revisions in the datagram.
     pub fn eras(&self) -> Eras {
         let update = self.engine_update.as_ref();
--- a/crates/hollyspoke-gateway/src/origin.rs
+++ b/crates/hollyspoke-gateway/src/origin.rs
@@ -4,6 +4,7 @@
 //! first event of a stream announces the version to a few other boxes, the holders. They follow from
 //! the stream's key, so that every box knows whom to ask, also if the first one is gone.
 
+pub mod archive;
 mod table;
 
 use std::net::SocketAddr;
@@ -121,11 +122,19 @@
     pub asks: Vec<Ask>,
     /// The sender's answers.
     pub replies: Vec<Reply>,
+    /// The streams that the receiver is to keep in the store.
+    pub records: Vec<Announcement>,
 }
 
 impl Notice {
     /// Creates an empty notice.
     pub fn new(sender: SocketAddr) -> Notice {
-        Notice { sender, announcements: Vec::new(), asks: Vec::new(), replies: Vec::new() }
+        Notice {
+            sender,
+            announcements: Vec::new(),
+            asks: Vec::new(),
+            replies: Vec::new(),
+            records: Vec::new(),
+        }
     }
 }
--- a/crates/hollyspoke-server/src/datagram.rs
+++ b/crates/hollyspoke-server/src/datagram.rs
@@ -95,6 +95,9 @@
     /// Whether the sender supports cases of prompts' parts, in whole datagrams; no if missing.
     #[n(15)]
     supports_parts: Option<bool>,
+    /// Whether the sender keeps streams in the store, in whole datagrams; no if missing.
+    #[n(16)]
+    keeps_records: Option<bool>,
 }
 
 /// Whether and for which services a box accepts requests of other boxes.
@@ -297,6 +300,7 @@
         registration_ms: extension.registration_ms,
         parts: non_empty_list(extension.parts.iter().map(PartField::of).collect()),
         supports_parts: message.announces_parts().then_some(true),
+        keeps_records: message.announces_records().then_some(true),
     };
     let mut bytes = vec![EXTENDED_FORMAT_MARK, EXTENDED_FORMAT_VERSION];
     minicbor::encode(&extended, &mut bytes).wrap_err("a field can't be written")?;
@@ -321,6 +325,9 @@
     if extended.supports_parts.unwrap_or_default() {
         message.format = Some(Format::Parts);
     }
+    if extended.keeps_records.unwrap_or_default() {
+        message.format = Some(Format::Records);
+    }
     message.set_eras(extended.eras.as_ref().map(ErasField::eras).unwrap_or_default());
     if let (Some(versions), Some(update)) = (&extended.versions, &mut message.engine_update) {
         versions.apply(put_mut(&mut update.changes));
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -353,7 +353,9 @@
             LogEvent::PassedOn { .. } => self.passed_on.add(1, &[]),
             LogEvent::Ordered { .. } | LogEvent::Census { .. } | LogEvent::CasesRead { .. } => {}
             LogEvent::Released { .. } | LogEvent::Suspended(_) | LogEvent::Paused(_) => {}
-            LogEvent::ClientResumes { .. } | LogEvent::VersionRegister { .. } => {}
+            LogEvent::ClientResumes { .. }
+            | LogEvent::VersionRegister { .. }
+            | LogEvent::ArchiveRead { .. } => {}
             LogEvent::OriginSought { source, .. } => {
                 self.resumed.add(1, &[KeyValue::new("from", *source)]);
             }
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -106,6 +106,10 @@
         LogEvent::VersionRegister { services, is_written } => {
             info!(log, "versions in the store"; "services" => services, "written" => is_written)
         }
+        LogEvent::ArchiveRead { shard, streams, has_failed } => {
+            info!(log, "versions of streams in the store";
+                "shard" => shard, "streams" => streams, "failed" => has_failed)
+        }
         LogEvent::Retry { request, service, is_sent, available, boxes } => {
             let message = if *is_sent { "repeat sent" } else { "repeat not allowed" };
             info!(log, "{}", message;
--- a/crates/hollyspoke-server/src/notice.rs
+++ b/crates/hollyspoke-server/src/notice.rs
@@ -35,6 +35,9 @@
     /// Its answers.
     #[n(4)]
     replies: Option<Vec<ReplyField>>,
+    /// The streams that the receiver is to keep in the store.
+    #[n(5)]
+    records: Option<Vec<AnnouncementField>>,
 }
 
 /// The version of a stream.
@@ -100,6 +103,7 @@
         ),
         asks: non_empty_list(notice.asks.iter().map(AskField::of).collect()),
         replies: non_empty_list(notice.replies.iter().map(ReplyField::of).collect()),
+        records: non_empty_list(notice.records.iter().map(AnnouncementField::of).collect()),
     };
     let mut bytes = vec![EXTENDED_FORMAT_MARK, NOTICE_FORMAT];
     minicbor::encode(&field, &mut bytes).wrap_err("a field can't be written")?;
@@ -126,6 +130,7 @@
             .collect(),
         asks: field.asks.iter().flatten().map(AskField::ask).collect(),
         replies: field.replies.iter().flatten().map(ReplyField::reply).collect(),
+        records: field.records.iter().flatten().map(AnnouncementField::announcement).collect(),
     }))
 }
 
--- a/crates/hollyspoke-server/src/objects.rs
+++ b/crates/hollyspoke-server/src/objects.rs
@@ -16,8 +16,8 @@
 /// up to sixty times later when it is slow.
 const OPERATION_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// The maximum size of an answer in bytes. The held requests take at most about 80 kB.
-const MAX_ANSWER_BYTES: usize = 256 << 10;
+/// The maximum size of an answer in bytes. The streams of a shard take at most 400 kB.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
 
 /// Executes an operation and dispatches the store's answer to the reducer.
 pub async fn execute(node: Rc<Node>, number: u64, operation: Operation) {
--- a/tests/src/gateway.rs
+++ b/tests/src/gateway.rs
@@ -14,7 +14,7 @@
 use hollyspoke_gateway::event::{Answer, CallEvent, Event, Execution};
 use hollyspoke_gateway::features::Features;
 use hollyspoke_gateway::framing::Framing;
-use hollyspoke_gateway::gateway::{CASES, Gateway, Settings, Sharing, VERSIONS};
+use hollyspoke_gateway::gateway::{CASES, Gateway, STREAMS, Settings, Sharing, VERSIONS};
 use hollyspoke_gateway::message::{DataCentreKey, Format, Message, Readiness, StoreView, Usage};
 use hollyspoke_gateway::region::{AllowedRegions, Regions};
 use hollyspoke_gateway::request::{CallKey, Request, RequestKey};
@@ -239,9 +239,9 @@
     }
 
     /// Passes an event to the gateway and returns the effects, without log entries and without work
-    /// that is independent of requests: announcements, probes, the store's quarantine cases, versions
-    /// and watches, and queries for cached prompts. The store tells that all engines have had one
-    /// version so far.
+    /// that is independent of requests: announcements, probes, the store's quarantine cases, versions,
+    /// streams and watches, and queries for cached prompts. The store tells that all engines have had
+    /// one version so far, and keeps no streams.
     pub fn event(&mut self, event: Event) -> Vec<Effect> {
         let mut effects = self.gateway.step(self.now, event);
         if let Some(number) = register_read(&effects) {
@@ -249,6 +249,10 @@
             let answer = Event::Stored(number, Answered::Found { version: 1, value });
             effects.extend(self.gateway.step(self.now, answer));
         }
+        for number in archive_reads(&effects) {
+            let answer = Event::Stored(number, Answered::Absent);
+            effects.extend(self.gateway.step(self.now, answer));
+        }
         self.probed.extend(effects.iter().filter_map(|it| match it {
             Effect::Probe(engine) => Some(engine.key),
             _ => None,
@@ -257,7 +261,7 @@
             let is_log = matches!(it, Effect::Log(_));
             let is_background = match it {
                 Effect::Store(_, Operation::Get { kind, .. } | Operation::Put { kind, .. }) => {
-                    kind == CASES || kind == VERSIONS
+                    kind == CASES || kind == VERSIONS || kind == STREAMS
                 }
                 Effect::Announce(..)
                 | Effect::Notify(..)
@@ -322,6 +326,15 @@
     })
 }
 
+/// Returns the numbers of the operations by which the gateway reads the versions of streams.
+fn archive_reads(effects: &[Effect]) -> Vec<u64> {
+    let reads = effects.iter().filter_map(|it| match it {
+        Effect::Store(number, Operation::Get { kind, .. }) if kind == STREAMS => Some(*number),
+        _ => None,
+    });
+    reads.collect()
+}
+
 /// Returns the only call among effects.
 pub fn only_send(effects: &[Effect]) -> Send {
     let sends: Vec<_> = effects
--- a/tests/tests/gateway_origins.rs
+++ b/tests/tests/gateway_origins.rs
@@ -144,6 +144,60 @@
     check(&fleet);
 }
 
+/// All boxes are lost at once while two versions serve: the store alone still knows who began the
+/// streams that clients take up at the boxes that were started again.
+#[test]
+fn lost_boxes_lose_streams() {
+    let mut fleet = two_versions(13);
+    fleet.traffic.streams = 8.0;
+    fleet.stream_duration = SECOND * 6;
+    fleet.return_after(4..=6);
+    for _ in 0..4 {
+        fleet.run(SECOND * 8);
+        fleet.kill(0..BOXES);
+        fleet.run(SECOND / 2);
+        fleet.start(0..BOXES);
+        fleet.run(SECOND * 8);
+    }
+    check_taken_up(&fleet);
+}
+
+/// The store comes back from a copy that is older than the streams, and all boxes are lost after that.
+#[test]
+fn restored_store_loses_streams() {
+    let mut fleet = two_versions(14);
+    fleet.stream_duration = SECOND * 10;
+    fleet.return_after(4..=6);
+    for _ in 0..4 {
+        let copy = fleet.store.clone();
+        fleet.run(SECOND * 6);
+        fleet.store.restore(&copy);
+        fleet.run(SECOND * 4);
+        fleet.kill(0..BOXES);
+        fleet.run(SECOND / 2);
+        fleet.start(0..BOXES);
+        fleet.run(SECOND * 8);
+    }
+    check_taken_up(&fleet);
+}
+
+/// A second version joins when the streams that are then taken up have begun already, and all boxes are
+/// lost right after that.
+#[test]
+fn streams_before_release_lost() {
+    let mut fleet = Fleet::resuming(BOXES, 15);
+    fleet.stream_duration = SECOND * 20;
+    fleet.return_after(4..=6);
+    fleet.run(SECOND * 15);
+    fleet.join(6, "v2");
+    fleet.run(SECOND * 3);
+    fleet.kill(0..BOXES);
+    fleet.run(SECOND / 2);
+    fleet.start(0..BOXES);
+    fleet.run(SECOND * 12);
+    check_taken_up(&fleet);
+}
+
 /// Where only one version has ever served, boxes that have all just started go on with the streams
 /// that they lost: the store tells them.
 #[test]
--- a/tests/tests/origins.rs
+++ b/tests/tests/origins.rs
@@ -164,6 +164,11 @@
             reply(Knowledge::Several),
             reply(Knowledge::Unaware),
         ],
+        records: vec![Announcement {
+            stream: StreamKey(4),
+            version: version("v2"),
+            ttl_ms: 600_000,
+        }],
     }
 }
 
@@ -179,6 +184,7 @@
     let mut notice = full_notice();
     notice.asks.clear();
     notice.replies.clear();
+    notice.records.clear();
     let bytes = write(&notice).expect("it is written");
     assert!(bytes.len() <= 48, "{} bytes", bytes.len());
 }
