Tests of memory: crowds that make a box hold bytes for them, failing

Each starts a box as a process of its own whose settings give it 40 MB (24 for heads), lets a small crowd come, and checks that the process lives, stays within that memory and answers an ordinary client while the crowd is there. They take turns, and check no times and no shares. The setting limits.memory_mb is new; boxes ignore it so far.

--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,6 +1,7 @@
 //! Code that the failure tests share: simulated fleets and engines, processes, and a small site
 //! made of them.
 
+pub mod box_process;
 pub mod cluster;
 pub mod crashes;
 pub mod crowd;
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -1,7 +1,7 @@
 //! Processes that a test starts and stops by their handles.
 
 use std::io::{BufRead, BufReader, Read};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -60,15 +60,29 @@
         Ok((Process { child, address, lines }, peers, incarnation))
     }
 
+    /// Starts a box of the users' platform by its settings file.
+    pub fn node(settings: &Path) -> eyre::Result<Process> {
+        let mut command = Command::new(program("hollyspoke-node")?);
+        command.arg("--settings").arg(settings).stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut child = command.spawn().wrap_err("cannot start the box")?;
+        let output = child.stderr.take().ok_or_eyre("no output")?;
+        let (first, lines) = read_lines(output)?;
+        let address = first["front"].as_str().ok_or_eyre("no address")?.to_owned();
+        Ok(Process { child, address, lines })
+    }
+
+    /// Returns the content of one of the process's files in `/proc`; none if it has ended.
+    pub fn file(&self, name: &str) -> Option<String> {
+        std::fs::read_to_string(format!("/proc/{}/{name}", self.child.id())).ok()
+    }
+
     /// Returns the processor time used so far, in seconds, and the resident memory, in bytes.
     pub fn usage(&self) -> Option<(f64, f64)> {
-        let read =
-            |file: &str| std::fs::read_to_string(format!("/proc/{}/{file}", self.child.id())).ok();
-        let stat = read("stat")?;
+        let stat = self.file("stat")?;
         // The second field, the program's name, may contain spaces; it ends with a parenthesis.
         let fields: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
         let ticks = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
-        let pages: f64 = read("statm")?.split(' ').nth(1)?.parse().ok()?;
+        let pages: f64 = self.file("statm")?.split(' ').nth(1)?.parse().ok()?;
         Some((ticks / TICKS_PER_SECOND, pages * PAGE_BYTES))
     }
 
