A planned stop waits until answers are written

Cause: the process ended 50 ms after its last request had been decided, not when the answer had been written.

Now it ends when all connections have, and at the end of its grace at the latest. `stop_cuts_slow_client` (a process, 8,000,000 bytes read 64 KB each 70 ms, SIGTERM at the first byte) got 7,176,453 bytes before and all of them now.

--- a/crates/hollyspoke-server/src/run.rs
+++ b/crates/hollyspoke-server/src/run.rs
@@ -171,9 +171,11 @@
             tokio::time::sleep(STOP_CHECK_INTERVAL).await;
         }
         self.close.send_replace(true);
-        // Answers that have just ended still have to be written to their connections.
-        tokio::time::sleep(STOP_CHECK_INTERVAL).await;
-        info!(self.node.log, "stopped");
+        // Clients may still be taking answers that have been decided. Each connection, and each
+        // listener, holds a receiver.
+        let left = max_duration.saturating_sub(stopped.elapsed()).max(STOP_CHECK_INTERVAL);
+        let is_written = tokio::time::timeout(left, self.close.closed()).await.is_ok();
+        info!(self.node.log, "stopped"; "written" => is_written);
     }
 }
 
