A stream that is taken up goes to the service that began it

By reading: where a route is split between services, a stream that its client takes up was drawn anew, and the second service could go on with the first one's stream, since only the versions of the drawn service were looked at. Now resumable streams are drawn by the id of the attempt that began them. `resumed_stream_changes_service` checks the draw; the function is new, so that the test has no run before it.

--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -96,7 +96,8 @@
         if request.is_proxied && self.has_too_many_proxied() {
             return self.refuse_on_arrival(key, &request, NotRunReason::Overloaded, RETRY_AFTER);
         }
-        let draw = self.draw();
+        let random = self.draw();
+        let draw = route.service_draw(&request, random);
         let Some(service) = configuration.service(route.service(draw)).cloned() else {
             return self.refuse_on_arrival(key, &request, NotRunReason::NoEngine, NO_SERVICE_RETRY);
         };
--- a/crates/hollyspoke-gateway/src/route.rs
+++ b/crates/hollyspoke-gateway/src/route.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::customer::Customers;
 use crate::region::AllowedRegions;
+use crate::request::Request;
 
 /// How requests of a route may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -71,6 +73,16 @@
         }
     }
 
+    /// Returns the number by which the service of a request is drawn, from a random one. A stream that a
+    /// client resumes is drawn as the attempt that began it: another service can't continue it.
+    pub fn service_draw(&self, request: &Request, random: u64) -> u64 {
+        if self.kind != RouteKind::Stream || !self.resumable {
+            return random;
+        }
+        let resumed_id = request.resumed_id.as_ref().filter(|_| request.last_event.is_some());
+        xxh3_64(resumed_id.unwrap_or(&request.id).as_bytes())
+    }
+
     /// Selects the service of a request by a random number from the whole range of `u64`.
     pub fn service(&self, draw: u64) -> &Arc<str> {
         let whole: u64 = self.splits.iter().map(|it| u64::from(it.weight)).sum();
--- a/tests/tests/gateway_routes.rs
+++ b/tests/tests/gateway_routes.rs
@@ -4,7 +4,7 @@
 
 use hollyspoke_gateway::effect::{Effect, LogEvent, NotRunReason, Refusal};
 use hollyspoke_gateway::event::Event;
-use hollyspoke_gateway::request::RequestKey;
+use hollyspoke_gateway::request::{Request, RequestKey};
 use hollyspoke_gateway::route::{Route, RouteKind, Split};
 use hollyspoke_tests::gateway::{
     HOST, MODEL, PLAIN, World, configuration_of, engines, only_refusal, only_send, request, route,
@@ -38,6 +38,30 @@
     assert_eq!(to_model, 100);
 }
 
+/// A stream that its client takes up goes to the service that began it, and new ones by the weights.
+#[test]
+fn resumed_stream_changes_service() {
+    let splits = vec![
+        Split { service: PLAIN.into(), weight: 70 },
+        Split { service: MODEL.into(), weight: 30 },
+    ];
+    let route = Route { splits, resumable: true, ..route("a", RouteKind::Stream, PLAIN) };
+    let mut to_model = 0;
+    for number in 0..1000 {
+        let first = Request { id: format!("first-{number}").into(), ..request("a") };
+        let resuming = Request {
+            id: format!("second-{number}").into(),
+            resumed_id: Some(first.id.clone()),
+            last_event: Some(3),
+            ..request("a")
+        };
+        let service = |it, random| route.service(route.service_draw(it, random)).clone();
+        assert_eq!(service(&first, 0), service(&resuming, 85));
+        to_model += usize::from(*service(&first, 0) == *MODEL);
+    }
+    assert!((250..350).contains(&to_model), "{to_model}");
+}
+
 #[test]
 fn unknown_route_accepted() {
     let mut world = World::new();
