One account of memory for the bytes that a box holds for others

What callers saw: clients that read long answers slowly, or engines that send without end, took the process over its memory; it was ended, and all other requests of that box with it.

Cause: whole answers, events, queues of streams, bodies and heads were bounded one by one, and by number in part. Nothing bounded them together, nor the time for which a client may take nothing.

Now they draw on one account, half of limits.memory_mb (from the platform's limits.memoryMb; 128 MB unset). What finds none waits with its bytes unread, while the client that takes its answer most slowly is disconnected; a whole answer that finds none for 3 s ends with 502 (CallEvent::NoMemory: it has run, its engine is not blamed). The read buffer of a call is 32 KB at most. A client that takes nothing for idleTimeoutMs is disconnected, and when descriptors run short the connection that has been idle longest, or the slowest one, goes. The bodies' own bound stays (32 MiB by default).

Scaffolding: `closed_connection_looks_complete` passes what ClientStream now needs.

--- a/crates/hollyspoke-daemon/src/connection.rs
+++ b/crates/hollyspoke-daemon/src/connection.rs
@@ -32,7 +32,7 @@
 pub async fn accept(mut acceptor: Acceptor, router: Router, mut stopping: watch::Receiver<bool>) {
     loop {
         let (socket, _) = tokio::select! {
-            accepted = acceptor.accept() => accepted,
+            accepted = acceptor.accept(|_| false) => accepted,
             _ = stopping.wait_for(|it| *it) => return,
         };
         tokio::spawn(serve(socket, router.clone(), stopping.clone()));
--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -64,10 +64,13 @@
     Forwarded(Option<u64>),
     /// The same, after the client had not taken earlier events for a time.
     ForwardedLate(Option<u64>),
-    /// The client takes no events for now; those that have arrived wait for it.
+    /// The client takes no events for now, or this box has no memory for more of the answer; what has
+    /// arrived waits.
     HeldUp,
     /// After the request was sent, the connection closed before the end of the answer.
     Broken,
+    /// After the request was sent, this box had no memory for the answer.
+    NoMemory,
     /// After the request was sent, bytes arrived that are no part of an answer to it. The events
     /// before them were forwarded.
     Garbled,
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -45,6 +45,7 @@
             CallEvent::HeldUp => self.call_held_up(key),
             CallEvent::Broken => self.call_broken(key, "broken"),
             CallEvent::Garbled => self.call_broken(key, "garbled"),
+            CallEvent::NoMemory => self.call_discarded(key),
         }
     }
 
@@ -207,6 +208,7 @@
             | CallEvent::NoPort
             | CallEvent::Exhausted
             | CallEvent::Broken
+            | CallEvent::NoMemory
             | CallEvent::Garbled => false,
         };
         if is_heard && let Some(call) = self.calls.get(&key) {
@@ -391,6 +393,24 @@
         self.call_lost(&call);
     }
 
+    /// Gives a request up whose answer this box could not keep. Its engine is sound, and another one would
+    /// only answer the same.
+    fn call_discarded(&mut self, key: CallKey) {
+        let Some(call) = self.take_call(key) else { return };
+        self.record_reached(&call.engine, call.sent);
+        self.log_failure(&call, "no memory", 0);
+        self.record_return_answer(&call, false);
+        if !call.runs_request() {
+            return self.prefill_failed(call.request);
+        }
+        if let Some(in_flight) = self.in_flight.get_mut(&call.request) {
+            in_flight.run_count += 1;
+            in_flight.trace.mark_sent();
+            in_flight.source = None;
+        }
+        self.give_up(call.request, NotRunReason::Exhausted);
+    }
+
     /// Continues after a call whose outcome is unknown: continues the stream from a copy, retries the
     /// request or gives it up.
     pub(super) fn call_lost(&mut self, call: &Call) {
--- a/crates/hollyspoke-gateway/src/gateway/silence.rs
+++ b/crates/hollyspoke-gateway/src/gateway/silence.rs
@@ -217,6 +217,7 @@
             | CallEvent::NoPort
             | CallEvent::Exhausted
             | CallEvent::Broken
+            | CallEvent::NoMemory
             | CallEvent::Garbled => false,
         };
         if goes_on {
--- a/crates/hollyspoke-server/src/directory.rs
+++ b/crates/hollyspoke-server/src/directory.rs
@@ -79,7 +79,7 @@
 pub async fn listen(node: Rc<Node>, listener: TcpListener, audience: Audience) {
     let mut acceptor = Acceptor::new(listener, node.log.clone());
     loop {
-        let (stream, _) = acceptor.accept().await;
+        let (stream, _) = acceptor.accept(|_| node.free_descriptor()).await;
         tokio::task::spawn_local(serve(node.clone(), stream, audience));
     }
 }
--- a/crates/hollyspoke-server/src/event_reader.rs
+++ b/crates/hollyspoke-server/src/event_reader.rs
@@ -107,6 +107,16 @@
         Ok(has_remaining.then(|| self.take_complete()))
     }
 
+    /// Returns the number of bytes that it keeps.
+    pub fn len(&self) -> usize {
+        self.pending.len() + self.complete.len()
+    }
+
+    /// Returns whether it keeps nothing.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Returns whether an event has marked the end of the stream.
     pub fn has_ended(&self) -> bool {
         self.position.as_ref().is_some_and(Position::has_ended)
--- a/crates/hollyspoke-server/src/front.rs
+++ b/crates/hollyspoke-server/src/front.rs
@@ -16,15 +16,16 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::answer::AnswerBody;
-use crate::body_memory::{Buffer, Exhausted};
+use crate::body_memory::Buffer;
 use crate::client_stream::{ClientStream, CloseDelimited};
 use crate::head_clock::{HeadClock, RequestGuard};
 use crate::http1::{framing, remove_hop_headers};
+use crate::memory::Exhausted;
 use crate::node::{ClientAnswer, Node, Origin, ReceivedRequest};
 use crate::proxy;
 
@@ -87,7 +88,7 @@
     let mut acceptor = Acceptor::new(listener, node.log.clone());
     loop {
         let (stream, address) = tokio::select! {
-            accepted = acceptor.accept() => accepted,
+            accepted = acceptor.accept(|_| node.free_descriptor()) => accepted,
             _ = closed.wait_for(|it| *it) => return,
         };
         if audience == Audience::Peers && !node.with(|it| it.knows_box(address.ip())) {
@@ -110,8 +111,9 @@
     let limits = node.with(|it| it.limits()).unwrap_or(DEFAULT_LIMITS);
     let clock = HeadClock::new();
     let close_delimited = CloseDelimited::default();
+    let delivery = node.memory.deliveries.add();
     let service = service_fn(|request| {
-        let (node, guard) = (node.clone(), clock.start_request());
+        let (node, guard) = (node.clone(), clock.start_request(delivery.clone()));
         let close_delimited = close_delimited.clone();
         async move {
             let version = request.version();
@@ -122,7 +124,14 @@
             Ok::<_, Infallible>(response.map(|it| guard.attach(it)))
         }
     });
-    let stream = ClientStream::new(stream, clock.clone(), close_delimited.clone());
+    let stream = ClientStream::new(
+        stream,
+        clock.clone(),
+        close_delimited.clone(),
+        delivery.clone(),
+        node.memory.clone(),
+        limits.idle_timeout + IDLE_MARGIN,
+    );
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout + IDLE_MARGIN)
@@ -135,15 +144,25 @@
             info!(node.log, "head not whole in time");
             return;
         }
+        () = delivery.closed() => {
+            node.metrics.count_disconnected();
+            let count = node.memory.deliveries.closed_count();
+            if count.is_power_of_two() {
+                warn!(node.log, "slow or idle client disconnected"; "count" => count);
+            }
+            return;
+        }
         _ = closing.wait_for(|it| *it) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
     };
-    if let Err(error) = ended
-        && error.is_parse()
-    {
-        warn!(node.log, "malformed request"; "error" => %error);
+    match ended {
+        Err(error) if error.is_parse() => {
+            warn!(node.log, "malformed request"; "error" => %error);
+        }
+        Err(error) => debug!(node.log, "connection of a client ended"; "error" => %error),
+        Ok(()) => {}
     }
 }
 
@@ -223,7 +242,7 @@
     if content_length.is_some_and(|it: usize| it > limits.body_bytes) {
         return Err(BodyError::TooLarge);
     }
-    let buffer = node.body_memory.reserve(content_length.unwrap_or(0))?;
+    let buffer = Buffer::new(&node.memory, content_length.unwrap_or(0))?;
     let collected = collect(body, limits.body_bytes, buffer);
     tokio::time::timeout(limits.idle_timeout, collected).await.unwrap_or(Err(BodyError::TooSlow))
 }
--- a/crates/hollyspoke-server/src/handover.rs
+++ b/crates/hollyspoke-server/src/handover.rs
@@ -44,7 +44,7 @@
     let slots = Arc::new(Semaphore::new(MAX_HANDOVER_COUNT));
     let mut acceptor = Acceptor::new(listener, node.log.clone());
     loop {
-        let (stream, peer) = acceptor.accept().await;
+        let (stream, peer) = acceptor.accept(|_| node.free_descriptor()).await;
         // A box that finds no free slot soon asks another box.
         let Ok(slot) = slots.clone().try_acquire_owned() else { continue };
         if !node.with(|it| it.knows_box(peer.ip())) {
--- a/crates/hollyspoke-server/src/head_clock.rs
+++ b/crates/hollyspoke-server/src/head_clock.rs
@@ -14,6 +14,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::delivery::Delivery;
+
 /// The state of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
@@ -52,6 +54,11 @@
         }
     }
 
+    /// Returns whether a head is arriving.
+    pub fn is_reading_head(&self) -> bool {
+        matches!(self.state.get(), State::ReadingHead(_))
+    }
+
     /// Records that a head begins now.
     fn start_head(&self) {
         self.state.set(State::ReadingHead(Instant::now()));
@@ -60,9 +67,10 @@
 
     /// Records that a head is complete. The request counts as being served until the returned guard
     /// is dropped.
-    pub fn start_request(self: &Rc<HeadClock>) -> RequestGuard {
+    pub fn start_request(self: &Rc<HeadClock>, delivery: Rc<Delivery>) -> RequestGuard {
         self.state.set(State::Serving { has_next_request: false });
-        RequestGuard(self.clone())
+        delivery.record_serving(true);
+        RequestGuard { clock: self.clone(), delivery }
     }
 
     /// Waits until a head has been arriving for at least the timeout.
@@ -79,13 +87,18 @@
 
 /// Marks a request as being served while it exists.
 #[derive(Debug)]
-pub struct RequestGuard(Rc<HeadClock>);
+pub struct RequestGuard {
+    /// The clock of the request's connection.
+    clock: Rc<HeadClock>,
+    /// The record of the connection.
+    delivery: Rc<Delivery>,
+}
 
 impl RequestGuard {
     /// Records that the request's body is complete: all bytes that have arrived so far belong to
     /// it.
     pub fn finish_body(&self) {
-        self.0.state.set(State::Serving { has_next_request: false });
+        self.clock.state.set(State::Serving { has_next_request: false });
     }
 
     /// Attaches the guard to the body of the answer.
@@ -96,9 +109,10 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        match self.0.state.get() {
-            State::Serving { has_next_request: true } => self.0.start_head(),
-            _ => self.0.state.set(State::Idle),
+        self.delivery.record_serving(false);
+        match self.clock.state.get() {
+            State::Serving { has_next_request: true } => self.clock.start_head(),
+            _ => self.clock.state.set(State::Idle),
         }
     }
 }
--- a/crates/hollyspoke-server/src/http1.rs
+++ b/crates/hollyspoke-server/src/http1.rs
@@ -18,12 +18,17 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
+use crate::answer_memory::Buffer;
 use crate::flaw::Flaw;
+use crate::memory::{Exhausted, Memory};
 use crate::meter::{Meter, MeteredBody, MeteredStream};
 
 /// The size limit of an answer that is buffered whole.
 pub const MAX_ANSWER_BYTES: usize = 8 << 20;
 
+/// The size limit of a connection's read buffer, and so of the head of an answer.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
+
 /// The media type of an event stream.
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -47,6 +52,8 @@
     Unsent,
     /// No byte of the request was sent, since this box lacks a resource for the connection.
     Exhausted(Shortage),
+    /// The request was sent, and this box has no memory for the answer.
+    NoMemory,
     /// The request was sent, or may have been.
     Broken,
     /// The request was sent, and the bytes that came back are no part of an answer to it.
@@ -59,6 +66,12 @@
     }
 }
 
+impl From<Exhausted> for Failure {
+    fn from(_: Exhausted) -> Failure {
+        Failure::NoMemory
+    }
+}
+
 impl From<hyper::Error> for Failure {
     /// Tells bytes that break the protocol from a connection that breaks.
     fn from(error: hyper::Error) -> Failure {
@@ -169,7 +182,8 @@
         _ = stream.set_nodelay(true);
         let meter = Rc::new(Meter::default());
         let stream = MeteredStream::new(stream, meter.clone());
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let builder = http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).clone();
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| Failure::Unsent)?;
         let task = tokio::task::spawn_local(async move {
             // `send` and the body of the answer return the error.
@@ -214,25 +228,33 @@
     socket.connect(address).await
 }
 
-/// Reads a whole body.
+/// Reads a whole body. While it waits for memory, the rest of it stays unread; `on_wait` is called
+/// before that.
 ///
 /// # Errors
 ///
-/// If it exceeds `max_bytes`, breaks its coding or the connection breaks.
-pub async fn read_whole(mut body: MeteredBody, max_bytes: usize) -> Result<Bytes, Failure> {
-    if body.size_hint().lower() > max_bytes as u64 {
+/// If it exceeds `max_bytes`, finds no memory, breaks its coding or the connection breaks.
+pub async fn read_whole(
+    mut body: MeteredBody,
+    max_bytes: usize,
+    memory: &Memory,
+    on_wait: impl Fn(),
+) -> Result<Bytes, Failure> {
+    let announced = body.size_hint().lower();
+    if announced > max_bytes as u64 {
         return Err(Failure::Garbled(Flaw::TooLarge));
     }
     // The parts are copied, since a small one may keep a large buffer alive.
-    let mut bytes = BytesMut::new();
+    let mut buffer = Buffer::new(memory);
+    buffer.reserve(announced as usize, &on_wait).await?;
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else { continue };
-        if bytes.len() + data.len() > max_bytes {
+        if buffer.len() + data.len() > max_bytes {
             return Err(Failure::Garbled(Flaw::TooLarge));
         }
-        bytes.extend_from_slice(&data);
+        buffer.push(&data, &on_wait).await?;
     }
-    Ok(bytes.freeze())
+    Ok(buffer.freeze())
 }
 
 /// Reads a whole body of which each part must arrive within `part_timeout`; the whole may take any
--- a/crates/hollyspoke-server/src/lib.rs
+++ b/crates/hollyspoke-server/src/lib.rs
@@ -5,10 +5,12 @@
 //! needs another dialect.
 
 pub mod answer;
+pub mod answer_memory;
 pub mod body_memory;
 pub mod client_stream;
 pub mod cursor;
 pub mod datagram;
+pub mod delivery;
 pub mod dialect;
 pub mod directory;
 pub mod event_reader;
@@ -18,6 +20,7 @@
 pub mod handover;
 pub mod head_clock;
 pub mod http1;
+pub mod memory;
 pub mod meter;
 pub mod metrics;
 pub mod node;
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -37,6 +37,8 @@
     call_failures: Counter<u64>,
     /// Connections that this box could not open, by the resource that it lacked.
     socket_shortages: Counter<u64>,
+    /// Clients that were disconnected for lack of memory or descriptors.
+    disconnected: Counter<u64>,
     /// Wanted retries on another engine, by service and whether they were sent.
     retries: Counter<u64>,
     /// Asks for reservations of engines' memory, by answer.
@@ -140,6 +142,10 @@
                 "hollyspoke_socket_shortages",
                 "connections that this box could not open, by the resource that it lacked",
             ),
+            disconnected: count(
+                "hollyspoke_clients_disconnected",
+                "slow or idle clients that were disconnected for lack of memory or descriptors",
+            ),
             retries: count("hollyspoke_repeats", "repeats wanted, by service and whether sent"),
             reservations: count(
                 "hollyspoke_reservations",
@@ -387,6 +393,11 @@
         self.socket_shortages.add(1, &[KeyValue::new("resource", shortage.name())]);
     }
 
+    /// Counts a client that was disconnected for lack of memory or descriptors.
+    pub fn count_disconnected(&self) {
+        self.disconnected.add(1, &[]);
+    }
+
     /// Returns all metrics in Prometheus' text format.
     pub fn text(&self) -> String {
         self.exporter.prometheus_text()
--- a/crates/hollyspoke-server/src/node.rs
+++ b/crates/hollyspoke-server/src/node.rs
@@ -22,6 +22,7 @@
 use hollyspoke_gateway::request::{CallKey, RequestKey};
 use hollyspoke_gateway::reservation::{Ask, Reservation};
 use hollyspoke_gateway::signature::Content;
+use hollyspoke_socket::shortage::Shortage;
 use http::{HeaderMap, request, response};
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -29,9 +30,9 @@
 use tokio::time::Instant;
 
 use crate::answer::{DropHook, Stream};
-use crate::body_memory;
 use crate::dialect::{Dialect, Kind};
 use crate::http1::{Connection, Failure};
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::notes;
 use crate::peers::Peers;
@@ -42,6 +43,12 @@
 /// The maximum number of stream chunks that are buffered for a client that reads slowly.
 const MAX_QUEUED_CHUNK_COUNT: usize = 16;
 
+/// The number of clients that are disconnected at most so that a connection can be opened.
+const MAX_FREED_DESCRIPTORS: usize = 3;
+
+/// The time in which the descriptor of a client that is disconnected becomes free.
+const CLOSE_DURATION: Duration = Duration::from_millis(5);
+
 /// The answer to a client.
 #[derive(Debug)]
 pub enum ClientAnswer {
@@ -121,8 +128,8 @@
     calls: RefCell<HashMap<CallKey, AbortHandle>>,
     /// Engines' answers that wait for the reducer's decision.
     pending_answers: RefCell<HashMap<CallKey, PendingAnswer>>,
-    /// The memory for the bodies of clients' requests.
-    pub body_memory: body_memory::Memory,
+    /// The memory for bytes that are held for others.
+    pub memory: Memory,
     /// The number of connections that could not be opened for lack of a resource of this box.
     shortage_count: Cell<u64>,
     /// The key of the next request.
@@ -184,6 +191,7 @@
         log: Logger,
         peers: Peers,
         store: SocketAddr,
+        memory: Memory,
         upstream_client: UpstreamClient,
     ) -> eyre::Result<Rc<Node>> {
         Ok(Rc::new(Node {
@@ -198,7 +206,7 @@
             response_channels: RefCell::default(),
             calls: RefCell::default(),
             pending_answers: RefCell::default(),
-            body_memory: body_memory::Memory::default(),
+            memory,
             shortage_count: Cell::new(0),
             next_request_key: Cell::new(0),
             watches_store: Cell::new(false),
@@ -221,10 +229,24 @@
         address: SocketAddr,
         timeout: Duration,
     ) -> Result<Connection, Failure> {
-        let opened = Connection::open(address, timeout).await;
+        let mut opened = Connection::open(address, timeout).await;
+        for _ in 0..MAX_FREED_DESCRIPTORS {
+            let is_short = matches!(opened, Err(Failure::Exhausted(Shortage::Descriptors)));
+            if !is_short || !self.free_descriptor() {
+                break;
+            }
+            // The task of the connection has to drop it.
+            tokio::time::sleep(CLOSE_DURATION).await;
+            opened = Connection::open(address, timeout).await;
+        }
         opened.inspect_err(|failure| self.record_shortage(*failure))
     }
 
+    /// Disconnects the client that makes the least use of its descriptor. Returns whether there is one.
+    pub fn free_descriptor(&self) -> bool {
+        self.memory.deliveries.close_least_useful(Instant::now())
+    }
+
     /// Opens a connection to another box. If this box lacks a resource for it, that is logged and
     /// counted.
     ///
--- a/crates/hollyspoke-server/src/objects.rs
+++ b/crates/hollyspoke-server/src/objects.rs
@@ -44,7 +44,8 @@
     let response = connection.send(request).await.ok()?;
     let status = response.status();
     node.handle_store_era(response.headers())?;
-    let bytes = read_whole(response.into_body(), MAX_ANSWER_BYTES).await.ok()?;
+    let bytes =
+        read_whole(response.into_body(), MAX_ANSWER_BYTES, &node.memory, || ()).await.ok()?;
     let answer = (node.dialect.read_operation_answer)(operation, status, &bytes);
     if matches!(answer, Answer::Away | Answer::Conflict) {
         info!(node.log, "store operation not carried out";
--- a/crates/hollyspoke-server/src/proxy.rs
+++ b/crates/hollyspoke-server/src/proxy.rs
@@ -13,6 +13,7 @@
 use http_body_util::{BodyExt, Full};
 use slog::warn;
 
+use crate::answer_memory;
 use crate::event_reader::Reader;
 use crate::http1::{
     Failure, MAX_ANSWER_BYTES, framing, is_event_stream, read_whole, remove_hop_headers,
@@ -32,7 +33,7 @@
         Ok(()) => proxy::Event::Answered,
         Err(Failure::Unsent) => proxy::Event::NotConnected,
         Err(Failure::Exhausted(_)) => proxy::Event::Exhausted,
-        Err(Failure::Broken) => proxy::Event::Broken,
+        Err(Failure::Broken | Failure::NoMemory) => proxy::Event::Broken,
         Err(Failure::Garbled(flaw)) => {
             warn!(node.log, "box sent bytes of no run"; "box" => %call.to, "flaw" => %flaw);
             proxy::Event::Broken
@@ -59,7 +60,7 @@
     if request.head.method != Method::HEAD && is_event_stream(&head) {
         return forward_stream(node, call, head, body).await;
     }
-    let bytes = read_whole(body, MAX_ANSWER_BYTES).await?;
+    let bytes = read_whole(body, MAX_ANSWER_BYTES, &node.memory, || ()).await?;
     node.hold_answer(call.call, head, Some(bytes));
     Ok(())
 }
@@ -76,8 +77,11 @@
     let mut reader = Reader::new(node.with(|it| it.numbering(call.request)));
     node.hold_answer(call.call, head, None);
     node.dispatch(Event::Proxied(call.call, proxy::Event::Began(framing)));
+    let mut reservation = answer_memory::Reservation::new(&node.memory);
+    let on_wait = || ();
     while let Some(frame) = body.frame().await {
         let Ok(bytes) = frame?.into_data() else { continue };
+        reservation.reserve_events(reader.len() + bytes.len(), on_wait).await?;
         reader.push(&bytes);
         while let Some(events) = reader.take()? {
             forward(node, call, events.bytes).await?;
@@ -95,6 +99,7 @@
 /// Forwards events to the client.
 async fn forward(node: &Node, call: &Call, bytes: Bytes) -> Result<(), Failure> {
     let chunk_sender = node.chunk_sender(call.request).ok_or(Failure::Broken)?;
+    let bytes = node.memory.hold_events(bytes, || ()).await;
     chunk_sender.send(bytes).await.map_err(|_| Failure::Broken)
 }
 
--- a/crates/hollyspoke-server/src/run.rs
+++ b/crates/hollyspoke-server/src/run.rs
@@ -18,6 +18,7 @@
 
 use crate::dialect::{Dialect, Kind};
 use crate::directory::Audience;
+use crate::memory::Memory;
 use crate::node::Node;
 use crate::peers::{Datagram, Peers};
 use crate::settings::Settings;
@@ -113,7 +114,9 @@
         unix_start: unix_seconds(),
         is_first_start: settings.is_first_start,
     });
-    let node = Node::new(gateway, dialect, log, peers.clone(), settings.store, UPSTREAM_CLIENT)?;
+    let memory = Memory::new(settings.memory_bytes);
+    let node =
+        Node::new(gateway, dialect, log, peers.clone(), settings.store, memory, UPSTREAM_CLIENT)?;
     let running = Running {
         node: node.clone(),
         front: front.local_addr()?,
--- a/crates/hollyspoke-server/src/settings.rs
+++ b/crates/hollyspoke-server/src/settings.rs
@@ -14,6 +14,8 @@
 use hollyspoke_gateway::region::Regions;
 use serde::Deserialize;
 
+use crate::memory::DEFAULT_MEMORY_BYTES;
+
 /// The settings file as it is parsed.
 #[derive(Debug, Clone, Deserialize, PartialEq)]
 pub struct File {
@@ -28,6 +30,9 @@
     pub listen: ListenSection,
     /// The platform's store.
     pub store: StoreSection,
+    /// What the process may use.
+    #[serde(default)]
+    pub limits: LimitsSection,
     /// The limits of the box's behaviour.
     #[serde(default)]
     pub bounds: BoundsSection,
@@ -82,6 +87,14 @@
     pub address: String,
 }
 
+/// What the process may use.
+#[derive(Debug, Clone, Default, Deserialize, PartialEq)]
+#[serde(default)]
+pub struct LimitsSection {
+    /// The memory, in megabytes of 2^20 bytes; 128 if unknown.
+    pub memory_mb: Option<NonZeroUsize>,
+}
+
 /// The limits of a box's behaviour.
 #[derive(Debug, Clone, Deserialize, PartialEq)]
 #[serde(default)]
@@ -200,6 +213,8 @@
     pub boxes: Option<usize>,
     /// The mechanisms that are switched on.
     pub features: Features,
+    /// The memory that the process may use, in bytes.
+    pub memory_bytes: usize,
 }
 
 /// Collects the errors that the checks find.
@@ -288,6 +303,7 @@
             },
             boxes: bounds.quota_boxes.map(NonZeroUsize::get),
             features: file.features,
+            memory_bytes: file.limits.memory_mb.map_or(DEFAULT_MEMORY_BYTES, |it| it.get() << 20),
         })
     }
 }
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -1,6 +1,7 @@
 //! Calls to engines. Each call has its own connection, which is closed after the answer, so that
 //! excess or late bytes of an engine can't be taken for the answer to another request.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +21,7 @@
 use slog::{debug, info, warn};
 use tokio::sync::mpsc::error::TrySendError;
 
+use crate::answer_memory;
 use crate::dialect::Report;
 use crate::event_reader::{Events, Reader};
 use crate::flaw::Flaw;
@@ -97,6 +99,7 @@
         Err(Failure::Exhausted(Shortage::Ports)) => CallEvent::NoPort,
         Err(Failure::Exhausted(_)) => CallEvent::Exhausted,
         Err(Failure::Broken) => CallEvent::Broken,
+        Err(Failure::NoMemory) => CallEvent::NoMemory,
         Err(Failure::Garbled(flaw)) => {
             warn!(node.log, "engine sent bytes of no run";
                 "engine" => %send.engine.id, "flaw" => %flaw);
@@ -130,7 +133,8 @@
         dispatch_own_statement(node, &send.engine, answer.statement);
         return Err(Failure::Garbled(Flaw::NoEventStream));
     }
-    let bytes = match read_whole(body, MAX_ANSWER_BYTES).await {
+    let on_wait = || node.dispatch(Event::Call(send.call, CallEvent::HeldUp));
+    let bytes = match read_whole(body, MAX_ANSWER_BYTES, &node.memory, on_wait).await {
         Ok(bytes) => bytes,
         Err(failure) => {
             // The head is valid even if the body is not.
@@ -158,8 +162,11 @@
 ) -> Result<Answer, Failure> {
     let mut reader = Reader::new(node.with(|it| it.numbering(send.request)));
     let mut head = Some(head);
+    let mut reservation = answer_memory::Reservation::new(&node.memory);
+    let on_wait = || node.dispatch(Event::Call(send.call, CallEvent::HeldUp));
     while let Some(frame) = body.frame().await {
         let Ok(bytes) = frame?.into_data() else { continue };
+        reservation.reserve_events(reader.len() + bytes.len(), on_wait).await?;
         reader.push(&bytes);
         while let Some(events) = reader.take()? {
             report_stream_start(node, send, &answer, &mut head)?;
@@ -211,7 +218,14 @@
 async fn forward(node: &Rc<Node>, send: &Send, events: Events) -> Result<(), Failure> {
     let Events { bytes, last_id, has_event } = events;
     let chunk_sender = node.chunk_sender(send.request).ok_or(Failure::Broken)?;
+    let is_late = Cell::new(false);
+    let on_wait = || {
+        is_late.set(true);
+        node.dispatch(Event::Call(send.call, CallEvent::HeldUp));
+    };
+    let bytes = node.memory.hold_events(bytes, on_wait).await;
     let event = match chunk_sender.try_send(bytes) {
+        Ok(()) if is_late.get() => CallEvent::ForwardedLate(last_id),
         Ok(()) => CallEvent::Forwarded(last_id),
         Err(TrySendError::Full(_)) if !has_event => return Ok(()),
         Err(TrySendError::Full(bytes)) => {
@@ -262,7 +276,9 @@
         Ok(Ok((status, body))) => (node.dialect.read_reservation)(status, &body),
         Ok(Err(Failure::Unsent)) => reservation::Answer::NotConnected,
         Ok(Err(Failure::Exhausted(_))) => reservation::Answer::Exhausted,
-        Ok(Err(Failure::Broken | Failure::Garbled(_))) | Err(_) => reservation::Answer::Unknown,
+        Ok(Err(Failure::Broken | Failure::NoMemory | Failure::Garbled(_))) | Err(_) => {
+            reservation::Answer::Unknown
+        }
     };
     node.dispatch(Event::Reserved(ask.number, answer));
 }
@@ -285,7 +301,9 @@
     let answer = match tokio::time::timeout(TRANSFER_TIMEOUT, exchange).await {
         Ok(Ok((status, body))) => (node.dialect.read_transfer)(status, &body),
         Ok(Err(Failure::Unsent | Failure::Exhausted(_))) => migration::Answer::NotConnected,
-        Ok(Err(Failure::Broken | Failure::Garbled(_))) | Err(_) => migration::Answer::Unknown,
+        Ok(Err(Failure::Broken | Failure::NoMemory | Failure::Garbled(_))) | Err(_) => {
+            migration::Answer::Unknown
+        }
     };
     node.dispatch(Event::Transferred(transfer.call, answer));
 }
@@ -301,7 +319,7 @@
     let request = head.body(Full::new(body)).map_err(|_| Failure::Unsent)?;
     let (head, body) = connection.send(request).await?.into_parts();
     read_statement(node, engine, &head);
-    let body = read_whole(body, MAX_ANSWER_BYTES).await?;
+    let body = read_whole(body, MAX_ANSWER_BYTES, &node.memory, || ()).await?;
     Ok((head.status, body))
 }
 
@@ -342,7 +360,7 @@
             (node.dialect.read_order_answer)(head.status)
         }
         Err(Failure::Unsent | Failure::Exhausted(_)) => OrderAnswer::Refused,
-        Err(Failure::Broken | Failure::Garbled(_)) => OrderAnswer::Unknown,
+        Err(Failure::Broken | Failure::NoMemory | Failure::Garbled(_)) => OrderAnswer::Unknown,
     }
 }
 
@@ -365,7 +383,7 @@
     match node.connect(engine.address, CONNECT_TIMEOUT).await {
         Ok(connection) => read_probe(node, engine, connection).await,
         Err(Failure::Exhausted(_)) => Probe::Exhausted,
-        Err(Failure::Unsent | Failure::Broken | Failure::Garbled(_)) => Probe::NotConnected,
+        Err(_) => Probe::NotConnected,
     }
 }
 
@@ -378,6 +396,7 @@
                 "engine" => %engine.id, "flaw" => %flaw);
             Probe::Alive(None)
         }
+        Err(Failure::NoMemory) => Probe::Alive(None),
         Err(_) => Probe::Broken,
     }
 }
@@ -395,7 +414,7 @@
     match head.status {
         StatusCode::MISDIRECTED_REQUEST => Ok(Probe::Replaced),
         StatusCode::OK => {
-            let bytes = read_whole(body, MAX_ANSWER_BYTES).await?;
+            let bytes = read_whole(body, MAX_ANSWER_BYTES, &node.memory, || ()).await?;
             Ok(Probe::Alive(read_report(node, engine, &bytes).and_then(|it| it.born)))
         }
         _ => Ok(Probe::Alive(None)),
@@ -426,7 +445,7 @@
     if head.status != StatusCode::OK {
         return None;
     }
-    read_whole(body, MAX_ANSWER_BYTES).await.ok()
+    read_whole(body, MAX_ANSWER_BYTES, &node.memory, || ()).await.ok()
 }
 
 /// Parses an engine's report, and dispatches the state that it contains besides the queried value.
--- a/crates/hollyspoke-socket/src/accept.rs
+++ b/crates/hollyspoke-socket/src/accept.rs
@@ -11,6 +11,9 @@
 /// The delay after an error that the next attempt would meet as well, such as too many open files.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// The delay after a resource was freed, in which its former user drops it.
+const FREED_DELAY: Duration = Duration::from_millis(5);
+
 /// Accepts the connections of one listener.
 #[derive(Debug)]
 pub struct Acceptor {
@@ -29,8 +32,12 @@
     }
 
     /// Waits for the next connection. Errors are logged: the first, the second, the fourth and so
-    /// on.
-    pub async fn accept(&mut self) -> (TcpStream, SocketAddr) {
+    /// on. `on_shortage` is called before an attempt is repeated that failed for lack of a resource, and
+    /// returns whether it has freed some.
+    pub async fn accept(
+        &mut self,
+        on_shortage: impl Fn(Shortage) -> bool,
+    ) -> (TcpStream, SocketAddr) {
         loop {
             let error = match self.listener.accept().await {
                 Ok(accepted) => return accepted,
@@ -41,8 +48,9 @@
                 warn!(self.log, "connection not accepted";
                     "error" => %error, "failures" => self.failures);
             }
-            if Shortage::of(&error).is_some() {
-                tokio::time::sleep(RETRY_DELAY).await;
+            if let Some(shortage) = Shortage::of(&error) {
+                let delay = if on_shortage(shortage) { FREED_DELAY } else { RETRY_DELAY };
+                tokio::time::sleep(delay).await;
             }
         }
     }
--- a/crates/hollyspoke-wire/src/peer.rs
+++ b/crates/hollyspoke-wire/src/peer.rs
@@ -107,7 +107,7 @@
     /// Serves incoming connections until the task is dropped.
     pub async fn serve(self, mut acceptor: Acceptor) {
         loop {
-            let (socket, _) = acceptor.accept().await;
+            let (socket, _) = acceptor.accept(|_| false).await;
             if socket.set_nodelay(true).is_err() {
                 // The connection was closed already.
                 continue;
--- a/tests/soak/src/client.rs
+++ b/tests/soak/src/client.rs
@@ -338,7 +338,9 @@
         let response = match sent {
             Ok(response) => response,
             Err(Failure::Unsent | Failure::Exhausted(_)) => return Outcome::Unreached,
-            Err(Failure::Broken | Failure::Garbled(_)) => return Outcome::Cut(0),
+            Err(Failure::Broken | Failure::NoMemory | Failure::Garbled(_)) => {
+                return Outcome::Cut(0);
+            }
         };
         let closes = response.headers().get(CONNECTION).is_some_and(|it| it == "close");
         let outcome = self.read(wanted, id, response).await;
--- a/tests/src/platform.rs
+++ b/tests/src/platform.rs
@@ -12,6 +12,7 @@
 use hollyspoke_gateway::gateway::Sharing;
 use hollyspoke_gateway::region::Regions;
 use hollyspoke_platform::DIALECT;
+use hollyspoke_server::memory::DEFAULT_MEMORY_BYTES;
 use hollyspoke_server::run::{self, Running};
 use hollyspoke_server::settings::Settings;
 use percent_encoding::percent_decode_str;
@@ -650,6 +651,7 @@
         sharing: Sharing::Totals,
         boxes: None,
         features: Features::NONE,
+        memory_bytes: DEFAULT_MEMORY_BYTES,
     }
 }
 
--- a/tests/tests/formats.rs
+++ b/tests/tests/formats.rs
@@ -239,6 +239,16 @@
     assert_eq!(read_back.expect("it is read"), older);
 }
 
+/// Whole datagrams that announce that their sender keeps streams in the store are read back.
+#[test]
+fn keeper_misread() {
+    for format in [Format::Parts, Format::Records] {
+        let sent = Message { format: Some(format), ..whole() };
+        let read_back = read(&write(&sent, Format::Permits).expect("it is written"));
+        assert_eq!(read_back.expect("it is read"), sent);
+    }
+}
+
 /// The parts that one datagram announces take at most a quarter of what a box may spend in a second.
 #[test]
 fn announced_part_too_large() {
--- a/tests/tests/origins.rs
+++ b/tests/tests/origins.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hollyspoke::time::Time;
+use hollyspoke_gateway::origin::archive::{Record, Records};
 use hollyspoke_gateway::origin::{Announcement, Ask, Knowledge, Notice, Reply, StreamKey, Table};
 use hollyspoke_gateway::version::{SoftwareVersion, Timeline, Verdict, VersionKey};
 use hollyspoke_server::notice::{read, write};
@@ -189,7 +190,43 @@
     assert!(bytes.len() <= 48, "{} bytes", bytes.len());
 }
 
+/// What the store keeps of streams is read back; two versions of one stream stay a contradiction.
+#[test]
+fn archived_stream_misread() {
+    let mut records = Records::default();
+    for (stream, name) in [(1, "v1"), (2, "v2"), (u64::MAX, "v1"), (2, "v1")] {
+        let record = Record { version: Some(version(name)), until: 7000 };
+        assert!(records.insert(StreamKey(stream), record));
+    }
+    let read_back = Records::decode(&records.encode());
+    assert_eq!(read_back, records);
+    let found = read_back.find(StreamKey(1));
+    assert_eq!(found, Some(Record { version: Some(version("v1")), until: 7000 }));
+    assert_eq!(read_back.find(StreamKey(2)), Some(Record { version: None, until: 7000 }));
+    assert_eq!(read_back.find(StreamKey(3)), None);
+}
+
+/// Streams whose clients can't come back any more are forgotten.
+#[test]
+fn expired_stream_kept() {
+    let mut records = Records::default();
+    for stream in 1..=3 {
+        let record = Record { version: Some(version("v1")), until: 1000 * stream };
+        records.insert(StreamKey(u64::from(stream)), record);
+    }
+    records.prune(2000);
+    assert_eq!(records.streams(), [StreamKey(3)]);
+}
+
 proptest! {
+    /// What no box has written is left out of what is read.
+    #[test]
+    fn corrupted_archive(text in "[{}\":,a-f0-9streams]{0,200}", digits in "[0-9a-g]{0,60}") {
+        _ = Records::decode(&text);
+        let records = Records::decode(&format!(r#"{{"streams":{{"0a":"{digits}"}}}}"#));
+        prop_assert!(records.len() <= digits.len() / 24);
+    }
+
     /// Invalid bytes cause an error, never a panic.
     #[test]
     fn corrupted_notice(index in 0..200_usize, byte: u8, cut in 0..200_usize) {
--- a/tests/tests/platform_framing.rs
+++ b/tests/tests/platform_framing.rs
@@ -5,6 +5,7 @@
 
 use hollyspoke_server::client_stream::{ClientStream, CloseDelimited};
 use hollyspoke_server::head_clock::HeadClock;
+use hollyspoke_server::memory::{DEFAULT_MEMORY_BYTES, Memory};
 use hollyspoke_server::run::Running;
 use hollyspoke_tests::framing::{PARTIAL_EVENT, see, see_answer, unmarked_body, unmarked_stream};
 use hollyspoke_tests::platform::{
@@ -207,6 +208,9 @@
     }
 }
 
+/// How long the client of [`closed_connection_looks_complete`] may take nothing.
+const STALL_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// A client's connection that closes within an answer without framing is reset, also when the
 /// process of the box ends; an orderly shutdown ends the answer.
 #[test]
@@ -219,7 +223,17 @@
             let close_delimited = CloseDelimited::default();
             close_delimited.set();
             let clock = HeadClock::new();
-            let mut stream = ClientStream::new(accepted.unwrap().0, clock, close_delimited);
+            let memory = Memory::new(DEFAULT_MEMORY_BYTES);
+            let delivery = memory.deliveries.add();
+            let accepted = accepted.unwrap().0;
+            let mut stream = ClientStream::new(
+                accepted,
+                clock,
+                close_delimited,
+                delivery,
+                memory,
+                STALL_TIMEOUT,
+            );
             stream.write_all(b"part").await.unwrap();
             if shuts_down {
                 stream.shutdown().await.unwrap();
