Streams are archived only where several versions were seen

What callers saw: nothing yet; `excessive_restore_calls` counted 27 calls of six boxes in five seconds after the store had come back from a copy, where 20 are allowed.

Cause: a box that didn't know which versions had served archived streams as well, and read the register for that with each heartbeat. Now only a box that has seen several archives, and none reads the register for it.

--- a/crates/hollyspoke-gateway/src/gateway/archive.rs
+++ b/crates/hollyspoke-gateway/src/gateway/archive.rs
@@ -168,20 +168,10 @@
 }
 
 impl Gateway {
-    /// Returns whether the streams of a service are archived: unless it is known that only one version
-    /// has served. Large deployments have too many streams.
-    fn archives(&mut self, service: u64) -> bool {
-        if self.members.is_large() {
-            return false;
-        }
-        match self.served_versions(service, REACH) {
-            Verdict::Only(_) => false,
-            Verdict::Several => true,
-            Verdict::Unaware => {
-                self.look_up_register();
-                true
-            }
-        }
+    /// Returns whether the streams of a service are archived: if several versions have served. Large
+    /// deployments have too many streams.
+    fn archives(&self, service: u64) -> bool {
+        !self.members.is_large() && self.served_versions(service, REACH) == Verdict::Several
     }
 
     /// Announces a stream that this box has begun to the keeper of its shard, if it is to be archived.
