--- a/review/standin-2/kit.py
+++ b/review/standin-2/kit.py
@@ -183,6 +183,8 @@
         self.changed = asyncio.Condition()
         self.server = None
         self.address = None
+        # When a watch was last asked for at each address.
+        self.watched = {}
         # Decides about a call before it is carried out: None, or an awaitable function.
         self.gate = None
 
@@ -190,10 +192,18 @@
         self.server = await asyncio.start_server(self.serve, ip, 0)
         self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
 
+    async def listen(self, ip="127.0.0.1"):
+        """Returns one more address of the store."""
+        server = await asyncio.start_server(self.serve, ip, 0)
+        return "%s:%d" % server.sockets[0].getsockname()[:2]
+
     async def serve(self, reader, writer):
+        at = "%s:%d" % writer.get_extra_info("sockname")[:2]
         try:
             while (call := await read_head(reader)) is not None:
                 call.body = await read_body(reader, call)
+                if "watch=" in call.path:
+                    self.watched[at] = time.monotonic()
                 if self.gate is not None and not await self.gate(call, writer):
                     return
                 status, body = await self.respond(call)
@@ -425,6 +435,10 @@
             stdin=subprocess.DEVNULL, env={"HOLLYSPOKE_CONFIG": path, "PATH": os.environ["PATH"]})
         site.record(f"box {self.name} started, process {self.process.pid}")
 
+    def follows(self):
+        """Returns whether the box has watched the store lately."""
+        return time.monotonic() - self.site.store.watched.get(self.store, 0) < 3
+
     def signal(self, number):
         self.site.record(f"box {self.name} gets {signal.Signals(number).name}")
         self.process.send_signal(number)
@@ -460,6 +474,7 @@
 
     async def boot(self):
         for box in self.boxes:
+            box.store = await self.store.listen()
             box.start(bootstrap=True)
         await self.ready()
 
