--- a/review/standin-2/kit.py
+++ b/review/standin-2/kit.py
@@ -307,6 +307,9 @@
         self.slots, self.work_s = slots, work_s
         self.born = int(time.time() * 1000)
         self.state = "ready"
+        self.version = "v1"
+        # How long it takes to tell of itself.
+        self.report_s = 0.0
         self.behave = None
         self.runs = []
         self.writers = set()
@@ -318,7 +321,8 @@
         self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
 
     def entry(self):
-        return {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
+        return {"service": self.service, "address": self.address, "zone": self.zone,
+                "version": self.version,
                 "slots": self.slots, "state": self.state, "coldLeftMs": 0, "callSeq": 0,
                 "born": self.born}
 
@@ -343,6 +347,7 @@
             self.record(f"engine {self.id} answers 421 to {request.header('x-request-id')}")
             writer.write(answer_bytes(421, request, "X-Not-Executed: 1\r\n"))
         elif request.path.startswith("/report"):
+            await asyncio.sleep(self.report_s)
             body = json.dumps({"models": [], "busy": False, "callSeq": 0, "queued": 0, "active": 0,
                                "kvUsed": 0, "kvTotal": 0, "prefillHandles": 0, "state": self.state,
                                "born": self.born}).encode()
@@ -554,12 +559,16 @@
 
     async def bounded():
         # Stand-ins that still serve when the case is over are cancelled, which is no error.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        return await asyncio.wait_for(case(folder, is_troubled), 115)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda *_: None)
+        running = asyncio.ensure_future(case(folder, is_troubled))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, running.cancel)
+        return await asyncio.wait_for(running, 115)
 
     try:
         kept = asyncio.run(bounded())
-    except (Unable, RuntimeError, OSError, asyncio.TimeoutError) as error:
+    except (Unable, RuntimeError, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}")
         sys.exit(UNABLE)
     print("the rule held" if kept else "the rule was broken")
