--- a/review/6/run.py
+++ b/review/6/run.py
@@ -112,4 +112,5 @@
         site.close()
 
 
-kit.run(case)
+# With TROUBLE=0 all is the same but the disruption.
+kit.run(case, is_troubled=os.environ.get("TROUBLE", "1") != "0")
--- a/review/standin-2/kit.py
+++ b/review/standin-2/kit.py
@@ -552,10 +552,9 @@
     return f"{_next_id[0]:06x}{random.randrange(1 << 40):010x}"
 
 
-def run(case):
-    """Runs a case: `case(site_folder, is_troubled)` returns whether the rule was kept."""
+def run(case, is_troubled):
+    """Runs a case: `case(folder, is_troubled)` returns whether the rule was kept."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
-    is_troubled = os.environ.get("TROUBLE", "1") != "0"
 
     async def bounded():
         # Stand-ins that still serve when the case is over are cancelled, which is no error.
