Read heads of answers strictly, and frame answers anew

Callers got answers of engines whose heads were spoilt as complete ones: under a length beside chunks, cut by a length that was too short, with the lines of chunks or the rest of the head in the body, with status 600 or 999, or without an engine's signature. On a kept connection the rest of one was taken for the answer to the next request.

Cause: the HTTP library reads heads leniently, and `framing()`, the library and `client_head` each looked at the framing fields by themselves, so that one head had two meanings; what the library had consumed as a field, or left unread behind the body, nobody saw.

Each head is now read byte by byte before the library sees it (`hollyspoke-http`) and has one meaning or none. All connections to engines, other boxes and the store pass through it. Bytes behind a body's length that begin no other answer fail the call; no framing field is copied; a success must be signed, by what `platform/` says.

--- a/crates/hollyspoke-server/src/dialect.rs
+++ b/crates/hollyspoke-server/src/dialect.rs
@@ -20,6 +20,8 @@
 
 pub use hollyspoke_gateway::event::Kind;
 
+use crate::flaw::Flaw;
+
 /// An object of the store.
 #[derive(Debug, Clone)]
 pub enum Item {
@@ -91,6 +93,8 @@
     pub set_deadline: fn(&mut HeaderMap, Duration),
     /// Parses the head of an engine's answer; fails if it answers another request.
     pub read_answer: fn(&response::Parts, &request::Parts) -> Result<Answer, Malformed>,
+    /// Returns whether an answer bears the signature of an engine, without which it is no success.
+    pub is_signed: fn(&response::Parts) -> bool,
     /// Parses the engine's statement about itself from the head of its answer.
     pub read_statement: fn(&response::Parts) -> Statement,
     /// Parses the handle of a cached prompt from the answer to a prefill call.
@@ -146,3 +150,17 @@
     /// Builds the answer to a client that asks for addresses, given how long it may cache them.
     pub write_addresses: fn(&[SocketAddr], Duration) -> Bytes,
 }
+
+impl Dialect {
+    /// Checks that an answer which reaches a client as a success is signed by an engine.
+    ///
+    /// # Errors
+    ///
+    /// If it is not.
+    pub fn check_signature(&self, head: &response::Parts) -> Result<(), Flaw> {
+        if head.status.is_success() && !(self.is_signed)(head) {
+            return Err(Flaw::Unsigned);
+        }
+        Ok(())
+    }
+}
--- a/crates/hollyspoke-server/src/flaw.rs
+++ b/crates/hollyspoke-server/src/flaw.rs
@@ -3,11 +3,17 @@
 use std::error::Error;
 use std::fmt;
 
+use hollyspoke_http::violation::Violation;
+
 /// The first thing that is wrong with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Flaw {
     /// The head is malformed or too large.
     Head,
+    /// The bytes are no answer of the protocol, or their head can't be trusted.
+    Protocol(Violation),
+    /// A success does not bear the signature of an engine.
+    Unsigned,
     /// The head names another request.
     OtherRequest,
     /// The answer to a request for a stream is no event stream.
@@ -34,10 +40,18 @@
 
 impl Error for Flaw {}
 
+impl From<Violation> for Flaw {
+    fn from(violation: Violation) -> Flaw {
+        Flaw::Protocol(violation)
+    }
+}
+
 impl fmt::Display for Flaw {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Flaw::Head => "the head is malformed",
+            Flaw::Protocol(violation) => return violation.fmt(f),
+            Flaw::Unsigned => "the success is not signed",
             Flaw::OtherRequest => "the head names another request",
             Flaw::NoEventStream => "the answer is no event stream",
             Flaw::Coding => "the transfer coding is malformed",
--- a/crates/hollyspoke-server/src/front.rs
+++ b/crates/hollyspoke-server/src/front.rs
@@ -210,7 +210,7 @@
             Response::from_parts(client_head(head), body)
         }
         Ok(ClientAnswer::Stream(head, stream)) => {
-            Response::from_parts(stream_head(head), AnswerBody::Stream(stream, Some(hook)))
+            Response::from_parts(client_head(head), AnswerBody::Stream(stream, Some(hook)))
         }
         Ok(ClientAnswer::Refused(refusal)) => refusal_response(refusal),
         Err(_) => status(StatusCode::BAD_GATEWAY),
@@ -274,14 +274,6 @@
     head
 }
 
-/// Returns the head of a stream as it is sent to the client. It has no length: another engine may
-/// continue the stream with events of another size.
-fn stream_head(head: response::Parts) -> response::Parts {
-    let mut head = client_head(head);
-    head.headers.remove(CONTENT_LENGTH);
-    head
-}
-
 /// Returns the answer to a request that the gateway itself rejects.
 fn refusal_response(refusal: Refusal) -> Response<AnswerBody> {
     match refusal {
--- a/crates/hollyspoke-server/src/http1.rs
+++ b/crates/hollyspoke-server/src/http1.rs
@@ -10,7 +10,7 @@
 use hollyspoke_gateway::framing::Framing;
 use hollyspoke_socket::shortage::Shortage;
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, response};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -20,8 +20,8 @@
 
 use crate::answer_memory::Buffer;
 use crate::flaw::Flaw;
+use crate::guarded::{GuardedBody, GuardedStream, Incomings};
 use crate::memory::{Exhausted, Memory};
-use crate::meter::{Meter, MeteredBody, MeteredStream};
 
 /// The size limit of an answer that is buffered whole.
 pub const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -119,20 +119,9 @@
     headers.remove(KEEP_ALIVE);
 }
 
-/// Returns the framing of an answer's body. See RFC 9112, section 6.3.
+/// Returns the framing of an answer that [`Connection::send`] returned.
 pub fn framing(head: &response::Parts) -> Framing {
-    let has_no_body = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    let is_marked = match head.headers.get_all(TRANSFER_ENCODING).iter().next_back() {
-        Some(coding) => is_chunked(coding),
-        None => head.headers.contains_key(CONTENT_LENGTH) || has_no_body,
-    };
-    if is_marked { Framing::Marked } else { Framing::Close }
-}
-
-/// Returns whether the last transfer coding is `chunked`.
-fn is_chunked(codings: &HeaderValue) -> bool {
-    let last = codings.to_str().ok().and_then(|it| it.rsplit(',').next());
-    last.is_some_and(|it| it.trim().eq_ignore_ascii_case("chunked"))
+    head.extensions.get().copied().unwrap_or(Framing::Close)
 }
 
 /// A connection that is closed when dropped.
@@ -142,8 +131,8 @@
     sender: SendRequest<Full<Bytes>>,
     /// The task that reads from and writes to the socket.
     task: AbortHandle,
-    /// Meters what arrives.
-    meter: Rc<Meter>,
+    /// What arrives.
+    incomings: Rc<Incomings>,
 }
 
 impl Drop for Connection {
@@ -180,8 +169,8 @@
     async fn start(stream: TcpStream) -> Result<Connection, Failure> {
         // If this fails, small requests are delayed but the connection still works.
         _ = stream.set_nodelay(true);
-        let meter = Rc::new(Meter::default());
-        let stream = MeteredStream::new(stream, meter.clone());
+        let stream = GuardedStream::new(stream);
+        let incomings = stream.incomings();
         let builder = http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).clone();
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| Failure::Unsent)?;
@@ -189,10 +178,11 @@
             // `send` and the body of the answer return the error.
             _ = connection.await;
         });
-        Ok(Connection { sender, task: task.abort_handle(), meter })
+        Ok(Connection { sender, task: task.abort_handle(), incomings })
     }
 
-    /// Sends a request and waits for the head of the answer.
+    /// Sends a request and waits for the head of the answer. The head has no field that frames the
+    /// body: whoever passes the answer on frames it anew. [`framing`] tells how it was framed.
     ///
     /// # Errors
     ///
@@ -200,15 +190,26 @@
     pub async fn send(
         &mut self,
         request: http::Request<Full<Bytes>>,
-    ) -> Result<http::Response<MeteredBody>, Failure> {
-        self.meter.advance();
-        match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response.map(|it| MeteredBody::new(it, self.meter.clone()))),
-            Err(mut error) => Err(match error.take_message() {
-                Some(_) => Failure::Unsent,
-                None => Failure::from(error.into_error()),
-            }),
+    ) -> Result<http::Response<GuardedBody>, Failure> {
+        let is_head_request = request.method() == Method::HEAD;
+        self.incomings.expect_answer(is_head_request);
+        let response = match self.sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut error) => {
+                return Err(match error.take_message() {
+                    Some(_) => Failure::Unsent,
+                    None => Failure::from(error.into_error()),
+                });
+            }
+        };
+        let (mut head, body) = response.into_parts();
+        head.extensions.insert(self.incomings.framing());
+        // Without a body, the length is that of another answer and frames nothing.
+        if !is_head_request && head.status != StatusCode::NOT_MODIFIED {
+            head.headers.remove(CONTENT_LENGTH);
         }
+        let body = GuardedBody::new(body, self.incomings.clone());
+        Ok(http::Response::from_parts(head, body))
     }
 }
 
@@ -233,9 +234,10 @@
 ///
 /// # Errors
 ///
-/// If it exceeds `max_bytes`, finds no memory, breaks its coding or the connection breaks.
+/// If it exceeds `max_bytes`, finds no memory, breaks its coding, is longer than its framing tells or
+/// the connection breaks.
 pub async fn read_whole(
-    mut body: MeteredBody,
+    mut body: GuardedBody,
     max_bytes: usize,
     memory: &Memory,
     on_wait: impl Fn(),
@@ -254,25 +256,28 @@
         }
         buffer.push(&data, &on_wait).await?;
     }
+    body.finish().await?;
     Ok(buffer.freeze())
 }
 
 /// Reads a whole body of which each part must arrive within `part_timeout`; the whole may take any
 /// time. `received` holds the number of bytes that have arrived, also if the read fails. Returns
-/// `None` if the body exceeds `max_bytes`, stalls, or the connection breaks.
+/// `None` if the body exceeds `max_bytes`, is longer than its framing tells, stalls, or the connection
+/// breaks.
 pub async fn read_steady(
-    body: MeteredBody,
+    mut body: GuardedBody,
     max_bytes: usize,
     part_timeout: Duration,
     received: &Cell<usize>,
 ) -> Option<Bytes> {
-    let mut body = Limited::new(body, max_bytes);
+    let mut limited = Limited::new(&mut body, max_bytes);
     let mut bytes = BytesMut::new();
-    while let Some(frame) = tokio::time::timeout(part_timeout, body.frame()).await.ok()? {
+    while let Some(frame) = tokio::time::timeout(part_timeout, limited.frame()).await.ok()? {
         if let Ok(data) = frame.ok()?.into_data() {
             bytes.extend_from_slice(&data);
             received.set(bytes.len());
         }
     }
+    body.finish().await.ok()?;
     Some(bytes.freeze())
 }
--- a/crates/hollyspoke-server/src/lib.rs
+++ b/crates/hollyspoke-server/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod event_stream;
 pub mod flaw;
 pub mod front;
+pub mod guarded;
 pub mod handover;
 pub mod head_clock;
 pub mod http1;
--- a/crates/hollyspoke-server/src/proxy.rs
+++ b/crates/hollyspoke-server/src/proxy.rs
@@ -15,10 +15,10 @@
 
 use crate::answer_memory;
 use crate::event_reader::Reader;
+use crate::guarded::GuardedBody;
 use crate::http1::{
     Failure, MAX_ANSWER_BYTES, framing, is_event_stream, read_whole, remove_hop_headers,
 };
-use crate::meter::MeteredBody;
 use crate::node::{Node, ReceivedRequest};
 
 /// The timeout for opening a connection to another box.
@@ -57,6 +57,7 @@
     let head = request_head(node, call, &request.head);
     let message = http::Request::from_parts(head, Full::new(request.body.clone()));
     let (head, body) = connection.send(message).await?.into_parts();
+    node.dialect.check_signature(&head)?;
     if request.head.method != Method::HEAD && is_event_stream(&head) {
         return forward_stream(node, call, head, body).await;
     }
@@ -71,7 +72,7 @@
     node: &Rc<Node>,
     call: &Call,
     head: response::Parts,
-    mut body: MeteredBody,
+    mut body: GuardedBody,
 ) -> Result<(), Failure> {
     let framing = framing(&head);
     let mut reader = Reader::new(node.with(|it| it.numbering(call.request)));
@@ -90,6 +91,7 @@
             return Ok(());
         }
     }
+    body.finish().await?;
     if let Some(events) = reader.finish()? {
         forward(node, call, events.bytes).await?;
     }
--- a/crates/hollyspoke-server/src/sync.rs
+++ b/crates/hollyspoke-server/src/sync.rs
@@ -26,8 +26,8 @@
 
 use crate::cursor;
 use crate::dialect::{Change, Item, Kind, Page};
+use crate::guarded::GuardedBody;
 use crate::http1::{Connection, read_steady};
-use crate::meter::MeteredBody;
 use crate::node::Node;
 
 /// The timeout for opening a connection to the store.
@@ -447,7 +447,7 @@
     }
 
     /// Sends one request and returns the head of the answer.
-    async fn send(&mut self, path: &str) -> Result<(Connection, Response<MeteredBody>), Failure> {
+    async fn send(&mut self, path: &str) -> Result<(Connection, Response<GuardedBody>), Failure> {
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
             None => self
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -25,9 +25,9 @@
 use crate::dialect::Report;
 use crate::event_reader::{Events, Reader};
 use crate::flaw::Flaw;
+use crate::guarded::GuardedBody;
 use crate::handover;
 use crate::http1::{Connection, Failure, MAX_ANSWER_BYTES, is_event_stream, read_whole};
-use crate::meter::MeteredBody;
 use crate::node::{Node, ReceivedRequest, UpstreamClient};
 use crate::objects;
 use crate::proxy;
@@ -123,6 +123,9 @@
     let (head, body) = connection.send(message).await?.into_parts();
     let answer = (node.dialect.read_answer)(&head, &request.head)
         .map_err(|_| Failure::Garbled(Flaw::OtherRequest))?;
+    if send.task != Task::Prefill {
+        node.dialect.check_signature(&head)?;
+    }
     let has_body = request.head.method != Method::HEAD;
     if has_body && is_stream(send, &head) {
         // The head may arrive long before the first event, or no event may follow it.
@@ -158,7 +161,7 @@
     send: &Send,
     answer: Answer,
     head: response::Parts,
-    mut body: MeteredBody,
+    mut body: GuardedBody,
 ) -> Result<Answer, Failure> {
     let mut reader = Reader::new(node.with(|it| it.numbering(send.request)));
     let mut head = Some(head);
@@ -176,6 +179,7 @@
             return Ok(answer);
         }
     }
+    body.finish().await?;
     let is_broken = reader.is_within_event() || head.is_some();
     log_unmarked_end(node, send, answer.framing, reader.is_within_event());
     if answer.framing == Framing::Close && is_broken {
--- a/tests/soak/src/client.rs
+++ b/tests/soak/src/client.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hollyspoke_server::guarded::GuardedBody;
 use hollyspoke_server::http1::{Connection, Failure};
-use hollyspoke_server::meter::MeteredBody;
 use http::header::{AUTHORIZATION, CONNECTION, HOST, RETRY_AFTER};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -351,7 +351,7 @@
     }
 
     /// Reads an answer and records it.
-    async fn read(&self, wanted: &Wanted, id: &str, response: Response<MeteredBody>) -> Outcome {
+    async fn read(&self, wanted: &Wanted, id: &str, response: Response<GuardedBody>) -> Outcome {
         let (head, mut body) = response.into_parts();
         let mut bytes = Vec::new();
         while let Some(frame) = body.frame().await {
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod request;
 pub mod single_box;
 pub mod source;
+pub mod spoilt_heads;
 pub mod stages;
 pub mod statements;
--- a/tests/tests/platform_proxy.rs
+++ b/tests/tests/platform_proxy.rs
@@ -1,5 +1,6 @@
 //! A box that reaches no engine passes its clients' requests on to another box.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -13,6 +14,7 @@
     Action, Engine, LAST_CHUNK, Script, Store, ask, chunk, client_head, engine, event, handle,
     local, log, settings, status, store, stream_head, whole,
 };
+use hollyspoke_tests::spoilt_heads::{Form, Media, check_failed, forms};
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -119,6 +121,31 @@
     })
 }
 
+/// An answer with a spoilt head is passed on as a success by neither box.
+#[test]
+fn spoilt_head_behind_another_box() {
+    local(async {
+        let spoilt = Rc::new(Cell::new(None));
+        let form = spoilt.clone();
+        let sound = answers(Vec::new);
+        let script: Script = Rc::new(move |it| match form.get() {
+            Some((form, media)) if !it.is_probe() && it.header("x-serving-stage").is_none() => {
+                let form: &'static Form = form;
+                vec![Action::Send(form.answer(it, media))]
+            }
+            _ => sound(it),
+        });
+        let world = world(script).await;
+        let forms: &'static [Form] = forms().leak();
+        for form in forms {
+            for (path, media) in [("/unsafe/x", Media::Text), ("/once/x", Media::Events)] {
+                spoilt.set(Some((form, media)));
+                check_failed(&see(world.cut.front, "POST", path).await, form);
+            }
+        }
+    });
+}
+
 #[test]
 fn request_without_path_refused() {
     local(async {
