Count a planned stop's grace from the pause in which the signal came

Cause: the reducer and the process counted the period from when the signal was handled. A signal to a stopped process waits until it goes on; that the process had been paused was known, and used for other timeouts only. Besides, the process counted by a clock that stands still during a suspension, and handled a signal during the start only behind it.

The period now begins with the pause if the signal is handled within 0.5 s of its end, else with the last event. New requests get 0.6 of what is left and must fit. The box stays as long as before to refuse clients that hold on to its address. A box that is told to stop while it starts ends at once.

--- a/crates/hollyspoke-gateway/src/effect/log.rs
+++ b/crates/hollyspoke-gateway/src/effect/log.rs
@@ -517,6 +517,6 @@
         /// The outcome of the order.
         outcome: &'static str,
     },
-    /// The process was told to stop.
-    Stopping,
+    /// The process was told to stop, and will be ended by force after this time.
+    Stopping(Duration),
 }
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -35,6 +35,7 @@
 mod silence;
 mod stages;
 mod start;
+mod stop;
 mod store;
 mod survey;
 mod terms;
@@ -63,7 +64,7 @@
 use crate::effect::{Effect, LogEvent};
 use crate::engine::EngineKey;
 use crate::evacuation::Evacuations;
-use crate::event::{Event, Kind};
+use crate::event::Event;
 use crate::features::Features;
 use crate::gateway::admission::Admissions;
 use crate::gateway::archive::Archive;
@@ -74,11 +75,13 @@
 use crate::gateway::migration::Migrations;
 use crate::gateway::origins::Origins;
 use crate::gateway::parts::UnmarkedEnd;
+use crate::gateway::pause::Pause;
 use crate::gateway::peers::{PeerChanges, Unannounced};
 use crate::gateway::permits::Permits;
 use crate::gateway::pool::Pools;
 use crate::gateway::reservations::Reservations;
 use crate::gateway::stages::Stages;
+use crate::gateway::stop::Stop;
 use crate::gateway::store::{EngineChanges, StoreState};
 use crate::gateway::survey::Survey;
 use crate::gateway::versions::Register;
@@ -149,16 +152,6 @@
     pub is_first_start: bool,
 }
 
-/// The share of the grace period after which a stopping box accepts no new requests.
-const LAST_REQUEST_SHARE: f64 = 0.6;
-
-/// The share of the grace period in which a stopping box accepts all requests. Later it accepts
-/// only those whose whole timeout fits into the remaining time.
-const ALL_REQUESTS_SHARE: f64 = 0.35;
-
-/// The end of the grace period in which no request may be in flight.
-const GRACE_MARGIN: Duration = Duration::from_millis(600);
-
 /// The state of one box.
 #[derive(Debug, Clone)]
 pub struct Gateway {
@@ -282,8 +275,10 @@
     heartbeats: u32,
     /// Whether the next heartbeat is sent to all boxes.
     heartbeat_to_all: bool,
-    /// When the process was told to stop.
-    stopped_at: Option<Time>,
+    /// The last pause of this process.
+    last_pause: Option<Pause>,
+    /// The stop of this process, once it was told.
+    stop: Option<Stop>,
     /// The random number generator.
     rng: Pcg64Mcg,
     /// The effects of the current event.
@@ -356,7 +351,8 @@
             next_heartbeat: Time::ZERO,
             heartbeats,
             heartbeat_to_all: true,
-            stopped_at: None,
+            last_pause: None,
+            stop: None,
             rng,
             effects: Vec::new(),
         }
@@ -364,6 +360,7 @@
 
     /// Handles an event and returns the resulting effects.
     pub fn step(&mut self, now: Time, event: Event) -> Vec<Effect> {
+        let last_event_at = self.now;
         self.now = self.now.max(now);
         self.may_have_capacity = !matches!(event, Event::Received(_) | Event::Notified(_));
         match event {
@@ -396,9 +393,9 @@
             Event::BoxNotReached(to) => self.lose_proxy(to),
             Event::Statement(engine, statement) => self.handle_statement(engine, &statement),
             Event::Release(short) => self.release_held(&short),
-            Event::Suspended(duration) => self.resume(duration),
-            Event::Paused(duration) => self.recover_from_pause(duration),
-            Event::Stop => self.stop(),
+            Event::Suspended(duration) => self.resume(duration, last_event_at),
+            Event::Paused(duration) => self.recover_from_pause(duration, last_event_at),
+            Event::Stop => self.stop(last_event_at),
             Event::Tick => {}
         }
         self.remove_missing();
@@ -460,16 +457,6 @@
         self.in_flight.get(&request).map_or(Numbering::Free, InFlight::numbering)
     }
 
-    /// Returns whether the process was told to stop.
-    pub fn is_stopping(&self) -> bool {
-        self.stopped_at.is_some()
-    }
-
-    /// Returns whether a stopped process has no work left at a time.
-    pub fn is_done(&self, now: Time) -> bool {
-        self.is_closing(now) && self.in_flight.is_empty() && !self.reservations.has_asks()
-    }
-
     /// Returns the limits on client requests, once a configuration is known.
     pub fn limits(&self) -> Option<crate::route::Limits> {
         self.configuration.as_ref().map(|it| it.limits)
@@ -545,7 +532,7 @@
 
     /// Returns the state of this box.
     fn readiness(&self) -> Readiness {
-        if self.stopped_at.is_some() {
+        if self.is_stopping() {
             Readiness::Stopping
         } else if !self.may_serve() {
             Readiness::Starting
@@ -560,39 +547,6 @@
         has_loaded && self.knows_cases() && self.knows_evacuation()
     }
 
-    /// Returns whether a stopping box no longer accepts requests.
-    fn is_closing(&self, now: Time) -> bool {
-        let open = self.settings.grace.mul_f64(LAST_REQUEST_SHARE);
-        self.stopped_at.is_some_and(|it| now.since(it) >= open)
-    }
-
-    /// Returns whether a request with a timeout could still be in flight when a stopping process
-    /// must end.
-    fn exceeds_grace(&self, timeout: Duration) -> bool {
-        let Some(stopped_at) = self.stopped_at else { return false };
-        let since = self.now.since(stopped_at);
-        let left = self.settings.grace.saturating_sub(since + GRACE_MARGIN);
-        since >= self.settings.grace.mul_f64(ALL_REQUESTS_SHARE) && timeout > left
-    }
-
-    /// Records that the process was told to stop.
-    fn stop(&mut self) {
-        if self.stopped_at.is_none() {
-            self.stopped_at = Some(self.now);
-            self.log(LogEvent::Stopping);
-            self.schedule_heartbeat_to_all();
-        }
-    }
-
-    /// Resumes after the machine was suspended: state that was read before may be out of date.
-    fn resume(&mut self, duration: Duration) {
-        self.log(LogEvent::Suspended(duration));
-        self.extend_timeouts(duration);
-        self.effects.push(Effect::Read(Kind::Configuration));
-        self.effects.push(Effect::Read(Kind::Engines));
-        self.effects.push(Effect::Read(Kind::Evacuations));
-    }
-
     /// Writes an event to the log.
     fn log(&mut self, event: LogEvent) {
         self.effects.push(Effect::Log(event));
--- a/crates/hollyspoke-gateway/src/gateway/start.rs
+++ b/crates/hollyspoke-gateway/src/gateway/start.rs
@@ -79,7 +79,7 @@
             let retry = self.now.since(Time::ZERO).clamp(min, max);
             return self.refuse_on_arrival(key, &request, NotRunReason::NoConfiguration, retry);
         };
-        if self.is_closing(self.now) {
+        if self.is_closing() {
             return self.refuse_on_arrival(key, &request, NotRunReason::Stopping, STOPPING_RETRY);
         }
         let Some(route) = configuration.route(&request.host, &request.path).cloned() else {
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -373,7 +373,7 @@
             | LogEvent::NotForwarded { .. }
             | LogEvent::Avoided { .. }
             | LogEvent::WatchesStore(_)
-            | LogEvent::Stopping => {}
+            | LogEvent::Stopping(_) => {}
         }
     }
 
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -228,7 +228,7 @@
             "service" => %service, "ended" => has_ended),
         // Decisions are only counted: there is one for each request.
         LogEvent::Admission { .. } => {}
-        LogEvent::Stopping => info!(log, "stopping"),
+        LogEvent::Stopping(left) => info!(log, "stopping"; "grace_left_ms" => millis(left)),
     }
 }
 
--- a/crates/hollyspoke-server/src/run.rs
+++ b/crates/hollyspoke-server/src/run.rs
@@ -49,8 +49,6 @@
     pub directory: SocketAddr,
     /// The address of the metrics; none if they are not served.
     pub metrics: Option<SocketAddr>,
-    /// How long a stop may take.
-    grace: Duration,
     /// Closes clients' connections.
     close: watch::Sender<bool>,
 }
@@ -68,7 +66,14 @@
     log: Logger,
 ) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
-    let running = start(&settings, dialect, log).await?;
+    let started = tokio::select! {
+        started = start(&settings, dialect, log.clone()) => started,
+        _ = terminate.recv() => {
+            info!(log, "stopped before the start");
+            return Ok(());
+        }
+    };
+    let running = started?;
     tokio::task::spawn_local(watch_settings(running.node.clone(), path, settings));
     terminate.recv().await;
     running.stop().await;
@@ -124,7 +129,6 @@
         ready: ready.local_addr()?,
         directory: directory.local_addr()?,
         metrics: metrics.as_ref().map(TcpListener::local_addr).transpose()?,
-        grace: settings.grace,
         close,
     };
     info!(node.log, "started"; "front" => %running.front, "store" => %settings.store);
@@ -164,9 +168,7 @@
     /// boxes.
     pub async fn stop(self) {
         self.node.dispatch(Event::Stop);
-        let max_duration = self.grace.saturating_sub(GRACE_MARGIN);
-        let stopped = tokio::time::Instant::now();
-        while stopped.elapsed() < max_duration {
+        while !self.time_left().is_zero() {
             let now = self.node.now();
             if self.node.with(|it| it.is_done(now)) {
                 break;
@@ -176,10 +178,17 @@
         self.close.send_replace(true);
         // Clients may still be taking answers that have been decided. Each connection, and each
         // listener, holds a receiver.
-        let left = max_duration.saturating_sub(stopped.elapsed()).max(STOP_CHECK_INTERVAL);
+        let left = self.time_left().max(STOP_CHECK_INTERVAL);
         let is_written = tokio::time::timeout(left, self.close.closed()).await.is_ok();
         info!(self.node.log, "stopped"; "written" => is_written);
     }
+
+    /// Returns how long the stop may still take.
+    fn time_left(&self) -> Duration {
+        self.node.detect_suspension();
+        let now = self.node.now();
+        self.node.with(|it| it.grace_left(now)).saturating_sub(GRACE_MARGIN)
+    }
 }
 
 /// Dispatches a tick to the reducer whenever one is due.
--- a/tests/src/box_process.rs
+++ b/tests/src/box_process.rs
@@ -66,6 +66,21 @@
         self.process.signal(Signal::SIGTERM);
     }
 
+    /// Lets the process of the box stand still.
+    pub fn pause(&self) {
+        self.process.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets it go on.
+    pub fn go_on(&self) {
+        self.process.signal(Signal::SIGCONT);
+    }
+
+    /// Ends the process by force.
+    pub fn kill(&self) {
+        self.process.signal(Signal::SIGKILL);
+    }
+
     /// Returns the peak of its resident memory, in bytes; none if the process has ended.
     pub fn peak_memory(&self) -> Option<usize> {
         let status = self.process.file("status")?;
