End an incarnation of an engine by what was said of it, until it answers

Cause: "replaced" was kept without the incarnation that it was said of. Any entry at a known address ended its engine, a peer's word carried the key alone, a 421 ended whatever life was listed by then, and nothing but a later start of the engine took it back.

An entry now ends another engine only if its service is configured and its start is known and later. A 421 ends the incarnation that was called; datagrams name it in a new numbered field, and the word of an earlier box, which doesn't, only lets the engine be asked. An engine that an entry has ended is asked as well; its own id and start take the mark back.

--- a/crates/hollyspoke-gateway/src/directory.rs
+++ b/crates/hollyspoke-gateway/src/directory.rs
@@ -44,6 +44,10 @@
     next_removal: Option<Time>,
     /// The engines that ended without an announcement and are not yet reported by `take_ended`.
     ended: Vec<Arc<Engine>>,
+    /// The engines that another one's entry has ended, and that have not been taken.
+    challenged: Vec<EngineKey>,
+    /// The services of the configuration. Only entries of these say anything about an address.
+    services: BTreeSet<Arc<str>>,
     /// The data centres that are evacuated.
     evacuated: BTreeSet<Arc<str>>,
     /// The most recent changes.
@@ -62,6 +66,20 @@
         std::mem::take(&mut self.ended)
     }
 
+    /// Returns the engines that another one's entry has ended since the last call. They may run all the
+    /// same.
+    pub fn take_challenged(&mut self) -> Vec<EngineKey> {
+        std::mem::take(&mut self.challenged)
+    }
+
+    /// Sets the services of the configuration.
+    pub fn set_services(&mut self, services: BTreeSet<Arc<str>>) {
+        if self.services != services {
+            self.services = services;
+            self.mark_all_replaced();
+        }
+    }
+
     /// Records that an engine's entry is gone.
     fn record_removal(&mut self, known: &Record, now: Time) {
         self.removed.record(&known.engine, now);
--- a/crates/hollyspoke-gateway/src/directory/listing.rs
+++ b/crates/hollyspoke-gateway/src/directory/listing.rs
@@ -136,7 +136,7 @@
         self.history.add(EngineChange::Put(engine.clone(), revision));
         let known = self.take(engine.key);
         if known.is_none() {
-            self.mark_replaced_at(engine.address, engine.started_at);
+            self.mark_replaced_by(&engine);
         }
         self.merge(known, engine, is_copy, now);
         true
@@ -190,46 +190,58 @@
         self.insert(Record { is_evacuated, unconfirmed_until, ..known });
     }
 
-    /// Marks the engine that had a new engine's address as ended, unless it started later.
-    fn mark_replaced_at(&mut self, address: SocketAddr, started_at: Option<u64>) {
-        let is_ended = |it: &Record| {
-            let is_later = it.engine.started_at > started_at && started_at.is_some();
-            !it.is_replaced && !is_later
-        };
-        for key in self.index.at(address).to_vec() {
-            let known = self.engines.get_mut(&key).filter(|it| is_ended(it));
-            let Some(known) = known else { continue };
-            known.is_replaced = true;
-            let known = known.clone();
-            self.record_end(&known);
+    /// Marks the engines that had a new engine's address as ended.
+    fn mark_replaced_by(&mut self, newer: &Engine) {
+        for key in self.index.at(newer.address).to_vec() {
+            if self.engines.get(&key).is_some_and(|it| self.may_end(newer, it)) {
+                self.mark_replaced(key);
+            }
         }
     }
 
     /// Marks the engines whose address is taken by an engine that started later.
-    fn mark_all_replaced(&mut self) {
-        let mut newest: HashMap<SocketAddr, (u64, EngineKey)> = HashMap::new();
-        let mut replaced = Vec::new();
-        for (&key, known) in &self.engines {
-            let Some(started_at) = known.engine.started_at.filter(|_| !known.is_replaced) else {
-                continue;
-            };
-            let first = newest.entry(known.engine.address).or_insert((started_at, key));
-            if first.1 != key {
-                replaced.push(if started_at > first.0 {
-                    std::mem::replace(first, (started_at, key)).1
-                } else {
-                    key
-                });
+    pub(super) fn mark_all_replaced(&mut self) {
+        let mut newest: HashMap<SocketAddr, &Record> = HashMap::new();
+        for known in self.engines.values().filter(|it| self.is_of_service(&it.engine)) {
+            let first = newest.entry(known.engine.address).or_insert(known);
+            if known.engine.started_at > first.engine.started_at {
+                *first = known;
             }
         }
-        for key in replaced {
-            let Some(known) = self.engines.get_mut(&key) else { continue };
-            known.is_replaced = true;
-            let known = known.clone();
-            self.record_end(&known);
+        let is_replaced = |it: &&Record| {
+            let newer = newest.get(&it.engine.address);
+            newer.is_some_and(|newer| {
+                let is_refuted = it.confirmed_at.is_some() && it.confirmed_at >= newer.appeared_at;
+                self.may_end(&newer.engine, it) && !is_refuted
+            })
+        };
+        let replaced = self.engines.values().filter(is_replaced).map(|it| it.engine.key);
+        for key in replaced.collect::<Vec<_>>() {
+            self.mark_replaced(key);
         }
     }
 
+    /// Returns whether an entry may show that an engine at its address has ended. Others may write
+    /// entries, too: one without a start, or of no service of the configuration, shows nothing.
+    fn may_end(&self, newer: &Engine, known: &Record) -> bool {
+        let is_later = newer.started_at.is_some() && newer.started_at > known.engine.started_at;
+        is_later && !known.is_replaced && self.is_of_service(newer)
+    }
+
+    /// Returns whether an engine belongs to a service of the configuration.
+    fn is_of_service(&self, engine: &Engine) -> bool {
+        self.services.contains(&engine.service)
+    }
+
+    /// Marks an engine as ended, until it answers itself.
+    fn mark_replaced(&mut self, key: EngineKey) {
+        let Some(known) = self.engines.get_mut(&key) else { return };
+        known.is_replaced = true;
+        let known = known.clone();
+        self.record_end(&known);
+        self.challenged.push(key);
+    }
+
     /// Returns the revision of the newest change, or 0 if there was none. Boxes that know an older
     /// one may have missed changes.
     pub fn changed(&self) -> Revision {
--- a/crates/hollyspoke-gateway/src/directory/record.rs
+++ b/crates/hollyspoke-gateway/src/directory/record.rs
@@ -22,7 +22,7 @@
     pub reported_load: Option<(ReportedLoad, Time)>,
     /// Its measured prefill rate in tokens per millisecond, and when it was measured.
     pub(super) rate: Option<(f64, Time)>,
-    /// Whether another incarnation answered at its address.
+    /// Whether its address is known, or said, to belong to another incarnation.
     pub(super) is_replaced: bool,
     /// The size in tokens of the request that it last rejected, and when.
     pub(super) rejected: Option<(u32, Time)>,
@@ -107,6 +107,11 @@
         self.missing_until.is_some()
     }
 
+    /// Returns whether its address is known, or said, to belong to another incarnation.
+    pub fn is_replaced(&self) -> bool {
+        self.is_replaced
+    }
+
     /// Returns whether the engine's data centre is evacuated.
     pub fn is_evacuated(&self) -> bool {
         self.is_evacuated
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 mod cases;
 mod catch_up;
 mod census;
+mod challenges;
 mod classes;
 mod cold;
 mod contact;
@@ -70,6 +71,7 @@
 use crate::gateway::archive::Archive;
 use crate::gateway::cases::Cases;
 use crate::gateway::census::Census;
+use crate::gateway::challenges::Challenges;
 use crate::gateway::contact::Contacts;
 use crate::gateway::freshness::Freshness;
 use crate::gateway::migration::Migrations;
@@ -251,6 +253,8 @@
     unmarked_ends: Vec<UnmarkedEnd>,
     /// The same cases as saved in the store.
     cases: Cases,
+    /// The engines that are said to have ended.
+    challenges: Challenges,
     /// The engines that are being probed, since when.
     probing: HashMap<EngineKey, Time>,
     /// The time since which a search has found no engine of a service that was heard. It holds until
@@ -340,6 +344,7 @@
             parts: Parts::default(),
             unmarked_ends: Vec::new(),
             cases: Cases::default(),
+            challenges: Challenges::default(),
             probing: HashMap::new(),
             unheard_since: HashMap::new(),
             contacts: Contacts::default(),
@@ -401,6 +406,7 @@
         self.remove_missing();
         self.lift_expired_evacuations();
         self.handle_ended_engines();
+        self.advance_challenges();
         self.survey();
         self.probe_doubtful_services();
         self.advance_stage_changes();
@@ -432,6 +438,7 @@
             self.evacuations.next_expiry(),
             self.survey.due(),
             self.contacts.next_probe(),
+            self.challenges.next_due(),
             self.members.next_greeting_at(self.now),
             batch_due,
             self.stages.next_check_at(),
--- a/crates/hollyspoke-gateway/src/gateway/call.rs
+++ b/crates/hollyspoke-gateway/src/gateway/call.rs
@@ -243,10 +243,8 @@
         if answer.execution == Execution::Refused {
             self.drop_unused_reservation(call);
         }
-        let now = self.now;
         if answer.execution == Execution::Replaced {
-            self.directory.mark_misdirected(call.engine.key, now);
-            self.unannounced.replaced.push(call.engine.key);
+            self.mark_misdirected(&call.engine);
         } else {
             self.record_rejection(call.engine.key, call.load.held_tokens);
         }
--- a/crates/hollyspoke-gateway/src/gateway/peers.rs
+++ b/crates/hollyspoke-gateway/src/gateway/peers.rs
@@ -16,6 +16,7 @@
 use crate::message::{
     EngineUpdate, Extension, Format, Load, Message, PeerAddress, Rejection, Usage,
 };
+use crate::quarantine::Incarnation;
 
 /// The maximum number of peers listed in one datagram.
 const MAX_PEERS_PER_DATAGRAM: usize = 8;
@@ -41,8 +42,8 @@
 /// What this box has found out about engines and not announced yet.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Unannounced {
-    /// Engines whose address belongs to another incarnation.
-    pub(super) replaced: Vec<EngineKey>,
+    /// Incarnations whose address belongs to another one.
+    pub(super) replaced: Vec<Incarnation>,
     /// Engines that could not be reached, or that timed out.
     pub(super) unreachable: Vec<EngineKey>,
     /// Engines that were announced as unreachable, and from which something has come since.
@@ -126,9 +127,7 @@
             self.apply_engine_update(update);
         }
         self.receive_store_view(message.store_view);
-        for &engine in &message.replaced {
-            self.directory.mark_misdirected(engine, self.now);
-        }
+        self.receive_replaced(message);
         for stage_switch in &message.stage_switches {
             self.apply_stage_switch(stage_switch);
         }
@@ -312,11 +311,11 @@
         let mut message = self.message(false);
         message.loads = changed;
         message.cached_prompts = cached_prompts;
-        message.replaced = unannounced.replaced;
+        message.replaced = unannounced.replaced.iter().map(|it| it.engine).collect();
         message.unreachable = unannounced.unreachable;
         message.rejections = unannounced.rejections;
-        let reached = unannounced.reached;
-        message.extension = Extension { reached, ..Extension::default() }.non_empty();
+        let Unannounced { reached, replaced, .. } = unannounced;
+        message.extension = Extension { reached, replaced, ..Extension::default() }.non_empty();
         message.usage = self.changed_usage();
         self.send_to_concerned(message);
     }
--- a/crates/hollyspoke-gateway/src/gateway/quarantine.rs
+++ b/crates/hollyspoke-gateway/src/gateway/quarantine.rs
@@ -124,12 +124,14 @@
             Probe::Alive(started_at) => {
                 self.learn_start(engine, started_at);
                 self.directory.record_confirmed(engine, started_at, probed_at);
+                self.answer_challenge(engine, false);
                 self.hear_probed(engine, started_at);
                 self.clear_crashes(Incarnation { engine, started_at });
                 // The remaining unconfirmed crashes belong to an earlier incarnation.
                 self.confirm(asked, Proof::Proven);
             }
             Probe::Replaced => {
+                self.answer_challenge(engine, true);
                 self.record_silent_unreached(engine);
                 self.confirm(asked, Proof::Proven);
             }
--- a/crates/hollyspoke-gateway/src/gateway/reservations.rs
+++ b/crates/hollyspoke-gateway/src/gateway/reservations.rs
@@ -184,7 +184,6 @@
     /// Records what an answer without a reservation shows about the engine.
     fn record_failed_ask(&mut self, ask: &Ask, answer: &Answer) {
         let engine = ask.engine.key;
-        let now = self.now;
         if !self.has_incarnation(&ask.engine) {
             return;
         }
@@ -200,8 +199,7 @@
                 }
             }
             Answer::Replaced => {
-                self.directory.mark_misdirected(engine, now);
-                self.unannounced.replaced.push(engine);
+                self.mark_misdirected(&ask.engine);
             }
             Answer::NotConnected => self.mark_unreachable(engine),
             Answer::Granted(_) | Answer::Exhausted | Answer::Unknown => {}
--- a/crates/hollyspoke-gateway/src/gateway/store.rs
+++ b/crates/hollyspoke-gateway/src/gateway/store.rs
@@ -208,6 +208,8 @@
         }
         let routes = configuration.route_count();
         self.log(LogEvent::Configured { version: configuration.version, routes });
+        let services = configuration.services().map(|it| it.name.clone()).collect();
+        self.directory.set_services(services);
         self.configuration = Some(configuration);
         self.apply_customers();
         self.schedule_heartbeat();
--- a/crates/hollyspoke-gateway/src/message.rs
+++ b/crates/hollyspoke-gateway/src/message.rs
@@ -13,7 +13,7 @@
 use crate::evacuation::Evacuation;
 use crate::permit::{Ask, Reply};
 use crate::prompt::CachedPrompt;
-use crate::quarantine::{Announcement, MAX_CRASHES, NamedAnnouncement};
+use crate::quarantine::{Announcement, Incarnation, MAX_CRASHES, NamedAnnouncement};
 use crate::{appointment, class, departure, pace, proxy, rate_limit};
 
 /// The short key of a data centre: a hash of its name, equal on all boxes.
@@ -262,6 +262,8 @@
     pub proxy: proxy::Announcement,
     /// Engines that the sender announced as unreachable, and from which something has come since.
     pub reached: Vec<EngineKey>,
+    /// The incarnations of the engines in [`Message::replaced`].
+    pub replaced: Vec<Incarnation>,
     /// The time left in which engines may register again whose entries have expired, in
     /// milliseconds, if the store has just been away for the sender.
     pub registration_ms: Option<u32>,
--- a/crates/hollyspoke-server/src/datagram.rs
+++ b/crates/hollyspoke-server/src/datagram.rs
@@ -19,6 +19,7 @@
 use hollyspoke_gateway::engine::{Engine, EngineChange, EngineKey};
 use hollyspoke_gateway::message::{Demand, Eras, Extension, Format, Message};
 use hollyspoke_gateway::permit::{Ask, Outcome, Reply};
+use hollyspoke_gateway::quarantine::Incarnation;
 use hollyspoke_gateway::rate_limit::Announcement;
 use hollyspoke_gateway::{appointment, departure, pace, proxy};
 use minicbor::{Decode, Encode};
@@ -98,6 +99,21 @@
     /// Whether the sender keeps streams in the store, in whole datagrams; no if missing.
     #[n(16)]
     keeps_records: Option<bool>,
+    /// The incarnations of the engines whose address belongs to another one.
+    #[n(17)]
+    replaced: Option<Vec<IncarnationField>>,
+}
+
+/// An incarnation of an engine.
+#[derive(Debug, Encode, Decode)]
+#[cbor(map)]
+struct IncarnationField {
+    /// The engine's key.
+    #[n(0)]
+    engine: u64,
+    /// Its start time, in milliseconds of Unix time.
+    #[n(1)]
+    born: Option<u64>,
 }
 
 /// Whether and for which services a box accepts requests of other boxes.
@@ -297,6 +313,7 @@
         versions: message.engine_update.as_ref().and_then(|it| VersionsField::of(put(&it.changes))),
         reads_notices: message.announces_notices().then_some(true),
         reached: non_empty_list(extension.reached.iter().map(|it| it.0).collect()),
+        replaced: non_empty_list(extension.replaced.iter().map(IncarnationField::of).collect()),
         registration_ms: extension.registration_ms,
         parts: non_empty_list(extension.parts.iter().map(PartField::of).collect()),
         supports_parts: message.announces_parts().then_some(true),
@@ -351,6 +368,7 @@
             .collect(),
         paces: extended.paces.iter().flatten().map(PaceField::announcement).collect(),
         reached: extended.reached.iter().flatten().map(|&it| EngineKey(it)).collect(),
+        replaced: extended.replaced.iter().flatten().map(IncarnationField::incarnation).collect(),
         proxy: extended.proxy.map(ProxyField::announcement).unwrap_or_default(),
         registration_ms: extended.registration_ms,
         parts: extended.parts.iter().flatten().filter_map(PartField::announcement).collect(),
@@ -479,6 +497,18 @@
     }
 }
 
+impl IncarnationField {
+    /// Returns the field for an incarnation.
+    fn of(it: &Incarnation) -> IncarnationField {
+        IncarnationField { engine: it.engine.0, born: it.started_at }
+    }
+
+    /// Returns the incarnation.
+    fn incarnation(&self) -> Incarnation {
+        Incarnation { engine: EngineKey(self.engine), started_at: self.born }
+    }
+}
+
 impl ProxyField {
     /// Encodes an announcement; none if it is empty.
     fn of(announcement: &proxy::Announcement) -> Option<ProxyField> {
--- a/tests/tests/formats.rs
+++ b/tests/tests/formats.rs
@@ -20,7 +20,7 @@
 use hollyspoke_gateway::message::{Eras, Extension, Format, Message};
 use hollyspoke_gateway::permit::{Ask, Outcome, Reply};
 use hollyspoke_gateway::quarantine::{
-    self, Crash, MAX_ANNOUNCED, MAX_PART_CRASHES, NamedAnnouncement, Proof,
+    self, Crash, Incarnation, MAX_ANNOUNCED, MAX_PART_CRASHES, NamedAnnouncement, Proof,
 };
 use hollyspoke_gateway::rate_limit::Announcement;
 use hollyspoke_gateway::route::Operations;
@@ -116,6 +116,18 @@
     Eras { store: 9, engines: 8, since: 7, changes: 8, evacuation: 0 }
 }
 
+/// Boxes of the first format read which engines are replaced, the others also which lives of them.
+#[test]
+fn lives_of_replaced_engines_lost() {
+    let lives = [Some(7), None].map(|started_at| Incarnation { engine: EngineKey(1), started_at });
+    let extension = Extension { replaced: lives.to_vec(), ..Extension::default() }.non_empty();
+    let sent = Message { replaced: vec![EngineKey(1)], extension, ..partial() };
+    let received = read(&write(&sent, Format::Permits).unwrap()).expect("it is read");
+    assert_eq!((&received.replaced, &received.extension), (&sent.replaced, &sent.extension));
+    let received = read(&write(&sent, Format::First).unwrap()).expect("it is read");
+    assert_eq!((received.replaced, received.extension), (sent.replaced, None));
+}
+
 #[test]
 fn first_datagram_misread() {
     for (name, sent) in [("whole", whole()), ("partial", partial())] {
