Check answers in hollyspoked and its tools as on the users' platform

A service or engine that spoilt the head of an answer got it to callers of hollyspoked as a complete one: cut by a length that was too short, with the lines of chunks or the rest of the head in the body, with status 600.

Cause: the same as on the users' platform; the client of the daemon reads by the HTTP library's leniency alone.

The client's connections pass all bytes through hollyspoke-http. A pooled connection expects another answer when another request is written and nothing of the last answer is known to be missing.

--- a/crates/hollyspoke-http/src/guard.rs
+++ b/crates/hollyspoke-http/src/guard.rs
@@ -46,6 +46,16 @@
         self.head.map(|it| it.framing)
     }
 
+    /// Returns whether nothing shows that more of the answer is due. The end of a body in chunks isn't
+    /// known here.
+    pub fn may_be_complete(&self) -> bool {
+        match &self.state {
+            State::Head(_) => false,
+            State::Length(missing) => *missing == 0,
+            State::Chunks | State::Close(_) => true,
+        }
+    }
+
     /// Checks bytes that have arrived, and returns how many of them are part of the answer.
     ///
     /// # Errors
--- a/crates/hollyspoke-wire/src/http.rs
+++ b/crates/hollyspoke-wire/src/http.rs
@@ -10,9 +10,14 @@
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client as Pooled;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+use tower::ServiceExt;
+use tower::util::MapResponse;
+
+use crate::checked::{self, CheckedStream};
 
 /// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -20,13 +25,16 @@
 /// The maximum size of a body that is read as a whole, in bytes.
 pub const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
+/// Opens connections whose answers are checked.
+type Connector = MapResponse<HttpConnector, fn(TokioIo<TcpStream>) -> TokioIo<CheckedStream>>;
+
 /// The HTTP client for all calls of a process.
 #[derive(Debug, Clone)]
 pub struct Client {
     /// The client that pools connections.
-    pooled: Pooled<HttpConnector, Full<Bytes>>,
+    pooled: Pooled<Connector, Full<Bytes>>,
     /// The client that opens a connection for each call.
-    unpooled: Pooled<HttpConnector, Full<Bytes>>,
+    unpooled: Pooled<Connector, Full<Bytes>>,
 }
 
 /// The reason why a call got no usable response.
@@ -87,6 +95,8 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
+        let check: fn(TokioIo<TcpStream>) -> TokioIo<CheckedStream> = checked::check;
+        let connector = connector.map_response(check);
         let pooled = Pooled::builder(TokioExecutor::new()).build(connector.clone());
         let unpooled = Pooled::builder(TokioExecutor::new())
             .pool_max_idle_per_host(0)
--- a/crates/hollyspoke-wire/src/lib.rs
+++ b/crates/hollyspoke-wire/src/lib.rs
@@ -2,6 +2,7 @@
 //! platform's object interface, and the HTTP client for the last two.
 
 pub mod caller;
+pub mod checked;
 pub mod engine;
 pub mod http;
 pub mod peer;
--- a/tests/src/spoilt_heads.rs
+++ b/tests/src/spoilt_heads.rs
@@ -59,12 +59,17 @@
     fn new(rest: impl AsRef<[u8]>, coding: Coding) -> Form {
         Form {
             status_line: b"HTTP/1.1 200 OK\r\n",
-            signature: b"X-Server-Stamp: stamp\r\n",
+            signature: SIGNATURE,
             rest: rest.as_ref().to_vec(),
             coding,
         }
     }
 
+    /// Returns whether the answer is signed by an engine.
+    pub fn is_signed(&self) -> bool {
+        self.signature == SIGNATURE
+    }
+
     /// Returns the bytes of the answer to a request.
     pub fn answer(&self, to: &Received, media: Media) -> Vec<u8> {
         let id = to.header("x-request-id").unwrap_or_default();
@@ -177,6 +182,9 @@
     b"HTTP/1.1 200 OK\n",
 ];
 
+/// The line of a signature.
+const SIGNATURE: &[u8] = b"X-Server-Stamp: stamp\r\n";
+
 /// Signatures that are none.
 const SIGNATURES: [&[u8]; 3] = [b"", b"X-Server-Stamq: stamp\r\n", b"X-Server-Stamp:\r\n"];
 
