Wait for the changes of engines before taking up streams behind a pause

Cause: the list was kept without the time as of which it was read. The other boxes had counted the box as gone and sent it no changes; only a suspension read the list again, and no stream waited for it.

Behind a pause or suspension of a second and more, the changes are read, and streams that are taken up at a known version wait for an answer to a question that was asked since, for 0.8 s at most.

--- a/crates/hollyspoke-gateway/src/effect/log.rs
+++ b/crates/hollyspoke-gateway/src/effect/log.rs
@@ -517,6 +517,11 @@
         /// The outcome of the order.
         outcome: &'static str,
     },
+    /// The list of engines was not read again in time after a pause.
+    ListStale {
+        /// The number of requests that took up streams and waited for it.
+        waiting: usize,
+    },
     /// The process was told to stop, and will be ended by force after this time.
     Stopping(Duration),
 }
--- a/crates/hollyspoke-gateway/src/event.rs
+++ b/crates/hollyspoke-gateway/src/event.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hollyspoke::store::{Answer as Answered, Revision};
+use hollyspoke::time::Time;
 
 use crate::engine::{Engine, EngineChange, EngineKey};
 use crate::evacuation::{Change, Evacuation};
@@ -140,6 +141,8 @@
     StoreEra(u64),
     /// The store answered a request for a kind of object.
     StoreAnswered(Kind),
+    /// All changes of a kind up to this time have been read from the store, and passed on before.
+    Refreshed(Kind, Time),
     /// The store didn't answer, or refused, a request for a kind of object.
     StoreFailed(Kind),
     /// A complete request arrived.
--- a/crates/hollyspoke-gateway/src/gateway.rs
+++ b/crates/hollyspoke-gateway/src/gateway.rs
@@ -380,6 +380,7 @@
             Event::SnapshotFailed => self.ask_another(),
             Event::StoreEra(era) => self.update_era(era, None),
             Event::StoreAnswered(kind) => self.record_store_answer(kind),
+            Event::Refreshed(kind, asked_at) => self.record_refresh(kind, asked_at),
             Event::StoreFailed(kind) => self.record_store_failure(kind),
             Event::Arrived(key, request) => self.handle_arrival(key, request),
             Event::ClientDisconnected(key) => self.handle_disconnect(key),
@@ -415,6 +416,7 @@
         }
         self.check_due_requests();
         self.advance_inquiries();
+        self.advance_stale_waits();
         self.advance_migrations();
         self.send_due_heartbeat();
         self.advance_catch_up();
@@ -448,6 +450,7 @@
             self.next_migration_at(),
             self.next_catch_up_at(),
             self.next_inquiry_due(),
+            self.freshness.stale_until(),
             self.archive.next_due(),
             self.parts.next_correction(),
         ];
--- a/crates/hollyspoke-gateway/src/gateway/freshness.rs
+++ b/crates/hollyspoke-gateway/src/gateway/freshness.rs
@@ -13,8 +13,11 @@
 
 use super::Gateway;
 use super::versions::{KIND, NAME};
+use crate::effect::LogEvent;
+use crate::event::Kind;
 use crate::member::address_hash;
 use crate::origin::StreamKey;
+use crate::request::RequestKey;
 
 /// The time since a read was sent for which its answer shows that a follower is in step. An engine
 /// that joins needs longer to be listed and to begin a stream that is broken and resumed.
@@ -26,9 +29,24 @@
 /// The number of followers that are asked. One that is in step is enough.
 const ASKED_FOLLOWERS: usize = 3;
 
+/// The longest wait for the list of engines to be read again after a pause. A client gives up an
+/// attempt that has not been read after a second.
+const STALE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// A list of engines that may lack restarts, since this process was paused.
+#[derive(Debug, Clone)]
+struct StaleList {
+    /// When the pause was noticed.
+    since: Time,
+    /// The requests that take up streams, and wait.
+    waiting: Vec<RequestKey>,
+}
+
 /// What this box's last reads have shown.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Freshness {
+    /// The stale list of engines, until it has been read again.
+    stale_list: Option<StaleList>,
     /// The number of the read under way, and when it was sent.
     under_way: Option<(u64, Time)>,
     /// When the newest read was sent that the store has answered.
@@ -37,7 +55,56 @@
     next_read_at: Time,
 }
 
+impl Freshness {
+    /// Returns until when requests wait for the list of engines to be read again.
+    pub(super) fn stale_until(&self) -> Option<Time> {
+        self.stale_list.as_ref().map(|it| it.since + STALE_TIMEOUT)
+    }
+}
+
 impl Gateway {
+    /// Records that this process was paused for long enough that engines can have restarted.
+    pub(super) fn mark_list_stale(&mut self) {
+        let waiting = self.freshness.stale_list.take().map_or(Vec::new(), |it| it.waiting);
+        self.freshness.stale_list = Some(StaleList { since: self.now, waiting });
+    }
+
+    /// Lets a request that takes up a stream wait while the list of engines is stale. Returns whether
+    /// it waits: the version of an engine's software is known as of the list.
+    pub(super) fn awaits_list(&mut self, key: RequestKey) -> bool {
+        let Some(stale) = &mut self.freshness.stale_list else { return false };
+        if !stale.waiting.contains(&key) {
+            stale.waiting.push(key);
+        }
+        true
+    }
+
+    /// Records that the changes of a kind up to a time are known.
+    pub(super) fn record_refresh(&mut self, kind: Kind, asked_at: Time) {
+        let is_fresh = |it: &mut StaleList| asked_at >= it.since;
+        if kind == Kind::Engines
+            && let Some(stale) = self.freshness.stale_list.take_if(is_fresh)
+        {
+            self.end_stale_waits(stale);
+        }
+    }
+
+    /// Ends the wait for a list that the store doesn't give in time.
+    pub(super) fn advance_stale_waits(&mut self) {
+        let is_over = self.freshness.stale_until().is_some_and(|it| it <= self.now);
+        if is_over && let Some(stale) = self.freshness.stale_list.take() {
+            self.log(LogEvent::ListStale { waiting: stale.waiting.len() });
+            self.end_stale_waits(stale);
+        }
+    }
+
+    /// Goes on with the requests that wait.
+    fn end_stale_waits(&mut self, stale: StaleList) {
+        for key in stale.waiting {
+            self.proceed(key);
+        }
+    }
+
     /// Returns whether this box follows the store, has just had an answer, and knows of no change that
     /// it lacks.
     pub(super) fn has_just_confirmed(&self) -> bool {
--- a/crates/hollyspoke-gateway/src/gateway/origins.rs
+++ b/crates/hollyspoke-gateway/src/gateway/origins.rs
@@ -52,7 +52,7 @@
 
 /// The shortest time in which an engine ends and is back: engines load their weights. Engines that
 /// were the incarnation of their entry less than this ago still are.
-const MIN_RESTART_DURATION: Duration = Duration::from_secs(1);
+pub(super) const MIN_RESTART_DURATION: Duration = Duration::from_secs(1);
 
 /// How long after an attempt its client is expected to come back with the stream: a caller that has
 /// lost its network, or waits for an upstream to be repaired. Later ones may be refused, since
@@ -221,7 +221,8 @@
     pub(super) fn may_continue(&mut self, key: RequestKey) -> bool {
         self.seek_origin(key);
         match self.in_flight.get(&key).map(|it| it.origin) {
-            Some(Origin::Open | Origin::Version(_)) => true,
+            Some(Origin::Version(_)) => !self.awaits_list(key),
+            Some(Origin::Open) => true,
             Some(Origin::Unknown) => {
                 self.give_up(key, NotRunReason::VersionUnknown);
                 false
--- a/crates/hollyspoke-gateway/src/gateway/pause.rs
+++ b/crates/hollyspoke-gateway/src/gateway/pause.rs
@@ -6,6 +6,7 @@
 use hollyspoke::time::Time;
 
 use super::Gateway;
+use super::origins::MIN_RESTART_DURATION;
 use crate::effect::{Effect, LogEvent};
 use crate::event::Kind;
 
@@ -34,7 +35,9 @@
     /// events. The deadlines of requests stay as they are.
     pub(super) fn recover_from_pause(&mut self, pause: Duration, began_at: Time) {
         self.log(LogEvent::Paused(pause));
-        self.note_pause(began_at);
+        if self.note_pause(began_at) {
+            self.effects.push(Effect::Read(Kind::Engines));
+        }
         self.extend_timeouts(pause);
     }
 
@@ -49,11 +52,16 @@
     }
 
     /// Records a pause that has just ended. One that began before what waited since an earlier one can
-    /// have been handled is part of that one.
-    fn note_pause(&mut self, began_at: Time) {
+    /// have been handled is part of that one. Returns whether engines can have restarted meanwhile.
+    fn note_pause(&mut self, began_at: Time) -> bool {
         let earlier = self.last_pause.and_then(|it| it.reaches(began_at));
         let began_at = earlier.unwrap_or(began_at);
         self.last_pause = Some(Pause { began_at, ended_at: self.now });
+        let is_long = self.now.since(began_at) >= MIN_RESTART_DURATION;
+        if is_long {
+            self.mark_list_stale();
+        }
+        is_long
     }
 
     /// Extends the timeouts of engines and other boxes.
--- a/crates/hollyspoke-server/src/metrics.rs
+++ b/crates/hollyspoke-server/src/metrics.rs
@@ -373,6 +373,7 @@
             | LogEvent::NotForwarded { .. }
             | LogEvent::Avoided { .. }
             | LogEvent::WatchesStore(_)
+            | LogEvent::ListStale { .. }
             | LogEvent::Stopping(_) => {}
         }
     }
--- a/crates/hollyspoke-server/src/notes.rs
+++ b/crates/hollyspoke-server/src/notes.rs
@@ -228,6 +228,9 @@
             "service" => %service, "ended" => has_ended),
         // Decisions are only counted: there is one for each request.
         LogEvent::Admission { .. } => {}
+        LogEvent::ListStale { waiting } => {
+            warn!(log, "engines not read again after a pause"; "waiting" => waiting)
+        }
         LogEvent::Stopping(left) => info!(log, "stopping"; "grace_left_ms" => millis(left)),
     }
 }
--- a/crates/hollyspoke-server/src/sync.rs
+++ b/crates/hollyspoke-server/src/sync.rs
@@ -364,7 +364,9 @@
     async fn sync_round(&mut self) -> Result<(), Failure> {
         let node = self.node.clone();
         let kind = self.kind;
+        let asked_at = node.now();
         let revision = self.read_newest().await?;
+        node.dispatch(Event::Refreshed(kind, asked_at));
         self.reached = Some(revision);
         self.failures = 0;
         while node.watches_store() {
--- a/tests/tests/gateway_pause.rs
+++ b/tests/tests/gateway_pause.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hollyspoke_gateway::effect::Effect;
-use hollyspoke_gateway::event::{CallEvent, Event};
+use hollyspoke_gateway::event::{CallEvent, Event, Kind};
 use hollyspoke_gateway::message::{Message, StoreView};
 use hollyspoke_tests::gateway::{World, heartbeat, request};
 
@@ -25,7 +25,7 @@
     for call in [first.call, second.call] {
         world.call(call, CallEvent::Forwarded(Some(1)));
     }
-    assert_eq!(pause(&mut world), []);
+    assert_eq!(pause(&mut world), [Effect::Read(Kind::Engines)]);
     assert_eq!(world.call(first.call, CallEvent::Forwarded(Some(2))), []);
     assert_eq!(world.advance(Duration::from_millis(100)), []);
     assert_eq!(world.call(second.call, CallEvent::Forwarded(Some(2))), []);
