Let answers that reach no client wait for nothing behind their bodies

A prefill's answer reaches no client, and its handle says by itself whether it is whole. It is now checked for the bytes that have been read by then and doesn't give up its turn. Answers to clients still do.

--- a/crates/hollyspoke-server/src/guarded.rs
+++ b/crates/hollyspoke-server/src/guarded.rs
@@ -61,9 +61,7 @@
     }
 
     /// Checks what has arrived behind a whole answer.
-    async fn finish(&self) -> Result<(), Flaw> {
-        // Lets the runtime learn what the socket has received by now.
-        tokio::task::yield_now().await;
+    fn finish(&self) -> Result<(), Flaw> {
         let mut bytes = [0; SURPLUS_BYTES];
         while !self.has_ended.get() && self.guard.borrow().check_surplus().is_ok() {
             // An error of the connection is no byte of the answer, which is whole already.
@@ -154,13 +152,21 @@
     body: Incoming,
     /// What arrives on its connection.
     incomings: Rc<Incomings>,
+    /// Whether the runtime first learns what the socket has received behind the body.
+    settles: bool,
 }
 
 impl GuardedBody {
     /// Wraps a body whose head has just arrived.
     pub fn new(body: Incoming, incomings: Rc<Incomings>) -> GuardedBody {
         incomings.meter.advance();
-        GuardedBody { body, incomings }
+        GuardedBody { body, incomings, settles: true }
+    }
+
+    /// Returns the body of an answer that no client gets and others wait for.
+    #[must_use]
+    pub fn without_settling(self) -> GuardedBody {
+        GuardedBody { settles: false, ..self }
     }
 
     /// Checks that the body which was read to its end is the whole one.
@@ -169,7 +175,10 @@
     ///
     /// If more bytes have arrived, and they begin no other answer.
     pub async fn finish(&self) -> Result<(), Flaw> {
-        self.incomings.finish().await
+        if self.settles {
+            tokio::task::yield_now().await;
+        }
+        self.incomings.finish()
     }
 }
 
--- a/crates/hollyspoke-server/src/upstream.rs
+++ b/crates/hollyspoke-server/src/upstream.rs
@@ -136,6 +136,7 @@
         dispatch_own_statement(node, &send.engine, answer.statement);
         return Err(Failure::Garbled(Flaw::NoEventStream));
     }
+    let body = if send.task == Task::Prefill { body.without_settling() } else { body };
     let on_wait = || node.dispatch(Event::Call(send.call, CallEvent::HeldUp));
     let bytes = match read_whole(body, MAX_ANSWER_BYTES, &node.memory, on_wait).await {
         Ok(bytes) => bytes,
